--- /dev/null
+++ b/ashlatch/__init__.py
@@ -0,0 +1,2 @@
+"""ashlatch."""
+__version__ = "0.1.0"
--- /dev/null
+++ b/ashlatch/client.py
@@ -0,0 +1,151 @@
+"""
+ashlatch.client
+~~~~~~~~~~~~~~~
+
+Calls from routers and control processes to the replicated state: finds the
+leader, and asks again until an answer or the time limit. Asking again is safe,
+since every command may be repeated.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+from concurrent.futures import Future
+from typing import Any, TypeVar
+
+from ashlatch.errors import NoLeader, TransportError
+from ashlatch.rpc import Address, Method, Peer, RpcLoop
+from ashlatch.store import protocol
+from ashlatch.store.command import Command, Outcome
+
+__all__ = ["StateClient"]
+
+R = TypeVar("R")
+
+RETRY_S = 0.03
+CALL_TIMEOUT_S = 1.0
+
+
+class StateClient:
+    """The state's calls as futures. One object serves all threads."""
+
+    def __init__(
+        self, rpc: RpcLoop, addresses: tuple[Address, ...], timeout_ms: float
+    ) -> None:
+        self._rpc = rpc
+        self._addresses = [str(address) for address in addresses]
+        self._peers: dict[str, Peer] = {}
+        self._leader = self._addresses[0]
+        self._timeout_ms = timeout_ms
+
+    def propose(
+        self, command: Command, timeout_ms: float | None = None
+    ) -> "Future[Outcome]":
+        """Commit a command; fails with `NoLeader` when time runs out.
+
+        After that failure the command may still take effect.
+        """
+        request = protocol.ProposeRequest(command)
+        return self._rpc.submit(
+            self._until(
+                protocol.PROPOSE,
+                lambda: request,
+                lambda reply: reply.outcome,
+                timeout_ms or self._timeout_ms,
+            )
+        )
+
+    def read(self, request: protocol.ReadRequest) -> "Future[protocol.ReadReply]":
+        """Read the newest committed state."""
+        return self._rpc.submit(
+            self._until(
+                protocol.READ,
+                lambda: request,
+                lambda reply: reply if reply.answered else None,
+                self._timeout_ms,
+                request.wait_ms,
+            )
+        )
+
+    def change_member(
+        self, change: protocol.MemberChange
+    ) -> "Future[protocol.ReadReply]":
+        """Take a member out of the group; the reply shows the members."""
+        return self._rpc.submit(
+            self._until(
+                protocol.CHANGE_MEMBER,
+                lambda: change,
+                lambda reply: reply if reply.answered else None,
+                self._timeout_ms,
+            )
+        )
+
+    async def poll_router(self, poll: protocol.RouterPoll) -> protocol.RouterReply:
+        """One heartbeat of a router, to whoever seems to lead; on the loop."""
+        reply: protocol.RouterReply = await self._ask(
+            protocol.POLL_ROUTER, poll, CALL_TIMEOUT_S + poll.wait_ms / 1000.0
+        )
+        self._follow(reply.granted, reply.leader)
+        return reply
+
+    async def poll_control(self, poll: protocol.ControlPoll) -> protocol.ControlReply:
+        """One heartbeat of a control process; on the loop."""
+        reply: protocol.ControlReply = await self._ask(
+            protocol.POLL_CONTROL, poll, CALL_TIMEOUT_S
+        )
+        self._follow(reply.answered, reply.leader)
+        return reply
+
+    async def _until(
+        self,
+        method: Method,
+        request: Callable[[], Any],
+        answer: Callable[[Any], R | None],
+        timeout_ms: float,
+        wait_ms: float = 0.0,
+    ) -> R:
+        began_s = time.monotonic()
+        limit_s = began_s + timeout_ms / 1000.0
+        while True:
+            left_s = limit_s - time.monotonic()
+            if left_s <= 0:
+                raise NoLeader(timeout_ms)
+            try:
+                call_s = min(CALL_TIMEOUT_S + wait_ms / 1000.0, left_s)
+                reply = await self._ask(method, request(), call_s)
+            except TransportError:
+                await asyncio.sleep(RETRY_S)
+                continue
+            found = answer(reply)
+            if found is not None:
+                return found
+            self._follow(False, reply.leader)
+            await asyncio.sleep(RETRY_S)
+
+    async def _ask(self, method: Method, request: Any, timeout_s: float) -> Any:
+        address = self._leader
+        peer = self._peers.get(address)
+        if peer is None:
+            peer = self._peers[address] = Peer(Address.parse(address))
+        try:
+            return await peer.call(method, request, timeout_s)
+        except TransportError:
+            if address == self._leader:
+                self._leader = self._after(address)
+            raise
+
+    def _follow(self, answered: bool, leader: str) -> None:
+        if answered:
+            return
+        self._leader = leader or self._after(self._leader)
+
+    def _after(self, address: str) -> str:
+        if address not in self._addresses:
+            return self._addresses[0]
+        place = self._addresses.index(address) + 1
+        return self._addresses[place % len(self._addresses)]
+
+
--- /dev/null
+++ b/ashlatch/cmdline/daemon.py
@@ -0,0 +1,112 @@
+"""
+ashlatch.cmdline.daemon
+~~~~~~~~~~~~~~~~~~~~~~~
+
+What the three daemons' command lines share: settings, signals, exit status.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import logging
+import os
+import signal
+import sys
+import threading
+from collections.abc import Callable
+from pathlib import Path
+from typing import Protocol, TypeVar
+
+import click
+
+from ashlatch import __version__
+from ashlatch.errors import AshlatchError, SettingsError
+from ashlatch.log import DaemonFailed, DaemonStarted, DaemonStopped, emit, setup
+from ashlatch.settings import ControlSettings, RouterSettings, StateSettings, load
+
+__all__ = ["EXIT_FAILED", "EXIT_SETTINGS", "Daemon", "load_or_exit", "run"]
+
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+
+log = logging.getLogger("ashlatch.daemon")
+
+S = TypeVar("S", StateSettings, RouterSettings, ControlSettings)
+
+
+class Daemon(Protocol):
+    """What `run` drives."""
+
+    def start(self) -> None:
+        """Begin to serve; returns when ready."""
+
+    def stop(self) -> int | None:
+        """End in order; returns how many requests had to be cut, if any."""
+
+
+def load_or_exit(path: Path, kind: type[S], check_only: bool) -> S:
+    """Read the settings, or say each thing wrong with them and exit with 2."""
+    try:
+        settings = load(path, kind)
+    except SettingsError as group:
+        for error in group.exceptions:
+            click.echo(f"{path}: {error}", err=True)
+        sys.exit(EXIT_SETTINGS)
+    if check_only:
+        click.echo(f"{path}: the settings are correct")
+        sys.exit(0)
+    return settings
+
+
+class _Ending:
+    """Why and when the process should end."""
+
+    def __init__(self) -> None:
+        self.event = threading.Event()
+        self.error: BaseException | None = None
+
+    def ask(self, signum: int, frame: object) -> None:
+        """A signal asks for an end in order."""
+        self.event.set()
+
+    def fail(self, error: BaseException) -> None:
+        """Something inside must not go on."""
+        self.error = error
+        self.event.set()
+
+
+def run(
+    name: str,
+    settings: StateSettings | RouterSettings | ControlSettings,
+    make: Callable[[Callable[[BaseException], None]], Daemon],
+) -> None:
+    """Run a daemon until SIGTERM or SIGINT, or until it fails.
+
+    A failure ends the process at once with status 1: a member that found
+    its own state wrong must not finish what it was doing.
+    """
+    setup(level=settings.log_level)
+    ending = _Ending()
+    signal.signal(signal.SIGTERM, ending.ask)
+    signal.signal(signal.SIGINT, ending.ask)
+    try:
+        daemon = make(ending.fail)
+        daemon.start()
+    except (AshlatchError, OSError) as error:
+        _report_failure(name, error)
+        sys.exit(EXIT_FAILED)
+    started = DaemonStarted(
+        name, settings.vm, settings.hall, settings.listen, __version__
+    )
+    emit(log, started)
+    ending.event.wait()
+    if ending.error is not None:
+        _report_failure(name, ending.error)
+        os._exit(EXIT_FAILED)
+    cut = daemon.stop() or 0
+    emit(log, DaemonStopped(name, settings.vm, cut))
+
+
+def _report_failure(name: str, error: BaseException) -> None:
+    failed = DaemonFailed(name, type(error).__name__, str(error))
+    emit(log, failed, logging.CRITICAL)
--- /dev/null
+++ b/ashlatch/codec.py
@@ -0,0 +1,56 @@
+"""
+ashlatch.codec
+~~~~~~~~~~~~~~
+
+The codec of messages between daemons and of durable records: MessagePack by
+`msgspec`. Unknown fields are skipped and missing ones take their defaults, so
+that neighbouring versions of the program read each other.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from functools import lru_cache
+from typing import Any
+
+import msgspec
+import xxhash
+from grpclib.encoding.base import CodecBase
+
+__all__ = ["MessageCodec", "decode", "digest", "encode"]
+
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+@lru_cache(maxsize=256)
+def _decoder(kind: Any) -> msgspec.msgpack.Decoder[Any]:
+    return msgspec.msgpack.Decoder(kind)
+
+
+def encode(value: Any) -> bytes:
+    """A message or record as bytes."""
+    return _ENCODER.encode(value)
+
+
+def decode(data: bytes, kind: Any) -> Any:
+    """Bytes as a value of the given type; raises `msgspec.DecodeError`."""
+    return _decoder(kind).decode(data)
+
+
+class MessageCodec(CodecBase):
+    """`grpclib` codec for `msgspec` structs."""
+
+    __content_subtype__ = "msgpack"
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        """One message as the body of a gRPC frame."""
+        return encode(message)
+
+    def decode(self, data: bytes, message_type: Any) -> Any:
+        """The body of a gRPC frame as a message of the declared type."""
+        return decode(data, message_type)
+
+
+def digest(data: bytes) -> str:
+    """A 128-bit hash of a body in hex; tells a repeat from another body."""
+    return xxhash.xxh3_128_hexdigest(data)
--- /dev/null
+++ b/ashlatch/policy/table.py
@@ -0,0 +1,170 @@
+"""
+ashlatch.policy.table
+~~~~~~~~~~~~~~~~~~~~~
+
+The configuration as the decisions read it: one immutable table for each
+revision, made from the resources.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from dataclasses import dataclass, field
+from functools import lru_cache
+from typing import TypeVar
+
+from ashlatch.errors import InvariantViolated
+from ashlatch.resources import (
+    Cascade,
+    Endpoint,
+    Organisation,
+    Pool,
+    Rollout,
+    RolloutProgress,
+    Route,
+    Spec,
+    Version,
+    parse,
+)
+from ashlatch.store.command import Resource
+from ashlatch.store.configuration import ResourceId
+
+__all__ = ["ActiveRollout", "NamedEndpoint", "RoutingTable", "TableBuilder"]
+
+K = TypeVar("K", bound=Spec)
+
+
+@dataclass(frozen=True)
+class NamedEndpoint:
+    """An endpoint with its name."""
+
+    name: str
+    spec: Endpoint
+
+
+@dataclass(frozen=True)
+class ActiveRollout:
+    """A roll-out and the share of traffic that it has reached."""
+
+    name: str
+    from_version: str
+    to_version: str
+    share_percent: float
+
+
+@dataclass(frozen=True)
+class RoutingTable:
+    """Everything configured, as of one revision."""
+
+    revision: int = 0
+    organisations: dict[str, Organisation] = field(default_factory=dict)
+    organisation_of_key: dict[str, str] = field(default_factory=dict)
+    versions: dict[str, Version] = field(default_factory=dict)
+    pools: dict[str, Pool] = field(default_factory=dict)
+    endpoints: dict[str, tuple[NamedEndpoint, ...]] = field(default_factory=dict)
+    cascades: dict[str, Cascade] = field(default_factory=dict)
+    routes: dict[str, Route] = field(default_factory=dict)
+    rollouts: tuple[ActiveRollout, ...] = ()
+    withdrawn: frozenset[str] = frozenset()
+
+    def allows(self, organisation: str, version: str) -> bool:
+        """Whether the organisation may use the version (R1)."""
+        spec = self.organisations.get(organisation)
+        known = self.versions.get(version)
+        if spec is None or known is None:
+            return False
+        return version in spec.allowed_versions or known.model in spec.allowed_models
+
+    def usable(self, organisation: str, version: str) -> bool:
+        """Whether new work of the organisation may go to the version."""
+        return version not in self.withdrawn and self.allows(organisation, version)
+
+    def rungs(self, route: str) -> tuple[str, ...]:
+        """The versions of a route, with those that roll-outs put beside them."""
+        spec = self.routes.get(route)
+        cascade = self.cascades.get(spec.cascade) if spec else None
+        if cascade is None:
+            return ()
+        rungs = list(cascade.rungs)
+        for rollout in self.rollouts:
+            listed = rollout.from_version in rungs
+            if listed and rollout.to_version not in rungs:
+                place = rungs.index(rollout.from_version) + 1
+                rungs.insert(place, rollout.to_version)
+        return tuple(rungs)
+
+
+@lru_cache(maxsize=8192)
+def _parsed(kind: str, spec: bytes) -> Spec:
+    return parse(kind, spec)
+
+
+class TableBuilder:
+    """Keeps the resources of the newest revision and makes tables of them."""
+
+    def __init__(self) -> None:
+        self._resources: dict[ResourceId, Resource] = {}
+        self.revision = 0
+
+    def update(
+        self,
+        revision: int,
+        resources: tuple[Resource, ...],
+        deleted: tuple[ResourceId, ...],
+    ) -> RoutingTable:
+        """Apply the changes up to a revision, which never goes back (R10)."""
+        if revision < self.revision:
+            raise InvariantViolated("R10", f"{revision} after {self.revision}")
+        for key in deleted:
+            self._resources.pop(key, None)
+        for resource in resources:
+            self._resources[ResourceId(resource.kind, resource.name)] = resource
+        self.revision = revision
+        return self._build()
+
+    def _build(self) -> RoutingTable:
+        organisations = self._all(Organisation)
+        return RoutingTable(
+            self.revision,
+            organisations,
+            {
+                key: name
+                for name, spec in organisations.items()
+                for key in spec.key_sha256s
+            },
+            self._all(Version),
+            self._all(Pool),
+            self._endpoints(),
+            self._all(Cascade),
+            self._all(Route),
+            self._rollouts(),
+            frozenset(k.name for k in self._resources if k.kind == "withdrawal"),
+        )
+
+    def _all(self, kind: type[K]) -> dict[str, K]:
+        found: dict[str, K] = {}
+        for key, resource in self._resources.items():
+            if key.kind == kind.name:
+                spec = _parsed(kind.name, resource.spec)
+                assert isinstance(spec, kind)
+                found[key.name] = spec
+        return found
+
+    def _endpoints(self) -> dict[str, tuple[NamedEndpoint, ...]]:
+        by_pool: dict[str, list[NamedEndpoint]] = {}
+        for name, spec in sorted(self._all(Endpoint).items()):
+            by_pool.setdefault(spec.pool, []).append(NamedEndpoint(name, spec))
+        return {pool: tuple(found) for pool, found in by_pool.items()}
+
+    def _rollouts(self) -> tuple[ActiveRollout, ...]:
+        progress = self._all(RolloutProgress)
+        active = []
+        for name, spec in sorted(self._all(Rollout).items()):
+            reached = progress.get(name, RolloutProgress())
+            if reached.state != "rolled_back" and reached.share_percent > 0:
+                active.append(
+                    ActiveRollout(
+                        name, spec.from_version, spec.to_version, reached.share_percent
+                    )
+                )
+        return tuple(active)
--- /dev/null
+++ b/ashlatch/raft/core.py
@@ -0,0 +1,225 @@
+"""
+ashlatch.raft.core
+~~~~~~~~~~~~~~~~~~
+
+The state of one member of one group, and `step`, which takes an event and
+returns effects. No clock, socket, file or thread is used here: times come in
+with the events (milliseconds of any monotonic clock), and randomness from a
+seeded generator.
+
+The handlers of the events are in `election`, `replication` and `membership`.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import enum
+import random
+from dataclasses import dataclass, field
+
+from ashlatch.errors import InvariantViolated
+from ashlatch.raft.effect import (
+    AppendLog,
+    Apply,
+    Boot,
+    Effect,
+    Event,
+    LeadershipChanged,
+    SaveVote,
+    Send,
+)
+from ashlatch.raft.log import Log
+from ashlatch.raft.message import Entry, Member, Members, Message, SnapshotMeta
+from ashlatch.registry import Handlers
+
+__all__ = ["HANDLERS", "Progress", "RaftConfig", "RaftCore", "Role"]
+
+HANDLERS = Handlers("raft")
+
+
+class Role(enum.Enum):
+    """What a member is at present."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(frozen=True)
+class RaftConfig:
+    """Timing and sizes of a group; equal on all its members."""
+
+    group: int = 0
+    heartbeat_ms: float = 100.0
+    election_min_ms: float = 600.0
+    election_max_ms: float = 1200.0
+    clock_drift_ratio: float = 0.05
+    message_bytes: int = 262_144
+    seed: int = 0
+
+
+@dataclass
+class Progress:
+    """What a leader knows of one other member.
+
+    `acked_ms` is the leader's own time at which it sent the newest message
+    that the member has answered.
+    """
+
+    next_index: int
+    match_index: int = 0
+    acked_ms: float = float("-inf")
+    snapshot_offset: int | None = None
+
+
+@dataclass
+class RaftCore:
+    """One member. Call `step` with every event, in order, from one thread."""
+
+    config: RaftConfig
+    boot: Boot
+    now_ms: float
+
+    role: Role = Role.FOLLOWER
+    leader_id: str = ""
+    commit_index: int = 0
+    votes: set[str] = field(default_factory=set)
+    progress: dict[str, Progress] = field(default_factory=dict)
+    effects: list[Effect] = field(default_factory=list)
+    snapshot_parts: list[bytes] = field(default_factory=list)
+    snapshot_meta: SnapshotMeta = SnapshotMeta()
+    heartbeat_due_ms: float = 0.0
+    leading_since_ms: float = 0.0
+
+    def __post_init__(self) -> None:
+        boot = self.boot
+        self.member_id = boot.member_id
+        self.term = boot.term
+        self.voted_for = boot.voted_for
+        self.log = Log(boot.snapshot, boot.entries)
+        self.snapshot_data = boot.snapshot_data
+        self.commit_index = boot.snapshot.index
+        self.synced_index = self.log.last_index
+        self.members_index, self.members = self.log.members()
+        self.random = random.Random(f"{self.config.seed}/{self.member_id}")
+        # A member that has just started may have acknowledged a leader right
+        # before; it keeps its vote for as long as that leader's lease can run.
+        self.leader_heard_ms = self.now_ms
+        self.reset_election_timer()
+
+    def step(self, now_ms: float, event: Event) -> list[Effect]:
+        """Handle one event and return what must be done, in order."""
+        self.now_ms = max(self.now_ms, now_ms)
+        HANDLERS.call(self, event)
+        effects, self.effects = self.effects, []
+        return effects
+
+    # What others may ask.
+
+    @property
+    def leading(self) -> bool:
+        """Whether this member leads, by its own knowledge."""
+        return self.role is Role.LEADER
+
+    @property
+    def leader(self) -> Member | None:
+        """The leader of this term, if one is known."""
+        return self.members.find(self.leader_id)
+
+    def lease_until_ms(self) -> float:
+        """The time until which no other leader can exist.
+
+        Every voter refuses its vote for `election_min_ms` after it heard of
+        the leader; the quorum that heard it last bounds the lease.
+        """
+        if not self.leading:
+            return float("-inf")
+        acked = sorted(
+            (self.acked_ms(voter) for voter in self.members.voter_ids()), reverse=True
+        )
+        quorum_acked = acked[self.members.quorum() - 1]
+        window_ms = self.config.election_min_ms * (1 - self.config.clock_drift_ratio)
+        return quorum_acked + window_ms
+
+    def may_read(self, now_ms: float) -> bool:
+        """Whether the applied state may be served as the newest there is."""
+        return (
+            self.leading
+            and self.log.term_at(self.commit_index) == self.term
+            and now_ms < self.lease_until_ms()
+        )
+
+    # Shared steps of the handlers.
+
+    def peer(self, member_id: str) -> Member:
+        """Where to answer a sender, also one that the log does not name yet.
+
+        The host knows the address that such a sender gave with its message.
+        """
+        return self.members.find(member_id) or Member(member_id, "", "")
+
+    def acked_ms(self, member_id: str) -> float:
+        """When the member last acknowledged; a leader always hears itself."""
+        if member_id == self.member_id:
+            return self.now_ms
+        known = self.progress.get(member_id)
+        return known.acked_ms if known else float("-inf")
+
+    def send(self, to: Member, message: Message, after_sync: bool = False) -> None:
+        """Queue a message as an effect."""
+        self.effects.append(Send(to, message, after_sync))
+
+    def reset_election_timer(self) -> None:
+        """Draw a new time at which to stand for election."""
+        wait_ms = self.random.uniform(
+            self.config.election_min_ms, self.config.election_max_ms
+        )
+        self.election_due_ms = self.now_ms + wait_ms
+
+    def save_vote(self, term: int, voted_for: str) -> None:
+        """Enter a term, or vote in it, durably."""
+        if term < self.term:
+            raise InvariantViolated("term-order", f"{term} after {self.term}")
+        self.term = term
+        self.voted_for = voted_for
+        self.effects.append(SaveVote(term, voted_for))
+
+    def become_follower(self, term: int, leader_id: str = "") -> None:
+        """Follow, in this term or a newer one."""
+        was = (self.role, self.leader_id, self.term)
+        if term > self.term:
+            self.save_vote(term, "")
+        if self.leading:
+            self.reset_election_timer()
+        self.role = Role.FOLLOWER
+        self.leader_id = leader_id
+        if was != (self.role, self.leader_id, self.term):
+            self.effects.append(LeadershipChanged(self.term, False, self.leader))
+
+    def append_own(self, command: bytes, members: Members | None = None) -> Entry:
+        """As the leader, put one entry at the end of the log."""
+        entry = Entry(self.log.last_index + 1, self.term, command, members)
+        self.append((entry,))
+        return entry
+
+    def append(self, entries: tuple[Entry, ...]) -> None:
+        """Put entries into the log and onto the disk."""
+        if entries[0].index <= self.commit_index:
+            raise InvariantViolated(
+                "committed-kept", f"{entries[0].index} <= {self.commit_index}"
+            )
+        self.synced_index = min(self.synced_index, entries[0].index - 1)
+        self.log.append(entries)
+        self.members_index, self.members = self.log.members()
+        self.effects.append(AppendLog(entries))
+
+    def commit_to(self, index: int) -> None:
+        """Apply all up to an index that is known to be committed."""
+        if index <= self.commit_index:
+            return
+        entries = self.log.between(self.commit_index + 1, index)
+        if len(entries) != index - self.commit_index:
+            raise InvariantViolated("commit-gap", f"{self.commit_index}..{index}")
+        self.commit_index = index
+        self.effects.append(Apply(entries))
--- /dev/null
+++ b/ashlatch/raft/election.py
@@ -0,0 +1,159 @@
+"""
+ashlatch.raft.election
+~~~~~~~~~~~~~~~~~~~~~~
+
+Terms and votes. A member first asks whether it would be elected (pre-vote)
+and only then begins a term, so that one that was cut off and comes back does
+not depose a working leader. A leader that hears no quorum steps down
+(check-quorum), and voters that hear a leader give no vote against it.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from ashlatch.raft.core import HANDLERS, Progress, RaftCore, Role
+from ashlatch.raft.effect import LeadershipChanged, Received, Tick
+from ashlatch.raft.message import VoteReply, VoteRequest
+from ashlatch.raft.replication import broadcast, receive_replication
+from ashlatch.raft.membership import advance_repair
+from ashlatch.registry import Handlers
+
+__all__ = ["receive", "tick"]
+
+_MESSAGES = Handlers("raft message")
+
+
+@HANDLERS.on(Tick)
+def tick(core: RaftCore, event: Tick) -> None:
+    """Stand for election when the leader is silent; lead when leading."""
+    if core.leading:
+        _lead(core)
+        return
+    if core.now_ms < core.election_due_ms:
+        return
+    core.reset_election_timer()
+    if core.member_id in core.members.voter_ids():
+        _ask_votes(core, pre=True)
+
+
+@HANDLERS.on(Received)
+def receive(core: RaftCore, event: Received) -> None:
+    """Hand a message of another member to its handler."""
+    message = event.message
+    if message.group != core.config.group:
+        return
+    if type(message) in _MESSAGES.types():
+        _MESSAGES.call(core, message)
+    else:
+        receive_replication(core, message)
+
+
+def _lead(core: RaftCore) -> None:
+    heard_ms = max(core.lease_until_ms(), core.leading_since_ms)
+    if core.now_ms > heard_ms + core.config.election_max_ms:
+        core.become_follower(core.term)
+        return
+    if core.now_ms >= core.heartbeat_due_ms:
+        core.heartbeat_due_ms = core.now_ms + core.config.heartbeat_ms
+        broadcast(core, heartbeat=True)
+    advance_repair(core)
+
+
+def _ask_votes(core: RaftCore, pre: bool) -> None:
+    if pre:
+        core.role = Role.PRE_CANDIDATE
+        term = core.term + 1
+    else:
+        core.role = Role.CANDIDATE
+        core.save_vote(core.term + 1, core.member_id)
+        term = core.term
+    core.leader_id = ""
+    core.votes = {core.member_id}
+    request = VoteRequest(
+        core.config.group,
+        core.member_id,
+        term,
+        core.log.last_index,
+        core.log.last_term,
+        pre,
+    )
+    for voter in core.members.voters:
+        if voter.member_id != core.member_id:
+            core.send(voter, request, after_sync=not pre)
+    _count_votes(core)
+
+
+def _count_votes(core: RaftCore) -> None:
+    if len(core.votes & core.members.voter_ids()) < core.members.quorum():
+        return
+    if core.role is Role.PRE_CANDIDATE:
+        _ask_votes(core, pre=False)
+    elif core.role is Role.CANDIDATE:
+        _become_leader(core)
+
+
+def _become_leader(core: RaftCore) -> None:
+    core.role = Role.LEADER
+    core.leader_id = core.member_id
+    core.heartbeat_due_ms = core.now_ms
+    core.progress = {}
+    for member in core.members.everyone():
+        core.progress[member.member_id] = Progress(core.log.last_index + 1)
+    core.leading_since_ms = core.now_ms
+    core.effects.append(LeadershipChanged(core.term, True, core.leader))
+    core.append_own(b"")
+    broadcast(core, heartbeat=True)
+
+
+def _leader_is_alive(core: RaftCore) -> bool:
+    heard_for_ms = core.now_ms - core.leader_heard_ms
+    return core.leading or heard_for_ms < core.config.election_min_ms
+
+
+@_MESSAGES.on(VoteRequest)
+def _vote_requested(core: RaftCore, request: VoteRequest) -> None:
+    if request.term > core.term and not request.pre and not _leader_is_alive(core):
+        core.become_follower(request.term)
+    granted = _would_vote(core, request)
+    if granted and not request.pre:
+        core.save_vote(core.term, request.sender)
+        core.reset_election_timer()
+    reply = VoteReply(
+        core.config.group,
+        core.member_id,
+        request.term,
+        granted,
+        request.pre,
+        core.term,
+    )
+    core.send(core.peer(request.sender), reply, after_sync=True)
+
+
+def _would_vote(core: RaftCore, request: VoteRequest) -> bool:
+    if _leader_is_alive(core):
+        return False
+    up_to_date = (request.last_term, request.last_index) >= (
+        core.log.last_term,
+        core.log.last_index,
+    )
+    if request.pre:
+        return up_to_date and request.term > core.term
+    free = core.voted_for in ("", request.sender)
+    return up_to_date and request.term == core.term and free
+
+
+@_MESSAGES.on(VoteReply)
+def _vote_answered(core: RaftCore, reply: VoteReply) -> None:
+    if not reply.granted and reply.voter_term > core.term and not core.leading:
+        # Without this a member with the newest log but an old term would
+        # never be given a pre-vote.
+        core.become_follower(reply.voter_term)
+        return
+    expected = {
+        Role.PRE_CANDIDATE: (core.term + 1, True),
+        Role.CANDIDATE: (core.term, False),
+    }.get(core.role)
+    if (reply.term, reply.pre) != expected or not reply.granted:
+        return
+    core.votes.add(reply.sender)
+    _count_votes(core)
--- /dev/null
+++ b/ashlatch/raft/membership.py
@@ -0,0 +1,97 @@
+"""
+ashlatch.raft.membership
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+Changes of members, one at a time, each begun only after the last one is
+committed. A new data folder joins as a learner, becomes a voter once it has
+synced all that is committed, and only then is the member that it replaces on
+its VM taken out.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from ashlatch.raft.core import HANDLERS, Progress, RaftCore
+from ashlatch.raft.effect import AddLearner, RemoveMember
+from ashlatch.raft.message import Member, Members
+
+__all__ = ["advance_repair", "replaced_members"]
+
+
+@HANDLERS.on(AddLearner)
+def _add_learner(core: RaftCore, event: AddLearner) -> None:
+    if _may_change(core) and core.members.find(event.member.member_id) is None:
+        _change(core, core.members.with_learner(event.member))
+
+
+@HANDLERS.on(RemoveMember)
+def _remove_member(core: RaftCore, event: RemoveMember) -> None:
+    if not _may_change(core) or core.members.find(event.member_id) is None:
+        return
+    remaining = core.members.without(event.member_id)
+    if remaining.voters and _quorum_answers(core, remaining):
+        _change(core, remaining)
+
+
+def advance_repair(core: RaftCore) -> None:
+    """As the leader, take the next step of an unfinished repair, if any."""
+    if not _may_change(core):
+        return
+    for learner in core.members.learners:
+        if _caught_up(core, learner):
+            _change(core, core.members.with_voter(learner))
+            return
+    for member in replaced_members(core.members):
+        if _quorum_answers(core, core.members.without(member.member_id)):
+            _change(core, core.members.without(member.member_id))
+            return
+
+
+def replaced_members(members: Members) -> tuple[Member, ...]:
+    """Members whose VM has a newer voter with another data folder."""
+    newest = {voter.vm: voter.member_id for voter in members.voters}
+    return tuple(
+        member
+        for member in members.everyone()
+        if newest.get(member.vm, member.member_id) != member.member_id
+        and member in members.voters
+    )
+
+
+def _may_change(core: RaftCore) -> bool:
+    """Whether the last change is committed, and an entry of this term too.
+
+    The second point closes the hole in single-server changes that Ongaro
+    described on raft-dev in 2015.
+    """
+    own_term_committed = core.log.term_at(core.commit_index) == core.term
+    return (
+        core.leading and own_term_committed and core.commit_index >= core.members_index
+    )
+
+
+def _caught_up(core: RaftCore, member: Member) -> bool:
+    if member.member_id == core.member_id:
+        return True
+    progress = core.progress.get(member.member_id)
+    if progress is None:
+        return False
+    silent_ms = core.now_ms - progress.acked_ms
+    recent = silent_ms < core.config.election_min_ms
+    return recent and progress.match_index >= core.commit_index
+
+
+def _quorum_answers(core: RaftCore, members: Members) -> bool:
+    """Whether a quorum of these voters has synced all that is committed."""
+    current = [voter for voter in members.voters if _caught_up(core, voter)]
+    return len(current) >= members.quorum()
+
+
+def _change(core: RaftCore, members: Members) -> None:
+    core.append_own(b"", members)
+    for member in members.everyone():
+        core.progress.setdefault(
+            member.member_id, Progress(core.log.last_index)
+        )
+    known = {member.member_id for member in members.everyone()}
+    core.progress = {key: p for key, p in core.progress.items() if key in known}
--- /dev/null
+++ b/ashlatch/raft/storage.py
@@ -0,0 +1,325 @@
+"""
+ashlatch.raft.storage
+~~~~~~~~~~~~~~~~~~~~~
+
+The data folder of one group: a log of checksummed records in segments, and
+snapshots. A record is `MAGIC`, the length and the CRC-32 of its payload
+(4 bytes each, little endian), then the payload.
+
+A tail that was torn by a crash is cut off at the last whole record. A bad
+record with a whole one behind it is damage, and raises `LogDamaged`: a
+synced record may be missing, so the member must not go on.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import os
+import struct
+import uuid
+import zlib
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from ashlatch.codec import decode, encode
+from ashlatch.errors import AshlatchError
+from ashlatch.raft.effect import Boot
+from ashlatch.raft.message import Entry, Members, SnapshotMeta
+
+__all__ = [
+    "Disk",
+    "DiskFailed",
+    "GroupStorage",
+    "Identity",
+    "LogDamaged",
+    "create_identity",
+    "read_identity",
+]
+
+MAGIC = b"ALR1"
+_HEADER = struct.Struct("<4sII")
+_SEGMENT_SUFFIX = ".log"
+_SNAPSHOT_SUFFIX = ".snapshot"
+_PART_SUFFIX = ".part"
+_IDENTITY = "identity"
+
+
+@dataclass
+class LogDamaged(AshlatchError):
+    """A record at `offset` of the file is bad and a later one is whole."""
+
+    path: str
+    offset: int
+
+
+@dataclass
+class DiskFailed(AshlatchError):
+    """The disk refused a write or a sync; nothing after it may be promised."""
+
+    path: str
+    reason: str
+
+
+class Disk:
+    """The calls to the operating system, in one place so that tests can fail
+    them. Every method raises `OSError` as the system does.
+    """
+
+    def write(self, descriptor: int, data: bytes) -> None:
+        """Write all of the data at the end of an open file."""
+        view = memoryview(data)
+        while view:
+            view = view[os.write(descriptor, view) :]
+
+    def sync(self, descriptor: int) -> None:
+        """Wait until the file's data is on the disk."""
+        os.fdatasync(descriptor)
+
+    def sync_folder(self, path: Path) -> None:
+        """Wait until the names in a folder are on the disk."""
+        descriptor = os.open(path, os.O_RDONLY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+    def replace_file(self, path: Path, data: bytes) -> None:
+        """Write a file whole or not at all."""
+        part = path.with_name(path.name + _PART_SUFFIX)
+        descriptor = os.open(part, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        try:
+            self.write(descriptor, data)
+            self.sync(descriptor)
+        finally:
+            os.close(descriptor)
+        os.replace(part, path)
+        self.sync_folder(path.parent)
+
+
+class Identity(msgspec.Struct, frozen=True):
+    """Whose data folder this is. Made once, together with the folder."""
+
+    member_id: str
+    vm: str
+
+
+class VoteRecord(msgspec.Struct, frozen=True, tag="vote"):
+    """The newest term and whom this member voted for in it."""
+
+    term: int
+    voted_for: str
+
+
+class EntryRecord(msgspec.Struct, frozen=True, tag="entries"):
+    """Entries; all earlier ones from the first index on are void."""
+
+    entries: tuple[Entry, ...]
+
+
+class SnapshotFile(msgspec.Struct, frozen=True):
+    """A snapshot with what it stands for."""
+
+    meta: SnapshotMeta
+    data: bytes
+
+
+_Record = VoteRecord | EntryRecord
+
+
+def read_identity(folder: Path) -> Identity | None:
+    """The identity in a data folder, or none in an empty one."""
+    path = folder / _IDENTITY
+    if not path.exists():
+        return None
+    identity: Identity = decode(_unframe(path, path.read_bytes()), Identity)
+    return identity
+
+
+def create_identity(folder: Path, vm: str, disk: Disk | None = None) -> Identity:
+    """Make a data folder with a new identity."""
+    disk = disk or Disk()
+    folder.mkdir(parents=True, exist_ok=True)
+    identity = Identity(f"{vm}.{uuid.uuid4().hex[:12]}", vm)
+    disk.sync_folder(folder.parent)
+    disk.replace_file(folder / _IDENTITY, _frame(encode(identity)))
+    return identity
+
+
+def _frame(payload: bytes) -> bytes:
+    return _HEADER.pack(MAGIC, len(payload), zlib.crc32(payload)) + payload
+
+
+def _unframe(path: Path, data: bytes) -> bytes:
+    payload = _record_at(data, 0)
+    if payload is None:
+        raise LogDamaged(str(path), 0)
+    return payload
+
+
+def _record_at(data: bytes, offset: int) -> bytes | None:
+    """The payload of the record at an offset, or none if it is not whole."""
+    start = offset + _HEADER.size
+    if start > len(data):
+        return None
+    magic, length, checksum = _HEADER.unpack_from(data, offset)
+    payload = data[start : start + length]
+    whole = magic == MAGIC and len(payload) == length
+    return payload if whole and zlib.crc32(payload) == checksum else None
+
+
+def _has_record_after(data: bytes, offset: int) -> bool:
+    place = data.find(MAGIC, offset + 1)
+    while place >= 0:
+        if _record_at(data, place) is not None:
+            return True
+        place = data.find(MAGIC, place + 1)
+    return False
+
+
+def _behind(meta: SnapshotMeta, entries: list[Entry]) -> tuple[Entry, ...]:
+    """The entries behind a snapshot, if they belong to the same history.
+
+    A crash while a leader's snapshot was installed leaves the old segments,
+    whose entries may never have been committed.
+    """
+    kept = tuple(entry for entry in entries if entry.index > meta.index)
+    at_snapshot = next((e for e in entries if e.index == meta.index), None)
+    if at_snapshot is not None:
+        return kept if at_snapshot.term == meta.term else ()
+    return kept if kept and kept[0].index == meta.index + 1 else ()
+
+
+class GroupStorage:
+    """Reads a group's folder at the start and appends to it from then on.
+
+    Writes collect until `sync`, which is one write and one `fdatasync` for
+    all of them (group commit). After a `DiskFailed` the object is unusable.
+    """
+
+    def __init__(self, folder: Path, disk: Disk | None = None) -> None:
+        self.folder = folder
+        self.disk = disk or Disk()
+        self._pending: list[bytes] = []
+        self._vote = VoteRecord(0, "")
+        self._entries: list[Entry] = []
+        self._descriptor = -1
+        self._segment = 0
+
+    def create(self, members: Members) -> None:
+        """Make the folder of a group; `members` is empty for one that joins."""
+        self.folder.mkdir(parents=True)
+        self.disk.sync_folder(self.folder.parent)
+        self._write_snapshot(SnapshotFile(SnapshotMeta(0, 0, members), b""))
+
+    def load(self, member_id: str) -> Boot:
+        """Read everything back and open the log for appending."""
+        for part in self.folder.glob("*" + _PART_SUFFIX):
+            part.unlink()
+        snapshot = self._read_snapshot()
+        segments = sorted(self.folder.glob("*" + _SEGMENT_SUFFIX))
+        for path in segments:
+            self._replay(path, last=path == segments[-1])
+        self._open_segment(int(segments[-1].stem) if segments else 1)
+        entries = _behind(snapshot.meta, self._entries)
+        self._entries = []
+        return Boot(
+            member_id,
+            self._vote.term,
+            self._vote.voted_for,
+            snapshot.meta,
+            snapshot.data,
+            entries,
+        )
+
+    def save_vote(self, term: int, voted_for: str) -> None:
+        """Queue a term and vote."""
+        self._vote = VoteRecord(term, voted_for)
+        self._pending.append(_frame(encode(self._vote)))
+
+    def append(self, entries: tuple[Entry, ...]) -> None:
+        """Queue entries."""
+        self._pending.append(_frame(encode(EntryRecord(entries))))
+
+    def sync(self) -> None:
+        """Make all that was queued durable; does nothing when nothing was."""
+        if not self._pending:
+            return
+        data = b"".join(self._pending)
+        self._pending = []
+        try:
+            self.disk.write(self._descriptor, data)
+            self.disk.sync(self._descriptor)
+        except OSError as error:
+            raise DiskFailed(str(self.folder), str(error)) from error
+
+    def save_snapshot(
+        self, meta: SnapshotMeta, data: bytes, tail: tuple[Entry, ...]
+    ) -> None:
+        """Make a snapshot durable and begin a new segment with the tail.
+
+        `tail` is the log behind the snapshot. The old segments go only when
+        the snapshot and the new segment are on the disk.
+        """
+        self.sync()
+        old = [*self.folder.glob("*" + _SEGMENT_SUFFIX)]
+        old += self.folder.glob("*" + _SNAPSHOT_SUFFIX)
+        try:
+            written = self._write_snapshot(SnapshotFile(meta, data))
+            os.close(self._descriptor)
+            self._open_segment(self._segment + 1)
+        except OSError as error:
+            raise DiskFailed(str(self.folder), str(error)) from error
+        self._pending.append(_frame(encode(self._vote)))
+        if tail:
+            self.append(tail)
+        self.sync()
+        for path in old:
+            if path != written:
+                path.unlink()
+        self.disk.sync_folder(self.folder)
+
+    def close(self) -> None:
+        """Close the log; what was queued and not synced is dropped."""
+        os.close(self._descriptor)
+
+    def _open_segment(self, number: int) -> None:
+        self._segment = number
+        path = self.folder / f"{number:012d}{_SEGMENT_SUFFIX}"
+        self._descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
+        self.disk.sync_folder(self.folder)
+
+    def _write_snapshot(self, snapshot: SnapshotFile) -> Path:
+        path = self.folder / f"{snapshot.meta.index:012d}{_SNAPSHOT_SUFFIX}"
+        self.disk.replace_file(path, _frame(encode(snapshot)))
+        return path
+
+    def _read_snapshot(self) -> SnapshotFile:
+        path = max(self.folder.glob("*" + _SNAPSHOT_SUFFIX))
+        snapshot: SnapshotFile = decode(_unframe(path, path.read_bytes()), SnapshotFile)
+        return snapshot
+
+    def _replay(self, path: Path, last: bool) -> None:
+        data = path.read_bytes()
+        offset = 0
+        while offset < len(data):
+            payload = _record_at(data, offset)
+            if payload is None:
+                break
+            self._take(decode(payload, _Record))
+            offset += _HEADER.size + len(payload)
+        if offset == len(data):
+            return
+        if not last or _has_record_after(data, offset):
+            raise LogDamaged(str(path), offset)
+        os.truncate(path, offset)
+
+    def _take(self, record: _Record) -> None:
+        if isinstance(record, VoteRecord):
+            self._vote = record
+            return
+        first = record.entries[0].index
+        while self._entries and self._entries[-1].index >= first:
+            self._entries.pop()
+        self._entries.extend(record.entries)
--- /dev/null
+++ b/ashlatch/store/lease.py
@@ -0,0 +1,93 @@
+"""
+ashlatch.store.lease
+~~~~~~~~~~~~~~~~~~~~
+
+The leases that the leader has given to routers and to the active control
+process. They live in the leader's memory only: a new leader waits for the
+longest lease that the last one can have given before it draws conclusions.
+
+A holder counts its lease from when it sent its poll, the leader from when it
+answered it, so the holder's ends first; the drift ratio covers clocks that
+run at unlike speeds.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from dataclasses import dataclass, field
+
+__all__ = ["LeaseConfig", "Leases", "RouterLease"]
+
+UNKNOWN_REVISION = -1
+
+
+@dataclass(frozen=True)
+class LeaseConfig:
+    """Lengths of the leases; equal on all members."""
+
+    router_lease_ms: float = 2000.0
+    control_lease_ms: float = 3000.0
+    clock_drift_ratio: float = 0.05
+
+
+@dataclass(frozen=True)
+class RouterLease:
+    """What one start of one router last said of itself."""
+
+    router: str
+    vm: str
+    hall: str
+    applied_revision: int
+    answered_ms: float
+
+
+@dataclass
+class Leases:
+    """All leases given by this leader since it began to lead."""
+
+    config: LeaseConfig
+    leading_since_ms: float
+    routers: dict[str, RouterLease] = field(default_factory=dict)
+    control_holder: str = ""
+    control_answered_ms: float = float("-inf")
+
+    def router_polled(self, lease: RouterLease) -> None:
+        """A router has polled and is about to be answered."""
+        self.routers[lease.router] = lease
+
+    def settled(self, now_ms: float) -> bool:
+        """Whether all leases of earlier leaders have run out."""
+        wait_ms = self._stretched(self.config.router_lease_ms)
+        return now_ms >= self.leading_since_ms + wait_ms
+
+    def lapsed(self, now_ms: float) -> tuple[str, ...]:
+        """Routers whose lease has run out; they are forgotten here."""
+        wait_ms = self._stretched(self.config.router_lease_ms)
+        gone = tuple(
+            lease.router
+            for lease in self.routers.values()
+            if now_ms >= lease.answered_ms + wait_ms
+        )
+        for router in gone:
+            del self.routers[router]
+        return gone
+
+    def in_force_revision(self, now_ms: float, committed: int) -> int:
+        """The newest revision that every router with a lease has applied."""
+        if not self.settled(now_ms):
+            return UNKNOWN_REVISION
+        self_applied = [lease.applied_revision for lease in self.routers.values()]
+        return min(self_applied, default=committed)
+
+    def control_polled(self, holder: str, now_ms: float) -> None:
+        """The active control process has polled and is about to be answered."""
+        self.control_holder = holder
+        self.control_answered_ms = now_ms
+
+    def control_free(self, now_ms: float) -> bool:
+        """Whether no control process can still believe that it is active."""
+        last_ms = max(self.control_answered_ms, self.leading_since_ms)
+        return now_ms >= last_ms + self._stretched(self.config.control_lease_ms)
+
+    def _stretched(self, lease_ms: float) -> float:
+        return lease_ms * (1 + self.config.clock_drift_ratio)
--- /dev/null
+++ b/ashlatch/store/machine.py
@@ -0,0 +1,130 @@
+"""
+ashlatch.store.machine
+~~~~~~~~~~~~~~~~~~~~~~
+
+The reducer that every replica runs: a command in, an outcome out. It has no
+clock of its own; the leader stamps each command with `at_ms`, the wall-clock
+time in milliseconds.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import msgspec
+
+from ashlatch.codec import decode, encode
+from ashlatch.registry import Handlers
+from ashlatch.store.command import (
+    Claim,
+    Close,
+    Command,
+    ControlTaken,
+    DeleteResource,
+    Expire,
+    Noted,
+    Outcome,
+    PutResource,
+    RecordAnswer,
+    RouterGone,
+    TakeControl,
+)
+from ashlatch.store.configuration import Configuration
+from ashlatch.store.ledger import Ledger
+
+__all__ = ["ControlLease", "Machine", "State"]
+
+_HANDLERS = Handlers("store")
+
+
+class ControlLease(msgspec.Struct, frozen=True):
+    """The active control process. Its epoch fences its orders."""
+
+    holder: str = ""
+    epoch: int = 0
+
+
+class State(msgspec.Struct):
+    """Everything that is replicated; a snapshot is this, encoded."""
+
+    now_ms: int = 0
+    configuration: Configuration = msgspec.field(default_factory=Configuration)
+    ledger: Ledger = msgspec.field(default_factory=Ledger)
+    control: ControlLease = ControlLease()
+
+
+class Machine:
+    """Applies commands to a `State`.
+
+    The same commands in the same order give the same state and outcomes on
+    every replica::
+
+        machine = Machine()
+        machine.apply(encode(Expire(before_ms=0)))
+    """
+
+    def __init__(self) -> None:
+        self.state = State()
+
+    def apply(self, command: bytes) -> Outcome:
+        """Apply one encoded command."""
+        return self.step(decode(command, Command))
+
+    def step(self, command: Command) -> Outcome:
+        """Apply one command; its time never runs backwards."""
+        self.state.now_ms = max(self.state.now_ms, command.at_ms)
+        timed = msgspec.structs.replace(command, at_ms=self.state.now_ms)
+        outcome: Outcome = _HANDLERS.call(self.state, timed)
+        return outcome
+
+    def snapshot(self) -> bytes:
+        """The whole state as bytes."""
+        return encode(self.state)
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by a snapshot; empty bytes are the empty state."""
+        self.state = decode(data, State) if data else State()
+
+
+@_HANDLERS.on(PutResource)
+def _put(state: State, command: PutResource) -> Outcome:
+    return state.configuration.put(command)
+
+
+@_HANDLERS.on(DeleteResource)
+def _delete(state: State, command: DeleteResource) -> Outcome:
+    return state.configuration.delete(command)
+
+
+@_HANDLERS.on(Claim)
+def _claim(state: State, command: Claim) -> Outcome:
+    return state.ledger.claim(command, state.configuration.withdrawn)
+
+
+@_HANDLERS.on(RecordAnswer)
+def _answer(state: State, command: RecordAnswer) -> Outcome:
+    outcome: Outcome = state.ledger.answer(command)  # type: ignore[assignment]
+    return outcome
+
+
+@_HANDLERS.on(Close)
+def _close(state: State, command: Close) -> Outcome:
+    return state.ledger.close(command)
+
+
+@_HANDLERS.on(RouterGone)
+def _router_gone(state: State, command: RouterGone) -> Outcome:
+    return state.ledger.router_gone(command)
+
+
+@_HANDLERS.on(TakeControl)
+def _take_control(state: State, command: TakeControl) -> Outcome:
+    if command.after_epoch == state.control.epoch:
+        state.control = ControlLease(command.holder, command.after_epoch + 1)
+    return ControlTaken(state.control.holder, state.control.epoch)
+
+
+@_HANDLERS.on(Expire)
+def _expire(state: State, command: Expire) -> Outcome:
+    state.configuration.expire(command.before_ms)
+    state.ledger.expire(command.before_ms)
+    return Noted()
--- /dev/null
+++ b/ashlatch/store/protocol.py
@@ -0,0 +1,208 @@
+"""
+ashlatch.store.protocol
+~~~~~~~~~~~~~~~~~~~~~~~
+
+The calls that a state daemon answers.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import msgspec
+
+from ashlatch.raft.message import Member, Message
+from ashlatch.rpc import Method
+from ashlatch.store.command import Command, Outcome, Resource
+from ashlatch.store.configuration import ResourceId
+from ashlatch.store.ledger import Account
+
+__all__ = [
+    "CHANGE_MEMBER",
+    "DELIVER",
+    "JOIN",
+    "POLL_CONTROL",
+    "POLL_ROUTER",
+    "PROPOSE",
+    "READ",
+    "Batch",
+    "ControlPoll",
+    "ControlReply",
+    "Empty",
+    "JoinReply",
+    "JoinRequest",
+    "MemberChange",
+    "MemberStatus",
+    "ProposeReply",
+    "ProposeRequest",
+    "ReadReply",
+    "ReadRequest",
+    "RouterPoll",
+    "RouterReply",
+    "RouterStatus",
+    "StateStatus",
+]
+
+
+class Empty(msgspec.Struct, frozen=True):
+    """No answer but that the call came in."""
+
+
+class Batch(msgspec.Struct, frozen=True):
+    """Messages from one member to another; not for any other data folder."""
+
+    sender: Member
+    recipient: str
+    messages: tuple[Message, ...]
+
+
+class JoinRequest(msgspec.Struct, frozen=True):
+    """A member that belongs to no group asks to be taken in."""
+
+    member: Member
+    group: int = 0
+
+
+class JoinReply(msgspec.Struct, frozen=True):
+    """Whether the leader has it in its members; else who leads."""
+
+    known: bool
+    leader: str
+
+
+class ProposeRequest(msgspec.Struct, frozen=True):
+    """A command for the replicated state."""
+
+    command: Command
+    group: int = 0
+
+
+class ProposeReply(msgspec.Struct, frozen=True):
+    """The outcome, or none and the address of who leads, if known.
+
+    `lost` says that the command may still take effect.
+    """
+
+    outcome: Outcome | None
+    leader: str = ""
+    lost: bool = False
+
+
+class RouterPoll(msgspec.Struct, frozen=True):
+    """A router's heartbeat: which revision it has applied.
+
+    `router` names one start of one router. The call is held for up to
+    `wait_ms` while there is nothing newer.
+    """
+
+    router: str
+    vm: str
+    hall: str
+    applied_revision: int
+    wait_ms: float
+
+
+class RouterReply(msgspec.Struct, frozen=True):
+    """All changes after the applied revision, and a lease on the result.
+
+    The lease runs for `lease_ms` from when the router sent the poll.
+    """
+
+    granted: bool
+    leader: str
+    lease_ms: float = 0.0
+    revision: int = 0
+    resources: tuple[Resource, ...] = ()
+    deleted: tuple[ResourceId, ...] = ()
+    retention_ms: int = 0
+
+
+class ControlPoll(msgspec.Struct, frozen=True):
+    """A control process asks for, or renews, the control lease."""
+
+    holder: str
+
+
+class ControlReply(msgspec.Struct, frozen=True):
+    """Who holds the control lease; `lease_ms` runs from when it was asked."""
+
+    answered: bool
+    leader: str
+    holder: str = ""
+    epoch: int = 0
+    lease_ms: float = 0.0
+
+
+class MemberChange(msgspec.Struct, frozen=True):
+    """Take a member out of a group."""
+
+    remove: str
+    group: int = 0
+
+
+class ReadRequest(msgspec.Struct, frozen=True):
+    """Read the newest state: resources, and the status if asked for."""
+
+    kind: str = ""
+    name: str = ""
+    after_revision: int = 0
+    wait_ms: float = 0.0
+    status: bool = False
+
+
+class RouterStatus(msgspec.Struct, frozen=True):
+    """One router with a lease."""
+
+    router: str
+    vm: str
+    hall: str
+    applied_revision: int
+
+
+class MemberStatus(msgspec.Struct, frozen=True):
+    """One member as its leader sees it; `lag` is in log entries."""
+
+    member_id: str
+    vm: str
+    address: str
+    role: str
+    lag: int
+
+
+class StateStatus(msgspec.Struct, frozen=True):
+    """The standing of the group and of what depends on it.
+
+    `in_force_revision` is -1 while a new leader does not know it yet;
+    `losses_survived` is how many members may be lost now without loss of
+    service.
+    """
+
+    term: int
+    commit_index: int
+    members: tuple[MemberStatus, ...]
+    losses_survived: int
+    routers: tuple[RouterStatus, ...]
+    in_force_revision: int
+    control_holder: str
+    control_epoch: int
+    bills: int
+    accounts: dict[str, Account]
+
+
+class ReadReply(msgspec.Struct, frozen=True):
+    """What was asked for, as of `revision`, or who leads."""
+
+    answered: bool
+    leader: str
+    revision: int = 0
+    resources: tuple[Resource, ...] = ()
+    deleted: tuple[ResourceId, ...] = ()
+    status: StateStatus | None = None
+
+
+DELIVER = Method("/ashlatch.State/Deliver", Batch, Empty)
+JOIN = Method("/ashlatch.State/Join", JoinRequest, JoinReply)
+PROPOSE = Method("/ashlatch.State/Propose", ProposeRequest, ProposeReply)
+POLL_ROUTER = Method("/ashlatch.State/PollRouter", RouterPoll, RouterReply)
+POLL_CONTROL = Method("/ashlatch.State/PollControl", ControlPoll, ControlReply)
+CHANGE_MEMBER = Method("/ashlatch.State/ChangeMember", MemberChange, ReadReply)
+READ = Method("/ashlatch.State/Read", ReadRequest, ReadReply)
--- /dev/null
+++ b/ashlatch/store/status.py
@@ -0,0 +1,69 @@
+"""
+ashlatch.store.status
+~~~~~~~~~~~~~~~~~~~~~
+
+What operators see of the replicated state.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from ashlatch.raft.group import Standing
+from ashlatch.raft.message import Member
+from ashlatch.store.lease import Leases
+from ashlatch.store.machine import State
+from ashlatch.store.protocol import MemberStatus, RouterStatus, StateStatus
+
+__all__ = ["describe", "losses_survived"]
+
+CURRENT_LAG_ENTRIES = 256
+
+
+def describe(
+    standing: Standing, state: State, leases: Leases, now_ms: float
+) -> StateStatus:
+    """The leader's view of the group, the routers and the control lease."""
+    members = tuple(
+        _member_status(standing, member) for member in standing.members.everyone()
+    )
+    routers = tuple(
+        RouterStatus(lease.router, lease.vm, lease.hall, lease.applied_revision)
+        for lease in leases.routers.values()
+    )
+    return StateStatus(
+        standing.term,
+        standing.commit_index,
+        members,
+        losses_survived(standing),
+        routers,
+        leases.in_force_revision(now_ms, state.configuration.revision),
+        state.control.holder,
+        state.control.epoch,
+        state.ledger.bills,
+        state.ledger.accounts,
+    )
+
+
+def losses_survived(standing: Standing) -> int:
+    """How many current voters may be lost while a quorum stays."""
+    current = [
+        voter
+        for voter in standing.members.voters
+        if _lag(standing, voter) <= CURRENT_LAG_ENTRIES
+    ]
+    return len(current) - standing.members.quorum()
+
+
+def _lag(standing: Standing, member: Member) -> int:
+    match_index = standing.match_index.get(member.member_id, 0)
+    return max(0, standing.commit_index - match_index)
+
+
+def _member_status(standing: Standing, member: Member) -> MemberStatus:
+    voter = member.member_id in standing.members.voter_ids()
+    role = "voter" if voter else "learner"
+    if member.member_id == standing.member_id:
+        role = "leader"
+    return MemberStatus(
+        member.member_id, member.vm, member.address, role, _lag(standing, member)
+    )
