--- a/ashlatch/__init__.py
+++ b/ashlatch/__init__.py
@@ -1,2 +1,3 @@
 """ashlatch."""
+
 __version__ = "0.1.0"
--- /dev/null
+++ b/ashlatch/adapter/engine.py
@@ -0,0 +1,201 @@
+"""
+ashlatch.adapter.engine
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Calls model engines by the widely used chat-completions JSON. An engine gives
+the attempt's id back in `X-Request-Id`; an answer without it, or with another
+one, is somebody else's and is not passed on (R5).
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import json
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from ashlatch.errors import TransportError
+from ashlatch.http.client import Call, Reply, fetch
+from ashlatch.router.event import (
+    Answered,
+    AttemptResult,
+    Broken,
+    Full,
+    NotSent,
+    StartAttempt,
+)
+from ashlatch.store.command import StoredAnswer, Usage
+
+__all__ = ["EngineCall", "Prices"]
+
+DONE = b"[DONE]"
+EVENT_END = b"\n\n"
+DATA = b"data: "
+NOT_RUN_STATUSES = frozenset({409, 429, 503})
+STREAM_TYPE = "text/event-stream"
+DEFAULT_RETRY_MS = 500.0
+
+
+@dataclass(frozen=True)
+class Prices:
+    """Millionths of a US dollar for a thousand tokens."""
+
+    input_microusd_per_ktoken: int
+    output_microusd_per_ktoken: int
+
+    def usage(self, input_tokens: int, output_tokens: int) -> Usage:
+        """The usage of an answer with what it costs."""
+        cost_microusd = (
+            input_tokens * self.input_microusd_per_ktoken
+            + output_tokens * self.output_microusd_per_ktoken
+        ) // 1000
+        return Usage(input_tokens, output_tokens, cost_microusd)
+
+
+class EngineCall:
+    """One attempt at an engine; `run` it once, on any thread.
+
+    `on_chunk` takes each event of a stream but the last, `[DONE]`, which is
+    left to the caller: it may follow only when the answer is recorded.
+    """
+
+    def __init__(
+        self,
+        attempt: StartAttempt,
+        prices: Prices,
+        timeout_ms: float,
+        connect_timeout_ms: int,
+        on_chunk: Callable[[bytes], None],
+        cancelled: Callable[[], bool],
+    ) -> None:
+        self._attempt = attempt
+        self._prices = prices
+        self._timeout_ms = timeout_ms
+        self._connect_timeout_ms = connect_timeout_ms
+        self._on_chunk = on_chunk
+        self._cancelled = cancelled
+        self._began_s = time.monotonic()
+        self._first_token_ms = 0.0
+        self._rest = b""
+        self._events: list[bytes] = []
+        self._usage: dict[str, Any] = {}
+        self._done = False
+        self._foreign = False
+        self._plain: list[bytes] = []
+        self._streamed = False
+
+    def run(self) -> AttemptResult:
+        """Make the call and say how it ended."""
+        try:
+            reply = fetch(self._call())
+        except TransportError as error:
+            if not error.sent:
+                return NotSent(error.reason)
+            return Broken(error.reason, self._chunks())
+        return self._result(reply)
+
+    def _call(self) -> Call:
+        attempt = self._attempt
+        body = json.loads(attempt.request.body)
+        body["model"] = attempt.version
+        if attempt.request.stream:
+            body["stream_options"] = {"include_usage": True}
+        headers = {
+            "Content-Type": "application/json",
+            "X-Request-Id": attempt.attempt_id,
+            "Ashlatch-Revision": str(attempt.revision),
+        }
+        if attempt.resume_chunks:
+            headers["Ashlatch-Resume-Chunks"] = str(attempt.resume_chunks)
+            headers["Ashlatch-Resume-Of"] = attempt.request.request_id
+        return Call(
+            f"{attempt.url}/v1/chat/completions",
+            "POST",
+            headers,
+            json.dumps(body).encode(),
+            self._timeout_ms,
+            self._connect_timeout_ms,
+            on_body=self._take,
+            on_status=self._begin,
+            cancelled=self._cancelled,
+        )
+
+    def _begin(self, reply: Reply) -> None:
+        own = reply.headers.get("x-request-id") == self._attempt.attempt_id
+        self._foreign = not own
+        content_type = reply.headers.get("content-type", "")
+        self._streamed = reply.status == 200 and content_type.startswith(STREAM_TYPE)
+
+    def _take(self, data: bytes) -> None:
+        if not self._first_token_ms:
+            self._first_token_ms = self._elapsed_ms()
+        if not self._streamed:
+            self._plain.append(data)
+            return
+        self._rest += data
+        *events, self._rest = self._rest.split(EVENT_END)
+        for event in events:
+            self._take_event(event)
+
+    def _take_event(self, event: bytes) -> None:
+        if self._foreign or not event.startswith(DATA):
+            return
+        payload = event[len(DATA) :]
+        if payload == DONE:
+            self._done = True
+            return
+        if b'"usage"' in payload:
+            self._usage = json.loads(payload).get("usage") or self._usage
+        self._events.append(event + EVENT_END)
+        self._on_chunk(event + EVENT_END)
+
+    def _chunks(self) -> int:
+        return self._attempt.resume_chunks + len(self._events)
+
+    def _elapsed_ms(self) -> float:
+        return (time.monotonic() - self._began_s) * 1000.0
+
+    def _result(self, reply: Reply) -> AttemptResult:
+        plain = b"".join(self._plain)
+        if reply.status != 200:
+            return _refusal(reply, plain)
+        if self._foreign:
+            return Broken("the answer is of another request", self._chunks())
+        if self._streamed:
+            return self._stream_result(reply)
+        try:
+            usage = json.loads(plain)["usage"]
+        except (ValueError, KeyError, TypeError):
+            return Broken("the answer is not whole")
+        return self._answered(reply, plain, usage)
+
+    def _stream_result(self, reply: Reply) -> AttemptResult:
+        if not self._done or not self._usage:
+            return Broken("the stream ended early", self._chunks())
+        body = b"".join(self._events) + DATA + DONE + EVENT_END
+        return self._answered(reply, body, self._usage)
+
+    def _answered(
+        self, reply: Reply, body: bytes, usage: dict[str, Any]
+    ) -> AttemptResult:
+        counted = self._prices.usage(
+            int(usage.get("prompt_tokens", 0)), int(usage.get("completion_tokens", 0))
+        )
+        content_type = reply.headers.get("content-type", "application/json")
+        answer = StoredAnswer(200, content_type, body)
+        return Answered(answer, counted, self._elapsed_ms(), self._first_token_ms)
+
+
+def _refusal(reply: Reply, body: bytes) -> AttemptResult:
+    """An engine that says `not_run` has run nothing; else it is not known."""
+    try:
+        error = json.loads(body).get("error", {})
+    except (ValueError, AttributeError):
+        error = {}
+    reason = str(error.get("type", f"status {reply.status}"))
+    if reply.status in NOT_RUN_STATUSES and error.get("not_run") is True:
+        retry_ms = float(error.get("retry_after_ms", DEFAULT_RETRY_MS))
+        return Full(reason, retry_ms, leaving=reason == "leaving")
+    return Broken(reason)
--- /dev/null
+++ b/ashlatch/adapter/placement.py
@@ -0,0 +1,52 @@
+"""
+ashlatch.adapter.placement
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Sends fenced orders to engines, and asks the weight store, which limits its
+rate, before a version is loaded.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import json
+
+from ashlatch.control.event import Order
+from ashlatch.errors import TransportError
+from ashlatch.http.client import Call, fetch
+
+__all__ = ["send_order", "weights_free"]
+
+DONE_STATUSES = frozenset({200, 202})
+
+
+def send_order(order: Order, timeout_ms: float) -> bool:
+    """Send an order; true when the engine has taken it."""
+    body = {
+        "order_id": order.order_id,
+        "epoch": order.epoch,
+        "kind": order.kind.value,
+        "version": order.version,
+    }
+    call = Call(
+        f"{order.url}/v1/orders",
+        "POST",
+        {"Content-Type": "application/json"},
+        json.dumps(body).encode(),
+        timeout_ms,
+    )
+    try:
+        return fetch(call).status in DONE_STATUSES
+    except TransportError:
+        return False
+
+
+def weights_free(store_url: str, version: str, timeout_ms: float) -> bool:
+    """Whether the weight store lets the version be fetched now."""
+    if not store_url:
+        return True
+    call = Call(f"{store_url}/v1/tickets/{version}", "POST", timeout_ms=timeout_ms)
+    try:
+        return fetch(call).status == 200
+    except TransportError:
+        return False
--- /dev/null
+++ b/ashlatch/adapter/rating.py
@@ -0,0 +1,85 @@
+"""
+ashlatch.adapter.rating
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Hands sampled answers to the service that rates them, and reads the ratings,
+which come late and in any order.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import json
+from dataclasses import dataclass
+
+from pydantic import BaseModel, ValidationError
+
+from ashlatch.errors import AshlatchError, TransportError
+from ashlatch.http.client import Call, fetch
+
+__all__ = ["RatingService", "RatingUnreadable", "ReadRating"]
+
+TIMEOUT_MS = 2000.0
+
+
+@dataclass
+class RatingUnreadable(AshlatchError):
+    """The rating service did not answer, or not as agreed."""
+
+    url: str
+    reason: str
+
+
+class ReadRating(BaseModel):
+    """One rating (0 to 1) of one answer; `number` counts all ratings."""
+
+    number: int
+    request: str
+    route: str
+    version: str
+    rating: float
+
+
+class _Ratings(BaseModel):
+    ratings: tuple[ReadRating, ...]
+
+
+class RatingService:
+    """The rating service at a URL; remembers how far it has read."""
+
+    def __init__(self, url: str) -> None:
+        self._url = url
+        self._after = -1
+
+    def submit(self, request: str, route: str, version: str, answer: bytes) -> None:
+        """Ask for a rating. A failure loses the rating and nothing else."""
+        body = {
+            "request": request,
+            "route": route,
+            "version": version,
+            "answer": answer.decode("utf-8", "replace"),
+        }
+        call = Call(
+            f"{self._url}/v1/answers",
+            "POST",
+            {"Content-Type": "application/json"},
+            json.dumps(body).encode(),
+            TIMEOUT_MS,
+        )
+        try:
+            fetch(call)
+        except TransportError as error:
+            raise RatingUnreadable(self._url, error.reason) from error
+
+    def read(self) -> tuple[ReadRating, ...]:
+        """The ratings since the last call; the first call skips old ones."""
+        url = f"{self._url}/v1/ratings?after={self._after}"
+        try:
+            reply = fetch(Call(url, timeout_ms=TIMEOUT_MS))
+            found = _Ratings.model_validate_json(reply.body).ratings
+        except TransportError as error:
+            raise RatingUnreadable(url, error.reason) from error
+        except ValidationError as error:
+            raise RatingUnreadable(url, str(error)) from error
+        self._after = max((r.number for r in found), default=self._after)
+        return found
--- /dev/null
+++ b/ashlatch/adapter/service.py
@@ -0,0 +1,85 @@
+"""
+ashlatch.adapter.service
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+Calls plain services. Every reply below 500 is the service's own answer and is
+passed on; a service that refuses before it runs says so with 503 and a
+problem document in which `not_run` is true.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import json
+import time
+from collections.abc import Callable
+
+from ashlatch.errors import TransportError
+from ashlatch.http.client import Call, Reply, fetch
+from ashlatch.router.event import (
+    Answered,
+    AttemptResult,
+    Broken,
+    Full,
+    NotSent,
+    StartAttempt,
+)
+from ashlatch.store.command import StoredAnswer, Usage
+
+__all__ = ["call_service"]
+
+DEFAULT_RETRY_MS = 500.0
+
+
+def call_service(
+    attempt: StartAttempt,
+    price_microusd: int,
+    timeout_ms: float,
+    connect_timeout_ms: int,
+    cancelled: Callable[[], bool],
+) -> AttemptResult:
+    """Make one attempt at an endpoint of a service."""
+    request = attempt.request
+    call = Call(
+        attempt.url + request.path,
+        request.method,
+        {
+            "Content-Type": request.content_type,
+            "X-Request-Id": attempt.attempt_id,
+            "Idempotency-Key": request.key,
+            "Ashlatch-Organisation": request.organisation,
+        },
+        request.body,
+        timeout_ms,
+        connect_timeout_ms,
+        cancelled=cancelled,
+    )
+    began_s = time.monotonic()
+    try:
+        reply = fetch(call)
+    except TransportError as error:
+        return Broken(error.reason) if error.sent else NotSent(error.reason)
+    took_ms = (time.monotonic() - began_s) * 1000.0
+    return _result(attempt, reply, price_microusd, took_ms)
+
+
+def _result(
+    attempt: StartAttempt, reply: Reply, price_microusd: int, took_ms: float
+) -> AttemptResult:
+    if reply.status >= 500:
+        return _failure(reply)
+    if reply.headers.get("x-request-id") != attempt.attempt_id:
+        return Broken("the answer is of another request")
+    content_type = reply.headers.get("content-type", "application/octet-stream")
+    answer = StoredAnswer(reply.status, content_type, reply.body)
+    return Answered(answer, Usage(0, 0, price_microusd), took_ms, took_ms)
+
+
+def _failure(reply: Reply) -> AttemptResult:
+    try:
+        not_run = json.loads(reply.body).get("not_run") is True
+    except (ValueError, AttributeError):
+        not_run = False
+    if reply.status == 503 and not_run:
+        return Full("refused", DEFAULT_RETRY_MS)
+    return Broken(f"status {reply.status}")
--- a/ashlatch/client.py
+++ b/ashlatch/client.py
@@ -147,5 +147,3 @@
             return self._addresses[0]
         place = self._addresses.index(address) + 1
         return self._addresses[place % len(self._addresses)]
-
-
--- /dev/null
+++ b/ashlatch/control/__init__.py
@@ -0,0 +1,10 @@
+"""
+ashlatch.control
+~~~~~~~~~~~~~~~~
+
+The operators' resource API, and the controllers that act on what operators
+want: endpoints from the platform's list, roll-outs, placement.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
--- /dev/null
+++ b/ashlatch/control/core.py
@@ -0,0 +1,137 @@
+"""
+ashlatch.control.core
+~~~~~~~~~~~~~~~~~~~~~
+
+The reducer of a control process. Only the active one acts; all that it must
+remember is in the replicated state, so that the next active one goes on where
+it stopped. The controllers are in `membership`, `rollout` and `placement`.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from dataclasses import dataclass, field
+from typing import ClassVar, TypeVar
+
+from ashlatch.control.event import (
+    Change,
+    Effect,
+    Event,
+    LeaseAnswered,
+    Order,
+    Remove,
+    WriteLog,
+)
+from ashlatch.log import LogEvent
+from ashlatch.policy.detector import Detector
+from ashlatch.registry import Handlers
+from ashlatch.resources import Spec, canonical, parse
+from ashlatch.store.command import Resource
+from ashlatch.store.configuration import ResourceId
+from ashlatch.store.protocol import VersionReport
+
+__all__ = ["HANDLERS", "ControlCore", "ControlTook"]
+
+HANDLERS = Handlers("control")
+
+K = TypeVar("K", bound=Spec)
+
+
+@dataclass(frozen=True)
+class ControlTook(LogEvent):
+    """This process has become, or is no longer, the active one."""
+
+    event: ClassVar[str] = "control_lease"
+    holder: str
+    active: bool
+    epoch: int
+
+
+@dataclass
+class ControlCore:
+    """The whole state of a control process.
+
+    `order_settle_ms` is the longest that an order of an earlier active
+    process can be under way; engines that check no fence get no order before.
+    """
+
+    holder: str
+    order_settle_ms: float = 2500.0
+    now_ms: float = 0.0
+    active_until_ms: float = float("-inf")
+    active_since_ms: float = 0.0
+    epoch: int = 0
+    revision: int = -1
+    resources: dict[ResourceId, Resource] = field(default_factory=dict)
+    totals: dict[str, VersionReport] = field(default_factory=dict)
+    baselines: dict[str, VersionReport] = field(default_factory=dict)
+    stage_starts: dict[str, int] = field(default_factory=dict)
+    detectors: dict[str, Detector] = field(default_factory=dict)
+    missing_since_ms: dict[str, float] = field(default_factory=dict)
+    orders: dict[str, Order] = field(default_factory=dict)
+    orders_after_ms: dict[str, float] = field(default_factory=dict)
+    effects: list[Effect] = field(default_factory=list)
+
+    def step(self, now_ms: float, event: Event) -> list[Effect]:
+        """Handle one event and return what must be done, in order."""
+        self.now_ms = max(self.now_ms, now_ms)
+        HANDLERS.call(self, event)
+        effects, self.effects = self.effects, []
+        return effects
+
+    def active(self, now_ms: float) -> bool:
+        """Whether this process holds the control lease."""
+        return now_ms < self.active_until_ms
+
+    def ready(self) -> bool:
+        """Whether to act: active, and the state has been read since."""
+        return self.active(self.now_ms) and self.revision >= 0
+
+    def all(self, kind: type[K]) -> dict[str, K]:
+        """The specs of all resources of a kind, by name."""
+        found: dict[str, K] = {}
+        for key, resource in sorted(self.resources.items()):
+            if key.kind == kind.name:
+                spec = parse(kind.name, resource.spec)
+                assert isinstance(spec, kind)
+                found[key.name] = spec
+        return found
+
+    def has(self, kind: type[Spec], name: str) -> bool:
+        """Whether there is such a resource."""
+        return ResourceId(kind.name, name) in self.resources
+
+    def put(self, name: str, spec: Spec) -> None:
+        """Change a resource, unless it is so already."""
+        current = self.resources.get(ResourceId(spec.name, name))
+        content = canonical(spec)
+        if current is not None and current.spec == content:
+            return
+        revision = current.revision if current else 0
+        self.effects.append(Change(spec.name, name, revision, content, self.epoch))
+
+    def remove(self, kind: type[Spec], name: str) -> None:
+        """Delete a resource, if it is there."""
+        current = self.resources.get(ResourceId(kind.name, name))
+        if current is not None:
+            self.effects.append(Remove(kind.name, name, current.revision, self.epoch))
+
+    def log(self, event: LogEvent) -> None:
+        """Write a log line."""
+        self.effects.append(WriteLog(event))
+
+
+@HANDLERS.on(LeaseAnswered)
+def _lease_answered(core: ControlCore, event: LeaseAnswered) -> None:
+    was_active = core.active(core.now_ms)
+    if event.holder != core.holder:
+        core.active_until_ms = float("-inf")
+    else:
+        if not was_active or event.epoch != core.epoch:
+            core.active_since_ms = core.now_ms
+            core.revision = -1
+        core.epoch = event.epoch
+        core.active_until_ms = event.until_ms
+    active = core.active(core.now_ms)
+    if active != was_active:
+        core.log(ControlTook(core.holder, active, event.epoch))
--- /dev/null
+++ b/ashlatch/control/daemon.py
@@ -0,0 +1,269 @@
+"""
+ashlatch.control.daemon
+~~~~~~~~~~~~~~~~~~~~~~~
+
+The control process: the resource API, and the loops that inform the core and
+perform its effects.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import asyncio
+import logging
+import threading
+import uuid
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import ClassVar
+
+from ashlatch.adapter.placement import send_order, weights_free
+from ashlatch.adapter.platform import PlatformUnreadable, read_pool, read_vms
+from ashlatch.adapter.rating import RatingService, RatingUnreadable
+from ashlatch.client import StateClient
+from ashlatch.codec import digest
+from ashlatch.control import membership, placement, rollout
+from ashlatch.control.api import ResourceApi
+from ashlatch.control.core import ControlCore
+from ashlatch.control.event import (
+    Change,
+    Event,
+    LeaseAnswered,
+    LoadedVersions,
+    Order,
+    OrderEnded,
+    OrderKind,
+    PoolRead,
+    RatingsRead,
+    Remove,
+    SendOrder,
+    StateRead,
+    VersionRating,
+    VmsListed,
+    WriteLog,
+)
+from ashlatch.errors import AshlatchError, NoLeader, TransportError
+from ashlatch.http.server import HttpServer
+from ashlatch.log import LogEvent, emit
+from ashlatch.raft.group import monotonic_ms
+from ashlatch.registry import Handlers
+from ashlatch.resources import Pool, parse
+from ashlatch.rpc import Address, RpcLoop
+from ashlatch.settings import ControlSettings, addresses
+from ashlatch.store.command import DeleteResource, PutResource
+from ashlatch.store.protocol import ControlPoll, ReadRequest
+
+__all__ = ["ControlDaemon"]
+
+log = logging.getLogger("ashlatch.control")
+
+EFFECTS = Handlers("control effect")
+
+ORDER_TIMEOUT_MS = 2000.0
+PLATFORM_TIMEOUT_MS = 1000.0
+OPERATOR_NAME = "control"
+
+# Importing the modules registers their handlers.
+_HANDLERS_OF = (membership, placement, rollout)
+
+
+@dataclass(frozen=True)
+class SourceUnreadable(LogEvent):
+    """Something that the controllers need could not be read."""
+
+    event: ClassVar[str] = "source_unreadable"
+    vm: str
+    source: str
+    reason: str
+
+
+class ControlDaemon:
+    """One control process; any number may run, one of them is active."""
+
+    def __init__(
+        self, settings: ControlSettings, failed: Callable[[BaseException], None]
+    ) -> None:
+        self.settings = settings
+        self.holder = f"{settings.vm}/{uuid.uuid4().hex[:12]}"
+        self.core = ControlCore(self.holder)
+        self.rpc = RpcLoop()
+        self.client = StateClient(
+            self.rpc, addresses(settings.state_addresses), settings.state_timeout_ms
+        )
+        self._failed = failed
+        self._lock = threading.Lock()
+        self._stopping = threading.Event()
+        self._orders = ThreadPoolExecutor(8, "orders")
+        self._threads: list[threading.Thread] = []
+        self._ratings = RatingService(settings.rating_url)
+        self.api = ResourceApi(settings, self.client, self._standing)
+        self._server = HttpServer(
+            Address.parse(settings.listen), self.api.answer, settings.http
+        )
+
+    def start(self) -> None:
+        """Serve operators, and ask for the control lease."""
+        self.rpc.keep(self._poll_lease(), self._failed)
+        self._loop("state", self._read_state, self.settings.control_poll_ms)
+        if self.settings.platform_url:
+            self._loop("platform", self._read_platform, self.settings.platform_poll_ms)
+        self._loop("pools", self._read_pools, self.settings.platform_poll_ms)
+        if self.settings.rating_url:
+            self._loop("ratings", self._read_ratings, self.settings.control_poll_ms)
+        self._server.start()
+
+    def stop(self) -> None:
+        """End what is open; the lease runs out by itself."""
+        self.api.drain()
+        self._stopping.set()
+        self._server.stop()
+        for thread in self._threads:
+            thread.join()
+        self._orders.shutdown(wait=True)
+        self.rpc.stop()
+
+    def post(self, event: Event) -> None:
+        """Hand an event to the core and perform what it asks for."""
+        with self._lock:
+            effects = self.core.step(monotonic_ms(), event)
+        for effect in effects:
+            EFFECTS.call(self, effect)
+
+    def send(self, order: Order) -> None:
+        """Send an order on this thread, if the lease still holds."""
+        done = False
+        free = order.kind is OrderKind.UNLOAD or weights_free(
+            self.settings.weight_store_url, order.version, ORDER_TIMEOUT_MS
+        )
+        if free and self.core.active(monotonic_ms()):
+            done = send_order(order, ORDER_TIMEOUT_MS)
+        self.post(OrderEnded(order, done))
+
+    def submit_order(self, order: Order) -> None:
+        """Send an order on the pool."""
+        self._orders.submit(self.send, order)
+
+    def _standing(self) -> tuple[str, bool]:
+        return self.holder, self.core.active(monotonic_ms())
+
+    async def _poll_lease(self) -> None:
+        while not self._stopping.is_set():
+            sent_ms = monotonic_ms()
+            try:
+                reply = await self.client.poll_control(ControlPoll(self.holder))
+            except TransportError:
+                await asyncio.sleep(self.settings.control_poll_ms / 1000.0)
+                continue
+            if reply.answered:
+                until_ms = sent_ms + reply.lease_ms
+                self.post(LeaseAnswered(reply.holder, reply.epoch, until_ms))
+            await asyncio.sleep(self.settings.control_poll_ms / 1000.0)
+
+    def _loop(self, name: str, work: Callable[[], None], every_ms: float) -> None:
+        def run() -> None:
+            while not self._stopping.wait(every_ms / 1000.0):
+                try:
+                    work()
+                except BaseException as error:
+                    self._failed(error)
+                    raise
+
+        thread = threading.Thread(target=run, name=name, daemon=True)
+        self._threads.append(thread)
+        thread.start()
+
+    def _unreadable(self, source: str, error: AshlatchError) -> None:
+        event = SourceUnreadable(self.settings.vm, source, str(error))
+        emit(log, event, logging.WARNING)
+
+    def _read_state(self) -> None:
+        if not self.core.active(monotonic_ms()):
+            return
+        try:
+            reply = self.client.read(ReadRequest(status=True)).result()
+        except NoLeader as error:
+            self._unreadable("state", error)
+            return
+        totals = reply.status.totals if reply.status else ()
+        self.post(StateRead(reply.revision, reply.resources, totals))
+
+    def _read_platform(self) -> None:
+        if not self.core.active(monotonic_ms()):
+            return
+        try:
+            vms = read_vms(self.settings.platform_url, PLATFORM_TIMEOUT_MS)
+        except PlatformUnreadable as error:
+            self._unreadable("platform", error)
+            return
+        self.post(VmsListed(vms))
+
+    def _read_pools(self) -> None:
+        if not self.core.active(monotonic_ms()):
+            return
+        with self._lock:
+            pools = self.core.all(Pool)
+        for name, pool in pools.items():
+            if pool.serves != "models" or not pool.report_url:
+                continue
+            try:
+                report = read_pool(pool.report_url, monotonic_ms(), PLATFORM_TIMEOUT_MS)
+            except PlatformUnreadable as error:
+                self._unreadable(name, error)
+                continue
+            loaded = tuple(
+                LoadedVersions(r.endpoint, r.versions) for r in report.reports
+            )
+            self.post(PoolRead(name, loaded))
+
+    def _read_ratings(self) -> None:
+        try:
+            ratings = self._ratings.read()
+        except RatingUnreadable as error:
+            self._unreadable("ratings", error)
+            return
+        read = tuple(VersionRating(r.version, r.rating) for r in ratings)
+        if read:
+            self.post(RatingsRead(read))
+
+
+@EFFECTS.on(Change)
+def _change(daemon: ControlDaemon, effect: Change) -> None:
+    spec = parse(effect.kind, effect.spec)
+    content = digest(effect.spec)
+    daemon.client.propose(
+        PutResource(
+            f"control/{effect.kind}/{effect.name}/{effect.if_revision}/{content}",
+            OPERATOR_NAME,
+            effect.kind,
+            effect.name,
+            effect.if_revision,
+            effect.spec,
+            spec.references(effect.name),
+            epoch=effect.epoch,
+        )
+    )
+
+
+@EFFECTS.on(Remove)
+def _remove(daemon: ControlDaemon, effect: Remove) -> None:
+    daemon.client.propose(
+        DeleteResource(
+            f"control/delete/{effect.kind}/{effect.name}/{effect.if_revision}",
+            OPERATOR_NAME,
+            effect.kind,
+            effect.name,
+            effect.if_revision,
+            epoch=effect.epoch,
+        )
+    )
+
+
+@EFFECTS.on(SendOrder)
+def _send_order(daemon: ControlDaemon, effect: SendOrder) -> None:
+    daemon.submit_order(effect.order)
+
+
+@EFFECTS.on(WriteLog)
+def _write_log(daemon: ControlDaemon, effect: WriteLog) -> None:
+    emit(log, effect.event)
--- /dev/null
+++ b/ashlatch/control/placement.py
@@ -0,0 +1,106 @@
+"""
+ashlatch.control.placement
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Orders engines to load what their pool should serve and to unload what is
+withdrawn. One order at a time for each endpoint; an order is given again only
+when it has ended, under the same id while the epoch is the same.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from ashlatch.control.core import HANDLERS, ControlCore
+from ashlatch.control.event import (
+    LoadedVersions,
+    Order,
+    OrderEnded,
+    OrderKind,
+    PoolRead,
+    SendOrder,
+)
+from ashlatch.log import LogEvent
+from ashlatch.resources import Endpoint, Pool, Withdrawal
+
+__all__ = ["OrderGiven", "OrderOutcome"]
+
+ORDER_AGAIN_MS = 2000.0
+
+
+@dataclass(frozen=True)
+class OrderGiven(LogEvent):
+    """A placement decision."""
+
+    event: ClassVar[str] = "order_given"
+    order: str
+    kind: str
+    version: str
+    endpoint: str
+    pool: str
+    epoch: int
+    reason: str
+
+
+@dataclass(frozen=True)
+class OrderOutcome(LogEvent):
+    """An order has ended."""
+
+    event: ClassVar[str] = "order_ended"
+    order: str
+    endpoint: str
+    done: bool
+
+
+@HANDLERS.on(PoolRead)
+def _pool_read(core: ControlCore, event: PoolRead) -> None:
+    pool = core.all(Pool).get(event.pool)
+    if not core.ready() or pool is None:
+        return
+    settled = core.now_ms >= core.active_since_ms + core.order_settle_ms
+    if not pool.checks_fence and not settled:
+        return
+    endpoints = core.all(Endpoint)
+    for loaded in event.loaded:
+        endpoint = endpoints.get(loaded.endpoint)
+        busy = loaded.endpoint in core.orders
+        wait_ms = core.orders_after_ms.get(loaded.endpoint, 0.0)
+        if endpoint is None or endpoint.leaving or busy or core.now_ms < wait_ms:
+            continue
+        _order(core, pool, endpoint, loaded)
+
+
+@HANDLERS.on(OrderEnded)
+def _order_ended(core: ControlCore, event: OrderEnded) -> None:
+    core.orders.pop(event.order.endpoint, None)
+    # The pool's report lags; without a pause the order would be given again.
+    core.orders_after_ms[event.order.endpoint] = core.now_ms + ORDER_AGAIN_MS
+    core.log(OrderOutcome(event.order.order_id, event.order.endpoint, event.done))
+
+
+def _order(
+    core: ControlCore, pool: Pool, endpoint: Endpoint, loaded: LoadedVersions
+) -> None:
+    for version in sorted(loaded.versions):
+        if core.has(Withdrawal, version):
+            _give(core, endpoint, OrderKind.UNLOAD, version, "withdrawn")
+            return
+    for version in pool.versions:
+        if version not in loaded.versions and not core.has(Withdrawal, version):
+            _give(core, endpoint, OrderKind.LOAD, version, "wanted")
+            return
+
+
+def _give(
+    core: ControlCore, endpoint: Endpoint, kind: OrderKind, version: str, reason: str
+) -> None:
+    order_id = f"{core.epoch}/{endpoint.vm}/{kind.value}/{version}/{core.revision}"
+    order = Order(order_id, core.epoch, kind, version, endpoint.vm, endpoint.url)
+    core.orders[endpoint.vm] = order
+    core.effects.append(SendOrder(order))
+    given = OrderGiven(
+        order_id, kind.value, version, endpoint.vm, endpoint.pool, core.epoch, reason
+    )
+    core.log(given)
--- /dev/null
+++ b/ashlatch/control/rollout.py
@@ -0,0 +1,219 @@
+"""
+ashlatch.control.rollout
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+Moves roll-outs from stage to stage, takes them back when the new version is
+bad, and withdraws a version that turns bad at full traffic.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from ashlatch.control.core import HANDLERS, ControlCore
+from ashlatch.control.event import RatingsRead, StateRead
+from ashlatch.log import LogEvent
+from ashlatch.policy.detector import Detector, VersionTally
+from ashlatch.resources import (
+    Cascade,
+    Rollout,
+    RolloutProgress,
+    Version,
+    Withdrawal,
+)
+from ashlatch.store.configuration import ResourceId
+from ashlatch.store.protocol import VersionReport
+
+__all__ = ["RolloutMoved", "VersionBad", "advance"]
+
+
+@dataclass(frozen=True)
+class RolloutMoved(LogEvent):
+    """A roll-out began a stage, is done, or was taken back."""
+
+    event: ClassVar[str] = "rollout_moved"
+    rollout: str
+    to_version: str
+    stage: int
+    share_percent: float
+    state: str
+    reason: str
+    epoch: int
+
+
+@dataclass(frozen=True)
+class VersionBad(LogEvent):
+    """A version has turned bad; `withdrawn` unless nothing else could serve."""
+
+    event: ClassVar[str] = "version_bad"
+    version: str
+    reasons: str
+    withdrawn: bool
+    epoch: int
+
+
+@HANDLERS.on(StateRead)
+def _state_read(core: ControlCore, event: StateRead) -> None:
+    if event.revision < core.revision:
+        return
+    core.revision = event.revision
+    core.resources = {ResourceId(r.kind, r.name): r for r in event.resources}
+    _take_totals(core, event.totals)
+    if core.ready():
+        advance(core)
+
+
+def _take_totals(core: ControlCore, totals: tuple[VersionReport, ...]) -> None:
+    """Give the detectors what is new in the routers' totals."""
+    for report in totals:
+        seen = core.totals.get(report.version)
+        core.totals[report.version] = report
+        if seen is None or report.answers < seen.answers:
+            continue
+        tally = VersionTally(
+            report.answers - seen.answers,
+            max(0, report.errors - seen.errors),
+            report.log_latency_sum - seen.log_latency_sum,
+        )
+        if tally.answers or tally.errors:
+            _detector(core, report.version).add_tally(tally)
+
+
+@HANDLERS.on(RatingsRead)
+def _ratings_read(core: ControlCore, event: RatingsRead) -> None:
+    if core.revision < 0:
+        return
+    versions = core.all(Version)
+    for rating in event.ratings:
+        if rating.version in versions:
+            _detector(core, rating.version).add_rating(rating.rating)
+    if core.ready():
+        advance(core)
+
+
+def advance(core: ControlCore) -> None:
+    """Take every step that is due now."""
+    under_way = set()
+    for name, rollout in core.all(Rollout).items():
+        progress = core.all(RolloutProgress).get(name)
+        if progress is None:
+            _begin(core, name, rollout)
+            under_way.add(rollout.to_version)
+        elif progress.state == "running":
+            under_way.add(rollout.to_version)
+            _judge(core, name, rollout, progress)
+    for version, detector in sorted(core.detectors.items()):
+        if detector.bad and version not in under_way:
+            _withdraw(core, version, detector)
+
+
+def _detector(core: ControlCore, version: str) -> Detector:
+    found = core.detectors.get(version)
+    if found is None:
+        found = core.detectors[version] = _new_detector(core, version)
+    return found
+
+
+def _new_detector(core: ControlCore, version: str) -> Detector:
+    """A roll-out's new version is held to what the old one does."""
+    versions = core.all(Version)
+    prior = versions[version].quality_prior if version in versions else 0.5
+    for rollout in core.all(Rollout).values():
+        old = core.detectors.get(rollout.from_version)
+        if rollout.to_version == version and old is not None:
+            return Detector(old.quality, latency_mean=old.latency_mean)
+    return Detector(prior)
+
+
+def _begin(core: ControlCore, name: str, rollout: Rollout) -> None:
+    if core.has(Withdrawal, rollout.to_version):
+        return
+    core.detectors.pop(rollout.to_version, None)
+    _enter(core, name, rollout, 0)
+
+
+def _enter(core: ControlCore, name: str, rollout: Rollout, stage: int) -> None:
+    share = rollout.stages[stage].share_percent
+    progress = RolloutProgress(
+        stage=stage, share_percent=share, state="running", epoch=core.epoch
+    )
+    _move(core, name, rollout, progress)
+
+
+def _judge(
+    core: ControlCore, name: str, rollout: Rollout, progress: RolloutProgress
+) -> None:
+    version = rollout.to_version
+    detector = core.detectors.get(version)
+    if core.has(Withdrawal, version):
+        _take_back(core, name, rollout, progress, "withdrawn")
+        return
+    if detector is not None and detector.bad:
+        reason = ",".join(sorted(detector.reasons))
+        _take_back(core, name, rollout, progress, reason)
+        core.put(version, Withdrawal(reason=f"rollout {name}: {reason}"))
+        return
+    answers = core.totals[version].answers if version in core.totals else 0
+    stage_key = f"{name}/{progress.stage}"
+    start = core.stage_starts.setdefault(stage_key, answers)
+    if answers < start:
+        start = core.stage_starts[stage_key] = 0
+    if answers - start < rollout.stages[progress.stage].answers_min:
+        return
+    if progress.stage + 1 < len(rollout.stages):
+        _enter(core, name, rollout, progress.stage + 1)
+    else:
+        done = progress.model_copy(update={"state": "done", "epoch": core.epoch})
+        _move(core, name, rollout, done)
+
+
+def _take_back(
+    core: ControlCore,
+    name: str,
+    rollout: Rollout,
+    progress: RolloutProgress,
+    reason: str,
+) -> None:
+    back = progress.model_copy(
+        update={
+            "state": "rolled_back",
+            "share_percent": 0.0,
+            "reason": reason,
+            "epoch": core.epoch,
+        }
+    )
+    _move(core, name, rollout, back)
+
+
+def _move(
+    core: ControlCore, name: str, rollout: Rollout, progress: RolloutProgress
+) -> None:
+    core.put(name, progress)
+    core.log(
+        RolloutMoved(
+            name,
+            rollout.to_version,
+            progress.stage,
+            progress.share_percent,
+            progress.state,
+            progress.reason,
+            core.epoch,
+        )
+    )
+
+
+def _withdraw(core: ControlCore, version: str, detector: Detector) -> None:
+    """Withdraw a bad version, if every cascade keeps another rung."""
+    if core.has(Withdrawal, version) or not core.has(Version, version):
+        return
+    reasons = ",".join(sorted(detector.reasons))
+    spared = all(
+        any(r != version and not core.has(Withdrawal, r) for r in cascade.rungs)
+        for cascade in core.all(Cascade).values()
+        if version in cascade.rungs
+    )
+    core.log(VersionBad(version, reasons, spared, core.epoch))
+    if spared:
+        core.put(version, Withdrawal(reason=f"turned bad: {reasons}"))
--- /dev/null
+++ b/ashlatch/http/client.py
@@ -0,0 +1,153 @@
+"""
+ashlatch.http.client
+~~~~~~~~~~~~~~~~~~~~
+
+HTTP calls by `pycurl`. Each thread keeps one handle, and with it the open
+connections.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import pycurl
+
+from ashlatch.errors import TransportError
+
+__all__ = ["Call", "Cancelled", "Reply", "fetch"]
+
+_local = threading.local()
+
+# Failures before which no byte of the request can have been sent.
+_NEVER_SENT = frozenset(
+    {
+        pycurl.E_COULDNT_CONNECT,
+        pycurl.E_COULDNT_RESOLVE_HOST,
+        pycurl.E_URL_MALFORMAT,
+        pycurl.E_UNSUPPORTED_PROTOCOL,
+    }
+)
+
+
+@dataclass
+class Cancelled(TransportError):
+    """The caller of `fetch` gave the call up."""
+
+
+@dataclass(frozen=True)
+class Call:
+    """One HTTP request. `on_body` takes the body in pieces as it comes in.
+
+    `cancelled` is asked often; when true the connection is closed, which
+    tells the other side to stop. `on_status` is called once, before the
+    first piece.
+    """
+
+    url: str
+    method: str = "GET"
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    timeout_ms: float = 10_000.0
+    connect_timeout_ms: int = 500
+    on_body: Callable[[bytes], None] | None = None
+    on_status: Callable[["Reply"], None] | None = None
+    cancelled: Callable[[], bool] | None = None
+
+
+@dataclass
+class Reply:
+    """Status, headers (names in lower case) and, unless streamed, the body."""
+
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+
+class _Transfer:
+    def __init__(self, call: Call) -> None:
+        self.call = call
+        self.reply = Reply()
+        self.parts: list[bytes] = []
+        self.started = False
+
+    def header(self, line: bytes) -> None:
+        text = line.decode("latin-1").strip()
+        if text.startswith("HTTP/"):
+            self.reply.status = int(text.split()[1])
+            self.reply.headers.clear()
+            return
+        name, colon, value = text.partition(":")
+        if colon:
+            self.reply.headers[name.strip().lower()] = value.strip()
+
+    def body(self, data: bytes) -> None:
+        if not self.started:
+            self.started = True
+            if self.call.on_status is not None:
+                self.call.on_status(self.reply)
+        if self.call.on_body is not None:
+            self.call.on_body(data)
+        else:
+            self.parts.append(data)
+
+    def progress(self, *totals: float) -> int:
+        cancelled = self.call.cancelled
+        return 1 if cancelled is not None and cancelled() else 0
+
+
+def fetch(call: Call) -> Reply:
+    """Make a call on this thread and wait for its end.
+
+    Raises `TransportError` when there is no whole reply; its `sent` is false
+    only if no byte of the request can have left.
+    """
+    handle = getattr(_local, "handle", None)
+    if handle is None:
+        handle = _local.handle = pycurl.Curl()
+    transfer = _Transfer(call)
+    _prepare(handle, call, transfer)
+    try:
+        handle.perform()
+    except pycurl.error as error:
+        code, reason = error.args[0], error.args[1]
+        if code == pycurl.E_ABORTED_BY_CALLBACK:
+            raise Cancelled(call.url, "cancelled", sent=True) from error
+        raise TransportError(call.url, reason, _was_sent(handle, code)) from error
+    transfer.reply.body = b"".join(transfer.parts)
+    return transfer.reply
+
+
+def _was_sent(handle: pycurl.Curl, code: int) -> bool:
+    if code in _NEVER_SENT:
+        return False
+    if code == pycurl.E_OPERATION_TIMEDOUT:
+        # The time ran out before there was a connection to send on.
+        return handle.getinfo(pycurl.CONNECT_TIME) > 0
+    return True
+
+
+def _prepare(handle: pycurl.Curl, call: Call, transfer: _Transfer) -> None:
+    handle.reset()
+    handle.setopt(pycurl.URL, call.url)
+    handle.setopt(pycurl.NOSIGNAL, 1)
+    handle.setopt(pycurl.TCP_NODELAY, 1)
+    handle.setopt(pycurl.PROXY, "")
+    handle.setopt(pycurl.CONNECTTIMEOUT_MS, call.connect_timeout_ms)
+    handle.setopt(pycurl.TIMEOUT_MS, max(1, int(call.timeout_ms)))
+    handle.setopt(pycurl.CUSTOMREQUEST, call.method)
+    if call.body:
+        handle.setopt(pycurl.POST, 1)
+        handle.setopt(pycurl.CUSTOMREQUEST, call.method)
+        handle.setopt(pycurl.POSTFIELDS, call.body)
+    # Without this, curl waits for "100 Continue" before a larger body.
+    headers = ["Expect:"]
+    headers += [f"{name}: {value}" for name, value in call.headers.items()]
+    handle.setopt(pycurl.HTTPHEADER, headers)
+    handle.setopt(pycurl.HEADERFUNCTION, transfer.header)
+    handle.setopt(pycurl.WRITEFUNCTION, transfer.body)
+    if call.cancelled is not None:
+        handle.setopt(pycurl.NOPROGRESS, 0)
+        handle.setopt(pycurl.XFERINFOFUNCTION, transfer.progress)
--- /dev/null
+++ b/ashlatch/http/server.py
@@ -0,0 +1,146 @@
+"""
+ashlatch.http.server
+~~~~~~~~~~~~~~~~~~~~
+
+An HTTP listener: `werkzeug` on a bounded `concurrent.futures` pool. A
+connection over the bound is answered with 503 at once and closed, never
+queued.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import logging
+import socket
+import threading
+from collections.abc import Callable, Iterable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from werkzeug.exceptions import HTTPException, RequestEntityTooLarge
+from werkzeug.serving import BaseWSGIServer, WSGIRequestHandler
+from werkzeug.wrappers import Request, Response
+
+from ashlatch.http import problem as problems
+from ashlatch.http.problem import Problem, problem_response
+from ashlatch.rpc import Address
+from ashlatch.settings import HttpLimits
+
+__all__ = ["HttpServer"]
+
+log = logging.getLogger("ashlatch.http")
+
+Application = Callable[[Request], Response]
+
+_FULL = Problem(problems.OVERLOADED, "too many open connections", retry_ms=1000.0)
+
+
+class _Handler(WSGIRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def setup(self) -> None:
+        super().setup()
+        self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def log(self, type: str, message: str, *args: Any) -> None:
+        """The daemons log their own events."""
+
+    def handle_one_request(self) -> None:
+        try:
+            super().handle_one_request()
+        except (ConnectionError, TimeoutError):
+            self.close_connection = True
+
+
+class _Server(BaseWSGIServer):
+    multithread = True
+    request_queue_size = 512
+
+    def __init__(self, address: Address, application: Any, limits: HttpLimits) -> None:
+        handler = type(
+            "_Bounded", (_Handler,), {"timeout": limits.idle_timeout_ms / 1e3}
+        )
+        super().__init__(address.host, address.port, application, handler)
+        self._slots = threading.BoundedSemaphore(limits.max_connections)
+        self._pool = ThreadPoolExecutor(limits.max_connections, "http")
+
+    def process_request(self, request: Any, client_address: Any) -> None:
+        if not self._slots.acquire(blocking=False):
+            self._refuse(request)
+            return
+        self._pool.submit(self._serve, request, client_address)
+
+    def _serve(self, request: Any, client_address: Any) -> None:
+        try:
+            self.finish_request(request, client_address)
+        except Exception:
+            self.handle_error(request, client_address)
+        finally:
+            self.shutdown_request(request)
+            self._slots.release()
+
+    def _refuse(self, request: Any) -> None:
+        body = _FULL.document()
+        lines = ["HTTP/1.1 503 Service Unavailable", "Connection: close"]
+        lines += [f"{key}: {value}" for key, value in _FULL.headers().items()]
+        lines.append(f"Content-Length: {len(body)}")
+        try:
+            request.settimeout(1.0)
+            request.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        except OSError:
+            pass
+        self.shutdown_request(request)
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """A caller that went away is not an error of ours."""
+        log.debug("", exc_info=True, extra={"event": "connection_failed"})
+
+    def end(self) -> None:
+        """Wait for all open connections."""
+        self._pool.shutdown(wait=True)
+
+
+class HttpServer:
+    """Serves one application at one address.
+
+    The application takes a `werkzeug` request and gives a response; what it
+    raises becomes a problem document, never a trace.
+    """
+
+    def __init__(
+        self, address: Address, application: Application, limits: HttpLimits
+    ) -> None:
+        self._application = application
+        self._limits = limits
+        self._server = _Server(address, self._wsgi, limits)
+        self._thread = threading.Thread(
+            target=self._server.serve_forever, args=(0.05,), name="accept", daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin to accept."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop accepting and wait for what is open."""
+        self._server.shutdown()
+        self._thread.join()
+        self._server.server_close()
+        self._server.end()
+
+    def _wsgi(self, environ: Any, start_response: Any) -> Iterable[bytes]:
+        request = Request(environ)
+        request.max_content_length = self._limits.max_body_bytes
+        try:
+            response = self._application(request)
+        except RequestEntityTooLarge:
+            limit = f"at most {self._limits.max_body_bytes} bytes"
+            response = problem_response(Problem(problems.TOO_LARGE, limit))
+        except HTTPException as error:
+            detail = error.description or ""
+            response = problem_response(Problem(problems.BAD_REQUEST, detail))
+        except Exception:
+            log.exception("", extra={"event": "request_failed"})
+            # What had been sent by then is not known here.
+            response = problem_response(Problem(problems.INTERNAL, not_run=None))
+        return response(environ, start_response)
--- a/ashlatch/log.py
+++ b/ashlatch/log.py
@@ -18,7 +18,14 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
-__all__ = ["DaemonFailed", "DaemonStarted", "DaemonStopped", "LogEvent", "emit", "setup"]
+__all__ = [
+    "DaemonFailed",
+    "DaemonStarted",
+    "DaemonStopped",
+    "LogEvent",
+    "emit",
+    "setup",
+]
 
 _PLAIN = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/,@%+|()"
--- /dev/null
+++ b/ashlatch/metrics.py
@@ -0,0 +1,62 @@
+"""
+ashlatch.metrics
+~~~~~~~~~~~~~~~~
+
+Counters, and latencies by `hdrhistogram`, shown as plain text at `/metrics`.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import threading
+from collections import Counter
+
+from hdrh.histogram import HdrHistogram
+
+__all__ = ["Metrics"]
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+DIGITS = 2
+PERCENTILES = (50.0, 95.0, 99.0)
+
+
+class Metrics:
+    """All metrics of a process. Safe to use from any thread."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._counters: Counter[str] = Counter()
+        self._histograms: dict[str, HdrHistogram] = {}
+
+    def count(self, name: str) -> None:
+        """Add one to a counter."""
+        with self._lock:
+            self._counters[name] += 1
+
+    def record_ms(self, name: str, value_ms: float) -> None:
+        """Record one latency in milliseconds."""
+        with self._lock:
+            found = self._histograms.get(name)
+            if found is None:
+                found = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+                self._histograms[name] = found
+            found.record_value(max(LOWEST_US, int(value_ms * 1000.0)))
+
+    def text(self) -> str:
+        """One `name value` line for each number, sorted."""
+        lines = []
+        with self._lock:
+            for name, value in self._counters.items():
+                lines.append(f"ashlatch_{name}_total {value}")
+            for name, histogram in self._histograms.items():
+                lines += _histogram_lines(name, histogram)
+        return "\n".join(sorted(lines)) + "\n"
+
+
+def _histogram_lines(name: str, histogram: HdrHistogram) -> list[str]:
+    lines = [f"ashlatch_{name}_count {histogram.get_total_count()}"]
+    for percentile in PERCENTILES:
+        value_ms = histogram.get_value_at_percentile(percentile) / 1000.0
+        lines.append(f'ashlatch_{name}_ms{{percentile="{percentile:g}"}} {value_ms}')
+    return lines
--- /dev/null
+++ b/ashlatch/policy/breaker.py
@@ -0,0 +1,47 @@
+"""
+ashlatch.policy.breaker
+~~~~~~~~~~~~~~~~~~~~~~~
+
+A circuit breaker for each endpoint: closed, open for a while after some
+failures in a row, then half open for one trial request.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from dataclasses import dataclass
+
+__all__ = ["Breaker"]
+
+
+@dataclass
+class Breaker:
+    """Failures in a row, and until when the circuit is open."""
+
+    failures_max: int
+    open_ms: float
+    failures: int = 0
+    open_until_ms: float = float("-inf")
+    trial_until_ms: float = float("-inf")
+
+    def allows(self, now_ms: float) -> bool:
+        """Whether a request may be sent now."""
+        if self.failures < self.failures_max:
+            return True
+        return now_ms >= self.open_until_ms and now_ms >= self.trial_until_ms
+
+    def sent(self, now_ms: float) -> None:
+        """A request is sent; when half open, others wait for it."""
+        if self.failures >= self.failures_max:
+            self.trial_until_ms = now_ms + self.open_ms
+
+    def succeeded(self) -> None:
+        """An answer came: close."""
+        self.failures = 0
+        self.trial_until_ms = float("-inf")
+
+    def failed(self, now_ms: float) -> None:
+        """No answer came: open, after enough of them."""
+        self.failures += 1
+        if self.failures >= self.failures_max:
+            self.open_until_ms = now_ms + self.open_ms
--- /dev/null
+++ b/ashlatch/policy/load.py
@@ -0,0 +1,107 @@
+"""
+ashlatch.policy.load
+~~~~~~~~~~~~~~~~~~~~
+
+What a router believes of each endpoint: the newest report, which lags, plus
+what this router has itself sent and finished since the report's own time.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+__all__ = ["EndpointLoad", "LoadReport"]
+
+SERVICE_GAIN = 0.1
+DEFAULT_SERVICE_MS = 500.0
+STALE_REPORT_MS = 2500.0
+CHANGES_MAX = 4096
+
+
+@dataclass(frozen=True)
+class LoadReport:
+    """The load of one endpoint at the time `at_ms` of the router's clock.
+
+    `running` and `queued` are requests; `slots` is how many run at once
+    without making each other wait.
+    """
+
+    endpoint: str
+    at_ms: float
+    running: int
+    queued: int
+    slots: int
+    versions: frozenset[str]
+
+
+@dataclass(frozen=True)
+class _Change:
+    at_ms: float
+    requests: int
+
+
+@dataclass
+class EndpointLoad:
+    """The running estimate for one endpoint."""
+
+    report: LoadReport | None = None
+    in_flight: int = 0
+    service_ms: float = DEFAULT_SERVICE_MS
+    first_token_ms: float = 0.0
+    _changes: deque[_Change] = field(default_factory=lambda: deque(maxlen=CHANGES_MAX))
+
+    def reported(self, report: LoadReport) -> None:
+        """Take a report, unless an older one."""
+        if self.report is not None and report.at_ms < self.report.at_ms:
+            return
+        self.report = report
+        while self._changes and self._changes[0].at_ms <= report.at_ms:
+            self._changes.popleft()
+
+    def sent(self, now_ms: float) -> None:
+        """This router has sent a request."""
+        self.in_flight += 1
+        self._changes.append(_Change(now_ms, 1))
+
+    def finished(self, now_ms: float, took_ms: float | None) -> None:
+        """A request has ended; with its time when it was answered."""
+        self.in_flight -= 1
+        self._changes.append(_Change(now_ms, -1))
+        if took_ms is not None:
+            self.service_ms += SERVICE_GAIN * (took_ms - self.service_ms)
+
+    @property
+    def slots(self) -> int:
+        """How many requests run at once; one until a report says more."""
+        return max(1, self.report.slots) if self.report else 1
+
+    def requests(self) -> float:
+        """The estimated number of requests at the endpoint now."""
+        if self.report is None:
+            return float(self.in_flight)
+        since = sum(change.requests for change in self._changes)
+        reported = self.report.running + self.report.queued
+        return float(max(reported + since, self.in_flight, 0))
+
+    def reported_requests(self) -> float:
+        """The number that the newest report gives, as it stands."""
+        if self.report is None:
+            return 0.0
+        return float(self.report.running + self.report.queued)
+
+    def wait_ms(self) -> float:
+        """The expected wait before a new request begins to run."""
+        ahead = self.requests() + 1.0 - self.slots
+        return max(0.0, ahead) * self.service_ms / self.slots
+
+    def serves(self, version: str) -> bool:
+        """Whether the newest report lists the version as loaded."""
+        return self.report is not None and version in self.report.versions
+
+    def stale(self, now_ms: float) -> bool:
+        """Whether the newest report is too old to be believed."""
+        if self.report is None:
+            return True
+        return now_ms - self.report.at_ms > STALE_REPORT_MS
--- /dev/null
+++ b/ashlatch/policy/quality.py
@@ -0,0 +1,78 @@
+"""
+ashlatch.policy.quality
+~~~~~~~~~~~~~~~~~~~~~~~
+
+How good the answers of a version are on a route, from ratings that are
+sampled, late and noisy: a normal posterior with a prior from the
+configuration and gradual forgetting.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+__all__ = ["QualityBook", "QualityEstimate"]
+
+PRIOR_RATINGS = 8.0
+MEMORY_RATINGS = 2000.0
+RATING_SD = 0.25
+
+
+@dataclass
+class QualityEstimate:
+    """A posterior over the mean rating: `weight` ratings with mean `mean`."""
+
+    mean: float
+    weight: float = PRIOR_RATINGS
+
+    def add(self, rating: float) -> None:
+        """Learn from one rating (0 to 1)."""
+        self.weight = min(self.weight + 1.0, MEMORY_RATINGS)
+        self.mean += (rating - self.mean) / self.weight
+
+    @property
+    def deviation(self) -> float:
+        """The standard deviation of the posterior."""
+        return RATING_SD / math.sqrt(self.weight)
+
+
+@dataclass(frozen=True)
+class RouteVersion:
+    """A version as it is used on one route."""
+
+    route: str
+    version: str
+
+
+@dataclass
+class QualityBook:
+    """All estimates, and how far each route is from its target.
+
+    `achieved` holds the mean rating of what a route really answered.
+    """
+
+    estimates: dict[RouteVersion, QualityEstimate] = field(default_factory=dict)
+    achieved: dict[str, QualityEstimate] = field(default_factory=dict)
+
+    def estimate(self, route: str, version: str, prior: float) -> QualityEstimate:
+        """The estimate for a version on a route, made from the prior if new."""
+        key = RouteVersion(route, version)
+        found = self.estimates.get(key)
+        if found is None:
+            found = self.estimates[key] = QualityEstimate(prior)
+        return found
+
+    def rated(self, route: str, version: str, prior: float, rating: float) -> None:
+        """Learn from one rating of an answer."""
+        self.estimate(route, version, prior).add(rating)
+        achieved = self.achieved.get(route)
+        if achieved is None:
+            achieved = self.achieved[route] = QualityEstimate(rating, 0.0)
+        achieved.add(rating)
+
+    def shortfall(self, route: str, target: float) -> float:
+        """By how much the route's ratings miss the target; negative if better."""
+        achieved = self.achieved.get(route)
+        return target - achieved.mean if achieved else 0.0
--- a/ashlatch/raft/effect.py
+++ b/ashlatch/raft/effect.py
@@ -10,7 +10,7 @@
 
 from dataclasses import dataclass
 
-from ashlatch.raft.message import Entry, Member, Members, Message, SnapshotMeta
+from ashlatch.raft.message import Entry, Member, Message, SnapshotMeta
 
 __all__ = [
     "AddLearner",
--- a/ashlatch/raft/election.py
+++ b/ashlatch/raft/election.py
@@ -13,9 +13,9 @@
 
 from ashlatch.raft.core import HANDLERS, Progress, RaftCore, Role
 from ashlatch.raft.effect import LeadershipChanged, Received, Tick
+from ashlatch.raft.membership import advance_repair
 from ashlatch.raft.message import VoteReply, VoteRequest
 from ashlatch.raft.replication import broadcast, receive_replication
-from ashlatch.raft.membership import advance_repair
 from ashlatch.registry import Handlers
 
 __all__ = ["receive", "tick"]
--- a/ashlatch/raft/group.py
+++ b/ashlatch/raft/group.py
@@ -47,7 +47,8 @@
 TICK_MS = 20.0
 MAX_BATCH = 512
 
-assert election.tick  # The handlers are registered by this import.
+# Importing the module registers its handlers.
+_HANDLERS_OF = (election,)
 
 
 def monotonic_ms() -> float:
--- a/ashlatch/resources.py
+++ b/ashlatch/resources.py
@@ -99,23 +99,31 @@
 
     `repeatable` is whether a call of the service may be repeated when the
     caller does not say. `report_url` gives the load of all endpoints.
+    `versions` are kept loaded on all of them; with none given, what is loaded
+    is left as it is. `checks_fence` tells whether the endpoints refuse orders
+    of a control process that is no longer active.
     """
 
     name = "pool"
-    priority = 0
+    priority = 2
     serves: Literal["models", "service"] = "models"
     repeatable: bool = True
     report_url: str = ""
     checks_fence: bool = True
+    versions: tuple[Name, ...] = ()
     price_microusd_per_call: int = Field(default=0, ge=0)
 
+    def references(self, own_name: str) -> tuple[Reference, ...]:
+        """The versions."""
+        return tuple(Reference("version", v, "versions") for v in self.versions)
+
 
 @RESOURCE_KINDS.add
 class Endpoint(Spec):
     """One place that answers requests. Kept by `ashlatch-control`."""
 
     name = "endpoint"
-    priority = 1
+    priority = 3
     pool: Name
     url: str = Field(pattern=r"^https?://")
     vm: str
@@ -152,7 +160,9 @@
         versions = (
             Reference("version", v, "allowed_versions") for v in self.allowed_versions
         )
-        pools = (Reference("pool", p, "allowed_services") for p in self.allowed_services)
+        pools = (
+            Reference("pool", p, "allowed_services") for p in self.allowed_services
+        )
         return (*models, *versions, *pools)
 
 
--- /dev/null
+++ b/ashlatch/router/api.py
@@ -0,0 +1,211 @@
+"""
+ashlatch.router.api
+~~~~~~~~~~~~~~~~~~~
+
+What callers send, read and checked: keys, headers and bodies become a
+`Request`, or a problem that names the field.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import hashlib
+import uuid
+from dataclasses import dataclass
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from werkzeug.wrappers import Request as HttpRequest
+
+from ashlatch.codec import digest
+from ashlatch.errors import AshlatchError, FieldError
+from ashlatch.http import problem as problems
+from ashlatch.http.problem import Problem
+from ashlatch.policy.table import RoutingTable
+from ashlatch.router.event import Request, RequestKind
+from ashlatch.settings import field_errors
+
+__all__ = ["BadRequest", "Clock", "authenticate", "read_chat", "read_service"]
+
+BEARER = "Bearer "
+KEY_MAX = 200
+PREFIX_BYTES = 512
+BYTES_A_TOKEN = 4
+MAX_TOKENS_DEFAULT = 1024
+
+
+@dataclass
+class BadRequest(AshlatchError):
+    """The request is answered with this problem."""
+
+    problem: Problem
+
+
+@dataclass(frozen=True)
+class Clock:
+    """The host's clocks when a request came in, and its bounds."""
+
+    now_ms: float
+    wall_ms: int
+    deadline_max_ms: float
+
+
+class _Message(BaseModel):
+    model_config = ConfigDict(extra="allow")
+    role: str
+    content: str | list[Any] | None = None
+
+
+class _Chat(BaseModel):
+    """The fields of a chat that the router reads; others go to the engine."""
+
+    model_config = ConfigDict(extra="allow")
+    model: str = Field(min_length=1, max_length=200)
+    messages: tuple[_Message, ...] = Field(min_length=1, max_length=10_000)
+    stream: bool = False
+    max_tokens: int = Field(default=MAX_TOKENS_DEFAULT, ge=1, le=1_000_000)
+
+
+@dataclass(frozen=True)
+class _Headers:
+    key: str
+    keyed: bool
+    session: str
+    deadline_ms: float | None
+    repeatable: bool | None
+
+
+def authenticate(http: HttpRequest, table: RoutingTable) -> str:
+    """The organisation of the bearer key; its hash is what is configured."""
+    given = http.headers.get("Authorization", "")
+    hashed = hashlib.sha256(given.removeprefix(BEARER).encode()).hexdigest()
+    organisation = table.organisation_of_key.get(hashed)
+    if not given.startswith(BEARER) or organisation is None:
+        raise BadRequest(Problem(problems.UNAUTHENTICATED))
+    return organisation
+
+
+def read_chat(
+    http: HttpRequest, organisation: str, table: RoutingTable, clock: Clock
+) -> Request:
+    """A chat-completions call."""
+    body = http.get_data()
+    try:
+        chat = _Chat.model_validate_json(body)
+    except ValidationError as error:
+        raise BadRequest(_bad(*field_errors(error))) from error
+    headers = _read_headers(http)
+    route = table.routes.get(chat.model)
+    own_deadline_ms = route.deadline_ms if route else clock.deadline_max_ms
+    prefix = digest(body[:PREFIX_BYTES]) if len(body) >= PREFIX_BYTES else ""
+    return Request(
+        request_id=uuid.uuid4().hex,
+        kind=RequestKind.CHAT,
+        organisation=organisation,
+        target=chat.model,
+        key=headers.key,
+        keyed=headers.keyed,
+        repeatable=True if headers.repeatable is None else headers.repeatable,
+        stream=chat.stream,
+        session=headers.session,
+        deadline_ms=_deadline(headers, clock, own_deadline_ms),
+        arrived_wall_ms=clock.wall_ms,
+        method="POST",
+        path=http.path,
+        content_type="application/json",
+        body=body,
+        body_digest=digest(body),
+        prefix=prefix,
+        input_tokens=len(body) // BYTES_A_TOKEN,
+        output_tokens_max=chat.max_tokens,
+    )
+
+
+def read_service(
+    http: HttpRequest,
+    organisation: str,
+    pool: str,
+    path: str,
+    table: RoutingTable,
+    clock: Clock,
+) -> Request:
+    """A call of a plain service."""
+    body = http.get_data()
+    headers = _read_headers(http)
+    spec = table.pools.get(pool)
+    if spec is None or spec.serves != "service":
+        raise BadRequest(Problem(problems.NOT_FOUND, f"no service {pool}"))
+    query = "?" + http.query_string.decode("latin-1") if http.query_string else ""
+    identity = f"{http.method} {path}{query}\n".encode() + body
+    safe = http.method in ("GET", "HEAD")
+    default = spec.repeatable or safe
+    return Request(
+        request_id=uuid.uuid4().hex,
+        kind=RequestKind.SERVICE,
+        organisation=organisation,
+        target=pool,
+        key=headers.key,
+        keyed=headers.keyed,
+        repeatable=default if headers.repeatable is None else headers.repeatable,
+        stream=False,
+        session=headers.session,
+        deadline_ms=_deadline(headers, clock, clock.deadline_max_ms),
+        arrived_wall_ms=clock.wall_ms,
+        method=http.method,
+        path=f"/{path}{query}",
+        content_type=http.headers.get("Content-Type", "application/octet-stream"),
+        body=body,
+        body_digest=digest(identity),
+        prefix="",
+        input_tokens=0,
+        output_tokens_max=0,
+    )
+
+
+def _deadline(headers: _Headers, clock: Clock, default_ms: float) -> float:
+    wanted_ms = default_ms if headers.deadline_ms is None else headers.deadline_ms
+    return clock.now_ms + min(wanted_ms, clock.deadline_max_ms)
+
+
+def _read_headers(http: HttpRequest) -> _Headers:
+    errors: list[FieldError] = []
+    key = _text(http, "Idempotency-Key", errors)
+    session = _text(http, "Ashlatch-Session", errors)
+    deadline_ms = _number(http, "Ashlatch-Deadline-Ms", errors)
+    repeatable = _flag(http, "Ashlatch-Repeatable", errors)
+    if errors:
+        raise BadRequest(_bad(*errors))
+    return _Headers(
+        key or uuid.uuid4().hex, bool(key), session, deadline_ms, repeatable
+    )
+
+
+def _text(http: HttpRequest, name: str, errors: list[FieldError]) -> str:
+    value = http.headers.get(name, "")
+    if len(value) > KEY_MAX or not value.isprintable():
+        rule = f"must be printable and at most {KEY_MAX} long"
+        errors.append(FieldError(name, value[:40], rule))
+    return value
+
+
+def _number(http: HttpRequest, name: str, errors: list[FieldError]) -> float | None:
+    value = http.headers.get(name)
+    if value is None:
+        return None
+    if not value.isdecimal() or int(value) < 1:
+        errors.append(FieldError(name, value[:40], "must be a positive integer"))
+        return None
+    return float(value)
+
+
+def _flag(http: HttpRequest, name: str, errors: list[FieldError]) -> bool | None:
+    value = http.headers.get(name)
+    if value is None:
+        return None
+    if value not in ("true", "false"):
+        errors.append(FieldError(name, value[:40], "must be true or false"))
+    return value == "true"
+
+
+def _bad(*errors: FieldError) -> Problem:
+    return Problem(problems.BAD_REQUEST, "", True, fields=errors)
--- /dev/null
+++ b/ashlatch/router/core.py
@@ -0,0 +1,156 @@
+"""
+ashlatch.router.core
+~~~~~~~~~~~~~~~~~~~~
+
+The reducer of a router: `step` takes an event and returns effects. The
+handlers of requests are in `flow`, those of knowledge in `knowledge`.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import random
+from dataclasses import dataclass, field
+
+from ashlatch.errors import InvariantViolated
+from ashlatch.policy.limit import Limits
+from ashlatch.policy.retry import RetryBudget
+from ashlatch.policy.table import NamedEndpoint
+from ashlatch.registry import Handlers
+from ashlatch.router.event import Effect, Event, Request, RequestKind, StartAttempt
+from ashlatch.router.plan import Planner
+from ashlatch.settings import PolicySettings
+from ashlatch.store.command import StoredAnswer
+
+__all__ = ["HANDLERS", "CachedPin", "Flight", "RouterConfig", "RouterCore", "Tally"]
+
+HANDLERS = Handlers("router")
+
+CONNECT_MARGIN_MS = 500.0
+
+
+@dataclass(frozen=True)
+class RouterConfig:
+    """Who this router is. `router` names this start of it."""
+
+    router: str
+    vm: str
+    hall: str
+    policy: PolicySettings = PolicySettings()
+
+
+@dataclass
+class Flight:
+    """A request between its arrival and its final answer.
+
+    `attempt` is its number in the ledger, 0 without a claim. `maybe_ran` is
+    set as soon as a byte may have been sent, here or by an earlier attempt.
+    `given` is set when the caller has its final answer or is gone.
+    """
+
+    request: Request
+    arrived_ms: float
+    version: str = ""
+    endpoint: NamedEndpoint | None = None
+    attempt: int = 0
+    tries: int = 0
+    attempt_id: str = ""
+    sent_ms: float = 0.0
+    claim_id: str = ""
+    tried: frozenset[str] = frozenset()
+    version_changed: bool = False
+    maybe_ran: bool = False
+    history_known: bool = True
+    recording: bool = False
+    answer: StoredAnswer | None = None
+    chunks_given: bool = False
+    given: bool = False
+
+    def not_run(self) -> bool | None:
+        """What may be said of whether the request has run."""
+        if self.maybe_ran:
+            return False if self.request.repeatable else None
+        return True if self.history_known else None
+
+
+@dataclass(frozen=True)
+class CachedPin:
+    """A session's version as the ledger has confirmed it, while it holds."""
+
+    version: str
+    until_ms: float
+
+
+@dataclass
+class Tally:
+    """What this router has seen of one version since it started."""
+
+    answers: int = 0
+    errors: int = 0
+    log_latency_sum: float = 0.0
+
+
+@dataclass
+class RouterCore:
+    """The whole state of a router. Not thread-safe; the host locks."""
+
+    config: RouterConfig
+    now_ms: float = 0.0
+    lease_until_ms: float = float("-inf")
+    draining: bool = False
+    flights: dict[str, Flight] = field(default_factory=dict)
+    pins: dict[tuple[str, str], CachedPin] = field(default_factory=dict)
+    tallies: dict[str, Tally] = field(default_factory=dict)
+    seen_totals: dict[str, Tally] = field(default_factory=dict)
+    limits: Limits = field(default_factory=Limits)
+    effects: list[Effect] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.random = random.Random(f"{self.config.policy.seed}/{self.config.router}")
+        self.planner = Planner(
+            self.config.policy, self.config.vm, self.config.hall, self.random
+        )
+        self.budget = RetryBudget(self.config.policy.retry_ratio)
+
+    def step(self, now_ms: float, event: Event) -> list[Effect]:
+        """Handle one event and return what must be done, in order."""
+        self.now_ms = max(self.now_ms, now_ms)
+        HANDLERS.call(self, event)
+        effects, self.effects = self.effects, []
+        return effects
+
+    @property
+    def table_revision(self) -> int:
+        """The revision that is applied."""
+        return self.planner.table.revision
+
+    def lease_valid(self, now_ms: float) -> bool:
+        """Whether new work may be taken, by the configuration lease."""
+        return now_ms < self.lease_until_ms
+
+    def may_send(self, now_ms: float, attempt: StartAttempt) -> bool:
+        """The last check before the first byte of an attempt leaves.
+
+        The lease must still hold for as long as a connection may take.
+        """
+        if now_ms + CONNECT_MARGIN_MS >= self.lease_until_ms:
+            return False
+        request = attempt.request
+        flight = self.flights.get(request.request_id)
+        if flight is None or flight.given or flight.attempt_id != attempt.attempt_id:
+            return False
+        if attempt.endpoint in self.planner.leaving:
+            return False
+        if request.kind is RequestKind.SERVICE:
+            return True
+        return self.planner.table.usable(request.organisation, attempt.version)
+
+    def assert_allowed(self, flight: Flight) -> None:
+        """R1 and R2, asserted at the choice of a version."""
+        request = flight.request
+        if request.kind is RequestKind.SERVICE:
+            return
+        if not self.planner.table.allows(request.organisation, flight.version):
+            raise InvariantViolated("R1", f"{request.organisation} on {flight.version}")
+        if flight.version in self.planner.table.withdrawn:
+            raise InvariantViolated("R2", flight.version)
--- /dev/null
+++ b/ashlatch/router/daemon.py
@@ -0,0 +1,396 @@
+"""
+ashlatch.router.daemon
+~~~~~~~~~~~~~~~~~~~~~~
+
+The router process: the callers' HTTP API, and the loops that keep the core
+informed.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import asyncio
+import json
+import logging
+import random
+import select
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import ClassVar
+
+from werkzeug.wrappers import Request as HttpRequest
+from werkzeug.wrappers import Response
+
+from ashlatch.adapter.platform import PlatformUnreadable, read_pool
+from ashlatch.adapter.rating import RatingService, RatingUnreadable
+from ashlatch.errors import TransportError
+from ashlatch.http import problem as problems
+from ashlatch.http.problem import Problem, problem_response
+from ashlatch.http.server import HttpServer
+from ashlatch.log import LogEvent, emit
+from ashlatch.policy.table import TableBuilder
+from ashlatch.raft.group import monotonic_ms
+from ashlatch.router.api import (
+    BadRequest,
+    Clock,
+    authenticate,
+    read_chat,
+    read_service,
+)
+from ashlatch.router.event import (
+    Answered,
+    CallerLeft,
+    ConfigurationChanged,
+    DeadlinePassed,
+    DrainStarted,
+    GiveAnswer,
+    GiveProblem,
+    LeaseRenewed,
+    LoadReported,
+    Rated,
+    Request,
+    VersionTallied,
+    VersionTotals,
+)
+from ashlatch.router.host import Chunk, Mailbox, RouterHost
+from ashlatch.rpc import Address
+from ashlatch.settings import RouterSettings
+from ashlatch.store.protocol import RouterPoll, RouterReply, VersionReport
+
+__all__ = ["RouterDaemon"]
+
+log = logging.getLogger("ashlatch.router")
+
+POLL_RETRY_S = 0.05
+FIRST_CONFIGURATION_S = 20.0
+CALLER_CHECK_MS = 250.0
+STOP_CHECK_S = 0.02
+SERVICES = "/v1/services/"
+STREAM_TYPE = "text/event-stream"
+
+
+@dataclass(frozen=True)
+class StateUnreachable(LogEvent):
+    """A heartbeat of this router has failed."""
+
+    event: ClassVar[str] = "state_unreachable"
+    vm: str
+    reason: str
+    lease_left_ms: float
+
+
+@dataclass(frozen=True)
+class DrainBegun(LogEvent):
+    """The router takes no new work and waits for what it has."""
+
+    event: ClassVar[str] = "drain_begun"
+    vm: str
+    in_flight: int
+
+
+class RouterDaemon:
+    """One router. `start` returns once it is ready for callers."""
+
+    def __init__(
+        self, settings: RouterSettings, failed: Callable[[BaseException], None]
+    ) -> None:
+        self.settings = settings
+        self.host = RouterHost(settings, failed)
+        self._builder = TableBuilder()
+        self._failed = failed
+        self._ready = threading.Event()
+        self._stopping = threading.Event()
+        self._server = HttpServer(
+            Address.parse(settings.listen), self._answer, settings.http
+        )
+        self._ratings = RatingService(settings.rating_url)
+        self._random = random.Random(settings.policy.seed)
+        self._threads: list[threading.Thread] = []
+
+    def start(self) -> None:
+        """Serve, once the first configuration is applied.
+
+        Without a state the router serves too, and refuses everything.
+        """
+        self.host.rpc.keep(self._poll_state(), self._failed)
+        self._loop("load", self._read_loads, self.settings.load_poll_ms)
+        if self.settings.rating_url:
+            self.host.answered = self._sample
+            self._loop("ratings", self._read_ratings, self.settings.rating_poll_ms)
+        self._ready.wait(FIRST_CONFIGURATION_S)
+        self._server.start()
+
+    def stop(self) -> int:
+        """Drain: refuse new work, let all in flight end whole, then stop."""
+        self.host.post(DrainStarted())
+        emit(log, DrainBegun(self.settings.vm, self.host.in_flight()))
+        time.sleep(self.settings.drain_ms / 1000.0)
+        limit_s = time.monotonic() + self.settings.deadline_max_ms / 1000.0
+        while self.host.in_flight() and time.monotonic() < limit_s:
+            time.sleep(STOP_CHECK_S)
+        cut = self.host.in_flight()
+        self._server.stop()
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join()
+        self.host.stop()
+        return cut
+
+    # What keeps the core informed.
+
+    async def _poll_state(self) -> None:
+        while not self._stopping.is_set():
+            sent_ms = monotonic_ms()
+            try:
+                reply = await self.host.client.poll_router(self._heartbeat())
+            except TransportError as error:
+                left_ms = self.host.core.lease_until_ms - sent_ms
+                event = StateUnreachable(self.settings.vm, error.reason, left_ms)
+                emit(log, event, logging.WARNING)
+                await asyncio.sleep(POLL_RETRY_S)
+                continue
+            if not reply.granted:
+                await asyncio.sleep(POLL_RETRY_S)
+                continue
+            self._apply(reply, sent_ms)
+
+    def _heartbeat(self) -> RouterPoll:
+        reports = tuple(
+            VersionReport(v, t.answers, t.errors, t.log_latency_sum)
+            for v, t in list(self.host.core.tallies.items())
+        )
+        first = not self._ready.is_set()
+        return RouterPoll(
+            self.host.router,
+            self.settings.vm,
+            self.settings.hall,
+            self._builder.revision,
+            0.0 if first else self.settings.poll_wait_ms,
+            reports,
+        )
+
+    def _apply(self, reply: RouterReply, sent_ms: float) -> None:
+        if reply.revision != self._builder.revision or not self._ready.is_set():
+            table = self._builder.update(reply.revision, reply.resources, reply.deleted)
+            self.host.post(ConfigurationChanged(table))
+        self.host.post(LeaseRenewed(sent_ms + reply.lease_ms, reply.routers))
+        totals = tuple(
+            VersionTotals(t.version, t.answers, t.errors, t.log_latency_sum)
+            for t in reply.totals
+        )
+        self.host.post(VersionTallied(totals))
+        self._ready.set()
+
+    def _loop(self, name: str, work: Callable[[], None], every_ms: float) -> None:
+        def run() -> None:
+            while not self._stopping.wait(every_ms / 1000.0):
+                try:
+                    work()
+                except BaseException as error:
+                    self._failed(error)
+                    raise
+
+        thread = threading.Thread(target=run, name=name, daemon=True)
+        self._threads.append(thread)
+        thread.start()
+
+    def _read_loads(self) -> None:
+        for pool, spec in list(self.host.core.planner.table.pools.items()):
+            if not spec.report_url:
+                continue
+            try:
+                report = read_pool(
+                    spec.report_url, monotonic_ms(), self.settings.load_poll_ms
+                )
+            except PlatformUnreadable:
+                self.host.post(LoadReported(pool, (), frozenset(), fresh=False))
+                continue
+            self.host.post(LoadReported(pool, report.reports, report.leaving))
+
+    def _sample(self, request: Request, version: str, result: Answered) -> None:
+        if self._random.random() >= self.settings.rating_sample_ratio:
+            return
+        answer = result.answer.body
+
+        def submit() -> None:
+            try:
+                self._ratings.submit(
+                    request.request_id, request.target, version, answer
+                )
+            except RatingUnreadable:
+                self.host.metrics.count("ratings_lost")
+
+        self.host.submit(submit)
+
+    def _read_ratings(self) -> None:
+        try:
+            ratings = self._ratings.read()
+        except RatingUnreadable:
+            self.host.metrics.count("rating_polls_failed")
+            return
+        for rating in ratings:
+            self.host.post(Rated(rating.route, rating.version, rating.rating))
+
+    # What callers get.
+
+    def _answer(self, http: HttpRequest) -> Response:
+        if http.path == "/healthz":
+            return Response("ok\n")
+        if http.path == "/readyz":
+            return self._readiness()
+        if http.path == "/metrics":
+            return Response(self.host.metrics.text())
+        table = self.host.core.planner.table
+        try:
+            if not self.host.core.lease_valid(monotonic_ms()):
+                # Without a lease nobody's key can be checked either.
+                raise BadRequest(
+                    Problem(
+                        problems.NO_CONFIGURATION,
+                        "",
+                        None if "Idempotency-Key" in http.headers else True,
+                        1000.0,
+                    )
+                )
+            organisation = authenticate(http, table)
+            if http.path == "/v1/models" and http.method == "GET":
+                return self._models(organisation)
+            request = self._read(http, organisation)
+        except BadRequest as error:
+            return problem_response(error.problem)
+        return self._serve(http, request)
+
+    def _readiness(self) -> Response:
+        core = self.host.core
+        ready = core.lease_valid(monotonic_ms()) and not core.draining
+        return Response(
+            "ready\n" if ready else "not ready\n", status=200 if ready else 503
+        )
+
+    def _models(self, organisation: str) -> Response:
+        table = self.host.core.planner.table
+        data = [
+            {"id": route, "object": "model", "owned_by": "ashlatch"}
+            for route in sorted(table.routes)
+            if any(table.usable(organisation, v) for v in table.rungs(route))
+        ]
+        body = json.dumps({"object": "list", "data": data})
+        return Response(body, content_type="application/json")
+
+    def _read(self, http: HttpRequest, organisation: str) -> Request:
+        clock = Clock(
+            monotonic_ms(), int(time.time() * 1000), self.settings.deadline_max_ms
+        )
+        table = self.host.core.planner.table
+        if http.path == "/v1/chat/completions" and http.method == "POST":
+            return read_chat(http, organisation, table, clock)
+        if http.path.startswith(SERVICES):
+            pool, _, path = http.path.removeprefix(SERVICES).partition("/")
+            return read_service(http, organisation, pool, path, table, clock)
+        raise BadRequest(Problem(problems.NOT_FOUND, http.path))
+
+    def _serve(self, http: HttpRequest, request: Request) -> Response:
+        began_ms = monotonic_ms()
+        mailbox = self.host.open(request)
+        conversation = _Conversation(self.host, http, request, mailbox, began_ms)
+        return conversation.respond()
+
+
+class _Conversation:
+    """One caller's request on the caller's own thread."""
+
+    def __init__(
+        self,
+        host: RouterHost,
+        http: HttpRequest,
+        request: Request,
+        mailbox: Mailbox,
+        began_ms: float,
+    ) -> None:
+        self._host = host
+        self._socket = http.environ.get("werkzeug.socket")
+        self._request = request
+        self._mailbox = mailbox
+        self._began_ms = began_ms
+
+    def respond(self) -> Response:
+        """Wait for the first piece and answer with it."""
+        mail = self._next()
+        if isinstance(mail, Chunk):
+            response = Response(
+                self._stream(mail), direct_passthrough=True, content_type=STREAM_TYPE
+            )
+            response.headers["Ashlatch-Version"] = mail.version
+            response.headers["Ashlatch-Request-Id"] = self._request.request_id
+            return response
+        self._finish()
+        if isinstance(mail, GiveAnswer):
+            return self._whole(mail)
+        return problem_response(mail.problem)
+
+    def _whole(self, mail: GiveAnswer) -> Response:
+        answer = mail.answer
+        response = Response(
+            answer.body, status=answer.status, content_type=answer.content_type
+        )
+        response.headers["Ashlatch-Request-Id"] = self._request.request_id
+        if mail.version:
+            response.headers["Ashlatch-Version"] = mail.version
+        if mail.version_changed:
+            response.headers["Ashlatch-Version-Changed"] = "true"
+        if mail.replayed:
+            response.headers["Ashlatch-Replayed"] = "true"
+        return response
+
+    def _stream(self, first: Chunk) -> Iterator[bytes]:
+        mail: Chunk | GiveAnswer | GiveProblem = first
+        ended = False
+        try:
+            while isinstance(mail, Chunk):
+                yield mail.data
+                mail = self._next()
+            ended = True
+            yield _stream_end(mail)
+        finally:
+            if not ended:
+                self._host.post(CallerLeft(self._request.request_id))
+            self._finish()
+
+    def _next(self) -> Chunk | GiveAnswer | GiveProblem:
+        """The next mail; a missed deadline or a caller gone brings one too."""
+        while True:
+            left_ms = self._request.deadline_ms - monotonic_ms()
+            if left_ms <= 0:
+                self._host.post(DeadlinePassed(self._request.request_id))
+            mail = self._mailbox.get(min(max(left_ms, 5.0), CALLER_CHECK_MS))
+            if mail is not None:
+                return mail
+            if self._caller_left():
+                self._host.post(CallerLeft(self._request.request_id))
+
+    def _caller_left(self) -> bool:
+        """Whether the caller has closed its side of the connection."""
+        if self._socket is None:
+            return False
+        readable, _, _ = select.select([self._socket], [], [], 0)
+        if not readable:
+            return False
+        try:
+            return not self._socket.recv(1, socket.MSG_PEEK)
+        except OSError:
+            return True
+
+    def _finish(self) -> None:
+        took_ms = monotonic_ms() - self._began_ms
+        self._host.metrics.record_ms("request", took_ms)
+        self._host.close(self._request)
+
+
+def _stream_end(mail: GiveAnswer | GiveProblem) -> bytes:
+    """The last event: `[DONE]` only when the answer is whole and recorded."""
+    if isinstance(mail, GiveAnswer):
+        return b"data: [DONE]\n\n"
+    return b"event: error\ndata: " + mail.problem.document() + b"\n\n"
--- /dev/null
+++ b/ashlatch/router/event.py
@@ -0,0 +1,380 @@
+"""
+ashlatch.router.event
+~~~~~~~~~~~~~~~~~~~~~
+
+Events that a router's core takes, and the effects that it returns. All times
+are milliseconds of the host's monotonic clock unless a name says `wall`.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import enum
+from dataclasses import dataclass
+
+from ashlatch.http.problem import Problem
+from ashlatch.log import LogEvent
+from ashlatch.policy.load import LoadReport
+from ashlatch.policy.table import RoutingTable
+from ashlatch.store.command import (
+    Claim,
+    ClaimOutcome,
+    Close,
+    Outcome,
+    RecordAnswer,
+    RequestKey,
+    StoredAnswer,
+    Usage,
+)
+
+__all__ = [
+    "AnswerRecordEnded",
+    "Answered",
+    "AttemptEnded",
+    "AttemptResult",
+    "Broken",
+    "CallerLeft",
+    "CancelAttempt",
+    "ClaimDue",
+    "ClaimEnded",
+    "ConfigurationChanged",
+    "DeadlinePassed",
+    "DrainStarted",
+    "Effect",
+    "Event",
+    "FirstChunk",
+    "Full",
+    "GiveAnswer",
+    "GiveProblem",
+    "LeaseRenewed",
+    "LoadReported",
+    "NotSent",
+    "ProposeAnswer",
+    "ProposeClaim",
+    "ProposeClose",
+    "Rated",
+    "Request",
+    "RequestArrived",
+    "RequestKind",
+    "ScheduleClaim",
+    "StartAttempt",
+    "VersionTallied",
+    "VersionTotals",
+    "WriteLog",
+]
+
+
+class RequestKind(enum.Enum):
+    """What a request is for."""
+
+    CHAT = "chat"
+    SERVICE = "service"
+
+
+@dataclass(frozen=True)
+class Request:
+    """A caller's request, read and authenticated.
+
+    `target` is the route of a chat, or the pool of a service call. `keyed`
+    tells that the caller gave the idempotency key itself.
+    """
+
+    request_id: str
+    kind: RequestKind
+    organisation: str
+    target: str
+    key: str
+    keyed: bool
+    repeatable: bool
+    stream: bool
+    session: str
+    deadline_ms: float
+    arrived_wall_ms: int
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    body_digest: str
+    prefix: str
+    input_tokens: int
+    output_tokens_max: int
+
+    @property
+    def ledger_key(self) -> RequestKey:
+        """The key of the request's record."""
+        return RequestKey(self.organisation, self.key)
+
+
+# Results of an attempt.
+
+
+@dataclass(frozen=True)
+class Answered:
+    """The endpoint gave a whole answer."""
+
+    answer: StoredAnswer
+    usage: Usage
+    took_ms: float
+    first_token_ms: float
+
+
+@dataclass(frozen=True)
+class NotSent:
+    """No byte of the request left; it has not run."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class Full:
+    """The endpoint refused before it ran anything, and says so."""
+
+    reason: str
+    retry_ms: float
+    leaving: bool = False
+
+
+@dataclass(frozen=True)
+class Broken:
+    """Sent, but no whole answer came; `chunks` were passed on by then."""
+
+    reason: str
+    chunks: int = 0
+
+
+AttemptResult = Answered | NotSent | Full | Broken
+
+
+# Events.
+
+
+@dataclass(frozen=True)
+class ConfigurationChanged:
+    """A newer revision is to be applied."""
+
+    table: RoutingTable
+
+
+@dataclass(frozen=True)
+class LeaseRenewed:
+    """The state has confirmed the applied revision until this time."""
+
+    until_ms: float
+    routers: int
+
+
+@dataclass(frozen=True)
+class LoadReported:
+    """A pool has reported; `fresh` is false when it could not be read."""
+
+    pool: str
+    reports: tuple[LoadReport, ...]
+    leaving: frozenset[str]
+    fresh: bool = True
+
+
+@dataclass(frozen=True)
+class Rated:
+    """The rating service has rated an answer."""
+
+    route: str
+    version: str
+    rating: float
+
+
+@dataclass(frozen=True)
+class VersionTotals:
+    """What all routers together have seen of a version since they started."""
+
+    version: str
+    answers: int
+    errors: int
+    log_latency_sum: float
+
+
+@dataclass(frozen=True)
+class VersionTallied:
+    """Newest totals of the versions, as the state has gathered them."""
+
+    totals: tuple[VersionTotals, ...]
+
+
+@dataclass(frozen=True)
+class RequestArrived:
+    """A caller's request."""
+
+    request: Request
+
+
+@dataclass(frozen=True)
+class ClaimEnded:
+    """The ledger has answered a claim; no outcome when it did not."""
+
+    request_id: str
+    claim: Claim
+    outcome: ClaimOutcome | None
+
+
+@dataclass(frozen=True)
+class ClaimDue:
+    """It is time to look again at a request that runs elsewhere."""
+
+    request_id: str
+
+
+@dataclass(frozen=True)
+class FirstChunk:
+    """The first piece of an answer was passed on to the caller."""
+
+    request_id: str
+    attempt_id: str
+
+
+@dataclass(frozen=True)
+class AttemptEnded:
+    """An attempt is over."""
+
+    request_id: str
+    attempt_id: str
+    result: AttemptResult
+
+
+@dataclass(frozen=True)
+class AnswerRecordEnded:
+    """The ledger has answered a record; no outcome when it did not."""
+
+    request_id: str
+    outcome: Outcome | None
+
+
+@dataclass(frozen=True)
+class DeadlinePassed:
+    """The caller will not wait any longer."""
+
+    request_id: str
+
+
+@dataclass(frozen=True)
+class CallerLeft:
+    """The caller has closed the connection."""
+
+    request_id: str
+
+
+@dataclass(frozen=True)
+class DrainStarted:
+    """The process is asked to end: no new work."""
+
+
+Event = (
+    ConfigurationChanged
+    | LeaseRenewed
+    | LoadReported
+    | Rated
+    | VersionTallied
+    | RequestArrived
+    | ClaimEnded
+    | ClaimDue
+    | FirstChunk
+    | AttemptEnded
+    | AnswerRecordEnded
+    | DeadlinePassed
+    | CallerLeft
+    | DrainStarted
+)
+
+
+# Effects.
+
+
+@dataclass(frozen=True)
+class ProposeClaim:
+    """Commit a claim; answered by `ClaimEnded`."""
+
+    request_id: str
+    claim: Claim
+
+
+@dataclass(frozen=True)
+class ScheduleClaim:
+    """Send `ClaimDue` after a while."""
+
+    request_id: str
+    after_ms: float
+
+
+@dataclass(frozen=True)
+class ProposeClose:
+    """Commit that an attempt ended without an answer."""
+
+    close: Close
+
+
+@dataclass(frozen=True)
+class ProposeAnswer:
+    """Commit an answer; answered by `AnswerRecordEnded`."""
+
+    request_id: str
+    record: RecordAnswer
+
+
+@dataclass(frozen=True)
+class StartAttempt:
+    """Send the request to an endpoint; answered by `AttemptEnded`.
+
+    Right before the send the host asks the core's `may_send` once more.
+    """
+
+    request: Request
+    attempt_id: str
+    endpoint: str
+    url: str
+    version: str
+    revision: int
+    resume_chunks: int = 0
+
+
+@dataclass(frozen=True)
+class CancelAttempt:
+    """Break an attempt off; its result is of no interest any more."""
+
+    attempt_id: str
+
+
+@dataclass(frozen=True)
+class GiveAnswer:
+    """End the caller's request with a whole answer."""
+
+    request_id: str
+    answer: StoredAnswer
+    version: str
+    version_changed: bool
+    replayed: bool
+
+
+@dataclass(frozen=True)
+class GiveProblem:
+    """End the caller's request without an answer."""
+
+    request_id: str
+    problem: Problem
+
+
+@dataclass(frozen=True)
+class WriteLog:
+    """Write a log line."""
+
+    event: LogEvent
+
+
+Effect = (
+    ProposeClaim
+    | ScheduleClaim
+    | ProposeClose
+    | ProposeAnswer
+    | StartAttempt
+    | CancelAttempt
+    | GiveAnswer
+    | GiveProblem
+    | WriteLog
+)
--- /dev/null
+++ b/ashlatch/router/knowledge.py
@@ -0,0 +1,142 @@
+"""
+ashlatch.router.knowledge
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Handlers of what a router learns: configuration, leases, loads, ratings and
+what the other routers have seen of the versions.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from ashlatch.errors import InvariantViolated
+from ashlatch.log import LogEvent
+from ashlatch.policy.detector import VersionTally
+from ashlatch.router.core import HANDLERS, RouterCore, Tally
+from ashlatch.router.event import (
+    ConfigurationChanged,
+    DrainStarted,
+    LeaseRenewed,
+    LoadReported,
+    Rated,
+    VersionTallied,
+    VersionTotals,
+    WriteLog,
+)
+
+__all__ = ["ConfigurationApplied", "VersionSuspended"]
+
+
+@dataclass(frozen=True)
+class ConfigurationApplied(LogEvent):
+    """A newer revision is in force on this router."""
+
+    event: ClassVar[str] = "configuration_applied"
+    vm: str
+    revision: int
+    organisations: int
+    routes: int
+    endpoints: int
+    withdrawn: str
+
+
+@dataclass(frozen=True)
+class VersionSuspended(LogEvent):
+    """A version looks bad; this router prefers any other."""
+
+    event: ClassVar[str] = "version_suspended"
+    vm: str
+    version: str
+    reasons: str
+
+
+@HANDLERS.on(ConfigurationChanged)
+def _configuration_changed(core: RouterCore, event: ConfigurationChanged) -> None:
+    table = event.table
+    if table.revision < core.table_revision:
+        raise InvariantViolated("R10", f"{table.revision} < {core.table_revision}")
+    core.planner.apply(table)
+    for version in [v for v in core.planner.detectors if v not in table.versions]:
+        del core.planner.detectors[version]
+    applied = ConfigurationApplied(
+        core.config.vm,
+        table.revision,
+        len(table.organisations),
+        len(table.routes),
+        sum(len(pool) for pool in table.endpoints.values()),
+        ",".join(sorted(table.withdrawn)),
+    )
+    core.effects.append(WriteLog(applied))
+
+
+@HANDLERS.on(LeaseRenewed)
+def _lease_renewed(core: RouterCore, event: LeaseRenewed) -> None:
+    core.lease_until_ms = max(core.lease_until_ms, event.until_ms)
+    core.limits.router_share = 1.0 / max(1, event.routers)
+
+
+@HANDLERS.on(LoadReported)
+def _load_reported(core: RouterCore, event: LoadReported) -> None:
+    if not event.fresh:
+        core.planner.dark_pools.add(event.pool)
+        return
+    core.planner.dark_pools.discard(event.pool)
+    for report in event.reports:
+        core.planner.load(report.endpoint).reported(report)
+    core.planner.leaving |= event.leaving
+
+
+@HANDLERS.on(Rated)
+def _rated(core: RouterCore, event: Rated) -> None:
+    spec = core.planner.table.versions.get(event.version)
+    if spec is None:
+        return
+    core.planner.quality.rated(
+        event.route, event.version, spec.quality_prior, event.rating
+    )
+    detector = core.planner.detector(event.version)
+    was_bad = detector.bad
+    detector.add_rating(event.rating)
+    _log_if_new(core, event.version, was_bad)
+
+
+@HANDLERS.on(VersionTallied)
+def _tallied(core: RouterCore, event: VersionTallied) -> None:
+    for totals in event.totals:
+        seen = core.seen_totals.get(totals.version, Tally())
+        tally = _difference(seen, totals)
+        core.seen_totals[totals.version] = Tally(
+            totals.answers, totals.errors, totals.log_latency_sum
+        )
+        if tally is None:
+            continue
+        detector = core.planner.detector(totals.version)
+        was_bad = detector.bad
+        detector.add_tally(tally)
+        _log_if_new(core, totals.version, was_bad)
+
+
+@HANDLERS.on(DrainStarted)
+def _drain_started(core: RouterCore, event: DrainStarted) -> None:
+    core.draining = True
+
+
+def _difference(seen: Tally, totals: VersionTotals) -> VersionTally | None:
+    """What is new; none when a router's start or end made the totals fall."""
+    answers = totals.answers - seen.answers
+    errors = totals.errors - seen.errors
+    if answers < 0 or errors < 0 or not answers + errors:
+        return None
+    latency = totals.log_latency_sum - seen.log_latency_sum
+    return VersionTally(answers, errors, latency)
+
+
+def _log_if_new(core: RouterCore, version: str, was_bad: bool) -> None:
+    detector = core.planner.detector(version)
+    if detector.bad and not was_bad:
+        reasons = ",".join(sorted(detector.reasons))
+        event = VersionSuspended(core.config.vm, version, reasons)
+        core.effects.append(WriteLog(event))
--- /dev/null
+++ b/ashlatch/router/plan.py
@@ -0,0 +1,388 @@
+"""
+ashlatch.router.plan
+~~~~~~~~~~~~~~~~~~~~
+
+Plans one attempt: which version and which endpoint, out of what the rules
+leave over, and why each of the others was left out.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import enum
+import random
+from dataclasses import dataclass, field, replace
+
+import xxhash
+
+from ashlatch.policy.breaker import Breaker
+from ashlatch.policy.detector import Detector
+from ashlatch.policy.endpoint import ENDPOINT_POLICIES, Candidate, subset
+from ashlatch.policy.load import EndpointLoad
+from ashlatch.policy.quality import QualityBook
+from ashlatch.policy.table import NamedEndpoint, RoutingTable
+from ashlatch.policy.version import VERSION_POLICIES, Goal, Option
+from ashlatch.resources import Route
+from ashlatch.router.event import Request
+from ashlatch.settings import PolicySettings
+
+__all__ = ["Exclusion", "NoPlan", "Plan", "Planner", "WhyOut"]
+
+OTHER_HALL_MS = 2.0
+EXPECTED_OUTPUT_TOKENS = 200
+OUTPUT_GAIN = 0.05
+SPLIT_BUCKETS = 10_000
+
+
+class WhyOut(enum.Enum):
+    """Why a version or an endpoint is not a candidate."""
+
+    NOT_ALLOWED = "not_allowed"
+    WITHDRAWN = "withdrawn"
+    SUSPENDED = "suspended"
+    NO_ENDPOINT = "no_endpoint"
+    TOO_LATE = "too_late"
+    LEAVING = "leaving"
+    SILENT = "silent"
+    BREAKER_OPEN = "breaker_open"
+    TRIED = "tried"
+    NOT_LOADED = "not_loaded"
+    OTHER_SUBSET = "other_subset"
+
+
+@dataclass(frozen=True)
+class Exclusion:
+    """What was left out, and why."""
+
+    name: str
+    why: WhyOut
+
+    def __str__(self) -> str:
+        return f"{self.name}:{self.why.value}"
+
+
+@dataclass(frozen=True)
+class Plan:
+    """Where to send a request next."""
+
+    version: str
+    endpoint: NamedEndpoint
+    expected_ms: float
+    reason: str
+    excluded: tuple[Exclusion, ...]
+
+
+@dataclass(frozen=True)
+class NoPlan:
+    """Nothing may or can answer now.
+
+    `allowed` tells whether the organisation could have been served at all;
+    `retry_ms` when it is worth to come back.
+    """
+
+    allowed: bool
+    too_late: bool
+    retry_ms: float
+    excluded: tuple[Exclusion, ...]
+
+
+@dataclass
+class Planner:
+    """All that the choice of a version and an endpoint depends on."""
+
+    settings: PolicySettings
+    vm: str
+    hall: str
+    generator: random.Random
+    table: RoutingTable = RoutingTable()
+    loads: dict[str, EndpointLoad] = field(default_factory=dict)
+    breakers: dict[str, Breaker] = field(default_factory=dict)
+    leaving: set[str] = field(default_factory=set)
+    dark_pools: set[str] = field(default_factory=set)
+    quality: QualityBook = field(default_factory=QualityBook)
+    detectors: dict[str, Detector] = field(default_factory=dict)
+    output_tokens: dict[str, float] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.endpoint_policy = ENDPOINT_POLICIES.get(self.settings.endpoint)()
+        self.version_policy = VERSION_POLICIES.get(self.settings.version)()
+
+    def apply(self, table: RoutingTable) -> None:
+        """Take a newer table, and drop what is known of endpoints now gone."""
+        self.table = table
+        known = {e.name for pool in table.endpoints.values() for e in pool}
+        for name in [n for n in self.loads if n not in known]:
+            if self.loads[name].in_flight == 0:
+                del self.loads[name]
+                self.breakers.pop(name, None)
+        self.leaving &= known
+        self._subsets = {
+            pool: frozenset(
+                subset(
+                    tuple(e.name for e in endpoints),
+                    self.vm,
+                    self.settings.subset_size,
+                )
+            )
+            for pool, endpoints in table.endpoints.items()
+        }
+
+    def load(self, endpoint: str) -> EndpointLoad:
+        """What is known of an endpoint's load."""
+        return self.loads.setdefault(endpoint, EndpointLoad())
+
+    def breaker(self, endpoint: str) -> Breaker:
+        """The circuit breaker of an endpoint."""
+        found = self.breakers.get(endpoint)
+        if found is None:
+            found = Breaker(
+                self.settings.breaker_failures, self.settings.breaker_open_ms
+            )
+            self.breakers[endpoint] = found
+        return found
+
+    def detector(self, version: str) -> Detector:
+        """The test whether a version has turned bad."""
+        found = self.detectors.get(version)
+        if found is None:
+            spec = self.table.versions.get(version)
+            prior = spec.quality_prior if spec else 0.5
+            found = self.detectors[version] = Detector(prior)
+        return found
+
+    def suspended(self, version: str) -> bool:
+        """Whether a version looks bad by what has been seen of it."""
+        found = self.detectors.get(version)
+        return found is not None and found.bad
+
+    # Chats.
+
+    def plan_chat(
+        self, request: Request, now_ms: float, tried: frozenset[str], version: str = ""
+    ) -> Plan | NoPlan:
+        """Choose for a chat; with `version`, only the endpoint."""
+        if version:
+            kept = self._plan_version(request, version, now_ms, tried)
+            if isinstance(kept, Plan):
+                return replace(kept, reason="kept_version")
+            return kept
+        route = self.table.routes[request.target]
+        excluded: list[Exclusion] = []
+        plans = self._plans(request, now_ms, tried, excluded)
+        if not plans:
+            return self._no_plan(request, excluded, now_ms)
+        native = self.table.cascades[route.cascade].rungs
+        options = tuple(
+            self._option(request, route, plan)
+            for name, plan in plans.items()
+            if name in native
+        )
+        if not options:
+            options = tuple(self._option(request, route, p) for p in plans.values())
+        goal = Goal(
+            route.quality_target,
+            self.quality.shortfall(request.target, route.quality_target),
+        )
+        choice = self.version_policy.choose(options, goal, self.generator)
+        chosen = self._after_rollouts(request, choice.version, plans)
+        plan = plans[chosen]
+        reason = choice.reason if chosen == choice.version else "rollout"
+        return Plan(chosen, plan.endpoint, plan.expected_ms, reason, tuple(excluded))
+
+    def acceptable(self, request: Request) -> tuple[str, ...]:
+        """All versions of the route that the organisation may use."""
+        return tuple(
+            version
+            for version in self.table.rungs(request.target)
+            if self.table.usable(request.organisation, version)
+        )
+
+    def split_bucket(self, rollout: str, request: Request) -> float:
+        """Where a request stands in a roll-out's split, 0 to 100.
+
+        The same for all requests of a session, so that a growing share only
+        adds sessions and never moves one back.
+        """
+        unit = request.session or request.key
+        text = f"{rollout}/{request.organisation}/{unit}"
+        bucket = xxhash.xxh3_64_intdigest(text.encode()) % SPLIT_BUCKETS
+        return bucket * 100.0 / SPLIT_BUCKETS
+
+    def learn_output(self, version: str, tokens: int) -> None:
+        """Remember how long the answers of a version are."""
+        mean = self.output_tokens.get(version, float(tokens))
+        self.output_tokens[version] = mean + OUTPUT_GAIN * (tokens - mean)
+
+    def _plans(
+        self,
+        request: Request,
+        now_ms: float,
+        tried: frozenset[str],
+        excluded: list[Exclusion],
+    ) -> dict[str, Plan]:
+        plans: dict[str, Plan] = {}
+        good: dict[str, Plan] = {}
+        for version in self.table.rungs(request.target):
+            found = self._plan_version(request, version, now_ms, tried)
+            if isinstance(found, NoPlan):
+                excluded.extend(found.excluded)
+                continue
+            plans[version] = found
+            if self.suspended(version):
+                excluded.append(Exclusion(version, WhyOut.SUSPENDED))
+            else:
+                good[version] = found
+        # A version that looks bad is better than no answer at all.
+        return good or plans
+
+    def _plan_version(
+        self, request: Request, version: str, now_ms: float, tried: frozenset[str]
+    ) -> Plan | NoPlan:
+        if not self.table.allows(request.organisation, version):
+            return _none(version, WhyOut.NOT_ALLOWED, allowed=False)
+        if version in self.table.withdrawn:
+            return _none(version, WhyOut.WITHDRAWN, allowed=True)
+        excluded: list[Exclusion] = []
+        candidates: dict[str, NamedEndpoint] = {}
+        for pool, endpoints in self.table.endpoints.items():
+            if self.table.pools[pool].serves != "models":
+                continue
+            for endpoint in endpoints:
+                why = self._why_out(pool, endpoint, version, now_ms, tried)
+                if why is None:
+                    candidates[endpoint.name] = endpoint
+                elif why is not WhyOut.NOT_LOADED:
+                    excluded.append(Exclusion(endpoint.name, why))
+        if not candidates:
+            excluded.append(Exclusion(version, WhyOut.NO_ENDPOINT))
+            return NoPlan(True, False, self.settings.breaker_open_ms, tuple(excluded))
+        return self._pick(request, version, candidates, excluded, now_ms)
+
+    def _pick(
+        self,
+        request: Request,
+        version: str,
+        candidates: dict[str, NamedEndpoint],
+        excluded: list[Exclusion],
+        now_ms: float,
+    ) -> Plan | NoPlan:
+        offered = tuple(self._candidate(e) for e in candidates.values())
+        chosen = self.endpoint_policy.choose(offered, request.prefix, self.generator)
+        if now_ms + chosen.expected_ms > request.deadline_ms:
+            chosen = min(offered, key=lambda c: c.expected_ms)
+        if now_ms + chosen.expected_ms > request.deadline_ms:
+            excluded.append(Exclusion(version, WhyOut.TOO_LATE))
+            late_ms = now_ms + chosen.expected_ms - request.deadline_ms
+            return NoPlan(True, True, late_ms, tuple(excluded))
+        endpoint = candidates[chosen.endpoint]
+        reason = self.endpoint_policy.name
+        return Plan(version, endpoint, chosen.expected_ms, reason, tuple(excluded))
+
+    def _candidate(self, endpoint: NamedEndpoint) -> Candidate:
+        load = self.load(endpoint.name)
+        way_ms = 0.0 if endpoint.spec.hall == self.hall else OTHER_HALL_MS
+        expected_ms = load.wait_ms() + load.service_ms + way_ms
+        return Candidate(
+            endpoint.name,
+            load.requests(),
+            load.reported_requests(),
+            load.slots,
+            expected_ms,
+        )
+
+    def _why_out(
+        self,
+        pool: str,
+        endpoint: NamedEndpoint,
+        version: str,
+        now_ms: float,
+        tried: frozenset[str],
+    ) -> WhyOut | None:
+        name = endpoint.name
+        load = self.load(name)
+        if version and not load.serves(version):
+            return WhyOut.NOT_LOADED
+        if endpoint.spec.leaving or name in self.leaving:
+            return WhyOut.LEAVING
+        if name in tried:
+            return WhyOut.TRIED
+        if name not in self._subsets[pool]:
+            return WhyOut.OTHER_SUBSET
+        if pool not in self.dark_pools and load.report and load.stale(now_ms):
+            return WhyOut.SILENT
+        if not self.breaker(name).allows(now_ms):
+            return WhyOut.BREAKER_OPEN
+        return None
+
+    def _option(self, request: Request, route: Route, plan: Plan) -> Option:
+        spec = self.table.versions[plan.version]
+        output = self.output_tokens.get(plan.version, EXPECTED_OUTPUT_TOKENS)
+        cost_microusd = (
+            request.input_tokens * spec.input_price_microusd_per_ktoken
+            + output * spec.output_price_microusd_per_ktoken
+        ) / 1000.0
+        cost_usd_per_krequest = cost_microusd / 1000.0
+        price = (
+            route.cost_weight * cost_usd_per_krequest
+            + route.latency_weight * plan.expected_ms / 1000.0
+        )
+        estimate = self.quality.estimate(
+            request.target, plan.version, spec.quality_prior
+        )
+        return Option(plan.version, price, estimate.mean, estimate.deviation)
+
+    def _after_rollouts(
+        self, request: Request, version: str, plans: dict[str, Plan]
+    ) -> str:
+        for rollout in self.table.rollouts:
+            if rollout.from_version != version or rollout.to_version not in plans:
+                continue
+            if self.split_bucket(rollout.name, request) < rollout.share_percent:
+                return rollout.to_version
+        return version
+
+    def _no_plan(
+        self, request: Request, excluded: list[Exclusion], now_ms: float
+    ) -> NoPlan:
+        allowed = bool(self.acceptable(request))
+        late = any(e.why is WhyOut.TOO_LATE for e in excluded)
+        retry_ms = self.settings.breaker_open_ms
+        if late:
+            waits = [self.load(n).wait_ms() for n in self.loads]
+            retry_ms = min(waits, default=retry_ms)
+        return NoPlan(allowed, late, max(retry_ms, 100.0), tuple(excluded))
+
+    # Plain services.
+
+    def plan_service(
+        self, request: Request, now_ms: float, tried: frozenset[str]
+    ) -> Plan | NoPlan:
+        """Choose an endpoint of a service's pool."""
+        excluded: list[Exclusion] = []
+        candidates: dict[str, NamedEndpoint] = {}
+        for endpoint in self.table.endpoints.get(request.target, ()):
+            why = self._why_out(request.target, endpoint, "", now_ms, tried)
+            if why is None:
+                candidates[endpoint.name] = endpoint
+            else:
+                excluded.append(Exclusion(endpoint.name, why))
+        if not candidates:
+            return NoPlan(True, False, self.settings.breaker_open_ms, tuple(excluded))
+        return self._pick(request, "", candidates, excluded, now_ms)
+
+    # Capacity, for the limits.
+
+    def slots(self) -> float:
+        """The slots of all endpoints that are believed to be up."""
+        return float(sum(load.slots for load in self._reporting()))
+
+    def free_slots(self) -> float:
+        """How many of them are free."""
+        return sum(max(0.0, load.slots - load.requests()) for load in self._reporting())
+
+    def _reporting(self) -> list[EndpointLoad]:
+        return [load for load in self.loads.values() if load.report is not None]
+
+
+def _none(version: str, why: WhyOut, allowed: bool) -> NoPlan:
+    return NoPlan(allowed, False, 0.0, (Exclusion(version, why),))
--- a/ashlatch/rpc.py
+++ b/ashlatch/rpc.py
@@ -70,6 +70,24 @@
         """Run a coroutine on the loop; the future is thread-safe."""
         return asyncio.run_coroutine_threadsafe(work, self.loop)
 
+    def keep(
+        self,
+        work: Coroutine[Any, Any, None],
+        failed: Callable[[BaseException], None],
+    ) -> None:
+        """Run a coroutine that should not end; `failed` gets what ends it."""
+
+        async def guarded() -> None:
+            try:
+                await work
+            except asyncio.CancelledError:
+                raise
+            except BaseException as error:
+                failed(error)
+                raise
+
+        self.submit(guarded())
+
     def post(self, function: Callable[..., Any], *arguments: Any) -> None:
         """Run a plain function on the loop soon, without an answer."""
         self.loop.call_soon_threadsafe(function, *arguments)
--- a/ashlatch/settings.py
+++ b/ashlatch/settings.py
@@ -100,6 +100,9 @@
     state_addresses: tuple[AddressText, ...] = Field(min_length=1)
     http: HttpLimits = HttpLimits()
     policy: PolicySettings = PolicySettings()
+    rating_url: str = ""
+    rating_sample_ratio: float = Field(default=0.2, ge=0, le=1)
+    rating_poll_ms: float = Field(default=500.0, gt=0)
     state_timeout_ms: float = Field(default=4000.0, gt=0)
     poll_wait_ms: float = Field(default=400.0, gt=0)
     load_poll_ms: float = Field(default=250.0, gt=0)
@@ -125,6 +128,7 @@
     state_addresses: tuple[AddressText, ...] = Field(min_length=1)
     operators: tuple[Operator, ...] = Field(min_length=1)
     platform_url: str = ""
+    rating_url: str = ""
     weight_store_url: str = ""
     http: HttpLimits = HttpLimits()
     state_timeout_ms: float = Field(default=4000.0, gt=0)
--- a/ashlatch/store/command.py
+++ b/ashlatch/store/command.py
@@ -109,7 +109,11 @@
 
 
 class PutResource(msgspec.Struct, frozen=True, tag="put_resource"):
-    """Create (`if_revision` 0) or replace a resource."""
+    """Create (`if_revision` 0) or replace a resource.
+
+    `epoch` is zero for an operator's change; else it must be the epoch of the
+    active control process.
+    """
 
     change_id: str
     operator: str
@@ -119,10 +123,11 @@
     spec: bytes
     references: tuple[Reference, ...]
     at_ms: int = 0
+    epoch: int = 0
 
 
 class DeleteResource(msgspec.Struct, frozen=True, tag="delete_resource"):
-    """Remove a resource that nothing refers to."""
+    """Remove a resource that nothing refers to; `epoch` as in a put."""
 
     change_id: str
     operator: str
@@ -130,6 +135,7 @@
     name: str
     if_revision: int
     at_ms: int = 0
+    epoch: int = 0
 
 
 class Claim(msgspec.Struct, frozen=True, tag="claim"):
--- a/ashlatch/store/configuration.py
+++ b/ashlatch/store/configuration.py
@@ -8,6 +8,9 @@
 :license: MIT, see LICENSE for details.
 """
 
+from collections.abc import Callable
+from typing import TypeVar
+
 import msgspec
 
 from ashlatch.codec import digest, encode
@@ -26,6 +29,8 @@
 
 __all__ = ["ChangeRecord", "Configuration", "ResourceId"]
 
+C = TypeVar("C", PutResource, DeleteResource)
+
 WITHDRAWAL = "withdrawal"
 
 
@@ -56,13 +61,16 @@
     deleted: dict[ResourceId, int] = {}
     changes: dict[str, ChangeRecord] = {}
 
-    def put(self, command: PutResource) -> ChangeOutcome:
-        """Create or replace, unless a check refuses it."""
-        return self._once(command, self._put)
+    def put(self, command: PutResource, epoch: int) -> ChangeOutcome:
+        """Create or replace, unless a check refuses it.
+
+        `epoch` is that of the active control process.
+        """
+        return self._once(command, self._put, epoch)
 
-    def delete(self, command: DeleteResource) -> ChangeOutcome:
+    def delete(self, command: DeleteResource, epoch: int) -> ChangeOutcome:
         """Remove, unless something still refers to the resource."""
-        return self._once(command, self._delete)
+        return self._once(command, self._delete, epoch)
 
     def withdrawn(self, version: str) -> bool:
         """Whether a version is withdrawn."""
@@ -83,14 +91,19 @@
             if record.at_ms < before_ms:
                 del self.changes[change_id]
 
-    def _once(self, command, apply) -> ChangeOutcome:  # type: ignore[no-untyped-def]
+    def _once(
+        self, command: C, apply: Callable[[C], ChangeOutcome], epoch: int
+    ) -> ChangeOutcome:
         change_digest = digest(encode(msgspec.structs.replace(command, at_ms=0)))
         known = self.changes.get(command.change_id)
         if known is not None:
             if known.change_digest != change_digest:
                 return ChangeIdReused(command.change_id)
             return known.outcome
-        outcome: ChangeOutcome = apply(command)
+        if command.epoch not in (0, epoch):
+            # Not kept: the same change may come again from the active one.
+            return ChangeRefused("epoch", str(command.epoch), f"must be {epoch}")
+        outcome = apply(command)
         record = ChangeRecord(change_digest, outcome, command.at_ms)
         self.changes[command.change_id] = record
         return outcome
--- a/ashlatch/store/daemon.py
+++ b/ashlatch/store/daemon.py
@@ -151,6 +151,7 @@
         self.group.deliver = self.transport.send
         self.group.changed = self._group_changed
         self.group.failed = failed
+        self._failed = failed
         self._changed = asyncio.Event()
         self._logged_leader: tuple[int, bool, str] = (-1, False, "")
         self._logged_members = Members()
@@ -170,8 +171,8 @@
         self.group.start()
         address = Address.parse(self.settings.listen)
         self.rpc.submit(service.start(address)).result(timeout=10.0)
-        self.rpc.submit(self._housekeep())
-        self.rpc.submit(self._join_peers())
+        self.rpc.keep(self._housekeep(), self._failed)
+        self.rpc.keep(self._join_peers(), self._failed)
 
     def stop(self) -> None:
         """Stop answering, then stop the group; nothing synced is lost."""
@@ -250,7 +251,12 @@
 
     def _renew(self, poll: protocol.RouterPoll) -> protocol.RouterReply:
         lease = RouterLease(
-            poll.router, poll.vm, poll.hall, poll.applied_revision, monotonic_ms()
+            poll.router,
+            poll.vm,
+            poll.hall,
+            poll.applied_revision,
+            monotonic_ms(),
+            poll.reports,
         )
         self.leases.router_polled(lease)
         with self.group.lock:
@@ -262,7 +268,8 @@
                 configuration.revision,
                 configuration.changed_after(poll.applied_revision),
                 configuration.deleted_after(poll.applied_revision),
-                self.settings.retention_ms,
+                len(self.leases.routers),
+                self.leases.totals(),
             )
 
     async def _wait_change(self, wait_ms: float) -> None:
--- a/ashlatch/store/lease.py
+++ b/ashlatch/store/lease.py
@@ -16,6 +16,8 @@
 
 from dataclasses import dataclass, field
 
+from ashlatch.store.protocol import VersionReport
+
 __all__ = ["LeaseConfig", "Leases", "RouterLease"]
 
 UNKNOWN_REVISION = -1
@@ -39,6 +41,7 @@
     hall: str
     applied_revision: int
     answered_ms: float
+    reports: tuple[VersionReport, ...] = ()
 
 
 @dataclass
@@ -55,6 +58,15 @@
         """A router has polled and is about to be answered."""
         self.routers[lease.router] = lease
 
+    def totals(self) -> tuple[VersionReport, ...]:
+        """What all routers with a lease have seen of each version."""
+        sums: dict[str, VersionReport] = {}
+        for lease in self.routers.values():
+            for report in lease.reports:
+                known = sums.get(report.version)
+                sums[report.version] = _added(known, report) if known else report
+        return tuple(sums.values())
+
     def settled(self, now_ms: float) -> bool:
         """Whether all leases of earlier leaders have run out."""
         wait_ms = self._stretched(self.config.router_lease_ms)
@@ -91,3 +103,12 @@
 
     def _stretched(self, lease_ms: float) -> float:
         return lease_ms * (1 + self.config.clock_drift_ratio)
+
+
+def _added(one: VersionReport, other: VersionReport) -> VersionReport:
+    return VersionReport(
+        one.version,
+        one.answers + other.answers,
+        one.errors + other.errors,
+        one.log_latency_sum + other.log_latency_sum,
+    )
--- a/ashlatch/store/machine.py
+++ b/ashlatch/store/machine.py
@@ -87,12 +87,12 @@
 
 @_HANDLERS.on(PutResource)
 def _put(state: State, command: PutResource) -> Outcome:
-    return state.configuration.put(command)
+    return state.configuration.put(command, state.control.epoch)
 
 
 @_HANDLERS.on(DeleteResource)
 def _delete(state: State, command: DeleteResource) -> Outcome:
-    return state.configuration.delete(command)
+    return state.configuration.delete(command, state.control.epoch)
 
 
 @_HANDLERS.on(Claim)
--- a/ashlatch/store/protocol.py
+++ b/ashlatch/store/protocol.py
@@ -40,6 +40,7 @@
     "RouterReply",
     "RouterStatus",
     "StateStatus",
+    "VersionReport",
 ]
 
 
@@ -87,6 +88,19 @@
     lost: bool = False
 
 
+class VersionReport(msgspec.Struct, frozen=True):
+    """What came of a version's attempts since a router, or all, started.
+
+    `log_latency_sum` adds up the natural logarithms of the milliseconds for
+    each output token.
+    """
+
+    version: str
+    answers: int
+    errors: int
+    log_latency_sum: float
+
+
 class RouterPoll(msgspec.Struct, frozen=True):
     """A router's heartbeat: which revision it has applied.
 
@@ -99,12 +113,14 @@
     hall: str
     applied_revision: int
     wait_ms: float
+    reports: tuple[VersionReport, ...] = ()
 
 
 class RouterReply(msgspec.Struct, frozen=True):
     """All changes after the applied revision, and a lease on the result.
 
     The lease runs for `lease_ms` from when the router sent the poll.
+    `routers` have a lease now; `totals` is what all of them have seen.
     """
 
     granted: bool
@@ -113,7 +129,8 @@
     revision: int = 0
     resources: tuple[Resource, ...] = ()
     deleted: tuple[ResourceId, ...] = ()
-    retention_ms: int = 0
+    routers: int = 1
+    totals: tuple[VersionReport, ...] = ()
 
 
 class ControlPoll(msgspec.Struct, frozen=True):
@@ -186,6 +203,7 @@
     control_epoch: int
     bills: int
     accounts: dict[str, Account]
+    totals: tuple[VersionReport, ...] = ()
 
 
 class ReadReply(msgspec.Struct, frozen=True):
--- a/ashlatch/store/status.py
+++ b/ashlatch/store/status.py
@@ -41,6 +41,7 @@
         state.control.epoch,
         state.ledger.bills,
         state.ledger.accounts,
+        leases.totals(),
     )
 
 
--- /dev/null
+++ b/tests/fakes/engine.py
@@ -0,0 +1,267 @@
+"""A model engine: continuous batching, priorities, cancel, resume, a prompt
+cache, load reports, fenced orders and refusal when full.
+
+One process runs one engine: python -m tests.fakes.engine --vm NAME --versions a,b
+
+`POST /control` changes it: {"quality": {"a": 0.4}, "error_ratio": {"a": 0.3},
+"slowdown": 4, "leaving": true, "swap_ids": true, "break_after": 5}.
+"""
+
+import argparse
+import collections
+import itertools
+import json
+import random
+import threading
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from werkzeug.wrappers import Request, Response
+
+from tests.fakes.web import announce, reply, serve, wait_for_end
+
+BATCH_SLOWDOWN = 0.5
+CACHE_PREFIXES = 16
+PREFIX_CHARS = 512
+QUEUE_MAX_FACTOR = 4
+LOG_MAX = 100_000
+
+
+@dataclass
+class Engine:
+    vm: str
+    versions: set[str]
+    slots: int
+    token_ms: float
+    prefill_ms: float
+    output_tokens: int
+    seed: int
+    running: int = 0
+    queued: int = 0
+    epoch: int = 0
+    leaving: bool = False
+    slowdown: float = 1.0
+    swap_ids: bool = False
+    break_after: int = 0
+    quality: dict[str, float] = field(default_factory=dict)
+    error_ratio: dict[str, float] = field(default_factory=dict)
+    runs: collections.deque[dict[str, Any]] = field(
+        default_factory=lambda: collections.deque(maxlen=LOG_MAX)
+    )
+    orders: dict[str, int] = field(default_factory=dict)
+    cache: collections.OrderedDict[int, None] = field(
+        default_factory=collections.OrderedDict
+    )
+
+    def __post_init__(self) -> None:
+        self.lock = threading.Condition()
+        self.random = random.Random(self.seed)
+        self.waiting: list[tuple[int, int]] = []
+        self.numbers = itertools.count()
+
+    # Batching.
+
+    def enter(self, priority: int) -> bool:
+        with self.lock:
+            if self.queued >= self.slots * QUEUE_MAX_FACTOR:
+                return False
+            ticket = (-priority, next(self.numbers))
+            self.waiting.append(ticket)
+            self.waiting.sort()
+            self.queued += 1
+            while self.running >= self.slots or self.waiting[0] != ticket:
+                self.lock.wait()
+            self.waiting.pop(0)
+            self.queued -= 1
+            self.running += 1
+            self.lock.notify_all()
+            return True
+
+    def leave(self) -> None:
+        with self.lock:
+            self.running -= 1
+            self.lock.notify_all()
+
+    def token_s(self) -> float:
+        """The time for one token grows with the batch."""
+        batch = 1.0 + BATCH_SLOWDOWN * (self.running - 1) / self.slots
+        return self.token_ms * batch * self.slowdown / 1000.0
+
+    def prefill_s(self, prompt: str) -> float:
+        key = hash(prompt[:PREFIX_CHARS])
+        with self.lock:
+            hit = key in self.cache
+            self.cache[key] = None
+            self.cache.move_to_end(key)
+            if len(self.cache) > CACHE_PREFIXES:
+                self.cache.popitem(last=False)
+        return self.prefill_ms * (0.2 if hit else 1.0) * self.slowdown / 1000.0
+
+    # HTTP.
+
+    def answer(self, http: Request) -> Response:
+        match (http.method, http.path):
+            case ("POST", "/v1/chat/completions"):
+                return self.chat(http)
+            case ("POST", "/v1/orders"):
+                return self.order(http.get_json())
+            case ("POST", "/control"):
+                return self.control(http.get_json())
+            case ("GET", "/load"):
+                return reply(self.load())
+            case ("GET", "/runs"):
+                return reply(list(self.runs))
+            case ("GET", "/orders"):
+                return reply(self.orders)
+        return reply({"error": {"type": "no such path"}}, 404)
+
+    def load(self) -> dict[str, Any]:
+        return {
+            "vm": self.vm,
+            "running": self.running,
+            "queued": self.queued,
+            "slots": self.slots,
+            "versions": sorted(self.versions),
+            "leaving": self.leaving,
+        }
+
+    def control(self, wanted: dict[str, Any]) -> Response:
+        for name, value in wanted.items():
+            current = getattr(self, name)
+            if isinstance(current, dict):
+                current.update(value)
+            else:
+                setattr(self, name, value)
+        return reply(self.load())
+
+    def order(self, order: dict[str, Any]) -> Response:
+        with self.lock:
+            if order["order_id"] in self.orders:
+                return reply({"done": "before"})
+            if order["epoch"] < self.epoch:
+                return reply({"error": {"type": "fenced"}}, 409)
+            self.epoch = order["epoch"]
+            self.orders[order["order_id"]] = order["epoch"]
+            if order["kind"] == "load":
+                self.versions.add(order["version"])
+            else:
+                self.versions.discard(order["version"])
+        return reply({"done": "now"})
+
+    def refuse(self, kind: str) -> Response:
+        error = {"type": kind, "not_run": True, "retry_after_ms": 200}
+        return reply({"error": error}, 503)
+
+    def chat(self, http: Request) -> Response:
+        body = http.get_json()
+        version = body["model"]
+        attempt = http.headers.get("X-Request-Id", "")
+        if self.leaving:
+            return self.refuse("leaving")
+        if version not in self.versions:
+            return self.refuse("not_loaded")
+        if not self.enter(int(body.get("priority", 0))):
+            return self.refuse("full")
+        self.runs.append(
+            {
+                "attempt": attempt,
+                "version": version,
+                "at_ms": time.time() * 1000,
+                "revision": int(http.headers.get("Ashlatch-Revision", "0")),
+            }
+        )
+        shown = attempt + "-other" if self.swap_ids else attempt
+        if self.random.random() < self.error_ratio.get(version, 0.0):
+            self.leave()
+            return reply({"error": {"type": "internal"}}, 500, X_Request_Id=shown)
+        prompt = json.dumps(body["messages"])
+        tokens = min(int(body.get("max_tokens", 10**6)), self.output_tokens)
+        skip = int(http.headers.get("Ashlatch-Resume-Chunks", "0"))
+        if body.get("stream"):
+            events = self.stream(version, prompt, tokens, skip)
+            return Response(
+                events, 200, {"X-Request-Id": shown}, content_type="text/event-stream"
+            )
+        return self.whole(version, prompt, tokens, shown)
+
+    def word(self, version: str, place: int) -> str:
+        """Deterministic text: the version's quality and the word's place."""
+        quality = self.quality.get(version, 0.0)
+        return f"quality={quality} " if place == 0 else f"w{place} "
+
+    def usage(self, prompt: str, tokens: int) -> dict[str, int]:
+        return {"prompt_tokens": len(prompt) // 4, "completion_tokens": tokens}
+
+    def whole(self, version: str, prompt: str, tokens: int, shown: str) -> Response:
+        try:
+            time.sleep(self.prefill_s(prompt))
+            for _ in range(0, tokens, 10):
+                time.sleep(self.token_s() * min(10, tokens))
+        finally:
+            self.leave()
+        text = "".join(self.word(version, place) for place in range(tokens))
+        message = {"role": "assistant", "content": text}
+        document = {
+            "id": shown,
+            "object": "chat.completion",
+            "model": version,
+            "choices": [{"index": 0, "message": message, "finish_reason": "stop"}],
+            "usage": self.usage(prompt, tokens),
+        }
+        return reply(document, X_Request_Id=shown)
+
+    def stream(
+        self, version: str, prompt: str, tokens: int, skip: int
+    ) -> Iterator[bytes]:
+        try:
+            time.sleep(self.prefill_s(prompt))
+            for place in range(skip, tokens):
+                time.sleep(self.token_s())
+                if self.break_after and place - skip >= self.break_after:
+                    raise ConnectionAbortedError
+                delta = {"content": self.word(version, place)}
+                choice = {"index": 0, "delta": delta, "finish_reason": None}
+                yield _event({"model": version, "choices": [choice]})
+            end = {"index": 0, "delta": {}, "finish_reason": "stop"}
+            yield _event({"model": version, "choices": [end]})
+            yield _event({"choices": [], "usage": self.usage(prompt, tokens)})
+            yield b"data: [DONE]\n\n"
+        finally:
+            self.leave()
+
+
+def _event(document: Any) -> bytes:
+    return b"data: " + json.dumps(document).encode() + b"\n\n"
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--vm", required=True)
+    parser.add_argument("--versions", default="")
+    parser.add_argument("--quality", default="{}")
+    parser.add_argument("--slots", type=int, default=8)
+    parser.add_argument("--token-ms", type=float, default=2.0)
+    parser.add_argument("--prefill-ms", type=float, default=10.0)
+    parser.add_argument("--output-tokens", type=int, default=20)
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--seed", type=int, default=0)
+    given = parser.parse_args()
+    engine = Engine(
+        given.vm,
+        {v for v in given.versions.split(",") if v},
+        given.slots,
+        given.token_ms,
+        given.prefill_ms,
+        given.output_tokens,
+        given.seed,
+    )
+    engine.quality = json.loads(given.quality)
+    announce(port=serve(given.host, given.port, engine.answer))
+    wait_for_end()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/fakes/platform.py
@@ -0,0 +1,141 @@
+"""The platform's list of VMs and the pools' load reports, both lagging; the
+rating service, late and noisy; and the weight store, rate-limited.
+
+`POST /vms` sets the list: {"vms": [{"vm", "pool", "hall", "url"}, ...]}; it is
+seen after the lag. Reports are gathered from the engines every interval.
+"""
+
+import argparse
+import json
+import random
+import re
+import threading
+import time
+import urllib.request
+from typing import Any
+
+from werkzeug.wrappers import Request, Response
+
+from tests.fakes.web import announce, reply, serve, wait_for_end
+
+
+class Platform:
+    def __init__(self, lag_ms: float, report_ms: float) -> None:
+        self.lag_s = lag_ms / 1000.0
+        self.report_s = report_ms / 1000.0
+        self.lists: list[tuple[float, list[dict[str, Any]]]] = [(0.0, [])]
+        self.reports: dict[str, tuple[float, dict[str, Any]]] = {}
+        threading.Thread(target=self.gather, daemon=True).start()
+
+    def vms(self) -> list[dict[str, Any]]:
+        now_s = time.monotonic()
+        return [vms for at_s, vms in self.lists if at_s <= now_s][-1]
+
+    def gather(self) -> None:
+        while True:
+            for vm in self.vms():
+                try:
+                    url = f"{vm['url']}/load"
+                    with urllib.request.urlopen(url, timeout=0.5) as response:
+                        load = json.load(response)
+                    if "slots" in load:
+                        self.reports[vm["vm"]] = (time.monotonic(), load)
+                except (OSError, ValueError):
+                    continue
+            time.sleep(self.report_s)
+
+    def answer(self, http: Request) -> Response:
+        if http.path == "/v1/vms" and http.method == "GET":
+            return reply({"vms": self.vms()})
+        if http.path == "/vms":
+            at_s = time.monotonic() + self.lag_s
+            self.lists.append((at_s, http.get_json()["vms"]))
+            return reply({})
+        if http.path.startswith("/v1/pools/"):
+            return self.pool(http.path.split("/")[3])
+        return reply({}, 404)
+
+    def pool(self, pool: str) -> Response:
+        now_s = time.monotonic()
+        endpoints = []
+        for vm in self.vms():
+            report = self.reports.get(vm["vm"])
+            if vm["pool"] == pool and report is not None:
+                age_ms = (now_s - report[0]) * 1000.0
+                endpoints.append({**report[1], "vm": vm["vm"], "age_ms": age_ms})
+        return reply({"endpoints": endpoints})
+
+
+class Ratings:
+    """Rates by the `quality=` that the fake engines write, with noise."""
+
+    def __init__(self, delay_ms: float, noise: float, seed: int) -> None:
+        self.delay_s = delay_ms / 1000.0
+        self.noise = noise
+        self.random = random.Random(seed)
+        self.lock = threading.Lock()
+        self.rated: list[tuple[float, dict[str, Any]]] = []
+
+    def answer(self, http: Request) -> Response:
+        if http.path == "/v1/answers":
+            return self.submit(http.get_json())
+        after = int(http.args.get("after", "-1"))
+        now_s = time.monotonic()
+        with self.lock:
+            due = [r for at_s, r in self.rated if at_s <= now_s and r["number"] > after]
+        return reply({"ratings": due})
+
+    def submit(self, answer: dict[str, Any]) -> Response:
+        found = re.search(r"quality=([0-9.]+)", answer["answer"])
+        quality = float(found.group(1)) if found else 0.5
+        with self.lock:
+            rating = self.random.gauss(quality, self.noise)
+            entry = {
+                "number": len(self.rated),
+                "request": answer["request"],
+                "route": answer["route"],
+                "version": answer["version"],
+                "rating": min(1.0, max(0.0, rating)),
+            }
+            self.rated.append((time.monotonic() + self.delay_s, entry))
+        return reply({})
+
+
+class WeightStore:
+    def __init__(self, every_ms: float) -> None:
+        self.every_s = every_ms / 1000.0
+        self.next_s = 0.0
+        self.lock = threading.Lock()
+
+    def answer(self, http: Request) -> Response:
+        with self.lock:
+            now_s = time.monotonic()
+            if now_s < self.next_s:
+                return reply({"error": "rate"}, 429)
+            self.next_s = now_s + self.every_s
+        return reply({})
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--lag-ms", type=float, default=300.0)
+    parser.add_argument("--report-ms", type=float, default=200.0)
+    parser.add_argument("--rating-delay-ms", type=float, default=500.0)
+    parser.add_argument("--rating-noise", type=float, default=0.15)
+    parser.add_argument("--store-every-ms", type=float, default=200.0)
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--seed", type=int, default=0)
+    given = parser.parse_args()
+    platform = Platform(given.lag_ms, given.report_ms)
+    ratings = Ratings(given.rating_delay_ms, given.rating_noise, given.seed)
+    store = WeightStore(given.store_every_ms)
+    announce(
+        platform=serve(given.host, 0, platform.answer),
+        ratings=serve(given.host, 0, ratings.answer),
+        store=serve(given.host, 0, store.answer),
+    )
+    wait_for_end()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/system.py
@@ -0,0 +1,388 @@
+"""Starts a whole system on loopback, as processes: states, controls, routers
+and the fakes. Used by the demo, the tests of failures and the measurements.
+
+Addresses are 127.x.y.z made of this process's number, so that two runs do not
+meet; ports are picked by the operating system.
+"""
+
+import contextlib
+import hashlib
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+BIN = Path(sys.executable).parent
+TOKEN = "operator-token"
+READY_S = 30.0
+STOP_S = 20.0
+HALLS = ("brisbane-north", "logan", "ipswich")
+
+
+def own_host() -> str:
+    number = os.getpid()
+    return f"127.{64 + (number >> 16) % 64}.{(number >> 8) % 256}.{number % 254 + 1}"
+
+
+HOST = own_host()
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return int(probe.getsockname()[1])
+
+
+def sha256(text: str) -> str:
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def wait_until(check: Callable[[], Any], what: str, limit_s: float = READY_S) -> Any:
+    """Ask until the answer is true; a failed ask counts as no."""
+    end_s = time.monotonic() + limit_s
+    while time.monotonic() < end_s:
+        with contextlib.suppress(
+            OSError, ValueError, KeyError, http.client.HTTPException
+        ):
+            found = check()
+            if found:
+                return found
+        time.sleep(0.02)
+    raise AssertionError(f"not within {limit_s} s: {what}")
+
+
+@dataclass(frozen=True)
+class HttpReply:
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def json(self) -> Any:
+        return json.loads(self.body)
+
+
+def request(
+    url: str,
+    method: str = "GET",
+    document: Any = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 30.0,
+) -> HttpReply:
+    """One call by the standard library, apart from the code under test."""
+    address, _, path = url.removeprefix("http://").partition("/")
+    connection = http.client.HTTPConnection(address, timeout=timeout_s)
+    try:
+        body = None if document is None else json.dumps(document).encode()
+        named = {"Content-Type": "application/json", **(headers or {})}
+        connection.request(method, "/" + path, body, named)
+        response = connection.getresponse()
+        fields = {k.lower(): v for k, v in response.getheaders()}
+        return HttpReply(response.status, fields, response.read())
+    finally:
+        connection.close()
+
+
+class Process:
+    """One process; its log is a file."""
+
+    def __init__(self, name: str, command: list[str], folder: Path) -> None:
+        self.name = name
+        self.command = command
+        self.log_path = folder / f"{name}.log"
+        self.start()
+
+    def start(self) -> None:
+        self._log = self.log_path.open("ab")
+        self.popen = subprocess.Popen(
+            self.command,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE if "tests.fakes" in " ".join(self.command) else None,
+            stderr=self._log,
+        )
+
+    @property
+    def log(self) -> str:
+        return self.log_path.read_text(encoding="utf-8")
+
+    def signal(self, number: int) -> None:
+        self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        self.popen.kill()
+        self.popen.wait()
+
+    def terminate(self) -> int:
+        """Ask it to end in order, and wait."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(signal.SIGCONT)
+            self.popen.terminate()
+        try:
+            return self.popen.wait(STOP_S)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            raise
+
+    def close(self) -> None:
+        """End it, whatever it is doing."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(signal.SIGCONT)
+            if self.popen.stdin is not None:
+                self.popen.stdin.close()
+            self.popen.terminate()
+            try:
+                self.popen.wait(5.0)
+            except subprocess.TimeoutExpired:
+                self.kill()
+        self._log.close()
+
+
+@dataclass
+class Daemon:
+    """One of our daemons with its settings."""
+
+    process: Process
+    settings: dict[str, Any]
+
+    @property
+    def url(self) -> str:
+        return f"http://{self.settings['listen']}"
+
+
+@dataclass
+class Fake:
+    """A fake with the URLs of its listeners."""
+
+    process: Process
+    urls: dict[str, str]
+
+    @property
+    def url(self) -> str:
+        return self.urls["port"]
+
+    def control(self, **wanted: Any) -> None:
+        request(f"{self.url}/control", "POST", wanted)
+
+    def get(self, path: str) -> Any:
+        return request(f"{self.url}/{path}").json
+
+
+@dataclass
+class System:
+    """All processes of one run, in one temporary folder."""
+
+    folder: Path
+    state_extra: dict[str, Any] = field(default_factory=dict)
+    router_extra: dict[str, Any] = field(default_factory=dict)
+    states: list[Daemon] = field(default_factory=list)
+    controls: list[Daemon] = field(default_factory=list)
+    routers: list[Daemon] = field(default_factory=list)
+    fakes: list[Fake] = field(default_factory=list)
+    vms: list[dict[str, Any]] = field(default_factory=list)
+    platform: Fake | None = None
+
+    # Our daemons.
+
+    def start_states(self, count: int) -> None:
+        addresses = [f"{HOST}:{free_port()}" for _ in range(count)]
+        for place, address in enumerate(addresses):
+            settings = {
+                "vm": f"state-{place}",
+                "hall": HALLS[place % 3],
+                "listen": address,
+                "data_folder": str(self.folder / f"data-{place}"),
+                "peers": [a for a in addresses if a != address],
+                **self.state_extra,
+            }
+            if place == 0:
+                path = self._write(f"state-{place}", settings)
+                command = [str(BIN / "ashlatch-state"), "--settings", str(path)]
+                subprocess.run(
+                    [*command, "--initialise"], check=True, stdout=subprocess.DEVNULL
+                )
+            self.states.append(self._daemon("state", f"state-{place}", settings))
+
+    @property
+    def state_addresses(self) -> list[str]:
+        return [daemon.settings["listen"] for daemon in self.states]
+
+    def start_controls(self, count: int) -> None:
+        for place in range(count):
+            settings: dict[str, Any] = {
+                "vm": f"control-{place}",
+                "hall": HALLS[place % 3],
+                "listen": f"{HOST}:{free_port()}",
+                "state_addresses": self.state_addresses,
+                "operators": [{"name": "demo", "token_sha256": sha256(TOKEN)}],
+            }
+            if self.platform is not None:
+                settings["platform_url"] = self.platform.urls["platform"]
+                settings["rating_url"] = self.platform.urls["ratings"]
+                settings["weight_store_url"] = self.platform.urls["store"]
+            self.controls.append(self._daemon("control", f"control-{place}", settings))
+
+    def start_routers(self, count: int) -> None:
+        for _ in range(count):
+            self.start_router()
+        for daemon in self.routers:
+            wait_until(
+                lambda d=daemon: request(f"{d.url}/readyz").status == 200,  # type: ignore[misc]
+                f"router {daemon.url} ready",
+            )
+
+    def start_router(self, **extra: Any) -> Daemon:
+        place = len(self.routers)
+        settings: dict[str, Any] = {
+            "vm": f"router-{place}",
+            "hall": HALLS[place % 3],
+            "listen": f"{HOST}:{free_port()}",
+            "state_addresses": self.state_addresses,
+            **self.router_extra,
+            **extra,
+        }
+        if self.platform is not None:
+            settings["rating_url"] = self.platform.urls["ratings"]
+        daemon = self._daemon("router", f"router-{place}", settings)
+        self.routers.append(daemon)
+        return daemon
+
+    # Fakes.
+
+    def start_platform(self, *arguments: str) -> Fake:
+        self.platform = self._fake("platform", *arguments)
+        return self.platform
+
+    def start_engine(self, vm: str, pool: str, hall: str, *arguments: str) -> Fake:
+        fake = self._fake("engine", "--vm", vm, *arguments, name=vm)
+        self._list(vm, pool, hall, fake)
+        return fake
+
+    def start_worker(self, vm: str, pool: str, hall: str) -> Fake:
+        fake = self._fake("worker", name=vm)
+        self._list(vm, pool, hall, fake)
+        return fake
+
+    def publish_vms(self) -> None:
+        """Give the platform the list of all VMs."""
+        assert self.platform is not None
+        url = self.platform.urls["platform"]
+        request(f"{url}/vms", "POST", {"vms": self.vms})
+
+    # Operators.
+
+    def ctl(
+        self, *arguments: str, check: bool = True
+    ) -> subprocess.CompletedProcess[str]:
+        """Run ashlatchctl."""
+        environment = {
+            **os.environ,
+            "ASHLATCH_SERVER": " ".join(daemon.url for daemon in self.controls),
+            "ASHLATCH_TOKEN": TOKEN,
+        }
+        done = subprocess.run(
+            [str(BIN / "ashlatchctl"), *arguments],
+            check=False,
+            env=environment,
+            capture_output=True,
+            text=True,
+            timeout=60.0,
+        )
+        if check and done.returncode:
+            raise AssertionError(f"ashlatchctl {arguments}: {done.stderr}")
+        return done
+
+    def apply(self, resources: list[dict[str, Any]]) -> str:
+        """Apply resources and wait until they are in force."""
+        path = self.folder / f"apply-{time.monotonic_ns()}.json"
+        path.write_text(json.dumps(resources))
+        return self.ctl("apply", "-f", str(path), "--wait").stdout
+
+    def operate(
+        self,
+        method: str,
+        path: str,
+        document: Any = None,
+        headers: dict[str, str] | None = None,
+        control: int = 0,
+    ) -> HttpReply:
+        """One call of the resource API."""
+        named = {"Authorization": f"Bearer {TOKEN}", **(headers or {})}
+        url = f"{self.controls[control].url}{path}"
+        return request(url, method, document, named)
+
+    def status(self) -> Any:
+        for control in range(len(self.controls)):
+            with contextlib.suppress(OSError):
+                reply = self.operate("GET", "/v1/status", control=control)
+                if reply.status == 200:
+                    return reply.json
+        raise OSError("no status")
+
+    def leader(self) -> Daemon:
+        """The state daemon that leads."""
+
+        def find() -> Daemon | None:
+            for member in self.status()["members"]:
+                if member["role"] == "leader":
+                    for daemon in self.states:
+                        if daemon.settings["listen"] == member["address"]:
+                            return daemon
+            return None
+
+        found: Daemon = wait_until(find, "a leader")
+        return found
+
+    def voters(self) -> int:
+        """How many members vote, the leader among them."""
+        members = self.status()["members"]
+        return sum(1 for m in members if m["role"] in ("leader", "voter"))
+
+    def close(self) -> None:
+        """End everything."""
+        daemons = [*self.routers, *self.controls, *self.states]
+        for process in [d.process for d in daemons] + [f.process for f in self.fakes]:
+            process.close()
+
+    # Inside.
+
+    def _list(self, vm: str, pool: str, hall: str, fake: Fake) -> None:
+        self.vms.append({"vm": vm, "pool": pool, "hall": hall, "url": fake.url})
+
+    def _write(self, name: str, settings: dict[str, Any]) -> Path:
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        return path
+
+    def _daemon(self, kind: str, name: str, settings: dict[str, Any]) -> Daemon:
+        path = self._write(name, settings)
+        command = [str(BIN / f"ashlatch-{kind}"), "--settings", str(path)]
+        return Daemon(Process(name, command, self.folder), settings)
+
+    def _fake(self, module: str, *arguments: str, name: str = "") -> Fake:
+        command = [sys.executable, "-m", f"tests.fakes.{module}", "--host", HOST]
+        process = Process(name or module, [*command, *arguments], self.folder)
+        assert process.popen.stdout is not None
+        ports = json.loads(process.popen.stdout.readline())
+        fake = Fake(process, {key: f"http://{HOST}:{p}" for key, p in ports.items()})
+        self.fakes.append(fake)
+        return fake
+
+
+@contextlib.contextmanager
+def running(**extra: Any) -> Iterator[System]:
+    """A system that is ended with the block, and its folder with it."""
+    with tempfile.TemporaryDirectory(prefix="ashlatch-") as folder:
+        system = System(Path(folder), **extra)
+        try:
+            yield system
+        finally:
+            system.close()
