Check the agreement core under random schedules

Cause: nothing showed that the core keeps its promises under faults. Found by seed 29 of 3000 steps: losses_survived counted with a change of members that was not committed yet, so a repair was reported as done while its change could still be lost with the leader; a second lost disk then left no quorum. Ruled out: the log itself (no committed entry differed). losses_survived is now 0 until the change is committed.

--- a/ashlatch/raft/core.py
+++ b/ashlatch/raft/core.py
@@ -127,6 +127,15 @@
         """The leader of this term, if one is known."""
         return self.members.find(self.leader_id)
 
+    @property
+    def members_committed(self) -> bool:
+        """Whether the members that are counted with are agreed upon.
+
+        A change of members counts from when it is appended, but it may still
+        be lost with its leader.
+        """
+        return self.commit_index >= self.members_index
+
     def lease_until_ms(self) -> float:
         """The time until which no other leader can exist.
 
--- a/ashlatch/raft/group.py
+++ b/ashlatch/raft/group.py
@@ -94,6 +94,7 @@
     commit_index: int
     snapshot_index: int
     members: Members
+    members_committed: bool
     match_index: dict[str, int]
 
     def may_read(self, now_ms: float) -> bool:
@@ -325,5 +326,6 @@
             core.commit_index,
             core.log.snapshot.index,
             core.members,
+            core.members_committed,
             matches if core.leading else {},
         )
--- a/ashlatch/raft/membership.py
+++ b/ashlatch/raft/membership.py
@@ -65,9 +65,7 @@
     described on raft-dev in 2015.
     """
     own_term_committed = core.log.term_at(core.commit_index) == core.term
-    return (
-        core.leading and own_term_committed and core.commit_index >= core.members_index
-    )
+    return core.leading and own_term_committed and core.members_committed
 
 
 def _caught_up(core: RaftCore, member: Member) -> bool:
--- a/ashlatch/store/status.py
+++ b/ashlatch/store/status.py
@@ -46,7 +46,13 @@
 
 
 def losses_survived(standing: Standing) -> int:
-    """How many current voters may be lost while a quorum stays."""
+    """How many current voters may be lost while a quorum stays.
+
+    None while a change of members is under way: it may be lost itself, and
+    the quorum is then another one.
+    """
+    if not standing.members_committed:
+        return 0
     current = [
         voter
         for voter in standing.members.voters
--- /dev/null
+++ b/tests/mutants.py
@@ -0,0 +1,149 @@
+"""Shows that the proofs can fail: each mutant removes one guard from a copy
+of the tree and must make the named proof fail.
+
+python -m tests.mutants [NAME ...]
+"""
+
+import argparse
+import shutil
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+GROUP = ("-m", "tests.soak", "--only", "group", "--seed", "1", "--steps", "300000")
+TRAFFIC = ("-m", "tests.soak", "--only", "traffic", "--seed", "1", "--steps", "120000")
+LIMIT_S = 180.0
+SHOWN_LINES = 3
+
+
+@dataclass(frozen=True)
+class Mutant:
+    """One guard, how it is removed, and the proof that must notice."""
+
+    name: str
+    path: str
+    guard: str
+    without: str
+    proof: tuple[str, ...]
+
+
+MUTANTS = (
+    Mutant(
+        "vote-against-live-leader",
+        "ashlatch/raft/election.py",
+        "    return core.leading or heard_for_ms < core.config.election_min_ms",
+        "    return core.leading",
+        GROUP,
+    ),
+    Mutant(
+        "vote-right-after-restart",
+        "ashlatch/raft/core.py",
+        "        self.leader_heard_ms = self.now_ms\n",
+        '        self.leader_heard_ms = float("-inf")\n',
+        GROUP,
+    ),
+    Mutant(
+        "vote-before-sync",
+        "ashlatch/raft/election.py",
+        "    core.send(core.peer(request.sender), reply, after_sync=True)",
+        "    core.send(core.peer(request.sender), reply, after_sync=False)",
+        GROUP,
+    ),
+    Mutant(
+        "append-reply-before-sync",
+        "ashlatch/raft/replication.py",
+        "_append_reply(core, request, True, match_index), after_sync=True)",
+        "_append_reply(core, request, True, match_index), after_sync=False)",
+        GROUP,
+    ),
+    Mutant(
+        "commit-before-own-sync",
+        "ashlatch/raft/replication.py",
+        "        return core.synced_index\n",
+        "        return core.log.last_index\n",
+        GROUP,
+    ),
+    Mutant(
+        "vote-for-older-log",
+        "ashlatch/raft/election.py",
+        "    up_to_date = (request.last_term, request.last_index) >= (\n",
+        "    up_to_date = (request.last_term, request.last_index) >= (0, 0) or (\n",
+        GROUP,
+    ),
+    Mutant(
+        "old-identity-on-empty-disk",
+        "tests/simulation.py",
+        '        node.disk = Disk(f"{vm}.{self.folders}", vm)\n',
+        "        node.disk = Disk(node.disk.member_id, vm, 0, '',"
+        " SnapshotMeta(0, 0, node.disk.snapshot.members))\n",
+        GROUP,
+    ),
+    Mutant(
+        "voter-before-caught-up",
+        "ashlatch/raft/membership.py",
+        "    return recent and progress.match_index >= core.commit_index",
+        "    return True",
+        GROUP,
+    ),
+    Mutant(
+        "snapshot-parts-mixed",
+        "ashlatch/raft/replication.py",
+        "    if chunk.offset == 0 or chunk.meta != core.snapshot_meta:",
+        "    if chunk.offset == 0:",
+        GROUP,
+    ),
+    Mutant(
+        "read-without-lease",
+        "ashlatch/raft/core.py",
+        "            and now_ms < self.lease_until_ms()\n",
+        "",
+        GROUP,
+    ),
+)
+
+
+def run(mutant: Mutant) -> bool:
+    """Whether the proof failed on the mutant, as it should."""
+    with tempfile.TemporaryDirectory(prefix="ashlatch-mutant-") as folder:
+        copy = Path(folder)
+        for part in ("ashlatch", "tests", "examples"):
+            shutil.copytree(ROOT / part, copy / part)
+        path = copy / mutant.path
+        text = path.read_text()
+        if text.count(mutant.guard) != 1:
+            print(f"{mutant.name}: STALE, its guard is not there once")
+            return False
+        path.write_text(text.replace(mutant.guard, mutant.without))
+        command = [sys.executable, *mutant.proof]
+        try:
+            done = subprocess.run(
+                command, cwd=copy, capture_output=True, text=True, timeout=LIMIT_S
+            )
+        except subprocess.TimeoutExpired:
+            print(f"{mutant.name}: NOT NOTICED within {LIMIT_S} s")
+            return False
+    output = (done.stdout + done.stderr).splitlines()
+    shown = [line for line in output if "Failed" in line or "FAILED" in line]
+    shown += [line for line in output if "Error" in line or "Violated" in line]
+    noticed = done.returncode != 0 and bool(shown)
+    print(f"{mutant.name}: {'noticed' if noticed else 'NOT NOTICED'}")
+    for line in shown[:SHOWN_LINES]:
+        print("   ", line[:160])
+    return noticed
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("names", nargs="*")
+    wanted = parser.parse_args().names
+    chosen = [m for m in MUTANTS if not wanted or m.name in wanted]
+    results = [run(mutant) for mutant in chosen]
+    print(f"{sum(results)} of {len(results)} mutants noticed")
+    sys.exit(0 if all(results) else 1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/simulation.py
@@ -0,0 +1,531 @@
+"""A group of pure cores under a random schedule, checked at every step.
+
+Messages are lost, late, doubled and out of order; members crash, restart,
+freeze, lose their disks and have clocks that drift. The checks: one leader a
+term; all members apply the same log; every outcome is that of a naive single
+copy; a member that may read has applied all that was acknowledged.
+"""
+
+import random
+from dataclasses import dataclass, field
+from typing import Any
+
+from ashlatch.codec import encode
+from ashlatch.raft import election
+from ashlatch.raft.core import RaftConfig, RaftCore
+from ashlatch.raft.effect import (
+    AddLearner,
+    AppendLog,
+    Apply,
+    Boot,
+    Effect,
+    Event,
+    Flush,
+    InstallSnapshot,
+    LeadershipChanged,
+    ProposalRefused,
+    Propose,
+    Proposed,
+    Received,
+    SaveSnapshot,
+    SaveVote,
+    Send,
+    SnapshotTaken,
+    Synced,
+    Tick,
+)
+from ashlatch.raft.message import Entry, Member, Members, Message, SnapshotMeta
+from ashlatch.store.command import (
+    Claim,
+    Close,
+    Command,
+    Expire,
+    PutResource,
+    RecordAnswer,
+    RequestKey,
+    RouterGone,
+    StoredAnswer,
+    TakeControl,
+    Usage,
+    VersionCandidate,
+)
+from ashlatch.store.machine import Machine
+
+_HANDLERS_OF = (election,)
+
+DRIFT = 0.02
+SNAPSHOT_EVERY = 25
+MAX_IN_FLIGHT = 400
+
+
+class CheckFailed(AssertionError):
+    """A schedule broke one of the checks."""
+
+
+@dataclass
+class Disk:
+    """What has been synced by one data folder."""
+
+    member_id: str
+    vm: str
+    term: int = 0
+    voted_for: str = ""
+    snapshot: SnapshotMeta = SnapshotMeta()
+    data: bytes = b""
+    entries: list[Entry] = field(default_factory=list)
+
+    def write(self, effect: Effect) -> None:
+        match effect:
+            case SaveVote(term, voted_for):
+                self.term, self.voted_for = term, voted_for
+            case AppendLog(entries):
+                first = entries[0].index
+                self.entries = [e for e in self.entries if e.index < first]
+                self.entries += entries
+            case SaveSnapshot(meta, data):
+                same = any(
+                    (e.index, e.term) == (meta.index, meta.term) for e in self.entries
+                )
+                behind = [e for e in self.entries if e.index > meta.index]
+                self.entries = behind if same else []
+                self.snapshot, self.data = meta, data
+
+    def boot(self) -> Boot:
+        return Boot(
+            self.member_id,
+            self.term,
+            self.voted_for,
+            self.snapshot,
+            self.data,
+            tuple(self.entries),
+        )
+
+
+@dataclass
+class Node:
+    """One VM with its disk and, when it is up, its process."""
+
+    vm: str
+    disk: Disk
+    rate: float
+    core: RaftCore | None = None
+    machine: Machine = field(default_factory=Machine)
+    applied: int = 0
+    frozen: bool = False
+    unsynced: list[Effect] = field(default_factory=list)
+    waiting: dict[int, tuple[int, int]] = field(default_factory=dict)
+
+    @property
+    def running(self) -> bool:
+        return self.core is not None and not self.frozen
+
+    @property
+    def member(self) -> Member:
+        return Member(self.disk.member_id, self.vm, self.vm)
+
+
+class World:
+    """The group, its network and its clients."""
+
+    def __init__(self, seed: int, voters: int = 3) -> None:
+        self.random = random.Random(seed)
+        self.now_ms = 10_000.0
+        self.network: list[tuple[str, str, Message]] = []
+        self.cut: set[frozenset[str]] = set()
+        self.committed: dict[int, Entry] = {}
+        self.naive = Machine()
+        self.naive_index = 0
+        self.naive_outcomes: dict[int, Any] = {}
+        self.acknowledged = 0
+        self.leaders: dict[int, str] = {}
+        self.tickets = 0
+        self.commands: list[Command] = []
+        self.folders = 0
+        self.acks = 0
+        self.lost_disks = 0
+        members = Members(
+            tuple(Member(f"vm{i}.0", f"vm{i}", f"vm{i}") for i in range(voters))
+        )
+        self.nodes: dict[str, Node] = {}
+        for place in range(voters):
+            disk = Disk(f"vm{place}.0", f"vm{place}")
+            disk.snapshot = SnapshotMeta(0, 0, members)
+            rate = self.random.uniform(1 - DRIFT, 1 + DRIFT)
+            self.nodes[f"vm{place}"] = Node(f"vm{place}", disk, rate)
+        for node in self.nodes.values():
+            self.start(node)
+
+    # What a schedule may do.
+
+    def pass_time(self, ms: float) -> None:
+        self.now_ms += ms
+        for node in list(self.nodes.values()):
+            if node.running:
+                self.step(node, Tick())
+                self.step(node, Flush())
+                self.ask_to_join(node)
+
+    def deliver(self, place: int, keep: bool = False) -> None:
+        """Hand over one message of the network; with `keep`, once more later."""
+        if not self.network:
+            return
+        place %= len(self.network)
+        item = self.network[place]
+        if not keep:
+            self.network[place] = self.network[-1]
+            self.network.pop()
+        sender, recipient, message = item
+        node = next(
+            (n for n in self.nodes.values() if n.disk.member_id == recipient), None
+        )
+        if node is None or not node.running:
+            return
+        if frozenset((self.vm_of(sender), node.vm)) not in self.cut:
+            self.step(node, Received(message))
+
+    def drop(self, place: int) -> None:
+        if self.network:
+            self.network.pop(place % len(self.network))
+
+    def sync(self, vm: str) -> None:
+        """The disk has taken all that was written so far."""
+        node = self.nodes[vm]
+        if not node.running or not node.unsynced:
+            return
+        effects, node.unsynced = node.unsynced, []
+        last = None
+        for effect in effects:
+            if isinstance(effect, Send):
+                self.post(node, effect)
+            else:
+                node.disk.write(effect)
+                if isinstance(effect, AppendLog):
+                    last = effect.entries[-1]
+        if last is not None:
+            self.step(node, Synced(last.index, last.term))
+
+    def crash(self, vm: str) -> None:
+        node = self.nodes[vm]
+        node.core = None
+        node.frozen = False
+        node.unsynced = []
+        node.waiting = {}
+
+    def restart(self, vm: str) -> None:
+        if self.nodes[vm].core is None:
+            self.start(self.nodes[vm])
+
+    def freeze(self, vm: str) -> None:
+        if self.nodes[vm].core is not None:
+            self.nodes[vm].frozen = True
+
+    def thaw(self, vm: str) -> None:
+        self.nodes[vm].frozen = False
+
+    def lose_disk(self, vm: str) -> bool:
+        """Empty a data folder, if the group is whole and can stand the loss."""
+        if not self.whole():
+            return False
+        self.crash(vm)
+        self.folders += 1
+        self.lost_disks += 1
+        node = self.nodes[vm]
+        node.disk = Disk(f"{vm}.{self.folders}", vm)
+        self.start(node)
+        return True
+
+    def cut_link(self, one: str, other: str) -> None:
+        if one != other:
+            self.cut.add(frozenset((one, other)))
+
+    def heal(self) -> None:
+        self.cut.clear()
+
+    def propose(self, vm: str, command: Command) -> None:
+        node = self.nodes[vm]
+        if node.running:
+            self.tickets += 1
+            self.step(node, Propose(self.tickets, encode(command)))
+
+    def propose_any(self, vm: str, again: bool) -> None:
+        """A new command, or one that was sent before."""
+        if again and self.commands:
+            command = self.random.choice(self.commands)
+        else:
+            command = self.some_command()
+            self.commands.append(command)
+        self.propose(vm, command)
+
+    def likely_leader(self, otherwise: str) -> str:
+        """Mostly a VM that believes to lead, if there is one."""
+        leading = [n.vm for n in self.nodes.values() if n.core and n.core.leading]
+        if leading and self.random.random() < 0.8:
+            return self.random.choice(leading)
+        return otherwise
+
+    # Checks over the whole.
+
+    def whole(self) -> bool:
+        """Whether a repair, if there was one, has been reported as done.
+
+        As `losses_survived` does: the leader's members are three voters, all
+        of which have synced what is committed.
+        """
+        for node in self.nodes.values():
+            core = node.core
+            if core is None or node.frozen or not core.may_read(self.clock(node)):
+                continue
+            own = {n.disk.member_id for n in self.nodes.values()}
+            if core.members.learners or core.members.voter_ids() != own:
+                return False
+            if not core.members_committed:
+                return False
+            return all(
+                core.progress[m].match_index >= core.commit_index
+                for m in own
+                if m != core.member_id and m in core.progress
+            )
+        return False
+
+    def settle(self) -> None:
+        """Heal everything and go on until one leader has served a command."""
+        self.heal()
+        for vm in self.nodes:
+            self.thaw(vm)
+            self.restart(vm)
+        wanted = self.acks + 1
+        for _ in range(4000):
+            self.calm_round()
+            if self.whole() and self.acks >= wanted:
+                self.check_readers()
+                return
+            leaders = [n for n in self.nodes.values() if n.core and n.core.leading]
+            if leaders and self.random.random() < 0.2:
+                self.propose_any(leaders[-1].vm, again=False)
+        raise CheckFailed("the group did not recover")
+
+    def calm_round(self) -> None:
+        self.pass_time(20.0)
+        for _ in range(30):
+            for vm in self.nodes:
+                self.sync(vm)
+            if not self.network:
+                return
+            self.deliver(0)
+
+    def check_readers(self) -> None:
+        for node in self.nodes.values():
+            if node.running and node.core is not None:
+                readable = node.core.may_read(self.clock(node))
+                if readable and node.applied < self.acknowledged:
+                    raise CheckFailed(
+                        f"{node.vm} may read at {node.applied} < {self.acknowledged}"
+                    )
+
+    # Inside.
+
+    def clock(self, node: Node) -> float:
+        return self.now_ms * node.rate
+
+    def vm_of(self, member_id: str) -> str:
+        return member_id.split(".")[0]
+
+    def start(self, node: Node) -> None:
+        node.machine = Machine()
+        node.machine.restore(node.disk.data)
+        node.applied = node.disk.snapshot.index
+        node.core = RaftCore(
+            RaftConfig(seed=self.random.getrandbits(32), message_bytes=400),
+            node.disk.boot(),
+            self.clock(node),
+        )
+
+    def ask_to_join(self, node: Node) -> None:
+        if node.core is None or node.core.members.voters:
+            return
+        for other in self.nodes.values():
+            linked = frozenset((node.vm, other.vm)) not in self.cut
+            if other.running and linked and other is not node:
+                self.step(other, AddLearner(node.member))
+
+    def step(self, node: Node, event: Event) -> None:
+        assert node.core is not None
+        effects = node.core.step(self.clock(node), event)
+        votes = any(isinstance(effect, SaveVote) for effect in effects)
+        for effect in effects:
+            self.perform(node, effect, votes)
+        if node.core.leading:
+            leader = self.leaders.setdefault(node.core.term, node.core.member_id)
+            if leader != node.core.member_id:
+                raise CheckFailed(f"two leaders in term {node.core.term}")
+        self.check_readers()
+
+    def perform(self, node: Node, effect: Effect, votes: bool) -> None:
+        match effect:
+            case Send():
+                if effect.after_sync or votes:
+                    node.unsynced.append(effect)
+                else:
+                    self.post(node, effect)
+            case SaveVote() | AppendLog() | SaveSnapshot():
+                node.unsynced.append(effect)
+            case Apply(entries):
+                for entry in entries:
+                    self.apply(node, entry)
+                self.snapshot_if_due(node)
+            case InstallSnapshot(meta, data):
+                node.machine.restore(data)
+                node.applied = meta.index
+            case Proposed(ticket, index, term):
+                node.waiting[index] = (ticket, term)
+            case LeadershipChanged(_, leading, _):
+                if not leading:
+                    node.waiting = {}
+            case ProposalRefused():
+                pass
+
+    def post(self, node: Node, send: Send) -> None:
+        if len(self.network) >= MAX_IN_FLIGHT:
+            self.network.pop(self.random.randrange(len(self.network)))
+        item = (node.disk.member_id, send.to.member_id, send.message)
+        self.network.append(item)
+
+    def apply(self, node: Node, entry: Entry) -> None:
+        if entry.index != node.applied + 1:
+            raise CheckFailed(f"{node.vm} applies {entry.index} after {node.applied}")
+        known = self.committed.setdefault(entry.index, entry)
+        if known != entry:
+            raise CheckFailed(f"entry {entry.index} differs: {known} {entry}")
+        node.applied = entry.index
+        outcome = node.machine.apply(entry.command) if entry.command else None
+        self.advance_naive()
+        if outcome != self.naive_outcomes[entry.index]:
+            raise CheckFailed(f"outcome of {entry.index} differs from the naive copy")
+        ticket = node.waiting.pop(entry.index, None)
+        if ticket is not None and ticket[1] == entry.term:
+            self.acks += 1
+            self.acknowledged = max(self.acknowledged, entry.index)
+
+    def advance_naive(self) -> None:
+        while self.naive_index + 1 in self.committed:
+            self.naive_index += 1
+            command = self.committed[self.naive_index].command
+            outcome = self.naive.apply(command) if command else None
+            self.naive_outcomes[self.naive_index] = outcome
+
+    def snapshot_if_due(self, node: Node) -> None:
+        assert node.core is not None
+        if node.applied - node.core.log.snapshot.index >= SNAPSHOT_EVERY:
+            taken = SnapshotTaken(node.applied, node.machine.snapshot())
+            for effect in node.core.step(self.clock(node), taken):
+                self.perform(node, effect, False)
+
+    def some_command(self) -> Command:
+        pick = self.random.randrange
+        key = RequestKey("org", f"key-{pick(6)}")
+        at_ms = int(self.now_ms)
+        router = f"router-{pick(3)}"
+        candidate = VersionCandidate(f"v{pick(2)}", 5000, ("v0", "v1"))
+        claim_id = f"claim-{pick(12)}"
+        choices: list[Command] = [
+            PutResource(
+                f"change-{pick(40)}", "op", "model", f"m{pick(4)}", pick(6), b"{}", ()
+            ),
+            Claim(key, claim_id, "body", router, bool(pick(2)), candidate, "s", at_ms),
+            RecordAnswer(
+                key,
+                pick(3),
+                "v0",
+                Usage(1, 2, 3),
+                StoredAnswer(200, "text/plain", claim_id.encode()),
+                at_ms,
+                at_ms,
+            ),
+            Close(key, pick(3), bool(pick(2)), at_ms),
+            RouterGone(router, at_ms),
+            TakeControl(router, pick(4), at_ms),
+            Expire(at_ms - 30_000, at_ms),
+        ]
+        return self.random.choice(choices)
+
+
+@dataclass(frozen=True)
+class Mood:
+    """How often each kind of step is taken in one world.
+
+    Worlds differ (swarm testing: Groce and others, 2012), since a schedule
+    that does a little of everything hides what needs much of one thing.
+    """
+
+    actions: tuple[str, ...]
+    weights: tuple[float, ...]
+    times_ms: tuple[float, ...]
+
+    @classmethod
+    def draw(cls, generator: random.Random) -> "Mood":
+        names = tuple(ACTIONS)
+        weights = tuple(w * generator.choice((0.2, 1.0, 4.0)) for w in ACTIONS.values())
+        times_ms = generator.choice(
+            ((1.0, 10.0, 40.0, 120.0), (20.0,), (40.0, 100.0, 700.0))
+        )
+        return cls(names, weights, times_ms)
+
+
+ACTIONS = {
+    "calm_round": 8.0,
+    "pass_time": 12.0,
+    "deliver": 40.0,
+    "deliver_twice": 2.0,
+    "sync": 16.0,
+    "propose": 14.0,
+    "drop": 3.0,
+    "crash": 0.3,
+    "restart": 0.8,
+    "freeze": 0.3,
+    "thaw": 0.6,
+    "cut": 0.5,
+    "heal": 0.4,
+    "lose_disk": 0.4,
+    "reboot": 0.2,
+}
+
+
+def random_step(world: World, mood: Mood) -> None:
+    """One step of a random schedule."""
+    pick = world.random
+    vm = pick.choice(list(world.nodes))
+    match pick.choices(mood.actions, mood.weights)[0]:
+        case "calm_round":
+            world.calm_round()
+        case "pass_time":
+            world.pass_time(pick.choice(mood.times_ms))
+        case "deliver":
+            world.deliver(pick.getrandbits(16))
+        case "deliver_twice":
+            world.deliver(pick.getrandbits(16), keep=True)
+        case "sync":
+            world.sync(vm)
+        case "propose":
+            again = pick.random() < 0.3
+            world.propose_any(world.likely_leader(vm), again)
+        case "drop":
+            world.drop(pick.getrandbits(16))
+        case "cut":
+            world.cut_link(vm, pick.choice(list(world.nodes)))
+        case "heal":
+            world.heal()
+        case "reboot":
+            world.crash(vm)
+            world.restart(vm)
+        case fault:
+            getattr(world, fault)(vm)
+
+
+def run(seed: int, steps: int) -> World:
+    """One world through a random schedule, and its recovery."""
+    world = World(seed)
+    mood = Mood.draw(world.random)
+    for _ in range(steps):
+        random_step(world, mood)
+    world.settle()
+    return world
