Prove the ten rules on the cores under random schedules

Cause: the router's rules were asserted and never attacked. Also: curl sends a request again by itself when a kept connection dies, so calls that may not be repeated use a connection of their own (R7).

--- a/ashlatch/adapter/engine.py
+++ b/ashlatch/adapter/engine.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from ashlatch.adapter.bounds import AttemptBounds
 from ashlatch.errors import TransportError
 from ashlatch.http.client import Call, Reply, fetch
 from ashlatch.router.event import (
@@ -65,17 +66,13 @@
         self,
         attempt: StartAttempt,
         prices: Prices,
-        timeout_ms: float,
-        connect_timeout_ms: int,
+        bounds: AttemptBounds,
         on_chunk: Callable[[bytes], None],
-        cancelled: Callable[[], bool],
     ) -> None:
         self._attempt = attempt
         self._prices = prices
-        self._timeout_ms = timeout_ms
-        self._connect_timeout_ms = connect_timeout_ms
+        self._bounds = bounds
         self._on_chunk = on_chunk
-        self._cancelled = cancelled
         self._began_s = time.monotonic()
         self._first_token_ms = 0.0
         self._rest = b""
@@ -115,11 +112,13 @@
             "POST",
             headers,
             json.dumps(body).encode(),
-            self._timeout_ms,
-            self._connect_timeout_ms,
+            self._bounds.timeout_ms,
+            self._bounds.connect_timeout_ms,
             on_body=self._take,
             on_status=self._begin,
-            cancelled=self._cancelled,
+            cancelled=self._bounds.cancelled,
+            before_send=self._bounds.may_send,
+            repeatable=attempt.request.repeatable,
         )
 
     def _begin(self, reply: Reply) -> None:
--- a/ashlatch/adapter/service.py
+++ b/ashlatch/adapter/service.py
@@ -12,8 +12,8 @@
 
 import json
 import time
-from collections.abc import Callable
 
+from ashlatch.adapter.bounds import AttemptBounds
 from ashlatch.errors import TransportError
 from ashlatch.http.client import Call, Reply, fetch
 from ashlatch.router.event import (
@@ -32,11 +32,7 @@
 
 
 def call_service(
-    attempt: StartAttempt,
-    price_microusd: int,
-    timeout_ms: float,
-    connect_timeout_ms: int,
-    cancelled: Callable[[], bool],
+    attempt: StartAttempt, price_microusd: int, bounds: AttemptBounds
 ) -> AttemptResult:
     """Make one attempt at an endpoint of a service."""
     request = attempt.request
@@ -50,9 +46,11 @@
             "Ashlatch-Organisation": request.organisation,
         },
         request.body,
-        timeout_ms,
-        connect_timeout_ms,
-        cancelled=cancelled,
+        bounds.timeout_ms,
+        bounds.connect_timeout_ms,
+        cancelled=bounds.cancelled,
+        before_send=bounds.may_send,
+        repeatable=request.repeatable,
     )
     began_s = time.monotonic()
     try:
--- a/ashlatch/http/client.py
+++ b/ashlatch/http/client.py
@@ -43,7 +43,8 @@
 
     `cancelled` is asked often; when true the connection is closed, which
     tells the other side to stop. `on_status` is called once, before the
-    first piece.
+    first piece. `before_send` is asked when the connection stands and no byte
+    of the request has left; when false none will.
     """
 
     url: str
@@ -55,6 +56,8 @@
     on_body: Callable[[bytes], None] | None = None
     on_status: Callable[["Reply"], None] | None = None
     cancelled: Callable[[], bool] | None = None
+    before_send: Callable[[], bool] | None = None
+    repeatable: bool = True
 
 
 @dataclass
@@ -69,6 +72,7 @@
 class _Transfer:
     def __init__(self, call: Call) -> None:
         self.call = call
+        self.forbidden = False
         self.reply = Reply()
         self.parts: list[bytes] = []
         self.started = False
@@ -93,6 +97,13 @@
         else:
             self.parts.append(data)
 
+    def prerequisite(self, *addresses: object) -> int:
+        assert self.call.before_send is not None
+        self.forbidden = not self.call.before_send()
+        if self.forbidden:
+            return int(pycurl.PREREQFUNC_ABORT)
+        return int(pycurl.PREREQFUNC_OK)
+
     def progress(self, *totals: float) -> int:
         cancelled = self.call.cancelled
         return 1 if cancelled is not None and cancelled() else 0
@@ -113,6 +124,8 @@
         handle.perform()
     except pycurl.error as error:
         code, reason = error.args[0], error.args[1]
+        if transfer.forbidden:
+            raise TransportError(call.url, "not sent any more", False) from error
         if code == pycurl.E_ABORTED_BY_CALLBACK:
             raise Cancelled(call.url, "cancelled", sent=True) from error
         raise TransportError(call.url, reason, _was_sent(handle, code)) from error
@@ -148,6 +161,12 @@
     handle.setopt(pycurl.HTTPHEADER, headers)
     handle.setopt(pycurl.HEADERFUNCTION, transfer.header)
     handle.setopt(pycurl.WRITEFUNCTION, transfer.body)
+    if call.before_send is not None:
+        handle.setopt(pycurl.PREREQFUNCTION, transfer.prerequisite)
+    if not call.repeatable:
+        # On a kept connection that dies, curl sends the request once more.
+        handle.setopt(pycurl.FRESH_CONNECT, 1)
+        handle.setopt(pycurl.FORBID_REUSE, 1)
     if call.cancelled is not None:
         handle.setopt(pycurl.NOPROGRESS, 0)
         handle.setopt(pycurl.XFERINFOFUNCTION, transfer.progress)
--- a/ashlatch/policy/table.py
+++ b/ashlatch/policy/table.py
@@ -66,6 +66,7 @@
     routes: dict[str, Route] = field(default_factory=dict)
     rollouts: tuple[ActiveRollout, ...] = ()
     withdrawn: frozenset[str] = frozenset()
+    leaving: frozenset[str] = frozenset()
 
     def allows(self, organisation: str, version: str) -> bool:
         """Whether the organisation may use the version (R1)."""
@@ -124,6 +125,7 @@
 
     def _build(self) -> RoutingTable:
         organisations = self._all(Organisation)
+        endpoints = self._endpoints()
         return RoutingTable(
             self.revision,
             organisations,
@@ -134,11 +136,14 @@
             },
             self._all(Version),
             self._all(Pool),
-            self._endpoints(),
+            endpoints,
             self._all(Cascade),
             self._all(Route),
             self._rollouts(),
             frozenset(k.name for k in self._resources if k.kind == "withdrawal"),
+            frozenset(
+                e.name for pool in endpoints.values() for e in pool if e.spec.leaving
+            ),
         )
 
     def _all(self, kind: type[K]) -> dict[str, K]:
--- a/ashlatch/router/core.py
+++ b/ashlatch/router/core.py
@@ -26,7 +26,7 @@
 
 HANDLERS = Handlers("router")
 
-CONNECT_MARGIN_MS = 500.0
+SEND_MARGIN_MS = 50.0
 
 
 @dataclass(frozen=True)
@@ -66,12 +66,6 @@
     chunks_given: bool = False
     given: bool = False
 
-    def not_run(self) -> bool | None:
-        """What may be said of whether the request has run."""
-        if self.maybe_ran:
-            return False if self.request.repeatable else None
-        return True if self.history_known else None
-
 
 @dataclass(frozen=True)
 class CachedPin:
@@ -129,22 +123,31 @@
         return now_ms < self.lease_until_ms
 
     def may_send(self, now_ms: float, attempt: StartAttempt) -> bool:
-        """The last check before the first byte of an attempt leaves.
-
-        The lease must still hold for as long as a connection may take.
-        """
-        if now_ms + CONNECT_MARGIN_MS >= self.lease_until_ms:
+        """The last check, asked when an attempt's connection stands."""
+        if now_ms + SEND_MARGIN_MS >= self.lease_until_ms:
             return False
         request = attempt.request
         flight = self.flights.get(request.request_id)
         if flight is None or flight.given or flight.attempt_id != attempt.attempt_id:
             return False
-        if attempt.endpoint in self.planner.leaving:
+        if self.planner.is_leaving(attempt.endpoint):
             return False
         if request.kind is RequestKind.SERVICE:
             return True
         return self.planner.table.usable(request.organisation, attempt.version)
 
+    def not_run(self, flight: Flight) -> bool | None:
+        """What may be said of whether a request has run (R6).
+
+        Once the lease has lapsed, the state may have let another router take
+        a request over that has a key of its own.
+        """
+        if flight.maybe_ran:
+            return False if flight.request.repeatable else None
+        if flight.request.keyed and not self.lease_valid(self.now_ms):
+            return None
+        return True if flight.history_known else None
+
     def assert_allowed(self, flight: Flight) -> None:
         """R1 and R2, asserted at the choice of a version."""
         request = flight.request
--- a/ashlatch/router/daemon.py
+++ b/ashlatch/router/daemon.py
@@ -31,7 +31,7 @@
 from ashlatch.http.problem import Problem, problem_response
 from ashlatch.http.server import HttpServer
 from ashlatch.log import LogEvent, emit
-from ashlatch.policy.table import TableBuilder
+from ashlatch.policy.table import RoutingTable, TableBuilder
 from ashlatch.raft.group import monotonic_ms
 from ashlatch.router.api import (
     BadRequest,
@@ -60,7 +60,7 @@
 from ashlatch.settings import RouterSettings
 from ashlatch.store.protocol import RouterPoll, RouterReply, VersionReport
 
-__all__ = ["RouterDaemon"]
+__all__ = ["RouterDaemon", "configuration_changed"]
 
 log = logging.getLogger("ashlatch.router")
 
@@ -91,6 +91,19 @@
     in_flight: int
 
 
+def configuration_changed(
+    table: RoutingTable, reply: RouterReply
+) -> ConfigurationChanged:
+    """The event for a reply, with what it touches besides the table."""
+    put = [(r.kind, r.name) for r in reply.resources]
+    deleted = [(key.kind, key.name) for key in reply.deleted]
+    return ConfigurationChanged(
+        table,
+        frozenset(name for kind, name in put + deleted if kind == "withdrawal"),
+        frozenset(name for kind, name in put + deleted if kind == "organisation"),
+    )
+
+
 class RouterDaemon:
     """One router. `start` returns once it is ready for callers."""
 
@@ -175,7 +188,7 @@
     def _apply(self, reply: RouterReply, sent_ms: float) -> None:
         if reply.revision != self._builder.revision or not self._ready.is_set():
             table = self._builder.update(reply.revision, reply.resources, reply.deleted)
-            self.host.post(ConfigurationChanged(table))
+            self.host.post(configuration_changed(table, reply))
         self.host.post(LeaseRenewed(sent_ms + reply.lease_ms, reply.routers))
         totals = tuple(
             VersionTotals(t.version, t.answers, t.errors, t.log_latency_sum)
--- a/ashlatch/router/event.py
+++ b/ashlatch/router/event.py
@@ -150,9 +150,15 @@
 
 @dataclass(frozen=True)
 class ConfigurationChanged:
-    """A newer revision is to be applied."""
+    """A newer revision is to be applied.
+
+    `touched_versions` were withdrawn or let back since the last one, and
+    `touched_organisations` changed, perhaps more than once.
+    """
 
     table: RoutingTable
+    touched_versions: frozenset[str] = frozenset()
+    touched_organisations: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
@@ -322,7 +328,7 @@
 class StartAttempt:
     """Send the request to an endpoint; answered by `AttemptEnded`.
 
-    Right before the send the host asks the core's `may_send` once more.
+    Right before the first byte the host asks the core's `may_send` once more.
     """
 
     request: Request
--- a/ashlatch/router/flow.py
+++ b/ashlatch/router/flow.py
@@ -128,7 +128,7 @@
 def _refusal(core: RouterCore, flight: Flight) -> Problem | None:
     """Why a request is refused before anything is done for it."""
     request = flight.request
-    not_run = flight.not_run()
+    not_run = core.not_run(flight)
     if core.draining:
         return Problem(problems.DRAINING, "", not_run, DRAIN_RETRY_MS)
     if not core.lease_valid(core.now_ms):
@@ -163,7 +163,7 @@
         if flight.request.keyed and plan.allowed:
             _claim(core, flight, _any_version(core, flight.request))
             return
-        _give_problem(core, flight, _no_plan_problem(flight, plan))
+        _give_problem(core, flight, _no_plan_problem(core, flight, plan))
         return
     flight.version = plan.version
     if _needs_claim(core, flight.request, version):
@@ -185,12 +185,12 @@
     return core.planner.plan_chat(request, core.now_ms, flight.tried, version)
 
 
-def _no_plan_problem(flight: Flight, plan: NoPlan) -> Problem:
+def _no_plan_problem(core: RouterCore, flight: Flight, plan: NoPlan) -> Problem:
     detail = ",".join(str(exclusion) for exclusion in plan.excluded)
     if not plan.allowed:
-        return Problem(problems.NOT_ALLOWED, detail, flight.not_run())
+        return Problem(problems.NOT_ALLOWED, detail, core.not_run(flight))
     kind = problems.OVERLOADED if plan.too_late else problems.NO_ENDPOINT
-    return Problem(kind, detail, flight.not_run(), plan.retry_ms)
+    return Problem(kind, detail, core.not_run(flight), plan.retry_ms)
 
 
 # Sessions and claims.
@@ -239,7 +239,7 @@
 def _begin_again(core: RouterCore, flight: Flight) -> None:
     if not core.lease_valid(core.now_ms):
         problem = Problem(
-            problems.NO_CONFIGURATION, "", flight.not_run(), NO_STATE_RETRY_MS
+            problems.NO_CONFIGURATION, "", core.not_run(flight), NO_STATE_RETRY_MS
         )
         _give_problem(core, flight, problem)
         return
@@ -276,7 +276,7 @@
             _give_problem(core, flight, Problem(problems.OUTCOME_UNKNOWN, detail, None))
         case _:
             problem = Problem(
-                problems.STATE_UNAVAILABLE, "", flight.not_run(), NO_STATE_RETRY_MS
+                problems.STATE_UNAVAILABLE, "", core.not_run(flight), NO_STATE_RETRY_MS
             )
             _give_problem(core, flight, problem)
             core.effects.append(ProposeClaim(event.request_id, event.claim))
@@ -297,7 +297,7 @@
         core.pins[(request.organisation, request.session)] = pin
     plan = _plan(core, flight, granted.version)
     if isinstance(plan, NoPlan):
-        _give_problem(core, flight, _no_plan_problem(flight, plan))
+        _give_problem(core, flight, _no_plan_problem(core, flight, plan))
         return
     flight.version = plan.version
     _start(core, flight, plan)
@@ -441,7 +441,7 @@
             return
         reason = f"{reason}; retry budget spent"
     retry_ms = plan.retry_ms if isinstance(plan, NoPlan) else NO_STATE_RETRY_MS
-    problem = Problem(kind, reason, flight.not_run(), max(retry_ms, 100.0))
+    problem = Problem(kind, reason, core.not_run(flight), max(retry_ms, 100.0))
     _give_problem(core, flight, problem)
 
 
@@ -515,7 +515,9 @@
     if flight.attempt_id and not flight.recording:
         # Cancelled in flight: what was sent by now is not known here.
         flight.maybe_ran = True
-    problem = Problem(problems.DEADLINE_PASSED, "", flight.not_run(), NO_STATE_RETRY_MS)
+    problem = Problem(
+        problems.DEADLINE_PASSED, "", core.not_run(flight), NO_STATE_RETRY_MS
+    )
     _give_problem(core, flight, problem)
 
 
@@ -527,7 +529,7 @@
     if not _disposable(flight.request):
         return
     flight.maybe_ran = bool(flight.attempt_id)
-    problem = Problem(problems.DEADLINE_PASSED, "the caller left", flight.not_run())
+    problem = Problem(problems.DEADLINE_PASSED, "the caller left", core.not_run(flight))
     _give_problem(core, flight, problem)
 
 
--- a/ashlatch/router/host.py
+++ b/ashlatch/router/host.py
@@ -18,6 +18,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from ashlatch.adapter.bounds import AttemptBounds
 from ashlatch.adapter.engine import EngineCall, Prices
 from ashlatch.adapter.service import call_service
 from ashlatch.client import StateClient
@@ -207,19 +208,19 @@
 
     def attempt(self, effect: StartAttempt) -> None:
         """Run one attempt on this thread."""
-        with self._lock:
-            may_send = self.core.may_send(monotonic_ms(), effect)
-        result: AttemptResult
-        if effect.attempt_id in self._cancelled or not may_send:
-            result = NotSent("the configuration has changed")
-        else:
-            result = self._call(effect)
+        result = self._call(effect)
         self._cancelled.discard(effect.attempt_id)
         request = effect.request
         if isinstance(result, Answered) and request.kind is RequestKind.CHAT:
             self.answered(request, effect.version, result)
         self.post(AttemptEnded(request.request_id, effect.attempt_id, result))
 
+    def _may_send(self, effect: StartAttempt) -> bool:
+        if effect.attempt_id in self._cancelled:
+            return False
+        with self._lock:
+            return self.core.may_send(monotonic_ms(), effect)
+
     def _call(self, effect: StartAttempt) -> AttemptResult:
         request = effect.request
         disposable = request.repeatable and not request.keyed
@@ -227,30 +228,23 @@
         timeout_ms = left_ms if disposable else self.settings.deadline_max_ms
         if timeout_ms <= 0:
             return NotSent("the deadline has passed")
+        bounds = AttemptBounds(
+            timeout_ms,
+            self.settings.connect_timeout_ms,
+            lambda: self._may_send(effect),
+            lambda: effect.attempt_id in self._cancelled,
+        )
         table = self.core.planner.table
-
-        def cancelled() -> bool:
-            return effect.attempt_id in self._cancelled
-
         if request.kind is RequestKind.SERVICE:
             price = table.pools[request.target].price_microusd_per_call
-            return call_service(
-                effect, price, timeout_ms, self.settings.connect_timeout_ms, cancelled
-            )
+            return call_service(effect, price, bounds)
         version = table.versions[effect.version]
         prices = Prices(
             version.input_price_microusd_per_ktoken,
             version.output_price_microusd_per_ktoken,
         )
         forwarder = _Forwarder(self, effect)
-        call = EngineCall(
-            effect,
-            prices,
-            timeout_ms,
-            self.settings.connect_timeout_ms,
-            forwarder.forward,
-            cancelled,
-        )
+        call = EngineCall(effect, prices, bounds, forwarder.forward)
         try:
             return call.run()
         except ValueError as error:
--- a/ashlatch/router/knowledge.py
+++ b/ashlatch/router/knowledge.py
@@ -59,6 +59,12 @@
     if table.revision < core.table_revision:
         raise InvariantViolated("R10", f"{table.revision} < {core.table_revision}")
     core.planner.apply(table)
+    # The ledger may have given such a session another version meanwhile.
+    for key, pin in list(core.pins.items()):
+        organisation, _ = key
+        touched = organisation in event.touched_organisations
+        if touched or pin.version in event.touched_versions:
+            del core.pins[key]
     for version in [v for v in core.planner.detectors if v not in table.versions]:
         del core.planner.detectors[version]
     applied = ConfigurationApplied(
@@ -74,6 +80,10 @@
 
 @HANDLERS.on(LeaseRenewed)
 def _lease_renewed(core: RouterCore, event: LeaseRenewed) -> None:
+    if not core.lease_valid(core.now_ms):
+        # Meanwhile others may have taken over what this router had claimed.
+        for flight in core.flights.values():
+            flight.history_known &= not flight.request.keyed
     core.lease_until_ms = max(core.lease_until_ms, event.until_ms)
     core.limits.router_share = 1.0 / max(1, event.routers)
 
--- a/ashlatch/router/plan.py
+++ b/ashlatch/router/plan.py
@@ -127,6 +127,10 @@
             for pool, endpoints in table.endpoints.items()
         }
 
+    def is_leaving(self, endpoint: str) -> bool:
+        """Whether an endpoint gets no new work, by any source (R8)."""
+        return endpoint in self.leaving or endpoint in self.table.leaving
+
     def load(self, endpoint: str) -> EndpointLoad:
         """What is known of an endpoint's load."""
         return self.loads.setdefault(endpoint, EndpointLoad())
@@ -302,7 +306,7 @@
         load = self.load(name)
         if version and not load.serves(version):
             return WhyOut.NOT_LOADED
-        if endpoint.spec.leaving or name in self.leaving:
+        if self.is_leaving(name):
             return WhyOut.LEAVING
         if name in tried:
             return WhyOut.TRIED
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -13,8 +13,10 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-GROUP = ("-m", "tests.soak", "--only", "group", "--seed", "1", "--steps", "300000")
+GROUP = ("-m", "tests.soak", "--only", "group", "--seed", "1", "--steps", "600000")
 TRAFFIC = ("-m", "tests.soak", "--only", "traffic", "--seed", "1", "--steps", "120000")
+RAFT = ("-m", "pytest", "-x", "tests/test_raft.py")
+ROUTER = ("-m", "pytest", "-x", "tests/test_router.py")
 LIMIT_S = 180.0
 SHOWN_LINES = 3
 
@@ -36,21 +38,21 @@
         "ashlatch/raft/election.py",
         "    return core.leading or heard_for_ms < core.config.election_min_ms",
         "    return core.leading",
-        GROUP,
+        RAFT,
     ),
     Mutant(
         "vote-right-after-restart",
         "ashlatch/raft/core.py",
         "        self.leader_heard_ms = self.now_ms\n",
         '        self.leader_heard_ms = float("-inf")\n',
-        GROUP,
+        RAFT,
     ),
     Mutant(
         "vote-before-sync",
         "ashlatch/raft/election.py",
         "    core.send(core.peer(request.sender), reply, after_sync=True)",
         "    core.send(core.peer(request.sender), reply, after_sync=False)",
-        GROUP,
+        RAFT,
     ),
     Mutant(
         "append-reply-before-sync",
@@ -64,7 +66,7 @@
         "ashlatch/raft/replication.py",
         "        return core.synced_index\n",
         "        return core.log.last_index\n",
-        GROUP,
+        RAFT,
     ),
     Mutant(
         "vote-for-older-log",
@@ -86,7 +88,7 @@
         "ashlatch/raft/membership.py",
         "    return recent and progress.match_index >= core.commit_index",
         "    return True",
-        GROUP,
+        RAFT,
     ),
     Mutant(
         "snapshot-parts-mixed",
@@ -102,6 +104,80 @@
         "",
         GROUP,
     ),
+    Mutant(
+        "no-check-of-version-at-send",
+        "ashlatch/router/core.py",
+        "table.usable(request.organisation, attempt.version)",
+        "table.allows(request.organisation, attempt.version) or True",
+        TRAFFIC,
+    ),
+    Mutant(
+        "no-check-of-lease-at-send",
+        "ashlatch/router/core.py",
+        "        if now_ms + SEND_MARGIN_MS >= self.lease_until_ms:\n"
+        "            return False\n",
+        "",
+        TRAFFIC,
+    ),
+    Mutant(
+        "no-check-of-leaving-at-send",
+        "ashlatch/router/core.py",
+        "        if self.planner.is_leaving(attempt.endpoint):\n"
+        "            return False\n",
+        "",
+        TRAFFIC,
+    ),
+    Mutant(
+        "pin-moves-freely",
+        "ashlatch/store/ledger.py",
+        "        version = pin.version if pin is not None and kept else candidate",
+        "        version = candidate",
+        TRAFFIC,
+    ),
+    Mutant(
+        "cached-pin-outlives-change",
+        "ashlatch/router/knowledge.py",
+        "            del core.pins[key]\n",
+        "            pass\n",
+        ROUTER,
+    ),
+    Mutant(
+        "second-answer-taken",
+        "ashlatch/store/ledger.py",
+        "        if record.state is RequestState.ANSWERED:\n"
+        "            return AnswerRecorded(record.version, record.answer)\n",
+        "",
+        TRAFFIC,
+    ),
+    Mutant(
+        "unrepeatable-reopened",
+        "ashlatch/store/ledger.py",
+        "        repeat = not_run or record.repeatable\n",
+        "        repeat = True\n",
+        TRAFFIC,
+    ),
+    Mutant(
+        "not-run-after-lapse",
+        "ashlatch/router/core.py",
+        "        if flight.request.keyed and not self.lease_valid(self.now_ms):\n"
+        "            return None\n",
+        "",
+        ROUTER,
+    ),
+    Mutant(
+        "not-run-after-break",
+        "ashlatch/router/flow.py",
+        "        case Broken():\n            flight.maybe_ran = True\n",
+        "        case Broken():\n",
+        TRAFFIC,
+    ),
+    Mutant(
+        "retry-of-unrepeatable",
+        "ashlatch/router/flow.py",
+        "    if not flight.request.repeatable:\n        detail = f",
+        "    if False:\n        detail = f",
+        TRAFFIC,
+    ),
 )
 
 
@@ -111,6 +187,7 @@
         copy = Path(folder)
         for part in ("ashlatch", "tests", "examples"):
             shutil.copytree(ROOT / part, copy / part)
+        shutil.copy(ROOT / "pyproject.toml", copy)
         path = copy / mutant.path
         text = path.read_text()
         if text.count(mutant.guard) != 1:
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -23,7 +23,6 @@
     Flush,
     InstallSnapshot,
     LeadershipChanged,
-    ProposalRefused,
     Propose,
     Proposed,
     Received,
@@ -55,7 +54,7 @@
 
 DRIFT = 0.02
 SNAPSHOT_EVERY = 25
-MAX_IN_FLIGHT = 400
+IN_FLIGHT_MAX = 400
 
 
 class CheckFailed(AssertionError):
@@ -143,6 +142,7 @@
         self.folders = 0
         self.acks = 0
         self.lost_disks = 0
+        self.in_flight_max = IN_FLIGHT_MAX
         members = Members(
             tuple(Member(f"vm{i}.0", f"vm{i}", f"vm{i}") for i in range(voters))
         )
@@ -211,6 +211,10 @@
         node.unsynced = []
         node.waiting = {}
 
+    def reboot(self, vm: str) -> None:
+        self.crash(vm)
+        self.restart(vm)
+
     def restart(self, vm: str) -> None:
         if self.nodes[vm].core is None:
             self.start(self.nodes[vm])
@@ -370,26 +374,26 @@
             case SaveVote() | AppendLog() | SaveSnapshot():
                 node.unsynced.append(effect)
             case Apply(entries):
-                for entry in entries:
-                    self.apply(node, entry)
-                self.snapshot_if_due(node)
+                self.apply_all(node, entries)
             case InstallSnapshot(meta, data):
                 node.machine.restore(data)
                 node.applied = meta.index
             case Proposed(ticket, index, term):
                 node.waiting[index] = (ticket, term)
-            case LeadershipChanged(_, leading, _):
-                if not leading:
-                    node.waiting = {}
-            case ProposalRefused():
-                pass
+            case LeadershipChanged(_, False, _):
+                node.waiting = {}
 
     def post(self, node: Node, send: Send) -> None:
-        if len(self.network) >= MAX_IN_FLIGHT:
+        if len(self.network) >= self.in_flight_max:
             self.network.pop(self.random.randrange(len(self.network)))
         item = (node.disk.member_id, send.to.member_id, send.message)
         self.network.append(item)
 
+    def apply_all(self, node: Node, entries: tuple[Entry, ...]) -> None:
+        for entry in entries:
+            self.apply(node, entry)
+        self.snapshot_if_due(node)
+
     def apply(self, node: Node, entry: Entry) -> None:
         if entry.index != node.applied + 1:
             raise CheckFailed(f"{node.vm} applies {entry.index} after {node.applied}")
@@ -460,6 +464,7 @@
     actions: tuple[str, ...]
     weights: tuple[float, ...]
     times_ms: tuple[float, ...]
+    in_flight_max: int
 
     @classmethod
     def draw(cls, generator: random.Random) -> "Mood":
@@ -468,7 +473,7 @@
         times_ms = generator.choice(
             ((1.0, 10.0, 40.0, 120.0), (20.0,), (40.0, 100.0, 700.0))
         )
-        return cls(names, weights, times_ms)
+        return cls(names, weights, times_ms, generator.choice((8, 30, IN_FLIGHT_MAX)))
 
 
 ACTIONS = {
@@ -494,37 +499,28 @@
     """One step of a random schedule."""
     pick = world.random
     vm = pick.choice(list(world.nodes))
-    match pick.choices(mood.actions, mood.weights)[0]:
-        case "calm_round":
-            world.calm_round()
-        case "pass_time":
-            world.pass_time(pick.choice(mood.times_ms))
-        case "deliver":
-            world.deliver(pick.getrandbits(16))
-        case "deliver_twice":
-            world.deliver(pick.getrandbits(16), keep=True)
-        case "sync":
-            world.sync(vm)
-        case "propose":
-            again = pick.random() < 0.3
-            world.propose_any(world.likely_leader(vm), again)
-        case "drop":
-            world.drop(pick.getrandbits(16))
-        case "cut":
-            world.cut_link(vm, pick.choice(list(world.nodes)))
-        case "heal":
-            world.heal()
-        case "reboot":
-            world.crash(vm)
-            world.restart(vm)
-        case fault:
-            getattr(world, fault)(vm)
+    action = pick.choices(mood.actions, mood.weights)[0]
+    if action in ("deliver", "deliver_twice"):
+        world.deliver(pick.getrandbits(16), keep=action == "deliver_twice")
+    elif action == "pass_time":
+        world.pass_time(pick.choice(mood.times_ms))
+    elif action == "propose":
+        world.propose_any(world.likely_leader(vm), again=pick.random() < 0.3)
+    elif action == "drop":
+        world.drop(pick.getrandbits(16))
+    elif action == "cut":
+        world.cut_link(vm, pick.choice(list(world.nodes)))
+    elif action in ("calm_round", "heal"):
+        getattr(world, action)()
+    else:
+        getattr(world, action)(vm)
 
 
 def run(seed: int, steps: int) -> World:
     """One world through a random schedule, and its recovery."""
     world = World(seed)
     mood = Mood.draw(world.random)
+    world.in_flight_max = mood.in_flight_max
     for _ in range(steps):
         random_step(world, mood)
     world.settle()
--- /dev/null
+++ b/tests/test_raft.py
@@ -0,0 +1,237 @@
+"""Directed tests of ashlatch.raft: each guard of the protocol, alone."""
+
+import testtools
+
+from ashlatch.raft import election
+from ashlatch.raft.core import RaftConfig, RaftCore, Role
+from ashlatch.raft.effect import (
+    AddLearner,
+    AppendLog,
+    Apply,
+    Boot,
+    Effect,
+    Event,
+    Propose,
+    Received,
+    SaveVote,
+    Send,
+    Synced,
+    Tick,
+)
+from ashlatch.raft.message import (
+    AppendReply,
+    AppendRequest,
+    Entry,
+    Member,
+    Members,
+    SnapshotMeta,
+    VoteReply,
+    VoteRequest,
+)
+
+_HANDLERS_OF = (election,)
+
+A, B, C = (Member(name, name, name) for name in "abc")
+D = Member("d", "d", "d")
+THREE = Members((A, B, C))
+START_MS = 1000.0
+QUIET_MS = 700.0
+
+
+def core(member: Member = A, members: Members = THREE) -> RaftCore:
+    boot = Boot(member.member_id, snapshot=SnapshotMeta(0, 0, members))
+    return RaftCore(RaftConfig(), boot, START_MS)
+
+
+def heartbeat(term: int, previous: int = 0, previous_term: int = 0) -> Received:
+    return Received(
+        AppendRequest(0, "b", term, previous, previous_term, 0, START_MS, ())
+    )
+
+
+def ask(term: int, pre: bool, sender: str = "c") -> Received:
+    return Received(VoteRequest(0, sender, term, 0, 0, pre))
+
+
+def replies(effects: list[Effect]) -> list[VoteReply]:
+    sends = [e.message for e in effects if isinstance(e, Send)]
+    return [m for m in sends if isinstance(m, VoteReply)]
+
+
+def elect(member: RaftCore, now_ms: float) -> float:
+    """Make the member the leader of the three, by b's votes."""
+    now_ms += 2000.0
+    member.step(now_ms, Tick())
+    member.step(now_ms, Received(VoteReply(0, "b", member.term + 1, True, True)))
+    member.step(now_ms, Received(VoteReply(0, "b", member.term, True, False)))
+    assert member.role is Role.LEADER
+    return now_ms
+
+
+def acknowledge(
+    member: RaftCore, now_ms: float, sender: str, index: int, sent_ms: float = -1.0
+) -> list[Effect]:
+    sent_ms = now_ms if sent_ms < 0 else sent_ms
+    reply = AppendReply(0, sender, member.term, True, index, sent_ms)
+    return member.step(now_ms, Received(reply))
+
+
+class VotingTest(testtools.TestCase):
+    def test_no_vote_while_a_leader_is_heard(self) -> None:
+        member = core()
+        member.step(START_MS + QUIET_MS, heartbeat(1))
+        later = START_MS + QUIET_MS + 500.0
+        for pre in (True, False):
+            (reply,) = replies(member.step(later, ask(2, pre)))
+            self.assertFalse(reply.granted)
+        self.assertEqual(1, member.term)
+        (reply,) = replies(member.step(later + QUIET_MS, ask(2, True)))
+        self.assertTrue(reply.granted)
+
+    def test_no_vote_right_after_a_start(self) -> None:
+        """It may have acknowledged a leader just before."""
+        member = core()
+        (reply,) = replies(member.step(START_MS + 100.0, ask(1, False)))
+        self.assertFalse(reply.granted)
+
+    def test_one_vote_a_term(self) -> None:
+        member = core()
+        now_ms = START_MS + QUIET_MS
+        (first,) = replies(member.step(now_ms, ask(1, False, "b")))
+        (second,) = replies(member.step(now_ms, ask(1, False, "c")))
+        self.assertEqual([True, False], [first.granted, second.granted])
+
+    def test_a_vote_waits_for_the_disk(self) -> None:
+        member = core()
+        effects = member.step(START_MS + QUIET_MS, ask(1, False))
+        kinds = [type(effect) for effect in effects]
+        self.assertLess(kinds.index(SaveVote), kinds.index(Send))
+        sends = [e for e in effects if isinstance(e, Send)]
+        self.assertTrue(all(send.after_sync for send in sends))
+
+    def test_a_candidates_own_vote_waits_for_the_disk(self) -> None:
+        member = core()
+        now_ms = START_MS + 2000.0
+        member.step(now_ms, Tick())
+        granted = Received(VoteReply(0, "b", 1, True, True))
+        effects = member.step(now_ms, granted)
+        asked = [e for e in effects if isinstance(e, Send)]
+        self.assertEqual(2, len(asked))
+        self.assertTrue(all(send.after_sync for send in asked))
+
+    def test_a_cut_off_member_does_not_raise_the_term(self) -> None:
+        member = core()
+        for step in range(20):
+            member.step(START_MS + 2000.0 * step, Tick())
+        self.assertEqual(0, member.term)
+
+    def test_an_old_term_is_left_when_a_voter_is_ahead(self) -> None:
+        member = core()
+        now_ms = START_MS + 2000.0
+        member.step(now_ms, Tick())
+        member.step(now_ms, Received(VoteReply(0, "b", 1, False, True, 7)))
+        self.assertEqual(7, member.term)
+
+
+class CommitTest(testtools.TestCase):
+    def test_the_leaders_own_disk_counts_only_when_synced(self) -> None:
+        member = core()
+        now_ms = elect(member, START_MS)
+        effects = acknowledge(member, now_ms, "b", 1)
+        self.assertEqual([], [e for e in effects if isinstance(e, Apply)])
+        effects = member.step(now_ms, Synced(1, member.term))
+        self.assertEqual(1, len([e for e in effects if isinstance(e, Apply)]))
+
+    def test_a_reply_waits_for_the_disk(self) -> None:
+        member = core()
+        entries = (Entry(1, 1, b"x"),)
+        request = AppendRequest(0, "b", 1, 0, 0, 0, START_MS, entries)
+        effects = member.step(START_MS, Received(request))
+        kinds = [type(effect) for effect in effects]
+        self.assertIn(AppendLog, kinds)
+        (send,) = [e for e in effects if isinstance(e, Send)]
+        self.assertTrue(send.after_sync)
+
+    def test_an_earlier_terms_entry_is_not_committed_by_counting(self) -> None:
+        boot = Boot("a", 1, "", SnapshotMeta(0, 0, THREE), b"", (Entry(1, 1, b"x"),))
+        member = RaftCore(RaftConfig(), boot, START_MS)
+        now_ms = elect(member, START_MS)
+        acknowledge(member, now_ms, "b", 1)
+        self.assertEqual(0, member.commit_index)
+        member.step(now_ms, Synced(2, member.term))
+        acknowledge(member, now_ms, "b", 2)
+        self.assertEqual(2, member.commit_index)
+
+
+class LeaseTest(testtools.TestCase):
+    def leader(self) -> tuple[RaftCore, float]:
+        member = core()
+        now_ms = elect(member, START_MS)
+        member.step(now_ms, Synced(1, member.term))
+        acknowledge(member, now_ms, "b", 1)
+        return member, now_ms
+
+    def test_a_leader_reads_until_its_voters_may_vote_again(self) -> None:
+        member, now_ms = self.leader()
+        self.assertTrue(member.may_read(now_ms + 500.0))
+        self.assertFalse(member.may_read(now_ms + 580.0))
+
+    def test_the_lease_counts_from_the_sending(self) -> None:
+        member, now_ms = self.leader()
+        acknowledge(member, now_ms + 400.0, "b", 1, sent_ms=now_ms + 100.0)
+        self.assertTrue(member.may_read(now_ms + 600.0))
+        self.assertFalse(member.may_read(now_ms + 700.0))
+
+    def test_a_leader_without_a_quorum_steps_down(self) -> None:
+        member, now_ms = self.leader()
+        member.step(now_ms + 2000.0, Tick())
+        self.assertFalse(member.leading)
+
+
+class MembersTest(testtools.TestCase):
+    def leader(self) -> tuple[RaftCore, float]:
+        member = core()
+        now_ms = elect(member, START_MS)
+        member.step(now_ms, Synced(1, member.term))
+        acknowledge(member, now_ms, "b", 1)
+        return member, now_ms
+
+    def test_a_learner_votes_only_when_caught_up(self) -> None:
+        member, now_ms = self.leader()
+        member.step(now_ms, AddLearner(D))
+        member.step(now_ms, Synced(2, member.term))
+        acknowledge(member, now_ms, "b", 2)
+        member.step(now_ms, Tick())
+        self.assertEqual((D,), member.members.learners)
+        acknowledge(member, now_ms, "d", 2)
+        member.step(now_ms, Tick())
+        self.assertIn(D, member.members.voters)
+
+    def test_one_change_at_a_time(self) -> None:
+        member, now_ms = self.leader()
+        member.step(now_ms, AddLearner(D))
+        other = Member("e", "e", "e")
+        member.step(now_ms, AddLearner(other))
+        self.assertEqual((D,), member.members.learners)
+
+    def test_no_change_before_an_entry_of_the_own_term(self) -> None:
+        member = core()
+        now_ms = elect(member, START_MS)
+        member.step(now_ms, AddLearner(D))
+        self.assertEqual((), member.members.learners)
+
+    def test_the_replaced_member_goes_when_the_new_one_votes(self) -> None:
+        member, now_ms = self.leader()
+        fresh = Member("c2", "c", "c")
+        member.step(now_ms, AddLearner(fresh))
+        for index in (2, 3, 4):
+            member.step(now_ms, Synced(index, member.term))
+            for voter in ("b", "c2"):
+                acknowledge(member, now_ms, voter, index)
+            member.step(now_ms, Tick())
+        self.assertEqual({"a", "b", "c2"}, set(member.members.voter_ids()))
+
+    def test_proposals_are_refused_by_followers(self) -> None:
+        event: Event = Propose(1, b"x")
+        effects = core().step(START_MS, event)
+        self.assertEqual(1, len(effects))
--- a/tests/test_resources.py
+++ b/tests/test_resources.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from ashlatch.errors import UnknownName
+from ashlatch.errors import FieldError, UnknownName
 from ashlatch.resources import InvalidResource, canonical, parse
 
 
@@ -10,7 +10,7 @@
     def test_errors_name_the_field_the_value_and_the_rule(self) -> None:
         spec = b'{"model": "m", "input_price_microusd_per_ktoken": -1}'
         group = self.assertRaises(InvalidResource, parse, "version", spec)
-        fields = {error.field for error in group.exceptions}
+        fields = {e.field for e in group.exceptions if isinstance(e, FieldError)}
         self.assertEqual(
             {"input_price_microusd_per_ktoken", "output_price_microusd_per_ktoken"},
             fields,
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,302 @@
+"""Directed tests of ashlatch.router's core."""
+
+import dataclasses
+import json
+from typing import Any
+
+import testtools
+
+from ashlatch.policy.load import LoadReport
+from ashlatch.policy.table import RoutingTable, TableBuilder
+from ashlatch.resources import canonical, parse
+from ashlatch.router import flow, knowledge
+from ashlatch.router.core import RouterConfig, RouterCore
+from ashlatch.router.event import (
+    Answered,
+    AnswerRecordEnded,
+    AttemptEnded,
+    Broken,
+    ClaimEnded,
+    ConfigurationChanged,
+    DeadlinePassed,
+    DrainStarted,
+    Effect,
+    FirstChunk,
+    Full,
+    GiveAnswer,
+    GiveProblem,
+    LeaseRenewed,
+    LoadReported,
+    NotSent,
+    ProposeAnswer,
+    ProposeClaim,
+    ProposeClose,
+    Request,
+    RequestArrived,
+    RequestKind,
+    StartAttempt,
+)
+from ashlatch.store.command import (
+    AnswerAccepted,
+    ClaimGranted,
+    Resource,
+    StoredAnswer,
+    Usage,
+)
+
+_HANDLERS_OF = (flow, knowledge)
+
+NOW_MS = 1000.0
+ANSWER = Answered(StoredAnswer(200, "text/plain", b"yes"), Usage(1, 2, 3), 50.0, 5.0)
+
+
+def table(revision: int = 10, **specs: dict[str, Any]) -> RoutingTable:
+    """A table of two versions on two endpoints; `kind__name` adds or replaces."""
+    price = {
+        "input_price_microusd_per_ktoken": 1,
+        "output_price_microusd_per_ktoken": 1,
+    }
+    endpoint = {"pool": "lm", "url": "http://e", "vm": "e", "hall": "logan"}
+    every: dict[str, dict[str, Any]] = {
+        "model__m": {},
+        "version__v1": {"model": "m", "quality_prior": 0.6, **price},
+        "version__v2": {"model": "m", "quality_prior": 0.9, **price},
+        "pool__lm": {},
+        "pool__orders": {"serves": "service", "repeatable": False},
+        "endpoint__e1": endpoint,
+        "endpoint__e2": endpoint,
+        "endpoint__s1": {**endpoint, "pool": "orders"},
+        "cascade__c": {"rungs": ["v1", "v2"]},
+        "route__ask": {"cascade": "c", "quality_target": 0.5},
+        "organisation__org": {
+            "allowed_models": ["m"],
+            "allowed_services": ["orders"],
+            "burst_requests": 10_000.0,
+        },
+        **specs,
+    }
+    resources = []
+    for number, (key, spec) in enumerate(every.items(), 1):
+        kind, name = key.split("__")
+        parsed = parse(kind, json.dumps(spec).encode())
+        resources.append(Resource(kind, name, number, canonical(parsed)))
+    return TableBuilder().update(revision, tuple(resources), ())
+
+
+def request(**changed: Any) -> Request:
+    plain = Request(
+        request_id="q1",
+        kind=RequestKind.CHAT,
+        organisation="org",
+        target="ask",
+        key="k1",
+        keyed=False,
+        repeatable=True,
+        stream=False,
+        session="",
+        deadline_ms=NOW_MS + 10_000.0,
+        arrived_wall_ms=0,
+        method="POST",
+        path="/",
+        content_type="",
+        body=b"",
+        body_digest="d",
+        prefix="",
+        input_tokens=1,
+        output_tokens_max=10,
+    )
+    return dataclasses.replace(plain, **changed)
+
+
+ORDER = {"kind": RequestKind.SERVICE, "target": "orders", "repeatable": False}
+
+
+class RouterTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.core = RouterCore(RouterConfig("r/1", "r", "logan"))
+        self.step(ConfigurationChanged(table()))
+        self.step(LeaseRenewed(NOW_MS + 60_000.0, 1))
+        self.report()
+
+    def report(self, at_ms: float = NOW_MS, *queued: int) -> None:
+        counts = queued or (0, 0)
+        reports = tuple(
+            LoadReport(name, at_ms, 0, waiting, 4, frozenset(("v1", "v2")))
+            for name, waiting in zip(("e1", "e2"), counts, strict=True)
+        )
+        self.step(LoadReported("lm", reports, frozenset()))
+
+    def step(self, event: Any, now_ms: float = NOW_MS) -> list[Effect]:
+        return self.core.step(now_ms, event)
+
+    def arrive(self, **changed: Any) -> list[Effect]:
+        return self.step(RequestArrived(request(**changed)))
+
+    def one(self, effects: list[Effect], kind: type) -> Any:
+        (found,) = [effect for effect in effects if isinstance(effect, kind)]
+        return found
+
+    def end(self, attempt: StartAttempt, result: Any) -> list[Effect]:
+        request_id = attempt.request.request_id
+        return self.step(AttemptEnded(request_id, attempt.attempt_id, result))
+
+    def claim_granted(self, effects: list[Effect], version: str = "") -> list[Effect]:
+        claim = self.one(effects, ProposeClaim).claim
+        granted = ClaimGranted(1, version or claim.candidate.version)
+        return self.step(ClaimEnded("q1", claim, granted))
+
+    def problem(self, effects: list[Effect]) -> Any:
+        return self.one(effects, GiveProblem).problem
+
+
+class AdmissionTest(RouterTest):
+    def test_without_a_lease_nothing_is_taken(self) -> None:
+        later = NOW_MS + 60_000.0
+        problem = self.problem(self.step(RequestArrived(request()), later))
+        self.assertEqual("no_configuration", problem.kind.name)
+        self.assertIs(True, problem.not_run)
+
+    def test_an_early_no_to_a_keyed_request_does_not_say_not_run(self) -> None:
+        """It may have run under its key before."""
+        self.step(DrainStarted())
+        self.assertIsNone(self.problem(self.arrive(keyed=True)).not_run)
+        self.assertIs(True, self.problem(self.arrive(keyed=False)).not_run)
+
+    def test_a_withdrawn_version_is_not_chosen(self) -> None:
+        self.step(ConfigurationChanged(table(11, withdrawal__v1={})))
+        for number in range(50):
+            effects = self.arrive(request_id=f"q{number}")
+            self.assertEqual("v2", self.one(effects, StartAttempt).version)
+
+    def test_a_version_withdrawn_before_the_send_is_not_sent(self) -> None:
+        attempt = self.one(self.arrive(), StartAttempt)
+        self.assertTrue(self.core.may_send(NOW_MS, attempt))
+        changed = {f"withdrawal__{attempt.version}": dict[str, Any]()}
+        self.step(ConfigurationChanged(table(11, **changed)))
+        self.assertFalse(self.core.may_send(NOW_MS, attempt))
+
+    def test_what_would_come_too_late_is_refused_at_once(self) -> None:
+        self.report(NOW_MS + 1, 400, 400)
+        effects = self.arrive(deadline_ms=NOW_MS + 2000.0)
+        problem = self.problem(effects)
+        self.assertEqual("overloaded", problem.kind.name)
+        self.assertIs(True, problem.not_run)
+        self.assertGreater(problem.retry_ms, 10_000.0)
+
+    def test_a_small_organisation_gets_its_share_under_shortage(self) -> None:
+        both = table(
+            11,
+            organisation__small={"allowed_models": ["m"]},
+            organisation__org={"allowed_models": ["m"], "share_weight": 1.0},
+        )
+        self.step(ConfigurationChanged(both))
+        served = []
+        for number in range(60):
+            effects = self.arrive(request_id=f"big{number}")
+            served += [e for e in effects if isinstance(e, StartAttempt)]
+        effects = self.arrive(request_id="small", organisation="small")
+        self.one(effects, StartAttempt)
+        refused = self.arrive(request_id="more")
+        self.assertEqual("fair_share", self.problem(refused).kind.name)
+
+    def test_the_rate_of_an_organisation_is_kept(self) -> None:
+        slow = {"allowed_models": ["m"], "rate_per_s": 10.0, "burst_requests": 1.0}
+        self.step(ConfigurationChanged(table(11, organisation__org=slow)))
+        self.one(self.arrive(request_id="first"), StartAttempt)
+        problem = self.problem(self.arrive(request_id="second"))
+        self.assertEqual("rate_limited", problem.kind.name)
+        self.assertAlmostEqual(100.0, problem.retry_ms, delta=1.0)
+
+
+class SessionTest(RouterTest):
+    def test_a_known_pin_needs_no_claim(self) -> None:
+        effects = self.claim_granted(self.arrive(session="s"), "v2")
+        self.assertEqual("v2", self.one(effects, StartAttempt).version)
+        effects = self.arrive(request_id="q2", session="s")
+        self.assertEqual("v2", self.one(effects, StartAttempt).version)
+
+    def test_a_pin_is_asked_again_when_its_version_was_touched(self) -> None:
+        """It was withdrawn and let back between two polls."""
+        self.claim_granted(self.arrive(session="s"), "v2")
+        touched = ConfigurationChanged(table(12), frozenset({"v2"}))
+        self.step(touched)
+        effects = self.arrive(request_id="q2", session="s")
+        self.one(effects, ProposeClaim)
+
+    def test_a_retry_keeps_the_sessions_version(self) -> None:
+        effects = self.claim_granted(self.arrive(session="s"), "v2")
+        attempt = self.one(effects, StartAttempt)
+        again = self.one(self.end(attempt, NotSent("refused")), StartAttempt)
+        self.assertEqual("v2", again.version)
+        self.assertNotEqual(attempt.endpoint, again.endpoint)
+
+
+class AttemptTest(RouterTest):
+    def test_an_answer_waits_for_its_record(self) -> None:
+        attempt = self.one(self.arrive(), StartAttempt)
+        effects = self.end(attempt, ANSWER)
+        self.assertEqual([], [e for e in effects if isinstance(e, GiveAnswer)])
+        self.one(effects, ProposeAnswer)
+        given = self.step(AnswerRecordEnded("q1", AnswerAccepted(1)))
+        self.assertEqual(b"yes", self.one(given, GiveAnswer).answer.body)
+
+    def test_what_may_not_be_repeated_is_not(self) -> None:
+        attempt = self.one(self.claim_granted(self.arrive(**ORDER)), StartAttempt)
+        effects = self.end(attempt, Broken("reset"))
+        problem = self.problem(effects)
+        self.assertEqual("outcome_unknown", problem.kind.name)
+        self.assertIsNone(problem.not_run)
+        self.assertIs(False, self.one(effects, ProposeClose).close.not_run)
+
+    def test_a_refusal_of_the_endpoint_is_tried_elsewhere(self) -> None:
+        attempt = self.one(self.arrive(), StartAttempt)
+        again = self.one(self.end(attempt, Full("full", 100.0)), StartAttempt)
+        self.assertNotEqual(attempt.endpoint, again.endpoint)
+        problem = self.problem(self.end(again, Full("full", 100.0)))
+        self.assertIs(True, problem.not_run)
+
+    def test_not_run_is_not_said_of_a_keyed_request_after_the_lease(self) -> None:
+        """Another router may have taken it over and run it."""
+        effects = self.claim_granted(self.arrive(keyed=True))
+        attempt = self.one(effects, StartAttempt)
+        lapsed_ms = NOW_MS + 60_001.0
+        ended = AttemptEnded("q1", attempt.attempt_id, NotSent("refused"))
+        self.assertIsNone(self.problem(self.step(ended, lapsed_ms)).not_run)
+
+    def test_a_late_result_of_an_older_attempt_is_nothing(self) -> None:
+        attempt = self.one(self.arrive(), StartAttempt)
+        self.end(attempt, NotSent("refused"))
+        self.assertEqual([], self.end(attempt, ANSWER))
+
+    def test_a_broken_stream_is_resumed_where_it_was(self) -> None:
+        attempt = self.one(self.arrive(stream=True), StartAttempt)
+        self.step(FirstChunk("q1", attempt.attempt_id))
+        again = self.one(self.end(attempt, Broken("reset", 7)), StartAttempt)
+        self.assertEqual(
+            (attempt.endpoint, attempt.version, 7),
+            (again.endpoint, again.version, again.resume_chunks),
+        )
+
+    def test_retries_have_a_budget(self) -> None:
+        retries = 0
+        for number in range(200):
+            effects = self.arrive(request_id=f"q{number}")
+            attempt = self.one(effects, StartAttempt)
+            effects = self.end(attempt, Full("full", 100.0))
+            retries += sum(isinstance(e, StartAttempt) for e in effects)
+            for again in [e for e in effects if isinstance(e, StartAttempt)]:
+                self.end(again, Full("full", 100.0))
+        self.assertLessEqual(retries, 0.1 * 200 + 10)
+
+    def test_a_missed_deadline_is_told_at_once(self) -> None:
+        self.arrive()
+        problem = self.problem(self.step(DeadlinePassed("q1")))
+        self.assertEqual("deadline_passed", problem.kind.name)
+        self.assertIs(False, problem.not_run)
+
+    def test_an_order_past_its_deadline_is_recorded_all_the_same(self) -> None:
+        attempt = self.one(self.claim_granted(self.arrive(**ORDER)), StartAttempt)
+        problem = self.problem(self.step(DeadlinePassed("q1")))
+        self.assertIsNone(problem.not_run)
+        self.one(self.end(attempt, ANSWER), ProposeAnswer)
