Show that routers and roll-outs survive kills, freezes and stops

Change: whole-system tests of routers killed in flight, frozen through a withdrawal, without a state, stopped under streams, before engines that swap answers, break streams or leave; of roll-outs whose control is killed or whose version is bad, of a version that turns bad at full traffic, of placement. Found: (1) a connection over the bound was closed before its request was read, so the caller saw a reset, not the 503; it is now read first, on threads of its own. Seen failing before: 'not within 60.0 s: the roll-out moves'.

--- a/ashlatch/control/core.py
+++ b/ashlatch/control/core.py
@@ -67,6 +67,7 @@
     baselines: dict[str, VersionReport] = field(default_factory=dict)
     stage_starts: dict[str, int] = field(default_factory=dict)
     detectors: dict[str, Detector] = field(default_factory=dict)
+    withdrawn: frozenset[str] = frozenset()
     missing_since_ms: dict[str, float] = field(default_factory=dict)
     orders: dict[str, Order] = field(default_factory=dict)
     orders_after_ms: dict[str, float] = field(default_factory=dict)
--- a/ashlatch/control/daemon.py
+++ b/ashlatch/control/daemon.py
@@ -185,8 +185,15 @@
         except NoLeader as error:
             self._unreadable("state", error)
             return
-        totals = reply.status.totals if reply.status else ()
-        self.post(StateRead(reply.revision, reply.resources, totals))
+        assert reply.status is not None
+        self.post(
+            StateRead(
+                reply.revision,
+                reply.status.in_force_revision,
+                reply.resources,
+                reply.status.totals,
+            )
+        )
 
     def _read_platform(self) -> None:
         if not self.core.active(monotonic_ms()):
--- a/ashlatch/control/event.py
+++ b/ashlatch/control/event.py
@@ -50,6 +50,7 @@
     """All resources and the totals of all routers, as of a revision."""
 
     revision: int
+    in_force_revision: int
     resources: tuple[Resource, ...]
     totals: tuple[VersionReport, ...]
 
--- a/ashlatch/control/rollout.py
+++ b/ashlatch/control/rollout.py
@@ -60,7 +60,15 @@
         return
     core.revision = event.revision
     core.resources = {ResourceId(r.kind, r.name): r for r in event.resources}
+    withdrawn = frozenset(core.all(Withdrawal))
+    for version in core.withdrawn - withdrawn:
+        # An operator has let it back: it is judged afresh.
+        core.detectors.pop(version, None)
+    core.withdrawn = withdrawn
     _take_totals(core, event.totals)
+    if event.in_force_revision >= event.revision:
+        # Otherwise a router may speak of a version as it was before.
+        _take_suspensions(core, event.totals)
     if core.ready():
         advance(core)
 
@@ -81,6 +89,13 @@
             _detector(core, report.version).add_tally(tally)
 
 
+def _take_suspensions(core: ControlCore, totals: tuple[VersionReport, ...]) -> None:
+    """Routers send a suspended version no more: no further evidence will come."""
+    for report in totals:
+        if report.suspended and report.version not in core.withdrawn:
+            _detector(core, report.version).reasons.add("routers")
+
+
 @HANDLERS.on(RatingsRead)
 def _ratings_read(core: ControlCore, event: RatingsRead) -> None:
     if core.revision < 0:
--- a/ashlatch/http/server.py
+++ b/ashlatch/http/server.py
@@ -10,6 +10,7 @@
 :license: MIT, see LICENSE for details.
 """
 
+import contextlib
 import logging
 import socket
 import threading
@@ -32,6 +33,11 @@
 
 Application = Callable[[Request], Response]
 
+REFUSAL_THREADS = 4
+REFUSAL_S = 0.2
+REFUSAL_READS = 64
+READ_BYTES = 65_536
+
 _FULL = Problem(problems.OVERLOADED, "too many open connections", retry_ms=1000.0)
 
 
@@ -63,10 +69,11 @@
         super().__init__(address.host, address.port, application, handler)
         self._slots = threading.BoundedSemaphore(limits.max_connections)
         self._pool = ThreadPoolExecutor(limits.max_connections, "http")
+        self._refusals = ThreadPoolExecutor(REFUSAL_THREADS, "refuse")
 
     def process_request(self, request: Any, client_address: Any) -> None:
         if not self._slots.acquire(blocking=False):
-            self._refuse(request)
+            self._refusals.submit(self._refuse, request)
             return
         self._pool.submit(self._serve, request, client_address)
 
@@ -84,11 +91,15 @@
         lines = ["HTTP/1.1 503 Service Unavailable", "Connection: close"]
         lines += [f"{key}: {value}" for key, value in _FULL.headers().items()]
         lines.append(f"Content-Length: {len(body)}")
-        try:
-            request.settimeout(1.0)
+        with contextlib.suppress(OSError):
+            request.settimeout(REFUSAL_S)
             request.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
-        except OSError:
-            pass
+            request.shutdown(socket.SHUT_WR)
+            # Closing before the caller's request is read would reset the
+            # connection, and the caller might never see the answer.
+            for _ in range(REFUSAL_READS):
+                if not request.recv(READ_BYTES):
+                    break
         self.shutdown_request(request)
 
     def handle_error(self, request: Any, client_address: Any) -> None:
@@ -98,6 +109,7 @@
     def end(self) -> None:
         """Wait for all open connections."""
         self._pool.shutdown(wait=True)
+        self._refusals.shutdown(wait=True)
 
 
 class HttpServer:
--- a/ashlatch/router/daemon.py
+++ b/ashlatch/router/daemon.py
@@ -171,9 +171,16 @@
             self._apply(reply, sent_ms)
 
     def _heartbeat(self) -> RouterPoll:
+        core = self.host.core
         reports = tuple(
-            VersionReport(v, t.answers, t.errors, t.log_latency_sum)
-            for v, t in list(self.host.core.tallies.items())
+            VersionReport(
+                version,
+                tally.answers,
+                tally.errors,
+                tally.log_latency_sum,
+                core.planner.suspended(version),
+            )
+            for version, tally in list(core.tallies.items())
         )
         first = not self._ready.is_set()
         return RouterPoll(
--- a/ashlatch/router/knowledge.py
+++ b/ashlatch/router/knowledge.py
@@ -65,8 +65,10 @@
         touched = organisation in event.touched_organisations
         if touched or pin.version in event.touched_versions:
             del core.pins[key]
-    for version in [v for v in core.planner.detectors if v not in table.versions]:
-        del core.planner.detectors[version]
+    # A version that is withdrawn, or let back, is judged afresh.
+    for version in list(core.planner.detectors):
+        if version not in table.versions or version in event.touched_versions:
+            del core.planner.detectors[version]
     applied = ConfigurationApplied(
         core.config.vm,
         table.revision,
--- a/ashlatch/settings.py
+++ b/ashlatch/settings.py
@@ -61,11 +61,16 @@
 
 
 class StateSettings(Settings):
-    """Settings of `ashlatch-state`."""
+    """Settings of `ashlatch-state`.
+
+    `advertise` is the address at which others reach this member, when it is
+    not the one it listens on.
+    """
 
     vm: Name
     hall: Name
     listen: AddressText
+    advertise: AddressText | None = None
     data_folder: str
     peers: tuple[AddressText, ...] = ()
     heartbeat_ms: float = Field(default=100.0, gt=0)
@@ -78,6 +83,11 @@
     retention_ms: int = Field(default=86_400_000, ge=1000)
     log_level: str = "INFO"
 
+    @property
+    def address(self) -> str:
+        """Where others reach this member."""
+        return self.advertise or self.listen
+
 
 class PolicySettings(Settings):
     """Which variants decide, and their numbers."""
--- a/ashlatch/store/daemon.py
+++ b/ashlatch/store/daemon.py
@@ -100,7 +100,7 @@
     if read_identity(folder) is not None:
         raise FolderExists(settings.data_folder)
     identity = create_identity(folder, settings.vm)
-    member = Member(identity.member_id, settings.vm, settings.listen)
+    member = Member(identity.member_id, settings.vm, settings.address)
     GroupStorage(folder / GROUP_FOLDER).create(Members((member,)))
     return identity
 
@@ -125,7 +125,7 @@
     ) -> None:
         self.settings = settings
         self.identity, storage = _open(settings)
-        self.member = Member(self.identity.member_id, settings.vm, settings.listen)
+        self.member = Member(self.identity.member_id, settings.vm, settings.address)
         self.machine = Machine()
         self.group = Group(
             RaftConfig(
--- a/ashlatch/store/lease.py
+++ b/ashlatch/store/lease.py
@@ -111,4 +111,5 @@
         one.answers + other.answers,
         one.errors + other.errors,
         one.log_latency_sum + other.log_latency_sum,
+        one.suspended or other.suspended,
     )
--- a/ashlatch/store/protocol.py
+++ b/ashlatch/store/protocol.py
@@ -92,13 +92,14 @@
     """What came of a version's attempts since a router, or all, started.
 
     `log_latency_sum` adds up the natural logarithms of the milliseconds for
-    each output token.
+    each output token. `suspended` tells that a router takes it for bad.
     """
 
     version: str
     answers: int
     errors: int
     log_latency_sum: float
+    suspended: bool = False
 
 
 class RouterPoll(msgspec.Struct, frozen=True):
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -132,6 +132,8 @@
             current = getattr(self, name)
             if isinstance(current, dict):
                 current.update(value)
+            elif isinstance(current, set):
+                setattr(self, name, set(value))
             else:
                 setattr(self, name, value)
         return reply(self.load())
--- a/tests/system.py
+++ b/tests/system.py
@@ -189,16 +189,21 @@
     fakes: list[Fake] = field(default_factory=list)
     vms: list[dict[str, Any]] = field(default_factory=list)
     platform: Fake | None = None
+    relay: Callable[[str], str] | None = None
 
     # Our daemons.
 
     def start_states(self, count: int) -> None:
-        addresses = [f"{HOST}:{free_port()}" for _ in range(count)]
+        listens = [f"{HOST}:{free_port()}" for _ in range(count)]
+        addresses = list(listens)
+        if self.relay is not None:
+            addresses = [self.relay(address) for address in listens]
         for place, address in enumerate(addresses):
             settings = {
                 "vm": f"state-{place}",
                 "hall": HALLS[place % 3],
-                "listen": address,
+                "listen": listens[place],
+                "advertise": address,
                 "data_folder": str(self.folder / f"data-{place}"),
                 "peers": [a for a in addresses if a != address],
                 **self.state_extra,
@@ -213,7 +218,7 @@
 
     @property
     def state_addresses(self) -> list[str]:
-        return [daemon.settings["listen"] for daemon in self.states]
+        return [daemon.settings["advertise"] for daemon in self.states]
 
     def start_controls(self, count: int) -> None:
         for place in range(count):
@@ -334,7 +339,7 @@
             for member in self.status()["members"]:
                 if member["role"] == "leader":
                     for daemon in self.states:
-                        if daemon.settings["listen"] == member["address"]:
+                        if daemon.settings["advertise"] == member["address"]:
                             return daemon
             return None
 
--- /dev/null
+++ b/tests/test_control_failures.py
@@ -0,0 +1,147 @@
+"""Real processes: roll-outs that are interrupted or go bad, versions that turn
+bad at full traffic, and placement."""
+
+import concurrent.futures
+import time
+from collections.abc import Callable
+from typing import Any
+
+import testtools
+
+from tests.lean import Lean, lean
+from tests.system import wait_until
+
+STAGES = ("--stages", "10,50,100", "--answers-min", "15")
+OLD, NEW, LARGE = "quote-small-1", "quote-small-2", "quote-large-1"
+
+
+def progress(found: Lean, name: str) -> dict[str, Any]:
+    for control in range(len(found.system.controls)):
+        try:
+            path = f"/v1/resources/rollout-progress/{name}"
+            reply = found.system.operate("GET", path, control=control)
+        except OSError:
+            continue
+        if reply.status == 200:
+            spec: dict[str, Any] = reply.json["spec"]
+            return spec
+    return {"stage": -1, "state": "none"}
+
+
+def withdrawn(found: Lean) -> set[str]:
+    reply = found.system.operate("GET", "/v1/resources/withdrawal")
+    return {r["name"] for r in reply.json["resources"]}
+
+
+class Asking:
+    """Callers that ask as fast as they get answers, until a time."""
+
+    def __init__(self, found: Lean, callers: int = 6) -> None:
+        self._found = found
+        self._pool = concurrent.futures.ThreadPoolExecutor(callers)
+        self._callers = callers
+        self._stop = False
+        self.versions: list[tuple[float, str]] = []
+        self.failures = 0
+
+    def __enter__(self) -> "Asking":
+        self._calls = [self._pool.submit(self._ask, c) for c in range(self._callers)]
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self._stop = True
+        for call in self._calls:
+            call.result()
+        self._pool.shutdown()
+
+    def _ask(self, number: int) -> None:
+        count = len(self._found.system.routers)
+        while not self._stop:
+            reply = self._found.ask(number % count)
+            number += 1
+            if reply.status == 200:
+                version = reply.headers["ashlatch-version"]
+                self.versions.append((time.monotonic(), version))
+            else:
+                self.failures += 1
+                time.sleep(0.02)
+
+
+def target(found: Lean, quality: float) -> None:
+    """Let the route want so little quality that the small model answers."""
+    reply = found.system.operate("GET", "/v1/resources/route/draft-quotation").json
+    spec = {**reply["spec"], "quality_target": quality}
+    found.system.apply([{"kind": "route", "name": "draft-quotation", "spec": spec}])
+
+
+class RolloutTest(testtools.TestCase):
+    def test_a_killed_control_is_followed_by_another(self) -> None:
+        with lean(controls=2) as found:
+            target(found, 0.5)
+            with Asking(found) as asking:
+                found.system.ctl("rollout", "r-1", "--from", OLD, "--to", NEW, *STAGES)
+                self.wait_stage(found, lambda p: p["stage"] >= 1)
+                killed = found.active_control()
+                epoch = found.system.status()["control_epoch"]
+                killed.process.kill()
+                self.wait_stage(found, lambda p: p["state"] == "done")
+                wait_until(lambda: len(asking.versions) > 100, "traffic")
+                time.sleep(1.0)
+                asking.versions.clear()
+                wait_until(lambda: len(asking.versions) > 60, "traffic after")
+            self.assertGreater(found.system.status()["control_epoch"], epoch)
+            seen = [version for _, version in asking.versions]
+            self.assertNotIn(OLD, seen)
+            self.assertIn(NEW, seen)
+
+    def wait_stage(
+        self, found: Lean, reached: Callable[[dict[str, Any]], bool]
+    ) -> None:
+        wait_until(lambda: reached(progress(found, "r-1")), "the roll-out moves", 60.0)
+
+    def test_a_bad_new_version_is_taken_back(self) -> None:
+        with lean(controls=2) as found:
+            target(found, 0.5)
+            for engine in found.engines:
+                engine.control(error_ratio={NEW: 0.6})
+            with Asking(found) as asking:
+                wait_until(lambda: len(asking.versions) > 60, "healthy traffic")
+                found.system.ctl("rollout", "r-1", "--from", OLD, "--to", NEW, *STAGES)
+                self.wait_stage(found, lambda p: p["state"] == "rolled_back")
+                wait_until(lambda: NEW in withdrawn(found), "it is withdrawn")
+            self.assertNotEqual("done", progress(found, "r-1")["state"])
+
+
+class TurnedBadTest(testtools.TestCase):
+    def test_a_version_that_turns_bad_at_full_traffic_is_withdrawn(self) -> None:
+        with lean(controls=2, router_extra={"rating_sample_ratio": 1.0}) as found:
+            target(found, 0.5)
+            with Asking(found) as asking:
+                wait_until(lambda: len(asking.versions) > 60, "healthy traffic")
+                for engine in found.engines:
+                    engine.control(quality={OLD: 0.3})
+                wait_until(lambda: OLD in withdrawn(found), "it is withdrawn")
+                asking.versions.clear()
+                time.sleep(1.5)
+                asking.versions.clear()
+                wait_until(lambda: len(asking.versions) > 20, "traffic after")
+            self.assertEqual({LARGE}, {version for _, version in asking.versions})
+            logs = "".join(control.process.log for control in found.system.controls)
+            self.assertIn("event=version_bad", logs)
+
+
+class PlacementTest(testtools.TestCase):
+    def test_what_a_pool_should_serve_is_loaded_and_no_more(self) -> None:
+        with lean() as found:
+            engine = found.engines[0]
+            engine.control(versions=[])
+            wait_until(
+                lambda: len(engine.get("load")["versions"]) == 3, "versions are loaded"
+            )
+            found.system.ctl("withdraw", OLD, "--wait")
+            wait_until(
+                lambda: OLD not in engine.get("load")["versions"], "it is unloaded"
+            )
+            orders = engine.get("orders")
+            self.assertTrue(all("/load/" in o or "/unload/" in o for o in orders))
+            self.assertLess(len(orders), 8)
--- /dev/null
+++ b/tests/test_router_failures.py
@@ -0,0 +1,269 @@
+"""Real processes: kills, freezes, cuts and stops around the routers, and
+engines that misbehave."""
+
+import concurrent.futures
+import signal
+import socket
+import time
+from typing import Any
+
+import testtools
+
+from tests.chat import Stream, chat_body, chat_stream, headers
+from tests.lean import KEY, ROUTE, Lean, Load, lean
+from tests.system import request, wait_until
+
+SLOW = ("--token-ms", "20", "--output-tokens", "100")
+MARGIN_MS = 100.0
+
+
+class RouterKilledTest(testtools.TestCase):
+    def test_an_order_is_not_run_again_and_a_question_is_answered(self) -> None:
+        with lean() as found, concurrent.futures.ThreadPoolExecutor(2) as pool:
+            for worker in found.workers:
+                worker.control(delay_ms=4000)
+            for engine in found.engines:
+                engine.control(token_ms=150.0)
+            calls = [
+                pool.submit(found.order, "killed-order"),
+                pool.submit(lambda: found.ask(Idempotency_Key="killed-question")),
+            ]
+            wait_until(lambda: found.ran("killed-order") == 1, "the order runs")
+            wait_until(lambda: self.running(found), "the question runs")
+            found.system.routers[0].process.kill()
+            for call in calls:
+                self.assertIsInstance(call.exception(), OSError)
+            for worker in found.workers:
+                worker.control(delay_ms=0)
+            for engine in found.engines:
+                engine.control(token_ms=1.0)
+            question = found.ask(1, Idempotency_Key="killed-question")
+            self.assertEqual(200, question.status)
+            again = found.ask(1, Idempotency_Key="killed-question")
+            self.assertEqual(question.body, again.body)
+            order = found.order("killed-order", 1)
+            self.assertTrue(order.json["type"].endswith("outcome_unknown"), order)
+            self.assertIsNone(order.json["not_run"])
+            self.assertEqual(1, found.ran("killed-order"))
+
+    def running(self, found: Lean) -> bool:
+        return any(engine.get("load")["running"] for engine in found.engines)
+
+
+class FrozenRouterTest(testtools.TestCase):
+    def test_a_withdrawal_under_load_with_a_frozen_router(self) -> None:
+        version = "quote-small-1"
+        with lean() as found, Load(found, 2):
+            with concurrent.futures.ThreadPoolExecutor(4) as pool:
+                stop_s = time.monotonic() + 9.0
+                askers = [pool.submit(self.keep_asking, found, stop_s) for _ in "1234"]
+                frozen = found.system.routers[1].process
+                time.sleep(1.0)
+                frozen.signal(signal.SIGSTOP)
+                output = found.system.ctl("withdraw", version, "--wait").stdout
+                in_force_ms = time.time() * 1000.0
+                self.assertIn("in force on 1 routers", output)
+                frozen.signal(signal.SIGCONT)
+                answered = sum(asker.result() for asker in askers)
+            self.assertGreater(answered, 50)
+            runs = [run for engine in found.engines for run in engine.get("runs")]
+            self.assertTrue(any(run["version"] == version for run in runs))
+            late = [
+                run
+                for run in runs
+                if run["version"] == version and run["at_ms"] > in_force_ms + MARGIN_MS
+            ]
+            self.assertEqual([], late)
+
+    def keep_asking(self, found: Lean, stop_s: float) -> int:
+        answered = 0
+        while time.monotonic() < stop_s:
+            try:
+                reply = found.ask(answered % 2)
+            except OSError:
+                continue
+            if reply.status == 200:
+                answered += 1
+            else:
+                time.sleep(0.02)
+        return answered
+
+
+class NoStateTest(testtools.TestCase):
+    def test_without_a_state_a_router_refuses_truly_and_comes_back(self) -> None:
+        with lean() as found:
+            states = found.system.states
+            runs = [len(engine.get("runs")) for engine in found.engines]
+            for daemon in states:
+                daemon.process.signal(signal.SIGSTOP)
+            wait_until(lambda: found.ask().status == 503, "the lease runs out")
+            began = [len(engine.get("runs")) for engine in found.engines]
+            for _ in range(20):
+                refused = found.ask()
+                self.assertEqual(503, refused.status)
+                self.assertTrue(refused.json["type"].endswith("no_configuration"))
+                self.assertIs(True, refused.json["not_run"])
+                self.assertIn("retry-after", refused.headers)
+            # A key may have been used before, which cannot be known now.
+            keyed = found.order("unknown-order")
+            self.assertIsNone(keyed.json["not_run"])
+            self.assertEqual(0, found.ran("unknown-order"))
+            self.assertEqual(began, [len(e.get("runs")) for e in found.engines])
+            self.assertGreaterEqual(sum(began), sum(runs))
+            for daemon in states:
+                daemon.process.signal(signal.SIGCONT)
+            wait_until(found.every_router_answers, "every router answers again")
+
+
+class EngineTest(testtools.TestCase):
+    def test_swapped_answers_are_not_passed_on(self) -> None:
+        with lean() as found:
+            found.engines[0].control(swap_ids=True)
+            answered = [found.ask() for _ in range(10)]
+            for reply in answered:
+                self.assertEqual(200, reply.status)
+                self.assertNotIn("-other", reply.json["id"])
+            found.engines[1].control(swap_ids=True)
+            refused = found.ask()
+            self.assertNotEqual(200, refused.status)
+            self.assertIs(False, refused.json["not_run"])
+
+    def test_a_leaving_endpoint_gets_no_new_work(self) -> None:
+        """The platform's list never says so: the engine's own word counts."""
+        with lean() as found:
+            engine = found.engines[0]
+            engine.control(leaving=True)
+            time.sleep(3.0)
+            before = len(engine.get("runs"))
+            for place in range(30):
+                self.assertEqual(200, found.ask(place % 2).status)
+            self.assertEqual(before, len(engine.get("runs")))
+
+    def test_a_broken_stream_goes_on_where_it_broke(self) -> None:
+        with lean() as found:
+            for engine in found.engines:
+                engine.control(break_after=12)
+            url = found.system.routers[0].url
+            stream = chat_stream(url, KEY, ROUTE)
+            self.assertTrue(stream.done, stream.error)
+            words = stream.text.split()
+            self.assertEqual([f"w{place}" for place in range(1, 20)], words[1:])
+
+    def test_a_failing_service_is_not_called_again(self) -> None:
+        with lean() as found:
+            for worker in found.workers:
+                worker.control(fail=True)
+            reply = found.order("failing")
+            self.assertTrue(reply.json["type"].endswith("outcome_unknown"))
+            for worker in found.workers:
+                worker.control(fail=False)
+            again = found.order("failing", 1)
+            self.assertTrue(again.json["type"].endswith("outcome_unknown"))
+            self.assertEqual(1, found.ran("failing"))
+
+
+class StopTest(testtools.TestCase):
+    def test_a_stop_cuts_no_stream(self) -> None:
+        with lean(engine_arguments=SLOW) as found:
+            router = found.system.routers[0]
+            with concurrent.futures.ThreadPoolExecutor(8) as pool:
+                calls = [
+                    pool.submit(chat_stream, router.url, KEY, ROUTE) for _ in range(6)
+                ]
+                wait_until(lambda: self.running(found) >= 4, "streams run")
+                router.process.signal(signal.SIGTERM)
+                refused = wait_until(lambda: self.refused(found), "new work is refused")
+                self.assertIs(True, refused["not_run"])
+                streams: list[Stream] = [call.result() for call in calls]
+            for stream in streams:
+                self.assertEqual((200, True), (stream.status, stream.done))
+                self.assertEqual(100, len(stream.text.split()))
+            self.assertEqual(0, router.process.popen.wait(10.0))
+            self.assertIn("in_flight=0", router.process.log.splitlines()[-1])
+
+    def running(self, found: Lean) -> int:
+        return sum(engine.get("load")["running"] for engine in found.engines)
+
+    def refused(self, found: Lean) -> dict[str, object] | None:
+        reply = found.ask()
+        if reply.status == 503 and reply.json["type"].endswith("draining"):
+            answer: dict[str, object] = reply.json
+            return answer
+        return None
+
+
+class BadInputTest(testtools.TestCase):
+    def test_bad_requests_get_a_problem_that_names_the_field(self) -> None:
+        with lean(routers=1) as found:
+            url = found.system.routers[0].url
+            path = f"{url}/v1/chat/completions"
+            cases: tuple[tuple[Any, dict[str, str], int, str], ...] = (
+                ({"model": ROUTE}, {}, 400, "messages"),
+                (chat_body(ROUTE, max_tokens=0), {}, 400, "max_tokens"),
+                (chat_body(ROUTE), {"Ashlatch_Deadline_Ms": "soon"}, 400, "Deadline"),
+                (chat_body(ROUTE), {"Ashlatch_Repeatable": "maybe"}, 400, "Repeatable"),
+                (chat_body("nothing"), {}, 404, "nothing"),
+                (chat_body(ROUTE, "x" * 2_000_000), {}, 413, "at most"),
+            )
+            for body, named, status, word in cases:
+                reply = request(path, "POST", body, headers(KEY, **named))
+                self.assertEqual(status, reply.status, reply.body.decode())
+                self.assertIn(word, reply.body.decode())
+                self.assertNotIn("Traceback", reply.body.decode())
+            unknown = request(path, "POST", chat_body(ROUTE), headers("wrong"))
+            self.assertEqual(401, unknown.status)
+            self.check_bytes(found)
+
+    def check_bytes(self, found: Lean) -> None:
+        """Bytes that are no HTTP, and no gRPC, harm nobody."""
+        system = found.system
+        daemons = [system.routers[0], *system.states, *system.controls]
+        noise = (
+            b"\x00\xff" * 500,
+            b"GET / HTTP/9.9\r\n\r\n",
+            b"POST /v1/chat/completions HTTP/1.1\r\nContent-Length: -5\r\n\r\n",
+            b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + b"\xff" * 300,
+            b"GET / HTTP/1.1\r\n" + b"A: b\r\n" * 2000 + b"\r\n",
+        )
+        for daemon in daemons:
+            host, _, port = daemon.settings["listen"].rpartition(":")
+            for data in noise:
+                with socket.create_connection((host, int(port)), 5.0) as connection:
+                    connection.sendall(data)
+                    connection.settimeout(0.2)
+                    try:
+                        connection.recv(100)
+                    except OSError:
+                        continue
+        for daemon in daemons:
+            self.assertIsNone(daemon.process.popen.poll())
+        self.assertEqual(200, found.ask().status)
+
+    def test_more_connections_than_allowed_are_refused_at_once(self) -> None:
+        limits = {"http": {"max_connections": 4}}
+        with lean(routers=1, router_extra=limits) as found:
+            host, _, port = found.system.routers[0].settings["listen"].rpartition(":")
+            idle = [socket.create_connection((host, int(port))) for _ in range(4)]
+            wait_until(lambda: found.ask().status == 503, "the bound is reached")
+            self.assertIs(True, found.ask().json["not_run"])
+            for connection in idle:
+                connection.close()
+            wait_until(lambda: found.ask().status == 200, "it serves again")
+
+
+class EndpointTest(testtools.TestCase):
+    def test_an_endpoint_that_is_gone_is_passed_by(self) -> None:
+        with lean() as found:
+            found.engines[0].process.kill()
+            found.workers[0].process.kill()
+            for number in range(20):
+                self.assertEqual(200, found.ask(number % 2).status)
+                self.assertEqual(200, found.order(f"gone-{number}", number % 2).status)
+
+    def test_no_endpoint_is_said_truly(self) -> None:
+        with lean(routers=1) as found:
+            for worker in found.workers:
+                worker.process.kill()
+            reply = found.order("nobody")
+            self.assertEqual(503, reply.status)
+            self.assertIs(True, reply.json["not_run"])
--- a/tests/test_state_failures.py
+++ b/tests/test_state_failures.py
@@ -12,9 +12,10 @@
 
 import testtools
 
-from tests.lean import Lean, Load, lean
+from tests.lean import Lean, Load, Relay, lean
 from tests.system import (
     BIN,
+    HOST,
     Daemon,
     HttpReply,
     Process,
@@ -167,6 +168,31 @@
             self.assertEqual(sorted(applied), applied)
 
 
+class CutTest(testtools.TestCase):
+    def test_a_leader_that_nobody_reaches_is_replaced(self) -> None:
+        """It still reaches the others: the cut goes one way only."""
+        relays: dict[str, Relay] = {}
+
+        def relay(address: str) -> str:
+            made = Relay(HOST, address)
+            relays[made.address] = made
+            return made.address
+
+        with lean(controls=1, relay=relay) as found:
+            system = found.system
+            revision = found.put_surely("cut", 0, "c-1", "old")
+            leader = system.leader()
+            cut = relays[leader.settings["advertise"]]
+            cut.cut()
+            found.put_surely("cut", revision, "c-2", "new")
+            self.assertIsNot(leader, system.leader())
+            wait_until(found.every_router_answers, "every router answers")
+            cut.heal()
+            wait_until(lambda: repaired(system), "the old leader follows")
+            reply = system.operate("GET", "/v1/resources/model/cut")
+            self.assertEqual("new", reply.json["spec"]["description"])
+
+
 class RaceTest(testtools.TestCase):
     def test_operators_race_and_resend(self) -> None:
         """One winner; the same change id gets the same answer for good."""
