Expose fewer answers to a version that turns bad

Cause: the detector waited for evidence at full traffic, and ratings come a second late. Change: the nearer a test is to its threshold, the more requests go to another version; a suspected version has every answer rated and its totals exchanged every 100 ms; threshold 17 -> 14, rating deviation 0.25 -> 0.21.

--- a/ashlatch/policy/detector.py
+++ b/ashlatch/policy/detector.py
@@ -16,14 +16,15 @@
 
 __all__ = ["Detector", "VersionTally"]
 
-THRESHOLD = 17.0
+THRESHOLD = 14.0
 HEALTHY_ERROR_RATIO = 0.01
 BAD_ERROR_RATIO = 0.30
 BAD_QUALITY_RATIO = 0.5
-RATING_SD = 0.25
+RATING_SD = 0.21
 BAD_LATENCY_RATIO = 4.0
 LATENCY_LOG_SD = 0.6
 LATENCY_GAIN = 0.01
+SUSPECTED = 0.1
 LATENCY_WARM_ANSWERS = 20
 
 _ERROR_STEP = math.log(BAD_ERROR_RATIO / HEALTHY_ERROR_RATIO)
@@ -86,6 +87,17 @@
         """Whether any test has passed its threshold."""
         return bool(self.reasons)
 
+    @property
+    def suspicion(self) -> float:
+        """How near the nearest test is to its threshold, 0 to 1."""
+        highest = max(self.error_sum, self.rating_sum, self.latency_sum)
+        return min(1.0, highest / THRESHOLD)
+
+    @property
+    def suspected(self) -> bool:
+        """Whether to look closer: rate every answer, exchange totals sooner."""
+        return self.suspicion > SUSPECTED
+
     def _add_latency(self, answers: int, log_sum: float) -> None:
         mean = log_sum / answers
         if self.latency_mean is None:
--- a/ashlatch/policy/load.py
+++ b/ashlatch/policy/load.py
@@ -14,7 +14,7 @@
 
 __all__ = ["EndpointLoad", "LoadReport"]
 
-SERVICE_GAIN = 0.1
+SERVICE_GAIN = 0.03
 DEFAULT_SERVICE_MS = 500.0
 STALE_REPORT_MS = 2500.0
 CHANGES_MAX = 4096
--- a/ashlatch/router/daemon.py
+++ b/ashlatch/router/daemon.py
@@ -65,6 +65,8 @@
 log = logging.getLogger("ashlatch.router")
 
 POLL_RETRY_S = 0.05
+# How long a heartbeat is held while a version is suspected.
+SUSPECTED_WAIT_MS = 100.0
 FIRST_CONFIGURATION_S = 20.0
 CALLER_CHECK_MS = 250.0
 STOP_CHECK_S = 0.02
@@ -182,13 +184,17 @@
             )
             for version, tally in list(core.tallies.items())
         )
-        first = not self._ready.is_set()
+        wait_ms = self.settings.poll_wait_ms
+        if any(core.planner.suspected(version) for version in list(core.tallies)):
+            wait_ms = min(wait_ms, SUSPECTED_WAIT_MS)
+        if not self._ready.is_set():
+            wait_ms = 0.0
         return RouterPoll(
             self.host.router,
             self.settings.vm,
             self.settings.hall,
             self._builder.revision,
-            0.0 if first else self.settings.poll_wait_ms,
+            wait_ms,
             reports,
         )
 
@@ -231,7 +237,9 @@
             self.host.post(LoadReported(pool, report.reports, report.leaving))
 
     def _sample(self, request: Request, version: str, result: Answered) -> None:
-        if self._random.random() >= self.settings.rating_sample_ratio:
+        suspected = self.host.core.planner.suspected(version)
+        ratio = 1.0 if suspected else self.settings.rating_sample_ratio
+        if self._random.random() >= ratio:
             return
         answer = result.answer.body
 
--- a/ashlatch/router/plan.py
+++ b/ashlatch/router/plan.py
@@ -40,6 +40,7 @@
     NOT_ALLOWED = "not_allowed"
     WITHDRAWN = "withdrawn"
     SUSPENDED = "suspended"
+    SUSPECTED = "suspected"
     NO_ENDPOINT = "no_endpoint"
     TOO_LATE = "too_late"
     LEAVING = "leaving"
@@ -159,6 +160,11 @@
         found = self.detectors.get(version)
         return found is not None and found.bad
 
+    def suspected(self, version: str) -> bool:
+        """Whether to look closer at a version."""
+        found = self.detectors.get(version)
+        return found is not None and found.suspected
+
     # Chats.
 
     def plan_chat(
@@ -232,13 +238,26 @@
                 excluded.extend(found.excluded)
                 continue
             plans[version] = found
-            if self.suspended(version):
-                excluded.append(Exclusion(version, WhyOut.SUSPENDED))
-            else:
+            why = self._doubt(version)
+            if why is None:
                 good[version] = found
+            else:
+                excluded.append(Exclusion(version, why))
         # A version that looks bad is better than no answer at all.
         return good or plans
 
+    def _doubt(self, version: str) -> WhyOut | None:
+        """Whether to spare a version: surely when it is suspended, and the
+        more often the more it is suspected.
+        """
+        detector = self.detectors.get(version)
+        if detector is None:
+            return None
+        if detector.bad:
+            return WhyOut.SUSPENDED
+        spared = self.generator.random() < detector.suspicion
+        return WhyOut.SUSPECTED if spared else None
+
     def _plan_version(
         self, request: Request, version: str, now_ms: float, tried: frozenset[str]
     ) -> Plan | NoPlan:
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of ashlatch, each against a baseline in the same run."""
--- /dev/null
+++ b/bench/cost.py
@@ -0,0 +1,128 @@
+"""Cost at the quality target: the router's version policy on a seeded feed of
+late, sampled and noisy ratings, against always the costliest and against the
+best fixed mix that hindsight would have chosen.
+
+python -m bench.cost
+"""
+
+import heapq
+import random
+from collections import Counter
+from dataclasses import dataclass
+
+from ashlatch.policy.quality import QualityBook
+from ashlatch.policy.version import VERSION_POLICIES, Goal, Option, best_mix
+from bench.table import row, spread, title
+
+REQUESTS = 20_000
+RATED_RATIO = 0.2
+RATING_DELAY_REQUESTS = 60
+# Ratings are beta-distributed: within 0 to 1, and true in the mean.
+RATING_SHARPNESS = 4.0
+SEEDS = (1, 2, 3, 4, 5)
+ROUTE = "route"
+
+
+@dataclass(frozen=True)
+class Rung:
+    """A version: its price, what it really is, and what was expected of it."""
+
+    version: str
+    price: float
+    quality: float
+    prior: float
+
+
+@dataclass(frozen=True)
+class Case:
+    name: str
+    target: float
+    rungs: tuple[Rung, ...]
+
+
+TWO = (Rung("small", 1.0, 0.70, 0.72), Rung("large", 10.0, 0.90, 0.90))
+WRONG = (Rung("small", 1.0, 0.70, 0.88), Rung("large", 10.0, 0.90, 0.75))
+FOUR = (
+    Rung("a", 1.0, 0.60, 0.65),
+    Rung("b", 2.5, 0.74, 0.70),
+    Rung("c", 6.0, 0.78, 0.85),
+    Rung("d", 14.0, 0.92, 0.90),
+)
+CASES = (
+    Case("two rungs, target 0.78", 0.78, TWO),
+    Case("two rungs, wrong priors", 0.78, WRONG),
+    Case("four rungs, target 0.80", 0.80, FOUR),
+    Case("target met by the cheapest", 0.65, TWO),
+)
+
+
+def draw_rating(generator: random.Random, quality: float) -> float:
+    """A noisy rating whose mean is the quality."""
+    return generator.betavariate(
+        quality * RATING_SHARPNESS, (1.0 - quality) * RATING_SHARPNESS
+    )
+
+
+@dataclass
+class Outcome:
+    price: float
+    quality: float
+    shares: Counter[str]
+
+
+def run(policy: str, case: Case, seed: int) -> Outcome:
+    """All requests of one route through one policy."""
+    generator = random.Random(f"{seed}/{policy}")
+    chooser = VERSION_POLICIES.get(policy)()
+    book = QualityBook()
+    rungs = {rung.version: rung for rung in case.rungs}
+    due: list[tuple[int, str, float]] = []
+    shares: Counter[str] = Counter()
+    price = quality = 0.0
+    for number in range(REQUESTS):
+        while due and due[0][0] <= number:
+            _, version, rating = heapq.heappop(due)
+            book.rated(ROUTE, version, rungs[version].prior, rating)
+        options = tuple(
+            Option(r.version, r.price, book.estimate(ROUTE, r.version, r.prior).mean)
+            for r in case.rungs
+        )
+        goal = Goal(case.target, book.shortfall(ROUTE, case.target))
+        version = chooser.choose(options, goal, generator).version
+        rung = rungs[version]
+        shares[version] += 1
+        price += rung.price
+        quality += rung.quality
+        if generator.random() < RATED_RATIO:
+            rating = draw_rating(generator, rung.quality)
+            delay = int(generator.expovariate(1.0 / RATING_DELAY_REQUESTS))
+            heapq.heappush(due, (number + delay, version, rating))
+    return Outcome(price / REQUESTS, quality / REQUESTS, shares)
+
+
+def hindsight(case: Case) -> float:
+    """The price of the best fixed mix, the true qualities known."""
+    options = tuple(Option(r.version, r.price, r.quality) for r in case.rungs)
+    return best_mix(options, case.target).price
+
+
+def main() -> None:
+    title(
+        f"Cost at the quality target: {REQUESTS} requests, {RATED_RATIO:.0%} rated,"
+        f" beta-distributed with sharpness {RATING_SHARPNESS},"
+        f" about {RATING_DELAY_REQUESTS} requests late"
+    )
+    for case in CASES:
+        print(f"# {case.name}")
+        best = hindsight(case)
+        for policy in VERSION_POLICIES.names():
+            outcomes = [run(policy, case, seed) for seed in SEEDS]
+            row(
+                policy,
+                cost_to_hindsight=spread([o.price / best for o in outcomes]),
+                quality_to_target=spread([o.quality / case.target for o in outcomes]),
+            )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/exposure.py
@@ -0,0 +1,159 @@
+"""Exposure to a version that turns bad: how many of its answers are given from
+the turn to the last, and how often a healthy version is taken for bad.
+
+The routers' totals are exchanged every 400 ms, as heartbeats do; ratings are
+sampled, noisy and late. python -m bench.exposure
+"""
+
+import heapq
+import math
+import random
+from dataclasses import dataclass
+
+from ashlatch.policy.detector import Detector, VersionTally
+from bench.cost import draw_rating
+from bench.table import row, spread, title
+
+EXCHANGE_MS = 400.0
+SOON_MS = 100.0
+RATING_DELAY_MS = 1000.0
+HEALTHY_QUALITY = 0.8
+HEALTHY_ERROR_RATIO = 0.003
+LATENCY_LOG_MEAN = 3.0
+LATENCY_LOG_SD = 0.5
+HEALTHY_ANSWERS = 100_000
+WARM_ANSWERS = 1_000
+ANSWERS_MAX = 3_000
+SEEDS = tuple(range(1, 21))
+
+
+@dataclass(frozen=True)
+class Health:
+    """How a version behaves."""
+
+    quality: float = HEALTHY_QUALITY
+    error_ratio: float = HEALTHY_ERROR_RATIO
+    slowdown: float = 1.0
+
+
+HEALTHY = Health()
+TURNS = {
+    "quality halves": Health(quality=HEALTHY_QUALITY / 2),
+    "30% errors": Health(error_ratio=0.30),
+    "4x latency": Health(slowdown=4.0),
+}
+
+
+class Watch:
+    """One version under the routers' shared detector."""
+
+    def __init__(self, seed: int, answers_per_s: float, rated_ratio: float) -> None:
+        self.random = random.Random(seed)
+        self.gap_ms = 1000.0 / answers_per_s
+        self.rated_ratio = rated_ratio
+        self.detector = Detector(HEALTHY_QUALITY)
+        self.ratings: list[tuple[float, float]] = []
+        self.now_ms = 0.0
+        self.exchange_ms = EXCHANGE_MS
+        self.answers = 0
+        self.errors = 0
+        self.log_latency = 0.0
+
+    def request(self, health: Health) -> bool:
+        """One more request; whether the version answered it.
+
+        The more it is suspected, the more requests go to another version.
+        """
+        self.now_ms += self.random.expovariate(1.0 / self.gap_ms)
+        spared = self.random.random() < self.detector.suspicion
+        if not spared:
+            self.answer(health)
+        self.learn()
+        return not spared
+
+    def answer(self, health: Health) -> None:
+        if self.random.random() < health.error_ratio:
+            self.errors += 1
+        else:
+            self.answers += 1
+            log_latency = self.random.gauss(LATENCY_LOG_MEAN, LATENCY_LOG_SD)
+            self.log_latency += log_latency + math.log(health.slowdown)
+            ratio = 1.0 if self.detector.suspected else self.rated_ratio
+            if self.random.random() < ratio:
+                rating = draw_rating(self.random, health.quality)
+                late_ms = self.random.expovariate(1.0 / RATING_DELAY_MS)
+                heapq.heappush(self.ratings, (self.now_ms + late_ms, rating))
+
+    def learn(self) -> None:
+        while self.ratings and self.ratings[0][0] <= self.now_ms:
+            self.detector.add_rating(heapq.heappop(self.ratings)[1])
+        if self.now_ms >= self.exchange_ms:
+            self.exchange()
+
+    def exchange(self) -> None:
+        soon = self.detector.suspected
+        self.exchange_ms = self.now_ms + (SOON_MS if soon else EXCHANGE_MS)
+        tally = VersionTally(self.answers, self.errors, self.log_latency)
+        if tally.answers or tally.errors:
+            self.detector.add_tally(tally)
+        self.answers = self.errors = 0
+        self.log_latency = 0.0
+
+
+def exposure(seed: int, rate: float, rated: float, turned: Health) -> int:
+    """Bad answers from the turn to the last one."""
+    watch = Watch(seed, rate, rated)
+    for _ in range(WARM_ANSWERS):
+        watch.request(HEALTHY)
+    given = 0
+    while not watch.detector.bad and given < ANSWERS_MAX:
+        given += watch.request(turned)
+    return given
+
+
+def naive_exposure(seed: int, rate: float, turned: Health) -> int:
+    """A gate that looks at the last 200 answers' error share only."""
+    generator = random.Random(seed)
+    window: list[bool] = [False] * 200
+    for given in range(1, ANSWERS_MAX):
+        window = [*window[1:], generator.random() < turned.error_ratio]
+        if sum(window) > 20:
+            return given
+    return ANSWERS_MAX
+
+
+def false_alarms(seeds: tuple[int, ...]) -> tuple[int, float]:
+    """Healthy runs of 100,000 answers in which the detector cried, and the
+    share of their requests that went to another version on suspicion.
+    """
+    cried = spared = 0
+    for seed in seeds:
+        watch = Watch(seed, 50.0, 0.2)
+        for _ in range(HEALTHY_ANSWERS):
+            spared += not watch.request(HEALTHY)
+        cried += watch.detector.bad
+    return cried, spared / (len(seeds) * HEALTHY_ANSWERS)
+
+
+def main() -> None:
+    title(f"Exposure: bad answers from the turn to the last, {len(SEEDS)} seeds")
+    for rate, rated in ((5.0, 0.2), (20.0, 0.2), (50.0, 0.2), (20.0, 1.0)):
+        print(f"# {rate:g} answers/s of the version, {rated:.0%} rated")
+        for name, health in TURNS.items():
+            ours = [float(exposure(s, rate, rated, health)) for s in SEEDS]
+            naive = [float(naive_exposure(s, rate, health)) for s in SEEDS]
+            row(name, bad_answers=spread(ours), last_200_errors=spread(naive))
+    title("False alarms")
+    seeds = (101, 102, 103, 104, 105)
+    cried, spared = false_alarms(seeds)
+    row(
+        "healthy",
+        runs=len(seeds),
+        answers_a_run=HEALTHY_ANSWERS,
+        cried=cried,
+        spared_ratio=spared,
+    )
+
+
+if __name__ == "__main__":
+    main()
