Climb the cascade when an answer is poor, and split the life of a request

Cause: a cascade chose one rung and stayed there, also when the model refused or was cut short. Change: a poor whole answer is asked again of the next rung that can still answer in time; the poor one is kept and given when nothing better comes; only what is given is billed. Sessions, streams and what may not be repeated do not climb. Ruled out: climbing on low ratings, which come after the answer is given.

--- a/ashlatch/adapter/engine.py
+++ b/ashlatch/adapter/engine.py
@@ -37,6 +37,8 @@
 NOT_RUN_STATUSES = frozenset({409, 429, 503})
 STREAM_TYPE = "text/event-stream"
 DEFAULT_RETRY_MS = 500.0
+REFUSED_REASON = "content_filter"
+CUT_REASON = "length"
 
 
 @dataclass(frozen=True)
@@ -165,10 +167,12 @@
         if self._streamed:
             return self._stream_result(reply)
         try:
-            usage = json.loads(plain)["usage"]
+            document = json.loads(plain)
+            usage = document["usage"]
+            reasons = {choice["finish_reason"] for choice in document["choices"]}
         except (ValueError, KeyError, TypeError):
             return Broken("the answer is not whole")
-        return self._answered(reply, plain, usage)
+        return self._answered(reply, plain, usage, self._is_poor(reasons, usage))
 
     def _stream_result(self, reply: Reply) -> AttemptResult:
         if not self._done or not self._usage:
@@ -177,14 +181,22 @@
         return self._answered(reply, body, self._usage)
 
     def _answered(
-        self, reply: Reply, body: bytes, usage: dict[str, Any]
+        self, reply: Reply, body: bytes, usage: dict[str, Any], poor: bool = False
     ) -> AttemptResult:
         counted = self._prices.usage(
             int(usage.get("prompt_tokens", 0)), int(usage.get("completion_tokens", 0))
         )
         content_type = reply.headers.get("content-type", "application/json")
         answer = StoredAnswer(200, content_type, body)
-        return Answered(answer, counted, self._elapsed_ms(), self._first_token_ms)
+        took_ms = self._elapsed_ms()
+        return Answered(answer, counted, took_ms, self._first_token_ms, poor)
+
+    def _is_poor(self, reasons: set[str], usage: dict[str, Any]) -> bool:
+        """Refused by the model, or cut short before the caller's own bound."""
+        if REFUSED_REASON in reasons:
+            return True
+        bound = self._attempt.request.output_tokens_max
+        return CUT_REASON in reasons and int(usage["completion_tokens"]) < bound
 
 
 def _refusal(reply: Reply, body: bytes) -> AttemptResult:
--- /dev/null
+++ b/ashlatch/router/attempt.py
@@ -0,0 +1,361 @@
+"""
+ashlatch.router.attempt
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Handlers of attempts: what is sent where, what is tried elsewhere, resumed or
+given up, and when an answer is recorded.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import math
+from dataclasses import dataclass
+from typing import ClassVar
+
+from ashlatch.http import problem as problems
+from ashlatch.http.problem import Problem
+from ashlatch.log import LogEvent
+from ashlatch.router.core import (
+    HANDLERS,
+    Flight,
+    PoorAnswer,
+    RouterCore,
+    Tally,
+)
+from ashlatch.router.ending import (
+    close_claim,
+    forget,
+    give_answer,
+    give_problem,
+    is_disposable,
+)
+from ashlatch.router.event import (
+    Answered,
+    AnswerRecordEnded,
+    AttemptEnded,
+    Broken,
+    CallerLeft,
+    DeadlinePassed,
+    FirstChunk,
+    Full,
+    NotSent,
+    ProposeAnswer,
+    RequestKind,
+    StartAttempt,
+    WriteLog,
+)
+from ashlatch.router.plan import NoPlan, Plan
+from ashlatch.store.command import (
+    AnswerAccepted,
+    AnswerRecorded,
+    RecordAnswer,
+)
+
+__all__ = ["RouteChosen", "no_plan_problem", "plan_attempt", "start_attempt"]
+
+CLAIM_AGAIN_MS = 100.0
+RESUME_MAX = 2
+NO_STATE_RETRY_MS = 1000.0
+LATENCY_FLOOR_MS = 0.1
+
+
+@dataclass(frozen=True)
+class RouteChosen(LogEvent):
+    """The decision for one attempt."""
+
+    event: ClassVar[str] = "route_chosen"
+    request: str
+    attempt: str
+    organisation: str
+    target: str
+    session: str
+    version: str
+    endpoint: str
+    hall: str
+    expected_ms: float
+    reason: str
+    policy: str
+    excluded: str
+    revision: int
+
+
+def plan_attempt(core: RouterCore, flight: Flight, version: str) -> Plan | NoPlan:
+    """Choose where the next attempt goes; with `version`, only the endpoint."""
+    request = flight.request
+    if request.kind is RequestKind.SERVICE:
+        return core.planner.plan_service(request, core.now_ms, flight.tried)
+    return core.planner.plan_chat(request, core.now_ms, flight.tried, version)
+
+
+def no_plan_problem(core: RouterCore, flight: Flight, plan: NoPlan) -> Problem:
+    """What to tell a caller when there is no plan."""
+    detail = ",".join(str(exclusion) for exclusion in plan.excluded)
+    if not plan.allowed:
+        return Problem(problems.NOT_ALLOWED, detail, core.not_run(flight))
+    kind = problems.OVERLOADED if plan.too_late else problems.NO_ENDPOINT
+    return Problem(kind, detail, core.not_run(flight), plan.retry_ms)
+
+
+def start_attempt(
+    core: RouterCore, flight: Flight, plan: Plan, resume_chunks: int = 0
+) -> None:
+    """Send the request as planned; `resume_chunks` were passed on before."""
+    request = flight.request
+    flight.version = plan.version
+    flight.endpoint = plan.endpoint
+    flight.tries += 1
+    flight.attempt_id = f"{request.request_id}-{flight.tries}"
+    flight.sent_ms = core.now_ms
+    core.assert_allowed(flight)
+    core.planner.load(plan.endpoint.name).sent(core.now_ms)
+    core.planner.breaker(plan.endpoint.name).sent(core.now_ms)
+    chosen = RouteChosen(
+        request.request_id,
+        flight.attempt_id,
+        request.organisation,
+        request.target,
+        request.session,
+        plan.version,
+        plan.endpoint.name,
+        plan.endpoint.spec.hall,
+        plan.expected_ms,
+        plan.reason,
+        core.planner.endpoint_policy.name,
+        ",".join(str(exclusion) for exclusion in plan.excluded),
+        core.table_revision,
+    )
+    core.effects.append(WriteLog(chosen))
+    core.effects.append(
+        StartAttempt(
+            request,
+            flight.attempt_id,
+            plan.endpoint.name,
+            plan.endpoint.spec.url,
+            plan.version,
+            core.table_revision,
+            resume_chunks,
+        )
+    )
+
+
+@HANDLERS.on(FirstChunk)
+def _first_chunk(core: RouterCore, event: FirstChunk) -> None:
+    flight = core.flights.get(event.request_id)
+    if flight is not None and flight.attempt_id == event.attempt_id:
+        flight.chunks_given = True
+
+
+@HANDLERS.on(AttemptEnded)
+def _attempt_ended(core: RouterCore, event: AttemptEnded) -> None:
+    flight = core.flights.get(event.request_id)
+    if flight is None or flight.attempt_id != event.attempt_id:
+        return
+    _learn(core, flight, event)
+    match event.result:
+        case Answered():
+            _answered(core, flight, event.result)
+        case NotSent():
+            _try_elsewhere(core, flight, problems.NO_ENDPOINT, event.result.reason)
+        case Full():
+            if event.result.leaving and flight.endpoint is not None:
+                core.planner.leaving.add(flight.endpoint.name)
+            _try_elsewhere(core, flight, problems.OVERLOADED, event.result.reason)
+        case Broken():
+            flight.maybe_ran = True
+            _broken(core, flight, event.result)
+
+
+def _learn(core: RouterCore, flight: Flight, event: AttemptEnded) -> None:
+    """Keep what the attempt tells about its endpoint and its version."""
+    assert flight.endpoint is not None
+    name = flight.endpoint.name
+    result = event.result
+    took_ms = core.now_ms - flight.sent_ms
+    answered = isinstance(result, Answered)
+    core.planner.load(name).finished(core.now_ms, took_ms if answered else None)
+    breaker = core.planner.breaker(name)
+    if answered:
+        breaker.succeeded()
+    elif not isinstance(result, Full) and not flight.given:
+        breaker.failed(core.now_ms)
+    if not flight.version or flight.given:
+        return
+    tally = core.tallies.setdefault(flight.version, Tally())
+    if isinstance(result, Answered):
+        tokens = max(1, result.usage.output_tokens)
+        tally.answers += 1
+        tally.log_latency_sum += math.log(
+            max(LATENCY_FLOOR_MS, result.took_ms / tokens)
+        )
+        core.planner.learn_output(flight.version, tokens)
+    elif isinstance(result, Broken):
+        tally.errors += 1
+
+
+def _answered(core: RouterCore, flight: Flight, result: Answered) -> None:
+    request = flight.request
+    flight.maybe_ran = True
+    if flight.given and is_disposable(request):
+        close_claim(core, flight)
+        forget(core, flight)
+        return
+    if result.poor and _escalate(core, flight, result):
+        return
+    _record(core, flight, result)
+
+
+def _escalate(core: RouterCore, flight: Flight, result: Answered) -> bool:
+    """Ask a costlier version, if there is time; the poor answer is kept.
+
+    A session keeps its version, and of a stream the caller has seen a part.
+    """
+    request = flight.request
+    if request.session or not request.repeatable or flight.given:
+        return False
+    plan = core.planner.plan_above(request, flight.version, core.now_ms)
+    if plan is None:
+        return False
+    flight.poor_answer = PoorAnswer(flight.version, result)
+    start_attempt(core, flight, plan)
+    return True
+
+
+def _fall_back(core: RouterCore, flight: Flight) -> bool:
+    """Answer with the poor answer, when there is nothing better."""
+    poor = flight.poor_answer
+    if poor is None or flight.given:
+        return False
+    flight.poor_answer = None
+    flight.version = poor.version
+    _record(core, flight, poor.result)
+    return True
+
+
+def _record(core: RouterCore, flight: Flight, result: Answered) -> None:
+    """Have the answer recorded and billed; the caller gets it after that."""
+    request = flight.request
+    flight.recording = True
+    record = RecordAnswer(
+        request.ledger_key,
+        flight.attempt,
+        flight.version,
+        result.usage,
+        result.answer if request.keyed else None,
+        request.arrived_wall_ms,
+    )
+    flight.answer = result.answer
+    core.effects.append(ProposeAnswer(request.request_id, record))
+
+
+def _try_elsewhere(
+    core: RouterCore, flight: Flight, kind: problems.ProblemType, reason: str
+) -> None:
+    """After an attempt that has not run: another endpoint, or the end."""
+    if _fall_back(core, flight):
+        return
+    if flight.given:
+        close_claim(core, flight)
+        forget(core, flight)
+        return
+    assert flight.endpoint is not None
+    flight.tried |= {flight.endpoint.name}
+    # The version stays: the claim, and what the caller has seen, bind it.
+    bound = flight.attempt or flight.chunks_given or flight.request.session
+    version = flight.version if bound else ""
+    plan = plan_attempt(core, flight, version)
+    if isinstance(plan, Plan) and core.lease_valid(core.now_ms):
+        if core.budget.spend():
+            start_attempt(core, flight, plan)
+            return
+        reason = f"{reason}; retry budget spent"
+    retry_ms = plan.retry_ms if isinstance(plan, NoPlan) else NO_STATE_RETRY_MS
+    problem = Problem(kind, reason, core.not_run(flight), max(retry_ms, 100.0))
+    give_problem(core, flight, problem)
+
+
+def _broken(core: RouterCore, flight: Flight, result: Broken) -> None:
+    """After an attempt that may have run."""
+    if _fall_back(core, flight):
+        return
+    if flight.given:
+        close_claim(core, flight)
+        forget(core, flight)
+        return
+    if not flight.request.repeatable:
+        detail = f"{result.reason}; it may have run and is not repeated"
+        give_problem(core, flight, Problem(problems.OUTCOME_UNKNOWN, detail, None))
+        return
+    if flight.chunks_given:
+        _resume(core, flight, result)
+        return
+    _try_elsewhere(core, flight, problems.ATTEMPT_FAILED, result.reason)
+
+
+def _resume(core: RouterCore, flight: Flight, result: Broken) -> None:
+    """Go on with a broken stream on the same endpoint and version.
+
+    The caller has seen a part of this answer, so no other answer may follow.
+    """
+    assert flight.endpoint is not None
+    usable = core.planner.table.usable(flight.request.organisation, flight.version)
+    again = flight.tries <= RESUME_MAX and usable and core.lease_valid(core.now_ms)
+    if again and core.budget.spend():
+        plan = Plan(flight.version, flight.endpoint, 0.0, "resume", ())
+        start_attempt(core, flight, plan, result.chunks)
+        return
+    problem = Problem(problems.ATTEMPT_FAILED, result.reason, False, NO_STATE_RETRY_MS)
+    give_problem(core, flight, problem)
+
+
+@HANDLERS.on(AnswerRecordEnded)
+def _record_ended(core: RouterCore, event: AnswerRecordEnded) -> None:
+    flight = core.flights.get(event.request_id)
+    if flight is None:
+        return
+    if flight.given:
+        forget(core, flight)
+        return
+    match event.outcome:
+        case AnswerAccepted():
+            assert flight.answer is not None
+            give_answer(core, flight, flight.answer, replayed=False)
+        case AnswerRecorded(version, answer) if answer and not flight.chunks_given:
+            flight.version = version
+            give_answer(core, flight, answer, replayed=True)
+        case None:
+            detail = "the answer could not be recorded"
+            problem = Problem(
+                problems.STATE_UNAVAILABLE, detail, False, NO_STATE_RETRY_MS
+            )
+            give_problem(core, flight, problem)
+        case _:
+            detail = "another attempt was answered first; ask again for its answer"
+            problem = Problem(problems.ATTEMPT_FAILED, detail, False, CLAIM_AGAIN_MS)
+            give_problem(core, flight, problem)
+
+
+@HANDLERS.on(DeadlinePassed)
+def _deadline_passed(core: RouterCore, event: DeadlinePassed) -> None:
+    flight = core.flights.get(event.request_id)
+    if flight is None or flight.given:
+        return
+    if flight.attempt_id and not flight.recording:
+        # Cancelled in flight: what was sent by now is not known here.
+        flight.maybe_ran = True
+    problem = Problem(
+        problems.DEADLINE_PASSED, "", core.not_run(flight), NO_STATE_RETRY_MS
+    )
+    give_problem(core, flight, problem)
+
+
+@HANDLERS.on(CallerLeft)
+def _caller_left(core: RouterCore, event: CallerLeft) -> None:
+    flight = core.flights.get(event.request_id)
+    if flight is None or flight.given:
+        return
+    if not is_disposable(flight.request):
+        return
+    flight.maybe_ran = bool(flight.attempt_id)
+    problem = Problem(problems.DEADLINE_PASSED, "the caller left", core.not_run(flight))
+    give_problem(core, flight, problem)
--- a/ashlatch/router/core.py
+++ b/ashlatch/router/core.py
@@ -17,12 +17,27 @@
 from ashlatch.policy.retry import RetryBudget
 from ashlatch.policy.table import NamedEndpoint
 from ashlatch.registry import Handlers
-from ashlatch.router.event import Effect, Event, Request, RequestKind, StartAttempt
+from ashlatch.router.event import (
+    Answered,
+    Effect,
+    Event,
+    Request,
+    RequestKind,
+    StartAttempt,
+)
 from ashlatch.router.plan import Planner
 from ashlatch.settings import PolicySettings
 from ashlatch.store.command import StoredAnswer
 
-__all__ = ["HANDLERS", "CachedPin", "Flight", "RouterConfig", "RouterCore", "Tally"]
+__all__ = [
+    "HANDLERS",
+    "CachedPin",
+    "Flight",
+    "PoorAnswer",
+    "RouterConfig",
+    "RouterCore",
+    "Tally",
+]
 
 HANDLERS = Handlers("router")
 
@@ -39,6 +54,14 @@
     policy: PolicySettings = PolicySettings()
 
 
+@dataclass(frozen=True)
+class PoorAnswer:
+    """An answer that will do, unless a costlier version gives a better one."""
+
+    version: str
+    result: Answered
+
+
 @dataclass
 class Flight:
     """A request between its arrival and its final answer.
@@ -63,6 +86,7 @@
     history_known: bool = True
     recording: bool = False
     answer: StoredAnswer | None = None
+    poor_answer: PoorAnswer | None = None
     chunks_given: bool = False
     given: bool = False
 
--- a/ashlatch/router/event.py
+++ b/ashlatch/router/event.py
@@ -110,12 +110,17 @@
 
 @dataclass(frozen=True)
 class Answered:
-    """The endpoint gave a whole answer."""
+    """The endpoint gave a whole answer.
+
+    A `poor` one was refused by the model, or cut short before the caller's
+    own bound.
+    """
 
     answer: StoredAnswer
     usage: Usage
     took_ms: float
     first_token_ms: float
+    poor: bool = False
 
 
 @dataclass(frozen=True)
--- a/ashlatch/router/host.py
+++ b/ashlatch/router/host.py
@@ -27,7 +27,7 @@
 from ashlatch.metrics import Metrics
 from ashlatch.raft.group import monotonic_ms
 from ashlatch.registry import Handlers
-from ashlatch.router import flow, knowledge
+from ashlatch.router import admission, attempt, knowledge
 from ashlatch.router.core import RouterConfig, RouterCore
 from ashlatch.router.event import (
     Answered,
@@ -63,7 +63,7 @@
 EFFECTS = Handlers("router effect")
 
 # Importing the modules registers their handlers.
-_HANDLERS_OF = (flow, knowledge)
+_HANDLERS_OF = (admission, attempt, knowledge)
 
 
 @dataclass(frozen=True)
--- a/ashlatch/router/plan.py
+++ b/ashlatch/router/plan.py
@@ -213,6 +213,18 @@
         reason = choice.reason if chosen == choice.version else "rollout"
         return Plan(chosen, plan.endpoint, plan.expected_ms, reason, tuple(excluded))
 
+    def plan_above(self, request: Request, version: str, now_ms: float) -> Plan | None:
+        """The cheapest rung above a version that can still answer in time."""
+        rungs = self.table.rungs(request.target)
+        if version not in rungs:
+            return None
+        ready = self._ready_endpoints(now_ms, frozenset(), [])
+        for rung in rungs[rungs.index(version) + 1 :]:
+            found = self._plan_version(request, rung, now_ms, ready)
+            if isinstance(found, Plan) and not self.suspended(rung):
+                return replace(found, reason="escalated")
+        return None
+
     def acceptable(self, request: Request) -> tuple[str, ...]:
         """All versions of the route that the organisation may use."""
         return tuple(
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -47,6 +47,7 @@
     break_after: int = 0
     quality: dict[str, float] = field(default_factory=dict)
     error_ratio: dict[str, float] = field(default_factory=dict)
+    finish: dict[str, str] = field(default_factory=dict)
     runs: collections.deque[dict[str, Any]] = field(
         default_factory=lambda: collections.deque(maxlen=LOG_MAX)
     )
@@ -209,7 +210,13 @@
             "id": shown,
             "object": "chat.completion",
             "model": version,
-            "choices": [{"index": 0, "message": message, "finish_reason": "stop"}],
+            "choices": [
+                {
+                    "index": 0,
+                    "message": message,
+                    "finish_reason": self.finish.get(version, "stop"),
+                }
+            ],
             "usage": self.usage(prompt, tokens),
         }
         return reply(document, X_Request_Id=shown)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -166,14 +166,14 @@
     ),
     Mutant(
         "not-run-after-break",
-        "ashlatch/router/flow.py",
+        "ashlatch/router/attempt.py",
         "        case Broken():\n            flight.maybe_ran = True\n",
         "        case Broken():\n",
         TRAFFIC,
     ),
     Mutant(
         "retry-of-unrepeatable",
-        "ashlatch/router/flow.py",
+        "ashlatch/router/attempt.py",
         "    if not flight.request.repeatable:\n        detail = f",
         "    if False:\n        detail = f",
         TRAFFIC,
--- /dev/null
+++ b/tests/test_log.py
@@ -0,0 +1,52 @@
+"""Tests of ashlatch.log: the lines are what the golden file says."""
+
+import io
+import logging
+from pathlib import Path
+
+import testtools
+
+from ashlatch.control.rollout import VersionBad
+from ashlatch.log import DaemonFailed, LogEvent, emit, setup
+from ashlatch.router.attempt import RouteChosen
+
+GOLDEN = Path(__file__).parent / "golden" / "log.txt"
+
+EVENTS: tuple[LogEvent, ...] = (
+    RouteChosen(
+        "q1",
+        "q1-1",
+        "org",
+        "ask",
+        "",
+        "v1",
+        "e1",
+        "logan",
+        12.3456,
+        "mix_first",
+        "two_choices",
+        "e2:leaving",
+        7,
+    ),
+    DaemonFailed("state", "DiskFailed", "DiskFailed(path='/x', reason='no \"space\"')"),
+    VersionBad("v1", "errors,ratings", True, 3),
+)
+
+
+class LogTest(testtools.TestCase):
+    def test_lines(self) -> None:
+        stream = io.StringIO()
+        setup(stream)
+        self.addCleanup(setup, io.StringIO())
+        for event in EVENTS:
+            emit(logging.getLogger("ashlatch.test"), event)
+        lines = [
+            line[line.index("event=") :] for line in stream.getvalue().splitlines()
+        ]
+        self.assertEqual(GOLDEN.read_text().splitlines(), lines)
+
+    def test_no_event_has_a_field_that_logging_itself_uses(self) -> None:
+        taken = set(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
+        for kind in LogEvent.__subclasses__():
+            fields = set(getattr(kind, "__dataclass_fields__", {}))
+            self.assertEqual(set(), fields & taken, kind.__name__)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -8,8 +8,9 @@
 
 from ashlatch.policy.load import LoadReport
 from ashlatch.policy.table import RoutingTable, TableBuilder
+from ashlatch.policy.version import VERSION_POLICIES
 from ashlatch.resources import canonical, parse
-from ashlatch.router import flow, knowledge
+from ashlatch.router import admission, attempt, knowledge
 from ashlatch.router.core import RouterConfig, RouterCore
 from ashlatch.router.event import (
     Answered,
@@ -44,7 +45,7 @@
     Usage,
 )
 
-_HANDLERS_OF = (flow, knowledge)
+_HANDLERS_OF = (admission, attempt, knowledge)
 
 NOW_MS = 1000.0
 ANSWER = Answered(StoredAnswer(200, "text/plain", b"yes"), Usage(1, 2, 3), 50.0, 5.0)
@@ -108,6 +109,9 @@
     return dataclasses.replace(plain, **changed)
 
 
+POOR = dataclasses.replace(
+    ANSWER, answer=StoredAnswer(200, "text/plain", b"poor"), poor=True
+)
 ORDER = {"kind": RequestKind.SERVICE, "target": "orders", "repeatable": False}
 
 
@@ -233,6 +237,11 @@
 
 
 class AttemptTest(RouterTest):
+    def setUp(self) -> None:
+        super().setUp()
+        # Without exploration the cheapest good version, v1, is chosen.
+        self.core.planner.version_policy = VERSION_POLICIES.get("cheapest")()
+
     def test_an_answer_waits_for_its_record(self) -> None:
         attempt = self.one(self.arrive(), StartAttempt)
         effects = self.end(attempt, ANSWER)
@@ -269,6 +278,28 @@
         self.end(attempt, NotSent("refused"))
         self.assertEqual([], self.end(attempt, ANSWER))
 
+    def test_a_poor_answer_is_asked_again_of_the_next_rung(self) -> None:
+        attempt = self.one(self.arrive(), StartAttempt)
+        self.assertEqual("v1", attempt.version)
+        better = self.one(self.end(attempt, POOR), StartAttempt)
+        self.assertEqual("v2", better.version)
+        record = self.one(self.end(better, ANSWER), ProposeAnswer).record
+        self.assertEqual("v2", record.version)
+
+    def test_a_poor_answer_is_better_than_none(self) -> None:
+        attempt = self.one(self.arrive(), StartAttempt)
+        better = self.one(self.end(attempt, POOR), StartAttempt)
+        record = self.one(self.end(better, Broken("reset")), ProposeAnswer).record
+        self.assertEqual("v1", record.version)
+        given = self.step(AnswerRecordEnded("q1", AnswerAccepted(1)))
+        self.assertEqual(b"poor", self.one(given, GiveAnswer).answer.body)
+
+    def test_a_session_does_not_climb(self) -> None:
+        effects = self.claim_granted(self.arrive(session="s"), "v1")
+        attempt = self.one(effects, StartAttempt)
+        record = self.one(self.end(attempt, POOR), ProposeAnswer).record
+        self.assertEqual("v1", record.version)
+
     def test_a_broken_stream_is_resumed_where_it_was(self) -> None:
         attempt = self.one(self.arrive(stream=True), StartAttempt)
         self.step(FirstChunk("q1", attempt.attempt_id))
--- a/tests/test_router_failures.py
+++ b/tests/test_router_failures.py
@@ -149,6 +149,18 @@
             words = stream.text.split()
             self.assertEqual([f"w{place}" for place in range(1, 20)], words[1:])
 
+    def test_a_refused_answer_climbs_the_cascade_and_is_billed_once(self) -> None:
+        with lean() as found:
+            for engine in found.engines:
+                engine.control(finish={"quote-small-1": "content_filter"})
+            before = found.bills()
+            replies = [found.ask(place % 2) for place in range(12)]
+            versions = {reply.headers["ashlatch-version"] for reply in replies}
+            self.assertEqual({"quote-large-1"}, versions)
+            self.assertEqual(12, found.bills() - before)
+            runs = [run for engine in found.engines for run in engine.get("runs")]
+            self.assertIn("quote-small-1", {run["version"] for run in runs})
+
     def test_a_failing_service_is_not_called_again(self) -> None:
         with lean() as found:
             for worker in found.workers:
--- a/tests/traffic.py
+++ b/tests/traffic.py
@@ -19,7 +19,7 @@
 from ashlatch.policy.load import LoadReport
 from ashlatch.policy.table import TableBuilder
 from ashlatch.resources import canonical, parse
-from ashlatch.router import flow, knowledge
+from ashlatch.router import admission, attempt, knowledge
 from ashlatch.router.core import RouterConfig, RouterCore
 from ashlatch.router.daemon import configuration_changed
 from ashlatch.router.event import (
@@ -66,7 +66,7 @@
 from ashlatch.store.machine import Machine
 from ashlatch.store.protocol import RouterReply
 
-_HANDLERS_OF = (flow, knowledge)
+_HANDLERS_OF = (admission, attempt, knowledge)
 
 LEASE_MS = 2000.0
 CONNECT_MS = 500.0
@@ -519,7 +519,8 @@
             return
         body = f"{request.organisation}/{request.key}#{item.effect.attempt_id}"
         answer = StoredAnswer(200, "text/plain", body.encode())
-        self.end(item, Answered(answer, Usage(1, 1, 1), 100.0, 10.0))
+        poor = request.kind is RequestKind.CHAT and self.random.random() < 0.15
+        self.end(item, Answered(answer, Usage(1, 1, 1), 100.0, 10.0, poor))
 
     def claim_due(self) -> None:
         item = self.draw(self.due)
