--- a/ashlatch/control/core.py
+++ b/ashlatch/control/core.py
@@ -25,7 +25,7 @@
 from ashlatch.log import LogEvent
 from ashlatch.policy.detector import Detector
 from ashlatch.registry import Handlers
-from ashlatch.resources import Spec, canonical, parse
+from ashlatch.resources import Spec, canonical, parse_cached
 from ashlatch.store.command import Resource
 from ashlatch.store.configuration import ResourceId
 from ashlatch.store.protocol import VersionReport
@@ -93,7 +93,7 @@
         found: dict[str, K] = {}
         for key, resource in sorted(self.resources.items()):
             if key.kind == kind.name:
-                spec = parse(kind.name, resource.spec)
+                spec = parse_cached(kind.name, resource.spec)
                 assert isinstance(spec, kind)
                 found[key.name] = spec
         return found
--- a/ashlatch/policy/table.py
+++ b/ashlatch/policy/table.py
@@ -10,7 +10,6 @@
 """
 
 from dataclasses import dataclass, field
-from functools import lru_cache
 from typing import TypeVar
 
 from ashlatch.errors import InvariantViolated
@@ -24,7 +23,7 @@
     Route,
     Spec,
     Version,
-    parse,
+    parse_cached,
 )
 from ashlatch.store.command import Resource
 from ashlatch.store.configuration import ResourceId
@@ -95,11 +94,6 @@
         return tuple(rungs)
 
 
-@lru_cache(maxsize=8192)
-def _parsed(kind: str, spec: bytes) -> Spec:
-    return parse(kind, spec)
-
-
 class TableBuilder:
     """Keeps the resources of the newest revision and makes tables of them."""
 
@@ -150,7 +144,7 @@
         found: dict[str, K] = {}
         for key, resource in self._resources.items():
             if key.kind == kind.name:
-                spec = _parsed(kind.name, resource.spec)
+                spec = parse_cached(kind.name, resource.spec)
                 assert isinstance(spec, kind)
                 found[key.name] = spec
         return found
--- a/ashlatch/resources.py
+++ b/ashlatch/resources.py
@@ -11,6 +11,7 @@
 """
 
 import json
+from functools import lru_cache
 from typing import Annotated, ClassVar, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
@@ -36,6 +37,7 @@
     "Withdrawal",
     "canonical",
     "parse",
+    "parse_cached",
 ]
 
 Quality = Annotated[float, Field(ge=0.0, le=1.0)]
@@ -286,6 +288,12 @@
         raise InvalidResource(kind, field_errors(error)) from error
 
 
+@lru_cache(maxsize=8192)
+def parse_cached(kind: str, spec: bytes) -> Spec:
+    """As `parse`; the same bytes are read once."""
+    return parse(kind, spec)
+
+
 def canonical(spec: Spec) -> bytes:
     """A spec as JSON, the same bytes for the same content."""
     document = spec.model_dump(mode="json")
--- a/ashlatch/router/admission.py
+++ b/ashlatch/router/admission.py
@@ -25,7 +25,7 @@
     RequestKind,
     ScheduleClaim,
 )
-from ashlatch.router.plan import NoPlan
+from ashlatch.router.verdict import NoPlan
 from ashlatch.store.command import (
     Claim,
     ClaimAnswered,
--- a/ashlatch/router/attempt.py
+++ b/ashlatch/router/attempt.py
@@ -45,7 +45,7 @@
     StartAttempt,
     WriteLog,
 )
-from ashlatch.router.plan import NoPlan, Plan
+from ashlatch.router.verdict import NoPlan, Plan
 from ashlatch.store.command import (
     AnswerAccepted,
     AnswerRecorded,
--- /dev/null
+++ b/ashlatch/router/conversation.py
@@ -0,0 +1,130 @@
+"""
+ashlatch.router.conversation
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+One caller's request on the caller's own thread: waits for what the core
+decides and passes it on.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import select
+import socket
+from collections.abc import Iterator
+
+from werkzeug.wrappers import Request as HttpRequest
+from werkzeug.wrappers import Response
+
+from ashlatch.http.problem import problem_response
+from ashlatch.raft.group import monotonic_ms
+from ashlatch.router.event import (
+    CallerLeft,
+    DeadlinePassed,
+    GiveAnswer,
+    GiveProblem,
+    Request,
+)
+from ashlatch.router.host import Chunk, Mailbox, RouterHost
+
+__all__ = ["Conversation"]
+
+CALLER_CHECK_MS = 250.0
+STREAM_TYPE = "text/event-stream"
+
+
+class Conversation:
+    """One caller's request on the caller's own thread."""
+
+    def __init__(
+        self,
+        host: RouterHost,
+        http: HttpRequest,
+        request: Request,
+        mailbox: Mailbox,
+        began_ms: float,
+    ) -> None:
+        self._host = host
+        self._socket = http.environ.get("werkzeug.socket")
+        self._request = request
+        self._mailbox = mailbox
+        self._began_ms = began_ms
+
+    def respond(self) -> Response:
+        """Wait for the first piece and answer with it."""
+        mail = self._next()
+        if isinstance(mail, Chunk):
+            response = Response(
+                self._stream(mail), direct_passthrough=True, content_type=STREAM_TYPE
+            )
+            response.headers["Ashlatch-Version"] = mail.version
+            response.headers["Ashlatch-Request-Id"] = self._request.request_id
+            return response
+        self._finish()
+        if isinstance(mail, GiveAnswer):
+            return self._whole(mail)
+        return problem_response(mail.problem)
+
+    def _whole(self, mail: GiveAnswer) -> Response:
+        answer = mail.answer
+        response = Response(
+            answer.body, status=answer.status, content_type=answer.content_type
+        )
+        response.headers["Ashlatch-Request-Id"] = self._request.request_id
+        if mail.version:
+            response.headers["Ashlatch-Version"] = mail.version
+        if mail.version_changed:
+            response.headers["Ashlatch-Version-Changed"] = "true"
+        if mail.replayed:
+            response.headers["Ashlatch-Replayed"] = "true"
+        return response
+
+    def _stream(self, first: Chunk) -> Iterator[bytes]:
+        mail: Chunk | GiveAnswer | GiveProblem = first
+        ended = False
+        try:
+            while isinstance(mail, Chunk):
+                yield mail.data
+                mail = self._next()
+            ended = True
+            yield _stream_end(mail)
+        finally:
+            if not ended:
+                self._host.post(CallerLeft(self._request.request_id))
+            self._finish()
+
+    def _next(self) -> Chunk | GiveAnswer | GiveProblem:
+        """The next mail; a missed deadline or a caller gone brings one too."""
+        while True:
+            left_ms = self._request.deadline_ms - monotonic_ms()
+            if left_ms <= 0:
+                self._host.post(DeadlinePassed(self._request.request_id))
+            mail = self._mailbox.get(min(max(left_ms, 5.0), CALLER_CHECK_MS))
+            if mail is not None:
+                return mail
+            if self._caller_left():
+                self._host.post(CallerLeft(self._request.request_id))
+
+    def _caller_left(self) -> bool:
+        """Whether the caller has closed its side of the connection."""
+        if self._socket is None:
+            return False
+        readable, _, _ = select.select([self._socket], [], [], 0)
+        if not readable:
+            return False
+        try:
+            return not self._socket.recv(1, socket.MSG_PEEK)
+        except OSError:
+            return True
+
+    def _finish(self) -> None:
+        took_ms = monotonic_ms() - self._began_ms
+        self._host.metrics.record_ms("request", took_ms)
+        self._host.close(self._request)
+
+
+def _stream_end(mail: GiveAnswer | GiveProblem) -> bytes:
+    """The last event: `[DONE]` only when the answer is whole and recorded."""
+    if isinstance(mail, GiveAnswer):
+        return b"data: [DONE]\n\n"
+    return b"event: error\ndata: " + mail.problem.document() + b"\n\n"
--- a/ashlatch/router/daemon.py
+++ b/ashlatch/router/daemon.py
@@ -13,11 +13,9 @@
 import json
 import logging
 import random
-import select
-import socket
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import ClassVar
 
@@ -40,14 +38,11 @@
     read_chat,
     read_service,
 )
+from ashlatch.router.conversation import Conversation
 from ashlatch.router.event import (
     Answered,
-    CallerLeft,
     ConfigurationChanged,
-    DeadlinePassed,
     DrainStarted,
-    GiveAnswer,
-    GiveProblem,
     LeaseRenewed,
     LoadReported,
     Rated,
@@ -55,7 +50,7 @@
     VersionTallied,
     VersionTotals,
 )
-from ashlatch.router.host import Chunk, Mailbox, RouterHost
+from ashlatch.router.host import RouterHost
 from ashlatch.rpc import Address
 from ashlatch.settings import RouterSettings
 from ashlatch.store.protocol import RouterPoll, RouterReply, VersionReport
@@ -68,10 +63,8 @@
 # How long a heartbeat is held while a version is suspected.
 SUSPECTED_WAIT_MS = 100.0
 FIRST_CONFIGURATION_S = 20.0
-CALLER_CHECK_MS = 250.0
 STOP_CHECK_S = 0.02
 SERVICES = "/v1/services/"
-STREAM_TYPE = "text/event-stream"
 
 
 @dataclass(frozen=True)
@@ -327,102 +320,5 @@
     def _serve(self, http: HttpRequest, request: Request) -> Response:
         began_ms = monotonic_ms()
         mailbox = self.host.open(request)
-        conversation = _Conversation(self.host, http, request, mailbox, began_ms)
+        conversation = Conversation(self.host, http, request, mailbox, began_ms)
         return conversation.respond()
-
-
-class _Conversation:
-    """One caller's request on the caller's own thread."""
-
-    def __init__(
-        self,
-        host: RouterHost,
-        http: HttpRequest,
-        request: Request,
-        mailbox: Mailbox,
-        began_ms: float,
-    ) -> None:
-        self._host = host
-        self._socket = http.environ.get("werkzeug.socket")
-        self._request = request
-        self._mailbox = mailbox
-        self._began_ms = began_ms
-
-    def respond(self) -> Response:
-        """Wait for the first piece and answer with it."""
-        mail = self._next()
-        if isinstance(mail, Chunk):
-            response = Response(
-                self._stream(mail), direct_passthrough=True, content_type=STREAM_TYPE
-            )
-            response.headers["Ashlatch-Version"] = mail.version
-            response.headers["Ashlatch-Request-Id"] = self._request.request_id
-            return response
-        self._finish()
-        if isinstance(mail, GiveAnswer):
-            return self._whole(mail)
-        return problem_response(mail.problem)
-
-    def _whole(self, mail: GiveAnswer) -> Response:
-        answer = mail.answer
-        response = Response(
-            answer.body, status=answer.status, content_type=answer.content_type
-        )
-        response.headers["Ashlatch-Request-Id"] = self._request.request_id
-        if mail.version:
-            response.headers["Ashlatch-Version"] = mail.version
-        if mail.version_changed:
-            response.headers["Ashlatch-Version-Changed"] = "true"
-        if mail.replayed:
-            response.headers["Ashlatch-Replayed"] = "true"
-        return response
-
-    def _stream(self, first: Chunk) -> Iterator[bytes]:
-        mail: Chunk | GiveAnswer | GiveProblem = first
-        ended = False
-        try:
-            while isinstance(mail, Chunk):
-                yield mail.data
-                mail = self._next()
-            ended = True
-            yield _stream_end(mail)
-        finally:
-            if not ended:
-                self._host.post(CallerLeft(self._request.request_id))
-            self._finish()
-
-    def _next(self) -> Chunk | GiveAnswer | GiveProblem:
-        """The next mail; a missed deadline or a caller gone brings one too."""
-        while True:
-            left_ms = self._request.deadline_ms - monotonic_ms()
-            if left_ms <= 0:
-                self._host.post(DeadlinePassed(self._request.request_id))
-            mail = self._mailbox.get(min(max(left_ms, 5.0), CALLER_CHECK_MS))
-            if mail is not None:
-                return mail
-            if self._caller_left():
-                self._host.post(CallerLeft(self._request.request_id))
-
-    def _caller_left(self) -> bool:
-        """Whether the caller has closed its side of the connection."""
-        if self._socket is None:
-            return False
-        readable, _, _ = select.select([self._socket], [], [], 0)
-        if not readable:
-            return False
-        try:
-            return not self._socket.recv(1, socket.MSG_PEEK)
-        except OSError:
-            return True
-
-    def _finish(self) -> None:
-        took_ms = monotonic_ms() - self._began_ms
-        self._host.metrics.record_ms("request", took_ms)
-        self._host.close(self._request)
-
-
-def _stream_end(mail: GiveAnswer | GiveProblem) -> bytes:
-    """The last event: `[DONE]` only when the answer is whole and recorded."""
-    if isinstance(mail, GiveAnswer):
-        return b"data: [DONE]\n\n"
-    return b"event: error\ndata: " + mail.problem.document() + b"\n\n"
--- a/ashlatch/router/plan.py
+++ b/ashlatch/router/plan.py
@@ -9,7 +9,6 @@
 :license: MIT, see LICENSE for details.
 """
 
-import enum
 import random
 from dataclasses import dataclass, field, replace
 
@@ -24,9 +23,10 @@
 from ashlatch.policy.version import VERSION_POLICIES, Goal, Option
 from ashlatch.resources import Route
 from ashlatch.router.event import Request
+from ashlatch.router.verdict import Exclusion, NoPlan, Plan, WhyOut
 from ashlatch.settings import PolicySettings
 
-__all__ = ["Exclusion", "NoPlan", "Plan", "Planner", "WhyOut"]
+__all__ = ["Planner", "Ready"]
 
 OTHER_HALL_MS = 2.0
 EXPECTED_OUTPUT_TOKENS = 200
@@ -34,57 +34,6 @@
 SPLIT_BUCKETS = 10_000
 
 
-class WhyOut(enum.Enum):
-    """Why a version or an endpoint is not a candidate."""
-
-    NOT_ALLOWED = "not_allowed"
-    WITHDRAWN = "withdrawn"
-    SUSPENDED = "suspended"
-    SUSPECTED = "suspected"
-    NO_ENDPOINT = "no_endpoint"
-    TOO_LATE = "too_late"
-    LEAVING = "leaving"
-    SILENT = "silent"
-    BREAKER_OPEN = "breaker_open"
-    TRIED = "tried"
-
-
-@dataclass(frozen=True)
-class Exclusion:
-    """What was left out, and why."""
-
-    name: str
-    why: WhyOut
-
-    def __str__(self) -> str:
-        return f"{self.name}:{self.why.value}"
-
-
-@dataclass(frozen=True)
-class Plan:
-    """Where to send a request next."""
-
-    version: str
-    endpoint: NamedEndpoint
-    expected_ms: float
-    reason: str
-    excluded: tuple[Exclusion, ...]
-
-
-@dataclass(frozen=True)
-class NoPlan:
-    """Nothing may or can answer now.
-
-    `allowed` tells whether the organisation could have been served at all;
-    `retry_ms` when it is worth to come back.
-    """
-
-    allowed: bool
-    too_late: bool
-    retry_ms: float
-    excluded: tuple[Exclusion, ...]
-
-
 @dataclass(frozen=True)
 class Ready:
     """An endpoint that may get work now, with what is known of it."""
--- /dev/null
+++ b/ashlatch/router/verdict.py
@@ -0,0 +1,68 @@
+"""
+ashlatch.router.verdict
+~~~~~~~~~~~~~~~~~~~~~~~
+
+What planning comes to: a plan, or none and why; and why each version or
+endpoint was left out.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import enum
+from dataclasses import dataclass
+
+from ashlatch.policy.table import NamedEndpoint
+
+__all__ = ["Exclusion", "NoPlan", "Plan", "WhyOut"]
+
+
+class WhyOut(enum.Enum):
+    """Why a version or an endpoint is not a candidate."""
+
+    NOT_ALLOWED = "not_allowed"
+    WITHDRAWN = "withdrawn"
+    SUSPENDED = "suspended"
+    SUSPECTED = "suspected"
+    NO_ENDPOINT = "no_endpoint"
+    TOO_LATE = "too_late"
+    LEAVING = "leaving"
+    SILENT = "silent"
+    BREAKER_OPEN = "breaker_open"
+    TRIED = "tried"
+
+
+@dataclass(frozen=True)
+class Exclusion:
+    """What was left out, and why."""
+
+    name: str
+    why: WhyOut
+
+    def __str__(self) -> str:
+        return f"{self.name}:{self.why.value}"
+
+
+@dataclass(frozen=True)
+class Plan:
+    """Where to send a request next."""
+
+    version: str
+    endpoint: NamedEndpoint
+    expected_ms: float
+    reason: str
+    excluded: tuple[Exclusion, ...]
+
+
+@dataclass(frozen=True)
+class NoPlan:
+    """Nothing may or can answer now.
+
+    `allowed` tells whether the organisation could have been served at all;
+    `retry_ms` when it is worth to come back.
+    """
+
+    allowed: bool
+    too_late: bool
+    retry_ms: float
+    excluded: tuple[Exclusion, ...]
--- a/bench/all.py
+++ b/bench/all.py
@@ -1,10 +1,10 @@
 """make bench: every measurement, one after the other."""
 
-from bench import core, cost, exposure, latency, overload, router, state
+from bench import capacity, core, cost, exposure, latency, overload, router, state
 
 
 def main() -> None:
-    for module in (core, cost, exposure, latency, overload, state, router):
+    for module in (core, cost, exposure, latency, overload, state, router, capacity):
         module.main()
 
 
--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,201 @@
+"""Slopes for docs/CAPACITY.md: what one more endpoint, version, request or
+heartbeat costs each role. python -m bench.capacity
+"""
+
+import gc
+import json
+import time
+import tracemalloc
+from typing import Any
+
+from ashlatch.adapter.platform import ListedVm
+from ashlatch.codec import encode
+from ashlatch.control import membership, placement, rollout
+from ashlatch.control.core import ControlCore
+from ashlatch.control.event import (
+    LeaseAnswered,
+    LoadedVersions,
+    PoolRead,
+    StateRead,
+    VmsListed,
+)
+from ashlatch.resources import canonical, parse
+from ashlatch.store.command import (
+    Claim,
+    PutResource,
+    RecordAnswer,
+    RequestKey,
+    Resource,
+    StoredAnswer,
+    Usage,
+    VersionCandidate,
+)
+from ashlatch.store.machine import Machine
+from ashlatch.store.protocol import RouterPoll, RouterReply, VersionReport
+from bench.router import memory_mb, processor_s
+from bench.table import row, title
+from tests.lean import lean
+
+_HANDLERS_OF = (membership, placement, rollout)
+
+RECORDS = (1_000, 10_000, 40_000)
+ENDPOINTS = (10, 100, 1_400)
+VERSIONS = (3, 10, 30)
+ANSWER_BYTES = 2_000
+IDLE_S = 8.0
+PERIODS = ((250.0, 400.0), (1000.0, 400.0), (1000.0, 1500.0))
+
+
+def ledger() -> None:
+    title("The ledger, by records: memory, snapshot, time for a claim and a record")
+    for kept in (False, True):
+        for count in RECORDS:
+            gc.collect()
+            tracemalloc.start()
+            machine = Machine()
+            began_s = time.perf_counter()
+            for number in range(count):
+                add_record(machine, number, kept)
+            took_s = time.perf_counter() - began_s
+            memory_bytes = tracemalloc.get_traced_memory()[0]
+            tracemalloc.stop()
+            began_s = time.perf_counter()
+            snapshot = machine.snapshot()
+            row(
+                f"{count} records, answers {'kept' if kept else 'not kept'}",
+                bytes_a_record=memory_bytes / count,
+                snapshot_bytes_a_record=len(snapshot) / count,
+                snapshot_ms=(time.perf_counter() - began_s) * 1000.0,
+                traced_us_a_record=took_s * 1e6 / count,
+            )
+
+
+def add_record(machine: Machine, number: int, kept: bool) -> None:
+    key = RequestKey(f"org-{number % 10}", f"{number:032x}")
+    body = b"%08d" % number * (ANSWER_BYTES // 8)
+    answer = StoredAnswer(200, "application/json", body) if kept else None
+    candidate = VersionCandidate("v", 1000, ("v",))
+    machine.step(Claim(key, f"r/{number:032x}", f"{number:032x}", "r", True, candidate))
+    machine.step(RecordAnswer(key, 1, "v", Usage(1, 2, 3), answer, 0))
+
+
+def resources(endpoints: int) -> tuple[Resource, ...]:
+    specs: list[tuple[str, str, dict[str, Any]]] = [
+        ("pool", "lm", {"report_url": "http://x"})
+    ]
+    for place in range(endpoints):
+        spec = {"pool": "lm", "url": f"http://10.0.0.{place}:8000", "vm": f"vm-{place}"}
+        specs.append(("endpoint", f"vm-{place}", {**spec, "hall": f"h{place % 7}"}))
+    return tuple(
+        Resource(kind, name, number, canonical(parse(kind, json.dumps(s).encode())))
+        for number, (kind, name, s) in enumerate(specs, 1)
+    )
+
+
+def put(resource: Resource) -> PutResource:
+    """The change that creates a resource."""
+    change_id = f"c/{resource.kind}/{resource.name}"
+    return PutResource(
+        change_id, "op", resource.kind, resource.name, 0, resource.spec, ()
+    )
+
+
+def configuration() -> None:
+    title("The configuration and control, by endpoints")
+    for count in ENDPOINTS:
+        found = resources(count)
+        machine = Machine()
+        for resource in found:
+            machine.step(
+                PutResource(
+                    f"c{resource.name}",
+                    "op",
+                    resource.kind,
+                    resource.name,
+                    0,
+                    resource.spec,
+                    (),
+                )
+            )
+        core = ControlCore("me")
+        core.step(0.0, LeaseAnswered("me", 1, float("inf")))
+        vms = tuple(
+            ListedVm(
+                vm=f"vm-{n}", pool="lm", hall=f"h{n % 7}", url=f"http://10.0.0.{n}:8000"
+            )
+            for n in range(count)
+        )
+        loaded = tuple(LoadedVersions(f"vm-{n}", frozenset("v")) for n in range(count))
+        events = (
+            StateRead(1, 1, found, ()),
+            VmsListed(vms),
+            PoolRead("lm", loaded),
+        )
+        core.step(0.0, events[0])
+        figures = {}
+        for event in events:
+            began_s = time.perf_counter()
+            for _ in range(5):
+                core.step(0.0, event)
+            took_ms = (time.perf_counter() - began_s) * 200.0
+            figures[f"{type(event).__name__}_ms"] = took_ms
+        row(
+            f"{count} endpoints",
+            full_read_bytes=len(encode(found)),
+            snapshot_bytes=len(machine.snapshot()),
+            **figures,
+        )
+
+
+def messages() -> None:
+    title("Bytes of a heartbeat, by versions in use")
+    for count in VERSIONS:
+        reports = tuple(
+            VersionReport(f"model-{n}-version-{n}", 10**6, 10**3, 1234567.89)
+            for n in range(count)
+        )
+        poll = RouterPoll(
+            "vm-123/0123456789ab", "vm-123", "nbo-a", 12345, 3000.0, reports
+        )
+        reply = RouterReply(True, "10.0.0.1:7000", 8000.0, 12345, totals=reports)
+        row(f"{count} versions", poll=len(encode(poll)), reply=len(encode(reply)))
+    endpoint = {
+        "vm": "pick-assist-123",
+        "age_ms": 123.4,
+        "running": 5,
+        "queued": 1,
+        "slots": 8,
+        "versions": [f"model-{n}-version-{n}" for n in range(6)],
+        "leaving": False,
+    }
+    row("load report", json_bytes_an_endpoint=len(json.dumps(endpoint)))
+
+
+def idle() -> None:
+    title("Daemons at rest: processor time, by how often they look")
+    for load_ms, held_ms in PERIODS:
+        extra = {"load_poll_ms": load_ms, "poll_wait_ms": held_ms}
+        with lean(routers=1, router_extra=extra) as found:
+            system = found.system
+            daemons = [*system.routers, *system.states, *system.controls]
+            leader = system.leader()
+            before = [processor_s(daemon) for daemon in daemons]
+            time.sleep(IDLE_S)
+            for daemon, used_s in zip(daemons, before, strict=True):
+                mark = " (leader)" if daemon is leader else ""
+                row(
+                    f"{daemon.process.name}{mark}, {load_ms:.0f}/{held_ms:.0f} ms",
+                    core_ratio=(processor_s(daemon) - used_s) / IDLE_S,
+                    memory_mb=memory_mb(daemon),
+                )
+
+
+def main() -> None:
+    ledger()
+    configuration()
+    messages()
+    idle()
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_router_failures.py
+++ b/tests/test_router_failures.py
@@ -2,16 +2,34 @@
 engines that misbehave."""
 
 import concurrent.futures
+import contextlib
 import signal
 import socket
 import time
+from collections.abc import Iterator
 from typing import Any
 
 import testtools
 
 from tests.chat import Stream, chat_body, chat_stream, headers
 from tests.lean import KEY, ROUTE, Lean, Load, lean
-from tests.system import request, wait_until
+from tests.system import HOST, request, wait_until
+
+
+@contextlib.contextmanager
+def stuck_listener() -> Iterator[str]:
+    """The URL of a listener whose queue is full: no connection ever stands."""
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.socket())
+        listener.bind((HOST, 0))
+        listener.listen(0)
+        address = listener.getsockname()
+        for _ in range(4):
+            filler = stack.enter_context(socket.socket())
+            filler.setblocking(False)
+            filler.connect_ex(address)
+        yield f"http://{HOST}:{address[1]}"
+
 
 SLOW = ("--token-ms", "20", "--output-tokens", "100")
 MARGIN_MS = 100.0
@@ -50,6 +68,59 @@
         return any(engine.get("load")["running"] for engine in found.engines)
 
 
+class KilledBeforeSendTest(testtools.TestCase):
+    def test_a_claim_whose_router_died_before_it_sent_anything(self) -> None:
+        """The endpoints take no connection, so nothing is ever sent."""
+        patient = {"connect_timeout_ms": 20_000}
+        with lean(router_extra=patient) as found, stuck_listener() as stuck:
+            system = found.system
+            real = [dict(vm) for vm in system.vms]
+            self.list_urls(found, [{**vm, "url": stuck} for vm in real])
+            with concurrent.futures.ThreadPoolExecutor(2) as pool:
+                calls = [
+                    pool.submit(found.order, "claimed-order"),
+                    pool.submit(lambda: found.ask(Idempotency_Key="claimed-question")),
+                ]
+                log = system.routers[0].process
+                wait_until(lambda: self.connecting(log.log), "both are claimed")
+                log.kill()
+                for call in calls:
+                    self.assertIsInstance(call.exception(), OSError)
+            self.list_urls(found, real)
+            order = wait_until(lambda: self.final(found), "a final word")
+            self.assertTrue(order["type"].endswith("outcome_unknown"), order)
+            self.assertIsNone(order["not_run"])
+            self.assertEqual(0, found.ran("claimed-order"))
+            question = found.ask(1, Idempotency_Key="claimed-question")
+            self.assertEqual(200, question.status)
+
+    def list_urls(self, found: Lean, vms: list[dict[str, Any]]) -> None:
+        found.system.vms = vms
+        found.system.publish_vms()
+        wanted = {vm["url"] for vm in vms}
+
+        def in_force() -> bool:
+            reply = found.system.operate("GET", "/v1/resources/endpoint").json
+            urls = {r["spec"]["url"] for r in reply["resources"]}
+            reached: int = found.system.status()["in_force_revision"]
+            return urls == wanted and reached >= reply["revision"]
+
+        wait_until(in_force, "the endpoints' addresses are in force")
+
+    def connecting(self, log: str) -> bool:
+        lines = [line for line in log.splitlines() if "event=route_chosen" in line]
+        # The last two decisions are the two calls; nothing has ended since.
+        ended = log.rfind("event=request_ended")
+        return sum(log.find(line) > ended for line in lines[-2:]) == 2
+
+    def final(self, found: Lean) -> dict[str, Any] | None:
+        reply = found.order("claimed-order", 1, Ashlatch_Deadline_Ms="5000")
+        self.assertIsNot(True, reply.json["not_run"])
+        self.assertNotEqual(200, reply.status)
+        document: dict[str, Any] = reply.json
+        return document if document["type"].endswith("outcome_unknown") else None
+
+
 class FrozenRouterTest(testtools.TestCase):
     def test_a_withdrawal_under_load_with_a_frozen_router(self) -> None:
         version = "quote-small-1"
