--- a/ashlatch/control/daemon.py
+++ b/ashlatch/control/daemon.py
@@ -46,6 +46,7 @@
 from ashlatch.errors import AshlatchError, NoLeader, TransportError
 from ashlatch.http.server import HttpServer
 from ashlatch.log import LogEvent, emit
+from ashlatch.periodic import Periodic
 from ashlatch.raft.group import monotonic_ms
 from ashlatch.registry import Handlers
 from ashlatch.resources import Pool, parse
@@ -94,9 +95,8 @@
         )
         self._failed = failed
         self._lock = threading.Lock()
-        self._stopping = threading.Event()
+        self._periodic = Periodic(failed)
         self._orders = ThreadPoolExecutor(8, "orders")
-        self._threads: list[threading.Thread] = []
         self._ratings = RatingService(settings.rating_url)
         self._resources: dict[ResourceId, Resource] = {}
         self._read_revision = 0
@@ -108,21 +108,20 @@
     def start(self) -> None:
         """Serve operators, and ask for the control lease."""
         self.rpc.keep(self._poll_lease(), self._failed)
-        self._loop("state", self._read_state, self.settings.control_poll_ms)
-        if self.settings.platform_url:
-            self._loop("platform", self._read_platform, self.settings.platform_poll_ms)
-        self._loop("pools", self._read_pools, self.settings.platform_poll_ms)
-        if self.settings.rating_url:
-            self._loop("ratings", self._read_ratings, self.settings.control_poll_ms)
+        settings, repeat = self.settings, self._periodic.start
+        repeat("state", self._read_state, settings.control_poll_ms)
+        if settings.platform_url:
+            repeat("platform", self._read_platform, settings.platform_poll_ms)
+        repeat("pools", self._read_pools, settings.platform_poll_ms)
+        if settings.rating_url:
+            repeat("ratings", self._read_ratings, settings.control_poll_ms)
         self._server.start()
 
     def stop(self) -> None:
         """End what is open; the lease runs out by itself."""
         self.api.drain()
-        self._stopping.set()
+        self._periodic.stop()
         self._server.stop()
-        for thread in self._threads:
-            thread.join()
         self._orders.shutdown(wait=True)
         self.rpc.stop()
 
@@ -151,7 +150,7 @@
         return self.holder, self.core.active(monotonic_ms())
 
     async def _poll_lease(self) -> None:
-        while not self._stopping.is_set():
+        while not self._periodic.stopping:
             sent_ms = monotonic_ms()
             try:
                 reply = await self.client.poll_control(ControlPoll(self.holder))
@@ -163,19 +162,6 @@
                 self.post(LeaseAnswered(reply.holder, reply.epoch, until_ms))
             await asyncio.sleep(self.settings.control_poll_ms / 1000.0)
 
-    def _loop(self, name: str, work: Callable[[], None], every_ms: float) -> None:
-        def run() -> None:
-            while not self._stopping.wait(every_ms / 1000.0):
-                try:
-                    work()
-                except BaseException as error:
-                    self._failed(error)
-                    raise
-
-        thread = threading.Thread(target=run, name=name, daemon=True)
-        self._threads.append(thread)
-        thread.start()
-
     def _unreadable(self, source: str, error: AshlatchError) -> None:
         event = SourceUnreadable(self.settings.vm, source, str(error))
         emit(log, event, logging.WARNING)
--- /dev/null
+++ b/ashlatch/periodic.py
@@ -0,0 +1,57 @@
+"""
+ashlatch.periodic
+~~~~~~~~~~~~~~~~~
+
+Work that a daemon repeats on threads of its own, until it stops.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import threading
+from collections.abc import Callable
+
+__all__ = ["Periodic"]
+
+
+class Periodic:
+    """Repeats functions, each on its own thread.
+
+    `failed` is called with what a function raises; that ends its thread::
+
+        loops = Periodic(failed)
+        loops.start("load", read_loads, every_ms=250.0)
+        loops.stop()
+    """
+
+    def __init__(self, failed: Callable[[BaseException], None]) -> None:
+        self._failed = failed
+        self._stopping = threading.Event()
+        self._threads: list[threading.Thread] = []
+
+    @property
+    def stopping(self) -> bool:
+        """Whether `stop` has been called."""
+        return self._stopping.is_set()
+
+    def start(self, name: str, work: Callable[[], None], every_ms: float) -> None:
+        """Run the work again and again, this long after its last end."""
+        thread = threading.Thread(
+            target=self._run, args=(work, every_ms), name=name, daemon=True
+        )
+        self._threads.append(thread)
+        thread.start()
+
+    def stop(self) -> None:
+        """Begin no more work, and wait for what runs."""
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _run(self, work: Callable[[], None], every_ms: float) -> None:
+        while not self._stopping.wait(every_ms / 1000.0):
+            try:
+                work()
+            except BaseException as error:
+                self._failed(error)
+                raise
--- a/ashlatch/router/daemon.py
+++ b/ashlatch/router/daemon.py
@@ -29,6 +29,7 @@
 from ashlatch.http.problem import Problem, problem_response
 from ashlatch.http.server import HttpServer
 from ashlatch.log import LogEvent, emit
+from ashlatch.periodic import Periodic
 from ashlatch.policy.table import RoutingTable, TableBuilder
 from ashlatch.raft.group import monotonic_ms
 from ashlatch.router.api import (
@@ -110,13 +111,12 @@
         self._builder = TableBuilder()
         self._failed = failed
         self._ready = threading.Event()
-        self._stopping = threading.Event()
+        self._periodic = Periodic(failed)
         self._server = HttpServer(
             Address.parse(settings.listen), self._answer, settings.http
         )
         self._ratings = RatingService(settings.rating_url)
         self._random = random.Random(settings.policy.seed)
-        self._threads: list[threading.Thread] = []
 
     def start(self) -> None:
         """Serve, once the first configuration is applied.
@@ -124,10 +124,13 @@
         Without a state the router serves too, and refuses everything.
         """
         self.host.rpc.keep(self._poll_state(), self._failed)
-        self._loop("load", self._read_loads, self.settings.load_poll_ms)
-        if self.settings.rating_url:
+        settings, repeat = self.settings, self._periodic.start
+        repeat("load", self._read_loads, settings.load_poll_ms)
+        if settings.rating_url:
             self.host.answered = self._sample
-            self._loop("ratings", self._read_ratings, self.settings.rating_poll_ms)
+            self._periodic.start(
+                "ratings", self._read_ratings, self.settings.rating_poll_ms
+            )
         self._ready.wait(FIRST_CONFIGURATION_S)
         self._server.start()
 
@@ -141,16 +144,14 @@
             time.sleep(STOP_CHECK_S)
         cut = self.host.in_flight()
         self._server.stop()
-        self._stopping.set()
-        for thread in self._threads:
-            thread.join()
+        self._periodic.stop()
         self.host.stop()
         return cut
 
     # What keeps the core informed.
 
     async def _poll_state(self) -> None:
-        while not self._stopping.is_set():
+        while not self._periodic.stopping:
             sent_ms = monotonic_ms()
             try:
                 reply = await self.host.client.poll_router(self._heartbeat())
@@ -203,19 +204,6 @@
         self.host.post(VersionTallied(totals))
         self._ready.set()
 
-    def _loop(self, name: str, work: Callable[[], None], every_ms: float) -> None:
-        def run() -> None:
-            while not self._stopping.wait(every_ms / 1000.0):
-                try:
-                    work()
-                except BaseException as error:
-                    self._failed(error)
-                    raise
-
-        thread = threading.Thread(target=run, name=name, daemon=True)
-        self._threads.append(thread)
-        thread.start()
-
     def _read_loads(self) -> None:
         for pool, spec in list(self.host.core.planner.table.pools.items()):
             if not spec.report_url:
