Let the proof of R9 fail, and walk the operators' commands

Cause: R9 had no mutant, and a stop that forgot its callers would have passed: the traffic world looked at the router's flights, not at who waits. Change: it looks at both; mutant stop-forgets-callers; tests/test_ctl.py runs the commands of docs/OPERATORS.md.

--- a/ashlatch/router/core.py
+++ b/ashlatch/router/core.py
@@ -3,7 +3,7 @@
 ~~~~~~~~~~~~~~~~~~~~
 
 The reducer of a router: `step` takes an event and returns effects. The
-handlers of requests are in `flow`, those of knowledge in `knowledge`.
+handlers of requests are in `admission` and `attempt`, the others in `knowledge`.
 
 :copyright: Copyright 2026 by the ashlatch maintainers.
 :license: MIT, see LICENSE for details.
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -156,6 +156,13 @@
         "        repeat = True\n",
         TRAFFIC,
     ),
+    Mutant(
+        "stop-forgets-callers",
+        "ashlatch/router/knowledge.py",
+        "    core.draining = True\n",
+        "    core.draining = True\n    core.flights.clear()\n",
+        TRAFFIC,
+    ),
     Mutant(
         "not-run-after-lapse",
         "ashlatch/router/core.py",
--- /dev/null
+++ b/tests/test_ctl.py
@@ -0,0 +1,77 @@
+"""Tests of ashlatchctl, by the commands of docs/OPERATORS.md."""
+
+import json
+from typing import Any
+
+import testtools
+
+from tests.system import System, running, wait_until
+
+MODEL: dict[str, Any] = {
+    "kind": "model",
+    "name": "small",
+    "spec": {"description": "cheap"},
+}
+VERSION: dict[str, Any] = {
+    "kind": "version",
+    "name": "small-1",
+    "spec": {
+        "model": "small",
+        "input_price_microusd_per_ktoken": 1,
+        "output_price_microusd_per_ktoken": 2,
+    },
+}
+
+
+class CtlTest(testtools.TestCase):
+    def test_the_operators_commands(self) -> None:
+        with running() as system:
+            system.start_states(3)
+            system.start_controls(2)
+            wait_until(lambda: system.voters() == 3, "three voters")
+            # The version comes first in the file and second in effect.
+            self.check_apply(system, [VERSION, MODEL])
+            self.check_changes(system)
+            self.check_members(system)
+
+    def check_apply(self, system: System, resources: list[dict[str, Any]]) -> None:
+        first = system.apply(resources)
+        self.assertIn("model/small accepted as 1", first)
+        self.assertIn("version/small-1 accepted as 2", first)
+        self.assertIn("revision 2 in force on 0 routers", first)
+        path = system.folder / "again.json"
+        path.write_text(json.dumps(resources))
+        again = system.ctl("apply", "-f", str(path)).stdout
+        self.assertEqual(2, again.count("unchanged"))
+
+    def check_changes(self, system: System) -> None:
+        shown = json.loads(system.ctl("get", "model", "small").stdout)
+        self.assertEqual(("demo", 1), (shown["changed_by"], shown["revision"]))
+        listed = json.loads(system.ctl("get", "version").stdout)
+        self.assertEqual(["small-1"], [r["name"] for r in listed["resources"]])
+        used = system.ctl("delete", "model", "small", check=False)
+        self.assertEqual(1, used.returncode)
+        self.assertIn("is used by version/small-1", used.stderr)
+        withdrawn = system.ctl("withdraw", "small-1", "--wait").stdout
+        self.assertIn("in force", withdrawn)
+        bad = system.ctl(
+            "rollout", "r", "--from", "small-1", "--to", "small-2", check=False
+        )
+        self.assertEqual(1, bad.returncode)
+        lines = system.ctl("watch", "--count", "3").stdout.splitlines()
+        accepted = [json.loads(line).get("accepted", {}).get("name") for line in lines]
+        self.assertEqual(["small", "small-1", "small-1"], accepted)
+        self.assertIn("deleted", system.ctl("delete", "withdrawal", "small-1").stdout)
+
+    def check_members(self, system: System) -> None:
+        listed = system.ctl("member", "list").stdout
+        self.assertIn("losses_survived=1", listed)
+        leader = next(line for line in listed.splitlines() if "role=leader" in line)
+        victim = next(
+            line.split()[0] for line in listed.splitlines() if "role=voter" in line
+        )
+        left = system.ctl("member", "remove", victim).stdout
+        self.assertNotIn(victim, left)
+        self.assertIn(leader.split()[0], left)
+        status = json.loads(system.ctl("status").stdout)
+        self.assertEqual(2, len(status["members"]))
--- a/tests/traffic.py
+++ b/tests/traffic.py
@@ -82,7 +82,7 @@
     """A schedule broke one of the ten rules."""
 
 
-@dataclass
+@dataclass(eq=False)
 class Sim:
     """One start of one router."""
 
@@ -558,6 +558,8 @@
             self.calm(100.0 if self.random.random() < 0.2 else 0.0)
         if sim.core.flights:
             raise RuleBroken(f"R9: {len(sim.core.flights)} cut by a stop of {name}")
+        if sim in self.open.values():
+            raise RuleBroken(f"R9: a caller of {name} never hears")
         self.crash(name)
 
     def operate(self) -> None:
