Keep a member alive when who asked it leaves

Cause: found by NoStateTest under a busy machine ('not within 30.0 s: every router answers again'; 3 of 6 runs side by side): a call whose deadline passed was cancelled by the gRPC server, the cancellation reached the proposal's future, and settling that future raised InvalidStateError on the group's thread. Releasing the other futures raised again, so the failure was not even told: the process lived on without its member. Ruled out: elections and leases (the log ends in that trace). Change: a proposal's future is marked as running, which cannot be cancelled, and a failure is told before anything else is done.

--- a/ashlatch/raft/group.py
+++ b/ashlatch/raft/group.py
@@ -168,6 +168,9 @@
         ceased to before the command was known to be committed.
         """
         future: Future[Any] = Future()
+        # A running future cannot be cancelled: who asked may leave, and the
+        # group must still be able to settle it.
+        future.set_running_or_notify_cancel()
         with self._ticket_lock:
             self._next_ticket += 1
             ticket = self._next_ticket
@@ -180,8 +183,8 @@
             while self._round():
                 pass
         except BaseException as error:
-            self._fail_all(lost=True)
             self.failed(error)
+            self._fail_all(lost=True)
 
     def _round(self) -> bool:
         batch = self._next_batch()
