Keep to the new version also far from its threshold

A suspected version is spared with the probability of its suspicion, whatever that is; the return to the version that it replaced was only barred above 0.1. So one request in a hundred went back at a suspicion of 0.01. Ruled out: the stages (progress was done), the split, late answers. Change: what is spared in this very plan is barred. Seen failing without it: RolloutTest in tests/test_router.py, Items in actual but not in expected: ['v1']: error_sum 0.14

Also found: StopTest failed in 1 of 2 runs of the suite ('not within 30.0 s: new work is refused'), since its streams lasted 2 s and a busy machine took longer to ask. The engines now hold the streams until the refusal is seen, and that they still run is checked too. The roll-out tests tell answers by when they were asked for and wait for "in force", where they slept before. After: make test 113 passed in 95 s; the stop test 3 of 3 and the killed control 3 of 3, six side by side.

--- a/ashlatch/router/plan.py
+++ b/ashlatch/router/plan.py
@@ -158,7 +158,7 @@
         choice = self.version_policy.choose(options, goal, self.generator)
         chosen = self._after_rollouts(request, choice.version, plans)
         others = tuple(o for o in options if o.version != chosen)
-        if others and self._replaced(chosen):
+        if others and self._replaced(chosen, excluded):
             # Its successor is only spared for now: another rung, not a return.
             choice = self.version_policy.choose(others, goal, self.generator)
             chosen = choice.version
@@ -341,13 +341,13 @@
                 return rollout.to_version
         return version
 
-    def _replaced(self, version: str) -> bool:
-        """Whether all traffic has moved to a version that is not known bad."""
+    def _replaced(self, version: str, excluded: list[Exclusion]) -> bool:
+        """Whether all traffic has moved to a version that is spared just now."""
+        spared = {e.name for e in excluded if e.why is WhyOut.SUSPECTED}
         return any(
             rollout.from_version == version
             and rollout.share_percent >= FULL_SHARE_PERCENT
-            and self.suspected(rollout.to_version)
-            and not self.suspended(rollout.to_version)
+            and rollout.to_version in spared
             for rollout in self.table.rollouts
         )
 
--- a/tests/test_control_failures.py
+++ b/tests/test_control_failures.py
@@ -4,6 +4,7 @@
 import concurrent.futures
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import testtools
@@ -35,6 +36,23 @@
     return {r["name"] for r in reply.json["resources"]}
 
 
+@dataclass(frozen=True)
+class Seen:
+    """An answer: when it was asked for, and the version that gave it."""
+
+    asked_s: float
+    version: str
+
+
+def wait_in_force(found: Lean) -> float:
+    """Wait until all that is accepted now is in force; the time when it was."""
+    revision = found.system.status()["revision"]
+    wait_until(
+        lambda: found.system.status()["in_force_revision"] >= revision, "in force"
+    )
+    return time.monotonic()
+
+
 class Asking:
     """Callers that ask as fast as they get answers, until a time."""
 
@@ -43,7 +61,7 @@
         self._pool = concurrent.futures.ThreadPoolExecutor(callers)
         self._callers = callers
         self._stop = False
-        self.versions: list[tuple[float, str]] = []
+        self.versions: list[Seen] = []
         self.failures = 0
 
     def __enter__(self) -> "Asking":
@@ -59,15 +77,25 @@
     def _ask(self, number: int) -> None:
         count = len(self._found.system.routers)
         while not self._stop:
+            asked_s = time.monotonic()
             reply = self._found.ask(number % count)
             number += 1
             if reply.status == 200:
                 version = reply.headers["ashlatch-version"]
-                self.versions.append((time.monotonic(), version))
+                self.versions.append(Seen(asked_s, version))
             else:
                 self.failures += 1
                 time.sleep(0.02)
 
+    def asked_after(self, since_s: float, count: int) -> list[str]:
+        """The versions of so many answers, at least, asked for after a time."""
+
+        def later() -> list[str]:
+            return [s.version for s in list(self.versions) if s.asked_s > since_s]
+
+        wait_until(lambda: len(later()) >= count, f"{count} answers")
+        return later()
+
 
 def target(found: Lean, quality: float) -> None:
     """Let the route want so little quality that the small model answers."""
@@ -87,12 +115,8 @@
                 epoch = found.system.status()["control_epoch"]
                 killed.process.kill()
                 self.wait_stage(found, lambda p: p["state"] == "done")
-                wait_until(lambda: len(asking.versions) > 100, "traffic")
-                time.sleep(1.0)
-                asking.versions.clear()
-                wait_until(lambda: len(asking.versions) > 60, "traffic after")
+                seen = asking.asked_after(wait_in_force(found), 60)
             self.assertGreater(found.system.status()["control_epoch"], epoch)
-            seen = [version for _, version in asking.versions]
             self.assertNotIn(OLD, seen)
             self.assertIn(NEW, seen)
 
@@ -124,11 +148,8 @@
                 for engine in found.engines:
                     engine.control(quality={OLD: 0.3})
                 wait_until(lambda: OLD in withdrawn(found), "it is withdrawn")
-                asking.versions.clear()
-                time.sleep(1.5)
-                asking.versions.clear()
-                wait_until(lambda: len(asking.versions) > 20, "traffic after")
-            self.assertEqual({LARGE}, {version for _, version in asking.versions})
+                seen = asking.asked_after(wait_in_force(found), 20)
+            self.assertEqual({LARGE}, set(seen))
             logs = "".join(control.process.log for control in found.system.controls)
             self.assertIn("event=version_bad", logs)
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -223,6 +223,12 @@
         changed = table(
             12,
             version__v0={"model": "m", "quality_prior": 0.6, **price},
+            version__v2={
+                "model": "m",
+                "quality_prior": 0.9,
+                "input_price_microusd_per_ktoken": 1,
+                "output_price_microusd_per_ktoken": 1_000_000,
+            },
             rollout__r={"from_version": "v1", "to_version": "v0", "stages": stages},
             **{"rollout-progress__r": {"share_percent": 100.0, "state": "done"}},
         )
@@ -231,13 +237,24 @@
         for name in ("e1", "e2"):
             report = LoadReport(name, NOW_MS + 1, 0, 0, 4, every)
             self.step(LoadReported("lm", (report,), frozenset()))
-        # Half way to its threshold: every other request is spared.
-        self.core.planner.detector("v0").error_sum = 7.0
+        # Half way to its threshold every other request is spared, and far from
+        # it one in a hundred; neither may go back to v1.
+        for error_sum in (7.0, 0.14):
+            self.core.planner.detector("v0").error_sum = error_sum
+            versions = self.versions_of(1000)
+            self.assertEqual({"v0", "v2"}, versions, f"error_sum {error_sum}")
+
+    def versions_of(self, requests: int) -> set[str]:
+        """What so many requests are sent to, each answered before the next."""
         versions = set()
-        for number in range(60):
-            effects = self.arrive(request_id=f"q{number}", key=f"k{number}")
-            versions.add(self.one(effects, StartAttempt).version)
-        self.assertEqual({"v0", "v2"}, versions)
+        for number in range(requests):
+            name = f"q{len(self.core.tallies)}-{number}"
+            effects = self.arrive(request_id=name, key=name)
+            attempt = self.one(effects, StartAttempt)
+            versions.add(attempt.version)
+            self.end(attempt, ANSWER)
+            self.step(AnswerRecordEnded(name, AnswerAccepted(1)))
+        return versions
 
 
 class SessionTest(RouterTest):
--- a/tests/test_router_failures.py
+++ b/tests/test_router_failures.py
@@ -254,9 +254,14 @@
                     pool.submit(chat_stream, router.url, KEY, ROUTE) for _ in range(6)
                 ]
                 wait_until(lambda: self.running(found) >= 4, "streams run")
+                # The streams must outlast the questions below, however busy
+                # the machine is: they crawl until the refusal has been seen.
+                self.pace(found, 500.0)
                 router.process.signal(signal.SIGTERM)
                 refused = wait_until(lambda: self.refused(found), "new work is refused")
                 self.assertIs(True, refused["not_run"])
+                self.assertGreaterEqual(self.running(found), 4)
+                self.pace(found, 1.0)
                 streams: list[Stream] = [call.result() for call in calls]
             for stream in streams:
                 self.assertEqual((200, True), (stream.status, stream.done))
@@ -267,6 +272,10 @@
     def running(self, found: Lean) -> int:
         return sum(engine.get("load")["running"] for engine in found.engines)
 
+    def pace(self, found: Lean, token_ms: float) -> None:
+        for engine in found.engines:
+            engine.control(token_ms=token_ms)
+
     def refused(self, found: Lean) -> dict[str, object] | None:
         # An order is quick: a question that is still let in would be in flight
         # until the router has stopped.
