Hold against a version only what is its own doing

Change: policy/evidence.py. A failure is a version's when its endpoint answers again within 2 s, or when the version fails by error replies on two endpoints and answers nowhere; a timing counts when the endpoint had room and its reports show no queue meanwhile; below 5 ms a token nothing is slow; one answer's step is bounded. The four copies of a version's counts became one.

The test of the killed engine then found a spliced stream (R5): 102 words of 100. A stream that was resumed on a dead endpoint was begun anew on another. After its first chunk only a resume may follow now.

A trial with a bounded step made bench.exposure run for ever: at a suspicion of 0.9999 nearly all requests were spared and no evidence came. At most 90% are spared now before the verdict.

--- a/ashlatch/adapter/engine.py
+++ b/ashlatch/adapter/engine.py
@@ -163,7 +163,8 @@
         if reply.status != 200:
             return _refusal(reply, plain)
         if self._foreign:
-            return Broken("the answer is of another request", self._chunks())
+            reason = "the answer is of another request"
+            return Broken(reason, self._chunks(), replied=True)
         if self._streamed:
             return self._stream_result(reply)
         try:
@@ -171,7 +172,7 @@
             usage = document["usage"]
             reasons = {choice["finish_reason"] for choice in document["choices"]}
         except (ValueError, KeyError, TypeError):
-            return Broken("the answer is not whole")
+            return Broken("the answer is not whole", replied=True)
         return self._answered(reply, plain, usage, self._is_poor(reasons, usage))
 
     def _stream_result(self, reply: Reply) -> AttemptResult:
@@ -209,4 +210,4 @@
     if reply.status in NOT_RUN_STATUSES and error.get("not_run") is True:
         retry_ms = float(error.get("retry_after_ms", DEFAULT_RETRY_MS))
         return Full(reason, retry_ms, leaving=reason == "leaving")
-    return Broken(reason)
+    return Broken(reason, replied=True)
--- a/ashlatch/control/rollout.py
+++ b/ashlatch/control/rollout.py
@@ -78,14 +78,10 @@
     for report in totals:
         seen = core.totals.get(report.version)
         core.totals[report.version] = report
-        if seen is None or report.answers < seen.answers:
+        if seen is None:
             continue
-        tally = VersionTally(
-            report.answers - seen.answers,
-            max(0, report.errors - seen.errors),
-            report.log_latency_sum - seen.log_latency_sum,
-        )
-        if tally.answers or tally.errors:
+        tally = report.tally.since(seen.tally)
+        if tally != VersionTally():
             _detector(core, report.version).add_tally(tally)
 
 
--- a/ashlatch/policy/detector.py
+++ b/ashlatch/policy/detector.py
@@ -25,7 +25,11 @@
 LATENCY_LOG_SD = 0.6
 LATENCY_GAIN = 0.01
 SUSPECTED = 0.1
+# Some requests always go on: without them no test would come to an end.
+SPARED_RATIO_MAX = 0.9
 LATENCY_WARM_ANSWERS = 20
+# One answer's evidence of slowness is bounded: a burst is not a version's doing.
+LATENCY_STEP_MAX = 1.4
 
 _ERROR_STEP = math.log(BAD_ERROR_RATIO / HEALTHY_ERROR_RATIO)
 _ANSWER_STEP = math.log((1 - BAD_ERROR_RATIO) / (1 - HEALTHY_ERROR_RATIO))
@@ -33,16 +37,41 @@
 
 @dataclass(frozen=True)
 class VersionTally:
-    """What has come of a version's attempts since the last look.
+    """What has come of a version's attempts, over some time.
 
-    `log_latency_sum` adds up the natural logarithm of the time for each
-    output token, in milliseconds, over the answers.
+    `timed` answers say something of its speed: `log_latency_sum` adds up the
+    natural logarithm of the time for each output token, in milliseconds, over
+    these.
     """
 
     answers: int = 0
     errors: int = 0
+    timed: int = 0
     log_latency_sum: float = 0.0
 
+    def plus(self, other: "VersionTally") -> "VersionTally":
+        """Both together."""
+        return VersionTally(
+            self.answers + other.answers,
+            self.errors + other.errors,
+            self.timed + other.timed,
+            self.log_latency_sum + other.log_latency_sum,
+        )
+
+    def since(self, earlier: "VersionTally") -> "VersionTally":
+        """What has come since an earlier total.
+
+        Nothing when a total has fallen, as at a router's start or end.
+        """
+        counts = (
+            self.answers - earlier.answers,
+            self.errors - earlier.errors,
+            self.timed - earlier.timed,
+        )
+        if min(counts) < 0:
+            return VersionTally()
+        return VersionTally(*counts, self.log_latency_sum - earlier.log_latency_sum)
+
 
 @dataclass
 class Detector:
@@ -69,8 +98,8 @@
         """Learn from attempts."""
         step = tally.errors * _ERROR_STEP + tally.answers * _ANSWER_STEP
         self.error_sum = max(0.0, self.error_sum + step)
-        if tally.answers:
-            self._add_latency(tally.answers, tally.log_latency_sum)
+        if tally.timed:
+            self._add_latency(tally.timed, tally.log_latency_sum)
         if self.error_sum >= THRESHOLD:
             self.reasons.add("errors")
 
@@ -93,6 +122,11 @@
         highest = max(self.error_sum, self.rating_sum, self.latency_sum)
         return min(1.0, highest / THRESHOLD)
 
+    @property
+    def spared_ratio(self) -> float:
+        """The share of the requests that should go to another version now."""
+        return 1.0 if self.bad else min(SPARED_RATIO_MAX, self.suspicion)
+
     @property
     def suspected(self) -> bool:
         """Whether to look closer: rate every answer, exchange totals sooner."""
@@ -106,7 +140,8 @@
         self.latency_answers += answers
         if self.latency_answers > LATENCY_WARM_ANSWERS:
             shifted = healthy + math.log(BAD_LATENCY_RATIO)
-            step = answers * _normal_step(mean, healthy, shifted, LATENCY_LOG_SD)
+            step = _normal_step(mean, healthy, shifted, LATENCY_LOG_SD)
+            step = answers * min(LATENCY_STEP_MAX, step)
             self.latency_sum = max(0.0, self.latency_sum + step)
             if self.latency_sum >= THRESHOLD:
                 self.reasons.add("latency")
--- a/ashlatch/policy/load.py
+++ b/ashlatch/policy/load.py
@@ -85,6 +85,10 @@
         reported = self.report.running + self.report.queued
         return float(max(reported + since, self.in_flight, 0))
 
+    def has_room(self) -> bool:
+        """Whether a new request would begin to run at once."""
+        return self.requests() < self.slots
+
     def reported_requests(self) -> float:
         """The number that the newest report gives, as it stands."""
         if self.report is None:
--- a/ashlatch/router/attempt.py
+++ b/ashlatch/router/attempt.py
@@ -9,19 +9,18 @@
 :license: MIT, see LICENSE for details.
 """
 
-import math
 from dataclasses import dataclass
 from typing import ClassVar
 
 from ashlatch.http import problem as problems
 from ashlatch.http.problem import Problem
 from ashlatch.log import LogEvent
+from ashlatch.policy.evidence import Failure, Timing
 from ashlatch.router.core import (
     HANDLERS,
     Flight,
     PoorAnswer,
     RouterCore,
-    Tally,
 )
 from ashlatch.router.ending import (
     close_claim,
@@ -57,7 +56,7 @@
 CLAIM_AGAIN_MS = 100.0
 RESUME_MAX = 2
 NO_STATE_RETRY_MS = 1000.0
-LATENCY_FLOOR_MS = 0.1
+TIMEOUT_SLACK_MS = 10.0
 
 
 @dataclass(frozen=True)
@@ -108,7 +107,9 @@
     flight.attempt_id = f"{request.request_id}-{flight.tries}"
     flight.sent_ms = core.now_ms
     core.assert_allowed(flight)
-    core.planner.load(plan.endpoint.name).sent(core.now_ms)
+    load = core.planner.load(plan.endpoint.name)
+    flight.had_room = load.has_room()
+    load.sent(core.now_ms)
     core.planner.breaker(plan.endpoint.name).sent(core.now_ms)
     chosen = RouteChosen(
         request.request_id,
@@ -181,16 +182,28 @@
         breaker.failed(core.now_ms)
     if not flight.version or flight.given:
         return
-    tally = core.tallies.setdefault(flight.version, Tally())
     if isinstance(result, Answered):
-        tokens = max(1, result.usage.output_tokens)
-        tally.answers += 1
-        tally.log_latency_sum += math.log(
-            max(LATENCY_FLOOR_MS, result.took_ms / tokens)
-        )
-        core.planner.learn_output(flight.version, tokens)
-    elif isinstance(result, Broken):
-        tally.errors += 1
+        _learn_answer(core, flight, name, result)
+    elif isinstance(result, Broken) and not _timed_out(core, flight):
+        failure = Failure(flight.version, core.now_ms, result.replied)
+        core.found(core.evidence.failed(name, failure))
+
+
+def _timed_out(core: RouterCore, flight: Flight) -> bool:
+    """Whether the attempt was broken off because the caller's time was up."""
+    return core.now_ms >= flight.request.deadline_ms - TIMEOUT_SLACK_MS
+
+
+def _learn_answer(
+    core: RouterCore, flight: Flight, endpoint: str, result: Answered
+) -> None:
+    tokens = max(1, result.usage.output_tokens)
+    core.planner.learn_output(flight.version, tokens)
+    core.found(core.evidence.answered(endpoint, flight.version, core.now_ms))
+    if flight.had_room:
+        token_ms = result.took_ms / tokens
+        timing = Timing(flight.version, flight.sent_ms, core.now_ms, token_ms)
+        core.evidence.timed(endpoint, timing)
 
 
 def _answered(core: RouterCore, flight: Flight, result: Answered) -> None:
@@ -211,7 +224,9 @@
     A session keeps its version, and of a stream the caller has seen a part.
     """
     request = flight.request
-    if request.session or not request.repeatable or flight.given:
+    if request.session or not request.repeatable:
+        return False
+    if flight.given or flight.chunks_given:
         return False
     plan = core.planner.plan_above(request, flight.version, core.now_ms)
     if plan is None:
@@ -258,10 +273,15 @@
         close_claim(core, flight)
         forget(core, flight)
         return
+    if flight.chunks_given:
+        # Another attempt would begin anew, and the caller has seen a part.
+        problem = Problem(problems.ATTEMPT_FAILED, reason, False, NO_STATE_RETRY_MS)
+        give_problem(core, flight, problem)
+        return
     assert flight.endpoint is not None
     flight.tried |= {flight.endpoint.name}
-    # The version stays: the claim, and what the caller has seen, bind it.
-    bound = flight.attempt or flight.chunks_given or flight.request.session
+    # The version stays: the claim binds it.
+    bound = flight.attempt or flight.request.session
     version = flight.version if bound else ""
     plan = plan_attempt(core, flight, version)
     if isinstance(plan, Plan) and core.lease_valid(core.now_ms):
--- a/ashlatch/router/core.py
+++ b/ashlatch/router/core.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass, field
 
 from ashlatch.errors import InvariantViolated
+from ashlatch.policy.detector import VersionTally
+from ashlatch.policy.evidence import Evidence, Finding
 from ashlatch.policy.limit import Limits
 from ashlatch.policy.retry import RetryBudget
 from ashlatch.policy.table import NamedEndpoint
@@ -36,7 +38,6 @@
     "PoorAnswer",
     "RouterConfig",
     "RouterCore",
-    "Tally",
 ]
 
 HANDLERS = Handlers("router")
@@ -68,7 +69,8 @@
 
     `attempt` is its number in the ledger, 0 without a claim. `maybe_ran` is
     set as soon as a byte may have been sent, here or by an earlier attempt.
-    `given` is set when the caller has its final answer or is gone.
+    `given` is set when the caller has its final answer or is gone. `had_room`
+    tells that the endpoint had a free slot when the attempt was sent.
     """
 
     request: Request
@@ -79,6 +81,7 @@
     tries: int = 0
     attempt_id: str = ""
     sent_ms: float = 0.0
+    had_room: bool = False
     claim_id: str = ""
     tried: frozenset[str] = frozenset()
     version_changed: bool = False
@@ -99,15 +102,6 @@
     until_ms: float
 
 
-@dataclass
-class Tally:
-    """What this router has seen of one version since it started."""
-
-    answers: int = 0
-    errors: int = 0
-    log_latency_sum: float = 0.0
-
-
 @dataclass
 class RouterCore:
     """The whole state of a router. Not thread-safe; the host locks."""
@@ -118,8 +112,9 @@
     draining: bool = False
     flights: dict[str, Flight] = field(default_factory=dict)
     pins: dict[tuple[str, str], CachedPin] = field(default_factory=dict)
-    tallies: dict[str, Tally] = field(default_factory=dict)
-    seen_totals: dict[str, Tally] = field(default_factory=dict)
+    evidence: Evidence = field(default_factory=Evidence)
+    tallies: dict[str, VersionTally] = field(default_factory=dict)
+    seen_totals: dict[str, VersionTally] = field(default_factory=dict)
     limits: Limits = field(default_factory=Limits)
     effects: list[Effect] = field(default_factory=list)
 
@@ -137,6 +132,12 @@
         effects, self.effects = self.effects, []
         return effects
 
+    def found(self, findings: list[Finding]) -> None:
+        """Add what is now held to be the versions' own doing to their tallies."""
+        for finding in findings:
+            known = self.tallies.get(finding.version, VersionTally())
+            self.tallies[finding.version] = known.plus(finding.tally)
+
     @property
     def table_revision(self) -> int:
         """The revision that is applied."""
--- a/ashlatch/router/daemon.py
+++ b/ashlatch/router/daemon.py
@@ -169,13 +169,7 @@
     def _heartbeat(self) -> RouterPoll:
         core = self.host.core
         reports = tuple(
-            VersionReport(
-                version,
-                tally.answers,
-                tally.errors,
-                tally.log_latency_sum,
-                core.planner.suspended(version),
-            )
+            VersionReport.of(version, tally, core.planner.suspended(version))
             for version, tally in list(core.tallies.items())
         )
         wait_ms = self.settings.poll_wait_ms
@@ -198,8 +192,7 @@
             self.host.post(configuration_changed(table, reply))
         self.host.post(LeaseRenewed(sent_ms + reply.lease_ms, reply.routers))
         totals = tuple(
-            VersionTotals(t.version, t.answers, t.errors, t.log_latency_sum)
-            for t in reply.totals
+            VersionTotals(report.version, report.tally) for report in reply.totals
         )
         self.host.post(VersionTallied(totals))
         self._ready.set()
--- a/ashlatch/router/event.py
+++ b/ashlatch/router/event.py
@@ -14,6 +14,7 @@
 
 from ashlatch.http.problem import Problem
 from ashlatch.log import LogEvent
+from ashlatch.policy.detector import VersionTally
 from ashlatch.policy.load import LoadReport
 from ashlatch.policy.table import RoutingTable
 from ashlatch.store.command import (
@@ -141,10 +142,14 @@
 
 @dataclass(frozen=True)
 class Broken:
-    """Sent, but no whole answer came; `chunks` were passed on by then."""
+    """Sent, but no whole answer came; `chunks` were passed on by then.
+
+    `replied` tells that the endpoint itself gave an error, so it is alive.
+    """
 
     reason: str
     chunks: int = 0
+    replied: bool = False
 
 
 AttemptResult = Answered | NotSent | Full | Broken
@@ -198,9 +203,7 @@
     """What all routers together have seen of a version since they started."""
 
     version: str
-    answers: int
-    errors: int
-    log_latency_sum: float
+    tally: VersionTally
 
 
 @dataclass(frozen=True)
--- a/ashlatch/router/knowledge.py
+++ b/ashlatch/router/knowledge.py
@@ -15,7 +15,7 @@
 from ashlatch.errors import InvariantViolated
 from ashlatch.log import LogEvent
 from ashlatch.policy.detector import VersionTally
-from ashlatch.router.core import HANDLERS, RouterCore, Tally
+from ashlatch.router.core import HANDLERS, RouterCore
 from ashlatch.router.event import (
     ConfigurationChanged,
     DrainStarted,
@@ -23,7 +23,6 @@
     LoadReported,
     Rated,
     VersionTallied,
-    VersionTotals,
     WriteLog,
 )
 
@@ -65,6 +64,8 @@
         touched = organisation in event.touched_organisations
         if touched or pin.version in event.touched_versions:
             del core.pins[key]
+    endpoints = {e.name for pool in table.endpoints.values() for e in pool}
+    core.evidence.keep(endpoints, set(table.versions))
     # A version that is withdrawn, or let back, is judged afresh.
     for version in list(core.planner.detectors):
         if version not in table.versions or version in event.touched_versions:
@@ -100,6 +101,7 @@
     for report in event.reports:
         if report.endpoint in own:
             core.planner.load(report.endpoint).reported(report)
+            core.found(core.evidence.reported(report))
     core.planner.leaving |= event.leaving & own
 
 
@@ -120,12 +122,10 @@
 @HANDLERS.on(VersionTallied)
 def _tallied(core: RouterCore, event: VersionTallied) -> None:
     for totals in event.totals:
-        seen = core.seen_totals.get(totals.version, Tally())
-        tally = _difference(seen, totals)
-        core.seen_totals[totals.version] = Tally(
-            totals.answers, totals.errors, totals.log_latency_sum
-        )
-        if tally is None:
+        seen = core.seen_totals.get(totals.version, VersionTally())
+        core.seen_totals[totals.version] = totals.tally
+        tally = totals.tally.since(seen)
+        if tally == VersionTally():
             continue
         detector = core.planner.detector(totals.version)
         was_bad = detector.bad
@@ -138,16 +138,6 @@
     core.draining = True
 
 
-def _difference(seen: Tally, totals: VersionTotals) -> VersionTally | None:
-    """What is new; none when a router's start or end made the totals fall."""
-    answers = totals.answers - seen.answers
-    errors = totals.errors - seen.errors
-    if answers < 0 or errors < 0 or not answers + errors:
-        return None
-    latency = totals.log_latency_sum - seen.log_latency_sum
-    return VersionTally(answers, errors, latency)
-
-
 def _log_if_new(core: RouterCore, version: str, was_bad: bool) -> None:
     detector = core.planner.detector(version)
     if detector.bad and not was_bad:
--- a/ashlatch/router/plan.py
+++ b/ashlatch/router/plan.py
@@ -223,7 +223,7 @@
             return None
         if detector.bad:
             return WhyOut.SUSPENDED
-        spared = self.generator.random() < detector.suspicion
+        spared = self.generator.random() < detector.spared_ratio
         return WhyOut.SUSPECTED if spared else None
 
     def _ready_endpoints(
--- a/ashlatch/store/lease.py
+++ b/ashlatch/store/lease.py
@@ -115,10 +115,5 @@
 
 
 def _added(one: VersionReport, other: VersionReport) -> VersionReport:
-    return VersionReport(
-        one.version,
-        one.answers + other.answers,
-        one.errors + other.errors,
-        one.log_latency_sum + other.log_latency_sum,
-        one.suspended or other.suspended,
-    )
+    suspended = one.suspended or other.suspended
+    return VersionReport.of(one.version, one.tally.plus(other.tally), suspended)
--- a/ashlatch/store/protocol.py
+++ b/ashlatch/store/protocol.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from ashlatch.policy.detector import VersionTally
 from ashlatch.raft.message import Member, Message
 from ashlatch.rpc import Method
 from ashlatch.store.command import Command, Outcome, Resource
@@ -94,7 +95,8 @@
     """What came of a version's attempts since a router, or all, started.
 
     `log_latency_sum` adds up the natural logarithms of the milliseconds for
-    each output token. `suspended` tells that a router takes it for bad.
+    each output token of `timed` answers. `suspended` tells that a router
+    takes it for bad.
     """
 
     version: str
@@ -102,6 +104,26 @@
     errors: int
     log_latency_sum: float
     suspended: bool = False
+    timed: int = 0
+
+    @classmethod
+    def of(
+        cls, version: str, tally: VersionTally, suspended: bool = False
+    ) -> "VersionReport":
+        """A tally as a report."""
+        return cls(
+            version,
+            tally.answers,
+            tally.errors,
+            tally.log_latency_sum,
+            suspended,
+            tally.timed,
+        )
+
+    @property
+    def tally(self) -> VersionTally:
+        """The counts alone."""
+        return VersionTally(self.answers, self.errors, self.timed, self.log_latency_sum)
 
 
 class RouterPoll(msgspec.Struct, frozen=True):
--- a/bench/exposure.py
+++ b/bench/exposure.py
@@ -65,7 +65,7 @@
         The more it is suspected, the more requests go to another version.
         """
         self.now_ms += self.random.expovariate(1.0 / self.gap_ms)
-        spared = self.random.random() < self.detector.suspicion
+        spared = self.random.random() < self.detector.spared_ratio
         if not spared:
             self.answer(health)
         self.learn()
@@ -93,7 +93,7 @@
     def exchange(self) -> None:
         soon = self.detector.suspected
         self.exchange_ms = self.now_ms + (SOON_MS if soon else EXCHANGE_MS)
-        tally = VersionTally(self.answers, self.errors, self.log_latency)
+        tally = VersionTally(self.answers, self.errors, self.answers, self.log_latency)
         if tally.answers or tally.errors:
             self.detector.add_tally(tally)
         self.answers = self.errors = 0
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -17,6 +17,7 @@
 TRAFFIC = ("-m", "tests.soak", "--only", "traffic", "--seed", "1", "--steps", "120000")
 RAFT = ("-m", "pytest", "-x", "tests/test_raft.py")
 ROUTER = ("-m", "pytest", "-x", "tests/test_router.py")
+EVIDENCE = ("-m", "pytest", "-x", "tests/test_evidence.py")
 LIMIT_S = 180.0
 SHOWN_LINES = 3
 
@@ -33,6 +34,27 @@
 
 
 MUTANTS = (
+    Mutant(
+        "stream-begun-anew",
+        "ashlatch/router/attempt.py",
+        "    if flight.chunks_given:\n        # Another",
+        "    if False:\n        # Another",
+        TRAFFIC,
+    ),
+    Mutant(
+        "vm-death-blames-version",
+        "ashlatch/policy/evidence.py",
+        "        if not failure.replied:\n            return []\n",
+        "        if not failure.replied:\n            return _errors([failure])\n",
+        EVIDENCE,
+    ),
+    Mutant(
+        "load-blames-version",
+        "ashlatch/policy/evidence.py",
+        "(timing.sent_ms if crowded else timing.ended_ms)",
+        "timing.ended_ms",
+        EVIDENCE,
+    ),
     Mutant(
         "vote-against-live-leader",
         "ashlatch/raft/election.py",
--- a/tests/test_control_failures.py
+++ b/tests/test_control_failures.py
@@ -9,8 +9,9 @@
 
 import testtools
 
-from tests.lean import Lean, lean
-from tests.system import wait_until
+from tests.chat import chat_stream
+from tests.lean import KEY, ROUTE, Lean, lean
+from tests.system import Fake, wait_until
 
 # Answers that take long enough for a busy machine not to slow them fourfold.
 CALM = ("--token-ms", "10")
@@ -153,6 +154,67 @@
             logs = "".join(control.process.log for control in found.system.controls)
             self.assertIn("event=version_bad", logs)
 
+    def test_a_version_that_turns_slow_everywhere_is_withdrawn(self) -> None:
+        with lean(controls=2, engine_arguments=CALM) as found:
+            target(found, 0.5)
+            with Asking(found, 4) as asking:
+                wait_until(lambda: len(asking.versions) > 60, "healthy traffic")
+                for engine in found.engines:
+                    engine.control(version_slowdown={OLD: 6.0})
+                wait_until(lambda: OLD in withdrawn(found), "it is withdrawn", 60.0)
+                seen = asking.asked_after(wait_in_force(found), 20)
+            self.assertEqual({LARGE}, set(seen))
+
+
+class HealthyVersionTest(testtools.TestCase):
+    """What endpoints and load do is not held against a version."""
+
+    def test_a_vm_that_dies_with_its_streams(self) -> None:
+        slow = ("--token-ms", "20", "--output-tokens", "100")
+        with lean(engine_arguments=slow) as found:
+            target(found, 0.5)
+            with concurrent.futures.ThreadPoolExecutor(16) as pool:
+                urls = [router.url for router in found.system.routers] * 8
+                calls = [pool.submit(chat_stream, url, KEY, ROUTE) for url in urls]
+                wait_until(lambda: self.running(found.engines[0]) >= 5, "streams run")
+                found.engines[0].process.kill()
+                streams = [call.result() for call in calls]
+            for stream in streams:
+                words = 100 if stream.done else len(stream.text.split())
+                self.assertEqual(words, len(set(stream.text.split())), stream.error)
+                self.assertNotEqual(stream.done, stream.error is not None)
+            self.check_healthy(found)
+
+    def test_an_endpoint_that_fails_everything(self) -> None:
+        with lean(engine_arguments=CALM) as found:
+            target(found, 0.5)
+            sick = found.engines[0]
+            sick.control(error_ratio=dict.fromkeys(sick.get("load")["versions"], 1.0))
+            with Asking(found) as asking:
+                wait_until(lambda: len(asking.versions) > 150, "traffic")
+            self.check_healthy(found)
+
+    def test_more_load_than_there_is_room_for(self) -> None:
+        few = (*CALM, "--slots", "2")
+        with lean(engine_arguments=few) as found:
+            target(found, 0.5)
+            with Asking(found, 2) as asking:
+                wait_until(lambda: len(asking.versions) > 30, "calm traffic")
+            with Asking(found, 40) as asking:
+                wait_until(lambda: len(asking.versions) > 200, "overload", 60.0)
+            self.check_healthy(found)
+
+    def running(self, engine: Fake) -> int:
+        return int(engine.get("load")["running"])
+
+    def check_healthy(self, found: Lean) -> None:
+        """Nothing is withdrawn, nor was by a word of any router."""
+        self.assertEqual(set(), withdrawn(found))
+        daemons = [*found.system.controls, *found.system.routers]
+        logs = "".join(daemon.process.log for daemon in daemons)
+        self.assertNotIn("event=version_bad", logs)
+        self.assertNotIn("event=version_suspended", logs)
+
 
 class PlacementTest(testtools.TestCase):
     def test_what_a_pool_should_serve_is_loaded_and_no_more(self) -> None:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -353,6 +353,19 @@
             (again.endpoint, again.version, again.resume_chunks),
         )
 
+    def test_a_stream_whose_endpoint_is_gone_is_not_begun_anew(self) -> None:
+        attempt = self.one(self.arrive(stream=True), StartAttempt)
+        self.step(FirstChunk("q1", attempt.attempt_id))
+        again = self.one(self.end(attempt, Broken("reset", 7)), StartAttempt)
+        problem = self.problem(self.end(again, NotSent("refused")))
+        self.assertEqual("attempt_failed", problem.kind.name)
+        self.assertIs(False, problem.not_run)
+
+    def test_a_poor_stream_that_was_seen_does_not_climb(self) -> None:
+        attempt = self.one(self.arrive(stream=True), StartAttempt)
+        self.step(FirstChunk("q1", attempt.attempt_id))
+        self.one(self.end(attempt, POOR), ProposeAnswer)
+
     def test_retries_have_a_budget(self) -> None:
         retries = 0
         for number in range(200):
