Carry all calls between two processes over one held stream

Cause: the router's own time misses its goal and the state was at its limit; the profile of a commit is gRPC calls. A trial: a unary call costs 1.33 ms at both ends together, a message on an open stream 0.48 ms. Change: link.py, one bidirectional gRPC stream between two processes that carries numbered calls and replies, those that are ready together in one message. A call that times out ends the stream only if nothing has come over it meanwhile.

--- a/ashlatch/client.py
+++ b/ashlatch/client.py
@@ -17,7 +17,8 @@
 from typing import Any, TypeVar
 
 from ashlatch.errors import NoLeader, TransportError
-from ashlatch.rpc import Address, Method, Peer, RpcLoop
+from ashlatch.link import Method
+from ashlatch.rpc import Address, Peer, RpcLoop
 from ashlatch.store import protocol
 from ashlatch.store.command import Command, Outcome
 
--- /dev/null
+++ b/ashlatch/link.py
@@ -0,0 +1,260 @@
+"""
+ashlatch.link
+~~~~~~~~~~~~~
+
+Many calls between two processes over one held gRPC stream. Opening a gRPC call
+for each took 1.3 ms of processor time at both ends, a message on an open
+stream takes 0.5 ms, and messages that are ready together share one.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import asyncio
+import itertools
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from grpclib.client import Channel, StreamStreamMethod
+from grpclib.const import Cardinality, Handler, Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from ashlatch.codec import MessageCodec, decode, encode
+from ashlatch.errors import AshlatchError
+
+__all__ = ["CallRefused", "Link", "LinkLost", "LinkService", "Method"]
+
+log = logging.getLogger("ashlatch.link")
+
+PATH = "/ashlatch.Link/Calls"
+# More calls at once are not read before some are answered.
+OPEN_CALLS_MAX = 1024
+
+Answer = Callable[[Any], Awaitable[Any]]
+
+
+@dataclass(frozen=True)
+class Method:
+    """One kind of call: its path and the types of its request and reply."""
+
+    path: str
+    request_type: Any
+    reply_type: Any
+
+
+class CallFrame(msgspec.Struct, frozen=True):
+    """One request; its reply bears the same number."""
+
+    number: int
+    path: str
+    body: bytes
+
+
+class ReplyFrame(msgspec.Struct, frozen=True):
+    """One reply, or why there is none."""
+
+    number: int
+    body: bytes = b""
+    refusal: str = ""
+
+
+class Calls(msgspec.Struct, frozen=True):
+    """Requests that were ready together."""
+
+    frames: tuple[CallFrame, ...]
+
+
+class Replies(msgspec.Struct, frozen=True):
+    """Replies that were ready together."""
+
+    frames: tuple[ReplyFrame, ...]
+
+
+@dataclass
+class LinkLost(AshlatchError):
+    """The stream ended before the reply; `sent` is false if it never began."""
+
+    reason: str
+    sent: bool
+
+
+@dataclass
+class CallRefused(AshlatchError):
+    """The other side could not read the request or failed to answer it."""
+
+    reason: str
+
+
+class _Outbox:
+    """Frames on their way out; one task sends all that is ready at once."""
+
+    def __init__(self) -> None:
+        self._frames: list[Any] = []
+        self._ready = asyncio.Event()
+
+    def put(self, frame: Any) -> None:
+        """Send a frame soon."""
+        self._frames.append(frame)
+        self._ready.set()
+
+    async def pump(self, send: Callable[[tuple[Any, ...]], Awaitable[None]]) -> None:
+        """Send for as long as the stream lasts."""
+        while True:
+            await self._ready.wait()
+            self._ready.clear()
+            frames, self._frames = tuple(self._frames), []
+            await send(frames)
+
+
+class Link:
+    """The calling side of one stream, opened at once; used on the loop only."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self._channel = Channel(host, port, codec=MessageCodec())
+        self._outbox = _Outbox()
+        self._waiting: dict[int, asyncio.Future[bytes]] = {}
+        self._numbers = itertools.count()
+        self._connected = False
+        self._lost: LinkLost | None = None
+        self.heard_s = asyncio.get_running_loop().time()
+        self._task = asyncio.create_task(self._run())
+
+    @property
+    def lost(self) -> bool:
+        """Whether the stream has ended; a new link is needed."""
+        return self._lost is not None
+
+    async def ask(self, method: Method, request: Any) -> Any:
+        """Send a request and wait for its reply.
+
+        Raises `LinkLost` or `CallRefused`.
+        """
+        if self._lost is not None:
+            raise LinkLost(self._lost.reason, self._lost.sent)
+        number = next(self._numbers)
+        reply = asyncio.get_running_loop().create_future()
+        self._waiting[number] = reply
+        self._outbox.put(CallFrame(number, method.path, encode(request)))
+        try:
+            return decode(await reply, method.reply_type)
+        finally:
+            self._waiting.pop(number, None)
+
+    def close(self) -> None:
+        """End the stream; whoever waits for a reply gets `LinkLost`."""
+        self._lose("closed")
+        self._task.cancel()
+
+    async def _run(self) -> None:
+        calls = StreamStreamMethod(self._channel, PATH, Calls, Replies)
+        try:
+            async with calls.open() as stream:
+                await stream.send_request()
+                self._connected = True
+                await self._converse(stream)
+            self._lose("the other side ended the stream")
+        except* (GRPCError, StreamTerminatedError, OSError) as group:
+            self._lose(repr(group.exceptions[0]))
+        finally:
+            self._lose("the stream was ended here")
+            self._channel.close()
+
+    async def _converse(self, stream: Any) -> None:
+        async def send(frames: tuple[CallFrame, ...]) -> None:
+            await stream.send_message(Calls(frames))
+
+        async with asyncio.TaskGroup() as tasks:
+            pump = tasks.create_task(self._outbox.pump(send))
+            async for replies in stream:
+                self._take(replies)
+            pump.cancel()
+
+    def _take(self, replies: Replies) -> None:
+        self.heard_s = asyncio.get_running_loop().time()
+        for frame in replies.frames:
+            waiting = self._waiting.get(frame.number)
+            if waiting is None or waiting.done():
+                continue
+            if frame.refusal:
+                waiting.set_exception(CallRefused(frame.refusal))
+            else:
+                waiting.set_result(frame.body)
+
+    def _lose(self, reason: str) -> None:
+        if self._lost is not None:
+            return
+        self._lost = LinkLost(reason, self._connected)
+        for waiting in self._waiting.values():
+            if not waiting.done():
+                waiting.set_exception(LinkLost(reason, self._connected))
+
+
+class LinkService:
+    """The serving side: methods, and the coroutine that answers each."""
+
+    def __init__(self) -> None:
+        self._methods: dict[str, tuple[Method, Answer]] = {}
+
+    def add(self, method: Method, answer: Answer) -> None:
+        """Serve one kind of call."""
+        self._methods[method.path] = (method, answer)
+
+    def __mapping__(self) -> dict[str, Handler]:
+        handler = Handler(self._serve, Cardinality.STREAM_STREAM, Calls, Replies)
+        return {PATH: handler}
+
+    async def _serve(self, stream: Any) -> None:
+        outbox = _Outbox()
+        slots = asyncio.Semaphore(OPEN_CALLS_MAX)
+
+        async def send(frames: tuple[ReplyFrame, ...]) -> None:
+            await stream.send_message(Replies(frames))
+
+        async def answer(frame: CallFrame) -> None:
+            try:
+                outbox.put(await self._answer(frame))
+            finally:
+                slots.release()
+
+        async with asyncio.TaskGroup() as tasks:
+            pump = tasks.create_task(outbox.pump(send))
+            open_calls: set[asyncio.Task[None]] = set()
+            async for calls in _messages(stream):
+                for frame in calls.frames:
+                    await slots.acquire()
+                    task = tasks.create_task(answer(frame))
+                    open_calls.add(task)
+                    task.add_done_callback(open_calls.discard)
+            # The caller has gone, and nobody waits for these.
+            for task in (pump, *open_calls):
+                task.cancel()
+
+    async def _answer(self, frame: CallFrame) -> ReplyFrame:
+        found = self._methods.get(frame.path)
+        if found is None:
+            return ReplyFrame(frame.number, refusal=f"no method {frame.path}")
+        method, answer = found
+        try:
+            request = decode(frame.body, method.request_type)
+        except msgspec.MsgspecError as error:
+            return ReplyFrame(frame.number, refusal=str(error))
+        try:
+            return ReplyFrame(frame.number, encode(await answer(request)))
+        except Exception as error:
+            log.exception("", extra={"event": "call_failed"})
+            return ReplyFrame(frame.number, refusal=type(error).__name__)
+
+
+async def _messages(stream: Any) -> Any:
+    """All messages of a stream; what is none ends it with a typed status."""
+    while True:
+        try:
+            message = await stream.recv_message()
+        except msgspec.MsgspecError as error:
+            raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
+        if message is None:
+            return
+        yield message
--- a/ashlatch/rpc.py
+++ b/ashlatch/rpc.py
@@ -11,21 +11,18 @@
 
 import asyncio
 import threading
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Callable, Coroutine
 from concurrent.futures import Future
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-import msgspec
-from grpclib.client import Channel, UnaryUnaryMethod
-from grpclib.const import Cardinality, Handler, Status
-from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server
 
 from ashlatch.codec import MessageCodec
 from ashlatch.errors import TransportError
+from ashlatch.link import CallRefused, Link, LinkLost, LinkService, Method
 
-__all__ = ["Address", "Method", "Peer", "RpcLoop", "RpcService"]
+__all__ = ["Address", "Peer", "RpcLoop", "RpcService"]
 
 R = TypeVar("R")
 
@@ -47,15 +44,6 @@
         return f"{self.host}:{self.port}"
 
 
-@dataclass(frozen=True)
-class Method:
-    """One unary call: its path and the types of its request and reply."""
-
-    path: str
-    request_type: Any
-    reply_type: Any
-
-
 class RpcLoop:
     """An asyncio loop in its own thread, bridged to futures."""
 
@@ -106,35 +94,13 @@
         await asyncio.gather(*others, return_exceptions=True)
 
 
-class RpcService:
-    """The serving side: methods and the coroutine that answers each.
-
-    A request that cannot be decoded is answered with `INVALID_ARGUMENT`.
-    """
+class RpcService(LinkService):
+    """The serving side of one address."""
 
     def __init__(self) -> None:
-        self._handlers: dict[str, Handler] = {}
+        super().__init__()
         self._server: Server | None = None
 
-    def add(self, method: Method, answer: Callable[[Any], Awaitable[Any]]) -> None:
-        """Serve one method."""
-
-        async def handle(stream: Any) -> None:
-            try:
-                request = await stream.recv_message()
-            except msgspec.MsgspecError as error:
-                raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
-            if request is None:
-                raise GRPCError(Status.INVALID_ARGUMENT, "no message")
-            await stream.send_message(await answer(request))
-
-        self._handlers[method.path] = Handler(
-            handle, Cardinality.UNARY_UNARY, method.request_type, method.reply_type
-        )
-
-    def __mapping__(self) -> dict[str, Handler]:
-        return self._handlers
-
     async def start(self, address: Address) -> None:
         """Listen on the address."""
         self._server = Server([self], codec=MessageCodec())
@@ -150,37 +116,37 @@
 class Peer:
     """The calling side of one process at one address; used on the loop only.
 
-    The channel connects when first used and again after a failure.
+    It connects when first used and again after a failure.
     """
 
     def __init__(self, address: Address) -> None:
         self.address = address
-        self._channel: Channel | None = None
+        self._link: Link | None = None
 
     async def call(self, method: Method, request: Any, timeout_s: float) -> Any:
         """Send one request and wait for its reply.
 
         Raises `TransportError` for anything but a reply.
         """
-        channel = self._channel
-        if channel is None:
-            channel = self._channel = Channel(
-                self.address.host, self.address.port, codec=MessageCodec()
-            )
-        unary = UnaryUnaryMethod(
-            channel, method.path, method.request_type, method.reply_type
-        )
+        link = self._link
+        if link is None or link.lost:
+            link = self._link = Link(self.address.host, self.address.port)
+        asked_s = asyncio.get_running_loop().time()
         try:
-            return await unary(request, timeout=timeout_s)
-        except (GRPCError, StreamTerminatedError, OSError, TimeoutError) as error:
-            # Others may have opened a new channel meanwhile; that one stays.
-            if not isinstance(error, GRPCError) and channel is self._channel:
-                self.close()
-            sent = not isinstance(error, ConnectionRefusedError)
-            raise TransportError(str(self.address), repr(error), sent) from error
+            async with asyncio.timeout(timeout_s):
+                return await link.ask(method, request)
+        except TimeoutError as error:
+            # While others are answered, the link itself is well.
+            if link.heard_s < asked_s:
+                link.close()
+            raise TransportError(str(self.address), "timeout", True) from error
+        except LinkLost as error:
+            raise TransportError(str(self.address), error.reason, error.sent) from error
+        except CallRefused as error:
+            raise TransportError(str(self.address), error.reason, True) from error
 
     def close(self) -> None:
         """Drop the connection."""
-        if self._channel is not None:
-            self._channel.close()
-            self._channel = None
+        if self._link is not None:
+            self._link.close()
+            self._link = None
--- a/ashlatch/store/protocol.py
+++ b/ashlatch/store/protocol.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
+from ashlatch.link import Method
 from ashlatch.policy.detector import VersionTally
 from ashlatch.raft.message import Member, Message
-from ashlatch.rpc import Method
 from ashlatch.store.command import Command, Outcome, Resource
 from ashlatch.store.configuration import ResourceId
 from ashlatch.store.ledger import Account
