Let several groups share the ledger

Cause: one group was all that the state daemon could run, though the log, the messages and the folders carry a group number; the ledger of the size to come does not fit the memory of one. Weighed: slots by request key (a session's pin would be in several groups; a retry without its session header would miss its record), so slots go by organisation, whose account is then in one place too. Change: slots.py, member.py (one group's member in a process), `groups` in the settings of the state, checked against the folder and the peers; clients remember who answered for each slot and need not know the groups; one stream between two processes carries all groups; the leader of another group asks the first one's leader which routers have a lease, after it has read who runs what; `losses_survived` is the least of all groups, accounts and bills are added up. Not built: leaders are not spread over the members, and slots do not move.

--- a/ashlatch/client.py
+++ b/ashlatch/client.py
@@ -3,7 +3,7 @@
 ~~~~~~~~~~~~~~~
 
 Calls from routers and control processes to the replicated state: finds the
-leader, and asks again until an answer or the time limit. Asking again is safe,
+leaders, and asks again until an answer or the time limit. Asking again is safe,
 since every command may be repeated.
 
 :copyright: Copyright 2026 by the ashlatch maintainers.
@@ -21,6 +21,8 @@
 from ashlatch.rpc import Address, Peer, RpcLoop
 from ashlatch.store import protocol
 from ashlatch.store.command import Command, Outcome
+from ashlatch.store.slots import FIRST_GROUP, slot_of
+from ashlatch.store.status import merged
 
 __all__ = ["StateClient"]
 
@@ -32,8 +34,20 @@
 OPEN_CALLS_MAX = 128
 
 
+def _leader_of(group: int) -> int:
+    """Where the leader of a group is remembered; slots have their own numbers."""
+    return -1 - group
+
+
+FIRST_LEADER = _leader_of(FIRST_GROUP)
+
+
 class StateClient:
-    """The state's calls as futures. One object serves all threads."""
+    """The state's calls as futures. One object serves all threads.
+
+    It remembers who answered last for each slot of the ledger, so it need not
+    know which group a slot belongs to.
+    """
 
     def __init__(
         self, rpc: RpcLoop, addresses: tuple[Address, ...], timeout_ms: float
@@ -41,7 +55,7 @@
         self.rpc = rpc
         self._addresses = [str(address) for address in addresses]
         self._peers: dict[str, Peer] = {}
-        self._leader = self._addresses[0]
+        self._leaders: dict[int, str] = {}
         self._timeout_ms = timeout_ms
         self._open = asyncio.Semaphore(OPEN_CALLS_MAX)
 
@@ -58,8 +72,10 @@
         After that failure the command may still take effect.
         """
         request = protocol.ProposeRequest(command)
+        slot = slot_of(command)
         return self.rpc.submit(
             self._until(
+                _leader_of(FIRST_GROUP) if slot is None else slot,
                 protocol.PROPOSE,
                 lambda: request,
                 lambda reply: reply.outcome,
@@ -71,6 +87,7 @@
         """Read the newest committed state."""
         return self.rpc.submit(
             self._until(
+                _leader_of(request.group),
                 protocol.READ,
                 lambda: request,
                 lambda reply: reply if reply.answered else None,
@@ -79,12 +96,28 @@
             )
         )
 
+    def status(self) -> "Future[protocol.StateStatus]":
+        """The standing of all groups together."""
+        return self.rpc.submit(self._status())
+
+    async def _status(self) -> protocol.StateStatus:
+        first = await self._group_status(FIRST_GROUP)
+        others = [self._group_status(group) for group in range(1, first.groups)]
+        return merged(first, await asyncio.gather(*others))
+
+    async def _group_status(self, group: int) -> protocol.StateStatus:
+        request = protocol.ReadRequest("-", status=True, group=group)
+        reply = await asyncio.wrap_future(self.read(request))
+        assert reply.status is not None
+        return reply.status
+
     def change_member(
         self, change: protocol.MemberChange
     ) -> "Future[protocol.ReadReply]":
         """Take a member out of the group; the reply shows the members."""
         return self.rpc.submit(
             self._until(
+                _leader_of(change.group),
                 protocol.CHANGE_MEMBER,
                 lambda: change,
                 lambda reply: reply if reply.answered else None,
@@ -95,21 +128,27 @@
     async def poll_router(self, poll: protocol.RouterPoll) -> protocol.RouterReply:
         """One heartbeat of a router, to whoever seems to lead; on the loop."""
         reply: protocol.RouterReply = await self._ask(
-            protocol.POLL_ROUTER, poll, CALL_TIMEOUT_S + poll.wait_ms / 1000.0
+            FIRST_LEADER,
+            protocol.POLL_ROUTER,
+            poll,
+            CALL_TIMEOUT_S + poll.wait_ms / 1000.0,
         )
-        self._follow(reply.granted, reply.leader)
+        if not reply.granted:
+            self._follow(FIRST_LEADER, reply.leader)
         return reply
 
     async def poll_control(self, poll: protocol.ControlPoll) -> protocol.ControlReply:
         """One heartbeat of a control process; on the loop."""
         reply: protocol.ControlReply = await self._ask(
-            protocol.POLL_CONTROL, poll, CALL_TIMEOUT_S
+            FIRST_LEADER, protocol.POLL_CONTROL, poll, CALL_TIMEOUT_S
         )
-        self._follow(reply.answered, reply.leader)
+        if not reply.answered:
+            self._follow(FIRST_LEADER, reply.leader)
         return reply
 
     async def _until(
         self,
+        place: int,
         method: Method,
         request: Callable[[], Any],
         answer: Callable[[Any], R | None],
@@ -125,32 +164,35 @@
             try:
                 call_s = min(CALL_TIMEOUT_S + wait_ms / 1000.0, left_s)
                 async with self._open:
-                    reply = await self._ask(method, request(), call_s)
+                    reply = await self._ask(place, method, request(), call_s)
             except TransportError:
                 await asyncio.sleep(RETRY_S)
                 continue
             found = answer(reply)
             if found is not None:
                 return found
-            self._follow(False, reply.leader)
-            await asyncio.sleep(RETRY_S)
+            if not self._follow(place, reply.leader):
+                await asyncio.sleep(RETRY_S)
 
-    async def _ask(self, method: Method, request: Any, timeout_s: float) -> Any:
-        address = self._leader
+    async def _ask(
+        self, place: int, method: Method, request: Any, timeout_s: float
+    ) -> Any:
+        address = self._leaders.get(place, self._addresses[0])
         peer = self._peers.get(address)
         if peer is None:
             peer = self._peers[address] = Peer(Address.parse(address))
         try:
             return await peer.call(method, request, timeout_s)
         except TransportError:
-            if address == self._leader:
-                self._leader = self._after(address)
+            if address == self._leaders.get(place, self._addresses[0]):
+                self._leaders[place] = self._after(address)
             raise
 
-    def _follow(self, answered: bool, leader: str) -> None:
-        if answered:
-            return
-        self._leader = leader or self._after(self._leader)
+    def _follow(self, place: int, leader: str) -> bool:
+        """Ask another next time; whether it is known to lead."""
+        asked = self._leaders.get(place, self._addresses[0])
+        self._leaders[place] = leader or self._after(asked)
+        return leader not in ("", asked)
 
     def _after(self, address: str) -> str:
         if address not in self._addresses:
--- a/ashlatch/cmdline/state.py
+++ b/ashlatch/cmdline/state.py
@@ -16,7 +16,8 @@
 from ashlatch import __version__
 from ashlatch.cmdline.daemon import EXIT_FAILED, load_or_exit, run
 from ashlatch.settings import StateSettings
-from ashlatch.store.daemon import FolderExists, StateDaemon, initialise
+from ashlatch.store.daemon import StateDaemon
+from ashlatch.store.member import FolderExists, initialise
 
 __all__ = ["main"]
 
--- a/ashlatch/control/api.py
+++ b/ashlatch/control/api.py
@@ -156,9 +156,9 @@
         return response
 
     def _status(self) -> Response:
-        reply = self._client.read(ReadRequest("-", status=True)).result()
+        reply = self._client.read(ReadRequest("-")).result()
         holder, active = self._standing()
-        document = msgspec.to_builtins(reply.status)
+        document = msgspec.to_builtins(self._client.status().result())
         document["revision"] = reply.revision
         document["this_control"] = {"holder": holder, "active": active}
         return _json(document)
@@ -241,8 +241,9 @@
         return _change_response(command, outcome)
 
     def _remove_member(self, member_id: str) -> Response:
-        reply = self._client.change_member(MemberChange(member_id)).result()
-        return _json(msgspec.to_builtins(reply.status))
+        for group in range(self._client.status().result().groups):
+            self._client.change_member(MemberChange(member_id, group)).result()
+        return _json(msgspec.to_builtins(self._client.status().result()))
 
 
 def _change_response(
--- a/ashlatch/settings.py
+++ b/ashlatch/settings.py
@@ -32,6 +32,7 @@
 S = TypeVar("S", bound=BaseModel)
 
 PORT_MAX = 65_535
+GROUPS_MAX = 32
 
 
 def _check_address(text: str) -> str:
@@ -64,7 +65,8 @@
     """Settings of `ashlatch-state`.
 
     `advertise` is the address at which others reach this member, when it is
-    not the one it listens on.
+    not the one it listens on. `groups` is how many groups share the ledger,
+    equal on all members and fixed when the first one is initialised.
     """
 
     vm: Name
@@ -72,6 +74,7 @@
     listen: AddressText
     advertise: AddressText | None = None
     data_folder: str
+    groups: int = Field(default=1, ge=1, le=GROUPS_MAX)
     peers: tuple[AddressText, ...] = ()
     heartbeat_ms: float = Field(default=100.0, gt=0)
     election_min_ms: float = Field(default=500.0, gt=0)
--- a/ashlatch/store/daemon.py
+++ b/ashlatch/store/daemon.py
@@ -2,8 +2,9 @@
 ashlatch.store.daemon
 ~~~~~~~~~~~~~~~~~~~~~
 
-The process of one member of the replicated state: opens the data folder, runs
-the group and answers the calls of `ashlatch.store.protocol`.
+The process of one VM of the replicated state: runs its member of each group
+and answers the calls of `ashlatch.store.protocol`. Leases are the business of
+the first group's leader.
 
 :copyright: Copyright 2026 by the ashlatch maintainers.
 :license: MIT, see LICENSE for details.
@@ -14,72 +15,32 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from pathlib import Path
 from typing import ClassVar
 
-import msgspec
-
-from ashlatch.codec import encode
-from ashlatch.errors import AshlatchError, TransportError
+from ashlatch.errors import TransportError
 from ashlatch.log import LogEvent, emit
-from ashlatch.raft.core import RaftConfig
 from ashlatch.raft.effect import AddLearner, Received, RemoveMember
-from ashlatch.raft.group import Group, NotLeading, monotonic_ms
-from ashlatch.raft.message import Member, Members, Message
-from ashlatch.raft.storage import (
-    GroupStorage,
-    Identity,
-    create_identity,
-    read_identity,
-)
+from ashlatch.raft.group import NotLeading, monotonic_ms
+from ashlatch.raft.message import Member, Message
 from ashlatch.rpc import Address, Peer, RpcLoop, RpcService
 from ashlatch.settings import StateSettings
 from ashlatch.store import protocol
-from ashlatch.store.command import Command, Expire, Outcome, RouterGone, TakeControl
+from ashlatch.store.command import Expire, RouterGone, TakeControl
 from ashlatch.store.lease import LeaseConfig, Leases, RouterLease
-from ashlatch.store.machine import Machine
+from ashlatch.store.member import GroupMember, GroupsDiffer, open_folder
+from ashlatch.store.slots import FIRST_GROUP, group_of
 from ashlatch.store.status import describe
 from ashlatch.store.transport import Transport
 
-__all__ = ["FolderExists", "StateDaemon", "initialise"]
+__all__ = ["StateDaemon"]
 
 log = logging.getLogger("ashlatch.state")
 
-GROUP = 0
-GROUP_FOLDER = "group-0"
 HOUSEKEEPING_S = 0.2
 JOIN_RETRY_S = 0.3
 JOIN_TIMEOUT_S = 1.0
 EXPIRE_EVERY_S = 60.0
-
-
-@dataclass
-class FolderExists(AshlatchError):
-    """A new group would overwrite a data folder that is in use."""
-
-    data_folder: str
-
-
-@dataclass(frozen=True)
-class LeaderChanged(LogEvent):
-    """This member learnt of a new term or leader."""
-
-    event: ClassVar[str] = "leader_changed"
-    vm: str
-    member: str
-    term: int
-    leading: bool
-    leader: str
-
-
-@dataclass(frozen=True)
-class MembersChanged(LogEvent):
-    """The members of the group are others now."""
-
-    event: ClassVar[str] = "members_changed"
-    vm: str
-    voters: str
-    learners: str
+CHANGE_WAIT_MS = 1000.0
 
 
 @dataclass(frozen=True)
@@ -88,30 +49,7 @@
 
     event: ClassVar[str] = "router_lapsed"
     router: str
-
-
-def initialise(settings: StateSettings) -> Identity:
-    """Make the data folder of the first member of a new group.
-
-    Done once, by an operator. A member with an empty folder that is started
-    without this joins the group of its peers instead, under a new id.
-    """
-    folder = Path(settings.data_folder)
-    if read_identity(folder) is not None:
-        raise FolderExists(settings.data_folder)
-    identity = create_identity(folder, settings.vm)
-    member = Member(identity.member_id, settings.vm, settings.address)
-    GroupStorage(folder / GROUP_FOLDER).create(Members((member,)))
-    return identity
-
-
-def _open(settings: StateSettings) -> tuple[Identity, GroupStorage]:
-    folder = Path(settings.data_folder)
-    identity = read_identity(folder) or create_identity(folder, settings.vm)
-    storage = GroupStorage(folder / GROUP_FOLDER)
-    if not storage.folder.exists():
-        storage.create(Members())
-    return identity, storage
+    group: int
 
 
 class StateDaemon:
@@ -124,22 +62,13 @@
         self, settings: StateSettings, failed: Callable[[BaseException], None]
     ) -> None:
         self.settings = settings
-        self.identity, storage = _open(settings)
+        self.identity, storages = open_folder(settings)
         self.member = Member(self.identity.member_id, settings.vm, settings.address)
-        self.machine = Machine()
-        self.group = Group(
-            RaftConfig(
-                group=GROUP,
-                heartbeat_ms=settings.heartbeat_ms,
-                election_min_ms=settings.election_min_ms,
-                election_max_ms=settings.election_max_ms,
-                clock_drift_ratio=settings.clock_drift_ratio,
-            ),
-            storage,
-            self.identity.member_id,
-            self.machine,
-            settings.snapshot_every_records,
-        )
+        self.groups = [
+            GroupMember(number, settings, storage, self.member)
+            for number, storage in enumerate(storages)
+        ]
+        self.first = self.groups[FIRST_GROUP]
         self.lease_config = LeaseConfig(
             settings.router_lease_ms,
             settings.control_lease_ms,
@@ -148,15 +77,14 @@
         self.leases = Leases(self.lease_config, float("inf"))
         self.rpc = RpcLoop()
         self.transport = Transport(self.rpc, self.member, self._received)
-        self.group.deliver = self.transport.send
-        self.group.changed = self._group_changed
-        self.group.failed = failed
+        for member in self.groups:
+            member.group.deliver = self.transport.send
+            member.group.changed = self._group_changed
+            member.group.failed = failed
         self._failed = failed
         self._changed = asyncio.Event()
-        self._logged_leader: tuple[int, bool, str] = (-1, False, "")
-        self._logged_members = Members()
         self._told: tuple[object, ...] = ()
-        self._expired_s = time.monotonic()
+        self._first_leader: Peer | None = None
 
     def start(self) -> None:
         """Listen, and take part in the group."""
@@ -168,20 +96,24 @@
         service.add(protocol.POLL_CONTROL, self._poll_control)
         service.add(protocol.CHANGE_MEMBER, self._change_member)
         service.add(protocol.READ, self._read)
+        service.add(protocol.LIVE_ROUTERS, self._live_routers)
         self.service = service
-        self.group.start()
+        for member in self.groups:
+            member.group.start()
         address = Address.parse(self.settings.listen)
         self.rpc.submit(service.start(address)).result(timeout=10.0)
-        self.rpc.keep(self._housekeep(), self._failed)
-        self.rpc.keep(self._join_peers(), self._failed)
+        for member in self.groups:
+            self.rpc.keep(self._housekeep(member), self._failed)
+            self.rpc.keep(self._join_peers(member), self._failed)
 
     def stop(self) -> None:
         """Stop answering, then stop the group; nothing synced is lost."""
         self.rpc.submit(self.service.stop()).result(timeout=10.0)
-        self.group.stop()
+        for member in self.groups:
+            member.group.stop()
         self.rpc.stop()
 
-    # Called on the group's thread.
+    # Called on the groups' threads.
 
     def _group_changed(self) -> None:
         self.rpc.post(self._wake)
@@ -194,26 +126,17 @@
         Held polls are woken for what concerns them only: with many routers
         and claims, waking all for each claim would cost more than the claims.
         """
-        standing = self.group.standing
-        leader = (standing.term, standing.leading, standing.leader_address)
-        news = (leader, standing.members, self._revision())
+        news = (*(_leadership(member) for member in self.groups), self._revision())
         if news != self._told:
             self._told = news
             self._changed.set()
             self._changed = asyncio.Event()
-        if leader != self._logged_leader:
-            self._logged_leader = leader
-            event = LeaderChanged(self.settings.vm, self.member.member_id, *leader)
-            emit(log, event)
-        if standing.members != self._logged_members:
-            self._logged_members = standing.members
-            voters = ",".join(m.member_id for m in standing.members.voters)
-            learners = ",".join(m.member_id for m in standing.members.learners)
-            emit(log, MembersChanged(self.settings.vm, voters, learners))
+        for member in self.groups:
+            member.log_news()
         self._follow_leadership()
 
     def _follow_leadership(self) -> None:
-        standing = self.group.standing
+        standing = self.first.standing
         if not standing.leading:
             self.leases = Leases(self.lease_config, float("inf"))
         elif self.leases.leading_since_ms != standing.leading_since_ms:
@@ -221,27 +144,26 @@
 
     def _may_answer(self) -> bool:
         self._follow_leadership()
-        return self.group.standing.may_read(monotonic_ms())
-
-    async def _commit(self, command: Command) -> Outcome:
-        timed = msgspec.structs.replace(command, at_ms=int(time.time() * 1000))
-        future = self.group.propose(encode(timed))
-        outcome: Outcome = await asyncio.wrap_future(future)
-        return outcome
+        return self.first.standing.may_read(monotonic_ms())
 
     def _received(self, message: Message) -> None:
-        self.group.post(Received(message))
+        if message.group < len(self.groups):
+            self.groups[message.group].group.post(Received(message))
 
     async def _join(self, request: protocol.JoinRequest) -> protocol.JoinReply:
-        standing = self.group.standing
+        if request.groups != len(self.groups):
+            return protocol.JoinReply(False, "", len(self.groups))
+        member = self.groups[request.group]
+        standing = member.standing
         known = standing.members.find(request.member.member_id) is not None
         if standing.leading and not known:
-            self.group.post(AddLearner(request.member))
-        return protocol.JoinReply(known, standing.leader_address)
+            member.group.post(AddLearner(request.member))
+        return protocol.JoinReply(known, standing.leader_address, len(self.groups))
 
     async def _propose(self, request: protocol.ProposeRequest) -> protocol.ProposeReply:
+        member = self.groups[group_of(request.command, len(self.groups))]
         try:
-            return protocol.ProposeReply(await self._commit(request.command))
+            return protocol.ProposeReply(await member.commit(request.command))
         except NotLeading as error:
             return protocol.ProposeReply(None, error.leader_address, error.lost)
 
@@ -254,7 +176,7 @@
             if self._revision() != poll.applied_revision or wait_ms <= 0:
                 return self._renew(poll)
             await self._wait_change(wait_ms)
-        return protocol.RouterReply(False, self.group.standing.leader_address)
+        return protocol.RouterReply(False, self.first.standing.leader_address)
 
     def _renew(self, poll: protocol.RouterPoll) -> protocol.RouterReply:
         lease = RouterLease(
@@ -266,11 +188,11 @@
             poll.reports,
         )
         self.leases.router_polled(lease)
-        with self.group.lock:
-            configuration = self.machine.state.configuration
+        with self.first.group.lock:
+            configuration = self.first.machine.state.configuration
             return protocol.RouterReply(
                 True,
-                self.group.standing.leader_address,
+                self.first.standing.leader_address,
                 self.lease_config.router_lease_ms,
                 configuration.revision,
                 configuration.changed_after(poll.applied_revision),
@@ -287,101 +209,166 @@
             pass
 
     def _revision(self) -> int:
-        return self.machine.state.configuration.revision
+        return self.first.machine.state.configuration.revision
 
     async def _poll_control(self, poll: protocol.ControlPoll) -> protocol.ControlReply:
         if not self._may_answer():
-            leader = self.group.standing.leader_address
+            leader = self.first.standing.leader_address
             return protocol.ControlReply(False, leader)
-        control = self.machine.state.control
+        control = self.first.machine.state.control
         now_ms = monotonic_ms()
         if control.holder != poll.holder and self.leases.control_free(now_ms):
             try:
-                await self._commit(TakeControl(poll.holder, control.epoch))
+                await self.first.commit(TakeControl(poll.holder, control.epoch))
             except NotLeading as error:
                 return protocol.ControlReply(False, error.leader_address)
             if not self._may_answer():
                 return protocol.ControlReply(False, "")
-        control = self.machine.state.control
+        control = self.first.machine.state.control
         if control.holder == poll.holder:
             self.leases.control_polled(poll.holder, monotonic_ms())
         return protocol.ControlReply(
             True,
-            self.group.standing.leader_address,
+            self.first.standing.leader_address,
             control.holder,
             control.epoch,
             self.lease_config.control_lease_ms,
         )
 
     async def _change_member(self, change: protocol.MemberChange) -> protocol.ReadReply:
-        if not self._may_answer():
-            return protocol.ReadReply(False, self.group.standing.leader_address)
-        self.group.post(RemoveMember(change.remove))
-        await self._wait_change(1000.0)
-        return await self._read(protocol.ReadRequest(kind="-", status=True))
+        member = self.groups[change.group]
+        if not member.standing.may_read(monotonic_ms()):
+            return protocol.ReadReply(False, member.standing.leader_address)
+        member.group.post(RemoveMember(change.remove))
+        await self._wait_change(CHANGE_WAIT_MS)
+        request = protocol.ReadRequest(kind="-", status=True, group=change.group)
+        return await self._read(request)
 
     async def _read(self, request: protocol.ReadRequest) -> protocol.ReadReply:
         if request.wait_ms and request.after_revision >= self._revision():
             await self._wait_change(request.wait_ms)
-        if not self._may_answer():
-            return protocol.ReadReply(False, self.group.standing.leader_address)
-        with self.group.lock:
-            configuration = self.machine.state.configuration
+        self._follow_leadership()
+        member = self.groups[request.group]
+        standing = member.standing
+        if not standing.may_read(monotonic_ms()):
+            return protocol.ReadReply(False, standing.leader_address)
+        with member.group.lock:
+            configuration = member.machine.state.configuration
             found = tuple(
                 resource
                 for resource in configuration.changed_after(request.after_revision)
                 if request.kind in ("", resource.kind)
                 and request.name in ("", resource.name)
             )
-            status = None
-            if request.status:
-                standing = self.group.standing
-                status = describe(
-                    standing, self.machine.state, self.leases, monotonic_ms()
-                )
             return protocol.ReadReply(
                 True,
-                self.group.standing.leader_address,
+                standing.leader_address,
                 configuration.revision,
                 found,
                 configuration.deleted_after(request.after_revision),
-                status,
+                self._status(member) if request.status else None,
             )
 
-    async def _housekeep(self) -> None:
+    def _status(self, member: GroupMember) -> protocol.StateStatus:
+        """The standing of a group; the routers' leases are the first one's."""
+        leases = self.leases
+        if member is not self.first:
+            leases = Leases(self.lease_config, float("inf"))
+        return describe(
+            member.standing,
+            member.machine.state,
+            leases,
+            monotonic_ms(),
+            len(self.groups),
+        )
+
+    async def _live_routers(
+        self, request: protocol.LiveRoutersRequest
+    ) -> protocol.LiveRoutersReply:
+        if not self._may_answer() or not self.leases.settled(monotonic_ms()):
+            return protocol.LiveRoutersReply(False)
+        return protocol.LiveRoutersReply(True, tuple(self.leases.routers))
+
+    # What a leader does by itself.
+
+    async def _housekeep(self, member: GroupMember) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             try:
-                await self._keep_house()
-            except NotLeading:
+                await self._keep_house(member)
+            except (NotLeading, TransportError):
                 continue
 
-    async def _keep_house(self) -> None:
-        if not self._may_answer():
+    async def _keep_house(self, member: GroupMember) -> None:
+        if not member.standing.may_read(monotonic_ms()):
             return
+        if member is self.first:
+            gone = self._lapsed_routers()
+        else:
+            gone = await self._owners_gone(member)
+        for router in sorted(gone):
+            emit(log, RouterLapsed(router, member.number))
+            await member.commit(RouterGone(router))
+        if time.monotonic() - member.expired_s > EXPIRE_EVERY_S:
+            member.expired_s = time.monotonic()
+            before_ms = int(time.time() * 1000) - self.settings.retention_ms
+            await member.commit(Expire(before_ms))
+
+    def _lapsed_routers(self) -> set[str]:
+        """By the leases that this process has given, as the first group's leader."""
+        if not self._may_answer():
+            return set()
         now_ms = monotonic_ms()
         gone = set(self.leases.lapsed(now_ms))
         if self.leases.settled(now_ms):
-            owners = set(self.machine.state.ledger.running)
+            owners = set(self.first.machine.state.ledger.running)
             gone |= owners - set(self.leases.routers)
-        for router in sorted(gone):
-            emit(log, RouterLapsed(router))
-            await self._commit(RouterGone(router))
-        if time.monotonic() - self._expired_s > EXPIRE_EVERY_S:
-            self._expired_s = time.monotonic()
-            before_ms = int(time.time() * 1000) - self.settings.retention_ms
-            await self._commit(Expire(before_ms))
+        return gone
+
+    async def _owners_gone(self, member: GroupMember) -> set[str]:
+        """Routers with running requests in another group, and no lease.
 
-    async def _join_peers(self) -> None:
+        The owners are read before the leases: who claimed by then had a lease,
+        so who has none afterwards has lost it.
+        """
+        owners = set(member.machine.state.ledger.running)
+        if not owners:
+            return set()
+        reply = await self._ask_live_routers()
+        return owners - set(reply.routers) if reply.known else set()
+
+    async def _ask_live_routers(self) -> protocol.LiveRoutersReply:
+        request = protocol.LiveRoutersRequest()
+        if self.first.standing.leading:
+            return await self._live_routers(request)
+        leader = self.first.standing.leader_address
+        if not leader:
+            return protocol.LiveRoutersReply(False)
+        address = Address.parse(leader)
+        if self._first_leader is None or self._first_leader.address != address:
+            self._first_leader = Peer(address)
+        reply: protocol.LiveRoutersReply = await self._first_leader.call(
+            protocol.LIVE_ROUTERS, request, JOIN_TIMEOUT_S
+        )
+        return reply
+
+    async def _join_peers(self, member: GroupMember) -> None:
         """Ask the peers to be taken in, until this folder has a group."""
         peers = [Peer(Address.parse(text)) for text in self.settings.peers]
-        while not self.group.standing.members.voters:
+        request = protocol.JoinRequest(self.member, member.number, len(self.groups))
+        while not member.standing.members.voters:
             for peer in peers:
-                request = protocol.JoinRequest(self.member)
                 try:
-                    await peer.call(protocol.JOIN, request, JOIN_TIMEOUT_S)
+                    reply = await peer.call(protocol.JOIN, request, JOIN_TIMEOUT_S)
                 except TransportError:
                     continue
+                if reply.groups != len(self.groups):
+                    raise GroupsDiffer(len(self.groups), reply.groups)
             await asyncio.sleep(JOIN_RETRY_S)
         for peer in peers:
             peer.close()
+
+
+def _leadership(member: GroupMember) -> tuple[object, ...]:
+    standing = member.standing
+    return standing.term, standing.leading, standing.leader_address, standing.members
--- a/ashlatch/store/protocol.py
+++ b/ashlatch/store/protocol.py
@@ -21,6 +21,7 @@
     "CHANGE_MEMBER",
     "DELIVER",
     "JOIN",
+    "LIVE_ROUTERS",
     "POLL_CONTROL",
     "POLL_ROUTER",
     "PROPOSE",
@@ -31,6 +32,8 @@
     "ControlReply",
     "JoinReply",
     "JoinRequest",
+    "LiveRoutersReply",
+    "LiveRoutersRequest",
     "MemberChange",
     "MemberStatus",
     "ProposeReply",
@@ -64,20 +67,24 @@
 
     member: Member
     group: int = 0
+    groups: int = 1
 
 
 class JoinReply(msgspec.Struct, frozen=True):
-    """Whether the leader has it in its members; else who leads."""
+    """Whether the leader has it in its members; else who leads.
+
+    `groups` is how many there are; a member with another number cannot join.
+    """
 
     known: bool
     leader: str
+    groups: int = 1
 
 
 class ProposeRequest(msgspec.Struct, frozen=True):
-    """A command for the replicated state."""
+    """A command for the replicated state; its slot tells the group."""
 
     command: Command
-    group: int = 0
 
 
 class ProposeReply(msgspec.Struct, frozen=True):
@@ -182,13 +189,28 @@
 
 
 class ReadRequest(msgspec.Struct, frozen=True):
-    """Read the newest state: resources, and the status if asked for."""
+    """Read the newest state: resources, and the status if asked for.
+
+    Only the first group has resources.
+    """
 
     kind: str = ""
     name: str = ""
     after_revision: int = 0
     wait_ms: float = 0.0
     status: bool = False
+    group: int = 0
+
+
+class LiveRoutersRequest(msgspec.Struct, frozen=True):
+    """Asks the first group's leader which routers have a lease."""
+
+
+class LiveRoutersReply(msgspec.Struct, frozen=True):
+    """The routers with a lease, if `known`."""
+
+    known: bool
+    routers: tuple[str, ...] = ()
 
 
 class RouterStatus(msgspec.Struct, frozen=True):
@@ -230,6 +252,7 @@
     bills: int
     accounts: dict[str, Account]
     totals: tuple[VersionReport, ...] = ()
+    groups: int = 1
 
 
 class ReadReply(msgspec.Struct, frozen=True):
@@ -249,4 +272,7 @@
 POLL_ROUTER = Method("/ashlatch.State/PollRouter", RouterPoll, RouterReply)
 POLL_CONTROL = Method("/ashlatch.State/PollControl", ControlPoll, ControlReply)
 CHANGE_MEMBER = Method("/ashlatch.State/ChangeMember", MemberChange, ReadReply)
+LIVE_ROUTERS = Method(
+    "/ashlatch.State/LiveRouters", LiveRoutersRequest, LiveRoutersReply
+)
 READ = Method("/ashlatch.State/Read", ReadRequest, ReadReply)
--- /dev/null
+++ b/ashlatch/store/slots.py
@@ -0,0 +1,39 @@
+"""
+ashlatch.store.slots
+~~~~~~~~~~~~~~~~~~~~
+
+Where a command belongs. The ledger is cut into slots by organisation, so that
+all records, sessions and the account of one organisation are in one group; the
+configuration and the control lease are in the first group.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import xxhash
+
+from ashlatch.store.command import Claim, Close, Command, RecordAnswer
+
+__all__ = ["FIRST_GROUP", "SLOTS", "group_of", "slot_of"]
+
+FIRST_GROUP = 0
+SLOTS = 64
+
+
+def slot_of(command: Command) -> int | None:
+    """The slot of a command on the ledger; none for any other.
+
+    It depends on the organisation alone, never on the number of groups::
+
+        slot_of(Close(RequestKey("nairobi-stockists", "k-1"), 1, True))
+    """
+    if not isinstance(command, Claim | RecordAnswer | Close):
+        return None
+    organisation = command.key.organisation
+    return int(xxhash.xxh3_64_intdigest(organisation.encode()) % SLOTS)
+
+
+def group_of(command: Command, groups: int) -> int:
+    """The group that takes a command, out of so many."""
+    slot = slot_of(command)
+    return FIRST_GROUP if slot is None else slot % groups
--- a/ashlatch/store/status.py
+++ b/ashlatch/store/status.py
@@ -8,13 +8,15 @@
 :license: MIT, see LICENSE for details.
 """
 
+import msgspec
+
 from ashlatch.raft.group import Standing
 from ashlatch.raft.message import Member
 from ashlatch.store.lease import Leases
 from ashlatch.store.machine import State
 from ashlatch.store.protocol import MemberStatus, RouterStatus, StateStatus
 
-__all__ = ["describe", "losses_survived"]
+__all__ = ["describe", "losses_survived", "merged"]
 
 CURRENT_LAG_ENTRIES = 256
 # A member that has not answered for so long does not count as there.
@@ -22,9 +24,13 @@
 
 
 def describe(
-    standing: Standing, state: State, leases: Leases, now_ms: float
+    standing: Standing,
+    state: State,
+    leases: Leases,
+    now_ms: float,
+    groups: int = 1,
 ) -> StateStatus:
-    """The leader's view of the group, the routers and the control lease."""
+    """The leader's view of its group, the routers and the control lease."""
     members = tuple(
         _member_status(standing, member, now_ms)
         for member in standing.members.everyone()
@@ -45,6 +51,19 @@
         state.ledger.bills,
         state.ledger.accounts,
         leases.totals(),
+        groups,
+    )
+
+
+def merged(first: StateStatus, others: list[StateStatus]) -> StateStatus:
+    """The first group's status with the other groups' part of the ledger."""
+    every = [first, *others]
+    accounts = {name: account for s in every for name, account in s.accounts.items()}
+    return msgspec.structs.replace(
+        first,
+        losses_survived=min(status.losses_survived for status in every),
+        bills=sum(status.bills for status in every),
+        accounts=accounts,
     )
 
 
--- a/ashlatch/store/transport.py
+++ b/ashlatch/store/transport.py
@@ -2,8 +2,9 @@
 ashlatch.store.transport
 ~~~~~~~~~~~~~~~~~~~~~~~~
 
-Carries messages between the members of a group. Each peer has one call open
-at a time; what comes up meanwhile goes into the next call together. A call
+Carries messages between the members of the groups. Each group has one call
+open to a peer at a time; what comes up meanwhile goes into the next call
+together. A call
 with log entries is held for a moment, so that the answers go back as its reply
 and need no call of their own. Answers to heartbeats do take one: a leader that
 can call others and cannot be called must not keep its lease.
@@ -15,6 +16,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from ashlatch.errors import TransportError
 from ashlatch.raft.message import AppendRequest, Member, Message
@@ -30,8 +32,16 @@
 Addressed = tuple[Member, Message]
 
 
+@dataclass(frozen=True)
+class Way:
+    """One group's messages to one member."""
+
+    member_id: str
+    group: int
+
+
 class Transport:
-    """Queues messages by member id and sends them in batches.
+    """Queues messages by member and group, and sends them in batches.
 
     Messages may be lost: a full queue drops the oldest, a failed call drops
     its batch. The protocol above sends again. `received` takes each message
@@ -44,10 +54,11 @@
         self._rpc = rpc
         self._own = own
         self._received = received
-        self._queues: dict[str, deque[Message]] = {}
-        self._wakes: dict[str, asyncio.Event] = {}
-        self._held: dict[str, asyncio.Event] = {}
+        self._queues: dict[Way, deque[Message]] = {}
+        self._wakes: dict[Way, asyncio.Event] = {}
+        self._held: dict[Way, asyncio.Event] = {}
         self._addresses: dict[str, str] = {}
+        self._peers: dict[str, Peer] = {}
 
     def send(self, messages: list[Addressed]) -> None:
         """Queue messages, from any thread."""
@@ -64,23 +75,24 @@
             self._received(message)
         if not any(_carries_entries(message) for message in batch.messages):
             return BatchReply()
-        return BatchReply(await self._answers(sender.member_id))
+        way = Way(sender.member_id, batch.messages[0].group)
+        return BatchReply(await self._answers(way))
 
-    async def _answers(self, member_id: str) -> tuple[Message, ...]:
-        if member_id in self._held:
+    async def _answers(self, way: Way) -> tuple[Message, ...]:
+        if way in self._held:
             return ()
-        ready = self._held[member_id] = asyncio.Event()
+        ready = self._held[way] = asyncio.Event()
         try:
             async with asyncio.timeout(HOLD_S):
                 await ready.wait()
         except TimeoutError:
             pass
         finally:
-            del self._held[member_id]
-        return self._drain(member_id)
+            del self._held[way]
+        return self._drain(way)
 
-    def _drain(self, member_id: str) -> tuple[Message, ...]:
-        queued = self._queues.get(member_id)
+    def _drain(self, way: Way) -> tuple[Message, ...]:
+        queued = self._queues.get(way)
         if queued is None:
             return ()
         messages = tuple(queued)
@@ -93,40 +105,47 @@
                 self._addresses[to.member_id] = to.address
             if to.member_id not in self._addresses:
                 continue
-            waiting = self._queues.get(to.member_id)
+            way = Way(to.member_id, message.group)
+            waiting = self._queues.get(way)
             if waiting is None:
-                waiting = self._open_queue(to.member_id)
+                waiting = self._open_queue(way)
             waiting.append(message)
-            held = self._held.get(to.member_id)
-            (held or self._wakes[to.member_id]).set()
+            held = self._held.get(way)
+            (held or self._wakes[way]).set()
 
-    def _open_queue(self, member_id: str) -> deque[Message]:
-        waiting = self._queues[member_id] = deque(maxlen=QUEUE_MESSAGES)
-        self._wakes[member_id] = asyncio.Event()
-        self._rpc.loop.create_task(self._pump(member_id))
+    def _open_queue(self, way: Way) -> deque[Message]:
+        waiting = self._queues[way] = deque(maxlen=QUEUE_MESSAGES)
+        self._wakes[way] = asyncio.Event()
+        self._rpc.loop.create_task(self._pump(way))
         return waiting
 
-    async def _pump(self, member_id: str) -> None:
-        peer = Peer(Address.parse(self._addresses[member_id]))
+    async def _pump(self, way: Way) -> None:
         while True:
-            await self._wakes[member_id].wait()
-            self._wakes[member_id].clear()
-            messages = self._drain(member_id)
+            await self._wakes[way].wait()
+            self._wakes[way].clear()
+            messages = self._drain(way)
             if not messages:
                 continue
-            address = Address.parse(self._addresses[member_id])
-            if peer.address != address:
-                peer.close()
-                peer = Peer(address)
             try:
-                batch = Batch(self._own, member_id, messages)
-                reply = await peer.call(DELIVER, batch, CALL_TIMEOUT_S)
+                batch = Batch(self._own, way.member_id, messages)
+                reply = await self._peer(way.member_id).call(
+                    DELIVER, batch, CALL_TIMEOUT_S
+                )
             except TransportError:
-                peer.close()
                 continue
             for message in reply.messages:
                 self._received(message)
 
+    def _peer(self, member_id: str) -> Peer:
+        """The connection to a member, at the address that is known now."""
+        address = Address.parse(self._addresses[member_id])
+        peer = self._peers.get(member_id)
+        if peer is None or peer.address != address:
+            if peer is not None:
+                peer.close()
+            peer = self._peers[member_id] = Peer(address)
+        return peer
+
 
 def _carries_entries(message: Message) -> bool:
     return isinstance(message, AppendRequest) and bool(message.entries)
