Take the signal that asks for a stop, whichever thread it goes to

The kernel may hand a process's signal to any thread; a Python handler then waits for the main thread, which waits for a lock and is not woken up. Ruled out: the length of the streams, refused connections, the lease. Change: the signals are blocked before any thread is made, and the main thread takes them with sigwait; a failure sends one to its own process.

--- a/ashlatch/cmdline/daemon.py
+++ b/ashlatch/cmdline/daemon.py
@@ -12,7 +12,6 @@
 import os
 import signal
 import sys
-import threading
 from collections.abc import Callable
 from pathlib import Path
 from typing import Protocol, TypeVar
@@ -24,11 +23,19 @@
 from ashlatch.log import DaemonFailed, DaemonStarted, DaemonStopped, emit, setup
 from ashlatch.settings import ControlSettings, RouterSettings, StateSettings, load
 
-__all__ = ["EXIT_FAILED", "EXIT_SETTINGS", "Daemon", "load_or_exit", "run"]
+__all__ = [
+    "EXIT_FAILED",
+    "EXIT_SETTINGS",
+    "Daemon",
+    "Ending",
+    "load_or_exit",
+    "run",
+]
 
 EXIT_FAILED = 1
 EXIT_SETTINGS = 2
 SWITCH_S = 0.0005
+STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
 
 log = logging.getLogger("ashlatch.daemon")
 
@@ -59,21 +66,27 @@
     return settings
 
 
-class _Ending:
-    """Why and when the process should end."""
+class Ending:
+    """Why and when the process should end.
+
+    The signals are blocked in every thread and taken by the main one. A
+    Python handler would not do: the kernel may hand a signal to any thread,
+    and a main thread that waits for a lock does not wake up for it. Make it
+    before any thread, since threads inherit what is blocked.
+    """
 
     def __init__(self) -> None:
-        self.event = threading.Event()
+        signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
         self.error: BaseException | None = None
 
-    def ask(self, signum: int, frame: object) -> None:
-        """A signal asks for an end in order."""
-        self.event.set()
+    def wait(self) -> None:
+        """Wait for a signal, or a failure; on the main thread only."""
+        signal.sigwait(STOP_SIGNALS)
 
     def fail(self, error: BaseException) -> None:
-        """Something inside must not go on."""
+        """Something inside must not go on; from any thread."""
         self.error = error
-        self.event.set()
+        os.kill(os.getpid(), signal.SIGTERM)
 
 
 def run(
@@ -89,9 +102,7 @@
     setup(level=settings.log_level)
     # The interpreter's default lets a waiting thread wait for 5 ms.
     sys.setswitchinterval(SWITCH_S)
-    ending = _Ending()
-    signal.signal(signal.SIGTERM, ending.ask)
-    signal.signal(signal.SIGINT, ending.ask)
+    ending = Ending()
     try:
         daemon = make(ending.fail)
         daemon.start()
@@ -102,7 +113,7 @@
         name, settings.vm, settings.hall, settings.listen, __version__
     )
     emit(log, started)
-    ending.event.wait()
+    ending.wait()
     if ending.error is not None:
         _report_failure(name, ending.error)
         os._exit(EXIT_FAILED)
--- a/tests/test_router_failures.py
+++ b/tests/test_router_failures.py
@@ -92,7 +92,7 @@
             self.assertIsNone(order["not_run"])
             self.assertEqual(0, found.ran("claimed-order"))
             question = found.ask(1, Idempotency_Key="claimed-question")
-            self.assertEqual(200, question.status)
+            self.assertEqual(200, question.status, question.body.decode())
 
     def list_urls(self, found: Lean, vms: list[dict[str, Any]]) -> None:
         found.system.vms = vms
