Ask a second endpoint when the first one hangs

Change: policy/hedging.py (when), router/hedge.py (the handler); a second attempt of the same version, on an endpoint with room, for what may be repeated, within a budget of 5%. The wait is 1.5 times the percentile now.

--- a/ashlatch/control/core.py
+++ b/ashlatch/control/core.py
@@ -64,7 +64,6 @@
     revision: int = -1
     resources: dict[ResourceId, Resource] = field(default_factory=dict)
     totals: dict[str, VersionReport] = field(default_factory=dict)
-    baselines: dict[str, VersionReport] = field(default_factory=dict)
     stage_starts: dict[str, int] = field(default_factory=dict)
     detectors: dict[str, Detector] = field(default_factory=dict)
     withdrawn: frozenset[str] = frozenset()
--- a/ashlatch/router/admission.py
+++ b/ashlatch/router/admission.py
@@ -12,7 +12,6 @@
 from ashlatch.http import problem as problems
 from ashlatch.http.problem import Problem
 from ashlatch.policy.limit import Capacity, Refused
-from ashlatch.router.attempt import no_plan_problem, plan_attempt, start_attempt
 from ashlatch.router.core import HANDLERS, CachedPin, Flight, RouterCore
 from ashlatch.router.ending import end_with_problem, give_answer, give_problem
 from ashlatch.router.event import (
@@ -25,6 +24,7 @@
     RequestKind,
     ScheduleClaim,
 )
+from ashlatch.router.sending import no_plan_problem, plan_attempt, start_attempt
 from ashlatch.router.verdict import NoPlan
 from ashlatch.store.command import (
     Claim,
@@ -57,6 +57,7 @@
         return
     core.limits.admitted(request.organisation)
     core.budget.earn()
+    core.hedge_budget.earn()
     _begin(core, flight)
 
 
--- a/ashlatch/router/attempt.py
+++ b/ashlatch/router/attempt.py
@@ -2,26 +2,16 @@
 ashlatch.router.attempt
 ~~~~~~~~~~~~~~~~~~~~~~~
 
-Handlers of attempts: what is sent where, what is tried elsewhere, resumed or
-given up, and when an answer is recorded.
+Handlers of attempts: what is tried elsewhere, resumed or given up, and when an
+answer is recorded.
 
 :copyright: Copyright 2026 by the ashlatch maintainers.
 :license: MIT, see LICENSE for details.
 """
 
-from dataclasses import dataclass
-from typing import ClassVar
-
 from ashlatch.http import problem as problems
 from ashlatch.http.problem import Problem
-from ashlatch.log import LogEvent
-from ashlatch.policy.evidence import Failure, Timing
-from ashlatch.router.core import (
-    HANDLERS,
-    Flight,
-    PoorAnswer,
-    RouterCore,
-)
+from ashlatch.router.core import HANDLERS, Flight, Leg, PoorAnswer, RouterCore
 from ashlatch.router.ending import (
     close_claim,
     forget,
@@ -33,6 +23,7 @@
     Answered,
     AnswerRecordEnded,
     AttemptEnded,
+    AttemptResult,
     Broken,
     CallerLeft,
     DeadlinePassed,
@@ -40,170 +31,64 @@
     Full,
     NotSent,
     ProposeAnswer,
-    RequestKind,
-    StartAttempt,
-    WriteLog,
 )
+from ashlatch.router.learning import learn
+from ashlatch.router.sending import plan_attempt, start_attempt
 from ashlatch.router.verdict import NoPlan, Plan
-from ashlatch.store.command import (
-    AnswerAccepted,
-    AnswerRecorded,
-    RecordAnswer,
-)
+from ashlatch.store.command import AnswerAccepted, AnswerRecorded, RecordAnswer
 
-__all__ = ["RouteChosen", "no_plan_problem", "plan_attempt", "start_attempt"]
+__all__ = []
 
 CLAIM_AGAIN_MS = 100.0
 RESUME_MAX = 2
 NO_STATE_RETRY_MS = 1000.0
-TIMEOUT_SLACK_MS = 10.0
-
-
-@dataclass(frozen=True)
-class RouteChosen(LogEvent):
-    """The decision for one attempt."""
-
-    event: ClassVar[str] = "route_chosen"
-    request: str
-    attempt: str
-    organisation: str
-    target: str
-    session: str
-    version: str
-    endpoint: str
-    hall: str
-    expected_ms: float
-    reason: str
-    policy: str
-    excluded: str
-    revision: int
-
-
-def plan_attempt(core: RouterCore, flight: Flight, version: str) -> Plan | NoPlan:
-    """Choose where the next attempt goes; with `version`, only the endpoint."""
-    request = flight.request
-    if request.kind is RequestKind.SERVICE:
-        return core.planner.plan_service(request, core.now_ms, flight.tried)
-    return core.planner.plan_chat(request, core.now_ms, flight.tried, version)
-
-
-def no_plan_problem(core: RouterCore, flight: Flight, plan: NoPlan) -> Problem:
-    """What to tell a caller when there is no plan."""
-    detail = ",".join(str(exclusion) for exclusion in plan.excluded)
-    if not plan.allowed:
-        return Problem(problems.NOT_ALLOWED, detail, core.not_run(flight))
-    kind = problems.OVERLOADED if plan.too_late else problems.NO_ENDPOINT
-    return Problem(kind, detail, core.not_run(flight), plan.retry_ms)
-
-
-def start_attempt(
-    core: RouterCore, flight: Flight, plan: Plan, resume_chunks: int = 0
-) -> None:
-    """Send the request as planned; `resume_chunks` were passed on before."""
-    request = flight.request
-    flight.version = plan.version
-    flight.endpoint = plan.endpoint
-    flight.tries += 1
-    flight.attempt_id = f"{request.request_id}-{flight.tries}"
-    flight.sent_ms = core.now_ms
-    core.assert_allowed(flight)
-    load = core.planner.load(plan.endpoint.name)
-    flight.had_room = load.has_room()
-    load.sent(core.now_ms)
-    core.planner.breaker(plan.endpoint.name).sent(core.now_ms)
-    chosen = RouteChosen(
-        request.request_id,
-        flight.attempt_id,
-        request.organisation,
-        request.target,
-        request.session,
-        plan.version,
-        plan.endpoint.name,
-        plan.endpoint.spec.hall,
-        plan.expected_ms,
-        plan.reason,
-        core.planner.endpoint_policy.name,
-        ",".join(str(exclusion) for exclusion in plan.excluded),
-        core.table_revision,
-    )
-    core.effects.append(WriteLog(chosen))
-    core.effects.append(
-        StartAttempt(
-            request,
-            flight.attempt_id,
-            plan.endpoint.name,
-            plan.endpoint.spec.url,
-            plan.version,
-            core.table_revision,
-            resume_chunks,
-        )
-    )
 
 
 @HANDLERS.on(FirstChunk)
 def _first_chunk(core: RouterCore, event: FirstChunk) -> None:
     flight = core.flights.get(event.request_id)
-    if flight is not None and flight.attempt_id == event.attempt_id:
+    if flight is None or flight.chunks_given or flight.given:
+        return
+    if core.prefer(flight, event.attempt_id):
         flight.chunks_given = True
 
 
 @HANDLERS.on(AttemptEnded)
 def _attempt_ended(core: RouterCore, event: AttemptEnded) -> None:
+    loser = core.losers.pop(event.attempt_id, None)
+    if loser is not None:
+        core.planner.load(loser).finished(core.now_ms, None)
+        return
     flight = core.flights.get(event.request_id)
-    if flight is None or flight.attempt_id != event.attempt_id:
+    leg = flight.leg_of(event.attempt_id) if flight else None
+    if flight is None or leg is None:
         return
-    _learn(core, flight, event)
+    learn(core, flight, leg, event.result)
+    if flight.hedge is not None and not isinstance(event.result, Answered):
+        _one_leg_less(flight, leg, event.result)
+        return
+    core.prefer(flight, event.attempt_id)
     match event.result:
         case Answered():
             _answered(core, flight, event.result)
         case NotSent():
             _try_elsewhere(core, flight, problems.NO_ENDPOINT, event.result.reason)
         case Full():
-            if event.result.leaving and flight.endpoint is not None:
-                core.planner.leaving.add(flight.endpoint.name)
+            if event.result.leaving:
+                core.planner.leaving.add(leg.endpoint.name)
             _try_elsewhere(core, flight, problems.OVERLOADED, event.result.reason)
         case Broken():
             flight.maybe_ran = True
             _broken(core, flight, event.result)
 
 
-def _learn(core: RouterCore, flight: Flight, event: AttemptEnded) -> None:
-    """Keep what the attempt tells about its endpoint and its version."""
-    assert flight.endpoint is not None
-    name = flight.endpoint.name
-    result = event.result
-    took_ms = core.now_ms - flight.sent_ms
-    answered = isinstance(result, Answered)
-    core.planner.load(name).finished(core.now_ms, took_ms if answered else None)
-    breaker = core.planner.breaker(name)
-    if answered:
-        breaker.succeeded()
-    elif not isinstance(result, Full) and not flight.given:
-        breaker.failed(core.now_ms)
-    if not flight.version or flight.given:
-        return
-    if isinstance(result, Answered):
-        _learn_answer(core, flight, name, result)
-    elif isinstance(result, Broken) and not _timed_out(core, flight):
-        failure = Failure(flight.version, core.now_ms, result.replied)
-        core.found(core.evidence.failed(name, failure))
-
-
-def _timed_out(core: RouterCore, flight: Flight) -> bool:
-    """Whether the attempt was broken off because the caller's time was up."""
-    return core.now_ms >= flight.request.deadline_ms - TIMEOUT_SLACK_MS
-
-
-def _learn_answer(
-    core: RouterCore, flight: Flight, endpoint: str, result: Answered
-) -> None:
-    tokens = max(1, result.usage.output_tokens)
-    core.planner.learn_output(flight.version, tokens)
-    core.found(core.evidence.answered(endpoint, flight.version, core.now_ms))
-    if flight.had_room:
-        token_ms = result.took_ms / tokens
-        timing = Timing(flight.version, flight.sent_ms, core.now_ms, token_ms)
-        core.evidence.timed(endpoint, timing)
+def _one_leg_less(flight: Flight, leg: Leg, result: AttemptResult) -> None:
+    """One of two attempts has failed: the other one goes on alone."""
+    flight.maybe_ran |= isinstance(result, Broken)
+    flight.tried |= {leg.endpoint.name}
+    if leg is flight.leg:
+        flight.leg = flight.hedge
+    flight.hedge = None
 
 
 def _answered(core: RouterCore, flight: Flight, result: Answered) -> None:
@@ -278,8 +163,8 @@
         problem = Problem(problems.ATTEMPT_FAILED, reason, False, NO_STATE_RETRY_MS)
         give_problem(core, flight, problem)
         return
-    assert flight.endpoint is not None
-    flight.tried |= {flight.endpoint.name}
+    assert flight.leg is not None
+    flight.tried |= {flight.leg.endpoint.name}
     # The version stays: the claim binds it.
     bound = flight.attempt or flight.request.session
     version = flight.version if bound else ""
@@ -317,11 +202,11 @@
 
     The caller has seen a part of this answer, so no other answer may follow.
     """
-    assert flight.endpoint is not None
+    assert flight.leg is not None
     usable = core.planner.table.usable(flight.request.organisation, flight.version)
     again = flight.tries <= RESUME_MAX and usable and core.lease_valid(core.now_ms)
     if again and core.budget.spend():
-        plan = Plan(flight.version, flight.endpoint, 0.0, "resume", ())
+        plan = Plan(flight.version, flight.leg.endpoint, 0.0, "resume", ())
         start_attempt(core, flight, plan, result.chunks)
         return
     problem = Problem(problems.ATTEMPT_FAILED, result.reason, False, NO_STATE_RETRY_MS)
@@ -360,7 +245,7 @@
     flight = core.flights.get(event.request_id)
     if flight is None or flight.given:
         return
-    if flight.attempt_id and not flight.recording:
+    if flight.leg is not None and not flight.recording:
         # Cancelled in flight: what was sent by now is not known here.
         flight.maybe_ran = True
     problem = Problem(
@@ -376,6 +261,6 @@
         return
     if not is_disposable(flight.request):
         return
-    flight.maybe_ran = bool(flight.attempt_id)
+    flight.maybe_ran = flight.leg is not None
     problem = Problem(problems.DEADLINE_PASSED, "the caller left", core.not_run(flight))
     give_problem(core, flight, problem)
--- a/ashlatch/router/core.py
+++ b/ashlatch/router/core.py
@@ -15,12 +15,14 @@
 from ashlatch.errors import InvariantViolated
 from ashlatch.policy.detector import VersionTally
 from ashlatch.policy.evidence import Evidence, Finding
+from ashlatch.policy.hedging import Hedging
 from ashlatch.policy.limit import Limits
 from ashlatch.policy.retry import RetryBudget
 from ashlatch.policy.table import NamedEndpoint
 from ashlatch.registry import Handlers
 from ashlatch.router.event import (
     Answered,
+    CancelAttempt,
     Effect,
     Event,
     Request,
@@ -35,6 +37,7 @@
     "HANDLERS",
     "CachedPin",
     "Flight",
+    "Leg",
     "PoorAnswer",
     "RouterConfig",
     "RouterCore",
@@ -63,25 +66,36 @@
     result: Answered
 
 
+@dataclass(frozen=True)
+class Leg:
+    """One attempt under way.
+
+    `had_room` tells that the endpoint had a free slot when it was sent.
+    """
+
+    attempt_id: str
+    endpoint: NamedEndpoint
+    sent_ms: float
+    had_room: bool
+
+
 @dataclass
 class Flight:
     """A request between its arrival and its final answer.
 
     `attempt` is its number in the ledger, 0 without a claim. `maybe_ran` is
     set as soon as a byte may have been sent, here or by an earlier attempt.
-    `given` is set when the caller has its final answer or is gone. `had_room`
-    tells that the endpoint had a free slot when the attempt was sent.
+    `given` is set when the caller has its final answer or is gone. `leg` is
+    the newest attempt, `hedge` a second one for the same answer.
     """
 
     request: Request
     arrived_ms: float
     version: str = ""
-    endpoint: NamedEndpoint | None = None
+    leg: Leg | None = None
+    hedge: Leg | None = None
     attempt: int = 0
     tries: int = 0
-    attempt_id: str = ""
-    sent_ms: float = 0.0
-    had_room: bool = False
     claim_id: str = ""
     tried: frozenset[str] = frozenset()
     version_changed: bool = False
@@ -93,6 +107,13 @@
     chunks_given: bool = False
     given: bool = False
 
+    def leg_of(self, attempt_id: str) -> Leg | None:
+        """The attempt under way of this id."""
+        for leg in (self.leg, self.hedge):
+            if leg is not None and leg.attempt_id == attempt_id:
+                return leg
+        return None
+
 
 @dataclass(frozen=True)
 class CachedPin:
@@ -104,13 +125,18 @@
 
 @dataclass
 class RouterCore:
-    """The whole state of a router. Not thread-safe; the host locks."""
+    """The whole state of a router. Not thread-safe; the host locks.
+
+    `losers` are attempts whose answer nobody wants any more, by id, with the
+    endpoint that each still runs on.
+    """
 
     config: RouterConfig
     now_ms: float = 0.0
     lease_until_ms: float = float("-inf")
     draining: bool = False
     flights: dict[str, Flight] = field(default_factory=dict)
+    losers: dict[str, str] = field(default_factory=dict)
     pins: dict[tuple[str, str], CachedPin] = field(default_factory=dict)
     evidence: Evidence = field(default_factory=Evidence)
     tallies: dict[str, VersionTally] = field(default_factory=dict)
@@ -124,6 +150,8 @@
             self.config.policy, self.config.vm, self.config.hall, self.random
         )
         self.budget = RetryBudget(self.config.policy.retry_ratio)
+        self.hedging = Hedging(self.config.policy.hedge_samples_min)
+        self.hedge_budget = RetryBudget(self.config.policy.hedge_ratio)
 
     def step(self, now_ms: float, event: Event) -> list[Effect]:
         """Handle one event and return what must be done, in order."""
@@ -153,7 +181,9 @@
             return False
         request = attempt.request
         flight = self.flights.get(request.request_id)
-        if flight is None or flight.given or flight.attempt_id != attempt.attempt_id:
+        if flight is None or flight.given:
+            return False
+        if flight.leg_of(attempt.attempt_id) is None:
             return False
         if self.planner.is_leaving(attempt.endpoint):
             return False
@@ -161,6 +191,30 @@
             return True
         return self.planner.table.usable(request.organisation, attempt.version)
 
+    def may_pass(self, request_id: str, attempt_id: str) -> bool:
+        """Whether the caller gets the chunks of this attempt, and of no other."""
+        flight = self.flights.get(request_id)
+        if flight is None or flight.leg is None or flight.given:
+            return False
+        return flight.chunks_given and flight.leg.attempt_id == attempt_id
+
+    def prefer(self, flight: Flight, attempt_id: str) -> bool:
+        """Go on with one attempt and cancel the other, if there are two."""
+        leg = flight.leg_of(attempt_id)
+        if leg is None:
+            return False
+        if leg is flight.hedge:
+            flight.leg, flight.hedge = flight.hedge, flight.leg
+        self.drop_hedge(flight)
+        return True
+
+    def drop_hedge(self, flight: Flight) -> None:
+        """Cancel the second attempt; its answer is not billed."""
+        if flight.hedge is not None:
+            hedge, flight.hedge = flight.hedge, None
+            self.losers[hedge.attempt_id] = hedge.endpoint.name
+            self.effects.append(CancelAttempt(hedge.attempt_id))
+
     def not_run(self, flight: Flight) -> bool | None:
         """What may be said of whether a request has run (R6).
 
--- a/ashlatch/router/ending.py
+++ b/ashlatch/router/ending.py
@@ -89,11 +89,12 @@
 def give_problem(core: RouterCore, flight: Flight, problem: Problem) -> None:
     """End the request without an answer, at once."""
     flight.given = True
-    running = bool(flight.attempt_id) and not flight.recording
+    core.drop_hedge(flight)
+    running = flight.leg is not None and not flight.recording
     if running and problem.kind is problems.DEADLINE_PASSED:
         # The attempt's own end closes the claim and forgets the flight.
-        if is_disposable(flight.request):
-            core.effects.append(CancelAttempt(flight.attempt_id))
+        if flight.leg is not None and is_disposable(flight.request):
+            core.effects.append(CancelAttempt(flight.leg.attempt_id))
     elif not flight.recording:
         close_claim(core, flight)
     end_with_problem(core, flight, problem, admitted=True)
@@ -108,7 +109,7 @@
     _log_end(core, flight, problem.kind.status, problem)
     if admitted:
         core.limits.ended(request.organisation)
-    cancelled = problem.kind is problems.DEADLINE_PASSED and flight.attempt_id
+    cancelled = problem.kind is problems.DEADLINE_PASSED and flight.leg is not None
     if not cancelled or not admitted:
         forget(core, flight)
 
@@ -137,7 +138,7 @@
         request.organisation,
         request.target,
         flight.version,
-        flight.endpoint.name if flight.endpoint else "",
+        flight.leg.endpoint.name if flight.leg else "",
         status,
         problem.kind.name if problem else "",
         not_run,
--- a/ashlatch/router/event.py
+++ b/ashlatch/router/event.py
@@ -47,6 +47,7 @@
     "Full",
     "GiveAnswer",
     "GiveProblem",
+    "HedgeDue",
     "LeaseRenewed",
     "LoadReported",
     "NotSent",
@@ -58,6 +59,7 @@
     "RequestArrived",
     "RequestKind",
     "ScheduleClaim",
+    "ScheduleHedge",
     "StartAttempt",
     "VersionTallied",
     "VersionTotals",
@@ -236,9 +238,17 @@
     request_id: str
 
 
+@dataclass(frozen=True)
+class HedgeDue:
+    """An attempt has taken longer than most; another endpoint may be asked."""
+
+    request_id: str
+    attempt_id: str
+
+
 @dataclass(frozen=True)
 class FirstChunk:
-    """The first piece of an answer was passed on to the caller."""
+    """The first piece of an answer is there; `may_pass` tells who gets it."""
 
     request_id: str
     attempt_id: str
@@ -289,6 +299,7 @@
     | RequestArrived
     | ClaimEnded
     | ClaimDue
+    | HedgeDue
     | FirstChunk
     | AttemptEnded
     | AnswerRecordEnded
@@ -317,6 +328,15 @@
     after_ms: float
 
 
+@dataclass(frozen=True)
+class ScheduleHedge:
+    """Send `HedgeDue` after a while."""
+
+    request_id: str
+    attempt_id: str
+    after_ms: float
+
+
 @dataclass(frozen=True)
 class ProposeClose:
     """Commit that an attempt ended without an answer."""
@@ -384,6 +404,7 @@
 Effect = (
     ProposeClaim
     | ScheduleClaim
+    | ScheduleHedge
     | ProposeClose
     | ProposeAnswer
     | StartAttempt
--- a/ashlatch/router/host.py
+++ b/ashlatch/router/host.py
@@ -27,7 +27,7 @@
 from ashlatch.metrics import Metrics
 from ashlatch.raft.group import monotonic_ms
 from ashlatch.registry import Handlers
-from ashlatch.router import admission, attempt, knowledge
+from ashlatch.router import admission, attempt, hedge, knowledge
 from ashlatch.router.core import RouterConfig, RouterCore
 from ashlatch.router.event import (
     Answered,
@@ -42,6 +42,7 @@
     FirstChunk,
     GiveAnswer,
     GiveProblem,
+    HedgeDue,
     NotSent,
     ProposeAnswer,
     ProposeClaim,
@@ -50,6 +51,7 @@
     RequestArrived,
     RequestKind,
     ScheduleClaim,
+    ScheduleHedge,
     StartAttempt,
     WriteLog,
 )
@@ -63,7 +65,7 @@
 EFFECTS = Handlers("router effect")
 
 # Importing the modules registers their handlers.
-_HANDLERS_OF = (admission, attempt, knowledge)
+_HANDLERS_OF = (admission, attempt, hedge, knowledge)
 
 
 @dataclass(frozen=True)
@@ -250,6 +252,13 @@
         except ValueError as error:
             return Broken(str(error))
 
+    def first_chunk(self, effect: StartAttempt) -> bool:
+        """The first chunk of an attempt; whether the caller gets its stream."""
+        request_id = effect.request.request_id
+        self.post(FirstChunk(request_id, effect.attempt_id))
+        with self._lock:
+            return self.core.may_pass(request_id, effect.attempt_id)
+
     def deliver(self, request_id: str, mail: Mail) -> None:
         """Leave something in a caller's mailbox, if the caller is there."""
         mailbox = self._mailboxes.get(request_id)
@@ -263,15 +272,14 @@
     def __init__(self, host: RouterHost, effect: StartAttempt) -> None:
         self._host = host
         self._effect = effect
-        self._first = True
+        self._passes: bool | None = True if effect.resume_chunks else None
 
     def forward(self, data: bytes) -> None:
-        request_id = self._effect.request.request_id
-        if self._first:
-            self._first = False
-            self._host.post(FirstChunk(request_id, self._effect.attempt_id))
-        chunk = Chunk(self._effect.attempt_id, self._effect.version, data)
-        self._host.deliver(request_id, chunk)
+        if self._passes is None:
+            self._passes = self._host.first_chunk(self._effect)
+        if self._passes:
+            chunk = Chunk(self._effect.attempt_id, self._effect.version, data)
+            self._host.deliver(self._effect.request.request_id, chunk)
 
 
 @EFFECTS.on(ProposeClaim)
@@ -290,6 +298,16 @@
     host.rpc.post(host.rpc.loop.call_later, effect.after_ms / 1000.0, due)
 
 
+@EFFECTS.on(ScheduleHedge)
+def _schedule_hedge(host: RouterHost, effect: ScheduleHedge) -> None:
+    due = HedgeDue(effect.request_id, effect.attempt_id)
+
+    def hand_in() -> None:
+        host.submit(lambda: host.post(due))
+
+    host.rpc.post(host.rpc.loop.call_later, effect.after_ms / 1000.0, hand_in)
+
+
 @EFFECTS.on(ProposeClose)
 def _propose_close(host: RouterHost, effect: ProposeClose) -> None:
     host.propose(effect.close, lambda outcome: None, insist=True)
--- a/ashlatch/router/plan.py
+++ b/ashlatch/router/plan.py
@@ -17,11 +17,11 @@
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES, Candidate, subset
 from ashlatch.policy.load import EndpointLoad
 from ashlatch.policy.quality import QualityBook
-from ashlatch.policy.split import bucket_percent
 from ashlatch.policy.table import NamedEndpoint, RoutingTable
 from ashlatch.policy.version import VERSION_POLICIES, Goal, Option
 from ashlatch.resources import Route
 from ashlatch.router.event import Request
+from ashlatch.router.moved import after_rollouts, is_replaced
 from ashlatch.router.verdict import Exclusion, NoPlan, Plan, WhyOut
 from ashlatch.settings import PolicySettings
 
@@ -30,7 +30,6 @@
 OTHER_HALL_MS = 2.0
 EXPECTED_OUTPUT_TOKENS = 200
 OUTPUT_GAIN = 0.05
-FULL_SHARE_PERCENT = 100.0
 
 
 @dataclass(frozen=True)
@@ -136,9 +135,10 @@
         ready = self._ready_endpoints(now_ms, tried, excluded)
         if version:
             kept = self._plan_version(request, version, now_ms, ready)
+            every = (*excluded, *kept.excluded)
             if isinstance(kept, Plan):
-                return replace(kept, reason="kept_version")
-            return kept
+                return replace(kept, reason="kept_version", excluded=every)
+            return replace(kept, excluded=every)
         route = self.table.routes[request.target]
         plans = self._plans(request, now_ms, ready, excluded)
         if not plans:
@@ -156,9 +156,9 @@
             self.quality.shortfall(request.target, route.quality_target),
         )
         choice = self.version_policy.choose(options, goal, self.generator)
-        chosen = self._after_rollouts(request, choice.version, plans)
+        chosen = after_rollouts(self.table, request, choice.version, frozenset(plans))
         others = tuple(o for o in options if o.version != chosen)
-        if others and self._replaced(chosen, excluded):
+        if others and is_replaced(self.table, chosen, excluded):
             # Its successor is only spared for now: another rung, not a return.
             choice = self.version_policy.choose(others, goal, self.generator)
             chosen = choice.version
@@ -329,28 +329,6 @@
         )
         return Option(plan.version, price, estimate.mean, estimate.deviation)
 
-    def _after_rollouts(
-        self, request: Request, version: str, plans: dict[str, Plan]
-    ) -> str:
-        for rollout in self.table.rollouts:
-            if rollout.from_version != version or rollout.to_version not in plans:
-                continue
-            unit = request.session or request.key
-            place = bucket_percent(rollout.name, request.organisation, unit)
-            if place < rollout.share_percent:
-                return rollout.to_version
-        return version
-
-    def _replaced(self, version: str, excluded: list[Exclusion]) -> bool:
-        """Whether all traffic has moved to a version that is spared just now."""
-        spared = {e.name for e in excluded if e.why is WhyOut.SUSPECTED}
-        return any(
-            rollout.from_version == version
-            and rollout.share_percent >= FULL_SHARE_PERCENT
-            and rollout.to_version in spared
-            for rollout in self.table.rollouts
-        )
-
     def _no_plan(self, request: Request, excluded: list[Exclusion]) -> NoPlan:
         allowed = bool(self.acceptable(request))
         late = any(e.why is WhyOut.TOO_LATE for e in excluded)
--- a/ashlatch/settings.py
+++ b/ashlatch/settings.py
@@ -99,6 +99,8 @@
     version: str = "cheapest_good"
     subset_size: int = Field(default=24, ge=2)
     retry_ratio: float = Field(default=0.1, ge=0, le=1)
+    hedge_ratio: float = Field(default=0.05, ge=0, le=1)
+    hedge_samples_min: int = Field(default=100, ge=1)
     breaker_failures: int = Field(default=3, ge=1)
     breaker_open_ms: float = Field(default=2000.0, gt=0)
     seed: int = 0
--- a/bench/all.py
+++ b/bench/all.py
@@ -1,10 +1,21 @@
 """make bench: every measurement, one after the other."""
 
-from bench import capacity, core, cost, exposure, latency, overload, router, state
+from bench import (
+    capacity,
+    core,
+    cost,
+    exposure,
+    hedge,
+    latency,
+    overload,
+    router,
+    state,
+)
 
 
 def main() -> None:
-    for module in (core, cost, exposure, latency, overload, state, router, capacity):
+    modules = (core, cost, exposure, latency, overload, hedge, state, router, capacity)
+    for module in modules:
         module.main()
 
 
--- /dev/null
+++ b/bench/hedge.py
@@ -0,0 +1,75 @@
+"""Hedges on real processes: the tail of answers when engines stall now and
+then, without hedges and with them. python -m bench.hedge
+"""
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from bench.table import percentile, row, title
+from tests.chat import chat, chat_stream
+from tests.lean import KEY, ROUTE, Lean, lean
+
+RATE_PER_S = 20.0
+WARM_CALLS = 150
+CALLS = 600
+STALL_RATIO = 0.03
+STALL_MS = 1000.0
+ENGINE = ("--token-ms", "2", "--output-tokens", "20", "--slots", "16")
+MODES = {"without": 0.0, "with": 0.05}
+
+
+def ask(found: Lean, stream: bool) -> float:
+    """One call: the time to its first token, or to the whole answer."""
+    url = found.system.routers[0].url
+    began_s = time.monotonic()
+    if stream:
+        streamed = chat_stream(url, KEY, ROUTE)
+        assert streamed.done, streamed.error
+        return (streamed.chunk_s[0] - began_s) * 1000.0
+    reply = chat(url, KEY, ROUTE)
+    assert reply.status == 200, reply
+    return (time.monotonic() - began_s) * 1000.0
+
+
+def paced(found: Lean, stream: bool, count: int) -> list[float]:
+    began_s = time.monotonic()
+
+    def one(number: int) -> float:
+        time.sleep(max(0.0, began_s + number / RATE_PER_S - time.monotonic()))
+        return ask(found, stream)
+
+    with ThreadPoolExecutor(48) as pool:
+        return list(pool.map(one, range(count)))
+
+
+def runs(found: Lean) -> int:
+    return sum(len(engine.get("runs")) for engine in found.engines)
+
+
+def main() -> None:
+    title(
+        f"{STALL_RATIO:.0%} of attempts stall for {STALL_MS:.0f} ms; "
+        f"{CALLS} calls at {RATE_PER_S:.0f} a second"
+    )
+    for name, ratio in MODES.items():
+        extra = {"policy": {"hedge_ratio": ratio}}
+        with lean(routers=1, engine_arguments=ENGINE, router_extra=extra) as found:
+            for stream in (False, True):
+                paced(found, stream, WARM_CALLS)
+                for engine in found.engines:
+                    engine.control(stall_ratio=STALL_RATIO, stall_ms=STALL_MS)
+                before = runs(found)
+                took = paced(found, stream, CALLS)
+                row(
+                    f"{name} hedges, {'first token' if stream else 'whole'}",
+                    p50_ms=percentile(took, 50),
+                    p95_ms=percentile(took, 95),
+                    p99_ms=percentile(took, 99),
+                    attempts_a_call=(runs(found) - before) / CALLS,
+                )
+                for engine in found.engines:
+                    engine.control(stall_ratio=0.0)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -5,7 +5,7 @@
 
 `POST /control` changes it: {"quality": {"a": 0.4}, "error_ratio": {"a": 0.3},
 "slowdown": 4, "version_slowdown": {"a": 4}, "leaving": true, "swap_ids": true,
-"break_after": 5}.
+"break_after": 5, "stall_ratio": 0.02, "stall_ms": 1000}.
 """
 
 import argparse
@@ -46,6 +46,8 @@
     slowdown: float = 1.0
     swap_ids: bool = False
     break_after: int = 0
+    stall_ratio: float = 0.0
+    stall_ms: float = 0.0
     quality: dict[str, float] = field(default_factory=dict)
     error_ratio: dict[str, float] = field(default_factory=dict)
     version_slowdown: dict[str, float] = field(default_factory=dict)
@@ -103,6 +105,11 @@
                 self.cache.popitem(last=False)
         return self.prefill_ms * (0.2 if hit else 1.0) * self.slowdown / 1000.0
 
+    def stall(self) -> None:
+        """Some requests hang for a while before anything comes."""
+        if self.random.random() < self.stall_ratio:
+            time.sleep(self.stall_ms / 1000.0)
+
     # HTTP.
 
     def answer(self, http: Request) -> Response:
@@ -202,6 +209,7 @@
 
     def whole(self, version: str, prompt: str, tokens: int, shown: str) -> Response:
         try:
+            self.stall()
             time.sleep(self.prefill_s(prompt))
             for _ in range(0, tokens, 10):
                 time.sleep(self.token_s(version) * min(10, tokens))
@@ -228,6 +236,7 @@
         self, version: str, prompt: str, tokens: int, skip: int
     ) -> Iterator[bytes]:
         try:
+            self.stall()
             time.sleep(self.prefill_s(prompt))
             for place in range(skip, tokens):
                 time.sleep(self.token_s(version))
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -41,6 +41,27 @@
         "    if False:\n        # Another",
         TRAFFIC,
     ),
+    Mutant(
+        "hedge-of-unrepeatable",
+        "ashlatch/router/sending.py",
+        "    if request.repeatable and flight.leg is not None",
+        "    if flight.leg is not None",
+        TRAFFIC,
+    ),
+    Mutant(
+        "both-streams-pass",
+        "ashlatch/router/core.py",
+        "        return flight.chunks_given and flight.leg.attempt_id == attempt_id",
+        "        return True",
+        TRAFFIC,
+    ),
+    Mutant(
+        "loser-is-recorded",
+        "ashlatch/router/core.py",
+        "            self.losers[hedge.attempt_id] = hedge.endpoint.name\n",
+        "",
+        ROUTER,
+    ),
     Mutant(
         "vm-death-blames-version",
         "ashlatch/policy/evidence.py",
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -8,7 +8,7 @@
 
 from ashlatch.control.rollout import VersionBad
 from ashlatch.log import DaemonFailed, LogEvent, emit, setup
-from ashlatch.router.attempt import RouteChosen
+from ashlatch.router.sending import RouteChosen
 
 GOLDEN = Path(__file__).parent / "golden" / "log.txt"
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -10,13 +10,14 @@
 from ashlatch.policy.table import RoutingTable, TableBuilder
 from ashlatch.policy.version import VERSION_POLICIES
 from ashlatch.resources import canonical, parse
-from ashlatch.router import admission, attempt, knowledge
+from ashlatch.router import admission, attempt, hedge, knowledge
 from ashlatch.router.core import RouterConfig, RouterCore
 from ashlatch.router.event import (
     Answered,
     AnswerRecordEnded,
     AttemptEnded,
     Broken,
+    CancelAttempt,
     ClaimEnded,
     ConfigurationChanged,
     DeadlinePassed,
@@ -26,6 +27,7 @@
     Full,
     GiveAnswer,
     GiveProblem,
+    HedgeDue,
     LeaseRenewed,
     LoadReported,
     NotSent,
@@ -35,6 +37,7 @@
     Request,
     RequestArrived,
     RequestKind,
+    ScheduleHedge,
     StartAttempt,
 )
 from ashlatch.store.command import (
@@ -45,7 +48,7 @@
     Usage,
 )
 
-_HANDLERS_OF = (admission, attempt, knowledge)
+_HANDLERS_OF = (admission, attempt, hedge, knowledge)
 
 NOW_MS = 1000.0
 ANSWER = Answered(StoredAnswer(200, "text/plain", b"yes"), Usage(1, 2, 3), 50.0, 5.0)
@@ -257,6 +260,94 @@
         return versions
 
 
+class ReasonTest(RouterTest):
+    def test_a_refusal_names_each_endpoint_and_why(self) -> None:
+        effects = self.arrive(session="s", keyed=True)
+        claim = self.one(effects, ProposeClaim).claim
+        later = NOW_MS + 5000.0
+        granted = ClaimEnded("q1", claim, ClaimGranted(1, "v1"))
+        problem = self.problem(self.step(granted, later))
+        self.assertEqual("no_endpoint", problem.kind.name)
+        self.assertEqual("e1:silent,e2:silent,v1:no_endpoint", problem.detail)
+
+
+class HedgeTest(RouterTest):
+    def setUp(self) -> None:
+        super().setUp()
+        for version in ("v1", "v2"):
+            for stream in (True, False):
+                for _ in range(200):
+                    self.core.hedging.took(version, stream, 50.0)
+
+    def hedged(self, **changed: Any) -> tuple[StartAttempt, StartAttempt]:
+        """A request whose first attempt is slow, and its hedge."""
+        effects = self.arrive(**changed)
+        due = self.one(effects, ScheduleHedge)
+        self.assertEqual(75.0, due.after_ms)
+        again = self.step(HedgeDue(due.request_id, due.attempt_id))
+        return self.one(effects, StartAttempt), self.one(again, StartAttempt)
+
+    def test_a_slow_attempt_gets_a_second_one_elsewhere(self) -> None:
+        first, second = self.hedged()
+        self.assertEqual(first.version, second.version)
+        self.assertNotEqual(first.endpoint, second.endpoint)
+        effects = self.end(second, ANSWER)
+        self.one(effects, ProposeAnswer)
+        cancel = self.one(effects, CancelAttempt)
+        self.assertEqual(first.attempt_id, cancel.attempt_id)
+        # The loser answers all the same: nothing more comes of it.
+        self.assertEqual([], self.end(first, ANSWER))
+        self.assertEqual(0, self.core.planner.load(first.endpoint).in_flight)
+
+    def test_the_first_chunk_decides_which_stream_is_given(self) -> None:
+        first, second = self.hedged(stream=True)
+        effects = self.step(FirstChunk("q1", second.attempt_id))
+        self.assertEqual(first.attempt_id, self.one(effects, CancelAttempt).attempt_id)
+        self.step(FirstChunk("q1", first.attempt_id))
+        passes = [self.core.may_pass("q1", a.attempt_id) for a in (first, second)]
+        self.assertEqual([False, True], passes)
+
+    def test_when_one_of_two_fails_the_other_goes_on(self) -> None:
+        for failed in (0, 1):
+            name = f"q{failed}"
+            both = self.hedged(request_id=name, key=name)
+            self.assertEqual([], self.end(both[failed], Broken("reset")))
+            self.one(self.end(both[1 - failed], ANSWER), ProposeAnswer)
+
+    def test_what_may_not_be_repeated_is_not_hedged(self) -> None:
+        effects = self.claim_granted(self.arrive(repeatable=False))
+        self.one(effects, StartAttempt)
+        self.assertEqual([], [e for e in effects if isinstance(e, ScheduleHedge)])
+
+    def test_a_hedge_makes_nobody_wait(self) -> None:
+        effects = self.arrive()
+        due = self.one(effects, ScheduleHedge)
+        self.report(NOW_MS + 1, 4, 4)
+        self.assertEqual([], self.step(HedgeDue("q1", due.attempt_id)))
+
+    def test_hedges_have_a_budget(self) -> None:
+        hedges = 0
+        for number in range(300):
+            name = f"q{number}"
+            effects = self.arrive(request_id=name, key=name)
+            attempt = self.one(effects, StartAttempt)
+            again = self.step(HedgeDue(name, attempt.attempt_id))
+            hedges += len(again) > 0
+            for sent in [attempt, *(e for e in again if isinstance(e, StartAttempt))]:
+                self.end(sent, ANSWER)
+            self.step(AnswerRecordEnded(name, AnswerAccepted(1)))
+        self.assertLessEqual(hedges, 0.05 * 300 + 10)
+
+    def test_nothing_is_left_of_a_request_that_is_given_up(self) -> None:
+        first, second = self.hedged()
+        effects = self.step(DeadlinePassed("q1"))
+        cancelled = {e.attempt_id for e in effects if isinstance(e, CancelAttempt)}
+        self.assertEqual({first.attempt_id, second.attempt_id}, cancelled)
+        for sent in (first, second):
+            self.end(sent, Broken("cancelled"))
+        self.assertEqual(({}, {}), (self.core.flights, self.core.losers))
+
+
 class SessionTest(RouterTest):
     def test_a_known_pin_needs_no_claim(self) -> None:
         effects = self.claim_granted(self.arrive(session="s"), "v2")
--- a/tests/traffic.py
+++ b/tests/traffic.py
@@ -19,7 +19,7 @@
 from ashlatch.policy.load import LoadReport
 from ashlatch.policy.table import TableBuilder
 from ashlatch.resources import canonical, parse
-from ashlatch.router import admission, attempt, knowledge
+from ashlatch.router import admission, attempt, hedge, knowledge
 from ashlatch.router.core import RouterConfig, RouterCore
 from ashlatch.router.daemon import configuration_changed
 from ashlatch.router.event import (
@@ -40,6 +40,7 @@
     Full,
     GiveAnswer,
     GiveProblem,
+    HedgeDue,
     LeaseRenewed,
     LoadReported,
     NotSent,
@@ -50,8 +51,10 @@
     RequestArrived,
     RequestKind,
     ScheduleClaim,
+    ScheduleHedge,
     StartAttempt,
 )
+from ashlatch.settings import PolicySettings
 from ashlatch.store.command import (
     AnswerAccepted,
     ChangeAccepted,
@@ -67,7 +70,7 @@
 from ashlatch.store.machine import Machine
 from ashlatch.store.protocol import RouterReply
 
-_HANDLERS_OF = (admission, attempt, knowledge)
+_HANDLERS_OF = (admission, attempt, hedge, knowledge)
 
 LEASE_MS = 2000.0
 CONNECT_MS = 500.0
@@ -141,6 +144,7 @@
     sim: Sim
     effect: StartAttempt
     chunks: int = 0
+    passes: bool = True
 
 
 @dataclass(frozen=True)
@@ -173,6 +177,7 @@
         self.answers: dict[tuple[str, str], bytes] = {}
         self.seen: dict[str, list[SeenChunk]] = {}
         self.streamed = 0
+        self.hedged = 0
         self.billed: Counter[tuple[str, str]] = Counter()
         self.session_version: dict[tuple[str, str], str] = {}
         self.history: dict[ResourceId, list[Spec]] = {}
@@ -274,7 +279,8 @@
 
     def new_sim(self, name: str) -> Sim:
         self.starts += 1
-        config = RouterConfig(f"{name}/{self.starts}", name, "logan")
+        eager = PolicySettings(hedge_ratio=1.0, hedge_samples_min=1)
+        config = RouterConfig(f"{name}/{self.starts}", name, "logan", eager)
         sim = Sim(name, RouterCore(config))
         self.poll(name, sim)
         return sim
@@ -325,6 +331,8 @@
                 self.pending.append(Pending(sim, effect, record))
             case ScheduleClaim(request_id, _):
                 self.due.append(Due(sim, ClaimDue(request_id)))
+            case ScheduleHedge(request_id, attempt_id, _):
+                self.due.append(Due(sim, HedgeDue(request_id, attempt_id)))
             case StartAttempt():
                 self.starting.append(Running(sim, effect))
             case CancelAttempt():
@@ -484,6 +492,8 @@
         key = (request.organisation, request.key)
         self.runs[key] += 1
         self.sent += 1
+        flight = item.sim.core.flights[request.request_id]
+        self.hedged += flight.hedge is not None
         if request.request_id in self.refused:
             raise RuleBroken(f"R6: {key} runs after it was refused as not run")
         if not request.repeatable and self.runs[key] > 1:
@@ -551,7 +561,12 @@
         item.chunks += 1
         if not self.alive(item.sim) or self.open.get(request_id) is not item.sim:
             return
-        self.step(item.sim, FirstChunk(request_id, item.effect.attempt_id))
+        attempt_id = item.effect.attempt_id
+        if item.chunks == 1:
+            self.step(item.sim, FirstChunk(request_id, attempt_id))
+            item.passes = item.sim.core.may_pass(request_id, attempt_id)
+        if not item.passes:
+            return
         seen = self.seen.setdefault(request_id, [])
         if chunk.place != len(seen):
             raise RuleBroken(f"R5: {request_id} gets {chunk} after {seen}")
