--- a/ashlatch/cmdline/daemon.py
+++ b/ashlatch/cmdline/daemon.py
@@ -21,7 +21,14 @@
 from ashlatch import __version__
 from ashlatch.errors import AshlatchError, SettingsError
 from ashlatch.log import DaemonFailed, DaemonStarted, DaemonStopped, emit, setup
-from ashlatch.settings import ControlSettings, RouterSettings, StateSettings, load
+from ashlatch.settings import (
+    ControlSettings,
+    CoreSettings,
+    GatewaySettings,
+    RouterSettings,
+    StateSettings,
+    load,
+)
 
 __all__ = [
     "EXIT_FAILED",
@@ -36,10 +43,16 @@
 EXIT_SETTINGS = 2
 SWITCH_S = 0.0005
 STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
+RELOAD_SIGNALS = frozenset({signal.SIGHUP})
 
 log = logging.getLogger("ashlatch.daemon")
 
-S = TypeVar("S", StateSettings, RouterSettings, ControlSettings)
+AnySettings = (
+    StateSettings | RouterSettings | ControlSettings | CoreSettings | GatewaySettings
+)
+S = TypeVar(
+    "S", StateSettings, RouterSettings, ControlSettings, CoreSettings, GatewaySettings
+)
 
 
 class Daemon(Protocol):
@@ -76,12 +89,16 @@
     """
 
     def __init__(self) -> None:
-        signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
+        signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS | RELOAD_SIGNALS)
         self.error: BaseException | None = None
 
-    def wait(self) -> None:
-        """Wait for a signal, or a failure; on the main thread only."""
-        signal.sigwait(STOP_SIGNALS)
+    def wait(self, reload: Callable[[], None]) -> None:
+        """Wait for a signal, or a failure; on the main thread only.
+
+        `reload` is called for each signal that asks for it.
+        """
+        while signal.sigwait(STOP_SIGNALS | RELOAD_SIGNALS) in RELOAD_SIGNALS:
+            reload()
 
     def fail(self, error: BaseException) -> None:
         """Something inside must not go on; from any thread."""
@@ -91,15 +108,16 @@
 
 def run(
     name: str,
-    settings: StateSettings | RouterSettings | ControlSettings,
+    settings: AnySettings,
     make: Callable[[Callable[[BaseException], None]], Daemon],
 ) -> None:
     """Run a daemon until SIGTERM or SIGINT, or until it fails.
 
-    A failure ends the process at once with status 1: a member that found
-    its own state wrong must not finish what it was doing.
+    SIGHUP has the daemon reload, if it can. A failure ends the process at
+    once with status 1: a member that found its own state wrong must not finish
+    what it was doing.
     """
-    setup(level=settings.log_level)
+    setup(sys.stdout, settings.log_level)
     # The interpreter's default lets a waiting thread wait for 5 ms.
     sys.setswitchinterval(SWITCH_S)
     ending = Ending()
@@ -113,7 +131,7 @@
         name, settings.vm, settings.hall, settings.listen, __version__
     )
     emit(log, started)
-    ending.wait()
+    ending.wait(getattr(daemon, "reload", lambda: None))
     if ending.error is not None:
         _report_failure(name, ending.error)
         os._exit(EXIT_FAILED)
--- /dev/null
+++ b/ashlatch/fleet/daemon.py
@@ -0,0 +1,418 @@
+"""
+ashlatch.fleet.daemon
+~~~~~~~~~~~~~~~~~~~~~
+
+The process of a core VM: one member of the replicated log, the operators' API,
+and what is spread to the gateways. Gateways and the other core VMs ask with
+`SYNC` and are held until there is news; the leader tells the core VMs, and
+each core VM tells the gateways that ask it.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from pathlib import Path
+
+from ashlatch.catalog import EndpointList
+from ashlatch.codec import encode
+from ashlatch.errors import TransportError
+from ashlatch.fleet.discovery import ListReader
+from ashlatch.fleet.founding import open_member
+from ashlatch.fleet.leader import ListKeeper, RolloutKeeper
+from ashlatch.fleet.logs import MemberRemoved, StandingChanged
+from ashlatch.fleet.machine import Command, FleetMachine, Outcome
+from ashlatch.fleet.membership import (
+    PeerBook,
+    enough_voters,
+    join_group,
+    silent_member,
+)
+from ashlatch.fleet.operators import NoQuorum, OperatorApi
+from ashlatch.fleet.protocol import (
+    JOIN,
+    ORDER,
+    READ,
+    SYNC,
+    JoinReply,
+    JoinRequest,
+    OrderReply,
+    OrderRequest,
+    ReadReply,
+    ReadRequest,
+    SyncReply,
+    SyncRequest,
+)
+from ashlatch.gateway.tally import Tallies
+from ashlatch.http.listener import HttpBounds, HttpListener
+from ashlatch.log import emit
+from ashlatch.metrics import Metrics, serve_metrics
+from ashlatch.raft.core import RaftConfig
+from ashlatch.raft.effect import AddLearner, Received, RemoveMember
+from ashlatch.raft.group import Group, NotLeading, Standing, monotonic_ms
+from ashlatch.rpc import Address, RpcLoop, RpcService
+from ashlatch.settings import CoreSettings
+from ashlatch.store import protocol as store_protocol
+from ashlatch.store.transport import Transport
+
+__all__ = ["CoreDaemon"]
+
+log = logging.getLogger("ashlatch.fleet")
+
+# How often the leader looks at what is due.
+LEAD_EVERY_S = 0.2
+# A core VM that has not heard the leader for this long says so to gateways.
+LEADER_HEARD_MS = 1500.0
+# Gateways that have not asked for this long are gone.
+GATEWAY_SEEN_MS = 4000.0
+# How long an order or a read waits for the leader's answer; an operator moves
+# on to another VM after a second without one.
+ORDER_TIMEOUT_S = 0.9
+# How long an order waits for a leader to be elected.
+LEADER_WAIT_S = 0.7
+LEADER_LOOK_S = 0.05
+SYNC_TIMEOUT_MARGIN_S = 0.7
+FOLLOW_RETRY_S = 0.2
+# The longest document that is taken from an operator.
+DOCUMENT_MAX_BYTES = 16 * 1024 * 1024
+OPERATOR_IDLE_S = 60.0
+
+
+class CoreDaemon:
+    """One core VM. `failed` is called with the error when it must not go on."""
+
+    def __init__(
+        self, settings: CoreSettings, failed: Callable[[BaseException], None]
+    ) -> None:
+        self.settings = settings
+        self.machine = FleetMachine()
+        self.member, storage = open_member(
+            Path(settings.data_folder),
+            settings.rpc_address,
+            settings.seed_rpc_addresses,
+            settings.first_start,
+        )
+        self.group = Group(
+            RaftConfig(
+                heartbeat_ms=settings.heartbeat_ms,
+                election_min_ms=settings.election_min_ms,
+                election_max_ms=settings.election_max_ms,
+                clock_drift_ratio=settings.clock_drift_ratio,
+            ),
+            storage,
+            self.member.member_id,
+            self.machine,
+            settings.snapshot_every_records,
+        )
+        self.rpc = RpcLoop()
+        self.metrics = Metrics()
+        self._failed = failed
+        self._transport = Transport(
+            self.rpc, self.member, lambda message: self.group.post(Received(message))
+        )
+        self.group.deliver = self._transport.send
+        self.group.changed = lambda: self.rpc.post(self._wake)
+        self.group.failed = failed
+        self._book = PeerBook()
+        self._tallies = Tallies()
+        self._rollouts = RolloutKeeper()
+        self._list = ListKeeper(
+            ListReader(settings.list_address), settings.list_read_ms
+        )
+        self._endpoints = EndpointList()
+        self._gateways: dict[str, float] = {}
+        self._gateway_count = 1
+        self._leader_heard_ms = float("-inf")
+        self._changed = asyncio.Event()
+        self._logged: tuple[object, ...] = ()
+
+    def start(self) -> None:
+        """Take part in the group and answer calls."""
+        self.group.start()
+        self.rpc.submit(self._start()).result(timeout=10.0)
+
+    def stop(self) -> int:
+        """Answer no more, and stop the group."""
+        self.rpc.submit(self._stop()).result(timeout=5.0)
+        self.group.stop()
+        self.rpc.stop()
+        return 0
+
+    async def _start(self) -> None:
+        service = RpcService()
+        service.add(store_protocol.DELIVER, self._transport.take)
+        service.add(SYNC, self._sync)
+        service.add(JOIN, self._join)
+        service.add(ORDER, self._order)
+        service.add(READ, self._read_call)
+        self._service = service
+        await service.start(Address.parse(self.settings.rpc_address))
+        bounds = HttpBounds(
+            body_max_bytes=DOCUMENT_MAX_BYTES, idle_timeout_s=OPERATOR_IDLE_S
+        )
+        self._operators = HttpListener(OperatorApi(self).handle, bounds)
+        self._operators.failed = self._failed
+        listen = Address.parse(self.settings.listen)
+        await self._operators.start(listen.host, listen.port)
+        await serve_metrics(
+            self.metrics, self.settings.host, self.settings.metrics_port
+        )
+        standing = lambda: self.group.standing  # noqa: E731
+        join = join_group(self.member, standing, self._known_addresses, self._book)
+        for work in (join, self._lead(), self._follow()):
+            self.rpc.keep(work, self._failed)
+
+    async def _stop(self) -> None:
+        self._operators.refuse_new()
+        self._operators.abort()
+        await self._service.stop()
+
+    # What the operators' API asks for.
+
+    async def commit(self, command: Command) -> Outcome:
+        """Have the leader commit a command; raises `NoQuorum`."""
+        leader = await self._leader()
+        if self.group.standing.leading:
+            return await self._commit_here(command)
+        try:
+            reply: OrderReply = await self._book.peer(leader).call(
+                ORDER, OrderRequest(command), ORDER_TIMEOUT_S
+            )
+        except TransportError as error:
+            raise NoQuorum(f"leader {leader}: {error.reason}") from error
+        if reply.outcome is None:
+            raise NoQuorum(f"leader {leader} did not commit")
+        return reply.outcome
+
+    async def read(self) -> ReadReply:
+        """The newest state, by the leader's word; raises `NoQuorum`."""
+        leader = await self._leader()
+        if self.group.standing.leading:
+            reply = self._read()
+        else:
+            try:
+                reply = await self._book.peer(leader).call(
+                    READ, ReadRequest(), ORDER_TIMEOUT_S
+                )
+            except TransportError as error:
+                raise NoQuorum(f"leader {leader}: {error.reason}") from error
+        if not reply.current:
+            raise NoQuorum("no leader with a lease")
+        return reply
+
+    async def _leader(self) -> str:
+        """The leader's address, after a short wait if there is none."""
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + LEADER_WAIT_S
+        while not self.group.standing.leader_address:
+            if loop.time() > ends_s:
+                raise NoQuorum("no leader is known")
+            await asyncio.sleep(LEADER_LOOK_S)
+        return self.group.standing.leader_address
+
+    async def _commit_here(self, command: Command) -> Outcome:
+        standing = self.group.standing
+        leading_ms = monotonic_ms() - standing.leading_since_ms
+        if not enough_voters(standing, self.settings.losses_max, leading_ms):
+            raise NoQuorum(f"{len(standing.members.voters)} voters are too few")
+        try:
+            async with asyncio.timeout(ORDER_TIMEOUT_S):
+                outcome: Outcome = await asyncio.wrap_future(
+                    self.group.propose(encode(command))
+                )
+                return outcome
+        except TimeoutError as error:
+            raise NoQuorum("no quorum in time") from error
+        except NotLeading as error:
+            raise NoQuorum("leads no more") from error
+
+    def _read(self) -> ReadReply:
+        if not self.group.standing.may_read(monotonic_ms()):
+            return ReadReply(False)
+        with self.group.lock:
+            state = self.machine.state
+            rollouts = tuple(state.rollouts.values())
+            return ReadReply(True, state.version, state.document, rollouts)
+
+    # Calls from other processes.
+
+    async def _order(self, request: OrderRequest) -> OrderReply:
+        if not self.group.standing.leading:
+            return OrderReply(None)
+        try:
+            return OrderReply(await self._commit_here(request.command))
+        except NoQuorum:
+            # The caller logs it, with the operator's call that it ends.
+            return OrderReply(None)
+
+    async def _read_call(self, request: ReadRequest) -> ReadReply:
+        return self._read()
+
+    async def _join(self, request: JoinRequest) -> JoinReply:
+        standing = self.group.standing
+        known = standing.members.find(request.member.member_id) is not None
+        if standing.leading and not known:
+            self.group.post(AddLearner(request.member))
+        return JoinReply(known and standing.leading, standing.leader_address)
+
+    async def _sync(self, request: SyncRequest) -> SyncReply:
+        now_ms = monotonic_ms()
+        for gateway in request.gateways:
+            self._gateways[gateway] = now_ms
+        self._tallies.add(request.tallies)
+        ends_ms = now_ms + request.wait_ms
+        while True:
+            reply = self._news(request)
+            wait_ms = ends_ms - monotonic_ms()
+            if not reply.current or _has_news(reply) or wait_ms <= 0:
+                return reply
+            await self._wait_change(wait_ms)
+
+    def _news(self, request: SyncRequest) -> SyncReply:
+        endpoints = self._endpoints
+        with self.group.lock:
+            state = self.machine.state
+            newer = state.version > request.document_version
+            rollouts = tuple(
+                r for r in state.rollouts.values() if r.number > request.rollout_number
+            )
+            return SyncReply(
+                self._current(),
+                self._core_addresses(),
+                self._gateway_count,
+                state.version,
+                state.document if newer else b"",
+                endpoints if endpoints.order > request.list_order else None,
+                rollouts,
+            )
+
+    def _current(self) -> bool:
+        now_ms = monotonic_ms()
+        if self.group.standing.may_read(now_ms):
+            return True
+        return now_ms - self._leader_heard_ms < LEADER_HEARD_MS
+
+    async def _wait_change(self, wait_ms: float) -> None:
+        try:
+            async with asyncio.timeout(wait_ms / 1000.0):
+                await self._changed.wait()
+        except TimeoutError:
+            pass
+
+    # Following and leading.
+
+    async def _follow(self) -> None:
+        """Learn from the leader what the log does not hold."""
+        while True:
+            standing = self.group.standing
+            leader = standing.leader_address
+            if standing.leading or not leader:
+                await asyncio.sleep(FOLLOW_RETRY_S)
+                continue
+            tallies = self._tallies.take()
+            wait_ms = self.settings.sync_wait_ms
+            request = SyncRequest(
+                self.settings.vm,
+                self._live_gateways(),
+                self.machine.state.version,
+                self._endpoints.order,
+                self.machine.state.number,
+                wait_ms,
+                tallies,
+            )
+            try:
+                reply: SyncReply = await self._book.peer(leader).call(
+                    SYNC, request, wait_ms / 1000.0 + SYNC_TIMEOUT_MARGIN_S
+                )
+            except TransportError:
+                # Shown to gateways by `current`, and logged with the standing.
+                self._tallies.add(tallies)
+                await asyncio.sleep(FOLLOW_RETRY_S)
+                continue
+            self._learn(reply)
+            if not reply.current:
+                await asyncio.sleep(FOLLOW_RETRY_S)
+
+    def _learn(self, reply: SyncReply) -> None:
+        if not reply.current:
+            return
+        self._leader_heard_ms = monotonic_ms()
+        self._gateway_count = reply.gateways
+        if reply.endpoints is not None:
+            self._endpoints = reply.endpoints
+            self._wake()
+
+    async def _lead(self) -> None:
+        while True:
+            await asyncio.sleep(LEAD_EVERY_S)
+            if not self.group.standing.may_read(monotonic_ms()):
+                self._rollouts.forget()
+                continue
+            await self._lead_once()
+
+    async def _lead_once(self) -> None:
+        now_ms = monotonic_ms()
+        standing = self.group.standing
+        self._gateway_count = max(1, len(self._live_gateways()))
+        self._remove_silent(standing, now_ms)
+        if await self._list.read_if_due(standing.term, now_ms):
+            self._endpoints = self._list.newest
+            self._wake()
+        self._rollouts.add(self._tallies.take(), now_ms)
+        with self.group.lock:
+            rollouts = tuple(self.machine.state.rollouts.values())
+        for move in self._rollouts.moves(rollouts, self._endpoints, monotonic_ms()):
+            try:
+                await self._commit_here(move)
+            except NoQuorum as error:
+                log.warning("", extra={"event": "move_lost", "detail": error.detail})
+
+    def _remove_silent(self, standing: Standing, now_ms: float) -> None:
+        found = silent_member(standing, self.settings.losses_max, now_ms)
+        if found is not None:
+            member, silent_ms = found
+            emit(log, MemberRemoved(member.member_id, int(silent_ms)))
+            self.group.post(RemoveMember(member.member_id))
+
+    # What this VM knows of others.
+
+    def _live_gateways(self) -> tuple[str, ...]:
+        now_ms = monotonic_ms()
+        gone = [g for g, at in self._gateways.items() if now_ms - at > GATEWAY_SEEN_MS]
+        for gateway in gone:
+            del self._gateways[gateway]
+        return tuple(self._gateways)
+
+    def _core_addresses(self) -> tuple[str, ...]:
+        return tuple(m.address for m in self.group.standing.members.everyone())
+
+    def _known_addresses(self) -> tuple[str, ...]:
+        """Who may know the leader: the members, and the seeds."""
+        known = (*self._core_addresses(), *self.settings.seed_rpc_addresses)
+        return tuple(dict.fromkeys(known))
+
+    def _wake(self) -> None:
+        """Something was applied, listed, or decided by vote: answer who waits."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+        standing = self.group.standing
+        members = standing.members
+        news = (standing.term, standing.leader_address, members)
+        if news == self._logged:
+            return
+        self._logged = news
+        changed = StandingChanged(
+            self.member.member_id,
+            standing.term,
+            standing.leading,
+            standing.leader_address,
+            len(members.voters),
+            len(members.learners),
+        )
+        emit(log, changed)
+
+
+def _has_news(reply: SyncReply) -> bool:
+    return bool(reply.document or reply.endpoints is not None or reply.rollouts)
--- /dev/null
+++ b/ashlatch/fleet/leader.py
@@ -0,0 +1,148 @@
+"""
+ashlatch.fleet.leader
+~~~~~~~~~~~~~~~~~~~~~
+
+What only the leader of the core does: reading the platform's list, and moving
+roll-outs on. All of it is soft but for the decisions, which are committed; a
+new leader begins its reading and its evidence anew.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import logging
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from ashlatch.catalog import EndpointList, Rollout
+from ashlatch.fleet.discovery import ListReader, ListUnreadable
+from ashlatch.fleet.logs import ListRead, ListUnread, RolloutDecided
+from ashlatch.fleet.machine import FINAL_STAGES, MoveRollout
+from ashlatch.fleet.verdict import Evidence, decide
+from ashlatch.gateway.tally import Tally
+from ashlatch.log import emit
+
+__all__ = ["ListKeeper", "RolloutKeeper"]
+
+log = logging.getLogger("ashlatch.fleet")
+
+# How often the elapsed time of a roll-out is committed, so that a new leader
+# knows it to this precision.
+CHECKPOINT_MS = 2000.0
+
+
+@dataclass
+class ListKeeper:
+    """Reads the list when it is due; `newest` is what was read last."""
+
+    reader: ListReader
+    read_every_ms: float
+    newest: EndpointList = EndpointList()
+    read_ms: float = float("-inf")
+    _due_ms: float = float("-inf")
+
+    async def read_if_due(self, epoch: int, now_ms: float) -> bool:
+        """Whether the list is another now. `epoch` is the leader's term."""
+        if now_ms < self._due_ms:
+            return False
+        self._due_ms = now_ms + self.read_every_ms
+        try:
+            endpoints = await self.reader.read()
+        except ListUnreadable as error:
+            age_ms = min(now_ms - self.read_ms, 1e9)
+            emit(log, ListUnread(error.reason, int(age_ms)), logging.WARNING)
+            return False
+        self.read_ms = now_ms
+        same = endpoints == self.newest.endpoints
+        if same and self.newest.epoch == epoch:
+            return False
+        number = self.newest.number + 1 if self.newest.epoch == epoch else 1
+        self.newest = EndpointList(epoch, number, endpoints)
+        leaving = sum(e.leaving for e in endpoints)
+        emit(log, ListRead(epoch, number, len(endpoints), leaving))
+        return True
+
+
+@dataclass
+class _Clock:
+    """When this leader first saw a record of a roll-out."""
+
+    number: int
+    elapsed_ms: float
+    seen_ms: float
+
+
+@dataclass
+class RolloutKeeper:
+    """The evidence and the clocks of the roll-outs, for one term of a leader."""
+
+    _evidence: dict[str, Evidence] = field(default_factory=dict)
+    _clocks: dict[str, _Clock] = field(default_factory=dict)
+
+    def forget(self) -> None:
+        """This VM leads no more."""
+        self._evidence.clear()
+        self._clocks.clear()
+
+    def add(self, tallies: tuple[Tally, ...], now_ms: float) -> None:
+        """Take what gateways have counted."""
+        by_service: dict[str, list[Tally]] = {}
+        for tally in tallies:
+            by_service.setdefault(tally.key.service, []).append(tally)
+        for service, own in by_service.items():
+            if service in self._evidence:
+                self._evidence[service].add(tuple(own), now_ms)
+
+    def moves(
+        self, rollouts: tuple[Rollout, ...], listed: EndpointList, now_ms: float
+    ) -> Iterator[MoveRollout]:
+        """The decisions that are due now."""
+        for rollout in rollouts:
+            if rollout.stage in FINAL_STAGES:
+                self._evidence.pop(rollout.service, None)
+                self._clocks.pop(rollout.service, None)
+                continue
+            move = self._move(rollout, listed, now_ms)
+            if move is not None:
+                yield move
+
+    def _move(
+        self, rollout: Rollout, listed: EndpointList, now_ms: float
+    ) -> MoveRollout | None:
+        elapsed_ms = self._elapsed_ms(rollout, now_ms)
+        evidence = self._evidence.setdefault(rollout.service, Evidence())
+        ready = any(
+            e.service == rollout.service
+            and e.version == rollout.version
+            and not e.leaving
+            for e in listed.endpoints
+        )
+        decision = decide(rollout, elapsed_ms, evidence, now_ms, ready)
+        changed = (decision.stage, decision.share) != (rollout.stage, rollout.share)
+        if not changed and elapsed_ms - rollout.elapsed_ms < CHECKPOINT_MS:
+            return None
+        if changed:
+            decided = RolloutDecided(
+                rollout.service,
+                rollout.version,
+                decision.stage.value,
+                decision.share,
+                int(elapsed_ms),
+                int(rollout.duration_ms),
+                decision.reason,
+            )
+            emit(log, decided)
+        return MoveRollout(
+            rollout.service,
+            rollout.number,
+            decision.stage,
+            decision.share,
+            elapsed_ms,
+        )
+
+    def _elapsed_ms(self, rollout: Rollout, now_ms: float) -> float:
+        clock = self._clocks.get(rollout.service)
+        if clock is None or clock.number != rollout.number:
+            clock = _Clock(rollout.number, rollout.elapsed_ms, now_ms)
+            self._clocks[rollout.service] = clock
+        return clock.elapsed_ms + now_ms - clock.seen_ms
--- /dev/null
+++ b/ashlatch/fleet/logs.py
@@ -0,0 +1,91 @@
+"""
+ashlatch.fleet.logs
+~~~~~~~~~~~~~~~~~~~
+
+What a core VM logs.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from ashlatch.log import LogEvent
+
+__all__ = [
+    "ListRead",
+    "ListUnread",
+    "MemberRemoved",
+    "OrderEnded",
+    "RolloutDecided",
+    "StandingChanged",
+]
+
+
+@dataclass(frozen=True)
+class StandingChanged(LogEvent):
+    """The leader or the members of the group are others now."""
+
+    event: ClassVar[str] = "standing_changed"
+    member: str
+    term: int
+    leading: bool
+    leader: str
+    voters: int
+    learners: int
+
+
+@dataclass(frozen=True)
+class OrderEnded(LogEvent):
+    """An operator's call has its answer."""
+
+    event: ClassVar[str] = "order_ended"
+    call: str
+    status: int
+    version: int
+    detail: str
+    took_ms: int
+
+
+@dataclass(frozen=True)
+class ListRead(LogEvent):
+    """The list of endpoints has changed since it was read last."""
+
+    event: ClassVar[str] = "list_read"
+    epoch: int
+    number: int
+    endpoints: int
+    leaving: int
+
+
+@dataclass(frozen=True)
+class ListUnread(LogEvent):
+    """The list of endpoints could not be read."""
+
+    event: ClassVar[str] = "list_unread"
+    reason: str
+    age_ms: int
+
+
+@dataclass(frozen=True)
+class RolloutDecided(LogEvent):
+    """A roll-out moves on, with what speaks for it."""
+
+    event: ClassVar[str] = "rollout_decided"
+    service: str
+    version: str
+    stage: str
+    share: float
+    elapsed_ms: int
+    duration_ms: int
+    reason: str
+
+
+@dataclass(frozen=True)
+class MemberRemoved(LogEvent):
+    """The leader takes a member out that has been silent for long."""
+
+    event: ClassVar[str] = "member_removed"
+    member: str
+    silent_ms: int
--- /dev/null
+++ b/ashlatch/fleet/machine.py
@@ -0,0 +1,154 @@
+"""
+ashlatch.fleet.machine
+~~~~~~~~~~~~~~~~~~~~~~
+
+The reducer that every core VM runs over the replicated log: the newest
+configuration document, as operators sent it, and the roll-outs.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import msgspec
+
+from ashlatch.catalog import Rollout, RolloutStage
+from ashlatch.codec import decode, digest, encode
+from ashlatch.registry import Handlers
+
+__all__ = [
+    "Accepted",
+    "BeginRollout",
+    "Command",
+    "Conflict",
+    "FleetMachine",
+    "FleetState",
+    "MoveRollout",
+    "Outcome",
+    "ReplaceDocument",
+]
+
+_HANDLERS = Handlers("fleet")
+FINAL_STAGES = (RolloutStage.COMPLETED, RolloutStage.ROLLED_BACK)
+
+
+class ReplaceDocument(msgspec.Struct, frozen=True, tag="replace_document"):
+    """An operator's configuration document, checked before it is proposed."""
+
+    version: int
+    body: bytes
+
+
+class BeginRollout(msgspec.Struct, frozen=True, tag="begin_rollout"):
+    """An operator's order to move a service to a version within a time."""
+
+    service: str
+    version: str
+    duration_ms: float
+
+
+class MoveRollout(msgspec.Struct, frozen=True, tag="move_rollout"):
+    """The leader's decision on a roll-out that is under way.
+
+    `after_number` is the record that the decision is based on; a decision on
+    an older record changes nothing.
+    """
+
+    service: str
+    after_number: int
+    stage: RolloutStage
+    share: float
+    elapsed_ms: float
+
+
+Command = ReplaceDocument | BeginRollout | MoveRollout
+
+
+class Accepted(msgspec.Struct, frozen=True, tag="accepted"):
+    """The order is taken; `changed` is false when it changed nothing."""
+
+    changed: bool
+
+
+class Conflict(msgspec.Struct, frozen=True, tag="conflict"):
+    """Another document is held under the same version."""
+
+    version: int
+
+
+Outcome = Accepted | Conflict
+
+
+class FleetState(msgspec.Struct):
+    """Everything that is replicated; a snapshot is this, encoded."""
+
+    version: int = 0
+    document: bytes = b""
+    rollouts: dict[str, Rollout] = {}
+    number: int = 0
+
+
+class FleetMachine:
+    """Applies commands to a `FleetState`; the `Replica` of the core's group."""
+
+    def __init__(self) -> None:
+        self.state = FleetState()
+
+    def apply(self, command: bytes) -> Outcome:
+        """Apply one encoded command."""
+        outcome: Outcome = _HANDLERS.call(self.state, decode(command, Command))
+        return outcome
+
+    def snapshot(self) -> bytes:
+        """The whole state as bytes."""
+        return encode(self.state)
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by a snapshot; empty bytes are the empty state."""
+        self.state = decode(data, FleetState) if data else FleetState()
+
+
+@_HANDLERS.on(ReplaceDocument)
+def _replace(state: FleetState, command: ReplaceDocument) -> Outcome:
+    if command.version < state.version:
+        return Accepted(changed=False)
+    if command.version == state.version:
+        same = digest(command.body) == digest(state.document)
+        return Accepted(changed=False) if same else Conflict(state.version)
+    state.version = command.version
+    state.document = command.body
+    return Accepted(changed=True)
+
+
+@_HANDLERS.on(BeginRollout)
+def _begin(state: FleetState, command: BeginRollout) -> Outcome:
+    known = state.rollouts.get(command.service)
+    if known is not None and known.version == command.version:
+        return Accepted(changed=False)
+    state.number += 1
+    state.rollouts[command.service] = Rollout(
+        command.service,
+        command.version,
+        RolloutStage.TRIAL,
+        0.0,
+        state.number,
+        command.duration_ms,
+    )
+    return Accepted(changed=True)
+
+
+@_HANDLERS.on(MoveRollout)
+def _move(state: FleetState, command: MoveRollout) -> Outcome:
+    known = state.rollouts.get(command.service)
+    if known is None or known.number != command.after_number:
+        return Accepted(changed=False)
+    if known.stage in FINAL_STAGES:
+        return Accepted(changed=False)
+    state.number += 1
+    state.rollouts[command.service] = msgspec.structs.replace(
+        known,
+        stage=command.stage,
+        share=command.share,
+        number=state.number,
+        elapsed_ms=command.elapsed_ms,
+    )
+    return Accepted(changed=True)
--- /dev/null
+++ b/ashlatch/fleet/operators.py
@@ -0,0 +1,156 @@
+"""
+ashlatch.fleet.operators
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+Answers operators' calls at any core VM. Changes are committed by the leader,
+and reads are answered with the leader's word that they are the newest;
+without it the answer is 503, and the operator asks another VM.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import asyncio
+import logging
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+
+from ashlatch.catalog import Rollout
+from ashlatch.errors import AshlatchError
+from ashlatch.fleet.logs import OrderEnded
+from ashlatch.fleet.machine import BeginRollout, Command, Outcome, ReplaceDocument
+from ashlatch.fleet.machine import Conflict as DocumentConflict
+from ashlatch.fleet.protocol import ReadReply
+from ashlatch.http.listener import Headers, HttpRequest, Responder
+from ashlatch.log import emit
+from ashlatch.platform.document import (
+    DocumentError,
+    decode_catalog,
+    decode_rollout_order,
+    encode_rollout_state,
+)
+from ashlatch.platform.operator import OperatorCall, OperatorVerb, recognise
+
+__all__ = ["Fleet", "NoQuorum", "OperatorApi"]
+
+log = logging.getLogger("ashlatch.fleet")
+
+JSON: Headers = [(b"Content-Type", b"application/json")]
+
+
+@dataclass
+class NoQuorum(AshlatchError):
+    """No leader has answered; it is not known whether an order was taken."""
+
+    detail: str
+
+
+class Fleet(Protocol):
+    """What the operators' calls need of the core VM."""
+
+    async def commit(self, command: Command) -> Outcome:
+        """Have the leader commit a command; raises `NoQuorum`."""
+
+    async def read(self) -> ReadReply:
+        """The newest state, by the leader's word; raises `NoQuorum`."""
+
+
+@dataclass(frozen=True)
+class _Answer:
+    status: int
+    body: bytes
+    version: int = 0
+    detail: str = ""
+
+
+class _Problem(msgspec.Struct, frozen=True):
+    """One thing that is wrong with a document."""
+
+    field: str
+    value: str
+    rule: str
+
+
+class OperatorApi:
+    """The handler of the operators' listener."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Answer one call."""
+        call = recognise(request.method, request.target)
+        if call is None:
+            responder.respond(404, JSON, b'{"type":"unknown_call"}\n')
+            return
+        try:
+            answer = await self._answer(call, request.body)
+        except NoQuorum as error:
+            answer = _Answer(503, b'{"type":"no_quorum"}\n', detail=error.detail)
+        now_s = asyncio.get_running_loop().time()
+        took_ms = int((now_s - request.received_s) * 1000)
+        ended = OrderEnded(
+            call.verb.value, answer.status, answer.version, answer.detail, took_ms
+        )
+        emit(log, ended)
+        responder.respond(answer.status, JSON, answer.body)
+
+    async def _answer(self, call: OperatorCall, body: bytes) -> _Answer:
+        match call.verb:
+            case OperatorVerb.REPLACE_CONFIGURATION:
+                return await self._replace(body)
+            case OperatorVerb.READ_CONFIGURATION:
+                return await self._read()
+            case OperatorVerb.BEGIN_ROLLOUT:
+                return await self._begin(body)
+            case OperatorVerb.READ_ROLLOUT:
+                return await self._rollout(call.service)
+
+    async def _replace(self, body: bytes) -> _Answer:
+        try:
+            catalog = decode_catalog(body)
+        except DocumentError as error:
+            return _invalid(error)
+        outcome = await self._fleet.commit(ReplaceDocument(catalog.version, body))
+        if isinstance(outcome, DocumentConflict):
+            detail = "another document has this version"
+            return _Answer(409, b'{"type":"version_taken"}\n', catalog.version, detail)
+        detail = "changed" if outcome.changed else "unchanged"
+        return _Answer(200, b"{}\n", catalog.version, detail)
+
+    async def _read(self) -> _Answer:
+        newest = await self._fleet.read()
+        if not newest.document:
+            return _Answer(503, b'{"type":"no_configuration"}\n')
+        return _Answer(200, newest.document, newest.document_version)
+
+    async def _begin(self, body: bytes) -> _Answer:
+        try:
+            order = decode_rollout_order(body)
+        except DocumentError as error:
+            return _invalid(error)
+        command = BeginRollout(order.service, order.version, order.duration_ms)
+        await self._fleet.commit(command)
+        return _Answer(200, b"{}\n", detail=f"{order.service} to {order.version}")
+
+    async def _rollout(self, service: str) -> _Answer:
+        newest = await self._fleet.read()
+        found: Rollout | None = next(
+            (r for r in newest.rollouts if r.service == service), None
+        )
+        if found is None:
+            return _Answer(404, b'{"type":"no_rollout"}\n')
+        detail = f"{service} {found.stage.value}"
+        return _Answer(200, encode_rollout_state(found), detail=detail)
+
+
+def _invalid(error: DocumentError) -> _Answer:
+    problems = [_Problem(e.field, e.value[:80], e.rule) for e in error.problems]
+    first = problems[0]
+    return _Answer(
+        400,
+        msgspec.json.encode({"type": "invalid", "problems": problems}),
+        detail=f"{first.field}: {first.rule}",
+    )
--- /dev/null
+++ b/ashlatch/fleet/protocol.py
@@ -0,0 +1,109 @@
+"""
+ashlatch.fleet.protocol
+~~~~~~~~~~~~~~~~~~~~~~~
+
+The calls between core VMs, and from gateways to core VMs.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import msgspec
+
+from ashlatch.catalog import EndpointList, Rollout
+from ashlatch.fleet.machine import Command, Outcome
+from ashlatch.gateway.tally import Tally
+from ashlatch.link import Method
+from ashlatch.raft.message import Member
+
+__all__ = [
+    "JOIN",
+    "ORDER",
+    "READ",
+    "SYNC",
+    "JoinReply",
+    "JoinRequest",
+    "OrderReply",
+    "OrderRequest",
+    "ReadReply",
+    "ReadRequest",
+    "SyncReply",
+    "SyncRequest",
+]
+
+
+class SyncRequest(msgspec.Struct, frozen=True):
+    """Asks for what is newer than the sender knows; held until there is some.
+
+    `gateways` are the gateways that have lately synced with the sender, itself
+    included if it is one. `tallies` are counts since its last request.
+    """
+
+    vm: str
+    gateways: tuple[str, ...]
+    document_version: int
+    list_order: tuple[int, int]
+    rollout_number: int
+    wait_ms: float
+    tallies: tuple[Tally, ...] = ()
+
+
+class SyncReply(msgspec.Struct, frozen=True):
+    """What is newer.
+
+    `current` is false when the member has lost touch with the leader, so that
+    others may know more. `members` are the addresses of all core VMs.
+    `document` is empty when the sender knows the newest.
+    """
+
+    current: bool
+    members: tuple[str, ...] = ()
+    gateways: int = 1
+    document_version: int = 0
+    document: bytes = b""
+    endpoints: EndpointList | None = None
+    rollouts: tuple[Rollout, ...] = ()
+
+
+class JoinRequest(msgspec.Struct, frozen=True):
+    """A core VM asks to be a member of the group."""
+
+    member: Member
+
+
+class JoinReply(msgspec.Struct, frozen=True):
+    """Whether it is one, and where the leader is, if that is known."""
+
+    known: bool
+    leader_address: str
+
+
+class OrderRequest(msgspec.Struct, frozen=True):
+    """An order that is to be committed by the leader."""
+
+    command: Command
+
+
+class OrderReply(msgspec.Struct, frozen=True):
+    """How the order ended; no outcome when it is not known to be committed."""
+
+    outcome: Outcome | None
+
+
+class ReadRequest(msgspec.Struct, frozen=True):
+    """Asks the leader for the newest state."""
+
+
+class ReadReply(msgspec.Struct, frozen=True):
+    """The newest state; `current` is false when this is no leader."""
+
+    current: bool
+    document_version: int = 0
+    document: bytes = b""
+    rollouts: tuple[Rollout, ...] = ()
+
+
+SYNC = Method("/fleet/sync", SyncRequest, SyncReply)
+JOIN = Method("/fleet/join", JoinRequest, JoinReply)
+ORDER = Method("/fleet/order", OrderRequest, OrderReply)
+READ = Method("/fleet/read", ReadRequest, ReadReply)
--- /dev/null
+++ b/ashlatch/gateway/attempt.py
@@ -0,0 +1,161 @@
+"""
+ashlatch.gateway.attempt
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+One send of a request to one endpoint: the connection, the checks that what
+comes back is the answer to this request, and the typed ways in which it can
+fail.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import asyncio
+import enum
+from dataclasses import dataclass
+
+from ashlatch.errors import AshlatchError
+from ashlatch.gateway.directory import EndpointState
+from ashlatch.gateway.message import AnswerHead, Ask, Dispatch
+from ashlatch.gateway.pool import ConnectionPool
+from ashlatch.http.upstream import ConnectFailed, Upstream, UpstreamBroken
+from ashlatch.platform.headers import decode_answer, endpoint_headers
+
+__all__ = ["Attempt", "AttemptFailed", "FailureKind"]
+
+# A connection within a region takes milliseconds; a lost first packet is sent
+# again after a second.
+CONNECT_TIMEOUT_S = 0.5
+
+
+class FailureKind(enum.Enum):
+    """How a send ended without an answer that counts.
+
+    After `UNREACHABLE` and `REFUSED` the request has not run at the endpoint;
+    after any other it may have. `ERROR` is a whole answer with an error of
+    the endpoint's own; `FOREIGN` is an answer to something else, or to
+    nothing.
+    """
+
+    UNREACHABLE = "unreachable"
+    REFUSED = "refused"
+    BROKEN = "broken"
+    ERROR = "error"
+    FOREIGN = "foreign"
+    SILENT = "silent"
+
+    @property
+    def not_run(self) -> bool:
+        """Whether the request has certainly not run."""
+        return self in (FailureKind.UNREACHABLE, FailureKind.REFUSED)
+
+
+@dataclass
+class AttemptFailed(AshlatchError):
+    """A send that brought no answer; `detail` is for the log."""
+
+    kind: FailureKind
+    detail: str
+
+
+class Attempt:
+    """One send. Use `begin`, then `parts` until none is left, then `finish`.
+
+    Whatever way it ends, `close` gives back what it holds.
+    """
+
+    def __init__(
+        self,
+        state: EndpointState,
+        pool: ConnectionPool,
+        ask: Ask,
+        dispatch: Dispatch,
+        repeatable: bool,
+    ) -> None:
+        self.state = state
+        self.dispatch = dispatch
+        self.head: AnswerHead | None = None
+        self._pool = pool
+        self._ask = ask
+        self._repeatable = repeatable
+        self._connection: Upstream | None = None
+        self._loop = asyncio.get_running_loop()
+        self.sent_s = self._loop.time()
+        self._counted = False
+
+    async def begin(self, silence_s: float) -> AnswerHead:
+        """Send, and wait for the head of the answer; raises `AttemptFailed`."""
+        self.state.load.sent(self._now_ms())
+        self._counted = True
+        connection = await self._connect()
+        headers = endpoint_headers(self._ask, self.dispatch)
+        try:
+            async with asyncio.timeout(silence_s):
+                ask = self._ask
+                connection.send(ask.method, ask.target, headers, ask.body)
+                head = decode_answer(await connection.head())
+        except TimeoutError as error:
+            raise AttemptFailed(FailureKind.SILENT, "no head") from error
+        except UpstreamBroken as error:
+            raise AttemptFailed(FailureKind.BROKEN, error.reason) from error
+        if head.load is not None:
+            self.state.tell_load(head.load, self._now_ms())
+        self._check(head)
+        self.head = head
+        return head
+
+    async def part(self, silence_s: float) -> bytes | None:
+        """The next part of the body, none at its end; raises `AttemptFailed`."""
+        assert self._connection is not None
+        try:
+            async with asyncio.timeout(silence_s):
+                return await self._connection.part()
+        except TimeoutError as error:
+            raise AttemptFailed(FailureKind.SILENT, "no more of the body") from error
+        except UpstreamBroken as error:
+            raise AttemptFailed(FailureKind.BROKEN, error.reason) from error
+
+    def finish(self) -> None:
+        """The answer was whole: keep the connection if it may be kept."""
+        connection, self._connection = self._connection, None
+        assert connection is not None and self.head is not None
+        if connection.release(self._loop.time()):
+            self._pool.keep(self.state.endpoint, connection, self.head.idle_s)
+        self._uncount()
+
+    def close(self) -> None:
+        """End the attempt where it is; the endpoint drops the request."""
+        if self._connection is not None:
+            self._connection.abort()
+            self._connection = None
+        self._uncount()
+
+    def _uncount(self) -> None:
+        if self._counted:
+            self._counted = False
+            self.state.load.finished(self._now_ms(), None)
+
+    async def _connect(self) -> Upstream:
+        endpoint = self.state.endpoint
+        connection = self._pool.take(endpoint, self._repeatable, self._loop.time())
+        if connection is None:
+            try:
+                connection = await Upstream.connect(endpoint.address, CONNECT_TIMEOUT_S)
+            except ConnectFailed as error:
+                raise AttemptFailed(FailureKind.UNREACHABLE, error.reason) from error
+        self._connection = connection
+        return connection
+
+    def _check(self, head: AnswerHead) -> None:
+        """Tell an answer to this request from anything else that may come."""
+        if head.request_id != self._ask.request_id:
+            raise AttemptFailed(FailureKind.FOREIGN, "another request's answer")
+        if head.not_run:
+            raise AttemptFailed(FailureKind.REFUSED, f"status {head.status}")
+        if not head.sealed:
+            raise AttemptFailed(FailureKind.FOREIGN, f"status {head.status}, no seal")
+        if head.encoded:
+            raise AttemptFailed(FailureKind.FOREIGN, "an encoded body")
+
+    def _now_ms(self) -> float:
+        return self._loop.time() * 1000.0
--- /dev/null
+++ b/ashlatch/gateway/budget.py
@@ -0,0 +1,77 @@
+"""
+ashlatch.gateway.budget
+~~~~~~~~~~~~~~~~~~~~~~~
+
+How many repeated sends one gateway may make. All gateways share one budget,
+`ratio` of the requests of a service in a window and some more; each takes its
+part by its own requests, and an equal part of what comes on top.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+__all__ = ["BudgetTerms", "RepeatBudget"]
+
+# The window moves on in steps of this part of it.
+STEPS = 10
+# Requests and repeats fall into different steps at the two ends, so a part of
+# what is allowed is left unused.
+MARGIN = 0.85
+
+
+@dataclass(frozen=True)
+class BudgetTerms:
+    """`ratio` repeats for each request within `window_ms`, and `extra` more.
+
+    All three are settings, and hold for all gateways together.
+    """
+
+    ratio: float
+    extra: float
+    window_ms: float
+
+
+@dataclass
+class _Step:
+    begun_ms: float
+    requests: int = 0
+    repeats: int = 0
+
+
+@dataclass
+class RepeatBudget:
+    """The repeats of one service at one gateway."""
+
+    terms: BudgetTerms
+    _steps: deque[_Step] = field(default_factory=deque)
+    _requests: int = 0
+    _repeats: int = 0
+
+    def request(self, now_ms: float) -> None:
+        """A caller's request for the service has come in."""
+        self._step(now_ms).requests += 1
+        self._requests += 1
+
+    def spend(self, now_ms: float, gateways: int) -> bool:
+        """Take one repeat, if there is one left in the window."""
+        step = self._step(now_ms)
+        extra = self.terms.extra / max(1, gateways)
+        allowed = MARGIN * (self.terms.ratio * self._requests + extra)
+        if self._repeats + 1 > allowed:
+            return False
+        step.repeats += 1
+        self._repeats += 1
+        return True
+
+    def _step(self, now_ms: float) -> _Step:
+        width_ms = self.terms.window_ms / STEPS
+        if not self._steps or now_ms - self._steps[-1].begun_ms >= width_ms:
+            self._steps.append(_Step(now_ms))
+        while now_ms - self._steps[0].begun_ms > self.terms.window_ms:
+            old = self._steps.popleft()
+            self._requests -= old.requests
+            self._repeats -= old.repeats
+        return self._steps[-1]
--- /dev/null
+++ b/ashlatch/gateway/daemon.py
@@ -0,0 +1,202 @@
+"""
+ashlatch.gateway.daemon
+~~~~~~~~~~~~~~~~~~~~~~~
+
+The process of an entry VM: its listeners, and its start and stop.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+from ashlatch.errors import SettingsError
+from ashlatch.gateway.budget import BudgetTerms
+from ashlatch.gateway.exchange import Exchange, Refused, admit, refuse
+from ashlatch.gateway.knowledge import Knowledge
+from ashlatch.gateway.logs import RequestEnded, RequestUnreadable, StopBegun
+from ashlatch.gateway.message import RefusalReason
+from ashlatch.gateway.sync import FleetLink
+from ashlatch.gateway.versions import SessionVersions, VersionChooser
+from ashlatch.http.listener import (
+    HttpBounds,
+    HttpListener,
+    HttpRequest,
+    Responder,
+)
+from ashlatch.log import emit
+from ashlatch.metrics import serve_metrics
+from ashlatch.platform.headers import MalformedRequest, decode_ask
+from ashlatch.platform.operator import READY_TARGET
+from ashlatch.policy.endpoint import ENDPOINT_POLICIES
+from ashlatch.rpc import Address, RpcLoop
+from ashlatch.settings import GatewaySettings
+
+__all__ = ["GatewayDaemon"]
+
+log = logging.getLogger("ashlatch.gateway")
+
+# How often limits are taken over and idle connections looked at.
+SWEEP_S = 0.25
+# After it was asked to stop, a gateway takes new connections until the entry
+# has asked twice whether it is ready.
+STOP_ACCEPTS_S = 2.5
+STOP_LOOK_S = 0.05
+# What is left of the time to stop when the rest is cut off.
+STOP_MARGIN_S = 0.3
+
+
+class GatewayDaemon:
+    """One gateway; `reread` gives the settings anew, after a change."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        failed: Callable[[BaseException], None],
+        reread: Callable[[], GatewaySettings],
+    ) -> None:
+        self.settings = settings
+        self._reread = reread
+        self._failed = failed
+        self.rpc = RpcLoop()
+        sessions = SessionVersions(settings.session_s * 1000.0)
+        repeats = settings.repeats
+        self.known = Knowledge(
+            settings.hall,
+            settings.vm,
+            VersionChooser(sessions),
+            ENDPOINT_POLICIES.get(settings.endpoint_policy)(),
+            BudgetTerms(repeats.ratio, repeats.extra, repeats.window_s * 1000.0),
+            generator=random.Random(settings.vm),
+        )
+        self._seeds = settings.seed_rpc_addresses
+
+    def start(self) -> None:
+        """Listen, and begin to learn."""
+        self.rpc.submit(self._start()).result(timeout=10.0)
+
+    def reload(self) -> None:
+        """Take over what may change while the process runs: the seeds."""
+        try:
+            self._seeds = self._reread().seed_rpc_addresses
+        except SettingsError as group:
+            detail = str(group.exceptions[0])
+            log.error("", extra={"event": "reload_failed", "detail": detail})
+            return
+        log.info("", extra={"event": "reloaded", "seeds": ",".join(self._seeds)})
+
+    def stop(self) -> int:
+        """Finish what is in flight; returns how many requests were cut."""
+        timeout_s = self.settings.stop_s
+        cut = self.rpc.submit(self._stop()).result(timeout=timeout_s)
+        self.rpc.stop()
+        return cut
+
+    async def _start(self) -> None:
+        self.front = HttpListener(self._handle)
+        self.front.failed = self._handler_failed
+        self.front.unreadable = self._unreadable
+        self._ready_listener = HttpListener(self._handle_ready)
+        self._link = FleetLink(
+            self.known,
+            lambda: self._seeds,
+            self.settings.list_address,
+            self.settings.sync_wait_ms,
+        )
+        for listener, text in (
+            (self.front, self.settings.listen),
+            (self._ready_listener, self.settings.ready),
+        ):
+            address = Address.parse(text)
+            await listener.start(address.host, address.port)
+        metrics_port = self.settings.metrics_port
+        await serve_metrics(self.known.metrics, self.settings.host, metrics_port)
+        for work in (self._link.run(), self._link.read_alone(), self._sweep()):
+            self.rpc.keep(work, self._failed)
+
+    async def _stop(self) -> int:
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
+        ends_s = begun_s + self.settings.stop_s - STOP_MARGIN_S
+        self.front.stopping = True
+        emit(log, StopBegun(self.front.handling, len(self.front.connections)))
+        while loop.time() < begun_s + STOP_ACCEPTS_S:
+            await asyncio.sleep(STOP_LOOK_S)
+        self.front.refuse_new()
+        while loop.time() < ends_s and self.front.connections:
+            self.front.close_idle()
+            await asyncio.sleep(STOP_LOOK_S)
+        cut = self.front.handling
+        self.front.abort()
+        self._ready_listener.abort()
+        return cut
+
+    # Requests.
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers should be sent here."""
+        serves = self.known.table is not None and len(self.known.directory) > 0
+        return serves and self._link.settled and not self.front.stopping
+
+    async def _handle_ready(self, request: HttpRequest, responder: Responder) -> None:
+        known = request.target.partition("?")[0] == READY_TARGET
+        status = 404 if not known else 200 if self.ready else 503
+        responder.respond(status, [], b"")
+
+    async def _handle(self, request: HttpRequest, responder: Responder) -> None:
+        try:
+            ask = decode_ask(request)
+        except MalformedRequest as error:
+            self._refuse(responder, "", Refused(400, RefusalReason.MALFORMED))
+            emit(log, RequestUnreadable(request.peer, str(error)))
+            return
+        admission = admit(self.known, ask)
+        if isinstance(admission, Refused):
+            self._refuse(responder, ask.request_id, admission)
+            return
+        if not self._link.settled:
+            refused = Refused(503, RefusalReason.NO_CONFIGURATION, 0.5)
+            self._refuse(responder, ask.request_id, refused)
+            return
+        await Exchange(self.known, admission, responder).run()
+
+    def _refuse(self, responder: Responder, request_id: str, refused: Refused) -> None:
+        refuse(responder, request_id, refused)
+        table = self.known.table
+        version = table.catalog.version if table else 0
+        reason = refused.reason.value
+        emit(
+            log,
+            RequestEnded(request_id, "", version, refused.status, reason, 0, 0, 0, 0),
+        )
+        self.known.metrics.count(f"requests_{reason}")
+
+    def _handler_failed(self, error: BaseException) -> None:
+        """A defect: the request is lost, the others are served on."""
+        log.error(
+            "",
+            exc_info=error,
+            extra={"event": "handler_failed", "error": type(error).__name__},
+        )
+
+    def _unreadable(self, peer: str, reason: str) -> None:
+        emit(log, RequestUnreadable(peer, reason), logging.WARNING)
+
+    async def _sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            self.known.pool.sweep(loop.time())
+            table = self.known.table
+            if table is not None:
+                limits = table.catalog.limits
+                self.front.bounds = HttpBounds(
+                    limits.head_max_bytes,
+                    limits.body_max_bytes,
+                    limits.head_timeout_ms / 1000.0,
+                    limits.idle_timeout_ms / 1000.0,
+                )
--- /dev/null
+++ b/ashlatch/gateway/directory.py
@@ -0,0 +1,118 @@
+"""
+ashlatch.gateway.directory
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The endpoints that a gateway may send to, and what it has seen of each: load,
+failures, connections.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ashlatch.catalog import Endpoint, EndpointList
+from ashlatch.gateway.message import LoadFigures
+from ashlatch.policy.breaker import Breaker
+from ashlatch.policy.load import EndpointLoad, LoadReport
+
+__all__ = ["Directory", "EndpointState"]
+
+# Failures in a row until an endpoint is left alone, and for how long.
+BREAKER_FAILURES = 2
+BREAKER_OPEN_MS = 1500.0
+# How fast the share of failed attempts follows what is seen.
+FAILURE_GAIN = 0.12
+
+
+@dataclass
+class EndpointState:
+    """One endpoint in its present life.
+
+    `failing` is the recent share of attempts that failed by its doing.
+    """
+
+    endpoint: Endpoint
+    load: EndpointLoad = field(default_factory=EndpointLoad)
+    breaker: Breaker = field(
+        default_factory=lambda: Breaker(BREAKER_FAILURES, BREAKER_OPEN_MS)
+    )
+    failing: float = 0.0
+
+    def tell_load(self, figures: LoadFigures, now_ms: float) -> None:
+        """Take the load that came with an answer."""
+        report = LoadReport(
+            self.endpoint.instance,
+            now_ms,
+            figures.running,
+            figures.waiting,
+            figures.slots,
+            frozenset(),
+        )
+        self.load.reported(report)
+
+    def requests(self, now_ms: float) -> float:
+        """How many requests are estimated to be at the endpoint."""
+        if self.load.stale(now_ms):
+            return float(self.load.in_flight)
+        return self.load.requests()
+
+    def utilisation(self, now_ms: float) -> float:
+        """Estimated requests for each place."""
+        return self.requests(now_ms) / self.endpoint.slots
+
+    def succeeded(self) -> None:
+        """An answer that counts has come."""
+        self.breaker.succeeded()
+        self.failing -= FAILURE_GAIN * self.failing
+
+    def failed(self, now_ms: float, unreachable: bool) -> None:
+        """An attempt failed by the endpoint's doing."""
+        self.failing += FAILURE_GAIN * (1.0 - self.failing)
+        if unreachable:
+            self.breaker.failed(now_ms)
+
+
+class Directory:
+    """Endpoints by service. A list that is older than the known one is void."""
+
+    def __init__(self) -> None:
+        self.order: tuple[int, int] = (0, 0)
+        self.listed_ms = float("-inf")
+        self._states: dict[str, EndpointState] = {}
+        self._by_service: dict[str, list[EndpointState]] = {}
+
+    def replace(self, listed: EndpointList, now_ms: float) -> bool:
+        """Take a list of all endpoints; false when it is an old one."""
+        if listed.order < self.order:
+            return False
+        self.order = listed.order
+        self.listed_ms = now_ms
+        known = self._states
+        self._states = {}
+        self._by_service = {}
+        for endpoint in listed.endpoints:
+            state = known.get(endpoint.instance)
+            if state is None or state.endpoint.address != endpoint.address:
+                state = EndpointState(endpoint)
+            state.endpoint = endpoint
+            self._states[endpoint.instance] = state
+            self._by_service.setdefault(endpoint.service, []).append(state)
+        return True
+
+    def of_service(self, service: str) -> Iterable[EndpointState]:
+        """All endpoints of a service, leaving ones too."""
+        return self._by_service.get(service, ())
+
+    def instances(self) -> frozenset[str]:
+        """The ids of all listed endpoints."""
+        return frozenset(self._states)
+
+    def serving(self, instance: str) -> bool:
+        """Whether an endpoint is listed and not about to leave."""
+        state = self._states.get(instance)
+        return state is not None and not state.endpoint.leaving
+
+    def __len__(self) -> int:
+        return len(self._states)
--- /dev/null
+++ b/ashlatch/gateway/exchange.py
@@ -0,0 +1,425 @@
+"""
+ashlatch.gateway.exchange
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+One request's life at a gateway: admitted or refused, sent to one endpoint
+after another as far as that is allowed, and its answer passed on.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import asyncio
+import logging
+from dataclasses import dataclass
+
+from ashlatch.catalog import Organisation, Repeat, Route, Service
+from ashlatch.gateway.attempt import Attempt, AttemptFailed, FailureKind
+from ashlatch.gateway.choice import (
+    Choice,
+    choose_endpoint,
+    first_model,
+    next_model,
+)
+from ashlatch.gateway.events import EventSplitter, StreamEvent
+from ashlatch.gateway.knowledge import Knowledge
+from ashlatch.gateway.logs import AttemptEnded, RequestEnded, RequestSent
+from ashlatch.gateway.message import AnswerHead, Ask, Dispatch, RefusalReason
+from ashlatch.gateway.tally import TallyKey
+from ashlatch.http.listener import Headers, Responder
+from ashlatch.log import emit
+from ashlatch.platform.headers import refusal_headers
+
+__all__ = ["Admission", "Exchange", "Refused", "admit", "refuse"]
+
+log = logging.getLogger("ashlatch.gateway")
+
+# A send that may be repeated is given up when nothing has come for this many
+# times the route's target, and for at least the floor.
+SILENCE_RATIO = 1.5
+SILENCE_MIN_S = 0.3
+# Between two events a resumable stream may be silent for this many times the
+# longest pause that the route allows.
+EVENT_SILENCE_RATIO = 1.5
+# Endpoints that cannot be reached have not been sent anything, so they do not
+# count as attempts; but a request does not try the whole fleet.
+UNREACHABLE_MAX = 4
+# When the endpoints are full or away: about the time in which one answers.
+RETRY_AFTER_S = 0.5
+SERVER_ERROR = 500
+
+
+@dataclass(frozen=True)
+class Admission:
+    """A request that may be served, and by what."""
+
+    ask: Ask
+    route: Route
+    service: Service
+    organisation: Organisation | None
+    configuration: int
+    ends_s: float
+
+    @property
+    def urgency(self) -> int:
+        """0 for the most urgent; the organisation's goes before the route's."""
+        organisation = self.organisation
+        if organisation is not None and organisation.priority is not None:
+            return organisation.priority
+        return self.route.priority
+
+
+@dataclass(frozen=True)
+class Refused:
+    """A request that is answered here. `run` is false when none has run it."""
+
+    status: int
+    reason: RefusalReason
+    retry_after_s: float | None = None
+
+
+def admit(known: Knowledge, ask: Ask) -> Admission | Refused:
+    """Find route, organisation and service of a request."""
+    table = known.table
+    if table is None:
+        return Refused(503, RefusalReason.NO_CONFIGURATION, RETRY_AFTER_S)
+    route = table.route(ask.host, ask.path)
+    if route is None:
+        return Refused(404, RefusalReason.NO_ROUTE)
+    organisation = None
+    if table.needs_keys and not route.anonymous:
+        organisation = table.holder(ask.key)
+        if organisation is None:
+            return Refused(401, RefusalReason.UNKNOWN_KEY)
+    held_ms = route.held_max_ms
+    if ask.patience_ms is not None:
+        held_ms = min(held_ms, ask.patience_ms)
+    return Admission(
+        ask,
+        route,
+        table.service(route, ask.request_id),
+        organisation,
+        table.catalog.version,
+        ask.received_s + held_ms / 1000.0,
+    )
+
+
+def refuse(responder: Responder, request_id: str, refused: Refused) -> None:
+    """Answer a request that is not served."""
+    reason = refused.reason
+    headers = refusal_headers(request_id, reason, refused.retry_after_s)
+    body = f'{{"type":"{reason.value}","status":{refused.status}}}\n'.encode()
+    responder.respond(refused.status, headers, body)
+
+
+@dataclass(frozen=True)
+class _Whole:
+    """An answer that has been read to its end."""
+
+    head: AnswerHead
+    body: bytes
+
+
+class Exchange:
+    """Serves one admitted request. `run` returns when it has its answer."""
+
+    def __init__(
+        self, known: Knowledge, admission: Admission, responder: Responder
+    ) -> None:
+        self._known = known
+        self._admission = admission
+        self._route = admission.route
+        self._ask = admission.ask
+        self._responder = responder
+        self._loop = asyncio.get_running_loop()
+        self._tried: set[str] = set()
+        self._sends = 0
+        self._unreachable = 0
+        self._may_have_run = False
+        self._model = first_model(admission.route, admission.ask)
+        self._last_event = ""
+        self._events = 0
+        self._first_s: float | None = None
+        self._error: _Whole | None = None
+        self._why = "first"
+
+    async def run(self) -> None:
+        """Send, and pass the answer on; never raises but for a lost caller."""
+        self._known.budget(self._admission.service.name).request(self._now_ms())
+        try:
+            async with asyncio.timeout_at(self._admission.ends_s):
+                refused = await self._serve()
+        except TimeoutError:
+            refused = Refused(504, RefusalReason.TIMED_OUT)
+        except asyncio.CancelledError:
+            self._log_end(0, "caller_left")
+            raise
+        if refused is not None:
+            self._conclude(refused)
+
+    async def _serve(self) -> Refused | None:
+        while True:
+            choice = self._choose()
+            if choice is None:
+                return self._nowhere()
+            attempt = self._attempt(choice)
+            try:
+                if await self._run_attempt(attempt):
+                    return None
+            except AttemptFailed as failed:
+                self._note_failure(attempt, failed)
+                if not self._may_send_again(failed.kind):
+                    return self._spent(failed.kind)
+                self._why = failed.kind.value
+            finally:
+                attempt.close()
+
+    # Choosing.
+
+    def _choose(self) -> Choice | None:
+        now_ms = self._now_ms()
+        service = self._admission.service.name
+        states = self._known.directory.of_service(service)
+        allowed = self._known.versions.allowed(
+            service, self._ask.session, self._ask.request_id, states, now_ms
+        )
+        tried = frozenset(self._tried)
+        return choose_endpoint(self._known, allowed, tried, self._ask, now_ms)
+
+    def _attempt(self, choice: Choice) -> Attempt:
+        endpoint = choice.state.endpoint
+        organisation = self._admission.organisation
+        self._tried.add(endpoint.instance)
+        self._sends += 1
+        dispatch = Dispatch(
+            organisation.name if organisation else "",
+            endpoint.instance,
+            (self._admission.ends_s - self._loop.time()) * 1000.0,
+            self._model,
+            self._admission.urgency if self._admission.service.engine else None,
+            self._last_event,
+        )
+        self._log_send(choice)
+        choice.state.breaker.sent(self._now_ms())
+        repeatable = self._route.repeat is not Repeat.NEVER
+        pool = self._known.pool
+        return Attempt(choice.state, pool, self._ask, dispatch, repeatable)
+
+    def _silence_s(self) -> float:
+        """How long a send may stay without an answer."""
+        if self._route.repeat is Repeat.NEVER or self._sends >= self._attempts_max:
+            return max(0.0, self._admission.ends_s - self._loop.time())
+        return max(SILENCE_MIN_S, SILENCE_RATIO * self._route.target_ms / 1000.0)
+
+    @property
+    def _attempts_max(self) -> int:
+        return self._route.attempts_max
+
+    # One attempt.
+
+    async def _run_attempt(self, attempt: Attempt) -> bool:
+        """Whether the request has its answer; else it is to be sent again."""
+        head = await attempt.begin(self._silence_s())
+        self._note_version(attempt)
+        if self._route.streams and head.status < 300:
+            if self._climbs(attempt, head):
+                return False
+            await self._pass_stream(attempt, head)
+        else:
+            whole = await self._read_whole(attempt, head)
+            if head.status >= SERVER_ERROR:
+                self._error = whole
+                raise AttemptFailed(FailureKind.ERROR, f"status {head.status}")
+            self._answer(whole)
+        self._count_answer(attempt)
+        return True
+
+    def _climbs(self, attempt: Attempt, head: AnswerHead) -> bool:
+        """Whether a larger model is asked instead of passing this answer on."""
+        model = next_model(self._route, self._model, head.confidence)
+        if not model or self._events or self._sends >= self._attempts_max:
+            return False
+        if not self._spend():
+            return False
+        self._count_answer(attempt)
+        self._model = model
+        self._why = "confidence"
+        self._tried.discard(attempt.state.endpoint.instance)
+        return True
+
+    async def _read_whole(self, attempt: Attempt, head: AnswerHead) -> _Whole:
+        parts = []
+        while (part := await attempt.part(self._silence_s())) is not None:
+            parts.append(part)
+        attempt.finish()
+        return _Whole(head, b"".join(parts))
+
+    async def _pass_stream(self, attempt: Attempt, head: AnswerHead) -> None:
+        splitter = EventSplitter()
+        while (part := await attempt.part(self._event_silence_s())) is not None:
+            for event in splitter.feed(part):
+                self._pass_event(head, event)
+            await self._responder.drain()
+        if splitter.rest.strip():
+            raise AttemptFailed(FailureKind.BROKEN, "ended within an event")
+        if not self._responder.begun:
+            self._responder.begin(head.status, _body_headers(head))
+        attempt.finish()
+        self._responder.end()
+        self._log_end(head.status, "")
+
+    def _event_silence_s(self) -> float:
+        if not self._events:
+            return self._silence_s()
+        if self._route.repeat is not Repeat.RESUME or not self._route.event_gap_max_ms:
+            return max(0.0, self._admission.ends_s - self._loop.time())
+        return EVENT_SILENCE_RATIO * self._route.event_gap_max_ms / 1000.0
+
+    def _pass_event(self, head: AnswerHead, event: StreamEvent) -> None:
+        if not self._responder.begun:
+            self._first_s = self._loop.time()
+            self._responder.begin(head.status, _body_headers(head))
+        self._responder.send(event.data)
+        self._events += 1
+        self._last_event = event.event_id or self._last_event
+
+    def _answer(self, whole: _Whole) -> None:
+        self._first_s = self._first_s or self._loop.time()
+        self._responder.respond(
+            whole.head.status, _body_headers(whole.head), whole.body
+        )
+        self._log_end(whole.head.status, "")
+
+    # After a failure.
+
+    def _note_failure(self, attempt: Attempt, failed: AttemptFailed) -> None:
+        state = attempt.state
+        kind = failed.kind
+        now_ms = self._now_ms()
+        if kind is FailureKind.UNREACHABLE:
+            self._sends -= 1
+            self._unreachable += 1
+        self._may_have_run |= not kind.not_run
+        if kind is FailureKind.ERROR:
+            self._known.tallies.failed(self._tally_key(attempt))
+        if kind is not FailureKind.REFUSED:
+            unreachable = kind in (FailureKind.UNREACHABLE, FailureKind.BROKEN)
+            state.failed(now_ms, unreachable)
+        ended = AttemptEnded(
+            self._ask.request_id,
+            self._sends,
+            state.endpoint.instance,
+            kind.value,
+            failed.detail,
+            int((self._loop.time() - attempt.sent_s) * 1000),
+        )
+        emit(log, ended)
+        self._known.metrics.count(f"attempts_{kind.value}")
+
+    def _may_send_again(self, kind: FailureKind) -> bool:
+        if not kind.not_run and self._route.repeat is Repeat.NEVER:
+            return False
+        if self._events and self._route.repeat is not Repeat.RESUME:
+            return False
+        if self._events and not self._last_event:
+            return False
+        if kind is FailureKind.UNREACHABLE:
+            return self._unreachable < UNREACHABLE_MAX
+        return self._sends < self._attempts_max and self._spend()
+
+    def _spend(self) -> bool:
+        budget = self._known.budget(self._admission.service.name)
+        granted = budget.spend(self._now_ms(), self._known.gateways)
+        if not granted:
+            self._known.metrics.count("repeats_over_budget")
+        return granted
+
+    def _nowhere(self) -> Refused:
+        if self._may_have_run:
+            return Refused(502, RefusalReason.OUTCOME_UNKNOWN)
+        return Refused(503, RefusalReason.NO_ENDPOINT, RETRY_AFTER_S)
+
+    def _spent(self, kind: FailureKind) -> Refused:
+        if self._may_have_run:
+            return Refused(502, RefusalReason.OUTCOME_UNKNOWN)
+        full = kind is FailureKind.REFUSED
+        reason = RefusalReason.ENDPOINTS_FULL if full else RefusalReason.NO_ENDPOINT
+        return Refused(503, reason, RETRY_AFTER_S)
+
+    def _conclude(self, refused: Refused) -> None:
+        """Give the final answer when no endpoint's answer is passed on."""
+        if self._responder.begun:
+            self._responder.abort()
+            self._log_end(0, refused.reason.value)
+        elif self._error is not None:
+            self._answer(self._error)
+        else:
+            refuse(self._responder, self._ask.request_id, refused)
+            self._log_end(refused.status, refused.reason.value)
+
+    # Counting and logging.
+
+    def _tally_key(self, attempt: Attempt) -> TallyKey:
+        endpoint = attempt.state.endpoint
+        return TallyKey(endpoint.service, endpoint.version, self._route.name)
+
+    def _note_version(self, attempt: Attempt) -> None:
+        endpoint = attempt.state.endpoint
+        self._known.versions.sessions.note(
+            endpoint.service, self._ask.session, endpoint.version, self._now_ms()
+        )
+
+    def _count_answer(self, attempt: Attempt) -> None:
+        attempt.state.succeeded()
+        self._note_version(attempt)
+        ended_s = self._first_s or self._loop.time()
+        first_ms = (ended_s - attempt.sent_s) * 1000.0
+        timed = first_ms if first_ms > 0 else None
+        self._known.tallies.answered(self._tally_key(attempt), timed)
+
+    def _log_send(self, choice: Choice) -> None:
+        endpoint = choice.state.endpoint
+        organisation = self._admission.organisation
+        sent = RequestSent(
+            self._ask.request_id,
+            self._route.name,
+            organisation.name if organisation else "",
+            self._admission.configuration,
+            self._sends,
+            self._why,
+            endpoint.instance,
+            endpoint.version,
+            self._model,
+            choice.candidates,
+            choice.utilisation,
+            int(self._now_ms() - self._known.directory.listed_ms),
+        )
+        emit(log, sent)
+
+    def _log_end(self, status: int, reason: str) -> None:
+        now_s = self._loop.time()
+        received_s = self._ask.received_s
+        first_ms = int(((self._first_s or now_s) - received_s) * 1000)
+        took_ms = (now_s - received_s) * 1000
+        ended = RequestEnded(
+            self._ask.request_id,
+            self._route.name,
+            self._admission.configuration,
+            status,
+            reason,
+            self._sends,
+            self._events,
+            first_ms,
+            int(took_ms),
+        )
+        emit(log, ended)
+        self._known.metrics.count(f"requests_{reason or 'answered'}")
+        self._known.metrics.record_ms("request", took_ms)
+
+    def _now_ms(self) -> float:
+        return self._loop.time() * 1000.0
+
+
+def _body_headers(head: AnswerHead) -> Headers:
+    """The headers of an answer whose body is framed anew."""
+    return [pair for pair in head.headers if pair[0].lower() != b"content-length"]
--- /dev/null
+++ b/ashlatch/gateway/knowledge.py
@@ -0,0 +1,53 @@
+"""
+ashlatch.gateway.knowledge
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What one gateway knows and has counted; shared by all its requests.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import random
+from dataclasses import dataclass, field
+
+from ashlatch.gateway.budget import BudgetTerms, RepeatBudget
+from ashlatch.gateway.directory import Directory
+from ashlatch.gateway.pool import ConnectionPool
+from ashlatch.gateway.routing import RouteTable
+from ashlatch.gateway.tally import Tallies
+from ashlatch.gateway.versions import VersionChooser
+from ashlatch.metrics import Metrics
+from ashlatch.policy.endpoint import EndpointPolicy
+
+__all__ = ["Knowledge"]
+
+
+@dataclass
+class Knowledge:
+    """`table` is unset until the first configuration has come.
+
+    `gateways` is how many gateways the fleet has heard of lately; they share
+    the budgets and the connections that endpoints accept.
+    """
+
+    hall: str
+    vm: str
+    versions: VersionChooser
+    policy: EndpointPolicy
+    budget_terms: BudgetTerms
+    table: RouteTable | None = None
+    directory: Directory = field(default_factory=Directory)
+    pool: ConnectionPool = field(default_factory=ConnectionPool)
+    tallies: Tallies = field(default_factory=Tallies)
+    metrics: Metrics = field(default_factory=Metrics)
+    budgets: dict[str, RepeatBudget] = field(default_factory=dict)
+    generator: random.Random = field(default_factory=random.Random)
+    gateways: int = 1
+
+    def budget(self, service: str) -> RepeatBudget:
+        """The budget of repeated sends of a service."""
+        found = self.budgets.get(service)
+        if found is None:
+            found = self.budgets[service] = RepeatBudget(self.budget_terms)
+        return found
--- /dev/null
+++ b/ashlatch/gateway/logs.py
@@ -0,0 +1,153 @@
+"""
+ashlatch.gateway.logs
+~~~~~~~~~~~~~~~~~~~~~
+
+What a gateway logs: one event for each decision about a request, and one for
+each change of what the gateway believes.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from ashlatch.log import LogEvent
+
+__all__ = [
+    "AttemptEnded",
+    "ConfigurationApplied",
+    "EndpointsReplaced",
+    "FleetLost",
+    "FleetRegained",
+    "RequestEnded",
+    "RequestSent",
+    "RequestUnreadable",
+    "RolloutLearnt",
+    "StopBegun",
+]
+
+
+@dataclass(frozen=True)
+class RequestSent(LogEvent):
+    """A request goes to an endpoint.
+
+    `candidates` is how many endpoints could be chosen, `used` the estimated
+    share of the chosen one's places that are taken, `listed_ms` the age of
+    the list of endpoints.
+    """
+
+    event: ClassVar[str] = "request_sent"
+    request: str
+    route: str
+    organisation: str
+    configuration: int
+    attempt: int
+    reason: str
+    instance: str
+    version: str
+    model: str
+    candidates: int
+    used: float
+    listed_ms: int
+
+
+@dataclass(frozen=True)
+class AttemptEnded(LogEvent):
+    """A send brought no answer that is passed on."""
+
+    event: ClassVar[str] = "attempt_ended"
+    request: str
+    attempt: int
+    instance: str
+    outcome: str
+    detail: str
+    took_ms: int
+
+
+@dataclass(frozen=True)
+class RequestEnded(LogEvent):
+    """A request has its final answer; `reason` is set when it is our own."""
+
+    event: ClassVar[str] = "request_ended"
+    request: str
+    route: str
+    configuration: int
+    status: int
+    reason: str
+    attempts: int
+    events: int
+    first_ms: int
+    took_ms: int
+
+
+@dataclass(frozen=True)
+class RequestUnreadable(LogEvent):
+    """A caller sent what is no request; the connection was closed."""
+
+    event: ClassVar[str] = "request_unreadable"
+    peer: str
+    reason: str
+
+
+@dataclass(frozen=True)
+class ConfigurationApplied(LogEvent):
+    """A newer configuration is in force here."""
+
+    event: ClassVar[str] = "configuration_applied"
+    version: int
+    before: int
+    routes: int
+    organisations: int
+
+
+@dataclass(frozen=True)
+class EndpointsReplaced(LogEvent):
+    """The list of endpoints has changed."""
+
+    event: ClassVar[str] = "endpoints_replaced"
+    epoch: int
+    number: int
+    endpoints: int
+    leaving: int
+    source: str
+
+
+@dataclass(frozen=True)
+class RolloutLearnt(LogEvent):
+    """A roll-out has moved on."""
+
+    event: ClassVar[str] = "rollout_learnt"
+    service: str
+    version: str
+    stage: str
+    share: float
+    number: int
+
+
+@dataclass(frozen=True)
+class FleetLost(LogEvent):
+    """No member of the core answers; the gateway goes on with what it has."""
+
+    event: ClassVar[str] = "fleet_lost"
+    member: str
+    reason: str
+    configuration: int
+
+
+@dataclass(frozen=True)
+class FleetRegained(LogEvent):
+    """A member of the core answers again."""
+
+    event: ClassVar[str] = "fleet_regained"
+    member: str
+    away_ms: int
+
+
+@dataclass(frozen=True)
+class StopBegun(LogEvent):
+    """The process was asked to stop and finishes what is in flight."""
+
+    event: ClassVar[str] = "stop_begun"
+    in_flight: int
+    connections: int
--- /dev/null
+++ b/ashlatch/gateway/message.py
@@ -0,0 +1,127 @@
+"""
+ashlatch.gateway.message
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+What a gateway knows of a request and of an answer, apart from how the
+platform writes them.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import enum
+from dataclasses import dataclass
+
+from ashlatch.http.listener import Headers
+
+__all__ = [
+    "AnswerHead",
+    "Ask",
+    "Dispatch",
+    "LoadFigures",
+    "PromptPart",
+    "RefusalReason",
+]
+
+
+class RefusalReason(enum.Enum):
+    """Why a gateway answers by itself; the names stand in answers and logs."""
+
+    MALFORMED = "malformed"
+    UNKNOWN_KEY = "unknown_key"
+    NO_ROUTE = "no_route"
+    NO_CONFIGURATION = "no_configuration"
+    NO_ENDPOINT = "no_endpoint"
+    OVERLOAD = "overload"
+    ENDPOINTS_FULL = "endpoints_full"
+    ATTEMPTS_SPENT = "attempts_spent"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    TIMED_OUT = "timed_out"
+    STOPPING = "stopping"
+
+
+@dataclass(frozen=True)
+class PromptPart:
+    """A part of a prompt; requests that share parts name them alike."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclass(frozen=True)
+class Ask:
+    """A caller's request.
+
+    `passed_on` are the headers that go to the endpoint as they came.
+    `patience_ms` is how long the caller waits, counted from `received_s`.
+    `model` is empty when the gateway is to name one. `resume_after` is the
+    last event of a stream that the caller has already.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    host: str
+    passed_on: Headers
+    body: bytes
+    received_s: float
+    patience_ms: float | None
+    key: str
+    model: str
+    names_model: bool
+    prompt_tokens: int
+    answer_tokens_max: int
+    prompt_parts: tuple[PromptPart, ...]
+    session: str
+    resume_after: str
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition("?")[0]
+
+
+@dataclass(frozen=True)
+class Dispatch:
+    """What the gateway adds when it sends a request to an endpoint.
+
+    `resume_after` is the last event that the caller has, if any.
+    """
+
+    organisation: str
+    instance: str
+    remaining_ms: float
+    model: str
+    urgency: int | None
+    resume_after: str
+
+
+@dataclass(frozen=True)
+class LoadFigures:
+    """How busy an endpoint says it is."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True)
+class AnswerHead:
+    """The head of an endpoint's answer.
+
+    `sealed` is set when the endpoint's own program made the answer;
+    `not_run` when it states that it has not run the request and will not.
+    `confidence` is the model's own opinion of its answer, 0 to 100.
+    `encoded` answers were altered on the way. `idle_s` is how long the
+    endpoint keeps an idle connection, if it says so.
+    """
+
+    status: int
+    headers: Headers
+    request_id: str
+    sealed: bool
+    not_run: bool
+    encoded: bool
+    confidence: float | None
+    load: LoadFigures | None
+    idle_s: float | None
--- /dev/null
+++ b/ashlatch/gateway/sync.py
@@ -0,0 +1,200 @@
+"""
+ashlatch.gateway.sync
+~~~~~~~~~~~~~~~~~~~~~
+
+Keeps a gateway's knowledge up to date: it asks one core VM after another for
+news and learns from each answer where the core VMs are. While none of them is
+in touch with its leader, the gateway serves on with what it has, and reads
+the platform's list by itself.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+from ashlatch.catalog import EndpointList
+from ashlatch.errors import TransportError
+from ashlatch.fleet.discovery import ListReader, ListUnreadable
+from ashlatch.fleet.membership import PeerBook
+from ashlatch.fleet.protocol import SYNC, SyncReply, SyncRequest
+from ashlatch.gateway.knowledge import Knowledge
+from ashlatch.gateway.logs import (
+    ConfigurationApplied,
+    EndpointsReplaced,
+    FleetLost,
+    FleetRegained,
+    RolloutLearnt,
+)
+from ashlatch.gateway.routing import RouteTable
+from ashlatch.log import emit
+from ashlatch.platform.document import DocumentError, decode_catalog
+
+__all__ = ["FleetLink"]
+
+log = logging.getLogger("ashlatch.gateway")
+
+# A core VM that does not answer in this time beyond the wait is left.
+TIMEOUT_MARGIN_S = 0.6
+RETRY_S = 0.1
+# Without word from the core for this long, the list is read directly; the
+# pause between reads is drawn, so that gateways do not read together.
+ALONE_MS = 2500.0
+ALONE_READ_S = (1.5, 2.5)
+# A gateway that starts while no core VM is in touch with a leader serves with
+# what an old one knows after this time.
+SETTLE_MS = 4000.0
+
+
+class FleetLink:
+    """The way to the core. `run` and `read_alone` run for ever."""
+
+    def __init__(
+        self,
+        known: Knowledge,
+        seeds: Callable[[], tuple[str, ...]],
+        list_address: str,
+        wait_ms: float,
+    ) -> None:
+        self._known = known
+        self._seeds = seeds
+        self._reader = ListReader(list_address)
+        self._wait_ms = wait_ms
+        self._book = PeerBook()
+        self._members: tuple[str, ...] = ()
+        self._member = ""
+        self._document_version = 0
+        self._rollout_number = 0
+        self._loop = asyncio.get_running_loop()
+        self._begun_ms = self._now_ms()
+        self._heard_ms = float("-inf")
+        self._lost_since_ms: float | None = None
+
+    @property
+    def settled(self) -> bool:
+        """Whether what is known may be served by: it was current once."""
+        heard = self._heard_ms > float("-inf")
+        return heard or self._now_ms() - self._begun_ms > SETTLE_MS
+
+    async def run(self) -> None:
+        """Ask for news again and again."""
+        while True:
+            address = self._member or self._next_member()
+            tallies = self._known.tallies.take()
+            request = SyncRequest(
+                self._known.vm,
+                (self._known.vm,),
+                self._document_version,
+                self._known.directory.order,
+                self._rollout_number,
+                self._wait_ms,
+                tallies,
+            )
+            try:
+                reply: SyncReply = await self._book.peer(address).call(
+                    SYNC, request, self._wait_ms / 1000.0 + TIMEOUT_MARGIN_S
+                )
+            except TransportError as error:
+                self._known.tallies.add(tallies)
+                self._lose(address, error.reason)
+                await asyncio.sleep(RETRY_S)
+                continue
+            self._take(address, reply)
+            if not reply.current:
+                self._lose(address, "has lost its leader")
+                await asyncio.sleep(RETRY_S)
+
+    async def read_alone(self) -> None:
+        """Read the list while the core is away."""
+        while True:
+            await asyncio.sleep(random.uniform(*ALONE_READ_S))
+            if self._now_ms() - max(self._heard_ms, self._begun_ms) < ALONE_MS:
+                continue
+            try:
+                endpoints = await self._reader.read()
+            except ListUnreadable as error:
+                self._known.metrics.count("list_unread")
+                log.warning("", extra={"event": "list_unread", "reason": error.reason})
+                continue
+            epoch, number = self._known.directory.order
+            self._replace(EndpointList(epoch, number, endpoints), "platform")
+
+    # What was learnt.
+
+    def _take(self, address: str, reply: SyncReply) -> None:
+        if reply.members:
+            self._members = reply.members
+            self._book.keep_only({*reply.members, *self._seeds()})
+        if reply.document and reply.document_version > self._document_version:
+            self._apply(reply.document_version, reply.document)
+        if reply.endpoints is not None:
+            self._replace(reply.endpoints, address)
+        for rollout in self._known.versions.learn(reply.rollouts):
+            learnt = RolloutLearnt(
+                rollout.service,
+                rollout.version,
+                rollout.stage.value,
+                rollout.share,
+                rollout.number,
+            )
+            emit(log, learnt)
+            self._rollout_number = max(self._rollout_number, rollout.number)
+        if reply.current:
+            self._known.gateways = reply.gateways
+            self._regain(address)
+
+    def _apply(self, version: int, document: bytes) -> None:
+        try:
+            catalog = decode_catalog(document)
+        except DocumentError as error:
+            # It was checked before it was committed, by a core VM that runs
+            # another release: go on with the one before.
+            detail = str(error.exceptions[0])
+            log.error("", extra={"event": "document_unreadable", "detail": detail})
+            return
+        table = self._known.table
+        before = table.catalog.version if table else 0
+        self._known.table = RouteTable(catalog)
+        self._document_version = version
+        applied = ConfigurationApplied(
+            version, before, len(catalog.routes), len(catalog.organisations)
+        )
+        emit(log, applied)
+
+    def _replace(self, endpoints: EndpointList, source: str) -> None:
+        if not self._known.directory.replace(endpoints, self._now_ms()):
+            return
+        self._known.pool.forget(self._known.directory.instances())
+        leaving = sum(e.leaving for e in endpoints.endpoints)
+        count = len(endpoints.endpoints)
+        replaced = EndpointsReplaced(*endpoints.order, count, leaving, source)
+        emit(log, replaced)
+
+    # Which core VM is asked.
+
+    def _next_member(self) -> str:
+        known = dict.fromkeys((*self._members, *self._seeds()))
+        self._member = random.choice(tuple(known))
+        return self._member
+
+    def _lose(self, address: str, reason: str) -> None:
+        others = [a for a in (*self._members, *self._seeds()) if a != address]
+        self._member = random.choice(others) if others else address
+        if self._lost_since_ms is not None:
+            return
+        self._lost_since_ms = self._now_ms()
+        lost = FleetLost(address, reason, self._document_version)
+        emit(log, lost, logging.WARNING)
+
+    def _regain(self, address: str) -> None:
+        self._heard_ms = self._now_ms()
+        if self._lost_since_ms is not None:
+            away_ms = int(self._heard_ms - self._lost_since_ms)
+            emit(log, FleetRegained(address, away_ms))
+            self._lost_since_ms = None
+
+    def _now_ms(self) -> float:
+        return self._loop.time() * 1000.0
--- /dev/null
+++ b/ashlatch/gateway/versions.py
@@ -0,0 +1,111 @@
+"""
+ashlatch.gateway.versions
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Which version of a service a request goes to while one is rolled out. A
+session that runs stays on its version in the trial; once the new version has
+proved itself, sessions go over to it and do not come back.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ashlatch.catalog import Rollout, RolloutStage
+from ashlatch.gateway.directory import EndpointState
+from ashlatch.gateway.routing import fraction
+
+__all__ = ["SessionVersions", "VersionChooser"]
+
+# Sessions are forgotten this much after they have ended.
+SESSION_MARGIN_MS = 1000.0
+SESSIONS_MAX = 20_000
+
+
+@dataclass
+class _Seen:
+    version: str
+    at_ms: float
+
+
+@dataclass
+class SessionVersions:
+    """The version that last answered each session at this gateway."""
+
+    session_ms: float
+    _seen: dict[str, _Seen] = field(default_factory=dict)
+
+    def note(self, service: str, session: str, version: str, now_ms: float) -> None:
+        """A request of the session is at this version now, or was until now."""
+        if not session:
+            return
+        self._seen.pop(f"{service}/{session}", None)
+        self._seen[f"{service}/{session}"] = _Seen(version, now_ms)
+        while len(self._seen) > SESSIONS_MAX:
+            del self._seen[next(iter(self._seen))]
+
+    def version(self, service: str, session: str, now_ms: float) -> str:
+        """The version of a session that still runs, or empty."""
+        seen = self._seen.get(f"{service}/{session}")
+        if seen is None or not session:
+            return ""
+        recent = now_ms - seen.at_ms < self.session_ms + SESSION_MARGIN_MS
+        return seen.version if recent else ""
+
+
+@dataclass
+class VersionChooser:
+    """The roll-outs that are known, and what follows from them."""
+
+    sessions: SessionVersions
+    rollouts: dict[str, Rollout] = field(default_factory=dict)
+
+    def learn(self, rollouts: Iterable[Rollout]) -> list[Rollout]:
+        """Take what is newer than known, and return it."""
+        newer = [r for r in rollouts if r.number > self._number(r.service)]
+        for rollout in newer:
+            self.rollouts[rollout.service] = rollout
+        return newer
+
+    def allowed(
+        self,
+        service: str,
+        session: str,
+        request_id: str,
+        states: Iterable[EndpointState],
+        now_ms: float,
+    ) -> list[EndpointState]:
+        """Those endpoints whose version the request may run on.
+
+        When no endpoint of the preferred version is listed, the other version
+        serves, but never one that has been rolled back.
+        """
+        listed = list(states)
+        rollout = self.rollouts.get(service)
+        if rollout is None:
+            return listed
+        new = [s for s in listed if s.endpoint.version == rollout.version]
+        old = [s for s in listed if s.endpoint.version != rollout.version]
+        if rollout.stage is RolloutStage.ROLLED_BACK:
+            return old
+        if self._prefers_new(rollout, session, request_id, now_ms):
+            return new or old
+        return old or new
+
+    def _prefers_new(
+        self, rollout: Rollout, session: str, request_id: str, now_ms: float
+    ) -> bool:
+        if rollout.stage is RolloutStage.COMPLETED:
+            return True
+        before = self.sessions.version(rollout.service, session, now_ms)
+        if before == rollout.version:
+            return True
+        if before and rollout.stage is RolloutStage.TRIAL:
+            return False
+        return fraction(f"{rollout.version}/{session or request_id}") < rollout.share
+
+    def _number(self, service: str) -> int:
+        known = self.rollouts.get(service)
+        return known.number if known else 0
--- /dev/null
+++ b/ashlatch/http/upstream.py
@@ -0,0 +1,204 @@
+"""
+ashlatch.http.upstream
+~~~~~~~~~~~~~~~~~~~~~~
+
+One HTTP/1.1 connection to an endpoint, for asyncio, read and written by
+`h11`. It serves one request at a time and says exactly how it ended: whether
+the answer was whole, and whether the connection may be used again.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+import h11
+
+from ashlatch.errors import AshlatchError
+from ashlatch.http.listener import Headers, keep_alive
+
+__all__ = ["ConnectFailed", "Upstream", "UpstreamBroken"]
+
+# More than this is not read ahead of who passes it on.
+READ_AHEAD_MAX_BYTES = 1_048_576
+
+
+@dataclass
+class ConnectFailed(AshlatchError):
+    """No connection came to be, so nothing was sent."""
+
+    address: str
+    reason: str
+
+
+@dataclass
+class UpstreamBroken(AshlatchError):
+    """The connection ended, or carried what is no answer, before the end."""
+
+    address: str
+    reason: str
+
+
+class Upstream(asyncio.Protocol):
+    """A connection to one address; made by `Upstream.connect`."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.idle_since_s = 0.0
+        self.requests = 0
+        self._loop = asyncio.get_running_loop()
+        self._http = h11.Connection(h11.CLIENT)
+        self._transport: asyncio.Transport | None = None
+        self._news: asyncio.Future[None] | None = None
+        self._in_use = True
+        self._lost = ""
+        self._unread_bytes = 0
+
+    @classmethod
+    async def connect(cls, address: str, timeout_s: float) -> "Upstream":
+        """Open a connection; raises `ConnectFailed`."""
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeout_s):
+                _, protocol = await loop.create_connection(
+                    lambda: cls(address), host, int(port)
+                )
+        except TimeoutError as error:
+            raise ConnectFailed(address, "timeout") from error
+        except OSError as error:
+            raise ConnectFailed(address, type(error).__name__) from error
+        return protocol
+
+    # What asyncio calls.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection stands."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        keep_alive(transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes have come; while idle, none may."""
+        if not self._in_use:
+            # It belongs to no request, so nothing after it can be trusted.
+            self.abort()
+            return
+        self._http.receive_data(data)
+        self._unread_bytes += len(data)
+        if self._unread_bytes > READ_AHEAD_MAX_BYTES and self._transport is not None:
+            self._transport.pause_reading()
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """The endpoint sends no more."""
+        if not self._in_use:
+            self.abort()
+            return False
+        self._http.receive_data(b"")
+        self._wake()
+        return True
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """The connection is gone."""
+        self._lost = type(error).__name__ if error else "closed"
+        self._transport = None
+        self._wake()
+
+    # What the request's task calls.
+
+    @property
+    def usable(self) -> bool:
+        """Whether another request may be sent."""
+        transport = self._transport
+        ready = self._http.our_state is h11.IDLE
+        return ready and transport is not None and not transport.is_closing()
+
+    def take(self) -> None:
+        """Use the connection for a request."""
+        self._in_use = True
+
+    def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
+        """Send a whole request; raises `UpstreamBroken`."""
+        if self._transport is None or self._transport.is_closing():
+            raise UpstreamBroken(self.address, self._lost or "closing")
+        self.requests += 1
+        head = h11.Request(method=method, target=target, headers=headers)
+        data = self._http.send(head)
+        if body:
+            data = (data or b"") + (self._http.send(h11.Data(data=body)) or b"")
+        data = (data or b"") + (self._http.send(h11.EndOfMessage()) or b"")
+        self._transport.write(data)
+
+    async def head(self) -> h11.Response:
+        """The head of the answer; raises `UpstreamBroken`."""
+        while True:
+            event = await self._next()
+            if isinstance(event, h11.Response):
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise UpstreamBroken(self.address, "no answer")
+
+    async def part(self) -> bytes | None:
+        """The next part of the body, or none at its end."""
+        event = await self._next()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise UpstreamBroken(self.address, "no body")
+
+    def release(self, now_s: float) -> bool:
+        """After a whole answer: whether the connection may be kept.
+
+        It may not when the other side will close it, when more came than the
+        answer, or when the request was answered before all of it was sent.
+        """
+        transport = self._transport
+        done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+        unsent = transport is not None and transport.get_write_buffer_size() > 0
+        if not done or unsent or self._http.trailing_data != (b"", False):
+            self.abort()
+            return False
+        if transport is None or transport.is_closing():
+            return False
+        self._http.start_next_cycle()
+        self._in_use = False
+        self.idle_since_s = now_s
+        return True
+
+    def abort(self) -> None:
+        """End the connection at once; the endpoint drops what it runs."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    # Inside.
+
+    def _wake(self) -> None:
+        if self._news is not None and not self._news.done():
+            self._news.set_result(None)
+
+    async def _next(self) -> h11.Event:
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                raise UpstreamBroken(self.address, str(error)) from error
+            if event is h11.NEED_DATA:
+                await self._more()
+            elif isinstance(event, h11.Event):
+                return event
+            else:
+                raise UpstreamBroken(self.address, "data after the answer")
+
+    async def _more(self) -> None:
+        if self._lost or self._transport is None:
+            raise UpstreamBroken(self.address, self._lost or "closed")
+        self._unread_bytes = 0
+        self._transport.resume_reading()
+        self._news = self._loop.create_future()
+        try:
+            await self._news
+        finally:
+            self._news = None
--- a/ashlatch/log.py
+++ b/ashlatch/log.py
@@ -5,14 +5,21 @@
 Logs: one line of key=value pairs for each event. An event is a data class
 with a class attribute `event`, its name in the log; its fields are the pairs.
 
+Lines are written by a thread of their own, so that a reader of the logs who
+does not read never holds up a request. What does not fit into the queue
+meanwhile is left out and counted.
+
 :copyright: Copyright 2026 by the ashlatch maintainers.
 :license: MIT, see LICENSE for details.
 """
 
+import atexit
 import dataclasses
 import json
 import logging
 import sys
+import threading
+from collections import deque
 from dataclasses import dataclass
 from typing import Any, ClassVar, TextIO
 
@@ -22,11 +29,20 @@
     "DaemonFailed",
     "DaemonStarted",
     "DaemonStopped",
+    "LinesLeftOut",
     "LogEvent",
+    "QueueHandler",
     "emit",
     "setup",
 ]
 
+# Lines that wait for the reader of the logs; about 2 MB.
+QUEUE_LINES = 8192
+# Lines that come within this time are written together.
+BATCH_S = 0.1
+# How long the end of a process waits for the reader of the logs.
+FLUSH_TIMEOUT_S = 0.2
+
 _PLAIN = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/,@%+|()"
 )
@@ -88,9 +104,66 @@
     return " ".join(f"{key}={_text(value)}" for key, value in record.items())
 
 
+@dataclass(frozen=True)
+class LinesLeftOut(LogEvent):
+    """The reader of the logs was too slow; this many lines are missing."""
+
+    event: ClassVar[str] = "lines_left_out"
+    lines: int
+
+
+class QueueHandler(logging.Handler):
+    """Formats lines at once and has a thread write them, several together."""
+
+    def __init__(self, stream: TextIO, lines_max: int = QUEUE_LINES) -> None:
+        super().__init__()
+        self._stream = stream
+        self._lines: deque[str] = deque()
+        self._lines_max = lines_max
+        self._left_out = 0
+        self._ready = threading.Event()
+        self._writing = threading.Lock()
+        self._thread = threading.Thread(target=self._run, name="log", daemon=True)
+        self._thread.start()
+        atexit.register(self.flush)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queue one line, unless the queue is full."""
+        if len(self._lines) >= self._lines_max:
+            self._left_out += 1
+            return
+        self._lines.append(self.format(record))
+        self._ready.set()
+
+    def flush(self) -> None:
+        """Write what is queued, unless the reader holds the thread up."""
+        if self._writing.acquire(timeout=FLUSH_TIMEOUT_S):
+            try:
+                self._write()
+            finally:
+                self._writing.release()
+
+    def _run(self) -> None:
+        while True:
+            self._ready.wait()
+            self._ready.clear()
+            with self._writing:
+                self._write()
+            threading.Event().wait(BATCH_S)
+
+    def _write(self) -> None:
+        lines = [self._lines.popleft() for _ in range(len(self._lines))]
+        if self._left_out:
+            left_out, self._left_out = self._left_out, 0
+            lines.append(f"event={LinesLeftOut.event} lines={left_out}")
+        if lines:
+            self._stream.write("\n".join(lines) + "\n")
+            self._stream.flush()
+
+
 def setup(stream: TextIO | None = None, level: str = "INFO") -> None:
     """Send the logs of all `ashlatch.*` loggers to a stream (standard error)."""
-    handler = logging.StreamHandler(stream or sys.stderr)
+    handler = QueueHandler(stream or sys.stderr)
     formatter = JsonFormatter(
         "%(asctime)s %(levelname)s %(name)s",
         rename_fields={"asctime": "at", "levelname": "level", "name": "logger"},
--- a/ashlatch/metrics.py
+++ b/ashlatch/metrics.py
@@ -13,7 +13,9 @@
 
 from hdrh.histogram import HdrHistogram
 
-__all__ = ["Metrics"]
+from ashlatch.http.listener import HttpListener, HttpRequest, Responder
+
+__all__ = ["Metrics", "serve_metrics"]
 
 LOWEST_US = 1
 HIGHEST_US = 600_000_000
@@ -60,3 +62,17 @@
         value_ms = histogram.get_value_at_percentile(percentile) / 1000.0
         lines.append(f'ashlatch_{name}_ms{{percentile="{percentile:g}"}} {value_ms}')
     return lines
+
+
+async def serve_metrics(metrics: Metrics, host: str, port: int) -> HttpListener:
+    """Serve the metrics as text at `/metrics` of an address."""
+
+    async def handle(request: HttpRequest, responder: Responder) -> None:
+        found = request.target == "/metrics"
+        body = metrics.text().encode() if found else b""
+        kind = [(b"Content-Type", b"text/plain; charset=utf-8")]
+        responder.respond(200 if found else 404, kind, body)
+
+    listener = HttpListener(handle)
+    await listener.start(host, port)
+    return listener
--- /dev/null
+++ b/ashlatch/platform/document.py
@@ -0,0 +1,276 @@
+"""
+ashlatch.platform.document
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Reads the configuration document that operators send, checks it whole, and
+turns it into a `Catalog`. Also reads orders to roll out a version.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import msgspec
+
+from ashlatch.catalog import (
+    Catalog,
+    CatalogLimits,
+    EngineSpec,
+    ModelPrice,
+    Organisation,
+    Repeat,
+    Rollout,
+    RolloutStage,
+    Route,
+    Service,
+    ServiceShare,
+)
+from ashlatch.errors import FieldError
+
+__all__ = [
+    "DocumentError",
+    "RolloutOrder",
+    "decode_catalog",
+    "decode_rollout_order",
+    "encode_rollout_state",
+]
+
+
+class DocumentError(ExceptionGroup):
+    """All that is wrong with a document, one `FieldError` each."""
+
+    @property
+    def problems(self) -> list[FieldError]:
+        """The errors by their type."""
+        return [e for e in self.exceptions if isinstance(e, FieldError)]
+
+
+class _Model(msgspec.Struct, frozen=True):
+    name: str
+    cost: float = 0.0
+
+
+class _Engine(msgspec.Struct, frozen=True, rename="camel"):
+    slots: int = 1
+    # Tokens of prompts and answers that fit into an engine's memory.
+    kv_capacity: int = 0
+    # Tokens that one event of a stream holds.
+    stride: int = 1
+    models: tuple[_Model, ...] = ()
+
+
+class _Service(msgspec.Struct, frozen=True, rename="camel"):
+    name: str
+    # Connections that one endpoint accepts from all gateways together.
+    max_conns: int = 64
+    engine: _Engine | None = None
+
+
+class _Share(msgspec.Struct, frozen=True):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, frozen=True, rename="camel"):
+    name: str
+    host: str
+    path_prefix: str
+    timeout_ms: float
+    # One of `stream`, `idempotent` and `non_idempotent`.
+    route_kind: str = "non_idempotent"
+    slo_ms: float = 0.0
+    itl_target_ms: float = 0.0
+    priority: int = 0
+    max_attempts: int = 1
+    anonymous: bool = False
+    # Set on routes whose requests share parts of prompts; not a session rule.
+    sticky: bool = False
+    resumable: bool = False
+    # The names of models, not numbers.
+    sizes: tuple[str, ...] = ()
+    service: str = ""
+    split: tuple[_Share, ...] = ()
+
+
+class _Limits(msgspec.Struct, frozen=True, rename="camel"):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Tenant(msgspec.Struct, frozen=True, rename="camel"):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+class _Document(msgspec.Struct, frozen=True):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+    limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] = ()
+
+
+_KINDS = ("stream", "idempotent", "non_idempotent")
+_DECODER = msgspec.json.Decoder(_Document)
+
+
+def decode_catalog(body: bytes) -> Catalog:
+    """Read a document; raises `DocumentError` when anything in it is wrong."""
+    try:
+        document = _DECODER.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        unreadable = FieldError("(document)", f"{len(body)} bytes", str(error))
+        raise DocumentError("configuration", [unreadable]) from error
+    wrong = list(_problems(document))
+    if wrong:
+        raise DocumentError("configuration", wrong)
+    return Catalog(
+        document.version,
+        tuple(_route(route) for route in document.routes),
+        tuple(_service(service) for service in document.services),
+        tuple(Organisation(t.name, t.api_keys, t.priority) for t in document.tenants),
+        _limits(document.limits),
+    )
+
+
+def _problems(document: _Document) -> Iterator[FieldError]:
+    if document.version < 1:
+        yield FieldError("version", str(document.version), "must be 1 or more")
+    yield from _repeated("services.name", [s.name for s in document.services])
+    yield from _repeated("tenants.name", [t.name for t in document.tenants])
+    keys = [key for tenant in document.tenants for key in tenant.api_keys]
+    yield from _repeated("tenants.apiKeys", keys)
+    places = [f"{route.host}{route.path_prefix}" for route in document.routes]
+    yield from _repeated("routes.pathPrefix", places)
+    services = {service.name for service in document.services}
+    for route in document.routes:
+        yield from _route_problems(route, services)
+
+
+def _repeated(field: str, values: list[str]) -> Iterator[FieldError]:
+    for value, times in Counter(values).items():
+        if times > 1:
+            yield FieldError(field, value, "must not stand twice")
+
+
+def _route_problems(route: _Route, services: set[str]) -> Iterator[FieldError]:
+    field = f"routes.{route.name}"
+    if route.timeout_ms <= 0:
+        yield FieldError(f"{field}.timeoutMs", str(route.timeout_ms), "must be above 0")
+    if route.route_kind not in _KINDS:
+        rule = f"must be one of {', '.join(_KINDS)}"
+        yield FieldError(f"{field}.routeKind", route.route_kind, rule)
+    prefix = route.path_prefix
+    if not (prefix.startswith("/") and prefix.endswith("/")):
+        rule = "must begin and end with a slash"
+        yield FieldError(f"{field}.pathPrefix", prefix, rule)
+    shares = _shares(route)
+    if not shares or sum(share.weight for share in shares) <= 0:
+        yield FieldError(f"{field}.split", "", "must have weights that add up")
+    for share in shares:
+        if share.service not in services:
+            yield FieldError(f"{field}.service", share.service, "must be a service")
+        if share.weight < 0:
+            rule = "must not be negative"
+            yield FieldError(f"{field}.split", str(share.weight), rule)
+
+
+def _shares(route: _Route) -> tuple[ServiceShare, ...]:
+    if route.split:
+        return tuple(ServiceShare(s.service, s.weight) for s in route.split)
+    return (ServiceShare(route.service, 1.0),) if route.service else ()
+
+
+def _repeat(route: _Route) -> Repeat:
+    if route.route_kind == "stream":
+        return Repeat.RESUME if route.resumable else Repeat.NEVER
+    return Repeat.FREELY if route.route_kind == "idempotent" else Repeat.NEVER
+
+
+def _route(route: _Route) -> Route:
+    return Route(
+        route.name,
+        route.host.lower(),
+        route.path_prefix,
+        _repeat(route),
+        route.route_kind == "stream",
+        route.timeout_ms,
+        route.slo_ms,
+        route.itl_target_ms,
+        route.priority,
+        max(1, route.max_attempts),
+        route.anonymous,
+        route.sticky,
+        route.sizes,
+        _shares(route),
+    )
+
+
+def _service(service: _Service) -> Service:
+    engine = service.engine
+    spec = None
+    if engine is not None:
+        prices = tuple(ModelPrice(m.name, m.cost) for m in engine.models)
+        spec = EngineSpec(engine.slots, engine.kv_capacity, engine.stride, prices)
+    return Service(service.name, service.max_conns, spec)
+
+
+def _limits(limits: _Limits) -> CatalogLimits:
+    return CatalogLimits(
+        limits.max_header_bytes,
+        limits.max_body_bytes,
+        limits.header_timeout_ms,
+        limits.idle_timeout_ms,
+    )
+
+
+@dataclass(frozen=True)
+class RolloutOrder:
+    """Move a service's traffic to the endpoints of a version within a time."""
+
+    service: str
+    version: str
+    duration_ms: float
+
+
+class _RolloutOrder(msgspec.Struct, frozen=True, rename="camel"):
+    service: str
+    target_version: str
+    duration_s: float
+
+
+class _RolloutState(msgspec.Struct, frozen=True, rename="camel"):
+    state: str
+    target_version: str
+
+
+def decode_rollout_order(body: bytes) -> RolloutOrder:
+    """Read an order to roll out; raises `DocumentError`."""
+    try:
+        order = msgspec.json.decode(body, type=_RolloutOrder)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        unreadable = FieldError("(document)", f"{len(body)} bytes", str(error))
+        raise DocumentError("rollout", [unreadable]) from error
+    if order.duration_s <= 0 or not order.service or not order.target_version:
+        wrong = FieldError("durationS", str(order.duration_s), "must be above 0")
+        raise DocumentError("rollout", [wrong])
+    return RolloutOrder(order.service, order.target_version, order.duration_s * 1000.0)
+
+
+_STATES = {
+    RolloutStage.TRIAL: "in_progress",
+    RolloutStage.SHIFT: "in_progress",
+    RolloutStage.COMPLETED: "completed",
+    RolloutStage.ROLLED_BACK: "rolled_back",
+}
+
+
+def encode_rollout_state(rollout: Rollout) -> bytes:
+    """The answer to a question about a roll-out."""
+    return msgspec.json.encode(_RolloutState(_STATES[rollout.stage], rollout.version))
--- /dev/null
+++ b/ashlatch/platform/headers.py
@@ -0,0 +1,264 @@
+"""
+ashlatch.platform.headers
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The platform's HTTP headers: read from callers' requests and endpoints'
+answers, and written to both.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from dataclasses import dataclass
+
+import h11
+
+from ashlatch.errors import AshlatchError
+from ashlatch.gateway.message import (
+    AnswerHead,
+    Ask,
+    Dispatch,
+    LoadFigures,
+    PromptPart,
+    RefusalReason,
+)
+from ashlatch.http.listener import Headers, HttpRequest
+
+__all__ = [
+    "MalformedRequest",
+    "decode_answer",
+    "decode_ask",
+    "endpoint_headers",
+    "refusal_headers",
+]
+
+# Names the request for as long as it lives, at callers and endpoints alike.
+_REQUEST_ID = b"x-attempt-id"
+# How long the caller waits, counted from the request; not a point in time.
+_PATIENCE = b"x-deadline-ms"
+_KEY = b"authorization"
+_ORGANISATION = b"x-tenant"
+_INSTANCE = b"x-expect-instance"
+_URGENCY = b"x-request-priority"
+_MODEL = b"x-model"
+# The prompt's tokens and the most tokens of the answer.
+_TOKENS = b"x-token-count"
+_PROMPT = b"x-prompt-prefix"
+_SESSION = b"session"
+_LAST_EVENT = b"last-event-id"
+# Stands on every answer that an endpoint's own program made.
+_SEAL = b"x-server-seal"
+# On a 503, 429, 421 or 400 of an endpoint: the request has not run there.
+_NOT_RUN = b"x-not-executed"
+_CONFIDENCE = b"x-confidence"
+_LOAD = b"x-server-load"
+_KEEP_ALIVE = b"keep-alive"
+
+# Another endpoint than the expected one answers with this, and runs nothing.
+_MISDIRECTED = 421
+
+# A caller's model of this name leaves the choice to the gateway.
+_ANY_MODEL = "*"
+
+_OF_CONNECTION = frozenset(
+    {
+        b"connection",
+        _KEEP_ALIVE,
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    }
+)
+# Callers may send these, but only the gateway may set them at an endpoint:
+# orders about an engine's memory, its queue and its identity.
+_GATEWAYS_OWN = frozenset(
+    {
+        _KEY,
+        _ORGANISATION,
+        _INSTANCE,
+        _URGENCY,
+        _PATIENCE,
+        b"x-expect-version",
+        b"x-kv-hold",
+        b"x-kv-backup",
+        b"x-pin-ms",
+        b"kv-from",
+        b"kv-fetch",
+        b"wait-ms",
+    }
+)
+_TAKEN_OFF = _OF_CONNECTION | _GATEWAYS_OWN | {b"content-length"}
+# A caller's `Connection` header cannot have these dropped on the way.
+_KEPT = frozenset({b"host", _REQUEST_ID, _MODEL, _TOKENS, _PROMPT, _LAST_EVENT})
+_MEMORY_ORDER_PREFIXES = (b"x-kv-", b"kv-")
+
+
+@dataclass
+class MalformedRequest(AshlatchError):
+    """A header that is needed is missing, or has no meaning."""
+
+    header: str
+    value: str
+
+
+def decode_ask(request: HttpRequest) -> Ask:
+    """Read a caller's request; raises `MalformedRequest`."""
+    known = _by_name(request.headers)
+    for header in (_REQUEST_ID, _PATIENCE, _KEY, b"host"):
+        if len(known.get(header, [])) > 1:
+            raise MalformedRequest(header.decode(), "must not stand twice")
+    request_id = _first(known, _REQUEST_ID)
+    if not request_id:
+        raise MalformedRequest(_REQUEST_ID.decode(), "")
+    prompt_tokens, answer_tokens_max = _token_counts(_first(known, _TOKENS))
+    model = _first(known, _MODEL)
+    return Ask(
+        request_id,
+        request.method,
+        request.target,
+        _first(known, b"host").lower(),
+        _passed_on(request.headers, known),
+        request.body,
+        request.received_s,
+        _patience_ms(_first(known, _PATIENCE)),
+        _bearer(_first(known, _KEY)),
+        "" if model == _ANY_MODEL else model,
+        bool(model),
+        prompt_tokens,
+        answer_tokens_max,
+        _prompt_parts(_first(known, _PROMPT)),
+        _first(known, _SESSION),
+        _first(known, _LAST_EVENT),
+    )
+
+
+def endpoint_headers(ask: Ask, dispatch: Dispatch) -> Headers:
+    """The headers of a request as it goes to an endpoint."""
+    set_here = {_MODEL} if dispatch.model else set()
+    if dispatch.resume_after:
+        set_here.add(_LAST_EVENT)
+    headers = [pair for pair in ask.passed_on if pair[0].lower() not in set_here]
+    if dispatch.model:
+        headers.append((b"X-Model", dispatch.model.encode()))
+    if dispatch.resume_after:
+        headers.append((b"Last-Event-Id", dispatch.resume_after.encode()))
+    remaining_ms = max(1, int(dispatch.remaining_ms))
+    headers.append((b"X-Deadline-Ms", str(remaining_ms).encode()))
+    headers.append((b"X-Expect-Instance", dispatch.instance.encode()))
+    if dispatch.organisation:
+        headers.append((b"X-Tenant", dispatch.organisation.encode()))
+    if dispatch.urgency is not None:
+        headers.append((b"X-Request-Priority", str(dispatch.urgency).encode()))
+    if ask.body or ask.method not in ("GET", "HEAD", "DELETE"):
+        headers.append((b"Content-Length", str(len(ask.body)).encode()))
+    return headers
+
+
+def decode_answer(response: h11.Response) -> AnswerHead:
+    """Read the head of an endpoint's answer."""
+    raw = response.headers.raw_items()
+    known = _by_name(raw)
+    status = response.status_code
+    return AnswerHead(
+        status,
+        [pair for pair in raw if pair[0].lower() not in _OF_CONNECTION],
+        _first(known, _REQUEST_ID),
+        _SEAL in known,
+        _NOT_RUN in known or status == _MISDIRECTED,
+        _first(known, b"content-encoding").lower() not in ("", "identity"),
+        _number(_first(known, _CONFIDENCE)),
+        _load(_first(known, _LOAD)),
+        _idle_s(_first(known, _KEEP_ALIVE)),
+    )
+
+
+def refusal_headers(
+    request_id: str, reason: RefusalReason, retry_after_s: float | None
+) -> Headers:
+    """The headers of an answer that the gateway gives by itself."""
+    headers = [(b"Content-Type", b"application/problem+json")]
+    if request_id:
+        headers.append((b"X-Attempt-Id", request_id.encode()))
+    headers.append((b"X-Ashlatch-Reason", reason.value.encode()))
+    if retry_after_s is not None:
+        headers.append((b"Retry-After", f"{retry_after_s:.2f}".encode()))
+    return headers
+
+
+def _by_name(headers: Headers) -> dict[bytes, list[bytes]]:
+    known: dict[bytes, list[bytes]] = {}
+    for name, value in headers:
+        known.setdefault(name.lower(), []).append(value)
+    return known
+
+
+def _first(known: dict[bytes, list[bytes]], name: bytes) -> str:
+    values = known.get(name)
+    return values[0].decode("latin-1").strip() if values else ""
+
+
+def _passed_on(headers: Headers, known: dict[bytes, list[bytes]]) -> Headers:
+    named = b",".join(known.get(b"connection", []))
+    of_connection = {name.strip().lower() for name in named.split(b",")} - _KEPT
+    return [
+        (name, value)
+        for name, value in headers
+        if name.lower() not in _TAKEN_OFF
+        and name.lower() not in of_connection
+        and not name.lower().startswith(_MEMORY_ORDER_PREFIXES)
+    ]
+
+
+def _bearer(text: str) -> str:
+    scheme, _, key = text.partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+def _patience_ms(text: str) -> float | None:
+    if not text:
+        return None
+    patience_ms = _number(text)
+    if patience_ms is None or patience_ms < 0:
+        raise MalformedRequest(_PATIENCE.decode(), text)
+    return patience_ms
+
+
+def _number(text: str) -> float | None:
+    try:
+        return float(text) if text else None
+    except ValueError:
+        return None
+
+
+def _token_counts(text: str) -> tuple[int, int]:
+    prompt, _, answer = text.partition(",")
+    return int(_number(prompt) or 0), int(_number(answer) or 0)
+
+
+def _prompt_parts(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for item in text.split(",") if text else ():
+        part_id, _, tokens = item.strip().partition(":")
+        parts.append(PromptPart(part_id, int(_number(tokens) or 0)))
+    return tuple(parts)
+
+
+def _load(text: str) -> LoadFigures | None:
+    numbers = text.split(",")
+    if len(numbers) != 3 or not all(number.strip().isdigit() for number in numbers):
+        return None
+    running, waiting, slots = (int(number) for number in numbers)
+    return LoadFigures(running, waiting, max(1, slots))
+
+
+def _idle_s(text: str) -> float | None:
+    for item in text.split(","):
+        name, _, value = item.strip().partition("=")
+        if name.lower() == "timeout":
+            return _number(value)
+    return None
--- a/ashlatch/policy/endpoint.py
+++ b/ashlatch/policy/endpoint.py
@@ -20,6 +20,10 @@
 
 PREFIX_LOAD_BOUND = 1.25
 PREFIX_CHOICES = 2
+# Own endpoints are preferred below this share of taken places, and one that
+# knows the prompt below the other; both from trials with shares of 0.5 to 0.9.
+HALL_SPILL_UTILISATION = 0.6
+AFFINITY_UTILISATION = 0.5
 
 
 @dataclass(frozen=True)
@@ -28,7 +32,8 @@
 
     `requests` is the estimated number at the endpoint now, `reported` the
     number in the last report, `expected_ms` the expected time of a request
-    there, with the way between the halls.
+    there, with the way between the halls. `local` ones are in the chooser's
+    own hall.
     """
 
     endpoint: str
@@ -36,6 +41,7 @@
     reported: float
     slots: int
     expected_ms: float
+    local: bool = True
 
     @property
     def utilisation(self) -> float:
@@ -147,6 +153,36 @@
         return self._fallback.choose(candidates, prefix, generator)
 
 
+@ENDPOINT_POLICIES.add
+class HallAffinity(EndpointPolicy):
+    """Own hall while it has room, and there by bounded rendezvous hashing.
+
+    Traffic between halls costs time and money, and a prompt whose parts an
+    engine has kept costs less to read. Both yield to load.
+    """
+
+    name = "hall_affinity"
+
+    def choose(
+        self, candidates: tuple[Candidate, ...], prefix: str, generator: random.Random
+    ) -> Candidate:
+        """A near endpoint that knows the prefix, or the least loaded one."""
+        near = tuple(
+            c for c in candidates if c.local and c.utilisation < HALL_SPILL_UTILISATION
+        )
+        pool = near or candidates
+        by_name = {c.endpoint: c for c in pool}
+        if prefix:
+            mean = sum(c.utilisation for c in pool) / len(pool)
+            bound = max(AFFINITY_UTILISATION, PREFIX_LOAD_BOUND * mean)
+            for name in rank(tuple(by_name), prefix)[:PREFIX_CHOICES]:
+                if by_name[name].utilisation < bound:
+                    return by_name[name]
+        least = min(c.utilisation for c in pool)
+        equal = [c for c in pool if c.utilisation <= least]
+        return generator.choice(equal)
+
+
 def rank(names: tuple[str, ...], key: str) -> list[str]:
     """Names by rendezvous hashing with a key, the most preferred first."""
     return sorted(
--- a/ashlatch/raft/storage.py
+++ b/ashlatch/raft/storage.py
@@ -137,11 +137,17 @@
     return identity
 
 
-def create_identity(folder: Path, vm: str, disk: Disk | None = None) -> Identity:
-    """Make a data folder with a new identity."""
+def create_identity(
+    folder: Path, vm: str, disk: Disk | None = None, member_id: str = ""
+) -> Identity:
+    """Make a data folder with a new identity.
+
+    A `member_id` is given only by the founders of a group, who must know each
+    other's before any of them runs; else one is drawn.
+    """
     disk = disk or Disk()
     folder.mkdir(parents=True, exist_ok=True)
-    identity = Identity(f"{vm}.{uuid.uuid4().hex[:12]}", vm)
+    identity = Identity(member_id or f"{vm}.{uuid.uuid4().hex[:12]}", vm)
     disk.sync_folder(folder.parent)
     disk.replace_file(folder / _IDENTITY, _frame(encode(identity)))
     return identity
--- a/ashlatch/settings.py
+++ b/ashlatch/settings.py
@@ -19,9 +19,12 @@
 
 __all__ = [
     "ControlSettings",
+    "CoreSettings",
+    "GatewaySettings",
     "HttpLimits",
     "Operator",
     "PolicySettings",
+    "RepeatSettings",
     "RouterSettings",
     "StateSettings",
     "addresses",
@@ -152,6 +155,82 @@
     log_level: str = "INFO"
 
 
+class VmSettings(Settings):
+    """What the daemons of a deployment with seeds have in common.
+
+    `host` is the VM's IP number; `ports` are those that ashlatch may use
+    there, equal on all VMs, the first for calls between its processes.
+    `seeds` are operators' addresses of some core VMs. `list_address` is where
+    the platform lists the endpoints.
+    """
+
+    vm: Name
+    hall: Name
+    host: str
+    ports: tuple[int, int]
+    seeds: tuple[AddressText, ...] = Field(min_length=1)
+    list_address: AddressText
+    list_read_ms: float = Field(default=1000.0, gt=0)
+    sync_wait_ms: float = Field(default=500.0, gt=0)
+    metrics_port: int = Field(default=9464, gt=0, le=PORT_MAX)
+    log_level: str = "INFO"
+
+    @property
+    def rpc_address(self) -> str:
+        """Where other processes of ashlatch call this one."""
+        return f"{self.host}:{self.ports[0]}"
+
+    @property
+    def seed_rpc_addresses(self) -> tuple[str, ...]:
+        """Where the seeds are called; the port is the same on all VMs."""
+        hosts = [seed.rpartition(":")[0] for seed in self.seeds]
+        return tuple(f"{host}:{self.ports[0]}" for host in hosts)
+
+
+class CoreSettings(VmSettings):
+    """Settings of `ashlatch-core`.
+
+    `first_start` is true once, when the whole deployment starts with empty
+    disks. `losses_max` is how many core VMs may be lost at once, disks
+    included.
+    """
+
+    listen: AddressText
+    data_folder: str
+    first_start: bool = False
+    losses_max: int = Field(default=1, ge=0)
+    heartbeat_ms: float = Field(default=120.0, gt=0)
+    election_min_ms: float = Field(default=600.0, gt=0)
+    election_max_ms: float = Field(default=1100.0, gt=0)
+    clock_drift_ratio: float = Field(default=0.05, ge=0, lt=0.5)
+    snapshot_every_records: int = Field(default=200, ge=10)
+
+
+class RepeatSettings(Settings):
+    """How often requests may be sent again, by all gateways together: `ratio`
+    of a service's requests in a window, and `extra` more.
+    """
+
+    ratio: float = Field(default=0.1, ge=0)
+    extra: float = Field(default=10.0, ge=0)
+    window_s: float = Field(default=10.0, gt=0)
+
+
+class GatewaySettings(VmSettings):
+    """Settings of `ashlatch-gateway`.
+
+    `session_s` is the longest pause within a session. A gateway that is asked
+    to stop has `stop_s` before it is killed.
+    """
+
+    listen: AddressText
+    ready: AddressText
+    session_s: float = Field(default=5.0, gt=0)
+    stop_s: float = Field(default=8.0, gt=0)
+    repeats: RepeatSettings = RepeatSettings()
+    endpoint_policy: str = "hall_affinity"
+
+
 def field_errors(error: ValidationError) -> list[FieldError]:
     """What `pydantic` found wrong, a typed error for each field."""
     found = []
