Count the time of a request's head from its own first byte

Cause: bytes of a body that came in a later segment were taken for the start of the next request's head; 3 s later the idle connection was answered 408 and closed while the caller's next request was on its way. Ruled out: exits (no start in that span), refusals (none logged). Change: the time starts only between requests, and ends with each answer.

--- a/ashlatch/http/listener.py
+++ b/ashlatch/http/listener.py
@@ -174,7 +174,8 @@
         self._listener.connections.add(self)
 
     def data_received(self, data: bytes) -> None:
-        if not self.busy and self.head_begun_s is None:
+        between_requests = not self.busy and self._incoming is None
+        if between_requests and self.head_begun_s is None:
             self.head_begun_s = self._loop.time()
         self._http.receive_data(data)
         self._read()
@@ -349,8 +350,8 @@
             self.close()
             return
         self._http.start_next_cycle()
-        if self._http.trailing_data[0]:
-            self.head_begun_s = self._loop.time()
+        ahead = self._http.trailing_data[0]
+        self.head_begun_s = self._loop.time() if ahead else None
         self._transport.resume_reading()
         self._read()
 
