--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -38,6 +38,9 @@
 # times the route's target, and for at least the floor.
 SILENCE_RATIO = 1.5
 SILENCE_MIN_S = 0.3
+# Nor is it given up before this many times the usual time to an answer: when
+# all endpoints are slow, sending again makes them slower.
+SILENCE_USUAL_RATIO = 3.0
 # Between two events a resumable stream may be silent for this many times the
 # longest pause that the route allows.
 EVENT_SILENCE_RATIO = 1.5
@@ -209,7 +212,12 @@
         """How long a send may stay without an answer."""
         if self._route.repeat is Repeat.NEVER or self._sends >= self._attempts_max:
             return max(0.0, self._admission.ends_s - self._loop.time())
-        return max(SILENCE_MIN_S, SILENCE_RATIO * self._route.target_ms / 1000.0)
+        service = self._admission.service.name
+        pace = self._known.pace
+        usual_ms = pace.expected_ms(service, self._model, self._now_ms())
+        aimed_ms = SILENCE_RATIO * self._route.target_ms
+        silence_ms = max(aimed_ms, SILENCE_USUAL_RATIO * usual_ms)
+        return max(SILENCE_MIN_S, silence_ms / 1000.0)
 
     @property
     def _attempts_max(self) -> int:
@@ -221,6 +229,7 @@
         """Whether the request has its answer; else it is to be sent again."""
         head = await attempt.begin(self._silence_s())
         self._note_version(attempt)
+        self._note_pace(attempt)
         if self._route.streams and head.status < 300:
             if self._climbs(attempt, head):
                 return False
@@ -239,7 +248,7 @@
         model = next_model(self._route, self._model, head.confidence)
         if not model or self._events or self._sends >= self._attempts_max:
             return False
-        if not self._spend():
+        if not self._in_time(model) or not self._spend():
             return False
         self._count_answer(attempt)
         self._model = model
@@ -247,6 +256,13 @@
         self._tried.discard(attempt.state.endpoint.instance)
         return True
 
+    def _in_time(self, model: str) -> bool:
+        """Whether an answer that is asked of a model now would begin in time."""
+        service = self._admission.service.name
+        elapsed_ms = (self._loop.time() - self._ask.received_s) * 1000.0
+        expected_ms = self._known.pace.expected_ms(service, model, self._now_ms())
+        return elapsed_ms + expected_ms <= self._route.target_ms
+
     async def _read_whole(self, attempt: Attempt, head: AnswerHead) -> _Whole:
         parts = []
         while (part := await attempt.part(self._silence_s())) is not None:
@@ -369,6 +385,11 @@
             endpoint.service, self._ask.session, endpoint.version, self._now_ms()
         )
 
+    def _note_pace(self, attempt: Attempt) -> None:
+        first_ms = (self._loop.time() - attempt.sent_s) * 1000.0
+        service = self._admission.service.name
+        self._known.pace.began(service, self._model, first_ms, self._now_ms())
+
     def _count_answer(self, attempt: Attempt) -> None:
         attempt.state.succeeded()
         self._note_version(attempt)
--- a/ashlatch/gateway/knowledge.py
+++ b/ashlatch/gateway/knowledge.py
@@ -13,6 +13,7 @@
 
 from ashlatch.gateway.budget import BudgetTerms, RepeatBudget
 from ashlatch.gateway.directory import Directory
+from ashlatch.gateway.pace import Pace
 from ashlatch.gateway.pool import ConnectionPool
 from ashlatch.gateway.routing import RouteTable
 from ashlatch.gateway.tally import Tallies
@@ -39,6 +40,7 @@
     table: RouteTable | None = None
     directory: Directory = field(default_factory=Directory)
     pool: ConnectionPool = field(default_factory=ConnectionPool)
+    pace: Pace = field(default_factory=Pace)
     tallies: Tallies = field(default_factory=Tallies)
     metrics: Metrics = field(default_factory=Metrics)
     budgets: dict[str, RepeatBudget] = field(default_factory=dict)
