--- a/ashlatch/cmdline/daemon.py
+++ b/ashlatch/cmdline/daemon.py
@@ -92,7 +92,7 @@
         signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS | RELOAD_SIGNALS)
         self.error: BaseException | None = None
 
-    def wait(self, reload: Callable[[], None]) -> None:
+    def wait(self, reload: Callable[[], None] = lambda: None) -> None:
         """Wait for a signal, or a failure; on the main thread only.
 
         `reload` is called for each signal that asks for it.
--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -22,7 +22,12 @@
 from ashlatch.fleet.discovery import ListReader
 from ashlatch.fleet.founding import open_member
 from ashlatch.fleet.leader import ListKeeper, RolloutKeeper
-from ashlatch.fleet.logs import MemberRemoved, StandingChanged
+from ashlatch.fleet.logs import (
+    DiskLost,
+    DiskRegained,
+    MemberRemoved,
+    StandingChanged,
+)
 from ashlatch.fleet.machine import Command, FleetMachine, Outcome
 from ashlatch.fleet.membership import (
     PeerBook,
@@ -52,6 +57,7 @@
 from ashlatch.raft.core import RaftConfig
 from ashlatch.raft.effect import AddLearner, Received, RemoveMember
 from ashlatch.raft.group import Group, NotLeading, Standing, monotonic_ms
+from ashlatch.raft.storage import DiskFailed
 from ashlatch.rpc import Address, RpcLoop, RpcService
 from ashlatch.settings import CoreSettings
 from ashlatch.store import protocol as store_protocol
@@ -75,6 +81,8 @@
 LEADER_LOOK_S = 0.05
 SYNC_TIMEOUT_MARGIN_S = 0.7
 FOLLOW_RETRY_S = 0.2
+# How often a data folder is opened again after its disk has refused a write.
+REOPEN_EVERY_S = 0.5
 # The longest document that is taken from an operator.
 DOCUMENT_MAX_BYTES = 16 * 1024 * 1024
 OPERATOR_IDLE_S = 60.0
@@ -87,34 +95,14 @@
         self, settings: CoreSettings, failed: Callable[[BaseException], None]
     ) -> None:
         self.settings = settings
-        self.machine = FleetMachine()
-        self.member, storage = open_member(
-            Path(settings.data_folder),
-            settings.rpc_address,
-            settings.seed_rpc_addresses,
-            settings.first_start,
-        )
-        self.group = Group(
-            RaftConfig(
-                heartbeat_ms=settings.heartbeat_ms,
-                election_min_ms=settings.election_min_ms,
-                election_max_ms=settings.election_max_ms,
-                clock_drift_ratio=settings.clock_drift_ratio,
-            ),
-            storage,
-            self.member.member_id,
-            self.machine,
-            settings.snapshot_every_records,
-        )
         self.rpc = RpcLoop()
         self.metrics = Metrics()
         self._failed = failed
+        self._open()
         self._transport = Transport(
             self.rpc, self.member, lambda message: self.group.post(Received(message))
         )
         self.group.deliver = self._transport.send
-        self.group.changed = lambda: self.rpc.post(self._wake)
-        self.group.failed = failed
         self._book = PeerBook()
         self._tallies = Tallies()
         self._rollouts = RolloutKeeper()
@@ -128,6 +116,60 @@
         self._changed = asyncio.Event()
         self._logged: tuple[object, ...] = ()
 
+    def _open(self) -> None:
+        """Open the data folder; raises `OSError` or `DiskFailed`."""
+        settings = self.settings
+        self.member, storage = open_member(
+            Path(settings.data_folder),
+            settings.rpc_address,
+            settings.seed_rpc_addresses,
+            settings.first_start,
+        )
+        self.machine = FleetMachine()
+        self.group = Group(
+            RaftConfig(
+                heartbeat_ms=settings.heartbeat_ms,
+                election_min_ms=settings.election_min_ms,
+                election_max_ms=settings.election_max_ms,
+                clock_drift_ratio=settings.clock_drift_ratio,
+            ),
+            storage,
+            self.member.member_id,
+            self.machine,
+            settings.snapshot_every_records,
+        )
+        self.group.changed = lambda: self.rpc.post(self._wake)
+        self.group.failed = self._group_failed
+
+    def _group_failed(self, error: BaseException) -> None:
+        """Called on the group's thread when it can go on no more."""
+        if isinstance(error, DiskFailed | OSError):
+            self.rpc.keep(self._reopen(error), self._failed)
+        else:
+            self._failed(error)
+
+    async def _reopen(self, error: BaseException) -> None:
+        """After the disk refused a write, begin again with what it holds.
+
+        The rest of the process serves on meanwhile. What was not synced was
+        promised to nobody.
+        """
+        emit(log, DiskLost(self.member.member_id, str(error)), logging.ERROR)
+        begun_ms = monotonic_ms()
+        while True:
+            await asyncio.sleep(REOPEN_EVERY_S)
+            try:
+                self._open()
+            except (OSError, DiskFailed) as again:
+                self.metrics.count("disk_refused")
+                log.debug("", extra={"event": "disk_refused", "detail": str(again)})
+                continue
+            self.group.deliver = self._transport.send
+            self.group.start()
+            away_ms = int(monotonic_ms() - begun_ms)
+            emit(log, DiskRegained(self.member.member_id, away_ms))
+            return
+
     def start(self) -> None:
         """Take part in the group and answer calls."""
         self.group.start()
--- a/ashlatch/fleet/logs.py
+++ b/ashlatch/fleet/logs.py
@@ -14,6 +14,8 @@
 from ashlatch.log import LogEvent
 
 __all__ = [
+    "DiskLost",
+    "DiskRegained",
     "ListRead",
     "ListUnread",
     "MemberRemoved",
@@ -89,3 +91,21 @@
     event: ClassVar[str] = "member_removed"
     member: str
     silent_ms: int
+
+
+@dataclass(frozen=True)
+class DiskLost(LogEvent):
+    """The disk has refused a write; this VM's member stands still."""
+
+    event: ClassVar[str] = "disk_lost"
+    member: str
+    detail: str
+
+
+@dataclass(frozen=True)
+class DiskRegained(LogEvent):
+    """The data folder could be opened again, and the member takes part."""
+
+    event: ClassVar[str] = "disk_regained"
+    member: str
+    away_ms: int
--- a/ashlatch/raft/group.py
+++ b/ashlatch/raft/group.py
@@ -10,6 +10,7 @@
 :license: MIT, see LICENSE for details.
 """
 
+import dataclasses
 import queue
 import threading
 import time
@@ -46,6 +47,8 @@
 
 TICK_MS = 20.0
 MAX_BATCH = 512
+# A disk that hangs may hold the thread; the process then ends without it.
+STOP_TIMEOUT_S = 2.0
 
 # Importing the module registers its handlers.
 _HANDLERS_OF = (election,)
@@ -154,7 +157,7 @@
     def stop(self) -> None:
         """Take no further part; waits for the thread."""
         self._inbox.put(None)
-        self._thread.join(timeout=5.0)
+        self._thread.join(timeout=STOP_TIMEOUT_S)
         self._storage.close()
 
     def post(self, event: Event) -> None:
@@ -183,6 +186,10 @@
             while self._round():
                 pass
         except BaseException as error:
+            self.standing = dataclasses.replace(
+                self.standing, leading=False, readable=False, leader_address=""
+            )
+            self._storage.close()
             self.failed(error)
             self._fail_all(lost=True)
 
--- a/ashlatch/raft/storage.py
+++ b/ashlatch/raft/storage.py
@@ -288,7 +288,9 @@
 
     def close(self) -> None:
         """Close the log; what was queued and not synced is dropped."""
-        os.close(self._descriptor)
+        if self._descriptor >= 0:
+            os.close(self._descriptor)
+            self._descriptor = -1
 
     def _open_segment(self, number: int) -> None:
         self._segment = number
--- a/tests/system.py
+++ b/tests/system.py
@@ -106,10 +106,15 @@
         self.popen = subprocess.Popen(
             self.command,
             stdin=subprocess.PIPE,
-            stdout=subprocess.PIPE if "tests.fakes" in " ".join(self.command) else None,
+            stdout=subprocess.PIPE if self.tells_ports else self._log,
             stderr=self._log,
         )
 
+    @property
+    def tells_ports(self) -> bool:
+        """Fakes print their ports; the daemons print their logs."""
+        return "tests.fakes" in " ".join(self.command)
+
     @property
     def log(self) -> str:
         return self.log_path.read_text(encoding="utf-8")
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,336 @@
+"""Tests of a gateway's requests, against stand-ins of the platform's endpoints."""
+
+import asyncio
+import random
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+import testtools
+
+from ashlatch.catalog import Endpoint, EndpointList
+from ashlatch.gateway.budget import BudgetTerms
+from ashlatch.gateway.exchange import Exchange, Refused, admit, refuse
+from ashlatch.gateway.knowledge import Knowledge
+from ashlatch.gateway.routing import RouteTable
+from ashlatch.gateway.versions import SessionVersions, VersionChooser
+from ashlatch.http.listener import HttpListener, HttpRequest, Responder
+from ashlatch.platform.document import decode_catalog
+from ashlatch.platform.headers import decode_ask
+from ashlatch.policy.endpoint import ENDPOINT_POLICIES
+from tests import standin
+from tests.standin import LAST_CHUNK, Received, StandIn, chunk, event, head
+
+PATIENCE = "X-Deadline-Ms: 1500\r\n"
+KEY = "Authorization: Bearer key-1\r\n"
+
+
+def ask(path: str, extra: str = "", method: str = "GET", body: bytes = b"") -> bytes:
+    lines = (
+        f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: r1\r\n"
+        f"{PATIENCE}{KEY}{extra}Content-Length: {len(body)}\r\n\r\n"
+    )
+    return lines.encode() + body
+
+
+ASK_STREAM = (
+    "X-Model: *\r\nX-Token-Count: 100,50\r\nX-Prompt-Prefix: aa:50,bb:50\r\n"
+    "Session: s1\r\n"
+)
+
+
+async def reset(request: Received, writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+    raise ConnectionResetError
+
+
+async def hang(request: Received, writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(5)
+
+
+async def cut_within_event(request: Received, writer: asyncio.StreamWriter) -> None:
+    writer.write(head(request, 200) + b"Transfer-Encoding: chunked\r\n\r\n")
+    writer.write(chunk(event(1) + event(2) + b"id: 3\nda"))
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    await reset(request, writer)
+
+
+async def foreign(request: Received, writer: asyncio.StreamWriter) -> None:
+    request.headers["x-attempt-id"] = "another"
+    writer.write(standin.whole(request, b"not yours"))
+
+
+async def surplus(request: Received, writer: asyncio.StreamWriter) -> None:
+    writer.write(standin.whole(request, b"body") + standin.whole(request, b"more"))
+
+
+async def unframed_reset(request: Received, writer: asyncio.StreamWriter) -> None:
+    writer.write(head(request) + b"Connection: close\r\n\r\nhalf of the bo")
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    await reset(request, writer)
+
+
+class GatewayTest(testtools.TestCase):
+    def run_gateway(
+        self,
+        workers: list[StandIn],
+        work: Callable[[], Awaitable[None]],
+        extra: float = 50.0,
+    ) -> None:
+        async def run() -> None:
+            for worker in workers:
+                await worker.start()
+            self.known = self.knowledge(workers, extra)
+            listener = HttpListener(self.handle)
+            failures: list[BaseException] = []
+            listener.failed = failures.append
+            await listener.start("127.0.0.1", 0)
+            assert listener._server is not None
+            self.port = listener._server.sockets[0].getsockname()[1]
+            await work()
+            listener.abort()
+            for worker in workers:
+                worker.stop()
+            self.assertEqual([], failures)
+
+        asyncio.run(run())
+
+    def knowledge(self, workers: list[StandIn], extra: float) -> Knowledge:
+        known = Knowledge(
+            "hall-1",
+            "vm-1",
+            VersionChooser(SessionVersions(5000.0)),
+            ENDPOINT_POLICIES.get("hall_affinity")(),
+            BudgetTerms(0.9, extra, 10_000.0),
+            generator=random.Random(1),
+        )
+        known.table = RouteTable(decode_catalog(standin.encoded(standin.document())))
+        endpoints = tuple(
+            Endpoint(f"i-{n}", "app", w.address, "hall-1", "v1", 8, False)
+            for n, w in enumerate(workers)
+        )
+        known.directory.replace(EndpointList(1, 1, endpoints), 0.0)
+        return known
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        asked = decode_ask(request)
+        admission = admit(self.known, asked)
+        if isinstance(admission, Refused):
+            refuse(responder, asked.request_id, admission)
+            return
+        await Exchange(self.known, admission, responder).run()
+
+    async def call(self, data: bytes) -> tuple[int, bytes]:
+        """One request on a connection of its own: status and whole rest."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(data.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n", 1))
+        try:
+            got = await asyncio.wait_for(reader.read(), 4.0)
+        except ConnectionResetError:
+            return 0, b""
+        finally:
+            writer.close()
+        return (int(got.split(b" ")[1]) if got else 0), got
+
+    def test_headers(self) -> None:
+        worker = StandIn([standin.answer()])
+        theirs = (
+            "X-Tenant: other\r\nX-Kv-Hold: a\r\nX-Pin-Ms: 9\r\nKv-From: b\r\n"
+            "X-Kv-Backup: c\r\nX-Request-Priority: 0\r\nX-Expect-Instance: z\r\n"
+            "X-Mine: kept\r\n"
+        )
+
+        async def work() -> None:
+            status, got = await self.call(ask("/get/1?q=2", theirs, "POST", b"abc"))
+            self.assertEqual(200, status)
+            self.assertIn(b"X-Server-Seal: seal", got)
+            self.assertTrue(got.endswith(b"\r\n\r\nbody"))
+
+        self.run_gateway([worker], work)
+        (seen,) = worker.seen
+        self.assertEqual(("POST", "/get/1?q=2"), (seen.method, seen.target))
+        self.assertEqual(b"abc", seen.body)
+        expected = {
+            "x-tenant": "acme",
+            "x-expect-instance": "i-0",
+            "x-attempt-id": "r1",
+            "x-mine": "kept",
+        }
+        for name, value in expected.items():
+            self.assertEqual(value, seen.headers[name])
+        self.assertTrue(1000 < int(seen.headers["x-deadline-ms"]) <= 1500)
+        absent = {"authorization", "x-kv-hold", "x-pin-ms", "kv-from", "x-kv-backup"}
+        self.assertEqual(set(), absent & set(seen.headers))
+
+    def test_refusals(self) -> None:
+        async def work() -> None:
+            unknown = ask("/get/1").replace(b"key-1", b"key-2")
+            self.assertEqual(401, (await self.call(unknown))[0])
+            self.assertEqual(404, (await self.call(ask("/none/1")))[0])
+            keyless = ask("/open/1").replace(KEY.encode(), b"")
+            self.assertEqual(200, (await self.call(keyless))[0])
+            self.known.table = None
+            status, got = await self.call(ask("/get/1"))
+            self.assertEqual(503, status)
+            self.assertIn(b"Retry-After", got)
+
+        self.run_gateway([StandIn([standin.answer()])], work)
+
+    def test_repeats(self) -> None:
+        broken = StandIn([reset])
+        sound = StandIn([standin.answer()])
+
+        async def work() -> None:
+            for _ in range(6):
+                self.assertEqual(200, (await self.call(ask("/get/1")))[0])
+
+        self.run_gateway([broken, sound], work)
+        self.assertEqual(6, len(sound.seen))
+
+    def test_never_twice(self) -> None:
+        broken = StandIn([reset])
+
+        async def work() -> None:
+            status, got = await self.call(ask("/once/1", method="POST", body=b"x"))
+            self.assertEqual(502, status)
+            self.assertNotIn(b"Retry-After", got)
+
+        self.run_gateway([broken], work)
+        self.assertEqual(1, len(broken.seen))
+
+    def test_not_run_goes_elsewhere(self) -> None:
+        full = standin.answer(b"", 503, "X-Not-Executed: 1")
+        workers = [StandIn([full]) for _ in range(5)]
+
+        async def work() -> None:
+            status, got = await self.call(ask("/once/1", method="POST", body=b"x"))
+            self.assertEqual(503, status)
+            self.assertIn(b"Retry-After", got)
+
+        self.run_gateway(workers, work)
+        self.assertEqual(3, sum(len(w.seen) for w in workers))
+
+    def test_budget(self) -> None:
+        workers = [StandIn([reset]) for _ in range(5)]
+
+        async def work() -> None:
+            for _ in range(4):
+                await self.call(ask("/get/1"))
+
+        self.run_gateway(workers, work, extra=0.0)
+        sent = sum(len(w.seen) for w in workers)
+        self.assertTrue(4 <= sent <= 4 + int(0.9 * 4), sent)
+
+    def test_foreign_answers(self) -> None:
+        worker = StandIn([foreign, standin.answer()])
+        other = StandIn([foreign, standin.answer()])
+
+        async def work() -> None:
+            status, got = await self.call(ask("/once/1", method="POST", body=b"x"))
+            self.assertEqual(502, status)
+            self.assertNotIn(b"not yours", got)
+
+        self.run_gateway([worker, other], work)
+
+    def test_surplus_ends_the_connection(self) -> None:
+        worker = StandIn([surplus, standin.answer(b"second")])
+
+        async def work() -> None:
+            self.assertEqual(200, (await self.call(ask("/get/1")))[0])
+            _, got = await self.call(ask("/get/2"))
+            self.assertTrue(got.endswith(b"second"))
+
+        self.run_gateway([worker], work)
+        self.assertEqual(2, worker.connections)
+
+    def test_kept_connections(self) -> None:
+        worker = StandIn([standin.answer(b"body", 200, "Keep-Alive: timeout=5")])
+
+        async def work() -> None:
+            for _ in range(5):
+                await self.call(ask("/get/1"))
+
+        self.run_gateway([worker], work)
+        self.assertEqual(1, worker.connections)
+
+    def test_unframed_and_reset_is_not_whole(self) -> None:
+        worker = StandIn([unframed_reset])
+
+        async def work() -> None:
+            status, got = await self.call(ask("/once/1", method="POST", body=b"x"))
+            self.assertEqual(502, status)
+            self.assertNotIn(b"half", got)
+
+        self.run_gateway([worker], work)
+
+    def test_stream_resumes(self) -> None:
+        cut = StandIn([cut_within_event])
+        sound = StandIn([standin.stream(5)])
+
+        async def work() -> None:
+            for _ in range(4):
+                status, got = await self.call(ask("/stream/1", ASK_STREAM, "POST"))
+                self.assertEqual(200, status)
+                ids = [n for n in range(1, 9) if f"id: {n}\n".encode() in got]
+                self.assertEqual([1, 2, 3, 4, 5], ids)
+                self.assertEqual(5, got.count(b"data: piece"))
+                self.assertTrue(got.endswith(LAST_CHUNK))
+
+        self.run_gateway([cut, sound], work)
+        resumed = [s for s in sound.seen if s.headers.get("last-event-id") == "2"]
+        self.assertEqual(len(cut.seen), len(resumed))
+
+    def test_stream_that_cannot_resume_seems_cut(self) -> None:
+        cut = StandIn([cut_within_event])
+
+        async def work() -> None:
+            _, got = await self.call(ask("/stream/1", ASK_STREAM, "POST"))
+            self.assertFalse(got.endswith(LAST_CHUNK))
+
+        self.run_gateway([cut], work)
+
+    def test_larger_model(self) -> None:
+        unsure = standin.stream(3, "X-Confidence: 20")
+        sure = standin.stream(3, "X-Confidence: 90")
+        worker = StandIn([unsure, sure])
+
+        async def work() -> None:
+            status, got = await self.call(ask("/stream/1", ASK_STREAM, "POST"))
+            self.assertEqual(200, status)
+            self.assertIn(b"X-Confidence: 90", got)
+            self.assertEqual(3, got.count(b"data: piece"))
+
+        self.run_gateway([worker], work)
+        models = [seen.headers["x-model"] for seen in worker.seen]
+        self.assertEqual(["small", "large"], models)
+
+    def test_caller_leaves(self) -> None:
+        worker = StandIn([hang])
+
+        async def work() -> None:
+            _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            writer.write(ask("/once/1", method="POST", body=b"x"))
+            await asyncio.sleep(0.15)
+            self.assertEqual(1, worker.open)
+            writer.close()
+            await asyncio.sleep(0.2)
+            state = next(iter(self.known.directory.of_service("app")))
+            self.assertEqual(0, state.load.in_flight)
+
+        self.run_gateway([worker], work)
+
+    def test_held_no_longer_than_allowed(self) -> None:
+        worker = StandIn([hang])
+
+        async def work() -> None:
+            loop = asyncio.get_running_loop()
+            begun_s = loop.time()
+            status, _ = await self.call(ask("/once/1", method="POST", body=b"x"))
+            self.assertIn(status, (502, 504))
+            self.assertTrue(1.3 < loop.time() - begun_s < 1.9)
+
+        self.run_gateway([worker], work)
--- /dev/null
+++ b/tests/test_listener.py
@@ -0,0 +1,136 @@
+"""Tests of ashlatch.http.listener: connections, framing, limits and ends."""
+
+import asyncio
+
+import testtools
+
+from ashlatch.http.listener import HttpBounds, HttpListener, HttpRequest, Responder
+
+ASK = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"
+
+
+class ListenerTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.requests: list[HttpRequest] = []
+        self.cancelled = 0
+
+    async def serve(self, bounds: HttpBounds, hang: bool = False) -> HttpListener:
+        async def handle(request: HttpRequest, responder: Responder) -> None:
+            self.requests.append(request)
+            if hang:
+                try:
+                    await asyncio.sleep(30)
+                except asyncio.CancelledError:
+                    self.cancelled += 1
+                    raise
+            responder.respond(200, [], request.body)
+
+        listener = HttpListener(handle, bounds)
+        await listener.start("127.0.0.1", 0)
+        assert listener._server is not None
+        self.port = listener._server.sockets[0].getsockname()[1]
+        return listener
+
+    async def call(self, *parts: bytes) -> bytes:
+        """Send the parts with pauses on one connection; all that came back."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        for part in parts:
+            writer.write(part)
+            await asyncio.sleep(0.05)
+        got = await asyncio.wait_for(reader.read(65536), 2.0)
+        writer.close()
+        return got
+
+    def test_idle_after_a_body_in_parts(self) -> None:
+        async def run() -> None:
+            listener = await self.serve(HttpBounds(head_timeout_s=0.1))
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            for part in (ASK, b"bo", b"dy"):
+                writer.write(part)
+                await asyncio.sleep(0.05)
+            self.assertIn(b"200", await reader.readuntil(b"body"))
+            await asyncio.sleep(0.8)
+            writer.write(ASK + b"more")
+            self.assertIn(b"200", await reader.readuntil(b"more"))
+            listener.abort()
+
+        asyncio.run(run())
+
+    def test_slow_head(self) -> None:
+        async def run() -> None:
+            listener = await self.serve(HttpBounds(head_timeout_s=0.1))
+            got = await self.call(b"POST /a HTTP/1.1\r\nHo")
+            self.assertIn(b" 408 ", got)
+            listener.abort()
+
+        asyncio.run(run())
+
+    def test_limits(self) -> None:
+        async def run() -> None:
+            bounds = HttpBounds(head_max_bytes=200, body_max_bytes=3)
+            listener = await self.serve(bounds)
+            self.assertIn(b" 413 ", await self.call(ASK + b"body"))
+            long = b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 300 + b"\r\n\r\n"
+            self.assertIn(b" 431 ", await self.call(long))
+            listener.abort()
+            self.assertEqual([], self.requests)
+
+        asyncio.run(run())
+
+    def test_ambiguous_framing(self) -> None:
+        hidden = b"GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n"
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\n"
+        both = head + b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+        two = head + b"Content-Length: 4\r\nContent-Length: 9\r\n\r\n"
+        odd = head + b"Transfer-Encoding: xchunked\r\n\r\n"
+        folded = head + b"Transfer-Encoding : chunked\r\n\r\n"
+
+        async def run() -> None:
+            listener = await self.serve(HttpBounds())
+            for framing in (both, two, odd, folded):
+                got = await self.call(framing + b"0\r\n\r\n" + hidden)
+                self.assertRegex(got, rb"^HTTP/1.1 (400|501) ")
+            listener.abort()
+            self.assertEqual([], self.requests)
+
+        asyncio.run(run())
+
+    def test_chunks_and_pipelines(self) -> None:
+        chunked = (
+            b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+        )
+
+        async def run() -> None:
+            listener = await self.serve(HttpBounds())
+            got = await self.call(chunked + ASK + b"body")
+            self.assertEqual(2, got.count(b"200"))
+            listener.abort()
+            self.assertEqual([b"abc", b"body"], [r.body for r in self.requests])
+
+        asyncio.run(run())
+
+    def test_caller_leaves(self) -> None:
+        async def run() -> None:
+            listener = await self.serve(HttpBounds(), hang=True)
+            _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            writer.write(ASK + b"body")
+            await asyncio.sleep(0.1)
+            writer.close()
+            await asyncio.sleep(0.1)
+            self.assertEqual(1, self.cancelled)
+            self.assertEqual(0, listener.handling)
+            listener.abort()
+
+        asyncio.run(run())
+
+    def test_stopping(self) -> None:
+        async def run() -> None:
+            listener = await self.serve(HttpBounds())
+            listener.stopping = True
+            got = await self.call(ASK + b"body")
+            self.assertIn(b"connection: close", got.lower())
+            listener.abort()
+
+        asyncio.run(run())
