Test documents, choices, founding, verdicts, and the fleet as processes

Nine tests with five core VMs as real processes on loopback: two lost disks twice, all killed, replaced VMs, a frozen leader, a minority, a gateway without the core.

--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,201 @@
+"""A deployment of real processes on loopback: core VMs, gateways, and stand-ins
+of the list of endpoints and of one endpoint. Every VM has an IP number of its
+own, so all use the same ports.
+"""
+
+import asyncio
+import http.client
+import json
+import random
+import shutil
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from tests import standin
+from tests.standin import Received, Script, StandIn
+from tests.system import Process
+
+OPERATOR_PORT = 7001
+FRONT_PORT = 7002
+READY_PORT = 7003
+PORTS = [7010, 7019]
+LIST_PORT = 7004
+WAIT_S = 20.0
+
+
+def wait_for(true: Callable[[], bool], what: str, wait_s: float = WAIT_S) -> float:
+    """Wait until something holds; the seconds that it took."""
+    begun_s = time.monotonic()
+    while not true():
+        if time.monotonic() - begun_s > wait_s:
+            raise AssertionError(f"not within {wait_s} s: {what}")
+        time.sleep(0.05)
+    return time.monotonic() - begun_s
+
+
+class Platform:
+    """The list of endpoints and one endpoint, on a thread."""
+
+    def __init__(self, host: str, scripts: list[Script]) -> None:
+        self.host = host
+        self.worker = StandIn(scripts)
+        self.list = StandIn([self._list])
+        self.instances: list[dict[str, Any]] = []
+        self._loop = asyncio.new_event_loop()
+        threading.Thread(target=self._loop.run_forever, daemon=True).start()
+        for started in (
+            self.worker.start(host),
+            self.list.start(host, LIST_PORT),
+        ):
+            asyncio.run_coroutine_threadsafe(started, self._loop).result(5.0)
+        self.add("i-1", "v1")
+
+    def add(self, instance: str, version: str, state: str = "ready") -> None:
+        self.instances.append(
+            {
+                "id": instance,
+                "service": "app",
+                "address": f"{self.host}:{self.worker.port}",
+                "zone": "hall-1",
+                "version": version,
+                "slots": 8,
+                "state": state,
+            }
+        )
+
+    async def _list(self, request: Received, writer: asyncio.StreamWriter) -> None:
+        body = json.dumps({"instances": self.instances, "nextToken": None}).encode()
+        writer.write(standin.whole(request, body))
+
+    def stop(self) -> None:
+        self._loop.call_soon_threadsafe(self._loop.stop)
+
+
+class Fleet:
+    """Starts and ends the processes; `close` ends all."""
+
+    def __init__(self, cores: int = 5, scripts: list[Script] | None = None) -> None:
+        drawn = random.SystemRandom()
+        self.net = f"127.{drawn.randrange(1, 255)}.{drawn.randrange(1, 255)}"
+        self.folder = Path(tempfile.mkdtemp(prefix="ashlatch-fleet-"))
+        self.platform = Platform(f"{self.net}.200", scripts or [standin.answer()])
+        self.hosts = [f"{self.net}.{n + 1}" for n in range(cores)]
+        self.seeds = self.hosts[:3]
+        self.processes: dict[str, Process] = {}
+
+    def close(self) -> None:
+        for process in self.processes.values():
+            process.kill()
+        self.platform.stop()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def _settings(self, host: str, **more: Any) -> Path:
+        made = {
+            "vm": f"vm-{host.rpartition('.')[2]}",
+            "hall": "hall-1",
+            "host": host,
+            "ports": PORTS,
+            "seeds": [f"{seed}:{OPERATOR_PORT}" for seed in self.seeds],
+            "list_address": f"{self.platform.host}:{LIST_PORT}",
+            **more,
+        }
+        path = self.folder / f"{host}.json"
+        path.write_text(json.dumps(made))
+        return path
+
+    def start_core(self, host: str, first_start: bool = False) -> None:
+        path = self._settings(
+            host,
+            listen=f"{host}:{OPERATOR_PORT}",
+            data_folder=str(self.folder / f"data-{host}"),
+            first_start=first_start,
+            losses_max=2,
+        )
+        self._start(host, "ashlatch.cmdline.core", path)
+
+    def start_gateway(self, host: str) -> None:
+        path = self._settings(
+            host, listen=f"{host}:{FRONT_PORT}", ready=f"{host}:{READY_PORT}"
+        )
+        self._start(host, "ashlatch.cmdline.gateway", path)
+
+    def _start(self, host: str, module: str, path: Path) -> None:
+        command = [sys.executable, "-m", module, "--settings", str(path)]
+        self.processes[host] = Process(host, command, self.folder)
+
+    def found(self) -> None:
+        for host in self.hosts:
+            self.start_core(host, first_start=True)
+
+    def wipe(self, host: str) -> None:
+        self.processes[host].kill()
+        shutil.rmtree(self.folder / f"data-{host}")
+
+    # Calls.
+
+    def call(
+        self, host: str, method: str, target: str, body: bytes = b"", port: int = 0
+    ) -> tuple[int, bytes]:
+        """One call; status 0 when there was no answer."""
+        connection = http.client.HTTPConnection(
+            host, port or OPERATOR_PORT, timeout=3.0
+        )
+        try:
+            connection.request(method, target, body)
+            answer = connection.getresponse()
+            return answer.status, answer.read()
+        except (OSError, http.client.HTTPException):
+            return 0, b""
+        finally:
+            connection.close()
+
+    def replace(self, host: str, version: int, **more: Any) -> int:
+        body = standin.encoded(standin.document(version, **more))
+        return self.call(host, "POST", "/-/Config.Replace", body)[0]
+
+    def acknowledged(self, version: int, hosts: list[str] | None = None) -> float:
+        """Send a version, to one VM after another, until it is taken."""
+        asked = hosts or self.hosts
+
+        def taken() -> bool:
+            return any(self.replace(host, version) == 200 for host in asked)
+
+        return wait_for(taken, f"version {version} acknowledged")
+
+    def read_version(self, host: str) -> int:
+        """The version that a VM reads back; 0 when it says nothing certain."""
+        status, body = self.call(host, "GET", "/-/Config.Read")
+        return int(json.loads(body)["version"]) if status == 200 else 0
+
+    def leader(self) -> str:
+        """The core VM whose log says that it leads, by the newest term."""
+        found: dict[int, str] = {}
+        for host in self.hosts:
+            lines = self.processes[host].log.splitlines()
+            for line in lines:
+                if "event=standing_changed" in line and "leading=true" in line:
+                    term = int(line.partition("term=")[2].split()[0])
+                    found[term] = host
+        return found[max(found)] if found else ""
+
+    def ask(self, host: str, path: str = "/get/1") -> int:
+        """A caller's request at a gateway."""
+        connection = http.client.HTTPConnection(host, FRONT_PORT, timeout=3.0)
+        headers = {
+            "Host": "shop.example",
+            "X-Attempt-Id": f"r{random.random()}",
+            "X-Deadline-Ms": "2000",
+            "Authorization": "Bearer key-1",
+        }
+        try:
+            connection.request("GET", path, headers=headers)
+            return connection.getresponse().status
+        except (OSError, http.client.HTTPException):
+            return 0
+        finally:
+            connection.close()
--- /dev/null
+++ b/tests/test_choosing.py
@@ -0,0 +1,143 @@
+"""Tests of a gateway's choices: versions, budgets, routes, paces, events."""
+
+import testtools
+
+from ashlatch.catalog import Endpoint, Rollout, RolloutStage
+from ashlatch.gateway.budget import BudgetTerms, RepeatBudget
+from ashlatch.gateway.directory import EndpointState
+from ashlatch.gateway.events import EventSplitter
+from ashlatch.gateway.pace import Pace
+from ashlatch.gateway.routing import RouteTable
+from ashlatch.gateway.versions import SessionVersions, VersionChooser
+from ashlatch.platform.document import decode_catalog
+from tests.standin import document, encoded, route
+
+
+class VersionsTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.sessions = SessionVersions(5000.0)
+        self.chooser = VersionChooser(self.sessions)
+        self.states = [self.state("v1"), self.state("v2")]
+
+    def state(self, version: str) -> EndpointState:
+        return EndpointState(
+            Endpoint(f"i-{version}", "app", "a:1", "h", version, 8, False)
+        )
+
+    def learn(self, stage: RolloutStage, share: float, number: int) -> None:
+        self.chooser.learn([Rollout("app", "v2", stage, share, number, 1000.0)])
+
+    def versions(self, session: str, at_ms: float = 0.0) -> set[str]:
+        allowed = self.chooser.allowed("app", session, "r1", self.states, at_ms)
+        return {state.endpoint.version for state in allowed}
+
+    def share_of_new(self) -> float:
+        found = [self.versions(f"s{n}") == {"v2"} for n in range(2000)]
+        return sum(found) / len(found)
+
+    def test_without_a_rollout(self) -> None:
+        self.assertEqual({"v1", "v2"}, self.versions("s"))
+
+    def test_share(self) -> None:
+        self.learn(RolloutStage.TRIAL, 0.1, 1)
+        self.assertTrue(0.07 < self.share_of_new() < 0.13)
+        self.learn(RolloutStage.SHIFT, 1.0, 2)
+        self.assertEqual(1.0, self.share_of_new())
+
+    def test_running_sessions_stay_in_the_trial(self) -> None:
+        self.learn(RolloutStage.TRIAL, 1.0, 1)
+        self.sessions.note("app", "old", "v1", 0.0)
+        self.assertEqual({"v1"}, self.versions("old", 4000.0))
+        self.assertEqual({"v2"}, self.versions("old", 7000.0))
+
+    def test_sessions_do_not_come_back(self) -> None:
+        self.learn(RolloutStage.SHIFT, 0.0, 1)
+        self.sessions.note("app", "new", "v2", 0.0)
+        self.assertEqual({"v2"}, self.versions("new", 1000.0))
+        self.assertEqual({"v1"}, self.versions("other", 1000.0))
+
+    def test_final(self) -> None:
+        self.learn(RolloutStage.COMPLETED, 1.0, 1)
+        self.assertEqual({"v2"}, self.versions("s"))
+        self.learn(RolloutStage.ROLLED_BACK, 0.0, 2)
+        self.sessions.note("app", "s", "v2", 0.0)
+        self.assertEqual({"v1"}, self.versions("s"))
+        self.states = [self.state("v2")]
+        self.assertEqual(set(), self.versions("s"))
+
+    def test_old_news(self) -> None:
+        self.learn(RolloutStage.ROLLED_BACK, 0.0, 5)
+        self.learn(RolloutStage.SHIFT, 1.0, 4)
+        self.assertEqual({"v1"}, self.versions("s"))
+
+
+class BudgetTest(testtools.TestCase):
+    def test_window(self) -> None:
+        budget = RepeatBudget(BudgetTerms(0.5, 0.0, 10_000.0))
+        for at_ms in range(0, 10_000, 100):
+            budget.request(float(at_ms))
+        spent = sum(budget.spend(10_000.0, 1) for _ in range(200))
+        self.assertTrue(30 <= spent <= 50, spent)
+        self.assertFalse(budget.spend(15_000.0, 1))
+        self.assertFalse(budget.spend(25_000.0, 1))
+
+    def test_extra_is_shared(self) -> None:
+        budget = RepeatBudget(BudgetTerms(0.0, 50.0, 10_000.0))
+        spent = sum(budget.spend(0.0, 5) for _ in range(100))
+        self.assertTrue(5 <= spent <= 10, spent)
+
+
+class RoutingTest(testtools.TestCase):
+    def test_longest_prefix(self) -> None:
+        made = document(
+            routes=[route("a", "/"), route("b", "/x/"), route("c", "/x/y/")]
+        )
+        table = RouteTable(decode_catalog(encoded(made)))
+        for path, name in (
+            ("/", "a"),
+            ("/x", "a"),
+            ("/x/", "b"),
+            ("/x/y", "b"),
+            ("/x/y/z/1", "c"),
+        ):
+            found = table.route("shop.example", path)
+            assert found is not None
+            self.assertEqual(name, found.name)
+        self.assertIsNone(table.route("other.example", "/x/"))
+
+    def test_split(self) -> None:
+        services = [{"name": "app"}, {"name": "new"}, {"name": "none"}]
+        split = [
+            {"service": "app", "weight": 90},
+            {"service": "new", "weight": 10},
+            {"service": "none", "weight": 0},
+        ]
+        made = document(routes=[route("a", "/", split=split)], services=services)
+        table = RouteTable(decode_catalog(encoded(made)))
+        found = table.route("shop.example", "/")
+        assert found is not None
+        names = [table.service(found, f"r{n}").name for n in range(2000)]
+        self.assertTrue(140 < names.count("new") < 260)
+        self.assertNotIn("none", names)
+
+
+class PaceTest(testtools.TestCase):
+    def test_follows_and_fades(self) -> None:
+        pace = Pace()
+        self.assertEqual(0.0, pace.expected_ms("app", "m", 0.0))
+        for at_ms in range(0, 3000, 100):
+            pace.began("app", "m", 1000.0, float(at_ms))
+        self.assertTrue(950 < pace.expected_ms("app", "m", 3000.0) < 1100)
+        self.assertTrue(pace.expected_ms("app", "m", 10_000.0) < 100)
+
+
+class EventsTest(testtools.TestCase):
+    def test_every_cut(self) -> None:
+        whole = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\n"
+        for cut in range(len(whole)):
+            splitter = EventSplitter()
+            events = splitter.feed(whole[:cut]) + splitter.feed(whole[cut:])
+            self.assertEqual(["1", "2", ""], [e.event_id for e in events])
+            self.assertEqual(whole, b"".join(e.data for e in events))
+            self.assertEqual(b"", splitter.rest)
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,212 @@
+"""Tests of the parts of ashlatch.fleet that need no process."""
+
+import random
+import tempfile
+from pathlib import Path
+
+import testtools
+
+from ashlatch.catalog import Rollout, RolloutStage
+from ashlatch.codec import encode
+from ashlatch.fleet.founding import founders, open_member
+from ashlatch.fleet.machine import (
+    Accepted,
+    BeginRollout,
+    Command,
+    Conflict,
+    FleetMachine,
+    MoveRollout,
+    Outcome,
+    ReplaceDocument,
+)
+from ashlatch.fleet.membership import enough_voters, silent_member
+from ashlatch.fleet.verdict import Decision, Evidence, decide
+from ashlatch.gateway.tally import Tally, TallyKey
+from ashlatch.raft.group import Standing
+from ashlatch.raft.message import Member, Members
+
+SEEDS = ("10.0.0.1:70", "10.0.0.2:70", "10.0.0.3:70")
+
+
+class MachineTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.machine = FleetMachine()
+
+    def apply(self, command: Command) -> Outcome:
+        return self.machine.apply(encode(command))
+
+    def test_versions(self) -> None:
+        self.assertEqual(Accepted(True), self.apply(ReplaceDocument(4, b"four")))
+        self.assertEqual(Accepted(False), self.apply(ReplaceDocument(4, b"four")))
+        self.assertEqual(Conflict(4), self.apply(ReplaceDocument(4, b"other")))
+        self.assertEqual(Accepted(False), self.apply(ReplaceDocument(3, b"three")))
+        self.assertEqual(Accepted(True), self.apply(ReplaceDocument(9, b"nine")))
+        self.assertEqual(b"nine", self.machine.state.document)
+
+    def test_rollouts(self) -> None:
+        begin = BeginRollout("app", "v2", 1000.0)
+        self.assertEqual(Accepted(True), self.apply(begin))
+        self.assertEqual(Accepted(False), self.apply(begin))
+        move = MoveRollout("app", 1, RolloutStage.SHIFT, 0.3, 500.0)
+        self.assertEqual(Accepted(True), self.apply(move))
+        self.assertEqual(Accepted(False), self.apply(move))
+        bad = MoveRollout("app", 2, RolloutStage.ROLLED_BACK, 0.0, 600.0)
+        self.assertEqual(Accepted(True), self.apply(bad))
+        late = MoveRollout("app", 3, RolloutStage.COMPLETED, 1.0, 700.0)
+        self.assertEqual(Accepted(False), self.apply(late))
+
+    def test_snapshot(self) -> None:
+        self.apply(ReplaceDocument(4, b"four"))
+        self.apply(BeginRollout("app", "v2", 1000.0))
+        other = FleetMachine()
+        other.restore(self.machine.snapshot())
+        self.assertEqual(self.machine.state, other.state)
+
+
+class FoundingTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name) / "data"
+
+    def open(self, address: str, first_start: bool) -> tuple[Member, Members]:
+        member, storage = open_member(self.folder, address, SEEDS, first_start)
+        boot = storage.load(member.member_id)
+        storage.close()
+        return member, boot.snapshot.members
+
+    def test_seeds_found_the_same_group(self) -> None:
+        shuffled = random.Random(1).sample(SEEDS, 3)
+        self.assertEqual(founders(SEEDS), founders(tuple(shuffled)))
+        member, members = self.open(SEEDS[1], True)
+        self.assertEqual(founders(SEEDS), members)
+        self.assertIn(member, members.voters)
+
+    def test_folder_is_kept(self) -> None:
+        first, members = self.open(SEEDS[0], True)
+        self.assertEqual((first, members), self.open(SEEDS[0], False))
+        self.assertEqual((first, members), self.open(SEEDS[0], True))
+
+    def test_others_join(self) -> None:
+        member, members = self.open("10.0.0.4:70", True)
+        self.assertEqual(Members(), members)
+        self.assertNotIn("founder", member.member_id)
+
+    def test_an_emptied_seed_is_a_new_member(self) -> None:
+        member, members = self.open(SEEDS[0], False)
+        self.assertEqual(Members(), members)
+        self.assertNotIn(member.member_id, founders(SEEDS).voter_ids())
+
+
+def standing(voters: int, silent: dict[int, float], committed: bool = True) -> Standing:
+    """A leader's standing at 100 s; `silent` voters were heard so long ago."""
+    members = tuple(Member(f"m{n}", f"v{n}", f"a{n}") for n in range(voters))
+    answered = {
+        m.member_id: 100_000.0 - silent.get(n, 50.0) for n, m in enumerate(members)
+    }
+    return Standing(
+        "m0",
+        1,
+        True,
+        0.0,
+        True,
+        1e9,
+        "a0",
+        9,
+        0,
+        Members(members),
+        committed,
+        {},
+        answered,
+    )
+
+
+class MembershipTest(testtools.TestCase):
+    def test_enough_voters(self) -> None:
+        self.assertFalse(enough_voters(standing(3, {}), 2, 1000.0))
+        self.assertFalse(enough_voters(standing(4, {}), 2, 1000.0))
+        self.assertTrue(enough_voters(standing(4, {}), 2, 9000.0))
+        self.assertFalse(enough_voters(standing(3, {}), 2, 9000.0))
+        self.assertTrue(enough_voters(standing(5, {}), 2, 0.0))
+        self.assertFalse(enough_voters(standing(5, {}, committed=False), 2, 0.0))
+
+    def test_silent_members(self) -> None:
+        now_ms = 100_000.0
+        self.assertIsNone(silent_member(standing(6, {}), 2, now_ms))
+        self.assertIsNone(silent_member(standing(5, {1: 9000.0}), 2, now_ms))
+        found = silent_member(standing(6, {1: 4000.0, 2: 9000.0}), 2, now_ms)
+        assert found is not None
+        self.assertEqual("m2", found[0].member_id)
+
+
+class VerdictTest(testtools.TestCase):
+    """Roll-outs of 20 s, judged with an old version that fails 1 in 100."""
+
+    def evidence(self, **new: float) -> Evidence:
+        evidence = Evidence()
+        evidence.add((self.tally("v1", 300, 3, 300, 5.0),), 0.0)
+        evidence.add((self.tally("v2", **new),), 0.0)  # type: ignore[arg-type]
+        return evidence
+
+    def tally(
+        self,
+        version: str,
+        answered: int = 50,
+        failed: int = 0,
+        timed: int = 50,
+        log_ms: float = 5.0,
+        route: str = "r",
+    ) -> Tally:
+        key = TallyKey("app", version, route)
+        spread = timed * (log_ms * log_ms + 0.25)
+        return Tally(key, answered, failed, timed, log_ms * timed, spread)
+
+    def decide(self, part: float, evidence: Evidence, share: float = 0.1) -> Decision:
+        stage = RolloutStage.TRIAL if part < 0.5 else RolloutStage.SHIFT
+        rollout = Rollout("app", "v2", stage, share, 1, 20_000.0)
+        return decide(rollout, part * 20_000.0, evidence, 0.0, listed=True)
+
+    def test_good(self) -> None:
+        good = self.evidence()
+        self.assertEqual(RolloutStage.TRIAL, self.decide(0.1, good).stage)
+        self.assertEqual(0.3, self.decide(0.52, good).share)
+        self.assertEqual(1.0, self.decide(0.7, good).share)
+        self.assertEqual(
+            RolloutStage.COMPLETED, self.decide(0.9, good, share=1.0).stage
+        )
+
+    def test_a_new_version_may_fail_now_and_then(self) -> None:
+        evidence = self.evidence(answered=48, failed=2)
+        self.assertEqual(RolloutStage.TRIAL, self.decide(0.3, evidence).stage)
+
+    def test_fails(self) -> None:
+        evidence = self.evidence(answered=9, failed=4)
+        self.assertEqual(RolloutStage.ROLLED_BACK, self.decide(0.1, evidence).stage)
+
+    def test_slow(self) -> None:
+        slow = self.evidence(answered=12, timed=12, log_ms=5.0 + 2.08)
+        self.assertEqual(RolloutStage.ROLLED_BACK, self.decide(0.2, slow).stage)
+        busy = self.evidence(answered=12, timed=12, log_ms=5.0 + 0.6)
+        self.assertEqual(RolloutStage.TRIAL, self.decide(0.2, busy).stage)
+
+    def test_fails_on_one_route(self) -> None:
+        evidence = self.evidence()
+        evidence.add((self.tally("v1", 100, route="other"),), 0.0)
+        evidence.add((self.tally("v2", 6, 4, route="other"),), 0.0)
+        decision = self.decide(0.2, evidence)
+        self.assertEqual(RolloutStage.ROLLED_BACK, decision.stage)
+        self.assertIn("other", decision.reason)
+
+    def test_turns_slow_late(self) -> None:
+        evidence = self.evidence(answered=400, timed=400)
+        evidence.add((self.tally("v2", 12, 0, 12, 5.0 + 2.08),), 10_000.0)
+        rollout = Rollout("app", "v2", RolloutStage.SHIFT, 0.3, 1, 20_000.0)
+        decision = decide(rollout, 11_000.0, evidence, 11_000.0, listed=True)
+        self.assertEqual(RolloutStage.ROLLED_BACK, decision.stage)
+
+    def test_waits_for_endpoints(self) -> None:
+        rollout = Rollout("app", "v2", RolloutStage.TRIAL, 0.0, 1, 20_000.0)
+        decision = decide(rollout, 15_000.0, Evidence(), 0.0, listed=False)
+        self.assertEqual((RolloutStage.TRIAL, 0.0), (decision.stage, decision.share))
--- /dev/null
+++ b/tests/test_fleet_processes.py
@@ -0,0 +1,158 @@
+"""Core VMs and gateways as real processes: founding, losses, and spreading."""
+
+import signal
+import time
+
+import testtools
+
+from tests.fleet import READY_PORT, Fleet, wait_for
+
+
+class FleetTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+        self.fleet.found()
+
+    def all_read(self, version: int) -> None:
+        def same() -> bool:
+            hosts = self.fleet.hosts
+            return all(self.fleet.read_version(host) == version for host in hosts)
+
+        wait_for(same, f"all read version {version}")
+
+    def test_orders(self) -> None:
+        fleet = self.fleet
+        fleet.acknowledged(3)
+        self.all_read(3)
+        first = fleet.hosts[0]
+        self.assertEqual(200, fleet.replace(first, 3))
+        self.assertEqual(409, fleet.replace(first, 3, later=1))
+        self.assertEqual(200, fleet.replace(first, 2))
+        self.assertEqual(400, fleet.replace(first, 9, routes=[{"name": "x"}]))
+        self.assertEqual(3, fleet.read_version(fleet.hosts[4]))
+
+    def test_two_lost_disks(self) -> None:
+        fleet = self.fleet
+        fleet.acknowledged(3)
+        leader = fleet.leader()
+        other = next(host for host in fleet.hosts if host != leader)
+        for host in (leader, other):
+            fleet.wipe(host)
+        for host in (leader, other):
+            fleet.start_core(host)
+        self.all_read(3)
+        # Repaired: the loss of two others is borne as well.
+        time.sleep(2.0)
+        rest = [host for host in fleet.hosts if host not in (leader, other)][:2]
+        for host in rest:
+            fleet.wipe(host)
+        for host in rest:
+            fleet.start_core(host)
+        self.all_read(3)
+        fleet.acknowledged(4)
+
+    def test_all_killed(self) -> None:
+        fleet = self.fleet
+        fleet.acknowledged(3)
+        for host in fleet.hosts:
+            fleet.processes[host].kill()
+        for host in fleet.hosts:
+            fleet.start_core(host)
+        self.all_read(3)
+
+    def test_replaced_vms(self) -> None:
+        """Two are removed for good, one after the other, and two are new."""
+        fleet = self.fleet
+        fleet.acknowledged(3)
+        for number, added in enumerate((f"{fleet.net}.11", f"{fleet.net}.12")):
+            fleet.processes[fleet.hosts[0]].kill()
+            del fleet.hosts[0]
+            fleet.hosts.append(added)
+            fleet.start_core(added)
+            self.all_read(3 + number)
+            time.sleep(4.0)
+            fleet.acknowledged(4 + number)
+        fleet.processes[fleet.hosts[0]].kill()
+        fleet.processes[fleet.hosts[1]].kill()
+        fleet.acknowledged(6, fleet.hosts[2:])
+
+    def test_frozen_leader_reads_nothing_old(self) -> None:
+        fleet = self.fleet
+        fleet.acknowledged(3)
+        leader = fleet.leader()
+        others = [host for host in fleet.hosts if host != leader]
+        fleet.processes[leader].signal(signal.SIGSTOP)
+        fleet.acknowledged(4, others)
+        fleet.processes[leader].signal(signal.SIGCONT)
+        for _ in range(20):
+            self.assertIn(fleet.read_version(leader), (0, 4))
+
+    def test_a_minority_neither_takes_nor_reads(self) -> None:
+        fleet = self.fleet
+        fleet.acknowledged(3)
+        for host in fleet.hosts[:3]:
+            fleet.processes[host].signal(signal.SIGSTOP)
+        time.sleep(2.0)
+        for host in fleet.hosts[3:]:
+            self.assertEqual(0, fleet.read_version(host))
+            self.assertEqual(503, fleet.replace(host, 5))
+        for host in fleet.hosts[:3]:
+            fleet.processes[host].signal(signal.SIGCONT)
+        self.all_read(3)
+
+
+class GatewayFleetTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+        self.fleet.found()
+        self.gateway = f"{self.fleet.net}.101"
+        self.fleet.start_gateway(self.gateway)
+
+    def ready(self) -> bool:
+        return (
+            self.fleet.call(self.gateway, "GET", "/-/readyz", port=READY_PORT)[0] == 200
+        )
+
+    def test_serves_on_without_the_core(self) -> None:
+        fleet = self.fleet
+        self.assertNotEqual(200, fleet.ask(self.gateway))
+        fleet.acknowledged(3)
+        wait_for(self.ready, "gateway ready")
+        self.assertEqual(200, fleet.ask(self.gateway))
+        for host in fleet.hosts:
+            fleet.processes[host].kill()
+        time.sleep(1.0)
+        self.assertTrue(self.ready())
+        self.assertEqual(200, fleet.ask(self.gateway))
+        # The list is read directly meanwhile: the endpoint leaves.
+        fleet.platform.instances[0]["state"] = "draining"
+        took_s = wait_for(lambda: fleet.ask(self.gateway) == 503, "left alone", 8.0)
+        self.assertTrue(took_s < 6.0, took_s)
+
+    def test_change_in_force(self) -> None:
+        fleet = self.fleet
+        fleet.acknowledged(3)
+        wait_for(self.ready, "gateway ready")
+        self.assertEqual(200, fleet.ask(self.gateway))
+        begun_s = time.monotonic()
+        tenants = [{"name": "acme", "apiKeys": ["key-9"]}]
+        self.assertEqual(200, fleet.replace(fleet.hosts[0], 4, tenants=tenants))
+        wait_for(lambda: fleet.ask(self.gateway) == 401, "key taken away", 2.0)
+        self.assertTrue(time.monotonic() - begun_s < 2.0)
+
+    def test_stop(self) -> None:
+        fleet = self.fleet
+        fleet.acknowledged(3)
+        wait_for(self.ready, "gateway ready")
+        process = fleet.processes[self.gateway]
+        process.signal(signal.SIGTERM)
+        time.sleep(0.3)
+        self.assertFalse(self.ready())
+        self.assertEqual(200, fleet.ask(self.gateway))
+        process.popen.wait(8.0)
+        self.assertEqual(0, process.popen.returncode)
+        self.assertIn("event=daemon_stopped", process.log)
