Hold requests through a start, elect sooner, pack documents

Documents of about 10 KB went to 10 VMs for each of 150 changes. Change: a request that comes before the gateway knows what to serve waits up to 1.2 s for it; elections after 0.4 to 0.8 s; documents compressed; request_sent names the hall; the age of the list is that of its last read.

--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -110,6 +110,7 @@
             ListReader(settings.list_address), settings.list_read_ms
         )
         self._endpoints = EndpointList()
+        self._listed_ms = monotonic_ms()
         self._gateways: dict[str, float] = {}
         self._gateway_count = 1
         self._leader_heard_ms = float("-inf")
@@ -328,6 +329,7 @@
                 state.document if newer else b"",
                 endpoints if endpoints.order > request.list_order else None,
                 rollouts,
+                monotonic_ms() - self._listed_ms,
             )
 
     def _current(self) -> bool:
@@ -382,6 +384,7 @@
             return
         self._leader_heard_ms = monotonic_ms()
         self._gateway_count = reply.gateways
+        self._listed_ms = self._leader_heard_ms - reply.list_age_ms
         if reply.endpoints is not None:
             self._endpoints = reply.endpoints
             self._wake()
@@ -402,6 +405,7 @@
         if await self._list.read_if_due(standing.term, now_ms):
             self._endpoints = self._list.newest
             self._wake()
+        self._listed_ms = max(self._listed_ms, self._list.read_ms)
         self._rollouts.add(self._tallies.take(), now_ms)
         with self.group.lock:
             rollouts = tuple(self.machine.state.rollouts.values())
--- a/ashlatch/fleet/machine.py
+++ b/ashlatch/fleet/machine.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from ashlatch.catalog import Rollout, RolloutStage
-from ashlatch.codec import decode, digest, encode
+from ashlatch.codec import decode, encode
 from ashlatch.registry import Handlers
 
 __all__ = [
@@ -32,10 +32,14 @@
 
 
 class ReplaceDocument(msgspec.Struct, frozen=True, tag="replace_document"):
-    """An operator's configuration document, checked before it is proposed."""
+    """An operator's configuration document, checked before it is proposed.
+
+    `body` is compressed by `zlib`; `body_digest` is of the document as sent.
+    """
 
     version: int
     body: bytes
+    body_digest: str
 
 
 class BeginRollout(msgspec.Struct, frozen=True, tag="begin_rollout"):
@@ -83,6 +87,7 @@
 
     version: int = 0
     document: bytes = b""
+    document_digest: str = ""
     rollouts: dict[str, Rollout] = {}
     number: int = 0
 
@@ -112,10 +117,11 @@
     if command.version < state.version:
         return Accepted(changed=False)
     if command.version == state.version:
-        same = digest(command.body) == digest(state.document)
+        same = command.body_digest == state.document_digest
         return Accepted(changed=False) if same else Conflict(state.version)
     state.version = command.version
     state.document = command.body
+    state.document_digest = command.body_digest
     return Accepted(changed=True)
 
 
--- a/ashlatch/fleet/operators.py
+++ b/ashlatch/fleet/operators.py
@@ -12,12 +12,14 @@
 
 import asyncio
 import logging
+import zlib
 from dataclasses import dataclass
 from typing import Protocol
 
 import msgspec
 
 from ashlatch.catalog import Rollout
+from ashlatch.codec import digest
 from ashlatch.errors import AshlatchError
 from ashlatch.fleet.logs import OrderEnded
 from ashlatch.fleet.machine import BeginRollout, Command, Outcome, ReplaceDocument
@@ -113,7 +115,10 @@
             catalog = decode_catalog(body)
         except DocumentError as error:
             return _invalid(error)
-        outcome = await self._fleet.commit(ReplaceDocument(catalog.version, body))
+        # Documents are texts of names that repeat; they go to every VM.
+        packed = zlib.compress(body)
+        command = ReplaceDocument(catalog.version, packed, digest(body))
+        outcome = await self._fleet.commit(command)
         if isinstance(outcome, DocumentConflict):
             detail = "another document has this version"
             return _Answer(409, b'{"type":"version_taken"}\n', catalog.version, detail)
@@ -124,7 +129,8 @@
         newest = await self._fleet.read()
         if not newest.document:
             return _Answer(503, b'{"type":"no_configuration"}\n')
-        return _Answer(200, newest.document, newest.document_version)
+        document = zlib.decompress(newest.document)
+        return _Answer(200, document, newest.document_version)
 
     async def _begin(self, body: bytes) -> _Answer:
         try:
--- a/ashlatch/fleet/protocol.py
+++ b/ashlatch/fleet/protocol.py
@@ -53,7 +53,9 @@
 
     `current` is false when the member has lost touch with the leader, so that
     others may know more. `members` are the addresses of all core VMs.
-    `document` is empty when the sender knows the newest.
+    `document` is empty when the sender knows the newest; it is compressed by
+    `zlib`, as the log holds it. `list_age_ms` is how long ago the platform's
+    list was read.
     """
 
     current: bool
@@ -63,6 +65,7 @@
     document: bytes = b""
     endpoints: EndpointList | None = None
     rollouts: tuple[Rollout, ...] = ()
+    list_age_ms: float = 0.0
 
 
 class JoinRequest(msgspec.Struct, frozen=True):
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -41,6 +41,10 @@
 
 # How often limits are taken over and idle connections looked at.
 SWEEP_S = 0.25
+# A gateway that has just started hears from the core within about a second;
+# requests that come before wait for that, and are refused after it.
+START_HOLD_S = 1.2
+START_RETRY_S = 1.0
 # After it was asked to stop, a gateway takes new connections until the entry
 # has asked twice whether it is ready.
 STOP_ACCEPTS_S = 2.5
@@ -139,8 +143,7 @@
     @property
     def ready(self) -> bool:
         """Whether callers should be sent here."""
-        serves = self.known.table is not None and len(self.known.directory) > 0
-        return serves and self._link.settled and not self.front.stopping
+        return self._link.settled and not self.front.stopping
 
     async def _handle_ready(self, request: HttpRequest, responder: Responder) -> None:
         known = request.target.partition("?")[0] == READY_TARGET
@@ -154,14 +157,14 @@
             self._refuse(responder, "", Refused(400, RefusalReason.MALFORMED))
             emit(log, RequestUnreadable(request.peer, str(error)))
             return
+        if not self._link.settled and not await self._link.wait_settled(START_HOLD_S):
+            refused = Refused(503, RefusalReason.NO_CONFIGURATION, START_RETRY_S)
+            self._refuse(responder, ask.request_id, refused)
+            return
         admission = admit(self.known, ask)
         if isinstance(admission, Refused):
             self._refuse(responder, ask.request_id, admission)
             return
-        if not self._link.settled:
-            refused = Refused(503, RefusalReason.NO_CONFIGURATION, 0.5)
-            self._refuse(responder, ask.request_id, refused)
-            return
         await Exchange(self.known, admission, responder).run()
 
     def _refuse(self, responder: Responder, request_id: str, refused: Refused) -> None:
--- a/ashlatch/gateway/directory.py
+++ b/ashlatch/gateway/directory.py
@@ -75,7 +75,10 @@
 
 
 class Directory:
-    """Endpoints by service. A list that is older than the known one is void."""
+    """Endpoints by service. A list that is older than the known one is void.
+
+    `listed_ms` is when the platform was last known to list these endpoints.
+    """
 
     def __init__(self) -> None:
         self.order: tuple[int, int] = (0, 0)
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -409,6 +409,7 @@
             self._sends,
             self._why,
             endpoint.instance,
+            endpoint.hall,
             endpoint.version,
             self._model,
             choice.candidates,
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -45,6 +45,7 @@
     attempt: int
     reason: str
     instance: str
+    hall: str
     version: str
     model: str
     candidates: int
--- a/ashlatch/gateway/sync.py
+++ b/ashlatch/gateway/sync.py
@@ -14,6 +14,7 @@
 import asyncio
 import logging
 import random
+import zlib
 from collections.abc import Callable
 
 from ashlatch.catalog import EndpointList
@@ -47,6 +48,7 @@
 # A gateway that starts while no core VM is in touch with a leader serves with
 # what an old one knows after this time.
 SETTLE_MS = 4000.0
+SETTLE_LOOK_S = 0.02
 
 
 class FleetLink:
@@ -75,10 +77,22 @@
 
     @property
     def settled(self) -> bool:
-        """Whether what is known may be served by: it was current once."""
+        """Whether requests may be served by what is known.
+
+        A configuration and endpoints are, and they were current once.
+        """
+        if self._known.table is None or not len(self._known.directory):
+            return False
         heard = self._heard_ms > float("-inf")
         return heard or self._now_ms() - self._begun_ms > SETTLE_MS
 
+    async def wait_settled(self, wait_s: float) -> bool:
+        """Wait until requests may be served, as they may soon after a start."""
+        ends_s = self._loop.time() + wait_s
+        while not self.settled and self._loop.time() < ends_s:
+            await asyncio.sleep(SETTLE_LOOK_S)
+        return self.settled
+
     async def run(self) -> None:
         """Ask for news again and again."""
         while True:
@@ -144,11 +158,12 @@
             self._rollout_number = max(self._rollout_number, rollout.number)
         if reply.current:
             self._known.gateways = reply.gateways
+            self._known.directory.listed_ms = self._now_ms() - reply.list_age_ms
             self._regain(address)
 
     def _apply(self, version: int, document: bytes) -> None:
         try:
-            catalog = decode_catalog(document)
+            catalog = decode_catalog(zlib.decompress(document))
         except DocumentError as error:
             # It was checked before it was committed, by a core VM that runs
             # another release: go on with the one before.
--- a/ashlatch/settings.py
+++ b/ashlatch/settings.py
@@ -199,9 +199,9 @@
     data_folder: str
     first_start: bool = False
     losses_max: int = Field(default=1, ge=0)
-    heartbeat_ms: float = Field(default=120.0, gt=0)
-    election_min_ms: float = Field(default=600.0, gt=0)
-    election_max_ms: float = Field(default=1100.0, gt=0)
+    heartbeat_ms: float = Field(default=100.0, gt=0)
+    election_min_ms: float = Field(default=400.0, gt=0)
+    election_max_ms: float = Field(default=800.0, gt=0)
     clock_drift_ratio: float = Field(default=0.05, ge=0, lt=0.5)
     snapshot_every_records: int = Field(default=200, ge=10)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,7 +7,7 @@
 import testtools
 
 from ashlatch.catalog import Rollout, RolloutStage
-from ashlatch.codec import encode
+from ashlatch.codec import digest, encode
 from ashlatch.fleet.founding import founders, open_member
 from ashlatch.fleet.machine import (
     Accepted,
@@ -28,6 +28,10 @@
 SEEDS = ("10.0.0.1:70", "10.0.0.2:70", "10.0.0.3:70")
 
 
+def replace(version: int, body: bytes) -> ReplaceDocument:
+    return ReplaceDocument(version, body, digest(body))
+
+
 class MachineTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
@@ -37,11 +41,11 @@
         return self.machine.apply(encode(command))
 
     def test_versions(self) -> None:
-        self.assertEqual(Accepted(True), self.apply(ReplaceDocument(4, b"four")))
-        self.assertEqual(Accepted(False), self.apply(ReplaceDocument(4, b"four")))
-        self.assertEqual(Conflict(4), self.apply(ReplaceDocument(4, b"other")))
-        self.assertEqual(Accepted(False), self.apply(ReplaceDocument(3, b"three")))
-        self.assertEqual(Accepted(True), self.apply(ReplaceDocument(9, b"nine")))
+        self.assertEqual(Accepted(True), self.apply(replace(4, b"four")))
+        self.assertEqual(Accepted(False), self.apply(replace(4, b"four")))
+        self.assertEqual(Conflict(4), self.apply(replace(4, b"other")))
+        self.assertEqual(Accepted(False), self.apply(replace(3, b"three")))
+        self.assertEqual(Accepted(True), self.apply(replace(9, b"nine")))
         self.assertEqual(b"nine", self.machine.state.document)
 
     def test_rollouts(self) -> None:
@@ -57,7 +61,7 @@
         self.assertEqual(Accepted(False), self.apply(late))
 
     def test_snapshot(self) -> None:
-        self.apply(ReplaceDocument(4, b"four"))
+        self.apply(replace(4, b"four"))
         self.apply(BeginRollout("app", "v2", 1000.0))
         other = FleetMachine()
         other.restore(self.machine.snapshot())
