Keep the time of a roll-out on every core VM

Change: every core VM counts from when it applied the order. The tests of RolloutKeeper fail on the code before (elapsed 0.3 s a checkpoint behind).

--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -16,7 +16,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from ashlatch.catalog import EndpointList
+from ashlatch.catalog import EndpointList, Rollout
 from ashlatch.codec import encode
 from ashlatch.errors import TransportError
 from ashlatch.fleet.discovery import ListReader
@@ -407,8 +407,7 @@
             self._wake()
         self._listed_ms = max(self._listed_ms, self._list.read_ms)
         self._rollouts.add(self._tallies.take(), now_ms)
-        with self.group.lock:
-            rollouts = tuple(self.machine.state.rollouts.values())
+        rollouts = self._known_rollouts()
         for move in self._rollouts.moves(rollouts, self._endpoints, monotonic_ms()):
             try:
                 await self._commit_here(move)
@@ -424,6 +423,10 @@
 
     # What this VM knows of others.
 
+    def _known_rollouts(self) -> tuple[Rollout, ...]:
+        with self.group.lock:
+            return tuple(self.machine.state.rollouts.values())
+
     def _live_gateways(self) -> tuple[str, ...]:
         now_ms = monotonic_ms()
         gone = [g for g, at in self._gateways.items() if now_ms - at > GATEWAY_SEEN_MS]
@@ -443,6 +446,7 @@
         """Something was applied, listed, or decided by vote: answer who waits."""
         self._changed.set()
         self._changed = asyncio.Event()
+        self._rollouts.observe(self._known_rollouts(), monotonic_ms())
         standing = self.group.standing
         members = standing.members
         news = (standing.term, standing.leader_address, members)
--- a/ashlatch/fleet/leader.py
+++ b/ashlatch/fleet/leader.py
@@ -65,16 +65,23 @@
 
 @dataclass
 class _Clock:
-    """When this leader first saw a record of a roll-out."""
+    """How long a roll-out had run when this VM first saw it, and when that was."""
 
-    number: int
+    version: str
     elapsed_ms: float
     seen_ms: float
 
+    def read_ms(self, now_ms: float) -> float:
+        return self.elapsed_ms + now_ms - self.seen_ms
+
 
 @dataclass
 class RolloutKeeper:
-    """The evidence and the clocks of the roll-outs, for one term of a leader."""
+    """The evidence and the clocks of the roll-outs.
+
+    Every core VM keeps the clocks, from when it applied the order, so that a
+    new leader knows the time exactly. The evidence is the leader's alone.
+    """
 
     _evidence: dict[str, Evidence] = field(default_factory=dict)
     _clocks: dict[str, _Clock] = field(default_factory=dict)
@@ -82,7 +89,15 @@
     def forget(self) -> None:
         """This VM leads no more."""
         self._evidence.clear()
-        self._clocks.clear()
+
+    def observe(self, rollouts: tuple[Rollout, ...], now_ms: float) -> None:
+        """Take note of what was applied just now."""
+        for rollout in rollouts:
+            clock = self._clocks.get(rollout.service)
+            begun = clock is None or clock.version != rollout.version
+            if clock is None or begun or rollout.elapsed_ms > clock.read_ms(now_ms):
+                clock = _Clock(rollout.version, rollout.elapsed_ms, now_ms)
+                self._clocks[rollout.service] = clock
 
     def add(self, tallies: tuple[Tally, ...], now_ms: float) -> None:
         """Take what gateways have counted."""
@@ -97,10 +112,10 @@
         self, rollouts: tuple[Rollout, ...], listed: EndpointList, now_ms: float
     ) -> Iterator[MoveRollout]:
         """The decisions that are due now."""
+        self.observe(rollouts, now_ms)
         for rollout in rollouts:
             if rollout.stage in FINAL_STAGES:
                 self._evidence.pop(rollout.service, None)
-                self._clocks.pop(rollout.service, None)
                 continue
             move = self._move(rollout, listed, now_ms)
             if move is not None:
@@ -109,7 +124,7 @@
     def _move(
         self, rollout: Rollout, listed: EndpointList, now_ms: float
     ) -> MoveRollout | None:
-        elapsed_ms = self._elapsed_ms(rollout, now_ms)
+        elapsed_ms = self._clocks[rollout.service].read_ms(now_ms)
         evidence = self._evidence.setdefault(rollout.service, Evidence())
         ready = any(
             e.service == rollout.service
@@ -139,10 +154,3 @@
             decision.share,
             elapsed_ms,
         )
-
-    def _elapsed_ms(self, rollout: Rollout, now_ms: float) -> float:
-        clock = self._clocks.get(rollout.service)
-        if clock is None or clock.number != rollout.number:
-            clock = _Clock(rollout.number, rollout.elapsed_ms, now_ms)
-            self._clocks[rollout.service] = clock
-        return clock.elapsed_ms + now_ms - clock.seen_ms
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,9 +6,10 @@
 
 import testtools
 
-from ashlatch.catalog import Rollout, RolloutStage
+from ashlatch.catalog import Endpoint, EndpointList, Rollout, RolloutStage
 from ashlatch.codec import digest, encode
 from ashlatch.fleet.founding import founders, open_member
+from ashlatch.fleet.leader import RolloutKeeper
 from ashlatch.fleet.machine import (
     Accepted,
     BeginRollout,
@@ -214,3 +215,47 @@
         rollout = Rollout("app", "v2", RolloutStage.TRIAL, 0.0, 1, 20_000.0)
         decision = decide(rollout, 15_000.0, Evidence(), 0.0, listed=False)
         self.assertEqual((RolloutStage.TRIAL, 0.0), (decision.stage, decision.share))
+
+
+class RolloutKeeperTest(testtools.TestCase):
+    LISTED = EndpointList(1, 1, (Endpoint("i", "app", "a:1", "h", "v2", 8, False),))
+
+    def test_time_goes_on_through_leaders(self) -> None:
+        """A leader that takes over late knows when the order was applied."""
+        first, second = RolloutKeeper(), RolloutKeeper()
+        order = Rollout("app", "v2", RolloutStage.TRIAL, 0.0, 1, 20_000.0)
+        for keeper in (first, second):
+            keeper.observe((order,), 1000.0)
+        (move,) = first.moves((order,), self.LISTED, 1200.0)
+        self.assertEqual(200.0, move.elapsed_ms)
+        moved = Rollout("app", "v2", move.stage, move.share, 2, 20_000.0, 200.0)
+        (move,) = second.moves((moved,), self.LISTED, 11_500.0)
+        self.assertEqual((RolloutStage.SHIFT, 10_500.0), (move.stage, move.elapsed_ms))
+
+    def test_checkpoints_lose_no_time(self) -> None:
+        keeper = RolloutKeeper()
+        known = Rollout("app", "v2", RolloutStage.TRIAL, 0.1, 1, 20_000.0)
+        keeper.observe((known,), 0.0)
+        for now_ms in range(300, 9000, 300):
+            for move in keeper.moves((known,), self.LISTED, float(now_ms)):
+                self.assertEqual(now_ms, move.elapsed_ms)
+                known = Rollout(
+                    "app",
+                    "v2",
+                    move.stage,
+                    move.share,
+                    known.number + 1,
+                    20_000.0,
+                    move.elapsed_ms,
+                )
+        self.assertTrue(known.number > 3)
+
+    def test_a_restarted_member_knows_the_last_checkpoint(self) -> None:
+        keeper = RolloutKeeper()
+        known = Rollout("app", "v2", RolloutStage.TRIAL, 0.1, 4, 20_000.0, 6000.0)
+        (move,) = [
+            m
+            for at_ms in (100_000.0, 102_100.0)
+            for m in keeper.moves((known,), self.LISTED, at_ms)
+        ]
+        self.assertEqual(8100.0, move.elapsed_ms)
