Judge endpoints by what moves, and the larger model by the prompt's length

The one engine of a hall got 30 in 100 of all sends, since own engines were preferred up to 60 in 100 places. Change: an endpoint that has requests and has sent nothing for 250 ms is left alone while others move; the expected time to the first event counts the prompt's tokens; own hall and known prompts are preferred up to 1.5 times the mean load. A gateway that stops ends by itself at 0.9 of its time (three were killed).

--- a/ashlatch/gateway/attempt.py
+++ b/ashlatch/gateway/attempt.py
@@ -85,7 +85,7 @@
 
     async def begin(self, silence_s: float) -> AnswerHead:
         """Send, and wait for the head of the answer; raises `AttemptFailed`."""
-        self.state.load.sent(self._now_ms())
+        self.state.sent(self._now_ms())
         self._counted = True
         connection = await self._connect()
         headers = endpoint_headers(self._ask, self.dispatch)
@@ -98,6 +98,7 @@
             raise AttemptFailed(FailureKind.SILENT, "no head") from error
         except UpstreamBroken as error:
             raise AttemptFailed(FailureKind.BROKEN, error.reason) from error
+        self.state.progressed(self._now_ms())
         if head.load is not None:
             self.state.tell_load(head.load, self._now_ms())
         self._check(head)
@@ -109,11 +110,13 @@
         assert self._connection is not None
         try:
             async with asyncio.timeout(silence_s):
-                return await self._connection.part()
+                part = await self._connection.part()
         except TimeoutError as error:
             raise AttemptFailed(FailureKind.SILENT, "no more of the body") from error
         except UpstreamBroken as error:
             raise AttemptFailed(FailureKind.BROKEN, error.reason) from error
+        self.state.progressed(self._now_ms())
+        return part
 
     def finish(self) -> None:
         """The answer was whole: keep the connection if it may be kept."""
--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -50,7 +50,8 @@
     fresh = [s for s in usable if s.endpoint.instance not in tried]
     sound = [s for s in fresh if s.breaker.allows(now_ms)]
     well = [s for s in sound if s.failing < FAILING_MAX]
-    among = well or sound or fresh
+    moving = [s for s in well if not s.stalled(now_ms)]
+    among = moving or well or sound or fresh
     if not among:
         return None
     by_instance = {s.endpoint.instance: s for s in among}
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -49,8 +49,9 @@
 # has asked twice whether it is ready.
 STOP_ACCEPTS_S = 2.5
 STOP_LOOK_S = 0.05
-# What is left of the time to stop when the rest is cut off.
-STOP_MARGIN_S = 0.3
+# The part of the time to stop after which the rest is cut off, so that the
+# process ends by itself.
+STOP_CUT_AT = 0.9
 
 
 class GatewayDaemon:
@@ -124,7 +125,7 @@
     async def _stop(self) -> int:
         loop = asyncio.get_running_loop()
         begun_s = loop.time()
-        ends_s = begun_s + self.settings.stop_s - STOP_MARGIN_S
+        ends_s = begun_s + STOP_CUT_AT * self.settings.stop_s
         self.front.stopping = True
         emit(log, StopBegun(self.front.handling, len(self.front.connections)))
         while loop.time() < begun_s + STOP_ACCEPTS_S:
--- a/ashlatch/gateway/directory.py
+++ b/ashlatch/gateway/directory.py
@@ -22,6 +22,9 @@
 # Failures in a row until an endpoint is left alone, and for how long.
 BREAKER_FAILURES = 2
 BREAKER_OPEN_MS = 1500.0
+# With requests there, an endpoint that has sent nothing for this long reads a
+# long prompt, or hangs. Events of a stream come every 20 to 130 ms.
+STALL_MS = 250.0
 # How fast the share of failed attempts follows what is seen.
 FAILURE_GAIN = 0.12
 
@@ -31,6 +34,7 @@
     """One endpoint in its present life.
 
     `failing` is the recent share of attempts that failed by its doing.
+    `progress_ms` is when it last sent anything, or got its only request.
     """
 
     endpoint: Endpoint
@@ -39,6 +43,22 @@
         default_factory=lambda: Breaker(BREAKER_FAILURES, BREAKER_OPEN_MS)
     )
     failing: float = 0.0
+    progress_ms: float = float("-inf")
+
+    def sent(self, now_ms: float) -> None:
+        """A request goes there."""
+        if self.load.in_flight == 0:
+            self.progress_ms = now_ms
+        self.load.sent(now_ms)
+
+    def progressed(self, now_ms: float) -> None:
+        """Something has come from there."""
+        self.progress_ms = now_ms
+
+    def stalled(self, now_ms: float) -> bool:
+        """Whether requests are there and nothing comes."""
+        silent_ms = now_ms - self.progress_ms
+        return self.load.in_flight > 0 and silent_ms > STALL_MS
 
     def tell_load(self, figures: LoadFigures, now_ms: float) -> None:
         """Take the load that came with an answer."""
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -212,9 +212,7 @@
         """How long a send may stay without an answer."""
         if self._route.repeat is Repeat.NEVER or self._sends >= self._attempts_max:
             return max(0.0, self._admission.ends_s - self._loop.time())
-        service = self._admission.service.name
-        pace = self._known.pace
-        usual_ms = pace.expected_ms(service, self._model, self._now_ms())
+        usual_ms = self._expected_ms(self._model)
         aimed_ms = SILENCE_RATIO * self._route.target_ms
         silence_ms = max(aimed_ms, SILENCE_USUAL_RATIO * usual_ms)
         return max(SILENCE_MIN_S, silence_ms / 1000.0)
@@ -258,10 +256,13 @@
 
     def _in_time(self, model: str) -> bool:
         """Whether an answer that is asked of a model now would begin in time."""
-        service = self._admission.service.name
         elapsed_ms = (self._loop.time() - self._ask.received_s) * 1000.0
-        expected_ms = self._known.pace.expected_ms(service, model, self._now_ms())
-        return elapsed_ms + expected_ms <= self._route.target_ms
+        return elapsed_ms + self._expected_ms(model) <= self._route.target_ms
+
+    def _expected_ms(self, model: str) -> float:
+        service = self._admission.service.name
+        tokens = self._ask.prompt_tokens
+        return self._known.pace.expected_ms(service, model, tokens, self._now_ms())
 
     async def _read_whole(self, attempt: Attempt, head: AnswerHead) -> _Whole:
         parts = []
@@ -388,7 +389,9 @@
     def _note_pace(self, attempt: Attempt) -> None:
         first_ms = (self._loop.time() - attempt.sent_s) * 1000.0
         service = self._admission.service.name
-        self._known.pace.began(service, self._model, first_ms, self._now_ms())
+        tokens = self._ask.prompt_tokens
+        now_ms = self._now_ms()
+        self._known.pace.began(service, self._model, tokens, first_ms, now_ms)
 
     def _count_answer(self, attempt: Attempt) -> None:
         attempt.state.succeeded()
--- a/ashlatch/gateway/pace.py
+++ b/ashlatch/gateway/pace.py
@@ -14,43 +14,68 @@
 
 __all__ = ["Pace"]
 
-# Each answer moves the estimate by this part of the difference.
+# Each answer moves the estimate of the wait by this part of the difference.
 GAIN = 0.15
-# Without answers the estimate halves in this time, so that what was slow is
-# tried again.
+# Without answers the estimate of the wait halves in this time, so that what
+# was slow is tried again.
 HALF_LIFE_MS = 1500.0
+# The time to read a token is taken from prompts of at least this many, and as
+# a low quantile of what is seen: queues and other prompts only add to it.
+RATE_TOKENS_MIN = 1500
+RATE_GAIN_DOWN = 0.1
+RATE_GAIN_UP = 0.05
 
 
 @dataclass
 class _Estimate:
-    mean_ms: float
-    deviation_ms: float
+    """`token_ms` is for each token of a prompt, `wait_ms` what comes on top."""
+
     at_ms: float
+    token_ms: float = 0.0
+    wait_ms: float = 0.0
+    deviation_ms: float = 0.0
+    answers: int = 0
+
+    def take(self, tokens: int, first_ms: float, now_ms: float) -> None:
+        if tokens >= RATE_TOKENS_MIN:
+            difference = first_ms / tokens - self.token_ms
+            gain = RATE_GAIN_DOWN if difference < 0 else RATE_GAIN_UP
+            self.token_ms += gain * difference
+        wait_ms = max(0.0, first_ms - tokens * self.token_ms)
+        gain = max(GAIN, 1.0 / (self.answers + 1))
+        difference = wait_ms - self.wait_ms
+        self.wait_ms += gain * difference
+        self.deviation_ms += gain * (abs(difference) - self.deviation_ms)
+        self.answers += 1
+        self.at_ms = now_ms
 
 
 @dataclass
 class Pace:
-    """Recent times to the first event, and how far they lie apart."""
+    """Recent times to the first event, by what they are made of::
+
+    pace = Pace()
+    pace.began("chat", "small", tokens=4000, first_ms=90.0, now_ms=0.0)
+    pace.expected_ms("chat", "small", tokens=8000, now_ms=100.0)
+    """
 
     _estimates: dict[tuple[str, str], _Estimate] = field(default_factory=dict)
 
-    def began(self, service: str, model: str, first_ms: float, now_ms: float) -> None:
-        """An answer has begun `first_ms` after it was asked for."""
-        key = (service, model)
-        known = self._estimates.get(key)
-        if known is None:
-            self._estimates[key] = _Estimate(first_ms, first_ms / 2, now_ms)
-            return
-        difference = first_ms - known.mean_ms
-        known.mean_ms += GAIN * difference
-        known.deviation_ms += GAIN * (abs(difference) - known.deviation_ms)
-        known.at_ms = now_ms
-
-    def expected_ms(self, service: str, model: str, now_ms: float) -> float:
+    def began(
+        self, service: str, model: str, tokens: int, first_ms: float, now_ms: float
+    ) -> None:
+        """An answer to a prompt has begun `first_ms` after it was asked for."""
+        estimate = self._estimates.setdefault((service, model), _Estimate(now_ms))
+        estimate.take(tokens, first_ms, now_ms)
+
+    def expected_ms(
+        self, service: str, model: str, tokens: int, now_ms: float
+    ) -> float:
         """A cautious guess of the time to the first event; 0 when unknown."""
         known = self._estimates.get((service, model))
         if known is None:
             return 0.0
         idle_ms = max(0.0, now_ms - known.at_ms)
         fading = 0.5 ** (idle_ms / HALF_LIFE_MS)
-        return (known.mean_ms + known.deviation_ms) * fading
+        waiting_ms = (known.wait_ms + known.deviation_ms) * fading
+        return tokens * known.token_ms + waiting_ms
--- a/ashlatch/policy/endpoint.py
+++ b/ashlatch/policy/endpoint.py
@@ -20,10 +20,12 @@
 
 PREFIX_LOAD_BOUND = 1.25
 PREFIX_CHOICES = 2
-# Own endpoints are preferred below this share of taken places, and one that
-# knows the prompt below the other; both from trials with shares of 0.5 to 0.9.
-HALL_SPILL_UTILISATION = 0.6
-AFFINITY_UTILISATION = 0.5
+# Endpoints of the own hall, and those that know the prompt, are preferred up to
+# this many times the mean share of taken places, and always while nearly idle.
+# Engines slow down with each request that runs beside others, long before
+# their places are taken, so a fixed share of places would not do.
+HALL_LOAD_BOUND = 1.5
+LIGHT_UTILISATION = 0.12
 
 
 @dataclass(frozen=True)
@@ -167,14 +169,12 @@
         self, candidates: tuple[Candidate, ...], prefix: str, generator: random.Random
     ) -> Candidate:
         """A near endpoint that knows the prefix, or the least loaded one."""
-        near = tuple(
-            c for c in candidates if c.local and c.utilisation < HALL_SPILL_UTILISATION
-        )
+        mean = sum(c.utilisation for c in candidates) / len(candidates)
+        bound = max(LIGHT_UTILISATION, HALL_LOAD_BOUND * mean)
+        near = tuple(c for c in candidates if c.local and c.utilisation < bound)
         pool = near or candidates
         by_name = {c.endpoint: c for c in pool}
         if prefix:
-            mean = sum(c.utilisation for c in pool) / len(pool)
-            bound = max(AFFINITY_UTILISATION, PREFIX_LOAD_BOUND * mean)
             for name in rank(tuple(by_name), prefix)[:PREFIX_CHOICES]:
                 if by_name[name].utilisation < bound:
                     return by_name[name]
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -1,5 +1,7 @@
 """Tests of a gateway's choices: versions, budgets, routes, paces, events."""
 
+import random
+
 import testtools
 
 from ashlatch.catalog import Endpoint, Rollout, RolloutStage
@@ -10,6 +12,7 @@
 from ashlatch.gateway.routing import RouteTable
 from ashlatch.gateway.versions import SessionVersions, VersionChooser
 from ashlatch.platform.document import decode_catalog
+from ashlatch.policy.endpoint import ENDPOINT_POLICIES, Candidate
 from tests.standin import document, encoded, route
 
 
@@ -123,13 +126,64 @@
 
 
 class PaceTest(testtools.TestCase):
-    def test_follows_and_fades(self) -> None:
+    def test_wait_follows_and_fades(self) -> None:
         pace = Pace()
-        self.assertEqual(0.0, pace.expected_ms("app", "m", 0.0))
+        self.assertEqual(0.0, pace.expected_ms("app", "m", 10, 0.0))
         for at_ms in range(0, 3000, 100):
-            pace.began("app", "m", 1000.0, float(at_ms))
-        self.assertTrue(950 < pace.expected_ms("app", "m", 3000.0) < 1100)
-        self.assertTrue(pace.expected_ms("app", "m", 10_000.0) < 100)
+            pace.began("app", "m", 10, 1000.0, float(at_ms))
+        self.assertTrue(950 < pace.expected_ms("app", "m", 10, 3000.0) < 1100)
+        self.assertTrue(pace.expected_ms("app", "m", 10, 10_000.0) < 100)
+
+    def test_long_prompts(self) -> None:
+        """0.03 ms a token, and a wait that comes on top now and then."""
+        pace = Pace()
+        for n in range(200):
+            wait_ms = 400.0 if n % 5 == 0 else 40.0
+            tokens = 2000 + 100 * (n % 30)
+            pace.began("app", "m", tokens, 0.03 * tokens + wait_ms, n * 50.0)
+        expected_ms = pace.expected_ms("app", "m", 50_000, 10_000.0)
+        self.assertTrue(1500 < expected_ms < 3500, expected_ms)
+        self.assertTrue(pace.expected_ms("app", "m", 500, 10_000.0) < 500)
+
+
+class StallTest(testtools.TestCase):
+    def test_stall(self) -> None:
+        state = EndpointState(Endpoint("i", "app", "a:1", "h", "v1", 8, False))
+        self.assertFalse(state.stalled(0.0))
+        state.sent(0.0)
+        self.assertFalse(state.stalled(200.0))
+        self.assertTrue(state.stalled(400.0))
+        state.progressed(400.0)
+        self.assertFalse(state.stalled(500.0))
+
+
+class HallAffinityTest(testtools.TestCase):
+    def choose(self, used: dict[str, float], prefix: str = "") -> set[str]:
+        """Endpoints named `near...` are local; 100 places each."""
+        policy = ENDPOINT_POLICIES.get("hall_affinity")()
+        candidates = tuple(
+            Candidate(name, u * 100, 0, 100, 0.0, name.startswith("near"))
+            for name, u in used.items()
+        )
+        generator = random.Random(1)
+        chosen = [policy.choose(candidates, prefix, generator) for _ in range(50)]
+        return {candidate.endpoint for candidate in chosen}
+
+    def test_near_while_it_is_not_busier(self) -> None:
+        used = {"near-1": 0.10, "far-1": 0.0, "far-2": 0.0}
+        self.assertEqual({"near-1"}, self.choose(used))
+        used = {"near-1": 0.28, "far-1": 0.06, "far-2": 0.05}
+        self.assertEqual({"far-2"}, self.choose(used))
+        used = {"near-1": 0.5, "far-1": 0.45, "far-2": 0.4}
+        self.assertEqual({"near-1"}, self.choose(used))
+
+    def test_prefix(self) -> None:
+        used = {"near-1": 0.05, "near-2": 0.05, "near-3": 0.04, "far-1": 0.0}
+        for prefix in ("a", "b", "c"):
+            (chosen,) = self.choose(used, prefix)
+            self.assertTrue(chosen.startswith("near"))
+            busy = self.choose({**used, chosen: 0.6}, prefix)
+            self.assertNotIn(chosen, busy)
 
 
 class EventsTest(testtools.TestCase):
