--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -16,7 +16,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from ashlatch.catalog import EndpointList
+from ashlatch.catalog import EndpointList, Rollout
 from ashlatch.codec import encode
 from ashlatch.errors import TransportError
 from ashlatch.fleet.discovery import ListReader
@@ -110,6 +110,7 @@
             ListReader(settings.list_address), settings.list_read_ms
         )
         self._endpoints = EndpointList()
+        self._listed_ms = monotonic_ms()
         self._gateways: dict[str, float] = {}
         self._gateway_count = 1
         self._leader_heard_ms = float("-inf")
@@ -328,6 +329,7 @@
                 state.document if newer else b"",
                 endpoints if endpoints.order > request.list_order else None,
                 rollouts,
+                monotonic_ms() - self._listed_ms,
             )
 
     def _current(self) -> bool:
@@ -382,6 +384,7 @@
             return
         self._leader_heard_ms = monotonic_ms()
         self._gateway_count = reply.gateways
+        self._listed_ms = self._leader_heard_ms - reply.list_age_ms
         if reply.endpoints is not None:
             self._endpoints = reply.endpoints
             self._wake()
@@ -402,9 +405,9 @@
         if await self._list.read_if_due(standing.term, now_ms):
             self._endpoints = self._list.newest
             self._wake()
+        self._listed_ms = max(self._listed_ms, self._list.read_ms)
         self._rollouts.add(self._tallies.take(), now_ms)
-        with self.group.lock:
-            rollouts = tuple(self.machine.state.rollouts.values())
+        rollouts = self._known_rollouts()
         for move in self._rollouts.moves(rollouts, self._endpoints, monotonic_ms()):
             try:
                 await self._commit_here(move)
@@ -420,6 +423,10 @@
 
     # What this VM knows of others.
 
+    def _known_rollouts(self) -> tuple[Rollout, ...]:
+        with self.group.lock:
+            return tuple(self.machine.state.rollouts.values())
+
     def _live_gateways(self) -> tuple[str, ...]:
         now_ms = monotonic_ms()
         gone = [g for g, at in self._gateways.items() if now_ms - at > GATEWAY_SEEN_MS]
@@ -439,6 +446,7 @@
         """Something was applied, listed, or decided by vote: answer who waits."""
         self._changed.set()
         self._changed = asyncio.Event()
+        self._rollouts.observe(self._known_rollouts(), monotonic_ms())
         standing = self.group.standing
         members = standing.members
         news = (standing.term, standing.leader_address, members)
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -41,12 +41,17 @@
 
 # How often limits are taken over and idle connections looked at.
 SWEEP_S = 0.25
+# A gateway that has just started hears from the core within about a second;
+# requests that come before wait for that, and are refused after it.
+START_HOLD_S = 1.2
+START_RETRY_S = 1.0
 # After it was asked to stop, a gateway takes new connections until the entry
 # has asked twice whether it is ready.
 STOP_ACCEPTS_S = 2.5
 STOP_LOOK_S = 0.05
-# What is left of the time to stop when the rest is cut off.
-STOP_MARGIN_S = 0.3
+# The part of the time to stop after which the rest is cut off, so that the
+# process ends by itself.
+STOP_CUT_AT = 0.9
 
 
 class GatewayDaemon:
@@ -120,7 +125,7 @@
     async def _stop(self) -> int:
         loop = asyncio.get_running_loop()
         begun_s = loop.time()
-        ends_s = begun_s + self.settings.stop_s - STOP_MARGIN_S
+        ends_s = begun_s + STOP_CUT_AT * self.settings.stop_s
         self.front.stopping = True
         emit(log, StopBegun(self.front.handling, len(self.front.connections)))
         while loop.time() < begun_s + STOP_ACCEPTS_S:
@@ -139,8 +144,7 @@
     @property
     def ready(self) -> bool:
         """Whether callers should be sent here."""
-        serves = self.known.table is not None and len(self.known.directory) > 0
-        return serves and self._link.settled and not self.front.stopping
+        return self._link.settled and not self.front.stopping
 
     async def _handle_ready(self, request: HttpRequest, responder: Responder) -> None:
         known = request.target.partition("?")[0] == READY_TARGET
@@ -154,14 +158,14 @@
             self._refuse(responder, "", Refused(400, RefusalReason.MALFORMED))
             emit(log, RequestUnreadable(request.peer, str(error)))
             return
+        if not self._link.settled and not await self._link.wait_settled(START_HOLD_S):
+            refused = Refused(503, RefusalReason.NO_CONFIGURATION, START_RETRY_S)
+            self._refuse(responder, ask.request_id, refused)
+            return
         admission = admit(self.known, ask)
         if isinstance(admission, Refused):
             self._refuse(responder, ask.request_id, admission)
             return
-        if not self._link.settled:
-            refused = Refused(503, RefusalReason.NO_CONFIGURATION, 0.5)
-            self._refuse(responder, ask.request_id, refused)
-            return
         await Exchange(self.known, admission, responder).run()
 
     def _refuse(self, responder: Responder, request_id: str, refused: Refused) -> None:
