Judge by how often answers fail or are late, and test a version under load

A version that is slow in half of its answers was not found: the mean of the logarithms hides it, and answers that were given up were not counted. One that is bad only under load showed nothing at a tenth of the sessions spread over all endpoints. Change: tallies count answers by steps of time; late answers are judged like failed ones; between trial and shift one endpoint of the new version is made busy, within what a bad version may answer. Tests fail on the code before.

--- a/ashlatch/catalog.py
+++ b/ashlatch/catalog.py
@@ -165,11 +165,15 @@
     """How far a roll-out is.
 
     `TRIAL`: a share of the sessions goes to the new version, which has not
-    proved itself yet. `SHIFT`: it has, and takes over. `COMPLETED` and
+    proved itself yet. `LOAD_TEST`: one endpoint of it gets as much as makes it
+    busy, since some faults show only then. `SETTLE`: what that brought is
+    waited for. `SHIFT`: the version is well, and takes over. `COMPLETED` and
     `ROLLED_BACK` are final.
     """
 
     TRIAL = "trial"
+    LOAD_TEST = "load_test"
+    SETTLE = "settle"
     SHIFT = "shift"
     COMPLETED = "completed"
     ROLLED_BACK = "rolled_back"
--- a/ashlatch/fleet/verdict.py
+++ b/ashlatch/fleet/verdict.py
@@ -20,13 +20,23 @@
 __all__ = ["Decision", "Evidence", "decide"]
 
 # The share of sessions in the trial. It runs for half of the time and leaves
-# most of what a bad version may answer (15 in 100) for the shift.
-TRIAL_SHARE = 0.1
-# From which part of the time on which share goes to a version that is well.
-SHIFT_STEPS = ((0.50, 0.3), (0.58, 0.6), (0.66, 1.0))
+# most of what a bad version may answer (15 in 100) for what follows.
+TRIAL_SHARE = 0.08
+# From which part of the time on a version that is well gets which share.
+STEPS = (
+    (0.00, RolloutStage.TRIAL, TRIAL_SHARE),
+    (0.50, RolloutStage.LOAD_TEST, TRIAL_SHARE),
+    (0.60, RolloutStage.SETTLE, TRIAL_SHARE),
+    (0.66, RolloutStage.SHIFT, 0.4),
+    (0.72, RolloutStage.SHIFT, 1.0),
+)
 # Sessions and streams on the old version end meanwhile; its endpoints stop
 # when the roll-out is declared complete.
-COMPLETE_AT = 0.86
+COMPLETE_AT = 0.88
+# The load test ends early when the version would have answered this part of
+# all requests until the end of the time, and a few more.
+EXPOSED_MAX = 0.11
+EXPOSED_EXTRA = 15
 
 # Fewer failures than this may be chance.
 FAILURES_MIN = 3
@@ -37,9 +47,11 @@
 PRIOR_ANSWERS = 50.0
 # How many standard deviations beyond what is expected.
 DEVIATIONS = 3.0
-# Slower than the other version by this factor, with as many answers timed.
-SLOW_FACTOR = 2.5
-TIMED_MIN = 8
+# An answer is slow when it begins this many steps after the median of the other
+# version: 3.4 times as late.
+SLOW_STEPS = 3
+# The median is known from as many answers.
+TIMED_MIN = 20
 # Changes that come late are looked for in the latest answers alone.
 RECENT_MS = 4000.0
 
@@ -93,10 +105,21 @@
     part = elapsed_ms / rollout.duration_ms
     if part >= COMPLETE_AT and rollout.share >= 1.0:
         return Decision(RolloutStage.COMPLETED, 1.0, "well for most of the time")
-    reached = [share for at, share in SHIFT_STEPS if part >= at]
-    if reached:
-        return Decision(RolloutStage.SHIFT, reached[-1], "well so far")
-    return Decision(RolloutStage.TRIAL, TRIAL_SHARE, "endpoints are listed")
+    _, stage, share = next(step for step in reversed(STEPS) if part >= step[0])
+    if stage is RolloutStage.LOAD_TEST and _exposed(rollout, part, everything):
+        return Decision(RolloutStage.SETTLE, TRIAL_SHARE, "enough was answered")
+    return Decision(stage, share, "well so far")
+
+
+def _exposed(rollout: Rollout, part: float, counts: dict[TallyKey, Tally]) -> bool:
+    """Whether the new version has answered what a bad one may, but for a rest."""
+    new = all_answers = 0
+    for key, tally in counts.items():
+        if key.service != rollout.service:
+            continue
+        all_answers += _answers(tally)
+        new += _answers(tally) if key.version == rollout.version else 0
+    return new > EXPOSED_MAX * all_answers / part + EXPOSED_EXTRA
 
 
 def _fault(
@@ -107,11 +130,11 @@
     for route in sorted(routes):
         mine = _sum(rollout, new, route, new_version=True)
         other = _sum(rollout, old, route, new_version=False)
-        if _fails(mine, other):
+        if _often(mine.failed, _answers(mine), other.failed, _answers(other)):
             return f"route {route}: {mine.failed} of {_answers(mine)} failed"
-        if _slow(mine, other):
-            ratio = math.exp(_mean(mine) - _mean(other))
-            return f"route {route}: {ratio:.1f} times slower in {mine.timed} answers"
+        late, timed, other_late, other_timed = _late(mine, other)
+        if _often(late, timed, other_late, other_timed):
+            return f"route {route}: {late} of {timed} were late"
     return ""
 
 
@@ -131,24 +154,30 @@
     return tally.answered + tally.failed
 
 
-def _fails(new: Tally, old: Tally) -> bool:
-    rate = (old.failed + PRIOR_FAILURES) / (_answers(old) + PRIOR_ANSWERS)
-    expected = FAILURE_TOLERANCE * rate * _answers(new)
+def _often(bad: int, count: int, other_bad: int, other_count: int) -> bool:
+    """Whether something happens more often than the other version explains."""
+    rate = (other_bad + PRIOR_FAILURES) / (other_count + PRIOR_ANSWERS)
+    expected = FAILURE_TOLERANCE * rate * count
     bound = expected + DEVIATIONS * math.sqrt(expected)
-    return new.failed >= FAILURES_MIN and new.failed > bound
-
-
-def _slow(new: Tally, old: Tally) -> bool:
-    if new.timed < TIMED_MIN or old.timed < TIMED_MIN:
-        return False
-    error = math.sqrt(_variance(new) / new.timed + _variance(old) / old.timed)
-    return _mean(new) - _mean(old) > math.log(SLOW_FACTOR) + 2.0 * error
-
-
-def _mean(tally: Tally) -> float:
-    return tally.log_ms_sum / tally.timed
-
-
-def _variance(tally: Tally) -> float:
-    mean = _mean(tally)
-    return max(0.0, tally.log_ms_squares / tally.timed - mean * mean)
+    return bad >= FAILURES_MIN and bad > bound
+
+
+def _late(new: Tally, old: Tally) -> tuple[int, int, int, int]:
+    """How many were slow of how many timed, of the new and of the old version."""
+    old_timed = sum(old.times.values())
+    new_timed = sum(new.times.values())
+    if old_timed < TIMED_MIN:
+        return 0, new_timed, 0, old_timed
+    bound = _median(old.times) + SLOW_STEPS
+    late = sum(count for step, count in new.times.items() if step >= bound)
+    other = sum(count for step, count in old.times.items() if step >= bound)
+    return late, new_timed, other, old_timed
+
+
+def _median(times: dict[int, int]) -> int:
+    left = sum(times.values()) / 2
+    for step in sorted(times):
+        left -= times[step]
+        if left <= 0:
+            return step
+    return max(times, default=0)
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -319,6 +319,9 @@
         self._may_have_run |= not kind.not_run
         if kind is FailureKind.ERROR:
             self._known.tallies.failed(self._tally_key(attempt))
+        if kind is FailureKind.SILENT and not self._events:
+            silent_ms = (self._loop.time() - attempt.sent_s) * 1000.0
+            self._known.tallies.given_up(self._tally_key(attempt), silent_ms)
         if kind is not FailureKind.REFUSED:
             unreachable = kind in (FailureKind.UNREACHABLE, FailureKind.BROKEN)
             state.failed(now_ms, unreachable)
@@ -397,9 +400,8 @@
         attempt.state.succeeded()
         self._note_version(attempt)
         ended_s = self._first_s or self._loop.time()
-        first_ms = (ended_s - attempt.sent_s) * 1000.0
-        timed = first_ms if first_ms > 0 else None
-        self._known.tallies.answered(self._tally_key(attempt), timed)
+        first_ms = max(0.0, (ended_s - attempt.sent_s) * 1000.0)
+        self._known.tallies.answered(self._tally_key(attempt), first_ms)
 
     def _log_send(self, choice: Choice) -> None:
         endpoint = choice.state.endpoint
--- a/ashlatch/gateway/tally.py
+++ b/ashlatch/gateway/tally.py
@@ -10,11 +10,15 @@
 """
 
 import math
+from collections import Counter
 from dataclasses import dataclass, field
 
 import msgspec
 
-__all__ = ["Tallies", "Tally", "TallyKey", "merge"]
+__all__ = ["STEP", "Tallies", "Tally", "TallyKey", "merge", "step_of"]
+
+# The factor between one step of the times and the next.
+STEP = 1.5
 
 
 class TallyKey(msgspec.Struct, frozen=True):
@@ -29,30 +33,33 @@
     """Counts since the last report.
 
     `failed` answers were errors of the endpoint's own: an answer that breaks
-    off tells of a VM, not of its version. `log_ms_sum` and `log_ms_squares`
-    are sums over the logarithms of the times to the first sign of an answer,
-    of those that were `timed`.
+    off tells of a VM, not of its version. `times` counts answers by the time
+    to their first sign, in steps of `STEP`: answers that were given up after
+    such a time count like those that came then.
     """
 
     key: TallyKey
     answered: int = 0
     failed: int = 0
-    timed: int = 0
-    log_ms_sum: float = 0.0
-    log_ms_squares: float = 0.0
+    times: dict[int, int] = {}
 
     def plus(self, other: "Tally") -> "Tally":
         """Both together."""
+        times = Counter(self.times)
+        times.update(other.times)
         return Tally(
             self.key,
             self.answered + other.answered,
             self.failed + other.failed,
-            self.timed + other.timed,
-            self.log_ms_sum + other.log_ms_sum,
-            self.log_ms_squares + other.log_ms_squares,
+            dict(times),
         )
 
 
+def step_of(first_ms: float) -> int:
+    """The step that a time belongs to."""
+    return max(0, int(math.log(max(first_ms, 1.0)) / math.log(STEP)))
+
+
 def merge(into: dict[TallyKey, Tally], tallies: tuple[Tally, ...]) -> None:
     """Add tallies to those of the same keys."""
     for tally in tallies:
@@ -66,18 +73,18 @@
 
     _counts: dict[TallyKey, Tally] = field(default_factory=dict)
 
-    def answered(self, key: TallyKey, first_ms: float | None) -> None:
+    def answered(self, key: TallyKey, first_ms: float) -> None:
         """An answer came whole; with the time to its first sign."""
-        if first_ms is None:
-            self.add((Tally(key, answered=1),))
-            return
-        log_ms = math.log(max(first_ms, 0.1))
-        self.add((Tally(key, 1, 0, 1, log_ms, log_ms * log_ms),))
+        self.add((Tally(key, 1, 0, {step_of(first_ms): 1}),))
 
     def failed(self, key: TallyKey) -> None:
         """An answer failed."""
         self.add((Tally(key, failed=1),))
 
+    def given_up(self, key: TallyKey, after_ms: float) -> None:
+        """No answer came within a time."""
+        self.add((Tally(key, times={step_of(after_ms): 1}),))
+
     def add(self, tallies: tuple[Tally, ...]) -> None:
         """Take counts from elsewhere, or back from a report that was lost."""
         merge(self._counts, tallies)
--- a/ashlatch/gateway/versions.py
+++ b/ashlatch/gateway/versions.py
@@ -16,12 +16,15 @@
 from ashlatch.catalog import Rollout, RolloutStage
 from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.routing import fraction
+from ashlatch.policy.endpoint import rank
 
 __all__ = ["SessionVersions", "VersionChooser"]
 
 # Sessions are forgotten this much after they have ended.
 SESSION_MARGIN_MS = 1000.0
 SESSIONS_MAX = 20_000
+# How busy the one endpoint of a load test is made.
+LOAD_TEST_UTILISATION = 0.65
 
 
 @dataclass
@@ -90,6 +93,9 @@
         old = [s for s in listed if s.endpoint.version != rollout.version]
         if rollout.stage is RolloutStage.ROLLED_BACK:
             return old
+        if rollout.stage is RolloutStage.LOAD_TEST:
+            tested = _tested(rollout, new, now_ms)
+            return tested or self._untested(rollout, session, new, old, now_ms)
         if self._prefers_new(rollout, session, request_id, now_ms):
             return new or old
         return old or new
@@ -106,6 +112,33 @@
             return False
         return fraction(f"{rollout.version}/{session or request_id}") < rollout.share
 
+    def _untested(
+        self,
+        rollout: Rollout,
+        session: str,
+        new: list[EndpointState],
+        old: list[EndpointState],
+        now_ms: float,
+    ) -> list[EndpointState]:
+        """Where a request goes when the tested endpoint is busy enough."""
+        before = self.sessions.version(rollout.service, session, now_ms)
+        return (new or old) if before == rollout.version else (old or new)
+
     def _number(self, service: str) -> int:
         known = self.rollouts.get(service)
         return known.number if known else 0
+
+
+def _tested(
+    rollout: Rollout, new: list[EndpointState], now_ms: float
+) -> list[EndpointState]:
+    """The endpoint that is tested under load, while it is not busy enough.
+
+    All gateways choose the same, by rendezvous hashing.
+    """
+    ready = {s.endpoint.instance: s for s in new if not s.endpoint.leaving}
+    if not ready:
+        return []
+    state = ready[rank(tuple(ready), rollout.version)[0]]
+    busy = state.utilisation(now_ms) >= LOAD_TEST_UTILISATION
+    return [] if busy or not state.breaker.allows(now_ms) else [state]
--- a/ashlatch/platform/document.py
+++ b/ashlatch/platform/document.py
@@ -265,6 +265,8 @@
 
 _STATES = {
     RolloutStage.TRIAL: "in_progress",
+    RolloutStage.LOAD_TEST: "in_progress",
+    RolloutStage.SETTLE: "in_progress",
     RolloutStage.SHIFT: "in_progress",
     RolloutStage.COMPLETED: "completed",
     RolloutStage.ROLLED_BACK: "rolled_back",
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -23,9 +23,9 @@
         self.chooser = VersionChooser(self.sessions)
         self.states = [self.state("v1"), self.state("v2")]
 
-    def state(self, version: str) -> EndpointState:
+    def state(self, version: str, number: int = 1) -> EndpointState:
         return EndpointState(
-            Endpoint(f"i-{version}", "app", "a:1", "h", version, 8, False)
+            Endpoint(f"i-{version}-{number}", "app", "a:1", "h", version, 8, False)
         )
 
     def learn(self, stage: RolloutStage, share: float, number: int) -> None:
@@ -69,6 +69,19 @@
         self.states = [self.state("v2")]
         self.assertEqual(set(), self.versions("s"))
 
+    def test_load_test(self) -> None:
+        """One endpoint of the new version, until it is busy enough."""
+        self.states += [self.state("v2", 2), self.state("v2", 3)]
+        self.learn(RolloutStage.LOAD_TEST, 0.1, 1)
+        tested = self.chooser.allowed("app", "s", "r", self.states, 0.0)
+        self.assertEqual(1, len(tested))
+        self.assertEqual("v2", tested[0].endpoint.version)
+        for _ in range(6):
+            tested[0].sent(0.0)
+        self.assertEqual({"v1"}, self.versions("s"))
+        self.sessions.note("app", "s", "v2", 0.0)
+        self.assertEqual({"v2"}, self.versions("s"))
+
     def test_old_news(self) -> None:
         self.learn(RolloutStage.ROLLED_BACK, 0.0, 5)
         self.learn(RolloutStage.SHIFT, 1.0, 4)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -21,8 +21,8 @@
     ReplaceDocument,
 )
 from ashlatch.fleet.membership import enough_voters, silent_member
-from ashlatch.fleet.verdict import Decision, Evidence, decide
-from ashlatch.gateway.tally import Tally, TallyKey
+from ashlatch.fleet.verdict import TRIAL_SHARE, Decision, Evidence, decide
+from ashlatch.gateway.tally import Tallies, Tally, TallyKey, step_of
 from ashlatch.raft.group import Standing
 from ashlatch.raft.message import Member, Members
 
@@ -149,24 +149,24 @@
 class VerdictTest(testtools.TestCase):
     """Roll-outs of 20 s, judged with an old version that fails 1 in 100."""
 
-    def evidence(self, **new: float) -> Evidence:
+    def evidence(self, **new: int) -> Evidence:
         evidence = Evidence()
-        evidence.add((self.tally("v1", 300, 3, 300, 5.0),), 0.0)
-        evidence.add((self.tally("v2", **new),), 0.0)  # type: ignore[arg-type]
+        evidence.add((self.tally("v1", 300, 3, late=10),), 0.0)
+        evidence.add((self.tally("v2", **new),), 0.0)
         return evidence
 
     def tally(
         self,
         version: str,
-        answered: int = 50,
+        answered: int = 20,
         failed: int = 0,
-        timed: int = 50,
-        log_ms: float = 5.0,
+        late: int = 0,
         route: str = "r",
     ) -> Tally:
+        """Answers that begin after 60 ms, or eight times as late."""
         key = TallyKey("app", version, route)
-        spread = timed * (log_ms * log_ms + 0.25)
-        return Tally(key, answered, failed, timed, log_ms * timed, spread)
+        times = {step_of(60.0): answered - late, step_of(480.0): late}
+        return Tally(key, answered, failed, times)
 
     def decide(self, part: float, evidence: Evidence, share: float = 0.1) -> Decision:
         stage = RolloutStage.TRIAL if part < 0.5 else RolloutStage.SHIFT
@@ -175,26 +175,37 @@
 
     def test_good(self) -> None:
         good = self.evidence()
-        self.assertEqual(RolloutStage.TRIAL, self.decide(0.1, good).stage)
-        self.assertEqual(0.3, self.decide(0.52, good).share)
-        self.assertEqual(1.0, self.decide(0.7, good).share)
+        stages = [self.decide(part / 100, good).stage.value for part in (10, 52, 62)]
+        self.assertEqual(["trial", "load_test", "settle"], stages)
+        self.assertEqual(0.4, self.decide(0.68, good).share)
+        self.assertEqual(1.0, self.decide(0.75, good).share)
         self.assertEqual(
             RolloutStage.COMPLETED, self.decide(0.9, good, share=1.0).stage
         )
 
+    def test_load_test_ends_when_enough_was_answered(self) -> None:
+        evidence = self.evidence(answered=100)
+        self.assertEqual(RolloutStage.SETTLE, self.decide(0.52, evidence).stage)
+
     def test_a_new_version_may_fail_now_and_then(self) -> None:
-        evidence = self.evidence(answered=48, failed=2)
+        evidence = self.evidence(answered=48, failed=2, late=3)
         self.assertEqual(RolloutStage.TRIAL, self.decide(0.3, evidence).stage)
 
     def test_fails(self) -> None:
         evidence = self.evidence(answered=9, failed=4)
         self.assertEqual(RolloutStage.ROLLED_BACK, self.decide(0.1, evidence).stage)
 
-    def test_slow(self) -> None:
-        slow = self.evidence(answered=12, timed=12, log_ms=5.0 + 2.08)
+    def test_half_of_the_answers_are_slow(self) -> None:
+        slow = self.evidence(answered=12, late=6)
         self.assertEqual(RolloutStage.ROLLED_BACK, self.decide(0.2, slow).stage)
-        busy = self.evidence(answered=12, timed=12, log_ms=5.0 + 0.6)
-        self.assertEqual(RolloutStage.TRIAL, self.decide(0.2, busy).stage)
+
+    def test_answers_that_were_given_up_are_slow(self) -> None:
+        evidence = self.evidence(answered=8)
+        tallies = Tallies()
+        for _ in range(6):
+            tallies.given_up(TallyKey("app", "v2", "r"), 450.0)
+        evidence.add(tallies.take(), 0.0)
+        self.assertEqual(RolloutStage.ROLLED_BACK, self.decide(0.2, evidence).stage)
 
     def test_fails_on_one_route(self) -> None:
         evidence = self.evidence()
@@ -205,8 +216,8 @@
         self.assertIn("other", decision.reason)
 
     def test_turns_slow_late(self) -> None:
-        evidence = self.evidence(answered=400, timed=400)
-        evidence.add((self.tally("v2", 12, 0, 12, 5.0 + 2.08),), 10_000.0)
+        evidence = self.evidence(answered=400)
+        evidence.add((self.tally("v2", 12, late=6),), 10_000.0)
         rollout = Rollout("app", "v2", RolloutStage.SHIFT, 0.3, 1, 20_000.0)
         decision = decide(rollout, 11_000.0, evidence, 11_000.0, listed=True)
         self.assertEqual(RolloutStage.ROLLED_BACK, decision.stage)
@@ -230,11 +241,11 @@
         self.assertEqual(200.0, move.elapsed_ms)
         moved = Rollout("app", "v2", move.stage, move.share, 2, 20_000.0, 200.0)
         (move,) = second.moves((moved,), self.LISTED, 11_500.0)
-        self.assertEqual((RolloutStage.SHIFT, 10_500.0), (move.stage, move.elapsed_ms))
+        self.assertEqual((RolloutStage.LOAD_TEST, 10_500.0), (move.stage, move.elapsed_ms))
 
     def test_checkpoints_lose_no_time(self) -> None:
         keeper = RolloutKeeper()
-        known = Rollout("app", "v2", RolloutStage.TRIAL, 0.1, 1, 20_000.0)
+        known = Rollout("app", "v2", RolloutStage.TRIAL, TRIAL_SHARE, 1, 20_000.0)
         keeper.observe((known,), 0.0)
         for now_ms in range(300, 9000, 300):
             for move in keeper.moves((known,), self.LISTED, float(now_ms)):
@@ -252,7 +263,7 @@
 
     def test_a_restarted_member_knows_the_last_checkpoint(self) -> None:
         keeper = RolloutKeeper()
-        known = Rollout("app", "v2", RolloutStage.TRIAL, 0.1, 4, 20_000.0, 6000.0)
+        known = Rollout("app", "v2", RolloutStage.TRIAL, TRIAL_SHARE, 4, 20_000.0, 6000.0)
         (move,) = [
             m
             for at_ms in (100_000.0, 102_100.0)
