--- a/ashlatch/fleet/verdict.py
+++ b/ashlatch/fleet/verdict.py
@@ -106,8 +106,10 @@
     if part >= COMPLETE_AT and rollout.share >= 1.0:
         return Decision(RolloutStage.COMPLETED, 1.0, "well for most of the time")
     _, stage, share = next(step for step in reversed(STEPS) if part >= step[0])
-    if stage is RolloutStage.LOAD_TEST and _exposed(rollout, part, everything):
-        return Decision(RolloutStage.SETTLE, TRIAL_SHARE, "enough was answered")
+    if stage is RolloutStage.LOAD_TEST:
+        over = rollout.stage is RolloutStage.SETTLE
+        if over or _exposed(rollout, part, everything):
+            return Decision(RolloutStage.SETTLE, TRIAL_SHARE, "enough was answered")
     return Decision(stage, share, "well so far")
 
 
