Do not hold the load test's own slowness against a version

Change: times of the new version do not count in load test and settling; the tested endpoint is filled to 0.95 of its places.

--- a/ashlatch/fleet/leader.py
+++ b/ashlatch/fleet/leader.py
@@ -14,7 +14,9 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from ashlatch.catalog import EndpointList, Rollout
+import msgspec
+
+from ashlatch.catalog import EndpointList, Rollout, RolloutStage
 from ashlatch.fleet.discovery import ListReader, ListUnreadable
 from ashlatch.fleet.logs import ListRead, ListUnread, RolloutDecided
 from ashlatch.fleet.machine import FINAL_STAGES, MoveRollout
@@ -85,6 +87,7 @@
 
     _evidence: dict[str, Evidence] = field(default_factory=dict)
     _clocks: dict[str, _Clock] = field(default_factory=dict)
+    _newest: dict[str, Rollout] = field(default_factory=dict)
 
     def forget(self) -> None:
         """This VM leads no more."""
@@ -93,6 +96,7 @@
     def observe(self, rollouts: tuple[Rollout, ...], now_ms: float) -> None:
         """Take note of what was applied just now."""
         for rollout in rollouts:
+            self._newest[rollout.service] = rollout
             clock = self._clocks.get(rollout.service)
             begun = clock is None or clock.version != rollout.version
             if clock is None or begun or rollout.elapsed_ms > clock.read_ms(now_ms):
@@ -103,11 +107,20 @@
         """Take what gateways have counted."""
         by_service: dict[str, list[Tally]] = {}
         for tally in tallies:
-            by_service.setdefault(tally.key.service, []).append(tally)
+            counted = self._without_load_test(tally)
+            by_service.setdefault(tally.key.service, []).append(counted)
         for service, own in by_service.items():
             if service in self._evidence:
                 self._evidence[service].add(tuple(own), now_ms)
 
+    def _without_load_test(self, tally: Tally) -> Tally:
+        """A tally less the times that the load test made long."""
+        rollout = self._newest.get(tally.key.service)
+        if rollout is None or tally.key.version != rollout.version:
+            return tally
+        tested = rollout.stage in (RolloutStage.LOAD_TEST, RolloutStage.SETTLE)
+        return msgspec.structs.replace(tally, times={}) if tested else tally
+
     def moves(
         self, rollouts: tuple[Rollout, ...], listed: EndpointList, now_ms: float
     ) -> Iterator[MoveRollout]:
--- a/ashlatch/fleet/verdict.py
+++ b/ashlatch/fleet/verdict.py
@@ -21,7 +21,7 @@
 
 # The share of sessions in the trial. It runs for half of the time and leaves
 # most of what a bad version may answer (15 in 100) for what follows.
-TRIAL_SHARE = 0.08
+TRIAL_SHARE = 0.1
 # From which part of the time on a version that is well gets which share.
 STEPS = (
     (0.00, RolloutStage.TRIAL, TRIAL_SHARE),
--- a/ashlatch/gateway/versions.py
+++ b/ashlatch/gateway/versions.py
@@ -23,8 +23,8 @@
 # Sessions are forgotten this much after they have ended.
 SESSION_MARGIN_MS = 1000.0
 SESSIONS_MAX = 20_000
-# How busy the one endpoint of a load test is made.
-LOAD_TEST_UTILISATION = 0.65
+# How busy the one endpoint of a load test is made: nearly all of its places.
+LOAD_TEST_UTILISATION = 0.95
 
 
 @dataclass
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -263,6 +263,19 @@
                 )
         self.assertTrue(known.number > 3)
 
+    def test_a_load_test_makes_no_version_late(self) -> None:
+        keeper = RolloutKeeper()
+        tested = Rollout(
+            "app", "v2", RolloutStage.LOAD_TEST, 0.1, 3, 20_000.0, 11_000.0
+        )
+        list(keeper.moves((tested,), self.LISTED, 0.0))
+        old, new = TallyKey("app", "v1", "r"), TallyKey("app", "v2", "r")
+        keeper.add((Tally(old, 50, 0, {10: 50}), Tally(new, 20, 0, {17: 20})), 10.0)
+        self.assertEqual([], list(keeper.moves((tested,), self.LISTED, 20.0)))
+        keeper.add((Tally(new, 20, 10, {17: 20}),), 30.0)
+        (move,) = keeper.moves((tested,), self.LISTED, 40.0)
+        self.assertEqual(RolloutStage.ROLLED_BACK, move.stage)
+
     def test_a_restarted_member_knows_the_last_checkpoint(self) -> None:
         keeper = RolloutKeeper()
         known = Rollout(
