--- a/ashlatch/cmdline/daemon.py
+++ b/ashlatch/cmdline/daemon.py
@@ -20,7 +20,14 @@
 
 from ashlatch import __version__
 from ashlatch.errors import AshlatchError, SettingsError
-from ashlatch.log import DaemonFailed, DaemonStarted, DaemonStopped, emit, setup
+from ashlatch.log import (
+    DaemonFailed,
+    DaemonStarted,
+    DaemonStopped,
+    emit,
+    flush,
+    setup,
+)
 from ashlatch.settings import (
     ControlSettings,
     CoreSettings,
@@ -142,3 +149,4 @@
 def _report_failure(name: str, error: BaseException) -> None:
     failed = DaemonFailed(name, type(error).__name__, str(error))
     emit(log, failed, logging.CRITICAL)
+    flush()
--- a/ashlatch/log.py
+++ b/ashlatch/log.py
@@ -33,6 +33,7 @@
     "LogEvent",
     "QueueHandler",
     "emit",
+    "flush",
     "setup",
 ]
 
@@ -178,6 +179,12 @@
     root.propagate = False
 
 
+def flush() -> None:
+    """Write what is queued; called before a process ends itself."""
+    for handler in logging.getLogger("ashlatch").handlers:
+        handler.flush()
+
+
 def emit(logger: logging.Logger, event: LogEvent, level: int = logging.INFO) -> None:
     """Write one event as one line.
 
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -135,5 +135,5 @@
             timeout=60.0,
         )
         self.assertEqual(1, done.returncode)
-        self.assertIn("GroupsDiffer", done.stderr)
-        return done.stderr
+        self.assertIn("GroupsDiffer", done.stdout)
+        return done.stdout
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -2,12 +2,14 @@
 
 import io
 import logging
+import os
+import time
 from pathlib import Path
 
 import testtools
 
 from ashlatch.control.rollout import VersionBad
-from ashlatch.log import DaemonFailed, LogEvent, emit, setup
+from ashlatch.log import DaemonFailed, LogEvent, QueueHandler, emit, flush, setup
 from ashlatch.router.sending import RouteChosen
 
 GOLDEN = Path(__file__).parent / "golden" / "log.txt"
@@ -40,11 +42,31 @@
         self.addCleanup(setup, io.StringIO())
         for event in EVENTS:
             emit(logging.getLogger("ashlatch.test"), event)
+        flush()
         lines = [
             line[line.index("event=") :] for line in stream.getvalue().splitlines()
         ]
         self.assertEqual(GOLDEN.read_text().splitlines(), lines)
 
+    def test_a_reader_that_does_not_read(self) -> None:
+        """Logging goes on at once, and says later how much was left out."""
+        reading, writing = os.pipe()
+        stream = os.fdopen(writing, "w")
+        handler = QueueHandler(stream, lines_max=100)
+        record = logging.makeLogRecord({"msg": "x" * 1000})
+        begun_s = time.monotonic()
+        for _ in range(2000):
+            handler.emit(record)
+        time.sleep(0.3)
+        for _ in range(2000):
+            handler.emit(record)
+        self.assertTrue(time.monotonic() - begun_s < 2.0)
+        got = b""
+        while b"event=lines_left_out" not in got:
+            got += os.read(reading, 65536)
+        handler.flush()
+        self.assertIn(b"lines=", got + os.read(reading, 65536))
+
     def test_no_event_has_a_field_that_logging_itself_uses(self) -> None:
         taken = set(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
         for kind in LogEvent.__subclasses__():
