Split admission and account from the exchange; pass no event twice

A resumed stream whose endpoint begins anew passed its first events again (test_stream_begun_anew_passes_nothing_twice fails before). Three tests did not make sure that the faulty endpoint was asked at all; they do now. A caller that leaves while its answer is written is logged like any other.

--- /dev/null
+++ b/ashlatch/gateway/account.py
@@ -0,0 +1,148 @@
+"""
+ashlatch.gateway.account
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+What is counted and logged of one request: its sends, how they end, and its
+final answer. The exchange decides; this only takes note.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import asyncio
+import logging
+
+from ashlatch.gateway.admission import Admission
+from ashlatch.gateway.attempt import Attempt, AttemptFailed, FailureKind
+from ashlatch.gateway.choice import Choice
+from ashlatch.gateway.knowledge import Knowledge
+from ashlatch.gateway.logs import AttemptEnded, RequestEnded, RequestSent
+from ashlatch.gateway.tally import TallyKey
+from ashlatch.log import emit
+
+__all__ = ["Account"]
+
+log = logging.getLogger("ashlatch.gateway")
+
+
+class Account:
+    """The counts of one request.
+
+    `sends` are those that reached an endpoint, `unreachable` those that did
+    not; `first_s` is when the answer began to be passed on.
+    """
+
+    def __init__(self, known: Knowledge, admission: Admission) -> None:
+        self.sends = 0
+        self.unreachable = 0
+        self.events = 0
+        self.first_s: float | None = None
+        self._known = known
+        self._admission = admission
+        self._loop = asyncio.get_running_loop()
+
+    def sent(self, choice: Choice, model: str, reason: str) -> None:
+        """A request goes to an endpoint, for a reason."""
+        self.sends += 1
+        endpoint = choice.state.endpoint
+        admission = self._admission
+        organisation = admission.organisation
+        sent = RequestSent(
+            admission.ask.request_id,
+            admission.route.name,
+            organisation.name if organisation else "",
+            admission.configuration,
+            self.sends,
+            reason,
+            endpoint.instance,
+            endpoint.hall,
+            endpoint.version,
+            model,
+            choice.candidates,
+            choice.utilisation,
+            int(self._now_ms() - self._known.directory.listed_ms),
+        )
+        emit(log, sent)
+
+    def begun(self, attempt: Attempt, model: str) -> None:
+        """The head of an answer has come."""
+        self._note_version(attempt)
+        first_ms = self._age_ms(attempt)
+        self._known.tallies.begun(self._key(attempt), first_ms)
+        service = self._admission.service.name
+        tokens = self._admission.ask.prompt_tokens
+        self._known.pace.began(service, model, tokens, first_ms, self._now_ms())
+
+    def passing(self) -> None:
+        """A part of the answer goes to the caller."""
+        if self.first_s is None:
+            self.first_s = self._loop.time()
+
+    def answered(self, attempt: Attempt) -> None:
+        """An answer was whole, or good enough to be judged."""
+        attempt.state.succeeded()
+        self._note_version(attempt)
+        self._known.tallies.answered(self._key(attempt))
+
+    def failed(self, attempt: Attempt, failed: AttemptFailed) -> None:
+        """A send brought no answer."""
+        kind = failed.kind
+        state = attempt.state
+        if kind is FailureKind.UNREACHABLE:
+            self.sends -= 1
+            self.unreachable += 1
+        if kind is FailureKind.ERROR:
+            self._known.tallies.failed(self._key(attempt))
+        if kind is FailureKind.SILENT and not self.events:
+            self._known.tallies.begun(self._key(attempt), self._age_ms(attempt))
+        if kind is not FailureKind.REFUSED:
+            unreachable = kind in (FailureKind.UNREACHABLE, FailureKind.BROKEN)
+            state.failed(self._now_ms(), unreachable)
+        ended = AttemptEnded(
+            self._admission.ask.request_id,
+            self.sends,
+            state.endpoint.instance,
+            kind.value,
+            failed.detail,
+            int(self._age_ms(attempt)),
+        )
+        emit(log, ended)
+        self._known.metrics.count(f"attempts_{kind.value}")
+
+    def ended(self, status: int, reason: str) -> None:
+        """The request has its final answer; `reason` if it is the gateway's."""
+        now_s = self._loop.time()
+        received_s = self._admission.ask.received_s
+        took_ms = (now_s - received_s) * 1000
+        ended = RequestEnded(
+            self._admission.ask.request_id,
+            self._admission.route.name,
+            self._admission.configuration,
+            status,
+            reason,
+            self.sends,
+            self.events,
+            int(((self.first_s or now_s) - received_s) * 1000),
+            int(took_ms),
+        )
+        emit(log, ended)
+        self._known.metrics.count(f"requests_{reason or 'answered'}")
+        self._known.metrics.record_ms("request", took_ms)
+
+    def _note_version(self, attempt: Attempt) -> None:
+        endpoint = attempt.state.endpoint
+        session = self._admission.ask.session
+        self._known.versions.sessions.note(
+            endpoint.service, session, endpoint.version, self._now_ms()
+        )
+
+    def _key(self, attempt: Attempt) -> TallyKey:
+        endpoint = attempt.state.endpoint
+        route = self._admission.route.name
+        return TallyKey(endpoint.service, endpoint.version, route)
+
+    def _age_ms(self, attempt: Attempt) -> float:
+        return (self._loop.time() - attempt.sent_s) * 1000.0
+
+    def _now_ms(self) -> float:
+        return self._loop.time() * 1000.0
--- /dev/null
+++ b/ashlatch/gateway/admission.py
@@ -0,0 +1,86 @@
+"""
+ashlatch.gateway.admission
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Whether a request may be served, by which route, service and organisation, and
+for how long; and the answers that a gateway gives by itself.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from dataclasses import dataclass
+
+from ashlatch.catalog import Organisation, Route, Service
+from ashlatch.gateway.knowledge import Knowledge
+from ashlatch.gateway.message import Ask, RefusalReason
+from ashlatch.http.listener import Responder
+from ashlatch.platform.headers import refusal_headers
+
+__all__ = ["RETRY_AFTER_S", "Admission", "Refused", "admit", "refuse"]
+
+# When the endpoints are full or away: about the time in which one answers.
+RETRY_AFTER_S = 0.5
+
+
+@dataclass(frozen=True)
+class Admission:
+    """A request that may be served, and by what."""
+
+    ask: Ask
+    route: Route
+    service: Service
+    organisation: Organisation | None
+    configuration: int
+    ends_s: float
+
+    @property
+    def urgency(self) -> int:
+        """0 for the most urgent; the organisation's goes before the route's."""
+        organisation = self.organisation
+        if organisation is not None and organisation.priority is not None:
+            return organisation.priority
+        return self.route.priority
+
+
+@dataclass(frozen=True)
+class Refused:
+    """A request that is answered here, and when the caller may come back."""
+
+    status: int
+    reason: RefusalReason
+    retry_after_s: float | None = None
+
+
+def admit(known: Knowledge, ask: Ask) -> Admission | Refused:
+    """Find route, organisation and service of a request."""
+    table = known.table
+    if table is None:
+        return Refused(503, RefusalReason.NO_CONFIGURATION, RETRY_AFTER_S)
+    route = table.route(ask.host, ask.path)
+    if route is None:
+        return Refused(404, RefusalReason.NO_ROUTE)
+    organisation = None
+    if table.needs_keys and not route.anonymous:
+        organisation = table.holder(ask.key)
+        if organisation is None:
+            return Refused(401, RefusalReason.UNKNOWN_KEY)
+    held_ms = route.held_max_ms
+    if ask.patience_ms is not None:
+        held_ms = min(held_ms, ask.patience_ms)
+    return Admission(
+        ask,
+        route,
+        table.service(route, ask.request_id),
+        organisation,
+        table.catalog.version,
+        ask.received_s + held_ms / 1000.0,
+    )
+
+
+def refuse(responder: Responder, request_id: str, refused: Refused) -> None:
+    """Answer a request that is not served."""
+    reason = refused.reason
+    headers = refusal_headers(request_id, reason, refused.retry_after_s)
+    body = f'{{"type":"{reason.value}","status":{refused.status}}}\n'.encode()
+    responder.respond(refused.status, headers, body)
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -14,8 +14,9 @@
 from collections.abc import Callable
 
 from ashlatch.errors import SettingsError
+from ashlatch.gateway.admission import Refused, admit, refuse
 from ashlatch.gateway.budget import BudgetTerms
-from ashlatch.gateway.exchange import Exchange, Refused, admit, refuse
+from ashlatch.gateway.exchange import Exchange
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.logs import RequestEnded, RequestUnreadable, StopBegun
 from ashlatch.gateway.message import RefusalReason
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -10,10 +10,11 @@
 """
 
 import asyncio
-import logging
 from dataclasses import dataclass
 
-from ashlatch.catalog import Organisation, Repeat, Route, Service
+from ashlatch.catalog import Repeat
+from ashlatch.gateway.account import Account
+from ashlatch.gateway.admission import RETRY_AFTER_S, Admission, Refused, refuse
 from ashlatch.gateway.attempt import (
     Attempt,
     AttemptFailed,
@@ -28,16 +29,10 @@
 )
 from ashlatch.gateway.events import EventSplitter, StreamEvent
 from ashlatch.gateway.knowledge import Knowledge
-from ashlatch.gateway.logs import AttemptEnded, RequestEnded, RequestSent
-from ashlatch.gateway.message import AnswerHead, Ask, Dispatch, RefusalReason
-from ashlatch.gateway.tally import TallyKey
-from ashlatch.http.listener import Headers, Responder
-from ashlatch.log import emit
-from ashlatch.platform.headers import refusal_headers
+from ashlatch.gateway.message import AnswerHead, Dispatch, RefusalReason
+from ashlatch.http.listener import CallerGone, Headers, Responder
 
-__all__ = ["Admission", "Exchange", "Refused", "admit", "refuse"]
-
-log = logging.getLogger("ashlatch.gateway")
+__all__ = ["Exchange"]
 
 # A send that may be repeated is given up when nothing has come for this many
 # times the route's target, and for at least the floor.
@@ -52,74 +47,9 @@
 # Endpoints that cannot be reached have not been sent anything, so they do not
 # count as attempts; but a request does not try the whole fleet.
 UNREACHABLE_MAX = 4
-# When the endpoints are full or away: about the time in which one answers.
-RETRY_AFTER_S = 0.5
 SERVER_ERROR = 500
 
 
-@dataclass(frozen=True)
-class Admission:
-    """A request that may be served, and by what."""
-
-    ask: Ask
-    route: Route
-    service: Service
-    organisation: Organisation | None
-    configuration: int
-    ends_s: float
-
-    @property
-    def urgency(self) -> int:
-        """0 for the most urgent; the organisation's goes before the route's."""
-        organisation = self.organisation
-        if organisation is not None and organisation.priority is not None:
-            return organisation.priority
-        return self.route.priority
-
-
-@dataclass(frozen=True)
-class Refused:
-    """A request that is answered here. `run` is false when none has run it."""
-
-    status: int
-    reason: RefusalReason
-    retry_after_s: float | None = None
-
-
-def admit(known: Knowledge, ask: Ask) -> Admission | Refused:
-    """Find route, organisation and service of a request."""
-    table = known.table
-    if table is None:
-        return Refused(503, RefusalReason.NO_CONFIGURATION, RETRY_AFTER_S)
-    route = table.route(ask.host, ask.path)
-    if route is None:
-        return Refused(404, RefusalReason.NO_ROUTE)
-    organisation = None
-    if table.needs_keys and not route.anonymous:
-        organisation = table.holder(ask.key)
-        if organisation is None:
-            return Refused(401, RefusalReason.UNKNOWN_KEY)
-    held_ms = route.held_max_ms
-    if ask.patience_ms is not None:
-        held_ms = min(held_ms, ask.patience_ms)
-    return Admission(
-        ask,
-        route,
-        table.service(route, ask.request_id),
-        organisation,
-        table.catalog.version,
-        ask.received_s + held_ms / 1000.0,
-    )
-
-
-def refuse(responder: Responder, request_id: str, refused: Refused) -> None:
-    """Answer a request that is not served."""
-    reason = refused.reason
-    headers = refusal_headers(request_id, reason, refused.retry_after_s)
-    body = f'{{"type":"{reason.value}","status":{refused.status}}}\n'.encode()
-    responder.respond(refused.status, headers, body)
-
-
 @dataclass(frozen=True)
 class _Whole:
     """An answer that has been read to its end."""
@@ -141,13 +71,10 @@
         self._responder = responder
         self._loop = asyncio.get_running_loop()
         self._tried: set[str] = set()
-        self._sends = 0
-        self._unreachable = 0
         self._may_have_run = False
         self._model = first_model(admission.route, admission.ask)
         self._last_event = ""
-        self._events = 0
-        self._first_s: float | None = None
+        self._account = Account(known, admission)
         self._error: _Whole | None = None
         self._repeat_taken = False
         self._why = "first"
@@ -160,8 +87,8 @@
                 refused = await self._serve()
         except TimeoutError:
             refused = Refused(504, RefusalReason.TIMED_OUT)
-        except asyncio.CancelledError:
-            self._log_end(0, "caller_left")
+        except (asyncio.CancelledError, CallerGone):
+            self._account.ended(0, "caller_left")
             raise
         if refused is not None:
             self._conclude(refused)
@@ -176,7 +103,8 @@
                 if await self._run_attempt(attempt):
                     return None
             except AttemptFailed as failed:
-                self._note_failure(attempt, failed)
+                self._account.failed(attempt, failed)
+                self._may_have_run |= not failed.kind.not_run
                 if not self._may_send_again(failed.kind):
                     return self._spent(failed.kind)
                 self._why = failed.kind.value
@@ -199,7 +127,6 @@
         endpoint = choice.state.endpoint
         organisation = self._admission.organisation
         self._tried.add(endpoint.instance)
-        self._sends += 1
         dispatch = Dispatch(
             organisation.name if organisation else "",
             endpoint.instance,
@@ -208,7 +135,7 @@
             self._admission.urgency if self._admission.service.engine else None,
             self._last_event,
         )
-        self._log_send(choice)
+        self._account.sent(choice, self._model, self._why)
         choice.state.breaker.sent(self._now_ms())
         repeatable = self._route.repeat is not Repeat.NEVER
         pool = self._known.pool
@@ -225,7 +152,7 @@
 
     def _event_patience(self) -> Patience:
         """The same between the events of a stream."""
-        if not self._events:
+        if not self._account.events:
             return self._patience()
         gap_max_ms = self._route.event_gap_max_ms
         if self._route.repeat is not Repeat.RESUME or not gap_max_ms:
@@ -235,7 +162,7 @@
 
     def _can_go_elsewhere(self) -> bool:
         """Whether a silent endpoint is left; takes the repeat for it."""
-        if self._sends >= self._attempts_max or self._choose() is None:
+        if self._account.sends >= self._attempts_max or self._choose() is None:
             return False
         self._repeat_taken = self._spend()
         return self._repeat_taken
@@ -249,29 +176,32 @@
     async def _run_attempt(self, attempt: Attempt) -> bool:
         """Whether the request has its answer; else it is to be sent again."""
         head = await attempt.begin(self._patience())
-        self._note_version(attempt)
-        self._note_pace(attempt)
+        self._account.begun(attempt, self._model)
         if self._route.streams and head.status < 300:
             if self._climbs(attempt, head):
                 return False
             await self._pass_stream(attempt, head)
         else:
             whole = await self._read_whole(attempt, head)
-            if head.status >= SERVER_ERROR:
+            if head.status >= SERVER_ERROR or self._responder.begun:
                 self._error = whole
                 raise AttemptFailed(FailureKind.ERROR, f"status {head.status}")
             self._answer(whole)
-        self._count_answer(attempt)
+        self._account.answered(attempt)
         return True
 
     def _climbs(self, attempt: Attempt, head: AnswerHead) -> bool:
         """Whether a larger model is asked instead of passing this answer on."""
         model = next_model(self._route, self._model, head.confidence)
-        if not model or self._events or self._sends >= self._attempts_max:
+        if (
+            not model
+            or self._account.events
+            or self._account.sends >= self._attempts_max
+        ):
             return False
         if not self._in_time(model) or not self._spend():
             return False
-        self._count_answer(attempt)
+        self._account.answered(attempt)
         self._model = model
         self._why = "confidence"
         self._tried.discard(attempt.state.endpoint.instance)
@@ -306,65 +236,41 @@
             self._responder.begin(head.status, _body_headers(head))
         attempt.finish()
         self._responder.end()
-        self._log_end(head.status, "")
+        self._account.ended(head.status, "")
 
     def _pass_event(self, head: AnswerHead, event: StreamEvent) -> None:
+        if _is_behind(event.event_id, self._last_event):
+            # An endpoint that began the stream anew; the caller has this one.
+            return
+        self._account.passing()
         if not self._responder.begun:
-            self._first_s = self._loop.time()
             self._responder.begin(head.status, _body_headers(head))
         self._responder.send(event.data)
-        self._events += 1
+        self._account.events += 1
         self._last_event = event.event_id or self._last_event
 
     def _answer(self, whole: _Whole) -> None:
-        self._first_s = self._first_s or self._loop.time()
+        self._account.passing()
         self._responder.respond(
             whole.head.status, _body_headers(whole.head), whole.body
         )
-        self._log_end(whole.head.status, "")
+        self._account.ended(whole.head.status, "")
 
     # After a failure.
 
-    def _note_failure(self, attempt: Attempt, failed: AttemptFailed) -> None:
-        state = attempt.state
-        kind = failed.kind
-        now_ms = self._now_ms()
-        if kind is FailureKind.UNREACHABLE:
-            self._sends -= 1
-            self._unreachable += 1
-        self._may_have_run |= not kind.not_run
-        if kind is FailureKind.ERROR:
-            self._known.tallies.failed(self._tally_key(attempt))
-        if kind is FailureKind.SILENT and not self._events:
-            silent_ms = (self._loop.time() - attempt.sent_s) * 1000.0
-            self._known.tallies.begun(self._tally_key(attempt), silent_ms)
-        if kind is not FailureKind.REFUSED:
-            unreachable = kind in (FailureKind.UNREACHABLE, FailureKind.BROKEN)
-            state.failed(now_ms, unreachable)
-        ended = AttemptEnded(
-            self._ask.request_id,
-            self._sends,
-            state.endpoint.instance,
-            kind.value,
-            failed.detail,
-            int((self._loop.time() - attempt.sent_s) * 1000),
-        )
-        emit(log, ended)
-        self._known.metrics.count(f"attempts_{kind.value}")
-
     def _may_send_again(self, kind: FailureKind) -> bool:
         if not kind.not_run and self._route.repeat is Repeat.NEVER:
             return False
-        if self._events and self._route.repeat is not Repeat.RESUME:
+        if self._account.events and self._route.repeat is not Repeat.RESUME:
             return False
-        if self._events and not self._last_event:
+        if self._account.events and not self._last_event:
             return False
         if kind is FailureKind.UNREACHABLE:
-            return self._unreachable < UNREACHABLE_MAX
+            return self._account.unreachable < UNREACHABLE_MAX
         if self._repeat_taken:
             self._repeat_taken = False
             return True
-        return self._sends < self._attempts_max and self._spend()
+        return self._account.sends < self._attempts_max and self._spend()
 
     def _spend(self) -> bool:
         budget = self._known.budget(self._admission.service.name)
@@ -389,77 +295,12 @@
         """Give the final answer when no endpoint's answer is passed on."""
         if self._responder.begun:
             self._responder.abort()
-            self._log_end(0, refused.reason.value)
+            self._account.ended(0, refused.reason.value)
         elif self._error is not None:
             self._answer(self._error)
         else:
             refuse(self._responder, self._ask.request_id, refused)
-            self._log_end(refused.status, refused.reason.value)
-
-    # Counting and logging.
-
-    def _tally_key(self, attempt: Attempt) -> TallyKey:
-        endpoint = attempt.state.endpoint
-        return TallyKey(endpoint.service, endpoint.version, self._route.name)
-
-    def _note_version(self, attempt: Attempt) -> None:
-        endpoint = attempt.state.endpoint
-        self._known.versions.sessions.note(
-            endpoint.service, self._ask.session, endpoint.version, self._now_ms()
-        )
-
-    def _note_pace(self, attempt: Attempt) -> None:
-        first_ms = (self._loop.time() - attempt.sent_s) * 1000.0
-        self._known.tallies.begun(self._tally_key(attempt), first_ms)
-        service = self._admission.service.name
-        tokens = self._ask.prompt_tokens
-        now_ms = self._now_ms()
-        self._known.pace.began(service, self._model, tokens, first_ms, now_ms)
-
-    def _count_answer(self, attempt: Attempt) -> None:
-        attempt.state.succeeded()
-        self._note_version(attempt)
-        self._known.tallies.answered(self._tally_key(attempt))
-
-    def _log_send(self, choice: Choice) -> None:
-        endpoint = choice.state.endpoint
-        organisation = self._admission.organisation
-        sent = RequestSent(
-            self._ask.request_id,
-            self._route.name,
-            organisation.name if organisation else "",
-            self._admission.configuration,
-            self._sends,
-            self._why,
-            endpoint.instance,
-            endpoint.hall,
-            endpoint.version,
-            self._model,
-            choice.candidates,
-            choice.utilisation,
-            int(self._now_ms() - self._known.directory.listed_ms),
-        )
-        emit(log, sent)
-
-    def _log_end(self, status: int, reason: str) -> None:
-        now_s = self._loop.time()
-        received_s = self._ask.received_s
-        first_ms = int(((self._first_s or now_s) - received_s) * 1000)
-        took_ms = (now_s - received_s) * 1000
-        ended = RequestEnded(
-            self._ask.request_id,
-            self._route.name,
-            self._admission.configuration,
-            status,
-            reason,
-            self._sends,
-            self._events,
-            first_ms,
-            int(took_ms),
-        )
-        emit(log, ended)
-        self._known.metrics.count(f"requests_{reason or 'answered'}")
-        self._known.metrics.record_ms("request", took_ms)
+            self._account.ended(refused.status, refused.reason.value)
 
     def _now_ms(self) -> float:
         return self._loop.time() * 1000.0
@@ -468,3 +309,9 @@
 def _body_headers(head: AnswerHead) -> Headers:
     """The headers of an answer whose body is framed anew."""
     return [pair for pair in head.headers if pair[0].lower() != b"content-length"]
+
+
+def _is_behind(event_id: str, last: str) -> bool:
+    """Whether an event is one that was passed on; ids rise within a stream."""
+    numbers = event_id.isdigit() and last.isdigit()
+    return numbers and int(event_id) <= int(last)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,8 +9,9 @@
 import testtools
 
 from ashlatch.catalog import Endpoint, EndpointList
+from ashlatch.gateway.admission import Refused, admit, refuse
 from ashlatch.gateway.budget import BudgetTerms
-from ashlatch.gateway.exchange import Exchange, Refused, admit, refuse
+from ashlatch.gateway.exchange import Exchange
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.routing import RouteTable
 from ashlatch.gateway.versions import SessionVersions, VersionChooser
@@ -37,6 +38,8 @@
     "X-Model: *\r\nX-Token-Count: 100,50\r\nX-Prompt-Prefix: aa:50,bb:50\r\n"
     "Session: s1\r\n"
 )
+# Requests about different subjects, so that each endpoint is asked first for some.
+ASK_STREAMS = tuple(ASK_STREAM.replace("bb:", f"b{n}:") for n in range(8))
 
 
 async def reset(request: Received, writer: asyncio.StreamWriter) -> None:
@@ -185,11 +188,12 @@
         sound = StandIn([standin.answer()])
 
         async def work() -> None:
-            for _ in range(6):
+            for _ in range(12):
                 self.assertEqual(200, (await self.call(ask("/get/1")))[0])
 
         self.run_gateway([broken, sound], work)
-        self.assertEqual(6, len(sound.seen))
+        self.assertNotEqual([], broken.seen)
+        self.assertEqual(12, len(sound.seen))
 
     def test_never_twice(self) -> None:
         broken = StandIn([reset])
@@ -272,8 +276,8 @@
         sound = StandIn([standin.stream(5)])
 
         async def work() -> None:
-            for _ in range(4):
-                status, got = await self.call(ask("/stream/1", ASK_STREAM, "POST"))
+            for asked in ASK_STREAMS:
+                status, got = await self.call(ask("/stream/1", asked, "POST"))
                 self.assertEqual(200, status)
                 ids = [n for n in range(1, 9) if f"id: {n}\n".encode() in got]
                 self.assertEqual([1, 2, 3, 4, 5], ids)
@@ -282,8 +286,25 @@
 
         self.run_gateway([cut, sound], work)
         resumed = [s for s in sound.seen if s.headers.get("last-event-id") == "2"]
+        self.assertNotEqual([], cut.seen)
         self.assertEqual(len(cut.seen), len(resumed))
 
+    def test_stream_begun_anew_passes_nothing_twice(self) -> None:
+        async def anew(request: Received, writer: asyncio.StreamWriter) -> None:
+            request.headers.pop("last-event-id", None)
+            await standin.stream(5)(request, writer)
+
+        cut = StandIn([cut_within_event])
+        sound = StandIn([anew])
+
+        async def work() -> None:
+            for asked in ASK_STREAMS:
+                _, got = await self.call(ask("/stream/1", asked, "POST"))
+                self.assertEqual(5, got.count(b"data: piece"))
+
+        self.run_gateway([cut, sound], work)
+        self.assertNotEqual([], cut.seen)
+
     def test_stream_that_cannot_resume_seems_cut(self) -> None:
         cut = StandIn([cut_within_event])
 
@@ -329,10 +350,11 @@
         sound = StandIn([standin.answer()])
 
         async def work() -> None:
-            for _ in range(3):
+            for _ in range(6):
                 self.assertEqual(200, (await self.call(ask("/get/1")))[0])
 
         self.run_gateway([silent, sound], work)
+        self.assertNotEqual([], silent.seen)
 
     def test_caller_leaves(self) -> None:
         worker = StandIn([hang])
