--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -16,7 +16,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from ashlatch.catalog import EndpointList, Rollout
+from ashlatch.catalog import Rollout
 from ashlatch.codec import encode
 from ashlatch.errors import TransportError
 from ashlatch.fleet.discovery import ListReader
@@ -50,8 +50,9 @@
     SyncReply,
     SyncRequest,
 )
-from ashlatch.gateway.tally import Tallies
-from ashlatch.http.listener import HttpBounds, HttpListener
+from ashlatch.fleet.spread import Spread, has_news
+from ashlatch.http.connection import HttpBounds
+from ashlatch.http.listener import HttpListener
 from ashlatch.log import emit
 from ashlatch.metrics import Metrics, serve_metrics
 from ashlatch.raft.core import RaftConfig
@@ -69,10 +70,6 @@
 
 # How often the leader looks at what is due.
 LEAD_EVERY_S = 0.2
-# A core VM that has not heard the leader for this long says so to gateways.
-LEADER_HEARD_MS = 1500.0
-# Gateways that have not asked for this long are gone.
-GATEWAY_SEEN_MS = 4000.0
 # How long an order or a read waits for the leader's answer; an operator moves
 # on to another VM after a second without one.
 ORDER_TIMEOUT_S = 0.9
@@ -104,17 +101,11 @@
         )
         self.group.deliver = self._transport.send
         self._book = PeerBook()
-        self._tallies = Tallies()
         self._rollouts = RolloutKeeper()
         self._list = ListKeeper(
             ListReader(settings.list_address), settings.list_read_ms
         )
-        self._endpoints = EndpointList()
-        self._listed_ms = monotonic_ms()
-        self._gateways: dict[str, float] = {}
-        self._gateway_count = 1
-        self._leader_heard_ms = float("-inf")
-        self._changed = asyncio.Event()
+        self._spread = Spread()
         self._logged: tuple[object, ...] = ()
 
     def _open(self) -> None:
@@ -301,49 +292,21 @@
         return JoinReply(known and standing.leading, standing.leader_address)
 
     async def _sync(self, request: SyncRequest) -> SyncReply:
-        now_ms = monotonic_ms()
-        for gateway in request.gateways:
-            self._gateways[gateway] = now_ms
-        self._tallies.add(request.tallies)
-        ends_ms = now_ms + request.wait_ms
+        self._spread.asked(request)
+        ends_ms = monotonic_ms() + request.wait_ms
         while True:
             reply = self._news(request)
             wait_ms = ends_ms - monotonic_ms()
-            if not reply.current or _has_news(reply) or wait_ms <= 0:
+            if not reply.current or has_news(reply) or wait_ms <= 0:
                 return reply
-            await self._wait_change(wait_ms)
+            await self._spread.wait_change(wait_ms)
 
     def _news(self, request: SyncRequest) -> SyncReply:
-        endpoints = self._endpoints
+        leads = self.group.standing.may_read(monotonic_ms())
+        current = leads or self._spread.hears_leader
+        members = self._core_addresses()
         with self.group.lock:
-            state = self.machine.state
-            newer = state.version > request.document_version
-            rollouts = tuple(
-                r for r in state.rollouts.values() if r.number > request.rollout_number
-            )
-            return SyncReply(
-                self._current(),
-                self._core_addresses(),
-                self._gateway_count,
-                state.version,
-                state.document if newer else b"",
-                endpoints if endpoints.order > request.list_order else None,
-                rollouts,
-                monotonic_ms() - self._listed_ms,
-            )
-
-    def _current(self) -> bool:
-        now_ms = monotonic_ms()
-        if self.group.standing.may_read(now_ms):
-            return True
-        return now_ms - self._leader_heard_ms < LEADER_HEARD_MS
-
-    async def _wait_change(self, wait_ms: float) -> None:
-        try:
-            async with asyncio.timeout(wait_ms / 1000.0):
-                await self._changed.wait()
-        except TimeoutError:
-            pass
+            return self._spread.reply(request, current, members, self.machine.state)
 
     # Following and leading.
 
@@ -355,13 +318,13 @@
             if standing.leading or not leader:
                 await asyncio.sleep(FOLLOW_RETRY_S)
                 continue
-            tallies = self._tallies.take()
+            tallies = self._spread.tallies.take()
             wait_ms = self.settings.sync_wait_ms
             request = SyncRequest(
                 self.settings.vm,
-                self._live_gateways(),
+                self._spread.live_gateways(),
                 self.machine.state.version,
-                self._endpoints.order,
+                self._spread.endpoints.order,
                 self.machine.state.number,
                 wait_ms,
                 tallies,
@@ -372,23 +335,13 @@
                 )
             except TransportError:
                 # Shown to gateways by `current`, and logged with the standing.
-                self._tallies.add(tallies)
+                self._spread.tallies.add(tallies)
                 await asyncio.sleep(FOLLOW_RETRY_S)
                 continue
-            self._learn(reply)
+            self._spread.learn(reply)
             if not reply.current:
                 await asyncio.sleep(FOLLOW_RETRY_S)
 
-    def _learn(self, reply: SyncReply) -> None:
-        if not reply.current:
-            return
-        self._leader_heard_ms = monotonic_ms()
-        self._gateway_count = reply.gateways
-        self._listed_ms = self._leader_heard_ms - reply.list_age_ms
-        if reply.endpoints is not None:
-            self._endpoints = reply.endpoints
-            self._wake()
-
     async def _lead(self) -> None:
         while True:
             await asyncio.sleep(LEAD_EVERY_S)
@@ -400,15 +353,14 @@
     async def _lead_once(self) -> None:
         now_ms = monotonic_ms()
         standing = self.group.standing
-        self._gateway_count = max(1, len(self._live_gateways()))
         self._remove_silent(standing, now_ms)
-        if await self._list.read_if_due(standing.term, now_ms):
-            self._endpoints = self._list.newest
-            self._wake()
-        self._listed_ms = max(self._listed_ms, self._list.read_ms)
-        self._rollouts.add(self._tallies.take(), now_ms)
+        await self._list.read_if_due(standing.term, now_ms)
+        self._spread.lead(self._list.newest, self._list.read_ms)
+        self._rollouts.add(self._spread.tallies.take(), now_ms)
         rollouts = self._known_rollouts()
-        for move in self._rollouts.moves(rollouts, self._endpoints, monotonic_ms()):
+        for move in self._rollouts.moves(
+            rollouts, self._spread.endpoints, monotonic_ms()
+        ):
             try:
                 await self._commit_here(move)
             except NoQuorum as error:
@@ -427,13 +379,6 @@
         with self.group.lock:
             return tuple(self.machine.state.rollouts.values())
 
-    def _live_gateways(self) -> tuple[str, ...]:
-        now_ms = monotonic_ms()
-        gone = [g for g, at in self._gateways.items() if now_ms - at > GATEWAY_SEEN_MS]
-        for gateway in gone:
-            del self._gateways[gateway]
-        return tuple(self._gateways)
-
     def _core_addresses(self) -> tuple[str, ...]:
         return tuple(m.address for m in self.group.standing.members.everyone())
 
@@ -444,8 +389,7 @@
 
     def _wake(self) -> None:
         """Something was applied, listed, or decided by vote: answer who waits."""
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._spread.wake()
         self._rollouts.observe(self._known_rollouts(), monotonic_ms())
         standing = self.group.standing
         members = standing.members
@@ -462,7 +406,3 @@
             len(members.learners),
         )
         emit(log, changed)
-
-
-def _has_news(reply: SyncReply) -> bool:
-    return bool(reply.document or reply.endpoints is not None or reply.rollouts)
--- a/ashlatch/fleet/operators.py
+++ b/ashlatch/fleet/operators.py
@@ -25,7 +25,7 @@
 from ashlatch.fleet.machine import BeginRollout, Command, Outcome, ReplaceDocument
 from ashlatch.fleet.machine import Conflict as DocumentConflict
 from ashlatch.fleet.protocol import ReadReply
-from ashlatch.http.listener import Headers, HttpRequest, Responder
+from ashlatch.http.connection import Headers, HttpRequest, Responder
 from ashlatch.log import emit
 from ashlatch.platform.document import (
     DocumentError,
--- a/ashlatch/gateway/admission.py
+++ b/ashlatch/gateway/admission.py
@@ -14,7 +14,7 @@
 from ashlatch.catalog import Organisation, Route, Service
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.message import Ask, RefusalReason
-from ashlatch.http.listener import Responder
+from ashlatch.http.connection import Responder
 from ashlatch.platform.headers import refusal_headers
 
 __all__ = ["RETRY_AFTER_S", "Admission", "Refused", "admit", "refuse"]
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -22,12 +22,8 @@
 from ashlatch.gateway.message import RefusalReason
 from ashlatch.gateway.sync import FleetLink
 from ashlatch.gateway.versions import SessionVersions, VersionChooser
-from ashlatch.http.listener import (
-    HttpBounds,
-    HttpListener,
-    HttpRequest,
-    Responder,
-)
+from ashlatch.http.connection import HttpBounds, HttpRequest, Responder
+from ashlatch.http.listener import HttpListener
 from ashlatch.log import emit
 from ashlatch.metrics import serve_metrics
 from ashlatch.platform.headers import MalformedRequest, decode_ask
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -30,7 +30,7 @@
 from ashlatch.gateway.events import EventSplitter, StreamEvent
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.message import AnswerHead, Dispatch, RefusalReason
-from ashlatch.http.listener import CallerGone, Headers, Responder
+from ashlatch.http.connection import CallerGone, Headers, Responder
 
 __all__ = ["Exchange"]
 
--- a/ashlatch/gateway/message.py
+++ b/ashlatch/gateway/message.py
@@ -12,7 +12,7 @@
 import enum
 from dataclasses import dataclass
 
-from ashlatch.http.listener import Headers
+from ashlatch.http.connection import Headers
 
 __all__ = [
     "AnswerHead",
--- /dev/null
+++ b/ashlatch/http/connection.py
@@ -0,0 +1,356 @@
+"""
+ashlatch.http.connection
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+One caller's HTTP/1.1 connection: requests read whole by `h11`, handled one
+after another, and their answers.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import h11
+
+from ashlatch.errors import AshlatchError
+from ashlatch.http.keepalive import keep_alive
+
+__all__ = [
+    "CallerGone",
+    "Connection",
+    "Handler",
+    "Headers",
+    "HttpBounds",
+    "HttpRequest",
+    "Owner",
+    "Responder",
+]
+
+Headers = list[tuple[bytes, bytes]]
+
+# A caller that sends ahead is not read beyond this before it is answered.
+READ_AHEAD_MAX_BYTES = 65_536
+
+
+@dataclass
+class CallerGone(AshlatchError):
+    """The caller closed its connection before its answer was whole."""
+
+
+@dataclass(frozen=True)
+class HttpBounds:
+    """What one caller may send, and how slowly; see `CatalogLimits`."""
+
+    head_max_bytes: int = 16_384
+    body_max_bytes: int = 4_194_304
+    head_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True)
+class HttpRequest:
+    """A whole request. Header names are as the caller wrote them.
+
+    `received_s` is when its head was read, on the loop's clock.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    received_s: float
+    peer: str
+
+
+class Responder:
+    """Writes the answer to one request; every method raises `CallerGone`.
+
+    Either `respond` alone, or `begin`, then `send` for each part, then `end`.
+    `abort` ends the connection so that the answer cannot seem complete.
+    """
+
+    def __init__(self, connection: "Connection") -> None:
+        self._connection = connection
+        self.begun = False
+        self.ended = False
+
+    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        length = (b"Content-Length", str(len(body)).encode())
+        self.begin(status, [*headers, length])
+        if body:
+            self.send(body)
+        self.end()
+
+    def begin(self, status: int, headers: Headers) -> None:
+        """Send the head. Without a length, the body is sent in chunks."""
+        self.begun = True
+        self._connection.begin(status, headers)
+
+    def send(self, data: bytes) -> None:
+        """Send a part of the body."""
+        self._connection.send(h11.Data(data=data))
+
+    async def drain(self) -> None:
+        """Wait while the caller does not read."""
+        await self._connection.drain()
+
+    def end(self) -> None:
+        """End the answer as complete."""
+        self.ended = True
+        self._connection.send(h11.EndOfMessage())
+
+    def abort(self) -> None:
+        """Close the connection in the middle of the answer."""
+        self.ended = True
+        self._connection.abort()
+
+
+Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
+
+
+class Owner(Protocol):
+    """What a connection needs of the listener that accepted it."""
+
+    handler: Handler
+    bounds: HttpBounds
+    connections: "set[Connection]"
+    handling: int
+    stopping: bool
+    unreadable: Callable[[str, str], None]
+    failed: Callable[[BaseException], None]
+
+
+@dataclass
+class _Incoming:
+    """The request that is being read."""
+
+    head: h11.Request
+    received_s: float
+    parts: list[bytes] = field(default_factory=list)
+    size_bytes: int = 0
+
+
+class Connection(asyncio.Protocol):
+    """One caller's connection; requests are handled one after another."""
+
+    def __init__(self, listener: Owner) -> None:
+        self._listener = listener
+        self._loop = asyncio.get_running_loop()
+        bounds = listener.bounds
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=bounds.head_max_bytes
+        )
+        self._transport: asyncio.Transport | None = None
+        self._incoming: _Incoming | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._peer = ""
+        self.quiet_since_s = self._loop.time()
+        self.head_begun_s: float | None = None
+
+    # What asyncio calls.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection stands."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        keep_alive(transport)
+        peer = transport.get_extra_info("peername")
+        self._peer = f"{peer[0]}:{peer[1]}" if peer else ""
+        self._listener.connections.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes have come."""
+        between_requests = not self.busy and self._incoming is None
+        if between_requests and self.head_begun_s is None:
+            self.head_begun_s = self._loop.time()
+        self._http.receive_data(data)
+        self._read()
+
+    def eof_received(self) -> bool:
+        """The caller sends no more; it waits for no answer either."""
+        self._gone()
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """The connection is gone."""
+        self._gone()
+        self._transport = None
+        self._listener.connections.discard(self)
+
+    def pause_writing(self) -> None:
+        """The caller reads too slowly."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """The caller reads again."""
+        self._writable.set()
+
+    # What the listener and the responder ask for.
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being handled."""
+        return self._task is not None
+
+    @property
+    def reading(self) -> bool:
+        """Whether a request has been read in part."""
+        return self.head_begun_s is not None or self._incoming is not None
+
+    def close(self) -> None:
+        """End the connection in order."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """End the connection with a reset."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def refuse(self, status: int) -> None:
+        """Answer what cannot be read as a request, and close."""
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+            self._write(h11.Response(status_code=status, headers=headers))
+            self._write(h11.EndOfMessage())
+        self.close()
+
+    def begin(self, status: int, headers: Headers) -> None:
+        """Write the head of an answer."""
+        if self._listener.stopping:
+            headers = [*headers, (b"Connection", b"close")]
+        self.send(h11.Response(status_code=status, headers=headers))
+
+    def send(self, event: h11.Event) -> None:
+        """Write a part of the answer."""
+        if self._transport is None or self._transport.is_closing():
+            raise CallerGone
+        self._write(event)
+
+    async def drain(self) -> None:
+        """Wait until the transport takes more."""
+        if not self._writable.is_set():
+            await self._writable.wait()
+
+    # Inside.
+
+    def _write(self, event: h11.Event) -> None:
+        data = self._http.send(event)
+        if data and self._transport is not None:
+            self._transport.write(data)
+
+    def _gone(self) -> None:
+        self._writable.set()
+        if self._task is not None:
+            self._task.cancel()
+        elif self._transport is not None:
+            self._transport.close()
+
+    def _read(self) -> None:
+        while not self.busy:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                self._listener.unreadable(self._peer, str(error))
+                self.refuse(error.error_status_hint)
+                return
+            if event is h11.NEED_DATA:
+                self._continue_if_asked()
+                return
+            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                self.close()
+                return
+            assert isinstance(event, h11.Event)
+            self._take(event)
+            if self._transport is None or self._transport.is_closing():
+                return
+        ahead = len(self._http.trailing_data[0])
+        if ahead > READ_AHEAD_MAX_BYTES and self._transport is not None:
+            self._transport.pause_reading()
+
+    def _continue_if_asked(self) -> None:
+        if self._http.they_are_waiting_for_100_continue:
+            self._write(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def _take(self, event: h11.Event) -> None:
+        if isinstance(event, h11.Request):
+            self._incoming = _Incoming(event, self._loop.time())
+            self.head_begun_s = None
+            self.quiet_since_s = self._loop.time()
+            self._check_head(event)
+        elif isinstance(event, h11.Data):
+            assert self._incoming is not None
+            self.quiet_since_s = self._loop.time()
+            self._incoming.size_bytes += len(event.data)
+            self._incoming.parts.append(bytes(event.data))
+            if self._incoming.size_bytes > self._listener.bounds.body_max_bytes:
+                self.refuse(413)
+        elif isinstance(event, h11.EndOfMessage):
+            self._dispatch()
+
+    def _check_head(self, head: h11.Request) -> None:
+        """Refuse heads that another reader could frame in another way."""
+        names = [name for name, _ in head.headers]
+        if b"transfer-encoding" in names and b"content-length" in names:
+            self._listener.unreadable(self._peer, "a length and chunks")
+            self.refuse(400)
+        elif names.count(b"transfer-encoding") > 1 or head.http_version != b"1.1":
+            self._listener.unreadable(self._peer, "framing that is not HTTP/1.1")
+            self.refuse(400)
+        elif _head_bytes(head) > self._listener.bounds.head_max_bytes:
+            self.refuse(431)
+
+    def _dispatch(self) -> None:
+        incoming = self._incoming
+        assert incoming is not None
+        self._incoming = None
+        request = HttpRequest(
+            incoming.head.method.decode("ascii"),
+            incoming.head.target.decode("ascii"),
+            incoming.head.headers.raw_items(),
+            b"".join(incoming.parts),
+            incoming.received_s,
+            self._peer,
+        )
+        self._task = self._loop.create_task(self._handle(request))
+
+    async def _handle(self, request: HttpRequest) -> None:
+        responder = Responder(self)
+        self._listener.handling += 1
+        try:
+            await self._listener.handler(request, responder)
+            if not responder.ended:
+                self.abort()
+        except (CallerGone, asyncio.CancelledError):
+            self.abort()
+        except Exception as error:
+            self._listener.failed(error)
+            self.abort()
+        finally:
+            self._listener.handling -= 1
+            self._task = None
+            self._next_cycle()
+
+    def _next_cycle(self) -> None:
+        self.quiet_since_s = self._loop.time()
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._http.our_state is not h11.DONE:
+            self.close()
+            return
+        self._http.start_next_cycle()
+        ahead = self._http.trailing_data[0]
+        self.head_begun_s = self._loop.time() if ahead else None
+        self._transport.resume_reading()
+        self._read()
+
+
+def _head_bytes(head: h11.Request) -> int:
+    return len(head.target) + sum(len(n) + len(v) + 4 for n, v in head.headers)
--- a/ashlatch/http/upstream.py
+++ b/ashlatch/http/upstream.py
@@ -16,7 +16,8 @@
 import h11
 
 from ashlatch.errors import AshlatchError
-from ashlatch.http.listener import Headers, keep_alive
+from ashlatch.http.connection import Headers
+from ashlatch.http.keepalive import keep_alive
 
 __all__ = ["ConnectFailed", "Upstream", "UpstreamBroken"]
 
--- a/ashlatch/metrics.py
+++ b/ashlatch/metrics.py
@@ -13,7 +13,8 @@
 
 from hdrh.histogram import HdrHistogram
 
-from ashlatch.http.listener import HttpListener, HttpRequest, Responder
+from ashlatch.http.connection import HttpRequest, Responder
+from ashlatch.http.listener import HttpListener
 
 __all__ = ["Metrics", "serve_metrics"]
 
--- a/ashlatch/platform/headers.py
+++ b/ashlatch/platform/headers.py
@@ -22,7 +22,7 @@
     PromptPart,
     RefusalReason,
 )
-from ashlatch.http.listener import Headers, HttpRequest
+from ashlatch.http.connection import Headers, HttpRequest
 
 __all__ = [
     "MalformedRequest",
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -15,7 +15,8 @@
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.routing import RouteTable
 from ashlatch.gateway.versions import SessionVersions, VersionChooser
-from ashlatch.http.listener import HttpListener, HttpRequest, Responder
+from ashlatch.http.connection import HttpRequest, Responder
+from ashlatch.http.listener import HttpListener
 from ashlatch.platform.document import decode_catalog
 from ashlatch.platform.headers import decode_ask
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -4,7 +4,8 @@
 
 import testtools
 
-from ashlatch.http.listener import HttpBounds, HttpListener, HttpRequest, Responder
+from ashlatch.http.connection import HttpBounds, HttpRequest, Responder
+from ashlatch.http.listener import HttpListener
 
 ASK = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"
 
