Block the signals in the thread of the logs too; judge times in the trial only

Change: signals are blocked before any thread; the share is set once; times count in the trial alone.

--- a/ashlatch/cmdline/daemon.py
+++ b/ashlatch/cmdline/daemon.py
@@ -124,10 +124,12 @@
     once with status 1: a member that found its own state wrong must not finish
     what it was doing.
     """
+    # Before any thread, also that of the logs: a thread that does not block the
+    # signals could be given one, which would end the process on the spot.
+    ending = Ending()
     setup(sys.stdout, settings.log_level)
     # The interpreter's default lets a waiting thread wait for 5 ms.
     sys.setswitchinterval(SWITCH_S)
-    ending = Ending()
     try:
         daemon = make(ending.fail)
         daemon.start()
--- a/ashlatch/fleet/leader.py
+++ b/ashlatch/fleet/leader.py
@@ -107,22 +107,24 @@
         """Take what gateways have counted."""
         by_service: dict[str, list[Tally]] = {}
         for tally in tallies:
-            counted = self._without_load_test(tally)
+            counted = self._timed_in_trial(tally)
             by_service.setdefault(tally.key.service, []).append(counted)
         for service, own in by_service.items():
             if service in self._evidence:
                 self._evidence[service].add(tuple(own), now_ms)
 
-    def _without_load_test(self, tally: Tally) -> Tally:
-        """A tally less the times that the load test made long.
+    def _timed_in_trial(self, tally: Tally) -> Tally:
+        """A tally less the times of a new version that is past its trial.
 
-        Its last requests are reported until the shift is under way.
+        The load test makes its answers late, and so do the prompts that its
+        engines have not kept yet when all sessions come. A version that is slow
+        of itself shows that in the trial.
         """
         rollout = self._newest.get(tally.key.service)
         if rollout is None or tally.key.version != rollout.version:
             return tally
-        timed = rollout.stage is RolloutStage.TRIAL or rollout.share >= 1.0
-        return tally if timed else msgspec.structs.replace(tally, times={})
+        trial = rollout.stage is RolloutStage.TRIAL
+        return tally if trial else msgspec.structs.replace(tally, times={})
 
     def moves(
         self, rollouts: tuple[Rollout, ...], listed: EndpointList, now_ms: float
--- a/ashlatch/fleet/verdict.py
+++ b/ashlatch/fleet/verdict.py
@@ -26,7 +26,7 @@
 # requests on top, once the number of requests is known.
 TRIAL_EXTRA = 30.0
 TRIAL_SHARE_MAX = 0.25
-KNOWN_AT = 0.1
+KNOWN_MIN = 10
 # From which part of the time on a version that is well gets which share.
 STEPS = (
     (0.00, RolloutStage.TRIAL, TRIAL_SHARE),
@@ -102,12 +102,14 @@
 
     `listed` is whether endpoints of the new version are known to be ready.
     """
+    if not listed and rollout.share == 0:
+        return Decision(rollout.stage, rollout.share, "no endpoint of the version")
     everything, recent = evidence.windows(now_ms)
     bad = _fault(rollout, everything, everything) or _fault(rollout, recent, everything)
     if bad:
         return Decision(RolloutStage.ROLLED_BACK, 0.0, bad)
     if not listed:
-        return Decision(rollout.stage, rollout.share, "no endpoint of the version")
+        return Decision(rollout.stage, rollout.share, "no endpoint is left")
     part = elapsed_ms / rollout.duration_ms
     if part >= COMPLETE_AT and rollout.share >= 1.0:
         return Decision(RolloutStage.COMPLETED, 1.0, "well for most of the time")
@@ -116,19 +118,23 @@
         over = rollout.stage is RolloutStage.SETTLE
         if over or _exposed(rollout, part, everything):
             return Decision(RolloutStage.SETTLE, TRIAL_SHARE, "enough was answered")
-    if stage is RolloutStage.TRIAL and part >= KNOWN_AT:
+    if stage is RolloutStage.TRIAL:
         share = _trial_share(rollout, part, everything)
     return Decision(stage, share, "well so far")
 
 
 def _trial_share(rollout: Rollout, part: float, counts: dict[TallyKey, Tally]) -> float:
-    """The share for the rest of the trial; it is set once and then kept."""
-    if rollout.share != TRIAL_SHARE:
+    """The share of the trial, by the requests since the order.
+
+    It is set once: each change would move sessions that run.
+    """
+    if rollout.share > 0:
         return rollout.share
     own = [tally for key, tally in counts.items() if key.service == rollout.service]
-    total = sum(_answers(tally) for tally in own) / part
-    if total <= 0:
+    answers = sum(_answers(tally) for tally in own)
+    if answers < KNOWN_MIN:
         return TRIAL_SHARE
+    total = answers / part
     return round(min(TRIAL_SHARE_MAX, TRIAL_SHARE + TRIAL_EXTRA / total), 3)
 
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -28,6 +28,28 @@
 ending.wait()
 print(repr(ending.error))
 """
+LOGGED = """
+import os, signal, threading
+from ashlatch.cmdline import daemon
+
+class Settings:
+    vm = hall = listen = "x"
+    log_level = "INFO"
+
+class Daemon:
+    def start(self):
+        for thread in threading.enumerate():
+            path = f"/proc/self/task/{thread.native_id}/status"
+            line = next(l for l in open(path) if l.startswith("SigBlk"))
+            mask = int(line.split()[1], 16)
+            for number in (signal.SIGHUP, signal.SIGTERM):
+                print(thread.name, bool(mask >> (number - 1) & 1))
+        os.kill(os.getpid(), signal.SIGTERM)
+    def stop(self):
+        return 0
+
+daemon.run("x", Settings(), lambda failed: Daemon())
+"""
 LIMIT_S = 20.0
 
 
@@ -44,3 +66,10 @@
 
     def test_a_failure_in_a_thread_ends_the_wait(self) -> None:
         self.assertEqual(["ValueError('broken')"], self.run_program(FAILED))
+
+    def test_every_thread_blocks_the_signals(self) -> None:
+        """Also the thread of the logs; it was the only one that did not."""
+        lines = self.run_program(LOGGED)
+        told = [line for line in lines if line.endswith(("True", "False"))]
+        self.assertIn("log True", told)
+        self.assertEqual([], [line for line in told if line.endswith("False")])
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -153,6 +153,11 @@
         time.sleep(0.3)
         self.assertFalse(self.ready())
         self.assertEqual(200, fleet.ask(self.gateway))
+        # New seeds are announced while it stops.
+        for _ in range(20):
+            process.signal(signal.SIGHUP)
+            time.sleep(0.01)
+        self.assertEqual(200, fleet.ask(self.gateway))
         process.popen.wait(8.0)
         self.assertEqual(0, process.popen.returncode)
         self.assertIn("event=daemon_stopped", process.log)
