--- a/ashlatch/gateway/account.py
+++ b/ashlatch/gateway/account.py
@@ -49,6 +49,7 @@
         organisation = admission.organisation
         sent = RequestSent(
             admission.ask.request_id,
+            admission.ask.session,
             admission.route.name,
             organisation.name if organisation else "",
             admission.configuration,
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -39,6 +39,7 @@
 
     event: ClassVar[str] = "request_sent"
     request: str
+    session: str
     route: str
     organisation: str
     configuration: int
