Keep sessions that run on their version in a trial, whichever gateway they meet

Ruled out: the share set twice (set once, 7 requests as before). Change: from the order on gateways tell which sessions run that a trial might move; the leader keeps them with the record of the trial, which all gateways have, and they stay until the shift. The trial begins 1.5 s after the order. Tests fail on the code before (no such records).

--- a/ashlatch/catalog.py
+++ b/ashlatch/catalog.py
@@ -29,6 +29,7 @@
     "Route",
     "Service",
     "ServiceShare",
+    "SessionMarks",
 ]
 
 
@@ -184,7 +185,8 @@
 
     `number` counts the changes of all roll-outs; of two records of a
     roll-out, the one with the higher number is newer. `elapsed_ms` is how long
-    it had run when the record was made.
+    it had run when the record was made. `held` are the marks of sessions that
+    ran when the trial began, at any gateway; they stay for all of the trial.
     """
 
     service: str
@@ -194,3 +196,11 @@
     number: int
     duration_ms: float
     elapsed_ms: float = 0.0
+    held: tuple[int, ...] = ()
+
+
+class SessionMarks(msgspec.Struct, frozen=True):
+    """Sessions of a service that run, those that a trial might move."""
+
+    service: str
+    marks: tuple[int, ...]
--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -328,6 +328,7 @@
                 self.machine.state.number,
                 wait_ms,
                 tallies,
+                self._spread.sessions(),
             )
             try:
                 reply: SyncReply = await self._book.peer(leader).call(
@@ -357,6 +358,7 @@
         await self._list.read_if_due(standing.term, now_ms)
         self._spread.lead(self._list.newest, self._list.read_ms)
         self._rollouts.add(self._spread.tallies.take(), now_ms)
+        self._rollouts.tell_sessions(self._spread.sessions())
         rollouts = self._known_rollouts()
         for move in self._rollouts.moves(
             rollouts, self._spread.endpoints, monotonic_ms()
--- a/ashlatch/fleet/leader.py
+++ b/ashlatch/fleet/leader.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from ashlatch.catalog import EndpointList, Rollout, RolloutStage
+from ashlatch.catalog import EndpointList, Rollout, RolloutStage, SessionMarks
 from ashlatch.fleet.discovery import ListReader, ListUnreadable
 from ashlatch.fleet.logs import ListRead, ListUnread, RolloutDecided
 from ashlatch.fleet.machine import FINAL_STAGES, MoveRollout
@@ -88,6 +88,7 @@
     _evidence: dict[str, Evidence] = field(default_factory=dict)
     _clocks: dict[str, _Clock] = field(default_factory=dict)
     _newest: dict[str, Rollout] = field(default_factory=dict)
+    _sessions: dict[str, tuple[int, ...]] = field(default_factory=dict)
 
     def forget(self) -> None:
         """This VM leads no more."""
@@ -113,6 +114,10 @@
             if service in self._evidence:
                 self._evidence[service].add(tuple(own), now_ms)
 
+    def tell_sessions(self, sessions: tuple[SessionMarks, ...]) -> None:
+        """Take which sessions run at the gateways before a trial."""
+        self._sessions = {told.service: told.marks for told in sessions}
+
     def _timed_in_trial(self, tally: Tally) -> Tally:
         """A tally less the times of a new version that is past its trial.
 
@@ -171,4 +176,5 @@
             decision.stage,
             decision.share,
             elapsed_ms,
+            rollout.held if rollout.share else self._sessions.get(rollout.service, ()),
         )
--- a/ashlatch/fleet/machine.py
+++ b/ashlatch/fleet/machine.py
@@ -62,6 +62,7 @@
     stage: RolloutStage
     share: float
     elapsed_ms: float
+    held: tuple[int, ...] = ()
 
 
 Command = ReplaceDocument | BeginRollout | MoveRollout
@@ -156,5 +157,6 @@
         share=command.share,
         number=state.number,
         elapsed_ms=command.elapsed_ms,
+        held=command.held,
     )
     return Accepted(changed=True)
--- a/ashlatch/fleet/protocol.py
+++ b/ashlatch/fleet/protocol.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from ashlatch.catalog import EndpointList, Rollout
+from ashlatch.catalog import EndpointList, Rollout, SessionMarks
 from ashlatch.fleet.machine import Command, Outcome
 from ashlatch.gateway.tally import Tally
 from ashlatch.link import Method
@@ -36,7 +36,8 @@
     """Asks for what is newer than the sender knows; held until there is some.
 
     `gateways` are the gateways that have lately synced with the sender, itself
-    included if it is one. `tallies` are counts since its last request.
+    included if it is one. `tallies` are counts since its last request,
+    `sessions` those that run before a trial.
     """
 
     vm: str
@@ -46,6 +47,7 @@
     rollout_number: int
     wait_ms: float
     tallies: tuple[Tally, ...] = ()
+    sessions: tuple[SessionMarks, ...] = ()
 
 
 class SyncReply(msgspec.Struct, frozen=True):
--- a/ashlatch/fleet/spread.py
+++ b/ashlatch/fleet/spread.py
@@ -11,7 +11,7 @@
 
 import asyncio
 
-from ashlatch.catalog import EndpointList
+from ashlatch.catalog import EndpointList, SessionMarks
 from ashlatch.fleet.machine import FleetState
 from ashlatch.fleet.protocol import SyncReply, SyncRequest
 from ashlatch.gateway.tally import Tallies
@@ -23,6 +23,8 @@
 LEADER_HEARD_MS = 1500.0
 # Gateways that have not asked for this long are gone.
 GATEWAY_SEEN_MS = 4000.0
+# Sessions are told before a trial only; what is older was before another one.
+SESSION_TOLD_MS = 10_000.0
 
 
 class Spread:
@@ -36,6 +38,7 @@
         self._gateway_count = 1
         self._leader_heard_ms = float("-inf")
         self._changed = asyncio.Event()
+        self._sessions: dict[str, dict[int, float]] = {}
 
     def asked(self, request: SyncRequest) -> None:
         """Somebody asks, and tells what it knows."""
@@ -43,6 +46,19 @@
         for gateway in request.gateways:
             self._gateways[gateway] = now_ms
         self.tallies.add(request.tallies)
+        for sessions in request.sessions:
+            marks = self._sessions.setdefault(sessions.service, {})
+            marks.update(dict.fromkeys(sessions.marks, now_ms))
+
+    def sessions(self) -> tuple[SessionMarks, ...]:
+        """The sessions that were told lately, by service."""
+        oldest_ms = monotonic_ms() - SESSION_TOLD_MS
+        found = []
+        for service, marks in self._sessions.items():
+            recent = {m: at for m, at in marks.items() if at >= oldest_ms}
+            self._sessions[service] = recent
+            found.append(SessionMarks(service, tuple(recent)))
+        return tuple(found)
 
     def live_gateways(self) -> tuple[str, ...]:
         """The gateways that have asked lately, here or below."""
--- a/ashlatch/fleet/verdict.py
+++ b/ashlatch/fleet/verdict.py
@@ -27,6 +27,9 @@
 TRIAL_EXTRA = 30.0
 TRIAL_SHARE_MAX = 0.25
 KNOWN_MIN = 10
+# Gateways hear of an order and tell which sessions run in about two exchanges
+# with the core, of half a second each.
+SESSIONS_TOLD_MS = 1500.0
 # From which part of the time on a version that is well gets which share.
 STEPS = (
     (0.00, RolloutStage.TRIAL, TRIAL_SHARE),
@@ -119,6 +122,8 @@
         if over or _exposed(rollout, part, everything):
             return Decision(RolloutStage.SETTLE, TRIAL_SHARE, "enough was answered")
     if stage is RolloutStage.TRIAL:
+        if elapsed_ms < SESSIONS_TOLD_MS:
+            return Decision(stage, rollout.share, "sessions are being told")
         share = _trial_share(rollout, part, everything)
     return Decision(stage, share, "well so far")
 
--- a/ashlatch/gateway/account.py
+++ b/ashlatch/gateway/account.py
@@ -64,10 +64,13 @@
             int(self._now_ms() - self._known.directory.listed_ms),
         )
         emit(log, sent)
+        session = admission.ask.session
+        self._known.versions.sessions.note(
+            endpoint.service, session, endpoint.version, self._now_ms()
+        )
 
     def begun(self, attempt: Attempt, model: str) -> None:
         """The head of an answer has come."""
-        self._note_version(attempt)
         first_ms = self._age_ms(attempt)
         self._known.tallies.begun(self._key(attempt), first_ms)
         service = self._admission.service.name
--- a/ashlatch/gateway/sync.py
+++ b/ashlatch/gateway/sync.py
@@ -106,6 +106,7 @@
                 self._rollout_number,
                 self._wait_ms,
                 tallies,
+                self._known.versions.running_before_trials(self._now_ms()),
             )
             try:
                 reply: SyncReply = await self._book.peer(address).call(
--- a/ashlatch/gateway/versions.py
+++ b/ashlatch/gateway/versions.py
@@ -13,18 +13,22 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from ashlatch.catalog import Rollout, RolloutStage
+from ashlatch.catalog import Rollout, RolloutStage, SessionMarks
 from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.routing import fraction
 from ashlatch.policy.endpoint import rank
 
-__all__ = ["SessionVersions", "VersionChooser"]
+__all__ = ["SessionVersions", "VersionChooser", "session_mark"]
 
 # Sessions are forgotten this much after they have ended.
 SESSION_MARGIN_MS = 1000.0
 SESSIONS_MAX = 20_000
 # How busy the one endpoint of a load test is made: nearly all of its places.
 LOAD_TEST_UTILISATION = 0.9
+# How many marks there are for sessions; they are told to all gateways.
+MARKS = 1 << 32
+# Sessions beyond this part of the marks are never moved by a trial.
+MOVABLE_SHARE = 0.25
 
 
 @dataclass
@@ -49,6 +53,16 @@
         while len(self._seen) > SESSIONS_MAX:
             del self._seen[next(iter(self._seen))]
 
+    def running(self, service: str, now_ms: float) -> list[str]:
+        """The sessions of a service that had a request lately."""
+        begin = f"{service}/"
+        oldest_ms = now_ms - self.session_ms - SESSION_MARGIN_MS
+        return [
+            key.removeprefix(begin)
+            for key, seen in self._seen.items()
+            if seen.at_ms >= oldest_ms and key.startswith(begin)
+        ]
+
     def version(self, service: str, session: str, now_ms: float) -> str:
         """The version of a session that still runs, or empty."""
         seen = self._seen.get(f"{service}/{session}")
@@ -58,12 +72,18 @@
         return seen.version if recent else ""
 
 
+def session_mark(version: str, session: str) -> int:
+    """A number for a session that is the same on every VM."""
+    return int(fraction(f"{version}/{session}") * MARKS)
+
+
 @dataclass
 class VersionChooser:
     """The roll-outs that are known, and what follows from them."""
 
     sessions: SessionVersions
     rollouts: dict[str, Rollout] = field(default_factory=dict)
+    _held_marks: dict[str, tuple[int, frozenset[int]]] = field(default_factory=dict)
 
     def learn(self, rollouts: Iterable[Rollout]) -> list[Rollout]:
         """Take what is newer than known, and return it."""
@@ -108,8 +128,10 @@
         before = self.sessions.version(rollout.service, session, now_ms)
         if before == rollout.version:
             return True
-        if before and rollout.stage is RolloutStage.TRIAL:
-            return False
+        if rollout.stage is RolloutStage.TRIAL and session:
+            held = session_mark(rollout.version, session) in self._held(rollout)
+            if before or held:
+                return False
         return fraction(f"{rollout.version}/{session or request_id}") < rollout.share
 
     def _untested(
@@ -124,6 +146,25 @@
         before = self.sessions.version(rollout.service, session, now_ms)
         return (new or old) if before == rollout.version else (old or new)
 
+    def running_before_trials(self, now_ms: float) -> tuple[SessionMarks, ...]:
+        """The sessions here that trials which have not begun yet might move."""
+        found = []
+        for rollout in self.rollouts.values():
+            if rollout.stage is not RolloutStage.TRIAL or rollout.share > 0:
+                continue
+            sessions = self.sessions.running(rollout.service, now_ms)
+            marks = (session_mark(rollout.version, s) for s in sessions)
+            movable = tuple(m for m in marks if m < MOVABLE_SHARE * MARKS)
+            found.append(SessionMarks(rollout.service, movable))
+        return tuple(found)
+
+    def _held(self, rollout: Rollout) -> frozenset[int]:
+        known = self._held_marks.get(rollout.service)
+        if known is None or known[0] != rollout.number:
+            known = (rollout.number, frozenset(rollout.held))
+            self._held_marks[rollout.service] = known
+        return known[1]
+
     def _number(self, service: str) -> int:
         known = self.rollouts.get(service)
         return known.number if known else 0
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -54,6 +54,27 @@
         self.assertEqual({"v1"}, self.versions("old", 4000.0))
         self.assertEqual({"v2"}, self.versions("old", 7000.0))
 
+    def test_sessions_that_ran_elsewhere_stay_in_the_trial(self) -> None:
+        """A session may come by another gateway than before."""
+        self.learn(RolloutStage.TRIAL, 0.0, 1)
+        sessions = [f"s{n}" for n in range(400)]
+        for session in sessions:
+            self.sessions.note("app", session, "v1", 0.0)
+        self.sessions.note("other", "s", "v1", 0.0)
+        (told,) = self.chooser.running_before_trials(1000.0)
+        self.assertTrue(60 < len(told.marks) < 140, len(told.marks))
+        self.assertEqual((), self.chooser.running_before_trials(20_000.0)[0].marks)
+        elsewhere = VersionChooser(SessionVersions(5000.0))
+        begun = Rollout(
+            "app", "v2", RolloutStage.TRIAL, 0.25, 2, 1000.0, held=told.marks
+        )
+        for chooser in (elsewhere, self.chooser):
+            chooser.learn([begun])
+            for session in sessions:
+                allowed = chooser.allowed("app", session, "r", self.states, 20_000.0)
+                self.assertEqual("v1", allowed[0].endpoint.version)
+        self.assertEqual((), elsewhere.running_before_trials(0.0))
+
     def test_sessions_do_not_come_back(self) -> None:
         self.learn(RolloutStage.SHIFT, 0.0, 1)
         self.sessions.note("app", "new", "v2", 0.0)
