--- a/ashlatch/cmdline/daemon.py
+++ b/ashlatch/cmdline/daemon.py
@@ -20,7 +20,14 @@
 
 from ashlatch import __version__
 from ashlatch.errors import AshlatchError, SettingsError
-from ashlatch.log import DaemonFailed, DaemonStarted, DaemonStopped, emit, setup
+from ashlatch.log import (
+    DaemonFailed,
+    DaemonStarted,
+    DaemonStopped,
+    emit,
+    flush,
+    setup,
+)
 from ashlatch.settings import (
     ControlSettings,
     CoreSettings,
@@ -117,10 +124,12 @@
     once with status 1: a member that found its own state wrong must not finish
     what it was doing.
     """
+    # Before any thread, also that of the logs: a thread that does not block the
+    # signals could be given one, which would end the process on the spot.
+    ending = Ending()
     setup(sys.stdout, settings.log_level)
     # The interpreter's default lets a waiting thread wait for 5 ms.
     sys.setswitchinterval(SWITCH_S)
-    ending = Ending()
     try:
         daemon = make(ending.fail)
         daemon.start()
@@ -142,3 +151,4 @@
 def _report_failure(name: str, error: BaseException) -> None:
     failed = DaemonFailed(name, type(error).__name__, str(error))
     emit(log, failed, logging.CRITICAL)
+    flush()
--- a/ashlatch/fleet/leader.py
+++ b/ashlatch/fleet/leader.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from ashlatch.catalog import EndpointList, Rollout, RolloutStage
+from ashlatch.catalog import EndpointList, Rollout, RolloutStage, SessionMarks
 from ashlatch.fleet.discovery import ListReader, ListUnreadable
 from ashlatch.fleet.logs import ListRead, ListUnread, RolloutDecided
 from ashlatch.fleet.machine import FINAL_STAGES, MoveRollout
@@ -88,6 +88,7 @@
     _evidence: dict[str, Evidence] = field(default_factory=dict)
     _clocks: dict[str, _Clock] = field(default_factory=dict)
     _newest: dict[str, Rollout] = field(default_factory=dict)
+    _sessions: dict[str, tuple[int, ...]] = field(default_factory=dict)
 
     def forget(self) -> None:
         """This VM leads no more."""
@@ -107,22 +108,28 @@
         """Take what gateways have counted."""
         by_service: dict[str, list[Tally]] = {}
         for tally in tallies:
-            counted = self._without_load_test(tally)
+            counted = self._timed_in_trial(tally)
             by_service.setdefault(tally.key.service, []).append(counted)
         for service, own in by_service.items():
             if service in self._evidence:
                 self._evidence[service].add(tuple(own), now_ms)
 
-    def _without_load_test(self, tally: Tally) -> Tally:
-        """A tally less the times that the load test made long.
+    def tell_sessions(self, sessions: tuple[SessionMarks, ...]) -> None:
+        """Take which sessions run at the gateways before a trial."""
+        self._sessions = {told.service: told.marks for told in sessions}
 
-        Its last requests are reported until the shift is under way.
+    def _timed_in_trial(self, tally: Tally) -> Tally:
+        """A tally less the times of a new version that is past its trial.
+
+        The load test makes its answers late, and so do the prompts that its
+        engines have not kept yet when all sessions come. A version that is slow
+        of itself shows that in the trial.
         """
         rollout = self._newest.get(tally.key.service)
         if rollout is None or tally.key.version != rollout.version:
             return tally
-        timed = rollout.stage is RolloutStage.TRIAL or rollout.share >= 1.0
-        return tally if timed else msgspec.structs.replace(tally, times={})
+        trial = rollout.stage is RolloutStage.TRIAL
+        return tally if trial else msgspec.structs.replace(tally, times={})
 
     def moves(
         self, rollouts: tuple[Rollout, ...], listed: EndpointList, now_ms: float
@@ -169,4 +176,5 @@
             decision.stage,
             decision.share,
             elapsed_ms,
+            rollout.held if rollout.share else self._sessions.get(rollout.service, ()),
         )
--- a/ashlatch/log.py
+++ b/ashlatch/log.py
@@ -33,6 +33,7 @@
     "LogEvent",
     "QueueHandler",
     "emit",
+    "flush",
     "setup",
 ]
 
@@ -156,9 +157,15 @@
         if self._left_out:
             left_out, self._left_out = self._left_out, 0
             lines.append(f"event={LinesLeftOut.event} lines={left_out}")
-        if lines:
+        if not lines:
+            return
+        try:
             self._stream.write("\n".join(lines) + "\n")
             self._stream.flush()
+        except (OSError, ValueError):
+            # The reader of the logs has gone; there is nowhere to say so, and
+            # requests are served on. The count is told if it comes back.
+            self._left_out += len(lines)
 
 
 def setup(stream: TextIO | None = None, level: str = "INFO") -> None:
@@ -178,6 +185,12 @@
     root.propagate = False
 
 
+def flush() -> None:
+    """Write what is queued; called before a process ends itself."""
+    for handler in logging.getLogger("ashlatch").handlers:
+        handler.flush()
+
+
 def emit(logger: logging.Logger, event: LogEvent, level: int = logging.INFO) -> None:
     """Write one event as one line.
 
