Type all log events; read the seeds again while the core is away

Log lines that were bare texts have types now. The settings file may name new seeds without a signal: a gateway that has lost the core reads it again after 3 s; core VMs do on SIGHUP. Urgencies beyond 9 go out as 9.

--- a/ashlatch/cmdline/core.py
+++ b/ashlatch/cmdline/core.py
@@ -16,7 +16,7 @@
 from ashlatch.cmdline.daemon import load_or_exit, run
 from ashlatch.fleet.daemon import CoreDaemon
 from ashlatch.platform.boot import SETTINGS_VARIABLE
-from ashlatch.settings import CoreSettings
+from ashlatch.settings import CoreSettings, load
 
 __all__ = ["main"]
 
@@ -40,7 +40,11 @@
         ashlatch-core --settings core-1.json --check-settings
     """
     settings = load_or_exit(path, CoreSettings, check_settings)
-    run("core", settings, lambda failed: CoreDaemon(settings, failed))
+    run(
+        "core",
+        settings,
+        lambda failed: CoreDaemon(settings, failed, lambda: load(path, CoreSettings)),
+    )
 
 
 if __name__ == "__main__":
--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -24,8 +24,10 @@
 from ashlatch.fleet.leader import ListKeeper, RolloutKeeper
 from ashlatch.fleet.logs import (
     DiskLost,
+    DiskRefused,
     DiskRegained,
     MemberRemoved,
+    MoveLost,
     StandingChanged,
 )
 from ashlatch.fleet.machine import Command, FleetMachine, Outcome
@@ -50,6 +52,7 @@
     SyncReply,
     SyncRequest,
 )
+from ashlatch.fleet.seeds import Seeds
 from ashlatch.fleet.spread import Spread, has_news
 from ashlatch.http.connection import HttpBounds
 from ashlatch.http.listener import HttpListener
@@ -86,12 +89,18 @@
 
 
 class CoreDaemon:
-    """One core VM. `failed` is called with the error when it must not go on."""
+    """One core VM. `failed` is called with the error when it must not go on;
+    `reread` gives the settings anew.
+    """
 
     def __init__(
-        self, settings: CoreSettings, failed: Callable[[BaseException], None]
+        self,
+        settings: CoreSettings,
+        failed: Callable[[BaseException], None],
+        reread: Callable[[], CoreSettings],
     ) -> None:
         self.settings = settings
+        self._seeds = Seeds(settings, reread)
         self.rpc = RpcLoop()
         self.metrics = Metrics()
         self._failed = failed
@@ -154,7 +163,8 @@
                 self._open()
             except (OSError, DiskFailed) as again:
                 self.metrics.count("disk_refused")
-                log.debug("", extra={"event": "disk_refused", "detail": str(again)})
+                refused = DiskRefused(self.member.member_id, str(again))
+                emit(log, refused, logging.DEBUG)
                 continue
             self.group.deliver = self._transport.send
             self.group.start()
@@ -167,6 +177,10 @@
         self.group.start()
         self.rpc.submit(self._start()).result(timeout=10.0)
 
+    def reload(self) -> None:
+        """Take over what may change while the process runs: the seeds."""
+        self._seeds.refresh()
+
     def stop(self) -> int:
         """Answer no more, and stop the group."""
         self.rpc.submit(self._stop()).result(timeout=5.0)
@@ -193,8 +207,9 @@
         await serve_metrics(
             self.metrics, self.settings.host, self.settings.metrics_port
         )
-        standing = lambda: self.group.standing  # noqa: E731
-        join = join_group(self.member, standing, self._known_addresses, self._book)
+        join = join_group(
+            self.member, self._standing, self._known_addresses, self._book
+        )
         for work in (join, self._lead(), self._follow()):
             self.rpc.keep(work, self._failed)
 
@@ -203,6 +218,9 @@
         self._operators.abort()
         await self._service.stop()
 
+    def _standing(self) -> Standing:
+        return self.group.standing
+
     # What the operators' API asks for.
 
     async def commit(self, command: Command) -> Outcome:
@@ -366,7 +384,7 @@
             try:
                 await self._commit_here(move)
             except NoQuorum as error:
-                log.warning("", extra={"event": "move_lost", "detail": error.detail})
+                emit(log, MoveLost(move.service, error.detail), logging.WARNING)
 
     def _remove_silent(self, standing: Standing, now_ms: float) -> None:
         found = silent_member(standing, self.settings.losses_max, now_ms)
@@ -386,7 +404,7 @@
 
     def _known_addresses(self) -> tuple[str, ...]:
         """Who may know the leader: the members, and the seeds."""
-        known = (*self._core_addresses(), *self.settings.seed_rpc_addresses)
+        known = (*self._core_addresses(), *self._seeds.addresses)
         return tuple(dict.fromkeys(known))
 
     def _wake(self) -> None:
--- a/ashlatch/fleet/logs.py
+++ b/ashlatch/fleet/logs.py
@@ -18,7 +18,9 @@
     "DiskRegained",
     "ListRead",
     "ListUnread",
+    "DiskRefused",
     "MemberRemoved",
+    "MoveLost",
     "OrderEnded",
     "RolloutDecided",
     "StandingChanged",
@@ -109,3 +111,21 @@
     event: ClassVar[str] = "disk_regained"
     member: str
     away_ms: int
+
+
+@dataclass(frozen=True)
+class DiskRefused(LogEvent):
+    """The data folder cannot be opened again yet."""
+
+    event: ClassVar[str] = "disk_refused"
+    member: str
+    detail: str
+
+
+@dataclass(frozen=True)
+class MoveLost(LogEvent):
+    """A decision on a roll-out was not committed; it is taken again."""
+
+    event: ClassVar[str] = "move_lost"
+    service: str
+    detail: str
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -11,14 +11,20 @@
 import asyncio
 import logging
 import random
+import traceback
 from collections.abc import Callable
 
-from ashlatch.errors import SettingsError
+from ashlatch.fleet.seeds import Seeds
 from ashlatch.gateway.admission import Refused, admit, refuse
 from ashlatch.gateway.budget import BudgetTerms
 from ashlatch.gateway.exchange import Exchange
 from ashlatch.gateway.knowledge import Knowledge
-from ashlatch.gateway.logs import RequestEnded, RequestUnreadable, StopBegun
+from ashlatch.gateway.logs import (
+    HandlerFailed,
+    RequestEnded,
+    RequestUnreadable,
+    StopBegun,
+)
 from ashlatch.gateway.message import RefusalReason
 from ashlatch.gateway.sync import FleetLink
 from ashlatch.gateway.versions import SessionVersions, VersionChooser
@@ -36,6 +42,8 @@
 
 log = logging.getLogger("ashlatch.gateway")
 
+# The end of a trace that a log line carries.
+TRACE_LINES = 4
 # How often limits are taken over and idle connections looked at.
 SWEEP_S = 0.25
 # A gateway that has just started hears from the core within about a second;
@@ -61,7 +69,6 @@
         reread: Callable[[], GatewaySettings],
     ) -> None:
         self.settings = settings
-        self._reread = reread
         self._failed = failed
         self.rpc = RpcLoop()
         sessions = SessionVersions(settings.session_s * 1000.0)
@@ -74,7 +81,7 @@
             BudgetTerms(repeats.ratio, repeats.extra, repeats.window_s * 1000.0),
             generator=random.Random(settings.vm),
         )
-        self._seeds = settings.seed_rpc_addresses
+        self._seeds = Seeds(settings, reread)
 
     def start(self) -> None:
         """Listen, and begin to learn."""
@@ -82,13 +89,7 @@
 
     def reload(self) -> None:
         """Take over what may change while the process runs: the seeds."""
-        try:
-            self._seeds = self._reread().seed_rpc_addresses
-        except SettingsError as group:
-            detail = str(group.exceptions[0])
-            log.error("", extra={"event": "reload_failed", "detail": detail})
-            return
-        log.info("", extra={"event": "reloaded", "seeds": ",".join(self._seeds)})
+        self._seeds.refresh()
 
     def stop(self) -> int:
         """Finish what is in flight; returns how many requests were cut."""
@@ -104,7 +105,7 @@
         self._ready_listener = HttpListener(self._handle_ready)
         self._link = FleetLink(
             self.known,
-            lambda: self._seeds,
+            self._seeds,
             self.settings.list_address,
             self.settings.sync_wait_ms,
         )
@@ -178,11 +179,8 @@
 
     def _handler_failed(self, error: BaseException) -> None:
         """A defect: the request is lost, the others are served on."""
-        log.error(
-            "",
-            exc_info=error,
-            extra={"event": "handler_failed", "error": type(error).__name__},
-        )
+        trace = "".join(traceback.format_exception(error)[-TRACE_LINES:])
+        emit(log, HandlerFailed(type(error).__name__, trace), logging.ERROR)
 
     def _unreadable(self, peer: str, reason: str) -> None:
         emit(log, RequestUnreadable(peer, reason), logging.WARNING)
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -17,9 +17,12 @@
 __all__ = [
     "AttemptEnded",
     "ConfigurationApplied",
+    "DocumentUnreadable",
     "EndpointsReplaced",
     "FleetLost",
     "FleetRegained",
+    "HandlerFailed",
+    "ListUnread",
     "RequestEnded",
     "RequestSent",
     "RequestUnreadable",
@@ -153,3 +156,30 @@
     event: ClassVar[str] = "stop_begun"
     in_flight: int
     connections: int
+
+
+@dataclass(frozen=True)
+class HandlerFailed(LogEvent):
+    """A defect: a request was lost, the others are served on."""
+
+    event: ClassVar[str] = "handler_failed"
+    error: str
+    trace: str
+
+
+@dataclass(frozen=True)
+class DocumentUnreadable(LogEvent):
+    """A core VM of another release took a document that is none here."""
+
+    event: ClassVar[str] = "document_unreadable"
+    version: int
+    detail: str
+
+
+@dataclass(frozen=True)
+class ListUnread(LogEvent):
+    """The core is away and the platform's list cannot be read either."""
+
+    event: ClassVar[str] = "list_unread"
+    reason: str
+    age_ms: int
--- a/ashlatch/gateway/sync.py
+++ b/ashlatch/gateway/sync.py
@@ -15,19 +15,21 @@
 import logging
 import random
 import zlib
-from collections.abc import Callable
 
 from ashlatch.catalog import EndpointList
 from ashlatch.errors import TransportError
 from ashlatch.fleet.discovery import ListReader, ListUnreadable
 from ashlatch.fleet.membership import PeerBook
 from ashlatch.fleet.protocol import SYNC, SyncReply, SyncRequest
+from ashlatch.fleet.seeds import Seeds
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.logs import (
     ConfigurationApplied,
+    DocumentUnreadable,
     EndpointsReplaced,
     FleetLost,
     FleetRegained,
+    ListUnread,
     RolloutLearnt,
 )
 from ashlatch.gateway.routing import RouteTable
@@ -41,6 +43,9 @@
 # A core VM that does not answer in this time beyond the wait is left.
 TIMEOUT_MARGIN_S = 0.6
 RETRY_S = 0.1
+# The settings file may name other seeds without a signal; it is read again this
+# long after the last core VM was lost, and as often.
+REFRESH_MS = 3000.0
 # Without word from the core for this long, the list is read directly; the
 # pause between reads is drawn, so that gateways do not read together.
 ALONE_MS = 2500.0
@@ -57,7 +62,7 @@
     def __init__(
         self,
         known: Knowledge,
-        seeds: Callable[[], tuple[str, ...]],
+        seeds: Seeds,
         list_address: str,
         wait_ms: float,
     ) -> None:
@@ -74,6 +79,7 @@
         self._begun_ms = self._now_ms()
         self._heard_ms = float("-inf")
         self._lost_since_ms: float | None = None
+        self._refreshed_ms = float("-inf")
 
     @property
     def settled(self) -> bool:
@@ -132,7 +138,8 @@
                 endpoints = await self._reader.read()
             except ListUnreadable as error:
                 self._known.metrics.count("list_unread")
-                log.warning("", extra={"event": "list_unread", "reason": error.reason})
+                age_ms = int(self._now_ms() - self._known.directory.listed_ms)
+                emit(log, ListUnread(error.reason, age_ms), logging.WARNING)
                 continue
             epoch, number = self._known.directory.order
             self._replace(EndpointList(epoch, number, endpoints), "platform")
@@ -142,7 +149,7 @@
     def _take(self, address: str, reply: SyncReply) -> None:
         if reply.members:
             self._members = reply.members
-            self._book.keep_only({*reply.members, *self._seeds()})
+            self._book.keep_only({*reply.members, *self._seeds.addresses})
         if reply.document and reply.document_version > self._document_version:
             self._apply(reply.document_version, reply.document)
         if reply.endpoints is not None:
@@ -169,7 +176,7 @@
             # It was checked before it was committed, by a core VM that runs
             # another release: go on with the one before.
             detail = str(error.exceptions[0])
-            log.error("", extra={"event": "document_unreadable", "detail": detail})
+            emit(log, DocumentUnreadable(version, detail), logging.ERROR)
             return
         table = self._known.table
         before = table.catalog.version if table else 0
@@ -192,12 +199,13 @@
     # Which core VM is asked.
 
     def _next_member(self) -> str:
-        known = dict.fromkeys((*self._members, *self._seeds()))
+        known = dict.fromkeys((*self._members, *self._seeds.addresses))
         self._member = random.choice(tuple(known))
         return self._member
 
     def _lose(self, address: str, reason: str) -> None:
-        others = [a for a in (*self._members, *self._seeds()) if a != address]
+        self._refresh_seeds()
+        others = [a for a in (*self._members, *self._seeds.addresses) if a != address]
         self._member = random.choice(others) if others else address
         if self._lost_since_ms is not None:
             return
@@ -205,6 +213,15 @@
         lost = FleetLost(address, reason, self._document_version)
         emit(log, lost, logging.WARNING)
 
+    def _refresh_seeds(self) -> None:
+        """Look for new seeds now and then while no core VM is in touch."""
+        if self._lost_since_ms is None:
+            return
+        now_ms = self._now_ms()
+        if now_ms - max(self._lost_since_ms, self._refreshed_ms) > REFRESH_MS:
+            self._refreshed_ms = now_ms
+            self._seeds.refresh()
+
     def _regain(self, address: str) -> None:
         self._heard_ms = self._now_ms()
         if self._lost_since_ms is not None:
--- a/ashlatch/platform/headers.py
+++ b/ashlatch/platform/headers.py
@@ -57,6 +57,9 @@
 # Another endpoint than the expected one answers with this, and runs nothing.
 _MISDIRECTED = 421
 
+# Engines know the urgencies 0 to 9.
+_LEAST_URGENT = 9
+
 # A caller's model of this name leaves the choice to the gateway.
 _ANY_MODEL = "*"
 
@@ -153,7 +156,8 @@
     if dispatch.organisation:
         headers.append((b"X-Tenant", dispatch.organisation.encode()))
     if dispatch.urgency is not None:
-        headers.append((b"X-Request-Priority", str(dispatch.urgency).encode()))
+        urgency = min(max(dispatch.urgency, 0), _LEAST_URGENT)
+        headers.append((b"X-Request-Priority", str(urgency).encode()))
     if ask.body or ask.method not in ("GET", "HEAD", "DELETE"):
         headers.append((b"Content-Length", str(len(ask.body)).encode()))
     return headers
--- a/ashlatch/settings.py
+++ b/ashlatch/settings.py
@@ -27,6 +27,7 @@
     "RepeatSettings",
     "RouterSettings",
     "StateSettings",
+    "VmSettings",
     "addresses",
     "field_errors",
     "load",
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -118,10 +118,13 @@
         )
         self._start(host, "ashlatch.cmdline.core", path)
 
-    def start_gateway(self, host: str) -> None:
-        path = self._settings(
+    def write_gateway_settings(self, host: str) -> Path:
+        return self._settings(
             host, listen=f"{host}:{FRONT_PORT}", ready=f"{host}:{READY_PORT}"
         )
+
+    def start_gateway(self, host: str) -> None:
+        path = self.write_gateway_settings(host)
         self._start(host, "ashlatch.cmdline.gateway", path)
 
     def _start(self, host: str, module: str, path: Path) -> None:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -144,6 +144,21 @@
         wait_for(lambda: fleet.ask(self.gateway) == 401, "key taken away", 2.0)
         self.assertTrue(time.monotonic() - begun_s < 2.0)
 
+    def test_new_seeds_without_a_signal(self) -> None:
+        """All that the gateway knew are gone; the file names others."""
+        fleet = self.fleet
+        fleet.acknowledged(3)
+        wait_for(self.ready, "gateway ready")
+        fleet.processes[self.gateway].kill()
+        fleet.seeds = [f"{fleet.net}.77"]
+        fleet.start_gateway(self.gateway)
+        time.sleep(1.0)
+        self.assertFalse(self.ready())
+        fleet.seeds = fleet.hosts[:1]
+        fleet.write_gateway_settings(self.gateway)
+        wait_for(self.ready, "ready by the new seeds", 12.0)
+        self.assertIn("event=reloaded", fleet.processes[self.gateway].log)
+
     def test_stop(self) -> None:
         fleet = self.fleet
         fleet.acknowledged(3)
