Say that a disk is back only when it takes a write

Cause: after a refused write the folder was opened again each half second, and to open it writes nothing, so the member went round lost, regained, lost while the disk was full; the test waited for a line that was written while the limit also held for the log file, and failed when no further write fell into the last round.

Change: a page is written, synced and removed before the folder is opened. disk_lost and disk_regained are counted; the test demands exactly one of each.

Before: the test fails (not within 20 s: disk refused). After: it passes.

--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -61,7 +61,7 @@
 from ashlatch.raft.core import RaftConfig
 from ashlatch.raft.effect import AddLearner, Received, RemoveMember
 from ashlatch.raft.group import Group, NotLeading, Standing, monotonic_ms
-from ashlatch.raft.storage import DiskFailed
+from ashlatch.raft.storage import Disk, DiskFailed
 from ashlatch.rpc import Address, RpcLoop, RpcService
 from ashlatch.settings import CoreSettings
 from ashlatch.store import protocol as store_protocol
@@ -156,10 +156,14 @@
         promised to nobody.
         """
         emit(log, DiskLost(self.member.member_id, str(error)), logging.ERROR)
+        self.metrics.count("disk_lost")
         begun_ms = monotonic_ms()
+        folder = Path(self.settings.data_folder)
         while True:
             await asyncio.sleep(REOPEN_EVERY_S)
             try:
+                # On a thread of its own, as the disk may hang.
+                await asyncio.to_thread(Disk().probe, folder)
                 self._open()
             except (OSError, DiskFailed) as again:
                 self.metrics.count("disk_refused")
@@ -170,6 +174,7 @@
             self.group.start()
             away_ms = int(monotonic_ms() - begun_ms)
             emit(log, DiskRegained(self.member.member_id, away_ms))
+            self.metrics.count("disk_regained")
             return
 
     def start(self) -> None:
--- a/ashlatch/raft/storage.py
+++ b/ashlatch/raft/storage.py
@@ -44,6 +44,9 @@
 _SNAPSHOT_SUFFIX = ".snapshot"
 _PART_SUFFIX = ".part"
 _IDENTITY = "identity"
+_PROBE_NAME = "probe"
+# A page: what a disk that has room for nothing else refuses.
+PROBE_BYTES = 4096
 
 
 @dataclass
@@ -97,6 +100,16 @@
         os.replace(part, path)
         self.sync_folder(path.parent)
 
+    def probe(self, folder: Path) -> None:
+        """Write and sync a small file in a folder, and remove it again.
+
+        To open a folder writes nothing, so that alone does not show that the
+        disk takes writes.
+        """
+        path = folder / _PROBE_NAME
+        self.replace_file(path, bytes(PROBE_BYTES))
+        path.unlink()
+
 
 class Identity(msgspec.Struct, frozen=True):
     """Whose data folder this is. Made once, together with the folder."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -7,6 +7,7 @@
 import http.client
 import json
 import random
+import re
 import shutil
 import sys
 import tempfile
@@ -25,6 +26,7 @@
 READY_PORT = 7003
 PORTS = [7010, 7019]
 LIST_PORT = 7004
+METRICS_PORT = 7005
 WAIT_S = 20.0
 
 
@@ -100,6 +102,7 @@
             "hall": "hall-1",
             "host": host,
             "ports": PORTS,
+            "metrics_port": METRICS_PORT,
             "seeds": [f"{seed}:{OPERATOR_PORT}" for seed in self.seeds],
             "list_address": f"{self.platform.host}:{LIST_PORT}",
             **more,
@@ -175,6 +178,12 @@
         status, body = self.call(host, "GET", "/-/Config.Read")
         return int(json.loads(body)["version"]) if status == 200 else 0
 
+    def counted(self, host: str, name: str) -> int:
+        """What a counter of a VM's metrics stands at."""
+        _, text = self.call(host, "GET", "/metrics", port=METRICS_PORT)
+        found = re.search(rf"^ashlatch_{name}_total (\d+)$", text.decode(), re.M)
+        return int(found.group(1)) if found else 0
+
     def leader(self) -> str:
         """The core VM whose log says that it leads, by the newest term."""
         found: dict[int, str] = {}
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -100,11 +100,13 @@
         fleet.acknowledged(4, others)
         fleet.acknowledged(5, others)
         # The log is a file too, so it says nothing until there is room again.
-        time.sleep(1.0)
+        wait_for(lambda: fleet.counted(full, "disk_refused") > 2, "disk refused")
         self.assertIsNone(process.popen.poll())
         resource.prlimit(process.popen.pid, resource.RLIMIT_FSIZE, (-1, -1))
         self.all_read(5)
         wait_for(lambda: "event=disk_regained" in process.log, "disk regained")
+        self.assertEqual(1, fleet.counted(full, "disk_lost"))
+        self.assertEqual(1, fleet.counted(full, "disk_regained"))
 
     def test_a_minority_neither_takes_nor_reads(self) -> None:
         fleet = self.fleet
