--- a/tests/system.py
+++ b/tests/system.py
@@ -25,6 +25,8 @@
 TOKEN = "operator-token"
 READY_S = 30.0
 STOP_S = 20.0
+# Lines of each log that a failed test shows.
+SHOWN_LINES = 60
 HALLS = ("brisbane-north", "logan", "ipswich")
 
 
@@ -356,6 +358,12 @@
         members = self.status()["members"]
         return sum(1 for m in members if m["role"] in ("leader", "voter"))
 
+    def show_logs(self) -> None:
+        """Print the last lines of each daemon; pytest shows them on a failure."""
+        for daemon in [*self.routers, *self.controls, *self.states]:
+            lines = daemon.process.log.splitlines()[-SHOWN_LINES:]
+            print(f"--- {daemon.process.name}", *lines, sep="\n")
+
     def close(self) -> None:
         """End everything."""
         daemons = [*self.routers, *self.controls, *self.states]
@@ -394,5 +402,8 @@
         system = System(Path(folder), **extra)
         try:
             yield system
+        except BaseException:
+            system.show_logs()
+            raise
         finally:
             system.close()
