Explain a request or a span of time from logs: ashlatchctl explain

Change: ashlatch/explain reads the logs of all processes; for a request, its decisions in order, what its gateway believed with ages, and what befell other requests at the same endpoints; for a span, each process's beliefs, changes and counts. New events: answer_weighed (confidence, expected time of the largest model, verdict), endpoint_suspended and endpoint_resumed; request_ended tells the longest pause.

--- a/ashlatch/cmdline/ctl.py
+++ b/ashlatch/cmdline/ctl.py
@@ -13,125 +13,23 @@
 import time
 import uuid
 from collections.abc import Iterator
-from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, TextIO
 
 import click
 
 from ashlatch import __version__
-from ashlatch.errors import AshlatchError, TransportError
-from ashlatch.http.client import Call, Reply, fetch
+from ashlatch.cmdline.api import Api, ApiError, Document, condition
+from ashlatch.errors import AshlatchError
+from ashlatch.explain.lines import Line, read_lines
+from ashlatch.explain.story import explain_request, explain_span
 from ashlatch.resources import RESOURCE_KINDS
 
 __all__ = ["main"]
 
 EXIT_FAILED = 1
-IN_FORCE_POLL_S = 0.05
-RETRY_S = 0.2
-CALL_TIMEOUT_MS = 10_000.0
-CREATE = "*"
-
-
-@dataclass
-class ApiError(AshlatchError):
-    """The resource API did not do what was asked."""
-
-    status: int
-    problem: str
-
-    def __str__(self) -> str:
-        return f"status {self.status}: {self.problem}"
-
-
-@dataclass(frozen=True)
-class Document:
-    """One resource of a file: a JSON object with kind, name and spec."""
-
-    kind: str
-    name: str
-    spec: dict[str, Any]
-
-
-class Api:
-    """The resource API at one or more servers, tried in turn."""
-
-    def __init__(self, servers: tuple[str, ...], token: str) -> None:
-        self._servers = list(servers)
-        self._token = token
-
-    def call(
-        self,
-        method: str,
-        path: str,
-        headers: dict[str, str] | None = None,
-        body: bytes = b"",
-    ) -> Reply:
-        """Make a call; a server that cannot be reached gives way to the next.
-
-        Sending a change again is safe, since it carries its change id.
-        """
-        last: TransportError | None = None
-        for _ in range(len(self._servers) * 2):
-            call = Call(
-                self._servers[0] + path,
-                method,
-                {"Authorization": f"Bearer {self._token}", **(headers or {})},
-                body,
-                CALL_TIMEOUT_MS,
-            )
-            try:
-                return fetch(call)
-            except TransportError as error:
-                last = error
-                self._servers.append(self._servers.pop(0))
-                time.sleep(RETRY_S)
-        assert last is not None
-        raise last
-
-    def json(self, method: str, path: str, **rest: Any) -> Any:
-        """Make a call and read its JSON; a problem becomes an `ApiError`."""
-        reply = self.call(method, path, **rest)
-        if reply.status != 200:
-            raise ApiError(reply.status, reply.body.decode("utf-8", "replace"))
-        return json.loads(reply.body)
-
-    def current(self, kind: str, name: str) -> dict[str, Any] | None:
-        """A resource as it is now."""
-        reply = self.call("GET", f"/v1/resources/{kind}/{name}")
-        if reply.status == 404:
-            return None
-        if reply.status != 200:
-            raise ApiError(reply.status, reply.body.decode("utf-8", "replace"))
-        found: dict[str, Any] = json.loads(reply.body)
-        return found
-
-    def put(self, document: Document, if_revision: int, change_id: str) -> int:
-        """Put a resource; the accepted revision."""
-        headers = {"Ashlatch-Change-Id": change_id, **_condition(if_revision)}
-        body = json.dumps(document.spec).encode()
-        path = f"/v1/resources/{document.kind}/{document.name}"
-        done = self.json("PUT", path, headers=headers, body=body)
-        return int(done["revision"])
-
-    def wait_in_force(self, revision: int) -> int:
-        """Wait until a revision is in force; on how many routers it is."""
-        while True:
-            try:
-                status = self.json("GET", "/v1/status")
-            except ApiError as error:
-                if error.status != 503:
-                    raise
-                status = {"in_force_revision": -1}
-            if status["in_force_revision"] >= revision:
-                return len(status["routers"])
-            time.sleep(IN_FORCE_POLL_S)
-
-
-def _condition(if_revision: int) -> dict[str, str]:
-    if if_revision:
-        return {"If-Match": f'"{if_revision}"'}
-    return {"If-None-Match": CREATE}
+# How often `watch` looks for news.
+WATCH_EVERY_S = 0.2
 
 
 def _documents(path: Path) -> list[Document]:
@@ -146,11 +44,12 @@
     click.echo(json.dumps(value, indent=2))
 
 
+_pass_api = click.make_pass_decorator(Api)
+
+
 @click.group()
-@click.option(
-    "--server", "servers", multiple=True, required=True, envvar="ASHLATCH_SERVER"
-)
-@click.option("--token", required=True, envvar="ASHLATCH_TOKEN")
+@click.option("--server", "servers", multiple=True, envvar="ASHLATCH_SERVER")
+@click.option("--token", default="", envvar="ASHLATCH_TOKEN")
 @click.version_option(__version__)
 @click.pass_context
 def main(context: click.Context, servers: tuple[str, ...], token: str) -> None:
@@ -161,7 +60,13 @@
         ashlatchctl apply -f kenya.json --wait
         ashlatchctl withdraw quote-small-2 --reason "wrong prices" --wait
         ashlatchctl status
+
+    `explain` reads logs and needs neither.
     """
+    if context.invoked_subcommand == "explain":
+        return
+    if not servers or not token:
+        raise click.UsageError("--server and --token are needed")
     context.obj = Api(servers, token)
 
 
@@ -169,7 +74,7 @@
 @click.option("-f", "--file", "path", type=Path, required=True, help="JSON file.")
 @click.option("--wait", is_flag=True, help="Wait until it is in force everywhere.")
 @click.option("--change-id", default="", help="To send a change again.")
-@click.pass_obj
+@_pass_api
 def apply(api: Api, path: Path, wait: bool, change_id: str) -> None:
     """Create or change the resources of a file."""
     base = change_id or uuid.uuid4().hex
@@ -201,7 +106,7 @@
 @main.command()
 @click.argument("kind")
 @click.argument("name", default="")
-@click.pass_obj
+@_pass_api
 def get(api: Api, kind: str, name: str) -> None:
     """Show a resource, or all of a kind."""
     path = f"/v1/resources/{kind}/{name}" if name else f"/v1/resources/{kind}"
@@ -212,14 +117,14 @@
 @click.argument("kind")
 @click.argument("name")
 @click.option("--wait", is_flag=True, help="Wait until it is in force everywhere.")
-@click.pass_obj
+@_pass_api
 def delete(api: Api, kind: str, name: str, wait: bool) -> None:
     """Delete a resource that nothing refers to."""
     current = api.current(kind, name)
     if current is None:
         raise ApiError(404, f"{kind}/{name}")
     headers = {"Ashlatch-Change-Id": uuid.uuid4().hex}
-    headers |= _condition(current["revision"])
+    headers |= condition(current["revision"])
     done = api.json("DELETE", f"/v1/resources/{kind}/{name}", headers=headers)
     click.echo(f"{kind}/{name} deleted by {done['revision']}")
     _wait(api, done["revision"], wait)
@@ -229,7 +134,7 @@
 @click.argument("version")
 @click.option("--reason", default="", help="Shown to other operators.")
 @click.option("--wait", is_flag=True, help="Wait until it is in force everywhere.")
-@click.pass_obj
+@_pass_api
 def withdraw(api: Api, version: str, reason: str, wait: bool) -> None:
     """Give a version no new work, from now on."""
     document = Document("withdrawal", version, {"reason": reason})
@@ -247,7 +152,7 @@
 @click.option("--stages", default="1,10,50,100", help="Shares in percent.")
 @click.option("--answers-min", default=50, help="Good answers for each stage.")
 @click.option("--wait", is_flag=True, help="Wait until it is in force everywhere.")
-@click.pass_obj
+@_pass_api
 def rollout(
     api: Api,
     name: str,
@@ -274,7 +179,7 @@
 @main.command()
 @click.option("--after", default=0, help="Only changes after this revision.")
 @click.option("--count", default=0, help="Stop after so many lines.")
-@click.pass_obj
+@_pass_api
 def watch(api: Api, after: int, count: int) -> None:
     """Print each change as it is accepted and as it comes into force."""
     for seen, line in enumerate(_watched(api, after), 1):
@@ -295,11 +200,11 @@
         if status["in_force_revision"] != in_force:
             in_force = status["in_force_revision"]
             yield json.dumps({"in_force": in_force, "routers": len(status["routers"])})
-        time.sleep(RETRY_S)
+        time.sleep(WATCH_EVERY_S)
 
 
 @main.command()
-@click.pass_obj
+@_pass_api
 def status(api: Api) -> None:
     """Show the members, the routers and what is in force."""
     _show(api.json("GET", "/v1/status"))
@@ -311,7 +216,7 @@
 
 
 @member.command("list")
-@click.pass_obj
+@_pass_api
 def member_list(api: Api) -> None:
     """Show the members, and how many more may be lost now."""
     found = api.json("GET", "/v1/status")
@@ -326,7 +231,7 @@
 
 @member.command("remove")
 @click.argument("member_id")
-@click.pass_obj
+@_pass_api
 def member_remove(api: Api, member_id: str) -> None:
     """Take a member out, if a quorum of the others is up to date.
 
@@ -339,6 +244,38 @@
         sys.exit(EXIT_FAILED)
 
 
+@main.command()
+@click.option("--request", default="", help="The id of one request.")
+@click.option("--from", "begin", default="", help="Begin of a span, as in the logs.")
+@click.option("--to", "end", default="", help="End of the span.")
+@click.argument("logs", nargs=-1, type=click.File(encoding="utf-8", errors="replace"))
+def explain(request: str, begin: str, end: str, logs: tuple[TextIO, ...]) -> None:
+    """Explain a request, or a span of time, from the LOGS of all processes.
+
+    \b
+        ashlatchctl explain --request 9c41d07be2a35f68 gateway-*.log core-*.log
+        ashlatchctl explain --from 2026-12-02T10:00:00 --to 2026-12-02T10:00:05 *.log
+
+    Without LOGS, standard input is read. Each VM writes its own time of day.
+    """
+    if bool(request) == bool(begin and end):
+        raise click.UsageError("give either --request, or --from and --to")
+    lines = _read_logs(logs)
+    told = explain_request(request, lines)
+    if not request:
+        told = explain_span(begin, end, lines)
+    for text in told:
+        click.echo(text)
+
+
+def _read_logs(logs: tuple[TextIO, ...]) -> list[Line]:
+    """All events of several logs, by time."""
+    found: list[Line] = []
+    for log in logs or (sys.stdin,):
+        found += read_lines(Path(log.name).stem, log)
+    return sorted(found, key=lambda line: line.at)
+
+
 def run() -> None:
     """The console script: `main`, with errors as one line."""
     try:
--- /dev/null
+++ b/ashlatch/explain/belief.py
@@ -0,0 +1,79 @@
+"""
+ashlatch.explain.belief
+~~~~~~~~~~~~~~~~~~~~~~~
+
+What a process believed at a time: the newest line of each kind that changes a
+belief. The registry `BELIEFS` names them, with what each of them is about.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ashlatch.explain.lines import Line
+
+__all__ = ["BELIEFS", "Beliefs", "is_change"]
+
+# Event -> (what it is about, the pair that tells several of them apart).
+# Events about the same thing replace each other: `fleet_regained` ends what
+# `fleet_lost` said.
+BELIEFS: dict[str, tuple[str, str]] = {
+    "daemon_started": ("process", ""),
+    "stop_begun": ("process", ""),
+    "daemon_stopped": ("process", ""),
+    "reloaded": ("settings", ""),
+    "configuration_applied": ("configuration", ""),
+    "endpoints_replaced": ("endpoints", ""),
+    "list_read": ("endpoints", ""),
+    "list_unread": ("endpoint list", ""),
+    "rollout_learnt": ("roll-out", "service"),
+    "rollout_decided": ("roll-out", "service"),
+    "fleet_lost": ("core", ""),
+    "fleet_regained": ("core", ""),
+    "standing_changed": ("leader and members", ""),
+    "member_removed": ("removed member", "member"),
+    "disk_lost": ("disk", ""),
+    "disk_regained": ("disk", ""),
+    "endpoint_suspended": ("endpoint", "instance"),
+    "endpoint_resumed": ("endpoint", "instance"),
+}
+
+
+def is_change(line: Line) -> bool:
+    """Whether a line changes what its process believes."""
+    return line.event in BELIEFS
+
+
+@dataclass
+class Beliefs:
+    """The beliefs of all processes, as far as the lines taken so far tell."""
+
+    _newest: dict[str, dict[str, Line]] = field(default_factory=dict)
+
+    def take(self, line: Line) -> None:
+        """Note a line, if it changes a belief; a start clears the others."""
+        known = BELIEFS.get(line.event)
+        if known is None:
+            return
+        about, pair = known
+        own = self._newest.setdefault(line.process, {})
+        if line.event == "daemon_started":
+            own.clear()
+        own[f"{about} {line.get(pair)}" if pair else about] = line
+
+    def take_all(self, lines: Iterable[Line]) -> "Beliefs":
+        """Note several lines, in their order."""
+        for line in lines:
+            self.take(line)
+        return self
+
+    @property
+    def processes(self) -> list[str]:
+        """All processes that have told anything."""
+        return sorted(self._newest)
+
+    def of(self, process: str) -> dict[str, Line]:
+        """The newest line about each thing, at one process."""
+        return dict(sorted(self._newest.get(process, {}).items()))
--- /dev/null
+++ b/ashlatch/explain/story.py
@@ -0,0 +1,124 @@
+"""
+ashlatch.explain.story
+~~~~~~~~~~~~~~~~~~~~~~
+
+Puts log lines together to text: the story of one request, and a span of time.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from collections import Counter
+from collections.abc import Iterator
+from datetime import datetime
+
+from ashlatch.explain.belief import Beliefs, is_change
+from ashlatch.explain.lines import Line
+
+__all__ = ["explain_request", "explain_span"]
+
+# Other requests at the same endpoints are looked at this long before and after.
+AROUND_S = 1.0
+
+
+def explain_request(request: str, lines: list[Line]) -> Iterator[str]:
+    """The decisions about a request, and what was believed when each was taken.
+
+    `lines` are those of all processes, ordered by time.
+    """
+    own = [line for line in lines if line.get("request") == request]
+    if not own:
+        yield f"no line names request {request}"
+        return
+    yield f"request {request}"
+    for line in own:
+        yield f"  {line.at} {line.process} {line.event} {_without_id(line)}"
+    process = own[0].process
+    yield f"what {process} believed at {own[0].at}"
+    before = (line for line in lines if line.at <= own[0].at)
+    yield from _beliefs(Beliefs().take_all(before), process, own[0].at)
+    yield from _changes_within(lines, own)
+    for instance in sorted({line.get("instance") for line in own} - {""}):
+        yield from _around(instance, lines, own, request)
+
+
+def explain_span(begin: str, end: str, lines: list[Line]) -> Iterator[str]:
+    """What each process believed when a span began, and what changed in it."""
+    before = Beliefs().take_all(line for line in lines if line.at < begin)
+    within = [line for line in lines if begin <= line.at <= end]
+    for process in sorted({*before.processes, *(line.process for line in within)}):
+        yield f"{process} at {begin}"
+        yield from _beliefs(before, process, begin)
+        yield "  changes"
+        for line in within:
+            if line.process == process and is_change(line):
+                yield f"    {line.at} {line.event} {line.text()}"
+        yield from _totals([line for line in within if line.process == process])
+
+
+def _without_id(line: Line) -> str:
+    pairs = (f"{key}={value}" for key, value in line.pairs.items() if key != "request")
+    return " ".join(pairs)
+
+
+def _beliefs(beliefs: Beliefs, process: str, at: str) -> Iterator[str]:
+    known = beliefs.of(process)
+    if not known:
+        yield "    nothing is known of it before"
+    for about, line in known.items():
+        age_s = _seconds(at) - _seconds(line.at)
+        yield f"    {about}: {line.event} {line.text()} (age {age_s:.3f} s)"
+
+
+def _changes_within(lines: list[Line], own: list[Line]) -> Iterator[str]:
+    process, begin, end = own[0].process, own[0].at, own[-1].at
+    changes = [
+        line
+        for line in lines
+        if line.process == process and begin < line.at <= end and is_change(line)
+    ]
+    if changes:
+        yield "what changed there meanwhile"
+    for line in changes:
+        yield f"    {line.at} {line.event} {line.text()}"
+
+
+def _around(
+    instance: str, lines: list[Line], own: list[Line], request: str
+) -> Iterator[str]:
+    """What befell the other requests at an endpoint at that time, everywhere."""
+    begin_s = _seconds(own[0].at) - AROUND_S
+    end_s = _seconds(own[-1].at) + AROUND_S
+    counts: Counter[str] = Counter()
+    for line in lines:
+        other = line.get("instance") == instance and line.get("request") != request
+        if not other or not begin_s <= _seconds(line.at) <= end_s:
+            continue
+        counts[line.get("outcome") or line.event] += 1
+    told = " ".join(f"{what}={count}" for what, count in sorted(counts.items()))
+    yield f"other requests at {instance}, all processes: {told or 'none'}"
+
+
+def _totals(lines: list[Line]) -> Iterator[str]:
+    """How requests ended, and attempts failed, by endpoint."""
+    ended: Counter[str] = Counter()
+    failed: Counter[str] = Counter()
+    left_out = 0
+    for line in lines:
+        if line.event == "request_ended":
+            ended[f"{line.get('status')} {line.get('reason')}".strip()] += 1
+        if line.event == "attempt_ended":
+            failed[f"{line.get('instance')} {line.get('outcome')}"] += 1
+        if line.event == "lines_left_out":
+            left_out += int(line.number("lines"))
+    for title, counts in (("requests ended", ended), ("attempts failed", failed)):
+        if counts:
+            yield f"  {title}"
+        for what, count in counts.most_common():
+            yield f"    {count} {what}"
+    if left_out:
+        yield f"  {left_out} lines are missing, the reader of the log was too slow"
+
+
+def _seconds(at: str) -> float:
+    return datetime.fromisoformat(at).timestamp()
--- a/ashlatch/gateway/account.py
+++ b/ashlatch/gateway/account.py
@@ -14,9 +14,17 @@
 
 from ashlatch.gateway.admission import Admission
 from ashlatch.gateway.attempt import Attempt, AttemptFailed, FailureKind
-from ashlatch.gateway.choice import Choice
+from ashlatch.gateway.choice import Choice, Verdict
+from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.knowledge import Knowledge
-from ashlatch.gateway.logs import AttemptEnded, RequestEnded, RequestSent
+from ashlatch.gateway.logs import (
+    AnswerWeighed,
+    AttemptEnded,
+    EndpointResumed,
+    EndpointSuspended,
+    RequestEnded,
+    RequestSent,
+)
 from ashlatch.gateway.tally import TallyKey
 from ashlatch.log import emit
 
@@ -37,6 +45,8 @@
         self.unreachable = 0
         self.events = 0
         self.first_s: float | None = None
+        self._last_s = 0.0
+        self._gap_s = 0.0
         self._known = known
         self._admission = admission
         self._loop = asyncio.get_running_loop()
@@ -77,14 +87,38 @@
         tokens = self._admission.ask.prompt_tokens
         self._known.pace.began(service, model, tokens, first_ms, self._now_ms())
 
+    def weighed(
+        self, attempt: Attempt, model: str, expected_ms: float, verdict: Verdict
+    ) -> None:
+        """It was decided whether an answer that has begun is passed on."""
+        assert attempt.head is not None
+        weighed = AnswerWeighed(
+            self._admission.ask.request_id,
+            self.sends,
+            model,
+            attempt.head.confidence,
+            int(self._age_ms(attempt)),
+            int(expected_ms),
+            verdict.value,
+        )
+        emit(log, weighed)
+        self._known.metrics.count(f"answers_{verdict.value}")
+
     def passing(self) -> None:
         """A part of the answer goes to the caller."""
+        now_s = self._loop.time()
         if self.first_s is None:
-            self.first_s = self._loop.time()
+            self.first_s = now_s
+        else:
+            self._gap_s = max(self._gap_s, now_s - self._last_s)
+        self._last_s = now_s
 
     def answered(self, attempt: Attempt) -> None:
         """An answer was whole, or good enough to be judged."""
-        attempt.state.succeeded()
+        state = attempt.state
+        if state.breaker.open:
+            emit(log, EndpointResumed(state.endpoint.instance, state.endpoint.service))
+        state.succeeded()
         self._note_version(attempt)
         self._known.tallies.answered(self._key(attempt))
 
@@ -100,8 +134,7 @@
         if kind is FailureKind.SILENT and not self.events:
             self._known.tallies.begun(self._key(attempt), self._age_ms(attempt))
         if kind is not FailureKind.REFUSED:
-            unreachable = kind in (FailureKind.UNREACHABLE, FailureKind.BROKEN)
-            state.failed(self._now_ms(), unreachable)
+            self._failed_at(state, kind)
         ended = AttemptEnded(
             self._admission.ask.request_id,
             self.sends,
@@ -113,6 +146,22 @@
         emit(log, ended)
         self._known.metrics.count(f"attempts_{kind.value}")
 
+    def _failed_at(self, state: EndpointState, kind: FailureKind) -> None:
+        """Hold a failure against its endpoint."""
+        unreachable = kind in (FailureKind.UNREACHABLE, FailureKind.BROKEN)
+        was_open = state.breaker.open
+        state.failed(self._now_ms(), unreachable)
+        if state.breaker.open and not was_open:
+            endpoint = state.endpoint
+            suspended = EndpointSuspended(
+                endpoint.instance,
+                endpoint.service,
+                kind.value,
+                state.breaker.failures,
+                state.failing,
+            )
+            emit(log, suspended, logging.WARNING)
+
     def ended(self, status: int, reason: str) -> None:
         """The request has its final answer; `reason` if it is the gateway's."""
         now_s = self._loop.time()
@@ -127,6 +176,7 @@
             self.sends,
             self.events,
             int(((self.first_s or now_s) - received_s) * 1000),
+            int(self._gap_s * 1000),
             int(took_ms),
         )
         emit(log, ended)
--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -8,6 +8,7 @@
 :license: MIT, see LICENSE for details.
 """
 
+import enum
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -17,7 +18,7 @@
 from ashlatch.gateway.message import Ask
 from ashlatch.policy.endpoint import Candidate
 
-__all__ = ["Choice", "choose_endpoint", "first_model", "next_model"]
+__all__ = ["Choice", "Verdict", "choose_endpoint", "first_model", "next_model"]
 
 # An answer whose model gives it less confidence than this is asked again of
 # the largest model. Figures between 40 and 60 served equally well in trials.
@@ -29,6 +30,21 @@
 SUBJECT_PART = 1
 
 
+class Verdict(enum.Enum):
+    """What becomes of an answer that has begun at a chosen model.
+
+    `GOOD` ones and the largest model's are passed on. The others are asked
+    again of the largest model, unless that would be late, has no attempt left,
+    or no budget.
+    """
+
+    GOOD = "good"
+    CLIMBS = "climbs"
+    LATE = "no_time_for_larger"
+    SPENT = "no_attempt_for_larger"
+    OVER_BUDGET = "no_budget_for_larger"
+
+
 @dataclass(frozen=True)
 class Choice:
     """The endpoint, out of how many, and how busy it is believed to be."""
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -173,7 +173,9 @@
         reason = refused.reason.value
         emit(
             log,
-            RequestEnded(request_id, "", version, refused.status, reason, 0, 0, 0, 0),
+            RequestEnded(
+                request_id, "", version, refused.status, reason, 0, 0, 0, 0, 0
+            ),
         )
         self.known.metrics.count(f"requests_{reason}")
 
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -23,6 +23,7 @@
 )
 from ashlatch.gateway.choice import (
     Choice,
+    Verdict,
     choose_endpoint,
     first_model,
     next_model,
@@ -192,14 +193,13 @@
 
     def _climbs(self, attempt: Attempt, head: AnswerHead) -> bool:
         """Whether a larger model is asked instead of passing this answer on."""
-        model = next_model(self._route, self._model, head.confidence)
-        if (
-            not model
-            or self._account.events
-            or self._account.sends >= self._attempts_max
-        ):
+        if not self._model or self._account.events:
             return False
-        if not self._in_time(model) or not self._spend():
+        model = next_model(self._route, self._model, head.confidence)
+        verdict = self._weigh(model)
+        expected_ms = self._expected_ms(model) if model else 0.0
+        self._account.weighed(attempt, self._model, expected_ms, verdict)
+        if verdict is not Verdict.CLIMBS:
             return False
         self._account.answered(attempt)
         self._model = model
@@ -207,6 +207,16 @@
         self._tried.discard(attempt.state.endpoint.instance)
         return True
 
+    def _weigh(self, model: str) -> Verdict:
+        """Whether another model is asked, empty for none; takes the repeat."""
+        if not model:
+            return Verdict.GOOD
+        if self._account.sends >= self._attempts_max:
+            return Verdict.SPENT
+        if not self._in_time(model):
+            return Verdict.LATE
+        return Verdict.CLIMBS if self._spend() else Verdict.OVER_BUDGET
+
     def _in_time(self, model: str) -> bool:
         """Whether an answer that is asked of a model now would begin in time."""
         elapsed_ms = (self._loop.time() - self._ask.received_s) * 1000.0
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -15,9 +15,12 @@
 from ashlatch.log import LogEvent
 
 __all__ = [
+    "AnswerWeighed",
     "AttemptEnded",
     "ConfigurationApplied",
     "DocumentUnreadable",
+    "EndpointResumed",
+    "EndpointSuspended",
     "EndpointsReplaced",
     "FleetLost",
     "FleetRegained",
@@ -70,9 +73,32 @@
     took_ms: int
 
 
+@dataclass(frozen=True)
+class AnswerWeighed(LogEvent):
+    """An answer has begun at a model that the gateway chose.
+
+    `confidence` is the model's own opinion, `begun_ms` when the answer began
+    after the send, `expected_ms` when one of the largest model would. The
+    `verdict` says whether it is passed on, and why if it was not good enough.
+    """
+
+    event: ClassVar[str] = "answer_weighed"
+    request: str
+    attempt: int
+    model: str
+    confidence: float | None
+    begun_ms: int
+    expected_ms: int
+    verdict: str
+
+
 @dataclass(frozen=True)
 class RequestEnded(LogEvent):
-    """A request has its final answer; `reason` is set when it is our own."""
+    """A request has its final answer; `reason` is set when it is our own.
+
+    `first_ms` is when the answer began to be passed on, `gap_ms` the longest
+    pause between two events of a stream.
+    """
 
     event: ClassVar[str] = "request_ended"
     request: str
@@ -83,6 +109,7 @@
     attempts: int
     events: int
     first_ms: int
+    gap_ms: int
     took_ms: int
 
 
@@ -118,6 +145,30 @@
     source: str
 
 
+@dataclass(frozen=True)
+class EndpointSuspended(LogEvent):
+    """An endpoint cannot be reached: it gets one request now and then.
+
+    `failing` is the recent share of its attempts that failed.
+    """
+
+    event: ClassVar[str] = "endpoint_suspended"
+    instance: str
+    service: str
+    outcome: str
+    failures: int
+    failing: float
+
+
+@dataclass(frozen=True)
+class EndpointResumed(LogEvent):
+    """A suspended endpoint has answered."""
+
+    event: ClassVar[str] = "endpoint_resumed"
+    instance: str
+    service: str
+
+
 @dataclass(frozen=True)
 class RolloutLearnt(LogEvent):
     """A roll-out has moved on."""
--- a/ashlatch/policy/breaker.py
+++ b/ashlatch/policy/breaker.py
@@ -24,15 +24,20 @@
     open_until_ms: float = float("-inf")
     trial_until_ms: float = float("-inf")
 
+    @property
+    def open(self) -> bool:
+        """Whether there were too many failures since the last answer."""
+        return self.failures >= self.failures_max
+
     def allows(self, now_ms: float) -> bool:
         """Whether a request may be sent now."""
-        if self.failures < self.failures_max:
+        if not self.open:
             return True
         return now_ms >= self.open_until_ms and now_ms >= self.trial_until_ms
 
     def sent(self, now_ms: float) -> None:
         """A request is sent; when half open, others wait for it."""
-        if self.failures >= self.failures_max:
+        if self.open:
             self.trial_until_ms = now_ms + self.open_ms
 
     def succeeded(self) -> None:
@@ -43,5 +48,5 @@
     def failed(self, now_ms: float) -> None:
         """No answer came: open, after enough of them."""
         self.failures += 1
-        if self.failures >= self.failures_max:
+        if self.open:
             self.open_until_ms = now_ms + self.open_ms
