Listen before the program is loaded

Change: ashlatch-gateway listens on the callers' address before it imports the daemon, and the package itself imports nothing that checks files. Connections wait in the backlog; readiness is told when it serves, as before.

--- a/ashlatch/__init__.py
+++ b/ashlatch/__init__.py
@@ -13,9 +13,28 @@
 :license: MIT, see LICENSE for details.
 """
 
-from ashlatch.resources import parse as parse_resource
-from ashlatch.settings import load as load_settings
+from importlib import import_module
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from ashlatch.resources import parse as parse_resource
+    from ashlatch.settings import load as load_settings
 
 __all__ = ["__version__", "load_settings", "parse_resource"]
 
 __version__ = "0.1.0"
+
+# Imported when they are asked for: every daemon imports this package first, and
+# is to listen before it loads what checks files.
+_LAZY = {
+    "load_settings": ("ashlatch.settings", "load"),
+    "parse_resource": ("ashlatch.resources", "parse"),
+}
+
+
+def __getattr__(name: str) -> Any:
+    """Find what is imported late (PEP 562)."""
+    if name not in _LAZY:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    module, attribute = _LAZY[name]
+    return getattr(import_module(module), attribute)
--- a/ashlatch/cmdline/gateway.py
+++ b/ashlatch/cmdline/gateway.py
@@ -8,15 +8,14 @@
 :license: MIT, see LICENSE for details.
 """
 
+import socket
 from pathlib import Path
 
 import click
 
 from ashlatch import __version__
-from ashlatch.cmdline.daemon import load_or_exit, run
-from ashlatch.gateway.daemon import GatewayDaemon
+from ashlatch.http.early import listen_early
 from ashlatch.platform.boot import SETTINGS_VARIABLE
-from ashlatch.settings import GatewaySettings, load
 
 __all__ = ["main"]
 
@@ -39,12 +38,22 @@
         ashlatch-gateway --settings gateway-1.json
         ashlatch-gateway --settings gateway-1.json --check-settings
     """
+    early = None if check_settings else listen_early(path)
+    _serve(path, check_settings, early)
+
+
+def _serve(path: Path, check_settings: bool, early: socket.socket | None) -> None:
+    """Load the rest of the program, and run it."""
+    from ashlatch.cmdline.daemon import load_or_exit, run
+    from ashlatch.gateway.daemon import GatewayDaemon
+    from ashlatch.settings import GatewaySettings, load
+
     settings = load_or_exit(path, GatewaySettings, check_settings)
     run(
         "gateway",
         settings,
         lambda failed: GatewayDaemon(
-            settings, failed, lambda: load(path, GatewaySettings)
+            settings, failed, lambda: load(path, GatewaySettings), early
         ),
     )
 
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -11,6 +11,7 @@
 import asyncio
 import logging
 import random
+import socket
 import traceback
 from collections.abc import Callable
 
@@ -60,15 +61,20 @@
 
 
 class GatewayDaemon:
-    """One gateway; `reread` gives the settings anew, after a change."""
+    """One gateway; `reread` gives the settings anew, after a change.
+
+    `early` is a socket that listens on the callers' address already.
+    """
 
     def __init__(
         self,
         settings: GatewaySettings,
         failed: Callable[[BaseException], None],
         reread: Callable[[], GatewaySettings],
+        early: socket.socket | None = None,
     ) -> None:
         self.settings = settings
+        self._early = early
         self._failed = failed
         self.rpc = RpcLoop()
         sessions = SessionVersions(settings.session_s * 1000.0)
@@ -109,12 +115,12 @@
             self.settings.list_address,
             self.settings.sync_wait_ms,
         )
-        for listener, text in (
-            (self.front, self.settings.listen),
-            (self._ready_listener, self.settings.ready),
+        for listener, text, early in (
+            (self.front, self.settings.listen, self._early),
+            (self._ready_listener, self.settings.ready, None),
         ):
             address = Address.parse(text)
-            await listener.start(address.host, address.port)
+            await listener.start(address.host, address.port, early)
         metrics_port = self.settings.metrics_port
         await serve_metrics(self.known.metrics, self.settings.host, metrics_port)
         for work in (self._link.run(), self._link.read_alone(), self._sweep()):
--- /dev/null
+++ b/ashlatch/http/early.py
@@ -0,0 +1,49 @@
+"""
+ashlatch.http.early
+~~~~~~~~~~~~~~~~~~~
+
+Listens before the program is loaded. To import a daemon takes some tenths of
+a second of a small VM; callers that come meanwhile would be refused, and some
+of them try only twice. The system takes their connections, and their requests
+are read as soon as the daemon runs.
+
+This module imports nothing but the standard library, and little of that.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import json
+import socket
+from pathlib import Path
+
+__all__ = ["BACKLOG", "listen_early"]
+
+# Connections that wait to be accepted: some seconds' worth at a restart.
+BACKLOG = 1024
+
+
+def listen_early(settings: Path) -> socket.socket | None:
+    """Listen on the `listen` address of a settings file, unless it is wrong.
+
+    The file is read and checked whole later on, and what is wrong with it, or
+    with the address, is reported then.
+    """
+    try:
+        address = json.loads(settings.read_bytes())["listen"]
+        host, _, port = address.rpartition(":")
+        return _listen(host, int(port))
+    except (OSError, ValueError, KeyError, TypeError, AttributeError):
+        return None
+
+
+def _listen(host: str, port: int) -> socket.socket:
+    opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        opened.bind((host, port))
+        opened.listen(BACKLOG)
+    except OSError:
+        opened.close()
+        raise
+    return opened
--- a/ashlatch/http/listener.py
+++ b/ashlatch/http/listener.py
@@ -10,9 +10,11 @@
 """
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 from ashlatch.http.connection import Connection, Handler, HttpBounds
+from ashlatch.http.early import BACKLOG
 
 __all__ = ["HttpListener"]
 
@@ -38,12 +40,23 @@
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
 
-    async def start(self, host: str, port: int) -> None:
-        """Begin to accept connections."""
+    async def start(
+        self, host: str, port: int, early: socket.socket | None = None
+    ) -> None:
+        """Begin to accept connections, at a socket that listens already if any."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: Connection(self), host, port, backlog=1024, reuse_address=True
-        )
+        if early is not None:
+            self._server = await loop.create_server(
+                lambda: Connection(self), sock=early, backlog=BACKLOG
+            )
+        else:
+            self._server = await loop.create_server(
+                lambda: Connection(self),
+                host,
+                port,
+                backlog=BACKLOG,
+                reuse_address=True,
+            )
         self._sweeper = loop.create_task(self._sweep())
 
     def refuse_new(self) -> None:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -9,6 +9,7 @@
 import random
 import re
 import shutil
+import socket
 import sys
 import tempfile
 import threading
@@ -195,9 +196,13 @@
                     found[term] = host
         return found[max(found)] if found else ""
 
-    def ask(self, host: str, path: str = "/get/1") -> int:
-        """A caller's request at a gateway."""
+    def ask(
+        self, host: str, path: str = "/get/1", at: socket.socket | None = None
+    ) -> int:
+        """A caller's request at a gateway, on a connection that stands if given."""
         connection = http.client.HTTPConnection(host, FRONT_PORT, timeout=3.0)
+        if at is not None:
+            connection.sock = at
         headers = {
             "Host": "shop.example",
             "X-Attempt-Id": f"r{random.random()}",
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -1,12 +1,16 @@
 """Core VMs and gateways as real processes: founding, losses, and spreading."""
 
+import contextlib
 import resource
 import signal
+import socket
 import time
 
 import testtools
 
-from tests.fleet import READY_PORT, Fleet, wait_for
+from tests.fleet import FRONT_PORT, READY_PORT, Fleet, wait_for
+
+READY = "/-/readyz"
 
 
 class FleetTest(testtools.TestCase):
@@ -132,9 +136,7 @@
         self.fleet.start_gateway(self.gateway)
 
     def ready(self) -> bool:
-        return (
-            self.fleet.call(self.gateway, "GET", "/-/readyz", port=READY_PORT)[0] == 200
-        )
+        return self.fleet.call(self.gateway, "GET", READY, port=READY_PORT)[0] == 200
 
     def test_serves_on_without_the_core(self) -> None:
         fleet = self.fleet
@@ -163,6 +165,27 @@
         wait_for(lambda: fleet.ask(self.gateway) == 401, "key taken away", 2.0)
         self.assertTrue(time.monotonic() - begun_s < 2.0)
 
+    def test_callers_are_taken_while_it_starts(self) -> None:
+        fleet = self.fleet
+        fleet.acknowledged(3)
+        wait_for(self.ready, "gateway ready")
+        fleet.processes[self.gateway].kill()
+        fleet.start_gateway(self.gateway)
+        with self.connected() as connection:
+            # The rest of the program is still being loaded; without that, the
+            # callers' address and this one are opened within a millisecond.
+            time.sleep(0.03)
+            status, _ = fleet.call(self.gateway, "GET", READY, port=READY_PORT)
+            self.assertEqual(0, status)
+            self.assertEqual(200, fleet.ask(self.gateway, at=connection))
+
+    def connected(self) -> socket.socket:
+        """A connection to the gateway, the moment that it takes one."""
+        address = (self.gateway, FRONT_PORT)
+        while True:
+            with contextlib.suppress(ConnectionRefusedError):
+                return socket.create_connection(address, 5.0)
+
     def test_new_seeds_without_a_signal(self) -> None:
         """All that the gateway knew are gone; the file names others."""
         fleet = self.fleet
