--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -32,12 +32,12 @@
 )
 from ashlatch.fleet.machine import Command, FleetMachine, Outcome
 from ashlatch.fleet.membership import (
-    PeerBook,
     enough_voters,
     join_group,
     silent_member,
 )
 from ashlatch.fleet.operators import NoQuorum, OperatorApi
+from ashlatch.fleet.peers import PeerBook
 from ashlatch.fleet.protocol import (
     JOIN,
     ORDER,
--- a/ashlatch/fleet/membership.py
+++ b/ashlatch/fleet/membership.py
@@ -10,15 +10,15 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from ashlatch.errors import TransportError
+from ashlatch.fleet.peers import PeerBook
 from ashlatch.fleet.protocol import JOIN, JoinReply, JoinRequest
 from ashlatch.raft.group import Standing
 from ashlatch.raft.message import Member
-from ashlatch.rpc import Address, Peer
 
-__all__ = ["PeerBook", "enough_voters", "join_group", "silent_member"]
+__all__ = ["enough_voters", "join_group", "silent_member"]
 
 # How often a VM that is no member, or knows no leader, asks for one.
 JOIN_RETRY_S = 0.25
@@ -33,26 +33,6 @@
 SHORT_OF_VOTERS_MS = 8000.0
 
 
-class PeerBook:
-    """One held connection to each address that is called."""
-
-    def __init__(self) -> None:
-        self._peers: dict[str, Peer] = {}
-
-    def peer(self, address: str) -> Peer:
-        """The connection to an address."""
-        found = self._peers.get(address)
-        if found is None:
-            found = self._peers[address] = Peer(Address.parse(address))
-        return found
-
-    def keep_only(self, addresses: Iterable[str]) -> None:
-        """Close the connections to all other addresses."""
-        kept = set(addresses)
-        for address in [a for a in self._peers if a not in kept]:
-            self._peers.pop(address).close()
-
-
 def enough_voters(standing: Standing, losses_max: int, leading_ms: float) -> bool:
     """Whether what is committed now outlives the losses that are to be borne."""
     voters = len(standing.members.voters)
--- /dev/null
+++ b/ashlatch/fleet/peers.py
@@ -0,0 +1,35 @@
+"""
+ashlatch.fleet.peers
+~~~~~~~~~~~~~~~~~~~~
+
+The connections that a process holds to core VMs.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from collections.abc import Iterable
+
+from ashlatch.rpc import Address, Peer
+
+__all__ = ["PeerBook"]
+
+
+class PeerBook:
+    """One held connection to each address that is called."""
+
+    def __init__(self) -> None:
+        self._peers: dict[str, Peer] = {}
+
+    def peer(self, address: str) -> Peer:
+        """The connection to an address."""
+        found = self._peers.get(address)
+        if found is None:
+            found = self._peers[address] = Peer(Address.parse(address))
+        return found
+
+    def keep_only(self, addresses: Iterable[str]) -> None:
+        """Close the connections to all other addresses."""
+        kept = set(addresses)
+        for address in [a for a in self._peers if a not in kept]:
+            self._peers.pop(address).close()
--- a/ashlatch/gateway/sync.py
+++ b/ashlatch/gateway/sync.py
@@ -19,7 +19,7 @@
 from ashlatch.catalog import EndpointList
 from ashlatch.errors import TransportError
 from ashlatch.fleet.discovery import ListReader, ListUnreadable
-from ashlatch.fleet.membership import PeerBook
+from ashlatch.fleet.peers import PeerBook
 from ashlatch.fleet.protocol import SYNC, SyncReply, SyncRequest
 from ashlatch.fleet.seeds import Seeds
 from ashlatch.gateway.knowledge import Knowledge
--- a/ashlatch/http/early.py
+++ b/ashlatch/http/early.py
@@ -15,22 +15,36 @@
 
 import json
 import socket
-from pathlib import Path
+from collections.abc import Sequence
 
-__all__ = ["BACKLOG", "listen_early"]
+__all__ = ["BACKLOG", "listen_early", "settings_path"]
 
 # Connections that wait to be accepted: some seconds' worth at a restart.
 BACKLOG = 1024
 
 
-def listen_early(settings: Path) -> socket.socket | None:
+def settings_path(arguments: Sequence[str], default: str) -> str:
+    """The settings file that a command line names.
+
+    Empty when the command line asks for anything but to run::
+
+        settings_path(["--settings", "gateway-1.json"], default="")
+    """
+    if not arguments:
+        return default
+    named = len(arguments) == 2 and arguments[0] == "--settings"
+    return arguments[1] if named else ""
+
+
+def listen_early(path: str) -> socket.socket | None:
     """Listen on the `listen` address of a settings file, unless it is wrong.
 
     The file is read and checked whole later on, and what is wrong with it, or
     with the address, is reported then.
     """
     try:
-        address = json.loads(settings.read_bytes())["listen"]
+        with open(path, encoding="utf-8") as settings:
+            address = json.load(settings)["listen"]
         host, _, port = address.rpartition(":")
         return _listen(host, int(port))
     except (OSError, ValueError, KeyError, TypeError, AttributeError):
--- a/ashlatch/settings.py
+++ b/ashlatch/settings.py
@@ -52,9 +52,13 @@
 
 
 class Settings(BaseModel):
-    """The base of all settings: unknown fields are errors."""
+    """The base of all settings: unknown fields are errors.
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    Their validators are built when they are used first, since each process
+    uses those of one daemon.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True, defer_build=True)
 
 
 class HttpLimits(Settings):
