End a kept connection with the answer that was under way at the stop

Change: a stopping listener closes a connection when the answer on it ends.

Test: test_an_answer_that_had_begun_is_the_last failed before (two requests were taken) and passes.

--- a/ashlatch/http/connection.py
+++ b/ashlatch/http/connection.py
@@ -342,7 +342,9 @@
         self.quiet_since_s = self._loop.time()
         if self._transport is None or self._transport.is_closing():
             return
-        if self._http.our_state is not h11.DONE:
+        if self._http.our_state is not h11.DONE or self._listener.stopping:
+            # Also when the head was sent before the stop and could not say so:
+            # what the caller sends next would be cut when the time is over.
             self.close()
             return
         self._http.start_next_cycle()
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -1,6 +1,7 @@
 """Tests of ashlatch.http.listener: connections, framing, limits and ends."""
 
 import asyncio
+import contextlib
 
 import testtools
 
@@ -135,3 +136,31 @@
             listener.abort()
 
         asyncio.run(run())
+
+    def test_an_answer_that_had_begun_is_the_last(self) -> None:
+        """Its head could not tell the caller that the connection will close."""
+        going = asyncio.Event()
+
+        async def handle(request: HttpRequest, responder: Responder) -> None:
+            self.requests.append(request)
+            responder.begin(200, [])
+            responder.send(b"first")
+            await going.wait()
+            responder.end()
+
+        async def run() -> None:
+            listener = await self.serve(HttpBounds())
+            listener.handler = handle
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            writer.write(ASK + b"body")
+            self.assertIn(b"200", await reader.readuntil(b"first"))
+            listener.stopping = True
+            going.set()
+            await reader.readuntil(b"0\r\n\r\n")
+            writer.write(ASK + b"next")
+            with contextlib.suppress(ConnectionResetError):
+                self.assertEqual(b"", await asyncio.wait_for(reader.read(), 1.0))
+            self.assertEqual([b"body"], [r.body for r in self.requests])
+            listener.abort()
+
+        asyncio.run(run())
