Turn off the delay of small writes at the early socket

Cause: asyncio sets TCP_NODELAY only on sockets whose protocol is told, and accepted ones have the listener's. Since gateways listen early, small writes waited for the other side's delayed acknowledgement: about 40 ms each.

Test: test_small_writes_are_not_delayed_at_an_early_socket failed before.

--- a/ashlatch/http/early.py
+++ b/ashlatch/http/early.py
@@ -52,7 +52,8 @@
 
 
 def _listen(host: str, port: int) -> socket.socket:
-    opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    # asyncio turns off the delay of small writes only where the protocol is told.
+    opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     try:
         opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         opened.bind((host, port))
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -2,11 +2,17 @@
 
 import asyncio
 import contextlib
+import json
+import socket
+import tempfile
+from pathlib import Path
 
 import testtools
 
 from ashlatch.http.connection import HttpBounds, HttpRequest, Responder
+from ashlatch.http.early import listen_early
 from ashlatch.http.listener import HttpListener
+from tests.system import HOST, free_port
 
 ASK = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"
 
@@ -164,3 +170,29 @@
             listener.abort()
 
         asyncio.run(run())
+
+    def test_small_writes_are_not_delayed_at_an_early_socket(self) -> None:
+        async def run() -> None:
+            with tempfile.TemporaryDirectory() as folder:
+                path = Path(folder, "settings.json")
+                path.write_text(json.dumps({"listen": f"{HOST}:{free_port()}"}))
+                early = listen_early(str(path))
+            assert early is not None
+            listener = HttpListener(self.echo)
+            await listener.start("", 0, early)
+            address = early.getsockname()
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(ASK + b"body")
+            await reader.readuntil(b"body")
+            (connection,) = listener.connections
+            assert connection._transport is not None
+            accepted = connection._transport.get_extra_info("socket")
+            no_delay = accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            self.assertNotEqual(0, no_delay)
+            writer.close()
+            listener.abort()
+
+        asyncio.run(run())
+
+    async def echo(self, request: HttpRequest, responder: Responder) -> None:
+        responder.respond(200, [], request.body)
