Measure control and a gateway's own time; count calls between processes

Change: the codec counts messages and bytes, shown as calls_* among the metrics with the version of the configuration in force; bench.fleet and bench.gateway measure with them.

--- a/ashlatch/codec.py
+++ b/ashlatch/codec.py
@@ -10,6 +10,7 @@
 :license: MIT, see LICENSE for details.
 """
 
+from dataclasses import dataclass
 from functools import lru_cache
 from typing import Any
 
@@ -17,7 +18,7 @@
 import xxhash
 from grpclib.encoding.base import CodecBase
 
-__all__ = ["MessageCodec", "decode", "digest", "encode"]
+__all__ = ["TRAFFIC", "MessageCodec", "Traffic", "decode", "digest", "encode"]
 
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -37,17 +38,35 @@
     return _decoder(kind).decode(data)
 
 
+@dataclass
+class Traffic:
+    """What this process has exchanged with others of ashlatch, without framing."""
+
+    sent: int = 0
+    sent_bytes: int = 0
+    received: int = 0
+    received_bytes: int = 0
+
+
+TRAFFIC = Traffic()
+
+
 class MessageCodec(CodecBase):
-    """`grpclib` codec for `msgspec` structs."""
+    """`grpclib` codec for `msgspec` structs; counts what passes in `TRAFFIC`."""
 
     __content_subtype__ = "msgpack"
 
     def encode(self, message: Any, message_type: Any) -> bytes:
         """One message as the body of a gRPC frame."""
-        return encode(message)
+        data = encode(message)
+        TRAFFIC.sent += 1
+        TRAFFIC.sent_bytes += len(data)
+        return data
 
     def decode(self, data: bytes, message_type: Any) -> Any:
         """The body of a gRPC frame as a message of the declared type."""
+        TRAFFIC.received += 1
+        TRAFFIC.received_bytes += len(data)
         return decode(data, message_type)
 
 
--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -62,7 +62,7 @@
 from ashlatch.raft.effect import AddLearner, Received, RemoveMember
 from ashlatch.raft.group import Group, NotLeading, Standing, monotonic_ms
 from ashlatch.raft.storage import Disk, DiskFailed
-from ashlatch.rpc import Address, RpcLoop, RpcService
+from ashlatch.rpc import Address, RpcLoop, RpcService, watch_traffic
 from ashlatch.settings import CoreSettings
 from ashlatch.store import protocol as store_protocol
 from ashlatch.store.transport import Transport
@@ -209,6 +209,7 @@
         self._operators.failed = self._failed
         listen = Address.parse(self.settings.listen)
         await self._operators.start(listen.host, listen.port)
+        watch_traffic(self.metrics)
         await serve_metrics(
             self.metrics, self.settings.host, self.settings.metrics_port
         )
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -36,7 +36,7 @@
 from ashlatch.platform.headers import MalformedRequest, decode_ask
 from ashlatch.platform.operator import READY_TARGET
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
-from ashlatch.rpc import Address, RpcLoop
+from ashlatch.rpc import Address, RpcLoop, watch_traffic
 from ashlatch.settings import GatewaySettings
 
 __all__ = ["GatewayDaemon"]
@@ -121,6 +121,8 @@
         ):
             address = Address.parse(text)
             await listener.start(address.host, address.port, early)
+        watch_traffic(self.known.metrics)
+        self.known.metrics.watch("configuration_version", self._version)
         metrics_port = self.settings.metrics_port
         await serve_metrics(self.known.metrics, self.settings.host, metrics_port)
         for work in (self._link.run(), self._link.read_alone(), self._sweep()):
@@ -185,6 +187,11 @@
         )
         self.known.metrics.count(f"requests_{reason}")
 
+    def _version(self) -> int:
+        """The version of the configuration in force here, 0 when there is none."""
+        table = self.known.table
+        return table.catalog.version if table else 0
+
     def _handler_failed(self, error: BaseException) -> None:
         """A defect: the request is lost, the others are served on."""
         trace = "".join(traceback.format_exception(error)[-TRACE_LINES:])
--- a/ashlatch/metrics.py
+++ b/ashlatch/metrics.py
@@ -10,6 +10,7 @@
 
 import threading
 from collections import Counter
+from collections.abc import Callable
 
 from hdrh.histogram import HdrHistogram
 
@@ -31,12 +32,17 @@
         self._lock = threading.Lock()
         self._counters: Counter[str] = Counter()
         self._histograms: dict[str, HdrHistogram] = {}
+        self._watched: dict[str, Callable[[], int]] = {}
 
     def count(self, name: str) -> None:
         """Add one to a counter."""
         with self._lock:
             self._counters[name] += 1
 
+    def watch(self, name: str, read: Callable[[], int]) -> None:
+        """Show a number that something else keeps, under this name."""
+        self._watched[name] = read
+
     def record_ms(self, name: str, value_ms: float) -> None:
         """Record one latency in milliseconds."""
         with self._lock:
@@ -54,6 +60,8 @@
                 lines.append(f"ashlatch_{name}_total {value}")
             for name, histogram in self._histograms.items():
                 lines += _histogram_lines(name, histogram)
+        for name, read in self._watched.items():
+            lines.append(f"ashlatch_{name} {read()}")
         return "\n".join(sorted(lines)) + "\n"
 
 
--- a/ashlatch/rpc.py
+++ b/ashlatch/rpc.py
@@ -18,15 +18,24 @@
 
 from grpclib.server import Server
 
-from ashlatch.codec import MessageCodec
+from ashlatch.codec import TRAFFIC, MessageCodec
 from ashlatch.errors import TransportError
 from ashlatch.link import CallRefused, Link, LinkLost, LinkService, Method
+from ashlatch.metrics import Metrics
 
-__all__ = ["Address", "Peer", "RpcLoop", "RpcService"]
+__all__ = ["Address", "Peer", "RpcLoop", "RpcService", "watch_traffic"]
 
 R = TypeVar("R")
 
 
+def watch_traffic(metrics: Metrics) -> None:
+    """Show among the metrics what passes between this and other processes."""
+    metrics.watch("calls_sent_total", lambda: TRAFFIC.sent)
+    metrics.watch("calls_sent_bytes_total", lambda: TRAFFIC.sent_bytes)
+    metrics.watch("calls_received_total", lambda: TRAFFIC.received)
+    metrics.watch("calls_received_bytes_total", lambda: TRAFFIC.received_bytes)
+
+
 @dataclass(frozen=True)
 class Address:
     """An IP number and a TCP port."""
--- a/bench/all.py
+++ b/bench/all.py
@@ -5,6 +5,7 @@
     core,
     cost,
     exposure,
+    fleet,
     hedge,
     latency,
     overload,
@@ -14,7 +15,18 @@
 
 
 def main() -> None:
-    modules = (core, cost, exposure, latency, overload, hedge, state, router, capacity)
+    modules = (
+        core,
+        cost,
+        exposure,
+        latency,
+        overload,
+        hedge,
+        state,
+        router,
+        fleet,
+        capacity,
+    )
     for module in modules:
         module.main()
 
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,126 @@
+"""What control costs each VM of a fleet, by the number of gateways: messages
+and bytes between our processes, processor time, memory. Then the time from an
+acknowledged change until it is in force. python -m bench.fleet
+"""
+
+import time
+from dataclasses import dataclass
+from datetime import UTC, datetime
+
+from bench.table import percentile, row, title
+from tests.fleet import READY_PORT, Fleet, wait_for
+
+GATEWAYS = (2, 8, 24)
+IDLE_S = 10.0
+CHANGES = 40
+
+
+@dataclass
+class Usage:
+    """What one process has used so far."""
+
+    processor_s: float
+    messages: int
+    sent_bytes: int
+    received_bytes: int
+
+
+def usage(fleet: Fleet, host: str) -> Usage:
+    messages = fleet.counted(host, "calls_sent") + fleet.counted(host, "calls_received")
+    sent_bytes = fleet.counted(host, "calls_sent_bytes")
+    received_bytes = fleet.counted(host, "calls_received_bytes")
+    processor_s = fleet.processes[host].processor_s()
+    return Usage(processor_s, messages, sent_bytes, received_bytes)
+
+
+def started(count: int) -> Fleet:
+    fleet = Fleet()
+    fleet.found()
+    fleet.acknowledged(3)
+    for number in range(count):
+        fleet.start_gateway(f"{fleet.net}.{101 + number}")
+    return fleet
+
+
+def gateways(fleet: Fleet) -> list[str]:
+    return [host for host in fleet.processes if host not in fleet.hosts]
+
+
+def ready(fleet: Fleet, host: str) -> bool:
+    return fleet.call(host, "GET", "/-/readyz", port=READY_PORT)[0] == 200
+
+
+def wait_ready(fleet: Fleet) -> None:
+    hosts = gateways(fleet)
+    wait_for(lambda: all(ready(fleet, host) for host in hosts), "gateways ready")
+
+
+def idle(fleet: Fleet) -> None:
+    """Rates of the leader, of the other core VMs and of the gateways."""
+    before = {host: usage(fleet, host) for host in fleet.processes}
+    time.sleep(IDLE_S)
+    leader = fleet.leader()
+    roles = {
+        "leader": [leader],
+        "other core VMs": [host for host in fleet.hosts if host != leader],
+        "gateways": gateways(fleet),
+    }
+    for role, hosts in roles.items():
+        used = [(before[host], usage(fleet, host)) for host in hosts]
+        count = len(hosts) * IDLE_S
+        row(
+            f"{len(gateways(fleet))} gateways, {role}",
+            messages_per_s=sum(b.messages - a.messages for a, b in used) / count,
+            sent_b_per_s=sum(b.sent_bytes - a.sent_bytes for a, b in used) / count,
+            received_b_per_s=sum(b.received_bytes - a.received_bytes for a, b in used)
+            / count,
+            core_ratio=sum(b.processor_s - a.processor_s for a, b in used) / count,
+            memory_mb=max(fleet.processes[host].memory_mb("VmHWM") for host in hosts),
+        )
+
+
+def in_force(fleet: Fleet) -> None:
+    """From an acknowledgement until every gateway handles requests by it."""
+    took_ms = []
+    acknowledged_ms = []
+    hosts = gateways(fleet)
+    for version in range(10, 10 + CHANGES):
+        began_s = time.time()
+        assert fleet.replace(fleet.hosts[version % 5], version) == 200
+        done_s = time.time()
+        acknowledged_ms.append((done_s - began_s) * 1000.0)
+        last_s = max(applied_s(fleet, host, version) for host in hosts)
+        took_ms.append((last_s - done_s) * 1000.0)
+    row(
+        f"{len(hosts)} gateways, changes",
+        acknowledged_p50_ms=percentile(acknowledged_ms, 50),
+        acknowledged_p99_ms=percentile(acknowledged_ms, 99),
+        in_force_p50_ms=percentile(took_ms, 50),
+        in_force_p99_ms=percentile(took_ms, 99),
+    )
+
+
+def applied_s(fleet: Fleet, host: str, version: int) -> float:
+    """When a gateway took a version over, by its log."""
+    event = f"event=configuration_applied version={version} "
+    process = fleet.processes[host]
+    wait_for(lambda: event in process.log, f"version {version} at {host}")
+    line = next(line for line in process.log.splitlines() if event in line)
+    at = line.partition("at=")[2].partition(" ")[0]
+    return datetime.fromisoformat(at).replace(tzinfo=UTC).timestamp()
+
+
+def main() -> None:
+    title("A fleet without requests, by gateways")
+    for count in GATEWAYS:
+        fleet = started(count)
+        try:
+            wait_ready(fleet)
+            idle(fleet)
+            in_force(fleet)
+        finally:
+            fleet.close()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/gateway.py
@@ -0,0 +1,134 @@
+"""A gateway's own processor time: for a request and for an event of a stream,
+by the slope over streams of several lengths, and by part. python -m bench.gateway
+"""
+
+import asyncio
+import cProfile
+import pstats
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from pathlib import PurePath
+
+from bench.table import row, title
+from tests import standin
+from tests.fleet import FRONT_PORT, READY_PORT, Fleet, wait_for
+from tests.standin import StandIn
+from tests.test_gateway import GatewayTest, ask
+
+REQUESTS = 1500
+AT_ONCE = 4
+EVENTS = (1, 20, 80)
+HEADERS = "X-Model: *\r\nX-Token-Count: 100,50\r\nX-Prompt-Prefix: aa:50,bb:50\r\n"
+# Modules by the part of the work that they do; the first that fits counts.
+PARTS = {
+    "framing (h11)": ("h11",),
+    "log": ("ashlatch/log.py", "pythonjsonlogger", "logging"),
+    "loop and sockets": ("asyncio", "selectors", "socket"),
+    "connections": ("ashlatch/http",),
+    "headers": ("ashlatch/platform",),
+    "decisions": ("ashlatch/gateway", "ashlatch/policy", "xxhash"),
+}
+
+
+async def calls(address: tuple[str, int], path: str, count: int) -> None:
+    """Requests on kept connections, some at once."""
+    raw = ask(path, HEADERS if path.startswith("/stream") else "")
+
+    async def caller(share: int) -> None:
+        reader, writer = await asyncio.open_connection(*address)
+        for _ in range(share):
+            writer.write(raw)
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert b" 200 " in head, head
+            await read_body(reader, head)
+        writer.close()
+
+    await asyncio.gather(*(caller(count // AT_ONCE) for _ in range(AT_ONCE)))
+
+
+async def read_body(reader: asyncio.StreamReader, head: bytes) -> None:
+    lower = head.lower()
+    if b"content-length: " in lower:
+        length = lower.partition(b"content-length: ")[2].partition(b"\r\n")[0]
+        await reader.readexactly(int(length))
+        return
+    await reader.readuntil(standin.LAST_CHUNK)
+
+
+def is_ready(fleet: Fleet, host: str) -> bool:
+    return fleet.call(host, "GET", "/-/readyz", port=READY_PORT)[0] == 200
+
+
+def processes() -> None:
+    title("A gateway's processor time a request, by events of the answer")
+    for events in (0, *EVENTS):
+        script = standin.stream(events) if events else standin.answer()
+        fleet = Fleet(scripts=[script])
+        try:
+            fleet.found()
+            fleet.acknowledged(3)
+            host = f"{fleet.net}.101"
+            fleet.start_gateway(host)
+            wait_for(lambda f=fleet, h=host: is_ready(f, h), "ready")  # type: ignore[misc]
+            path = "/stream/1" if events else "/get/1"
+            process = fleet.processes[host]
+            before_s = process.processor_s()
+            began_s = time.monotonic()
+            asyncio.run(calls((host, FRONT_PORT), path, REQUESTS))
+            took_s = time.monotonic() - began_s
+            used_ms = (process.processor_s() - before_s) * 1000.0
+            row(
+                f"{events} events",
+                processor_ms_a_request=used_ms / REQUESTS,
+                requests_per_s=REQUESTS / took_s,
+            )
+        finally:
+            fleet.close()
+
+
+def parts() -> None:
+    title("The same by part, in one process under a profiler: share of the time")
+    for events in (0, EVENTS[-1]):
+        script = standin.stream(events) if events else standin.answer()
+        path = "/stream/1" if events else "/get/1"
+        test = GatewayTest("run_gateway")
+        profile = cProfile.Profile()
+
+        def work(test: GatewayTest = test, path: str = path) -> Awaitable[None]:
+            return calls(("127.0.0.1", test.port), path, REQUESTS // 5)
+
+        profile.runcall(test.run_gateway, [StandIn([script])], work)
+        shares = by_part(pstats.Stats(profile))
+        row(f"{events} events", **{name: f"{share:.2f}" for name, share in shares})
+
+
+def by_part(stats: pstats.Stats) -> list[tuple[str, float]]:
+    """Own time of functions, without the stand-in's and the caller's."""
+    times: Counter[str] = Counter()
+    for (file, _, _), figures in stats.stats.items():  # type: ignore[attr-defined]
+        name = PurePath(file).as_posix()
+        if "/tests/" in name or "/bench/" in name:
+            continue
+        times[part_of(name)] += figures[2]
+    total = sum(times.values())
+    return [(name, spent / total) for name, spent in times.most_common()]
+
+
+def part_of(file: str) -> str:
+    for part, names in PARTS.items():
+        if any(name in file for name in names):
+            return part
+    return "other"
+
+
+MEASURES: tuple[Callable[[], None], ...] = (processes, parts)
+
+
+def main() -> None:
+    for measure in MEASURES:
+        measure()
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/router.py
+++ b/bench/router.py
@@ -4,7 +4,6 @@
 
 import time
 from concurrent.futures import ThreadPoolExecutor
-from pathlib import Path
 
 from bench.table import percentile, row, title
 from tests.chat import Stream, chat, chat_stream
@@ -21,15 +20,12 @@
 
 def memory_mb(daemon: Daemon) -> float:
     """Resident memory of a daemon."""
-    text = Path(f"/proc/{daemon.process.popen.pid}/status").read_text()
-    line = next(line for line in text.splitlines() if line.startswith("VmRSS"))
-    return int(line.split()[1]) / 1024.0
+    return daemon.process.memory_mb()
 
 
 def processor_s(daemon: Daemon) -> float:
     """Processor time that a daemon has used."""
-    fields = Path(f"/proc/{daemon.process.popen.pid}/stat").read_text().split()
-    return (int(fields[13]) + int(fields[14])) / 100.0
+    return daemon.process.processor_s()
 
 
 def call(found: Lean, kind: str, number: int) -> None:
--- a/tests/system.py
+++ b/tests/system.py
@@ -121,6 +121,17 @@
     def log(self) -> str:
         return self.log_path.read_text(encoding="utf-8")
 
+    def processor_s(self) -> float:
+        """Processor time that it has used."""
+        fields = Path(f"/proc/{self.popen.pid}/stat").read_text().split()
+        return (int(fields[13]) + int(fields[14])) / 100.0
+
+    def memory_mb(self, which: str = "VmRSS") -> float:
+        """Resident memory; `VmHWM` is the most that it has had."""
+        text = Path(f"/proc/{self.popen.pid}/status").read_text()
+        line = next(line for line in text.splitlines() if line.startswith(which))
+        return int(line.split()[1]) / 1024.0
+
     def signal(self, number: int) -> None:
         self.popen.send_signal(number)
 
