Leave an endpoint whose VM has gone without waiting for each silence

Ruled out: a shorter silence (a prompt of 54,600 tokens holds an engine for 2 s; leaving it re-reads prompts elsewhere); the kernel's keep-alive, which counts whole seconds.

Change: gateway/watch.py opens a connection to an endpoint that has requests and has sent nothing for 0.5 s. A VM that is there takes or refuses it at once; if two tries of 0.2 s bring nothing, what waits there and may be repeated goes elsewhere, within attempts and budget, and the endpoint is suspended.

Test: test_watch; with the waits not tied to it, test_requests_at_a_vm_that_has_gone_go_elsewhere fails (without the module all do). The harness of the gateway's tests has a file of its own now.

--- a/ashlatch/explain/belief.py
+++ b/ashlatch/explain/belief.py
@@ -37,6 +37,7 @@
     "disk_lost": ("disk", ""),
     "disk_regained": ("disk", ""),
     "endpoint_suspended": ("endpoint", "instance"),
+    "endpoint_gone": ("endpoint", "instance"),
     "endpoint_resumed": ("endpoint", "instance"),
 }
 
--- a/ashlatch/gateway/attempt.py
+++ b/ashlatch/gateway/attempt.py
@@ -138,8 +138,8 @@
         """Receive something, for as long as the patience lasts."""
         try:
             try:
-                async with asyncio.timeout(patience.silence_s):
-                    return await receive()
+                async with asyncio.timeout(patience.silence_s) as limit:
+                    return await self._limited(receive, limit, patience)
             except TimeoutError as error:
                 if patience.may_give_up():
                     raise AttemptFailed(FailureKind.SILENT, what) from error
@@ -147,6 +147,21 @@
         except UpstreamBroken as error:
             raise AttemptFailed(FailureKind.BROKEN, error.reason) from error
 
+    async def _limited(
+        self,
+        receive: Callable[[], Awaitable[R]],
+        limit: asyncio.Timeout,
+        patience: Patience,
+    ) -> R:
+        """Receive something; the limit may be moved if the endpoint has gone."""
+        if patience.silence_s is None:
+            return await receive()
+        self.state.awaited.add(limit)
+        try:
+            return await receive()
+        finally:
+            self.state.awaited.discard(limit)
+
     def finish(self) -> None:
         """The answer was whole: keep the connection if it may be kept."""
         connection, self._connection = self._connection, None
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -29,6 +29,7 @@
 from ashlatch.gateway.message import RefusalReason
 from ashlatch.gateway.sync import FleetLink
 from ashlatch.gateway.versions import SessionVersions, VersionChooser
+from ashlatch.gateway.watch import SilenceWatch
 from ashlatch.http.connection import HttpBounds, HttpRequest, Responder
 from ashlatch.http.listener import HttpListener
 from ashlatch.log import emit
@@ -125,7 +126,14 @@
         self.known.metrics.watch("configuration_version", self._version)
         metrics_port = self.settings.metrics_port
         await serve_metrics(self.known.metrics, self.settings.host, metrics_port)
-        for work in (self._link.run(), self._link.read_alone(), self._sweep()):
+        watch = SilenceWatch(self.known.directory)
+        works = (
+            self._link.run(),
+            self._link.read_alone(),
+            watch.run(),
+            self._sweep(),
+        )
+        for work in works:
             self.rpc.keep(work, self._failed)
 
     async def _stop(self) -> int:
--- a/ashlatch/gateway/directory.py
+++ b/ashlatch/gateway/directory.py
@@ -9,6 +9,7 @@
 :license: MIT, see LICENSE for details.
 """
 
+import asyncio
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -36,6 +37,7 @@
     `failing` is the recent share of attempts that failed by its doing.
     `progress_ms` is when it last sent anything, or got its only request.
     `unanswered` requests were sent there and have no head of an answer yet.
+    `awaited` are the limits of those waits that may be given up.
     """
 
     endpoint: Endpoint
@@ -46,6 +48,7 @@
     failing: float = 0.0
     progress_ms: float = float("-inf")
     unanswered: int = 0
+    awaited: set[asyncio.Timeout] = field(default_factory=set)
 
     def sent(self, now_ms: float) -> None:
         """A request goes there."""
@@ -57,10 +60,23 @@
         """Something has come from there."""
         self.progress_ms = now_ms
 
+    def silent_ms(self, now_ms: float) -> float:
+        """For how long requests have been there and nothing has come."""
+        return now_ms - self.progress_ms if self.load.in_flight > 0 else 0.0
+
     def stalled(self, now_ms: float) -> bool:
         """Whether requests are there and nothing comes."""
-        silent_ms = now_ms - self.progress_ms
-        return self.load.in_flight > 0 and silent_ms > STALL_MS
+        return self.silent_ms(now_ms) > STALL_MS
+
+    def gone(self, now_ms: float, now_s: float) -> None:
+        """Its VM has gone: end what waits for it and may go elsewhere.
+
+        `now_s` is the time of the loop, which the limits are told in.
+        """
+        self.breaker.gone(now_ms)
+        for limit in self.awaited:
+            if not limit.expired():
+                limit.reschedule(now_s)
 
     def tell_load(self, figures: LoadFigures, now_ms: float) -> None:
         """Take the load that came with an answer."""
@@ -126,6 +142,10 @@
             self._by_service.setdefault(endpoint.service, []).append(state)
         return True
 
+    def all(self) -> Iterable[EndpointState]:
+        """The endpoints of all services, leaving ones too."""
+        return self._states.values()
+
     def of_service(self, service: str) -> Iterable[EndpointState]:
         """All endpoints of a service, leaving ones too."""
         return self._by_service.get(service, ())
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -19,6 +19,7 @@
     "AttemptEnded",
     "ConfigurationApplied",
     "DocumentUnreadable",
+    "EndpointGone",
     "EndpointResumed",
     "EndpointSuspended",
     "EndpointsReplaced",
@@ -160,6 +161,20 @@
     failing: float
 
 
+@dataclass(frozen=True)
+class EndpointGone(LogEvent):
+    """An endpoint is silent and its VM takes no connection: it is left.
+
+    `waits` is how many waits for it were ended because of that.
+    """
+
+    event: ClassVar[str] = "endpoint_gone"
+    instance: str
+    service: str
+    silent_ms: int
+    waits: int
+
+
 @dataclass(frozen=True)
 class EndpointResumed(LogEvent):
     """A suspended endpoint has answered."""
--- /dev/null
+++ b/ashlatch/gateway/watch.py
@@ -0,0 +1,99 @@
+"""
+ashlatch.gateway.watch
+~~~~~~~~~~~~~~~~~~~~~~
+
+Tells an endpoint whose VM has gone from one that is only slow. Both send
+nothing; but a VM that is there accepts a connection at once, or refuses it,
+whatever its program does. Requests at an endpoint that has gone are left
+without waiting for the silence of each.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+from ashlatch.gateway.directory import Directory, EndpointState
+from ashlatch.gateway.logs import EndpointGone
+from ashlatch.http.upstream import CONNECT_TIMED_OUT, ConnectFailed, Upstream
+from ashlatch.log import emit
+
+__all__ = ["SilenceWatch"]
+
+log = logging.getLogger("ashlatch.gateway")
+
+# How often silent endpoints are looked for.
+WATCH_EVERY_S = 0.1
+# An engine that reads a prompt of usual size is silent for less than this.
+SILENT_MS = 500.0
+# A connection within a region stands after some milliseconds. The second probe
+# is for a first packet that was lost.
+PROBE_TIMEOUT_S = 0.2
+PROBES = 2
+# A silent endpoint that has answered a probe is probed again after this.
+PROBE_AGAIN_MS = 1000.0
+
+Connect = Callable[[str, float], Awaitable[Upstream]]
+
+
+class SilenceWatch:
+    """Watches all endpoints of a directory; `run` never ends."""
+
+    def __init__(
+        self, directory: Directory, connect: Connect = Upstream.connect
+    ) -> None:
+        self._directory = directory
+        self._connect = connect
+        self._loop = asyncio.get_running_loop()
+        self._probed_ms: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Probe what is silent, again and again."""
+        async with asyncio.TaskGroup() as probes:
+            while True:
+                await asyncio.sleep(WATCH_EVERY_S)
+                self._forget_old()
+                for state in self._directory.all():
+                    if self._due(state):
+                        self._probed_ms[state.endpoint.instance] = self._now_ms()
+                        probes.create_task(self._probe(state))
+
+    def _due(self, state: EndpointState) -> bool:
+        probed_ms = self._probed_ms.get(state.endpoint.instance, float("-inf"))
+        lately = self._now_ms() - probed_ms < PROBE_AGAIN_MS
+        return not lately and state.silent_ms(self._now_ms()) > SILENT_MS
+
+    def _forget_old(self) -> None:
+        before_ms = self._now_ms() - PROBE_AGAIN_MS
+        old = [i for i, probed_ms in self._probed_ms.items() if probed_ms < before_ms]
+        for instance in old:
+            del self._probed_ms[instance]
+
+    async def _probe(self, state: EndpointState) -> None:
+        for _ in range(PROBES):
+            if await self._answers(state.endpoint.address):
+                return
+        silent_ms = state.silent_ms(self._now_ms())
+        if silent_ms <= SILENT_MS:
+            return
+        endpoint = state.endpoint
+        gone = EndpointGone(
+            endpoint.instance, endpoint.service, int(silent_ms), len(state.awaited)
+        )
+        emit(log, gone, logging.WARNING)
+        state.gone(self._now_ms(), self._loop.time())
+
+    async def _answers(self, address: str) -> bool:
+        """Whether the VM behind an address does anything with a connection."""
+        try:
+            connection = await self._connect(address, PROBE_TIMEOUT_S)
+        except ConnectFailed as failed:
+            # A refusal comes from a VM that is there.
+            return failed.reason != CONNECT_TIMED_OUT
+        connection.abort()
+        return True
+
+    def _now_ms(self) -> float:
+        return self._loop.time() * 1000.0
--- a/ashlatch/http/upstream.py
+++ b/ashlatch/http/upstream.py
@@ -19,8 +19,10 @@
 from ashlatch.http.connection import Headers
 from ashlatch.http.keepalive import keep_alive
 
-__all__ = ["ConnectFailed", "Upstream", "UpstreamBroken"]
+__all__ = ["CONNECT_TIMED_OUT", "ConnectFailed", "Upstream", "UpstreamBroken"]
 
+# The reason of a `ConnectFailed` after which nothing at all had come back.
+CONNECT_TIMED_OUT = "timeout"
 # More than this is not read ahead of who passes it on.
 READ_AHEAD_MAX_BYTES = 1_048_576
 
@@ -67,7 +69,7 @@
                     lambda: cls(address), host, int(port)
                 )
         except TimeoutError as error:
-            raise ConnectFailed(address, "timeout") from error
+            raise ConnectFailed(address, CONNECT_TIMED_OUT) from error
         except OSError as error:
             raise ConnectFailed(address, type(error).__name__) from error
         return protocol
--- a/ashlatch/policy/breaker.py
+++ b/ashlatch/policy/breaker.py
@@ -50,3 +50,8 @@
         self.failures += 1
         if self.open:
             self.open_until_ms = now_ms + self.open_ms
+
+    def gone(self, now_ms: float) -> None:
+        """It is known that no answer can come: open at once."""
+        self.failures = max(self.failures, self.failures_max)
+        self.open_until_ms = now_ms + self.open_ms
--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -13,8 +13,8 @@
 from bench.table import row, title
 from tests import standin
 from tests.fleet import FRONT_PORT, READY_PORT, Fleet, wait_for
+from tests.gateway import GatewayHarness, ask
 from tests.standin import StandIn
-from tests.test_gateway import GatewayTest, ask
 
 REQUESTS = 1500
 AT_ONCE = 4
@@ -92,10 +92,10 @@
     for events in (0, EVENTS[-1]):
         script = standin.stream(events) if events else standin.answer()
         path = "/stream/1" if events else "/get/1"
-        test = GatewayTest("run_gateway")
+        test = GatewayHarness("run_gateway")
         profile = cProfile.Profile()
 
-        def work(test: GatewayTest = test, path: str = path) -> Awaitable[None]:
+        def work(test: GatewayHarness = test, path: str = path) -> Awaitable[None]:
             return calls(("127.0.0.1", test.port), path, REQUESTS // 5)
 
         profile.runcall(test.run_gateway, [StandIn([script])], work)
--- /dev/null
+++ b/tests/gateway.py
@@ -0,0 +1,108 @@
+"""A gateway in the test's own loop, before stand-ins of endpoints."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+import testtools
+
+from ashlatch.catalog import Endpoint, EndpointList
+from ashlatch.gateway.admission import Refused, admit, refuse
+from ashlatch.gateway.budget import BudgetTerms
+from ashlatch.gateway.exchange import Exchange
+from ashlatch.gateway.knowledge import Knowledge
+from ashlatch.gateway.routing import RouteTable
+from ashlatch.gateway.versions import SessionVersions, VersionChooser
+from ashlatch.http.connection import HttpRequest, Responder
+from ashlatch.http.listener import HttpListener
+from ashlatch.platform.document import decode_catalog
+from ashlatch.platform.headers import decode_ask
+from ashlatch.policy.endpoint import ENDPOINT_POLICIES
+from tests import standin
+from tests.standin import Received, StandIn
+
+PATIENCE = "X-Deadline-Ms: 1500\r\n"
+KEY = "Authorization: Bearer key-1\r\n"
+
+
+def ask(path: str, extra: str = "", method: str = "GET", body: bytes = b"") -> bytes:
+    lines = (
+        f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: r1\r\n"
+        f"{PATIENCE}{KEY}{extra}Content-Length: {len(body)}\r\n\r\n"
+    )
+    return lines.encode() + body
+
+
+ASK_STREAM = (
+    "X-Model: *\r\nX-Token-Count: 100,50\r\nX-Prompt-Prefix: aa:50,bb:50\r\n"
+    "Session: s1\r\n"
+)
+# Requests about different subjects, so that each endpoint is asked first for some.
+ASK_STREAMS = tuple(ASK_STREAM.replace("bb:", f"b{n}:") for n in range(8))
+
+
+async def hang(request: Received, writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(5)
+
+
+class GatewayHarness(testtools.TestCase):
+    def run_gateway(
+        self,
+        workers: list[StandIn],
+        work: Callable[[], Awaitable[None]],
+        extra: float = 50.0,
+    ) -> None:
+        async def run() -> None:
+            for worker in workers:
+                await worker.start()
+            self.known = self.knowledge(workers, extra)
+            listener = HttpListener(self.handle)
+            failures: list[BaseException] = []
+            listener.failed = failures.append
+            await listener.start("127.0.0.1", 0)
+            assert listener._server is not None
+            self.port = listener._server.sockets[0].getsockname()[1]
+            await work()
+            listener.abort()
+            for worker in workers:
+                worker.stop()
+            self.assertEqual([], failures)
+
+        asyncio.run(run())
+
+    def knowledge(self, workers: list[StandIn], extra: float) -> Knowledge:
+        known = Knowledge(
+            "hall-1",
+            "vm-1",
+            VersionChooser(SessionVersions(5000.0)),
+            ENDPOINT_POLICIES.get("hall_affinity")(),
+            BudgetTerms(0.9, extra, 10_000.0),
+            generator=random.Random(1),
+        )
+        known.table = RouteTable(decode_catalog(standin.encoded(standin.document())))
+        endpoints = tuple(
+            Endpoint(f"i-{n}", "app", w.address, "hall-1", "v1", 8, False)
+            for n, w in enumerate(workers)
+        )
+        known.directory.replace(EndpointList(1, 1, endpoints), 0.0)
+        return known
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        asked = decode_ask(request)
+        admission = admit(self.known, asked)
+        if isinstance(admission, Refused):
+            refuse(responder, asked.request_id, admission)
+            return
+        await Exchange(self.known, admission, responder).run()
+
+    async def call(self, data: bytes) -> tuple[int, bytes]:
+        """One request on a connection of its own: status and whole rest."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(data.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n", 1))
+        try:
+            got = await asyncio.wait_for(reader.read(), 4.0)
+        except ConnectionResetError:
+            return 0, b""
+        finally:
+            writer.close()
+        return (int(got.split(b" ")[1]) if got else 0), got
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,104 @@
+"""Tests of `ashlatch.gateway.watch`, alone and in a gateway."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from ashlatch.catalog import Endpoint, EndpointList
+from ashlatch.gateway.directory import Directory, EndpointState
+from ashlatch.gateway.routing import RouteTable
+from ashlatch.gateway.watch import SilenceWatch
+from ashlatch.http.upstream import CONNECT_TIMED_OUT, ConnectFailed, Upstream
+from ashlatch.platform.document import decode_catalog
+from tests import standin
+from tests.gateway import ASK_STREAM, GatewayHarness, ask, hang
+from tests.standin import StandIn
+
+# Longer than any wait of these tests, so that a route's target ends none.
+TARGET_MS = 2400
+LEFT_WITHIN_S = 1.8
+
+
+def failing(reason: str) -> Callable[[str, float], Awaitable[Upstream]]:
+    async def connect(address: str, timeout_s: float) -> Upstream:
+        raise ConnectFailed(address, reason)
+
+    return connect
+
+
+class SilenceWatchTest(GatewayHarness):
+    def watched(self, reason: str, progress: bool = False) -> EndpointState:
+        """An endpoint with one silent request, after a second of watching."""
+
+        async def run() -> EndpointState:
+            directory = Directory()
+            endpoint = Endpoint("i-0", "app", "127.0.0.1:9", "hall-1", "v1", 8, False)
+            directory.replace(EndpointList(1, 1, (endpoint,)), 0.0)
+            (state,) = directory.all()
+            loop = asyncio.get_running_loop()
+            state.sent(loop.time() * 1000.0)
+            watch = asyncio.create_task(SilenceWatch(directory, failing(reason)).run())
+            for _ in range(10):
+                await asyncio.sleep(0.1)
+                if progress:
+                    state.progressed(loop.time() * 1000.0)
+            watch.cancel()
+            return state
+
+        return asyncio.run(run())
+
+    def test_a_vm_that_takes_no_connection_has_gone(self) -> None:
+        self.assertTrue(self.watched(CONNECT_TIMED_OUT).breaker.open)
+
+    def test_a_refusal_comes_from_a_vm_that_is_there(self) -> None:
+        self.assertFalse(self.watched("ConnectionRefusedError").breaker.open)
+
+    def test_what_sends_is_not_probed(self) -> None:
+        self.assertFalse(self.watched(CONNECT_TIMED_OUT, progress=True).breaker.open)
+
+    def took_s(self, asked: bytes, reason: str) -> tuple[int, float]:
+        """Status and time of a request whose first endpoint falls silent."""
+        silent, other = StandIn([hang]), StandIn([standin.answer(), standin.stream(3)])
+        other.scripts = [
+            standin.stream(3) if b"/stream/" in asked else other.scripts[0]
+        ]
+        result: list[tuple[int, float]] = []
+
+        async def work() -> None:
+            routes = standin.document()["routes"]
+            slow = [{**r, "sloMs": TARGET_MS, "timeoutMs": 9000} for r in routes]
+            document = standin.encoded(standin.document(routes=slow))
+            self.known.table = RouteTable(decode_catalog(document))
+            for state in self.known.directory.all():
+                # The other one seems busier, so the silent one is asked first.
+                if state.endpoint.instance == "i-1":
+                    state.load.in_flight = 1
+                    state.progress_ms = float("inf")
+            watch = SilenceWatch(self.known.directory, failing(reason))
+            task = asyncio.create_task(watch.run())
+            loop = asyncio.get_running_loop()
+            begun_s = loop.time()
+            status, _ = await self.call(asked)
+            result.append((status, loop.time() - begun_s))
+            task.cancel()
+
+        self.run_gateway([silent, other], work)
+        self.assertEqual(1, len(silent.seen))
+        return result[0]
+
+    def patient(self, path: str, extra: str = "") -> bytes:
+        return ask(path, extra).replace(b"Ms: 1500", b"Ms: 3500")
+
+    def test_requests_at_a_vm_that_has_gone_go_elsewhere(self) -> None:
+        for asked in (self.patient("/get/1"), self.patient("/stream/1", ASK_STREAM)):
+            status, took_s = self.took_s(asked, CONNECT_TIMED_OUT)
+            self.assertEqual(200, status)
+            self.assertTrue(took_s < LEFT_WITHIN_S, took_s)
+
+    def test_requests_at_a_slow_endpoint_wait(self) -> None:
+        _, took_s = self.took_s(self.patient("/get/1"), "ConnectionResetError")
+        self.assertTrue(took_s > LEFT_WITHIN_S, took_s)
+
+    def test_what_may_not_be_repeated_waits(self) -> None:
+        status, took_s = self.took_s(self.patient("/once/1"), CONNECT_TIMED_OUT)
+        self.assertNotEqual(200, status)
+        self.assertTrue(took_s > LEFT_WITHIN_S, took_s)
