Judge the failures of a new version over all routes together too

Change: failures are also added up over the routes, against the sum of what the other version lets expect on each.

Test: test_fails_now_and_then_on_every_route failed before; test_a_route_that_always_fails_now_and_then guards the other side.

--- a/ashlatch/fleet/verdict.py
+++ b/ashlatch/fleet/verdict.py
@@ -159,14 +159,24 @@
 ) -> str:
     """What is wrong with the new version, or nothing."""
     routes = {key.route for key in new if key.service == rollout.service}
+    failed = answers = 0
+    expected = 0.0
     for route in sorted(routes):
         mine = _sum(rollout, new, route, new_version=True)
         other = _sum(rollout, old, route, new_version=False)
-        if _often(mine.failed, _answers(mine), other.failed, _answers(other)):
+        to_expect = _expected(_answers(mine), other.failed, _answers(other))
+        if _too_many(mine.failed, to_expect):
             return f"route {route}: {mine.failed} of {_answers(mine)} failed"
         late, timed, other_late, other_timed = _late(mine, other)
-        if _often(late, timed, other_late, other_timed):
+        if _too_many(late, _expected(timed, other_late, other_timed)):
             return f"route {route}: {late} of {timed} were late"
+        failed += mine.failed
+        answers += _answers(mine)
+        expected += to_expect
+    # A version that fails under load does so on all routes, and a load test is
+    # too short for enough answers on each.
+    if _too_many(failed, expected):
+        return f"all routes: {failed} of {answers} failed"
     return ""
 
 
@@ -186,10 +196,14 @@
     return tally.answered + tally.failed
 
 
-def _often(bad: int, count: int, other_bad: int, other_count: int) -> bool:
-    """Whether something happens more often than the other version explains."""
+def _expected(count: int, other_bad: int, other_count: int) -> float:
+    """How often something may happen by what the other version shows."""
     rate = (other_bad + PRIOR_FAILURES) / (other_count + PRIOR_ANSWERS)
-    expected = FAILURE_TOLERANCE * rate * count
+    return FAILURE_TOLERANCE * rate * count
+
+
+def _too_many(bad: int, expected: float) -> bool:
+    """Whether something happens more often than chance explains."""
     bound = expected + DEVIATIONS * math.sqrt(expected)
     return bad >= FAILURES_MIN and bad > bound
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -222,6 +222,29 @@
         evidence.add(tallies.take(), 0.0)
         self.assertEqual(RolloutStage.ROLLED_BACK, self.decide(0.2, evidence).stage)
 
+    def spread_failures(self, failed: int) -> Evidence:
+        """Failures of the new version on three routes, 20 answers on each."""
+        evidence = Evidence()
+        for route in ("one", "two", "three"):
+            evidence.add((self.tally("v1", 500, 1, route=route),), 0.0)
+            evidence.add((self.tally("v2", 20, failed, route=route),), 0.0)
+        return evidence
+
+    def test_fails_now_and_then_on_every_route(self) -> None:
+        """As under load, where too few requests of each route are answered."""
+        decision = self.decide(0.3, self.spread_failures(2))
+        self.assertEqual(RolloutStage.ROLLED_BACK, decision.stage)
+        self.assertEqual("all routes: 6 of 66 failed", decision.reason)
+        decision = self.decide(0.3, self.spread_failures(0))
+        self.assertEqual(RolloutStage.TRIAL, decision.stage)
+
+    def test_a_route_that_always_fails_now_and_then(self) -> None:
+        """What the other version shows on a route is expected there."""
+        evidence = self.spread_failures(0)
+        evidence.add((self.tally("v1", 86, 14, route="faulty"),), 0.0)
+        evidence.add((self.tally("v2", 52, 8, route="faulty"),), 0.0)
+        self.assertEqual(RolloutStage.TRIAL, self.decide(0.3, evidence).stage)
+
     def test_fails_on_one_route(self) -> None:
         evidence = self.evidence()
         evidence.add((self.tally("v1", 100, route="other"),), 0.0)
