Test a new version under load for 0.12 of the time in place of 0.08

Change: the load test runs from 0.50 to 0.62 of the time, and may use 0.125 of the requests and 20 (the bound is 0.15 and 30); the shift begins at 0.66 and is whole at 0.70. Tests ask at times that lie in the same stages as before.

--- a/ashlatch/fleet/verdict.py
+++ b/ashlatch/fleet/verdict.py
@@ -34,9 +34,9 @@
 STEPS = (
     (0.00, RolloutStage.TRIAL, TRIAL_SHARE),
     (0.50, RolloutStage.LOAD_TEST, TRIAL_SHARE),
-    (0.58, RolloutStage.SETTLE, TRIAL_SHARE),
-    (0.63, RolloutStage.SHIFT, 0.4),
-    (0.68, RolloutStage.SHIFT, 1.0),
+    (0.62, RolloutStage.SETTLE, TRIAL_SHARE),
+    (0.66, RolloutStage.SHIFT, 0.4),
+    (0.70, RolloutStage.SHIFT, 1.0),
 )
 # Sessions and streams on the old version end meanwhile; its endpoints stop
 # when the roll-out is declared complete. What is left of the time covers
@@ -44,8 +44,8 @@
 COMPLETE_AT = 0.82
 # The load test ends early when the version would have answered this part of
 # all requests until the end of the time, and a few more.
-EXPOSED_MAX = 0.11
-EXPOSED_EXTRA = 15
+EXPOSED_MAX = 0.125
+EXPOSED_EXTRA = 20
 
 # Fewer failures than this may be chance.
 FAILURES_MIN = 3
