Wait for a start before the settings change in the test of new seeds

A start that takes more than a second reads the file after the test has changed it; then nothing is reloaded. Shown by the old test without its pause of a second: it fails in the same way, on a quiet machine.

Change: the test waits until the process has started with the old seeds.

--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -194,12 +194,16 @@
         fleet.processes[self.gateway].kill()
         fleet.seeds = [f"{fleet.net}.77"]
         fleet.start_gateway(self.gateway)
+        # It must have read the file before the file changes; the log is that of
+        # its first life too.
+        process = fleet.processes[self.gateway]
+        started = "event=daemon_started"
+        wait_for(lambda: process.log.count(started) == 2, "started with old seeds")
         time.sleep(1.0)
         self.assertFalse(self.ready())
         fleet.seeds = fleet.hosts[:1]
         fleet.write_gateway_settings(self.gateway)
         wait_for(self.ready, "ready by the new seeds", 12.0)
-        process = fleet.processes[self.gateway]
         wait_for(lambda: "event=reloaded" in process.log, "reload logged")
 
     def test_stop(self) -> None:
