Elect a leader at once when all members have just started

Ruled out: shorter elections at all times (a lossy link sends a lost packet again after 200 ms); gateways that serve before the core has a leader (they could go back to an older configuration).

Change: a member that has heard no leader in its life asks all voters whether that holds for them too. Only if every voter says so, and would vote, is the lease not waited for: a leader that holds one is a voter that has not started again since.

--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -133,6 +133,7 @@
                 election_min_ms=settings.election_min_ms,
                 election_max_ms=settings.election_max_ms,
                 clock_drift_ratio=settings.clock_drift_ratio,
+                fresh_ask_ms=settings.heartbeat_ms,
             ),
             storage,
             self.member.member_id,
--- a/ashlatch/raft/core.py
+++ b/ashlatch/raft/core.py
@@ -48,7 +48,11 @@
 
 @dataclass(frozen=True)
 class RaftConfig:
-    """Timing and sizes of a group; equal on all its members."""
+    """Timing and sizes of a group; equal on all its members.
+
+    A member that has just started asks about each `fresh_ask_ms` whether all
+    others have just started too; 0 for never.
+    """
 
     group: int = 0
     heartbeat_ms: float = 100.0
@@ -57,6 +61,7 @@
     clock_drift_ratio: float = 0.05
     message_bytes: int = 262_144
     seed: int = 0
+    fresh_ask_ms: float = 0.0
 
 
 @dataclass
@@ -85,6 +90,7 @@
     leader_id: str = ""
     commit_index: int = 0
     votes: set[str] = field(default_factory=set)
+    fresh_votes: set[str] = field(default_factory=set)
     progress: dict[str, Progress] = field(default_factory=dict)
     effects: list[Effect] = field(default_factory=list)
     snapshot_parts: list[bytes] = field(default_factory=list)
@@ -106,7 +112,10 @@
         # A member that has just started may have acknowledged a leader right
         # before; it keeps its vote for as long as that leader's lease can run.
         self.leader_heard_ms = self.now_ms
+        # Until it hears or becomes one, it has known no leader in this life.
+        self.fresh = True
         self.reset_election_timer()
+        self.reset_fresh_timer()
 
     def step(self, now_ms: float, event: Event) -> list[Effect]:
         """Handle one event and return what must be done, in order."""
@@ -186,6 +195,13 @@
         )
         self.election_due_ms = self.now_ms + wait_ms
 
+    def reset_fresh_timer(self) -> None:
+        """Draw when to ask next whether all members have just started."""
+        every_ms = self.config.fresh_ask_ms
+        self.fresh_due_ms = float("inf")
+        if every_ms > 0:
+            self.fresh_due_ms = self.now_ms + every_ms * self.random.uniform(0.5, 1.5)
+
     def save_vote(self, term: int, voted_for: str) -> None:
         """Enter a term, or vote in it, durably."""
         if term < self.term:
--- a/ashlatch/raft/election.py
+++ b/ashlatch/raft/election.py
@@ -29,6 +29,8 @@
     if core.leading:
         _lead(core)
         return
+    if core.fresh and core.now_ms >= core.fresh_due_ms:
+        _ask_whether_fresh(core)
     if core.now_ms < core.election_due_ms:
         return
     core.reset_election_timer()
@@ -59,7 +61,43 @@
     advance_repair(core)
 
 
-def _ask_votes(core: RaftCore, pre: bool) -> None:
+def _ask_whether_fresh(core: RaftCore) -> None:
+    """Ask for votes that need not wait for the lease of an earlier leader.
+
+    A member that has just started keeps its vote, since it may have
+    acknowledged a leader right before. But a leader that holds a lease is a
+    voter that has not started again since; if all voters have just started,
+    there is none.
+    """
+    core.reset_fresh_timer()
+    idle = core.role in (Role.FOLLOWER, Role.PRE_CANDIDATE)
+    if not idle or core.member_id not in core.members.voter_ids():
+        return
+    core.fresh_votes = {core.member_id}
+    request = VoteRequest(
+        core.config.group,
+        core.member_id,
+        core.term + 1,
+        core.log.last_index,
+        core.log.last_term,
+        pre=True,
+        fresh=True,
+    )
+    for voter in core.members.voters:
+        if voter.member_id != core.member_id:
+            core.send(voter, request, after_sync=False)
+
+
+def _fresh_vote_answered(core: RaftCore, reply: VoteReply) -> None:
+    if not core.fresh or reply.term != core.term + 1:
+        return
+    core.fresh_votes.add(reply.sender)
+    if core.fresh_votes >= core.members.voter_ids():
+        core.reset_election_timer()
+        _ask_votes(core, pre=False, fresh=True)
+
+
+def _ask_votes(core: RaftCore, pre: bool, fresh: bool = False) -> None:
     if pre:
         core.role = Role.PRE_CANDIDATE
         term = core.term + 1
@@ -76,6 +114,7 @@
         core.log.last_index,
         core.log.last_term,
         pre,
+        fresh,
     )
     for voter in core.members.voters:
         if voter.member_id != core.member_id:
@@ -94,6 +133,7 @@
 
 def _become_leader(core: RaftCore) -> None:
     core.role = Role.LEADER
+    core.fresh = False
     core.leader_id = core.member_id
     core.heartbeat_due_ms = core.now_ms
     core.progress = {}
@@ -112,9 +152,11 @@
 
 @_MESSAGES.on(VoteRequest)
 def _vote_requested(core: RaftCore, request: VoteRequest) -> None:
-    if request.term > core.term and not request.pre and not _leader_is_alive(core):
+    fresh = core.fresh and request.fresh
+    free = fresh or not _leader_is_alive(core)
+    if request.term > core.term and not request.pre and free:
         core.become_follower(request.term)
-    granted = _would_vote(core, request)
+    granted = free and _would_vote(core, request)
     if granted and not request.pre:
         core.save_vote(core.term, request.sender)
         core.reset_election_timer()
@@ -125,13 +167,12 @@
         granted,
         request.pre,
         core.term,
+        granted and fresh and request.pre,
     )
     core.send(core.peer(request.sender), reply, after_sync=True)
 
 
 def _would_vote(core: RaftCore, request: VoteRequest) -> bool:
-    if _leader_is_alive(core):
-        return False
     up_to_date = (request.last_term, request.last_index) >= (
         core.log.last_term,
         core.log.last_index,
@@ -149,6 +190,9 @@
         # never be given a pre-vote.
         core.become_follower(reply.voter_term)
         return
+    if reply.fresh:
+        _fresh_vote_answered(core, reply)
+        return
     expected = {
         Role.PRE_CANDIDATE: (core.term + 1, True),
         Role.CANDIDATE: (core.term, False),
--- a/ashlatch/raft/message.py
+++ b/ashlatch/raft/message.py
@@ -94,7 +94,11 @@
 
 
 class VoteRequest(msgspec.Struct, frozen=True, tag="vote_request"):
-    """Asks for a vote; with `pre` set, asks only whether one would be given."""
+    """Asks for a vote; with `pre` set, asks only whether one would be given.
+
+    With `fresh` set, the sender has heard no leader since it started, and, if
+    `pre` is not set, it knows the same of all voters.
+    """
 
     group: int
     sender: str
@@ -102,12 +106,15 @@
     last_index: int
     last_term: int
     pre: bool
+    fresh: bool = False
 
 
 class VoteReply(msgspec.Struct, frozen=True, tag="vote_reply"):
     """The answer to a `VoteRequest`.
 
     `term` is the one that was asked for, `voter_term` the one the voter is in.
+    `fresh` is set when it is granted because the voter has heard no leader
+    since it started.
     """
 
     group: int
@@ -116,6 +123,7 @@
     granted: bool
     pre: bool
     voter_term: int = 0
+    fresh: bool = False
 
 
 class AppendRequest(msgspec.Struct, frozen=True, tag="append_request"):
--- a/ashlatch/raft/replication.py
+++ b/ashlatch/raft/replication.py
@@ -161,6 +161,7 @@
     if (core.role, core.leader_id) != (Role.FOLLOWER, leader_id) or term > core.term:
         core.become_follower(term, leader_id)
     core.leader_heard_ms = core.now_ms
+    core.fresh = False
     core.reset_election_timer()
     return True
 
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -338,8 +338,11 @@
         node.machine = Machine()
         node.machine.restore(node.disk.data)
         node.applied = node.disk.snapshot.index
+        seed = self.random.getrandbits(32)
+        # Half of the members ask whether all have just started.
+        fresh_ask_ms = 100.0 if seed % 2 else 0.0
         node.core = RaftCore(
-            RaftConfig(seed=self.random.getrandbits(32), message_bytes=400),
+            RaftConfig(seed=seed, message_bytes=400, fresh_ask_ms=fresh_ask_ms),
             node.disk.boot(),
             self.clock(node),
         )
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -76,6 +76,61 @@
     return member.step(now_ms, Received(reply))
 
 
+def fresh_core() -> RaftCore:
+    boot = Boot("a", snapshot=SnapshotMeta(0, 0, THREE))
+    return RaftCore(RaftConfig(fresh_ask_ms=100.0), boot, START_MS)
+
+
+def fresh_vote(sender: str, pre: bool = True) -> Received:
+    return Received(VoteReply(0, sender, 1, True, pre, fresh=pre))
+
+
+class AllJustStartedTest(testtools.TestCase):
+    """Votes that need not wait for the lease of an earlier leader."""
+
+    def asked(self, member: RaftCore, now_ms: float) -> list[VoteRequest]:
+        effects = member.step(now_ms, Tick())
+        sends = [e.message for e in effects if isinstance(e, Send)]
+        return [m for m in sends if isinstance(m, VoteRequest)]
+
+    def test_all_voters_have_just_started(self) -> None:
+        member = fresh_core()
+        requests = self.asked(member, START_MS + 160.0)
+        self.assertEqual([(True, True)] * 2, [(r.pre, r.fresh) for r in requests])
+        member.step(START_MS + 161.0, fresh_vote("b"))
+        self.assertIs(Role.FOLLOWER, member.role)
+        member.step(START_MS + 162.0, fresh_vote("c"))
+        self.assertEqual((Role.CANDIDATE, 1), (member.role, member.term))
+        member.step(START_MS + 163.0, fresh_vote("b", pre=False))
+        self.assertIs(Role.LEADER, member.role)
+
+    def test_a_voter_that_has_heard_a_leader_gives_no_such_vote(self) -> None:
+        member = fresh_core()
+        asked = Received(VoteRequest(0, "c", 1, 0, 0, True, True))
+        (reply,) = replies(member.step(START_MS + 10.0, asked))
+        self.assertEqual((True, True), (reply.granted, reply.fresh))
+        member.step(START_MS + 20.0, heartbeat(0))
+        (reply,) = replies(member.step(START_MS + 30.0, asked))
+        self.assertEqual((False, False), (reply.granted, reply.fresh))
+
+    def test_who_has_heard_a_leader_asks_no_more(self) -> None:
+        member = fresh_core()
+        member.step(START_MS + 20.0, heartbeat(0))
+        self.assertEqual([], self.asked(member, START_MS + 160.0))
+        for sender in ("b", "c"):
+            member.step(START_MS + 161.0, fresh_vote(sender))
+        self.assertIs(Role.FOLLOWER, member.role)
+
+    def test_others_keep_their_vote(self) -> None:
+        """A request that does not know all voters to have just started."""
+        member = fresh_core()
+        for pre in (True, False):
+            asked = Received(VoteRequest(0, "c", 1, 0, 0, pre))
+            (reply,) = replies(member.step(START_MS + 10.0, asked))
+            self.assertFalse(reply.granted)
+        self.assertEqual(0, member.term)
+
+
 class VotingTest(testtools.TestCase):
     def test_no_vote_while_a_leader_is_heard(self) -> None:
         member = core()
