Hear the core sooner after a start

The list of endpoints, without which a gateway does not serve, was read up to 0.2 s after the election.

Change: until the core was heard once, a question is held by nobody and left after 0.3 s; a new leader reads the list at once.

Tests: test_sync, both failed before.

--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -12,6 +12,7 @@
 """
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable
 from pathlib import Path
@@ -116,6 +117,7 @@
         )
         self._spread = Spread()
         self._logged: tuple[object, ...] = ()
+        self._lead_soon = asyncio.Event()
 
     def _open(self) -> None:
         """Open the data folder; raises `OSError` or `DiskFailed`."""
@@ -370,7 +372,10 @@
 
     async def _lead(self) -> None:
         while True:
-            await asyncio.sleep(LEAD_EVERY_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(LEAD_EVERY_S):
+                    await self._lead_soon.wait()
+            self._lead_soon.clear()
             if not self.group.standing.may_read(monotonic_ms()):
                 self._rollouts.forget()
                 continue
@@ -424,6 +429,8 @@
         if news == self._logged:
             return
         self._logged = news
+        # A new leader reads the list at once: gateways that start wait for it.
+        self._lead_soon.set()
         changed = StandingChanged(
             self.member.member_id,
             standing.term,
--- a/ashlatch/gateway/sync.py
+++ b/ashlatch/gateway/sync.py
@@ -43,6 +43,9 @@
 # A core VM that does not answer in this time beyond the wait is left.
 TIMEOUT_MARGIN_S = 0.6
 RETRY_S = 0.1
+# Until the core was heard, a gateway serves nothing, and VMs that start with it
+# may not answer yet: one that does not within this time is left.
+FIRST_TIMEOUT_S = 0.3
 # The settings file may name other seeds without a signal; it is read again this
 # long after the last core VM was lost, and as often.
 REFRESH_MS = 3000.0
@@ -104,19 +107,20 @@
         while True:
             address = self._member or self._next_member()
             tallies = self._known.tallies.take()
+            wait_ms, timeout_s = self._terms()
             request = SyncRequest(
                 self._known.vm,
                 (self._known.vm,),
                 self._document_version,
                 self._known.directory.order,
                 self._rollout_number,
-                self._wait_ms,
+                wait_ms,
                 tallies,
                 self._known.versions.running_before_trials(self._now_ms()),
             )
             try:
                 reply: SyncReply = await self._book.peer(address).call(
-                    SYNC, request, self._wait_ms / 1000.0 + TIMEOUT_MARGIN_S
+                    SYNC, request, timeout_s
                 )
             except TransportError as error:
                 self._known.tallies.add(tallies)
@@ -128,6 +132,12 @@
                 self._lose(address, "has lost its leader")
                 await asyncio.sleep(RETRY_S)
 
+    def _terms(self) -> tuple[float, float]:
+        """How long a question may be held, and when its answer is late."""
+        if self._heard_ms == float("-inf"):
+            return 0.0, FIRST_TIMEOUT_S
+        return self._wait_ms, self._wait_ms / 1000.0 + TIMEOUT_MARGIN_S
+
     async def read_alone(self) -> None:
         """Read the list while the core is away."""
         while True:
