--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -46,15 +46,15 @@
                     load.wait_for(20)
                     victim.process.start()
                     wait_until(lambda: repaired(found.system), "it is back")
+            # A router that lost its lease with a leader asks for another one on
+            # its own; the status of the members does not tell when it has it.
+            wait_until(found.every_router_answers, "every router answers")
             self.assertGreater(len(load.answers), 60)
             self.assertEqual(set(), load.unknown)
             for key, body in load.answers.items():
                 self.assertEqual(1, found.ran(key), key)
                 self.assertEqual(body, found.order(key).body)
             self.assertEqual(len(load.answers), found.bills() - before)
-            # A router that lost its lease with a leader asks for another one on
-            # its own; the status of the members does not tell when it has it.
-            wait_until(found.every_router_answers, "every router answers")
             self.check_others(found)
 
     def check_others(self, found: Lean) -> None:
