Choose engines by expected cost, and tell all gateways what engines keep

Cause: endpoints were chosen by counts of requests, and affinity followed the second part of the prompt, which is the request's own when there are two.

Ruled out: affinity alone.

Change: a forecast for each engine: what this gateway has sent there and what waits by the last report, the tokens that the engine has not kept for the model, bytes between halls, memory that is moved. Gateways tell each other through the core what engines have read; an engine fetches what another keeps when that costs less than its backlog. Climbs are judged by the same forecast.

--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -346,6 +346,7 @@
                 await asyncio.sleep(FOLLOW_RETRY_S)
                 continue
             tallies = self._spread.tallies.take()
+            reads = self._spread.take_reads()
             wait_ms = self.settings.sync_wait_ms
             request = SyncRequest(
                 self.settings.vm,
@@ -356,6 +357,8 @@
                 wait_ms,
                 tallies,
                 self._spread.sessions(),
+                reads,
+                self._spread.reads.position,
             )
             try:
                 reply: SyncReply = await self._book.peer(leader).call(
@@ -364,6 +367,7 @@
             except TransportError:
                 # Shown to gateways by `current`, and logged with the standing.
                 self._spread.tallies.add(tallies)
+                self._spread.tell_reads(reads)
                 await asyncio.sleep(FOLLOW_RETRY_S)
                 continue
             self._spread.learn(reply)
@@ -386,7 +390,7 @@
         standing = self.group.standing
         self._remove_silent(standing, now_ms)
         await self._list.read_if_due(standing.term, now_ms)
-        self._spread.lead(self._list.newest, self._list.read_ms)
+        self._spread.lead(standing.term, self._list.newest, self._list.read_ms)
         self._rollouts.add(self._spread.tallies.take(), now_ms)
         self._rollouts.tell_sessions(self._spread.sessions())
         rollouts = self._known_rollouts()
--- a/ashlatch/fleet/protocol.py
+++ b/ashlatch/fleet/protocol.py
@@ -12,6 +12,7 @@
 
 from ashlatch.catalog import EndpointList, Rollout, SessionMarks
 from ashlatch.fleet.machine import Command, Outcome
+from ashlatch.gateway.kept import PromptRead
 from ashlatch.gateway.tally import Tally
 from ashlatch.link import Method
 from ashlatch.raft.message import Member
@@ -37,7 +38,9 @@
 
     `gateways` are the gateways that have lately synced with the sender, itself
     included if it is one. `tallies` are counts since its last request,
-    `sessions` those that run before a trial.
+    `sessions` those that run before a trial. `reads` are prompts that engines
+    have read since then, `reads_known` is the position up to which the sender
+    knows what all others have told.
     """
 
     vm: str
@@ -48,6 +51,8 @@
     wait_ms: float
     tallies: tuple[Tally, ...] = ()
     sessions: tuple[SessionMarks, ...] = ()
+    reads: tuple[PromptRead, ...] = ()
+    reads_known: tuple[int, int] = (0, 0)
 
 
 class SyncReply(msgspec.Struct, frozen=True):
@@ -57,7 +62,8 @@
     others may know more. `members` are the addresses of all core VMs.
     `document` is empty when the sender knows the newest; it is compressed by
     `zlib`, as the log holds it. `list_age_ms` is how long ago the platform's
-    list was read.
+    list was read. `reads` are the prompts that engines have read, up to the
+    position `reads_known`; they are no news for which a question is answered.
     """
 
     current: bool
@@ -68,6 +74,8 @@
     endpoints: EndpointList | None = None
     rollouts: tuple[Rollout, ...] = ()
     list_age_ms: float = 0.0
+    reads: tuple[PromptRead, ...] = ()
+    reads_known: tuple[int, int] = (0, 0)
 
 
 class JoinRequest(msgspec.Struct, frozen=True):
--- a/ashlatch/fleet/spread.py
+++ b/ashlatch/fleet/spread.py
@@ -14,6 +14,8 @@
 from ashlatch.catalog import EndpointList, SessionMarks
 from ashlatch.fleet.machine import FleetState
 from ashlatch.fleet.protocol import SyncReply, SyncRequest
+from ashlatch.fleet.reads import ReadLog
+from ashlatch.gateway.kept import PromptRead
 from ashlatch.gateway.tally import Tallies
 from ashlatch.raft.group import monotonic_ms
 
@@ -25,6 +27,8 @@
 GATEWAY_SEEN_MS = 4000.0
 # Sessions are told before a trial only; what is older was before another one.
 SESSION_TOLD_MS = 10_000.0
+# Reads that wait for a leader; what is older is of no use by then.
+TOLD_MAX = 1024
 
 
 class Spread:
@@ -33,6 +37,8 @@
     def __init__(self) -> None:
         self.endpoints = EndpointList()
         self.tallies = Tallies()
+        self.reads = ReadLog()
+        self._told: list[PromptRead] = []
         self._listed_ms = monotonic_ms()
         self._gateways: dict[str, float] = {}
         self._gateway_count = 1
@@ -49,6 +55,17 @@
         for sessions in request.sessions:
             marks = self._sessions.setdefault(sessions.service, {})
             marks.update(dict.fromkeys(sessions.marks, now_ms))
+        self.tell_reads(request.reads)
+
+    def tell_reads(self, reads: tuple[PromptRead, ...]) -> None:
+        """Take reads that are to reach the leader; the oldest give way."""
+        self._told.extend(reads)
+        del self._told[:-TOLD_MAX]
+
+    def take_reads(self) -> tuple[PromptRead, ...]:
+        """The reads that the leader has not got yet."""
+        told, self._told = self._told, []
+        return tuple(told)
 
     def sessions(self) -> tuple[SessionMarks, ...]:
         """The sessions that were told lately, by service."""
@@ -80,12 +97,14 @@
         self._leader_heard_ms = monotonic_ms()
         self._gateway_count = reply.gateways
         self._listed_ms = self._leader_heard_ms - reply.list_age_ms
+        self.reads.learn(reply.reads_known, reply.reads)
         if reply.endpoints is not None:
             self.endpoints = reply.endpoints
             self.wake()
 
-    def lead(self, listed: EndpointList, read_ms: float) -> None:
-        """Take what this VM knows as the leader."""
+    def lead(self, term: int, listed: EndpointList, read_ms: float) -> None:
+        """Take what this VM knows as the leader of a term."""
+        self.reads.extend(term, self.take_reads())
         self._gateway_count = max(1, len(self.live_gateways()))
         self._listed_ms = max(self._listed_ms, read_ms)
         if listed.order > self.endpoints.order:
@@ -114,6 +133,8 @@
             endpoints if endpoints.order > request.list_order else None,
             rollouts,
             monotonic_ms() - self._listed_ms,
+            self.reads.since(request.reads_known),
+            self.reads.position,
         )
 
     def wake(self) -> None:
--- a/ashlatch/gateway/account.py
+++ b/ashlatch/gateway/account.py
@@ -16,6 +16,7 @@
 from ashlatch.gateway.attempt import Attempt, AttemptFailed, FailureKind
 from ashlatch.gateway.choice import Choice, Verdict
 from ashlatch.gateway.directory import EndpointState
+from ashlatch.gateway.forecast import Forecast
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.logs import (
     AnswerWeighed,
@@ -72,20 +73,48 @@
             choice.candidates,
             choice.utilisation,
             int(self._now_ms() - self._known.directory.listed_ms),
+            admission.ask.prompt_tokens,
+            *_foreseen(choice.forecast),
         )
         emit(log, sent)
         session = admission.ask.session
         self._known.versions.sessions.note(
             endpoint.service, session, endpoint.version, self._now_ms()
         )
+        if choice.forecast is not None:
+            self._note_read(choice, model or admission.ask.model)
+
+    def _note_read(self, choice: Choice, model: str) -> None:
+        """An engine is about to read the prompt, and keeps it then.
+
+        This is told as soon as it is sent: requests that share parts of it
+        follow within the second that a long prompt takes.
+        """
+        assert choice.forecast is not None
+        known = self._known
+        endpoint = choice.state.endpoint
+        parts = self._admission.ask.prompt_parts
+        engine = self._admission.service.engine
+        memory_tokens = engine.memory_tokens if engine else 0
+        known.pace.sent(endpoint.service, choice.forecast.read_ms)
+        known.kept.note(endpoint.instance, model, parts, self._now_ms())
+        known.kept.read(endpoint.instance, model, parts, memory_tokens, self._now_ms())
 
     def begun(self, attempt: Attempt, model: str) -> None:
         """The head of an answer has come."""
         first_ms = self._age_ms(attempt)
         self._known.tallies.begun(self._key(attempt), first_ms)
         service = self._admission.service.name
-        tokens = self._admission.ask.prompt_tokens
-        self._known.pace.began(service, model, tokens, first_ms, self._now_ms())
+        forecast = attempt.forecast
+        if forecast is not None:
+            self._known.pace.began(
+                service,
+                model,
+                forecast.read_tokens,
+                first_ms,
+                self._now_ms(),
+                forecast.wait_ms,
+            )
 
     def weighed(
         self, attempt: Attempt, model: str, expected_ms: float, verdict: Verdict
@@ -200,3 +229,11 @@
 
     def _now_ms(self) -> float:
         return self._loop.time() * 1000.0
+
+
+def _foreseen(forecast: Forecast | None) -> tuple[int, int, int, str]:
+    """Tokens to read, wait, time to read and source of memory, for the log."""
+    if forecast is None:
+        return 0, 0, 0, ""
+    wait_ms, read_ms = int(forecast.wait_ms), int(forecast.read_ms)
+    return forecast.read_tokens, wait_ms, read_ms, forecast.source
--- a/ashlatch/gateway/attempt.py
+++ b/ashlatch/gateway/attempt.py
@@ -17,7 +17,8 @@
 from typing import TypeVar
 
 from ashlatch.errors import AshlatchError
-from ashlatch.gateway.directory import EndpointState
+from ashlatch.gateway.directory import EndpointState, Reading
+from ashlatch.gateway.forecast import Forecast
 from ashlatch.gateway.message import AnswerHead, Ask, Dispatch
 from ashlatch.gateway.pool import ConnectionPool
 from ashlatch.http.upstream import ConnectFailed, Upstream, UpstreamBroken
@@ -87,8 +88,10 @@
         ask: Ask,
         dispatch: Dispatch,
         repeatable: bool,
+        forecast: Forecast | None = None,
     ) -> None:
         self.state = state
+        self.forecast = forecast
         self.dispatch = dispatch
         self.head: AnswerHead | None = None
         self._pool = pool
@@ -104,10 +107,14 @@
         self.state.sent(self._now_ms())
         self._counted = True
         self.state.unanswered += 1
+        read_ms = self.forecast.read_ms if self.forecast else 0.0
+        reading = Reading(self._now_ms(), read_ms)
+        self.state.reads(reading)
         try:
             return await self._begin(patience)
         finally:
             self.state.unanswered -= 1
+            self.state.has_read(reading)
 
     async def _begin(self, patience: Patience) -> AnswerHead:
         connection = await self._connect()
--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -12,8 +12,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from ashlatch.catalog import Route
+from ashlatch.catalog import Route, Service
 from ashlatch.gateway.directory import EndpointState
+from ashlatch.gateway.forecast import Forecast, Forecaster
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.message import Ask
 from ashlatch.policy.endpoint import Candidate
@@ -25,9 +26,6 @@
 CONFIDENCE_MIN = 50.0
 # Endpoints that failed this share of their latest attempts are left to others.
 FAILING_MAX = 0.3
-# The prompt's first part is shared by nearly all requests of a route, the
-# second by those about one subject, which then meet in one engine's memory.
-SUBJECT_PART = 1
 
 
 class Verdict(enum.Enum):
@@ -47,34 +45,59 @@
 
 @dataclass(frozen=True)
 class Choice:
-    """The endpoint, out of how many, and how busy it is believed to be."""
+    """The endpoint, out of how many, and how busy it is believed to be.
+
+    `forecast` is what the send is expected to take, at an engine.
+    """
 
     state: EndpointState
     candidates: int
     utilisation: float
+    forecast: Forecast | None
 
 
 def choose_endpoint(
     known: Knowledge,
+    service: Service,
     states: Iterable[EndpointState],
     tried: frozenset[str],
     ask: Ask,
+    model: str,
     now_ms: float,
 ) -> Choice | None:
-    """The endpoint for the next send of a request, or none."""
+    """The endpoint for the next send of a request, or none.
+
+    An engine is chosen by what the send is expected to cost there, an endpoint
+    of a plain service by how busy it is.
+    """
+    among = _sound(states, tried, now_ms)
+    if not among:
+        return None
+    if service.engine is None:
+        candidates = tuple(_candidate(known, s, now_ms) for s in among)
+        chosen = known.policy.choose(candidates, "", known.generator)
+        state = next(s for s in among if s.endpoint.instance == chosen.endpoint)
+        return Choice(state, len(among), chosen.utilisation, None)
+    forecaster = Forecaster(
+        known, service.name, service.engine, ask, model, among, now_ms
+    )
+    forecasts = [(forecaster.forecast(s), s) for s in among]
+    least_ms = min(forecast.cost_ms for forecast, _ in forecasts)
+    equal = [pair for pair in forecasts if pair[0].cost_ms <= least_ms]
+    forecast, state = known.generator.choice(equal)
+    return Choice(state, len(among), state.utilisation(now_ms), forecast)
+
+
+def _sound(
+    states: Iterable[EndpointState], tried: frozenset[str], now_ms: float
+) -> list[EndpointState]:
+    """The endpoints that a request may go to, without those that do badly."""
     usable = [s for s in states if not s.endpoint.leaving]
     fresh = [s for s in usable if s.endpoint.instance not in tried]
     sound = [s for s in fresh if s.breaker.allows(now_ms)]
     well = [s for s in sound if s.failing < FAILING_MAX]
     moving = [s for s in well if not s.stalled(now_ms)]
-    among = moving or well or sound or fresh
-    if not among:
-        return None
-    by_instance = {s.endpoint.instance: s for s in among}
-    candidates = tuple(_candidate(known, s, now_ms) for s in among)
-    chosen = known.policy.choose(candidates, _subject(ask), known.generator)
-    state = by_instance[chosen.endpoint]
-    return Choice(state, len(among), chosen.utilisation)
+    return moving or well or sound or fresh
 
 
 def first_model(route: Route, ask: Ask) -> str:
@@ -103,9 +126,3 @@
         0.0,
         endpoint.hall == known.hall,
     )
-
-
-def _subject(ask: Ask) -> str:
-    if len(ask.prompt_parts) > SUBJECT_PART:
-        return ask.prompt_parts[SUBJECT_PART].part_id
-    return ""
--- a/ashlatch/gateway/directory.py
+++ b/ashlatch/gateway/directory.py
@@ -18,7 +18,7 @@
 from ashlatch.policy.breaker import Breaker
 from ashlatch.policy.load import EndpointLoad, LoadReport
 
-__all__ = ["Directory", "EndpointState"]
+__all__ = ["Directory", "EndpointState", "Reading"]
 
 # Failures in a row until an endpoint is left alone, and for how long.
 BREAKER_FAILURES = 2
@@ -28,6 +28,17 @@
 STALL_MS = 250.0
 # How fast the share of failed attempts follows what is seen.
 FAILURE_GAIN = 0.12
+# A report of requests that wait is believed half as much after this time: about
+# the time in which an engine reads a prompt or two.
+WAITING_HALF_LIFE_MS = 400.0
+
+
+@dataclass(frozen=True)
+class Reading:
+    """A prompt on its way to an engine, and how long it takes to read there."""
+
+    sent_ms: float
+    read_ms: float
 
 
 @dataclass
@@ -49,6 +60,7 @@
     progress_ms: float = float("-inf")
     unanswered: int = 0
     awaited: set[asyncio.Timeout] = field(default_factory=set)
+    _reading: dict[int, Reading] = field(default_factory=dict)
 
     def sent(self, now_ms: float) -> None:
         """A request goes there."""
@@ -56,6 +68,30 @@
             self.progress_ms = now_ms
         self.load.sent(now_ms)
 
+    def reads(self, reading: Reading) -> None:
+        """A prompt goes there that takes some time to read."""
+        self._reading[id(reading)] = reading
+
+    def has_read(self, reading: Reading) -> None:
+        """It was read, or is no longer wanted."""
+        self._reading.pop(id(reading), None)
+
+    def wait_ms(self, usual_read_ms: float, now_ms: float) -> float:
+        """How long a prompt that comes now waits until it is read.
+
+        What this gateway has sent is known; what others have is guessed from
+        how many requests waited in the latest report.
+        """
+        own_ms = sum(reading.read_ms for reading in self._reading.values())
+        if self._reading:
+            first_ms = min(reading.sent_ms for reading in self._reading.values())
+            own_ms = max(0.0, own_ms - (now_ms - first_ms))
+        report = self.load.report
+        if report is None:
+            return own_ms
+        fading = 0.5 ** ((now_ms - report.at_ms) / WAITING_HALF_LIFE_MS)
+        return max(own_ms, report.queued * usual_read_ms * fading)
+
     def progressed(self, now_ms: float) -> None:
         """Something has come from there."""
         self.progress_ms = now_ms
@@ -150,6 +186,10 @@
         """All endpoints of a service, leaving ones too."""
         return self._by_service.get(service, ())
 
+    def state(self, instance: str) -> EndpointState | None:
+        """One endpoint by its id, if it is listed."""
+        return self._states.get(instance)
+
     def instances(self) -> frozenset[str]:
         """The ids of all listed endpoints."""
         return frozenset(self._states)
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -79,6 +79,7 @@
         self._error: _Whole | None = None
         self._repeat_taken = False
         self._why = "first"
+        self._expected_first_ms = 0.0
 
     async def run(self) -> None:
         """Send, and pass the answer on; never raises but for a lost caller."""
@@ -96,7 +97,7 @@
 
     async def _serve(self) -> Refused | None:
         while True:
-            choice = self._choose()
+            choice = self._choose(self._model)
             if choice is None:
                 return self._nowhere()
             attempt = self._attempt(choice)
@@ -114,15 +115,19 @@
 
     # Choosing.
 
-    def _choose(self) -> Choice | None:
+    def _choose(self, model: str) -> Choice | None:
+        """The endpoint for a send that asks a model, empty for the caller's."""
         now_ms = self._now_ms()
-        service = self._admission.service.name
-        states = self._known.directory.of_service(service)
+        service = self._admission.service
+        states = self._known.directory.of_service(service.name)
         allowed = self._known.versions.allowed(
-            service, self._ask.session, self._ask.request_id, states, now_ms
+            service.name, self._ask.session, self._ask.request_id, states, now_ms
         )
         tried = frozenset(self._tried)
-        return choose_endpoint(self._known, allowed, tried, self._ask, now_ms)
+        model = model or self._ask.model
+        return choose_endpoint(
+            self._known, service, allowed, tried, self._ask, model, now_ms
+        )
 
     def _attempt(self, choice: Choice) -> Attempt:
         endpoint = choice.state.endpoint
@@ -135,19 +140,23 @@
             self._model,
             self._admission.urgency if self._admission.service.engine else None,
             self._last_event,
+            choice.forecast.source if choice.forecast else "",
         )
+        self._expected_first_ms = self._expected_ms(choice, self._model)
         self._account.sent(choice, self._model, self._why)
         choice.state.breaker.sent(self._now_ms())
         repeatable = self._route.repeat is not Repeat.NEVER
         pool = self._known.pool
-        return Attempt(choice.state, pool, self._ask, dispatch, repeatable)
+        return Attempt(
+            choice.state, pool, self._ask, dispatch, repeatable, choice.forecast
+        )
 
     def _patience(self) -> Patience:
         """How long a send may stay without the beginning of an answer."""
         if self._route.repeat is Repeat.NEVER:
             return Patience(None, lambda: False)
         aimed_ms = SILENCE_RATIO * self._route.target_ms
-        usual_ms = SILENCE_USUAL_RATIO * self._expected_ms(self._model)
+        usual_ms = SILENCE_USUAL_RATIO * self._expected_first_ms
         silence_s = max(SILENCE_MIN_S, aimed_ms / 1000.0, usual_ms / 1000.0)
         return Patience(silence_s, self._can_go_elsewhere)
 
@@ -163,7 +172,10 @@
 
     def _can_go_elsewhere(self) -> bool:
         """Whether a silent endpoint is left; takes the repeat for it."""
-        if self._account.sends >= self._attempts_max or self._choose() is None:
+        if (
+            self._account.sends >= self._attempts_max
+            or self._choose(self._model) is None
+        ):
             return False
         self._repeat_taken = self._spend()
         return self._repeat_taken
@@ -196,36 +208,41 @@
         if not self._model or self._account.events:
             return False
         model = next_model(self._route, self._model, head.confidence)
-        verdict = self._weigh(model)
-        expected_ms = self._expected_ms(model) if model else 0.0
+        # The larger model may be asked at the same endpoint.
+        self._tried.discard(attempt.state.endpoint.instance)
+        choice = self._choose(model) if model else None
+        expected_ms = self._expected_ms(choice, model) if choice else 0.0
+        verdict = self._weigh(choice, expected_ms)
         self._account.weighed(attempt, self._model, expected_ms, verdict)
         if verdict is not Verdict.CLIMBS:
+            self._tried.add(attempt.state.endpoint.instance)
             return False
         self._account.answered(attempt)
         self._model = model
         self._why = "confidence"
-        self._tried.discard(attempt.state.endpoint.instance)
         return True
 
-    def _weigh(self, model: str) -> Verdict:
-        """Whether another model is asked, empty for none; takes the repeat."""
-        if not model:
+    def _weigh(self, choice: Choice | None, expected_ms: float) -> Verdict:
+        """Whether a larger model is asked there; takes the repeat for it."""
+        if choice is None:
             return Verdict.GOOD
         if self._account.sends >= self._attempts_max:
             return Verdict.SPENT
-        if not self._in_time(model):
+        elapsed_ms = (self._loop.time() - self._ask.received_s) * 1000.0
+        if elapsed_ms + expected_ms > self._route.target_ms:
             return Verdict.LATE
         return Verdict.CLIMBS if self._spend() else Verdict.OVER_BUDGET
 
-    def _in_time(self, model: str) -> bool:
-        """Whether an answer that is asked of a model now would begin in time."""
-        elapsed_ms = (self._loop.time() - self._ask.received_s) * 1000.0
-        return elapsed_ms + self._expected_ms(model) <= self._route.target_ms
-
-    def _expected_ms(self, model: str) -> float:
+    def _expected_ms(self, choice: Choice, model: str) -> float:
+        """A cautious guess of the time to the first event."""
+        forecast = choice.forecast
+        if forecast is None:
+            wait_ms, tokens = 0.0, self._ask.prompt_tokens
+        else:
+            wait_ms, tokens = forecast.wait_ms, forecast.read_tokens
         service = self._admission.service.name
-        tokens = self._ask.prompt_tokens
-        return self._known.pace.expected_ms(service, model, tokens, self._now_ms())
+        pace = self._known.pace
+        return wait_ms + pace.expected_ms(service, model, tokens, self._now_ms())
 
     async def _read_whole(self, attempt: Attempt, head: AnswerHead) -> _Whole:
         parts = []
--- /dev/null
+++ b/ashlatch/gateway/forecast.py
@@ -0,0 +1,145 @@
+"""
+ashlatch.gateway.forecast
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What a send to an engine is expected to take: the prompts that wait there, the
+part of this prompt that the engine has not kept, the way between halls. All of
+it is weighed in milliseconds of an engine, the scarce thing.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from ashlatch.catalog import EngineSpec
+from ashlatch.gateway.directory import EndpointState
+from ashlatch.gateway.knowledge import Knowledge
+from ashlatch.gateway.message import Ask
+from ashlatch.policy.endpoint import rank
+
+__all__ = ["Forecast", "Forecaster"]
+
+# What a kilobyte that crosses between halls is worth in time of an engine. Its
+# price is about that of 10 ms: a prompt that is read anew costs more than its
+# way to an engine that has kept it, a short one less.
+HALL_MS_PER_KB = 10.0
+# What a megabyte of memory that moves between engines is worth in time of an
+# engine, by its price; the move itself takes a hundredth of that.
+MOVE_MS_PER_MB = 1.3
+# An engine that is not the home of a subject is taken only when that saves more
+# than this share of reading the prompt: who asks next finds it at its home.
+HOME_SHARE = 0.3
+# How much each request that runs at an engine delays another one's prompt.
+RUNNING_MS = 5.0
+# Bytes of an answer, for each token that it may have at most.
+ANSWER_BYTES_PER_TOKEN = 15.0
+KILO = 1000.0
+MEGA = 1e6
+
+
+@dataclass(frozen=True)
+class Forecast:
+    """One send to one engine for one model.
+
+    `wait_ms` is until the engine begins to read, `read_ms` for the
+    `read_tokens` that it has to. `cost_ms` also weighs what is no time of this
+    request: bytes between halls, moved memory, a prompt read away from home.
+    `source` is the endpoint whose memory is fetched first, or empty.
+    """
+
+    wait_ms: float
+    read_tokens: int
+    read_ms: float
+    cost_ms: float
+    source: str = ""
+
+    @property
+    def first_ms(self) -> float:
+        """Until the first event."""
+        return self.wait_ms + self.read_ms
+
+
+class Forecaster:
+    """Forecasts of one request for one model, at any of some engines."""
+
+    def __init__(
+        self,
+        known: Knowledge,
+        service: str,
+        engine: EngineSpec,
+        ask: Ask,
+        model: str,
+        states: Sequence[EndpointState],
+        now_ms: float,
+    ) -> None:
+        self._known = known
+        self._engine = engine
+        self._ask = ask
+        self._model = model
+        self._now_ms = now_ms
+        self._token_ms = known.pace.token_ms(service, model)
+        self._usual_read_ms = known.pace.usual_read_ms(service)
+        self._kept = {
+            s.endpoint.instance: known.kept.tokens(
+                s.endpoint.instance, model, ask.prompt_parts
+            )
+            for s in states
+        }
+        self._home = _home(ask, states)
+        self._holder = max(states, key=self._kept_at)
+
+    def forecast(self, state: EndpointState) -> Forecast:
+        """What a send to an endpoint is expected to take."""
+        wait_ms = state.wait_ms(self._usual_read_ms, self._now_ms)
+        here = self._read_here(state, wait_ms)
+        fetched = self._fetched(state, wait_ms)
+        if fetched is None or here.cost_ms <= fetched.cost_ms:
+            return here
+        return fetched
+
+    def _kept_at(self, state: EndpointState) -> int:
+        return self._kept[state.endpoint.instance]
+
+    def _read_here(self, state: EndpointState, wait_ms: float) -> Forecast:
+        tokens = max(0, self._ask.prompt_tokens - self._kept_at(state))
+        read_ms = tokens * self._token_ms
+        cost_ms = wait_ms + read_ms + self._place_ms(state)
+        if state.endpoint.instance != self._home and self._home:
+            cost_ms += HOME_SHARE * read_ms
+        return Forecast(wait_ms, tokens, read_ms, cost_ms)
+
+    def _fetched(self, state: EndpointState, wait_ms: float) -> Forecast | None:
+        """The same when the memory of the best other engine is fetched."""
+        moved = self._kept_at(self._holder) - self._kept_at(state)
+        if not self._engine.moves_memory or moved <= 0:
+            return None
+        tokens = max(0, self._ask.prompt_tokens - self._kept_at(self._holder))
+        read_ms = tokens * self._token_ms
+        megabytes = moved * self._engine.token_bytes / MEGA
+        cost_ms = wait_ms + read_ms + self._place_ms(state)
+        cost_ms += megabytes * MOVE_MS_PER_MB
+        source = self._holder.endpoint.address
+        return Forecast(wait_ms, tokens, read_ms, cost_ms, source)
+
+    def _place_ms(self, state: EndpointState) -> float:
+        """What the way there and those that run there cost."""
+        cost_ms = RUNNING_MS * state.requests(self._now_ms)
+        if state.endpoint.hall != self._known.hall:
+            answer_bytes = ANSWER_BYTES_PER_TOKEN * self._ask.answer_tokens_max
+            crossing_bytes = len(self._ask.body) + answer_bytes
+            cost_ms += HALL_MS_PER_KB * crossing_bytes / KILO
+        return cost_ms
+
+
+def _home(ask: Ask, states: Sequence[EndpointState]) -> str:
+    """The endpoint where a subject's prompts are read by preference.
+
+    The last part is the request's own or its session's; the one before it is
+    what requests about one subject share.
+    """
+    if len(ask.prompt_parts) < 2:
+        return ""
+    subject = ask.prompt_parts[-2].part_id
+    return rank(tuple(s.endpoint.instance for s in states), subject)[0]
--- a/ashlatch/gateway/knowledge.py
+++ b/ashlatch/gateway/knowledge.py
@@ -13,6 +13,7 @@
 
 from ashlatch.gateway.budget import BudgetTerms, RepeatBudget
 from ashlatch.gateway.directory import Directory
+from ashlatch.gateway.kept import KeptParts
 from ashlatch.gateway.pace import Pace
 from ashlatch.gateway.pool import ConnectionPool
 from ashlatch.gateway.routing import RouteTable
@@ -41,6 +42,7 @@
     directory: Directory = field(default_factory=Directory)
     pool: ConnectionPool = field(default_factory=ConnectionPool)
     pace: Pace = field(default_factory=Pace)
+    kept: KeptParts = field(default_factory=KeptParts)
     tallies: Tallies = field(default_factory=Tallies)
     metrics: Metrics = field(default_factory=Metrics)
     budgets: dict[str, RepeatBudget] = field(default_factory=dict)
@@ -53,3 +55,12 @@
         if found is None:
             found = self.budgets[service] = RepeatBudget(self.budget_terms)
         return found
+
+    def memory_tokens(self, instance: str) -> int:
+        """What an engine's memory holds; 0 for what is no engine, or unknown."""
+        state = self.directory.state(instance)
+        if state is None or self.table is None:
+            return 0
+        service = self.table.services.get(state.endpoint.service)
+        engine = service.engine if service is not None else None
+        return engine.memory_tokens if engine is not None else 0
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -41,7 +41,9 @@
 
     `candidates` is how many endpoints could be chosen, `used` the estimated
     share of the chosen one's places that are taken, `listed_ms` the age of
-    the list of endpoints.
+    the list of endpoints. Of the prompt's `prompt_tokens` the engine has to read
+    `read_tokens`, for about `read_ms` after a wait of `wait_ms`; it fetches
+    memory from the endpoint `source`, if one is named.
     """
 
     event: ClassVar[str] = "request_sent"
@@ -59,6 +61,11 @@
     candidates: int
     used: float
     listed_ms: int
+    prompt_tokens: int
+    read_tokens: int
+    wait_ms: int
+    read_ms: int
+    source: str
 
 
 @dataclass(frozen=True)
--- a/ashlatch/gateway/message.py
+++ b/ashlatch/gateway/message.py
@@ -85,7 +85,8 @@
 class Dispatch:
     """What the gateway adds when it sends a request to an endpoint.
 
-    `resume_after` is the last event that the caller has, if any.
+    `resume_after` is the last event that the caller has, if any. The endpoint
+    fetches what the one at `memory_source` has kept of the prompt, if named.
     """
 
     organisation: str
@@ -94,6 +95,7 @@
     model: str
     urgency: int | None
     resume_after: str
+    memory_source: str = ""
 
 
 @dataclass(frozen=True)
--- a/ashlatch/gateway/sync.py
+++ b/ashlatch/gateway/sync.py
@@ -32,6 +32,7 @@
     ListUnread,
     RolloutLearnt,
 )
+from ashlatch.gateway.message import PromptPart
 from ashlatch.gateway.routing import RouteTable
 from ashlatch.log import emit
 from ashlatch.platform.document import DocumentError, decode_catalog
@@ -78,6 +79,7 @@
         self._member = ""
         self._document_version = 0
         self._rollout_number = 0
+        self._reads_known = (0, 0)
         self._loop = asyncio.get_running_loop()
         self._begun_ms = self._now_ms()
         self._heard_ms = float("-inf")
@@ -107,6 +109,7 @@
         while True:
             address = self._member or self._next_member()
             tallies = self._known.tallies.take()
+            reads = self._known.kept.take_notes()
             wait_ms, timeout_s = self._terms()
             request = SyncRequest(
                 self._known.vm,
@@ -117,6 +120,8 @@
                 wait_ms,
                 tallies,
                 self._known.versions.running_before_trials(self._now_ms()),
+                reads,
+                self._reads_known,
             )
             try:
                 reply: SyncReply = await self._book.peer(address).call(
@@ -124,6 +129,7 @@
                 )
             except TransportError as error:
                 self._known.tallies.add(tallies)
+                self._known.kept.put_back(reads)
                 self._lose(address, error.reason)
                 await asyncio.sleep(RETRY_S)
                 continue
@@ -178,6 +184,19 @@
             self._known.gateways = reply.gateways
             self._known.directory.listed_ms = self._now_ms() - reply.list_age_ms
             self._regain(address)
+        self._learn_reads(reply)
+
+    def _learn_reads(self, reply: SyncReply) -> None:
+        """Take what engines have read for other gateways."""
+        self._reads_known = reply.reads_known
+        now_ms = self._now_ms()
+        for read in reply.reads:
+            memory_tokens = self._known.memory_tokens(read.instance)
+            if memory_tokens:
+                parts = tuple(PromptPart(*part) for part in read.parts)
+                self._known.kept.read(
+                    read.instance, read.model, parts, memory_tokens, now_ms
+                )
 
     def _apply(self, version: int, document: bytes) -> None:
         try:
@@ -200,7 +219,9 @@
     def _replace(self, endpoints: EndpointList, source: str) -> None:
         if not self._known.directory.replace(endpoints, self._now_ms()):
             return
-        self._known.pool.forget(self._known.directory.instances())
+        instances = self._known.directory.instances()
+        self._known.pool.forget(instances)
+        self._known.kept.keep_only(instances)
         leaving = sum(e.leaving for e in endpoints.endpoints)
         count = len(endpoints.endpoints)
         replaced = EndpointsReplaced(*endpoints.order, count, leaving, source)
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -172,5 +172,19 @@
     return {**base, **more}
 
 
+def engine_service(name: str) -> dict[str, Any]:
+    """A service whose endpoints are engines that can fetch memory."""
+    engine = {
+        "slots": 8,
+        "kvCapacity": 400_000,
+        "kvTokenBytes": 18_432,
+        "linkMbps": 370_000.0,
+        "moves": True,
+        "stride": 3,
+        "models": [{"name": "small", "cost": 0.01}, {"name": "large", "cost": 0.1}],
+    }
+    return {"name": name, "healthPath": "/healthz", "maxConns": 50, "engine": engine}
+
+
 def encoded(made: dict[str, Any]) -> bytes:
     return json.dumps(made).encode()
--- /dev/null
+++ b/tests/test_forecast.py
@@ -0,0 +1,128 @@
+"""Tests of what a send to an engine is expected to cost, and of the choice."""
+
+import random
+
+import testtools
+
+from ashlatch.catalog import Endpoint, EndpointList
+from ashlatch.gateway.budget import BudgetTerms
+from ashlatch.gateway.choice import Choice, choose_endpoint
+from ashlatch.gateway.directory import Reading
+from ashlatch.gateway.knowledge import Knowledge
+from ashlatch.gateway.message import Ask, PromptPart
+from ashlatch.gateway.routing import RouteTable
+from ashlatch.gateway.versions import SessionVersions, VersionChooser
+from ashlatch.platform.document import decode_catalog
+from ashlatch.policy.endpoint import ENDPOINT_POLICIES, rank
+from tests.standin import document, encoded, engine_service
+
+ENGINES = ("i-near", "i-far", "i-farther")
+HALLS = ("here", "there", "there")
+SUBJECT = PromptPart("subject", 13_000)
+
+
+def asked(prompt_tokens: int, body_bytes: int, *parts: PromptPart) -> Ask:
+    return Ask(
+        "r1",
+        "POST",
+        "/chat/1",
+        "shop.example",
+        [],
+        b"x" * body_bytes,
+        0.0,
+        None,
+        "",
+        "",
+        True,
+        prompt_tokens,
+        100,
+        parts,
+        "",
+        "",
+    )
+
+
+LONG = asked(17_000, 17_000, SUBJECT, PromptPart("own", 4000))
+SHORT = asked(400, 400, PromptPart("own", 400))
+
+
+class ChooseEngineTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.known = Knowledge(
+            "here",
+            "vm-1",
+            VersionChooser(SessionVersions(5000.0)),
+            ENDPOINT_POLICIES.get("hall_affinity")(),
+            BudgetTerms(0.9, 50.0, 10_000.0),
+            generator=random.Random(1),
+        )
+        made = document(services=[engine_service("app")])
+        self.known.table = RouteTable(decode_catalog(encoded(made)))
+        endpoints = tuple(
+            Endpoint(instance, "app", f"{instance}:1", hall, "v1", 8, False)
+            for instance, hall in zip(ENGINES, HALLS, strict=True)
+        )
+        self.known.directory.replace(EndpointList(1, 1, endpoints), 0.0)
+        for n in range(20):
+            self.known.pace.began("app", "large", 5000, 400.0, float(n))
+            self.known.pace.began("app", "small", 5000, 40.0, float(n))
+
+    def choose(self, ask: Ask, model: str) -> Choice:
+        states = self.known.directory.of_service("app")
+        assert self.known.table is not None
+        service = self.known.table.services["app"]
+        chosen = choose_endpoint(
+            self.known, service, states, frozenset(), ask, model, 100.0
+        )
+        assert chosen is not None
+        return chosen
+
+    def instance(self, ask: Ask, model: str) -> str:
+        return self.choose(ask, model).state.endpoint.instance
+
+    def read(self, instance: str, model: str, *parts: PromptPart) -> None:
+        self.known.kept.read(instance, model, parts, 400_000, 0.0)
+
+    def test_short_prompts_stay_in_the_hall(self) -> None:
+        self.assertEqual("i-near", self.instance(SHORT, "small"))
+        self.read("i-far", "small", *SHORT.prompt_parts)
+        self.assertEqual("i-near", self.instance(SHORT, "small"))
+
+    def test_long_prompts_go_where_they_are_kept(self) -> None:
+        self.read("i-far", "large", SUBJECT)
+        chosen = self.choose(LONG, "large")
+        self.assertEqual("i-far", chosen.state.endpoint.instance)
+        assert chosen.forecast is not None
+        self.assertEqual(4000, chosen.forecast.read_tokens)
+        self.assertEqual("", chosen.forecast.source)
+        # The small model reads it sooner than the body has crossed the halls.
+        self.read("i-far", "small", SUBJECT)
+        self.assertEqual("i-near", self.instance(LONG, "small"))
+
+    def test_first_reads_meet_at_the_home(self) -> None:
+        home = rank(ENGINES, SUBJECT.part_id)[0]
+        self.assertEqual(home, self.instance(LONG, "large"))
+
+    def test_memory_is_fetched_from_a_busy_engine(self) -> None:
+        self.read("i-far", "large", SUBJECT)
+        state = self.known.directory.state("i-far")
+        assert state is not None
+        state.reads(Reading(100.0, 2000.0))
+        chosen = self.choose(LONG, "large")
+        self.assertEqual("i-near", chosen.state.endpoint.instance)
+        assert chosen.forecast is not None
+        self.assertEqual("i-far:1", chosen.forecast.source)
+        self.assertEqual(4000, chosen.forecast.read_tokens)
+
+    def test_what_this_gateway_has_sent_is_waited_for(self) -> None:
+        state = self.known.directory.state("i-near")
+        assert state is not None
+        reading = Reading(100.0, 700.0)
+        state.reads(reading)
+        self.assertEqual(700.0, state.wait_ms(0.0, 100.0))
+        self.assertEqual(500.0, state.wait_ms(0.0, 300.0))
+        self.assertNotEqual("i-near", self.instance(SHORT, "small"))
+        state.has_read(reading)
+        self.assertEqual(0.0, state.wait_ms(0.0, 300.0))
+        self.assertEqual("i-near", self.instance(SHORT, "small"))
