Keep the sessions of a trial on its version while the load test runs

Change: when the tested endpoint is busy enough, the rule of the trial holds.

Test: fails on the code before.

--- a/ashlatch/gateway/versions.py
+++ b/ashlatch/gateway/versions.py
@@ -115,7 +115,9 @@
             return old
         if rollout.stage is RolloutStage.LOAD_TEST:
             tested = _tested(rollout, new, now_ms)
-            return tested or self._untested(rollout, session, new, old, now_ms)
+            if tested:
+                return tested
+            # The tested endpoint is busy enough: as in the trial.
         if self._prefers_new(rollout, session, request_id, now_ms):
             return new or old
         return old or new
@@ -141,18 +143,6 @@
                 return False
         return fraction(f"{rollout.version}/{session or request_id}") < rollout.share
 
-    def _untested(
-        self,
-        rollout: Rollout,
-        session: str,
-        new: list[EndpointState],
-        old: list[EndpointState],
-        now_ms: float,
-    ) -> list[EndpointState]:
-        """Where a request goes when the tested endpoint is busy enough."""
-        before = self.sessions.version(rollout.service, session, now_ms)
-        return (new or old) if before == rollout.version else (old or new)
-
     def running_before_trials(self, now_ms: float) -> tuple[SessionMarks, ...]:
         """The sessions here that trials which have not begun yet might move."""
         found = []
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -103,6 +103,19 @@
         self.sessions.note("app", "s", "v2", 0.0)
         self.assertEqual({"v2"}, self.versions("s"))
 
+    def test_the_trials_sessions_stay_in_the_load_test(self) -> None:
+        """They came by other gateways before, and the tested endpoint is busy."""
+        self.learn(RolloutStage.TRIAL, 0.1, 1)
+        sessions = [f"s{n}" for n in range(400)]
+        moved = [s for s in sessions if self.versions(s) == {"v2"}]
+        self.learn(RolloutStage.LOAD_TEST, 0.1, 2)
+        for _ in range(8):
+            self.states[1].sent(0.0)
+        self.assertTrue(20 < len(moved) < 70, len(moved))
+        for session in sessions:
+            expected = "v2" if session in moved else "v1"
+            self.assertEqual({expected}, self.versions(session))
+
     def test_old_news(self) -> None:
         self.learn(RolloutStage.ROLLED_BACK, 0.0, 5)
         self.learn(RolloutStage.SHIFT, 1.0, 4)
