--- a/ashlatch/explain/belief.py
+++ b/ashlatch/explain/belief.py
@@ -38,7 +38,11 @@
     "disk_regained": ("disk", ""),
     "endpoint_suspended": ("endpoint", "instance"),
     "endpoint_gone": ("endpoint", "instance"),
+    "endpoint_misdirected": ("endpoint", "instance"),
     "endpoint_resumed": ("endpoint", "instance"),
+    "gateways_learnt": ("gateways", ""),
+    "memories_read": ("engines' memories", ""),
+    "memory_unread": ("engine's memory", "instance"),
 }
 
 
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -160,11 +160,15 @@
 
 @dataclass(frozen=True)
 class EndpointMisdirected(LogEvent):
-    """Another endpoint answered at the address; the others are told."""
+    """Another endpoint answered at the address, here or at the gateway `told_by`.
+
+    Who sees it itself tells the others.
+    """
 
     event: ClassVar[str] = "endpoint_misdirected"
     instance: str
     service: str
+    told_by: str = ""
 
 
 @dataclass(frozen=True)
--- a/ashlatch/gateway/peers.py
+++ b/ashlatch/gateway/peers.py
@@ -9,17 +9,22 @@
 """
 
 import asyncio
+import logging
 from typing import Any
 
 import msgspec
 
 from ashlatch.codec import decode, encode
 from ashlatch.gateway.knowledge import Knowledge
+from ashlatch.gateway.logs import EndpointMisdirected
 from ashlatch.gateway.news import PeerNews, PromptSent, SessionMoved
+from ashlatch.log import emit
 from ashlatch.rpc import Address
 
 __all__ = ["GatewayPeers"]
 
+log = logging.getLogger("ashlatch.gateway")
+
 # Prompts that are read sooner hardly make anybody wait.
 TOLD_MIN_MS = 30.0
 # At most so many gateways are told of one prompt, drawn anew each time: at 360
@@ -82,6 +87,9 @@
             state.workload.add(news.read_ms, now_ms)
         else:
             state.replaced_ms = now_ms
+            service = state.endpoint.service
+            misdirected = EndpointMisdirected(news.instance, service, addr[0])
+            emit(log, misdirected, logging.WARNING)
 
     def error_received(self, exc: Exception) -> None:
         """A gateway that was told is not there; the fleet forgets it soon."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,7 +5,8 @@
 
 import testtools
 
-from ashlatch.gateway.news import PromptSent, SessionMoved
+from ashlatch.gateway.directory import REPLACED_MS
+from ashlatch.gateway.news import EndpointReplaced, PromptSent, SessionMoved
 from ashlatch.gateway.peers import GatewayPeers
 from tests.system import free_port
 from tests.test_forecast import gateway_knowledge
@@ -61,6 +62,19 @@
 
         self.with_sockets(work)
 
+    def test_replaced_endpoints(self) -> None:
+        async def work(peers: GatewayPeers) -> None:
+            peers.tell(EndpointReplaced("i-near"))
+            await asyncio.sleep(ARRIVES_S)
+            now_ms = asyncio.get_running_loop().time() * 1000.0
+            replaced = [s.replaced(now_ms) for s in self.hearer.directory.all()]
+            self.assertEqual([True, False, False], replaced)
+            later_ms = now_ms + REPLACED_MS
+            replaced = [s.replaced(later_ms) for s in self.hearer.directory.all()]
+            self.assertEqual([False, False, False], replaced)
+
+        self.with_sockets(work)
+
     def test_garbage_is_counted(self) -> None:
         peers = GatewayPeers(self.hearer)
         peers.datagram_received(b"\xc1garbage", ("127.0.0.1", 1))
