Serve on without datagrams when their port is taken

Cause (by reading): an OSError at the port would have ended the gateway's start. Change: it is logged, and engines are chosen by reports and own sends. The test failed on the code before.

--- a/ashlatch/explain/belief.py
+++ b/ashlatch/explain/belief.py
@@ -41,6 +41,7 @@
     "endpoint_misdirected": ("endpoint", "instance"),
     "endpoint_resumed": ("endpoint", "instance"),
     "gateways_learnt": ("gateways", ""),
+    "peers_unavailable": ("datagrams", ""),
     "memories_read": ("engines' memories", ""),
     "memory_unread": ("engine's memory", "instance"),
 }
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -29,6 +29,7 @@
     "GatewaysLearnt",
     "HandlerFailed",
     "ListUnread",
+    "PeersUnavailable",
     "RequestEnded",
     "RequestSent",
     "RequestUnreadable",
@@ -230,6 +231,15 @@
     before: int
 
 
+@dataclass(frozen=True)
+class PeersUnavailable(LogEvent):
+    """No datagrams of other gateways can be taken; none are sent either."""
+
+    event: ClassVar[str] = "peers_unavailable"
+    address: str
+    reason: str
+
+
 @dataclass(frozen=True)
 class FleetLost(LogEvent):
     """No member of the core answers; the gateway goes on with what it has."""
--- a/ashlatch/gateway/peers.py
+++ b/ashlatch/gateway/peers.py
@@ -16,7 +16,7 @@
 
 from ashlatch.codec import decode, encode
 from ashlatch.gateway.knowledge import Knowledge
-from ashlatch.gateway.logs import EndpointMisdirected
+from ashlatch.gateway.logs import EndpointMisdirected, PeersUnavailable
 from ashlatch.gateway.news import PeerNews, PromptSent, SessionMoved
 from ashlatch.log import emit
 from ashlatch.rpc import Address
@@ -42,11 +42,16 @@
         self._own = ""
 
     async def start(self, address: str) -> None:
-        """Take datagrams at an address; raises `OSError`."""
+        """Take datagrams at an address; without one, the gateway serves on."""
         self._own = address
         at = Address.parse(address)
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=(at.host, at.port))
+        try:
+            await loop.create_datagram_endpoint(
+                lambda: self, local_addr=(at.host, at.port)
+            )
+        except OSError as error:
+            emit(log, PeersUnavailable(address, str(error)), logging.WARNING)
 
     def tell(self, news: PeerNews) -> None:
         """Tell the other gateways; never waits, and may be lost."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -75,6 +75,17 @@
 
         self.with_sockets(work)
 
+    def test_a_taken_port_hinders_nothing(self) -> None:
+        async def run() -> None:
+            address = f"127.0.0.1:{free_port()}"
+            first, second = GatewayPeers(self.teller), GatewayPeers(self.hearer)
+            await first.start(address)
+            await second.start(address)
+            self.hearer.gateways = (address, "127.0.0.1:1")
+            second.tell(PromptSent("i-near", 800.0))
+
+        asyncio.run(run())
+
     def test_garbage_is_counted(self) -> None:
         peers = GatewayPeers(self.hearer)
         peers.datagram_received(b"\xc1garbage", ("127.0.0.1", 1))
