--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -14,7 +14,7 @@
 
 from ashlatch.catalog import Route, Service
 from ashlatch.gateway.directory import EndpointState
-from ashlatch.gateway.forecast import Forecast, Forecaster
+from ashlatch.gateway.forecast import Forecast, Forecaster, Send
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.message import Ask
 from ashlatch.policy.endpoint import Candidate
@@ -72,16 +72,13 @@
     service: Service,
     states: Iterable[EndpointState],
     tried: frozenset[str],
-    ask: Ask,
-    model: str,
-    slack_ms: float,
+    send: Send,
     now_ms: float,
 ) -> Choice | None:
     """The endpoint for the next send of a request, or none.
 
     An engine is chosen by what the send is expected to cost there, an endpoint
-    of a plain service by how busy it is. `slack_ms` is the time in which the
-    answer should begin.
+    of a plain service by how busy it is.
     """
     among = _sound(states, tried, now_ms)
     if not among:
@@ -91,9 +88,7 @@
         chosen = known.policy.choose(candidates, "", known.generator)
         state = next(s for s in among if s.endpoint.instance == chosen.endpoint)
         return Choice(state, len(among), chosen.utilisation, None)
-    forecaster = Forecaster(
-        known, service.name, service.engine, ask, model, among, slack_ms, now_ms
-    )
+    forecaster = Forecaster(known, service.name, service.engine, among, send, now_ms)
     forecasts = [(forecaster.forecast(s), s) for s in among]
     least_ms = min(forecast.cost_ms for forecast, _ in forecasts)
     equal = [pair for pair in forecasts if pair[0].cost_ms <= least_ms]
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -25,6 +25,7 @@
     larger_models,
 )
 from ashlatch.gateway.events import EventSplitter, StreamEvent
+from ashlatch.gateway.forecast import Send
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.message import AnswerHead, Dispatch, RefusalReason
 from ashlatch.gateway.patience import Patience, answer_patience, event_patience
@@ -115,17 +116,8 @@
             service.name, self._ask.session, self._ask.request_id, states, now_ms
         )
         tried = frozenset(self._tried)
-        model = model or self._ask.model
-        return choose_endpoint(
-            self._known,
-            service,
-            allowed,
-            tried,
-            self._ask,
-            model,
-            self._slack_ms(model),
-            now_ms,
-        )
+        send = Send(self._ask, model, self._slack_ms(model))
+        return choose_endpoint(self._known, service, allowed, tried, send, now_ms)
 
     def _slack_ms(self, model: str) -> float:
         """The time in which an answer of the model should begin."""
--- a/ashlatch/gateway/forecast.py
+++ b/ashlatch/gateway/forecast.py
@@ -19,7 +19,7 @@
 from ashlatch.gateway.message import Ask
 from ashlatch.policy.endpoint import rank
 
-__all__ = ["Forecast", "Forecaster"]
+__all__ = ["Forecast", "Forecaster", "Send"]
 
 # What a kilobyte that crosses between halls is worth in time of an engine. Its
 # price is about that of 10 ms: a prompt that is read anew costs more than its
@@ -68,37 +68,44 @@
         return self.wait_ms + self.read_ms
 
 
-class Forecaster:
-    """Forecasts of one request for one model, at any of some engines.
+@dataclass(frozen=True)
+class Send:
+    """What is to be sent: a request, for a model (empty for the caller's own).
 
     `slack_ms` is the time in which the answer should begin.
     """
 
+    ask: Ask
+    model: str
+    slack_ms: float
+
+
+class Forecaster:
+    """Forecasts of one send, at any of some engines of a service."""
+
     def __init__(
         self,
         known: Knowledge,
         service: str,
         engine: EngineSpec,
-        ask: Ask,
-        model: str,
         states: Sequence[EndpointState],
-        slack_ms: float,
+        send: Send,
         now_ms: float,
     ) -> None:
         self._known = known
-        self._slack_ms = max(1.0, slack_ms)
         self._engine = engine
-        self._ask = ask
-        self._model = model
+        self._ask = send.ask
+        self._slack_ms = max(1.0, send.slack_ms)
         self._now_ms = now_ms
+        model = send.model or send.ask.model
         self._token_ms = known.pace.token_ms(service, model)
         self._kept = {
             s.endpoint.instance: known.kept.tokens(
-                s.endpoint.instance, model, ask.prompt_parts
+                s.endpoint.instance, model, send.ask.prompt_parts
             )
             for s in states
         }
-        self._home = _home(ask, states)
+        self._home = _home(send.ask, states)
         self._holder = max(states, key=self._kept_at)
         left_ms = sum(s.workload.left_ms(now_ms) for s in states) / len(states)
         self._engine_weight = min(1.0 + left_ms / BUSY_MS, BUSY_MAX)
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -7,7 +7,7 @@
 from ashlatch.catalog import Endpoint, EndpointList
 from ashlatch.gateway.budget import BudgetTerms
 from ashlatch.gateway.choice import Choice, choose_endpoint, engine_urgency
-from ashlatch.gateway.forecast import Forecast
+from ashlatch.gateway.forecast import Forecast, Send
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.message import Ask, LoadFigures, PromptPart
 from ashlatch.gateway.pace import Pace
@@ -82,7 +82,7 @@
         assert self.known.table is not None
         service = self.known.table.services["app"]
         chosen = choose_endpoint(
-            self.known, service, states, frozenset(), ask, model, SLACK_MS, 100.0
+            self.known, service, states, frozenset(), Send(ask, model, SLACK_MS), 100.0
         )
         assert chosen is not None
         return chosen
