Do not hold requests at the endpoint of a load test that cannot serve

Since such endpoints are left for 4 s, all requests of a load test would have been refused for that long.

Change: an endpoint that was tried, or whose address another one has, is not the tested one. The test failed on the code before.

--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -112,10 +112,15 @@
         now_ms = self._now_ms()
         service = self._admission.service
         states = self._known.directory.of_service(service.name)
+        tried = frozenset(self._tried)
         allowed = self._known.versions.allowed(
-            service.name, self._ask.session, self._ask.request_id, states, now_ms
+            service.name,
+            self._ask.session,
+            self._ask.request_id,
+            states,
+            now_ms,
+            tried,
         )
-        tried = frozenset(self._tried)
         send = Send(self._ask, model, self._slack_ms(model))
         return choose_endpoint(self._known, service, allowed, tried, send, now_ms)
 
--- a/ashlatch/gateway/versions.py
+++ b/ashlatch/gateway/versions.py
@@ -99,9 +99,13 @@
         request_id: str,
         states: Iterable[EndpointState],
         now_ms: float,
+        tried: frozenset[str] = frozenset(),
     ) -> list[EndpointState]:
         """Those endpoints whose version the request may run on.
 
+        `tried` are the endpoints that it has been sent to: a load test does not
+        hold it at the one that it tests.
+
         When no endpoint of the preferred version is listed, the other version
         serves, but never one that has been rolled back.
         """
@@ -115,9 +119,9 @@
             return old
         if rollout.stage is RolloutStage.LOAD_TEST:
             tested = _tested(rollout, new, now_ms)
-            if tested:
+            if tested and tested[0].endpoint.instance not in tried:
                 return tested
-            # The tested endpoint is busy enough: as in the trial.
+            # The tested endpoint is busy enough, or away: as in the trial.
         if self._prefers_new(rollout, session, request_id, now_ms):
             return new or old
         return old or new
@@ -174,7 +178,11 @@
 
     All gateways choose the same, by rendezvous hashing.
     """
-    ready = {s.endpoint.instance: s for s in new if not s.endpoint.leaving}
+    ready = {
+        s.endpoint.instance: s
+        for s in new
+        if not s.endpoint.leaving and not s.replaced(now_ms)
+    }
     if not ready:
         return []
     state = ready[rank(tuple(ready), rollout.version)[0]]
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -6,7 +6,7 @@
 
 from ashlatch.catalog import Endpoint, Rollout, RolloutStage
 from ashlatch.gateway.budget import BudgetTerms, RepeatBudget
-from ashlatch.gateway.directory import EndpointState
+from ashlatch.gateway.directory import REPLACED_MS, EndpointState
 from ashlatch.gateway.events import EventSplitter
 from ashlatch.gateway.pace import Pace
 from ashlatch.gateway.routing import RouteTable
@@ -103,6 +103,18 @@
         self.sessions.note("app", "s", "v2", 0.0)
         self.assertEqual({"v2"}, self.versions("s"))
 
+    def test_a_load_test_without_its_endpoint(self) -> None:
+        """It was tried already, or another endpoint has its address."""
+        self.learn(RolloutStage.LOAD_TEST, 0.0, 1)
+        tested = self.states[1]
+        self.assertEqual({"v2"}, self.versions("s"))
+        tried = frozenset({tested.endpoint.instance})
+        allowed = self.chooser.allowed("app", "s", "r", self.states, 0.0, tried)
+        self.assertEqual(["v1"], [s.endpoint.version for s in allowed])
+        tested.replaced_ms = 0.0
+        self.assertEqual({"v1"}, self.versions("s"))
+        self.assertEqual({"v2"}, self.versions("s", REPLACED_MS))
+
     def test_the_trials_sessions_stay_in_the_load_test(self) -> None:
         """They came by other gateways before, and the tested endpoint is busy."""
         self.learn(RolloutStage.TRIAL, 0.1, 1)
