Correct a rate of reading that is too high by answers that came sooner

The first answer after a start had waited long; then all waits looked long, and answers that were to wait were kept out of the rate, so it stayed.

Change: an answer that came sooner than the rate alone allows counts, whatever was foreseen. The test failed on the code before.

--- a/ashlatch/gateway/pace.py
+++ b/ashlatch/gateway/pace.py
@@ -27,7 +27,8 @@
 # a second the quantile was within 5% of the true rate, the mean 5 times it.
 RATE_TOKENS_MIN = 1500
 RATES_KEPT = 40
-# Nor from prompts that were to wait for more of the time than this.
+# Nor from prompts that were to wait for more of the time than this, unless they
+# came so soon that the rate must be lower.
 FORESEEN_MAX = 0.2
 RATE_QUANTILE = 0.15
 # Until a model has answered: between the largest models of slow engines (0.08)
@@ -52,8 +53,8 @@
         self, tokens: int, first_ms: float, foreseen_ms: float, now_ms: float
     ) -> None:
         reading_ms = max(0.0, first_ms - foreseen_ms)
-        if tokens >= RATE_TOKENS_MIN and foreseen_ms < FORESEEN_MAX * first_ms:
-            self._take_rate(reading_ms / tokens)
+        if tokens >= RATE_TOKENS_MIN:
+            self._take_rate(tokens, first_ms, foreseen_ms)
         wait_ms = max(0.0, reading_ms - tokens * self.token_ms)
         gain = max(GAIN, 1.0 / (self.answers + 1))
         difference = wait_ms - self.wait_ms
@@ -62,8 +63,17 @@
         self.answers += 1
         self.at_ms = now_ms
 
-    def _take_rate(self, token_ms: float) -> None:
-        self.rates.append(token_ms)
+    def _take_rate(self, tokens: int, first_ms: float, foreseen_ms: float) -> None:
+        """Take an answer that hardly waited, or that shows a lower rate anyhow.
+
+        Without the latter, a rate that is too high foresees waits that are too
+        long, which would keep out the answers that correct it.
+        """
+        waited = foreseen_ms >= FORESEEN_MAX * first_ms
+        if waited and first_ms >= tokens * self.token_ms:
+            return
+        own_ms = first_ms if waited else first_ms - foreseen_ms
+        self.rates.append(own_ms / tokens)
         ranked = sorted(self.rates)
         self.token_ms = ranked[int(RATE_QUANTILE * len(ranked))]
 
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -175,3 +175,12 @@
             first_ms = 100.0 if n % 15 == 0 else 0.09 * 6000 + wait_ms
             pace.began("app", "large", 6000, first_ms, n * 100.0)
         self.assertTrue(0.08 < pace.token_ms("app", "large") < 0.11)
+
+    def test_a_rate_that_is_too_high_is_corrected(self) -> None:
+        """After a start the first answer waited long; then all waits look long."""
+        pace = Pace()
+        pace.began("app", "small", 6000, 2000.0, 0.0)
+        self.assertTrue(pace.token_ms("app", "small") > 0.3)
+        for n in range(3):
+            pace.began("app", "small", 6000, 100.0, n * 100.0, foreseen_ms=2000.0)
+        self.assertTrue(pace.token_ms("app", "small") < 0.02)
