Read a prompt anew in place of fetching another engine's memory

Change: the choice of a source of memory, its header and its settings are taken out, with their test; what is kept decides as before.

--- a/ashlatch/catalog.py
+++ b/ashlatch/catalog.py
@@ -88,18 +88,12 @@
 
 
 class EngineSpec(msgspec.Struct, frozen=True):
-    """The model engines of a service: requests at once, and their models.
-
-    `token_bytes` is the memory of one token; with `moves_memory` an engine can
-    fetch what another one has kept of a prompt.
-    """
+    """The model engines of a service: requests at once, and their models."""
 
     slots: int
     memory_tokens: int
     tokens_per_event: int
     prices: tuple[ModelPrice, ...]
-    token_bytes: int = 0
-    moves_memory: bool = False
 
 
 class Service(msgspec.Struct, frozen=True):
--- a/ashlatch/gateway/account.py
+++ b/ashlatch/gateway/account.py
@@ -257,9 +257,8 @@
         return self._loop.time() * 1000.0
 
 
-def _foreseen(forecast: Forecast | None) -> tuple[int, int, int, str]:
-    """Tokens to read, wait, time to read and source of memory, for the log."""
+def _foreseen(forecast: Forecast | None) -> tuple[int, int, int]:
+    """Tokens to read, wait and time to read, for the log."""
     if forecast is None:
-        return 0, 0, 0, ""
-    wait_ms, read_ms = int(forecast.wait_ms), int(forecast.read_ms)
-    return forecast.read_tokens, wait_ms, read_ms, forecast.source
+        return 0, 0, 0
+    return forecast.read_tokens, int(forecast.wait_ms), int(forecast.read_ms)
--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -88,7 +88,7 @@
         chosen = known.policy.choose(candidates, "", known.generator)
         state = next(s for s in among if s.endpoint.instance == chosen.endpoint)
         return Choice(state, len(among), chosen.utilisation, None)
-    forecaster = Forecaster(known, service.name, service.engine, among, send, now_ms)
+    forecaster = Forecaster(known, service.name, among, send, now_ms)
     forecasts = [(forecaster.forecast(s), s) for s in among]
     least_ms = min(forecast.cost_ms for forecast, _ in forecasts)
     equal = [pair for pair in forecasts if pair[0].cost_ms <= least_ms]
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -143,7 +143,6 @@
             self._model,
             engine_urgency(choice.forecast, self._admission.urgency),
             self._last_event,
-            choice.forecast.source if choice.forecast else "",
         )
         self._expected_first_ms = self._expected_ms(choice, self._model)
         self._account.sent(choice, self._model, self._why)
--- a/ashlatch/gateway/forecast.py
+++ b/ashlatch/gateway/forecast.py
@@ -13,7 +13,6 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from ashlatch.catalog import EngineSpec
 from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.message import Ask
@@ -25,9 +24,6 @@
 # price is about that of 10 ms: a prompt that is read anew costs more than its
 # way to an engine that has kept it, a short one less.
 HALL_MS_PER_KB = 10.0
-# What a megabyte of memory that moves between engines is worth in time of an
-# engine, by its price; the move itself takes a hundredth of that.
-MOVE_MS_PER_MB = 1.3
 # An engine that is not the home of a subject is taken only when that saves more
 # than this share of reading the prompt: who asks next finds it at its home.
 HOME_SHARE = 0.3
@@ -43,7 +39,6 @@
 # and answers are a quarter as long as they may be.
 ANSWER_BYTES_PER_TOKEN = 4.0
 KILO = 1000.0
-MEGA = 1e6
 
 
 @dataclass(frozen=True)
@@ -52,20 +47,13 @@
 
     `wait_ms` is until the engine begins to read, `read_ms` for the
     `read_tokens` that it has to. `cost_ms` also weighs what is no time of this
-    request: bytes between halls, moved memory, a prompt read away from home.
-    `source` is the endpoint whose memory is fetched first, or empty.
+    request: bytes between halls, a prompt read away from home.
     """
 
     wait_ms: float
     read_tokens: int
     read_ms: float
     cost_ms: float
-    source: str = ""
-
-    @property
-    def first_ms(self) -> float:
-        """Until the first event."""
-        return self.wait_ms + self.read_ms
 
 
 @dataclass(frozen=True)
@@ -87,43 +75,27 @@
         self,
         known: Knowledge,
         service: str,
-        engine: EngineSpec,
         states: Sequence[EndpointState],
         send: Send,
         now_ms: float,
     ) -> None:
         self._known = known
-        self._engine = engine
         self._ask = send.ask
         self._slack_ms = max(1.0, send.slack_ms)
         self._now_ms = now_ms
-        model = send.model or send.ask.model
-        self._token_ms = known.pace.token_ms(service, model)
-        self._kept = {
-            s.endpoint.instance: known.kept.tokens(
-                s.endpoint.instance, model, send.ask.prompt_parts
-            )
-            for s in states
-        }
+        self._model = send.model or send.ask.model
+        self._token_ms = known.pace.token_ms(service, self._model)
         self._home = _home(send.ask, states)
-        self._holder = max(states, key=self._kept_at)
         left_ms = sum(s.workload.left_ms(now_ms) for s in states) / len(states)
         self._engine_weight = min(1.0 + left_ms / BUSY_MS, BUSY_MAX)
 
     def forecast(self, state: EndpointState) -> Forecast:
         """What a send to an endpoint is expected to take."""
         wait_ms = state.workload.left_ms(self._now_ms)
-        here = self._read_here(state, wait_ms)
-        fetched = self._fetched(state, wait_ms)
-        if fetched is None or here.cost_ms <= fetched.cost_ms:
-            return here
-        return fetched
-
-    def _kept_at(self, state: EndpointState) -> int:
-        return self._kept[state.endpoint.instance]
-
-    def _read_here(self, state: EndpointState, wait_ms: float) -> Forecast:
-        tokens = max(0, self._ask.prompt_tokens - self._kept_at(state))
+        kept = self._known.kept.tokens(
+            state.endpoint.instance, self._model, self._ask.prompt_parts
+        )
+        tokens = max(0, self._ask.prompt_tokens - kept)
         read_ms = tokens * self._token_ms
         cost_ms = self._engine_weight * read_ms
         if state.endpoint.instance != self._home and self._home:
@@ -131,20 +103,6 @@
         cost_ms += self._wait_cost_ms(wait_ms, read_ms) + self._place_ms(state)
         return Forecast(wait_ms, tokens, read_ms, cost_ms)
 
-    def _fetched(self, state: EndpointState, wait_ms: float) -> Forecast | None:
-        """The same when the memory of the best other engine is fetched."""
-        moved = self._kept_at(self._holder) - self._kept_at(state)
-        if not self._engine.moves_memory or moved <= 0:
-            return None
-        tokens = max(0, self._ask.prompt_tokens - self._kept_at(self._holder))
-        read_ms = tokens * self._token_ms
-        megabytes = moved * self._engine.token_bytes / MEGA
-        cost_ms = self._engine_weight * read_ms
-        cost_ms += self._wait_cost_ms(wait_ms, read_ms) + self._place_ms(state)
-        cost_ms += megabytes * MOVE_MS_PER_MB
-        source = self._holder.endpoint.address
-        return Forecast(wait_ms, tokens, read_ms, cost_ms, source)
-
     def _wait_cost_ms(self, wait_ms: float, read_ms: float) -> float:
         """What waiting costs: little while the answer is well in time.
 
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -45,8 +45,7 @@
     `candidates` is how many endpoints could be chosen, `used` the estimated
     share of the chosen one's places that are taken, `listed_ms` the age of
     the list of endpoints. Of the prompt's `prompt_tokens` the engine has to read
-    `read_tokens`, for about `read_ms` after a wait of `wait_ms`; it fetches
-    memory from the endpoint `source`, if one is named.
+    `read_tokens`, for about `read_ms` after a wait of `wait_ms`.
     """
 
     event: ClassVar[str] = "request_sent"
@@ -68,7 +67,6 @@
     read_tokens: int
     wait_ms: int
     read_ms: int
-    source: str
 
 
 @dataclass(frozen=True)
--- a/ashlatch/gateway/message.py
+++ b/ashlatch/gateway/message.py
@@ -85,8 +85,7 @@
 class Dispatch:
     """What the gateway adds when it sends a request to an endpoint.
 
-    `resume_after` is the last event that the caller has, if any. The endpoint
-    fetches what the one at `memory_source` has kept of the prompt, if named.
+    `resume_after` is the last event that the caller has, if any.
     """
 
     organisation: str
@@ -95,7 +94,6 @@
     model: str
     urgency: int | None
     resume_after: str
-    memory_source: str = ""
 
 
 @dataclass(frozen=True)
--- a/ashlatch/platform/document.py
+++ b/ashlatch/platform/document.py
@@ -57,10 +57,6 @@
     slots: int = 1
     # Tokens of prompts and answers that fit into an engine's memory.
     kv_capacity: int = 0
-    # Bytes of an engine's memory for each of them.
-    kv_token_bytes: int = 0
-    # Whether an engine can fetch from another what that one has kept.
-    moves: bool = False
     # Tokens that one event of a stream holds.
     stride: int = 1
     models: tuple[_Model, ...] = ()
@@ -221,14 +217,7 @@
     spec = None
     if engine is not None:
         prices = tuple(ModelPrice(m.name, m.cost) for m in engine.models)
-        spec = EngineSpec(
-            engine.slots,
-            engine.kv_capacity,
-            engine.stride,
-            prices,
-            engine.kv_token_bytes,
-            engine.moves,
-        )
+        spec = EngineSpec(engine.slots, engine.kv_capacity, engine.stride, prices)
     return Service(service.name, service.max_conns, spec)
 
 
--- a/ashlatch/platform/headers.py
+++ b/ashlatch/platform/headers.py
@@ -52,8 +52,6 @@
 _NOT_RUN = b"x-not-executed"
 _CONFIDENCE = b"x-confidence"
 _LOAD = b"x-server-load"
-# The address of an endpoint whose kept memory is taken over before reading.
-_MEMORY_SOURCE = b"kv-fetch"
 _KEEP_ALIVE = b"keep-alive"
 
 # Another endpoint than the expected one answers with this, and runs nothing.
@@ -93,7 +91,7 @@
         b"x-kv-backup",
         b"x-pin-ms",
         b"kv-from",
-        _MEMORY_SOURCE,
+        b"kv-fetch",
         b"wait-ms",
     }
 )
@@ -155,8 +153,6 @@
     remaining_ms = max(1, int(dispatch.remaining_ms))
     headers.append((b"X-Deadline-Ms", str(remaining_ms).encode()))
     headers.append((b"X-Expect-Instance", dispatch.instance.encode()))
-    if dispatch.memory_source:
-        headers.append((b"Kv-Fetch", dispatch.memory_source.encode()))
     if dispatch.organisation:
         headers.append((b"X-Tenant", dispatch.organisation.encode()))
     if dispatch.urgency is not None:
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -173,13 +173,10 @@
 
 
 def engine_service(name: str) -> dict[str, Any]:
-    """A service whose endpoints are engines that can fetch memory."""
+    """A service whose endpoints are model engines."""
     engine = {
         "slots": 8,
         "kvCapacity": 400_000,
-        "kvTokenBytes": 18_432,
-        "linkMbps": 370_000.0,
-        "moves": True,
         "stride": 3,
         "models": [{"name": "small", "cost": 0.01}, {"name": "large", "cost": 0.1}],
     }
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -104,7 +104,6 @@
         self.assertEqual("i-far", chosen.state.endpoint.instance)
         assert chosen.forecast is not None
         self.assertEqual(4000, chosen.forecast.read_tokens)
-        self.assertEqual("", chosen.forecast.source)
         # The small model reads it sooner than the body has crossed the halls.
         self.read("i-far", "small", SUBJECT)
         self.assertEqual("i-near", self.instance(LONG, "small"))
@@ -113,17 +112,6 @@
         home = rank(ENGINES, SUBJECT.part_id)[0]
         self.assertEqual(home, self.instance(LONG, "large"))
 
-    def test_memory_is_fetched_from_a_busy_engine(self) -> None:
-        self.read("i-far", "large", SUBJECT)
-        state = self.known.directory.state("i-far")
-        assert state is not None
-        state.workload.add(2000.0, 100.0)
-        chosen = self.choose(LONG, "large")
-        self.assertEqual("i-near", chosen.state.endpoint.instance)
-        assert chosen.forecast is not None
-        self.assertEqual("i-far:1", chosen.forecast.source)
-        self.assertEqual(4000, chosen.forecast.read_tokens)
-
     def test_work_at_an_engine_is_waited_for(self) -> None:
         state = self.known.directory.state("i-near")
         assert state is not None
