--- a/ashlatch/gateway/pace.py
+++ b/ashlatch/gateway/pace.py
@@ -23,14 +23,15 @@
 HALF_LIFE_MS = 1500.0
 # The time to read a token is taken from prompts of at least this many, and as
 # a low quantile of the latest: queues and prompts of others only add to it, and
-# a few prompts were kept without this gateway knowing. On a day of 13 requests
-# a second the quantile was within 5% of the true rate, the mean 5 times it.
+# a few prompts were kept without this gateway knowing. For the smallest model at
+# 13 requests a second that gave 0.0146 ms a token (median of what was foreseen),
+# an average that follows each answer 0.03 to 0.04.
 RATE_TOKENS_MIN = 1500
 RATES_KEPT = 40
-# Nor from prompts that were to wait for more of the time than this, unless they
-# came so soon that the rate must be lower.
-FORESEEN_MAX = 0.2
 RATE_QUANTILE = 0.15
+# Nor is it taken from prompts that were to wait for more of the time than this,
+# unless they came so soon that the rate must be lower.
+FORESEEN_MAX = 0.2
 # Until a model has answered: between the largest models of slow engines (0.08)
 # and of fast ones (0.03).
 TOKEN_MS_PRIOR = 0.05
