--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -33,7 +33,8 @@
 CONFIDENCE_MIN = 50.0
 # Prompts of up to these times to read go before longer ones at an engine, and
 # within a step by the urgency of route or organisation: 0.872 of the worth was
-# served, 0.862 by the latter alone (means of five days with faults).
+# served, 0.862 by the latter alone (means of five days with faults, one play each:
+# within the spread).
 READ_STEPS_MS = (150.0, 500.0)
 URGENCIES_EACH = 3
 # Endpoints that failed this share of their latest attempts are left to others.
