Log what a request's version was chosen by; explain sessions and their moves

The logs of the incident name the version of each send and not its reason, so they cannot tell a forgotten share from a move that another gateway has not heard of. request_sent names the service, the reason and the age of what is known of the session; counters do the same for when the lines are gone; ashlatchctl explain follows a session over all gateways and lists what changed its version. No choice is changed.

--- a/ashlatch/cmdline/ctl.py
+++ b/ashlatch/cmdline/ctl.py
@@ -22,6 +22,7 @@
 from ashlatch.cmdline.api import Api, ApiError, Document, condition
 from ashlatch.errors import AshlatchError
 from ashlatch.explain.lines import Line, read_lines
+from ashlatch.explain.sessions import explain_moves, explain_session
 from ashlatch.explain.story import explain_request, explain_span
 from ashlatch.resources import RESOURCE_KINDS
 
@@ -246,23 +247,42 @@
 
 @main.command()
 @click.option("--request", default="", help="The id of one request.")
+@click.option("--session", default="", help="The id of one session.")
+@click.option("--moves", is_flag=True, help="Sessions that changed their version.")
 @click.option("--from", "begin", default="", help="Begin of a span, as in the logs.")
 @click.option("--to", "end", default="", help="End of the span.")
 @click.argument("logs", nargs=-1, type=click.File(encoding="utf-8", errors="replace"))
-def explain(request: str, begin: str, end: str, logs: tuple[TextIO, ...]) -> None:
-    """Explain a request, or a span of time, from the LOGS of all processes.
+def explain(
+    request: str,
+    session: str,
+    moves: bool,
+    begin: str,
+    end: str,
+    logs: tuple[TextIO, ...],
+) -> None:
+    """Explain a request, a session, or a span of time, from the LOGS of all processes.
 
     \b
         ashlatchctl explain --request 9c41d07be2a35f68 gateway-*.log core-*.log
+        ashlatchctl explain --session 2e6fd6b5fb75 gateway-*.log
+        ashlatchctl explain --moves gateway-*.log
         ashlatchctl explain --from 2026-12-02T10:00:00 --to 2026-12-02T10:00:05 *.log
 
     Without LOGS, standard input is read. Each VM writes its own time of day.
     """
-    if bool(request) == bool(begin and end):
-        raise click.UsageError("give either --request, or --from and --to")
+    asked = (bool(request), bool(session), moves, bool(begin and end))
+    if sum(asked) != 1:
+        raise click.UsageError(
+            "give either --request, or --from and --to, or --session, or --moves"
+        )
     lines = _read_logs(logs)
-    told = explain_request(request, lines)
-    if not request:
+    if request:
+        told = explain_request(request, lines)
+    elif session:
+        told = explain_session(session, lines)
+    elif moves:
+        told = explain_moves(lines)
+    else:
         told = explain_span(begin, end, lines)
     for text in told:
         click.echo(text)
--- a/ashlatch/gateway/account.py
+++ b/ashlatch/gateway/account.py
@@ -70,8 +70,11 @@
             self.sends,
             reason,
             endpoint.instance,
+            endpoint.service,
             endpoint.hall,
             endpoint.version,
+            choice.allowed.reason.value,
+            int(choice.allowed.session_age_ms),
             model,
             choice.candidates,
             choice.utilisation,
@@ -80,6 +83,7 @@
             *_foreseen(choice.forecast),
         )
         emit(log, sent)
+        self._known.metrics.count(f"versions_by_{choice.allowed.reason.value}")
         self._note_session(endpoint)
         if choice.forecast is not None:
             self._note_read(choice, model or admission.ask.model)
@@ -92,6 +96,7 @@
         now_ms = self._now_ms()
         before = versions.sessions.version(service, session, now_ms)
         if session and before != version and versions.load_tests(service, version):
+            self._known.metrics.count("sessions_told")
             self._known.tell(SessionMoved(service, session, version))
         versions.sessions.note(service, session, version, now_ms)
 
--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -17,6 +17,7 @@
 from ashlatch.gateway.forecast import Forecast, Forecaster, Send
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.message import Ask
+from ashlatch.gateway.versions import AllowedEndpoints
 from ashlatch.policy.endpoint import Candidate
 
 __all__ = [
@@ -60,19 +61,21 @@
 class Choice:
     """The endpoint, out of how many, and how busy it is believed to be.
 
-    `forecast` is what the send is expected to take, at an engine.
+    `forecast` is what the send is expected to take, at an engine. `allowed` says
+    what its version was chosen by.
     """
 
     state: EndpointState
     candidates: int
     utilisation: float
     forecast: Forecast | None
+    allowed: AllowedEndpoints
 
 
 def choose_endpoint(
     known: Knowledge,
     service: Service,
-    states: Iterable[EndpointState],
+    allowed: AllowedEndpoints,
     tried: frozenset[str],
     send: Send,
     now_ms: float,
@@ -82,20 +85,21 @@
     An engine is chosen by what the send is expected to cost there, an endpoint
     of a plain service by how busy it is.
     """
-    among = _sound(states, tried, now_ms)
+    among = _sound(allowed.states, tried, now_ms)
     if not among:
         return None
     if service.engine is None:
         candidates = tuple(_candidate(known, s, now_ms) for s in among)
         chosen = known.policy.choose(candidates, "", known.generator)
         state = next(s for s in among if s.endpoint.instance == chosen.endpoint)
-        return Choice(state, len(among), chosen.utilisation, None)
+        return Choice(state, len(among), chosen.utilisation, None, allowed)
     forecaster = Forecaster(known, service.name, among, send, now_ms)
     forecasts = [(forecaster.forecast(s), s) for s in among]
     least_ms = min(forecast.cost_ms for forecast, _ in forecasts)
     equal = [pair for pair in forecasts if pair[0].cost_ms <= least_ms]
     forecast, state = known.generator.choice(equal)
-    return Choice(state, len(among), state.utilisation(now_ms), forecast)
+    utilisation = state.utilisation(now_ms)
+    return Choice(state, len(among), utilisation, forecast, allowed)
 
 
 def _sound(
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -45,7 +45,9 @@
     `candidates` is how many endpoints could be chosen, `used` the estimated
     share of the chosen one's places that are taken, `listed_ms` the age of
     the list of endpoints. Of the prompt's `prompt_tokens` the engine has to read
-    `read_tokens`, for about `read_ms` after a wait of `wait_ms`.
+    `read_tokens`, for about `read_ms` after a wait of `wait_ms`. `version_by` is
+    what the version was chosen by, `session_ms` how long ago this gateway had
+    last heard of the session, -1 if it did not know it.
     """
 
     event: ClassVar[str] = "request_sent"
@@ -57,8 +59,11 @@
     attempt: int
     reason: str
     instance: str
+    service: str
     hall: str
     version: str
+    version_by: str
+    session_ms: int
     model: str
     candidates: int
     used: float
--- a/ashlatch/gateway/peers.py
+++ b/ashlatch/gateway/peers.py
@@ -93,6 +93,7 @@
             return
         now_ms = asyncio.get_running_loop().time() * 1000.0
         if isinstance(news, SessionMoved):
+            self._known.metrics.count("sessions_heard")
             self._known.versions.sessions.note(
                 news.service, news.session, news.version, now_ms
             )
--- a/ashlatch/gateway/versions.py
+++ b/ashlatch/gateway/versions.py
@@ -10,6 +10,7 @@
 :license: MIT, see LICENSE for details.
 """
 
+import enum
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -18,7 +19,13 @@
 from ashlatch.gateway.routing import fraction
 from ashlatch.policy.endpoint import rank
 
-__all__ = ["SessionVersions", "VersionChooser", "session_mark"]
+__all__ = [
+    "AllowedEndpoints",
+    "SessionVersions",
+    "VersionChooser",
+    "VersionReason",
+    "session_mark",
+]
 
 # Sessions are forgotten this much after they have ended.
 SESSION_MARGIN_MS = 1000.0
@@ -31,6 +38,46 @@
 MOVABLE_SHARE = 0.25
 
 
+class VersionReason(enum.Enum):
+    """What a request's version was chosen by.
+
+    `SESSION`: the session ran on the new version before, as far as is known
+    here. `STAYS`: it ran on the old one, and a trial leaves it there. `HELD`: it
+    ran when the trial began, at any gateway. `SHARE`: its place in the share of
+    the new version, or beyond it. `LOAD_TEST`: the endpoint under test has room.
+    `UNLISTED`: no endpoint of the preferred version is listed.
+    """
+
+    NO_ROLLOUT = "no_rollout"
+    ROLLED_BACK = "rolled_back"
+    COMPLETED = "completed"
+    LOAD_TEST = "load_test"
+    SESSION = "session"
+    STAYS = "stays"
+    HELD = "held"
+    SHARE = "share"
+    UNLISTED = "unlisted"
+
+
+@dataclass(frozen=True)
+class AllowedEndpoints:
+    """The endpoints that a request may run on, and why these.
+
+    `session_age_ms` is how long ago this gateway last heard of the session,
+    below 0 if it never did or has forgotten it.
+    """
+
+    states: list[EndpointState]
+    reason: VersionReason
+    session_age_ms: float = -1.0
+
+
+@dataclass(frozen=True)
+class _Preference:
+    new: bool
+    reason: VersionReason
+
+
 @dataclass
 class _Seen:
     version: str
@@ -71,6 +118,11 @@
         recent = now_ms - seen.at_ms < self.session_ms + SESSION_MARGIN_MS
         return seen.version if recent else ""
 
+    def age_ms(self, service: str, session: str, now_ms: float) -> float:
+        """How long ago a session was last heard of; below 0 if it is not known."""
+        seen = self._seen.get(f"{service}/{session}")
+        return -1.0 if seen is None else now_ms - seen.at_ms
+
 
 def session_mark(version: str, session: str) -> int:
     """A number for a session that is the same on every VM."""
@@ -100,7 +152,7 @@
         states: Iterable[EndpointState],
         now_ms: float,
         tried: frozenset[str] = frozenset(),
-    ) -> list[EndpointState]:
+    ) -> AllowedEndpoints:
         """Those endpoints whose version the request may run on.
 
         `tried` are the endpoints that it has been sent to: a load test does not
@@ -112,19 +164,22 @@
         listed = list(states)
         rollout = self.rollouts.get(service)
         if rollout is None:
-            return listed
+            return AllowedEndpoints(listed, VersionReason.NO_ROLLOUT)
+        age_ms = self.sessions.age_ms(service, session, now_ms)
         new = [s for s in listed if s.endpoint.version == rollout.version]
         old = [s for s in listed if s.endpoint.version != rollout.version]
         if rollout.stage is RolloutStage.ROLLED_BACK:
-            return old
+            return AllowedEndpoints(old, VersionReason.ROLLED_BACK, age_ms)
         if rollout.stage is RolloutStage.LOAD_TEST:
             tested = _tested(rollout, new, now_ms)
             if tested and tested[0].endpoint.instance not in tried:
-                return tested
+                return AllowedEndpoints(tested, VersionReason.LOAD_TEST, age_ms)
             # The tested endpoint is busy enough, or away: as in the trial.
-        if self._prefers_new(rollout, session, request_id, now_ms):
-            return new or old
-        return old or new
+        preference = self._preference(rollout, session, request_id, now_ms)
+        preferred, other = (new, old) if preference.new else (old, new)
+        if not preferred:
+            return AllowedEndpoints(other, VersionReason.UNLISTED, age_ms)
+        return AllowedEndpoints(preferred, preference.reason, age_ms)
 
     def load_tests(self, service: str, version: str) -> bool:
         """Whether a load test may move sessions to the version."""
@@ -133,19 +188,21 @@
             return False
         return rollout.version == version
 
-    def _prefers_new(
+    def _preference(
         self, rollout: Rollout, session: str, request_id: str, now_ms: float
-    ) -> bool:
+    ) -> _Preference:
         if rollout.stage is RolloutStage.COMPLETED:
-            return True
+            return _Preference(True, VersionReason.COMPLETED)
         before = self.sessions.version(rollout.service, session, now_ms)
         if before == rollout.version:
-            return True
+            return _Preference(True, VersionReason.SESSION)
         if rollout.stage is RolloutStage.TRIAL and session:
-            held = session_mark(rollout.version, session) in self._held(rollout)
-            if before or held:
-                return False
-        return fraction(f"{rollout.version}/{session or request_id}") < rollout.share
+            if before:
+                return _Preference(False, VersionReason.STAYS)
+            if session_mark(rollout.version, session) in self._held(rollout):
+                return _Preference(False, VersionReason.HELD)
+        place = fraction(f"{rollout.version}/{session or request_id}")
+        return _Preference(place < rollout.share, VersionReason.SHARE)
 
     def running_before_trials(self, now_ms: float) -> tuple[SessionMarks, ...]:
         """The sessions here that trials which have not begun yet might move."""
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -10,7 +10,7 @@
 from ashlatch.gateway.events import EventSplitter
 from ashlatch.gateway.pace import Pace
 from ashlatch.gateway.routing import RouteTable
-from ashlatch.gateway.versions import SessionVersions, VersionChooser
+from ashlatch.gateway.versions import SessionVersions, VersionChooser, VersionReason
 from ashlatch.platform.document import decode_catalog
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES, Candidate
 from tests.standin import document, encoded, route
@@ -33,7 +33,7 @@
 
     def versions(self, session: str, at_ms: float = 0.0) -> set[str]:
         allowed = self.chooser.allowed("app", session, "r1", self.states, at_ms)
-        return {state.endpoint.version for state in allowed}
+        return {state.endpoint.version for state in allowed.states}
 
     def share_of_new(self) -> float:
         found = [self.versions(f"s{n}") == {"v2"} for n in range(2000)]
@@ -72,7 +72,7 @@
             chooser.learn([begun])
             for session in sessions:
                 allowed = chooser.allowed("app", session, "r", self.states, 20_000.0)
-                self.assertEqual("v1", allowed[0].endpoint.version)
+                self.assertEqual("v1", allowed.states[0].endpoint.version)
         self.assertEqual((), elsewhere.running_before_trials(0.0))
 
     def test_sessions_do_not_come_back(self) -> None:
@@ -95,10 +95,11 @@
         self.states += [self.state("v2", 2), self.state("v2", 3)]
         self.learn(RolloutStage.LOAD_TEST, 0.1, 1)
         tested = self.chooser.allowed("app", "s", "r", self.states, 0.0)
-        self.assertEqual(1, len(tested))
-        self.assertEqual("v2", tested[0].endpoint.version)
+        self.assertEqual(VersionReason.LOAD_TEST, tested.reason)
+        self.assertEqual(1, len(tested.states))
+        self.assertEqual("v2", tested.states[0].endpoint.version)
         for _ in range(8):
-            tested[0].sent(0.0)
+            tested.states[0].sent(0.0)
         self.assertEqual({"v1"}, self.versions("s"))
         self.sessions.note("app", "s", "v2", 0.0)
         self.assertEqual({"v2"}, self.versions("s"))
@@ -110,7 +111,7 @@
         self.assertEqual({"v2"}, self.versions("s"))
         tried = frozenset({tested.endpoint.instance})
         allowed = self.chooser.allowed("app", "s", "r", self.states, 0.0, tried)
-        self.assertEqual(["v1"], [s.endpoint.version for s in allowed])
+        self.assertEqual(["v1"], [s.endpoint.version for s in allowed.states])
         tested.replaced_ms = 0.0
         self.assertEqual({"v1"}, self.versions("s"))
         self.assertEqual({"v2"}, self.versions("s", REPLACED_MS))
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -14,6 +14,11 @@
 from ashlatch.cmdline.ctl import main
 from ashlatch.explain.belief import BELIEFS
 from ashlatch.explain.lines import Line, parse_line, read_lines
+from ashlatch.explain.sessions import (
+    explain_moves,
+    explain_session,
+    version_moves,
+)
 from ashlatch.explain.story import explain_request, explain_span
 from ashlatch.fleet import logs as fleet_logs
 from ashlatch.fleet import seeds
@@ -113,6 +118,48 @@
         self.assertNotIn("configuration", "".join(told))
 
 
+class SessionsTest(testtools.TestCase):
+    """A session that a load test moves, and another gateway sends back."""
+
+    SENDS = (
+        "at=2026-12-02T10:00:01.000 event=request_sent request=r1 session=s1 "
+        "service=app version=v2 version_by=load_test session_ms=-1",
+        "at=2026-12-02T10:00:01.100 event=request_sent request=r1 session=s1 "
+        "service=app version=v1 version_by=share session_ms=100",
+        "at=2026-12-02T10:00:01.200 event=request_sent request=r1 session=s1 "
+        "service=app version=v2 version_by=session session_ms=100",
+        "at=2026-12-02T10:00:02.000 event=request_sent request=r2 session=s1 "
+        "service=app version=v1 version_by=share session_ms=-1",
+        "at=2026-12-02T10:00:02.000 event=request_sent request=r3 session=s1 "
+        "service=other version=v1 version_by=share session_ms=-1",
+        "at=2026-12-02T10:00:02.000 event=request_sent request=r4 "
+        "service=app version=v1 version_by=share session_ms=-1",
+    )
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.lines = [
+            line
+            for process, text in zip("aaabbb", self.SENDS, strict=True)
+            for line in read_lines(process, [text])
+        ]
+
+    def test_session(self) -> None:
+        told = list(explain_session("s1", self.lines))
+        self.assertEqual(6, len(told))
+        self.assertIn("r2 v1 at b by share, not known there", told[4])
+        self.assertEqual(
+            ["no line names session s9"], list(explain_session("s9", self.lines))
+        )
+
+    def test_moves(self) -> None:
+        """The attempts of one request, and other services, are no moves."""
+        (move,) = version_moves(self.lines)
+        self.assertEqual(("a", "b"), (move.before.process, move.after.process))
+        told = list(explain_moves(self.lines))
+        self.assertEqual("  1 app v2 -> v1", told[-1])
+
+
 class EventsTest(testtools.TestCase):
     def test_every_belief_is_an_event_of_the_product(self) -> None:
         self.assertTrue(seeds.__all__)
@@ -161,6 +208,8 @@
             [],
             ["--from", "a"],
             ["--request", "r", "--from", "a", "--to", "b"],
+            ["--request", "r", "--session", "s"],
+            ["--session", "s", "--moves"],
         ):
             done = self.run_with(*arguments)
             self.assertEqual(2, done.exit_code)
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -12,7 +12,12 @@
 from ashlatch.gateway.message import Ask, LoadFigures, PromptPart
 from ashlatch.gateway.pace import Pace
 from ashlatch.gateway.routing import RouteTable
-from ashlatch.gateway.versions import SessionVersions, VersionChooser
+from ashlatch.gateway.versions import (
+    AllowedEndpoints,
+    SessionVersions,
+    VersionChooser,
+    VersionReason,
+)
 from ashlatch.platform.document import decode_catalog
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES, rank
 from ashlatch.policy.workload import WORK_MAX_MS, Workload
@@ -78,11 +83,12 @@
         self.known = gateway_knowledge()
 
     def choose(self, ask: Ask, model: str) -> Choice:
-        states = self.known.directory.of_service("app")
+        states = list(self.known.directory.of_service("app"))
+        allowed = AllowedEndpoints(states, VersionReason.NO_ROLLOUT)
         assert self.known.table is not None
         service = self.known.table.services["app"]
         chosen = choose_endpoint(
-            self.known, service, states, frozenset(), Send(ask, model, SLACK_MS), 100.0
+            self.known, service, allowed, frozenset(), Send(ask, model, SLACK_MS), 100.0
         )
         assert chosen is not None
         return chosen
