--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -196,6 +196,37 @@
                     found[term] = host
         return found[max(found)] if found else ""
 
+    def begin_rollout(self, service: str, version: str, duration_s: float) -> None:
+        """Order a roll-out, and wait until it is taken."""
+        order = {
+            "service": service,
+            "targetVersion": version,
+            "durationS": duration_s,
+        }
+        body = json.dumps(order).encode()
+
+        def taken() -> bool:
+            calls = (
+                self.call(host, "POST", "/-/Rollouts.Begin", body)
+                for host in self.hosts
+            )
+            return any(status == 200 for status, _ in calls)
+
+        wait_for(taken, f"roll-out of {version} acknowledged")
+
+    def ask_in_session(self, host: str, session: str) -> tuple[int, str]:
+        """A caller's request that belongs to a session; status and body."""
+        connection = http.client.HTTPConnection(host, FRONT_PORT, timeout=3.0)
+        try:
+            headers = {**_caller_headers(), "Session": session}
+            connection.request("GET", "/get/1", headers=headers)
+            answer = connection.getresponse()
+            return answer.status, answer.read().decode()
+        except (OSError, http.client.HTTPException):
+            return 0, ""
+        finally:
+            connection.close()
+
     def ask(
         self, host: str, path: str = "/get/1", at: socket.socket | None = None
     ) -> int:
@@ -203,16 +234,20 @@
         connection = http.client.HTTPConnection(host, FRONT_PORT, timeout=3.0)
         if at is not None:
             connection.sock = at
-        headers = {
-            "Host": "shop.example",
-            "X-Attempt-Id": f"r{random.random()}",
-            "X-Deadline-Ms": "2000",
-            "Authorization": "Bearer key-1",
-        }
         try:
-            connection.request("GET", path, headers=headers)
+            connection.request("GET", path, headers=_caller_headers())
             return connection.getresponse().status
         except (OSError, http.client.HTTPException):
             return 0
         finally:
             connection.close()
+
+
+def _caller_headers() -> dict[str, str]:
+    """What each request of a caller carries, under an id of its own."""
+    return {
+        "Host": "shop.example",
+        "X-Attempt-Id": f"r{random.random()}",
+        "X-Deadline-Ms": "2000",
+        "Authorization": "Bearer key-1",
+    }
