Tell all gateways through the core which sessions a load test has moved

Cause: where a session belongs was known for sure to one gateway only. Others had it by one datagram, sent to whomever the sender knew at that moment and kept for 6 s, and overwritten by the end of an older answer; the share, which all know, fell from the trial (up to 0.25) to the load test (0.1); a new leader told all gateways that there were none (seen: gateways=0 before=6, and a session lost 0.08 s later).

Now marks of moved sessions are part of the roll-out's record and hold for all of it; gateways and core VMs pass them on at once; a share never falls; an answer's end moves no session; a new leader begins with the gateways that the one before told of, and one that has just started makes nobody forget. The last also guards the budget of repeats, which each gateway takes by the number of gateways.

Ruled out: a load test within the share only (too few requests to make an endpoint busy on six gateways).

--- a/ashlatch/catalog.py
+++ b/ashlatch/catalog.py
@@ -195,6 +195,8 @@
     roll-out, the one with the higher number is newer. `elapsed_ms` is how long
     it had run when the record was made. `held` are the marks of sessions that
     ran when the trial began, at any gateway; they stay for all of the trial.
+    `moved` are the marks of sessions beyond the share that the load test has
+    moved; they stay on the new version.
     """
 
     service: str
@@ -205,10 +207,16 @@
     duration_ms: float
     elapsed_ms: float = 0.0
     held: tuple[int, ...] = ()
+    moved: tuple[int, ...] = ()
 
 
 class SessionMarks(msgspec.Struct, frozen=True):
-    """Sessions of a service that run, those that a trial might move."""
+    """Sessions of a service that all gateways have to know of.
+
+    `marks` are of those that run and that a trial might move, `moved` of those
+    that its load test has moved.
+    """
 
     service: str
     marks: tuple[int, ...]
+    moved: tuple[int, ...] = ()
--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -22,6 +22,7 @@
 from ashlatch.codec import encode
 from ashlatch.errors import TransportError
 from ashlatch.fleet.discovery import ListReader
+from ashlatch.fleet.following import LeaderLink
 from ashlatch.fleet.founding import open_member
 from ashlatch.fleet.leader import ListKeeper, RolloutKeeper
 from ashlatch.fleet.logs import (
@@ -54,7 +55,6 @@
     ReadRequest,
     SyncReply,
     SyncRequest,
-    gateways_digest,
 )
 from ashlatch.fleet.seeds import Seeds
 from ashlatch.fleet.spread import Spread, has_news
@@ -84,8 +84,6 @@
 # How long an order waits for a leader to be elected.
 LEADER_WAIT_S = 0.7
 LEADER_LOOK_S = 0.05
-SYNC_TIMEOUT_MARGIN_S = 0.7
-FOLLOW_RETRY_S = 0.2
 # How often a data folder is opened again after its disk has refused a write.
 REOPEN_EVERY_S = 0.5
 # The longest document that is taken from an operator.
@@ -120,6 +118,14 @@
             ListReader(settings.list_address), settings.list_read_ms
         )
         self._spread = Spread()
+        self._leader_link = LeaderLink(
+            settings.vm,
+            settings.sync_wait_ms,
+            self._spread,
+            self._book,
+            self._standing,
+            lambda: self.machine.state,
+        )
         self._logged: tuple[object, ...] = ()
         self._lead_soon = asyncio.Event()
         self._memories_term = 0
@@ -224,7 +230,8 @@
         join = join_group(
             self.member, self._standing, self._known_addresses, self._book
         )
-        for work in (join, self._lead(), self._follow()):
+        link = self._leader_link
+        for work in (join, self._lead(), link.follow(), link.pass_moves_on()):
             self.rpc.keep(work, self._failed)
 
     async def _stop(self) -> None:
@@ -340,45 +347,7 @@
         with self.group.lock:
             return self._spread.reply(request, current, members, self.machine.state)
 
-    # Following and leading.
-
-    async def _follow(self) -> None:
-        """Learn from the leader what the log does not hold."""
-        while True:
-            standing = self.group.standing
-            leader = standing.leader_address
-            if standing.leading or not leader:
-                await asyncio.sleep(FOLLOW_RETRY_S)
-                continue
-            tallies = self._spread.tallies.take()
-            reads = self._spread.take_reads()
-            wait_ms = self.settings.sync_wait_ms
-            request = SyncRequest(
-                self.settings.vm,
-                self._spread.live_gateways(),
-                self.machine.state.version,
-                self._spread.endpoints.order,
-                self.machine.state.number,
-                wait_ms,
-                tallies,
-                self._spread.sessions(),
-                reads,
-                self._spread.reads.position,
-                gateways_digest(self._spread.gateways),
-            )
-            try:
-                reply: SyncReply = await self._book.peer(leader).call(
-                    SYNC, request, wait_ms / 1000.0 + SYNC_TIMEOUT_MARGIN_S
-                )
-            except TransportError:
-                # Shown to gateways by `current`, and logged with the standing.
-                self._spread.tallies.add(tallies)
-                self._spread.tell_reads(reads)
-                await asyncio.sleep(FOLLOW_RETRY_S)
-                continue
-            self._spread.learn(reply)
-            if not reply.current:
-                await asyncio.sleep(FOLLOW_RETRY_S)
+    # Leading.
 
     async def _lead(self) -> None:
         while True:
--- a/ashlatch/fleet/leader.py
+++ b/ashlatch/fleet/leader.py
@@ -20,7 +20,7 @@
 from ashlatch.fleet.discovery import ListReader, ListUnreadable
 from ashlatch.fleet.logs import ListRead, ListUnread, RolloutDecided
 from ashlatch.fleet.machine import FINAL_STAGES, MoveRollout
-from ashlatch.fleet.verdict import Evidence, decide
+from ashlatch.fleet.verdict import Decision, Evidence, decide
 from ashlatch.gateway.tally import Tally
 from ashlatch.log import emit
 
@@ -88,7 +88,7 @@
     _evidence: dict[str, Evidence] = field(default_factory=dict)
     _clocks: dict[str, _Clock] = field(default_factory=dict)
     _newest: dict[str, Rollout] = field(default_factory=dict)
-    _sessions: dict[str, tuple[int, ...]] = field(default_factory=dict)
+    _sessions: dict[str, SessionMarks] = field(default_factory=dict)
 
     def forget(self) -> None:
         """This VM leads no more."""
@@ -115,8 +115,8 @@
                 self._evidence[service].add(tuple(own), now_ms)
 
     def tell_sessions(self, sessions: tuple[SessionMarks, ...]) -> None:
-        """Take which sessions run at the gateways before a trial."""
-        self._sessions = {told.service: told.marks for told in sessions}
+        """Take which sessions run before a trial, and which a load test moved."""
+        self._sessions = {told.service: told for told in sessions}
 
     def _timed_in_trial(self, tally: Tally) -> Tally:
         """A tally less the times of a new version that is past its trial.
@@ -157,7 +157,10 @@
         )
         decision = decide(rollout, elapsed_ms, evidence, now_ms, ready)
         changed = (decision.stage, decision.share) != (rollout.stage, rollout.share)
-        if not changed and elapsed_ms - rollout.elapsed_ms < CHECKPOINT_MS:
+        told = self._sessions.get(rollout.service, SessionMarks(rollout.service, ()))
+        moved = _moved(rollout, decision, told)
+        due = elapsed_ms - rollout.elapsed_ms >= CHECKPOINT_MS
+        if not changed and not due and moved == rollout.moved:
             return None
         if changed:
             decided = RolloutDecided(
@@ -176,5 +179,16 @@
             decision.stage,
             decision.share,
             elapsed_ms,
-            rollout.held if rollout.share else self._sessions.get(rollout.service, ()),
+            rollout.held if rollout.share else told.marks,
+            moved,
         )
+
+
+def _moved(rollout: Rollout, decision: Decision, told: SessionMarks) -> tuple[int, ...]:
+    """The marks of the sessions that stay on the new version beyond its share."""
+    if decision.stage in FINAL_STAGES or decision.share >= 1.0:
+        return ()
+    if decision.stage is RolloutStage.TRIAL:
+        # What is told here was moved by a roll-out before this one.
+        return rollout.moved
+    return tuple(sorted({*rollout.moved, *told.moved}))
--- a/ashlatch/fleet/logs.py
+++ b/ashlatch/fleet/logs.py
@@ -23,6 +23,7 @@
     "MemoriesRead",
     "MemoryUnread",
     "MoveLost",
+    "MovesUntold",
     "OrderEnded",
     "RolloutDecided",
     "StandingChanged",
@@ -143,6 +144,18 @@
     detail: str
 
 
+@dataclass(frozen=True)
+class MovesUntold(LogEvent):
+    """The leader could not be told at once which sessions a load test moved.
+
+    The next question to it tells them.
+    """
+
+    event: ClassVar[str] = "moves_untold"
+    leader: str
+    reason: str
+
+
 @dataclass(frozen=True)
 class MoveLost(LogEvent):
     """A decision on a roll-out was not committed; it is taken again."""
--- a/ashlatch/fleet/machine.py
+++ b/ashlatch/fleet/machine.py
@@ -63,6 +63,7 @@
     share: float
     elapsed_ms: float
     held: tuple[int, ...] = ()
+    moved: tuple[int, ...] = ()
 
 
 Command = ReplaceDocument | BeginRollout | MoveRollout
@@ -158,5 +159,6 @@
         number=state.number,
         elapsed_ms=command.elapsed_ms,
         held=command.held,
+        moved=command.moved,
     )
     return Accepted(changed=True)
--- a/ashlatch/fleet/spread.py
+++ b/ashlatch/fleet/spread.py
@@ -27,6 +27,10 @@
 GATEWAY_SEEN_MS = 4000.0
 # Sessions are told before a trial only; what is older was before another one.
 SESSION_TOLD_MS = 10_000.0
+# Until a core VM has run for this long, some gateways have not asked it yet, and
+# what it knows of them is no reason to forget others: each asks every half second,
+# and so do the other core VMs.
+GATEWAYS_SETTLE_MS = 1500.0
 # Reads that wait for a leader; what is older is of no use by then.
 TOLD_MAX = 1024
 
@@ -39,12 +43,16 @@
         self.tallies = Tallies()
         self.reads = ReadLog()
         self._told: list[PromptRead] = []
-        self._listed_ms = monotonic_ms()
+        self._begun_ms = monotonic_ms()
+        self._listed_ms = self._begun_ms
+        self._term_led = 0
         self._gateways: dict[GatewayVm, float] = {}
         self.gateways: tuple[GatewayVm, ...] = ()
         self._leader_heard_ms = float("-inf")
         self._changed = asyncio.Event()
-        self._sessions: dict[str, dict[int, float]] = {}
+        self._running: dict[str, dict[int, float]] = {}
+        self._moved: dict[str, dict[int, float]] = {}
+        self.moves_told = asyncio.Event()
 
     def asked(self, request: SyncRequest) -> None:
         """Somebody asks, and tells what it knows."""
@@ -53,10 +61,17 @@
             self._gateways[gateway] = now_ms
         self.tallies.add(request.tallies)
         for sessions in request.sessions:
-            marks = self._sessions.setdefault(sessions.service, {})
-            marks.update(dict.fromkeys(sessions.marks, now_ms))
+            self._take_sessions(sessions, now_ms)
         self.tell_reads(request.reads)
 
+    def _take_sessions(self, sessions: SessionMarks, now_ms: float) -> None:
+        running = self._running.setdefault(sessions.service, {})
+        running.update(dict.fromkeys(sessions.marks, now_ms))
+        moved = self._moved.setdefault(sessions.service, {})
+        if not moved.keys() >= set(sessions.moved):
+            self.moves_told.set()
+        moved.update(dict.fromkeys(sessions.moved, now_ms))
+
     def tell_reads(self, reads: tuple[PromptRead, ...]) -> None:
         """Take reads that are to reach the leader; the oldest give way."""
         self._told.extend(reads)
@@ -71,10 +86,12 @@
         """The sessions that were told lately, by service."""
         oldest_ms = monotonic_ms() - SESSION_TOLD_MS
         found = []
-        for service, marks in self._sessions.items():
-            recent = {m: at for m, at in marks.items() if at >= oldest_ms}
-            self._sessions[service] = recent
-            found.append(SessionMarks(service, tuple(recent)))
+        for service in self._running:
+            for told in (self._running, self._moved):
+                marks = told[service].items()
+                told[service] = {mark: at for mark, at in marks if at >= oldest_ms}
+            running, moved = self._running[service], self._moved[service]
+            found.append(SessionMarks(service, tuple(running), tuple(moved)))
         return tuple(found)
 
     def live_gateways(self) -> tuple[GatewayVm, ...]:
@@ -106,12 +123,27 @@
     def lead(self, term: int, listed: EndpointList, read_ms: float) -> None:
         """Take what this VM knows as the leader of a term."""
         self.reads.extend(term, self.take_reads())
+        if term != self._term_led:
+            self._term_led = term
+            self._inherit_gateways()
         self.gateways = tuple(sorted(self.live_gateways()))
         self._listed_ms = max(self._listed_ms, read_ms)
         if listed.order > self.endpoints.order:
             self.endpoints = listed
             self.wake()
 
+    def _inherit_gateways(self) -> None:
+        """Begin a term with the gateways that the leader before told of.
+
+        They ask this VM, or another that tells it, within half a second. Without
+        this a new leader told all that there were none: a session that was moved
+        in that time was told to nobody, and each gateway took the whole budget of
+        repeats for its own.
+        """
+        now_ms = monotonic_ms()
+        for gateway in self.gateways:
+            self._gateways.setdefault(gateway, now_ms)
+
     def reply(
         self,
         request: SyncRequest,
@@ -141,8 +173,10 @@
     def _gateways_unknown_to(
         self, request: SyncRequest
     ) -> tuple[GatewayVm, ...] | None:
-        known = gateways_digest(self.gateways) == request.gateways_known
-        return None if known else self.gateways
+        if gateways_digest(self.gateways) == request.gateways_known:
+            return None
+        young = monotonic_ms() - self._begun_ms < GATEWAYS_SETTLE_MS
+        return None if young and request.gateways_known else self.gateways
 
     def wake(self) -> None:
         """There may be news: answer who waits."""
--- a/ashlatch/fleet/verdict.py
+++ b/ashlatch/fleet/verdict.py
@@ -120,12 +120,24 @@
     if stage is RolloutStage.LOAD_TEST:
         over = rollout.stage is RolloutStage.SETTLE
         if over or _exposed(rollout, part, everything):
-            return Decision(RolloutStage.SETTLE, TRIAL_SHARE, "enough was answered")
+            return _onward(rollout, RolloutStage.SETTLE, share, "enough was answered")
     if stage is RolloutStage.TRIAL:
         if elapsed_ms < SESSIONS_TOLD_MS:
             return Decision(stage, rollout.share, "sessions are being told")
         share = _trial_share(rollout, part, everything)
-    return Decision(stage, share, "well so far")
+    return _onward(rollout, stage, share, "well so far")
+
+
+def _onward(
+    rollout: Rollout, stage: RolloutStage, share: float, reason: str
+) -> Decision:
+    """A step of a version that is well; its share never falls.
+
+    A gateway that has not seen a session goes by the share alone: where it falls,
+    as from a trial of 0.25 to a load test of 0.1, the sessions in between go back
+    to the old version at each such gateway.
+    """
+    return Decision(stage, max(share, rollout.share), reason)
 
 
 def _trial_share(rollout: Rollout, part: float, counts: dict[TallyKey, Tally]) -> float:
--- a/ashlatch/gateway/account.py
+++ b/ashlatch/gateway/account.py
@@ -93,12 +93,10 @@
         service, version = endpoint.service, endpoint.version
         session = self._admission.ask.session
         versions = self._known.versions
-        now_ms = self._now_ms()
-        before = versions.sessions.version(service, session, now_ms)
-        if session and before != version and versions.load_tests(service, version):
+        if versions.note_move(service, session, version):
             self._known.metrics.count("sessions_told")
             self._known.tell(SessionMoved(service, session, version))
-        versions.sessions.note(service, session, version, now_ms)
+        versions.sessions.note(service, session, version, self._now_ms())
 
     def _note_read(self, choice: Choice, model: str) -> None:
         """An engine is about to read the prompt, and keeps it then.
@@ -246,7 +244,7 @@
     def _note_version(self, attempt: Attempt) -> None:
         endpoint = attempt.state.endpoint
         session = self._admission.ask.session
-        self._known.versions.sessions.note(
+        self._known.versions.sessions.ended(
             endpoint.service, session, endpoint.version, self._now_ms()
         )
 
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -136,6 +136,7 @@
         watch = SilenceWatch(self.known.directory)
         works = (
             self._link.run(),
+            self._link.tell_moves(),
             self._link.read_alone(),
             watch.run(),
             self._sweep(),
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -29,6 +29,7 @@
     "GatewaysLearnt",
     "HandlerFailed",
     "ListUnread",
+    "MovesUntold",
     "PeersUnavailable",
     "RequestEnded",
     "RequestSent",
@@ -243,6 +244,18 @@
     reason: str
 
 
+@dataclass(frozen=True)
+class MovesUntold(LogEvent):
+    """The core could not be told at once which sessions a load test moved here.
+
+    The next question to it tells them.
+    """
+
+    event: ClassVar[str] = "gateway_moves_untold"
+    member: str
+    reason: str
+
+
 @dataclass(frozen=True)
 class FleetLost(LogEvent):
     """No member of the core answers; the gateway goes on with what it has."""
--- a/ashlatch/gateway/peers.py
+++ b/ashlatch/gateway/peers.py
@@ -94,9 +94,7 @@
         now_ms = asyncio.get_running_loop().time() * 1000.0
         if isinstance(news, SessionMoved):
             self._known.metrics.count("sessions_heard")
-            self._known.versions.sessions.note(
-                news.service, news.session, news.version, now_ms
-            )
+            self._known.versions.hear_move(news.service, news.session, news.version)
             return
         state = self._known.directory.state(news.instance)
         if state is None:
--- a/ashlatch/gateway/sync.py
+++ b/ashlatch/gateway/sync.py
@@ -27,6 +27,7 @@
     gateways_digest,
 )
 from ashlatch.fleet.seeds import Seeds
+from ashlatch.gateway.kept import PromptRead
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.logs import (
     ConfigurationApplied,
@@ -36,10 +37,12 @@
     FleetRegained,
     GatewaysLearnt,
     ListUnread,
+    MovesUntold,
     RolloutLearnt,
 )
 from ashlatch.gateway.message import PromptPart
 from ashlatch.gateway.routing import RouteTable
+from ashlatch.gateway.tally import Tally
 from ashlatch.log import emit
 from ashlatch.platform.document import DocumentError, decode_catalog
 
@@ -50,6 +53,8 @@
 # A core VM that does not answer in this time beyond the wait is left.
 TIMEOUT_MARGIN_S = 0.6
 RETRY_S = 0.1
+# Sessions that are moved within this time are told in one message.
+MOVES_COLLECT_S = 0.05
 # Until the core was heard, a gateway serves nothing, and VMs that start with it
 # may not answer yet: one that does not within this time is left.
 FIRST_TIMEOUT_S = 0.3
@@ -67,7 +72,7 @@
 
 
 class FleetLink:
-    """The way to the core. `run` and `read_alone` run for ever.
+    """The way to the core. `run`, `tell_moves` and `read_alone` run for ever.
 
     `own` is this gateway as the others are to know it.
     """
@@ -96,6 +101,8 @@
         self._heard_ms = float("-inf")
         self._lost_since_ms: float | None = None
         self._refreshed_ms = float("-inf")
+        self._moved = asyncio.Event()
+        known.versions.moved = self._moved.set
 
     @property
     def settled(self) -> bool:
@@ -122,19 +129,7 @@
             tallies = self._known.tallies.take()
             reads = self._known.kept.take_notes()
             wait_ms, timeout_s = self._terms()
-            request = SyncRequest(
-                self._known.vm,
-                (self._own,),
-                self._document_version,
-                self._known.directory.order,
-                self._rollout_number,
-                wait_ms,
-                tallies,
-                self._known.versions.running_before_trials(self._now_ms()),
-                reads,
-                self._reads_known,
-                gateways_digest(self._known.gateways),
-            )
+            request = self._question(wait_ms, tallies, reads)
             try:
                 reply: SyncReply = await self._book.peer(address).call(
                     SYNC, request, timeout_s
@@ -150,6 +145,45 @@
                 self._lose(address, "has lost its leader")
                 await asyncio.sleep(RETRY_S)
 
+    async def tell_moves(self) -> None:
+        """Tell the core at once of sessions that a load test has moved here.
+
+        The question of `run` may be held for half a second more, and a datagram to
+        another gateway may be lost: this way all know within 0.3 s (a core VM, the
+        leader at its next look, a commit, and all gateways with their news).
+        """
+        while True:
+            await self._moved.wait()
+            await asyncio.sleep(MOVES_COLLECT_S)
+            self._moved.clear()
+            request = self._question(0.0)
+            try:
+                await self._book.peer(self._member).call(
+                    SYNC, request, TIMEOUT_MARGIN_S
+                )
+            except TransportError as error:
+                emit(log, MovesUntold(self._member, error.reason), logging.WARNING)
+
+    def _question(
+        self,
+        wait_ms: float,
+        tallies: tuple[Tally, ...] = (),
+        reads: tuple[PromptRead, ...] = (),
+    ) -> SyncRequest:
+        return SyncRequest(
+            self._known.vm,
+            (self._own,),
+            self._document_version,
+            self._known.directory.order,
+            self._rollout_number,
+            wait_ms,
+            tallies,
+            self._known.versions.sessions_to_tell(self._now_ms()),
+            reads,
+            self._reads_known,
+            gateways_digest(self._known.gateways),
+        )
+
     def _terms(self) -> tuple[float, float]:
         """How long a question may be held, and when its answer is late."""
         if self._heard_ms == float("-inf"):
--- a/ashlatch/gateway/versions.py
+++ b/ashlatch/gateway/versions.py
@@ -11,7 +11,7 @@
 """
 
 import enum
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from ashlatch.catalog import Rollout, RolloutStage, SessionMarks
@@ -36,16 +36,19 @@
 MARKS = 1 << 32
 # Sessions beyond this part of the marks are never moved by a trial.
 MOVABLE_SHARE = 0.25
+# A load test moves what one endpoint answers in a few seconds: some hundreds.
+MOVES_MAX = 20_000
 
 
 class VersionReason(enum.Enum):
     """What a request's version was chosen by.
 
     `SESSION`: the session ran on the new version before, as far as is known
-    here. `STAYS`: it ran on the old one, and a trial leaves it there. `HELD`: it
-    ran when the trial began, at any gateway. `SHARE`: its place in the share of
-    the new version, or beyond it. `LOAD_TEST`: the endpoint under test has room.
-    `UNLISTED`: no endpoint of the preferred version is listed.
+    here. `MOVED`: a load test moved it, at any gateway. `STAYS`: it ran on the
+    old one, and a trial leaves it there. `HELD`: it ran when the trial began, at
+    any gateway. `SHARE`: its place in the share of the new version, or beyond
+    it. `LOAD_TEST`: the endpoint under test has room. `UNLISTED`: no endpoint of
+    the preferred version is listed.
     """
 
     NO_ROLLOUT = "no_rollout"
@@ -53,6 +56,7 @@
     COMPLETED = "completed"
     LOAD_TEST = "load_test"
     SESSION = "session"
+    MOVED = "moved"
     STAYS = "stays"
     HELD = "held"
     SHARE = "share"
@@ -100,6 +104,16 @@
         while len(self._seen) > SESSIONS_MAX:
             del self._seen[next(iter(self._seen))]
 
+    def ended(self, service: str, session: str, version: str, now_ms: float) -> None:
+        """A request of the session has ended at this version.
+
+        Another request may have moved the session since it began: an end only
+        moves the time on.
+        """
+        seen = self._seen.get(f"{service}/{session}")
+        if seen is None or seen.version == version:
+            self.note(service, session, version, now_ms)
+
     def running(self, service: str, now_ms: float) -> list[str]:
         """The sessions of a service that had a request lately."""
         begin = f"{service}/"
@@ -129,21 +143,84 @@
     return int(fraction(f"{version}/{session}") * MARKS)
 
 
+@dataclass
+class _Moves:
+    """The sessions that a load test of a version has moved, by their marks.
+
+    `untold` are those that were moved here and that no record of the roll-out
+    names yet. A move holds for the whole roll-out, however long its request takes.
+    """
+
+    version: str
+    marks: set[int] = field(default_factory=set)
+    untold: set[int] = field(default_factory=set)
+
+    def note(self, mark: int, here: bool) -> None:
+        if len(self.marks) >= MOVES_MAX:
+            return
+        self.marks.add(mark)
+        if here:
+            self.untold.add(mark)
+
+    def learn(self, rollout: Rollout) -> None:
+        self.marks.update(rollout.moved)
+        self.untold.difference_update(rollout.moved)
+
+
+def _nothing_moved() -> None:
+    """Nobody waits for moves yet."""
+
+
 @dataclass
 class VersionChooser:
-    """The roll-outs that are known, and what follows from them."""
+    """The roll-outs that are known, and what follows from them.
+
+    `moved` is called when a load test has moved a session here.
+    """
 
     sessions: SessionVersions
     rollouts: dict[str, Rollout] = field(default_factory=dict)
+    moved: Callable[[], None] = _nothing_moved
     _held_marks: dict[str, tuple[int, frozenset[int]]] = field(default_factory=dict)
+    _moves: dict[str, _Moves] = field(default_factory=dict)
 
     def learn(self, rollouts: Iterable[Rollout]) -> list[Rollout]:
         """Take what is newer than known, and return it."""
         newer = [r for r in rollouts if r.number > self._number(r.service)]
         for rollout in newer:
             self.rollouts[rollout.service] = rollout
+            self._moves_to(rollout.service, rollout.version).learn(rollout)
         return newer
 
+    def hear_move(self, service: str, session: str, version: str) -> None:
+        """Another gateway's load test has moved a session to the version."""
+        mark = session_mark(version, session)
+        self._moves_to(service, version).note(mark, here=False)
+
+    def note_move(self, service: str, session: str, version: str) -> bool:
+        """A request goes to the version; whether others must hear of its session.
+
+        They must when a load test moves it beyond the share, which all know.
+        """
+        rollout = self.rollouts.get(service)
+        if not session or rollout is None or rollout.version != version:
+            return False
+        if rollout.stage is not RolloutStage.LOAD_TEST:
+            return False
+        mark = session_mark(version, session)
+        moves = self._moves_to(service, version)
+        if mark < rollout.share * MARKS or mark in moves.marks:
+            return False
+        moves.note(mark, here=True)
+        self.moved()
+        return True
+
+    def _moves_to(self, service: str, version: str) -> _Moves:
+        moves = self._moves.get(service)
+        if moves is None or moves.version != version:
+            moves = self._moves[service] = _Moves(version)
+        return moves
+
     def allowed(
         self,
         service: str,
@@ -181,13 +258,6 @@
             return AllowedEndpoints(other, VersionReason.UNLISTED, age_ms)
         return AllowedEndpoints(preferred, preference.reason, age_ms)
 
-    def load_tests(self, service: str, version: str) -> bool:
-        """Whether a load test may move sessions to the version."""
-        rollout = self.rollouts.get(service)
-        if rollout is None or rollout.stage is not RolloutStage.LOAD_TEST:
-            return False
-        return rollout.version == version
-
     def _preference(
         self, rollout: Rollout, session: str, request_id: str, now_ms: float
     ) -> _Preference:
@@ -196,19 +266,30 @@
         before = self.sessions.version(rollout.service, session, now_ms)
         if before == rollout.version:
             return _Preference(True, VersionReason.SESSION)
+        mark = session_mark(rollout.version, session)
+        if session and mark in self._moves_to(rollout.service, rollout.version).marks:
+            return _Preference(True, VersionReason.MOVED)
         if rollout.stage is RolloutStage.TRIAL and session:
             if before:
                 return _Preference(False, VersionReason.STAYS)
-            if session_mark(rollout.version, session) in self._held(rollout):
+            if mark in self._held(rollout):
                 return _Preference(False, VersionReason.HELD)
         place = fraction(f"{rollout.version}/{session or request_id}")
         return _Preference(place < rollout.share, VersionReason.SHARE)
 
-    def running_before_trials(self, now_ms: float) -> tuple[SessionMarks, ...]:
-        """The sessions here that trials which have not begun yet might move."""
+    def sessions_to_tell(self, now_ms: float) -> tuple[SessionMarks, ...]:
+        """The sessions that all gateways have to know of.
+
+        Those that run here and that a trial which has not begun yet might move,
+        and those that a load test has moved here.
+        """
         found = []
         for rollout in self.rollouts.values():
             if rollout.stage is not RolloutStage.TRIAL or rollout.share > 0:
+                untold = self._moves_to(rollout.service, rollout.version).untold
+                if untold and rollout.share < 1.0:
+                    moved = tuple(sorted(untold))
+                    found.append(SessionMarks(rollout.service, (), moved))
                 continue
             sessions = self.sessions.running(rollout.service, now_ms)
             marks = (session_mark(rollout.version, s) for s in sessions)
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -61,9 +61,9 @@
         for session in sessions:
             self.sessions.note("app", session, "v1", 0.0)
         self.sessions.note("other", "s", "v1", 0.0)
-        (told,) = self.chooser.running_before_trials(1000.0)
+        (told,) = self.chooser.sessions_to_tell(1000.0)
         self.assertTrue(60 < len(told.marks) < 140, len(told.marks))
-        self.assertEqual((), self.chooser.running_before_trials(20_000.0)[0].marks)
+        self.assertEqual((), self.chooser.sessions_to_tell(20_000.0)[0].marks)
         elsewhere = VersionChooser(SessionVersions(5000.0))
         begun = Rollout(
             "app", "v2", RolloutStage.TRIAL, 0.25, 2, 1000.0, held=told.marks
@@ -73,7 +73,7 @@
             for session in sessions:
                 allowed = chooser.allowed("app", session, "r", self.states, 20_000.0)
                 self.assertEqual("v1", allowed.states[0].endpoint.version)
-        self.assertEqual((), elsewhere.running_before_trials(0.0))
+        self.assertEqual((), elsewhere.sessions_to_tell(0.0))
 
     def test_sessions_do_not_come_back(self) -> None:
         self.learn(RolloutStage.SHIFT, 0.0, 1)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -177,6 +177,8 @@
             "order_ended",
             "disk_refused",
             "move_lost",
+            "moves_untold",
+            "gateway_moves_untold",
         }
         for module in (gateway_logs, fleet_logs):
             names = {getattr(module, name).event for name in module.__all__}
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,6 +4,7 @@
 import tempfile
 from pathlib import Path
 
+import msgspec
 import testtools
 
 from ashlatch.catalog import (
@@ -298,6 +299,32 @@
         (move,) = keeper.moves((begun,), self.LISTED, 4000.0)
         self.assertEqual((7, 9), move.held)
 
+    def test_moved_sessions_are_kept_until_all_move(self) -> None:
+        """What gateways tell is committed at once, and nothing of it is lost."""
+        keeper = RolloutKeeper()
+        known = Rollout("app", "v2", RolloutStage.LOAD_TEST, 0.1, 3, 20_000.0, 10_500.0)
+        keeper.observe((known,), 0.0)
+        self.assertEqual([], list(keeper.moves((known,), self.LISTED, 50.0)))
+        for told, expected in (((5,), (5,)), ((3, 5), (3, 5)), ((8,), (3, 5, 8))):
+            keeper.tell_sessions((SessionMarks("app", (), told),))
+            (move,) = keeper.moves((known,), self.LISTED, 100.0)
+            self.assertEqual(expected, move.moved)
+            known = msgspec.structs.replace(known, moved=move.moved)
+            self.assertEqual([], list(keeper.moves((known,), self.LISTED, 150.0)))
+        keeper.tell_sessions(())
+        (move,) = keeper.moves((known,), self.LISTED, 2100.0)
+        self.assertEqual((RolloutStage.SETTLE, (3, 5, 8)), (move.stage, move.moved))
+        (move,) = keeper.moves((known,), self.LISTED, 4000.0)
+        self.assertEqual((1.0, ()), (move.share, move.moved))
+
+    def test_moves_of_an_earlier_rollout_are_not_taken(self) -> None:
+        keeper = RolloutKeeper()
+        begun = Rollout("app", "v3", RolloutStage.TRIAL, 0.1, 9, 20_000.0, 2000.0)
+        keeper.observe((begun,), 0.0)
+        keeper.tell_sessions((SessionMarks("app", (), (5,)),))
+        (move,) = keeper.moves((begun,), self.LISTED, 3000.0)
+        self.assertEqual((), move.moved)
+
     def test_checkpoints_lose_no_time(self) -> None:
         keeper = RolloutKeeper()
         known = Rollout("app", "v2", RolloutStage.TRIAL, TRIAL_SHARE, 1, 20_000.0)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,8 +5,8 @@
 
 import testtools
 
-from ashlatch.catalog import GatewayVm
-from ashlatch.gateway.directory import REPLACED_MS
+from ashlatch.catalog import Endpoint, GatewayVm, Rollout, RolloutStage
+from ashlatch.gateway.directory import REPLACED_MS, EndpointState
 from ashlatch.gateway.news import EndpointReplaced, PromptSent, SessionMoved
 from ashlatch.gateway.peers import GatewayPeers
 from tests.system import free_port
@@ -66,12 +66,23 @@
         self.with_sockets(work)
 
     def test_moved_sessions(self) -> None:
+        """The hearer keeps the session that was told, and no other, on its version."""
+        versions = self.hearer.versions
+        stage = RolloutStage.SETTLE
+        versions.learn([Rollout("app", "v2", stage, 0.0, 1, 1000.0)])
+        states = [
+            EndpointState(Endpoint(f"i-{v}", "app", "a:1", "h", v, 8, False))
+            for v in ("v1", "v2")
+        ]
+
         async def work(peers: GatewayPeers) -> None:
             peers.tell(SessionMoved("app", "s1", "v2"))
             await asyncio.sleep(ARRIVES_S)
             now_ms = asyncio.get_running_loop().time() * 1000.0
-            sessions = self.hearer.versions.sessions
-            self.assertEqual("v2", sessions.version("app", "s1", now_ms))
+            for session, version in (("s1", "v2"), ("s2", "v1")):
+                allowed = versions.allowed("app", session, "r", states, now_ms)
+                found = [state.endpoint.version for state in allowed.states]
+                self.assertEqual([version], found)
 
         self.with_sockets(work)
 
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -2,10 +2,10 @@
 
 import testtools
 
-from ashlatch.catalog import EndpointList, GatewayVm
+from ashlatch.catalog import EndpointList, GatewayVm, SessionMarks
 from ashlatch.fleet.machine import FleetState
 from ashlatch.fleet.protocol import SyncReply, SyncRequest, gateways_digest
-from ashlatch.fleet.spread import TOLD_MAX, Spread
+from ashlatch.fleet.spread import GATEWAYS_SETTLE_MS, TOLD_MAX, Spread
 from ashlatch.gateway.kept import PromptRead
 
 ONE = GatewayVm("10.0.0.1:7000", "hall-1")
@@ -18,9 +18,20 @@
     reads: tuple[PromptRead, ...] = (),
     reads_known: tuple[int, int] = (0, 0),
     gateways_known: int = 0,
+    sessions: tuple[SessionMarks, ...] = (),
 ) -> SyncRequest:
     return SyncRequest(
-        "vm", gateways, 0, (0, 0), 0, 0.0, (), (), reads, reads_known, gateways_known
+        "vm",
+        gateways,
+        0,
+        (0, 0),
+        0,
+        0.0,
+        (),
+        sessions,
+        reads,
+        reads_known,
+        gateways_known,
     )
 
 
@@ -67,6 +78,34 @@
             again = self.ask(spread, request(ONE, gateways_known=known))
             self.assertIsNone(again.gateways)
 
+    def test_a_core_vm_that_has_just_started_makes_nobody_forget(self) -> None:
+        """All core VMs were killed: some gateways have not asked the new leader yet.
+
+        Who knows no gateway gets what is known so far.
+        """
+        everyone = gateways_digest((ONE, TWO))
+        self.ask(self.leader, request(ONE, gateways_known=everyone))
+        self.leader.lead(3, EndpointList(), 0.0)
+        told = self.ask(self.leader, request(ONE, gateways_known=everyone))
+        self.assertIsNone(told.gateways)
+        told = self.ask(self.leader, request(ONE))
+        self.assertEqual((ONE,), told.gateways)
+        self.leader._begun_ms -= GATEWAYS_SETTLE_MS
+        told = self.ask(self.leader, request(ONE, gateways_known=everyone))
+        self.assertEqual((ONE,), told.gateways)
+
+    def test_moved_sessions_reach_the_leader(self) -> None:
+        moved = SessionMarks("app", (), (7,))
+        for spread in (self.follower, self.leader):
+            self.assertFalse(spread.moves_told.is_set())
+            asked = request(ONE, sessions=(moved,))
+            spread.asked(asked)
+            self.assertTrue(spread.moves_told.is_set())
+            self.assertEqual((moved,), spread.sessions())
+            spread.moves_told.clear()
+            spread.asked(asked)
+            self.assertFalse(spread.moves_told.is_set())
+
     def test_reads_without_a_leader_are_bounded(self) -> None:
         for _ in range(3):
             self.ask(self.follower, request(ONE, reads=(READ,) * TOLD_MAX))
