--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -261,6 +261,33 @@
         decision = decide(rollout, 11_000.0, evidence, 11_000.0, listed=True)
         self.assertEqual(RolloutStage.ROLLED_BACK, decision.stage)
 
+    def slowing(self, *old: Tally) -> Decision:
+        """The latest answers of a good version are late; those of the old are given.
+
+        What users saw: a busy hour in a trial, and a good version was taken back.
+        The latest answers of the new version were held to all of the old one's,
+        most of which came in the calm time before.
+        """
+        evidence = self.evidence(answered=20)
+        for tally in old:
+            evidence.add((tally,), 9000.0)
+        evidence.add((self.tally("v2", 8, late=8),), 9500.0)
+        rollout = Rollout("app", "v2", RolloutStage.TRIAL, 0.1, 1, 20_000.0)
+        return decide(rollout, 9500.0, evidence, 9500.0, listed=True)
+
+    def test_what_slows_both_versions_is_no_fault(self) -> None:
+        decision = self.slowing(self.tally("v1", 40, late=40))
+        self.assertEqual(RolloutStage.TRIAL, decision.stage, decision.reason)
+
+    def test_a_version_that_slows_alone(self) -> None:
+        decision = self.slowing(self.tally("v1", 40))
+        self.assertEqual(RolloutStage.ROLLED_BACK, decision.stage)
+
+    def test_a_version_that_slows_while_few_answers_of_the_other_come(self) -> None:
+        """The nearest time in which there are enough says what is late."""
+        decision = self.slowing(self.tally("v1", 4))
+        self.assertEqual(RolloutStage.ROLLED_BACK, decision.stage)
+
     def test_waits_for_endpoints(self) -> None:
         rollout = Rollout("app", "v2", RolloutStage.TRIAL, 0.0, 1, 20_000.0)
         decision = decide(rollout, 15_000.0, Evidence(), 0.0, listed=False)
