Hold a new version's latest answers to the other's of the same time

Cause: the verdict compared the latest 4 s of the new version with all answers of the old one since the roll-out began, most of them of a calmer time, so that a busy hour or a few bad seconds of everything took a good version back. The other version's answers are now those of the shortest time (4, 8, 16 s, all) with 20 timed ones.

--- a/ashlatch/fleet/verdict.py
+++ b/ashlatch/fleet/verdict.py
@@ -12,6 +12,7 @@
 
 import math
 from collections import deque
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from ashlatch.catalog import Rollout, RolloutStage
@@ -61,8 +62,11 @@
 SLOW_STEPS = 3
 # The median is known from as many answers.
 TIMED_MIN = 20
-# Changes that come late are looked for in the latest answers alone.
-RECENT_MS = 4000.0
+# Changes that come late are looked for in the answers of the first of these times
+# alone. The other version's times are those of the first in which there are enough.
+WINDOWS_MS = (4000.0, 8000.0, 16_000.0)
+
+Counts = dict[TallyKey, Tally]
 
 
 @dataclass(frozen=True)
@@ -79,23 +83,49 @@
     """The tallies of one roll-out since it began."""
 
     _all: dict[TallyKey, Tally] = field(default_factory=dict)
-    _recent: deque[tuple[float, tuple[Tally, ...]]] = field(default_factory=deque)
+    _reports: deque[tuple[float, tuple[Tally, ...]]] = field(default_factory=deque)
+    _sums: dict[float, Counts] = field(default_factory=dict)
+    _summed_ms: float = float("-inf")
 
     def add(self, tallies: tuple[Tally, ...], now_ms: float) -> None:
         """Take what gateways have counted."""
         if not tallies:
             return
         merge(self._all, tallies)
-        self._recent.append((now_ms, tallies))
-
-    def windows(self, now_ms: float) -> tuple[dict[TallyKey, Tally], ...]:
-        """All counts, and the latest."""
-        while self._recent and now_ms - self._recent[0][0] > RECENT_MS:
-            self._recent.popleft()
-        recent: dict[TallyKey, Tally] = {}
-        for _, tallies in self._recent:
-            merge(recent, tallies)
-        return self._all, recent
+        self._summed_ms = float("-inf")
+        self._reports.append((now_ms, tallies))
+        while now_ms - self._reports[0][0] > WINDOWS_MS[-1]:
+            self._reports.popleft()
+
+    def everything(self) -> Counts:
+        """All counts."""
+        return self._all
+
+    def latest(self, now_ms: float) -> Counts:
+        """The counts of the shortest time."""
+        return self._within(WINDOWS_MS[0], now_ms)
+
+    def history(self, now_ms: float) -> Iterator[Counts]:
+        """The latest counts, those of ever longer times, and all.
+
+        A longer time is added up only when it is asked for: most services have
+        answers enough in the shortest.
+        """
+        for window_ms in WINDOWS_MS:
+            yield self._within(window_ms, now_ms)
+        yield self._all
+
+    def _within(self, window_ms: float, now_ms: float) -> Counts:
+        if now_ms != self._summed_ms:
+            self._sums.clear()
+            self._summed_ms = now_ms
+        counts = self._sums.get(window_ms)
+        if counts is None:
+            counts = self._sums[window_ms] = {}
+            for at_ms, tallies in self._reports:
+                if now_ms - at_ms <= window_ms:
+                    merge(counts, tallies)
+        return counts
 
 
 def decide(
@@ -107,8 +137,14 @@
     """
     if not listed and rollout.share == 0:
         return Decision(rollout.stage, rollout.share, "no endpoint of the version")
-    everything, recent = evidence.windows(now_ms)
-    bad = _fault(rollout, everything, everything) or _fault(rollout, recent, everything)
+    everything = evidence.everything()
+    bad = _fault(rollout, everything, everything, lambda: iter((everything,)))
+    bad = bad or _fault(
+        rollout,
+        evidence.latest(now_ms),
+        everything,
+        lambda: evidence.history(now_ms),
+    )
     if bad:
         return Decision(RolloutStage.ROLLED_BACK, 0.0, bad)
     if not listed:
@@ -140,7 +176,7 @@
     return Decision(stage, max(share, rollout.share), reason)
 
 
-def _trial_share(rollout: Rollout, part: float, counts: dict[TallyKey, Tally]) -> float:
+def _trial_share(rollout: Rollout, part: float, counts: Counts) -> float:
     """The share of the trial, by the requests since the order.
 
     It is set once: each change would move sessions that run.
@@ -155,7 +191,7 @@
     return round(min(TRIAL_SHARE_MAX, TRIAL_SHARE + TRIAL_EXTRA / total), 3)
 
 
-def _exposed(rollout: Rollout, part: float, counts: dict[TallyKey, Tally]) -> bool:
+def _exposed(rollout: Rollout, part: float, counts: Counts) -> bool:
     """Whether the new version has answered what a bad one may, but for a rest."""
     new = all_answers = 0
     for key, tally in counts.items():
@@ -167,19 +203,24 @@
 
 
 def _fault(
-    rollout: Rollout, new: dict[TallyKey, Tally], old: dict[TallyKey, Tally]
+    rollout: Rollout, new: Counts, old: Counts, history: Callable[[], Iterator[Counts]]
 ) -> str:
-    """What is wrong with the new version, or nothing."""
+    """What is wrong with the new version, or nothing.
+
+    Its times are held to the other version's of the same time, as far back as
+    `history` has to go, its failures to those and to the ones in `old`.
+    """
     routes = {key.route for key in new if key.service == rollout.service}
     failed = answers = 0
     expected = 0.0
     for route in sorted(routes):
         mine = _sum(rollout, new, route, new_version=True)
         other = _sum(rollout, old, route, new_version=False)
-        to_expect = _expected(_answers(mine), other.failed, _answers(other))
+        nearest = _nearest(rollout, history(), route)
+        to_expect = _failures_expected(mine, other, nearest)
         if _too_many(mine.failed, to_expect):
             return f"route {route}: {mine.failed} of {_answers(mine)} failed"
-        late, timed, other_late, other_timed = _late(mine, other)
+        late, timed, other_late, other_timed = _late(mine, nearest)
         if _too_many(late, _expected(timed, other_late, other_timed)):
             return f"route {route}: {late} of {timed} were late"
         failed += mine.failed
@@ -192,9 +233,22 @@
     return ""
 
 
-def _sum(
-    rollout: Rollout, counts: dict[TallyKey, Tally], route: str, new_version: bool
-) -> Tally:
+def _nearest(rollout: Rollout, history: Iterator[Counts], route: str) -> Tally:
+    """The other version's counts of the nearest time with enough timed answers.
+
+    A busy hour makes both versions late: held to the calm before it, a good
+    version was taken back with all of its 8 latest answers late, like 40 of 40 of
+    the other's.
+    """
+    found = Tally(TallyKey(rollout.service, "", route))
+    for counts in history:
+        found = _sum(rollout, counts, route, new_version=False)
+        if sum(found.times.values()) >= TIMED_MIN:
+            break
+    return found
+
+
+def _sum(rollout: Rollout, counts: Counts, route: str, new_version: bool) -> Tally:
     total = Tally(TallyKey(rollout.service, "", route))
     for key, tally in counts.items():
         if key.service != rollout.service or key.route != route:
@@ -214,6 +268,16 @@
     return FAILURE_TOLERANCE * rate * count
 
 
+def _failures_expected(mine: Tally, other: Tally, nearest: Tally) -> float:
+    """By all answers of the other version, or by the nearest if more of them fail."""
+    answers = _answers(mine)
+    expected = _expected(answers, other.failed, _answers(other))
+    if nearest.failed < FAILURES_MIN:
+        return expected
+    near = _expected(answers, nearest.failed, _answers(nearest))
+    return max(expected, near)
+
+
 def _too_many(bad: int, expected: float) -> bool:
     """Whether something happens more often than chance explains."""
     bound = expected + DEVIATIONS * math.sqrt(expected)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -288,6 +288,15 @@
         decision = self.slowing(self.tally("v1", 4))
         self.assertEqual(RolloutStage.ROLLED_BACK, decision.stage)
 
+    def test_what_fails_in_both_versions_is_no_fault(self) -> None:
+        """A few bad seconds of everything: 20 of 60 of the other version failed."""
+        evidence = self.evidence(answered=20)
+        evidence.add((self.tally("v1", 40, 20),), 9000.0)
+        evidence.add((self.tally("v2", 6, 4),), 9500.0)
+        rollout = Rollout("app", "v2", RolloutStage.TRIAL, 0.1, 1, 20_000.0)
+        decision = decide(rollout, 9500.0, evidence, 9500.0, listed=True)
+        self.assertEqual(RolloutStage.TRIAL, decision.stage, decision.reason)
+
     def test_waits_for_endpoints(self) -> None:
         rollout = Rollout("app", "v2", RolloutStage.TRIAL, 0.0, 1, 20_000.0)
         decision = decide(rollout, 15_000.0, Evidence(), 0.0, listed=False)
