Tell a version's own slowness from one that others share

Cause: a version's pace was held to its own of a calmer time and to nothing at the same time, so that a busy hour withdrew a good version from everybody.

--- a/ashlatch/control/core.py
+++ b/ashlatch/control/core.py
@@ -24,6 +24,7 @@
 )
 from ashlatch.log import LogEvent
 from ashlatch.policy.detector import Detector
+from ashlatch.policy.slowness import Paces
 from ashlatch.registry import Handlers
 from ashlatch.resources import Spec, canonical, parse_cached
 from ashlatch.store.command import Resource
@@ -66,6 +67,8 @@
     totals: dict[str, VersionReport] = field(default_factory=dict)
     stage_starts: dict[str, int] = field(default_factory=dict)
     detectors: dict[str, Detector] = field(default_factory=dict)
+    paces: Paces = field(default_factory=Paces)
+    latency_told: dict[str, str] = field(default_factory=dict)
     withdrawn: frozenset[str] = frozenset()
     missing_since_ms: dict[str, float] = field(default_factory=dict)
     orders: dict[str, Order] = field(default_factory=dict)
--- a/ashlatch/policy/detector.py
+++ b/ashlatch/policy/detector.py
@@ -12,9 +12,10 @@
 """
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
-__all__ = ["Detector", "VersionTally"]
+__all__ = ["Compare", "Detector", "Slowness", "VersionTally"]
 
 THRESHOLD = 14.0
 HEALTHY_ERROR_RATIO = 0.01
@@ -28,8 +29,15 @@
 # Some requests always go on: without them no test would come to an end.
 SPARED_RATIO_MAX = 0.9
 LATENCY_WARM_ANSWERS = 20
+# Slowness that can be compared with nothing raises suspicion to this, half of the
+# threshold: half of the requests go to other versions then, which is what it can be
+# compared with next. It never withdraws a version by itself.
+UNCOMPARED_MAX = THRESHOLD / 2
 # One answer's evidence of slowness is bounded: a burst is not a version's doing.
 LATENCY_STEP_MAX = 1.4
+# Beside other versions a burst is seen to be shared, so the evidence of an answer may
+# be what a version that is 4 times as slow shows in the mean.
+COMPARED_STEP_MAX = 2.7
 
 _ERROR_STEP = math.log(BAD_ERROR_RATIO / HEALTHY_ERROR_RATIO)
 _ANSWER_STEP = math.log((1 - BAD_ERROR_RATIO) / (1 - HEALTHY_ERROR_RATIO))
@@ -73,6 +81,29 @@
         return VersionTally(*counts, self.log_latency_sum - earlier.log_latency_sum)
 
 
+@dataclass(frozen=True)
+class Slowness:
+    """How slow a version is, and how much of that others share.
+
+    Both are logarithms of a factor: of its pace of calm times, and of the other
+    versions' at the same moments. `answers` is what the comparison is worth, in
+    answers of a version whose pace is known for sure.
+    """
+
+    answers: float
+    slowness: float
+    shared: float
+
+    @property
+    def own(self) -> float:
+        """What is the version's own doing."""
+        return self.slowness - self.shared
+
+
+# Compares a version with others since a time, by its pace of calm times.
+Compare = Callable[[float, float], Slowness | None]
+
+
 @dataclass
 class Detector:
     """The three tests of one version.
@@ -80,6 +111,10 @@
     `quality` is its expected rating; `latency_mean`, when given, the expected
     mean of the logarithm of the milliseconds for each output token. Without
     it, the first answers tell.
+
+    `slow_sum` is the test of latency against the version's own pace of calm
+    times, `latency_sum` what is left of it beside other versions. `calm_ms` is
+    when the former last was 0.
     """
 
     quality: float
@@ -88,18 +123,24 @@
     latency_sum: float = 0.0
     latency_mean: float | None = None
     latency_answers: int = 0
+    slow_sum: float = 0.0
+    calm_ms: float = float("-inf")
+    slowness: Slowness | None = None
     reasons: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
         if self.latency_mean is not None:
             self.latency_answers = LATENCY_WARM_ANSWERS
 
-    def add_tally(self, tally: VersionTally) -> None:
-        """Learn from attempts."""
+    def add_tally(
+        self, tally: VersionTally, now_ms: float = 0.0, compare: Compare | None = None
+    ) -> None:
+        """Learn from attempts; without `compare`, others are as fast as always."""
         step = tally.errors * _ERROR_STEP + tally.answers * _ANSWER_STEP
         self.error_sum = max(0.0, self.error_sum + step)
         if tally.timed:
-            self._add_latency(tally.timed, tally.log_latency_sum)
+            self._add_latency(tally.timed, tally.log_latency_sum, now_ms)
+            self._judge_latency(now_ms, compare)
         if self.error_sum >= THRESHOLD:
             self.reasons.add("errors")
 
@@ -132,27 +173,56 @@
         """Whether to look closer: rate every answer, exchange totals sooner."""
         return self.suspicion > SUSPECTED
 
-    def _add_latency(self, answers: int, log_sum: float) -> None:
+    @property
+    def looks_slow(self) -> bool:
+        """Whether it is slower than in calm times, by whatever cause."""
+        return self.slow_sum >= THRESHOLD
+
+    def _add_latency(self, answers: int, log_sum: float, now_ms: float) -> None:
+        """Hold answers to the version's own pace of calm times."""
         mean = log_sum / answers
         if self.latency_mean is None:
             self.latency_mean = mean
+        if self.calm_ms == -math.inf:
+            # What came before its first answers cannot be compared with them.
+            self.calm_ms = math.nextafter(now_ms, -math.inf)
         healthy = self.latency_mean
         self.latency_answers += answers
         if self.latency_answers > LATENCY_WARM_ANSWERS:
-            shifted = healthy + math.log(BAD_LATENCY_RATIO)
-            step = _normal_step(mean, healthy, shifted, LATENCY_LOG_SD)
-            step = answers * min(LATENCY_STEP_MAX, step)
-            self.latency_sum = max(0.0, self.latency_sum + step)
-            if self.latency_sum >= THRESHOLD:
-                self.reasons.add("latency")
-                return
+            step = answers * _slow_step(mean - healthy, LATENCY_STEP_MAX)
+            self.slow_sum = min(THRESHOLD, max(0.0, self.slow_sum + step))
             gain = min(1.0, LATENCY_GAIN * answers)
         else:
             gain = answers / self.latency_answers
         # What looks bad must not become the new normal.
-        if self.latency_sum == 0.0:
+        if self.slow_sum == 0.0:
             self.latency_mean = healthy + gain * (mean - healthy)
 
+    def _judge_latency(self, now_ms: float, compare: Compare | None) -> None:
+        """Hold what is slow to what other versions show at the same time."""
+        if self.slow_sum == 0.0:
+            self.calm_ms = now_ms
+            self.latency_sum = 0.0
+            self.slowness = None
+            return
+        if compare is None:
+            self.latency_sum = self.slow_sum
+        else:
+            assert self.latency_mean is not None
+            self.slowness = compare(self.latency_mean, self.calm_ms)
+            self.latency_sum = min(UNCOMPARED_MAX, self.slow_sum)
+            if self.slowness is not None:
+                step = _slow_step(self.slowness.own, COMPARED_STEP_MAX)
+                self.latency_sum = max(0.0, self.slowness.answers * step)
+        if self.latency_sum >= THRESHOLD:
+            self.reasons.add("latency")
+
+
+def _slow_step(slowness: float, step_max: float) -> float:
+    """The evidence of one answer that is slower by the logarithm of a factor."""
+    bad = math.log(BAD_LATENCY_RATIO)
+    return min(step_max, _normal_step(slowness, 0.0, bad, LATENCY_LOG_SD))
+
 
 def _normal_step(value: float, healthy: float, bad: float, deviation: float) -> float:
     """The log-likelihood ratio of a normal value, bad against healthy."""
--- a/ashlatch/router/knowledge.py
+++ b/ashlatch/router/knowledge.py
@@ -15,6 +15,7 @@
 from ashlatch.errors import InvariantViolated
 from ashlatch.log import LogEvent
 from ashlatch.policy.detector import VersionTally
+from ashlatch.policy.slowness import take_tallies
 from ashlatch.router.core import HANDLERS, RouterCore
 from ashlatch.router.effect import WriteLog
 from ashlatch.router.event import (
@@ -121,16 +122,18 @@
 
 @HANDLERS.on(VersionTallied)
 def _tallied(core: RouterCore, event: VersionTallied) -> None:
+    tallies = {}
     for totals in event.totals:
         seen = core.seen_totals.get(totals.version, VersionTally())
         core.seen_totals[totals.version] = totals.tally
         tally = totals.tally.since(seen)
-        if tally == VersionTally():
-            continue
-        detector = core.planner.detector(totals.version)
-        was_bad = detector.bad
-        detector.add_tally(tally)
-        _log_if_new(core, totals.version, was_bad)
+        if tally != VersionTally():
+            tallies[totals.version] = tally
+    planner = core.planner
+    were_bad = {version: planner.detector(version).bad for version in tallies}
+    take_tallies(planner.detectors, core.paces, tallies, planner.price, core.now_ms)
+    for version, was_bad in were_bad.items():
+        _log_if_new(core, version, was_bad)
 
 
 @HANDLERS.on(DrainStarted)
--- a/ashlatch/router/plan.py
+++ b/ashlatch/router/plan.py
@@ -115,6 +115,11 @@
             found = self.detectors[version] = Detector(prior)
         return found
 
+    def price(self, version: str) -> int:
+        """What a version's answers cost, 0 for one that is not known."""
+        spec = self.table.versions.get(version)
+        return spec.output_price_microusd_per_ktoken if spec else 0
+
     def suspended(self, version: str) -> bool:
         """Whether a version looks bad by what has been seen of it."""
         found = self.detectors.get(version)
--- a/bench/exposure.py
+++ b/bench/exposure.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from ashlatch.policy.detector import Detector, VersionTally
+from ashlatch.policy.slowness import Paces, take_tallies
 from bench.cost import draw_rating
 from bench.table import row, spread, title
 
@@ -21,6 +22,10 @@
 HEALTHY_ERROR_RATIO = 0.003
 LATENCY_LOG_MEAN = 3.0
 LATENCY_LOG_SD = 0.5
+# The version beside: how often it is asked, its pace, and what both cost.
+EXPLORED_RATIO = 0.01
+OTHER_LOG_MEAN = 4.0
+PRICES = {"watched": 200, "other": 2400}
 HEALTHY_ANSWERS = 100_000
 WARM_ANSWERS = 1_000
 ANSWERS_MAX = 3_000
@@ -122,6 +127,72 @@
     return ANSWERS_MAX
 
 
+class ComparedWatch(Watch):
+    """The same beside a costlier version, which a request in a hundred explores.
+
+    What is spared goes to it. `shared_slowdown` holds for both.
+    """
+
+    def __init__(self, seed: int, answers_per_s: float, compares: bool) -> None:
+        super().__init__(seed, answers_per_s, 0.2)
+        self.compares = compares
+        self.shared_slowdown = 1.0
+        self.paces = Paces()
+        self.other = Detector(HEALTHY_QUALITY)
+        self.other_answers = 0
+        self.other_log_latency = 0.0
+
+    def request(self, health: Health) -> bool:
+        explores = self.random.random() < EXPLORED_RATIO
+        answered = not explores and super().request(health)
+        if explores:
+            self.now_ms += self.random.expovariate(1.0 / self.gap_ms)
+        if not answered:
+            self.other_answers += 1
+            log_latency = self.random.gauss(OTHER_LOG_MEAN, LATENCY_LOG_SD)
+            self.other_log_latency += log_latency + math.log(self.shared_slowdown)
+        return answered
+
+    def exchange(self) -> None:
+        if not self.compares:
+            super().exchange()
+            return
+        soon = self.detector.suspected
+        self.exchange_ms = self.now_ms + (SOON_MS if soon else EXCHANGE_MS)
+        answers, others = self.answers, self.other_answers
+        tallies = {
+            "watched": VersionTally(answers, self.errors, answers, self.log_latency),
+            "other": VersionTally(others, 0, others, self.other_log_latency),
+        }
+        detectors = {"watched": self.detector, "other": self.other}
+        take_tallies(detectors, self.paces, tallies, PRICES.__getitem__, self.now_ms)
+        self.answers = self.errors = self.other_answers = 0
+        self.log_latency = self.other_log_latency = 0.0
+
+
+def compared(rate: float, compares: bool) -> tuple[list[float], int]:
+    """Bad answers of a version that turns 4 times as slow of itself, and how often
+    it is withdrawn when everything does, of as many seeds.
+    """
+    bad: list[float] = []
+    withdrawn = 0
+    for seed in SEEDS:
+        alone = ComparedWatch(seed, rate, compares)
+        shared = ComparedWatch(seed, rate, compares)
+        for _ in range(WARM_ANSWERS):
+            alone.request(HEALTHY)
+            shared.request(HEALTHY)
+        given = 0
+        while not alone.detector.bad and given < ANSWERS_MAX:
+            given += alone.request(Health(slowdown=4.0))
+        bad.append(float(given))
+        shared.shared_slowdown = 4.0
+        for _ in range(ANSWERS_MAX):
+            shared.request(Health(slowdown=4.0))
+        withdrawn += shared.detector.bad
+    return bad, withdrawn
+
+
 def false_alarms(seeds: tuple[int, ...]) -> tuple[int, float]:
     """Healthy runs of 100,000 answers in which the detector cried, and the
     share of their requests that went to another version on suspicion.
@@ -143,6 +214,15 @@
             ours = [float(exposure(s, rate, rated, health)) for s in SEEDS]
             naive = [float(naive_exposure(s, rate, health)) for s in SEEDS]
             row(name, bad_answers=spread(ours), last_200_errors=spread(naive))
+    title("Latency, held to the version's own pace, and beside another version")
+    for rate in (5.0, 20.0, 50.0):
+        for name, compares in (("own pace", False), ("beside another", True)):
+            bad, withdrawn = compared(rate, compares)
+            row(
+                f"{name}, {rate:g}/s",
+                bad_answers=spread(bad),
+                withdrawn_when_all_slow=f"{withdrawn} of {len(SEEDS)}",
+            )
     title("False alarms")
     seeds = (101, 102, 103, 104, 105)
     cried, spared = false_alarms(seeds)
