Test that fails: a slow version with few requests on each route is completed

Logs of all gateways: 12 answers of the new version in the trial, on five routes, some of them 4 to 11 times as late as usual, and no route on which the old version had the 20 answers that are asked for.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -288,6 +288,33 @@
         decision = self.slowing(self.tally("v1", 4))
         self.assertEqual(RolloutStage.ROLLED_BACK, decision.stage)
 
+    def few_on_each_route(self, late: int) -> Decision:
+        """12 answers of the old version on each of five routes, 3 of the new one.
+
+        What users saw: a version that was slow in half of its answers was completed.
+        It had a few requests on each of five routes, and on none of them was the
+        old version's pace known well enough to call an answer late.
+        """
+        evidence = Evidence()
+        routes = ("one", "two", "three", "four")
+        for number, route in enumerate(routes):
+            evidence.add((self.tally("v1", 12, route=route),), 0.0)
+            slow = 1 if number < late else 0
+            evidence.add((self.tally("v2", 3, late=slow, route=route),), 0.0)
+        for version, answers in (("v1", 12), ("v2", 3)):
+            slow_route = self.tally(version, answers, late=answers, route="slow")
+            evidence.add((slow_route,), 0.0)
+        return self.decide(0.3, evidence)
+
+    def test_slow_on_many_routes_with_few_requests(self) -> None:
+        decision = self.few_on_each_route(late=4)
+        self.assertEqual(RolloutStage.ROLLED_BACK, decision.stage)
+        self.assertEqual("routes with few requests: 4 of 15 were late", decision.reason)
+
+    def test_a_late_answer_on_routes_with_few_requests(self) -> None:
+        decision = self.few_on_each_route(late=1)
+        self.assertEqual(RolloutStage.TRIAL, decision.stage, decision.reason)
+
     def test_what_fails_in_both_versions_is_no_fault(self) -> None:
         """A few bad seconds of everything: 20 of 60 of the other version failed."""
         evidence = self.evidence(answered=20)
