Judge the times of routes with few requests together

Routes with 8 to 19 answers of the other version now count together. Ruled out: a lower bound for each route (a late rate of 8 answers says too little), and all routes together (more power against good versions whose engines have kept no prompt yet).

--- a/ashlatch/fleet/verdict.py
+++ b/ashlatch/fleet/verdict.py
@@ -60,8 +60,11 @@
 # An answer is slow when it begins this many steps after the median of the other
 # version: 3.4 times as late.
 SLOW_STEPS = 3
-# The median is known from as many answers.
+# A route is judged by itself when the other version has as many timed answers there.
 TIMED_MIN = 20
+# The others are judged together, when they have as many in all; this many tell which
+# answers of a route are late, as one counts from 3.4 times the median on.
+ROUTE_TIMED_MIN = 8
 # Changes that come late are looked for in the answers of the first of these times
 # alone. The other version's times are those of the first in which there are enough.
 WINDOWS_MS = (4000.0, 8000.0, 16_000.0)
@@ -213,6 +216,7 @@
     routes = {key.route for key in new if key.service == rollout.service}
     failed = answers = 0
     expected = 0.0
+    few = _Lateness()
     for route in sorted(routes):
         mine = _sum(rollout, new, route, new_version=True)
         other = _sum(rollout, old, route, new_version=False)
@@ -220,12 +224,19 @@
         to_expect = _failures_expected(mine, other, nearest)
         if _too_many(mine.failed, to_expect):
             return f"route {route}: {mine.failed} of {_answers(mine)} failed"
-        late, timed, other_late, other_timed = _late(mine, nearest)
-        if _too_many(late, _expected(timed, other_late, other_timed)):
-            return f"route {route}: {late} of {timed} were late"
+        lateness = _lateness(mine, nearest)
+        if lateness.other_timed >= TIMED_MIN and lateness.too_much:
+            return f"route {route}: {lateness}"
+        if ROUTE_TIMED_MIN <= lateness.other_timed < TIMED_MIN:
+            few = few.plus(lateness)
         failed += mine.failed
         answers += _answers(mine)
         expected += to_expect
+    # Where each of many routes has few requests, none shows by itself that a version
+    # is slow: one that was, in half of its answers, got 67 of 246 requests and was
+    # complete (four plays of a day with 10 requests a second on five routes: three).
+    if few.other_timed >= TIMED_MIN and few.too_much:
+        return f"routes with few requests: {few}"
     # A version that fails under load does so on all routes, and a load test is
     # too short for enough answers on each.
     if _too_many(failed, expected):
@@ -284,16 +295,44 @@
     return bad >= FAILURES_MIN and bad > bound
 
 
-def _late(new: Tally, old: Tally) -> tuple[int, int, int, int]:
-    """How many were slow of how many timed, of the new and of the old version."""
-    old_timed = sum(old.times.values())
-    new_timed = sum(new.times.values())
-    if old_timed < TIMED_MIN:
-        return 0, new_timed, 0, old_timed
+@dataclass(frozen=True)
+class _Lateness:
+    """How many answers were late of how many timed, of both versions."""
+
+    late: int = 0
+    timed: int = 0
+    other_late: int = 0
+    other_timed: int = 0
+
+    def __str__(self) -> str:
+        return f"{self.late} of {self.timed} were late"
+
+    def plus(self, more: "_Lateness") -> "_Lateness":
+        """Those of two routes together."""
+        return _Lateness(
+            self.late + more.late,
+            self.timed + more.timed,
+            self.other_late + more.other_late,
+            self.other_timed + more.other_timed,
+        )
+
+    @property
+    def too_much(self) -> bool:
+        """Whether the new version is late more often than chance explains."""
+        expected = _expected(self.timed, self.other_late, self.other_timed)
+        return _too_many(self.late, expected)
+
+
+def _lateness(new: Tally, old: Tally) -> _Lateness:
+    """The late answers of a route, by the other version's median there."""
+    other_timed = sum(old.times.values())
     bound = _median(old.times) + SLOW_STEPS
-    late = sum(count for step, count in new.times.items() if step >= bound)
-    other = sum(count for step, count in old.times.items() if step >= bound)
-    return late, new_timed, other, old_timed
+    return _Lateness(
+        sum(count for step, count in new.times.items() if step >= bound),
+        sum(new.times.values()),
+        sum(count for step, count in old.times.items() if step >= bound),
+        other_timed,
+    )
 
 
 def _median(times: dict[int, int]) -> int:
