Judge the times of a plain service over all of its routes

An application service keeps no prompts, so its answers take as long at once as later, and all of its routes count together; engines' busy routes count alone as before. The test failed before.

--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -18,7 +18,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from ashlatch.catalog import Endpoint, Rollout
+from ashlatch.catalog import Endpoint, Rollout, Service
 from ashlatch.codec import encode
 from ashlatch.errors import TransportError
 from ashlatch.fleet.discovery import ListReader
@@ -129,6 +129,8 @@
         self._logged: tuple[object, ...] = ()
         self._lead_soon = asyncio.Event()
         self._memories_term = 0
+        self._services_version = 0
+        self._services_known: tuple[Service, ...] = ()
 
     def _open(self) -> None:
         """Open the data folder; raises `OSError` or `DiskFailed`."""
@@ -370,8 +372,9 @@
         self._rollouts.add(self._spread.tallies.take(), now_ms)
         self._rollouts.tell_sessions(self._spread.sessions())
         rollouts = self._known_rollouts()
+        plain = self._plain_services() if rollouts else frozenset()
         for move in self._rollouts.moves(
-            rollouts, self._spread.endpoints, monotonic_ms()
+            rollouts, self._spread.endpoints, monotonic_ms(), plain
         ):
             try:
                 await self._commit_here(move)
@@ -392,15 +395,22 @@
 
     def _engines(self) -> tuple[Endpoint, ...]:
         """The listed endpoints that are model engines."""
-        with self.group.lock:
-            document = self.machine.state.document
-        if not document:
-            return ()
-        catalog = decode_catalog(zlib.decompress(document))
-        services = {s.name for s in catalog.services if s.engine is not None}
+        services = {s.name for s in self._services() if s.engine is not None}
         listed = self._list.newest.endpoints
         return tuple(e for e in listed if e.service in services)
 
+    def _plain_services(self) -> frozenset[str]:
+        return frozenset(s.name for s in self._services() if s.engine is None)
+
+    def _services(self) -> tuple[Service, ...]:
+        """The services of the newest configuration, read once for each version."""
+        with self.group.lock:
+            version, document = self.machine.state.version, self.machine.state.document
+        if document and version != self._services_version:
+            self._services_known = decode_catalog(zlib.decompress(document)).services
+            self._services_version = version
+        return self._services_known
+
     def _remove_silent(self, standing: Standing, now_ms: float) -> None:
         found = silent_member(standing, self.settings.losses_max, now_ms)
         if found is not None:
--- a/ashlatch/fleet/leader.py
+++ b/ashlatch/fleet/leader.py
@@ -132,20 +132,24 @@
         return tally if trial else msgspec.structs.replace(tally, times={})
 
     def moves(
-        self, rollouts: tuple[Rollout, ...], listed: EndpointList, now_ms: float
+        self,
+        rollouts: tuple[Rollout, ...],
+        listed: EndpointList,
+        now_ms: float,
+        plain: frozenset[str] = frozenset(),
     ) -> Iterator[MoveRollout]:
-        """The decisions that are due now."""
+        """The decisions that are due now; `plain` services have no engines."""
         self.observe(rollouts, now_ms)
         for rollout in rollouts:
             if rollout.stage in FINAL_STAGES:
                 self._evidence.pop(rollout.service, None)
                 continue
-            move = self._move(rollout, listed, now_ms)
+            move = self._move(rollout, listed, now_ms, rollout.service in plain)
             if move is not None:
                 yield move
 
     def _move(
-        self, rollout: Rollout, listed: EndpointList, now_ms: float
+        self, rollout: Rollout, listed: EndpointList, now_ms: float, plain: bool
     ) -> MoveRollout | None:
         elapsed_ms = self._clocks[rollout.service].read_ms(now_ms)
         evidence = self._evidence.setdefault(rollout.service, Evidence())
@@ -155,7 +159,7 @@
             and not e.leaving
             for e in listed.endpoints
         )
-        decision = decide(rollout, elapsed_ms, evidence, now_ms, ready)
+        decision = decide(rollout, elapsed_ms, evidence, now_ms, ready, plain)
         changed = (decision.stage, decision.share) != (rollout.stage, rollout.share)
         told = self._sessions.get(rollout.service, SessionMarks(rollout.service, ()))
         moved = _moved(rollout, decision, told)
--- a/ashlatch/fleet/verdict.py
+++ b/ashlatch/fleet/verdict.py
@@ -132,21 +132,28 @@
 
 
 def decide(
-    rollout: Rollout, elapsed_ms: float, evidence: Evidence, now_ms: float, listed: bool
+    rollout: Rollout,
+    elapsed_ms: float,
+    evidence: Evidence,
+    now_ms: float,
+    listed: bool,
+    plain: bool = False,
 ) -> Decision:
     """The stage and share that a roll-out should have now.
 
-    `listed` is whether endpoints of the new version are known to be ready.
+    `listed` is whether endpoints of the new version are known to be ready, `plain`
+    whether the service has no model engines.
     """
     if not listed and rollout.share == 0:
         return Decision(rollout.stage, rollout.share, "no endpoint of the version")
     everything = evidence.everything()
-    bad = _fault(rollout, everything, everything, lambda: iter((everything,)))
+    bad = _fault(rollout, everything, everything, lambda: iter((everything,)), plain)
     bad = bad or _fault(
         rollout,
         evidence.latest(now_ms),
         everything,
         lambda: evidence.history(now_ms),
+        plain,
     )
     if bad:
         return Decision(RolloutStage.ROLLED_BACK, 0.0, bad)
@@ -206,7 +213,11 @@
 
 
 def _fault(
-    rollout: Rollout, new: Counts, old: Counts, history: Callable[[], Iterator[Counts]]
+    rollout: Rollout,
+    new: Counts,
+    old: Counts,
+    history: Callable[[], Iterator[Counts]],
+    plain: bool,
 ) -> str:
     """What is wrong with the new version, or nothing.
 
@@ -216,7 +227,7 @@
     routes = {key.route for key in new if key.service == rollout.service}
     failed = answers = 0
     expected = 0.0
-    few = _Lateness()
+    together = _Lateness()
     for route in sorted(routes):
         mine = _sum(rollout, new, route, new_version=True)
         other = _sum(rollout, old, route, new_version=False)
@@ -227,16 +238,19 @@
         lateness = _lateness(mine, nearest)
         if lateness.other_timed >= TIMED_MIN and lateness.too_much:
             return f"route {route}: {lateness}"
-        if ROUTE_TIMED_MIN <= lateness.other_timed < TIMED_MIN:
-            few = few.plus(lateness)
+        counts_alone = lateness.other_timed >= TIMED_MIN and not plain
+        if lateness.other_timed >= ROUTE_TIMED_MIN and not counts_alone:
+            together = together.plus(lateness)
         failed += mine.failed
         answers += _answers(mine)
         expected += to_expect
     # Where each of many routes has few requests, none shows by itself that a version
     # is slow: one that was, in half of its answers, got 67 of 246 requests and was
     # complete (four plays of a day with 10 requests a second on five routes: three).
-    if few.other_timed >= TIMED_MIN and few.too_much:
-        return f"routes with few requests: {few}"
+    # Busy routes of engines count alone: engines that have kept no prompt yet make a
+    # good version late, and the more answers, the sooner that shows.
+    if together.other_timed >= TIMED_MIN and together.too_much:
+        return f"{'all routes' if plain else 'routes with few requests'}: {together}"
     # A version that fails under load does so on all routes, and a load test is
     # too short for enough answers on each.
     if _too_many(failed, expected):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -311,6 +311,23 @@
         self.assertEqual(RolloutStage.ROLLED_BACK, decision.stage)
         self.assertEqual("routes with few requests: 4 of 15 were late", decision.reason)
 
+    def late_in_twos(self, plain: bool) -> Decision:
+        """Two late answers on each of two routes, where the old version has many."""
+        evidence = Evidence()
+        for route in ("one", "two"):
+            evidence.add((self.tally("v1", 30, route=route),), 0.0)
+            evidence.add((self.tally("v2", 3, late=2, route=route),), 0.0)
+        rollout = Rollout("app", "v2", RolloutStage.TRIAL, 0.25, 1, 20_000.0)
+        return decide(rollout, 6000.0, evidence, 0.0, listed=True, plain=plain)
+
+    def test_a_plain_service_is_judged_over_all_routes(self) -> None:
+        """Its answers take as long at once as later: it keeps no prompts."""
+        decision = self.late_in_twos(plain=True)
+        self.assertEqual(RolloutStage.ROLLED_BACK, decision.stage)
+        self.assertEqual("all routes: 4 of 6 were late", decision.reason)
+        decision = self.late_in_twos(plain=False)
+        self.assertEqual(RolloutStage.TRIAL, decision.stage, decision.reason)
+
     def test_a_late_answer_on_routes_with_few_requests(self) -> None:
         decision = self.few_on_each_route(late=1)
         self.assertEqual(RolloutStage.TRIAL, decision.stage, decision.reason)
