--- a/ashlatch/gateway/versions.py
+++ b/ashlatch/gateway/versions.py
@@ -165,6 +165,9 @@
     def learn(self, rollout: Rollout) -> None:
         self.marks.update(rollout.moved)
         self.untold.difference_update(rollout.moved)
+        if rollout.stage in (RolloutStage.COMPLETED, RolloutStage.ROLLED_BACK):
+            # No record will name those that are left.
+            self.untold.clear()
 
 
 def _nothing_moved() -> None:
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -4,13 +4,18 @@
 
 import testtools
 
-from ashlatch.catalog import Endpoint, Rollout, RolloutStage
+from ashlatch.catalog import Endpoint, Rollout, RolloutStage, SessionMarks
 from ashlatch.gateway.budget import BudgetTerms, RepeatBudget
 from ashlatch.gateway.directory import REPLACED_MS, EndpointState
 from ashlatch.gateway.events import EventSplitter
 from ashlatch.gateway.pace import Pace
 from ashlatch.gateway.routing import RouteTable
-from ashlatch.gateway.versions import SessionVersions, VersionChooser, VersionReason
+from ashlatch.gateway.versions import (
+    SessionVersions,
+    VersionChooser,
+    VersionReason,
+    session_mark,
+)
 from ashlatch.platform.document import decode_catalog
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES, Candidate
 from tests.standin import document, encoded, route
@@ -129,6 +134,34 @@
             expected = "v2" if session in moved else "v1"
             self.assertEqual({expected}, self.versions(session))
 
+    def moved_here(self) -> tuple[SessionMarks, ...]:
+        return self.chooser.sessions_to_tell(0.0)
+
+    def test_moves_are_told_until_the_record_names_them(self) -> None:
+        """A session of the share is none: all gateways know it by the share."""
+        self.learn(RolloutStage.LOAD_TEST, 0.1, 1)
+        sessions = [f"s{n}" for n in range(100)]
+        told = [s for s in sessions if self.chooser.note_move("app", s, "v2")]
+        self.assertTrue(80 <= len(told) < 100, len(told))
+        self.assertFalse(self.chooser.note_move("app", told[0], "v2"))
+        marks = tuple(sorted(session_mark("v2", s) for s in told))
+        self.assertEqual((SessionMarks("app", (), marks),), self.moved_here())
+        record = Rollout(
+            "app", "v2", RolloutStage.SETTLE, 0.1, 2, 1000.0, moved=marks[1:]
+        )
+        self.chooser.learn([record])
+        self.assertEqual((SessionMarks("app", (), marks[:1]),), self.moved_here())
+        self.assertFalse(self.chooser.note_move("app", "later", "v2"))
+
+    def test_nothing_is_told_of_a_rollout_that_is_over(self) -> None:
+        for number, stage in enumerate(
+            (RolloutStage.ROLLED_BACK, RolloutStage.COMPLETED), 1
+        ):
+            self.learn(RolloutStage.LOAD_TEST, 0.0, 2 * number)
+            self.assertTrue(self.chooser.note_move("app", f"s{number}", "v2"))
+            self.learn(stage, 0.0, 2 * number + 1)
+            self.assertEqual((), self.moved_here())
+
     def test_old_news(self) -> None:
         self.learn(RolloutStage.ROLLED_BACK, 0.0, 5)
         self.learn(RolloutStage.SHIFT, 1.0, 4)
