Tests that the core is told of moved sessions at once; mutants of the new guards

13 mutants, each noticed; two were not at first: a move that waits for the next question (the process test pauses for as long), and an answer's end that moves a session (the record of moves hides it), which have tests of their own now.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -18,6 +18,11 @@
 RAFT = ("-m", "pytest", "-x", "tests/test_raft.py")
 ROUTER = ("-m", "pytest", "-x", "tests/test_router.py")
 EVIDENCE = ("-m", "pytest", "-x", "tests/test_evidence.py")
+SESSIONS = ("-m", "pytest", "-x", "tests/test_session_versions.py")
+SLOWNESS = ("-m", "pytest", "-x", "tests/test_shared_slowness.py")
+FLEET = ("-m", "pytest", "-x", "tests/test_fleet.py", "tests/test_spread.py")
+SYNC = ("-m", "pytest", "-x", "tests/test_sync.py")
+CHOOSING = ("-m", "pytest", "-x", "tests/test_choosing.py")
 LIMIT_S = 180.0
 SHOWN_LINES = 3
 
@@ -228,6 +233,99 @@
         "    if False:\n        detail = f",
         TRAFFIC,
     ),
+    Mutant(
+        "share-falls",
+        "ashlatch/fleet/verdict.py",
+        "    return Decision(stage, max(share, rollout.share), reason)",
+        "    return Decision(stage, share, reason)",
+        SESSIONS,
+    ),
+    Mutant(
+        "moves-by-datagram-only",
+        "ashlatch/gateway/versions.py",
+        "        self.marks.update(rollout.moved)\n",
+        "",
+        SESSIONS,
+    ),
+    Mutant(
+        "moves-wait-for-the-next-question",
+        "ashlatch/gateway/versions.py",
+        "        self.moved()\n",
+        "",
+        SYNC,
+    ),
+    Mutant(
+        "moves-wait-at-core-vms",
+        "ashlatch/fleet/spread.py",
+        "            self.moves_told.set()\n",
+        "            pass\n",
+        SYNC,
+    ),
+    Mutant(
+        "end-of-answer-moves-session",
+        "ashlatch/gateway/versions.py",
+        "        if seen is None or seen.version == version:\n"
+        "            self.note(service, session, version, now_ms)",
+        "        self.note(service, session, version, now_ms)",
+        CHOOSING,
+    ),
+    Mutant(
+        "new-leader-knows-no-gateways",
+        "ashlatch/fleet/spread.py",
+        "            self._gateways.setdefault(gateway, now_ms)",
+        "            pass",
+        SESSIONS,
+    ),
+    Mutant(
+        "young-leader-makes-all-forget",
+        "ashlatch/fleet/spread.py",
+        "        return None if young and request.gateways_known else self.gateways",
+        "        return self.gateways",
+        FLEET,
+    ),
+    Mutant(
+        "over-rollouts-are-told",
+        "ashlatch/gateway/versions.py",
+        "            self.untold.clear()\n",
+        "            pass\n",
+        CHOOSING,
+    ),
+    Mutant(
+        "moves-of-an-earlier-rollout",
+        "ashlatch/fleet/leader.py",
+        "        return rollout.moved\n",
+        "        pass\n",
+        FLEET,
+    ),
+    Mutant(
+        "latest-answers-held-to-calm-ones",
+        "ashlatch/fleet/verdict.py",
+        "        for window_ms in WINDOWS_MS:\n"
+        "            yield self._within(window_ms, now_ms)\n",
+        "",
+        FLEET,
+    ),
+    Mutant(
+        "pace-learnt-while-slow",
+        "ashlatch/policy/slowness.py",
+        " if b.at_ms <= at_ms), None)",
+        "), None)",
+        SLOWNESS,
+    ),
+    Mutant(
+        "uncompared-slowness-withdraws",
+        "ashlatch/policy/detector.py",
+        "            self.latency_sum = min(UNCOMPARED_MAX, self.slow_sum)\n",
+        "            self.latency_sum = self.slow_sum\n",
+        SLOWNESS,
+    ),
+    Mutant(
+        "compared-with-other-times",
+        "ashlatch/policy/detector.py",
+        "            self.calm_ms = math.nextafter(now_ms, -math.inf)\n",
+        "            pass\n",
+        SLOWNESS,
+    ),
 )
 
 
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -86,6 +86,16 @@
         self.assertEqual({"v2"}, self.versions("new", 1000.0))
         self.assertEqual({"v1"}, self.versions("other", 1000.0))
 
+    def test_an_end_moves_no_session(self) -> None:
+        """An answer of the old version ends behind the next request's beginning."""
+        self.sessions.note("app", "s", "v2", 0.0)
+        self.sessions.ended("app", "s", "v1", 1000.0)
+        self.assertEqual("v2", self.sessions.version("app", "s", 2000.0))
+        self.sessions.ended("app", "s", "v2", 4000.0)
+        self.assertEqual("v2", self.sessions.version("app", "s", 9000.0))
+        self.sessions.ended("app", "other", "v1", 4000.0)
+        self.assertEqual("v1", self.sessions.version("app", "other", 5000.0))
+
     def test_final(self) -> None:
         self.learn(RolloutStage.COMPLETED, 1.0, 1)
         self.assertEqual({"v2"}, self.versions("s"))
--- a/tests/test_sync.py
+++ b/tests/test_sync.py
@@ -2,21 +2,30 @@
 
 import asyncio
 import random
+from dataclasses import replace
 from typing import Any
 
 import testtools
 
-from ashlatch.catalog import GatewayVm
+from ashlatch.catalog import GatewayVm, Rollout, RolloutStage, SessionMarks
 from ashlatch.errors import TransportError
+from ashlatch.fleet.following import LeaderLink
+from ashlatch.fleet.machine import FleetState
 from ashlatch.fleet.peers import PeerBook
 from ashlatch.fleet.protocol import SyncReply, SyncRequest
 from ashlatch.fleet.seeds import Seeds
+from ashlatch.fleet.spread import Spread
 from ashlatch.gateway.budget import BudgetTerms
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.sync import FleetLink
-from ashlatch.gateway.versions import SessionVersions, VersionChooser
+from ashlatch.gateway.versions import (
+    SessionVersions,
+    VersionChooser,
+    session_mark,
+)
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
 from ashlatch.settings import GatewaySettings
+from tests.test_fleet import standing
 
 OWN = GatewayVm("127.0.0.1:7000", "hall-1")
 SETTINGS = GatewaySettings.model_validate(
@@ -34,12 +43,17 @@
 
 
 class Book(PeerBook):
-    """Core VMs that answer as told; notes what was asked of them."""
+    """Core VMs that answer as told; notes what was asked of them.
+
+    With `holds`, a question is held for as long as it may be.
+    """
 
-    def __init__(self, reply: SyncReply | None) -> None:
+    def __init__(self, reply: SyncReply | None, holds: bool = False) -> None:
         super().__init__()
         self.reply = reply
+        self.holds = holds
         self.asked: list[tuple[str, float, float]] = []
+        self.moved: list[tuple[float, tuple[int, ...]]] = []
 
     def peer(self, address: str) -> Any:
         return Peer(self, address)
@@ -54,25 +68,78 @@
         self, method: object, request: SyncRequest, timeout_s: float
     ) -> SyncReply:
         self._book.asked.append((self._address, request.wait_ms, timeout_s))
-        await asyncio.sleep(0.01)
+        for told in request.sessions:
+            self._book.moved.append((request.wait_ms, told.moved))
+        await asyncio.sleep(request.wait_ms / 1000.0 if self._book.holds else 0.01)
         if self._book.reply is None:
             raise TransportError(self._address, "timeout", True)
         return self._book.reply
 
 
+def gateway_knowledge() -> Knowledge:
+    return Knowledge(
+        "hall-1",
+        "vm-1",
+        VersionChooser(SessionVersions(5000.0)),
+        ENDPOINT_POLICIES.get("hall_affinity")(),
+        BudgetTerms(0.9, 10.0, 10_000.0),
+        generator=random.Random(1),
+    )
+
+
+class MovedSessionsTest(testtools.TestCase):
+    """The core is told at once, also while the question for news is held."""
+
+    TOLD_WITHIN_S = 0.3
+
+    def test_a_gateway_tells_its_core_vm(self) -> None:
+        async def run() -> list[tuple[float, tuple[int, ...]]]:
+            known = gateway_knowledge()
+            seeds = Seeds(SETTINGS, lambda: SETTINGS)
+            link = FleetLink(known, seeds, "x:1", 10_000.0, OWN)
+            book = link._book = Book(SyncReply(True), holds=True)
+            tasks = [asyncio.create_task(link.run())]
+            tasks.append(asyncio.create_task(link.tell_moves()))
+            await asyncio.sleep(0.1)
+            stage = RolloutStage.LOAD_TEST
+            known.versions.learn([Rollout("app", "v2", stage, 0.0, 1, 1000.0)])
+            for session in ("s1", "s2"):
+                self.assertTrue(known.versions.note_move("app", session, "v2"))
+            await asyncio.sleep(self.TOLD_WITHIN_S)
+            for task in tasks:
+                task.cancel()
+            return book.moved
+
+        marks = tuple(sorted(session_mark("v2", s) for s in ("s1", "s2")))
+        self.assertEqual([(0.0, marks)], asyncio.run(run()))
+
+    def test_a_core_vm_tells_the_leader(self) -> None:
+        async def run() -> list[tuple[float, tuple[int, ...]]]:
+            book, spread = Book(SyncReply(True), holds=True), Spread()
+            leader = "127.0.0.9:7000"
+            following = replace(standing(3, {}), leading=False, leader_address=leader)
+            link = LeaderLink(
+                "core-1", 10_000.0, spread, book, lambda: following, FleetState
+            )
+            tasks = [asyncio.create_task(link.follow())]
+            tasks.append(asyncio.create_task(link.pass_moves_on()))
+            await asyncio.sleep(0.1)
+            told = (SessionMarks("app", (), (7,)),)
+            spread.asked(SyncRequest("gw", (), 0, (0, 0), 0, 0.0, sessions=told))
+            await asyncio.sleep(self.TOLD_WITHIN_S)
+            for task in tasks:
+                task.cancel()
+            return book.moved
+
+        self.assertEqual([(0.0, (7,))], asyncio.run(run()))
+
+
 class FleetLinkTest(testtools.TestCase):
     def asked(self, reply: SyncReply | None) -> list[tuple[str, float, float]]:
         """What a gateway asks in its first half second."""
 
         async def run() -> list[tuple[str, float, float]]:
-            known = Knowledge(
-                "hall-1",
-                "vm-1",
-                VersionChooser(SessionVersions(5000.0)),
-                ENDPOINT_POLICIES.get("hall_affinity")(),
-                BudgetTerms(0.9, 10.0, 10_000.0),
-                generator=random.Random(1),
-            )
+            known = gateway_knowledge()
             link = FleetLink(
                 known, Seeds(SETTINGS, lambda: SETTINGS), "x:1", 500.0, OWN
             )
