--- a/ashlatch/control/core.py
+++ b/ashlatch/control/core.py
@@ -68,7 +68,7 @@
     stage_starts: dict[str, int] = field(default_factory=dict)
     detectors: dict[str, Detector] = field(default_factory=dict)
     paces: Paces = field(default_factory=Paces)
-    latency_told: dict[str, str] = field(default_factory=dict)
+    latency_verdicts: dict[str, str] = field(default_factory=dict)
     withdrawn: frozenset[str] = frozenset()
     missing_since_ms: dict[str, float] = field(default_factory=dict)
     orders: dict[str, Order] = field(default_factory=dict)
--- /dev/null
+++ b/ashlatch/control/latency.py
@@ -0,0 +1,87 @@
+"""
+ashlatch.control.latency
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+Says in the log what a version's slowness was compared with, and what follows.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import math
+from dataclasses import dataclass
+from typing import ClassVar
+
+from ashlatch.control.core import ControlCore
+from ashlatch.log import LogEvent
+from ashlatch.policy.detector import THRESHOLD, Detector
+
+__all__ = ["LatencyCompared", "LatencyNotCompared", "tell_latency"]
+
+OWN = "own"
+SHARED = "shared"
+NOT_COMPARED = "not_compared"
+
+
+@dataclass(frozen=True)
+class LatencyCompared(LogEvent):
+    """A version is slower than in calm times, and others were asked at that time.
+
+    `slowdown` is its factor, `others_slowdown` that of the other versions at the
+    same moments; `answers` is what the comparison is worth. The `verdict` is
+    `own`, and the version is withdrawn, or `shared`.
+    """
+
+    event: ClassVar[str] = "latency_compared"
+    version: str
+    verdict: str
+    slowdown: float
+    others_slowdown: float
+    answers: float
+    epoch: int
+
+
+@dataclass(frozen=True)
+class LatencyNotCompared(LogEvent):
+    """A version is slower than in calm times, and no other was asked meanwhile.
+
+    That withdraws nothing.
+    """
+
+    event: ClassVar[str] = "latency_not_compared"
+    version: str
+    epoch: int
+
+
+def tell_latency(core: ControlCore, version: str) -> None:
+    """Log the verdict on a version's slowness, when it is another than before."""
+    detector = core.detectors[version]
+    verdict = _verdict(detector)
+    if verdict and verdict != core.latency_verdicts.get(version):
+        core.log(_event(core, version, detector, verdict))
+    core.latency_verdicts[version] = verdict
+
+
+def _verdict(detector: Detector) -> str:
+    """What follows from a version's slowness; empty when it does not look slow."""
+    if not detector.looks_slow:
+        return ""
+    if detector.slowness is None:
+        return NOT_COMPARED
+    return OWN if detector.latency_sum >= THRESHOLD else SHARED
+
+
+def _event(
+    core: ControlCore, version: str, detector: Detector, verdict: str
+) -> LogEvent:
+    slowness = detector.slowness
+    if slowness is None:
+        return LatencyNotCompared(version, core.epoch)
+    return LatencyCompared(
+        version,
+        verdict,
+        math.exp(slowness.slowness),
+        math.exp(slowness.shared),
+        slowness.answers,
+        core.epoch,
+    )
--- a/ashlatch/control/rollout.py
+++ b/ashlatch/control/rollout.py
@@ -9,14 +9,14 @@
 :license: MIT, see LICENSE for details.
 """
 
-import math
 from dataclasses import dataclass
 from typing import ClassVar
 
 from ashlatch.control.core import HANDLERS, ControlCore
 from ashlatch.control.event import RatingsRead, StateRead
+from ashlatch.control.latency import tell_latency
 from ashlatch.log import LogEvent
-from ashlatch.policy.detector import THRESHOLD, Detector, VersionTally
+from ashlatch.policy.detector import Detector, VersionTally
 from ashlatch.policy.slowness import take_tallies
 from ashlatch.resources import (
     Cascade,
@@ -28,13 +28,7 @@
 from ashlatch.store.configuration import ResourceId
 from ashlatch.store.protocol import VersionReport
 
-__all__ = [
-    "LatencyCompared",
-    "LatencyNotCompared",
-    "RolloutMoved",
-    "VersionBad",
-    "advance",
-]
+__all__ = ["RolloutMoved", "VersionBad", "advance"]
 
 
 @dataclass(frozen=True)
@@ -62,36 +56,6 @@
     epoch: int
 
 
-@dataclass(frozen=True)
-class LatencyCompared(LogEvent):
-    """A version is slower than in calm times, and others were asked at that time.
-
-    `slowdown` is its factor, `others_slowdown` that of the other versions at the
-    same moments; `answers` is what the comparison is worth. The `verdict` is
-    `own`, and the version is withdrawn, or `shared`.
-    """
-
-    event: ClassVar[str] = "latency_compared"
-    version: str
-    verdict: str
-    slowdown: float
-    others_slowdown: float
-    answers: float
-    epoch: int
-
-
-@dataclass(frozen=True)
-class LatencyNotCompared(LogEvent):
-    """A version is slower than in calm times, and no other was asked meanwhile.
-
-    That withdraws nothing.
-    """
-
-    event: ClassVar[str] = "latency_not_compared"
-    version: str
-    epoch: int
-
-
 @HANDLERS.on(StateRead)
 def _state_read(core: ControlCore, event: StateRead) -> None:
     if event.revision < core.revision:
@@ -131,30 +95,7 @@
 
     take_tallies(core.detectors, core.paces, tallies, price, core.now_ms)
     for version in tallies:
-        _tell_latency(core, version)
-
-
-def _tell_latency(core: ControlCore, version: str) -> None:
-    """Log what a version's slowness was compared with, when that changes."""
-    detector = core.detectors[version]
-    slowness = detector.slowness
-    told: LatencyCompared | LatencyNotCompared | None = None
-    if detector.looks_slow and slowness is None:
-        told = LatencyNotCompared(version, core.epoch)
-    elif detector.looks_slow and slowness is not None:
-        own = detector.latency_sum >= THRESHOLD
-        told = LatencyCompared(
-            version,
-            "own" if own else "shared",
-            math.exp(slowness.slowness),
-            math.exp(slowness.shared),
-            slowness.answers,
-            core.epoch,
-        )
-    verdict = getattr(told, "verdict", told.event) if told else ""
-    if told is not None and core.latency_told.get(version) != verdict:
-        core.log(told)
-    core.latency_told[version] = verdict
+        tell_latency(core, version)
 
 
 def _take_suspensions(core: ControlCore, totals: tuple[VersionReport, ...]) -> None:
--- a/tests/test_shared_slowness.py
+++ b/tests/test_shared_slowness.py
@@ -22,6 +22,7 @@
 from ashlatch.control import membership, placement, rollout
 from ashlatch.control.core import ControlCore
 from ashlatch.control.event import Change, LeaseAnswered, StateRead, WriteLog
+from ashlatch.control.latency import LatencyCompared
 from ashlatch.log import LogEvent
 from ashlatch.policy.detector import VersionTally
 from ashlatch.resources import (
@@ -137,6 +138,9 @@
     def log(self) -> str:
         return " ".join(event.event for event in self.events)
 
+    def compared(self) -> list[LatencyCompared]:
+        return [e for e in self.events if isinstance(e, LatencyCompared)]
+
 
 def all_slow(times: float) -> dict[str, float]:
     return dict.fromkeys(PACES_MS, times)
@@ -186,6 +190,10 @@
         self.roll_out()
         self.control.read(60, {NEW: 20, LARGE: 1}, self.SLOW)
         self.assertEqual(set(), self.control.withdrawn)
+        told = self.control.compared()
+        self.assertEqual("shared", told[-1].verdict)
+        self.assertTrue(told[-1].others_slowdown > 3.0, told[-1])
+        self.assertTrue(len(told) <= 2, "each verdict is logged once")
 
     def test_after_a_rollout_and_a_change_of_control(self) -> None:
         self.roll_out()
@@ -224,6 +232,10 @@
         self.control.read(30, {NEW: 20, LARGE: 1})
         self.control.read(20, {NEW: 20, LARGE: 3}, {NEW: 6.0})
         self.assertEqual({NEW}, self.control.withdrawn)
+        told = self.control.compared()[-1]
+        self.assertEqual((NEW, "own"), (told.version, told.verdict))
+        self.assertTrue(5.0 < told.slowdown < 7.0, told)
+        self.assertTrue(told.others_slowdown < 1.5, told)
 
     def test_in_a_rollout(self) -> None:
         self.control.read(20, {OLD: 20, LARGE: 1})
