--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -50,7 +50,8 @@
         self.list = StandIn([self._list])
         self.instances: list[dict[str, Any]] = []
         self._loop = asyncio.new_event_loop()
-        threading.Thread(target=self._loop.run_forever, daemon=True).start()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self._thread.start()
         for started in (
             self.worker.start(host),
             self.list.start(host, LIST_PORT),
@@ -76,7 +77,17 @@
         writer.write(standin.whole(request, body))
 
     def stop(self) -> None:
+        """End the connections first: a loop that has gone cannot close them."""
+        asyncio.run_coroutine_threadsafe(self._end_all(), self._loop).result(5.0)
         self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(5.0)
+        self._loop.close()
+
+    async def _end_all(self) -> None:
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
 
 class Fleet:
