--- a/tests/test_session_versions.py
+++ b/tests/test_session_versions.py
@@ -26,6 +26,7 @@
 import itertools
 import socket
 import time
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
 import testtools
@@ -198,7 +199,7 @@
 
 
 class RunningSessionsTest(testtools.TestCase):
-    """Real processes: three gateways, of which one gets no datagrams.
+    """Real processes: three gateways, five core VMs.
 
     Each session makes three requests, each by another gateway.
     """
@@ -220,9 +221,8 @@
         self.addCleanup(self.fleet.close)
         self.fleet.found()
         self.gateways = [f"{self.fleet.net}.{n}" for n in (101, 102, 103)]
-        taken = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.addCleanup(taken.close)
-        taken.bind((self.gateways[1], PORTS[0]))
+
+    def start_gateways(self) -> None:
         for gateway in self.gateways:
             self.fleet.start_gateway(gateway)
         self.fleet.acknowledged(3)
@@ -246,7 +246,29 @@
             time.sleep(self.PAUSE_S)
         found.append(ran)
 
-    def test_no_session_goes_back(self) -> None:
+    def test_one_gateway_gets_no_datagrams(self) -> None:
+        taken = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.addCleanup(taken.close)
+        taken.bind((self.gateways[1], PORTS[0]))
+        self.start_gateways()
+        self.roll_out(lambda: None)
+
+    def test_the_leader_dies_as_the_load_test_begins(self) -> None:
+        self.start_gateways()
+        leader = self.fleet.leader()
+        killed = False
+
+        def kill_once() -> None:
+            nonlocal killed
+            if not killed and "stage=load_test" in self.fleet.processes[leader].log:
+                self.fleet.processes[leader].kill()
+                killed = True
+
+        self.roll_out(kill_once)
+        self.assertTrue(killed)
+
+    def roll_out(self, meanwhile: Callable[[], None]) -> None:
+        """A whole roll-out; `meanwhile` is called as often as a session begins."""
         fleet = self.fleet
         fleet.platform.add("i-2", "v2")
         fleet.begin_rollout("app", "v2", self.ROLLOUT_S)
@@ -257,6 +279,7 @@
             while time.monotonic() < ends_s:
                 pool.submit(self.session, number, found)
                 number += 1
+                meanwhile()
                 time.sleep(1.0 / self.SESSIONS_EACH_S)
         back = [ran for ran in found if ("i-2", "i-1") in itertools.pairwise(ran)]
         moved = [ran for ran in found if ("i-1", "i-2") in itertools.pairwise(ran)]
