The process tests of sessions fail when the good version is rolled back

The narrowing before this let a run pass in which the version was rolled back early and little was looked at.

--- a/tests/test_session_versions.py
+++ b/tests/test_session_versions.py
@@ -325,3 +325,7 @@
         if back:
             self.explain()
         self.assertEqual([], back, f"{len(back)} of {len(found)} sessions")
+        # Otherwise the requests after the roll-back were not looked at.
+        if self.rolled_back:
+            self.explain()
+        self.assertFalse(self.rolled_back, "the version is good")
