Count what gateways carry, by kind and by whether it crosses between halls

Each gateway now counts requests, answers, questions to the core, its news and datagrams, by kind and by hall, among its metrics and each 10 s in a log line (traffic_counted). For that gateways learn the hall of each core VM: core VMs tell it to the leader, and the leader to all. What is asked of whom is unchanged.

--- a/ashlatch/catalog.py
+++ b/ashlatch/catalog.py
@@ -18,6 +18,7 @@
 __all__ = [
     "Catalog",
     "CatalogLimits",
+    "CoreVm",
     "Endpoint",
     "EndpointList",
     "EngineSpec",
@@ -170,6 +171,13 @@
     hall: str
 
 
+class CoreVm(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """A core VM: where it takes calls, and its hall, empty while that is unknown."""
+
+    address: str
+    hall: str = ""
+
+
 class RolloutStage(enum.Enum):
     """How far a roll-out is.
 
--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -18,7 +18,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from ashlatch.catalog import Endpoint, Rollout, Service
+from ashlatch.catalog import CoreVm, Endpoint, Rollout, Service
 from ashlatch.codec import encode
 from ashlatch.errors import TransportError
 from ashlatch.fleet.discovery import ListReader
@@ -117,9 +117,11 @@
         self._list = ListKeeper(
             ListReader(settings.list_address), settings.list_read_ms
         )
-        self._spread = Spread()
+        own = CoreVm(settings.rpc_address, settings.hall)
+        self._spread = Spread(own)
         self._leader_link = LeaderLink(
             settings.vm,
+            own,
             settings.sync_wait_ms,
             self._spread,
             self._book,
@@ -345,7 +347,7 @@
     def _news(self, request: SyncRequest) -> SyncReply:
         leads = self.group.standing.may_read(monotonic_ms())
         current = leads or self._spread.hears_leader
-        members = self._core_addresses()
+        members = self._spread.core_vms(self._core_addresses())
         with self.group.lock:
             return self._spread.reply(request, current, members, self.machine.state)
 
--- a/ashlatch/fleet/following.py
+++ b/ashlatch/fleet/following.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from ashlatch.catalog import CoreVm
 from ashlatch.errors import TransportError
 from ashlatch.fleet.logs import MovesUntold
 from ashlatch.fleet.machine import FleetState
@@ -43,6 +44,7 @@
     """
 
     vm: str
+    own: CoreVm
     wait_ms: float
     spread: Spread
     book: PeerBook
@@ -116,4 +118,5 @@
             reads,
             self.spread.reads.position,
             gateways_digest(self.spread.gateways),
+            self.own,
         )
--- a/ashlatch/fleet/protocol.py
+++ b/ashlatch/fleet/protocol.py
@@ -11,7 +11,13 @@
 import msgspec
 import xxhash
 
-from ashlatch.catalog import EndpointList, GatewayVm, Rollout, SessionMarks
+from ashlatch.catalog import (
+    CoreVm,
+    EndpointList,
+    GatewayVm,
+    Rollout,
+    SessionMarks,
+)
 from ashlatch.fleet.machine import Command, Outcome
 from ashlatch.gateway.kept import PromptRead
 from ashlatch.gateway.tally import Tally
@@ -43,7 +49,7 @@
     `sessions` those that run before a trial. `reads` are prompts that engines
     have read since then, `reads_known` is the position up to which the sender
     knows what all others have told, `gateways_known` the digest of the gateways
-    that it knows of.
+    that it knows of. `core` is the sender, if it is a core VM.
     """
 
     vm: str
@@ -57,6 +63,7 @@
     reads: tuple[PromptRead, ...] = ()
     reads_known: tuple[int, int] = (0, 0)
     gateways_known: int = 0
+    core: CoreVm | None = None
 
 
 class SyncReply(msgspec.Struct, frozen=True, array_like=True):
@@ -64,7 +71,7 @@
 
     `current` is false when the member has lost touch with the leader, so that
     others may know more. `gateways` are all gateways, unset
-    when the sender knows them. `members` are the addresses of all core VMs.
+    when the sender knows them. `members` are all core VMs.
     `document` is empty when the sender knows the newest; it is compressed by
     `zlib`, as the log holds it. `list_age_ms` is how long ago the platform's
     list was read. `reads` are the prompts that engines have read, up to the
@@ -72,7 +79,7 @@
     """
 
     current: bool
-    members: tuple[str, ...] = ()
+    members: tuple[CoreVm, ...] = ()
     gateways: tuple[GatewayVm, ...] | None = None
     document_version: int = 0
     document: bytes = b""
--- a/ashlatch/fleet/spread.py
+++ b/ashlatch/fleet/spread.py
@@ -10,8 +10,9 @@
 """
 
 import asyncio
+from collections.abc import Iterable
 
-from ashlatch.catalog import EndpointList, GatewayVm, SessionMarks
+from ashlatch.catalog import CoreVm, EndpointList, GatewayVm, SessionMarks
 from ashlatch.fleet.machine import FleetState
 from ashlatch.fleet.protocol import SyncReply, SyncRequest, gateways_digest
 from ashlatch.fleet.reads import ReadLog
@@ -36,9 +37,10 @@
 
 
 class Spread:
-    """Used on the loop only."""
+    """Used on the loop only. `own` is the VM that this is."""
 
-    def __init__(self) -> None:
+    def __init__(self, own: CoreVm) -> None:
+        self._halls = {own.address: own.hall}
         self.endpoints = EndpointList()
         self.tallies = Tallies()
         self.reads = ReadLog()
@@ -59,11 +61,17 @@
         now_ms = monotonic_ms()
         for gateway in request.gateways:
             self._gateways[gateway] = now_ms
+        if request.core is not None:
+            self._halls[request.core.address] = request.core.hall
         self.tallies.add(request.tallies)
         for sessions in request.sessions:
             self._take_sessions(sessions, now_ms)
         self.tell_reads(request.reads)
 
+    def core_vms(self, addresses: Iterable[str]) -> tuple[CoreVm, ...]:
+        """Core VMs by their addresses, with their halls as far as they are known."""
+        return tuple(CoreVm(a, self._halls.get(a, "")) for a in addresses)
+
     def _take_sessions(self, sessions: SessionMarks, now_ms: float) -> None:
         running = self._running.setdefault(sessions.service, {})
         running.update(dict.fromkeys(sessions.marks, now_ms))
@@ -112,6 +120,7 @@
         if not reply.current:
             return
         self._leader_heard_ms = monotonic_ms()
+        self._halls.update({m.address: m.hall for m in reply.members if m.hall})
         if reply.gateways is not None:
             self.gateways = reply.gateways
         self._listed_ms = self._leader_heard_ms - reply.list_age_ms
@@ -148,7 +157,7 @@
         self,
         request: SyncRequest,
         current: bool,
-        members: tuple[str, ...],
+        members: tuple[CoreVm, ...],
         state: FleetState,
     ) -> SyncReply:
         """What is newer than who asks knows."""
--- a/ashlatch/gateway/account.py
+++ b/ashlatch/gateway/account.py
@@ -30,6 +30,7 @@
 )
 from ashlatch.gateway.news import EndpointReplaced, PromptSent, SessionMoved
 from ashlatch.gateway.tally import TallyKey
+from ashlatch.gateway.traffic import TrafficKind
 from ashlatch.log import emit
 
 __all__ = ["Account"]
@@ -115,6 +116,13 @@
         known.kept.note(endpoint.instance, model, parts, self._now_ms())
         known.kept.read(endpoint.instance, model, parts, memory_tokens, self._now_ms())
 
+    def carried(self, attempt: Attempt) -> None:
+        """An attempt is over, and its connection has carried all of it."""
+        hall = attempt.state.endpoint.hall
+        traffic = self._known.traffic
+        traffic.add(TrafficKind.REQUEST, hall, attempt.sent_bytes)
+        traffic.add(TrafficKind.ANSWER, hall, attempt.received_bytes)
+
     def begun(self, attempt: Attempt, model: str) -> None:
         """The head of an answer has come."""
         first_ms = self._age_ms(attempt)
--- a/ashlatch/gateway/attempt.py
+++ b/ashlatch/gateway/attempt.py
@@ -74,7 +74,8 @@
 class Attempt:
     """One send. Use `begin`, then `parts` until none is left, then `finish`.
 
-    Whatever way it ends, `close` gives back what it holds.
+    Whatever way it ends, `close` gives back what it holds; `sent_bytes` and
+    `received_bytes` are what its connection has carried by then.
     """
 
     def __init__(
@@ -97,6 +98,8 @@
         self._loop = asyncio.get_running_loop()
         self.sent_s = self._loop.time()
         self._counted = False
+        self.sent_bytes = 0
+        self.received_bytes = 0
 
     async def begin(self, patience: Patience) -> AnswerHead:
         """Send, and wait for the head of the answer; raises `AttemptFailed`."""
@@ -163,8 +166,8 @@
 
     def finish(self) -> None:
         """The answer was whole: keep the connection if it may be kept."""
-        connection, self._connection = self._connection, None
-        assert connection is not None and self.head is not None
+        assert self.head is not None
+        connection = self._leave_connection()
         if connection.release(self._loop.time()):
             self._pool.keep(self.state.endpoint, connection, self.head.idle_s)
         self._uncount()
@@ -172,10 +175,17 @@
     def close(self) -> None:
         """End the attempt where it is; the endpoint drops the request."""
         if self._connection is not None:
-            self._connection.abort()
-            self._connection = None
+            self._leave_connection().abort()
         self._uncount()
 
+    def _leave_connection(self) -> Upstream:
+        """Give up the connection; what it has carried is known from now on."""
+        connection, self._connection = self._connection, None
+        assert connection is not None
+        self.sent_bytes = connection.sent_bytes
+        self.received_bytes = connection.received_bytes
+        return connection
+
     def _uncount(self) -> None:
         if self._counted:
             self._counted = False
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -26,6 +26,7 @@
     RequestEnded,
     RequestUnreadable,
     StopBegun,
+    TrafficCounted,
 )
 from ashlatch.gateway.message import RefusalReason
 from ashlatch.gateway.peers import GatewayPeers
@@ -50,6 +51,8 @@
 TRACE_LINES = 4
 # How often limits are taken over and idle connections looked at.
 SWEEP_S = 0.25
+# How often what was carried between halls is logged; its sums grow slowly.
+TRAFFIC_LOG_S = 10.0
 # A gateway that has just started hears from the core within about a second;
 # requests that come before wait for that, and are refused after it.
 START_HOLD_S = 1.2
@@ -140,6 +143,7 @@
             self._link.read_alone(),
             watch.run(),
             self._sweep(),
+            self._log_traffic(),
         )
         for work in works:
             self.rpc.keep(work, self._failed)
@@ -216,6 +220,18 @@
     def _unreadable(self, peer: str, reason: str) -> None:
         emit(log, RequestUnreadable(peer, reason), logging.WARNING)
 
+    async def _log_traffic(self) -> None:
+        while True:
+            await asyncio.sleep(TRAFFIC_LOG_S)
+            for carried in self.known.traffic.carried():
+                counted = TrafficCounted(
+                    carried.kind.value,
+                    carried.crosses,
+                    carried.messages,
+                    carried.data_bytes,
+                )
+                emit(log, counted)
+
     async def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -104,6 +104,7 @@
                 self._why = failed.kind.value
             finally:
                 attempt.close()
+                self._account.carried(attempt)
 
     # Choosing.
 
--- a/ashlatch/gateway/knowledge.py
+++ b/ashlatch/gateway/knowledge.py
@@ -21,6 +21,7 @@
 from ashlatch.gateway.pool import ConnectionPool
 from ashlatch.gateway.routing import RouteTable
 from ashlatch.gateway.tally import Tallies
+from ashlatch.gateway.traffic import HallTraffic
 from ashlatch.gateway.versions import VersionChooser
 from ashlatch.metrics import Metrics
 from ashlatch.policy.endpoint import EndpointPolicy
@@ -57,6 +58,10 @@
     generator: random.Random = field(default_factory=random.Random)
     gateways: tuple[GatewayVm, ...] = ()
     tell: Callable[[PeerNews], None] = _tell_nobody
+    traffic: HallTraffic = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.traffic = HallTraffic(self.hall, self.metrics)
 
     def budget(self, service: str) -> RepeatBudget:
         """The budget of repeated sends of a service."""
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -36,6 +36,7 @@
     "RequestUnreadable",
     "RolloutLearnt",
     "StopBegun",
+    "TrafficCounted",
 ]
 
 
@@ -309,3 +310,17 @@
     event: ClassVar[str] = "list_unread"
     reason: str
     age_ms: int
+
+
+@dataclass(frozen=True)
+class TrafficCounted(LogEvent):
+    """What was carried of one kind since the start of the process.
+
+    `crosses` is whether it went to another hall, or came from one.
+    """
+
+    event: ClassVar[str] = "traffic_counted"
+    kind: str
+    crosses: bool
+    messages: int
+    data_bytes: int
--- a/ashlatch/gateway/peers.py
+++ b/ashlatch/gateway/peers.py
@@ -18,7 +18,13 @@
 from ashlatch.codec import decode, encode
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.logs import EndpointMisdirected, PeersUnavailable
-from ashlatch.gateway.news import PeerNews, PromptSent, SessionMoved
+from ashlatch.gateway.news import (
+    EndpointReplaced,
+    PeerNews,
+    PromptSent,
+    SessionMoved,
+)
+from ashlatch.gateway.traffic import TrafficKind
 from ashlatch.log import emit
 from ashlatch.rpc import Address
 
@@ -32,6 +38,12 @@
 # gateways of all halls.
 TOLD_TO_ALL_MS = 300.0
 
+_KINDS: dict[type[PeerNews], TrafficKind] = {
+    PromptSent: TrafficKind.PROMPT,
+    SessionMoved: TrafficKind.SESSION,
+    EndpointReplaced: TrafficKind.REPLACED,
+}
+
 
 class GatewayPeers(asyncio.DatagramProtocol):
     """One gateway's socket for datagrams of and to the other gateways."""
@@ -61,9 +73,11 @@
         if isinstance(news, PromptSent):
             others = self._concerned(news, others)
         data = encode(news)
+        kind = _KINDS[type(news)]
         for other in others:
             at = Address.parse(other.address)
             self._transport.sendto(data, (at.host, at.port))
+            self._known.traffic.add(kind, other.hall, len(data))
 
     def _concerned(self, sent: PromptSent, others: list[GatewayVm]) -> list[GatewayVm]:
         """Who is told of a prompt: gateways of the engine's hall and of this one.
--- a/ashlatch/gateway/sync.py
+++ b/ashlatch/gateway/sync.py
@@ -17,6 +17,7 @@
 import zlib
 
 from ashlatch.catalog import EndpointList, GatewayVm
+from ashlatch.codec import TRAFFIC
 from ashlatch.errors import TransportError
 from ashlatch.fleet.discovery import ListReader, ListUnreadable
 from ashlatch.fleet.peers import PeerBook
@@ -43,6 +44,7 @@
 from ashlatch.gateway.message import PromptPart
 from ashlatch.gateway.routing import RouteTable
 from ashlatch.gateway.tally import Tally
+from ashlatch.gateway.traffic import TrafficKind
 from ashlatch.log import emit
 from ashlatch.platform.document import DocumentError, decode_catalog
 
@@ -92,6 +94,7 @@
         self._own = own
         self._book = PeerBook()
         self._members: tuple[str, ...] = ()
+        self._halls: dict[str, str] = {}
         self._member = ""
         self._document_version = 0
         self._rollout_number = 0
@@ -131,9 +134,7 @@
             wait_ms, timeout_s = self._terms()
             request = self._question(wait_ms, tallies, reads)
             try:
-                reply: SyncReply = await self._book.peer(address).call(
-                    SYNC, request, timeout_s
-                )
+                reply = await self._ask(address, request, timeout_s)
             except TransportError as error:
                 self._known.tallies.add(tallies)
                 self._known.kept.put_back(reads)
@@ -158,12 +159,32 @@
             self._moved.clear()
             request = self._question(0.0)
             try:
-                await self._book.peer(self._member).call(
-                    SYNC, request, TIMEOUT_MARGIN_S
-                )
+                await self._ask(self._member, request, TIMEOUT_MARGIN_S)
             except TransportError as error:
                 emit(log, MovesUntold(self._member, error.reason), logging.WARNING)
 
+    async def _ask(
+        self, address: str, request: SyncRequest, timeout_s: float
+    ) -> SyncReply:
+        """Ask one core VM, and count what that carries; raises `TransportError`.
+
+        Everything that this process calls goes to the core, so all calls that it
+        has sent and received meanwhile count.
+        """
+        sent_bytes, received_bytes = TRAFFIC.sent_bytes, TRAFFIC.received_bytes
+        try:
+            reply: SyncReply = await self._book.peer(address).call(
+                SYNC, request, timeout_s
+            )
+            return reply
+        finally:
+            hall = self._halls.get(address, "")
+            traffic = self._known.traffic
+            sent_bytes = TRAFFIC.sent_bytes - sent_bytes
+            received_bytes = TRAFFIC.received_bytes - received_bytes
+            traffic.add(TrafficKind.QUESTION, hall, sent_bytes)
+            traffic.add(TrafficKind.NEWS, hall, received_bytes)
+
     def _question(
         self,
         wait_ms: float,
@@ -210,8 +231,9 @@
 
     def _take(self, address: str, reply: SyncReply) -> None:
         if reply.members:
-            self._members = reply.members
-            self._book.keep_only({*reply.members, *self._seeds.addresses})
+            self._members = tuple(member.address for member in reply.members)
+            self._halls = {member.address: member.hall for member in reply.members}
+            self._book.keep_only({*self._members, *self._seeds.addresses})
         if reply.document and reply.document_version > self._document_version:
             self._apply(reply.document_version, reply.document)
         if reply.endpoints is not None:
--- a/ashlatch/http/upstream.py
+++ b/ashlatch/http/upstream.py
@@ -50,6 +50,8 @@
         self.address = address
         self.idle_since_s = 0.0
         self.requests = 0
+        self.sent_bytes = 0
+        self.received_bytes = 0
         self._loop = asyncio.get_running_loop()
         self._http = h11.Connection(h11.CLIENT)
         self._transport: asyncio.Transport | None = None
@@ -88,6 +90,7 @@
             # It belongs to no request, so nothing after it can be trusted.
             self.abort()
             return
+        self.received_bytes += len(data)
         self._http.receive_data(data)
         self._unread_bytes += len(data)
         if self._unread_bytes > READ_AHEAD_MAX_BYTES and self._transport is not None:
@@ -119,8 +122,9 @@
         return ready and transport is not None and not transport.is_closing()
 
     def take(self) -> None:
-        """Use the connection for a request."""
+        """Use the connection for a request; its bytes are counted from here."""
         self._in_use = True
+        self.sent_bytes = self.received_bytes = 0
 
     def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
         """Send a whole request; raises `UpstreamBroken`."""
@@ -133,6 +137,7 @@
             data = (data or b"") + (self._http.send(h11.Data(data=body)) or b"")
         data = (data or b"") + (self._http.send(h11.EndOfMessage()) or b"")
         self._transport.write(data)
+        self.sent_bytes += len(data)
 
     async def head(self) -> h11.Response:
         """The head of the answer; raises `UpstreamBroken`."""
--- a/ashlatch/metrics.py
+++ b/ashlatch/metrics.py
@@ -34,10 +34,10 @@
         self._histograms: dict[str, HdrHistogram] = {}
         self._watched: dict[str, Callable[[], int]] = {}
 
-    def count(self, name: str) -> None:
-        """Add one to a counter."""
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
         with self._lock:
-            self._counters[name] += 1
+            self._counters[name] += amount
 
     def watch(self, name: str, read: Callable[[], int]) -> None:
         """Show a number that something else keeps, under this name."""
--- a/tests/test_session_versions.py
+++ b/tests/test_session_versions.py
@@ -32,6 +32,7 @@
 import testtools
 
 from ashlatch.catalog import (
+    CoreVm,
     Endpoint,
     EndpointList,
     GatewayVm,
@@ -58,6 +59,7 @@
 from tests.gateway import ASK_STREAM, GatewayHarness, ask
 from tests.standin import Received, StandIn
 
+CORE = CoreVm("10.0.1.1:7000", "hall-1")
 OLD = Endpoint("i-1", "app", "127.0.0.1:1", "hall-1", "v1", 8, False)
 NEW = Endpoint("i-2", "app", "127.0.0.1:2", "hall-1", "v2", 8, False)
 DURATION_MS = 20_000.0
@@ -202,7 +204,7 @@
         return SyncRequest("vm", gateways, 0, (0, 0), 0, 0.0)
 
     def test_a_new_leader_knows_the_gateways_of_the_one_before(self) -> None:
-        leader, follower = Spread(), Spread()
+        leader, follower = Spread(CORE), Spread(CORE)
         asked = self.request(*self.GATEWAYS)
         leader.asked(asked)
         leader.lead(1, EndpointList(), 0.0)
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -2,12 +2,13 @@
 
 import testtools
 
-from ashlatch.catalog import EndpointList, GatewayVm, SessionMarks
+from ashlatch.catalog import CoreVm, EndpointList, GatewayVm, SessionMarks
 from ashlatch.fleet.machine import FleetState
 from ashlatch.fleet.protocol import SyncReply, SyncRequest, gateways_digest
 from ashlatch.fleet.spread import GATEWAYS_SETTLE_MS, TOLD_MAX, Spread
 from ashlatch.gateway.kept import PromptRead
 
+CORE = CoreVm("10.0.1.1:7000", "hall-1")
 ONE = GatewayVm("10.0.0.1:7000", "hall-1")
 TWO = GatewayVm("10.0.0.2:7000", "hall-2")
 READ = PromptRead("i-1", "large", (("aa", 9000),))
@@ -38,8 +39,8 @@
 class SpreadTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
-        self.leader = Spread()
-        self.follower = Spread()
+        self.leader = Spread(CORE)
+        self.follower = Spread(CORE)
 
     def ask(self, spread: Spread, asked: SyncRequest) -> SyncReply:
         spread.asked(asked)
@@ -67,6 +68,17 @@
             again = self.ask(spread, request(TWO, reads_known=told.reads_known))
             self.assertEqual((), again.reads)
 
+    def test_halls_of_core_vms_reach_all(self) -> None:
+        """The leader hears of a hall from its VM, the others from the leader."""
+        far = CoreVm("10.0.2.1:7000", "hall-2")
+        self.leader.asked(SyncRequest("core-2", (), 0, (0, 0), 0, 0.0, core=far))
+        addresses = (CORE.address, far.address, "10.0.3.1:7000")
+        known = (CORE, far, CoreVm("10.0.3.1:7000"))
+        told = self.leader.core_vms(addresses)
+        self.assertEqual(known, told)
+        self.follower.learn(SyncReply(True, members=told))
+        self.assertEqual(known, self.follower.core_vms(addresses))
+
     def test_gateways_are_told_when_they_change(self) -> None:
         self.ask(self.follower, request(ONE))
         self.ask(self.leader, request(TWO))
--- a/tests/test_sync.py
+++ b/tests/test_sync.py
@@ -7,7 +7,13 @@
 
 import testtools
 
-from ashlatch.catalog import GatewayVm, Rollout, RolloutStage, SessionMarks
+from ashlatch.catalog import (
+    CoreVm,
+    GatewayVm,
+    Rollout,
+    RolloutStage,
+    SessionMarks,
+)
 from ashlatch.errors import TransportError
 from ashlatch.fleet.following import LeaderLink
 from ashlatch.fleet.machine import FleetState
@@ -27,6 +33,7 @@
 from ashlatch.settings import GatewaySettings
 from tests.test_fleet import standing
 
+CORE = CoreVm("127.0.0.2:7001", "hall-1")
 OWN = GatewayVm("127.0.0.1:7000", "hall-1")
 SETTINGS = GatewaySettings.model_validate(
     {
@@ -115,11 +122,11 @@
 
     def test_a_core_vm_tells_the_leader(self) -> None:
         async def run() -> list[tuple[float, tuple[int, ...]]]:
-            book, spread = Book(SyncReply(True), holds=True), Spread()
+            book, spread = Book(SyncReply(True), holds=True), Spread(CORE)
             leader = "127.0.0.9:7000"
             following = replace(standing(3, {}), leading=False, leader_address=leader)
             link = LeaderLink(
-                "core-1", 10_000.0, spread, book, lambda: following, FleetState
+                "core-1", CORE, 10_000.0, spread, book, lambda: following, FleetState
             )
             tasks = [asyncio.create_task(link.follow())]
             tasks.append(asyncio.create_task(link.pass_moves_on()))
