Ask a core VM of the own hall; tell another hall of a prompt by one message

Cause: every gateway asked any of five core VMs, so four in five of all answers crossed between halls (each list, each read of an engine 156 times at 195 gateways), and each long prompt was told to 194 others, 155 of them in other halls. Both grow with requests times gateways. Ruled out: one elected relay in each hall (an election, a takeover, and a hall that hears nothing until then); two relays for each message (work is added up, so copies would have to be told apart). Change: a gateway goes back to a core VM of its hall when one is in touch, after a trial question (contact.py); of another hall one gateway, drawn for each prompt, is told and tells the others there (audience.py). What guards rules (moved sessions, replaced endpoints) still goes to each gateway directly.

--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -140,6 +140,7 @@
         works = (
             self._link.run(),
             self._link.tell_moves(),
+            self._link.stay_near(),
             self._link.read_alone(),
             watch.run(),
             self._sweep(),
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -18,6 +18,8 @@
     "AnswerWeighed",
     "AttemptEnded",
     "ConfigurationApplied",
+    "CoreChosen",
+    "CoreUnreached",
     "DocumentUnreadable",
     "EndpointGone",
     "EndpointMisdirected",
@@ -227,6 +229,24 @@
     number: int
 
 
+@dataclass(frozen=True)
+class CoreChosen(LogEvent):
+    """News is asked of a core VM of the own hall, no more of another one."""
+
+    event: ClassVar[str] = "core_chosen"
+    member: str
+    before: str
+
+
+@dataclass(frozen=True)
+class CoreUnreached(LogEvent):
+    """A core VM of the own hall did not answer; another one is asked on."""
+
+    event: ClassVar[str] = "core_unreached"
+    member: str
+    reason: str
+
+
 @dataclass(frozen=True)
 class GatewaysLearnt(LogEvent):
     """Which other gateways there are has changed; `gateways` counts them all."""
--- a/ashlatch/gateway/news.py
+++ b/ashlatch/gateway/news.py
@@ -19,11 +19,13 @@
 
     An engine's report comes with answers only, and one prompt may hold an
     engine for a second and more: without this, gateways queue behind each
-    other's prompts while other engines stand idle.
+    other's prompts while other engines stand idle. With `for_hall`, who gets it
+    tells the other gateways of its hall.
     """
 
     instance: str
     read_ms: float
+    for_hall: bool = False
 
 
 class SessionMoved(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/ashlatch/gateway/peers.py
+++ b/ashlatch/gateway/peers.py
@@ -10,12 +10,14 @@
 
 import asyncio
 import logging
+from collections.abc import Iterable
 from typing import Any
 
 import msgspec
 
 from ashlatch.catalog import GatewayVm
 from ashlatch.codec import decode, encode
+from ashlatch.gateway.audience import audience_of_prompt, gateways_of_hall
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.logs import EndpointMisdirected, PeersUnavailable
 from ashlatch.gateway.news import (
@@ -32,12 +34,6 @@
 
 log = logging.getLogger("ashlatch.gateway")
 
-# Prompts that are read sooner hardly make anybody wait.
-TOLD_MIN_MS = 30.0
-# Those that hold an engine for longer than most answers take to begin matter to
-# gateways of all halls.
-TOLD_TO_ALL_MS = 300.0
-
 _KINDS: dict[type[PeerNews], TrafficKind] = {
     PromptSent: TrafficKind.PROMPT,
     SessionMoved: TrafficKind.SESSION,
@@ -67,32 +63,52 @@
 
     def tell(self, news: PeerNews) -> None:
         """Tell the other gateways; never waits, and may be lost."""
-        if self._transport is None:
+        if self._transport is None or self._own is None:
             return
-        others = [g for g in self._known.gateways if g != self._own]
         if isinstance(news, PromptSent):
-            others = self._concerned(news, others)
-        data = encode(news)
-        kind = _KINDS[type(news)]
-        for other in others:
-            at = Address.parse(other.address)
-            self._transport.sendto(data, (at.host, at.port))
-            self._known.traffic.add(kind, other.hall, len(data))
+            self._tell_prompt(news)
+        else:
+            self._send(news, [g for g in self._known.gateways if g != self._own])
 
-    def _concerned(self, sent: PromptSent, others: list[GatewayVm]) -> list[GatewayVm]:
-        """Who is told of a prompt: gateways of the engine's hall and of this one.
+    def _tell_prompt(self, sent: PromptSent) -> None:
+        """Tell those whom a prompt concerns, other halls by one message each.
 
-        All are told of the long ones only. Told to all, the prompts of 91 gateways
-        took about half as many bytes between halls as the prompts themselves,
-        worked out from their sizes.
+        Told to each gateway, the prompts of 91 gateways took about half as many
+        bytes between halls as the prompts themselves, worked out from their sizes.
         """
         state = self._known.directory.state(sent.instance)
-        if state is None or sent.read_ms < TOLD_MIN_MS:
-            return []
-        if sent.read_ms >= TOLD_TO_ALL_MS:
-            return others
-        halls = {self._known.hall, state.endpoint.hall}
-        return [g for g in others if g.hall in halls]
+        if state is None:
+            return
+        assert self._own is not None
+        audience = audience_of_prompt(
+            sent.read_ms,
+            state.endpoint.hall,
+            self._own,
+            self._known.gateways,
+            self._known.generator,
+        )
+        self._send(sent, audience.near)
+        for_hall = PromptSent(sent.instance, sent.read_ms, for_hall=True)
+        self._send(for_hall, audience.relays)
+
+    def _relay(self, sent: PromptSent) -> None:
+        """Tell the own hall what a gateway of another one has told for it."""
+        if self._own is None:
+            return
+        own, gateways = self._own, self._known.gateways
+        near = gateways_of_hall(own.hall, own, gateways)
+        self._send(PromptSent(sent.instance, sent.read_ms), near)
+        self._known.metrics.count("prompts_relayed")
+
+    def _send(self, news: PeerNews, to: Iterable[GatewayVm]) -> None:
+        if self._transport is None:
+            return
+        data = encode(news)
+        kind = _KINDS[type(news)]
+        for gateway in to:
+            at = Address.parse(gateway.address)
+            self._transport.sendto(data, (at.host, at.port))
+            self._known.traffic.add(kind, gateway.hall, len(data))
 
     def connection_made(self, transport: Any) -> None:
         """The socket is open."""
@@ -115,6 +131,8 @@
             return
         if isinstance(news, PromptSent):
             state.workload.add(news.read_ms, now_ms)
+            if news.for_hall:
+                self._relay(news)
         else:
             state.replaced_ms = now_ms
             service = state.endpoint.service
--- a/ashlatch/gateway/sync.py
+++ b/ashlatch/gateway/sync.py
@@ -28,10 +28,13 @@
     gateways_digest,
 )
 from ashlatch.fleet.seeds import Seeds
+from ashlatch.gateway.contact import CoreContact
 from ashlatch.gateway.kept import PromptRead
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.logs import (
     ConfigurationApplied,
+    CoreChosen,
+    CoreUnreached,
     DocumentUnreadable,
     EndpointsReplaced,
     FleetLost,
@@ -63,6 +66,9 @@
 # The settings file may name other seeds without a signal; it is read again this
 # long after the last core VM was lost, and as often.
 REFRESH_MS = 3000.0
+# The pause before a core VM of the own hall is tried while another one is asked,
+# drawn so that gateways whose core VM is back do not all come at once.
+NEARER_S = (1.0, 3.0)
 # Without word from the core for this long, the list is read directly; the
 # pause between reads is drawn, so that gateways do not read together.
 ALONE_MS = 2500.0
@@ -74,7 +80,8 @@
 
 
 class FleetLink:
-    """The way to the core. `run`, `tell_moves` and `read_alone` run for ever.
+    """The way to the core. `run`, `tell_moves`, `stay_near` and `read_alone` run
+    for ever.
 
     `own` is this gateway as the others are to know it.
     """
@@ -93,9 +100,7 @@
         self._wait_ms = wait_ms
         self._own = own
         self._book = PeerBook()
-        self._members: tuple[str, ...] = ()
-        self._halls: dict[str, str] = {}
-        self._member = ""
+        self._contact = CoreContact(own.hall, lambda: seeds.addresses, known.generator)
         self._document_version = 0
         self._rollout_number = 0
         self._reads_known = (0, 0)
@@ -128,7 +133,7 @@
     async def run(self) -> None:
         """Ask for news again and again."""
         while True:
-            address = self._member or self._next_member()
+            address = self._contact.address
             tallies = self._known.tallies.take()
             reads = self._known.kept.take_notes()
             wait_ms, timeout_s = self._terms()
@@ -158,10 +163,31 @@
             await asyncio.sleep(MOVES_COLLECT_S)
             self._moved.clear()
             request = self._question(0.0)
+            address = self._contact.address
             try:
-                await self._ask(self._member, request, TIMEOUT_MARGIN_S)
+                await self._ask(address, request, TIMEOUT_MARGIN_S)
             except TransportError as error:
-                emit(log, MovesUntold(self._member, error.reason), logging.WARNING)
+                emit(log, MovesUntold(address, error.reason), logging.WARNING)
+
+    async def stay_near(self) -> None:
+        """Go back to a core VM of the own hall when one is in touch.
+
+        A gateway begins with any seed, and goes anywhere when its core VM is lost.
+        What the trial brings is not taken: the next question brings it.
+        """
+        while True:
+            await asyncio.sleep(random.uniform(*NEARER_S))
+            address = self._contact.nearer()
+            if not address:
+                continue
+            try:
+                reply = await self._ask(address, self._question(0.0), FIRST_TIMEOUT_S)
+            except TransportError as error:
+                emit(log, CoreUnreached(address, error.reason))
+                continue
+            if reply.current:
+                emit(log, CoreChosen(address, self._contact.address))
+                self._contact.move(address)
 
     async def _ask(
         self, address: str, request: SyncRequest, timeout_s: float
@@ -178,7 +204,7 @@
             )
             return reply
         finally:
-            hall = self._halls.get(address, "")
+            hall = self._contact.hall_of(address)
             traffic = self._known.traffic
             sent_bytes = TRAFFIC.sent_bytes - sent_bytes
             received_bytes = TRAFFIC.received_bytes - received_bytes
@@ -231,9 +257,8 @@
 
     def _take(self, address: str, reply: SyncReply) -> None:
         if reply.members:
-            self._members = tuple(member.address for member in reply.members)
-            self._halls = {member.address: member.hall for member in reply.members}
-            self._book.keep_only({*self._members, *self._seeds.addresses})
+            self._contact.learn(reply.members)
+            self._book.keep_only(self._contact.known())
         if reply.document and reply.document_version > self._document_version:
             self._apply(reply.document_version, reply.document)
         if reply.endpoints is not None:
@@ -301,17 +326,11 @@
         replaced = EndpointsReplaced(*endpoints.order, count, leaving, source)
         emit(log, replaced)
 
-    # Which core VM is asked.
-
-    def _next_member(self) -> str:
-        known = dict.fromkeys((*self._members, *self._seeds.addresses))
-        self._member = random.choice(tuple(known))
-        return self._member
+    # Whether the core is in touch.
 
     def _lose(self, address: str, reason: str) -> None:
         self._refresh_seeds()
-        others = [a for a in (*self._members, *self._seeds.addresses) if a != address]
-        self._member = random.choice(others) if others else address
+        self._contact.lose(address)
         if self._lost_since_ms is not None:
             return
         self._lost_since_ms = self._now_ms()
--- /dev/null
+++ b/tests/test_contact.py
@@ -0,0 +1,70 @@
+"""Tests of which core VM a gateway asks.
+
+What was seen: with 195 gateways in five halls each asked any of five core VMs, so
+four of five copies of what the core tells all gateways crossed between halls.
+"""
+
+import random
+
+import testtools
+
+from ashlatch.catalog import CoreVm
+from ashlatch.gateway.contact import CoreContact
+
+HALLS = ("north", "south", "east", "west", "centre")
+CORES = tuple(CoreVm(f"10.0.{n}.1:7000", hall) for n, hall in enumerate(HALLS))
+SEEDS = tuple(core.address for core in CORES[:3])
+
+
+def contact(hall: str, seed: int = 1) -> CoreContact:
+    return CoreContact(hall, lambda: SEEDS, random.Random(seed))
+
+
+class CoreContactTest(testtools.TestCase):
+    def test_begins_with_a_seed(self) -> None:
+        asked = {contact("north", seed).address for seed in range(40)}
+        self.assertEqual(set(SEEDS), asked)
+        self.assertEqual("", contact("north").nearer())
+
+    def test_every_gateway_ends_in_its_own_hall(self) -> None:
+        for n in range(195):
+            hall = HALLS[n % len(HALLS)]
+            found = contact(hall, n)
+            self.assertIn(found.address, SEEDS)
+            found.learn(CORES)
+            near = found.nearer() or found.address
+            found.move(near)
+            self.assertEqual(hall, found.hall_of(found.address))
+            self.assertEqual("", found.nearer())
+
+    def test_a_lost_one_is_left_for_any_other(self) -> None:
+        """Its hall may be cut off, with all core VMs that are in it."""
+        second = CoreVm("10.0.0.2:7000", HALLS[0])
+        reached = set()
+        for seed in range(60):
+            found = contact(HALLS[0], seed)
+            found.learn((*CORES, second))
+            found.move(CORES[0].address)
+            found.lose(CORES[0].address)
+            reached.add(found.address)
+        others = {core.address for core in (*CORES[1:], second)}
+        self.assertEqual(others, reached)
+
+    def test_one_that_is_replaced_is_left(self) -> None:
+        found = contact(HALLS[0])
+        found.learn(CORES)
+        found.move(CORES[0].address)
+        new = CoreVm("10.0.0.9:7000", HALLS[0])
+        found.learn((new, *CORES[1:]))
+        self.assertEqual(new.address, found.nearer())
+
+    def test_a_hall_without_core_vms_asks_on(self) -> None:
+        found = contact("island")
+        found.learn(CORES)
+        self.assertEqual("", found.nearer())
+        self.assertIn(found.address, SEEDS)
+
+    def test_the_only_one_is_asked_again(self) -> None:
+        alone = CoreContact("north", lambda: SEEDS[:1], random.Random(1))
+        alone.lose(alone.address)
+        self.assertEqual(SEEDS[0], alone.address)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,6 +9,7 @@
 from ashlatch.gateway.directory import REPLACED_MS, EndpointState
 from ashlatch.gateway.news import EndpointReplaced, PromptSent, SessionMoved
 from ashlatch.gateway.peers import GatewayPeers
+from ashlatch.gateway.traffic import HallTraffic
 from tests.system import free_port
 from tests.test_forecast import gateway_knowledge
 
@@ -65,6 +66,38 @@
 
         self.with_sockets(work)
 
+    def test_a_relay_tells_its_hall_once(self) -> None:
+        """A prompt crosses to one gateway of a hall, and reaches all of them."""
+
+        async def run() -> None:
+            halls = ("here", "there", "there", "there")
+            knowns = [gateway_knowledge() for _ in halls]
+            gateways = tuple(
+                GatewayVm(f"127.0.0.1:{free_port()}", hall) for hall in halls
+            )
+            peers = []
+            for known, own in zip(knowns, gateways, strict=True):
+                known.hall = own.hall
+                known.traffic = HallTraffic(own.hall, known.metrics)
+                known.gateways = gateways
+                peers.append(GatewayPeers(known))
+                await peers[-1].start(own)
+            for _ in range(3):
+                peers[0].tell(PromptSent("i-far", 1000.0))
+            await asyncio.sleep(ARRIVES_S)
+            now_ms = asyncio.get_running_loop().time() * 1000.0
+            for known in knowns[1:]:
+                state = known.directory.state("i-far")
+                assert state is not None
+                left_ms = state.workload.left_ms(now_ms)
+                self.assertTrue(2000.0 < left_ms <= 3000.0, left_ms)
+            carried = [c for known in knowns for c in known.traffic.carried()]
+            crossed = sum(c.messages for c in carried if c.crosses)
+            stayed = sum(c.messages for c in carried if not c.crosses)
+            self.assertEqual((3, 6), (crossed, stayed))
+
+        asyncio.run(run())
+
     def test_moved_sessions(self) -> None:
         """The hearer keeps the session that was told, and no other, on its version."""
         versions = self.hearer.versions
--- a/tests/test_sync.py
+++ b/tests/test_sync.py
@@ -21,6 +21,7 @@
 from ashlatch.fleet.protocol import SyncReply, SyncRequest
 from ashlatch.fleet.seeds import Seeds
 from ashlatch.fleet.spread import Spread
+from ashlatch.gateway import sync
 from ashlatch.gateway.budget import BudgetTerms
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.sync import FleetLink
@@ -52,7 +53,8 @@
 class Book(PeerBook):
     """Core VMs that answer as told; notes what was asked of them.
 
-    With `holds`, a question is held for as long as it may be.
+    With `holds`, a question is held for as long as it may be. `own_replies` are
+    those of single VMs.
     """
 
     def __init__(self, reply: SyncReply | None, holds: bool = False) -> None:
@@ -61,6 +63,7 @@
         self.holds = holds
         self.asked: list[tuple[str, float, float]] = []
         self.moved: list[tuple[float, tuple[int, ...]]] = []
+        self.own_replies: dict[str, SyncReply | None] = {}
 
     def peer(self, address: str) -> Any:
         return Peer(self, address)
@@ -78,9 +81,10 @@
         for told in request.sessions:
             self._book.moved.append((request.wait_ms, told.moved))
         await asyncio.sleep(request.wait_ms / 1000.0 if self._book.holds else 0.01)
-        if self._book.reply is None:
+        reply = self._book.own_replies.get(self._address, self._book.reply)
+        if reply is None:
             raise TransportError(self._address, "timeout", True)
-        return self._book.reply
+        return reply
 
 
 def gateway_knowledge() -> Knowledge:
@@ -141,6 +145,46 @@
         self.assertEqual([(0.0, (7,))], asyncio.run(run()))
 
 
+class NearCoreTest(testtools.TestCase):
+    """A gateway goes back to a core VM of its hall, if that one is in touch."""
+
+    NEAR = CoreVm("127.0.0.9:7001", "hall-1")
+    MEMBERS = (NEAR, CoreVm("127.0.0.2:7001", "hall-2"), CoreVm("127.0.0.3:7001", "x"))
+
+    def asked(self, reply: SyncReply | None) -> set[str]:
+        """Whom a gateway asks in the end; `reply` is the near core VM's."""
+
+        async def run() -> set[str]:
+            known = gateway_knowledge()
+            link = FleetLink(known, Seeds(SETTINGS, lambda: SETTINGS), "x:1", 20.0, OWN)
+            book = link._book = Book(SyncReply(True, self.MEMBERS), holds=True)
+            book.own_replies[self.NEAR.address] = reply
+            tasks = [asyncio.create_task(link.run())]
+            tasks.append(asyncio.create_task(link.stay_near()))
+            await asyncio.sleep(0.3)
+            book.asked.clear()
+            await asyncio.sleep(0.1)
+            for task in tasks:
+                task.cancel()
+            return {address for address, wait_ms, _ in book.asked if wait_ms}
+
+        self.patch(sync, "NEARER_S", (0.05, 0.1))
+        return asyncio.run(run())
+
+    def test_goes_to_its_own_hall(self) -> None:
+        self.assertEqual({self.NEAR.address}, self.asked(SyncReply(True, self.MEMBERS)))
+
+    def test_stays_away_from_one_without_a_leader(self) -> None:
+        asked = self.asked(SyncReply(False, self.MEMBERS))
+        self.assertNotIn(self.NEAR.address, asked)
+        self.assertEqual(1, len(asked))
+
+    def test_stays_away_from_one_that_does_not_answer(self) -> None:
+        asked = self.asked(None)
+        self.assertNotIn(self.NEAR.address, asked)
+        self.assertEqual(1, len(asked))
+
+
 class FleetLinkTest(testtools.TestCase):
     def asked(self, reply: SyncReply | None) -> list[tuple[str, float, float]]:
         """What a gateway asks in its first half second."""
