Tell gateways of busy engines, and count a place that is awaited

Cause: a gateway hears an engine's load with its own answers only. Ruled out by simulation: that the even load needs it (no difference). Change: loads of busy endpoints go to the own hall, and by one message to the endpoint's (to all when it is full), a level once a second; a send that would find no free place counts the wait for one.

--- a/ashlatch/gateway/account.py
+++ b/ashlatch/gateway/account.py
@@ -29,6 +29,7 @@
     RequestSent,
 )
 from ashlatch.gateway.news import EndpointReplaced, PromptSent, SessionMoved
+from ashlatch.gateway.reports import pass_on_load
 from ashlatch.gateway.tally import TallyKey
 from ashlatch.gateway.traffic import TrafficKind
 from ashlatch.log import emit
@@ -122,9 +123,12 @@
         traffic = self._known.traffic
         traffic.add(TrafficKind.REQUEST, hall, attempt.sent_bytes)
         traffic.add(TrafficKind.ANSWER, hall, attempt.received_bytes)
+        service = attempt.state.endpoint.service
+        self._known.pace.ended(service, self._age_ms(attempt))
 
     def begun(self, attempt: Attempt, model: str) -> None:
         """The head of an answer has come."""
+        self._tell_load(attempt)
         first_ms = self._age_ms(attempt)
         self._known.tallies.begun(self._key(attempt), first_ms)
         service = self._admission.service.name
@@ -139,6 +143,12 @@
                 forecast.wait_ms,
             )
 
+    def _tell_load(self, attempt: Attempt) -> None:
+        """Pass on the load that came with an answer, once."""
+        load, attempt.load = attempt.load, None
+        if load is not None:
+            pass_on_load(self._known, attempt.state, load, self._now_ms())
+
     def weighed(
         self, attempt: Attempt, model: str, expected_ms: float, verdict: Verdict
     ) -> None:
@@ -179,6 +189,7 @@
 
     def failed(self, attempt: Attempt, failed: AttemptFailed) -> None:
         """A send brought no answer."""
+        self._tell_load(attempt)
         kind = failed.kind
         state = attempt.state
         if kind in (FailureKind.UNREACHABLE, FailureKind.MISDIRECTED):
--- a/ashlatch/gateway/attempt.py
+++ b/ashlatch/gateway/attempt.py
@@ -19,7 +19,7 @@
 from ashlatch.errors import AshlatchError
 from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.forecast import Forecast
-from ashlatch.gateway.message import AnswerHead, Ask, Dispatch
+from ashlatch.gateway.message import AnswerHead, Ask, Dispatch, LoadFigures
 from ashlatch.gateway.patience import Patience
 from ashlatch.gateway.pool import ConnectionPool
 from ashlatch.http.upstream import ConnectFailed, Upstream, UpstreamBroken
@@ -91,6 +91,7 @@
         self.forecast = forecast
         self.dispatch = dispatch
         self.head: AnswerHead | None = None
+        self.load: LoadFigures | None = None
         self._pool = pool
         self._ask = ask
         self._repeatable = repeatable
@@ -121,6 +122,7 @@
             raise AttemptFailed(FailureKind.BROKEN, error.reason) from error
         head = decode_answer(await self._await(connection.head, patience, "no head"))
         self.state.progressed(self._now_ms())
+        self.load = head.load
         if head.load is not None:
             self.state.tell_load(head.load, self._now_ms())
         self._check(head)
--- a/ashlatch/gateway/audience.py
+++ b/ashlatch/gateway/audience.py
@@ -2,7 +2,8 @@
 ashlatch.gateway.audience
 ~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Which gateways are told of a prompt that an engine has got. Those of the own hall
+Which gateways are told of a prompt that an engine has got, or of its load. Those of
+the own hall
 are told each by itself; of another hall one gateway is told, drawn anew each time,
 and tells the others there. Nobody has to agree on who that is: a gateway that has
 died, frozen or been cut off takes its share of the news with it and no more, one
@@ -16,8 +17,14 @@
 from dataclasses import dataclass
 
 from ashlatch.catalog import GatewayVm
+from ashlatch.policy.told_load import FULL
 
-__all__ = ["Audience", "audience_of_prompt", "gateways_of_hall"]
+__all__ = [
+    "Audience",
+    "audience_of_load",
+    "audience_of_prompt",
+    "gateways_of_hall",
+]
 
 # Prompts that are read sooner hardly make anybody wait.
 TOLD_MIN_MS = 30.0
@@ -48,9 +55,32 @@
     """
     if read_ms < TOLD_MIN_MS:
         return Audience()
-    halls = {engine_hall}
-    if read_ms >= TOLD_TO_ALL_MS:
-        halls = {gateway.hall for gateway in gateways}
+    return _audience(read_ms >= TOLD_TO_ALL_MS, engine_hall, own, gateways, generator)
+
+
+def audience_of_load(
+    level: int,
+    engine_hall: str,
+    own: GatewayVm,
+    gateways: tuple[GatewayVm, ...],
+    generator: random.Random,
+) -> Audience:
+    """Who is told of an endpoint's load, by the quarter of its places taken.
+
+    The gateways of the own hall and of the endpoint's; all when it is full, since
+    those that look for a kept prompt come from any hall.
+    """
+    return _audience(level >= FULL, engine_hall, own, gateways, generator)
+
+
+def _audience(
+    everywhere: bool,
+    engine_hall: str,
+    own: GatewayVm,
+    gateways: tuple[GatewayVm, ...],
+    generator: random.Random,
+) -> Audience:
+    halls = {gateway.hall for gateway in gateways} if everywhere else {engine_hall}
     relays = []
     for hall in sorted(halls - {own.hall}):
         there = gateways_of_hall(hall, own, gateways)
--- a/ashlatch/gateway/directory.py
+++ b/ashlatch/gateway/directory.py
@@ -17,6 +17,7 @@
 from ashlatch.gateway.message import LoadFigures
 from ashlatch.policy.breaker import Breaker
 from ashlatch.policy.load import EndpointLoad, LoadReport
+from ashlatch.policy.told_load import ToldLoad
 from ashlatch.policy.workload import Workload
 
 __all__ = ["Directory", "EndpointState"]
@@ -42,7 +43,8 @@
     `progress_ms` is when it last sent anything, or got its only request.
     `replaced_ms` is when another endpoint was found at its address.
     `unanswered` requests were sent there and have no head of an answer yet.
-    `awaited` are the limits of those waits that may be given up.
+    `awaited` are the limits of those waits that may be given up. `told_load` is
+    what gateways have told each other of its load.
     """
 
     endpoint: Endpoint
@@ -56,6 +58,7 @@
     unanswered: int = 0
     awaited: set[asyncio.Timeout] = field(default_factory=set)
     workload: Workload = field(default_factory=Workload)
+    told_load: ToldLoad = field(default_factory=ToldLoad)
 
     def sent(self, now_ms: float) -> None:
         """A request goes there."""
@@ -90,7 +93,7 @@
                 limit.reschedule(now_s)
 
     def tell_load(self, figures: LoadFigures, now_ms: float) -> None:
-        """Take the load that came with an answer."""
+        """Take the load that came with an answer, here or at another gateway."""
         report = LoadReport(
             self.endpoint.instance,
             now_ms,
--- a/ashlatch/gateway/forecast.py
+++ b/ashlatch/gateway/forecast.py
@@ -85,13 +85,14 @@
         self._now_ms = now_ms
         self._model = send.model or send.ask.model
         self._token_ms = known.pace.token_ms(service, self._model)
+        self._held_ms = known.pace.held_ms(service)
         self._home = _home(send.ask, states)
         left_ms = sum(s.workload.left_ms(now_ms) for s in states) / len(states)
         self._engine_weight = min(1.0 + left_ms / BUSY_MS, BUSY_MAX)
 
     def forecast(self, state: EndpointState) -> Forecast:
         """What a send to an endpoint is expected to take."""
-        wait_ms = state.workload.left_ms(self._now_ms)
+        wait_ms = state.workload.left_ms(self._now_ms) + self._place_wait_ms(state)
         kept = self._known.kept.tokens(
             state.endpoint.instance, self._model, self._ask.prompt_parts
         )
@@ -113,6 +114,16 @@
             return wait_ms * used
         return wait_ms + LATE_MS
 
+    def _place_wait_ms(self, state: EndpointState) -> float:
+        """How long until a place is free at an engine, if all are believed taken.
+
+        A send that goes there nevertheless waits for that, or is put before one
+        that runs, which is read anew later.
+        """
+        slots = state.endpoint.slots
+        beyond = state.requests(self._now_ms) + 1.0 - slots
+        return max(0.0, beyond) * self._held_ms / slots
+
     def _place_ms(self, state: EndpointState) -> float:
         """What the way there and those that run there cost."""
         cost_ms = RUNNING_MS * state.requests(self._now_ms)
--- a/ashlatch/gateway/news.py
+++ b/ashlatch/gateway/news.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-__all__ = ["EndpointReplaced", "PeerNews", "PromptSent", "SessionMoved"]
+__all__ = ["EndpointReplaced", "LoadSeen", "PeerNews", "PromptSent", "SessionMoved"]
 
 
 class PromptSent(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -45,4 +45,17 @@
     instance: str
 
 
-PeerNews = PromptSent | SessionMoved | EndpointReplaced
+class LoadSeen(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """An endpoint has told its load with an answer, and it is or was busy.
+
+    With `for_hall`, who gets it tells the other gateways of its hall.
+    """
+
+    instance: str
+    running: int
+    waiting: int
+    slots: int
+    for_hall: bool = False
+
+
+PeerNews = PromptSent | SessionMoved | EndpointReplaced | LoadSeen
--- a/ashlatch/gateway/pace.py
+++ b/ashlatch/gateway/pace.py
@@ -32,6 +32,10 @@
 # Nor is it taken from prompts that were to wait for more of the time than this,
 # unless they came so soon that the rate must be lower.
 FORESEEN_MAX = 0.2
+# How much each send that is over moves the mean of how long they take, and the mean
+# before the first of them: answers of models take from half a second to several.
+HELD_GAIN = 0.05
+HELD_MS_PRIOR = 1000.0
 # Until a model has answered: between the largest models of slow engines (0.08)
 # and of fast ones (0.03).
 TOKEN_MS_PRIOR = 0.05
@@ -81,7 +85,8 @@
 
 @dataclass
 class Pace:
-    """Recent times to the first event, by what they are made of::
+    """Recent times to the first event, by what they are made of, and for how long
+    an answer holds its place::
 
     pace = Pace()
     pace.began("chat", "small", tokens=4000, first_ms=90.0, now_ms=0.0)
@@ -89,6 +94,7 @@
     """
 
     _estimates: dict[tuple[str, str], _Estimate] = field(default_factory=dict)
+    _held: dict[str, float] = field(default_factory=dict)
 
     def began(
         self,
@@ -107,6 +113,15 @@
         estimate = self._estimates.setdefault((service, model), _Estimate(now_ms))
         estimate.take(tokens, first_ms, foreseen_ms, now_ms)
 
+    def ended(self, service: str, took_ms: float) -> None:
+        """A send is over, and has held a place at an endpoint for this long."""
+        before_ms = self.held_ms(service)
+        self._held[service] = before_ms + HELD_GAIN * (took_ms - before_ms)
+
+    def held_ms(self, service: str) -> float:
+        """For how long a send holds its place, as a mean over all models."""
+        return self._held.get(service, HELD_MS_PRIOR)
+
     def token_ms(self, service: str, model: str) -> float:
         """The time to read a token."""
         known = self._estimates.get((service, model))
--- a/ashlatch/gateway/peers.py
+++ b/ashlatch/gateway/peers.py
@@ -17,17 +17,26 @@
 
 from ashlatch.catalog import GatewayVm
 from ashlatch.codec import decode, encode
-from ashlatch.gateway.audience import audience_of_prompt, gateways_of_hall
+from ashlatch.gateway.audience import (
+    Audience,
+    audience_of_load,
+    audience_of_prompt,
+    gateways_of_hall,
+)
+from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.logs import EndpointMisdirected, PeersUnavailable
+from ashlatch.gateway.message import LoadFigures
 from ashlatch.gateway.news import (
     EndpointReplaced,
+    LoadSeen,
     PeerNews,
     PromptSent,
     SessionMoved,
 )
 from ashlatch.gateway.traffic import TrafficKind
 from ashlatch.log import emit
+from ashlatch.policy.told_load import load_level
 from ashlatch.rpc import Address
 
 __all__ = ["GatewayPeers"]
@@ -38,6 +47,7 @@
     PromptSent: TrafficKind.PROMPT,
     SessionMoved: TrafficKind.SESSION,
     EndpointReplaced: TrafficKind.REPLACED,
+    LoadSeen: TrafficKind.LOAD,
 }
 
 
@@ -65,40 +75,42 @@
         """Tell the other gateways; never waits, and may be lost."""
         if self._transport is None or self._own is None:
             return
-        if isinstance(news, PromptSent):
-            self._tell_prompt(news)
+        if isinstance(news, PromptSent | LoadSeen):
+            self._tell_hallwise(news)
         else:
             self._send(news, [g for g in self._known.gateways if g != self._own])
 
-    def _tell_prompt(self, sent: PromptSent) -> None:
-        """Tell those whom a prompt concerns, other halls by one message each.
+    def _tell_hallwise(self, news: PromptSent | LoadSeen) -> None:
+        """Tell those whom it concerns, other halls by one message each.
 
         Told to each gateway, the prompts of 91 gateways took about half as many
         bytes between halls as the prompts themselves, worked out from their sizes.
         """
-        state = self._known.directory.state(sent.instance)
+        state = self._known.directory.state(news.instance)
         if state is None:
             return
+        audience = self._audience(news, state.endpoint.hall)
+        self._send(news, audience.near)
+        self._send(msgspec.structs.replace(news, for_hall=True), audience.relays)
+
+    def _audience(self, news: PromptSent | LoadSeen, hall: str) -> Audience:
         assert self._own is not None
-        audience = audience_of_prompt(
-            sent.read_ms,
-            state.endpoint.hall,
-            self._own,
-            self._known.gateways,
-            self._known.generator,
-        )
-        self._send(sent, audience.near)
-        for_hall = PromptSent(sent.instance, sent.read_ms, for_hall=True)
-        self._send(for_hall, audience.relays)
-
-    def _relay(self, sent: PromptSent) -> None:
+        known = self._known
+        if isinstance(news, PromptSent):
+            return audience_of_prompt(
+                news.read_ms, hall, self._own, known.gateways, known.generator
+            )
+        level = load_level(news.running + news.waiting, news.slots)
+        return audience_of_load(level, hall, self._own, known.gateways, known.generator)
+
+    def _relay(self, news: PromptSent | LoadSeen) -> None:
         """Tell the own hall what a gateway of another one has told for it."""
         if self._own is None:
             return
         own, gateways = self._own, self._known.gateways
         near = gateways_of_hall(own.hall, own, gateways)
-        self._send(PromptSent(sent.instance, sent.read_ms), near)
-        self._known.metrics.count("prompts_relayed")
+        self._send(msgspec.structs.replace(news, for_hall=False), near)
+        self._known.metrics.count("news_relayed")
 
     def _send(self, news: PeerNews, to: Iterable[GatewayVm]) -> None:
         if self._transport is None:
@@ -129,15 +141,31 @@
         state = self._known.directory.state(news.instance)
         if state is None:
             return
-        if isinstance(news, PromptSent):
-            state.workload.add(news.read_ms, now_ms)
-            if news.for_hall:
-                self._relay(news)
-        else:
+        self._learn(news, state, now_ms, addr[0])
+
+    def _learn(
+        self,
+        news: PromptSent | LoadSeen | EndpointReplaced,
+        state: EndpointState,
+        now_ms: float,
+        teller: str,
+    ) -> None:
+        """Take what is told of an endpoint."""
+        if isinstance(news, EndpointReplaced):
             state.replaced_ms = now_ms
             service = state.endpoint.service
-            misdirected = EndpointMisdirected(news.instance, service, addr[0])
+            misdirected = EndpointMisdirected(news.instance, service, teller)
             emit(log, misdirected, logging.WARNING)
+            return
+        if isinstance(news, PromptSent):
+            state.workload.add(news.read_ms, now_ms)
+        else:
+            figures = LoadFigures(news.running, news.waiting, news.slots)
+            state.tell_load(figures, now_ms)
+            level = load_level(news.running + news.waiting, news.slots)
+            state.told_load.heard(level, now_ms)
+        if news.for_hall:
+            self._relay(news)
 
     def error_received(self, exc: Exception) -> None:
         """A gateway that was told is not there; the fleet forgets it soon."""
--- /dev/null
+++ b/ashlatch/gateway/reports.py
@@ -0,0 +1,34 @@
+"""
+ashlatch.gateway.reports
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+The load that an endpoint tells with its answers, passed on to gateways that do
+not hear it by themselves.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from ashlatch.gateway.directory import EndpointState
+from ashlatch.gateway.knowledge import Knowledge
+from ashlatch.gateway.message import LoadFigures
+from ashlatch.gateway.news import LoadSeen
+from ashlatch.policy.told_load import load_level
+
+__all__ = ["pass_on_load"]
+
+
+def pass_on_load(
+    known: Knowledge, state: EndpointState, load: LoadFigures, now_ms: float
+) -> None:
+    """Tell other gateways how busy an endpoint is, if it is or was busy.
+
+    Alone a gateway knows no endpoint's load but that of its own last answers, and
+    sends on to full ones. With 80 gateways before 16 engines, half of 50 requests
+    a second about one subject, 8.5 in 100 answers began after a second, 0.2 with
+    this (simulated load, `tests/test_full_engines.py`).
+    """
+    level = load_level(load.running + load.waiting, load.slots)
+    if state.told_load.is_news(level, now_ms):
+        instance = state.endpoint.instance
+        known.tell(LoadSeen(instance, load.running, load.waiting, load.slots))
--- a/ashlatch/gateway/traffic.py
+++ b/ashlatch/gateway/traffic.py
@@ -33,6 +33,7 @@
     PROMPT = "prompt"
     SESSION = "session"
     REPLACED = "replaced"
+    LOAD = "load"
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/tests/engines.py
@@ -0,0 +1,280 @@
+"""Model engines and the gateways before them, in one process and in virtual time.
+
+Gateways choose by the product's own code, each with its own knowledge, and hear
+each other's datagrams. An engine reads one prompt after another, runs as many
+requests at once as it has places and tells its load with each answer. Putting back
+running requests, memory that runs out and faults are not modelled.
+"""
+
+import asyncio
+import heapq
+import itertools
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+from ashlatch.catalog import Endpoint, EndpointList, GatewayVm
+from ashlatch.codec import decode
+from ashlatch.gateway.budget import BudgetTerms
+from ashlatch.gateway.choice import choose_endpoint
+from ashlatch.gateway.directory import EndpointState
+from ashlatch.gateway.forecast import Send
+from ashlatch.gateway.knowledge import Knowledge
+from ashlatch.gateway.message import Ask, LoadFigures, PromptPart
+from ashlatch.gateway.news import PeerNews, PromptSent
+from ashlatch.gateway.peers import GatewayPeers
+from ashlatch.gateway.reports import pass_on_load
+from ashlatch.gateway.routing import RouteTable
+from ashlatch.gateway.versions import (
+    AllowedEndpoints,
+    SessionVersions,
+    VersionChooser,
+    VersionReason,
+)
+from ashlatch.platform.document import decode_catalog
+from ashlatch.policy.endpoint import ENDPOINT_POLICIES
+from tests.standin import document, encoded, engine_service
+
+MODEL = "large"
+MEMORY_TOKENS = 400_000
+
+
+@dataclass(frozen=True)
+class Load:
+    """What is asked of a fleet: `hot_share` of the requests are about one subject,
+    the others about one of `subjects`; each is answered for `held_ms`.
+    """
+
+    requests_per_s: float
+    hot_share: float
+    held_ms: float
+    target_ms: float
+    subject_tokens: int = 3000
+    own_tokens: int = 500
+    subjects: int = 200
+    length_s: float = 30.0
+
+
+@dataclass
+class Engine:
+    """One engine: what runs, what waits for a place, when it has read all."""
+
+    slots: int
+    running: int = 0
+    waiting: deque[Callable[[], None]] = field(default_factory=deque)
+    read_until_ms: float = 0.0
+    kept: set[str] = field(default_factory=set)
+    sends: int = 0
+
+    def figures(self) -> LoadFigures:
+        """Its load, as it tells it."""
+        return LoadFigures(self.running, len(self.waiting), self.slots)
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """When each answer began, after its request came; sends of each engine."""
+
+    begun_ms: tuple[float, ...]
+    sends: tuple[int, ...]
+
+    def late(self, target_ms: float) -> float:
+        """The share of answers that began after the target."""
+        return sum(ms > target_ms for ms in self.begun_ms) / len(self.begun_ms)
+
+
+class World:
+    """Gateways and engines of some halls; `hears` drops news that it refuses."""
+
+    TOKEN_MS = 0.03
+
+    def __init__(
+        self,
+        halls: int,
+        gateways_each: int,
+        engines_each: int,
+        slots: int,
+        seed: int,
+        hears: Callable[[PeerNews], bool] = lambda news: True,
+    ) -> None:
+        self._random = random.Random(seed)
+        self._hears = hears
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self.now_ms = 0.0
+        self.begun_ms: list[float] = []
+        self.datagrams = 0
+        self._peers: dict[str, GatewayPeers] = {}
+        names = [f"hall-{n}" for n in range(halls)]
+        endpoints = tuple(
+            Endpoint(f"i-{hall}-{n}", "app", f"{hall}-{n}:1", hall, "v1", slots, False)
+            for hall in names
+            for n in range(engines_each)
+        )
+        self.engines = {e.instance: Engine(slots) for e in endpoints}
+        vms = tuple(
+            GatewayVm(f"{hall}-{n}:7000", hall)
+            for hall in names
+            for n in range(gateways_each)
+        )
+        table = RouteTable(
+            decode_catalog(encoded(document(services=[engine_service("app")])))
+        )
+        listed = EndpointList(1, 1, endpoints)
+        self.gateways = [self._gateway(vm, vms, table, listed, seed) for vm in vms]
+
+    def _gateway(
+        self,
+        vm: GatewayVm,
+        vms: tuple[GatewayVm, ...],
+        table: RouteTable,
+        listed: EndpointList,
+        seed: int,
+    ) -> Knowledge:
+        known = Knowledge(
+            vm.hall,
+            vm.address,
+            VersionChooser(SessionVersions(5000.0)),
+            ENDPOINT_POLICIES.get("hall_affinity")(),
+            BudgetTerms(0.9, 50.0, 10_000.0),
+            generator=random.Random(f"{vm.address} {seed}"),
+        )
+        known.table = table
+        known.gateways = vms
+        known.directory.replace(listed, 0.0)
+        for n in range(20):
+            known.pace.began("app", MODEL, 5000, 5000 * self.TOKEN_MS, float(n))
+        peers = GatewayPeers(known)
+        peers._own = vm
+        peers._transport = cast(Any, self)
+        known.tell = peers.tell
+        self._peers[vm.address] = peers
+        return known
+
+    # The network.
+
+    def sendto(self, data: bytes, to: tuple[str, int]) -> None:
+        """Bring a datagram to a gateway, at once."""
+        self.datagrams += 1
+        if self._hears(decode(data, PeerNews)):
+            self._peers[f"{to[0]}:{to[1]}"].datagram_received(data, to)
+
+    # Time.
+
+    def _at(self, at_ms: float, what: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (at_ms, next(self._order), what))
+
+    def play(self, load: Load) -> Outcome:
+        """Play a load to its end."""
+
+        async def run() -> None:
+            loop: Any = asyncio.get_running_loop()
+            real_time = loop.time
+            loop.time = lambda: self.now_ms / 1000.0
+            try:
+                self._run(load)
+            finally:
+                loop.time = real_time
+
+        asyncio.run(run())
+        sends = tuple(engine.sends for engine in self.engines.values())
+        return Outcome(tuple(self.begun_ms), sends)
+
+    def _run(self, load: Load) -> None:
+        at_ms = 0.0
+        while at_ms < load.length_s * 1000.0:
+            at_ms += self._random.expovariate(load.requests_per_s) * 1000.0
+            self._at(at_ms, lambda: self._arrive(load))
+        while self._events:
+            self.now_ms, _, what = heapq.heappop(self._events)
+            what()
+
+    # One request.
+
+    def _arrive(self, load: Load) -> None:
+        known = self._random.choice(self.gateways)
+        hot = self._random.random() < load.hot_share
+        subject = "hot" if hot else f"s{self._random.randrange(load.subjects)}"
+        parts = (
+            PromptPart(subject, load.subject_tokens),
+            PromptPart(f"own-{self.now_ms}", load.own_tokens),
+        )
+        tokens = load.subject_tokens + load.own_tokens
+        ask = Ask(
+            f"r-{self.now_ms}",
+            "POST",
+            "/chat/1",
+            "shop.example",
+            [],
+            b"x" * tokens,
+            self.now_ms / 1000.0,
+            None,
+            "",
+            "",
+            True,
+            tokens,
+            100,
+            parts,
+            "",
+            "",
+        )
+        assert known.table is not None
+        states = list(known.directory.of_service("app"))
+        chosen = choose_endpoint(
+            known,
+            known.table.services["app"],
+            AllowedEndpoints(states, VersionReason.NO_ROLLOUT),
+            frozenset(),
+            Send(ask, MODEL, load.target_ms),
+            self.now_ms,
+        )
+        assert chosen is not None and chosen.forecast is not None
+        state, read_ms = chosen.state, chosen.forecast.read_ms
+        state.sent(self.now_ms)
+        state.workload.add(read_ms, self.now_ms)
+        known.tell(PromptSent(state.endpoint.instance, round(read_ms, 1)))
+        known.kept.read(
+            state.endpoint.instance, MODEL, parts, MEMORY_TOKENS, self.now_ms
+        )
+        self._send(known, state, parts, load)
+
+    def _send(
+        self,
+        known: Knowledge,
+        state: EndpointState,
+        parts: tuple[PromptPart, ...],
+        load: Load,
+    ) -> None:
+        engine = self.engines[state.endpoint.instance]
+        engine.sends += 1
+        came_ms = self.now_ms
+
+        def begin() -> None:
+            engine.running += 1
+            subject, own = parts
+            tokens = own.tokens + subject.tokens * (subject.part_id not in engine.kept)
+            engine.kept.add(subject.part_id)
+            engine.read_until_ms = max(engine.read_until_ms, self.now_ms)
+            engine.read_until_ms += tokens * self.TOKEN_MS
+            self._at(engine.read_until_ms, first)
+
+        def first() -> None:
+            self.begun_ms.append(self.now_ms - came_ms)
+            figures = engine.figures()
+            state.tell_load(figures, self.now_ms)
+            pass_on_load(known, state, figures, self.now_ms)
+            self._at(self.now_ms + load.held_ms, end)
+
+        def end() -> None:
+            engine.running -= 1
+            state.load.finished(self.now_ms, None)
+            known.pace.ended("app", self.now_ms - came_ms)
+            if engine.waiting:
+                engine.waiting.popleft()()
+
+        if engine.running < engine.slots:
+            begin()
+        else:
+            engine.waiting.append(begin)
--- /dev/null
+++ b/tests/test_full_engines.py
@@ -0,0 +1,74 @@
+"""Plays of a load on which many gateways ask the same engine.
+
+What was seen: with 195 gateways before 78 engines, 772 requests on one day were put
+back by engines that had more requests than places, while others of the same hall
+were hardly used. Subjects have a home, whose engine has kept their prompts; each
+gateway sends there once in many seconds and had last heard of its load then.
+
+Figures of these plays (80 gateways in two halls, 16 engines of 16 places, half of 50
+requests a second about one subject, each held for 3 s): answers that began after
+1 s: 8.5 in 100 without what gateways tell each other of loads, 0.2 with it; half of
+all began within 105 and 15 ms; the busiest engine got 1.85 and 1.34 times the mean.
+"""
+
+import testtools
+
+from ashlatch.gateway.news import LoadSeen, PeerNews
+from tests.engines import Load, Outcome, World
+
+TARGET_MS = 1000.0
+HOT = Load(requests_per_s=50.0, hot_share=0.5, held_ms=3000.0, target_ms=TARGET_MS)
+EVEN = Load(requests_per_s=50.0, hot_share=0.0, held_ms=3000.0, target_ms=TARGET_MS)
+
+
+def everything(news: PeerNews) -> bool:
+    return True
+
+
+def no_loads(news: PeerNews) -> bool:
+    return not isinstance(news, LoadSeen)
+
+
+def nothing(news: PeerNews) -> bool:
+    return False
+
+
+def play(load: Load, hears: object, seed: int) -> Outcome:
+    assert callable(hears)
+    return World(2, 40, 8, 16, seed, hears).play(load)
+
+
+class HotSubjectTest(testtools.TestCase):
+    SEEDS = (1, 2, 3)
+
+    def test_full_engines_are_left(self) -> None:
+        for seed in self.SEEDS:
+            alone, told = play(HOT, no_loads, seed), play(HOT, everything, seed)
+            self.assertTrue(told.late(TARGET_MS) < 0.01, told.late(TARGET_MS))
+            self.assertTrue(alone.late(TARGET_MS) > 4 * told.late(TARGET_MS))
+            self.assertTrue(max(told.sends) < max(alone.sends))
+
+    def test_an_even_load_is_served_as_before(self) -> None:
+        for seed in self.SEEDS:
+            for hears in (no_loads, everything):
+                self.assertTrue(play(EVEN, hears, seed).late(TARGET_MS) < 0.01)
+
+    def test_gateways_that_hear_nothing_serve_on(self) -> None:
+        """All datagrams lost: dearer, but most answers are still in time."""
+        for seed in self.SEEDS:
+            self.assertTrue(play(HOT, nothing, seed).late(TARGET_MS) < 0.25)
+            self.assertTrue(play(EVEN, nothing, seed).late(TARGET_MS) < 0.05)
+
+
+class NewsTest(testtools.TestCase):
+    def test_loads_take_few_messages(self) -> None:
+        """Only busy engines are told of, and not with each answer."""
+        heard = {"load": 0, "all": 0}
+
+        def count(news: PeerNews) -> bool:
+            heard["load"] += isinstance(news, LoadSeen)
+            heard["all"] += 1
+            return True
+
+        play(EVEN, count, 1)
+        self.assertTrue(heard["load"] < heard["all"], heard)
