--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -25,6 +25,8 @@
 FLEET = ("-m", "pytest", "-x", "tests/test_fleet.py", "tests/test_spread.py")
 SYNC = ("-m", "pytest", "-x", "tests/test_sync.py")
 CHOOSING = ("-m", "pytest", "-x", "tests/test_choosing.py")
+AUDIENCE = ("-m", "pytest", "-x", "tests/test_audience.py", "tests/test_contact.py")
+ENGINES = ("-m", "pytest", "-x", "tests/test_full_engines.py")
 LIMIT_S = 180.0
 SHOWN_LINES = 3
 
@@ -328,6 +330,41 @@
         "            pass\n",
         SLOWNESS,
     ),
+    Mutant(
+        "near-core-vm-without-a-leader",
+        "ashlatch/gateway/sync.py",
+        "            if reply.current:\n                emit(log, CoreChosen",
+        "            if True:\n                emit(log, CoreChosen",
+        SYNC,
+    ),
+    Mutant(
+        "lost-core-vm-of-the-own-hall-first",
+        "ashlatch/gateway/contact.py",
+        "        others = [known for known in self.known() if known != address]\n",
+        "        others = [c.address for c in self._cores if c.hall == self._hall]\n",
+        AUDIENCE,
+    ),
+    Mutant(
+        "one-relay-for-each-hall",
+        "ashlatch/gateway/audience.py",
+        "            relays.append(generator.choice(there))\n",
+        "            relays.append(there[0])\n",
+        AUDIENCE,
+    ),
+    Mutant(
+        "loads-kept-to-oneself",
+        "ashlatch/gateway/reports.py",
+        "        known.tell(",
+        "        str(",
+        ENGINES,
+    ),
+    Mutant(
+        "full-engines-cost-nothing",
+        "ashlatch/gateway/forecast.py",
+        "        return max(0.0, beyond) * self._held_ms / slots\n",
+        "        return 0.0 * beyond\n",
+        ENGINES,
+    ),
 )
 
 
--- a/tests/test_full_engines.py
+++ b/tests/test_full_engines.py
@@ -11,6 +11,8 @@
 all began within 105 and 15 ms; the busiest engine got 1.85 and 1.34 times the mean.
 """
 
+from dataclasses import replace
+
 import testtools
 
 from ashlatch.gateway.news import LoadSeen, PeerNews
@@ -53,6 +55,15 @@
             for hears in (no_loads, everything):
                 self.assertTrue(play(EVEN, hears, seed).late(TARGET_MS) < 0.01)
 
+    def test_a_long_kept_prompt_draws_nobody_to_a_full_engine(self) -> None:
+        """What is saved by reading less is lost again by waiting for a place.
+
+        Answers that begin after 1 s: 2.2 in 100 when a place at a full engine costs
+        nothing, none when it does (this seed; 99 in 100 within 1,341 and 741 ms).
+        """
+        load = replace(HOT, subject_tokens=13_000)
+        self.assertEqual(0.0, play(load, everything, 2).late(TARGET_MS))
+
     def test_gateways_that_hear_nothing_serve_on(self) -> None:
         """All datagrams lost: dearer, but most answers are still in time."""
         for seed in self.SEEDS:
