--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -19,8 +19,6 @@
 from pathlib import Path
 
 from ashlatch.catalog import CoreVm, Endpoint, Rollout, Service
-from ashlatch.codec import encode
-from ashlatch.errors import TransportError
 from ashlatch.fleet.discovery import ListReader
 from ashlatch.fleet.following import LeaderLink
 from ashlatch.fleet.founding import open_member
@@ -33,14 +31,11 @@
     MoveLost,
     StandingChanged,
 )
-from ashlatch.fleet.machine import Command, FleetMachine, Outcome
-from ashlatch.fleet.membership import (
-    enough_voters,
-    join_group,
-    silent_member,
-)
+from ashlatch.fleet.machine import FleetMachine
+from ashlatch.fleet.membership import join_group, silent_member
 from ashlatch.fleet.memories import read_memories
 from ashlatch.fleet.operators import NoQuorum, OperatorApi
+from ashlatch.fleet.orders import Orders
 from ashlatch.fleet.peers import PeerBook
 from ashlatch.fleet.protocol import (
     JOIN,
@@ -49,10 +44,6 @@
     SYNC,
     JoinReply,
     JoinRequest,
-    OrderReply,
-    OrderRequest,
-    ReadReply,
-    ReadRequest,
     SyncReply,
     SyncRequest,
 )
@@ -65,7 +56,7 @@
 from ashlatch.platform.document import decode_catalog
 from ashlatch.raft.core import RaftConfig
 from ashlatch.raft.effect import AddLearner, Received, RemoveMember
-from ashlatch.raft.group import Group, NotLeading, Standing, monotonic_ms
+from ashlatch.raft.group import Group, Standing, monotonic_ms
 from ashlatch.raft.storage import Disk, DiskFailed
 from ashlatch.rpc import Address, RpcLoop, RpcService, watch_traffic
 from ashlatch.settings import CoreSettings
@@ -78,12 +69,6 @@
 
 # How often the leader looks at what is due.
 LEAD_EVERY_S = 0.2
-# How long an order or a read waits for the leader's answer; an operator moves
-# on to another VM after a second without one.
-ORDER_TIMEOUT_S = 0.9
-# How long an order waits for a leader to be elected.
-LEADER_WAIT_S = 0.7
-LEADER_LOOK_S = 0.05
 # How often a data folder is opened again after its disk has refused a write.
 REOPEN_EVERY_S = 0.5
 # The longest document that is taken from an operator.
@@ -113,6 +98,9 @@
         )
         self.group.deliver = self._transport.send
         self._book = PeerBook()
+        self._orders = Orders(
+            settings.losses_max, self._book, lambda: self.group, lambda: self.machine
+        )
         self._rollouts = RolloutKeeper()
         self._list = ListKeeper(
             ListReader(settings.list_address), settings.list_read_ms
@@ -216,14 +204,14 @@
         service.add(store_protocol.DELIVER, self._transport.take)
         service.add(SYNC, self._sync)
         service.add(JOIN, self._join)
-        service.add(ORDER, self._order)
-        service.add(READ, self._read_call)
+        service.add(ORDER, self._orders.take_order)
+        service.add(READ, self._orders.take_read)
         self._service = service
         await service.start(Address.parse(self.settings.rpc_address))
         bounds = HttpBounds(
             body_max_bytes=DOCUMENT_MAX_BYTES, idle_timeout_s=OPERATOR_IDLE_S
         )
-        self._operators = HttpListener(OperatorApi(self).handle, bounds)
+        self._operators = HttpListener(OperatorApi(self._orders).handle, bounds)
         self._operators.failed = self._failed
         listen = Address.parse(self.settings.listen)
         await self._operators.start(listen.host, listen.port)
@@ -246,87 +234,8 @@
     def _standing(self) -> Standing:
         return self.group.standing
 
-    # What the operators' API asks for.
-
-    async def commit(self, command: Command) -> Outcome:
-        """Have the leader commit a command; raises `NoQuorum`."""
-        leader = await self._leader()
-        if self.group.standing.leading:
-            return await self._commit_here(command)
-        try:
-            reply: OrderReply = await self._book.peer(leader).call(
-                ORDER, OrderRequest(command), ORDER_TIMEOUT_S
-            )
-        except TransportError as error:
-            raise NoQuorum(f"leader {leader}: {error.reason}") from error
-        if reply.outcome is None:
-            raise NoQuorum(f"leader {leader} did not commit")
-        return reply.outcome
-
-    async def read(self) -> ReadReply:
-        """The newest state, by the leader's word; raises `NoQuorum`."""
-        leader = await self._leader()
-        if self.group.standing.leading:
-            reply = self._read()
-        else:
-            try:
-                reply = await self._book.peer(leader).call(
-                    READ, ReadRequest(), ORDER_TIMEOUT_S
-                )
-            except TransportError as error:
-                raise NoQuorum(f"leader {leader}: {error.reason}") from error
-        if not reply.current:
-            raise NoQuorum("no leader with a lease")
-        return reply
-
-    async def _leader(self) -> str:
-        """The leader's address, after a short wait if there is none."""
-        loop = asyncio.get_running_loop()
-        ends_s = loop.time() + LEADER_WAIT_S
-        while not self.group.standing.leader_address:
-            if loop.time() > ends_s:
-                raise NoQuorum("no leader is known")
-            await asyncio.sleep(LEADER_LOOK_S)
-        return self.group.standing.leader_address
-
-    async def _commit_here(self, command: Command) -> Outcome:
-        standing = self.group.standing
-        leading_ms = monotonic_ms() - standing.leading_since_ms
-        if not enough_voters(standing, self.settings.losses_max, leading_ms):
-            raise NoQuorum(f"{len(standing.members.voters)} voters are too few")
-        try:
-            async with asyncio.timeout(ORDER_TIMEOUT_S):
-                outcome: Outcome = await asyncio.wrap_future(
-                    self.group.propose(encode(command))
-                )
-                return outcome
-        except TimeoutError as error:
-            raise NoQuorum("no quorum in time") from error
-        except NotLeading as error:
-            raise NoQuorum("leads no more") from error
-
-    def _read(self) -> ReadReply:
-        if not self.group.standing.may_read(monotonic_ms()):
-            return ReadReply(False)
-        with self.group.lock:
-            state = self.machine.state
-            rollouts = tuple(state.rollouts.values())
-            return ReadReply(True, state.version, state.document, rollouts)
-
     # Calls from other processes.
 
-    async def _order(self, request: OrderRequest) -> OrderReply:
-        if not self.group.standing.leading:
-            return OrderReply(None)
-        try:
-            return OrderReply(await self._commit_here(request.command))
-        except NoQuorum:
-            # The caller logs it, with the operator's call that it ends.
-            return OrderReply(None)
-
-    async def _read_call(self, request: ReadRequest) -> ReadReply:
-        return self._read()
-
     async def _join(self, request: JoinRequest) -> JoinReply:
         standing = self.group.standing
         known = standing.members.find(request.member.member_id) is not None
@@ -379,7 +288,7 @@
             rollouts, self._spread.endpoints, monotonic_ms(), plain
         ):
             try:
-                await self._commit_here(move)
+                await self._orders.commit_here(move)
             except NoQuorum as error:
                 emit(log, MoveLost(move.service, error.detail), logging.WARNING)
 
