Know together how fast engines read

Cause: the time to read a token is learnt from answers to long prompts. Ruled out: a lower prior (it is between models that differ tenfold). Change: gateways tell their core VM the rates that they see, and it tells all that ask it the same low quantile of the latest 40 (policy/reading.py). Loads of plain services are not told: they change faster than they are heard. Before: a gateway that has seen nothing 0.05 ms a token; after one question to its core VM the others' (test_reading).

--- a/ashlatch/fleet/protocol.py
+++ b/ashlatch/fleet/protocol.py
@@ -22,6 +22,7 @@
 from ashlatch.gateway.kept import PromptRead
 from ashlatch.gateway.tally import Tally
 from ashlatch.link import Method
+from ashlatch.policy.reading import ReadingRate
 from ashlatch.raft.message import Member
 
 __all__ = [
@@ -49,7 +50,8 @@
     `sessions` those that run before a trial. `reads` are prompts that engines
     have read since then, `reads_known` is the position up to which the sender
     knows what all others have told, `gateways_known` the digest of the gateways
-    that it knows of. `core` is the sender, if it is a core VM.
+    that it knows of. `core` is the sender, if it is a core VM. `rates` are how
+    fast engines have read since its last request.
     """
 
     vm: str
@@ -64,6 +66,7 @@
     reads_known: tuple[int, int] = (0, 0)
     gateways_known: int = 0
     core: CoreVm | None = None
+    rates: tuple[ReadingRate, ...] = ()
 
 
 class SyncReply(msgspec.Struct, frozen=True, array_like=True):
@@ -75,7 +78,9 @@
     `document` is empty when the sender knows the newest; it is compressed by
     `zlib`, as the log holds it. `list_age_ms` is how long ago the platform's
     list was read. `reads` are the prompts that engines have read, up to the
-    position `reads_known`; they are no news for which a question is answered.
+    position `reads_known`; they are no news for which a question is answered. Nor
+    are the `rates`, how fast engines read by what the gateways have seen that ask
+    this core VM.
     """
 
     current: bool
@@ -88,6 +93,7 @@
     list_age_ms: float = 0.0
     reads: tuple[PromptRead, ...] = ()
     reads_known: tuple[int, int] = (0, 0)
+    rates: tuple[ReadingRate, ...] = ()
 
 
 class JoinRequest(msgspec.Struct, frozen=True):
--- a/ashlatch/fleet/spread.py
+++ b/ashlatch/fleet/spread.py
@@ -18,6 +18,7 @@
 from ashlatch.fleet.reads import ReadLog
 from ashlatch.gateway.kept import PromptRead
 from ashlatch.gateway.tally import Tallies
+from ashlatch.policy.reading import ReadingRates
 from ashlatch.raft.group import monotonic_ms
 
 __all__ = ["Spread", "has_news"]
@@ -44,6 +45,9 @@
         self.endpoints = EndpointList()
         self.tallies = Tallies()
         self.reads = ReadLog()
+        # Gateways of one hall together see an engine read many times a second, one
+        # of 39 by itself too seldom to know a rate before it needs it.
+        self._rates = ReadingRates()
         self._told: list[PromptRead] = []
         self._begun_ms = monotonic_ms()
         self._listed_ms = self._begun_ms
@@ -67,6 +71,7 @@
         for sessions in request.sessions:
             self._take_sessions(sessions, now_ms)
         self.tell_reads(request.reads)
+        self._rates.add(request.rates)
 
     def core_vms(self, addresses: Iterable[str]) -> tuple[CoreVm, ...]:
         """Core VMs by their addresses, with their halls as far as they are known."""
@@ -177,6 +182,7 @@
             monotonic_ms() - self._listed_ms,
             self.reads.since(request.reads_known),
             self.reads.position,
+            self._rates.estimates(),
         )
 
     def _gateways_unknown_to(
--- a/ashlatch/gateway/account.py
+++ b/ashlatch/gateway/account.py
@@ -144,9 +144,12 @@
             )
 
     def _tell_load(self, attempt: Attempt) -> None:
-        """Pass on the load that came with an answer, once."""
+        """Pass on an engine's load that came with an answer, once.
+
+        A plain service answers in some ms: its load is another before it is heard.
+        """
         load, attempt.load = attempt.load, None
-        if load is not None:
+        if load is not None and attempt.forecast is not None:
             pass_on_load(self._known, attempt.state, load, self._now_ms())
 
     def weighed(
--- a/ashlatch/gateway/pace.py
+++ b/ashlatch/gateway/pace.py
@@ -11,9 +11,11 @@
 :license: MIT, see LICENSE for details.
 """
 
-from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from ashlatch.policy.reading import ReadingRate, ReadingRates
+
 __all__ = ["Pace"]
 
 # Each answer moves the estimate of the wait by this part of the difference.
@@ -21,21 +23,17 @@
 # Without answers the estimate of the wait halves in this time, so that what
 # was slow is tried again.
 HALF_LIFE_MS = 1500.0
-# The time to read a token is taken from prompts of at least this many, and as
-# a low quantile of the latest: queues and prompts of others only add to it, and
-# a few prompts were kept without this gateway knowing. For the smallest model at
-# 13 requests a second that gave 0.0146 ms a token (median of what was foreseen),
-# an average that follows each answer 0.03 to 0.04.
+# The time to read a token is taken from prompts of at least this many.
 RATE_TOKENS_MIN = 1500
-RATES_KEPT = 40
-RATE_QUANTILE = 0.15
-# Nor is it taken from prompts that were to wait for more of the time than this,
+# It is not taken from prompts that were to wait for more of the time than this,
 # unless they came so soon that the rate must be lower.
 FORESEEN_MAX = 0.2
 # How much each send that is over moves the mean of how long they take, and the mean
 # before the first of them: answers of models take from half a second to several.
 HELD_GAIN = 0.05
 HELD_MS_PRIOR = 1000.0
+# Rates that wait for the next report to the core; the oldest are dropped.
+UNTOLD_MAX = 64
 # Until a model has answered: between the largest models of slow engines (0.08)
 # and of fast ones (0.03).
 TOKEN_MS_PRIOR = 0.05
@@ -43,45 +41,21 @@
 
 @dataclass
 class _Estimate:
-    """`token_ms` is for each token that is read, `wait_ms` what comes on top of
-    that and of what was foreseen.
-    """
+    """`wait_ms` is what comes on top of the reading and of what was foreseen."""
 
     at_ms: float
-    token_ms: float = TOKEN_MS_PRIOR
     wait_ms: float = 0.0
     deviation_ms: float = 0.0
     answers: int = 0
-    rates: deque[float] = field(default_factory=lambda: deque(maxlen=RATES_KEPT))
 
-    def take(
-        self, tokens: int, first_ms: float, foreseen_ms: float, now_ms: float
-    ) -> None:
-        reading_ms = max(0.0, first_ms - foreseen_ms)
-        if tokens >= RATE_TOKENS_MIN:
-            self._take_rate(tokens, first_ms, foreseen_ms)
-        wait_ms = max(0.0, reading_ms - tokens * self.token_ms)
+    def take(self, waited_ms: float, now_ms: float) -> None:
         gain = max(GAIN, 1.0 / (self.answers + 1))
-        difference = wait_ms - self.wait_ms
+        difference = waited_ms - self.wait_ms
         self.wait_ms += gain * difference
         self.deviation_ms += gain * (abs(difference) - self.deviation_ms)
         self.answers += 1
         self.at_ms = now_ms
 
-    def _take_rate(self, tokens: int, first_ms: float, foreseen_ms: float) -> None:
-        """Take an answer that hardly waited, or that shows a lower rate anyhow.
-
-        Without the latter, a rate that is too high foresees waits that are too
-        long, which would keep out the answers that correct it.
-        """
-        waited = foreseen_ms >= FORESEEN_MAX * first_ms
-        if waited and first_ms >= tokens * self.token_ms:
-            return
-        own_ms = first_ms if waited else first_ms - foreseen_ms
-        self.rates.append(own_ms / tokens)
-        ranked = sorted(self.rates)
-        self.token_ms = ranked[int(RATE_QUANTILE * len(ranked))]
-
 
 @dataclass
 class Pace:
@@ -95,6 +69,9 @@
 
     _estimates: dict[tuple[str, str], _Estimate] = field(default_factory=dict)
     _held: dict[str, float] = field(default_factory=dict)
+    _own: ReadingRates = field(default_factory=ReadingRates)
+    _told: dict[tuple[str, str], float] = field(default_factory=dict)
+    _untold: list[ReadingRate] = field(default_factory=list)
 
     def began(
         self,
@@ -110,8 +87,43 @@
         The engine had to read `tokens` of the prompt, after a wait that was
         foreseen.
         """
+        if tokens >= RATE_TOKENS_MIN:
+            self._take_rate(service, model, tokens, first_ms, foreseen_ms)
+        reading_ms = max(0.0, first_ms - foreseen_ms)
+        waited_ms = max(0.0, reading_ms - tokens * self.token_ms(service, model))
         estimate = self._estimates.setdefault((service, model), _Estimate(now_ms))
-        estimate.take(tokens, first_ms, foreseen_ms, now_ms)
+        estimate.take(waited_ms, now_ms)
+
+    def _take_rate(
+        self, service: str, model: str, tokens: int, first_ms: float, foreseen_ms: float
+    ) -> None:
+        """Take an answer that hardly waited, or that shows a lower rate anyhow.
+
+        Without the latter, a rate that is too high foresees waits that are too
+        long, which would keep out the answers that correct it.
+        """
+        waited = foreseen_ms >= FORESEEN_MAX * first_ms
+        if waited and first_ms >= tokens * self.token_ms(service, model):
+            return
+        own_ms = first_ms if waited else first_ms - foreseen_ms
+        rate = ReadingRate(service, model, own_ms / tokens)
+        self._own.add([rate])
+        self._untold.append(rate)
+        del self._untold[:-UNTOLD_MAX]
+
+    def take_rates(self) -> tuple[ReadingRate, ...]:
+        """The rates that were seen here and not told yet."""
+        rates, self._untold = self._untold, []
+        return tuple(rates)
+
+    def put_back(self, rates: tuple[ReadingRate, ...]) -> None:
+        """Tell again what a lost report held."""
+        self._untold[:0] = rates
+        del self._untold[:-UNTOLD_MAX]
+
+    def learn(self, rates: Iterable[ReadingRate]) -> None:
+        """Take estimates that are made of what many gateways have seen."""
+        self._told.update({(r.service, r.model): r.token_ms for r in rates})
 
     def ended(self, service: str, took_ms: float) -> None:
         """A send is over, and has held a place at an endpoint for this long."""
@@ -123,9 +135,12 @@
         return self._held.get(service, HELD_MS_PRIOR)
 
     def token_ms(self, service: str, model: str) -> float:
-        """The time to read a token."""
-        known = self._estimates.get((service, model))
-        return known.token_ms if known is not None else TOKEN_MS_PRIOR
+        """The time to read a token, by many gateways' answers if they are known."""
+        told_ms = self._told.get((service, model))
+        if told_ms is not None:
+            return told_ms
+        own_ms = self._own.token_ms(service, model)
+        return own_ms if own_ms is not None else TOKEN_MS_PRIOR
 
     def expected_ms(
         self, service: str, model: str, tokens: int, now_ms: float
@@ -139,4 +154,4 @@
         idle_ms = max(0.0, now_ms - known.at_ms)
         fading = 0.5 ** (idle_ms / HALF_LIFE_MS)
         waiting_ms = (known.wait_ms + known.deviation_ms) * fading
-        return tokens * known.token_ms + waiting_ms
+        return tokens * self.token_ms(service, model) + waiting_ms
--- a/ashlatch/gateway/sync.py
+++ b/ashlatch/gateway/sync.py
@@ -50,6 +50,7 @@
 from ashlatch.gateway.traffic import TrafficKind
 from ashlatch.log import emit
 from ashlatch.platform.document import DocumentError, decode_catalog
+from ashlatch.policy.reading import ReadingRate
 
 __all__ = ["FleetLink"]
 
@@ -136,13 +137,15 @@
             address = self._contact.address
             tallies = self._known.tallies.take()
             reads = self._known.kept.take_notes()
+            rates = self._known.pace.take_rates()
             wait_ms, timeout_s = self._terms()
-            request = self._question(wait_ms, tallies, reads)
+            request = self._question(wait_ms, tallies, reads, rates)
             try:
                 reply = await self._ask(address, request, timeout_s)
             except TransportError as error:
                 self._known.tallies.add(tallies)
                 self._known.kept.put_back(reads)
+                self._known.pace.put_back(rates)
                 self._lose(address, error.reason)
                 await asyncio.sleep(RETRY_S)
                 continue
@@ -216,6 +219,7 @@
         wait_ms: float,
         tallies: tuple[Tally, ...] = (),
         reads: tuple[PromptRead, ...] = (),
+        rates: tuple[ReadingRate, ...] = (),
     ) -> SyncRequest:
         return SyncRequest(
             self._known.vm,
@@ -229,6 +233,7 @@
             reads,
             self._reads_known,
             gateways_digest(self._known.gateways),
+            rates=rates,
         )
 
     def _terms(self) -> tuple[float, float]:
@@ -279,6 +284,7 @@
             self._known.directory.listed_ms = self._now_ms() - reply.list_age_ms
             self._regain(address)
         self._learn_reads(reply)
+        self._known.pace.learn(reply.rates)
 
     def _learn_gateways(self, gateways: tuple[GatewayVm, ...]) -> None:
         before = len(self._known.gateways)
