--- a/ashlatch/explain/belief.py
+++ b/ashlatch/explain/belief.py
@@ -32,6 +32,8 @@
     "rollout_decided": ("roll-out", "service"),
     "fleet_lost": ("core", ""),
     "fleet_regained": ("core", ""),
+    "core_chosen": ("core VM that is asked", ""),
+    "core_unreached": ("core VM of the own hall", "member"),
     "standing_changed": ("leader and members", ""),
     "member_removed": ("removed member", "member"),
     "disk_lost": ("disk", ""),
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -179,6 +179,8 @@
             "move_lost",
             "moves_untold",
             "gateway_moves_untold",
+            # No decision either: sums for whoever asks what a hall costs.
+            "traffic_counted",
         }
         for module in (gateway_logs, fleet_logs):
             names = {getattr(module, name).event for name in module.__all__}
