--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -91,7 +91,10 @@
 
 
 class Fleet:
-    """Starts and ends the processes; `close` ends all."""
+    """Starts and ends the processes; `close` ends all.
+
+    `halls` names the halls of those VMs that are not in the first one.
+    """
 
     def __init__(self, cores: int = 5, scripts: list[Script] | None = None) -> None:
         drawn = random.SystemRandom()
@@ -100,6 +103,7 @@
         self.platform = Platform(f"{self.net}.200", scripts or [standin.answer()])
         self.hosts = [f"{self.net}.{n + 1}" for n in range(cores)]
         self.seeds = self.hosts[:3]
+        self.halls: dict[str, str] = {}
         self.processes: dict[str, Process] = {}
 
     def close(self) -> None:
@@ -111,7 +115,7 @@
     def _settings(self, host: str, **more: Any) -> Path:
         made = {
             "vm": f"vm-{host.rpartition('.')[2]}",
-            "hall": "hall-1",
+            "hall": self.halls.get(host, "hall-1"),
             "host": host,
             "ports": PORTS,
             "metrics_port": METRICS_PORT,
