--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -22,7 +22,15 @@
 EVIDENCE = ("-m", "pytest", "-x", "tests/test_evidence.py")
 SESSIONS = ("-m", "pytest", "-x", "tests/test_session_versions.py")
 SLOWNESS = ("-m", "pytest", "-x", "tests/test_shared_slowness.py")
-FLEET = ("-m", "pytest", "-x", "tests/test_fleet.py", "tests/test_spread.py")
+FLEET = (
+    "-m",
+    "pytest",
+    "-x",
+    "tests/test_fleet.py",
+    "tests/test_leader.py",
+    "tests/test_spread.py",
+    "tests/test_verdict.py",
+)
 SYNC = ("-m", "pytest", "-x", "tests/test_sync.py")
 CHOOSING = ("-m", "pytest", "-x", "tests/test_choosing.py")
 AUDIENCE = ("-m", "pytest", "-x", "tests/test_audience.py", "tests/test_contact.py")
--- /dev/null
+++ b/tests/test_verdict.py
@@ -0,0 +1,201 @@
+"""Tests of how a new version is judged beside the old one."""
+
+import testtools
+
+from ashlatch.catalog import Rollout, RolloutStage
+from ashlatch.fleet.verdict import Decision, Evidence, decide
+from ashlatch.gateway.tally import Tallies, Tally, TallyKey, step_of
+
+
+class VerdictTest(testtools.TestCase):
+    """Roll-outs of 20 s, judged with an old version that fails 1 in 100."""
+
+    def evidence(self, **new: int) -> Evidence:
+        evidence = Evidence()
+        evidence.add((self.tally("v1", 300, 3, late=10),), 0.0)
+        evidence.add((self.tally("v2", **new),), 0.0)  # type: ignore[arg-type]
+        return evidence
+
+    def tally(
+        self,
+        version: str,
+        answered: int = 20,
+        failed: int = 0,
+        late: int = 0,
+        route: str = "r",
+    ) -> Tally:
+        """Answers that begin after 60 ms, or eight times as late."""
+        key = TallyKey("app", version, route)
+        times = {step_of(60.0): answered - late, step_of(480.0): late}
+        return Tally(key, answered, failed, times)
+
+    def decide(self, part: float, evidence: Evidence, share: float = 0.1) -> Decision:
+        stage = RolloutStage.TRIAL if part < 0.5 else RolloutStage.SHIFT
+        rollout = Rollout("app", "v2", stage, share, 1, 20_000.0)
+        return decide(rollout, part * 20_000.0, evidence, 0.0, listed=True)
+
+    def test_good(self) -> None:
+        good = self.evidence()
+        stages = [self.decide(part / 100, good).stage.value for part in (10, 52, 64)]
+        self.assertEqual(["trial", "load_test", "settle"], stages)
+        self.assertEqual(0.4, self.decide(0.67, good).share)
+        self.assertEqual(1.0, self.decide(0.75, good).share)
+        self.assertEqual(
+            RolloutStage.COMPLETED, self.decide(0.9, good, share=1.0).stage
+        )
+
+    def test_few_requests_need_a_larger_share(self) -> None:
+        evidence = Evidence()
+        evidence.add((self.tally("v1", 20),), 0.0)
+        self.assertEqual(0.25, self.decide(0.1, evidence, share=0.0).share)
+        # Once it is set, more requests do not change it.
+        evidence.add((self.tally("v1", 300),), 0.0)
+        self.assertEqual(0.25, self.decide(0.2, evidence, share=0.25).share)
+        self.assertEqual(0.1, self.decide(0.2, Evidence(), share=0.0).share)
+
+    def test_load_test_ends_when_enough_was_answered(self) -> None:
+        evidence = self.evidence(answered=140)
+        self.assertEqual(RolloutStage.SETTLE, self.decide(0.52, evidence).stage)
+
+    def test_a_new_version_may_fail_now_and_then(self) -> None:
+        evidence = self.evidence(answered=48, failed=2, late=3)
+        self.assertEqual(RolloutStage.TRIAL, self.decide(0.3, evidence).stage)
+
+    def test_fails(self) -> None:
+        evidence = self.evidence(answered=9, failed=4)
+        self.assertEqual(RolloutStage.ROLLED_BACK, self.decide(0.1, evidence).stage)
+
+    def test_half_of_the_answers_are_slow(self) -> None:
+        slow = self.evidence(answered=12, late=6)
+        self.assertEqual(RolloutStage.ROLLED_BACK, self.decide(0.2, slow).stage)
+
+    def test_answers_that_were_given_up_are_slow(self) -> None:
+        evidence = self.evidence(answered=8)
+        tallies = Tallies()
+        for _ in range(6):
+            tallies.begun(TallyKey("app", "v2", "r"), 450.0)
+        evidence.add(tallies.take(), 0.0)
+        self.assertEqual(RolloutStage.ROLLED_BACK, self.decide(0.2, evidence).stage)
+
+    def spread_failures(self, failed: int) -> Evidence:
+        """Failures of the new version on three routes, 20 answers on each."""
+        evidence = Evidence()
+        for route in ("one", "two", "three"):
+            evidence.add((self.tally("v1", 500, 1, route=route),), 0.0)
+            evidence.add((self.tally("v2", 20, failed, route=route),), 0.0)
+        return evidence
+
+    def test_fails_now_and_then_on_every_route(self) -> None:
+        """As under load, where too few requests of each route are answered."""
+        decision = self.decide(0.3, self.spread_failures(2))
+        self.assertEqual(RolloutStage.ROLLED_BACK, decision.stage)
+        self.assertEqual("all routes: 6 of 66 failed", decision.reason)
+        decision = self.decide(0.3, self.spread_failures(0))
+        self.assertEqual(RolloutStage.TRIAL, decision.stage)
+
+    def test_a_route_that_always_fails_now_and_then(self) -> None:
+        """What the other version shows on a route is expected there."""
+        evidence = self.spread_failures(0)
+        evidence.add((self.tally("v1", 86, 14, route="faulty"),), 0.0)
+        evidence.add((self.tally("v2", 52, 8, route="faulty"),), 0.0)
+        self.assertEqual(RolloutStage.TRIAL, self.decide(0.3, evidence).stage)
+
+    def test_fails_on_one_route(self) -> None:
+        evidence = self.evidence()
+        evidence.add((self.tally("v1", 100, route="other"),), 0.0)
+        evidence.add((self.tally("v2", 6, 4, route="other"),), 0.0)
+        decision = self.decide(0.2, evidence)
+        self.assertEqual(RolloutStage.ROLLED_BACK, decision.stage)
+        self.assertIn("other", decision.reason)
+
+    def test_turns_slow_late(self) -> None:
+        evidence = self.evidence(answered=400)
+        evidence.add((self.tally("v2", 12, late=6),), 10_000.0)
+        rollout = Rollout("app", "v2", RolloutStage.SHIFT, 0.3, 1, 20_000.0)
+        decision = decide(rollout, 11_000.0, evidence, 11_000.0, listed=True)
+        self.assertEqual(RolloutStage.ROLLED_BACK, decision.stage)
+
+    def slowing(self, *old: Tally) -> Decision:
+        """The latest answers of a good version are late; those of the old are given.
+
+        What users saw: a busy hour in a trial, and a good version was taken back.
+        The latest answers of the new version were held to all of the old one's,
+        most of which came in the calm time before.
+        """
+        evidence = self.evidence(answered=20)
+        for tally in old:
+            evidence.add((tally,), 9000.0)
+        evidence.add((self.tally("v2", 8, late=8),), 9500.0)
+        rollout = Rollout("app", "v2", RolloutStage.TRIAL, 0.1, 1, 20_000.0)
+        return decide(rollout, 9500.0, evidence, 9500.0, listed=True)
+
+    def test_what_slows_both_versions_is_no_fault(self) -> None:
+        decision = self.slowing(self.tally("v1", 40, late=40))
+        self.assertEqual(RolloutStage.TRIAL, decision.stage, decision.reason)
+
+    def test_a_version_that_slows_alone(self) -> None:
+        decision = self.slowing(self.tally("v1", 40))
+        self.assertEqual(RolloutStage.ROLLED_BACK, decision.stage)
+
+    def test_a_version_that_slows_while_few_answers_of_the_other_come(self) -> None:
+        """The nearest time in which there are enough says what is late."""
+        decision = self.slowing(self.tally("v1", 4))
+        self.assertEqual(RolloutStage.ROLLED_BACK, decision.stage)
+
+    def few_on_each_route(self, late: int) -> Decision:
+        """12 answers of the old version on each of five routes, 3 of the new one.
+
+        What users saw: a version that was slow in half of its answers was completed.
+        It had a few requests on each of five routes, and on none of them was the
+        old version's pace known well enough to call an answer late.
+        """
+        evidence = Evidence()
+        routes = ("one", "two", "three", "four")
+        for number, route in enumerate(routes):
+            evidence.add((self.tally("v1", 12, route=route),), 0.0)
+            slow = 1 if number < late else 0
+            evidence.add((self.tally("v2", 3, late=slow, route=route),), 0.0)
+        for version, answers in (("v1", 12), ("v2", 3)):
+            slow_route = self.tally(version, answers, late=answers, route="slow")
+            evidence.add((slow_route,), 0.0)
+        return self.decide(0.3, evidence)
+
+    def test_slow_on_many_routes_with_few_requests(self) -> None:
+        decision = self.few_on_each_route(late=4)
+        self.assertEqual(RolloutStage.ROLLED_BACK, decision.stage)
+        self.assertEqual("routes with few requests: 4 of 15 were late", decision.reason)
+
+    def late_in_twos(self, plain: bool) -> Decision:
+        """Two late answers on each of two routes, where the old version has many."""
+        evidence = Evidence()
+        for route in ("one", "two"):
+            evidence.add((self.tally("v1", 30, route=route),), 0.0)
+            evidence.add((self.tally("v2", 3, late=2, route=route),), 0.0)
+        rollout = Rollout("app", "v2", RolloutStage.TRIAL, 0.25, 1, 20_000.0)
+        return decide(rollout, 6000.0, evidence, 0.0, listed=True, plain=plain)
+
+    def test_a_plain_service_is_judged_over_all_routes(self) -> None:
+        """Its answers take as long at once as later: it keeps no prompts."""
+        decision = self.late_in_twos(plain=True)
+        self.assertEqual(RolloutStage.ROLLED_BACK, decision.stage)
+        self.assertEqual("all routes: 4 of 6 were late", decision.reason)
+        decision = self.late_in_twos(plain=False)
+        self.assertEqual(RolloutStage.TRIAL, decision.stage, decision.reason)
+
+    def test_a_late_answer_on_routes_with_few_requests(self) -> None:
+        decision = self.few_on_each_route(late=1)
+        self.assertEqual(RolloutStage.TRIAL, decision.stage, decision.reason)
+
+    def test_what_fails_in_both_versions_is_no_fault(self) -> None:
+        """A few bad seconds of everything: 20 of 60 of the other version failed."""
+        evidence = self.evidence(answered=20)
+        evidence.add((self.tally("v1", 40, 20),), 9000.0)
+        evidence.add((self.tally("v2", 6, 4),), 9500.0)
+        rollout = Rollout("app", "v2", RolloutStage.TRIAL, 0.1, 1, 20_000.0)
+        decision = decide(rollout, 9500.0, evidence, 9500.0, listed=True)
+        self.assertEqual(RolloutStage.TRIAL, decision.stage, decision.reason)
+
+    def test_waits_for_endpoints(self) -> None:
+        rollout = Rollout("app", "v2", RolloutStage.TRIAL, 0.0, 1, 20_000.0)
+        decision = decide(rollout, 15_000.0, Evidence(), 0.0, listed=False)
+        self.assertEqual((RolloutStage.TRIAL, 0.0), (decision.stage, decision.share))
