--- a/ashlatch/gateway/audience.py
+++ b/ashlatch/gateway/audience.py
@@ -2,12 +2,12 @@
 ashlatch.gateway.audience
 ~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Which gateways are told of a prompt that an engine has got, or of its load. Those of
-the own hall
-are told each by itself; of another hall one gateway is told, drawn anew each time,
-and tells the others there. Nobody has to agree on who that is: a gateway that has
-died, frozen or been cut off takes its share of the news with it and no more, one
-in 39 on average with 195 gateways in five halls, until the fleet forgets it.
+Which gateways are told of a prompt that an engine has got, of its load, or that it
+is not there. Those of the own hall are told each by itself; of another hall one
+gateway is told, drawn anew each time, and tells the others there. Nobody has to
+agree on who that is: a gateway that has died, frozen or been cut off takes its
+share of the news with it and no more, one in 39 on average with 195 gateways in
+five halls, until the fleet forgets it.
 
 :copyright: Copyright 2026 by the ashlatch maintainers.
 :license: MIT, see LICENSE for details.
--- a/ashlatch/policy/told_load.py
+++ b/ashlatch/policy/told_load.py
@@ -14,9 +14,11 @@
 
 __all__ = ["FULL", "ToldLoad", "load_level"]
 
-# Loads are told apart by quarters of the places; from half of them on others
-# should know, since a burst fills the rest within a second.
+# Loads are told apart by quarters of the places: finer steps would be news with
+# nearly every answer.
 FULL = 4
+# From half of the places on others should know, since a burst fills the rest within
+# a second.
 BUSY_LEVEL = 2
 # The same level is told again after this long, so that it stays known: what is
 # heard of a load is believed for 2.5 s.
