Log a digest of what a request asks for with each send

Logs could not tell a caller's repeat from another request: each try has an id of its own, and only some callers name a session. No decision uses it yet.

--- a/ashlatch/gateway/account.py
+++ b/ashlatch/gateway/account.py
@@ -16,6 +16,7 @@
 from ashlatch.gateway.admission import Admission
 from ashlatch.gateway.attempt import Attempt, AttemptFailed, FailureKind
 from ashlatch.gateway.choice import Choice, Verdict
+from ashlatch.gateway.content import digest_text
 from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.forecast import Forecast
 from ashlatch.gateway.knowledge import Knowledge
@@ -72,6 +73,7 @@
         organisation = admission.organisation
         sent = RequestSent(
             admission.ask.request_id,
+            digest_text(admission.content),
             admission.ask.session,
             admission.route.name,
             organisation.name if organisation else "",
--- a/ashlatch/gateway/admission.py
+++ b/ashlatch/gateway/admission.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from ashlatch.catalog import Organisation, Route, Service
+from ashlatch.gateway.content import content_digest
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.message import Ask, RefusalReason
 from ashlatch.http.connection import Responder
@@ -25,7 +26,10 @@
 
 @dataclass(frozen=True)
 class Admission:
-    """A request that may be served, and by what."""
+    """A request that may be served, and by what.
+
+    `content` is the digest of what it asks for.
+    """
 
     ask: Ask
     route: Route
@@ -33,6 +37,7 @@
     organisation: Organisation | None
     configuration: int
     ends_s: float
+    content: int
 
     @property
     def urgency(self) -> int:
@@ -75,6 +80,7 @@
         organisation,
         table.catalog.version,
         ask.received_s + held_ms / 1000.0,
+        content_digest(ask, organisation.name if organisation else ""),
     )
 
 
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -47,16 +47,18 @@
 class RequestSent(LogEvent):
     """A request goes to an endpoint.
 
-    `candidates` is how many endpoints could be chosen, `used` the estimated
-    share of the chosen one's places that are taken, `listed_ms` the age of
-    the list of endpoints. Of the prompt's `prompt_tokens` the engine has to read
-    `read_tokens`, for about `read_ms` after a wait of `wait_ms`. `version_by` is
-    what the version was chosen by, `session_ms` how long ago this gateway had
-    last heard of the session, -1 if it did not know it.
+    `content` is the digest of what it asks for: a caller's repeats share it, under
+    other ids and at other gateways. `candidates` is how many endpoints could be
+    chosen, `used` the estimated share of the chosen one's places that are taken,
+    `listed_ms` the age of the list of endpoints. Of the prompt's `prompt_tokens` the
+    engine has to read `read_tokens`, for about `read_ms` after a wait of `wait_ms`.
+    `version_by` is what the version was chosen by, `session_ms` how long ago this
+    gateway had last heard of the session, -1 if it did not know it.
     """
 
     event: ClassVar[str] = "request_sent"
     request: str
+    content: str
     session: str
     route: str
     organisation: str
