--- /dev/null
+++ b/tests/crashing.py
@@ -0,0 +1,96 @@
+"""Engines that end when they run a certain request, as a process that crashes: all
+connections are closed and nobody listens until they are back under another id.
+"""
+
+import asyncio
+import itertools
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tests.standin import (
+    LAST_CHUNK,
+    Received,
+    Script,
+    StandIn,
+    chunk,
+    event,
+    head,
+)
+
+# What the request that ends engines asks for.
+CRASHING_BODY = b"the request that ends engines"
+# From the beginning of an answer to the end of the engine.
+CRASH_AFTER_S = 0.05
+# How long an ordinary answer takes.
+ANSWER_S = 0.2
+
+
+@dataclass
+class CrashLog:
+    """What engines saw of the request: when it came, and when it ended one."""
+
+    came_s: list[float] = field(default_factory=list)
+    ended_s: list[float] = field(default_factory=list)
+
+    def came_after(self, at_s: float) -> int:
+        """How often it came to an engine later than at a time."""
+        return sum(came > at_s for came in self.came_s)
+
+
+@dataclass
+class CrashingEngine:
+    """One address; its process begins again `back_s` after it has ended."""
+
+    host: str
+    log: CrashLog
+    back_s: float
+    ids: "itertools.count[int]"
+    changed: Callable[[], None] = lambda: None
+    port: int = 0
+    instance: str = ""
+    running: StandIn | None = None
+
+    async def start(self) -> None:
+        """Begin a life of its own under a new id."""
+        self.instance = f"i-{next(self.ids)}"
+        self.running = StandIn([self._script()])
+        await self.running.start(self.host, self.port)
+        self.port = self.running.port
+        self.changed()
+
+    @property
+    def address(self) -> str:
+        return f"{self.host}:{self.port}"
+
+    def _script(self) -> Script:
+        async def script(request: Received, writer: asyncio.StreamWriter) -> None:
+            if request.body == CRASHING_BODY:
+                self.log.came_s.append(time.monotonic())
+            chunked = b"Transfer-Encoding: chunked\r\n\r\n"
+            writer.write(head(request) + chunked)
+            await writer.drain()
+            if request.body == CRASHING_BODY:
+                await asyncio.sleep(CRASH_AFTER_S)
+                self._crash()
+                return
+            await asyncio.sleep(ANSWER_S)
+            writer.write(chunk(event(1)) + LAST_CHUNK)
+
+        return script
+
+    def _crash(self) -> None:
+        running, self.running = self.running, None
+        if running is None:
+            return
+        self.log.ended_s.append(time.monotonic())
+        running.crash()
+        self._back = asyncio.get_running_loop().create_task(self._come_back())
+
+    async def _come_back(self) -> None:
+        await asyncio.sleep(self.back_s)
+        await self.start()
+
+    def stop(self) -> None:
+        if self.running is not None:
+            self.running.stop()
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -14,7 +14,7 @@
 import tempfile
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -59,12 +59,18 @@
             asyncio.run_coroutine_threadsafe(started, self._loop).result(5.0)
         self.add("i-1", "v1")
 
-    def add(self, instance: str, version: str, state: str = "ready") -> None:
+    def run(self, work: Coroutine[Any, Any, None]) -> None:
+        """Do something on the platform's thread, and wait for it."""
+        asyncio.run_coroutine_threadsafe(work, self._loop).result(5.0)
+
+    def add(
+        self, instance: str, version: str, state: str = "ready", port: int = 0
+    ) -> None:
         self.instances.append(
             {
                 "id": instance,
                 "service": "app",
-                "address": f"{self.host}:{self.worker.port}",
+                "address": f"{self.host}:{port or self.worker.port}",
                 "zone": "hall-1",
                 "version": version,
                 "slots": 8,
@@ -242,6 +248,19 @@
         finally:
             connection.close()
 
+    def post(self, host: str, path: str, body: bytes, port: int) -> int:
+        """A caller's request with a body, read to the end of its answer; 0 for none."""
+        connection = http.client.HTTPConnection(host, port, timeout=5.0)
+        try:
+            connection.request("POST", path, body, _caller_headers())
+            answer = connection.getresponse()
+            answer.read()
+            return answer.status
+        except (OSError, http.client.HTTPException):
+            return 0
+        finally:
+            connection.close()
+
     def ask(
         self, host: str, path: str = "/get/1", at: socket.socket | None = None
     ) -> int:
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -82,6 +82,7 @@
     connections: int = 0
     open: int = 0
     port: int = 0
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
         self._server = await asyncio.start_server(self._serve, host, port)
@@ -90,6 +91,12 @@
     def stop(self) -> None:
         self._server.close()
 
+    def crash(self) -> None:
+        """End like a process: nobody listens, and all connections are closed."""
+        self.stop()
+        for writer in self._writers:
+            writer.transport.abort()
+
     @property
     def address(self) -> str:
         return f"127.0.0.1:{self.port}"
@@ -99,6 +106,7 @@
     ) -> None:
         self.connections += 1
         self.open += 1
+        self._writers.add(writer)
         try:
             while (request := await read_request(reader)) is not None:
                 self.seen.append(request)
@@ -111,6 +119,7 @@
             pass
         finally:
             self.open -= 1
+            self._writers.discard(writer)
             writer.close()
 
 
