Hold back requests under which endpoints have crashed, at all gateways

Cause: a broken send was held against the endpoint and never against the request; nothing learnt outlived the request's id or reached another gateway. Ruled out: load (engines ended with 6 of 128 places taken), requests that share a content (1,289 digests for 1,298 requests).

Change: a request that breaks asks whether its endpoint's process has ended (one connection for all that break together). What was running then is a suspect, by its content; three crashes without a good run between hold it in quarantine, refused at once. Gateways tell each other, the core keeps it in its log, and it is told until the log has it: it survives a loss of power of all VMs.

--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -24,6 +24,8 @@
 from ashlatch.fleet.founding import open_member
 from ashlatch.fleet.leader import ListKeeper, RolloutKeeper
 from ashlatch.fleet.logs import (
+    CrashesNoted,
+    CrashesUnnoted,
     DiskLost,
     DiskRefused,
     DiskRegained,
@@ -31,7 +33,7 @@
     MoveLost,
     StandingChanged,
 )
-from ashlatch.fleet.machine import FleetMachine
+from ashlatch.fleet.machine import FleetMachine, NoteCrashes
 from ashlatch.fleet.membership import join_group, silent_member
 from ashlatch.fleet.memories import read_memories
 from ashlatch.fleet.operators import NoQuorum, OperatorApi
@@ -223,7 +225,7 @@
             self.member, self._standing, self._known_addresses, self._book
         )
         link = self._leader_link
-        for work in (join, self._lead(), link.follow(), link.pass_moves_on()):
+        for work in (join, self._lead(), link.follow(), link.pass_on()):
             self.rpc.keep(work, self._failed)
 
     async def _stop(self) -> None:
@@ -245,6 +247,8 @@
 
     async def _sync(self, request: SyncRequest) -> SyncReply:
         self._spread.asked(request)
+        if request.crashes:
+            self._lead_soon.set()
         ends_ms = monotonic_ms() + request.wait_ms
         while True:
             reply = self._news(request)
@@ -280,6 +284,7 @@
         await self._list.read_if_due(standing.term, now_ms)
         self._spread.lead(standing.term, self._list.newest, self._list.read_ms)
         self._read_memories_once(standing.term)
+        await self._note_crashes()
         self._rollouts.add(self._spread.tallies.take(), now_ms)
         self._rollouts.tell_sessions(self._spread.sessions())
         rollouts = self._known_rollouts()
@@ -292,6 +297,20 @@
             except NoQuorum as error:
                 emit(log, MoveLost(move.service, error.detail), logging.WARNING)
 
+    async def _note_crashes(self) -> None:
+        """Commit what gateways have told of requests that crash endpoints."""
+        with self.group.lock:
+            records = self._spread.crashes_unknown_to(self.machine.state)
+        if not records:
+            return
+        try:
+            await self._orders.commit_here(NoteCrashes(records))
+        except NoQuorum as error:
+            # They are told again with the next look.
+            emit(log, CrashesUnnoted(len(records), error.detail), logging.WARNING)
+            return
+        emit(log, CrashesNoted(len(records), self.machine.state.crash_number))
+
     def _read_memories_once(self, term: int) -> None:
         """Ask the engines what they keep, once as a new leader."""
         if term == self._memories_term:
--- a/ashlatch/fleet/following.py
+++ b/ashlatch/fleet/following.py
@@ -16,7 +16,7 @@
 
 from ashlatch.catalog import CoreVm
 from ashlatch.errors import TransportError
-from ashlatch.fleet.logs import MovesUntold
+from ashlatch.fleet.logs import UrgentUntold
 from ashlatch.fleet.machine import FleetState
 from ashlatch.fleet.peers import PeerBook
 from ashlatch.fleet.protocol import SYNC, SyncReply, SyncRequest, gateways_digest
@@ -37,7 +37,7 @@
 
 @dataclass
 class LeaderLink:
-    """The way to the leader. `follow` and `pass_moves_on` run for ever.
+    """The way to the leader. `follow` and `pass_on` run for ever.
 
     `standing` and `state` are asked anew each time: both are others after a disk
     was lost.
@@ -76,15 +76,16 @@
             if not reply.current:
                 await asyncio.sleep(RETRY_S)
 
-    async def pass_moves_on(self) -> None:
-        """Tell the leader at once of sessions that a load test has moved.
+    async def pass_on(self) -> None:
+        """Tell the leader at once of what cannot wait.
 
-        The question of `follow` may be held for half a second more. Should this
-        call fail, the next question tells them.
+        That is sessions that a load test has moved, and requests under which
+        endpoints have crashed. The question of `follow` may be held for half a
+        second more. Should this call fail, the next question tells them.
         """
         while True:
-            await self.spread.moves_told.wait()
-            self.spread.moves_told.clear()
+            await self.spread.urgent.wait()
+            self.spread.urgent.clear()
             leader = self._leader()
             if not leader:
                 continue
@@ -92,7 +93,7 @@
             try:
                 await self.book.peer(leader).call(SYNC, request, TIMEOUT_MARGIN_S)
             except TransportError as error:
-                emit(log, MovesUntold(leader, error.reason), logging.WARNING)
+                emit(log, UrgentUntold(leader, error.reason), logging.WARNING)
 
     def _leader(self) -> str:
         """The address of the leader; empty when there is none, or it is this VM."""
@@ -119,4 +120,6 @@
             self.spread.reads.position,
             gateways_digest(self.spread.gateways),
             self.own,
+            crashes=self.spread.crashes_unknown_to(state),
+            crashes_known=state.crash_number,
         )
--- a/ashlatch/fleet/logs.py
+++ b/ashlatch/fleet/logs.py
@@ -14,6 +14,8 @@
 from ashlatch.log import LogEvent
 
 __all__ = [
+    "CrashesNoted",
+    "CrashesUnnoted",
     "DiskLost",
     "DiskRegained",
     "ListRead",
@@ -23,10 +25,10 @@
     "MemoriesRead",
     "MemoryUnread",
     "MoveLost",
-    "MovesUntold",
     "OrderEnded",
     "RolloutDecided",
     "StandingChanged",
+    "UrgentUntold",
 ]
 
 
@@ -145,17 +147,38 @@
 
 
 @dataclass(frozen=True)
-class MovesUntold(LogEvent):
-    """The leader could not be told at once which sessions a load test moved.
+class UrgentUntold(LogEvent):
+    """The leader could not be told at once of moved sessions or of crashes.
 
     The next question to it tells them.
     """
 
-    event: ClassVar[str] = "moves_untold"
+    event: ClassVar[str] = "urgent_untold"
     leader: str
     reason: str
 
 
+@dataclass(frozen=True)
+class CrashesNoted(LogEvent):
+    """Requests under which endpoints have crashed stand in the log.
+
+    `number` is that of the newest change.
+    """
+
+    event: ClassVar[str] = "crashes_noted"
+    contents: int
+    number: int
+
+
+@dataclass(frozen=True)
+class CrashesUnnoted(LogEvent):
+    """Requests under which endpoints have crashed were not committed yet."""
+
+    event: ClassVar[str] = "crashes_unnoted"
+    contents: int
+    reason: str
+
+
 @dataclass(frozen=True)
 class MoveLost(LogEvent):
     """A decision on a roll-out was not committed; it is taken again."""
--- a/ashlatch/fleet/machine.py
+++ b/ashlatch/fleet/machine.py
@@ -3,7 +3,8 @@
 ~~~~~~~~~~~~~~~~~~~~~~
 
 The reducer that every core VM runs over the replicated log: the newest
-configuration document, as operators sent it, and the roll-outs.
+configuration document, as operators sent it, the roll-outs, and the requests under
+which endpoints have crashed.
 
 :copyright: Copyright 2026 by the ashlatch maintainers.
 :license: MIT, see LICENSE for details.
@@ -13,6 +14,7 @@
 
 from ashlatch.catalog import Rollout, RolloutStage
 from ashlatch.codec import decode, encode
+from ashlatch.policy.quarantine import CrashRecord, merge_record
 from ashlatch.registry import Handlers
 
 __all__ = [
@@ -23,6 +25,7 @@
     "FleetMachine",
     "FleetState",
     "MoveRollout",
+    "NoteCrashes",
     "Outcome",
     "ReplaceDocument",
 ]
@@ -66,7 +69,17 @@
     moved: tuple[int, ...] = ()
 
 
-Command = ReplaceDocument | BeginRollout | MoveRollout
+class NoteCrashes(msgspec.Struct, frozen=True, tag="note_crashes"):
+    """What gateways have found of contents that crash endpoints, or survive it.
+
+    It is replicated because a content that is refused has to stay so after a loss of
+    power of all VMs: its caller comes back, and nobody else remembers.
+    """
+
+    records: tuple[CrashRecord, ...]
+
+
+Command = ReplaceDocument | BeginRollout | MoveRollout | NoteCrashes
 
 
 class Accepted(msgspec.Struct, frozen=True, tag="accepted"):
@@ -85,13 +98,25 @@
 
 
 class FleetState(msgspec.Struct):
-    """Everything that is replicated; a snapshot is this, encoded."""
+    """Everything that is replicated; a snapshot is this, encoded.
+
+    `crash_number` counts the changes of `crashes`, `crash_numbers` holds at which of
+    them each content changed last.
+    """
 
     version: int = 0
     document: bytes = b""
     document_digest: str = ""
     rollouts: dict[str, Rollout] = {}
     number: int = 0
+    crashes: dict[int, CrashRecord] = {}
+    crash_numbers: dict[int, int] = {}
+    crash_number: int = 0
+
+    def crashes_since(self, number: int) -> tuple[CrashRecord, ...]:
+        """The records that have changed since a number."""
+        numbers = self.crash_numbers
+        return tuple(r for c, r in self.crashes.items() if numbers[c] > number)
 
 
 class FleetMachine:
@@ -162,3 +187,15 @@
         moved=command.moved,
     )
     return Accepted(changed=True)
+
+
+@_HANDLERS.on(NoteCrashes)
+def _note_crashes(state: FleetState, command: NoteCrashes) -> Outcome:
+    before = state.crash_number
+    for record in command.records:
+        if merge_record(state.crashes, record):
+            state.crash_number += 1
+            state.crash_numbers[record.content] = state.crash_number
+    numbers = state.crash_numbers
+    state.crash_numbers = {content: numbers[content] for content in state.crashes}
+    return Accepted(changed=state.crash_number > before)
--- a/ashlatch/fleet/protocol.py
+++ b/ashlatch/fleet/protocol.py
@@ -22,6 +22,7 @@
 from ashlatch.gateway.kept import PromptRead
 from ashlatch.gateway.tally import Tally
 from ashlatch.link import Method
+from ashlatch.policy.quarantine import CrashRecord
 from ashlatch.policy.reading import ReadingRate
 from ashlatch.raft.message import Member
 
@@ -51,7 +52,9 @@
     have read since then, `reads_known` is the position up to which the sender
     knows what all others have told, `gateways_known` the digest of the gateways
     that it knows of. `core` is the sender, if it is a core VM. `rates` are how
-    fast engines have read since its last request.
+    fast engines have read since its last request. `crashes` is what it has found of
+    requests that crash endpoints, `crashes_known` the number of the newest change of
+    these that it knows.
     """
 
     vm: str
@@ -67,6 +70,8 @@
     gateways_known: int = 0
     core: CoreVm | None = None
     rates: tuple[ReadingRate, ...] = ()
+    crashes: tuple[CrashRecord, ...] = ()
+    crashes_known: int = 0
 
 
 class SyncReply(msgspec.Struct, frozen=True, array_like=True):
@@ -80,7 +85,8 @@
     list was read. `reads` are the prompts that engines have read, up to the
     position `reads_known`; they are no news for which a question is answered. Nor
     are the `rates`, how fast engines read by what the gateways have seen that ask
-    this core VM.
+    this core VM. `crashes` are the requests under which endpoints have crashed, as far
+    as they have changed, up to the change `crashes_known`.
     """
 
     current: bool
@@ -94,6 +100,8 @@
     reads: tuple[PromptRead, ...] = ()
     reads_known: tuple[int, int] = (0, 0)
     rates: tuple[ReadingRate, ...] = ()
+    crashes: tuple[CrashRecord, ...] = ()
+    crashes_known: int = 0
 
 
 class JoinRequest(msgspec.Struct, frozen=True):
--- a/ashlatch/fleet/spread.py
+++ b/ashlatch/fleet/spread.py
@@ -18,6 +18,7 @@
 from ashlatch.fleet.reads import ReadLog
 from ashlatch.gateway.kept import PromptRead
 from ashlatch.gateway.tally import Tallies
+from ashlatch.policy.quarantine import CrashRecord, merge_record, merged
 from ashlatch.policy.reading import ReadingRates
 from ashlatch.raft.group import monotonic_ms
 
@@ -58,7 +59,9 @@
         self._changed = asyncio.Event()
         self._running: dict[str, dict[int, float]] = {}
         self._moved: dict[str, dict[int, float]] = {}
-        self.moves_told = asyncio.Event()
+        self._crashes: dict[int, CrashRecord] = {}
+        # Set when something was told that the leader should hear at once.
+        self.urgent = asyncio.Event()
 
     def asked(self, request: SyncRequest) -> None:
         """Somebody asks, and tells what it knows."""
@@ -72,6 +75,21 @@
             self._take_sessions(sessions, now_ms)
         self.tell_reads(request.reads)
         self._rates.add(request.rates)
+        for record in request.crashes:
+            if merge_record(self._crashes, record):
+                self.urgent.set()
+
+    def crashes_unknown_to(self, state: FleetState) -> tuple[CrashRecord, ...]:
+        """What was told of crashes and is not in the log yet; the rest is forgotten.
+
+        It is told on until it is there, whoever leads meanwhile.
+        """
+        known = state.crashes
+        for content, record in tuple(self._crashes.items()):
+            held = known.get(content)
+            if held is not None and merged(held, record) == held:
+                del self._crashes[content]
+        return tuple(self._crashes.values())
 
     def core_vms(self, addresses: Iterable[str]) -> tuple[CoreVm, ...]:
         """Core VMs by their addresses, with their halls as far as they are known."""
@@ -82,7 +100,7 @@
         running.update(dict.fromkeys(sessions.marks, now_ms))
         moved = self._moved.setdefault(sessions.service, {})
         if not moved.keys() >= set(sessions.moved):
-            self.moves_told.set()
+            self.urgent.set()
         moved.update(dict.fromkeys(sessions.moved, now_ms))
 
     def tell_reads(self, reads: tuple[PromptRead, ...]) -> None:
@@ -183,6 +201,8 @@
             self.reads.since(request.reads_known),
             self.reads.position,
             self._rates.estimates(),
+            state.crashes_since(request.crashes_known),
+            state.crash_number,
         )
 
     def _gateways_unknown_to(
@@ -210,4 +230,5 @@
 
 def has_news(reply: SyncReply) -> bool:
     """Whether an answer brings anything newer."""
-    return bool(reply.document or reply.endpoints is not None or reply.rollouts)
+    listed = reply.endpoints is not None
+    return bool(reply.document or listed or reply.rollouts or reply.crashes)
--- a/ashlatch/gateway/account.py
+++ b/ashlatch/gateway/account.py
@@ -17,6 +17,7 @@
 from ashlatch.gateway.attempt import Attempt, AttemptFailed, FailureKind
 from ashlatch.gateway.choice import Choice, Verdict
 from ashlatch.gateway.content import digest_text
+from ashlatch.gateway.crash import note_refusal
 from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.forecast import Forecast
 from ashlatch.gateway.knowledge import Knowledge
@@ -24,14 +25,12 @@
     AnswerWeighed,
     AttemptEnded,
     EndpointMisdirected,
-    EndpointNotListening,
     EndpointResumed,
     EndpointSuspended,
     RequestEnded,
     RequestSent,
 )
 from ashlatch.gateway.news import (
-    EndpointRefuses,
     EndpointReplaced,
     PromptSent,
     SessionMoved,
@@ -216,7 +215,7 @@
         elif kind is not FailureKind.REFUSED:
             self._failed_at(state, kind)
         if kind is FailureKind.UNREACHABLE and failed.detail == CONNECT_REFUSED:
-            self._refuses(state)
+            note_refusal(self._known, state, self._now_ms())
         ended = AttemptEnded(
             self._admission.ask.request_id,
             self.sends,
@@ -237,18 +236,6 @@
             emit(log, gone, logging.WARNING)
         state.replaced_ms = self._now_ms()
 
-    def _refuses(self, state: EndpointState) -> None:
-        """Tell all that nobody listens at an endpoint's address.
-
-        Each gateway would find that out by itself, one request after another: an
-        endpoint that has crashed has no load, so it is tried before those that have.
-        """
-        if state.refuses(self._now_ms()):
-            endpoint = state.endpoint
-            silent = EndpointNotListening(endpoint.instance, endpoint.service)
-            emit(log, silent, logging.WARNING)
-            self._known.tell(EndpointRefuses(endpoint.instance))
-
     def _failed_at(self, state: EndpointState, kind: FailureKind) -> None:
         """Hold a failure against its endpoint."""
         unreachable = kind in (FailureKind.UNREACHABLE, FailureKind.BROKEN)
--- a/ashlatch/gateway/admission.py
+++ b/ashlatch/gateway/admission.py
@@ -12,13 +12,14 @@
 from dataclasses import dataclass
 
 from ashlatch.catalog import Organisation, Route, Service
+from ashlatch.clock import unix_ms
 from ashlatch.gateway.content import content_digest
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.message import Ask, RefusalReason
 from ashlatch.http.connection import Responder
 from ashlatch.platform.headers import refusal_headers
 
-__all__ = ["RETRY_AFTER_S", "Admission", "Refused", "admit", "refuse"]
+__all__ = ["RETRY_AFTER_S", "Admission", "Refused", "admit", "quarantined", "refuse"]
 
 # When the endpoints are full or away: about the time in which one answers.
 RETRY_AFTER_S = 0.5
@@ -73,6 +74,10 @@
     held_ms = route.held_max_ms
     if ask.patience_ms is not None:
         held_ms = min(held_ms, ask.patience_ms)
+    content = content_digest(ask, organisation.name if organisation else "")
+    held = quarantined(known, content)
+    if held is not None:
+        return held
     return Admission(
         ask,
         route,
@@ -80,10 +85,18 @@
         organisation,
         table.catalog.version,
         ask.received_s + held_ms / 1000.0,
-        content_digest(ask, organisation.name if organisation else ""),
+        content,
     )
 
 
+def quarantined(known: Knowledge, content: int) -> Refused | None:
+    """The refusal of a content under which too many endpoints have ended."""
+    held_ms = known.quarantine.held_ms(content, unix_ms())
+    if not held_ms:
+        return None
+    return Refused(503, RefusalReason.QUARANTINED, held_ms / 1000.0)
+
+
 def refuse(responder: Responder, request_id: str, refused: Refused) -> None:
     """Answer a request that is not served."""
     reason = refused.reason
--- a/ashlatch/gateway/audience.py
+++ b/ashlatch/gateway/audience.py
@@ -21,9 +21,9 @@
 
 __all__ = [
     "Audience",
+    "audience_of_all",
     "audience_of_load",
     "audience_of_prompt",
-    "audience_of_refusal",
     "gateways_of_hall",
 ]
 
@@ -74,12 +74,13 @@
     return _audience(level >= FULL, engine_hall, own, gateways, generator)
 
 
-def audience_of_refusal(
+def audience_of_all(
     own: GatewayVm, gateways: tuple[GatewayVm, ...], generator: random.Random
 ) -> Audience:
-    """Who is told of an endpoint whose process is not there: all.
+    """Who is told of what concerns everybody.
 
-    It looks idle, so everybody would try it before the others.
+    An endpoint whose process is not there looks idle, so all would try it before the
+    others; and the caller of a request that crashes endpoints may come to any gateway.
     """
     return _audience(True, own.hall, own, gateways, generator)
 
--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -38,6 +38,10 @@
 # within the spread).
 READ_STEPS_MS = (150.0, 500.0)
 URGENCIES_EACH = 3
+# Requests that ran at an endpoint that crashed go to any of the cheaper half of the
+# endpoints, and of this many at least: to the cheapest they would all go together, and
+# the one that crashes it would take the others with it each time.
+APART_MIN = 4
 # Endpoints that failed this share of their latest attempts are left to others.
 FAILING_MAX = 0.3
 
@@ -88,6 +92,10 @@
     among = _sound(allowed.states, tried, now_ms)
     if not among:
         return None
+    if service.engine is None and send.apart:
+        state = known.generator.choice(among)
+        utilisation = state.utilisation(now_ms)
+        return Choice(state, len(among), utilisation, None, allowed)
     if service.engine is None:
         candidates = tuple(_candidate(known, s, now_ms) for s in among)
         chosen = known.policy.choose(candidates, "", known.generator)
@@ -95,13 +103,22 @@
         return Choice(state, len(among), chosen.utilisation, None, allowed)
     forecaster = Forecaster(known, service.name, among, send, now_ms)
     forecasts = [(forecaster.forecast(s), s) for s in among]
-    least_ms = min(forecast.cost_ms for forecast, _ in forecasts)
-    equal = [pair for pair in forecasts if pair[0].cost_ms <= least_ms]
-    forecast, state = known.generator.choice(equal)
+    forecast, state = known.generator.choice(_cheapest(forecasts, send.apart))
     utilisation = state.utilisation(now_ms)
     return Choice(state, len(among), utilisation, forecast, allowed)
 
 
+def _cheapest(
+    forecasts: list[tuple[Forecast, EndpointState]], apart: bool
+) -> list[tuple[Forecast, EndpointState]]:
+    """The engines that a send may go to by its cost."""
+    ranked = sorted(forecasts, key=lambda pair: pair[0].cost_ms)
+    if apart:
+        return ranked[: max(APART_MIN, len(ranked) // 2)]
+    least_ms = ranked[0][0].cost_ms
+    return [pair for pair in ranked if pair[0].cost_ms <= least_ms]
+
+
 def _sound(
     states: Iterable[EndpointState], tried: frozenset[str], now_ms: float
 ) -> list[EndpointState]:
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -139,7 +139,7 @@
         watch = SilenceWatch(self.known.directory)
         works = (
             self._link.run(),
-            self._link.tell_moves(),
+            self._link.tell_urgent(),
             self._link.stay_near(),
             self._link.read_alone(),
             watch.run(),
--- a/ashlatch/gateway/directory.py
+++ b/ashlatch/gateway/directory.py
@@ -31,6 +31,9 @@
 # After another endpoint has answered at its address, one is left alone for this
 # long: until the list has been read again, a leader of the core killed between.
 REPLACED_MS = 4000.0
+# A request that breaks this soon after its endpoint was found to have ended broke by
+# that: the connections of a process end together, within milliseconds.
+ENDED_MS = 1000.0
 # How fast the share of failed attempts follows what is seen.
 FAILURE_GAIN = 0.12
 
@@ -42,7 +45,8 @@
     `failing` is the recent share of attempts that failed by its doing.
     `progress_ms` is when it last sent anything, or got its only request.
     `replaced_ms` is when another endpoint was found at its address, `refused_ms`
-    when a gateway was last told that nobody listens there.
+    when a gateway was last told that nobody listens there, `ended_ms` when its
+    process or its VM was last found to have ended.
     `unanswered` requests were sent there and have no head of an answer yet.
     `awaited` are the limits of those waits that may be given up. `told_load` is
     what gateways have told each other of its load.
@@ -57,6 +61,7 @@
     progress_ms: float = float("-inf")
     replaced_ms: float = float("-inf")
     refused_ms: float = float("-inf")
+    ended_ms: float = float("-inf")
     unanswered: int = 0
     awaited: set[asyncio.Timeout] = field(default_factory=set)
     workload: Workload = field(default_factory=Workload)
@@ -90,6 +95,7 @@
         `now_s` is the time of the loop, which the limits are told in.
         """
         self.breaker.gone(now_ms)
+        self.ended_ms = now_ms
         for limit in self.awaited:
             if not limit.expired():
                 limit.reschedule(now_s)
@@ -136,8 +142,13 @@
         if news:
             self.refused_ms = now_ms
         self.breaker.gone(now_ms)
+        self.ended_ms = now_ms
         return news
 
+    def ended_lately(self, now_ms: float) -> bool:
+        """Whether its process or its VM was found to have ended just now."""
+        return now_ms - self.ended_ms < ENDED_MS
+
     def failed(self, now_ms: float, unreachable: bool) -> None:
         """An attempt failed by the endpoint's doing."""
         self.failing += FAILURE_GAIN * (1.0 - self.failing)
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -14,7 +14,13 @@
 
 from ashlatch.catalog import Repeat
 from ashlatch.gateway.account import Account
-from ashlatch.gateway.admission import RETRY_AFTER_S, Admission, Refused, refuse
+from ashlatch.gateway.admission import (
+    RETRY_AFTER_S,
+    Admission,
+    Refused,
+    quarantined,
+    refuse,
+)
 from ashlatch.gateway.attempt import Attempt, AttemptFailed, FailureKind
 from ashlatch.gateway.choice import (
     Choice,
@@ -24,6 +30,7 @@
     first_model,
     larger_models,
 )
+from ashlatch.gateway.crash import CrashFinder
 from ashlatch.gateway.events import EventSplitter, StreamEvent
 from ashlatch.gateway.forecast import Send
 from ashlatch.gateway.knowledge import Knowledge
@@ -70,6 +77,7 @@
         self._model = first_model(admission.route, admission.ask)
         self._last_event = ""
         self._account = Account(known, admission)
+        self._crashes = CrashFinder(known)
         self._error: _Whole | None = None
         self._repeat_taken = False
         self._why = "first"
@@ -91,6 +99,10 @@
 
     async def _serve(self) -> Refused | None:
         while True:
+            # It may have crashed endpoints at other gateways since the last send.
+            held = self._held()
+            if held is not None:
+                return held
             choice = self._choose(self._model)
             if choice is None:
                 return self._nowhere()
@@ -101,6 +113,7 @@
             except AttemptFailed as failed:
                 self._account.failed(attempt, failed)
                 self._may_have_run |= not failed.kind.not_run
+                await self._suspect(attempt, failed)
                 if not self._may_send_again(failed.kind):
                     return self._spent(failed.kind)
                 self._why = failed.kind.value
@@ -124,7 +137,8 @@
             now_ms,
             tried,
         )
-        send = Send(self._ask, model, self._slack_ms(model))
+        apart = self._known.quarantine.crashes(self._admission.content) > 0
+        send = Send(self._ask, model, self._slack_ms(model), apart)
         return choose_endpoint(self._known, service, allowed, tried, send, now_ms)
 
     def _slack_ms(self, model: str) -> float:
@@ -260,6 +274,7 @@
         while (part := await attempt.part(self._patience())) is not None:
             parts.append(part)
         attempt.finish()
+        self._survived()
         return _Whole(head, b"".join(parts))
 
     async def _pass_stream(self, attempt: Attempt, head: AnswerHead) -> None:
@@ -273,6 +288,7 @@
         if not self._responder.begun:
             self._responder.begin(head.status, _body_headers(head))
         attempt.finish()
+        self._survived()
         self._responder.end()
         self._account.ended(head.status, "")
 
@@ -296,7 +312,31 @@
 
     # After a failure.
 
+    async def _suspect(self, attempt: Attempt, failed: AttemptFailed) -> None:
+        """Hold the end of the endpoint against the request, if that is what it was.
+
+        An endpoint's breaker does not do: what crashed it is sent to the next one,
+        and comes back to each that has started again.
+        """
+        if failed.kind.not_run or failed.kind is FailureKind.ERROR:
+            return
+        if await self._crashes.ended(attempt.state, failed):
+            content = self._admission.content
+            self._crashes.crashed(self._ask.request_id, content, attempt.state)
+
+    def _survived(self) -> None:
+        self._crashes.survived(self._ask.request_id, self._admission.content)
+
+    def _held(self) -> Refused | None:
+        """The final answer if the request crashes its endpoints."""
+        held = quarantined(self._known, self._admission.content)
+        if held is not None and self._may_have_run:
+            return Refused(502, RefusalReason.QUARANTINED)
+        return held
+
     def _may_send_again(self, kind: FailureKind) -> bool:
+        if self._held() is not None:
+            return False
         if not kind.not_run and self._route.repeat is Repeat.NEVER:
             return False
         if self._account.events and self._route.repeat is not Repeat.RESUME:
@@ -325,6 +365,9 @@
         return Refused(503, RefusalReason.NO_ENDPOINT, RETRY_AFTER_S)
 
     def _spent(self, kind: FailureKind) -> Refused:
+        held = self._held()
+        if held is not None:
+            return held
         if self._may_have_run:
             return Refused(502, RefusalReason.OUTCOME_UNKNOWN)
         full = kind is FailureKind.REFUSED
--- a/ashlatch/gateway/forecast.py
+++ b/ashlatch/gateway/forecast.py
@@ -60,12 +60,14 @@
 class Send:
     """What is to be sent: a request, for a model (empty for the caller's own).
 
-    `slack_ms` is the time in which the answer should begin.
+    `slack_ms` is the time in which the answer should begin. `apart` requests have run
+    at an endpoint that crashed, and go other ways than those that ran there too.
     """
 
     ask: Ask
     model: str
     slack_ms: float
+    apart: bool = False
 
 
 class Forecaster:
--- a/ashlatch/gateway/knowledge.py
+++ b/ashlatch/gateway/knowledge.py
@@ -8,6 +8,7 @@
 :license: MIT, see LICENSE for details.
 """
 
+import asyncio
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -25,6 +26,7 @@
 from ashlatch.gateway.versions import VersionChooser
 from ashlatch.metrics import Metrics
 from ashlatch.policy.endpoint import EndpointPolicy
+from ashlatch.policy.quarantine import Quarantine
 
 __all__ = ["Knowledge"]
 
@@ -33,13 +35,19 @@
     """A gateway that has no way to the others yet."""
 
 
+def _tell_no_core() -> None:
+    """A gateway that has no way to the core yet."""
+
+
 @dataclass
 class Knowledge:
     """`table` is unset until the first configuration has come.
 
     `gateways` are those that the fleet has heard of lately; they share the
     budgets and the connections that endpoints accept. `tell` tells them
-    something at once, which may be lost.
+    something at once, which may be lost. `probes` ask whether an endpoint has ended,
+    by its id. `crashes_found` has the core told of what
+    `quarantine` has learnt here.
     """
 
     hall: str
@@ -57,7 +65,10 @@
     budgets: dict[str, RepeatBudget] = field(default_factory=dict)
     generator: random.Random = field(default_factory=random.Random)
     gateways: tuple[GatewayVm, ...] = ()
+    quarantine: Quarantine = field(default_factory=Quarantine)
+    probes: dict[str, asyncio.Task[bool]] = field(default_factory=dict)
     tell: Callable[[PeerNews], None] = _tell_nobody
+    crashes_found: Callable[[], None] = _tell_no_core
     traffic: HallTraffic = field(init=False)
 
     def __post_init__(self) -> None:
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -18,8 +18,11 @@
     "AnswerWeighed",
     "AttemptEnded",
     "ConfigurationApplied",
+    "ContentHeld",
+    "ContentSurvived",
     "CoreChosen",
     "CoreUnreached",
+    "CrashNoted",
     "DocumentUnreadable",
     "EndpointGone",
     "EndpointMisdirected",
@@ -32,7 +35,6 @@
     "GatewaysLearnt",
     "HandlerFailed",
     "ListUnread",
-    "MovesUntold",
     "PeersUnavailable",
     "RequestEnded",
     "RequestSent",
@@ -40,6 +42,7 @@
     "RolloutLearnt",
     "StopBegun",
     "TrafficCounted",
+    "UrgentUntold",
 ]
 
 
@@ -224,6 +227,42 @@
     teller: str = ""
 
 
+@dataclass(frozen=True)
+class CrashNoted(LogEvent):
+    """An endpoint has ended while it ran a request.
+
+    `crashes` is how many have under the same content since its last good run,
+    `held_ms` how long it is refused for that.
+    """
+
+    event: ClassVar[str] = "crash_noted"
+    request: str
+    content: str
+    instance: str
+    crashes: int
+    held_ms: int
+
+
+@dataclass(frozen=True)
+class ContentHeld(LogEvent):
+    """A content is refused from now on; `source` has told of its last crash."""
+
+    event: ClassVar[str] = "content_held"
+    content: str
+    crashes: int
+    held_ms: int
+    source: str
+
+
+@dataclass(frozen=True)
+class ContentSurvived(LogEvent):
+    """A request under whose content an endpoint had ended has run to its end."""
+
+    event: ClassVar[str] = "content_survived"
+    request: str
+    content: str
+
+
 @dataclass(frozen=True)
 class EndpointResumed(LogEvent):
     """A suspended endpoint has answered."""
@@ -282,13 +321,13 @@
 
 
 @dataclass(frozen=True)
-class MovesUntold(LogEvent):
-    """The core could not be told at once which sessions a load test moved here.
+class UrgentUntold(LogEvent):
+    """The core could not be told at once of moved sessions or of crashes.
 
     The next question to it tells them.
     """
 
-    event: ClassVar[str] = "gateway_moves_untold"
+    event: ClassVar[str] = "gateway_urgent_untold"
     member: str
     reason: str
 
--- a/ashlatch/gateway/message.py
+++ b/ashlatch/gateway/message.py
@@ -38,6 +38,7 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     TIMED_OUT = "timed_out"
     STOPPING = "stopping"
+    QUARANTINED = "quarantined"
 
 
 @dataclass(frozen=True)
--- a/ashlatch/gateway/news.py
+++ b/ashlatch/gateway/news.py
@@ -11,8 +11,12 @@
 
 import msgspec
 
+from ashlatch.policy.quarantine import CrashRecord
+
 __all__ = [
+    "ContentCrashed",
     "EndpointRefuses",
+    "EndpointNews",
     "EndpointReplaced",
     "HallNews",
     "LoadSeen",
@@ -76,6 +80,18 @@
     for_hall: bool = False
 
 
-PeerNews = PromptSent | SessionMoved | EndpointReplaced | LoadSeen | EndpointRefuses
+class ContentCrashed(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Endpoints have ended while they ran a content, or it has survived that.
+
+    With `for_hall`, who gets it tells the other gateways of its hall.
+    """
+
+    record: CrashRecord
+    for_hall: bool = False
+
+
+# What is about one endpoint.
+EndpointNews = PromptSent | EndpointReplaced | LoadSeen | EndpointRefuses
+PeerNews = EndpointNews | SessionMoved | ContentCrashed
 # What concerns gateways by their halls.
-HallNews = PromptSent | LoadSeen | EndpointRefuses
+HallNews = PromptSent | LoadSeen | EndpointRefuses | ContentCrashed
--- a/ashlatch/gateway/peers.py
+++ b/ashlatch/gateway/peers.py
@@ -19,11 +19,12 @@
 from ashlatch.codec import decode, encode
 from ashlatch.gateway.audience import (
     Audience,
+    audience_of_all,
     audience_of_load,
     audience_of_prompt,
-    audience_of_refusal,
     gateways_of_hall,
 )
+from ashlatch.gateway.crash import learn_crashes
 from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.logs import (
@@ -33,6 +34,8 @@
 )
 from ashlatch.gateway.message import LoadFigures
 from ashlatch.gateway.news import (
+    ContentCrashed,
+    EndpointNews,
     EndpointRefuses,
     EndpointReplaced,
     HallNews,
@@ -56,6 +59,7 @@
     EndpointReplaced: TrafficKind.REPLACED,
     LoadSeen: TrafficKind.LOAD,
     EndpointRefuses: TrafficKind.REFUSES,
+    ContentCrashed: TrafficKind.CRASHES,
 }
 
 
@@ -94,22 +98,23 @@
         Told to each gateway, the prompts of 91 gateways took about half as many
         bytes between halls as the prompts themselves, worked out from their sizes.
         """
-        state = self._known.directory.state(news.instance)
-        if state is None:
-            return
-        audience = self._audience(news, state.endpoint.hall)
+        audience = self._audience(news)
         self._send(news, audience.near)
         self._send(msgspec.structs.replace(news, for_hall=True), audience.relays)
 
-    def _audience(self, news: HallNews, hall: str) -> Audience:
+    def _audience(self, news: HallNews) -> Audience:
         assert self._own is not None
         known = self._known
+        if isinstance(news, EndpointRefuses | ContentCrashed):
+            return audience_of_all(self._own, known.gateways, known.generator)
+        state = known.directory.state(news.instance)
+        if state is None:
+            return Audience()
+        hall = state.endpoint.hall
         if isinstance(news, PromptSent):
             return audience_of_prompt(
                 news.read_ms, hall, self._own, known.gateways, known.generator
             )
-        if isinstance(news, EndpointRefuses):
-            return audience_of_refusal(self._own, known.gateways, known.generator)
         level = load_level(news.running + news.waiting, news.slots)
         return audience_of_load(level, hall, self._own, known.gateways, known.generator)
 
@@ -148,14 +153,19 @@
             self._known.metrics.count("sessions_heard")
             self._known.versions.hear_move(news.service, news.session, news.version)
             return
-        state = self._known.directory.state(news.instance)
-        if state is None:
-            return
-        self._learn(news, state, now_ms, addr[0])
+        if isinstance(news, ContentCrashed):
+            learn_crashes(self._known, news.record, addr[0])
+        else:
+            state = self._known.directory.state(news.instance)
+            if state is None:
+                return
+            self._learn(news, state, now_ms, addr[0])
+        if isinstance(news, HallNews) and news.for_hall:
+            self._relay(news)
 
     def _learn(
         self,
-        news: HallNews | EndpointReplaced,
+        news: EndpointNews,
         state: EndpointState,
         now_ms: float,
         teller: str,
@@ -179,8 +189,6 @@
             state.tell_load(figures, now_ms)
             level = load_level(news.running + news.waiting, news.slots)
             state.told_load.heard(level, now_ms)
-        if news.for_hall:
-            self._relay(news)
 
     def error_received(self, exc: Exception) -> None:
         """A gateway that was told is not there; the fleet forgets it soon."""
--- a/ashlatch/gateway/sync.py
+++ b/ashlatch/gateway/sync.py
@@ -29,6 +29,7 @@
 )
 from ashlatch.fleet.seeds import Seeds
 from ashlatch.gateway.contact import CoreContact
+from ashlatch.gateway.crash import learn_crashes
 from ashlatch.gateway.kept import PromptRead
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.logs import (
@@ -41,8 +42,8 @@
     FleetRegained,
     GatewaysLearnt,
     ListUnread,
-    MovesUntold,
     RolloutLearnt,
+    UrgentUntold,
 )
 from ashlatch.gateway.message import PromptPart
 from ashlatch.gateway.routing import RouteTable
@@ -50,6 +51,7 @@
 from ashlatch.gateway.traffic import TrafficKind
 from ashlatch.log import emit
 from ashlatch.platform.document import DocumentError, decode_catalog
+from ashlatch.policy.quarantine import CrashRecord
 from ashlatch.policy.reading import ReadingRate
 
 __all__ = ["FleetLink"]
@@ -59,8 +61,8 @@
 # A core VM that does not answer in this time beyond the wait is left.
 TIMEOUT_MARGIN_S = 0.6
 RETRY_S = 0.1
-# Sessions that are moved within this time are told in one message.
-MOVES_COLLECT_S = 0.05
+# Moved sessions and crashes that are found within this time go in one message.
+URGENT_COLLECT_S = 0.05
 # Until the core was heard, a gateway serves nothing, and VMs that start with it
 # may not answer yet: one that does not within this time is left.
 FIRST_TIMEOUT_S = 0.3
@@ -81,7 +83,7 @@
 
 
 class FleetLink:
-    """The way to the core. `run`, `tell_moves`, `stay_near` and `read_alone` run
+    """The way to the core. `run`, `tell_urgent`, `stay_near` and `read_alone` run
     for ever.
 
     `own` is this gateway as the others are to know it.
@@ -110,8 +112,10 @@
         self._heard_ms = float("-inf")
         self._lost_since_ms: float | None = None
         self._refreshed_ms = float("-inf")
-        self._moved = asyncio.Event()
-        known.versions.moved = self._moved.set
+        self._crashes_known = 0
+        self._urgent = asyncio.Event()
+        known.versions.moved = self._urgent.set
+        known.crashes_found = self._urgent.set
 
     @property
     def settled(self) -> bool:
@@ -139,7 +143,8 @@
             reads = self._known.kept.take_notes()
             rates = self._known.pace.take_rates()
             wait_ms, timeout_s = self._terms()
-            request = self._question(wait_ms, tallies, reads, rates)
+            crashes = self._known.quarantine.to_tell()
+            request = self._question(wait_ms, tallies, reads, rates, crashes)
             try:
                 reply = await self._ask(address, request, timeout_s)
             except TransportError as error:
@@ -149,28 +154,32 @@
                 self._lose(address, error.reason)
                 await asyncio.sleep(RETRY_S)
                 continue
+            self._known.quarantine.told(crashes)
             self._take(address, reply)
             if not reply.current:
                 self._lose(address, "has lost its leader")
                 await asyncio.sleep(RETRY_S)
 
-    async def tell_moves(self) -> None:
-        """Tell the core at once of sessions that a load test has moved here.
+    async def tell_urgent(self) -> None:
+        """Tell the core at once of moved sessions and of crashes of endpoints.
 
         The question of `run` may be held for half a second more, and a datagram to
         another gateway may be lost: this way all know within 0.3 s (a core VM, the
         leader at its next look, a commit, and all gateways with their news).
         """
         while True:
-            await self._moved.wait()
-            await asyncio.sleep(MOVES_COLLECT_S)
-            self._moved.clear()
-            request = self._question(0.0)
+            await self._urgent.wait()
+            await asyncio.sleep(URGENT_COLLECT_S)
+            self._urgent.clear()
+            crashes = self._known.quarantine.to_tell()
+            request = self._question(0.0, crashes=crashes)
             address = self._contact.address
             try:
                 await self._ask(address, request, TIMEOUT_MARGIN_S)
             except TransportError as error:
-                emit(log, MovesUntold(address, error.reason), logging.WARNING)
+                emit(log, UrgentUntold(address, error.reason), logging.WARNING)
+            else:
+                self._known.quarantine.told(crashes)
 
     async def stay_near(self) -> None:
         """Go back to a core VM of the own hall when one is in touch.
@@ -220,6 +229,7 @@
         tallies: tuple[Tally, ...] = (),
         reads: tuple[PromptRead, ...] = (),
         rates: tuple[ReadingRate, ...] = (),
+        crashes: tuple[CrashRecord, ...] = (),
     ) -> SyncRequest:
         return SyncRequest(
             self._known.vm,
@@ -234,6 +244,8 @@
             self._reads_known,
             gateways_digest(self._known.gateways),
             rates=rates,
+            crashes=crashes,
+            crashes_known=self._crashes_known,
         )
 
     def _terms(self) -> tuple[float, float]:
@@ -283,6 +295,7 @@
                 self._learn_gateways(reply.gateways)
             self._known.directory.listed_ms = self._now_ms() - reply.list_age_ms
             self._regain(address)
+        self._learn_crashes(address, reply)
         self._learn_reads(reply)
         self._known.pace.learn(reply.rates)
 
@@ -291,6 +304,13 @@
         self._known.gateways = gateways
         emit(log, GatewaysLearnt(len(gateways), before))
 
+    def _learn_crashes(self, address: str, reply: SyncReply) -> None:
+        """Take which requests crash endpoints, by what other gateways have found."""
+        for record in reply.crashes:
+            learn_crashes(self._known, record, address)
+            self._known.quarantine.confirm(record)
+        self._crashes_known = max(self._crashes_known, reply.crashes_known)
+
     def _learn_reads(self, reply: SyncReply) -> None:
         """Take what engines have read for other gateways."""
         self._reads_known = reply.reads_known
--- a/ashlatch/gateway/traffic.py
+++ b/ashlatch/gateway/traffic.py
@@ -35,6 +35,7 @@
     REPLACED = "replaced"
     LOAD = "load"
     REFUSES = "refuses"
+    CRASHES = "crashes"
 
 
 @dataclass(frozen=True)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -269,7 +269,7 @@
     Mutant(
         "moves-wait-at-core-vms",
         "ashlatch/fleet/spread.py",
-        "            self.moves_told.set()\n",
+        "            self.urgent.set()\n",
         "            pass\n",
         SYNC,
     ),
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -21,6 +21,7 @@
 
 import itertools
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import testtools
 
@@ -121,3 +122,22 @@
         third_s = sorted(self.log.ended_s)[ENDS_MAX - 1]
         sends = self.log.came_after(third_s + KNOWN_AFTER_S)
         self.assertTrue(sends <= SENDS_MAX, f"{sends} sends, {len(self.log.ended_s)}")
+
+    def test_other_requests_are_served(self) -> None:
+        """A load of others, through the same engines, while the request comes."""
+        statuses: list[int] = []
+        with ThreadPoolExecutor(24) as callers:
+            ends_s = time.monotonic() + 8.0
+            pending = []
+            number = 0
+            while time.monotonic() < ends_s:
+                host = self.gateways[number % len(self.gateways)]
+                body = f"ordinary request {number}".encode()
+                pending.append(callers.submit(self.send, host, body))
+                if number % 40 == 20:
+                    callers.submit(self.send, host, CRASHING_BODY)
+                number += 1
+                time.sleep(0.025)
+            statuses = [future.result() for future in pending]
+        served = statuses.count(200)
+        self.assertTrue(served >= 0.97 * len(statuses), f"{served}/{len(statuses)}")
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -177,8 +177,10 @@
             "order_ended",
             "disk_refused",
             "move_lost",
-            "moves_untold",
-            "gateway_moves_untold",
+            "urgent_untold",
+            "gateway_urgent_untold",
+            "crash_noted",
+            "crashes_unnoted",
             # No decision either: sums for whoever asks what a hall costs.
             "traffic_counted",
         }
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,194 @@
+"""Contents that crash endpoints: what is counted, merged, held and forgotten."""
+
+import itertools
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ashlatch.policy.quarantine import (
+    CRASHES_KEPT,
+    CRASHES_MAX,
+    HOLD_MAX_MS,
+    HOLD_MS,
+    RECORDS_MAX,
+    SAME_CRASH_MS,
+    TOLD_MAX,
+    Crash,
+    CrashRecord,
+    Quarantine,
+    endpoint_digest,
+    merge_record,
+    merged,
+)
+
+AT = 1_800_000_000_000
+CONTENT = 7
+
+
+def crashed(quarantine: Quarantine, times: int, content: int = CONTENT) -> int:
+    """Crashes of so many endpoints, two seconds apart; when the last one was."""
+    at_ms = AT
+    for number in range(times):
+        at_ms = AT + 2000 * number
+        quarantine.crashed(content, f"i-{number}", 0, at_ms)
+    return at_ms
+
+
+class HoldTest(testtools.TestCase):
+    def test_held_from_the_third_crash_on(self) -> None:
+        quarantine = Quarantine()
+        for crashes in range(1, CRASHES_MAX + 1):
+            at_ms = crashed(quarantine, crashes)
+            held = quarantine.held_ms(CONTENT, at_ms) > 0
+            self.assertEqual(crashes >= CRASHES_MAX, held)
+
+    def test_the_hold_ends_and_doubles(self) -> None:
+        quarantine = Quarantine()
+        at_ms = crashed(quarantine, CRASHES_MAX)
+        self.assertEqual(HOLD_MS, quarantine.held_ms(CONTENT, at_ms))
+        again_ms = at_ms + HOLD_MS
+        self.assertEqual(0.0, quarantine.held_ms(CONTENT, again_ms))
+        quarantine.crashed(CONTENT, "i-9", 0, again_ms)
+        self.assertEqual(2 * HOLD_MS, quarantine.held_ms(CONTENT, again_ms))
+        self.assertTrue(crashed(quarantine, 15) < again_ms)
+        self.assertTrue(quarantine.held_ms(CONTENT, again_ms) <= HOLD_MAX_MS)
+
+    def test_a_good_run_ends_it(self) -> None:
+        quarantine = Quarantine()
+        at_ms = crashed(quarantine, CRASHES_MAX)
+        self.assertTrue(quarantine.survived(CONTENT))
+        self.assertEqual(0, quarantine.crashes(CONTENT))
+        self.assertEqual(0.0, quarantine.held_ms(CONTENT, at_ms))
+        self.assertFalse(quarantine.survived(CONTENT))
+        self.assertFalse(quarantine.survived(CONTENT + 1))
+
+    def test_crashes_after_a_good_run_count_anew(self) -> None:
+        quarantine = Quarantine()
+        crashed(quarantine, CRASHES_MAX)
+        quarantine.survived(CONTENT)
+        later_ms = AT + 60_000
+        quarantine.crashed(CONTENT, "i-0", 0, later_ms)
+        self.assertEqual(1, quarantine.crashes(CONTENT))
+
+    def test_others_are_not_held(self) -> None:
+        quarantine = Quarantine()
+        at_ms = crashed(quarantine, CRASHES_MAX)
+        self.assertEqual(0.0, quarantine.held_ms(CONTENT + 1, at_ms))
+
+
+class SameCrashTest(testtools.TestCase):
+    def test_one_crash_is_counted_once(self) -> None:
+        """Two requests with one content may run at an endpoint that ends."""
+        quarantine = Quarantine()
+        quarantine.crashed(CONTENT, "i-0", 0, AT)
+        quarantine.crashed(CONTENT, "i-0", 0, AT + SAME_CRASH_MS - 1)
+        self.assertEqual(1, quarantine.crashes(CONTENT))
+
+    def test_an_endpoint_that_restarts_under_its_id(self) -> None:
+        """Without it, a fleet of two endpoints would never reach three crashes."""
+        quarantine = Quarantine()
+        for number in range(CRASHES_MAX):
+            quarantine.crashed(CONTENT, "i-0", 0, AT + 3000 * number)
+        self.assertEqual(CRASHES_MAX, quarantine.crashes(CONTENT))
+
+    def test_a_known_start_tells_lives_apart(self) -> None:
+        quarantine = Quarantine()
+        quarantine.crashed(CONTENT, "i-0", AT - 10, AT)
+        quarantine.crashed(CONTENT, "i-0", AT - 10, AT + 5000)
+        self.assertEqual(1, quarantine.crashes(CONTENT))
+        quarantine.crashed(CONTENT, "i-0", AT + 100, AT + 500)
+        self.assertEqual(2, quarantine.crashes(CONTENT))
+
+
+class MergeTest(testtools.TestCase):
+    def test_gateways_that_saw_one_crash_each(self) -> None:
+        gateways = [Quarantine() for _ in range(CRASHES_MAX)]
+        for number, gateway in enumerate(gateways):
+            gateway.crashed(CONTENT, f"i-{number}", 0, AT + 2000 * number)
+        told = Quarantine()
+        for gateway in gateways:
+            for record in gateway.to_tell():
+                told.learn(record)
+        self.assertTrue(told.held_ms(CONTENT, AT) > 0)
+
+    def test_a_good_run_stays_known(self) -> None:
+        """Whoever tells of the crash later."""
+        first, second = Quarantine(), Quarantine()
+        first.crashed(CONTENT, "i-0", 0, AT)
+        second.learn(*first.to_tell())
+        second.survived(CONTENT)
+        old = first.to_tell()[0]
+        self.assertFalse(second.learn(old))
+        self.assertTrue(first.learn(*second.to_tell()))
+        self.assertEqual(0, first.crashes(CONTENT))
+
+    crash = st.builds(
+        Crash,
+        st.sampled_from([endpoint_digest(f"i-{n}") for n in range(3)]),
+        st.sampled_from([0, 5]),
+        st.sampled_from([AT + 5000 * n for n in range(4)]),
+        st.booleans(),
+    )
+    record = st.builds(
+        CrashRecord, st.just(CONTENT), st.lists(crash, max_size=6).map(tuple)
+    )
+
+    @settings(max_examples=300, deadline=None)
+    @given(st.lists(record, min_size=1, max_size=4))
+    def test_any_order_of_telling_ends_alike(self, records: list[CrashRecord]) -> None:
+        empty = CrashRecord(CONTENT, ())
+        ends = set()
+        for order in itertools.permutations(records):
+            known = empty
+            for record in (*order, *order):
+                known = merged(known, record)
+            ends.add(known)
+        self.assertEqual(1, len(ends))
+        (end,) = ends
+        self.assertEqual(end, merged(end, end))
+
+
+class BoundsTest(testtools.TestCase):
+    def test_records_are_bounded_and_held_ones_stay(self) -> None:
+        quarantine = Quarantine()
+        at_ms = crashed(quarantine, CRASHES_MAX)
+        for content in range(1000, 1000 + 2 * RECORDS_MAX):
+            quarantine.crashed(content, "i-0", 0, AT + content)
+        self.assertTrue(quarantine.held_ms(CONTENT, at_ms) > 0)
+        records: dict[int, CrashRecord] = {}
+        for content in range(2 * RECORDS_MAX):
+            crash = Crash(1, 0, AT + content)
+            merge_record(records, CrashRecord(content, (crash,)))
+        self.assertEqual(RECORDS_MAX, len(records))
+
+    def test_crashes_of_a_content_are_bounded(self) -> None:
+        quarantine = Quarantine()
+        crashed(quarantine, 3 * CRASHES_KEPT)
+        self.assertEqual(CRASHES_KEPT, quarantine.crashes(CONTENT))
+
+
+class TellTest(testtools.TestCase):
+    def test_told_until_confirmed(self) -> None:
+        quarantine = Quarantine()
+        quarantine.crashed(CONTENT, "i-0", 0, AT)
+        told = quarantine.to_tell()
+        quarantine.told(told)
+        self.assertEqual(told, quarantine.to_tell())
+        quarantine.confirm(told[0])
+        self.assertEqual((), quarantine.to_tell())
+
+    def test_an_older_record_confirms_nothing(self) -> None:
+        quarantine = Quarantine()
+        quarantine.crashed(CONTENT, "i-0", 0, AT)
+        old = quarantine.to_tell()[0]
+        quarantine.crashed(CONTENT, "i-1", 0, AT + 2000)
+        quarantine.confirm(old)
+        self.assertEqual(1, len(quarantine.to_tell()))
+
+    def test_it_ends_without_a_confirmation(self) -> None:
+        quarantine = Quarantine()
+        quarantine.crashed(CONTENT, "i-0", 0, AT)
+        for _ in range(TOLD_MAX):
+            quarantine.told(quarantine.to_tell())
+        self.assertEqual((), quarantine.to_tell())
--- a/tests/test_session_versions.py
+++ b/tests/test_session_versions.py
@@ -71,8 +71,8 @@
     "standing_changed",
     "fleet_lost",
     "fleet_regained",
-    "moves_untold",
-    "gateway_moves_untold",
+    "urgent_untold",
+    "gateway_urgent_untold",
     "move_lost",
 )
 
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -109,14 +109,14 @@
     def test_moved_sessions_reach_the_leader(self) -> None:
         moved = SessionMarks("app", (), (7,))
         for spread in (self.follower, self.leader):
-            self.assertFalse(spread.moves_told.is_set())
+            self.assertFalse(spread.urgent.is_set())
             asked = request(ONE, sessions=(moved,))
             spread.asked(asked)
-            self.assertTrue(spread.moves_told.is_set())
+            self.assertTrue(spread.urgent.is_set())
             self.assertEqual((moved,), spread.sessions())
-            spread.moves_told.clear()
+            spread.urgent.clear()
             spread.asked(asked)
-            self.assertFalse(spread.moves_told.is_set())
+            self.assertFalse(spread.urgent.is_set())
 
     def test_reads_without_a_leader_are_bounded(self) -> None:
         for _ in range(3):
--- a/tests/test_sync.py
+++ b/tests/test_sync.py
@@ -110,7 +110,7 @@
             link = FleetLink(known, seeds, "x:1", 10_000.0, OWN)
             book = link._book = Book(SyncReply(True), holds=True)
             tasks = [asyncio.create_task(link.run())]
-            tasks.append(asyncio.create_task(link.tell_moves()))
+            tasks.append(asyncio.create_task(link.tell_urgent()))
             await asyncio.sleep(0.1)
             stage = RolloutStage.LOAD_TEST
             known.versions.learn([Rollout("app", "v2", stage, 0.0, 1, 1000.0)])
@@ -133,7 +133,7 @@
                 "core-1", CORE, 10_000.0, spread, book, lambda: following, FleetState
             )
             tasks = [asyncio.create_task(link.follow())]
-            tasks.append(asyncio.create_task(link.pass_moves_on()))
+            tasks.append(asyncio.create_task(link.pass_on()))
             await asyncio.sleep(0.1)
             told = (SessionMarks("app", (), (7,)),)
             spread.asked(SyncRequest("gw", (), 0, (0, 0), 0, 0.0, sessions=told))
