Tell an endpoint's lives apart, and keep the list when entries of it are unreadable

An endpoint may start again under its id. What was believed of it (kept prompts, load, work, failures, idle connections) went on; it ends now with its process: when a later start is listed, or nobody listens at its address, here or by another gateway's word. An older start told late changes nothing; reads of the ended life that are still on their way are not believed.

Entries are read one by one now, left out with a reason, one log line and a counter; decoders raise one typed error.

--- a/ashlatch/catalog.py
+++ b/ashlatch/catalog.py
@@ -135,8 +135,9 @@
 class Endpoint(msgspec.Struct, frozen=True):
     """One running endpoint VM.
 
-    `instance` is drawn anew at each start of the endpoint's process.
-    `leaving` endpoints take no new work.
+    `instance` is its id, which a process that starts again may keep:
+    `started_unix_ms` tells its lives apart, 0 if that is not told. A new life holds
+    and knows nothing of the one before. `leaving` endpoints take no new work.
     """
 
     instance: str
@@ -146,6 +147,12 @@
     version: str
     slots: int
     leaving: bool
+    started_unix_ms: int = 0
+
+    def begins_after(self, other: "Endpoint") -> bool:
+        """Whether this is a later life of an endpoint, as far as that is told."""
+        told = self.started_unix_ms > 0 and other.started_unix_ms > 0
+        return told and self.started_unix_ms > other.started_unix_ms
 
 
 class EndpointList(msgspec.Struct, frozen=True):
--- a/ashlatch/explain/belief.py
+++ b/ashlatch/explain/belief.py
@@ -28,6 +28,7 @@
     "endpoints_replaced": ("endpoints", ""),
     "list_read": ("endpoints", ""),
     "list_unread": ("endpoint list", ""),
+    "entries_left_out": ("entries of the endpoint list", ""),
     "rollout_learnt": ("roll-out", "service"),
     "rollout_decided": ("roll-out", "service"),
     "fleet_lost": ("core", ""),
--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -218,6 +218,8 @@
         listen = Address.parse(self.settings.listen)
         await self._operators.start(listen.host, listen.port)
         watch_traffic(self.metrics)
+        reader = self._list.reader
+        self.metrics.watch("list_entries_left_out", lambda: reader.left_out_total)
         await serve_metrics(
             self.metrics, self.settings.host, self.settings.metrics_port
         )
--- a/ashlatch/fleet/discovery.py
+++ b/ashlatch/fleet/discovery.py
@@ -11,20 +11,27 @@
 """
 
 import asyncio
+import logging
+from collections import Counter
 from dataclasses import dataclass
 
-import msgspec
-
 from ashlatch.catalog import Endpoint
 from ashlatch.errors import AshlatchError
+from ashlatch.fleet.logs import EntriesLeftOut
 from ashlatch.http.upstream import ConnectFailed, Upstream, UpstreamBroken
+from ashlatch.log import emit
 from ashlatch.platform.instances import Page, decode_page, page_target
+from ashlatch.platform.reading import JsonUnreadable
 
 __all__ = ["ListReader", "ListUnreadable"]
 
+log = logging.getLogger("ashlatch.fleet")
+
 # The list is small and near; what takes longer is lost or refused.
 READ_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.5
+# So many reasons why entries were left out stand in one log line.
+REASONS_MAX = 4
 # More pages than this are no list of a deployment of the sizes aimed at.
 PAGES_MAX = 200
 
@@ -37,9 +44,14 @@
 
 
 class ListReader:
-    """Reads the list from one address."""
+    """Reads the list from one address.
+
+    `left_out_total` counts the entries that named no endpoint, in all reads.
+    """
 
     def __init__(self, address: str) -> None:
+        self.left_out_total = 0
+        self._left_out: Counter[str] = Counter()
         self._address = address
         self._connection: Upstream | None = None
 
@@ -54,21 +66,36 @@
         except (ConnectFailed, UpstreamBroken) as error:
             self._drop()
             raise ListUnreadable(error.reason) from error
-        except msgspec.MsgspecError as error:
+        except JsonUnreadable as error:
             self._drop()
-            raise ListUnreadable(str(error)) from error
+            raise ListUnreadable(error.reason) from error
 
     async def _pages(self) -> tuple[Endpoint, ...]:
-        found: list[Endpoint] = []
+        found: dict[str, Endpoint] = {}
+        left_out: Counter[str] = Counter()
         mark: str | None = None
         for _ in range(PAGES_MAX):
             page = await self._page(mark)
-            found += page.endpoints
+            left_out.update(page.left_out)
+            for endpoint in page.endpoints:
+                if endpoint.instance in found:
+                    left_out["listed twice"] += 1
+                found.setdefault(endpoint.instance, endpoint)
             mark = page.next_page
             if mark is None:
-                return tuple(found)
+                self._note(left_out)
+                return tuple(found.values())
         raise ListUnreadable("too many pages")
 
+    def _note(self, left_out: Counter[str]) -> None:
+        """Log which entries name no endpoint, when they are others than before."""
+        if left_out != self._left_out and left_out:
+            reasons = "; ".join(sorted(left_out)[:REASONS_MAX])
+            entries = EntriesLeftOut(left_out.total(), reasons)
+            emit(log, entries, logging.WARNING)
+        self._left_out = left_out
+        self.left_out_total += left_out.total()
+
     async def _page(self, mark: str | None) -> Page:
         connection = await self._connected()
         host = (b"Host", self._address.encode())
--- a/ashlatch/fleet/logs.py
+++ b/ashlatch/fleet/logs.py
@@ -17,6 +17,7 @@
     "CrashesNoted",
     "CrashesUnnoted",
     "DiskLost",
+    "EntriesLeftOut",
     "DiskRegained",
     "ListRead",
     "ListUnread",
@@ -158,6 +159,15 @@
     reason: str
 
 
+@dataclass(frozen=True)
+class EntriesLeftOut(LogEvent):
+    """Entries of the platform's list name no endpoint; the others are used."""
+
+    event: ClassVar[str] = "entries_left_out"
+    entries: int
+    reasons: str
+
+
 @dataclass(frozen=True)
 class CrashesNoted(LogEvent):
     """Requests under which endpoints have crashed stand in the log.
--- a/ashlatch/fleet/memories.py
+++ b/ashlatch/fleet/memories.py
@@ -19,8 +19,6 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-import msgspec
-
 from ashlatch.catalog import Endpoint
 from ashlatch.errors import AshlatchError
 from ashlatch.fleet.logs import MemoriesRead, MemoryUnread
@@ -33,6 +31,7 @@
     decode_memory,
     memory_headers,
 )
+from ashlatch.platform.reading import JsonUnreadable
 
 __all__ = ["MemoryUnreadable", "read_memories"]
 
@@ -92,8 +91,8 @@
         raise MemoryUnreadable(engine.instance, "timeout") from error
     except (ConnectFailed, UpstreamBroken) as error:
         raise MemoryUnreadable(engine.instance, error.reason) from error
-    except msgspec.MsgspecError as error:
-        raise MemoryUnreadable(engine.instance, str(error)) from error
+    except JsonUnreadable as error:
+        raise MemoryUnreadable(engine.instance, error.reason) from error
     finally:
         if connection is not None:
             connection.abort()
--- a/ashlatch/gateway/crash.py
+++ b/ashlatch/gateway/crash.py
@@ -55,6 +55,7 @@
         endpoint = state.endpoint
         silent = EndpointNotListening(endpoint.instance, endpoint.service)
         emit(log, silent, logging.WARNING)
+        known.forget_life(endpoint.instance)
         known.tell(EndpointRefuses(endpoint.instance))
 
 
@@ -118,7 +119,9 @@
         known = self._known
         endpoint = state.endpoint
         now_unix_ms = unix_ms()
-        record = known.quarantine.crashed(content, endpoint.instance, 0, now_unix_ms)
+        record = known.quarantine.crashed(
+            content, endpoint.instance, endpoint.started_unix_ms, now_unix_ms
+        )
         crashes = len(record.unsurvived)
         held_ms = known.quarantine.held_ms(content, now_unix_ms)
         noted = CrashNoted(
--- a/ashlatch/gateway/directory.py
+++ b/ashlatch/gateway/directory.py
@@ -10,9 +10,11 @@
 """
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+import msgspec
+
 from ashlatch.catalog import Endpoint, EndpointList
 from ashlatch.gateway.message import LoadFigures
 from ashlatch.policy.breaker import Breaker
@@ -143,8 +145,20 @@
             self.refused_ms = now_ms
         self.breaker.gone(now_ms)
         self.ended_ms = now_ms
+        if news:
+            self._begin_life()
         return news
 
+    def _begin_life(self) -> None:
+        """Believe nothing of before: what comes back at the address begins anew.
+
+        Requests that are still counted as sent there end one by one.
+        """
+        self.failing = 0.0
+        self.workload = Workload()
+        self.told_load = ToldLoad()
+        self.load.forget_report()
+
     def ended_lately(self, now_ms: float) -> bool:
         """Whether its process or its VM was found to have ended just now."""
         return now_ms - self.ended_ms < ENDED_MS
@@ -160,9 +174,11 @@
     """Endpoints by service. A list that is older than the known one is void.
 
     `listed_ms` is when the platform was last known to list these endpoints.
+    `life_ended` is called with the id of an endpoint that has started again.
     """
 
     def __init__(self) -> None:
+        self.life_ended: Callable[[str], None] = lambda instance: None
         self.order: tuple[int, int] = (0, 0)
         self.listed_ms = float("-inf")
         self._states: dict[str, EndpointState] = {}
@@ -178,14 +194,25 @@
         self._states = {}
         self._by_service = {}
         for endpoint in listed.endpoints:
-            state = known.get(endpoint.instance)
-            if state is None or state.endpoint.address != endpoint.address:
-                state = EndpointState(endpoint)
-            state.endpoint = endpoint
+            state = self._present(known.get(endpoint.instance), endpoint)
             self._states[endpoint.instance] = state
             self._by_service.setdefault(endpoint.service, []).append(state)
         return True
 
+    def _present(self, known: EndpointState | None, listed: Endpoint) -> EndpointState:
+        """What is believed of an endpoint that is listed; nothing of a new life."""
+        if known is None:
+            return EndpointState(listed)
+        if known.endpoint.address != listed.address:
+            return EndpointState(listed)
+        if listed.begins_after(known.endpoint):
+            self.life_ended(listed.instance)
+            return EndpointState(listed)
+        # A list that lags may still tell the start before the last one.
+        started_ms = max(known.endpoint.started_unix_ms, listed.started_unix_ms)
+        known.endpoint = msgspec.structs.replace(listed, started_unix_ms=started_ms)
+        return known
+
     def all(self) -> Iterable[EndpointState]:
         """The endpoints of all services, leaving ones too."""
         return self._states.values()
--- a/ashlatch/gateway/kept.py
+++ b/ashlatch/gateway/kept.py
@@ -115,6 +115,10 @@
         for instance in [i for i in self._memories if i not in instances]:
             del self._memories[instance]
 
+    def forget(self, instance: str) -> None:
+        """An engine has started again, with an empty memory."""
+        self._memories.pop(instance, None)
+
     def note(
         self, instance: str, model: str, parts: tuple[PromptPart, ...], now_ms: float
     ) -> None:
--- a/ashlatch/gateway/knowledge.py
+++ b/ashlatch/gateway/knowledge.py
@@ -73,6 +73,12 @@
 
     def __post_init__(self) -> None:
         self.traffic = HallTraffic(self.hall, self.metrics)
+        self.directory.life_ended = self.forget_life
+
+    def forget_life(self, instance: str) -> None:
+        """An endpoint's process has ended: nothing of it is left at its address."""
+        self.kept.forget(instance)
+        self.pool.drop(instance)
 
     def budget(self, service: str) -> RepeatBudget:
         """The budget of repeated sends of a service."""
--- a/ashlatch/gateway/peers.py
+++ b/ashlatch/gateway/peers.py
@@ -184,6 +184,7 @@
                 service = state.endpoint.service
                 silent = EndpointNotListening(news.instance, service, teller)
                 emit(log, silent, logging.WARNING)
+                self._known.forget_life(news.instance)
         else:
             figures = LoadFigures(news.running, news.waiting, news.slots)
             state.tell_load(figures, now_ms)
--- a/ashlatch/gateway/pool.py
+++ b/ashlatch/gateway/pool.py
@@ -69,8 +69,12 @@
     def forget(self, instances: frozenset[str]) -> None:
         """Close what is kept for endpoints that are not listed any more."""
         for instance in [i for i in self._idle if i not in instances]:
-            for idle in self._idle.pop(instance):
-                idle.connection.abort()
+            self.drop(instance)
+
+    def drop(self, instance: str) -> None:
+        """Close what is kept for an endpoint whose process has ended."""
+        for idle in self._idle.pop(instance, ()):
+            idle.connection.abort()
 
     def sweep(self, now_s: float) -> None:
         """Close connections that have been idle for too long."""
--- a/ashlatch/gateway/sync.py
+++ b/ashlatch/gateway/sync.py
@@ -317,6 +317,10 @@
         now_ms = self._now_ms()
         for read in reply.reads:
             memory_tokens = self._known.memory_tokens(read.instance)
+            state = self._known.directory.state(read.instance)
+            if state is not None and state.ended_lately(now_ms):
+                # Told of the life that has just ended, whose memory is gone.
+                continue
             if memory_tokens:
                 parts = tuple(PromptPart(*part) for part in read.parts)
                 self._known.kept.read(
--- a/ashlatch/platform/document.py
+++ b/ashlatch/platform/document.py
@@ -29,6 +29,7 @@
     ServiceShare,
 )
 from ashlatch.errors import FieldError
+from ashlatch.platform.reading import JsonUnreadable, read_json
 
 __all__ = [
     "DocumentError",
@@ -117,15 +118,14 @@
 
 
 _KINDS = ("stream", "idempotent", "non_idempotent")
-_DECODER = msgspec.json.Decoder(_Document)
 
 
 def decode_catalog(body: bytes) -> Catalog:
     """Read a document; raises `DocumentError` when anything in it is wrong."""
     try:
-        document = _DECODER.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        unreadable = FieldError("(document)", f"{len(body)} bytes", str(error))
+        document: _Document = read_json(body, _Document)
+    except JsonUnreadable as error:
+        unreadable = FieldError("(document)", f"{len(body)} bytes", error.reason)
         raise DocumentError("configuration", [unreadable]) from error
     wrong = list(_problems(document))
     if wrong:
@@ -253,9 +253,9 @@
 def decode_rollout_order(body: bytes) -> RolloutOrder:
     """Read an order to roll out; raises `DocumentError`."""
     try:
-        order = msgspec.json.decode(body, type=_RolloutOrder)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        unreadable = FieldError("(document)", f"{len(body)} bytes", str(error))
+        order: _RolloutOrder = read_json(body, _RolloutOrder)
+    except JsonUnreadable as error:
+        unreadable = FieldError("(document)", f"{len(body)} bytes", error.reason)
         raise DocumentError("rollout", [unreadable]) from error
     if order.duration_s <= 0 or not order.service or not order.target_version:
         wrong = FieldError("durationS", str(order.duration_s), "must be above 0")
--- a/ashlatch/platform/headers.py
+++ b/ashlatch/platform/headers.py
@@ -9,6 +9,8 @@
 :license: MIT, see LICENSE for details.
 """
 
+import math
+import re
 from dataclasses import dataclass
 
 import h11
@@ -54,6 +56,11 @@
 _LOAD = b"x-server-load"
 _KEEP_ALIVE = b"keep-alive"
 
+# Requests running, requests waiting, places: numbers that an endpoint may have.
+_LOAD_FIGURES = re.compile(r"\s*([0-9]{1,7})\s*,\s*([0-9]{1,7})\s*,\s*([0-9]{1,7})\s*")
+# More tokens than any prompt has.
+_TOKENS_MAX = 1_000_000_000
+
 # Another endpoint than the expected one answers with this, and runs nothing.
 _MISDIRECTED = 421
 
@@ -234,30 +241,36 @@
 
 
 def _number(text: str) -> float | None:
+    """A number that can be calculated with; none for `nan`, `inf` and the like."""
     try:
-        return float(text) if text else None
+        number = float(text) if text else None
     except ValueError:
         return None
+    return number if number is not None and math.isfinite(number) else None
 
 
 def _token_counts(text: str) -> tuple[int, int]:
     prompt, _, answer = text.partition(",")
-    return int(_number(prompt) or 0), int(_number(answer) or 0)
+    return _tokens(prompt), _tokens(answer)
+
+
+def _tokens(text: str) -> int:
+    return int(min(max(0.0, _number(text) or 0.0), _TOKENS_MAX))
 
 
 def _prompt_parts(text: str) -> tuple[PromptPart, ...]:
     parts = []
     for item in text.split(",") if text else ():
         part_id, _, tokens = item.strip().partition(":")
-        parts.append(PromptPart(part_id, int(_number(tokens) or 0)))
+        parts.append(PromptPart(part_id, _tokens(tokens)))
     return tuple(parts)
 
 
 def _load(text: str) -> LoadFigures | None:
-    numbers = text.split(",")
-    if len(numbers) != 3 or not all(number.strip().isdigit() for number in numbers):
+    found = _LOAD_FIGURES.fullmatch(text)
+    if found is None:
         return None
-    running, waiting, slots = (int(number) for number in numbers)
+    running, waiting, slots = (int(number) for number in found.groups())
     return LoadFigures(running, waiting, max(1, slots))
 
 
--- a/ashlatch/platform/instances.py
+++ b/ashlatch/platform/instances.py
@@ -2,43 +2,68 @@
 ashlatch.platform.instances
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Reads the platform's list of running endpoints, page by page.
+Reads the platform's list of running endpoints, page by page. An entry may come from
+another writer: one that is not of the form below names no endpoint, and the others
+hold.
 
 :copyright: Copyright 2026 by the ashlatch maintainers.
 :license: MIT, see LICENSE for details.
 """
 
+from collections import Counter
+from collections.abc import Iterable
+from typing import Annotated
 from urllib.parse import quote
 
 import msgspec
 
 from ashlatch.catalog import Endpoint
+from ashlatch.platform.reading import read_elements, read_json
 
 __all__ = ["Page", "decode_page", "page_target"]
 
+# Printable text without blanks: ids go into headers and all of it into logs.
+_Name = Annotated[str, msgspec.Meta(pattern=r"^[!-~]{1,200}$")]
+_Text = Annotated[str, msgspec.Meta(pattern=r"^[!-~]{0,200}$")]
+_Address = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:[1-9]\d{0,4}$")]
+# More requests at once than any endpoint runs: a figure beyond it is none.
+_Slots = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+# Unix milliseconds, up to the year 2255.
+_Started = Annotated[int, msgspec.Meta(ge=0, le=9_007_199_254_740_991)]
+_PORT_MAX = 65_535
+_OCTET_MAX = 255
+
+# The states of an endpoint, and whether it takes no new work in them.
+_LEAVING = {"ready": False, "draining": True}
+
 
 class _Instance(msgspec.Struct, frozen=True, rename="camel"):
-    id: str
-    service: str
-    address: str
-    zone: str = ""
-    version: str = ""
-    slots: int = 1
+    id: _Name
+    service: _Name
+    address: _Address
+    zone: _Text
+    version: _Text
+    slots: _Slots
     # `draining` comes before the end of an endpoint, `ready` otherwise.
-    state: str = "ready"
+    state: str
+    # When the endpoint's process began; not every list tells.
+    born: _Started = 0
 
 
 class _Page(msgspec.Struct, frozen=True, rename="camel"):
-    instances: tuple[_Instance, ...]
     # Named like a token of a prompt, but it names the page that follows.
     next_token: str | None = None
 
 
 class Page(msgspec.Struct, frozen=True):
-    """Some endpoints, and the mark of the next page if there is one."""
+    """Some endpoints, and the mark of the next page if there is one.
+
+    `left_out` counts the entries that name no endpoint, by the reason.
+    """
 
     endpoints: tuple[Endpoint, ...]
     next_page: str | None
+    left_out: dict[str, int] = {}
 
 
 def page_target(page: str | None) -> str:
@@ -47,18 +72,40 @@
 
 
 def decode_page(body: bytes) -> Page:
-    """Read one page; raises `msgspec.MsgspecError`."""
-    page = msgspec.json.decode(body, type=_Page)
-    return Page(tuple(_endpoint(i) for i in page.instances), page.next_token)
+    """Read one page; raises `JsonUnreadable`."""
+    entries = read_elements(body, "instances", _Instance)
+    page = read_json(entries.rest, _Page)
+    left_out = Counter(entries.left_out)
+    endpoints = tuple(_endpoints(entries.items, left_out))
+    return Page(endpoints, page.next_token, dict(left_out))
+
+
+def _endpoints(
+    entries: Iterable[_Instance], left_out: Counter[str]
+) -> Iterable[Endpoint]:
+    for entry in entries:
+        if entry.state not in _LEAVING:
+            left_out["unknown state"] += 1
+        elif not _is_address(entry.address):
+            left_out["no address"] += 1
+        else:
+            yield _endpoint(entry)
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    octets = host.split(".")
+    return int(port) <= _PORT_MAX and all(int(o) <= _OCTET_MAX for o in octets)
 
 
-def _endpoint(instance: _Instance) -> Endpoint:
+def _endpoint(entry: _Instance) -> Endpoint:
     return Endpoint(
-        instance.id,
-        instance.service,
-        instance.address,
-        instance.zone,
-        instance.version,
-        max(1, instance.slots),
-        instance.state != "ready",
+        entry.id,
+        entry.service,
+        entry.address,
+        entry.zone,
+        entry.version,
+        max(1, entry.slots),
+        _LEAVING[entry.state],
+        entry.born,
     )
--- a/ashlatch/platform/memory.py
+++ b/ashlatch/platform/memory.py
@@ -9,19 +9,22 @@
 """
 
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
 from ashlatch.http.connection import Headers
+from ashlatch.platform.reading import read_elements
 
 __all__ = ["MEMORY_TARGET", "KeptPart", "decode_memory", "memory_headers"]
 
 MEMORY_TARGET = "/-/kv-list"
 
 
-class _Memory(msgspec.Struct, frozen=True):
-    # Each is an empty text, the part's id, its tokens and the model.
-    held: tuple[tuple[str, str, int, str], ...]
+# More than any engine's memory holds.
+_Tokens = Annotated[int, msgspec.Meta(ge=0, le=1_000_000_000)]
+# An empty text, the part's id, its tokens and the model.
+_Held = tuple[str, str, _Tokens, str]
 
 
 @dataclass(frozen=True)
@@ -39,8 +42,9 @@
 
 
 def decode_memory(body: bytes) -> tuple[KeptPart, ...]:
-    """Read an engine's answer; raises `msgspec.MsgspecError`."""
-    memory = msgspec.json.decode(body, type=_Memory)
-    return tuple(
-        KeptPart(part, tokens, model) for _, part, tokens, model in memory.held
-    )
+    """Read an engine's answer, without what is of another form.
+
+    Raises `JsonUnreadable`.
+    """
+    held = read_elements(body, "held", _Held).items
+    return tuple(KeptPart(part, tokens, model) for _, part, tokens, model in held)
--- a/ashlatch/policy/load.py
+++ b/ashlatch/policy/load.py
@@ -60,6 +60,10 @@
         while self._changes and self._changes[0].at_ms <= report.at_ms:
             self._changes.popleft()
 
+    def forget_report(self) -> None:
+        """What was reported was of a process that has ended."""
+        self.report = None
+
     def sent(self, now_ms: float) -> None:
         """This router has sent a request."""
         self.in_flight += 1
--- /dev/null
+++ b/tests/test_foreign_entries.py
@@ -0,0 +1,238 @@
+"""What other writers may put into the platform's list and into what endpoints say:
+an entry that cannot be read names no endpoint, and the others hold.
+
+On the code before, one such entry made the whole list unreadable (an unknown type, a
+missing field, bytes that are no UTF-8), an unknown state counted as leaving, and JSON
+nested some thousand times ended the process of a core VM.
+"""
+
+import asyncio
+import contextlib
+import copy
+import json
+import time
+from typing import Any
+
+import h11
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ashlatch.fleet.discovery import ListReader, ListUnreadable
+from ashlatch.http.connection import HttpRequest
+from ashlatch.platform.document import DocumentError, decode_catalog
+from ashlatch.platform.headers import MalformedRequest, decode_answer, decode_ask
+from ashlatch.platform.instances import decode_page
+from ashlatch.platform.memory import decode_memory
+from ashlatch.platform.reading import JsonUnreadable
+from tests import standin
+from tests.standin import StandIn
+
+ENTRY = {
+    "id": "i-1",
+    "service": "app",
+    "address": "10.0.0.1:8080",
+    "zone": "hall-1",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+}
+DEEP = b"[" * 100_000 + b"]" * 100_000
+
+json_values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=20)
+    | st.sampled_from(["ready", "draining", "10.0.0.1:80", "", "\r\nX: y", "²"]),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+
+
+def page(*entries: bytes, next_token: bytes = b"null") -> bytes:
+    listed = b",".join(entries)
+    return b'{"instances":[' + listed + b'],"nextToken":' + next_token + b"}"
+
+
+def entry(instance: str = "i-1", **more: Any) -> bytes:
+    return json.dumps({**ENTRY, "id": instance, **more}).encode()
+
+
+def without(name: str) -> bytes:
+    return json.dumps({k: v for k, v in ENTRY.items() if k != name}).encode()
+
+
+class ListEntryTest(testtools.TestCase):
+    FOREIGN = (
+        *(without(name) for name in ENTRY),
+        b"null",
+        b"5",
+        b'"i-1"',
+        b"[]",
+        b"{}",
+        b"NaN",
+        b"{not json}",
+        b'{"id":"\xff\xfe"}',
+        b'{"id":"i-1","more":' + DEEP + b"}",
+        entry(service=5),
+        entry(slots="8"),
+        entry(slots=10**30),
+        entry(slots=-1),
+        entry(state="resting"),
+        entry(state=None),
+        entry(address="here"),
+        entry(address="10.0.0.1:0"),
+        entry(address="10.0.0.1:99999"),
+        entry(address="10.0.0.999:80"),
+        entry("i-1\r\nX-Tenant: other"),
+        entry(""),
+        entry("i" * 1000),
+        entry(born="today"),
+        entry(born=1.5),
+        entry(born=-1),
+    )
+
+    def test_others_hold(self) -> None:
+        for foreign in self.FOREIGN:
+            read = decode_page(page(entry("i-0"), foreign, entry("i-2")))
+            names = [endpoint.instance for endpoint in read.endpoints]
+            self.assertEqual(["i-0", "i-2"], names, str(foreign[:80]))
+            self.assertEqual(1, sum(read.left_out.values()))
+
+    def test_a_good_entry(self) -> None:
+        (endpoint,) = decode_page(page(entry(born=1234, state="draining"))).endpoints
+        self.assertEqual(1234, endpoint.started_unix_ms)
+        self.assertTrue(endpoint.leaving)
+        self.assertEqual((), decode_page(b'{"instances":[]}').endpoints)
+        self.assertEqual((), decode_page(b'{ "instances" : [ ] }').endpoints)
+
+    def test_strings_that_look_like_the_end(self) -> None:
+        odd = entry("i-0", zone='a"]},')
+        read = decode_page(page(odd, entry("i-2", zone="a\\]")))
+        self.assertEqual(2, len(read.endpoints) + sum(read.left_out.values()))
+        self.assertEqual("i-2", read.endpoints[-1].instance)
+
+    def test_a_whole_that_is_unreadable(self) -> None:
+        for body in (b"", b"{}", b"[]", b"\xff", DEEP, page(entry())[:-30], b'{"in'):
+            self.assertRaises(JsonUnreadable, decode_page, body)
+
+    @settings(max_examples=300, deadline=None)
+    @given(
+        st.sampled_from([*ENTRY, "born", "more"]),
+        json_values,
+        st.integers(min_value=0, max_value=2),
+    )
+    def test_any_value_in_any_field(self, name: str, value: Any, at: int) -> None:
+        mutated = copy.copy(ENTRY)
+        mutated[name] = value
+        entries = [entry("i-0"), entry("i-2")]
+        entries.insert(at, json.dumps(mutated).encode("utf-8", "surrogatepass"))
+        read = decode_page(page(*entries))
+        names = {endpoint.instance for endpoint in read.endpoints}
+        self.assertTrue({"i-0", "i-2"} <= names)
+
+    @settings(max_examples=300, deadline=None)
+    @given(st.binary(max_size=200), st.integers(min_value=0, max_value=400))
+    def test_bytes_anywhere(self, noise: bytes, at: int) -> None:
+        body = page(entry("i-0"), entry("i-2"))
+        # The one way to say so; any other error fails the test.
+        with contextlib.suppress(JsonUnreadable):
+            decode_page(body[:at] + noise + body[at:])
+
+    def test_time_and_size_stay_bounded(self) -> None:
+        begun_s = time.monotonic()
+        for body in (DEEP, b'{"instances":[' + b"," * 500_000 + b"]}", b'"' * 10**6):
+            try:
+                decode_page(body)
+            except JsonUnreadable:
+                continue
+        self.assertTrue(time.monotonic() - begun_s < 5.0)
+
+
+class ListReaderTest(testtools.TestCase):
+    def read(self, *bodies: bytes) -> tuple[list[str], int]:
+        """The ids that a reader finds on these pages, and what it left out."""
+
+        async def run() -> tuple[list[str], int]:
+            scripts = [standin.answer(body) for body in bodies]
+            platform = StandIn(scripts)
+            await platform.start()
+            reader = ListReader(platform.address)
+            found = await reader.read()
+            platform.stop()
+            return [e.instance for e in found], reader.left_out_total
+
+        return asyncio.run(run())
+
+    def test_pages_after_a_foreign_entry(self) -> None:
+        first = page(entry("i-0"), b"null", next_token=b'"p-2"')
+        second = page(entry("i-0", address="10.0.0.9:1"), entry("i-2"))
+        self.assertEqual((["i-0", "i-2"], 2), self.read(first, second))
+
+    def test_an_unreadable_list_is_one_typed_error(self) -> None:
+        for body in (b"\xff", DEEP, page(entry(), next_token=b"5")):
+            self.assertRaises(ListUnreadable, self.read, body)
+
+
+class EndpointWordsTest(testtools.TestCase):
+    """What endpoints and callers say in headers and of their memory."""
+
+    NUMBERS = ("nan", "inf", "-inf", "1e999", "²", "9" * 5000, "-5", "", "x")
+
+    def ask(self, name: str, value: str) -> None:
+        headers = [
+            (b"Host", b"shop.example"),
+            (b"X-Attempt-Id", b"r1"),
+            (name.encode(), value.encode("latin-1")),
+        ]
+        request = HttpRequest("GET", "/get/1", headers, b"", 0.0, "")
+        try:
+            asked = decode_ask(request)
+        except MalformedRequest:
+            return
+        self.assertTrue(0 <= asked.prompt_tokens <= 10**9)
+        self.assertTrue(asked.patience_ms is None or asked.patience_ms >= 0)
+
+    def test_numbers_of_callers(self) -> None:
+        for number in self.NUMBERS:
+            self.ask("X-Token-Count", f"{number},{number}")
+            self.ask("X-Prompt-Prefix", f"aa:{number},bb:{number}")
+            self.ask("X-Deadline-Ms", number)
+
+    @settings(max_examples=200, deadline=None)
+    @given(
+        st.sampled_from(["X-Server-Load", "X-Confidence", "Keep-Alive", "X-Other"]),
+        st.sampled_from(NUMBERS),
+    )
+    def test_numbers_of_endpoints(self, name: str, number: str) -> None:
+        for value in (number, f"{number},{number},{number}", f"timeout={number}"):
+            headers = [(name.encode(), value.encode("latin-1"))]
+            head = decode_answer(h11.Response(status_code=200, headers=headers))
+            if head.load is not None:
+                self.assertTrue(0 <= head.load.running < 10**7)
+
+    def test_memory(self) -> None:
+        held = b'[["","aa",600,"small"],["","bb",-1,"small"],5,["","cc",700,"small"]]'
+        parts = decode_memory(b'{"epoch":"odd","held":' + held + b"}")
+        self.assertEqual(["aa", "cc"], [part.part_id for part in parts])
+        self.assertRaises(JsonUnreadable, decode_memory, DEEP)
+
+
+class DocumentTest(testtools.TestCase):
+    def test_nested_deeply(self) -> None:
+        self.assertRaises(DocumentError, decode_catalog, DEEP)
+        body = standin.encoded(standin.document())[:-1] + b',"more":' + DEEP + b"}"
+        self.assertRaises(DocumentError, decode_catalog, body)
+
+    @settings(max_examples=200, deadline=None)
+    @given(st.binary(max_size=50), st.integers(min_value=0, max_value=2000))
+    def test_bytes_anywhere(self, noise: bytes, at: int) -> None:
+        body = standin.encoded(standin.document())
+        # The one way to say so; any other error fails the test.
+        with contextlib.suppress(DocumentError):
+            decode_catalog(body[:at] + noise + body[at:])
--- /dev/null
+++ b/tests/test_lives.py
@@ -0,0 +1,164 @@
+"""Endpoints that start again under the id that they had: a new life holds and knows
+nothing of the one before.
+
+On the code before, what was believed went on under the id: kept prompts drew requests
+to an engine that had to read them anew, and work that had ended with its process was
+waited for.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ashlatch.catalog import Endpoint, EndpointList
+from ashlatch.codec import encode
+from ashlatch.fleet.protocol import SyncReply
+from ashlatch.gateway.crash import note_refusal
+from ashlatch.gateway.directory import Directory, EndpointState
+from ashlatch.gateway.kept import PromptRead
+from ashlatch.gateway.knowledge import Knowledge
+from ashlatch.gateway.message import LoadFigures, PromptPart
+from ashlatch.gateway.news import EndpointRefuses
+from ashlatch.gateway.peers import GatewayPeers
+from ashlatch.gateway.sync import FleetLink
+from tests.gateway import GatewayHarness
+from tests.standin import StandIn, answer
+
+FIRST = Endpoint("i-1", "app", "10.0.0.1:80", "hall-1", "v1", 8, False, 1000)
+LATER = msgspec.structs.replace(FIRST, started_unix_ms=2000)
+UNTOLD = msgspec.structs.replace(FIRST, started_unix_ms=0)
+PARTS = (PromptPart("aa", 4000),)
+
+
+def listed(number: int, *endpoints: Endpoint) -> EndpointList:
+    return EndpointList(1, number, endpoints)
+
+
+def busy(state: EndpointState) -> None:
+    """Beliefs of each kind about an endpoint."""
+    state.tell_load(LoadFigures(8, 3, 8), 0.0)
+    state.told_load.heard(4, 0.0)
+    state.workload.add(900.0, 0.0)
+    state.failed(0.0, unreachable=False)
+
+
+class DirectoryTest(testtools.TestCase):
+    def directory(self, *endpoints: Endpoint) -> Directory:
+        directory = Directory()
+        self.ended: list[str] = []
+        directory.life_ended = self.ended.append
+        directory.replace(listed(1, *endpoints), 0.0)
+        return directory
+
+    def state(self, directory: Directory) -> EndpointState:
+        state = directory.state("i-1")
+        assert state is not None
+        return state
+
+    def test_a_later_life_is_believed_nothing_of(self) -> None:
+        directory = self.directory(FIRST)
+        busy(self.state(directory))
+        directory.replace(listed(2, LATER), 0.0)
+        state = self.state(directory)
+        self.assertEqual(["i-1"], self.ended)
+        self.assertEqual((0.0, 0.0), (state.requests(0.0), state.failing))
+        self.assertEqual(0.0, state.workload.left_ms(0.0))
+
+    def test_the_same_life_goes_on(self) -> None:
+        for again in (FIRST, UNTOLD):
+            directory = self.directory(FIRST)
+            busy(self.state(directory))
+            directory.replace(listed(2, again), 0.0)
+            self.assertEqual([], self.ended)
+            self.assertEqual(11.0, self.state(directory).requests(0.0))
+
+    def test_an_older_start_that_is_told_late_changes_nothing(self) -> None:
+        directory = self.directory(LATER)
+        busy(self.state(directory))
+        directory.replace(listed(2, FIRST), 0.0)
+        state = self.state(directory)
+        self.assertEqual([], self.ended)
+        self.assertEqual(11.0, state.requests(0.0))
+        self.assertEqual(2000, state.endpoint.started_unix_ms)
+        directory.replace(listed(3, LATER), 0.0)
+        self.assertEqual([], self.ended)
+
+    starts = st.lists(st.integers(min_value=0, max_value=5), min_size=1, max_size=20)
+
+    @settings(max_examples=200, deadline=None)
+    @given(starts)
+    def test_starts_told_in_any_order(self, starts: list[int]) -> None:
+        """Beliefs are dropped just when a start is newer than all before it."""
+        directory = self.directory(msgspec.structs.replace(FIRST, started_unix_ms=1))
+        newest = 1
+        for number, start in enumerate(starts):
+            busy(self.state(directory))
+            told = msgspec.structs.replace(FIRST, started_unix_ms=start)
+            directory.replace(listed(number + 2, told), 0.0)
+            state = self.state(directory)
+            began = start > newest
+            self.assertEqual(0.0 if began else 11.0, state.requests(0.0))
+            newest = max(newest, start)
+            self.assertEqual(newest, state.endpoint.started_unix_ms)
+
+
+class EndedTest(GatewayHarness):
+    """Nobody listens at an address: whatever comes back there has begun anew."""
+
+    def play(self, end: Callable[[Knowledge, EndpointState], None]) -> Knowledge:
+        async def work() -> None:
+            known = self.known
+            state = known.directory.state("i-0")
+            assert state is not None
+            busy(state)
+            now_ms = asyncio.get_running_loop().time() * 1000.0
+            known.kept.read("i-0", "small", PARTS, 400_000, now_ms)
+            self.assertEqual(4000, known.kept.tokens("i-0", "small", PARTS))
+            end(known, state)
+            self.assertEqual(0, known.kept.tokens("i-0", "small", PARTS))
+            self.assertEqual(0.0, state.workload.left_ms(now_ms))
+            self.assertEqual(0.0, state.load.requests())
+
+        self.run_gateway([StandIn([answer()])], work)
+        return self.known
+
+    def test_seen_here(self) -> None:
+        def end(known: Knowledge, state: EndpointState) -> None:
+            note_refusal(known, state, asyncio.get_running_loop().time() * 1000.0)
+
+        self.play(end)
+
+    def test_told_by_another_gateway(self) -> None:
+        def end(known: Knowledge, state: EndpointState) -> None:
+            data = encode(EndpointRefuses("i-0"))
+            GatewayPeers(known).datagram_received(data, ("10.0.0.9", 7000))
+
+        self.play(end)
+
+    def test_reads_of_the_life_that_has_ended_are_not_believed(self) -> None:
+        """They are on their way through the core for up to a second."""
+        read = PromptRead("i-0", "small", (("aa", 4000),))
+        reply = SyncReply(True, reads=(read,))
+
+        def end(known: Knowledge, state: EndpointState) -> None:
+            now_ms = asyncio.get_running_loop().time() * 1000.0
+            FleetLink._learn_reads(_Link(known, now_ms), reply)  # type: ignore[arg-type]
+            self.assertEqual(4000, known.kept.tokens("i-0", "small", PARTS))
+            note_refusal(known, state, now_ms)
+            FleetLink._learn_reads(_Link(known, now_ms), reply)  # type: ignore[arg-type]
+
+        self.play(end)
+
+
+class _Link:
+    """As much of a `FleetLink` as learning reads needs."""
+
+    def __init__(self, known: Knowledge, now_ms: float) -> None:
+        self._known = known
+        self._now_ms = lambda: now_ms
+        self._reads_known = (0, 0)
+        known.memory_tokens = lambda instance: 400_000  # type: ignore[method-assign]
