Count the time that a VM is suspended

Leases, deadlines, budgets and the age of what is known rested on the steady clock, which leaves suspension out: a leader that wakes would answer reads within its old lease. One module gives the time now (CLOCK_BOOTTIME where there is one), the only event loop goes by it, and a gateway that has stood still asks the core before it serves again (0.6 s at most; a core that is known to be away does not hold it up).

Found beside: after a smaller model's answer was dropped, a refusal by the larger one's engine ended in a 503, a promise that nothing has run; 502 now. Looked at and not needed: a check of the deadline before each send (the loop fires lapsed timers before what they guard; no mutant of it was noticed).

--- a/ashlatch/adapter/engine.py
+++ b/ashlatch/adapter/engine.py
@@ -11,12 +11,12 @@
 """
 
 import json
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 from ashlatch.adapter.bounds import AttemptBounds
+from ashlatch.clock import monotonic_s
 from ashlatch.errors import TransportError
 from ashlatch.http.client import Call, Reply, fetch
 from ashlatch.router.effect import StartAttempt
@@ -69,7 +69,7 @@
         self._prices = prices
         self._bounds = bounds
         self._on_chunk = on_chunk
-        self._began_s = time.monotonic()
+        self._began_s = monotonic_s()
         self._first_token_ms = 0.0
         self._rest = b""
         self._events: list[bytes] = []
@@ -150,7 +150,7 @@
         return self._attempt.resume_chunks + len(self._events)
 
     def _elapsed_ms(self) -> float:
-        return (time.monotonic() - self._began_s) * 1000.0
+        return (monotonic_s() - self._began_s) * 1000.0
 
     def _result(self, reply: Reply) -> AttemptResult:
         plain = b"".join(self._plain)
--- a/ashlatch/adapter/service.py
+++ b/ashlatch/adapter/service.py
@@ -11,9 +11,9 @@
 """
 
 import json
-import time
 
 from ashlatch.adapter.bounds import AttemptBounds
+from ashlatch.clock import monotonic_s
 from ashlatch.errors import TransportError
 from ashlatch.http.client import Call, Reply, fetch
 from ashlatch.router.effect import StartAttempt
@@ -46,12 +46,12 @@
         before_send=bounds.may_send,
         repeatable=request.repeatable,
     )
-    began_s = time.monotonic()
+    began_s = monotonic_s()
     try:
         reply = fetch(call)
     except TransportError as error:
         return Broken(error.reason) if error.sent else NotSent(error.reason)
-    took_ms = (time.monotonic() - began_s) * 1000.0
+    took_ms = (monotonic_s() - began_s) * 1000.0
     return _result(attempt, reply, price_microusd, took_ms)
 
 
--- a/ashlatch/client.py
+++ b/ashlatch/client.py
@@ -11,11 +11,11 @@
 """
 
 import asyncio
-import time
 from collections.abc import Callable
 from concurrent.futures import Future
 from typing import Any, TypeVar
 
+from ashlatch.clock import monotonic_s
 from ashlatch.errors import NoLeader, TransportError
 from ashlatch.link import Method
 from ashlatch.rpc import Address, Peer, RpcLoop
@@ -155,10 +155,10 @@
         timeout_ms: float,
         wait_ms: float = 0.0,
     ) -> R:
-        began_s = time.monotonic()
+        began_s = monotonic_s()
         limit_s = began_s + timeout_ms / 1000.0
         while True:
-            left_s = limit_s - time.monotonic()
+            left_s = limit_s - monotonic_s()
             if left_s <= 0:
                 raise NoLeader(timeout_ms)
             try:
--- a/ashlatch/control/daemon.py
+++ b/ashlatch/control/daemon.py
@@ -22,6 +22,7 @@
 from ashlatch.adapter.platform import PlatformUnreadable, read_pool, read_vms
 from ashlatch.adapter.rating import RatingService, RatingUnreadable
 from ashlatch.client import StateClient
+from ashlatch.clock import monotonic_ms
 from ashlatch.codec import digest
 from ashlatch.control import membership, placement, rollout
 from ashlatch.control.api import ResourceApi
@@ -47,7 +48,6 @@
 from ashlatch.http.server import HttpServer
 from ashlatch.log import LogEvent, emit
 from ashlatch.periodic import Periodic
-from ashlatch.raft.group import monotonic_ms
 from ashlatch.registry import Handlers
 from ashlatch.resources import Pool, parse
 from ashlatch.rpc import Address, RpcLoop
--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -19,6 +19,7 @@
 from pathlib import Path
 
 from ashlatch.catalog import CoreVm, Endpoint, Rollout, Service
+from ashlatch.clock import monotonic_ms
 from ashlatch.fleet.discovery import ListReader
 from ashlatch.fleet.following import LeaderLink
 from ashlatch.fleet.founding import open_member
@@ -58,7 +59,7 @@
 from ashlatch.platform.document import decode_catalog
 from ashlatch.raft.core import RaftConfig
 from ashlatch.raft.effect import AddLearner, Received, RemoveMember
-from ashlatch.raft.group import Group, Standing, monotonic_ms
+from ashlatch.raft.group import Group, Standing
 from ashlatch.raft.storage import Disk, DiskFailed
 from ashlatch.rpc import Address, RpcLoop, RpcService, watch_traffic
 from ashlatch.settings import CoreSettings
--- a/ashlatch/fleet/orders.py
+++ b/ashlatch/fleet/orders.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from ashlatch.clock import monotonic_ms
 from ashlatch.codec import encode
 from ashlatch.errors import TransportError
 from ashlatch.fleet.machine import Command, FleetMachine, Outcome
@@ -27,7 +28,7 @@
     ReadReply,
     ReadRequest,
 )
-from ashlatch.raft.group import Group, NotLeading, monotonic_ms
+from ashlatch.raft.group import Group, NotLeading
 
 __all__ = ["Orders"]
 
--- a/ashlatch/fleet/spread.py
+++ b/ashlatch/fleet/spread.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable
 
 from ashlatch.catalog import CoreVm, EndpointList, GatewayVm, SessionMarks
+from ashlatch.clock import monotonic_ms
 from ashlatch.fleet.machine import FleetState
 from ashlatch.fleet.protocol import SyncReply, SyncRequest, gateways_digest
 from ashlatch.fleet.reads import ReadLog
@@ -20,7 +21,6 @@
 from ashlatch.gateway.tally import Tallies
 from ashlatch.policy.quarantine import CrashRecord, merge_record, merged
 from ashlatch.policy.reading import ReadingRates
-from ashlatch.raft.group import monotonic_ms
 
 __all__ = ["Spread", "has_news"]
 
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -57,6 +57,9 @@
 # requests that come before wait for that, and are refused after it.
 START_HOLD_S = 1.2
 START_RETRY_S = 1.0
+# A gateway that has stood still asks the core when it wakes, which takes some ms; a
+# request that has come meanwhile is served by what is known after this.
+CATCH_UP_S = 0.6
 # After it was asked to stop, a gateway takes new connections until the entry
 # has asked twice whether it is ready.
 STOP_ACCEPTS_S = 2.5
@@ -189,6 +192,8 @@
             refused = Refused(503, RefusalReason.NO_CONFIGURATION, START_RETRY_S)
             self._refuse(responder, ask.request_id, refused)
             return
+        if self._link.stood_still:
+            await self._link.wait_caught_up(CATCH_UP_S)
         admission = admit(self.known, ask)
         if isinstance(admission, Refused):
             self._refuse(responder, ask.request_id, admission)
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -229,6 +229,8 @@
             self._tried.add(attempt.state.endpoint.instance)
             return False
         self._account.answered(attempt)
+        # What is dropped here has run: no later answer may say that nothing has.
+        self._may_have_run = True
         self._model = model
         self._why = "confidence"
         return True
--- a/ashlatch/gateway/sync.py
+++ b/ashlatch/gateway/sync.py
@@ -15,6 +15,7 @@
 import logging
 import random
 import zlib
+from collections.abc import Callable
 
 from ashlatch.catalog import EndpointList, GatewayVm
 from ashlatch.codec import TRAFFIC
@@ -76,6 +77,9 @@
 # pause between reads is drawn, so that gateways do not read together.
 ALONE_MS = 2500.0
 ALONE_READ_S = (1.5, 2.5)
+# A gateway hears of the core twice a second, or finds within 1.1 s that it does not:
+# after this long without either, the process has stood still and knows old things.
+STOOD_STILL_MS = 2000.0
 # A gateway that starts while no core VM is in touch with a leader serves with
 # what an old one knows after this time.
 SETTLE_MS = 4000.0
@@ -130,10 +134,30 @@
 
     async def wait_settled(self, wait_s: float) -> bool:
         """Wait until requests may be served, as they may soon after a start."""
+        return await self._wait(lambda: self.settled, wait_s)
+
+    @property
+    def stood_still(self) -> bool:
+        """Whether this process has just woken and has not heard of the core since.
+
+        Its VM was suspended or frozen: a key may have been removed, a version
+        withdrawn, an endpoint replaced meanwhile. A core that is known to be out of
+        touch is another matter: the gateway serves on with what it has.
+        """
+        if self._heard_ms == float("-inf") or self._lost_since_ms is not None:
+            return False
+        return self._now_ms() - self._heard_ms > STOOD_STILL_MS
+
+    async def wait_caught_up(self, wait_s: float) -> bool:
+        """Wait for the first word of the core after the process has stood still."""
+        return await self._wait(lambda: not self.stood_still, wait_s)
+
+    async def _wait(self, reached: Callable[[], bool], wait_s: float) -> bool:
+        """Wait until something holds, for a time; whether it does."""
         ends_s = self._loop.time() + wait_s
-        while not self.settled and self._loop.time() < ends_s:
+        while not reached() and self._loop.time() < ends_s:
             await asyncio.sleep(SETTLE_LOOK_S)
-        return self.settled
+        return reached()
 
     async def run(self) -> None:
         """Ask for news again and again."""
--- a/ashlatch/raft/group.py
+++ b/ashlatch/raft/group.py
@@ -13,12 +13,12 @@
 import dataclasses
 import queue
 import threading
-import time
 from collections.abc import Callable
 from concurrent.futures import Future
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+from ashlatch.clock import monotonic_ms
 from ashlatch.errors import AshlatchError
 from ashlatch.raft import election
 from ashlatch.raft.core import RaftConfig, RaftCore
@@ -43,7 +43,7 @@
 from ashlatch.raft.message import Entry, Member, Members, Message
 from ashlatch.raft.storage import GroupStorage
 
-__all__ = ["Group", "NotLeading", "Replica", "Standing", "monotonic_ms"]
+__all__ = ["Group", "NotLeading", "Replica", "Standing"]
 
 TICK_MS = 20.0
 MAX_BATCH = 512
@@ -54,11 +54,6 @@
 _HANDLERS_OF = (election,)
 
 
-def monotonic_ms() -> float:
-    """The host's monotonic clock in milliseconds."""
-    return time.monotonic() * 1000.0
-
-
 @dataclass
 class NotLeading(AshlatchError):
     """The proposal was not taken here, or it is not known what became of it.
--- a/ashlatch/router/conversation.py
+++ b/ashlatch/router/conversation.py
@@ -16,8 +16,8 @@
 from werkzeug.wrappers import Request as HttpRequest
 from werkzeug.wrappers import Response
 
+from ashlatch.clock import monotonic_ms
 from ashlatch.http.problem import problem_response
-from ashlatch.raft.group import monotonic_ms
 from ashlatch.router.effect import GiveAnswer, GiveProblem
 from ashlatch.router.event import CallerLeft, DeadlinePassed, Request
 from ashlatch.router.host import Chunk, Mailbox, RouterHost
--- a/ashlatch/router/daemon.py
+++ b/ashlatch/router/daemon.py
@@ -24,6 +24,7 @@
 
 from ashlatch.adapter.platform import PlatformUnreadable, read_pool
 from ashlatch.adapter.rating import RatingService, RatingUnreadable
+from ashlatch.clock import monotonic_ms, monotonic_s, unix_ms
 from ashlatch.errors import TransportError
 from ashlatch.http import problem as problems
 from ashlatch.http.problem import Problem, problem_response
@@ -31,7 +32,6 @@
 from ashlatch.log import LogEvent, emit
 from ashlatch.periodic import Periodic
 from ashlatch.policy.table import RoutingTable, TableBuilder
-from ashlatch.raft.group import monotonic_ms
 from ashlatch.router.api import (
     BadRequest,
     Clock,
@@ -139,8 +139,8 @@
         self.host.post(DrainStarted())
         emit(log, DrainBegun(self.settings.vm, self.host.in_flight()))
         time.sleep(self.settings.drain_ms / 1000.0)
-        limit_s = time.monotonic() + self.settings.deadline_max_ms / 1000.0
-        while self.host.in_flight() and time.monotonic() < limit_s:
+        limit_s = monotonic_s() + self.settings.deadline_max_ms / 1000.0
+        while self.host.in_flight() and monotonic_s() < limit_s:
             time.sleep(STOP_CHECK_S)
         cut = self.host.in_flight()
         self._server.stop()
@@ -287,9 +287,7 @@
         return Response(body, content_type="application/json")
 
     def _read(self, http: HttpRequest, organisation: str) -> Request:
-        clock = Clock(
-            monotonic_ms(), int(time.time() * 1000), self.settings.deadline_max_ms
-        )
+        clock = Clock(monotonic_ms(), unix_ms(), self.settings.deadline_max_ms)
         table = self.host.core.planner.table
         if http.path == "/v1/chat/completions" and http.method == "POST":
             return read_chat(http, organisation, table, clock)
--- a/ashlatch/router/host.py
+++ b/ashlatch/router/host.py
@@ -22,10 +22,10 @@
 from ashlatch.adapter.engine import EngineCall, Prices
 from ashlatch.adapter.service import call_service
 from ashlatch.client import StateClient
+from ashlatch.clock import monotonic_ms
 from ashlatch.errors import NoLeader
 from ashlatch.log import emit
 from ashlatch.metrics import Metrics
-from ashlatch.raft.group import monotonic_ms
 from ashlatch.registry import Handlers
 from ashlatch.router import admission, attempt, hedge, knowledge
 from ashlatch.router.core import RouterConfig, RouterCore
--- a/ashlatch/rpc.py
+++ b/ashlatch/rpc.py
@@ -18,6 +18,7 @@
 
 from grpclib.server import Server
 
+from ashlatch.clock import ClockLoop
 from ashlatch.codec import TRAFFIC, MessageCodec
 from ashlatch.errors import TransportError
 from ashlatch.link import CallRefused, Link, LinkLost, LinkService, Method
@@ -57,7 +58,7 @@
     """An asyncio loop in its own thread, bridged to futures."""
 
     def __init__(self) -> None:
-        self.loop = asyncio.new_event_loop()
+        self.loop = ClockLoop()
         self._thread = threading.Thread(
             target=self.loop.run_forever, name="rpc", daemon=True
         )
--- a/ashlatch/store/daemon.py
+++ b/ashlatch/store/daemon.py
@@ -12,15 +12,15 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import ClassVar
 
+from ashlatch.clock import monotonic_ms, monotonic_s, unix_ms
 from ashlatch.errors import TransportError
 from ashlatch.log import LogEvent, emit
 from ashlatch.raft.effect import AddLearner, Received, RemoveMember
-from ashlatch.raft.group import NotLeading, monotonic_ms
+from ashlatch.raft.group import NotLeading
 from ashlatch.raft.message import Member, Message
 from ashlatch.rpc import Address, Peer, RpcLoop, RpcService
 from ashlatch.settings import StateSettings
@@ -309,9 +309,9 @@
         for router in sorted(gone):
             emit(log, RouterLapsed(router, member.number))
             await member.commit(RouterGone(router))
-        if time.monotonic() - member.expired_s > EXPIRE_EVERY_S:
-            member.expired_s = time.monotonic()
-            before_ms = int(time.time() * 1000) - self.settings.retention_ms
+        if monotonic_s() - member.expired_s > EXPIRE_EVERY_S:
+            member.expired_s = monotonic_s()
+            before_ms = unix_ms() - self.settings.retention_ms
             await member.commit(Expire(before_ms))
 
     def _lapsed_routers(self) -> set[str]:
--- a/ashlatch/store/member.py
+++ b/ashlatch/store/member.py
@@ -11,13 +11,13 @@
 
 import asyncio
 import logging
-import time
 from dataclasses import dataclass
 from pathlib import Path
 from typing import ClassVar
 
 import msgspec
 
+from ashlatch.clock import monotonic_s, unix_ms
 from ashlatch.codec import encode
 from ashlatch.errors import AshlatchError
 from ashlatch.log import LogEvent, emit
@@ -150,7 +150,7 @@
         self._vm = settings.vm
         self._logged_leader: tuple[int, bool, str] = (-1, False, "")
         self._logged_members = Members()
-        self.expired_s = time.monotonic()
+        self.expired_s = monotonic_s()
 
     @property
     def standing(self) -> Standing:
@@ -159,7 +159,7 @@
 
     async def commit(self, command: Command) -> Outcome:
         """Stamp a command, and wait until it is applied; fails as `propose`."""
-        timed = msgspec.structs.replace(command, at_ms=int(time.time() * 1000))
+        timed = msgspec.structs.replace(command, at_ms=unix_ms())
         future = self.group.propose(encode(timed))
         outcome: Outcome = await asyncio.wrap_future(future)
         return outcome
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -7,6 +7,7 @@
 import testtools
 
 from ashlatch.catalog import Endpoint, EndpointList
+from ashlatch.clock import ClockLoop
 from ashlatch.gateway.admission import Refused, admit, refuse
 from ashlatch.gateway.budget import BudgetTerms
 from ashlatch.gateway.exchange import Exchange
@@ -68,7 +69,8 @@
                 worker.stop()
             self.assertEqual([], failures)
 
-        asyncio.run(run())
+        with asyncio.Runner(loop_factory=ClockLoop) as runner:
+            runner.run(run())
 
     def knowledge(self, workers: list[StandIn], extra: float) -> Knowledge:
         known = Knowledge(
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -34,6 +34,12 @@
 SYNC = ("-m", "pytest", "-x", "tests/test_sync.py")
 CHOOSING = ("-m", "pytest", "-x", "tests/test_choosing.py")
 AUDIENCE = ("-m", "pytest", "-x", "tests/test_audience.py", "tests/test_contact.py")
+CRASHING = ("-m", "pytest", "-x", "tests/test_crashing_requests.py")
+QUARANTINE = ("-m", "pytest", "-x", "tests/test_quarantine.py")
+CRASH_LOAD = ("-m", "pytest", "-x", "tests/test_crash_load.py")
+LIVES = ("-m", "pytest", "-x", "tests/test_lives.py")
+FOREIGN = ("-m", "pytest", "-x", "tests/test_foreign_entries.py")
+CLOCK = ("-m", "pytest", "-x", "tests/test_clock.py")
 ENGINES = ("-m", "pytest", "-x", "tests/test_full_engines.py")
 LIMIT_S = 180.0
 SHOWN_LINES = 3
@@ -373,6 +379,118 @@
         "            if False:\n",
         ENGINES,
     ),
+    Mutant(
+        "crash-not-held-against-the-request",
+        "ashlatch/gateway/exchange.py",
+        "        if await self._crashes.ended(attempt.state, failed):\n",
+        "        if False:\n",
+        CRASHING,
+    ),
+    Mutant(
+        "any-broken-connection-is-a-crash",
+        "ashlatch/gateway/crash.py",
+        "        connection.abort()\n        return False\n",
+        "        connection.abort()\n        return True\n",
+        CRASHING,
+    ),
+    Mutant(
+        "good-run-clears-nothing",
+        "ashlatch/gateway/crash.py",
+        "        if self._known.quarantine.survived(content):\n",
+        "        if False:\n",
+        CRASHING,
+    ),
+    Mutant(
+        "crashes-not-committed",
+        "ashlatch/fleet/daemon.py",
+        "            await self._orders.commit_here(NoteCrashes(records))\n",
+        "            return\n",
+        CRASHING,
+    ),
+    Mutant(
+        "suspects-go-together",
+        "ashlatch/gateway/choice.py",
+        "    if apart:\n",
+        "    if False:\n",
+        CRASH_LOAD,
+    ),
+    Mutant(
+        "one-crash-counted-twice",
+        "ashlatch/policy/quarantine.py",
+        "        if at is None:\n",
+        "        if True:\n",
+        QUARANTINE,
+    ),
+    Mutant(
+        "held-ones-give-way",
+        "ashlatch/policy/quarantine.py",
+        "    return len(record.unsurvived), newest_ms, record.content\n",
+        "    return 0, newest_ms, record.content\n",
+        QUARANTINE,
+    ),
+    Mutant(
+        "told-once",
+        "ashlatch/policy/quarantine.py",
+        "            if times < TOLD_MAX:\n",
+        "            if False:\n",
+        QUARANTINE,
+    ),
+    Mutant(
+        "start-forgotten",
+        "ashlatch/catalog.py",
+        "        return told and self.started_unix_ms > other.started_unix_ms\n",
+        "        return False\n",
+        LIVES,
+    ),
+    Mutant(
+        "older-start-believed",
+        "ashlatch/gateway/directory.py",
+        "max(known.endpoint.started_unix_ms, listed.started_unix_ms)",
+        "listed.started_unix_ms",
+        LIVES,
+    ),
+    Mutant(
+        "beliefs-outlive-the-process",
+        "ashlatch/gateway/directory.py",
+        "        if news:\n            self._begin_life()\n",
+        "",
+        LIVES,
+    ),
+    Mutant(
+        "reads-of-the-ended-life-believed",
+        "ashlatch/gateway/sync.py",
+        "            if state is not None and state.ended_lately(now_ms):\n",
+        "            if False:\n",
+        LIVES,
+    ),
+    Mutant(
+        "foreign-entry-spoils-the-list",
+        "ashlatch/platform/reading.py",
+        "        except JsonUnreadable as error:\n            left_out",
+        "        except KeyError as error:\n            left_out",
+        FOREIGN,
+    ),
+    Mutant(
+        "suspension-not-counted",
+        "ashlatch/clock.py",
+        'getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)',
+        "time.CLOCK_MONOTONIC",
+        CLOCK,
+    ),
+    Mutant(
+        "loop-leaves-suspension-out",
+        "ashlatch/rpc.py",
+        "        self.loop = ClockLoop()\n",
+        "        self.loop = asyncio.new_event_loop()\n",
+        CLOCK,
+    ),
+    Mutant(
+        "served-by-old-knowledge-on-waking",
+        "ashlatch/gateway/sync.py",
+        "        return self._now_ms() - self._heard_ms > STOOD_STILL_MS\n",
+        "        return False\n",
+        CLOCK,
+    ),
     Mutant(
         "full-engines-cost-nothing",
         "ashlatch/gateway/forecast.py",
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -295,6 +295,26 @@
         self.run_gateway([worker], work)
 
 
+class DroppedAnswerTest(GatewayHarness):
+    def test_what_has_run_is_not_said_not_to_have(self) -> None:
+        """The small model's answer is dropped for the large one's, which is refused.
+
+        The answer was a 503 on the code before, a promise that nothing has run.
+        """
+        low = standin.stream(3, "X-Confidence: 20")
+        full = standin.answer(b"", 503, "X-Not-Executed: full")
+
+        async def by_model(request: Received, writer: asyncio.StreamWriter) -> None:
+            small = request.headers["x-model"] == "small"
+            await (low if small else full)(request, writer)
+
+        async def work() -> None:
+            status, _ = await self.call(ask("/stream/1", ASK_STREAM))
+            self.assertEqual(502, status)
+
+        self.run_gateway([StandIn([by_model])], work)
+
+
 class MisdirectedTest(GatewayHarness):
     def test_an_address_that_another_endpoint_has(self) -> None:
         """Two engines of three are replaced: the request is served all the same.
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -154,7 +154,7 @@
         quarantine = Quarantine()
         at_ms = crashed(quarantine, CRASHES_MAX)
         for content in range(1000, 1000 + 2 * RECORDS_MAX):
-            quarantine.crashed(content, "i-0", 0, AT + content)
+            quarantine.crashed(content, "i-0", 0, AT + 60_000 + content)
         self.assertTrue(quarantine.held_ms(CONTENT, at_ms) > 0)
         records: dict[int, CrashRecord] = {}
         for content in range(2 * RECORDS_MAX):
