--- a/ashlatch/clock.py
+++ b/ashlatch/clock.py
@@ -17,12 +17,10 @@
 import asyncio
 import time
 
-__all__ = ["ClockLoop", "SuspensionMeter", "monotonic_ms", "monotonic_s", "unix_ms"]
+__all__ = ["ClockLoop", "monotonic_ms", "monotonic_s", "unix_ms"]
 
 # Systems without it have a steady clock that counts suspension, or never suspend.
 _COUNTS_SUSPENSION: int = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
-# The two clocks are read one after the other; less than this is no suspension.
-SUSPENDED_MIN_MS = 100.0
 
 
 def monotonic_s() -> float:
@@ -51,23 +49,3 @@
     def time(self) -> float:
         """The loop's clock, in seconds."""
         return monotonic_s()
-
-
-class SuspensionMeter:
-    """Measures for how long the VM was suspended since it was last asked."""
-
-    def __init__(self) -> None:
-        self._apart_ms = _apart_ms()
-
-    def suspended_ms(self) -> float:
-        """The time of suspension that is news; 0 for none."""
-        apart_ms = _apart_ms()
-        suspended_ms = apart_ms - self._apart_ms
-        if suspended_ms < SUSPENDED_MIN_MS:
-            return 0.0
-        self._apart_ms = apart_ms
-        return suspended_ms
-
-
-def _apart_ms() -> float:
-    return (monotonic_s() - time.monotonic()) * 1000.0
--- a/ashlatch/explain/belief.py
+++ b/ashlatch/explain/belief.py
@@ -23,6 +23,7 @@
     "daemon_started": ("process", ""),
     "stop_begun": ("process", ""),
     "daemon_stopped": ("process", ""),
+    "vm_suspended": ("suspension", ""),
     "reloaded": ("settings", ""),
     "configuration_applied": ("configuration", ""),
     "endpoints_replaced": ("endpoints", ""),
--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -65,6 +65,7 @@
 from ashlatch.settings import CoreSettings
 from ashlatch.store import protocol as store_protocol
 from ashlatch.store.transport import Transport
+from ashlatch.suspension import watch_suspension
 
 __all__ = ["CoreDaemon"]
 
@@ -228,7 +229,14 @@
             self.member, self._standing, self._known_addresses, self._book
         )
         link = self._leader_link
-        for work in (join, self._lead(), link.follow(), link.pass_on()):
+        works = (
+            join,
+            self._lead(),
+            link.follow(),
+            link.pass_on(),
+            watch_suspension(),
+        )
+        for work in works:
             self.rpc.keep(work, self._failed)
 
     async def _stop(self) -> None:
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -42,6 +42,7 @@
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
 from ashlatch.rpc import Address, RpcLoop, watch_traffic
 from ashlatch.settings import GatewaySettings
+from ashlatch.suspension import watch_suspension
 
 __all__ = ["GatewayDaemon"]
 
@@ -148,6 +149,7 @@
             watch.run(),
             self._sweep(),
             self._log_traffic(),
+            watch_suspension(),
         )
         for work in works:
             self.rpc.keep(work, self._failed)
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -13,11 +13,12 @@
 import testtools
 
 from ashlatch.catalog import GatewayVm
-from ashlatch.clock import ClockLoop, SuspensionMeter, monotonic_ms
+from ashlatch.clock import ClockLoop, monotonic_ms
 from ashlatch.fleet.seeds import Seeds
 from ashlatch.gateway.sync import STOOD_STILL_MS, FleetLink
 from ashlatch.raft.group import Standing
 from ashlatch.rpc import RpcLoop
+from ashlatch.suspension import SuspensionMeter
 from tests.gateway import GatewayHarness, ask
 from tests.standin import Received, StandIn, answer
 
