--- a/ashlatch/explain/story.py
+++ b/ashlatch/explain/story.py
@@ -18,6 +18,8 @@
 
 # Other requests at the same endpoints are looked at this long before and after.
 AROUND_S = 1.0
+# What gateways log of a content under which endpoints have ended.
+CRASH_EVENTS = ("crash_noted", "content_held", "content_survived")
 
 
 def explain_request(request: str, lines: list[Line]) -> Iterator[str]:
@@ -37,6 +39,8 @@
     before = (line for line in lines if line.at <= own[0].at)
     yield from _beliefs(Beliefs().take_all(before), process, own[0].at)
     yield from _changes_within(lines, own)
+    for content in sorted({line.get("content") for line in own} - {""}):
+        yield from _crashes(content, lines, request)
     for instance in sorted({line.get("instance") for line in own} - {""}):
         yield from _around(instance, lines, own, request)
 
@@ -98,6 +102,22 @@
     yield f"other requests at {instance}, all processes: {told or 'none'}"
 
 
+def _crashes(content: str, lines: list[Line], request: str) -> Iterator[str]:
+    """Which endpoints have ended under requests that ask for the same."""
+    others = [
+        line
+        for line in lines
+        if line.get("content") == content
+        and line.event in CRASH_EVENTS
+        and line.get("request") != request
+    ]
+    if not others:
+        return
+    yield f"other requests with the content {content}, all processes"
+    for line in others:
+        yield f"    {line.at} {line.process} {line.event} {line.text()}"
+
+
 def _totals(lines: list[Line]) -> Iterator[str]:
     """How requests ended, and attempts failed, by endpoint."""
     ended: Counter[str] = Counter()
--- a/ashlatch/gateway/admission.py
+++ b/ashlatch/gateway/admission.py
@@ -9,18 +9,23 @@
 :license: MIT, see LICENSE for details.
 """
 
+import logging
 from dataclasses import dataclass
 
 from ashlatch.catalog import Organisation, Route, Service
 from ashlatch.clock import unix_ms
-from ashlatch.gateway.content import content_digest
+from ashlatch.gateway.content import content_digest, digest_text
 from ashlatch.gateway.knowledge import Knowledge
+from ashlatch.gateway.logs import RequestHeld
 from ashlatch.gateway.message import Ask, RefusalReason
 from ashlatch.http.connection import Responder
+from ashlatch.log import emit
 from ashlatch.platform.headers import refusal_headers
 
 __all__ = ["RETRY_AFTER_S", "Admission", "Refused", "admit", "quarantined", "refuse"]
 
+log = logging.getLogger("ashlatch.gateway")
+
 # When the endpoints are full or away: about the time in which one answers.
 RETRY_AFTER_S = 0.5
 
@@ -77,6 +82,10 @@
     content = content_digest(ask, organisation.name if organisation else "")
     held = quarantined(known, content)
     if held is not None:
+        crashes = known.quarantine.crashes(content)
+        held_ms = int(known.quarantine.held_ms(content, unix_ms()))
+        text = digest_text(content)
+        emit(log, RequestHeld(ask.request_id, text, crashes, held_ms))
         return held
     return Admission(
         ask,
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -37,6 +37,7 @@
     "ListUnread",
     "PeersUnavailable",
     "RequestEnded",
+    "RequestHeld",
     "RequestSent",
     "RequestUnreadable",
     "RolloutLearnt",
@@ -243,6 +244,17 @@
     held_ms: int
 
 
+@dataclass(frozen=True)
+class RequestHeld(LogEvent):
+    """A request is refused, as endpoints have ended under its content."""
+
+    event: ClassVar[str] = "request_held"
+    request: str
+    content: str
+    crashes: int
+    held_ms: int
+
+
 @dataclass(frozen=True)
 class ContentHeld(LogEvent):
     """A content is refused from now on; `source` has told of its last crash."""
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -11,6 +11,7 @@
 import testtools
 
 from ashlatch import log as ashlatch_log
+from ashlatch import suspension
 from ashlatch.cmdline.ctl import main
 from ashlatch.explain.belief import BELIEFS
 from ashlatch.explain.lines import Line, parse_line, read_lines
@@ -162,7 +163,7 @@
 
 class EventsTest(testtools.TestCase):
     def test_every_belief_is_an_event_of_the_product(self) -> None:
-        self.assertTrue(seeds.__all__)
+        self.assertTrue(seeds.__all__ and suspension.__all__)
         self.assertEqual(set(), set(BELIEFS) - set(event_names(LogEvent)))
 
     def test_gateways_and_core_are_covered(self) -> None:
@@ -180,6 +181,7 @@
             "urgent_untold",
             "gateway_urgent_untold",
             "crash_noted",
+            "request_held",
             "crashes_unnoted",
             # No decision either: sums for whoever asks what a hall costs.
             "traffic_counted",
@@ -220,3 +222,28 @@
             done = self.run_with(*arguments)
             self.assertEqual(2, done.exit_code)
             self.assertIn("give either --request, or --from and --to", done.output)
+
+
+class CrashesTest(testtools.TestCase):
+    """Why a request was refused whose content ends endpoints."""
+
+    LINES = (
+        "at=2026-12-02T10:00:01.000 event=request_sent request=r1 content=c7 "
+        "instance=i1",
+        "at=2026-12-02T10:00:01.100 event=crash_noted request=r1 content=c7 "
+        "instance=i1 crashes=3 held_ms=600000",
+        "at=2026-12-02T10:00:01.200 event=crash_noted request=r9 content=c8 "
+        "instance=i1 crashes=1 held_ms=0",
+        "at=2026-12-02T10:00:04.000 event=request_held request=r2 content=c7 "
+        "crashes=3 held_ms=597000",
+        "at=2026-12-02T10:00:04.000 event=request_ended request=r2 status=503 "
+        "reason=quarantined",
+    )
+
+    def test_the_crashes_of_other_tries_are_shown(self) -> None:
+        lines = list(read_lines("edge-1", self.LINES))
+        told = "\n".join(explain_request("r2", lines))
+        self.assertIn("request_held", told)
+        self.assertIn("other requests with the content c7", told)
+        self.assertIn("crash_noted request=r1", told)
+        self.assertNotIn("r9", told)
