Hold back requests that crash endpoints at the product's own routers too

The same cause as at the gateways, found by looking for it: an attempt that breaks went on to the next endpoint, each try anew and at each router, and what had broken at an endpoint that answered again within 2 s counted as errors of the version. A router asks whether the endpoint has ended, counts by content with the same policy, tells the state at once, which keeps the records in its log and answers the other routers' held heartbeats; a version is neither blamed nor cleared.

Found beside: curl sends a repeatable request once more where a kept connection has died, and could not connect to the ended endpoint: the request counted as not sent (not_run true) though the endpoint had read it. test_client failed before.

The records' numbering and what waits for the log stand once, in policy, for both logs. A process that ends may close its listening socket last: who still gets a connection asks again after 20 ms.

--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -311,7 +311,7 @@
     async def _note_crashes(self) -> None:
         """Commit what gateways have told of requests that crash endpoints."""
         with self.group.lock:
-            records = self._spread.crashes_unknown_to(self.machine.state)
+            records = self._spread.crashes.unknown_to(self.machine.state.crashes)
         if not records:
             return
         try:
@@ -320,7 +320,7 @@
             # They are told again with the next look.
             emit(log, CrashesUnnoted(len(records), error.detail), logging.WARNING)
             return
-        emit(log, CrashesNoted(len(records), self.machine.state.crash_number))
+        emit(log, CrashesNoted(len(records), self.machine.state.crashes.number))
 
     def _read_memories_once(self, term: int) -> None:
         """Ask the engines what they keep, once as a new leader."""
--- a/ashlatch/fleet/following.py
+++ b/ashlatch/fleet/following.py
@@ -120,6 +120,6 @@
             self.spread.reads.position,
             gateways_digest(self.spread.gateways),
             self.own,
-            crashes=self.spread.crashes_unknown_to(state),
-            crashes_known=state.crash_number,
+            crashes=self.spread.crashes.unknown_to(state.crashes),
+            crashes_known=state.crashes.number,
         )
--- a/ashlatch/fleet/machine.py
+++ b/ashlatch/fleet/machine.py
@@ -14,7 +14,7 @@
 
 from ashlatch.catalog import Rollout, RolloutStage
 from ashlatch.codec import decode, encode
-from ashlatch.policy.quarantine import CrashRecord, merge_record
+from ashlatch.policy.quarantine import CrashLog, CrashRecord
 from ashlatch.registry import Handlers
 
 __all__ = [
@@ -98,25 +98,14 @@
 
 
 class FleetState(msgspec.Struct):
-    """Everything that is replicated; a snapshot is this, encoded.
-
-    `crash_number` counts the changes of `crashes`, `crash_numbers` holds at which of
-    them each content changed last.
-    """
+    """Everything that is replicated; a snapshot is this, encoded."""
 
     version: int = 0
     document: bytes = b""
     document_digest: str = ""
     rollouts: dict[str, Rollout] = {}
     number: int = 0
-    crashes: dict[int, CrashRecord] = {}
-    crash_numbers: dict[int, int] = {}
-    crash_number: int = 0
-
-    def crashes_since(self, number: int) -> tuple[CrashRecord, ...]:
-        """The records that have changed since a number."""
-        numbers = self.crash_numbers
-        return tuple(r for c, r in self.crashes.items() if numbers[c] > number)
+    crashes: CrashLog = msgspec.field(default_factory=CrashLog)
 
 
 class FleetMachine:
@@ -191,11 +180,4 @@
 
 @_HANDLERS.on(NoteCrashes)
 def _note_crashes(state: FleetState, command: NoteCrashes) -> Outcome:
-    before = state.crash_number
-    for record in command.records:
-        if merge_record(state.crashes, record):
-            state.crash_number += 1
-            state.crash_numbers[record.content] = state.crash_number
-    numbers = state.crash_numbers
-    state.crash_numbers = {content: numbers[content] for content in state.crashes}
-    return Accepted(changed=state.crash_number > before)
+    return Accepted(changed=state.crashes.note(command.records))
--- a/ashlatch/fleet/spread.py
+++ b/ashlatch/fleet/spread.py
@@ -19,7 +19,7 @@
 from ashlatch.fleet.reads import ReadLog
 from ashlatch.gateway.kept import PromptRead
 from ashlatch.gateway.tally import Tallies
-from ashlatch.policy.quarantine import CrashRecord, merge_record, merged
+from ashlatch.policy.quarantine import UnloggedCrashes
 from ashlatch.policy.reading import ReadingRates
 
 __all__ = ["Spread", "has_news"]
@@ -59,7 +59,7 @@
         self._changed = asyncio.Event()
         self._running: dict[str, dict[int, float]] = {}
         self._moved: dict[str, dict[int, float]] = {}
-        self._crashes: dict[int, CrashRecord] = {}
+        self.crashes = UnloggedCrashes()
         # Set when something was told that the leader should hear at once.
         self.urgent = asyncio.Event()
 
@@ -75,21 +75,8 @@
             self._take_sessions(sessions, now_ms)
         self.tell_reads(request.reads)
         self._rates.add(request.rates)
-        for record in request.crashes:
-            if merge_record(self._crashes, record):
-                self.urgent.set()
-
-    def crashes_unknown_to(self, state: FleetState) -> tuple[CrashRecord, ...]:
-        """What was told of crashes and is not in the log yet; the rest is forgotten.
-
-        It is told on until it is there, whoever leads meanwhile.
-        """
-        known = state.crashes
-        for content, record in tuple(self._crashes.items()):
-            held = known.get(content)
-            if held is not None and merged(held, record) == held:
-                del self._crashes[content]
-        return tuple(self._crashes.values())
+        if self.crashes.take(request.crashes):
+            self.urgent.set()
 
     def core_vms(self, addresses: Iterable[str]) -> tuple[CoreVm, ...]:
         """Core VMs by their addresses, with their halls as far as they are known."""
@@ -201,8 +188,8 @@
             self.reads.since(request.reads_known),
             self.reads.position,
             self._rates.estimates(),
-            state.crashes_since(request.crashes_known),
-            state.crash_number,
+            state.crashes.since(request.crashes_known),
+            state.crashes.number,
         )
 
     def _gateways_unknown_to(
--- a/ashlatch/gateway/crash.py
+++ b/ashlatch/gateway/crash.py
@@ -36,6 +36,9 @@
 # A refusal comes within a round trip of some milliseconds; a request that may go
 # elsewhere waits no longer than this to learn whether its endpoint has ended.
 PROBE_TIMEOUT_S = 0.1
+# A process that ends closes its connections one after the other, the listening socket
+# perhaps last: who still gets a connection asks again after this.
+AGAIN_S = 0.02
 # What a probe has found holds for requests that break this soon after it was begun:
 # all of them break within milliseconds.
 FOUND_S = 0.3
@@ -98,10 +101,16 @@
         probes = self._known.probes
         probe = probes.get(instance)
         if probe is None:
-            probe = probes[instance] = self._loop.create_task(self._refuses(state))
+            probe = probes[instance] = self._loop.create_task(self._has_ended(state))
             self._loop.call_later(FOUND_S, probes.pop, instance, None)
         return probe
 
+    async def _has_ended(self, state: EndpointState) -> bool:
+        if await self._refuses(state):
+            return True
+        await asyncio.sleep(AGAIN_S)
+        return await self._refuses(state)
+
     async def _refuses(self, state: EndpointState) -> bool:
         """Whether nobody listens at an endpoint's address."""
         try:
--- a/ashlatch/http/client.py
+++ b/ashlatch/http/client.py
@@ -73,6 +73,8 @@
     def __init__(self, call: Call) -> None:
         self.call = call
         self.forbidden = False
+        # Set when a connection stands and the request is about to leave on it.
+        self.sending = False
         self.reply = Reply()
         self.parts: list[bytes] = []
         self.started = False
@@ -98,10 +100,11 @@
             self.parts.append(data)
 
     def prerequisite(self, *addresses: object) -> int:
-        assert self.call.before_send is not None
-        self.forbidden = not self.call.before_send()
+        before_send = self.call.before_send
+        self.forbidden = before_send is not None and not before_send()
         if self.forbidden:
             return int(pycurl.PREREQFUNC_ABORT)
+        self.sending = True
         return int(pycurl.PREREQFUNC_OK)
 
     def progress(self, *totals: float) -> int:
@@ -128,12 +131,17 @@
             raise TransportError(call.url, "not sent any more", False) from error
         if code == pycurl.E_ABORTED_BY_CALLBACK:
             raise Cancelled(call.url, "cancelled", sent=True) from error
-        raise TransportError(call.url, reason, _was_sent(handle, code)) from error
+        sent = _was_sent(handle, code, transfer)
+        raise TransportError(call.url, reason, sent) from error
     transfer.reply.body = b"".join(transfer.parts)
     return transfer.reply
 
 
-def _was_sent(handle: pycurl.Curl, code: int) -> bool:
+def _was_sent(handle: pycurl.Curl, code: int, transfer: _Transfer) -> bool:
+    if transfer.sending:
+        # Also when curl could not connect: a kept connection that dies has carried
+        # the request, and curl sends it once more, to an endpoint that has ended.
+        return True
     if code in _NEVER_SENT:
         return False
     if code == pycurl.E_OPERATION_TIMEDOUT:
@@ -161,8 +169,7 @@
     handle.setopt(pycurl.HTTPHEADER, headers)
     handle.setopt(pycurl.HEADERFUNCTION, transfer.header)
     handle.setopt(pycurl.WRITEFUNCTION, transfer.body)
-    if call.before_send is not None:
-        handle.setopt(pycurl.PREREQFUNCTION, transfer.prerequisite)
+    handle.setopt(pycurl.PREREQFUNCTION, transfer.prerequisite)
     if not call.repeatable:
         # On a kept connection that dies, curl sends the request once more.
         handle.setopt(pycurl.FRESH_CONNECT, 1)
--- a/ashlatch/http/problem.py
+++ b/ashlatch/http/problem.py
@@ -102,6 +102,7 @@
 )
 DRAINING = _declare("draining", 503, "This process is stopping")
 NO_ENDPOINT = _declare("no_endpoint", 503, "No endpoint can take the request now")
+QUARANTINED = _declare("quarantined", 503, "Endpoints crash when they run this request")
 OVERLOADED = _declare("overloaded", 503, "The answer would come too late")
 STATE_UNAVAILABLE = _declare("state_unavailable", 503, "The state does not answer")
 DEADLINE_PASSED = _declare("deadline_passed", 504, "The deadline has passed")
--- a/ashlatch/policy/quarantine.py
+++ b/ashlatch/policy/quarantine.py
@@ -24,8 +24,10 @@
 
 __all__ = [
     "Crash",
+    "CrashLog",
     "CrashRecord",
     "Quarantine",
+    "UnloggedCrashes",
     "endpoint_digest",
     "merge_record",
     "merged",
@@ -135,6 +137,59 @@
     return True
 
 
+class CrashLog(msgspec.Struct):
+    """The records that are replicated, numbered by their changes.
+
+    `number` is that of the newest change, `numbers` hold at which each content changed
+    last, so that somebody who knows a number can be told the rest.
+    """
+
+    records: dict[int, CrashRecord] = {}
+    numbers: dict[int, int] = {}
+    number: int = 0
+
+    def note(self, told: Iterable[CrashRecord]) -> bool:
+        """Take records; whether any of them is news."""
+        before = self.number
+        for record in told:
+            if merge_record(self.records, record):
+                self.number += 1
+                self.numbers[record.content] = self.number
+        self.numbers = {content: self.numbers[content] for content in self.records}
+        return self.number > before
+
+    def since(self, number: int) -> tuple[CrashRecord, ...]:
+        """The records that have changed since a number."""
+        return tuple(r for c, r in self.records.items() if self.numbers[c] > number)
+
+    def covers(self, record: CrashRecord) -> bool:
+        """Whether all that a record tells is known."""
+        held = self.records.get(record.content)
+        return held is not None and merged(held, record) == held
+
+
+@dataclass
+class UnloggedCrashes:
+    """What was told of crashes and is not in the log yet.
+
+    It is told on until it is there, whoever leads meanwhile.
+    """
+
+    _records: dict[int, CrashRecord] = field(default_factory=dict)
+
+    def take(self, told: Iterable[CrashRecord]) -> bool:
+        """Take records; whether any of them is news."""
+        news = [merge_record(self._records, record) for record in told]
+        return any(news)
+
+    def unknown_to(self, log: CrashLog) -> tuple[CrashRecord, ...]:
+        """What the log does not hold; the rest is forgotten."""
+        for content, record in tuple(self._records.items()):
+            if log.covers(record):
+                del self._records[content]
+        return tuple(self._records.values())
+
+
 def _weight(record: CrashRecord) -> tuple[int, int, int]:
     newest_ms = record.crashes[-1].at_unix_ms if record.crashes else 0
     return len(record.unsurvived), newest_ms, record.content
@@ -193,7 +248,8 @@
 
     def to_tell(self) -> tuple[CrashRecord, ...]:
         """What was found here and the core has not confirmed yet."""
-        found = (self._records.get(content) for content in self._untold)
+        # Routers ask on another thread than the one that notes.
+        found = (self._records.get(content) for content in list(self._untold))
         return tuple(record for record in found if record is not None)
 
     def told(self, records: Iterable[CrashRecord]) -> None:
--- a/ashlatch/router/attempt.py
+++ b/ashlatch/router/attempt.py
@@ -34,6 +34,7 @@
 )
 from ashlatch.router.learning import learn
 from ashlatch.router.sending import plan_attempt, start_attempt
+from ashlatch.router.suspects import held_for_ms
 from ashlatch.router.verdict import NoPlan, Plan
 from ashlatch.store.command import AnswerAccepted, AnswerRecorded, RecordAnswer
 
@@ -174,6 +175,8 @@
             start_attempt(core, flight, plan)
             return
         reason = f"{reason}; retry budget spent"
+    if isinstance(plan, NoPlan) and plan.held:
+        reason = f"{reason}; endpoints crash when they run this request"
     retry_ms = plan.retry_ms if isinstance(plan, NoPlan) else NO_STATE_RETRY_MS
     problem = Problem(kind, reason, core.not_run(flight), max(retry_ms, 100.0))
     give_problem(core, flight, problem)
@@ -204,7 +207,9 @@
     """
     assert flight.leg is not None
     usable = core.planner.table.usable(flight.request.organisation, flight.version)
-    again = flight.tries <= RESUME_MAX and usable and core.lease_valid(core.now_ms)
+    held = held_for_ms(core, flight) > 0
+    tries_left = flight.tries <= RESUME_MAX and not held
+    again = tries_left and usable and core.lease_valid(core.now_ms)
     if again and core.budget.spend():
         plan = Plan(flight.version, flight.leg.endpoint, 0.0, "resume", ())
         start_attempt(core, flight, plan, result.chunks)
--- a/ashlatch/router/core.py
+++ b/ashlatch/router/core.py
@@ -17,6 +17,7 @@
 from ashlatch.policy.evidence import Evidence, Finding
 from ashlatch.policy.hedging import Hedging
 from ashlatch.policy.limit import Limits
+from ashlatch.policy.quarantine import Quarantine
 from ashlatch.policy.retry import RetryBudget
 from ashlatch.policy.slowness import Paces
 from ashlatch.policy.table import NamedEndpoint
@@ -131,6 +132,7 @@
     draining: bool = False
     flights: dict[str, Flight] = field(default_factory=dict)
     losers: dict[str, str] = field(default_factory=dict)
+    quarantine: Quarantine = field(default_factory=Quarantine)
     pins: dict[tuple[str, str], CachedPin] = field(default_factory=dict)
     evidence: Evidence = field(default_factory=Evidence)
     tallies: dict[str, VersionTally] = field(default_factory=dict)
--- a/ashlatch/router/daemon.py
+++ b/ashlatch/router/daemon.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
+import msgspec
 from werkzeug.wrappers import Request as HttpRequest
 from werkzeug.wrappers import Response
 
@@ -43,6 +44,7 @@
 from ashlatch.router.event import (
     Answered,
     ConfigurationChanged,
+    CrashesLearnt,
     DrainStarted,
     LeaseRenewed,
     LoadReported,
@@ -117,13 +119,17 @@
         )
         self._ratings = RatingService(settings.rating_url)
         self._random = random.Random(settings.policy.seed)
+        self._crashes_known = 0
+        self._crashes_found = asyncio.Event()
 
     def start(self) -> None:
         """Serve, once the first configuration is applied.
 
         Without a state the router serves too, and refuses everything.
         """
+        self.host.crashes_found = self._crashes_found.set
         self.host.rpc.keep(self._poll_state(), self._failed)
+        self.host.rpc.keep(self._tell_crashes(), self._failed)
         settings, repeat = self.settings, self._periodic.start
         repeat("load", self._read_loads, settings.load_poll_ms)
         if settings.rating_url:
@@ -166,6 +172,31 @@
                 continue
             self._apply(reply, sent_ms)
 
+    async def _tell_crashes(self) -> None:
+        """Tell the state at once of crashes; a heartbeat may be held for long.
+
+        The caller's repeat may come to another router within milliseconds. Of the
+        reply only that part is taken: the configuration comes with heartbeats alone,
+        in their order.
+        """
+        while True:
+            await self._crashes_found.wait()
+            self._crashes_found.clear()
+            poll = msgspec.structs.replace(self._heartbeat(), wait_ms=0.0)
+            try:
+                reply = await self.host.client.poll_router(poll)
+            except TransportError as error:
+                left_ms = self.host.core.lease_until_ms - monotonic_ms()
+                event = StateUnreachable(self.settings.vm, error.reason, left_ms)
+                emit(log, event, logging.WARNING)
+                continue
+            self._take_crashes(reply)
+
+    def _take_crashes(self, reply: RouterReply) -> None:
+        if reply.crashes:
+            self.host.post(CrashesLearnt(reply.crashes))
+        self._crashes_known = max(self._crashes_known, reply.crashes_known)
+
     def _heartbeat(self) -> RouterPoll:
         core = self.host.core
         reports = tuple(
@@ -184,6 +215,8 @@
             self._builder.revision,
             wait_ms,
             reports,
+            core.quarantine.to_tell(),
+            self._crashes_known,
         )
 
     def _apply(self, reply: RouterReply, sent_ms: float) -> None:
@@ -195,6 +228,7 @@
             VersionTotals(report.version, report.tally) for report in reply.totals
         )
         self.host.post(VersionTallied(totals))
+        self._take_crashes(reply)
         self._ready.set()
 
     def _read_loads(self) -> None:
--- a/ashlatch/router/effect.py
+++ b/ashlatch/router/effect.py
@@ -27,6 +27,7 @@
     "ScheduleClaim",
     "ScheduleHedge",
     "StartAttempt",
+    "TellCrashes",
     "WriteLog",
 ]
 
@@ -113,6 +114,11 @@
     problem: Problem
 
 
+@dataclass(frozen=True)
+class TellCrashes:
+    """Tell the state at once what was found of requests that crash endpoints."""
+
+
 @dataclass(frozen=True)
 class WriteLog:
     """Write a log line."""
@@ -130,5 +136,6 @@
     | CancelAttempt
     | GiveAnswer
     | GiveProblem
+    | TellCrashes
     | WriteLog
 )
--- a/ashlatch/router/event.py
+++ b/ashlatch/router/event.py
@@ -14,6 +14,7 @@
 
 from ashlatch.policy.detector import VersionTally
 from ashlatch.policy.load import LoadReport
+from ashlatch.policy.quarantine import CrashRecord
 from ashlatch.policy.table import RoutingTable
 from ashlatch.store.command import (
     Claim,
@@ -34,6 +35,7 @@
     "ClaimDue",
     "ClaimEnded",
     "ConfigurationChanged",
+    "CrashesLearnt",
     "DeadlinePassed",
     "DrainStarted",
     "Event",
@@ -131,12 +133,14 @@
 class Broken:
     """Sent, but no whole answer came; `chunks` were passed on by then.
 
-    `replied` tells that the endpoint itself gave an error, so it is alive.
+    `replied` tells that the endpoint itself gave an error, so it is alive. `ended`
+    tells that nobody listens at its address any more.
     """
 
     reason: str
     chunks: int = 0
     replied: bool = False
+    ended: bool = False
 
 
 AttemptResult = Answered | NotSent | Full | Broken
@@ -185,6 +189,13 @@
     rating: float
 
 
+@dataclass(frozen=True)
+class CrashesLearnt:
+    """What all routers together have found of requests that crash endpoints."""
+
+    records: tuple[CrashRecord, ...]
+
+
 @dataclass(frozen=True)
 class VersionTotals:
     """What all routers together have seen of a version since they started."""
@@ -281,6 +292,7 @@
     | LoadReported
     | Rated
     | VersionTallied
+    | CrashesLearnt
     | RequestArrived
     | ClaimEnded
     | ClaimDue
--- a/ashlatch/router/host.py
+++ b/ashlatch/router/host.py
@@ -15,11 +15,12 @@
 import uuid
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from ashlatch.adapter.bounds import AttemptBounds
 from ashlatch.adapter.engine import EngineCall, Prices
+from ashlatch.adapter.liveness import has_ended
 from ashlatch.adapter.service import call_service
 from ashlatch.client import StateClient
 from ashlatch.clock import monotonic_ms
@@ -39,6 +40,7 @@
     ScheduleClaim,
     ScheduleHedge,
     StartAttempt,
+    TellCrashes,
     WriteLog,
 )
 from ashlatch.router.event import (
@@ -127,6 +129,7 @@
         self._unsaved = 0
         self._unsaved_changed = threading.Condition()
         self.answered: Callable[[Request, str, Answered], None] = lambda *_: None
+        self.crashes_found: Callable[[], None] = lambda: None
 
     def post(self, event: Event) -> None:
         """Hand an event to the core and perform what it asks for."""
@@ -213,6 +216,9 @@
     def attempt(self, effect: StartAttempt) -> None:
         """Run one attempt on this thread."""
         result = self._call(effect)
+        wanted = effect.attempt_id not in self._cancelled
+        if isinstance(result, Broken) and not result.replied and wanted:
+            result = replace(result, ended=has_ended(effect.url))
         self._cancelled.discard(effect.attempt_id)
         request = effect.request
         if isinstance(result, Answered) and request.kind is RequestKind.CHAT:
@@ -345,6 +351,11 @@
     host.deliver(effect.request_id, effect)
 
 
+@EFFECTS.on(TellCrashes)
+def _tell_crashes(host: RouterHost, effect: TellCrashes) -> None:
+    host.rpc.post(host.crashes_found)
+
+
 @EFFECTS.on(WriteLog)
 def _write_log(host: RouterHost, effect: WriteLog) -> None:
     emit(log, effect.event)
--- a/ashlatch/router/learning.py
+++ b/ashlatch/router/learning.py
@@ -12,6 +12,7 @@
 from ashlatch.policy.evidence import Failure, Timing
 from ashlatch.router.core import Flight, Leg, RouterCore
 from ashlatch.router.event import Answered, AttemptResult, Broken, Full
+from ashlatch.router.suspects import crashed, survived
 
 __all__ = ["learn"]
 
@@ -29,6 +30,12 @@
         breaker.succeeded()
     elif not isinstance(result, Full) and not flight.given:
         breaker.failed(core.now_ms)
+    if answered:
+        survived(core, flight)
+    if isinstance(result, Broken) and result.ended:
+        # Neither for nor against the version: its endpoint was not there any more.
+        crashed(core, flight, name)
+        return
     if not flight.version or flight.given:
         return
     if isinstance(result, Answered):
--- a/ashlatch/router/sending.py
+++ b/ashlatch/router/sending.py
@@ -18,7 +18,8 @@
 from ashlatch.router.core import Flight, Leg, RouterCore
 from ashlatch.router.effect import ScheduleHedge, StartAttempt, WriteLog
 from ashlatch.router.event import RequestKind
-from ashlatch.router.verdict import NoPlan, Plan
+from ashlatch.router.suspects import content_of, digest_text, held_for_ms
+from ashlatch.router.verdict import Exclusion, NoPlan, Plan, WhyOut
 
 __all__ = [
     "RouteChosen",
@@ -52,6 +53,10 @@
 def plan_attempt(core: RouterCore, flight: Flight, version: str) -> Plan | NoPlan:
     """Choose where the next attempt goes; with `version`, only the endpoint."""
     request = flight.request
+    held_ms = held_for_ms(core, flight)
+    if held_ms:
+        why = Exclusion(digest_text(content_of(request)), WhyOut.CRASHES)
+        return NoPlan(True, False, held_ms, (why,), held=True)
     if request.kind is RequestKind.SERVICE:
         return core.planner.plan_service(request, core.now_ms, flight.tried)
     return core.planner.plan_chat(request, core.now_ms, flight.tried, version)
@@ -63,6 +68,8 @@
     if not plan.allowed:
         return Problem(problems.NOT_ALLOWED, detail, core.not_run(flight))
     kind = problems.OVERLOADED if plan.too_late else problems.NO_ENDPOINT
+    if plan.held:
+        kind = problems.QUARANTINED
     return Problem(kind, detail, core.not_run(flight), plan.retry_ms)
 
 
--- a/ashlatch/router/verdict.py
+++ b/ashlatch/router/verdict.py
@@ -30,6 +30,7 @@
     SILENT = "silent"
     BREAKER_OPEN = "breaker_open"
     TRIED = "tried"
+    CRASHES = "crashes_endpoints"
 
 
 @dataclass(frozen=True)
@@ -59,10 +60,12 @@
     """Nothing may or can answer now.
 
     `allowed` tells whether the organisation could have been served at all;
-    `retry_ms` when it is worth to come back.
+    `retry_ms` when it is worth to come back. `held` requests have crashed the
+    endpoints that ran them.
     """
 
     allowed: bool
     too_late: bool
     retry_ms: float
     excluded: tuple[Exclusion, ...]
+    held: bool = False
--- a/ashlatch/store/command.py
+++ b/ashlatch/store/command.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from ashlatch.policy.quarantine import CrashRecord
+
 __all__ = [
     "AnswerAccepted",
     "AnswerRecorded",
@@ -33,6 +35,7 @@
     "ControlTaken",
     "DeleteResource",
     "Expire",
+    "NoteCrashes",
     "Noted",
     "Outcome",
     "PutResource",
@@ -204,6 +207,13 @@
     at_ms: int = 0
 
 
+class NoteCrashes(msgspec.Struct, frozen=True, tag="note_crashes"):
+    """What routers have found of contents that crash endpoints, or survive it."""
+
+    records: tuple[CrashRecord, ...]
+    at_ms: int = 0
+
+
 Command = (
     PutResource
     | DeleteResource
@@ -213,6 +223,7 @@
     | RouterGone
     | TakeControl
     | Expire
+    | NoteCrashes
 )
 
 
--- a/ashlatch/store/daemon.py
+++ b/ashlatch/store/daemon.py
@@ -19,13 +19,14 @@
 from ashlatch.clock import monotonic_ms, monotonic_s, unix_ms
 from ashlatch.errors import TransportError
 from ashlatch.log import LogEvent, emit
+from ashlatch.policy.quarantine import CrashRecord, UnloggedCrashes
 from ashlatch.raft.effect import AddLearner, Received, RemoveMember
 from ashlatch.raft.group import NotLeading
 from ashlatch.raft.message import Member, Message
 from ashlatch.rpc import Address, Peer, RpcLoop, RpcService
 from ashlatch.settings import StateSettings
 from ashlatch.store import protocol
-from ashlatch.store.command import Expire, RouterGone, TakeControl
+from ashlatch.store.command import Expire, NoteCrashes, RouterGone, TakeControl
 from ashlatch.store.lease import LeaseConfig, Leases, RouterLease
 from ashlatch.store.member import GroupMember, GroupsDiffer, open_folder
 from ashlatch.store.slots import FIRST_GROUP, group_of
@@ -52,6 +53,15 @@
     group: int
 
 
+@dataclass(frozen=True)
+class CrashesUnnoted(LogEvent):
+    """Requests under which endpoints have crashed were not committed; told again."""
+
+    event: ClassVar[str] = "router_crashes_unnoted"
+    contents: int
+    leader: str
+
+
 class StateDaemon:
     """One member. `start` it once; `stop` ends it in order.
 
@@ -85,6 +95,7 @@
         self._changed = asyncio.Event()
         self._told: tuple[object, ...] = ()
         self._first_leader: Peer | None = None
+        self._crashes = UnloggedCrashes()
 
     def start(self) -> None:
         """Listen, and take part in the group."""
@@ -126,7 +137,9 @@
         Held polls are woken for what concerns them only: with many routers
         and claims, waking all for each claim would cost more than the claims.
         """
-        news = (*(_leadership(member) for member in self.groups), self._revision())
+        crashes = self.first.machine.state.crashes.number
+        leaders = (_leadership(member) for member in self.groups)
+        news = (*leaders, self._revision(), crashes)
         if news != self._told:
             self._told = news
             self._changed.set()
@@ -171,13 +184,29 @@
         deadline_ms = monotonic_ms() + poll.wait_ms
         if self._may_answer():
             self.leases.router_applied(poll.router, poll.applied_revision)
+            await self._note_crashes(poll.crashes)
         while self._may_answer():
             wait_ms = deadline_ms - monotonic_ms()
-            if self._revision() != poll.applied_revision or wait_ms <= 0:
+            newer = self._revision() != poll.applied_revision
+            crashes = self.first.machine.state.crashes
+            if newer or crashes.number > poll.crashes_known or wait_ms <= 0:
                 return self._renew(poll)
             await self._wait_change(wait_ms)
         return protocol.RouterReply(False, self.first.standing.leader_address)
 
+    async def _note_crashes(self, records: tuple[CrashRecord, ...]) -> None:
+        """Commit what a router has found; it tells it again until the log has it."""
+        self._crashes.take(records)
+        with self.first.group.lock:
+            unknown = self._crashes.unknown_to(self.first.machine.state.crashes)
+        if not unknown:
+            return
+        try:
+            await self.first.commit(NoteCrashes(unknown))
+        except NotLeading as error:
+            lost = CrashesUnnoted(len(unknown), error.leader_address)
+            emit(log, lost, logging.WARNING)
+
     def _renew(self, poll: protocol.RouterPoll) -> protocol.RouterReply:
         lease = RouterLease(
             poll.router,
@@ -190,6 +219,7 @@
         self.leases.router_polled(lease)
         with self.first.group.lock:
             configuration = self.first.machine.state.configuration
+            crashes = self.first.machine.state.crashes
             return protocol.RouterReply(
                 True,
                 self.first.standing.leader_address,
@@ -199,6 +229,8 @@
                 configuration.deleted_after(poll.applied_revision),
                 len(self.leases.routers),
                 self.leases.totals(),
+                crashes.since(poll.crashes_known),
+                crashes.number,
             )
 
     async def _wait_change(self, wait_ms: float) -> None:
--- a/ashlatch/store/machine.py
+++ b/ashlatch/store/machine.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from ashlatch.codec import decode, encode
+from ashlatch.policy.quarantine import CrashLog
 from ashlatch.registry import Handlers
 from ashlatch.store.command import (
     Claim,
@@ -21,6 +22,7 @@
     ControlTaken,
     DeleteResource,
     Expire,
+    NoteCrashes,
     Noted,
     Outcome,
     PutResource,
@@ -50,6 +52,7 @@
     configuration: Configuration = msgspec.field(default_factory=Configuration)
     ledger: Ledger = msgspec.field(default_factory=Ledger)
     control: ControlLease = ControlLease()
+    crashes: CrashLog = msgspec.field(default_factory=CrashLog)
 
 
 class Machine:
@@ -128,3 +131,9 @@
     state.configuration.expire(command.before_ms)
     state.ledger.expire(command.before_ms)
     return Noted()
+
+
+@_HANDLERS.on(NoteCrashes)
+def _note_crashes(state: State, command: NoteCrashes) -> Outcome:
+    state.crashes.note(command.records)
+    return Noted()
--- a/ashlatch/store/protocol.py
+++ b/ashlatch/store/protocol.py
@@ -12,6 +12,7 @@
 
 from ashlatch.link import Method
 from ashlatch.policy.detector import VersionTally
+from ashlatch.policy.quarantine import CrashRecord
 from ashlatch.raft.message import Member, Message
 from ashlatch.store.command import Command, Outcome, Resource
 from ashlatch.store.configuration import ResourceId
@@ -137,7 +138,8 @@
     """A router's heartbeat: which revision it has applied.
 
     `router` names one start of one router. The call is held for up to
-    `wait_ms` while there is nothing newer.
+    `wait_ms` while there is nothing newer. `crashes` is what it has found of requests
+    that crash endpoints, `crashes_known` the newest change of these that it knows.
     """
 
     router: str
@@ -146,13 +148,17 @@
     applied_revision: int
     wait_ms: float
     reports: tuple[VersionReport, ...] = ()
+    crashes: tuple[CrashRecord, ...] = ()
+    crashes_known: int = 0
 
 
 class RouterReply(msgspec.Struct, frozen=True):
     """All changes after the applied revision, and a lease on the result.
 
     The lease runs for `lease_ms` from when the router sent the poll.
-    `routers` have a lease now; `totals` is what all of them have seen.
+    `routers` have a lease now; `totals` is what all of them have seen. `crashes` are
+    the requests under which endpoints have crashed, as far as they have changed, up to
+    the change `crashes_known`.
     """
 
     granted: bool
@@ -163,6 +169,8 @@
     deleted: tuple[ResourceId, ...] = ()
     routers: int = 1
     totals: tuple[VersionReport, ...] = ()
+    crashes: tuple[CrashRecord, ...] = ()
+    crashes_known: int = 0
 
 
 class ControlPoll(msgspec.Struct, frozen=True):
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -5,13 +5,14 @@
 
 `POST /control` changes it: {"quality": {"a": 0.4}, "error_ratio": {"a": 0.3},
 "slowdown": 4, "version_slowdown": {"a": 4}, "leaving": true, "swap_ids": true,
-"break_after": 5, "stall_ratio": 0.02, "stall_ms": 1000}.
+"break_after": 5, "crash_on": "a text", "stall_ratio": 0.02, "stall_ms": 1000}.
 """
 
 import argparse
 import collections
 import itertools
 import json
+import os
 import random
 import threading
 import time
@@ -48,6 +49,7 @@
     break_after: int = 0
     stall_ratio: float = 0.0
     stall_ms: float = 0.0
+    crash_on: str = ""
     quality: dict[str, float] = field(default_factory=dict)
     error_ratio: dict[str, float] = field(default_factory=dict)
     version_slowdown: dict[str, float] = field(default_factory=dict)
@@ -185,6 +187,9 @@
                 "revision": int(http.headers.get("Ashlatch-Revision", "0")),
             }
         )
+        if self.crash_on and self.crash_on in json.dumps(body["messages"]):
+            # As a process that crashes: no connection is ended in order.
+            os._exit(1)
         shown = attempt + "-other" if self.swap_ids else attempt
         if self.random.random() < self.error_ratio.get(version, 0.0):
             self.leave()
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -60,7 +60,9 @@
         machine = Machine()
         machine.step(Claim(self.key, "c", "d", "r", True, self.candidate))
         old = machine.state
-        new = NewState(old.now_ms, old.configuration, old.ledger, old.control, [1, 2])
+        new = NewState(
+            old.now_ms, old.configuration, old.ledger, old.control, tides=[1, 2]
+        )
         self.assertEqual(old, decode(encode(new), State))
 
     def test_what_is_no_message_is_a_typed_error(self) -> None:
