World of the traffic: what endpoints send waits for a router that is frozen

Traced: piece 0 passed, pieces 1 to 3 were sent while the router was frozen and lost by the world, and the end of the answer was told after it had thawed. A VM's socket keeps them.

--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -102,7 +102,7 @@
     """VMs are suspended and wake: the clocks that promises rest on count the time.
 
     With clocks that leave it out, as a steady clock does, 24 of 200 worlds of the group
-    read what is not the newest, and 8 of 150 worlds of the traffic break R2, R6 or R8;
+    read what is not the newest, and 9 of 150 worlds of the traffic break R1, R2 or R8;
     with clocks that count it none does (seeds from 0 on).
     """
 
--- a/tests/traffic.py
+++ b/tests/traffic.py
@@ -551,6 +551,13 @@
         if not self.running:
             return
         item = self.running.pop(self.random.randrange(len(self.running)))
+        if self.exists(item.sim) and item.sim.frozen:
+            # What the endpoint sends waits in the VM's socket until it goes on. Lost
+            # pieces made a router that had been frozen seem to give a part of an answer
+            # (`--only suspended --seed 5076`: piece 0 passed, 1 to 3 sent to a frozen
+            # router, and the end of the answer told to it later).
+            self.running.append(item)
+            return
         request = item.effect.request
         if request.stream and self.random.random() < 0.5:
             self.pass_chunk(item)
