--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -21,6 +21,7 @@
 
 import asyncio
 import itertools
+import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
 
@@ -217,6 +218,37 @@
         sends = self.log.came_after(third_s + KNOWN_AFTER_S)
         self.assertTrue(sends <= SENDS_MAX, f"{sends} sends, {len(self.log.ended_s)}")
 
+    def test_at_every_gateway_at_once(self) -> None:
+        """Three tries in the same moment may end all five engines, and that is all."""
+        with ThreadPoolExecutor(len(self.gateways)) as callers:
+            for _ in range(2):
+                tries = [
+                    callers.submit(self.send, host, CRASHING_BODY)
+                    for host in self.gateways
+                ]
+                self.assertFalse(200 in [call.result() for call in tries])
+        ended = len(self.log.ended_s)
+        self.assertTrue(ENDS_MAX <= ended <= len(self.engines), str(ended))
+        for host in self.gateways:
+            self.assertEqual(503, self.send(host, CRASHING_BODY))
+        time.sleep(2.0)
+        for host in self.gateways:
+            self.assertEqual(503, self.send(host, CRASHING_BODY))
+        self.assertEqual(ended, len(self.log.ended_s))
+
+    def test_the_gateway_that_knew_stands_still(self) -> None:
+        """It is stopped right after the third end, before it can tell the core."""
+        self.send(self.gateways[0], CRASHING_BODY)
+        process = self.fleet.processes[self.gateways[0]].popen
+        process.send_signal(signal.SIGSTOP)
+        try:
+            time.sleep(0.5)
+            for host in self.gateways[1:]:
+                self.assertEqual(503, self.send(host, CRASHING_BODY))
+        finally:
+            process.send_signal(signal.SIGCONT)
+        self.assertEqual(ENDS_MAX, len(self.log.came_s))
+
     def test_it_is_known_after_a_loss_of_all(self) -> None:
         """All processes are killed at once; the caller comes back."""
         self.send(self.gateways[0], CRASHING_BODY)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from ashlatch.codec import decode, encode
 from ashlatch.policy.quarantine import (
     CRASHES_KEPT,
     CRASHES_MAX,
@@ -15,8 +16,10 @@
     SAME_CRASH_MS,
     TOLD_MAX,
     Crash,
+    CrashLog,
     CrashRecord,
     Quarantine,
+    UnloggedCrashes,
     endpoint_digest,
     merge_record,
     merged,
@@ -168,6 +171,52 @@
         self.assertEqual(CRASHES_KEPT, quarantine.crashes(CONTENT))
 
 
+class CrashLogTest(testtools.TestCase):
+    """What is replicated, and what waits for it."""
+
+    def record(self, content: int, *survived: bool) -> CrashRecord:
+        crashes = tuple(
+            Crash(number, 0, AT + 2000 * number, well)
+            for number, well in enumerate(survived)
+        )
+        return CrashRecord(content, crashes)
+
+    def test_who_knows_a_number_is_told_the_rest(self) -> None:
+        log = CrashLog()
+        self.assertTrue(log.note([self.record(1, False), self.record(2, False)]))
+        known = log.number
+        self.assertTrue(log.note([self.record(1, False, False)]))
+        self.assertEqual([1], [r.content for r in log.since(known)])
+        self.assertEqual(2, len(log.since(0)))
+        self.assertEqual((), log.since(log.number))
+
+    def test_what_is_known_is_no_change(self) -> None:
+        log = CrashLog()
+        log.note([self.record(1, True, False)])
+        self.assertFalse(log.note([self.record(1, False, False)]))
+        self.assertTrue(log.covers(self.record(1, False, False)))
+        self.assertFalse(log.covers(self.record(1, True, True)))
+
+    def test_it_stays_bounded(self) -> None:
+        log = CrashLog()
+        log.note([self.record(content, False) for content in range(2 * RECORDS_MAX)])
+        self.assertEqual(RECORDS_MAX, len(log.records))
+        self.assertEqual(set(log.records), set(log.numbers))
+        self.assertEqual(log, decode(encode(log), CrashLog))
+
+    def test_what_waits_is_told_until_the_log_has_it(self) -> None:
+        log, waiting = CrashLog(), UnloggedCrashes()
+        self.assertTrue(waiting.take([self.record(1, False)]))
+        self.assertFalse(waiting.take([self.record(1, False)]))
+        told = waiting.unknown_to(log)
+        self.assertEqual(told, waiting.unknown_to(log))
+        waiting.take([self.record(1, False, False)])
+        log.note(told)
+        self.assertEqual(1, len(waiting.unknown_to(log)))
+        log.note(waiting.unknown_to(log))
+        self.assertEqual((), waiting.unknown_to(log))
+
+
 class TellTest(testtools.TestCase):
     def test_told_until_confirmed(self) -> None:
         quarantine = Quarantine()
