Evacuations of halls: ordered, replicated, obeyed by gateways

A request that only an evacuated hall could serve is refused at once with reason=evacuated. The first time-out that comes too late is asked again instead.

--- a/ashlatch/catalog.py
+++ b/ashlatch/catalog.py
@@ -22,6 +22,7 @@
     "Endpoint",
     "EndpointList",
     "EngineSpec",
+    "Evacuations",
     "GatewayVm",
     "ModelPrice",
     "Organisation",
@@ -171,6 +172,16 @@
         return self.epoch, self.number
 
 
+class Evacuations(msgspec.Struct, frozen=True, array_like=True):
+    """The halls whose endpoints get no requests, by operators' orders.
+
+    `number` counts the changes: of two records the one with the higher is newer.
+    """
+
+    number: int = 0
+    halls: tuple[str, ...] = ()
+
+
 class GatewayVm(msgspec.Struct, frozen=True, array_like=True, order=True):
     """An entry VM: where its gateway takes datagrams, and its hall."""
 
--- a/ashlatch/explain/belief.py
+++ b/ashlatch/explain/belief.py
@@ -32,6 +32,7 @@
     "entries_left_out": ("entries of the endpoint list", ""),
     "rollout_learnt": ("roll-out", "service"),
     "rollout_decided": ("roll-out", "service"),
+    "evacuations_learnt": ("evacuated halls", ""),
     "fleet_lost": ("core", ""),
     "fleet_regained": ("core", ""),
     "core_chosen": ("core VM that is asked", ""),
--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -215,7 +215,9 @@
         bounds = HttpBounds(
             body_max_bytes=DOCUMENT_MAX_BYTES, idle_timeout_s=OPERATOR_IDLE_S
         )
-        self._operators = HttpListener(OperatorApi(self._orders).handle, bounds)
+        self._operators = HttpListener(
+            OperatorApi(self._orders, frozenset(self.settings.halls)).handle, bounds
+        )
         self._operators.failed = self._failed
         listen = Address.parse(self.settings.listen)
         await self._operators.start(listen.host, listen.port)
@@ -337,8 +339,11 @@
     def _engines(self) -> tuple[Endpoint, ...]:
         """The listed endpoints that are model engines."""
         services = {s.name for s in self._services() if s.engine is not None}
+        with self.group.lock:
+            evacuated = self.machine.state.evacuations.halls
         listed = self._list.newest.endpoints
-        return tuple(e for e in listed if e.service in services)
+        asked = (e for e in listed if e.hall not in evacuated)
+        return tuple(e for e in asked if e.service in services)
 
     def _plain_services(self) -> frozenset[str]:
         return frozenset(s.name for s in self._services() if s.engine is None)
--- a/ashlatch/fleet/following.py
+++ b/ashlatch/fleet/following.py
@@ -122,4 +122,5 @@
             self.own,
             crashes=self.spread.crashes.unknown_to(state.crashes),
             crashes_known=state.crashes.number,
+            evacuations_known=state.evacuations.number,
         )
--- a/ashlatch/fleet/machine.py
+++ b/ashlatch/fleet/machine.py
@@ -3,8 +3,8 @@
 ~~~~~~~~~~~~~~~~~~~~~~
 
 The reducer that every core VM runs over the replicated log: the newest
-configuration document, as operators sent it, the roll-outs, and the requests under
-which endpoints have crashed.
+configuration document, as operators sent it, the roll-outs, the halls that are
+evacuated, and the requests under which endpoints have crashed.
 
 :copyright: Copyright 2026 by the ashlatch maintainers.
 :license: MIT, see LICENSE for details.
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from ashlatch.catalog import Rollout, RolloutStage
+from ashlatch.catalog import Evacuations, Rollout, RolloutStage
 from ashlatch.codec import decode, encode
 from ashlatch.policy.quarantine import CrashLog, CrashRecord
 from ashlatch.registry import Handlers
@@ -28,6 +28,7 @@
     "NoteCrashes",
     "Outcome",
     "ReplaceDocument",
+    "SetEvacuation",
 ]
 
 _HANDLERS = Handlers("fleet")
@@ -69,6 +70,13 @@
     moved: tuple[int, ...] = ()
 
 
+class SetEvacuation(msgspec.Struct, frozen=True, tag="set_evacuation"):
+    """An operator's order to send nothing to the endpoints of a hall, or to again."""
+
+    hall: str
+    evacuated: bool
+
+
 class NoteCrashes(msgspec.Struct, frozen=True, tag="note_crashes"):
     """What gateways have found of contents that crash endpoints, or survive it.
 
@@ -79,7 +87,7 @@
     records: tuple[CrashRecord, ...]
 
 
-Command = ReplaceDocument | BeginRollout | MoveRollout | NoteCrashes
+Command = ReplaceDocument | BeginRollout | MoveRollout | NoteCrashes | SetEvacuation
 
 
 class Accepted(msgspec.Struct, frozen=True, tag="accepted"):
@@ -106,6 +114,7 @@
     rollouts: dict[str, Rollout] = {}
     number: int = 0
     crashes: CrashLog = msgspec.field(default_factory=CrashLog)
+    evacuations: Evacuations = Evacuations()
 
 
 class FleetMachine:
@@ -181,3 +190,15 @@
 @_HANDLERS.on(NoteCrashes)
 def _note_crashes(state: FleetState, command: NoteCrashes) -> Outcome:
     return Accepted(changed=state.crashes.note(command.records))
+
+
+@_HANDLERS.on(SetEvacuation)
+def _set_evacuation(state: FleetState, command: SetEvacuation) -> Outcome:
+    known = state.evacuations
+    if (command.hall in known.halls) is command.evacuated:
+        return Accepted(changed=False)
+    halls = {*known.halls, command.hall} if command.evacuated else set(known.halls)
+    if not command.evacuated:
+        halls.discard(command.hall)
+    state.evacuations = Evacuations(known.number + 1, tuple(sorted(halls)))
+    return Accepted(changed=True)
--- a/ashlatch/fleet/operators.py
+++ b/ashlatch/fleet/operators.py
@@ -22,7 +22,13 @@
 from ashlatch.codec import digest
 from ashlatch.errors import AshlatchError
 from ashlatch.fleet.logs import OrderEnded
-from ashlatch.fleet.machine import BeginRollout, Command, Outcome, ReplaceDocument
+from ashlatch.fleet.machine import (
+    BeginRollout,
+    Command,
+    Outcome,
+    ReplaceDocument,
+    SetEvacuation,
+)
 from ashlatch.fleet.machine import Conflict as DocumentConflict
 from ashlatch.fleet.protocol import ReadReply
 from ashlatch.http.connection import Headers, HttpRequest, Responder
@@ -76,10 +82,15 @@
 
 
 class OperatorApi:
-    """The handler of the operators' listener."""
+    """The handler of the operators' listener.
+
+    `halls` are those of the deployment; empty, if they are not known, any hall may
+    be evacuated.
+    """
 
-    def __init__(self, fleet: Fleet) -> None:
+    def __init__(self, fleet: Fleet, halls: frozenset[str] = frozenset()) -> None:
         self._fleet = fleet
+        self._halls = halls
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one call."""
@@ -109,6 +120,12 @@
                 return await self._begin(body)
             case OperatorVerb.READ_ROLLOUT:
                 return await self._rollout(call.service)
+            case OperatorVerb.BEGIN_EVACUATION:
+                return await self._evacuate(call.hall, evacuated=True)
+            case OperatorVerb.FINISH_EVACUATION:
+                return await self._evacuate(call.hall, evacuated=False)
+            case OperatorVerb.READ_EVACUATIONS:
+                return await self._evacuations()
 
     async def _replace(self, body: bytes) -> _Answer:
         try:
@@ -151,6 +168,21 @@
         detail = f"{service} {found.stage.value}"
         return _Answer(200, encode_rollout_state(found), detail=detail)
 
+    async def _evacuate(self, hall: str, evacuated: bool) -> _Answer:
+        if not hall or (self._halls and hall not in self._halls):
+            # Said at once: an evacuation of a hall that is not there would be
+            # acknowledged, and empty nothing.
+            return _Answer(404, b'{"type":"unknown_hall"}\n', detail=hall)
+        outcome = await self._fleet.commit(SetEvacuation(hall, evacuated))
+        changed = not isinstance(outcome, DocumentConflict) and outcome.changed
+        detail = f"{hall} {'changed' if changed else 'unchanged'}"
+        return _Answer(200, b"{}\n", detail=detail)
+
+    async def _evacuations(self) -> _Answer:
+        newest = await self._fleet.read()
+        halls = newest.evacuations.halls
+        return _Answer(200, msgspec.json.encode({"halls": halls}))
+
 
 def _invalid(error: DocumentError) -> _Answer:
     problems = [_Problem(e.field, e.value[:80], e.rule) for e in error.problems]
--- a/ashlatch/fleet/orders.py
+++ b/ashlatch/fleet/orders.py
@@ -124,7 +124,9 @@
         with group.lock:
             state = self.machine().state
             rollouts = tuple(state.rollouts.values())
-            return ReadReply(True, state.version, state.document, rollouts)
+            return ReadReply(
+                True, state.version, state.document, rollouts, state.evacuations
+            )
 
     async def _leader(self) -> str:
         """The leader's address, after a short wait if there is none."""
--- a/ashlatch/fleet/protocol.py
+++ b/ashlatch/fleet/protocol.py
@@ -14,6 +14,7 @@
 from ashlatch.catalog import (
     CoreVm,
     EndpointList,
+    Evacuations,
     GatewayVm,
     Rollout,
     SessionMarks,
@@ -54,7 +55,8 @@
     that it knows of. `core` is the sender, if it is a core VM. `rates` are how
     fast engines have read since its last request. `crashes` is what it has found of
     requests that crash endpoints, `crashes_known` the number of the newest change of
-    these that it knows.
+    these that it knows. `evacuations_known` is the number of the evacuations that it
+    knows.
     """
 
     vm: str
@@ -72,6 +74,7 @@
     rates: tuple[ReadingRate, ...] = ()
     crashes: tuple[CrashRecord, ...] = ()
     crashes_known: int = 0
+    evacuations_known: int = 0
 
 
 class SyncReply(msgspec.Struct, frozen=True, array_like=True):
@@ -86,7 +89,8 @@
     position `reads_known`; they are no news for which a question is answered. Nor
     are the `rates`, how fast engines read by what the gateways have seen that ask
     this core VM. `crashes` are the requests under which endpoints have crashed, as far
-    as they have changed, up to the change `crashes_known`.
+    as they have changed, up to the change `crashes_known`. `evacuations` is unset when
+    the sender knows the newest.
     """
 
     current: bool
@@ -102,6 +106,7 @@
     rates: tuple[ReadingRate, ...] = ()
     crashes: tuple[CrashRecord, ...] = ()
     crashes_known: int = 0
+    evacuations: Evacuations | None = None
 
 
 class JoinRequest(msgspec.Struct, frozen=True):
@@ -140,6 +145,7 @@
     document_version: int = 0
     document: bytes = b""
     rollouts: tuple[Rollout, ...] = ()
+    evacuations: Evacuations = Evacuations()
 
 
 def gateways_digest(gateways: tuple[GatewayVm, ...]) -> int:
--- a/ashlatch/fleet/spread.py
+++ b/ashlatch/fleet/spread.py
@@ -175,6 +175,7 @@
         rollouts = tuple(
             r for r in state.rollouts.values() if r.number > request.rollout_number
         )
+        evacuations = state.evacuations
         endpoints = self.endpoints
         return SyncReply(
             current,
@@ -190,6 +191,7 @@
             self._rates.estimates(),
             state.crashes.since(request.crashes_known),
             state.crashes.number,
+            evacuations if evacuations.number > request.evacuations_known else None,
         )
 
     def _gateways_unknown_to(
@@ -218,4 +220,6 @@
 def has_news(reply: SyncReply) -> bool:
     """Whether an answer brings anything newer."""
     listed = reply.endpoints is not None
-    return bool(reply.document or listed or reply.rollouts or reply.crashes)
+    evacuated = reply.evacuations is not None
+    orders = reply.document or reply.rollouts or evacuated
+    return bool(orders or listed or reply.crashes)
--- a/ashlatch/gateway/account.py
+++ b/ashlatch/gateway/account.py
@@ -87,6 +87,7 @@
             int(choice.allowed.session_age_ms),
             model,
             choice.candidates,
+            choice.allowed.evacuated,
             choice.utilisation,
             int(self._now_ms() - self._known.directory.listed_ms),
             admission.ask.prompt_tokens,
--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -125,7 +125,7 @@
     states: Iterable[EndpointState], tried: frozenset[str], now_ms: float
 ) -> list[EndpointState]:
     """The endpoints that a request may go to, without those that do badly."""
-    usable = [s for s in states if not s.endpoint.leaving and not s.replaced(now_ms)]
+    usable = [s for s in states if s.takes_work(now_ms)]
     fresh = [s for s in usable if s.endpoint.instance not in tried]
     sound = [s for s in fresh if s.breaker.allows(now_ms)]
     well = [s for s in sound if s.failing < FAILING_MAX]
--- a/ashlatch/gateway/crash.py
+++ b/ashlatch/gateway/crash.py
@@ -92,7 +92,7 @@
         """Whether an endpoint's process has ended under a request."""
         if state.ended_lately(self._now_ms()):
             return True
-        if failed.kind is not FailureKind.BROKEN:
+        if failed.kind is not FailureKind.BROKEN or state.evacuated:
             return False
         return await asyncio.shield(self._probe(state))
 
--- a/ashlatch/gateway/directory.py
+++ b/ashlatch/gateway/directory.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from ashlatch.catalog import Endpoint, EndpointList
+from ashlatch.catalog import Endpoint, EndpointList, Evacuations
 from ashlatch.gateway.message import LoadFigures
 from ashlatch.policy.breaker import Breaker
 from ashlatch.policy.load import EndpointLoad, LoadReport
@@ -51,7 +51,8 @@
     process or its VM was last found to have ended.
     `unanswered` requests were sent there and have no head of an answer yet.
     `awaited` are the limits of those waits that may be given up. `told_load` is
-    what gateways have told each other of its load.
+    what gateways have told each other of its load. `evacuated` is whether its hall
+    is.
     """
 
     endpoint: Endpoint
@@ -68,6 +69,12 @@
     awaited: set[asyncio.Timeout] = field(default_factory=set)
     workload: Workload = field(default_factory=Workload)
     told_load: ToldLoad = field(default_factory=ToldLoad)
+    evacuated: bool = False
+
+    def takes_work(self, now_ms: float) -> bool:
+        """Whether requests may be sent there, as far as orders and the list go."""
+        closed = self.endpoint.leaving or self.evacuated
+        return not closed and not self.replaced(now_ms)
 
     def sent(self, now_ms: float) -> None:
         """A request goes there."""
@@ -175,12 +182,14 @@
 
     `listed_ms` is when the platform was last known to list these endpoints.
     `life_ended` is called with the id of an endpoint that has started again.
+    `evacuations` are those that the fleet was last heard to know.
     """
 
     def __init__(self) -> None:
         self.life_ended: Callable[[str], None] = lambda instance: None
         self.order: tuple[int, int] = (0, 0)
         self.listed_ms = float("-inf")
+        self.evacuations = Evacuations()
         self._states: dict[str, EndpointState] = {}
         self._by_service: dict[str, list[EndpointState]] = {}
 
@@ -195,10 +204,20 @@
         self._by_service = {}
         for endpoint in listed.endpoints:
             state = self._present(known.get(endpoint.instance), endpoint)
+            state.evacuated = endpoint.hall in self.evacuations.halls
             self._states[endpoint.instance] = state
             self._by_service.setdefault(endpoint.service, []).append(state)
         return True
 
+    def evacuate(self, evacuations: Evacuations) -> bool:
+        """Take which halls are evacuated; false when that is not newer."""
+        if evacuations.number <= self.evacuations.number:
+            return False
+        self.evacuations = evacuations
+        for state in self._states.values():
+            state.evacuated = state.endpoint.hall in evacuations.halls
+        return True
+
     def _present(self, known: EndpointState | None, listed: Endpoint) -> EndpointState:
         """What is believed of an endpoint that is listed; nothing of a new life."""
         if known is None:
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -47,6 +47,9 @@
 # connection costs two milliseconds.
 UNREACHABLE_MAX = 12
 SERVER_ERROR = 500
+# When what is left of a service is in evacuated halls: operators take them back after
+# seconds to hours, and a caller that has seconds should find out once more.
+EVACUATED_AFTER_S = 2.0
 # The part of the target in which a smaller model should begin its answer, since
 # half of these are asked again of the largest.
 FIRST_SHARE = 0.35
@@ -364,6 +367,9 @@
     def _nowhere(self) -> Refused:
         if self._may_have_run:
             return Refused(502, RefusalReason.OUTCOME_UNKNOWN)
+        states = self._known.directory.of_service(self._admission.service.name)
+        if any(state.evacuated for state in states):
+            return Refused(503, RefusalReason.EVACUATED, EVACUATED_AFTER_S)
         return Refused(503, RefusalReason.NO_ENDPOINT, RETRY_AFTER_S)
 
     def _spent(self, kind: FailureKind) -> Refused:
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -30,6 +30,7 @@
     "EndpointResumed",
     "EndpointSuspended",
     "EndpointsReplaced",
+    "EvacuationsLearnt",
     "FleetLost",
     "FleetRegained",
     "GatewaysLearnt",
@@ -53,8 +54,9 @@
 
     `content` is the digest of what it asks for: a caller's repeats share it, under
     other ids and at other gateways. `candidates` is how many endpoints could be
-    chosen, `used` the estimated share of the chosen one's places that are taken,
-    `listed_ms` the age of the list of endpoints. Of the prompt's `prompt_tokens` the
+    chosen, `evacuated` how many more there were in evacuated halls, `used` the
+    estimated share of the chosen one's places that are taken, `listed_ms` the age of
+    the list of endpoints. Of the prompt's `prompt_tokens` the
     engine has to read `read_tokens`, for about `read_ms` after a wait of `wait_ms`.
     `version_by` is what the version was chosen by, `session_ms` how long ago this
     gateway had last heard of the session, -1 if it did not know it.
@@ -77,6 +79,7 @@
     session_ms: int
     model: str
     candidates: int
+    evacuated: int
     used: float
     listed_ms: int
     prompt_tokens: int
@@ -284,6 +287,20 @@
     service: str
 
 
+@dataclass(frozen=True)
+class EvacuationsLearnt(LogEvent):
+    """The halls that are evacuated are others now; `halls` are separated by commas.
+
+    `endpoints` are so many in them that are listed.
+    """
+
+    event: ClassVar[str] = "evacuations_learnt"
+    number: int
+    before: int
+    halls: str
+    endpoints: int
+
+
 @dataclass(frozen=True)
 class RolloutLearnt(LogEvent):
     """A roll-out has moved on."""
--- a/ashlatch/gateway/message.py
+++ b/ashlatch/gateway/message.py
@@ -39,6 +39,7 @@
     TIMED_OUT = "timed_out"
     STOPPING = "stopping"
     QUARANTINED = "quarantined"
+    EVACUATED = "evacuated"
 
 
 @dataclass(frozen=True)
--- a/ashlatch/gateway/sync.py
+++ b/ashlatch/gateway/sync.py
@@ -17,7 +17,7 @@
 import zlib
 from collections.abc import Callable
 
-from ashlatch.catalog import EndpointList, GatewayVm
+from ashlatch.catalog import EndpointList, Evacuations, GatewayVm
 from ashlatch.codec import TRAFFIC
 from ashlatch.errors import TransportError
 from ashlatch.fleet.discovery import ListReader, ListUnreadable
@@ -39,6 +39,7 @@
     CoreUnreached,
     DocumentUnreadable,
     EndpointsReplaced,
+    EvacuationsLearnt,
     FleetLost,
     FleetRegained,
     GatewaysLearnt,
@@ -80,6 +81,8 @@
 # A gateway hears of the core twice a second, or finds within 1.1 s that it does not:
 # after this long without either, the process has stood still and knows old things.
 STOOD_STILL_MS = 2000.0
+# Timers of a busy process fire late by less than this.
+TIMER_LATE_MS = 500.0
 # A gateway that starts while no core VM is in touch with a leader serves with
 # what an old one knows after this time.
 SETTLE_MS = 4000.0
@@ -161,6 +164,7 @@
 
     async def run(self) -> None:
         """Ask for news again and again."""
+        woken = False
         while True:
             address = self._contact.address
             tallies = self._known.tallies.take()
@@ -169,15 +173,25 @@
             wait_ms, timeout_s = self._terms()
             crashes = self._known.quarantine.to_tell()
             request = self._question(wait_ms, tallies, reads, rates, crashes)
+            late_ms = self._now_ms() + timeout_s * 1000.0 + TIMER_LATE_MS
             try:
                 reply = await self._ask(address, request, timeout_s)
             except TransportError as error:
                 self._known.tallies.add(tallies)
                 self._known.kept.put_back(reads)
                 self._known.pace.put_back(rates)
+                if self._now_ms() > late_ms and not woken:
+                    # The time ran out while this process stood still, which tells
+                    # nothing of the core. Taken for a loss of the core, what was
+                    # ordered meanwhile is not waited for: a request went to a hall
+                    # that was evacuated during 2.5 s of it.
+                    woken = True
+                    continue
+                woken = False
                 self._lose(address, error.reason)
                 await asyncio.sleep(RETRY_S)
                 continue
+            woken = False
             self._known.quarantine.told(crashes)
             self._take(address, reply)
             if not reply.current:
@@ -270,6 +284,7 @@
             rates=rates,
             crashes=crashes,
             crashes_known=self._crashes_known,
+            evacuations_known=self._known.directory.evacuations.number,
         )
 
     def _terms(self) -> tuple[float, float]:
@@ -300,6 +315,8 @@
         if reply.members:
             self._contact.learn(reply.members)
             self._book.keep_only(self._contact.known())
+        if reply.evacuations is not None:
+            self._evacuate(reply.evacuations)
         if reply.document and reply.document_version > self._document_version:
             self._apply(reply.document_version, reply.document)
         if reply.endpoints is not None:
@@ -369,6 +386,16 @@
         )
         emit(log, applied)
 
+    def _evacuate(self, evacuations: Evacuations) -> None:
+        directory = self._known.directory
+        before = directory.evacuations.number
+        if not directory.evacuate(evacuations):
+            return
+        endpoints = sum(state.evacuated for state in directory.all())
+        halls = ",".join(evacuations.halls)
+        learnt = EvacuationsLearnt(evacuations.number, before, halls, endpoints)
+        emit(log, learnt)
+
     def _replace(self, endpoints: EndpointList, source: str) -> None:
         if not self._known.directory.replace(endpoints, self._now_ms()):
             return
--- a/ashlatch/gateway/versions.py
+++ b/ashlatch/gateway/versions.py
@@ -75,6 +75,11 @@
     reason: VersionReason
     session_age_ms: float = -1.0
 
+    @property
+    def evacuated(self) -> int:
+        """How many of them are left out because their hall is evacuated."""
+        return sum(state.evacuated for state in self.states)
+
 
 @dataclass(frozen=True)
 class _Preference:
@@ -319,11 +324,7 @@
 
     All gateways choose the same, by rendezvous hashing.
     """
-    ready = {
-        s.endpoint.instance: s
-        for s in new
-        if not s.endpoint.leaving and not s.replaced(now_ms)
-    }
+    ready = {s.endpoint.instance: s for s in new if s.takes_work(now_ms)}
     if not ready:
         return []
     state = ready[rank(tuple(ready), rollout.version)[0]]
--- a/ashlatch/gateway/watch.py
+++ b/ashlatch/gateway/watch.py
@@ -63,7 +63,11 @@
     def _due(self, state: EndpointState) -> bool:
         probed_ms = self._probed_ms.get(state.endpoint.instance, float("-inf"))
         lately = self._now_ms() - probed_ms < PROBE_AGAIN_MS
-        return not lately and state.silent_ms(self._now_ms()) > SILENT_MS
+        if lately or state.evacuated:
+            # Operators have nothing more sent to an evacuated hall, probes included:
+            # what runs there ends by its own patience.
+            return False
+        return state.silent_ms(self._now_ms()) > SILENT_MS
 
     def _forget_old(self) -> None:
         before_ms = self._now_ms() - PROBE_AGAIN_MS
--- a/ashlatch/platform/operator.py
+++ b/ashlatch/platform/operator.py
@@ -10,6 +10,7 @@
 
 import enum
 from dataclasses import dataclass
+from urllib.parse import unquote
 
 __all__ = ["OperatorCall", "OperatorVerb", "READY_TARGET", "recognise"]
 
@@ -19,6 +20,9 @@
 _READ = ("GET", "/-/Config.Read")
 _BEGIN = ("POST", "/-/Rollouts.Begin")
 _ROLLOUT_PREFIX = "/-/Rollouts.Read/"
+_EVACUATIONS = ("GET", "/-/Evacuations.Read")
+_EVACUATE_PREFIX = "/-/Evacuations.Begin/"
+_RETURN_PREFIX = "/-/Evacuations.Finish/"
 
 
 class OperatorVerb(enum.Enum):
@@ -28,14 +32,20 @@
     READ_CONFIGURATION = "read_configuration"
     BEGIN_ROLLOUT = "begin_rollout"
     READ_ROLLOUT = "read_rollout"
+    BEGIN_EVACUATION = "begin_evacuation"
+    FINISH_EVACUATION = "finish_evacuation"
+    READ_EVACUATIONS = "read_evacuations"
 
 
 @dataclass(frozen=True)
 class OperatorCall:
-    """One call; `service` is set when a roll-out is asked for."""
+    """One call; `service` is set when a roll-out is asked for, `hall` when the
+    evacuation of one begins or finishes.
+    """
 
     verb: OperatorVerb
     service: str = ""
+    hall: str = ""
 
 
 def recognise(method: str, target: str) -> OperatorCall | None:
@@ -47,6 +57,14 @@
         return OperatorCall(OperatorVerb.READ_CONFIGURATION)
     if (method, path) == _BEGIN:
         return OperatorCall(OperatorVerb.BEGIN_ROLLOUT)
+    if (method, path) == _EVACUATIONS:
+        return OperatorCall(OperatorVerb.READ_EVACUATIONS)
+    if method == "POST" and path.startswith(_EVACUATE_PREFIX):
+        hall = unquote(path.removeprefix(_EVACUATE_PREFIX))
+        return OperatorCall(OperatorVerb.BEGIN_EVACUATION, hall=hall)
+    if method == "POST" and path.startswith(_RETURN_PREFIX):
+        hall = unquote(path.removeprefix(_RETURN_PREFIX))
+        return OperatorCall(OperatorVerb.FINISH_EVACUATION, hall=hall)
     if method == "GET" and path.startswith(_ROLLOUT_PREFIX):
         service = path.removeprefix(_ROLLOUT_PREFIX)
         return OperatorCall(OperatorVerb.READ_ROLLOUT, service)
--- a/ashlatch/settings.py
+++ b/ashlatch/settings.py
@@ -166,13 +166,14 @@
     `host` is the VM's IP number; `ports` are those that ashlatch may use
     there, equal on all VMs, the first for calls between its processes.
     `seeds` are operators' addresses of some core VMs. `list_address` is where
-    the platform lists the endpoints.
+    the platform lists the endpoints. `halls` are all halls, with their regions.
     """
 
     vm: Name
     hall: Name
     host: str
     ports: tuple[int, int]
+    halls: dict[str, str] = {}
     seeds: tuple[AddressText, ...] = Field(min_length=1)
     list_address: AddressText
     list_read_ms: float = Field(default=1000.0, gt=0)
--- /dev/null
+++ b/tests/test_evacuation.py
@@ -0,0 +1,363 @@
+"""Operators have a hall evacuated: nothing more is sent to its endpoints.
+
+An evacuation was answered 404, so a hall that was about to be switched off kept its
+share of the requests, and operators sent the order again until they gave up.
+"""
+
+import asyncio
+import signal
+import time
+
+import msgspec
+import testtools
+
+from ashlatch.catalog import (
+    CoreVm,
+    Endpoint,
+    EndpointList,
+    Evacuations,
+    Rollout,
+    RolloutStage,
+)
+from ashlatch.codec import encode
+from ashlatch.fleet.machine import (
+    Accepted,
+    Command,
+    FleetMachine,
+    FleetState,
+    Outcome,
+    SetEvacuation,
+)
+from ashlatch.fleet.operators import NoQuorum, OperatorApi
+from ashlatch.fleet.protocol import ReadReply, SyncRequest
+from ashlatch.fleet.spread import Spread, has_news
+from ashlatch.gateway.directory import Directory
+from ashlatch.gateway.versions import SessionVersions, VersionChooser
+from ashlatch.gateway.watch import SilenceWatch
+from ashlatch.http.connection import Headers, HttpRequest
+from ashlatch.http.upstream import Upstream
+from tests import standin
+from tests.fleet import READY_PORT, Fleet, wait_for
+from tests.gateway import ASK_STREAM, GatewayHarness, ask
+
+BEGIN = "/-/Evacuations.Begin/"
+FINISH = "/-/Evacuations.Finish/"
+
+
+class MachineTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.machine = FleetMachine()
+
+    def apply(self, hall: str, evacuated: bool) -> Outcome:
+        command: Command = SetEvacuation(hall, evacuated)
+        return self.machine.apply(encode(command))
+
+    def test_orders_are_taken_once(self) -> None:
+        self.assertEqual(Accepted(True), self.apply("b", True))
+        self.assertEqual(Accepted(False), self.apply("b", True))
+        self.assertEqual(Accepted(True), self.apply("a", True))
+        self.assertEqual(Evacuations(2, ("a", "b")), self.machine.state.evacuations)
+        self.assertEqual(Accepted(True), self.apply("b", False))
+        self.assertEqual(Accepted(False), self.apply("b", False))
+        self.assertEqual(Evacuations(3, ("a",)), self.machine.state.evacuations)
+
+    def test_snapshot(self) -> None:
+        self.apply("a", True)
+        other = FleetMachine()
+        other.restore(self.machine.snapshot())
+        self.assertEqual(Evacuations(1, ("a",)), other.state.evacuations)
+
+    def test_a_snapshot_from_before_has_none(self) -> None:
+        """A core VM of the release before has left a snapshot without the field."""
+        old = msgspec.msgpack.decode(self.machine.snapshot())
+        old.pop("evacuations")
+        self.machine.restore(msgspec.msgpack.encode(old))
+        self.assertEqual(Evacuations(), self.machine.state.evacuations)
+
+
+class FleetStub:
+    """Commits to a machine of its own, unless it has no leader."""
+
+    def __init__(self) -> None:
+        self.machine = FleetMachine()
+        self.leads = True
+
+    async def commit(self, command: Command) -> Outcome:
+        if not self.leads:
+            raise NoQuorum("no leader is known")
+        return self.machine.apply(encode(command))
+
+    async def read(self) -> ReadReply:
+        if not self.leads:
+            raise NoQuorum("no leader is known")
+        return ReadReply(True, evacuations=self.machine.state.evacuations)
+
+
+class Answers:
+    """A responder that keeps the answer."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.body = b""
+
+    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        self.status, self.body = status, body
+
+
+class OperatorTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = FleetStub()
+        self.api = OperatorApi(self.fleet, frozenset({"hall-1", "hall 2"}))
+
+    def call(self, method: str, target: str) -> tuple[int, bytes]:
+        async def answered() -> Answers:
+            answers = Answers()
+            now_s = asyncio.get_running_loop().time()
+            request = HttpRequest(method, target, [], b"", now_s, "")
+            await self.api.handle(request, answers)  # type: ignore[arg-type]
+            return answers
+
+        answers = asyncio.run(answered())
+        return answers.status, answers.body
+
+    def halls(self) -> tuple[str, ...]:
+        return self.fleet.machine.state.evacuations.halls
+
+    def test_begin_and_finish(self) -> None:
+        for _ in range(2):
+            self.assertEqual(200, self.call("POST", f"{BEGIN}hall-1")[0])
+            self.assertEqual(("hall-1",), self.halls())
+        status, body = self.call("GET", "/-/Evacuations.Read")
+        self.assertEqual((200, b'{"halls":["hall-1"]}'), (status, body))
+        for _ in range(2):
+            self.assertEqual(200, self.call("POST", f"{FINISH}hall-1")[0])
+            self.assertEqual((), self.halls())
+
+    def test_names_are_read_as_they_are_meant(self) -> None:
+        self.assertEqual(200, self.call("POST", f"{BEGIN}hall%202")[0])
+        self.assertEqual(("hall 2",), self.halls())
+
+    def test_a_hall_that_is_not_there(self) -> None:
+        """An acknowledged evacuation of a misspelt hall would empty nothing."""
+        for target in (f"{BEGIN}hall-3", BEGIN, f"{FINISH}hall-3"):
+            self.assertEqual(404, self.call("POST", target)[0])
+        self.assertEqual((), self.halls())
+
+    def test_without_a_leader_nothing_is_acknowledged(self) -> None:
+        self.fleet.leads = False
+        self.assertEqual(503, self.call("POST", f"{BEGIN}hall-1")[0])
+        self.assertEqual(503, self.call("GET", "/-/Evacuations.Read")[0])
+
+
+class SpreadTest(testtools.TestCase):
+    def test_news_for_who_knows_less(self) -> None:
+        spread = Spread(CoreVm("a:1", "h"))
+        state = FleetState(evacuations=Evacuations(2, ("h",)))
+        for known, expected in ((0, state.evacuations), (2, None)):
+            request = SyncRequest("g", (), 0, (0, 0), 0, 0.0, evacuations_known=known)
+            reply = spread.reply(request, True, (), state)
+            self.assertEqual(expected, reply.evacuations)
+            self.assertEqual(expected is not None, has_news(reply))
+
+
+def endpoint(instance: str, hall: str, version: str = "v1") -> Endpoint:
+    return Endpoint(instance, "app", f"a:{instance[1:]}", hall, version, 8, False)
+
+
+class DirectoryTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.directory = Directory()
+        listed = (endpoint("i1", "a"), endpoint("i2", "b"), endpoint("i3", "b"))
+        self.directory.replace(EndpointList(1, 1, listed), 0.0)
+
+    def open(self) -> list[str]:
+        states = self.directory.of_service("app")
+        return [s.endpoint.instance for s in states if s.takes_work(0.0)]
+
+    def test_an_evacuated_hall_takes_no_work(self) -> None:
+        self.assertTrue(self.directory.evacuate(Evacuations(1, ("b",))))
+        self.assertEqual(["i1"], self.open())
+        self.assertTrue(self.directory.evacuate(Evacuations(2)))
+        self.assertEqual(["i1", "i2", "i3"], self.open())
+
+    def test_older_orders_change_nothing(self) -> None:
+        self.directory.evacuate(Evacuations(4))
+        self.assertFalse(self.directory.evacuate(Evacuations(3, ("b",))))
+        self.assertEqual(["i1", "i2", "i3"], self.open())
+
+    def test_endpoints_that_are_listed_later(self) -> None:
+        """A release in an evacuated hall brings endpoints that nobody knew."""
+        self.directory.evacuate(Evacuations(1, ("b",)))
+        listed = (endpoint("i1", "a"), endpoint("i4", "b"))
+        self.directory.replace(EndpointList(1, 2, listed), 0.0)
+        self.assertEqual(["i1"], self.open())
+
+    def test_before_any_list(self) -> None:
+        """A gateway that starts may hear of the order before the endpoints."""
+        directory = Directory()
+        directory.evacuate(Evacuations(1, ("b",)))
+        directory.replace(EndpointList(1, 1, (endpoint("i2", "b"),)), 0.0)
+        state = directory.state("i2")
+        self.assertTrue(state is not None and not state.takes_work(0.0))
+
+    def test_the_load_test_of_a_roll_out(self) -> None:
+        """It tests another endpoint, not the one that rendezvous hashing gives."""
+        listed = tuple(endpoint(f"i{n}", "b", "v2") for n in range(5, 9))
+        stays = endpoint("i4", "a", "v2")
+        self.directory.replace(EndpointList(1, 2, (*listed, stays)), 0.0)
+        self.directory.evacuate(Evacuations(1, ("b",)))
+        chooser = VersionChooser(SessionVersions(5000.0))
+        chooser.learn([Rollout("app", "v2", RolloutStage.LOAD_TEST, 0.1, 1, 1000.0)])
+        states = self.directory.of_service("app")
+        allowed = chooser.allowed("app", "s", "r", states, 0.0)
+        self.assertEqual(["i4"], [s.endpoint.instance for s in allowed.states])
+
+    def test_silent_endpoints_are_not_probed(self) -> None:
+        probed: list[str] = []
+
+        async def connect(address: str, timeout_s: float) -> Upstream:
+            probed.append(address)
+            raise AssertionError("probed")
+
+        async def watch() -> None:
+            for state in self.directory.all():
+                state.sent(asyncio.get_running_loop().time() * 1000.0 - 2000.0)
+            self.directory.evacuate(Evacuations(1, ("a", "b")))
+            watching = asyncio.create_task(SilenceWatch(self.directory, connect).run())
+            await asyncio.sleep(0.3)
+            watching.cancel()
+            await asyncio.gather(watching, return_exceptions=True)
+
+        asyncio.run(watch())
+        self.assertEqual([], probed)
+
+
+class RequestTest(GatewayHarness):
+    def test_what_only_an_evacuated_hall_serves(self) -> None:
+        """It is refused at once, with a time to come back, and has not run."""
+        worker = standin.StandIn([standin.answer()])
+
+        async def work() -> None:
+            self.known.directory.evacuate(Evacuations(1, ("hall-1",)))
+            status, got = await self.call(ask("/once/1", method="POST"))
+            self.assertEqual(503, status)
+            self.assertIn(b"Retry-After: 2", got)
+            self.assertIn(b"evacuated", got)
+
+        self.run_gateway([worker], work)
+        self.assertEqual([], worker.seen)
+
+    def test_retries_and_resumed_streams(self) -> None:
+        """A hall is evacuated while the first answer there breaks off."""
+        first = standin.StandIn([self.evacuate_and_break])
+        second = standin.StandIn([standin.stream(3)])
+        third = standin.StandIn([standin.stream(3)])
+
+        async def work() -> None:
+            self.listed([(first, "hall-1"), (second, "hall-1"), (third, "hall-2")])
+            status, got = await self.call(ask("/stream/1", ASK_STREAM))
+            self.assertEqual(200, status)
+            self.assertIn(b"piece 3", got)
+
+        self.run_gateway([first, second, third], work)
+        self.assertEqual([], second.seen)
+
+    async def evacuate_and_break(
+        self, request: standin.Received, writer: asyncio.StreamWriter
+    ) -> None:
+        self.known.directory.evacuate(Evacuations(1, ("hall-1",)))
+        writer.write(standin.head(request) + b"Transfer-Encoding: chunked\r\n\r\n")
+        writer.write(standin.chunk(standin.event(1)))
+        await writer.drain()
+        writer.transport.abort()
+
+    def listed(self, workers: list[tuple[standin.StandIn, str]]) -> None:
+        endpoints = tuple(
+            Endpoint(f"i-{n}", "app", worker.address, hall, "v1", 8, False)
+            for n, (worker, hall) in enumerate(workers)
+        )
+        self.known.directory.replace(EndpointList(1, 2, endpoints), 0.0)
+        # Whoever is chosen first, it is the one that breaks.
+        for state in self.known.directory.all():
+            if state.endpoint.instance != "i-0":
+                state.workload.add(5000.0, asyncio.get_running_loop().time() * 1000.0)
+
+
+class ProcessesTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+        self.fleet.found()
+        self.gateway = f"{self.fleet.net}.101"
+        self.fleet.start_gateway(self.gateway)
+        self.fleet.acknowledged(3)
+        wait_for(self.ready, "gateway ready")
+
+    def ready(self) -> bool:
+        at = "/-/readyz"
+        return self.fleet.call(self.gateway, "GET", at, port=READY_PORT)[0] == 200
+
+    def order(self, target: str) -> None:
+        """Send an order to one core VM after another, until it is taken."""
+        hosts = self.fleet.hosts
+
+        def taken() -> bool:
+            calls = (self.fleet.call(host, "POST", target) for host in hosts)
+            return any(status == 200 for status, _ in calls)
+
+        wait_for(taken, f"{target} acknowledged")
+
+    def halls(self, host: str) -> bytes:
+        return self.fleet.call(host, "GET", "/-/Evacuations.Read")[1]
+
+    def test_in_force_and_over(self) -> None:
+        fleet = self.fleet
+        self.assertEqual(200, fleet.ask(self.gateway))
+        self.order(f"{BEGIN}hall-1")
+        begun_s = time.monotonic()
+        wait_for(lambda: fleet.ask(self.gateway) == 503, "evacuated", 5.0)
+        self.assertTrue(time.monotonic() - begun_s < 1.0)
+        log = fleet.processes[self.gateway]
+        wait_for(lambda: "reason=evacuated" in log.log, "told in the log", 2.0)
+        self.order(f"{FINISH}hall-1")
+        wait_for(lambda: fleet.ask(self.gateway) == 200, "over", 5.0)
+
+    def test_survives_the_loss_of_all(self) -> None:
+        """All processes are killed as soon as it is acknowledged."""
+        fleet = self.fleet
+        self.order(f"{BEGIN}hall-1")
+        for host in (*fleet.hosts, self.gateway):
+            fleet.processes[host].kill()
+        for host in fleet.hosts:
+            fleet.start_core(host)
+        fleet.start_gateway(self.gateway)
+        wait_for(self.ready, "gateway ready")
+        self.assertEqual(503, fleet.ask(self.gateway))
+        wait_for(lambda: self.halls(fleet.hosts[0]) == b'{"halls":["hall-1"]}', "read")
+
+    def test_a_gateway_that_stood_still(self) -> None:
+        """It asks before it sends, as it does for a key that was taken away."""
+        fleet = self.fleet
+        process = fleet.processes[self.gateway]
+        process.signal(signal.SIGSTOP)
+        self.order(f"{BEGIN}hall-1")
+        time.sleep(2.5)
+        process.signal(signal.SIGCONT)
+        self.assertEqual(503, fleet.ask(self.gateway))
+        self.assertEqual([], fleet.platform.worker.seen)
+
+    def test_through_the_kill_of_a_leader(self) -> None:
+        fleet = self.fleet
+        leader = fleet.leader()
+        self.order(f"{BEGIN}hall-1")
+        fleet.processes[leader].kill()
+        others = [host for host in fleet.hosts if host != leader]
+        told = b'{"halls":["hall-1"]}'
+        wait_for(lambda: all(self.halls(h) == told for h in others), "all read it")
+        fleet.hosts = others
+        self.order(f"{FINISH}hall-1")
+        wait_for(lambda: self.halls(others[0]) == b'{"halls":[]}', "finished")
