Cold endpoints: a joint bound that each gateway keeps alone

Cause: endpoints that come back idle were the best choice of all gateways at once; in the users' report one got 21 requests within a second where 20 are allowed. Change: policy/cold.py, two ways behind a registry (left alone; senders chosen by rendezvous hashing, each at its share), named by the setting cold_policy while they are compared; coldS, coldPerS and coldLeftMs are read; an endpoint that was found to have ended counts as cold until it has answered somebody; a hall that is given back counts as cold; a trial waits for a warm endpoint, a load test leaves cold ones out.

--- a/ashlatch/catalog.py
+++ b/ashlatch/catalog.py
@@ -99,11 +99,17 @@
 
 
 class Service(msgspec.Struct, frozen=True):
-    """Endpoints of one kind. `engine` is unset for a plain service."""
+    """Endpoints of one kind. `engine` is unset for a plain service.
+
+    An endpoint is cold for `cold_ms` after its start, and bears `cold_requests_per_s`
+    from all gateways meanwhile; 0 if it bears as many as ever.
+    """
 
     name: str
     connections_max: int
     engine: EngineSpec | None
+    cold_ms: float = 0.0
+    cold_requests_per_s: float = 0.0
 
 
 class Organisation(msgspec.Struct, frozen=True):
@@ -138,7 +144,8 @@
 
     `instance` is its id, which a process that starts again may keep:
     `started_unix_ms` tells its lives apart, 0 if that is not told. A new life holds
-    and knows nothing of the one before. `leaving` endpoints take no new work.
+    and knows nothing of the one before. `leaving` endpoints take no new work. An
+    endpoint is cold for `cold_left_ms` more, counted from when the list was read.
     """
 
     instance: str
@@ -149,6 +156,7 @@
     slots: int
     leaving: bool
     started_unix_ms: int = 0
+    cold_left_ms: float = 0.0
 
     def begins_after(self, other: "Endpoint") -> bool:
         """Whether this is a later life of an endpoint, as far as that is told."""
@@ -176,10 +184,12 @@
     """The halls whose endpoints get no requests, by operators' orders.
 
     `number` counts the changes: of two records the one with the higher is newer.
+    `returned` is the change by which a hall was given back last.
     """
 
     number: int = 0
     halls: tuple[str, ...] = ()
+    returned: dict[str, int] = {}
 
 
 class GatewayVm(msgspec.Struct, frozen=True, array_like=True, order=True):
--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -295,7 +295,10 @@
         standing = self.group.standing
         self._remove_silent(standing, now_ms)
         await self._list.read_if_due(standing.term, now_ms)
-        self._spread.lead(standing.term, self._list.newest, self._list.read_ms)
+        listed = self._list
+        self._spread.lead(
+            standing.term, listed.newest, listed.read_ms, listed.newest_ms
+        )
         self._read_memories_once(standing.term)
         await self._note_crashes()
         self._rollouts.add(self._spread.tallies.take(), now_ms)
--- a/ashlatch/fleet/leader.py
+++ b/ashlatch/fleet/leader.py
@@ -16,7 +16,13 @@
 
 import msgspec
 
-from ashlatch.catalog import EndpointList, Rollout, RolloutStage, SessionMarks
+from ashlatch.catalog import (
+    Endpoint,
+    EndpointList,
+    Rollout,
+    RolloutStage,
+    SessionMarks,
+)
 from ashlatch.fleet.discovery import ListReader, ListUnreadable
 from ashlatch.fleet.logs import ListRead, ListUnread, RolloutDecided
 from ashlatch.fleet.machine import FINAL_STAGES, MoveRollout
@@ -28,6 +34,11 @@
 
 log = logging.getLogger("ashlatch.fleet")
 
+# A roll-out waits for this part of its time for an endpoint that is warm; the trial
+# takes half of it.
+WARM_UP_PART_MAX = 0.25
+# The list lags by some hundred ms, more or less each time.
+COLD_TOLERANCE_MS = 600.0
 # How often the elapsed time of a roll-out is committed, so that a new leader
 # knows it to this precision.
 CHECKPOINT_MS = 2000.0
@@ -35,12 +46,17 @@
 
 @dataclass
 class ListKeeper:
-    """Reads the list when it is due; `newest` is what was read last."""
+    """Reads the list when it is due; `newest` is what was read last.
+
+    `newest_ms` is when that was read first: the endpoints were cold for the times it
+    tells from then on.
+    """
 
     reader: ListReader
     read_every_ms: float
     newest: EndpointList = EndpointList()
     read_ms: float = float("-inf")
+    newest_ms: float = float("-inf")
     _due_ms: float = float("-inf")
 
     async def read_if_due(self, epoch: int, now_ms: float) -> bool:
@@ -55,16 +71,42 @@
             emit(log, ListUnread(error.reason, int(age_ms)), logging.WARNING)
             return False
         self.read_ms = now_ms
-        same = endpoints == self.newest.endpoints
+        age_ms = now_ms - self.newest_ms
+        same = _equal(self.newest.endpoints, endpoints, age_ms)
         if same and self.newest.epoch == epoch:
             return False
         number = self.newest.number + 1 if self.newest.epoch == epoch else 1
         self.newest = EndpointList(epoch, number, endpoints)
+        self.newest_ms = now_ms
         leaving = sum(e.leaving for e in endpoints)
         emit(log, ListRead(epoch, number, len(endpoints), leaving))
         return True
 
 
+def _equal(
+    known: tuple[Endpoint, ...], read: tuple[Endpoint, ...], age_ms: float
+) -> bool:
+    """Whether a list tells what one that was read `age_ms` before does.
+
+    The time for which an endpoint is cold runs down by itself: told anew with each
+    read, the whole list would go to all gateways each second.
+    """
+    if len(known) != len(read):
+        return False
+    return all(_same(a, b, age_ms) for a, b in zip(known, read, strict=True))
+
+
+def _same(known: Endpoint, read: Endpoint, age_ms: float) -> bool:
+    if known == read:
+        # Cold for as long as before, which is longer than was known then.
+        return read.cold_left_ms == 0.0 or age_ms < COLD_TOLERANCE_MS
+    left_ms = max(0.0, known.cold_left_ms - age_ms)
+    if abs(left_ms - read.cold_left_ms) > COLD_TOLERANCE_MS:
+        return False
+    cold_left_ms = read.cold_left_ms
+    return msgspec.structs.replace(known, cold_left_ms=cold_left_ms) == read
+
+
 @dataclass
 class _Clock:
     """How long a roll-out had run when this VM first saw it, and when that was."""
@@ -153,12 +195,7 @@
     ) -> MoveRollout | None:
         elapsed_ms = self._clocks[rollout.service].read_ms(now_ms)
         evidence = self._evidence.setdefault(rollout.service, Evidence())
-        ready = any(
-            e.service == rollout.service
-            and e.version == rollout.version
-            and not e.leaving
-            for e in listed.endpoints
-        )
+        ready = _ready(rollout, elapsed_ms, listed)
         decision = decide(rollout, elapsed_ms, evidence, now_ms, ready, plain)
         changed = (decision.stage, decision.share) != (rollout.stage, rollout.share)
         told = self._sessions.get(rollout.service, SessionMarks(rollout.service, ()))
@@ -188,6 +225,26 @@
         )
 
 
+def _ready(rollout: Rollout, elapsed_ms: float, listed: EndpointList) -> bool:
+    """Whether an endpoint of the new version may be sent to.
+
+    A trial begins when one is warm: few gateways send to cold ones, and each of its
+    sessions may come by any gateway. What is cold was so when the list was read, so
+    this is late rather than early, and waits for a part of the time at most.
+    """
+    new = [
+        e
+        for e in listed.endpoints
+        if e.service == rollout.service
+        and e.version == rollout.version
+        and not e.leaving
+    ]
+    begun = rollout.share > 0.0
+    if begun or elapsed_ms > WARM_UP_PART_MAX * rollout.duration_ms:
+        return bool(new)
+    return any(e.cold_left_ms == 0.0 for e in new)
+
+
 def _moved(rollout: Rollout, decision: Decision, told: SessionMarks) -> tuple[int, ...]:
     """The marks of the sessions that stay on the new version beyond its share."""
     if decision.stage in FINAL_STAGES or decision.share >= 1.0:
--- a/ashlatch/fleet/machine.py
+++ b/ashlatch/fleet/machine.py
@@ -197,8 +197,13 @@
     known = state.evacuations
     if (command.hall in known.halls) is command.evacuated:
         return Accepted(changed=False)
-    halls = {*known.halls, command.hall} if command.evacuated else set(known.halls)
-    if not command.evacuated:
+    number = known.number + 1
+    halls = set(known.halls)
+    returned = dict(known.returned)
+    if command.evacuated:
+        halls.add(command.hall)
+    else:
         halls.discard(command.hall)
-    state.evacuations = Evacuations(known.number + 1, tuple(sorted(halls)))
+        returned[command.hall] = number
+    state.evacuations = Evacuations(number, tuple(sorted(halls)), returned)
     return Accepted(changed=True)
--- a/ashlatch/fleet/protocol.py
+++ b/ashlatch/fleet/protocol.py
@@ -90,7 +90,8 @@
     are the `rates`, how fast engines read by what the gateways have seen that ask
     this core VM. `crashes` are the requests under which endpoints have crashed, as far
     as they have changed, up to the change `crashes_known`. `evacuations` is unset when
-    the sender knows the newest.
+    the sender knows the newest. `endpoints_age_ms` is how long ago `endpoints` were
+    read, which the times count from for which they are cold.
     """
 
     current: bool
@@ -107,6 +108,7 @@
     crashes: tuple[CrashRecord, ...] = ()
     crashes_known: int = 0
     evacuations: Evacuations | None = None
+    endpoints_age_ms: float = 0.0
 
 
 class JoinRequest(msgspec.Struct, frozen=True):
--- a/ashlatch/fleet/spread.py
+++ b/ashlatch/fleet/spread.py
@@ -44,6 +44,7 @@
     def __init__(self, own: CoreVm) -> None:
         self._halls = {own.address: own.hall}
         self.endpoints = EndpointList()
+        self._endpoints_ms = monotonic_ms()
         self.tallies = Tallies()
         self.reads = ReadLog()
         # Gateways of one hall together see an engine read many times a second, one
@@ -137,10 +138,17 @@
         self.reads.learn(reply.reads_known, reply.reads)
         if reply.endpoints is not None:
             self.endpoints = reply.endpoints
+            self._endpoints_ms = self._leader_heard_ms - reply.endpoints_age_ms
             self.wake()
 
-    def lead(self, term: int, listed: EndpointList, read_ms: float) -> None:
-        """Take what this VM knows as the leader of a term."""
+    def lead(
+        self, term: int, listed: EndpointList, read_ms: float, changed_ms: float
+    ) -> None:
+        """Take what this VM knows as the leader of a term.
+
+        `read_ms` is when the platform's list was last read, `changed_ms` when it was
+        first read as it is now.
+        """
         self.reads.extend(term, self.take_reads())
         if term != self._term_led:
             self._term_led = term
@@ -149,6 +157,7 @@
         self._listed_ms = max(self._listed_ms, read_ms)
         if listed.order > self.endpoints.order:
             self.endpoints = listed
+            self._endpoints_ms = changed_ms
             self.wake()
 
     def _inherit_gateways(self) -> None:
@@ -192,6 +201,7 @@
             state.crashes.since(request.crashes_known),
             state.crashes.number,
             evacuations if evacuations.number > request.evacuations_known else None,
+            monotonic_ms() - self._endpoints_ms,
         )
 
     def _gateways_unknown_to(
--- a/ashlatch/gateway/account.py
+++ b/ashlatch/gateway/account.py
@@ -140,6 +140,7 @@
         self._tell_load(attempt)
         first_ms = self._age_ms(attempt)
         self._known.tallies.begun(self._key(attempt), first_ms)
+        attempt.state.proved(self._admission.service.cold_ms, self._now_ms())
         service = self._admission.service.name
         forecast = attempt.forecast
         if forecast is not None:
--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -91,7 +91,8 @@
     An engine is chosen by what the send is expected to cost there, an endpoint
     of a plain service by how busy it is.
     """
-    among = _sound(allowed.states, tried, now_ms)
+    open_now = [s for s in allowed.states if _open(known, service, s, now_ms)]
+    among = _sound(open_now, tried, now_ms)
     if not among:
         return None
     if service.engine is None and send.apart:
@@ -121,12 +122,20 @@
     return [pair for pair in ranked if pair[0].cost_ms <= least_ms]
 
 
+def _open(
+    known: Knowledge, service: Service, state: EndpointState, now_ms: float
+) -> bool:
+    """Whether anything may be sent to an endpoint from here now."""
+    if not state.takes_work(now_ms):
+        return False
+    return known.cold.allows(state, service, known.gateways, now_ms)
+
+
 def _sound(
     states: Iterable[EndpointState], tried: frozenset[str], now_ms: float
 ) -> list[EndpointState]:
     """The endpoints that a request may go to, without those that do badly."""
-    usable = [s for s in states if s.takes_work(now_ms)]
-    fresh = [s for s in usable if s.endpoint.instance not in tried]
+    fresh = [s for s in states if s.endpoint.instance not in tried]
     sound = [s for s in fresh if s.breaker.allows(now_ms)]
     well = [s for s in sound if s.failing < FAILING_MAX]
     moving = [s for s in well if not s.stalled(now_ms)]
--- /dev/null
+++ b/ashlatch/gateway/cold.py
@@ -0,0 +1,86 @@
+"""
+ashlatch.gateway.cold
+~~~~~~~~~~~~~~~~~~~~~
+
+Whether this gateway may send to an endpoint now, if the endpoint is cold.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from ashlatch.catalog import Evacuations, GatewayVm, Service
+from ashlatch.gateway.directory import Directory, EndpointState
+from ashlatch.gateway.routing import RouteTable
+from ashlatch.policy.cold import ColdEndpoint, ColdPolicy
+
+__all__ = ["ColdGate", "warm_up_returned"]
+
+
+class ColdGate:
+    """Asks the policy, once for each endpoint while the gateways are the same.
+
+    `own` is unset until this gateway knows how the others know it; it sends to no
+    cold endpoint before.
+    """
+
+    def __init__(self, policy: ColdPolicy, own: GatewayVm | None = None) -> None:
+        self.own = own
+        self._policy = policy
+        self._gateways: tuple[GatewayVm, ...] = ()
+        self._pauses_ms: dict[str, float | None] = {}
+
+    def allows(
+        self,
+        state: EndpointState,
+        service: Service,
+        gateways: tuple[GatewayVm, ...],
+        now_ms: float,
+    ) -> bool:
+        """Whether a request may be sent to the endpoint."""
+        if service.cold_requests_per_s <= 0.0 or not state.cold(now_ms):
+            return True
+        pause_ms = self._pause_ms(state, service, gateways)
+        return pause_ms is not None and now_ms - state.sent_ms >= pause_ms
+
+    def _pause_ms(
+        self,
+        state: EndpointState,
+        service: Service,
+        gateways: tuple[GatewayVm, ...],
+    ) -> float | None:
+        if self.own is None:
+            return None
+        if gateways is not self._gateways:
+            self._gateways = gateways
+            self._pauses_ms.clear()
+        endpoint = state.endpoint
+        if endpoint.instance not in self._pauses_ms:
+            cold = ColdEndpoint(
+                endpoint.instance, endpoint.hall, service.cold_requests_per_s
+            )
+            pause_ms = self._policy.pause_ms(cold, self.own, gateways)
+            self._pauses_ms[endpoint.instance] = pause_ms
+        return self._pauses_ms[endpoint.instance]
+
+
+def warm_up_returned(
+    directory: Directory,
+    table: RouteTable | None,
+    before: int,
+    evacuations: Evacuations,
+    now_ms: float,
+) -> int:
+    """Take the endpoints of halls that were given back for cold; how many.
+
+    They may have started again while nothing was sent there, and the list tells that
+    a second or two later. `before` is the number of the evacuations known before.
+    """
+    returned = {h for h, number in evacuations.returned.items() if number > before}
+    found = 0
+    for state in directory.all():
+        service = table.services.get(state.endpoint.service) if table else None
+        if service is None or state.endpoint.hall not in returned:
+            continue
+        found += 1
+        state.warms_up(now_ms + service.cold_ms)
+    return found
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -19,6 +19,7 @@
 from ashlatch.fleet.seeds import Seeds
 from ashlatch.gateway.admission import Refused, admit, refuse
 from ashlatch.gateway.budget import BudgetTerms
+from ashlatch.gateway.cold import ColdGate
 from ashlatch.gateway.exchange import Exchange
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.logs import (
@@ -39,6 +40,7 @@
 from ashlatch.metrics import serve_metrics
 from ashlatch.platform.headers import MalformedRequest, decode_ask
 from ashlatch.platform.operator import READY_TARGET
+from ashlatch.policy.cold import COLD_POLICIES
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
 from ashlatch.rpc import Address, RpcLoop, watch_traffic
 from ashlatch.settings import GatewaySettings
@@ -129,6 +131,8 @@
         )
         peers = GatewayPeers(self.known)
         await peers.start(own)
+        policy = COLD_POLICIES.get(self.settings.cold_policy)()
+        self.known.cold = ColdGate(policy, own)
         self.known.tell = peers.tell
         for listener, text, early in (
             (self.front, self.settings.listen, self._early),
--- a/ashlatch/gateway/directory.py
+++ b/ashlatch/gateway/directory.py
@@ -36,6 +36,10 @@
 # A request that breaks this soon after its endpoint was found to have ended broke by
 # that: the connections of a process end together, within milliseconds.
 ENDED_MS = 1000.0
+# An endpoint that was found to have ended may be about to start again, idle and cold,
+# and be told as it was before for seconds: until it has answered somebody it counts as
+# cold, for this long at most.
+UNPROVEN_MS = 20_000.0
 # How fast the share of failed attempts follows what is seen.
 FAILURE_GAIN = 0.12
 
@@ -52,7 +56,7 @@
     `unanswered` requests were sent there and have no head of an answer yet.
     `awaited` are the limits of those waits that may be given up. `told_load` is
     what gateways have told each other of its load. `evacuated` is whether its hall
-    is.
+    is. `sent_ms` is when this gateway sent there last.
     """
 
     endpoint: Endpoint
@@ -70,6 +74,25 @@
     workload: Workload = field(default_factory=Workload)
     told_load: ToldLoad = field(default_factory=ToldLoad)
     evacuated: bool = False
+    sent_ms: float = float("-inf")
+    _cold_until_ms: float = float("-inf")
+    _unproven: bool = False
+
+    def cold(self, now_ms: float) -> bool:
+        """Whether it has started a moment ago, or may be about to."""
+        if self._unproven and now_ms - self.ended_ms < UNPROVEN_MS:
+            return True
+        return now_ms < self._cold_until_ms
+
+    def warms_up(self, until_ms: float) -> None:
+        """It is cold until then at least."""
+        self._cold_until_ms = max(self._cold_until_ms, until_ms)
+
+    def proved(self, cold_ms: float, now_ms: float) -> None:
+        """It has answered somebody; if it had ended, it was cold since for a time."""
+        if self._unproven:
+            self._unproven = False
+            self.warms_up(now_ms + cold_ms)
 
     def takes_work(self, now_ms: float) -> bool:
         """Whether requests may be sent there, as far as orders and the list go."""
@@ -78,6 +101,7 @@
 
     def sent(self, now_ms: float) -> None:
         """A request goes there."""
+        self.sent_ms = now_ms
         if self.load.in_flight == 0:
             self.progress_ms = now_ms
         self.load.sent(now_ms)
@@ -105,6 +129,7 @@
         """
         self.breaker.gone(now_ms)
         self.ended_ms = now_ms
+        self._unproven = True
         for limit in self.awaited:
             if not limit.expired():
                 limit.reschedule(now_s)
@@ -152,6 +177,7 @@
             self.refused_ms = now_ms
         self.breaker.gone(now_ms)
         self.ended_ms = now_ms
+        self._unproven = True
         if news:
             self._begin_life()
         return news
@@ -193,8 +219,8 @@
         self._states: dict[str, EndpointState] = {}
         self._by_service: dict[str, list[EndpointState]] = {}
 
-    def replace(self, listed: EndpointList, now_ms: float) -> bool:
-        """Take a list of all endpoints; false when it is an old one."""
+    def replace(self, listed: EndpointList, now_ms: float, age_ms: float = 0.0) -> bool:
+        """Take a list of all endpoints, read `age_ms` ago; false when it is old."""
         if listed.order < self.order:
             return False
         self.order = listed.order
@@ -205,6 +231,8 @@
         for endpoint in listed.endpoints:
             state = self._present(known.get(endpoint.instance), endpoint)
             state.evacuated = endpoint.hall in self.evacuations.halls
+            if endpoint.cold_left_ms > 0.0:
+                state.warms_up(now_ms - age_ms + endpoint.cold_left_ms)
             self._states[endpoint.instance] = state
             self._by_service.setdefault(endpoint.service, []).append(state)
         return True
--- a/ashlatch/gateway/knowledge.py
+++ b/ashlatch/gateway/knowledge.py
@@ -15,7 +15,8 @@
 
 from ashlatch.catalog import GatewayVm
 from ashlatch.gateway.budget import BudgetTerms, RepeatBudget
-from ashlatch.gateway.directory import Directory
+from ashlatch.gateway.cold import ColdGate
+from ashlatch.gateway.directory import Directory, EndpointState
 from ashlatch.gateway.kept import KeptParts
 from ashlatch.gateway.news import PeerNews
 from ashlatch.gateway.pace import Pace
@@ -25,6 +26,7 @@
 from ashlatch.gateway.traffic import HallTraffic
 from ashlatch.gateway.versions import VersionChooser
 from ashlatch.metrics import Metrics
+from ashlatch.policy.cold import Senders
 from ashlatch.policy.endpoint import EndpointPolicy
 from ashlatch.policy.quarantine import Quarantine
 
@@ -47,7 +49,8 @@
     budgets and the connections that endpoints accept. `tell` tells them
     something at once, which may be lost. `probes` ask whether an endpoint has ended,
     by its id. `crashes_found` has the core told of what
-    `quarantine` has learnt here.
+    `quarantine` has learnt here. `cold` says which endpoints that have just started may
+    be sent to from here.
     """
 
     hall: str
@@ -69,6 +72,7 @@
     probes: dict[str, asyncio.Task[bool]] = field(default_factory=dict)
     tell: Callable[[PeerNews], None] = _tell_nobody
     crashes_found: Callable[[], None] = _tell_no_core
+    cold: ColdGate = field(default_factory=lambda: ColdGate(Senders()))
     traffic: HallTraffic = field(init=False)
 
     def __post_init__(self) -> None:
@@ -87,6 +91,12 @@
             found = self.budgets[service] = RepeatBudget(self.budget_terms)
         return found
 
+    def cold_ms(self, state: EndpointState) -> float:
+        """How long an endpoint is cold after its start."""
+        services = self.table.services if self.table else {}
+        service = services.get(state.endpoint.service)
+        return service.cold_ms if service is not None else 0.0
+
     def memory_tokens(self, instance: str) -> int:
         """What an engine's memory holds; 0 for what is no engine, or unknown."""
         state = self.directory.state(instance)
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -173,6 +173,7 @@
     number: int
     endpoints: int
     leaving: int
+    cold: int
     source: str
 
 
@@ -291,7 +292,8 @@
 class EvacuationsLearnt(LogEvent):
     """The halls that are evacuated are others now; `halls` are separated by commas.
 
-    `endpoints` are so many in them that are listed.
+    `endpoints` are so many in them that are listed, `cold` those that are taken for
+    cold, as their hall was given back.
     """
 
     event: ClassVar[str] = "evacuations_learnt"
@@ -299,6 +301,7 @@
     before: int
     halls: str
     endpoints: int
+    cold: int
 
 
 @dataclass(frozen=True)
--- a/ashlatch/gateway/peers.py
+++ b/ashlatch/gateway/peers.py
@@ -188,6 +188,7 @@
         else:
             figures = LoadFigures(news.running, news.waiting, news.slots)
             state.tell_load(figures, now_ms)
+            state.proved(self._known.cold_ms(state), now_ms)
             level = load_level(news.running + news.waiting, news.slots)
             state.told_load.heard(level, now_ms)
 
--- a/ashlatch/gateway/sync.py
+++ b/ashlatch/gateway/sync.py
@@ -29,6 +29,7 @@
     gateways_digest,
 )
 from ashlatch.fleet.seeds import Seeds
+from ashlatch.gateway.cold import warm_up_returned
 from ashlatch.gateway.contact import CoreContact
 from ashlatch.gateway.crash import learn_crashes
 from ashlatch.gateway.kept import PromptRead
@@ -320,7 +321,7 @@
         if reply.document and reply.document_version > self._document_version:
             self._apply(reply.document_version, reply.document)
         if reply.endpoints is not None:
-            self._replace(reply.endpoints, address)
+            self._replace(reply.endpoints, address, reply.endpoints_age_ms)
         for rollout in self._known.versions.learn(reply.rollouts):
             learnt = RolloutLearnt(
                 rollout.service,
@@ -391,20 +392,29 @@
         before = directory.evacuations.number
         if not directory.evacuate(evacuations):
             return
+        cold = 0
+        if before:
+            cold = warm_up_returned(
+                directory, self._known.table, before, evacuations, self._now_ms()
+            )
         endpoints = sum(state.evacuated for state in directory.all())
         halls = ",".join(evacuations.halls)
-        learnt = EvacuationsLearnt(evacuations.number, before, halls, endpoints)
+        learnt = EvacuationsLearnt(evacuations.number, before, halls, endpoints, cold)
         emit(log, learnt)
 
-    def _replace(self, endpoints: EndpointList, source: str) -> None:
-        if not self._known.directory.replace(endpoints, self._now_ms()):
+    def _replace(
+        self, endpoints: EndpointList, source: str, age_ms: float = 0.0
+    ) -> None:
+        if not self._known.directory.replace(endpoints, self._now_ms(), age_ms):
             return
         instances = self._known.directory.instances()
         self._known.pool.forget(instances)
         self._known.kept.keep_only(instances)
         leaving = sum(e.leaving for e in endpoints.endpoints)
         count = len(endpoints.endpoints)
-        replaced = EndpointsReplaced(*endpoints.order, count, leaving, source)
+        now_ms = self._now_ms()
+        cold = sum(state.cold(now_ms) for state in self._known.directory.all())
+        replaced = EndpointsReplaced(*endpoints.order, count, leaving, cold, source)
         emit(log, replaced)
 
     # Whether the core is in touch.
--- a/ashlatch/gateway/versions.py
+++ b/ashlatch/gateway/versions.py
@@ -324,7 +324,11 @@
 
     All gateways choose the same, by rendezvous hashing.
     """
-    ready = {s.endpoint.instance: s for s in new if s.takes_work(now_ms)}
+    ready = {
+        s.endpoint.instance: s
+        for s in new
+        if s.takes_work(now_ms) and not s.cold(now_ms)
+    }
     if not ready:
         return []
     state = ready[rank(tuple(ready), rollout.version)[0]]
--- a/ashlatch/platform/document.py
+++ b/ashlatch/platform/document.py
@@ -67,6 +67,10 @@
     name: str
     # Connections that one endpoint accepts from all gateways together.
     max_conns: int = 64
+    # How long an endpoint is cold after its start, and the requests a second, of all
+    # gateways, that it bears until then; 0 where it bears as many as ever.
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
     engine: _Engine | None = None
 
 
@@ -218,7 +222,13 @@
     if engine is not None:
         prices = tuple(ModelPrice(m.name, m.cost) for m in engine.models)
         spec = EngineSpec(engine.slots, engine.kv_capacity, engine.stride, prices)
-    return Service(service.name, service.max_conns, spec)
+    return Service(
+        service.name,
+        service.max_conns,
+        spec,
+        service.cold_s * 1000.0,
+        service.cold_per_s,
+    )
 
 
 def _limits(limits: _Limits) -> CatalogLimits:
--- a/ashlatch/platform/instances.py
+++ b/ashlatch/platform/instances.py
@@ -28,6 +28,8 @@
 _Address = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:[1-9]\d{0,4}$")]
 # More requests at once than any endpoint runs: a figure beyond it is none.
 _Slots = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+# Longer than a day is no time after a start.
+_ColdLeft = Annotated[float, msgspec.Meta(ge=0, le=86_400_000)]
 # Unix milliseconds, up to the year 2255.
 _Started = Annotated[int, msgspec.Meta(ge=0, le=9_007_199_254_740_991)]
 _PORT_MAX = 65_535
@@ -48,6 +50,8 @@
     state: str
     # When the endpoint's process began; not every list tells.
     born: _Started = 0
+    # How much longer it bears less than others; not every list tells.
+    cold_left_ms: _ColdLeft = 0.0
 
 
 class _Page(msgspec.Struct, frozen=True, rename="camel"):
@@ -108,4 +112,5 @@
         max(1, entry.slots),
         _LEAVING[entry.state],
         entry.born,
+        entry.cold_left_ms,
     )
--- a/ashlatch/settings.py
+++ b/ashlatch/settings.py
@@ -235,6 +235,7 @@
     stop_s: float = Field(default=8.0, gt=0)
     repeats: RepeatSettings = RepeatSettings()
     endpoint_policy: str = "hall_affinity"
+    cold_policy: str = "senders"
 
 
 def field_errors(error: ValidationError) -> list[FieldError]:
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -60,7 +60,8 @@
         self.assertEqual(Evacuations(2, ("a", "b")), self.machine.state.evacuations)
         self.assertEqual(Accepted(True), self.apply("b", False))
         self.assertEqual(Accepted(False), self.apply("b", False))
-        self.assertEqual(Evacuations(3, ("a",)), self.machine.state.evacuations)
+        given_back = Evacuations(3, ("a",), {"b": 3})
+        self.assertEqual(given_back, self.machine.state.evacuations)
 
     def test_snapshot(self) -> None:
         self.apply("a", True)
--- a/tests/test_session_versions.py
+++ b/tests/test_session_versions.py
@@ -207,9 +207,9 @@
         leader, follower = Spread(CORE), Spread(CORE)
         asked = self.request(*self.GATEWAYS)
         leader.asked(asked)
-        leader.lead(1, EndpointList(), 0.0)
+        leader.lead(1, EndpointList(), 0.0, 0.0)
         follower.learn(leader.reply(asked, True, (), FleetState()))
-        follower.lead(2, EndpointList(), 0.0)
+        follower.lead(2, EndpointList(), 0.0, 0.0)
         told = follower.reply(self.request(), True, (), FleetState())
         self.assertEqual(self.GATEWAYS, told.gateways)
 
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -55,7 +55,7 @@
             gateways_known=gateways_digest(self.follower.gateways),
         )
         self.leader.asked(asked)
-        self.leader.lead(3, EndpointList(), 0.0)
+        self.leader.lead(3, EndpointList(), 0.0, 0.0)
         self.follower.learn(self.leader.reply(asked, True, (), FleetState()))
 
     def test_reads_reach_the_gateways_of_all_core_vms(self) -> None:
@@ -97,7 +97,7 @@
         """
         everyone = gateways_digest((ONE, TWO))
         self.ask(self.leader, request(ONE, gateways_known=everyone))
-        self.leader.lead(3, EndpointList(), 0.0)
+        self.leader.lead(3, EndpointList(), 0.0, 0.0)
         told = self.ask(self.leader, request(ONE, gateways_known=everyone))
         self.assertIsNone(told.gateways)
         told = self.ask(self.leader, request(ONE))
