Evacuations in the product's own mode, and by ashlatchctl in both

Change: an evacuation resource, named by its hall, makes the hall's endpoints leave in the routers' table, and control gives no orders there; ashlatchctl evacuation begin, finish and list, over the resource API or (--core) at core VMs.

--- a/ashlatch/cmdline/api.py
+++ b/ashlatch/cmdline/api.py
@@ -53,6 +53,11 @@
         self._servers = list(servers)
         self._token = token
 
+    @property
+    def has_token(self) -> bool:
+        """Whether calls carry an operator's token."""
+        return bool(self._token)
+
     def call(
         self,
         method: str,
@@ -107,6 +112,15 @@
         done = self.json("PUT", path, headers=headers, body=body)
         return int(done["revision"])
 
+    def delete(self, kind: str, name: str, change_id: str) -> int:
+        """Delete a resource; the accepted revision."""
+        current = self.current(kind, name)
+        if current is None:
+            raise ApiError(404, f"{kind}/{name}")
+        headers = {"Ashlatch-Change-Id": change_id, **condition(current["revision"])}
+        done = self.json("DELETE", f"/v1/resources/{kind}/{name}", headers=headers)
+        return int(done["revision"])
+
     def wait_in_force(self, revision: int) -> int:
         """Wait until a revision is in force; on how many routers it is."""
         while True:
--- a/ashlatch/cmdline/ctl.py
+++ b/ashlatch/cmdline/ctl.py
@@ -19,7 +19,12 @@
 import click
 
 from ashlatch import __version__
-from ashlatch.cmdline.api import Api, ApiError, Document, condition
+from ashlatch.cmdline.api import Api, Document
+from ashlatch.cmdline.evacuations import (
+    CoreEvacuations,
+    Evacuations,
+    ResourceEvacuations,
+)
 from ashlatch.errors import AshlatchError
 from ashlatch.explain.lines import Line, read_lines
 from ashlatch.explain.sessions import explain_moves, explain_session
@@ -66,8 +71,10 @@
     """
     if context.invoked_subcommand == "explain":
         return
-    if not servers or not token:
-        raise click.UsageError("--server and --token are needed")
+    if not servers:
+        raise click.UsageError("--server is needed")
+    if not token and context.invoked_subcommand != "evacuation":
+        raise click.UsageError("--token is needed")
     context.obj = Api(servers, token)
 
 
@@ -121,14 +128,9 @@
 @_pass_api
 def delete(api: Api, kind: str, name: str, wait: bool) -> None:
     """Delete a resource that nothing refers to."""
-    current = api.current(kind, name)
-    if current is None:
-        raise ApiError(404, f"{kind}/{name}")
-    headers = {"Ashlatch-Change-Id": uuid.uuid4().hex}
-    headers |= condition(current["revision"])
-    done = api.json("DELETE", f"/v1/resources/{kind}/{name}", headers=headers)
-    click.echo(f"{kind}/{name} deleted by {done['revision']}")
-    _wait(api, done["revision"], wait)
+    revision = api.delete(kind, name, uuid.uuid4().hex)
+    click.echo(f"{kind}/{name} deleted by {revision}")
+    _wait(api, revision, wait)
 
 
 @main.command()
@@ -211,6 +213,58 @@
     _show(api.json("GET", "/v1/status"))
 
 
+@main.group()
+@click.option("--core", is_flag=True, help="The servers are core VMs.")
+@click.pass_context
+def evacuation(context: click.Context, core: bool) -> None:
+    """See, begin and finish evacuations: a hall gets no new work meanwhile.
+
+    \b
+        ashlatchctl evacuation begin logan --reason "power works" --wait
+        ashlatchctl evacuation finish logan
+        ashlatchctl --server http://10.0.0.7:8225 evacuation --core list
+
+    Core VMs take no token; they are reached by operators alone.
+    """
+    api = context.obj
+    assert isinstance(api, Api)
+    if not core and not api.has_token:
+        raise click.UsageError("--token is needed")
+    context.obj = CoreEvacuations(api) if core else ResourceEvacuations(api)
+
+
+_pass_evacuations = click.make_pass_decorator(Evacuations)
+
+
+@evacuation.command("list")
+@_pass_evacuations
+def evacuation_list(evacuations: Evacuations) -> None:
+    """Show the halls that are evacuated, a line each."""
+    for hall in evacuations.halls():
+        click.echo(hall)
+
+
+@evacuation.command("begin")
+@click.argument("hall")
+@click.option("--reason", default="", help="Shown to other operators.")
+@click.option("--wait", is_flag=True, help="Wait until it is in force everywhere.")
+@_pass_evacuations
+def evacuation_begin(
+    evacuations: Evacuations, hall: str, reason: str, wait: bool
+) -> None:
+    """Send nothing more to the endpoints of a hall."""
+    click.echo(evacuations.begin(hall, reason, wait))
+
+
+@evacuation.command("finish")
+@click.argument("hall")
+@click.option("--wait", is_flag=True, help="Wait until it is in force everywhere.")
+@_pass_evacuations
+def evacuation_finish(evacuations: Evacuations, hall: str, wait: bool) -> None:
+    """Send to the endpoints of a hall again."""
+    click.echo(evacuations.finish(hall, wait))
+
+
 @main.group()
 def member() -> None:
     """See and change the members of the replicated state."""
--- /dev/null
+++ b/ashlatch/cmdline/evacuations.py
@@ -0,0 +1,98 @@
+"""
+ashlatch.cmdline.evacuations
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+How `ashlatchctl` sees, begins and finishes evacuations: as resources of the
+resource API, or by orders to the core VMs of a deployment on the users' platform.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import uuid
+
+from ashlatch.cmdline.api import Api, ApiError, Document
+from ashlatch.platform.operator import OperatorCall, OperatorVerb, evacuation_request
+
+__all__ = ["CoreEvacuations", "Evacuations", "ResourceEvacuations"]
+
+KIND = "evacuation"
+
+
+class Evacuations:
+    """What operators do; `begin` and `finish` return a line to show."""
+
+    def halls(self) -> tuple[str, ...]:
+        """The halls that are evacuated."""
+        raise NotImplementedError
+
+    def begin(self, hall: str, reason: str, wait: bool) -> str:
+        """Evacuate a hall; `wait` until that is in force everywhere."""
+        raise NotImplementedError
+
+    def finish(self, hall: str, wait: bool) -> str:
+        """Give a hall back."""
+        raise NotImplementedError
+
+
+class ResourceEvacuations(Evacuations):
+    """Evacuations as resources, one for each hall."""
+
+    def __init__(self, api: Api) -> None:
+        self._api = api
+
+    def halls(self) -> tuple[str, ...]:
+        """The names of the resources."""
+        listed = self._api.json("GET", f"/v1/resources/{KIND}")
+        return tuple(resource["name"] for resource in listed["resources"])
+
+    def begin(self, hall: str, reason: str, wait: bool) -> str:
+        """Put the resource."""
+        current = self._api.current(KIND, hall)
+        if_revision = current["revision"] if current else 0
+        document = Document(KIND, hall, {"reason": reason})
+        revision = self._api.put(document, if_revision, uuid.uuid4().hex)
+        return f"{KIND}/{hall} accepted as {revision}{self._told(revision, wait)}"
+
+    def finish(self, hall: str, wait: bool) -> str:
+        """Delete the resource."""
+        revision = self._api.delete(KIND, hall, uuid.uuid4().hex)
+        return f"{KIND}/{hall} deleted by {revision}{self._told(revision, wait)}"
+
+    def _told(self, revision: int, wait: bool) -> str:
+        if not wait:
+            return ""
+        return f", in force on {self._api.wait_in_force(revision)} routers"
+
+
+class CoreEvacuations(Evacuations):
+    """Evacuations as orders to core VMs, tried in turn.
+
+    Gateways follow an acknowledged order within half a second, or when they hear of
+    the core again; there is nothing to ask whether all have.
+    """
+
+    def __init__(self, api: Api) -> None:
+        self._api = api
+
+    def halls(self) -> tuple[str, ...]:
+        """By the leader's word."""
+        method, path = evacuation_request(OperatorCall(OperatorVerb.READ_EVACUATIONS))
+        return tuple(self._api.json(method, path)["halls"])
+
+    def begin(self, hall: str, reason: str, wait: bool) -> str:
+        """Order it; the reason is not kept."""
+        self._order(OperatorVerb.BEGIN_EVACUATION, hall, wait)
+        return f"{hall} is evacuated"
+
+    def finish(self, hall: str, wait: bool) -> str:
+        """Order the end of it."""
+        self._order(OperatorVerb.FINISH_EVACUATION, hall, wait)
+        return f"{hall} is given back"
+
+    def _order(self, verb: OperatorVerb, hall: str, wait: bool) -> None:
+        if wait:
+            raise ApiError(
+                400, "core VMs do not tell what is in force; leave out --wait"
+            )
+        self._api.json(*evacuation_request(OperatorCall(verb, hall=hall)))
--- a/ashlatch/control/placement.py
+++ b/ashlatch/control/placement.py
@@ -23,7 +23,7 @@
     SendOrder,
 )
 from ashlatch.log import LogEvent
-from ashlatch.resources import Endpoint, Pool, Withdrawal
+from ashlatch.resources import Endpoint, Evacuation, Pool, Withdrawal
 
 __all__ = ["OrderGiven", "OrderOutcome"]
 
@@ -69,6 +69,8 @@
         wait_ms = core.orders_after_ms.get(loaded.endpoint, 0.0)
         if endpoint is None or endpoint.leaving or busy or core.now_ms < wait_ms:
             continue
+        if core.has(Evacuation, endpoint.hall):
+            continue
         _order(core, pool, endpoint, loaded)
 
 
--- a/ashlatch/platform/operator.py
+++ b/ashlatch/platform/operator.py
@@ -10,9 +10,15 @@
 
 import enum
 from dataclasses import dataclass
-from urllib.parse import unquote
+from urllib.parse import quote, unquote
 
-__all__ = ["OperatorCall", "OperatorVerb", "READY_TARGET", "recognise"]
+__all__ = [
+    "READY_TARGET",
+    "OperatorCall",
+    "OperatorVerb",
+    "evacuation_request",
+    "recognise",
+]
 
 READY_TARGET = "/-/readyz"
 
@@ -69,3 +75,14 @@
         service = path.removeprefix(_ROLLOUT_PREFIX)
         return OperatorCall(OperatorVerb.READ_ROLLOUT, service)
     return None
+
+
+def evacuation_request(call: OperatorCall) -> tuple[str, str]:
+    """Method and path of a call about evacuations, as an operator makes it."""
+    match call.verb:
+        case OperatorVerb.BEGIN_EVACUATION:
+            return "POST", _EVACUATE_PREFIX + quote(call.hall, safe="")
+        case OperatorVerb.FINISH_EVACUATION:
+            return "POST", _RETURN_PREFIX + quote(call.hall, safe="")
+        case _:
+            return _EVACUATIONS
--- a/ashlatch/policy/table.py
+++ b/ashlatch/policy/table.py
@@ -16,6 +16,7 @@
 from ashlatch.resources import (
     Cascade,
     Endpoint,
+    Evacuation,
     Organisation,
     Pool,
     Rollout,
@@ -135,9 +136,19 @@
             self._all(Route),
             self._rollouts(),
             frozenset(k.name for k in self._resources if k.kind == "withdrawal"),
-            frozenset(
-                e.name for pool in endpoints.values() for e in pool if e.spec.leaving
-            ),
+            self._leaving(endpoints),
+        )
+
+    def _leaving(
+        self, endpoints: dict[str, tuple[NamedEndpoint, ...]]
+    ) -> frozenset[str]:
+        """The endpoints that get no new work, for themselves or by their hall."""
+        evacuated = frozenset(self._all(Evacuation))
+        return frozenset(
+            e.name
+            for pool in endpoints.values()
+            for e in pool
+            if e.spec.leaving or e.spec.hall in evacuated
         )
 
     def _all(self, kind: type[K]) -> dict[str, K]:
--- a/ashlatch/resources.py
+++ b/ashlatch/resources.py
@@ -24,6 +24,7 @@
     "RESOURCE_KINDS",
     "Cascade",
     "Endpoint",
+    "Evacuation",
     "InvalidResource",
     "Model",
     "Organisation",
@@ -275,6 +276,18 @@
         return (Reference("version", own_name, "name"),)
 
 
+@RESOURCE_KINDS.add
+class Evacuation(Spec):
+    """The endpoints of the hall of the same name receive no new work.
+
+    It lasts until it is deleted, whatever endpoints come to the hall meanwhile.
+    """
+
+    name = "evacuation"
+    priority = 0
+    reason: str = ""
+
+
 def parse(kind: str, spec: bytes) -> Spec:
     """Read a spec of a kind.
 
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -32,6 +32,7 @@
             # The version comes first in the file and second in effect.
             self.check_apply(system, [VERSION, MODEL])
             self.check_changes(system)
+            self.check_evacuations(system)
             self.check_members(system)
 
     def check_apply(self, system: System, resources: list[dict[str, Any]]) -> None:
@@ -63,6 +64,15 @@
         self.assertEqual(["small", "small-1", "small-1"], accepted)
         self.assertIn("deleted", system.ctl("delete", "withdrawal", "small-1").stdout)
 
+    def check_evacuations(self, system: System) -> None:
+        begun = system.ctl("evacuation", "begin", "logan", "--wait").stdout
+        self.assertIn("in force on 0 routers", begun)
+        self.assertEqual("logan\n", system.ctl("evacuation", "list").stdout)
+        again = system.ctl("evacuation", "begin", "logan").stdout
+        self.assertIn("evacuation/logan accepted", again)
+        self.assertIn("deleted", system.ctl("evacuation", "finish", "logan").stdout)
+        self.assertEqual("", system.ctl("evacuation", "list").stdout)
+
     def check_members(self, system: System) -> None:
         listed = system.ctl("member", "list").stdout
         self.assertIn("losses_survived=1", listed)
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -10,6 +10,7 @@
 
 import msgspec
 import testtools
+from click.testing import CliRunner, Result
 
 from ashlatch.catalog import (
     CoreVm,
@@ -19,6 +20,7 @@
     Rollout,
     RolloutStage,
 )
+from ashlatch.cmdline.ctl import main
 from ashlatch.codec import encode
 from ashlatch.fleet.machine import (
     Accepted,
@@ -36,8 +38,10 @@
 from ashlatch.gateway.watch import SilenceWatch
 from ashlatch.http.connection import Headers, HttpRequest
 from ashlatch.http.upstream import Upstream
+from ashlatch.policy.table import TableBuilder
+from ashlatch.store.command import Resource
 from tests import standin
-from tests.fleet import READY_PORT, Fleet, wait_for
+from tests.fleet import OPERATOR_PORT, READY_PORT, Fleet, wait_for
 from tests.gateway import ASK_STREAM, GatewayHarness, ask
 
 BEGIN = "/-/Evacuations.Begin/"
@@ -152,6 +156,27 @@
         self.assertEqual(503, self.call("GET", "/-/Evacuations.Read")[0])
 
 
+class TableTest(testtools.TestCase):
+    """The product's own routers: an evacuation is a resource named by its hall."""
+
+    def table(self, *evacuated: str) -> frozenset[str]:
+        spec = {"pool": "p", "url": "http://10.0.0.1:80", "vm": "vm", "leaving": False}
+        resources = [
+            Resource("endpoint", f"e-{hall}", 1, self.spec({**spec, "hall": hall}))
+            for hall in ("a", "b")
+        ]
+        resources += [Resource("evacuation", hall, 2, b"{}") for hall in evacuated]
+        return TableBuilder().update(2, tuple(resources), ()).leaving
+
+    def spec(self, document: dict[str, object]) -> bytes:
+        return msgspec.json.encode(document)
+
+    def test_its_endpoints_get_no_new_work(self) -> None:
+        self.assertEqual(frozenset(), self.table())
+        self.assertEqual({"e-b"}, self.table("b"))
+        self.assertEqual({"e-a", "e-b"}, self.table("b", "a"))
+
+
 class SpreadTest(testtools.TestCase):
     def test_news_for_who_knows_less(self) -> None:
         spread = Spread(CoreVm("a:1", "h"))
@@ -351,6 +376,18 @@
         self.assertEqual(503, fleet.ask(self.gateway))
         self.assertEqual([], fleet.platform.worker.seen)
 
+    def test_by_the_operators_command(self) -> None:
+        hosts = self.fleet.hosts
+        servers = [f"--server=http://{host}:{OPERATOR_PORT}" for host in hosts]
+
+        def ctl(*words: str) -> Result:
+            return CliRunner().invoke(main, [*servers, "evacuation", "--core", *words])
+
+        wait_for(lambda: ctl("begin", "hall-1").exit_code == 0, "begun")
+        self.assertEqual("hall-1\n", ctl("list").output)
+        wait_for(lambda: ctl("finish", "hall-1").exit_code == 0, "finished")
+        self.assertEqual("", ctl("list").output)
+
     def test_through_the_kill_of_a_leader(self) -> None:
         fleet = self.fleet
         leader = fleet.leader()
