The exposure of a roll-out follows the operator's bound

Cause: the bound of one deployment (15 in 100 and 30 more) stood in constants of the verdict; where operators allow 9.75 in 100, a load test went on to 12.5. Change: fleet/exposure.py derives the trial's share, the end of the load test and the first step after it from share and extra, settings of the core; what is not told is as before (0.1, 0.125 and 20, 0.4).

--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -21,6 +21,7 @@
 from ashlatch.catalog import CoreVm, Endpoint, Rollout, Service
 from ashlatch.clock import monotonic_ms
 from ashlatch.fleet.discovery import ListReader
+from ashlatch.fleet.exposure import plan_exposure
 from ashlatch.fleet.following import LeaderLink
 from ashlatch.fleet.founding import open_member
 from ashlatch.fleet.leader import ListKeeper, RolloutKeeper
@@ -105,7 +106,8 @@
         self._orders = Orders(
             settings.losses_max, self._book, lambda: self.group, lambda: self.machine
         )
-        self._rollouts = RolloutKeeper()
+        exposure = settings.exposure
+        self._rollouts = RolloutKeeper(plan_exposure(exposure.share, exposure.extra))
         self._list = ListKeeper(
             ListReader(settings.list_address), settings.list_read_ms
         )
--- a/ashlatch/fleet/leader.py
+++ b/ashlatch/fleet/leader.py
@@ -24,9 +24,10 @@
     SessionMarks,
 )
 from ashlatch.fleet.discovery import ListReader, ListUnreadable
+from ashlatch.fleet.exposure import ExposurePlan
 from ashlatch.fleet.logs import ListRead, ListUnread, RolloutDecided
 from ashlatch.fleet.machine import FINAL_STAGES, MoveRollout
-from ashlatch.fleet.verdict import Decision, Evidence, decide
+from ashlatch.fleet.verdict import DEFAULT_PLAN, Decision, Evidence, decide
 from ashlatch.gateway.tally import Tally
 from ashlatch.log import emit
 
@@ -124,9 +125,11 @@
     """The evidence and the clocks of the roll-outs.
 
     Every core VM keeps the clocks, from when it applied the order, so that a
-    new leader knows the time exactly. The evidence is the leader's alone.
+    new leader knows the time exactly. The evidence is the leader's alone. The `plan`
+    follows from what operators allow a bad version to get.
     """
 
+    plan: ExposurePlan = DEFAULT_PLAN
     _evidence: dict[str, Evidence] = field(default_factory=dict)
     _clocks: dict[str, _Clock] = field(default_factory=dict)
     _newest: dict[str, Rollout] = field(default_factory=dict)
@@ -196,7 +199,9 @@
         elapsed_ms = self._clocks[rollout.service].read_ms(now_ms)
         evidence = self._evidence.setdefault(rollout.service, Evidence())
         ready = _ready(rollout, elapsed_ms, listed)
-        decision = decide(rollout, elapsed_ms, evidence, now_ms, ready, plain)
+        decision = decide(
+            rollout, elapsed_ms, evidence, now_ms, ready, plain, self.plan
+        )
         changed = (decision.stage, decision.share) != (rollout.stage, rollout.share)
         told = self._sessions.get(rollout.service, SessionMarks(rollout.service, ()))
         moved = _moved(rollout, decision, told)
--- a/ashlatch/fleet/verdict.py
+++ b/ashlatch/fleet/verdict.py
@@ -16,38 +16,33 @@
 from dataclasses import dataclass, field
 
 from ashlatch.catalog import Rollout, RolloutStage
+from ashlatch.fleet.exposure import (
+    SETTLE_FROM,
+    SHIFT_FROM,
+    SHIFT_WHOLE_FROM,
+    ExposurePlan,
+    plan_exposure,
+)
 from ashlatch.gateway.tally import Tally, TallyKey, merge
 
 __all__ = ["Decision", "Evidence", "decide"]
 
-# The share of sessions in the trial. It runs for half of the time and leaves
-# most of what a bad version may answer (15 in 100) for what follows.
-TRIAL_SHARE = 0.1
-# Services with few requests need a larger share to be judged by; this many
-# requests on top, once the number of requests is known.
-TRIAL_EXTRA = 30.0
-TRIAL_SHARE_MAX = 0.25
+# The number of requests to a service is known from so many on.
 KNOWN_MIN = 10
 # Gateways hear of an order and tell which sessions run in about two exchanges
 # with the core, of half a second each.
 SESSIONS_TOLD_MS = 1500.0
-# From which part of the time on a version that is well gets which share.
+# From which part of the time on a version that is well is in which stage.
 STEPS = (
-    (0.00, RolloutStage.TRIAL, TRIAL_SHARE),
-    (0.50, RolloutStage.LOAD_TEST, TRIAL_SHARE),
-    (0.62, RolloutStage.SETTLE, TRIAL_SHARE),
-    (0.66, RolloutStage.SHIFT, 0.4),
-    (0.70, RolloutStage.SHIFT, 1.0),
+    (0.00, RolloutStage.TRIAL),
+    (0.50, RolloutStage.LOAD_TEST),
+    (SETTLE_FROM, RolloutStage.SETTLE),
+    (SHIFT_FROM, RolloutStage.SHIFT),
 )
 # Sessions and streams on the old version end meanwhile; its endpoints stop
 # when the roll-out is declared complete. What is left of the time covers
 # seconds that nobody counted, while all core VMs were down.
 COMPLETE_AT = 0.82
-# The load test ends early when the version would have answered this part of
-# all requests until the end of the time, and a few more.
-EXPOSED_MAX = 0.125
-EXPOSED_EXTRA = 20
-
 # Fewer failures than this may be chance.
 FAILURES_MIN = 3
 # A version may fail this much more often than the other before it is judged.
@@ -70,6 +65,8 @@
 WINDOWS_MS = (4000.0, 8000.0, 16_000.0)
 
 Counts = dict[TallyKey, Tally]
+# What operators allow who say nothing of it.
+DEFAULT_PLAN = plan_exposure(0.15, 30.0)
 
 
 @dataclass(frozen=True)
@@ -138,11 +135,13 @@
     now_ms: float,
     listed: bool,
     plain: bool = False,
+    plan: ExposurePlan = DEFAULT_PLAN,
 ) -> Decision:
     """The stage and share that a roll-out should have now.
 
     `listed` is whether endpoints of the new version are known to be ready, `plain`
-    whether the service has no model engines.
+    whether the service has no model engines. The `plan` says how much a version gets
+    that may be bad.
     """
     if not listed and rollout.share == 0:
         return Decision(rollout.stage, rollout.share, "no endpoint of the version")
@@ -162,15 +161,16 @@
     part = elapsed_ms / rollout.duration_ms
     if part >= COMPLETE_AT and rollout.share >= 1.0:
         return Decision(RolloutStage.COMPLETED, 1.0, "well for most of the time")
-    _, stage, share = next(step for step in reversed(STEPS) if part >= step[0])
+    stage = next(stage for begin, stage in reversed(STEPS) if part >= begin)
+    share = _share(stage, part, plan)
     if stage is RolloutStage.LOAD_TEST:
         over = rollout.stage is RolloutStage.SETTLE
-        if over or _exposed(rollout, part, everything):
+        if over or _exposed(rollout, part, everything, plan):
             return _onward(rollout, RolloutStage.SETTLE, share, "enough was answered")
     if stage is RolloutStage.TRIAL:
         if elapsed_ms < SESSIONS_TOLD_MS:
             return Decision(stage, rollout.share, "sessions are being told")
-        share = _trial_share(rollout, part, everything)
+        share = _trial_share(rollout, part, everything, plan)
     return _onward(rollout, stage, share, "well so far")
 
 
@@ -186,7 +186,16 @@
     return Decision(stage, max(share, rollout.share), reason)
 
 
-def _trial_share(rollout: Rollout, part: float, counts: Counts) -> float:
+def _share(stage: RolloutStage, part: float, plan: ExposurePlan) -> float:
+    """The share of a version that is well, but for a trial's of few requests."""
+    if stage is not RolloutStage.SHIFT:
+        return plan.trial_share
+    return 1.0 if part >= SHIFT_WHOLE_FROM else plan.shift_share
+
+
+def _trial_share(
+    rollout: Rollout, part: float, counts: Counts, plan: ExposurePlan
+) -> float:
     """The share of the trial, by the requests since the order.
 
     It is set once: each change would move sessions that run.
@@ -196,12 +205,11 @@
     own = [tally for key, tally in counts.items() if key.service == rollout.service]
     answers = sum(_answers(tally) for tally in own)
     if answers < KNOWN_MIN:
-        return TRIAL_SHARE
-    total = answers / part
-    return round(min(TRIAL_SHARE_MAX, TRIAL_SHARE + TRIAL_EXTRA / total), 3)
+        return plan.trial_share
+    return plan.trial_share_of(answers / part)
 
 
-def _exposed(rollout: Rollout, part: float, counts: Counts) -> bool:
+def _exposed(rollout: Rollout, part: float, counts: Counts, plan: ExposurePlan) -> bool:
     """Whether the new version has answered what a bad one may, but for a rest."""
     new = all_answers = 0
     for key, tally in counts.items():
@@ -209,7 +217,7 @@
             continue
         all_answers += _answers(tally)
         new += _answers(tally) if key.version == rollout.version else 0
-    return new > EXPOSED_MAX * all_answers / part + EXPOSED_EXTRA
+    return new > plan.tested_share * all_answers / part + plan.tested_extra
 
 
 def _fault(
--- a/ashlatch/settings.py
+++ b/ashlatch/settings.py
@@ -20,6 +20,7 @@
 __all__ = [
     "ControlSettings",
     "CoreSettings",
+    "ExposureSettings",
     "GatewaySettings",
     "HttpLimits",
     "Operator",
@@ -193,6 +194,15 @@
         return tuple(f"{host}:{self.ports[0]}" for host in hosts)
 
 
+class ExposureSettings(Settings):
+    """What a new version that turns out bad may get: a `share` of the requests to its
+    service while it is rolled out, and `extra` requests more.
+    """
+
+    share: float = Field(default=0.15, gt=0, le=1)
+    extra: float = Field(default=30.0, ge=0)
+
+
 class CoreSettings(VmSettings):
     """Settings of `ashlatch-core`.
 
@@ -205,6 +215,7 @@
     data_folder: str
     first_start: bool = False
     losses_max: int = Field(default=1, ge=0)
+    exposure: ExposureSettings = ExposureSettings()
     heartbeat_ms: float = Field(default=100.0, gt=0)
     election_min_ms: float = Field(default=400.0, gt=0)
     election_max_ms: float = Field(default=800.0, gt=0)
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -11,7 +11,7 @@
     SessionMarks,
 )
 from ashlatch.fleet.leader import RolloutKeeper
-from ashlatch.fleet.verdict import TRIAL_SHARE
+from ashlatch.fleet.verdict import DEFAULT_PLAN
 from ashlatch.gateway.tally import Tally, TallyKey
 
 
@@ -75,7 +75,9 @@
 
     def test_checkpoints_lose_no_time(self) -> None:
         keeper = RolloutKeeper()
-        known = Rollout("app", "v2", RolloutStage.TRIAL, TRIAL_SHARE, 1, 20_000.0)
+        known = Rollout(
+            "app", "v2", RolloutStage.TRIAL, DEFAULT_PLAN.trial_share, 1, 20_000.0
+        )
         keeper.observe((known,), 0.0)
         for now_ms in range(300, 9000, 300):
             for move in keeper.moves((known,), self.LISTED, float(now_ms)):
@@ -108,7 +110,13 @@
     def test_a_restarted_member_knows_the_last_checkpoint(self) -> None:
         keeper = RolloutKeeper()
         known = Rollout(
-            "app", "v2", RolloutStage.TRIAL, TRIAL_SHARE, 4, 20_000.0, 6000.0
+            "app",
+            "v2",
+            RolloutStage.TRIAL,
+            DEFAULT_PLAN.trial_share,
+            4,
+            20_000.0,
+            6000.0,
         )
         (move,) = [
             m
