--- a/ashlatch/fleet/exposure.py
+++ b/ashlatch/fleet/exposure.py
@@ -21,7 +21,8 @@
 ]
 
 # The parts of a roll-out's time from which what the load test brought is waited for,
-# and from which the new version gets more than the trial and that test gave it, and all.
+# and from which the new version gets more than the trial and that test gave it, then
+# everything.
 SETTLE_FROM = 0.62
 SHIFT_FROM = 0.66
 SHIFT_WHOLE_FROM = 0.70
