Requests bound to regions stay there

Change: allowedRegions of a route or an organisation; endpoints elsewhere are left out of the first choice, repeats, climbs and resumed streams, and where none is left the request is refused at once with reason=no_endpoint_in_region. The regions of the halls come from the settings.

--- a/ashlatch/catalog.py
+++ b/ashlatch/catalog.py
@@ -63,7 +63,8 @@
     `held_max_ms` how long it may be held; `target_ms` the time to the answer
     (of a stream: its first event) that is aimed at. `models` are the models
     that the gateway may name, the smallest first; empty when the caller does.
-    `priority` is 0 for the most urgent.
+    `priority` is 0 for the most urgent. Where `regions` are named, its requests go to
+    endpoints in these alone.
     """
 
     name: str
@@ -80,6 +81,7 @@
     prefers_kept_prompt: bool
     models: tuple[str, ...]
     shares: tuple[ServiceShare, ...]
+    regions: tuple[str, ...] = ()
 
 
 class ModelPrice(msgspec.Struct, frozen=True):
@@ -113,11 +115,15 @@
 
 
 class Organisation(msgspec.Struct, frozen=True):
-    """Who holds which API keys; `priority`, if set, goes before the route's."""
+    """Who holds which API keys; `priority`, if set, goes before the route's.
+
+    `regions` bind its requests like a route's; where both name some, both bind.
+    """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None
+    regions: tuple[str, ...] = ()
 
 
 class CatalogLimits(msgspec.Struct, frozen=True):
--- a/ashlatch/gateway/admission.py
+++ b/ashlatch/gateway/admission.py
@@ -53,6 +53,21 @@
             return organisation.priority
         return self.route.priority
 
+    @property
+    def region_bound(self) -> bool:
+        """Whether its route or its organisation names regions."""
+        return any(self._regions)
+
+    def may_run_in(self, region: str) -> bool:
+        """Whether endpoints of a region may get the request; empty for unknown ones."""
+        return all(not named or region in named for named in self._regions)
+
+    @property
+    def _regions(self) -> tuple[tuple[str, ...], ...]:
+        organisation = self.organisation
+        own = organisation.regions if organisation is not None else ()
+        return self.route.regions, own
+
 
 @dataclass(frozen=True)
 class Refused:
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -97,6 +97,7 @@
             VersionChooser(sessions),
             ENDPOINT_POLICIES.get(settings.endpoint_policy)(),
             BudgetTerms(repeats.ratio, repeats.extra, repeats.window_s * 1000.0),
+            settings.halls,
             generator=random.Random(settings.vm),
         )
         self._seeds = Seeds(settings, reread)
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -31,6 +31,7 @@
     larger_models,
 )
 from ashlatch.gateway.crash import CrashFinder
+from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.events import EventSplitter, StreamEvent
 from ashlatch.gateway.forecast import Send
 from ashlatch.gateway.knowledge import Knowledge
@@ -130,7 +131,7 @@
         """The endpoint for a send that asks a model, empty for the caller's."""
         now_ms = self._now_ms()
         service = self._admission.service
-        states = self._known.directory.of_service(service.name)
+        states = self._states()
         tried = frozenset(self._tried)
         allowed = self._known.versions.allowed(
             service.name,
@@ -144,6 +145,15 @@
         send = Send(self._ask, model, self._slack_ms(model), apart)
         return choose_endpoint(self._known, service, allowed, tried, send, now_ms)
 
+    def _states(self) -> list[EndpointState]:
+        """The endpoints of the service in those regions in which it may run."""
+        regions = self._known.regions
+        return [
+            state
+            for state in self._known.directory.of_service(self._admission.service.name)
+            if self._admission.may_run_in(regions.get(state.endpoint.hall, ""))
+        ]
+
     def _slack_ms(self, model: str) -> float:
         """The time in which an answer of the model should begin."""
         elapsed_ms = self._now_ms() - self._ask.received_s * 1000.0
@@ -367,10 +377,13 @@
     def _nowhere(self) -> Refused:
         if self._may_have_run:
             return Refused(502, RefusalReason.OUTCOME_UNKNOWN)
-        states = self._known.directory.of_service(self._admission.service.name)
+        states = self._states()
         if any(state.evacuated for state in states):
             return Refused(503, RefusalReason.EVACUATED, EVACUATED_AFTER_S)
-        return Refused(503, RefusalReason.NO_ENDPOINT, RETRY_AFTER_S)
+        reason = RefusalReason.NO_ENDPOINT
+        if not states and self._admission.region_bound:
+            reason = RefusalReason.NO_ENDPOINT_IN_REGION
+        return Refused(503, reason, RETRY_AFTER_S)
 
     def _spent(self, kind: FailureKind) -> Refused:
         held = self._held()
--- a/ashlatch/gateway/knowledge.py
+++ b/ashlatch/gateway/knowledge.py
@@ -43,7 +43,8 @@
 
 @dataclass
 class Knowledge:
-    """`table` is unset until the first configuration has come.
+    """`regions` are those of the halls. `table` is unset until the first configuration
+    has come.
 
     `gateways` are those that the fleet has heard of lately; they share the
     budgets and the connections that endpoints accept. `tell` tells them
@@ -58,6 +59,7 @@
     versions: VersionChooser
     policy: EndpointPolicy
     budget_terms: BudgetTerms
+    regions: dict[str, str] = field(default_factory=dict)
     table: RouteTable | None = None
     directory: Directory = field(default_factory=Directory)
     pool: ConnectionPool = field(default_factory=ConnectionPool)
--- a/ashlatch/gateway/message.py
+++ b/ashlatch/gateway/message.py
@@ -40,6 +40,7 @@
     STOPPING = "stopping"
     QUARANTINED = "quarantined"
     EVACUATED = "evacuated"
+    NO_ENDPOINT_IN_REGION = "no_endpoint_in_region"
 
 
 @dataclass(frozen=True)
--- a/ashlatch/platform/document.py
+++ b/ashlatch/platform/document.py
@@ -98,6 +98,7 @@
     sizes: tuple[str, ...] = ()
     service: str = ""
     split: tuple[_Share, ...] = ()
+    allowed_regions: tuple[str, ...] = ()
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="camel"):
@@ -111,6 +112,7 @@
     name: str
     api_keys: tuple[str, ...] = ()
     priority: int | None = None
+    allowed_regions: tuple[str, ...] = ()
 
 
 class _Document(msgspec.Struct, frozen=True):
@@ -138,7 +140,10 @@
         document.version,
         tuple(_route(route) for route in document.routes),
         tuple(_service(service) for service in document.services),
-        tuple(Organisation(t.name, t.api_keys, t.priority) for t in document.tenants),
+        tuple(
+            Organisation(t.name, t.api_keys, t.priority, t.allowed_regions)
+            for t in document.tenants
+        ),
         _limits(document.limits),
     )
 
@@ -213,6 +218,7 @@
         route.sticky,
         route.sizes,
         _shares(route),
+        route.allowed_regions,
     )
 
 
