--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -147,10 +147,13 @@
 
     def _states(self) -> list[EndpointState]:
         """The endpoints of the service in those regions in which it may run."""
+        states = self._known.directory.of_service(self._admission.service.name)
+        if not self._admission.region_bound:
+            return list(states)
         regions = self._known.regions
         return [
             state
-            for state in self._known.directory.of_service(self._admission.service.name)
+            for state in states
             if self._admission.may_run_in(regions.get(state.endpoint.hall, ""))
         ]
 
--- a/ashlatch/gateway/watch.py
+++ b/ashlatch/gateway/watch.py
@@ -54,23 +54,26 @@
         async with asyncio.TaskGroup() as probes:
             while True:
                 await asyncio.sleep(WATCH_EVERY_S)
-                self._forget_old()
+                now_ms = self._now_ms()
+                self._forget_old(now_ms)
                 for state in self._directory.all():
-                    if self._due(state):
-                        self._probed_ms[state.endpoint.instance] = self._now_ms()
+                    if self._due(state, now_ms):
+                        self._probed_ms[state.endpoint.instance] = now_ms
                         probes.create_task(self._probe(state))
 
-    def _due(self, state: EndpointState) -> bool:
-        probed_ms = self._probed_ms.get(state.endpoint.instance, float("-inf"))
-        lately = self._now_ms() - probed_ms < PROBE_AGAIN_MS
-        if lately or state.evacuated:
+    def _due(self, state: EndpointState, now_ms: float) -> bool:
+        # Few endpoints are silent, and all are looked at ten times a second.
+        if state.silent_ms(now_ms) <= SILENT_MS:
+            return False
+        if state.evacuated:
             # Operators have nothing more sent to an evacuated hall, probes included:
             # what runs there ends by its own patience.
             return False
-        return state.silent_ms(self._now_ms()) > SILENT_MS
+        probed_ms = self._probed_ms.get(state.endpoint.instance, float("-inf"))
+        return now_ms - probed_ms >= PROBE_AGAIN_MS
 
-    def _forget_old(self) -> None:
-        before_ms = self._now_ms() - PROBE_AGAIN_MS
+    def _forget_old(self, now_ms: float) -> None:
+        before_ms = now_ms - PROBE_AGAIN_MS
         old = [i for i, probed_ms in self._probed_ms.items() if probed_ms < before_ms]
         for instance in old:
             del self._probed_ms[instance]
--- a/bench/all.py
+++ b/bench/all.py
@@ -12,6 +12,7 @@
     overload,
     router,
     state,
+    watch,
 )
 
 
@@ -28,6 +29,7 @@
         router,
         fleet,
         capacity,
+        watch,
     )
     for module in modules:
         module.main()
--- /dev/null
+++ b/bench/watch.py
@@ -0,0 +1,47 @@
+"""The processor time of one look for silent endpoints, ten of which a gateway takes a
+second. Among 140 endpoints of which none is silent it took 0.14 ms while each of them
+asked for the time twice, 0.02 ms since the time is read once. python -m bench.watch
+"""
+
+import asyncio
+import time
+
+from ashlatch.catalog import Endpoint, EndpointList
+from ashlatch.clock import ClockLoop
+from ashlatch.gateway.directory import Directory
+from ashlatch.gateway.watch import SilenceWatch
+from bench.table import row, spread, title
+
+ENDPOINTS = (9, 70, 140)
+LOOKS = 500
+ROUNDS = 5
+
+
+async def look_ms(endpoints: int) -> float:
+    """The mean processor time of one look."""
+    directory = Directory()
+    listed = tuple(
+        Endpoint(f"i-{n:08x}", "app", f"10.0.0.{n}:80", "h", "v1", 12, False)
+        for n in range(endpoints)
+    )
+    directory.replace(EndpointList(1, 1, listed), 0.0)
+    watch = SilenceWatch(directory)
+    loop = asyncio.get_running_loop()
+    begun_s = time.process_time()
+    for _ in range(LOOKS):
+        now_ms = loop.time() * 1000.0
+        for state in directory.all():
+            watch._due(state, now_ms)
+    return (time.process_time() - begun_s) / LOOKS * 1000.0
+
+
+def main() -> None:
+    title("A look for silent endpoints, processor time")
+    for endpoints in ENDPOINTS:
+        with asyncio.Runner(loop_factory=ClockLoop) as runner:
+            times = [runner.run(look_ms(endpoints)) for _ in range(ROUNDS)]
+        row(f"{endpoints} endpoints", ms=spread(times))
+
+
+if __name__ == "__main__":
+    main()
