Wait for a connection no longer than the route aims to answer in

Cause: half a second was waited whatever the route; at one that aims at 0.16 s a request that chose a dark endpoint was late before it tried the next. Change: connect_patience_s, the route's target within 0.1 and 0.5 s; a connection that never stood has run nothing, so this costs no budget and is true for orders too.

--- a/ashlatch/gateway/attempt.py
+++ b/ashlatch/gateway/attempt.py
@@ -20,7 +20,7 @@
 from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.forecast import Forecast
 from ashlatch.gateway.message import AnswerHead, Ask, Dispatch, LoadFigures
-from ashlatch.gateway.patience import Patience
+from ashlatch.gateway.patience import CONNECT_MAX_S, Patience
 from ashlatch.gateway.pool import ConnectionPool
 from ashlatch.http.upstream import ConnectFailed, Upstream, UpstreamBroken
 from ashlatch.platform.headers import decode_answer, endpoint_headers
@@ -29,10 +29,6 @@
 
 R = TypeVar("R")
 
-# A connection within a region takes milliseconds; a lost first packet is sent
-# again after a second.
-CONNECT_TIMEOUT_S = 0.5
-
 
 class FailureKind(enum.Enum):
     """How a send ended without an answer that counts.
@@ -86,8 +82,10 @@
         dispatch: Dispatch,
         repeatable: bool,
         forecast: Forecast | None = None,
+        connect_s: float = CONNECT_MAX_S,
     ) -> None:
         self.state = state
+        self._connect_s = connect_s
         self.forecast = forecast
         self.dispatch = dispatch
         self.head: AnswerHead | None = None
@@ -198,7 +196,7 @@
         connection = self._pool.take(endpoint, self._repeatable, self._loop.time())
         if connection is None:
             try:
-                connection = await Upstream.connect(endpoint.address, CONNECT_TIMEOUT_S)
+                connection = await Upstream.connect(endpoint.address, self._connect_s)
             except ConnectFailed as error:
                 raise AttemptFailed(FailureKind.UNREACHABLE, error.reason) from error
         self._connection = connection
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -36,7 +36,12 @@
 from ashlatch.gateway.forecast import Send
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.message import AnswerHead, Dispatch, RefusalReason
-from ashlatch.gateway.patience import Patience, answer_patience, event_patience
+from ashlatch.gateway.patience import (
+    Patience,
+    answer_patience,
+    connect_patience_s,
+    event_patience,
+)
 from ashlatch.http.connection import CallerGone, Headers, Responder
 
 __all__ = ["Exchange"]
@@ -183,7 +188,13 @@
         repeatable = self._route.repeat is not Repeat.NEVER
         pool = self._known.pool
         return Attempt(
-            choice.state, pool, self._ask, dispatch, repeatable, choice.forecast
+            choice.state,
+            pool,
+            self._ask,
+            dispatch,
+            repeatable,
+            choice.forecast,
+            connect_patience_s(self._route),
         )
 
     def _patience(self) -> Patience:
--- a/ashlatch/gateway/patience.py
+++ b/ashlatch/gateway/patience.py
@@ -13,7 +13,13 @@
 
 from ashlatch.catalog import Repeat, Route
 
-__all__ = ["Patience", "answer_patience", "event_patience"]
+__all__ = [
+    "CONNECT_MAX_S",
+    "Patience",
+    "answer_patience",
+    "connect_patience_s",
+    "event_patience",
+]
 
 # A send that may be repeated is given up when nothing has come for this many
 # times the route's target, and for at least the floor.
@@ -27,6 +33,13 @@
 EVENT_SILENCE_RATIO = 1.5
 
 
+# A connection within a region takes some ms, and one whose first packet is lost a
+# second: who waits longer than this waits for that, and another endpoint is sooner.
+CONNECT_MAX_S = 0.5
+# The least time for a connection between halls under load.
+CONNECT_MIN_S = 0.1
+
+
 @dataclass(frozen=True)
 class Patience:
     """How long an endpoint may be silent, and whether it is given up then.
@@ -51,6 +64,16 @@
     return Patience(silence_s, may_give_up)
 
 
+def connect_patience_s(route: Route) -> float:
+    """How long an endpoint may take to accept a connection.
+
+    No longer than the route aims to answer in: a request that found its endpoint dark
+    after 0.5 s was late where 0.16 s are aimed at, and in time on the next one.
+    """
+    aimed_s = route.target_ms / 1000.0 or CONNECT_MAX_S
+    return min(CONNECT_MAX_S, max(CONNECT_MIN_S, aimed_s))
+
+
 def event_patience(route: Route, may_give_up: Callable[[], bool]) -> Patience:
     """Between two events of a stream that has begun."""
     if route.repeat is not Repeat.RESUME or not route.event_gap_max_ms:
