Cold endpoints wait until a gateway that starts knows the others; mutants; constants

Cause, by reading: when all VMs start together each hears of a few gateways first and takes itself for one of the senders; 61 of these would pass the bound together. Change: nothing to cold endpoints for 2 s after the core was first heard (test first).

--- a/ashlatch/gateway/cold.py
+++ b/ashlatch/gateway/cold.py
@@ -16,19 +16,30 @@
 __all__ = ["ColdGate", "warm_up_returned"]
 
 
+# When all VMs start together each gateway hears of a few others first, and takes itself
+# for a sender to endpoints that many share. All have asked the core after 1.5 s.
+GATEWAYS_KNOWN_MS = 2000.0
+
+
 class ColdGate:
     """Asks the policy, once for each endpoint while the gateways are the same.
 
-    `own` is unset until this gateway knows how the others know it; it sends to no
-    cold endpoint before.
+    `own` is this gateway as the others know it. It sends to no cold endpoint before it
+    has heard of the others.
     """
 
     def __init__(self, policy: ColdPolicy, own: GatewayVm | None = None) -> None:
         self.own = own
+        self._opens_ms = float("inf")
         self._policy = policy
         self._gateways: tuple[GatewayVm, ...] = ()
         self._pauses_ms: dict[str, float | None] = {}
 
+    def heard_core(self, now_ms: float) -> None:
+        """The core has told which gateways there are."""
+        if self._opens_ms == float("inf"):
+            self._opens_ms = now_ms + GATEWAYS_KNOWN_MS
+
     def allows(
         self,
         state: EndpointState,
@@ -39,6 +50,8 @@
         """Whether a request may be sent to the endpoint."""
         if service.cold_requests_per_s <= 0.0 or not state.cold(now_ms):
             return True
+        if now_ms < self._opens_ms:
+            return False
         pause_ms = self._pause_ms(state, service, gateways)
         return pause_ms is not None and now_ms - state.sent_ms >= pause_ms
 
--- a/ashlatch/gateway/sync.py
+++ b/ashlatch/gateway/sync.py
@@ -333,6 +333,7 @@
             emit(log, learnt)
             self._rollout_number = max(self._rollout_number, rollout.number)
         if reply.current:
+            self._known.cold.heard_core(self._now_ms())
             if reply.gateways is not None:
                 self._learn_gateways(reply.gateways)
             self._known.directory.listed_ms = self._now_ms() - reply.list_age_ms
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -41,6 +41,10 @@
 FOREIGN = ("-m", "pytest", "-x", "tests/test_foreign_entries.py")
 CLOCK = ("-m", "pytest", "-x", "tests/test_clock.py")
 ENGINES = ("-m", "pytest", "-x", "tests/test_full_engines.py")
+EVACUATION = ("-m", "pytest", "-x", "tests/test_evacuation.py")
+COLD = ("-m", "pytest", "-x", "tests/test_cold.py")
+EXPOSED = ("-m", "pytest", "-x", "tests/test_exposure.py")
+REGIONS = ("-m", "pytest", "-x", "tests/test_regions.py")
 LIMIT_S = 180.0
 SHOWN_LINES = 3
 
@@ -498,6 +502,62 @@
         "        return 0.0 * beyond\n",
         ENGINES,
     ),
+    Mutant(
+        "evacuated-hall-takes-work",
+        "ashlatch/gateway/directory.py",
+        "        closed = self.endpoint.leaving or self.evacuated\n",
+        "        closed = self.endpoint.leaving\n",
+        EVACUATION,
+    ),
+    Mutant(
+        "older-evacuations-count",
+        "ashlatch/gateway/directory.py",
+        "        if evacuations.number <= self.evacuations.number:\n",
+        "        if False:\n",
+        EVACUATION,
+    ),
+    Mutant(
+        "waking-taken-for-a-lost-core",
+        "ashlatch/gateway/sync.py",
+        "                if self._now_ms() > late_ms and not woken:\n",
+        "                if False:\n",
+        EVACUATION,
+    ),
+    Mutant(
+        "all-gateways-send-to-cold-endpoints",
+        "ashlatch/policy/cold.py",
+        "        if own not in senders:\n            return None\n",
+        "",
+        COLD,
+    ),
+    Mutant(
+        "cold-shares-without-delay",
+        "ashlatch/policy/cold.py",
+        "        return max(least_ms, (SECOND_MS + DELAY_MS) / each)\n",
+        "        return max(least_ms, SECOND_MS / each / 2)\n",
+        COLD,
+    ),
+    Mutant(
+        "ended-endpoint-comes-back-warm",
+        "ashlatch/gateway/directory.py",
+        "        if self._unproven and now_ms - self.ended_ms < UNPROVEN_MS:\n",
+        "        if False:\n",
+        COLD,
+    ),
+    Mutant(
+        "load-test-by-the-bound-of-one-sheet",
+        "ashlatch/fleet/exposure.py",
+        "        share * TESTED_PART,\n",
+        "        0.125,\n",
+        EXPOSED,
+    ),
+    Mutant(
+        "region-of-the-organisation-ignored",
+        "ashlatch/gateway/admission.py",
+        "        return self.route.regions, own\n",
+        "        return self.route.regions, ()\n",
+        REGIONS,
+    ),
 )
 
 
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -28,7 +28,13 @@
 from ashlatch.gateway.versions import SessionVersions, VersionChooser
 from ashlatch.platform.document import decode_catalog
 from ashlatch.platform.instances import decode_page
-from ashlatch.policy.cold import COLD_POLICIES, ColdEndpoint, LeftAlone, Senders
+from ashlatch.policy.cold import (
+    COLD_POLICIES,
+    ColdEndpoint,
+    ColdPolicy,
+    LeftAlone,
+    Senders,
+)
 from tests import standin
 from tests.gateway import GatewayHarness, ask
 
@@ -141,9 +147,15 @@
     def setUp(self) -> None:
         super().setUp()
         self.gateways = gateways(3)
-        self.gate = ColdGate(Senders(), self.gateways[0])
+        self.gate = self.opened(Senders())
         self.state = EndpointState(endpoint())
 
+    def opened(self, policy: ColdPolicy) -> ColdGate:
+        """The gate of a gateway that has heard of the others long ago."""
+        gate = ColdGate(policy, self.gateways[0])
+        gate.heard_core(-10_000.0)
+        return gate
+
     def allows(self, now_ms: float, service: Service = SERVICE) -> bool:
         return self.gate.allows(self.state, service, self.gateways, now_ms)
 
@@ -175,8 +187,18 @@
         self.gateways = gateways(3)
         self.assertFalse(self.allows(0.0))
 
+    def test_all_start_together(self) -> None:
+        """The first gateways that are heard of are not all that there are."""
+        self.gate = ColdGate(Senders(), self.gateways[0])
+        self.state.warms_up(60_000.0)
+        self.assertFalse(self.allows(50_000.0))
+        self.gate.heard_core(0.0)
+        self.gate.heard_core(1500.0)
+        self.assertFalse(self.allows(1999.0))
+        self.assertTrue(self.allows(2000.0))
+
     def test_left_alone(self) -> None:
-        self.gate = ColdGate(LeftAlone(), self.gateways[0])
+        self.gate = self.opened(LeftAlone())
         self.state.warms_up(5000.0)
         self.assertFalse(self.allows(0.0))
         self.assertTrue(self.allows(5000.0))
