--- a/ashlatch/gateway/cold.py
+++ b/ashlatch/gateway/cold.py
@@ -11,7 +11,7 @@
 from ashlatch.catalog import Evacuations, GatewayVm, Service
 from ashlatch.gateway.directory import Directory, EndpointState
 from ashlatch.gateway.routing import RouteTable
-from ashlatch.policy.cold import ColdEndpoint, ColdPolicy
+from ashlatch.policy.cold import ColdEndpoint, pause_ms
 
 __all__ = ["ColdGate", "warm_up_returned"]
 
@@ -22,16 +22,15 @@
 
 
 class ColdGate:
-    """Asks the policy, once for each endpoint while the gateways are the same.
+    """Keeps this gateway's shares, worked out once while the gateways are the same.
 
     `own` is this gateway as the others know it. It sends to no cold endpoint before it
     has heard of the others.
     """
 
-    def __init__(self, policy: ColdPolicy, own: GatewayVm | None = None) -> None:
+    def __init__(self, own: GatewayVm | None = None) -> None:
         self.own = own
         self._opens_ms = float("inf")
-        self._policy = policy
         self._gateways: tuple[GatewayVm, ...] = ()
         self._pauses_ms: dict[str, float | None] = {}
 
@@ -52,8 +51,8 @@
             return True
         if now_ms < self._opens_ms:
             return False
-        pause_ms = self._pause_ms(state, service, gateways)
-        return pause_ms is not None and now_ms - state.sent_ms >= pause_ms
+        least_ms = self._pause_ms(state, service, gateways)
+        return least_ms is not None and now_ms - state.sent_ms >= least_ms
 
     def _pause_ms(
         self,
@@ -71,8 +70,7 @@
             cold = ColdEndpoint(
                 endpoint.instance, endpoint.hall, service.cold_requests_per_s
             )
-            pause_ms = self._policy.pause_ms(cold, self.own, gateways)
-            self._pauses_ms[endpoint.instance] = pause_ms
+            self._pauses_ms[endpoint.instance] = pause_ms(cold, self.own, gateways)
         return self._pauses_ms[endpoint.instance]
 
 
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -40,7 +40,6 @@
 from ashlatch.metrics import serve_metrics
 from ashlatch.platform.headers import MalformedRequest, decode_ask
 from ashlatch.platform.operator import READY_TARGET
-from ashlatch.policy.cold import COLD_POLICIES
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
 from ashlatch.rpc import Address, RpcLoop, watch_traffic
 from ashlatch.settings import GatewaySettings
@@ -132,8 +131,7 @@
         )
         peers = GatewayPeers(self.known)
         await peers.start(own)
-        policy = COLD_POLICIES.get(self.settings.cold_policy)()
-        self.known.cold = ColdGate(policy, own)
+        self.known.cold = ColdGate(own)
         self.known.tell = peers.tell
         for listener, text, early in (
             (self.front, self.settings.listen, self._early),
--- a/ashlatch/gateway/knowledge.py
+++ b/ashlatch/gateway/knowledge.py
@@ -26,7 +26,6 @@
 from ashlatch.gateway.traffic import HallTraffic
 from ashlatch.gateway.versions import VersionChooser
 from ashlatch.metrics import Metrics
-from ashlatch.policy.cold import Senders
 from ashlatch.policy.endpoint import EndpointPolicy
 from ashlatch.policy.quarantine import Quarantine
 
@@ -74,7 +73,7 @@
     probes: dict[str, asyncio.Task[bool]] = field(default_factory=dict)
     tell: Callable[[PeerNews], None] = _tell_nobody
     crashes_found: Callable[[], None] = _tell_no_core
-    cold: ColdGate = field(default_factory=lambda: ColdGate(Senders()))
+    cold: ColdGate = field(default_factory=ColdGate)
     traffic: HallTraffic = field(init=False)
 
     def __post_init__(self) -> None:
--- a/ashlatch/policy/cold.py
+++ b/ashlatch/policy/cold.py
@@ -17,13 +17,11 @@
 """
 
 from dataclasses import dataclass
-from typing import ClassVar
 
 from ashlatch.catalog import GatewayVm
 from ashlatch.policy.endpoint import rank
-from ashlatch.registry import Variants
 
-__all__ = ["COLD_POLICIES", "ColdEndpoint", "ColdPolicy", "Senders"]
+__all__ = ["ColdEndpoint", "pause_ms"]
 
 SECOND_MS = 1000.0
 # Requests that are sent this much more than a second apart also arrive so: each takes
@@ -43,60 +41,29 @@
     requests_per_s: float
 
 
-class ColdPolicy:
-    """Shares an endpoint's bound out among gateways."""
+def pause_ms(
+    endpoint: ColdEndpoint, own: GatewayVm, gateways: tuple[GatewayVm, ...]
+) -> float | None:
+    """The least time between two sends of the own gateway to a cold endpoint.
 
-    name: ClassVar[str] = ""
+    None if it may send nothing: a few gateways do, chosen by rendezvous hashing among
+    all that are known. There are as many as requests a second, so each sends one in a
+    little more than that; where there are fewer gateways, each more. Two gateways that
+    do not know the same ones differ in one sender for each that one of them lacks, and
+    that costs one request a second. Shared out among all gateways alike, the bound
+    would be passed at the first moment, when all send one.
 
-    def pause_ms(
-        self, endpoint: ColdEndpoint, own: GatewayVm, gateways: tuple[GatewayVm, ...]
-    ) -> float | None:
-        """The least time between two sends of the own gateway to the endpoint.
-
-        None if it may send nothing. `gateways` are all that are known.
-        """
-        raise NotImplementedError
-
-
-COLD_POLICIES: Variants[type[ColdPolicy]] = Variants("cold policy")
-
-
-@COLD_POLICIES.add
-class LeftAlone(ColdPolicy):
-    """Nobody sends anything until the endpoint is warm."""
-
-    name = "left_alone"
-
-    def pause_ms(
-        self, endpoint: ColdEndpoint, own: GatewayVm, gateways: tuple[GatewayVm, ...]
-    ) -> float | None:
-        """Nothing may be sent."""
-        return None
-
-
-@COLD_POLICIES.add
-class Senders(ColdPolicy):
-    """A few gateways send, chosen by rendezvous hashing, each at its share.
-
-    There are as many senders as requests a second, so each sends one a second. Two
-    gateways that do not know the same ones differ in one sender for each that one of
-    them lacks, and that costs one request a second; with all shares equal and as many
-    senders as gateways, all would send their first request at once.
+    Left alone until they are warm, endpoints stand idle for seconds: where halls came
+    back twice beside bursts, 0.911 of the worth was served, and 0.916 this way (one
+    play of each, 61 gateways).
     """
-
-    name = "senders"
-
-    def pause_ms(
-        self, endpoint: ColdEndpoint, own: GatewayVm, gateways: tuple[GatewayVm, ...]
-    ) -> float | None:
-        """Over a second for a sender, or less where there are fewer gateways."""
-        count = min(int(endpoint.requests_per_s), len(gateways))
-        senders = _senders(endpoint, gateways, max(1, count))
-        if own not in senders:
-            return None
-        each = max(1, int(endpoint.requests_per_s) // len(senders))
-        least_ms = SECOND_MS / endpoint.requests_per_s
-        return max(least_ms, (SECOND_MS + DELAY_MS) / each)
+    count = min(int(endpoint.requests_per_s), len(gateways))
+    senders = _senders(endpoint, gateways, max(1, count))
+    if own not in senders:
+        return None
+    each = max(1, int(endpoint.requests_per_s) // len(senders))
+    least_ms = SECOND_MS / endpoint.requests_per_s
+    return max(least_ms, (SECOND_MS + DELAY_MS) / each)
 
 
 def _senders(
--- a/ashlatch/settings.py
+++ b/ashlatch/settings.py
@@ -252,7 +252,6 @@
     stop_s: Positive = 8.0
     repeats: RepeatSettings = RepeatSettings()
     endpoint_policy: str = "hall_affinity"
-    cold_policy: str = "senders"
 
 
 def load(path: Path, kind: type[S]) -> S:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -527,15 +527,15 @@
     Mutant(
         "all-gateways-send-to-cold-endpoints",
         "ashlatch/policy/cold.py",
-        "        if own not in senders:\n            return None\n",
+        "    if own not in senders:\n        return None\n",
         "",
         COLD,
     ),
     Mutant(
         "cold-shares-without-delay",
         "ashlatch/policy/cold.py",
-        "        return max(least_ms, (SECOND_MS + DELAY_MS) / each)\n",
-        "        return max(least_ms, SECOND_MS / each / 2)\n",
+        "    return max(least_ms, (SECOND_MS + DELAY_MS) / each)\n",
+        "    return max(least_ms, SECOND_MS / each / 2)\n",
         COLD,
     ),
     Mutant(
