A trial begins when its endpoints are warm, not when a quarter of its time is over

Cause, by reading: the list tells once for how long an endpoint is cold, so it went on saying so, and the trial waited for the most it may: 6 s of a roll-out of 24 s in place of 3, and had less time to be judged by. Change: counted from when the list was read. Test first (a list of 3 s, 3.1 s later).

--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -308,7 +308,11 @@
         rollouts = self._known_rollouts()
         plain = self._plain_services() if rollouts else frozenset()
         for move in self._rollouts.moves(
-            rollouts, self._spread.endpoints, monotonic_ms(), plain
+            rollouts,
+            self._spread.endpoints,
+            monotonic_ms(),
+            plain,
+            self._spread.endpoints_age_ms,
         ):
             try:
                 await self._orders.commit_here(move)
--- a/ashlatch/fleet/leader.py
+++ b/ashlatch/fleet/leader.py
@@ -182,23 +182,52 @@
         listed: EndpointList,
         now_ms: float,
         plain: frozenset[str] = frozenset(),
+        listed_age_ms: float = 0.0,
     ) -> Iterator[MoveRollout]:
-        """The decisions that are due now; `plain` services have no engines."""
+        """The decisions that are due now; `plain` services have no engines.
+
+        `listed_age_ms` is how long ago the list was first read as it is.
+        """
         self.observe(rollouts, now_ms)
         for rollout in rollouts:
             if rollout.stage in FINAL_STAGES:
                 self._evidence.pop(rollout.service, None)
                 continue
-            move = self._move(rollout, listed, now_ms, rollout.service in plain)
+            ready = self._ready(rollout, listed, listed_age_ms, now_ms)
+            move = self._move(rollout, ready, now_ms, rollout.service in plain)
             if move is not None:
                 yield move
 
+    def _ready(
+        self,
+        rollout: Rollout,
+        listed: EndpointList,
+        listed_age_ms: float,
+        now_ms: float,
+    ) -> bool:
+        """Whether an endpoint of the new version may be sent to.
+
+        A trial begins when one is warm: few gateways send to cold ones, and each of
+        its sessions may come by any gateway. It waits for a part of the time at most.
+        """
+        new = [
+            e
+            for e in listed.endpoints
+            if e.service == rollout.service
+            and e.version == rollout.version
+            and not e.leaving
+        ]
+        elapsed_ms = self._clocks[rollout.service].read_ms(now_ms)
+        late = elapsed_ms > WARM_UP_PART_MAX * rollout.duration_ms
+        if rollout.share > 0.0 or late:
+            return bool(new)
+        return any(e.cold_left_ms <= listed_age_ms for e in new)
+
     def _move(
-        self, rollout: Rollout, listed: EndpointList, now_ms: float, plain: bool
+        self, rollout: Rollout, ready: bool, now_ms: float, plain: bool
     ) -> MoveRollout | None:
         elapsed_ms = self._clocks[rollout.service].read_ms(now_ms)
         evidence = self._evidence.setdefault(rollout.service, Evidence())
-        ready = _ready(rollout, elapsed_ms, listed)
         decision = decide(
             rollout, elapsed_ms, evidence, now_ms, ready, plain, self.plan
         )
@@ -230,26 +259,6 @@
         )
 
 
-def _ready(rollout: Rollout, elapsed_ms: float, listed: EndpointList) -> bool:
-    """Whether an endpoint of the new version may be sent to.
-
-    A trial begins when one is warm: few gateways send to cold ones, and each of its
-    sessions may come by any gateway. What is cold was so when the list was read, so
-    this is late rather than early, and waits for a part of the time at most.
-    """
-    new = [
-        e
-        for e in listed.endpoints
-        if e.service == rollout.service
-        and e.version == rollout.version
-        and not e.leaving
-    ]
-    begun = rollout.share > 0.0
-    if begun or elapsed_ms > WARM_UP_PART_MAX * rollout.duration_ms:
-        return bool(new)
-    return any(e.cold_left_ms == 0.0 for e in new)
-
-
 def _moved(rollout: Rollout, decision: Decision, told: SessionMarks) -> tuple[int, ...]:
     """The marks of the sessions that stay on the new version beyond its share."""
     if decision.stage in FINAL_STAGES or decision.share >= 1.0:
--- a/ashlatch/fleet/spread.py
+++ b/ashlatch/fleet/spread.py
@@ -121,6 +121,11 @@
             del self._gateways[gateway]
         return tuple(self._gateways)
 
+    @property
+    def endpoints_age_ms(self) -> float:
+        """How long ago the endpoints were first read as they are."""
+        return monotonic_ms() - self._endpoints_ms
+
     @property
     def hears_leader(self) -> bool:
         """Whether the leader has answered lately."""
@@ -201,7 +206,7 @@
             state.crashes.since(request.crashes_known),
             state.crashes.number,
             evacuations if evacuations.number > request.evacuations_known else None,
-            monotonic_ms() - self._endpoints_ms,
+            self.endpoints_age_ms,
         )
 
     def _gateways_unknown_to(
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -290,6 +290,18 @@
         (move,) = keeper.moves((order,), warm, 2100.0)
         self.assertTrue(move.share > 0.0)
 
+    def test_time_that_runs_down_is_not_listed_again(self) -> None:
+        """The list tells once for how long an endpoint is cold."""
+        keeper = RolloutKeeper()
+        order = Rollout("app", "v1", RolloutStage.TRIAL, 0.0, 1, 20_000.0)
+        keeper.observe((order,), 0.0)
+        listed = EndpointList(1, 1, (endpoint(cold_left_ms=3000.0),))
+        # The time is noted, and nothing goes to the version yet.
+        (early,) = keeper.moves((order,), listed, 2900.0, listed_age_ms=2900.0)
+        self.assertEqual(0.0, early.share)
+        (move,) = keeper.moves((order,), listed, 3100.0, listed_age_ms=3100.0)
+        self.assertTrue(move.share > 0.0)
+
     def test_a_trial_does_not_wait_for_ever(self) -> None:
         """Endpoints that stay cold for longer than that are judged as they are."""
         keeper = RolloutKeeper()
