--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -247,3 +247,18 @@
         self.assertIn("other requests with the content c7", told)
         self.assertIn("crash_noted request=r1", told)
         self.assertNotIn("r9", told)
+
+
+class EvacuationTest(testtools.TestCase):
+    """An operator asks why a request was refused while its hall was emptied."""
+
+    def test_the_evacuation_is_told_with_the_request(self) -> None:
+        events = (
+            gateway_logs.EvacuationsLearnt(3, 2, "logan", 47, 0),
+            gateway_logs.RequestEnded("r1", "ask", 4, 503, "evacuated", 0, 0, 0, 0, 1),
+        )
+        lines = list(read_lines("gw-1", logged(*events)))
+        told = "\n".join(explain_request("r1", lines))
+        self.assertIn("reason=evacuated", told)
+        self.assertIn("evacuated halls: evacuations_learnt number=3", told)
+        self.assertIn("halls=logan endpoints=47", told)
