Sight: gateways log the rate limit that an endpoint names

Answers' limits are read and logged (endpoint_limited), and request_sent holds what is known of the chosen endpoint's limit and its age. No choice depends on it yet.

--- a/ashlatch/explain/belief.py
+++ b/ashlatch/explain/belief.py
@@ -46,6 +46,7 @@
     "endpoint_misdirected": ("endpoint", "instance"),
     "endpoint_not_listening": ("endpoint", "instance"),
     "endpoint_resumed": ("endpoint", "instance"),
+    "endpoint_limited": ("rate limit", "instance"),
     "content_held": ("held content", "content"),
     "content_survived": ("held content", "content"),
     "crashes_noted": ("crash records", ""),
--- a/ashlatch/gateway/account.py
+++ b/ashlatch/gateway/account.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import logging
+import math
 
 from ashlatch.catalog import Endpoint
 from ashlatch.gateway.admission import Admission
@@ -24,12 +25,14 @@
 from ashlatch.gateway.logs import (
     AnswerWeighed,
     AttemptEnded,
+    EndpointLimited,
     EndpointMisdirected,
     EndpointResumed,
     EndpointSuspended,
     RequestEnded,
     RequestSent,
 )
+from ashlatch.gateway.message import NO_LIMIT
 from ashlatch.gateway.news import (
     EndpointReplaced,
     PromptSent,
@@ -92,6 +95,8 @@
             int(self._now_ms() - self._known.directory.listed_ms),
             admission.ask.prompt_tokens,
             *_foreseen(choice.forecast),
+            choice.state.limit_per_s,
+            self._limit_age_ms(choice.state),
         )
         emit(log, sent)
         self._known.metrics.count(f"versions_by_{choice.allowed.reason.value}")
@@ -138,6 +143,7 @@
     def begun(self, attempt: Attempt, model: str) -> None:
         """The head of an answer has come."""
         self._tell_load(attempt)
+        self._note_limit(attempt)
         first_ms = self._age_ms(attempt)
         self._known.tallies.begun(self._key(attempt), first_ms)
         attempt.state.proved(self._admission.service.cold_ms, self._now_ms())
@@ -162,6 +168,30 @@
         if load is not None and attempt.forecast is not None:
             pass_on_load(self._known, attempt.state, load, self._now_ms())
 
+    def _note_limit(self, attempt: Attempt) -> None:
+        """Take the rate limit that an answer of the endpoint names, or its end."""
+        limit_per_s, attempt.limit_per_s = attempt.limit_per_s, None
+        state = attempt.state
+        if limit_per_s is None:
+            return
+        if limit_per_s != NO_LIMIT:
+            state.limit_heard_ms = self._now_ms()
+        if limit_per_s == state.limit_per_s:
+            return
+        limited = EndpointLimited(
+            state.endpoint.instance,
+            state.endpoint.service,
+            limit_per_s,
+            state.limit_per_s,
+            self._admission.ask.request_id,
+        )
+        emit(log, limited)
+        state.limit_per_s = limit_per_s
+
+    def _limit_age_ms(self, state: EndpointState) -> int:
+        age_ms = self._now_ms() - state.limit_heard_ms
+        return int(age_ms) if math.isfinite(age_ms) else -1
+
     def weighed(
         self, attempt: Attempt, model: str, expected_ms: float, verdict: Verdict
     ) -> None:
@@ -203,6 +233,7 @@
     def failed(self, attempt: Attempt, failed: AttemptFailed) -> None:
         """A send brought no answer."""
         self._tell_load(attempt)
+        self._note_limit(attempt)
         kind = failed.kind
         state = attempt.state
         if kind in (FailureKind.UNREACHABLE, FailureKind.MISDIRECTED):
--- a/ashlatch/gateway/attempt.py
+++ b/ashlatch/gateway/attempt.py
@@ -90,6 +90,7 @@
         self.dispatch = dispatch
         self.head: AnswerHead | None = None
         self.load: LoadFigures | None = None
+        self.limit_per_s: float | None = None
         self._pool = pool
         self._ask = ask
         self._repeatable = repeatable
@@ -123,6 +124,9 @@
         self.load = head.load
         if head.load is not None:
             self.state.tell_load(head.load, self._now_ms())
+        if head.request_id == self._ask.request_id and not head.misdirected:
+            # Anything else may come from another endpoint.
+            self.limit_per_s = head.limit_per_s
         self._check(head)
         self.head = head
         return head
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -25,6 +25,7 @@
     "CrashNoted",
     "DocumentUnreadable",
     "EndpointGone",
+    "EndpointLimited",
     "EndpointMisdirected",
     "EndpointNotListening",
     "EndpointResumed",
@@ -59,7 +60,9 @@
     the list of endpoints. Of the prompt's `prompt_tokens` the
     engine has to read `read_tokens`, for about `read_ms` after a wait of `wait_ms`.
     `version_by` is what the version was chosen by, `session_ms` how long ago this
-    gateway had last heard of the session, -1 if it did not know it.
+    gateway had last heard of the session, -1 if it did not know it. `limit_per_s` is
+    the rate limit of the endpoint as it is known here, infinite for none, and
+    `limit_ms` how long ago it was heard of, -1 for never.
     """
 
     event: ClassVar[str] = "request_sent"
@@ -86,6 +89,8 @@
     read_tokens: int
     wait_ms: int
     read_ms: int
+    limit_per_s: float
+    limit_ms: int
 
 
 @dataclass(frozen=True)
@@ -219,6 +224,21 @@
     waits: int
 
 
+@dataclass(frozen=True)
+class EndpointLimited(LogEvent):
+    """An endpoint has named another rate limit, or none any more (infinite).
+
+    `request` is the one whose answer named it.
+    """
+
+    event: ClassVar[str] = "endpoint_limited"
+    instance: str
+    service: str
+    limit_per_s: float
+    before_per_s: float
+    request: str
+
+
 @dataclass(frozen=True)
 class EndpointNotListening(LogEvent):
     """Nobody listens at an endpoint's address; it is left alone for a while.
--- a/ashlatch/gateway/message.py
+++ b/ashlatch/gateway/message.py
@@ -19,11 +19,16 @@
     "Ask",
     "Dispatch",
     "LoadFigures",
+    "NO_LIMIT",
     "PromptPart",
     "RefusalReason",
 ]
 
 
+# The rate of an endpoint that names no limit.
+NO_LIMIT = float("inf")
+
+
 class RefusalReason(enum.Enum):
     """Why a gateway answers by itself; the names stand in answers and logs."""
 
@@ -117,7 +122,9 @@
     `misdirected` when that is because it is not the endpoint that was meant.
     `confidence` is the model's own opinion of its answer, 0 to 100.
     `encoded` answers were altered on the way. `idle_s` is how long the
-    endpoint keeps an idle connection, if it says so.
+    endpoint keeps an idle connection, if it says so. `limit_per_s` is how many
+    requests a second the endpoint takes from all gateways together: infinite if it
+    names no limit, none if what it names cannot be read.
     """
 
     status: int
@@ -130,3 +137,4 @@
     confidence: float | None
     load: LoadFigures | None
     idle_s: float | None
+    limit_per_s: float | None = NO_LIMIT
--- a/ashlatch/platform/headers.py
+++ b/ashlatch/platform/headers.py
@@ -17,6 +17,7 @@
 
 from ashlatch.errors import AshlatchError
 from ashlatch.gateway.message import (
+    NO_LIMIT,
     AnswerHead,
     Ask,
     Dispatch,
@@ -54,6 +55,8 @@
 _NOT_RUN = b"x-not-executed"
 _CONFIDENCE = b"x-confidence"
 _LOAD = b"x-server-load"
+# Requests a second that the endpoint takes from all gateways together.
+_LIMIT = b"server-limit"
 _KEEP_ALIVE = b"keep-alive"
 
 # Requests running, requests waiting, places: numbers that an endpoint may have.
@@ -186,6 +189,7 @@
         _number(_first(known, _CONFIDENCE)),
         _load(_first(known, _LOAD)),
         _idle_s(_first(known, _KEEP_ALIVE)),
+        _limit_per_s(known),
     )
 
 
@@ -274,6 +278,15 @@
     return LoadFigures(running, waiting, max(1, slots))
 
 
+def _limit_per_s(known: dict[bytes, list[bytes]]) -> float | None:
+    """The limit that an answer names; the least, if it names several."""
+    if _LIMIT not in known:
+        return NO_LIMIT
+    rates = [_number(value.decode("latin-1").strip()) for value in known[_LIMIT]]
+    readable = [rate for rate in rates if rate is not None and rate >= 0.0]
+    return min(readable, default=None)
+
+
 def _idle_s(text: str) -> float | None:
     for item in text.split(","):
         name, _, value = item.strip().partition("=")
