Failing tests: endpoints that name a rate limit get more than they take

One gateway before two endpoints, the one with a limit of 2 requests a second gets 28 in 4 s, where users allow 17. Real processes, three gateways: 111 with a limit of 1, where 11 are allowed. The other endpoint has room for all in both.

--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -5,11 +5,19 @@
 while the other three had room.
 """
 
+import asyncio
+import time
+from concurrent.futures import Future, ThreadPoolExecutor
+from functools import partial
+
 import h11
 import testtools
 
 from ashlatch.gateway.message import NO_LIMIT
 from ashlatch.platform.headers import decode_answer
+from tests.fleet import READY_PORT, Fleet, wait_for
+from tests.gateway import GatewayHarness, ask
+from tests.limited import LimitedEndpoint, allowed, most_within
 
 
 class HeaderTest(testtools.TestCase):
@@ -30,3 +38,79 @@
     def test_what_cannot_be_read_says_nothing(self) -> None:
         for value in (b"", b"many", b"nan", b"inf", b"-1", b"2,1"):
             self.assertIs(None, self.limit(value), str(value))
+
+
+class OneGatewayTest(GatewayHarness):
+    """One gateway, an endpoint that names a limit and one that does not."""
+
+    def test_a_limited_endpoint_gets_what_it_takes(self) -> None:
+        """The other one has room for all."""
+        limited = LimitedEndpoint(2.0)
+        other = LimitedEndpoint()
+
+        async def work() -> None:
+            for number in range(60):
+                status, _ = await self.call(ask(f"/get/{number}"))
+                self.assertEqual(200, status)
+                await asyncio.sleep(0.05)
+
+        self.run_gateway([limited.worker, other.worker], work)
+        most = most_within(limited.came_s)
+        self.assertTrue(most <= allowed(2.0), f"{most} of {len(limited.came_s)}")
+
+
+class FleetTest(testtools.TestCase):
+    """Real processes: five core VMs, three gateways, two endpoints."""
+
+    LIMIT_PER_S = 1.0
+    REQUESTS_PER_S = 60
+    LENGTH_S = 8.0
+    # Until then a limit has been heard by all.
+    KNOWN_S = 3.0
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+        self.limited = LimitedEndpoint(self.LIMIT_PER_S, answer_s=0.02)
+        self.other = LimitedEndpoint(answer_s=0.02)
+        platform = self.fleet.platform
+        platform.instances.clear()
+        for name, endpoint in (("i-1", self.limited), ("i-2", self.other)):
+            platform.run(endpoint.worker.start(platform.host))
+            platform.add(name, "v1", port=endpoint.worker.port)
+        self.fleet.found()
+        self.fleet.acknowledged(3)
+        self.gateways = [f"{self.fleet.net}.{n}" for n in (101, 102, 103)]
+        for host in self.gateways:
+            self.fleet.start_gateway(host)
+        for host in self.gateways:
+            wait_for(partial(self.is_ready, host), f"{host} ready")
+        wait_for(self.all_know_each_other, "all gateways know each other")
+
+    def is_ready(self, host: str) -> bool:
+        return self.fleet.call(host, "GET", "/-/readyz", port=READY_PORT)[0] == 200
+
+    def all_know_each_other(self) -> bool:
+        known = f"event=gateways_learnt gateways={len(self.gateways)}"
+        return all(known in self.fleet.processes[g].log for g in self.gateways)
+
+    def play(self, length_s: float) -> list[int]:
+        """Ask all gateways in turn; the statuses of the answers."""
+        pending: list[Future[int]] = []
+        with ThreadPoolExecutor(24) as callers:
+            ends_s = time.monotonic() + length_s
+            while time.monotonic() < ends_s:
+                host = self.gateways[len(pending) % len(self.gateways)]
+                path = f"/get/{len(pending)}"
+                pending.append(callers.submit(self.fleet.ask, host, path))
+                time.sleep(1.0 / self.REQUESTS_PER_S)
+            return [call.result() for call in pending]
+
+    def test_all_gateways_together(self) -> None:
+        begun_s = time.monotonic()
+        statuses = self.play(self.LENGTH_S)
+        self.assertEqual({200}, set(statuses))
+        came_s = self.limited.came_since(begun_s + self.KNOWN_S)
+        most = most_within(came_s)
+        self.assertTrue(most <= allowed(self.LIMIT_PER_S), str(most))
