--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -5,7 +5,8 @@
 
 `POST /control` changes it: {"quality": {"a": 0.4}, "error_ratio": {"a": 0.3},
 "slowdown": 4, "version_slowdown": {"a": 4}, "leaving": true, "swap_ids": true,
-"break_after": 5, "crash_on": "a text", "stall_ratio": 0.02, "stall_ms": 1000}.
+"break_after": 5, "crash_on": "a text", "stall_ratio": 0.02, "stall_ms": 1000,
+"requests_per_s": 2.5}. The last is a rate limit that its answers name, -1 for none.
 """
 
 import argparse
@@ -50,6 +51,7 @@
     stall_ratio: float = 0.0
     stall_ms: float = 0.0
     crash_on: str = ""
+    requests_per_s: float = -1.0
     quality: dict[str, float] = field(default_factory=dict)
     error_ratio: dict[str, float] = field(default_factory=dict)
     version_slowdown: dict[str, float] = field(default_factory=dict)
@@ -117,7 +119,7 @@
     def answer(self, http: Request) -> Response:
         match (http.method, http.path):
             case ("POST", "/v1/chat/completions"):
-                return self.chat(http)
+                return self.with_limit(self.chat(http))
             case ("POST", "/v1/orders"):
                 return self.order(http.get_json())
             case ("POST", "/control"):
@@ -130,6 +132,12 @@
                 return reply(self.orders)
         return reply({"error": {"type": "no such path"}}, 404)
 
+    def with_limit(self, response: Response) -> Response:
+        if self.requests_per_s >= 0.0:
+            named = str(self.requests_per_s)
+            response.headers["Ashlatch-Requests-Per-S"] = named
+        return response
+
     def load(self) -> dict[str, Any]:
         return {
             "vm": self.vm,
