Gateways keep to their part of the connections that an endpoint accepts

What callers would see: connections reset by an endpoint that has been given more than it accepts from all, where another one was free; after a reset a request that may not be repeated ends in 502.

Cause: the same class as the rate limits: a bound that all gateways share on one endpoint, read and used by nobody.

--- a/ashlatch/gateway/attempt.py
+++ b/ashlatch/gateway/attempt.py
@@ -29,6 +29,9 @@
 
 R = TypeVar("R")
 
+# Connections to an endpoint where operators have not said how many it accepts.
+CONNECTIONS_MAX = 64
+
 
 class FailureKind(enum.Enum):
     """How a send ended without an answer that counts.
@@ -71,7 +74,8 @@
     """One send. Use `begin`, then `parts` until none is left, then `finish`.
 
     Whatever way it ends, `close` gives back what it holds; `sent_bytes` and
-    `received_bytes` are what its connection has carried by then.
+    `received_bytes` are what its connection has carried by then. `connections_max` is
+    how many connections the gateway may have to the endpoint, idle ones too.
     """
 
     def __init__(
@@ -83,9 +87,11 @@
         repeatable: bool,
         forecast: Forecast | None = None,
         connect_s: float = CONNECT_MAX_S,
+        connections_max: int = CONNECTIONS_MAX,
     ) -> None:
         self.state = state
         self._connect_s = connect_s
+        self._connections_max = connections_max
         self.forecast = forecast
         self.dispatch = dispatch
         self.head: AnswerHead | None = None
@@ -173,7 +179,8 @@
         assert self.head is not None
         connection = self._leave_connection()
         if connection.release(self._loop.time()):
-            self._pool.keep(self.state.endpoint, connection, self.head.idle_s)
+            kept_max = self._connections_max - self.state.load.in_flight + 1
+            self._pool.keep(self.state.endpoint, connection, self.head.idle_s, kept_max)
         self._uncount()
 
     def close(self) -> None:
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -201,6 +201,7 @@
             repeatable,
             choice.forecast,
             connect_patience_s(self._route),
+            self._known.connections_max(self._admission.service),
         )
 
     def _patience(self) -> Patience:
--- a/ashlatch/gateway/knowledge.py
+++ b/ashlatch/gateway/knowledge.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ashlatch.catalog import GatewayVm
+from ashlatch.catalog import GatewayVm, Service
 from ashlatch.gateway.budget import BudgetTerms, RepeatBudget
 from ashlatch.gateway.cold import ColdGate
 from ashlatch.gateway.directory import Directory, EndpointState
@@ -97,6 +97,10 @@
             found = self.budgets[service] = RepeatBudget(self.budget_terms)
         return found
 
+    def connections_max(self, service: Service) -> int:
+        """This gateway's part of the connections that an endpoint accepts from all."""
+        return max(1, service.connections_max // max(1, len(self.gateways)))
+
     def cold_ms(self, state: EndpointState) -> float:
         """How long an endpoint is cold after its start."""
         services = self.table.services if self.table else {}
--- a/ashlatch/gateway/pool.py
+++ b/ashlatch/gateway/pool.py
@@ -59,9 +59,16 @@
         return None
 
     def keep(
-        self, endpoint: Endpoint, connection: Upstream, told_idle_s: float | None
+        self,
+        endpoint: Endpoint,
+        connection: Upstream,
+        told_idle_s: float | None,
+        kept_max: int,
     ) -> None:
-        """Put back a connection whose answer was whole."""
+        """Put back a connection whose answer was whole, if few enough are kept."""
+        if len(self._idle.get(endpoint.instance, ())) >= kept_max:
+            connection.abort()
+            return
         told_s = told_idle_s - CLOSING_MARGIN_S if told_idle_s else UNTOLD_IDLE_S
         kept = self._idle.setdefault(endpoint.instance, [])
         kept.append(_Idle(connection, told_s))
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -54,7 +54,7 @@
         return [status for status, _ in await asyncio.gather(*calls)]
 
     def test_another_endpoint_has_room(self) -> None:
-        """Four endpoints bear all of it, each its part; the near one would be chosen."""
+        """Each of four bears its part, though the near one would be chosen."""
         workers = [self.slow() for _ in range(REQUESTS // PART)]
 
         async def work() -> None:
