Failing test: requests refused in a trial while the version before has room

The only endpoint of a version on trial names a rate limit; requests that are drawn for it and belong to no session are refused, though the old version would do.

--- a/tests/limited.py
+++ b/tests/limited.py
@@ -4,7 +4,7 @@
 import time
 from dataclasses import dataclass, field
 
-from ashlatch.gateway.message import NO_LIMIT
+from ashlatch.policy.rate_limit import NO_LIMIT
 from tests.standin import Received, StandIn, whole
 
 # The users' bound: within any of these spans an endpoint gets no more than one and a
@@ -32,10 +32,13 @@
 
 @dataclass
 class LimitedEndpoint:
-    """A stand-in that answers after `answer_s`, and names a limit while it has one."""
+    """A stand-in that answers after `answer_s` with a status, and names a limit while
+    it has one.
+    """
 
     limit_per_s: float = NO_LIMIT
     answer_s: float = 0.0
+    status: int = 200
     came_s: list[float] = field(default_factory=list)
     worker: StandIn = field(init=False)
 
@@ -47,7 +50,7 @@
         await asyncio.sleep(self.answer_s)
         named = self.limit_per_s != NO_LIMIT
         headers = (f"Server-Limit: {self.limit_per_s}",) if named else ()
-        writer.write(whole(request, b"body", 200, *headers))
+        writer.write(whole(request, b"body", self.status, *headers))
 
     def came_since(self, at_s: float) -> list[float]:
         """When requests came after a time."""
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -27,8 +27,9 @@
 import h11
 import testtools
 
-from ashlatch.gateway.message import NO_LIMIT
+from ashlatch.catalog import Endpoint, EndpointList, Rollout, RolloutStage
 from ashlatch.platform.headers import decode_answer
+from ashlatch.policy.rate_limit import NO_LIMIT
 from tests.fleet import READY_PORT, Fleet, wait_for
 from tests.gateway import GatewayHarness, ask
 from tests.limited import LimitedEndpoint, allowed, most_within
@@ -73,6 +74,73 @@
         self.assertTrue(most <= allowed(2.0), f"{most} of {len(limited.came_s)}")
 
 
+class OtherRequestsTest(GatewayHarness):
+    """What is no first send at an endpoint of the only version."""
+
+    def play(
+        self, workers: list[LimitedEndpoint], data: list[bytes], pause_s: float = 0.02
+    ) -> list[int]:
+        """The statuses of requests that come one after the other."""
+        statuses = []
+
+        async def work() -> None:
+            self.prepare()
+            for number, request in enumerate(data):
+                status, _ = await self.call(request)
+                statuses.append(status)
+                if number % 10 == 9:
+                    await asyncio.sleep(pause_s)
+
+        self.run_gateway([w.worker for w in workers], work)
+        return statuses
+
+    def prepare(self) -> None:
+        """What the gateway knows beforehand."""
+
+    def test_repeats_after_an_error(self) -> None:
+        """The first endpoint fails each request; the repeats keep the limit too."""
+        failing, limited = LimitedEndpoint(status=500), LimitedEndpoint(1.0)
+        self.play([failing, limited], [ask(f"/get/{n}") for n in range(60)])
+        self.assertTrue(most_within(limited.came_s) <= allowed(1.0))
+
+    def test_nothing_has_room(self) -> None:
+        """Refused at once, not run, and told when to come back."""
+        limited = LimitedEndpoint(0.5)
+        answers = []
+
+        async def work() -> None:
+            for number in range(20):
+                answers.append(await self.call(ask(f"/get/{number}")))
+
+        self.run_gateway([limited.worker], work)
+        refused = [answer for status, answer in answers if status == 503]
+        self.assertTrue(len(refused) >= 18)
+        for answer in refused:
+            self.assertIn(b"X-Ashlatch-Reason: endpoints_limited", answer)
+            wait_s = float(answer.partition(b"Retry-After: ")[2].partition(b"\r")[0])
+            self.assertTrue(0.1 <= wait_s <= 5.0, str(wait_s))
+
+    def test_a_roll_out_whose_new_endpoint_is_limited(self) -> None:
+        """A request without a session may as well run on the version before."""
+        new, old = LimitedEndpoint(0.5), LimitedEndpoint()
+
+        def prepare() -> None:
+            listed = tuple(
+                Endpoint(f"i-{n}", "app", e.worker.address, "hall-1", version, 8, False)
+                for n, (e, version) in enumerate(((new, "v2"), (old, "v1")))
+            )
+            self.known.directory.replace(EndpointList(1, 2, listed), 0.0)
+            trial = Rollout("app", "v2", RolloutStage.TRIAL, 0.5, 1, 1000.0)
+            self.known.versions.learn([trial])
+
+        self.prepare = prepare  # type: ignore[method-assign]
+        one_id = ask("/get/1")
+        data = [one_id.replace(b"Id: r1", f"Id: r{n}".encode()) for n in range(60)]
+        statuses = self.play([new, old], data)
+        self.assertEqual({200}, set(statuses))
+        self.assertTrue(most_within(new.came_s) <= allowed(0.5))
+
+
 class FleetTest(testtools.TestCase):
     """Real processes: five core VMs, three gateways, two endpoints."""
 
