A request without a session runs on the version before while the new one has no room

What callers saw: in the trial of a version whose endpoints name a rate limit, requests that were drawn for it were refused, though the old version had room.

Cause: the version is chosen first, and only then which of its endpoints can be sent to.

Change: a request that was drawn for the new version and belongs to no session may run on the old one while none of the new one's endpoints can be sent to, for whatever reason. A session may not: its next request can come by a gateway that draws it again, and it would go back and forth. The new version gets less than its share by that, never more.

--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -99,7 +99,10 @@
     limited = len(open_now) - len(within)
     among = _sound(within, tried, known.connections_max(service), now_ms)
     if not among:
-        return None
+        otherwise = allowed.otherwise
+        if otherwise is None:
+            return None
+        return choose_endpoint(known, service, otherwise, tried, send, now_ms)
     if service.engine is None and send.apart:
         state = known.generator.choice(among)
         utilisation = state.utilisation(now_ms)
--- a/ashlatch/gateway/versions.py
+++ b/ashlatch/gateway/versions.py
@@ -48,7 +48,7 @@
     old one, and a trial leaves it there. `HELD`: it ran when the trial began, at
     any gateway. `SHARE`: its place in the share of the new version, or beyond
     it. `LOAD_TEST`: the endpoint under test has room. `UNLISTED`: no endpoint of
-    the preferred version is listed.
+    the preferred version is listed. `SPARED`: none of the new one can be sent to now.
     """
 
     NO_ROLLOUT = "no_rollout"
@@ -61,6 +61,7 @@
     HELD = "held"
     SHARE = "share"
     UNLISTED = "unlisted"
+    SPARED = "spared"
 
 
 @dataclass(frozen=True)
@@ -68,12 +69,14 @@
     """The endpoints that a request may run on, and why these.
 
     `session_age_ms` is how long ago this gateway last heard of the session,
-    below 0 if it never did or has forgotten it.
+    below 0 if it never did or has forgotten it. `otherwise` are those that serve as
+    well while none of these can be sent to.
     """
 
     states: list[EndpointState]
     reason: VersionReason
     session_age_ms: float = -1.0
+    otherwise: "AllowedEndpoints | None" = None
 
     @property
     def evacuated(self) -> int:
@@ -264,6 +267,12 @@
         preferred, other = (new, old) if preference.new else (old, new)
         if not preferred:
             return AllowedEndpoints(other, VersionReason.UNLISTED, age_ms)
+        drawn = preference.reason is VersionReason.SHARE and preference.new
+        if drawn and not session:
+            # It may as well run on the version before, as most requests do. A session
+            # may not: its next request can come by a gateway that draws it again.
+            old_ones = AllowedEndpoints(old, VersionReason.SPARED)
+            return AllowedEndpoints(preferred, preference.reason, age_ms, old_ones)
         return AllowedEndpoints(preferred, preference.reason, age_ms)
 
     def _preference(
