--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -45,6 +45,17 @@
 COLD = ("-m", "pytest", "-x", "tests/test_cold.py")
 EXPOSED = ("-m", "pytest", "-x", "tests/test_exposure.py")
 REGIONS = ("-m", "pytest", "-x", "tests/test_regions.py")
+LIMITS = ("-m", "pytest", "-x", "tests/test_limit_load.py")
+RATE_LIMITS = ("-m", "pytest", "-x", "tests/test_rate_limits.py", "-k", "not Fleet")
+ROUTER_LIMITS = (
+    "-m",
+    "pytest",
+    "-x",
+    "tests/test_router_limits.py",
+    "-k",
+    "not LimitedChat",
+)
+CONNECTIONS = ("-m", "pytest", "-x", "tests/test_connections.py")
 LIMIT_S = 180.0
 SHOWN_LINES = 3
 
@@ -559,6 +570,160 @@
         "        return self.route.regions, ()\n",
         REGIONS,
     ),
+    Mutant(
+        "limits-not-asked-for",
+        "ashlatch/gateway/choice.py",
+        "within = [s for s in open_now if not limit_wait_ms(known, s, now_ms)]",
+        "within = open_now",
+        RATE_LIMITS,
+    ),
+    Mutant(
+        "limited-sends-untold",
+        "ashlatch/gateway/limits.py",
+        "known.tell(LimitedSend(state.endpoint.instance))",
+        "pass",
+        LIMITS,
+    ),
+    Mutant(
+        "limits-untold",
+        "ashlatch/gateway/limits.py",
+        "known.tell(LimitNamed(instance, per_s))",
+        "pass",
+        LIMITS,
+    ),
+    Mutant(
+        "limit-ended-by-an-older-answer",
+        "ashlatch/gateway/limits.py",
+        "if not answered.run or state.limit.named_since(answered.sent_ms):",
+        "if not answered.run:",
+        LIMITS,
+    ),
+    Mutant(
+        "limit-ended-by-a-refusal",
+        "ashlatch/gateway/limits.py",
+        "if not answered.run or state.limit.named_since(answered.sent_ms):",
+        "if state.limit.named_since(answered.sent_ms):",
+        RATE_LIMITS,
+    ),
+    Mutant(
+        "limits-before-gateways-are-known",
+        "ashlatch/gateway/limits.py",
+        "if not known.cold.knows_gateways(now_ms):",
+        "if False:",
+        LIMITS,
+    ),
+    Mutant(
+        "whole-limit-while-out-of-touch",
+        "ashlatch/policy/rate_limit.py",
+        "return 1.0 if self.in_touch else 1.0 / self.gateways",
+        "return 1.0",
+        LIMITS,
+    ),
+    Mutant(
+        "limit-outlives-its-endpoint",
+        "ashlatch/gateway/directory.py",
+        "        self.limit = RateLimit()\n",
+        "",
+        LIMITS,
+    ),
+    Mutant(
+        "all-send-at-the-next-token",
+        "ashlatch/policy/rate_limit.py",
+        "self._needed = 1.0 + drawn * DRAWN_MAX",
+        "self._needed = 1.0",
+        LIMITS,
+    ),
+    Mutant(
+        "sends-of-others-forgotten",
+        "ashlatch/policy/rate_limit.py",
+        "least = -DEBT_MAX - SAVED_S * self._rate_per_s(sharers)",
+        "least = 0.0",
+        LIMITS,
+    ),
+    Mutant(
+        "who-sent-goes-first",
+        "ashlatch/policy/rate_limit.py",
+        "return 2.0 - 1.0 / self.gateways if self.in_touch else 1.0",
+        "return 1.0",
+        LIMITS,
+    ),
+    Mutant(
+        "never-asked-again",
+        "ashlatch/policy/rate_limit.py",
+        "return max(self.per_s, RATE_MIN_PER_S) * sharers.share",
+        "return max(self.per_s, 1e-9) * sharers.share",
+        LIMITS,
+    ),
+    Mutant(
+        "all-told-the-same-moment",
+        "ashlatch/gateway/limits.py",
+        "known.returns_ms[service] = min(returns_ms + step_ms, now_ms + RETURN_MAX_MS)",
+        "pass",
+        LIMITS,
+    ),
+    Mutant(
+        "load-test-of-a-limited-endpoint",
+        "ashlatch/gateway/versions.py",
+        "and not s.limit.limited",
+        "",
+        CHOOSING,
+    ),
+    Mutant(
+        "sessions-go-back",
+        "ashlatch/gateway/versions.py",
+        "if drawn and not session:",
+        "if drawn:",
+        CHOOSING,
+    ),
+    Mutant(
+        "silent-request-left-for-a-limited-endpoint",
+        "ashlatch/gateway/exchange.py",
+        "if self._choose(self._model, unlimited=True) is None:",
+        "if self._choose(self._model) is None:",
+        RATE_LIMITS,
+    ),
+    Mutant(
+        "router-sends-past-a-limit",
+        "ashlatch/router/plan.py",
+        "            return WhyOut.LIMITED\n",
+        "            pass\n",
+        ROUTER_LIMITS,
+    ),
+    Mutant(
+        "router-resumes-past-a-limit",
+        "ashlatch/router/attempt.py",
+        "core.lease_valid(core.now_ms) and not wait_ms",
+        "core.lease_valid(core.now_ms)",
+        ROUTER_LIMITS,
+    ),
+    Mutant(
+        "router-limit-ended-by-an-older-answer",
+        "ashlatch/router/limits.py",
+        "elif event.run and not limit.named_since(event.sent_ms):",
+        "elif event.run:",
+        ROUTER_LIMITS,
+    ),
+    Mutant(
+        "router-limit-outlives-its-endpoint",
+        "ashlatch/router/learning.py",
+        "        core.planner.limits.pop(name, None)\n",
+        "",
+        ROUTER_LIMITS,
+    ),
+    Mutant(
+        "connections-past-the-part",
+        "ashlatch/gateway/choice.py",
+        "fresh = [s for s in untried if s.load.in_flight < connections_max] or untried",
+        "fresh = untried",
+        CONNECTIONS,
+    ),
+    Mutant(
+        "idle-connections-past-the-part",
+        "ashlatch/gateway/pool.py",
+        "if len(self._idle.get(endpoint.instance, ())) >= kept_max:",
+        "if False:",
+        CONNECTIONS,
+    ),
 )
 
 
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -18,6 +18,7 @@
 )
 from ashlatch.platform.document import decode_catalog
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES, Candidate
+from ashlatch.policy.rate_limit import Sharers
 from tests.standin import document, encoded, route
 
 
@@ -40,6 +41,25 @@
         allowed = self.chooser.allowed("app", session, "r1", self.states, at_ms)
         return {state.endpoint.version for state in allowed.states}
 
+    def test_only_without_a_session_the_old_version_may_serve(self) -> None:
+        """A session that was drawn stays drawn, at any gateway."""
+        self.learn(RolloutStage.SHIFT, 1.0, 1)
+        states = self.states
+        drawn = self.chooser.allowed("app", "", "r1", states, 0.0)
+        assert drawn.otherwise is not None
+        spared = {s.endpoint.version for s in drawn.otherwise.states}
+        self.assertEqual({"v1"}, spared)
+        session = self.chooser.allowed("app", "s", "r1", states, 0.0)
+        self.assertIs(None, session.otherwise)
+
+    def test_a_load_test_leaves_limited_endpoints_alone(self) -> None:
+        self.learn(RolloutStage.LOAD_TEST, 1.0, 1)
+        self.states.append(self.state("v2", 2))
+        (tested,) = self.chooser.allowed("app", "s", "r1", self.states, 0.0).states
+        tested.limit.named(5.0, Sharers(), 0.0, 0.0)
+        (other,) = self.chooser.allowed("app", "s", "r1", self.states, 0.0).states
+        self.assertNotEqual(tested.endpoint.instance, other.endpoint.instance)
+
     def share_of_new(self) -> float:
         found = [self.versions(f"s{n}") == {"v2"} for n in range(2000)]
         return sum(found) / len(found)
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -20,6 +20,8 @@
 """
 
 import asyncio
+import signal
+import threading
 import time
 from concurrent.futures import Future, ThreadPoolExecutor
 from functools import partial
@@ -196,3 +198,37 @@
         came_s = self.limited.came_since(begun_s + self.KNOWN_S)
         most = most_within(came_s)
         self.assertTrue(most <= allowed(self.LIMIT_PER_S), str(most))
+
+    def test_a_gateway_stands_still_and_one_is_killed(self) -> None:
+        """The limit holds, but for what the two send before they have heard of it."""
+        faults = threading.Thread(target=self.stop_and_kill)
+        faults.start()
+        begun_s = time.monotonic()
+        statuses = self.play(11.0)
+        faults.join()
+        came_s = self.limited.came_since(begun_s + self.KNOWN_S)
+        most = most_within(came_s)
+        # The one that wakes and the one that starts each send a few.
+        self.assertTrue(most <= allowed(self.LIMIT_PER_S), str(most))
+        self.assertTrue(statuses.count(200) > 0.6 * len(statuses))
+
+    def stop_and_kill(self) -> None:
+        """One gateway is frozen for two seconds, then another is killed and starts."""
+        time.sleep(2.0)
+        frozen = self.fleet.processes[self.gateways[1]].popen
+        frozen.send_signal(signal.SIGSTOP)
+        time.sleep(2.0)
+        frozen.send_signal(signal.SIGCONT)
+        time.sleep(1.0)
+        self.fleet.processes[self.gateways[2]].kill()
+        self.fleet.start_gateway(self.gateways[2])
+
+    def test_the_limit_ends(self) -> None:
+        """The endpoint is used like the other one within three seconds."""
+        self.play(3.0)
+        self.limited.limit_per_s = NO_LIMIT
+        self.play(3.0)
+        begun_s = time.monotonic()
+        statuses = self.play(2.0)
+        came = len(self.limited.came_since(begun_s))
+        self.assertTrue(came > 0.25 * len(statuses), f"{came} of {len(statuses)}")
