--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -97,7 +97,7 @@
     open_now = _open(known, service, allowed.states, now_ms)
     within = [s for s in open_now if not limit_wait_ms(known, s, now_ms)]
     limited = len(open_now) - len(within)
-    among = _sound(within, tried, known.connections_max(service), now_ms)
+    among = _sound(within, tried, now_ms)
     if not among:
         otherwise = allowed.otherwise
         if otherwise is None:
@@ -149,18 +149,10 @@
 
 
 def _sound(
-    states: Iterable[EndpointState],
-    tried: frozenset[str],
-    connections_max: int,
-    now_ms: float,
+    states: Iterable[EndpointState], tried: frozenset[str], now_ms: float
 ) -> list[EndpointState]:
-    """The endpoints that a request may go to, without those that do badly.
-
-    One more connection than this gateway's part is opened only where there is no other
-    endpoint: the others' parts may be unused, or the endpoint resets it.
-    """
-    untried = [s for s in states if s.endpoint.instance not in tried]
-    fresh = [s for s in untried if s.load.in_flight < connections_max] or untried
+    """The endpoints that a request may go to, without those that do badly."""
+    fresh = [s for s in states if s.endpoint.instance not in tried]
     sound = [s for s in fresh if s.breaker.allows(now_ms)]
     well = [s for s in sound if s.failing < FAILING_MAX]
     moving = [s for s in well if not s.stalled(now_ms)]
