--- /dev/null
+++ b/ashlatch/gateway/chooser.py
@@ -0,0 +1,127 @@
+"""
+ashlatch.gateway.chooser
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+What one request may be sent to: the endpoints of its service, regions and version that
+it has not tried, and which model would begin in time.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import asyncio
+
+from ashlatch.gateway.admission import RETRY_AFTER_S, Admission, Refused
+from ashlatch.gateway.choice import Choice, choose_endpoint
+from ashlatch.gateway.directory import EndpointState
+from ashlatch.gateway.forecast import Send
+from ashlatch.gateway.knowledge import Knowledge
+from ashlatch.gateway.limits import return_after_s
+from ashlatch.gateway.message import RefusalReason
+
+__all__ = ["RequestChooser"]
+
+# When what is left of a service is in evacuated halls: operators take them back after
+# seconds to hours, and a caller that has seconds should find out once more.
+EVACUATED_AFTER_S = 2.0
+# The part of the target in which a smaller model should begin its answer, since
+# half of these are asked again of the largest.
+FIRST_SHARE = 0.35
+
+
+class RequestChooser:
+    """Chooses endpoints for the sends of one request; `tried` are left out by id."""
+
+    def __init__(self, known: Knowledge, admission: Admission) -> None:
+        self.tried: set[str] = set()
+        self._known = known
+        self._admission = admission
+        self._route = admission.route
+        self._ask = admission.ask
+        self._loop = asyncio.get_running_loop()
+
+    def choose(self, model: str, unlimited: bool = False) -> Choice | None:
+        """The endpoint for a send that asks a model, empty for the caller's.
+
+        With `unlimited`, one that names no rate limit.
+        """
+        now_ms = self._now_ms()
+        service = self._admission.service
+        states = self._states()
+        if unlimited:
+            states = [state for state in states if not state.limit.limited]
+        tried = frozenset(self.tried)
+        allowed = self._known.versions.allowed(
+            service.name,
+            self._ask.session,
+            self._ask.request_id,
+            states,
+            now_ms,
+            tried,
+        )
+        apart = self._known.quarantine.crashes(self._admission.content) > 0
+        send = Send(self._ask, model, self.slack_ms(model), apart)
+        return choose_endpoint(self._known, service, allowed, tried, send, now_ms)
+
+    def _states(self) -> list[EndpointState]:
+        """The endpoints of the service in those regions in which it may run."""
+        states = self._known.directory.of_service(self._admission.service.name)
+        if not self._admission.region_bound:
+            return list(states)
+        regions = self._known.regions
+        return [
+            state
+            for state in states
+            if self._admission.may_run_in(regions.get(state.endpoint.hall, ""))
+        ]
+
+    def slack_ms(self, model: str) -> float:
+        """The time in which an answer of the model should begin."""
+        elapsed_ms = self._now_ms() - self._ask.received_s * 1000.0
+        aim_ms = self._route.target_ms
+        if model and self._route.models and model != self._route.models[-1]:
+            aim_ms *= FIRST_SHARE
+        return aim_ms - elapsed_ms
+
+    def in_time(self, models: tuple[str, ...]) -> tuple[str, float]:
+        """The first of the models that would begin in time, and when it would.
+
+        Empty when none would, with the time of the one that would first.
+        """
+        soonest_ms = 0.0
+        for model in models:
+            choice = self.choose(model)
+            if choice is None:
+                continue
+            soonest_ms = self.expected_ms(choice, model)
+            if soonest_ms <= self.slack_ms(self._route.models[-1]):
+                return model, soonest_ms
+        return "", soonest_ms
+
+    def expected_ms(self, choice: Choice, model: str) -> float:
+        """A cautious guess of the time to the first event."""
+        forecast = choice.forecast
+        if forecast is None:
+            wait_ms, tokens = 0.0, self._ask.prompt_tokens
+        else:
+            wait_ms, tokens = forecast.wait_ms, forecast.read_tokens
+        service = self._admission.service.name
+        pace = self._known.pace
+        return wait_ms + pace.expected_ms(service, model, tokens, self._now_ms())
+
+    def nowhere(self) -> Refused:
+        """The refusal of a request that has not run and can be sent to no endpoint."""
+        states = self._states()
+        if any(state.evacuated for state in states):
+            return Refused(503, RefusalReason.EVACUATED, EVACUATED_AFTER_S)
+        service = self._admission.service.name
+        after_s = return_after_s(self._known, service, states, self._now_ms())
+        if after_s is not None:
+            return Refused(503, RefusalReason.ENDPOINTS_LIMITED, after_s)
+        reason = RefusalReason.NO_ENDPOINT
+        if not states and self._admission.region_bound:
+            reason = RefusalReason.NO_ENDPOINT_IN_REGION
+        return Refused(503, reason, RETRY_AFTER_S)
+
+    def _now_ms(self) -> float:
+        return self._loop.time() * 1000.0
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -25,17 +25,14 @@
 from ashlatch.gateway.choice import (
     Choice,
     Verdict,
-    choose_endpoint,
     engine_urgency,
     first_model,
     larger_models,
 )
+from ashlatch.gateway.chooser import RequestChooser
 from ashlatch.gateway.crash import CrashFinder
-from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.events import EventSplitter, StreamEvent
-from ashlatch.gateway.forecast import Send
 from ashlatch.gateway.knowledge import Knowledge
-from ashlatch.gateway.limits import return_after_s
 from ashlatch.gateway.message import AnswerHead, Dispatch, RefusalReason
 from ashlatch.gateway.patience import (
     Patience,
@@ -54,12 +51,6 @@
 # connection costs two milliseconds.
 UNREACHABLE_MAX = 12
 SERVER_ERROR = 500
-# When what is left of a service is in evacuated halls: operators take them back after
-# seconds to hours, and a caller that has seconds should find out once more.
-EVACUATED_AFTER_S = 2.0
-# The part of the target in which a smaller model should begin its answer, since
-# half of these are asked again of the largest.
-FIRST_SHARE = 0.35
 
 
 @dataclass(frozen=True)
@@ -82,11 +73,11 @@
         self._ask = admission.ask
         self._responder = responder
         self._loop = asyncio.get_running_loop()
-        self._tried: set[str] = set()
         self._may_have_run = False
         self._model = first_model(admission.route, admission.ask)
         self._last_event = ""
         self._account = Account(known, admission)
+        self._chooser = RequestChooser(known, admission)
         self._crashes = CrashFinder(known)
         self._error: _Whole | None = None
         self._repeat_taken = False
@@ -113,9 +104,11 @@
             held = self._held()
             if held is not None:
                 return held
-            choice = self._choose(self._model)
+            choice = self._chooser.choose(self._model)
             if choice is None:
-                return self._nowhere()
+                if self._may_have_run:
+                    return Refused(502, RefusalReason.OUTCOME_UNKNOWN)
+                return self._chooser.nowhere()
             attempt = self._attempt(choice)
             try:
                 if await self._run_attempt(attempt):
@@ -131,55 +124,12 @@
                 attempt.close()
                 self._account.carried(attempt)
 
-    # Choosing.
-
-    def _choose(self, model: str, unlimited: bool = False) -> Choice | None:
-        """The endpoint for a send that asks a model, empty for the caller's.
-
-        With `unlimited`, one that names no rate limit.
-        """
-        now_ms = self._now_ms()
-        service = self._admission.service
-        states = self._states()
-        if unlimited:
-            states = [state for state in states if not state.limit.limited]
-        tried = frozenset(self._tried)
-        allowed = self._known.versions.allowed(
-            service.name,
-            self._ask.session,
-            self._ask.request_id,
-            states,
-            now_ms,
-            tried,
-        )
-        apart = self._known.quarantine.crashes(self._admission.content) > 0
-        send = Send(self._ask, model, self._slack_ms(model), apart)
-        return choose_endpoint(self._known, service, allowed, tried, send, now_ms)
-
-    def _states(self) -> list[EndpointState]:
-        """The endpoints of the service in those regions in which it may run."""
-        states = self._known.directory.of_service(self._admission.service.name)
-        if not self._admission.region_bound:
-            return list(states)
-        regions = self._known.regions
-        return [
-            state
-            for state in states
-            if self._admission.may_run_in(regions.get(state.endpoint.hall, ""))
-        ]
-
-    def _slack_ms(self, model: str) -> float:
-        """The time in which an answer of the model should begin."""
-        elapsed_ms = self._now_ms() - self._ask.received_s * 1000.0
-        aim_ms = self._route.target_ms
-        if model and self._route.models and model != self._route.models[-1]:
-            aim_ms *= FIRST_SHARE
-        return aim_ms - elapsed_ms
+    # One send.
 
     def _attempt(self, choice: Choice) -> Attempt:
         endpoint = choice.state.endpoint
         organisation = self._admission.organisation
-        self._tried.add(endpoint.instance)
+        self._chooser.tried.add(endpoint.instance)
         dispatch = Dispatch(
             organisation.name if organisation else "",
             endpoint.instance,
@@ -188,7 +138,7 @@
             engine_urgency(choice.forecast, self._admission.urgency),
             self._last_event,
         )
-        self._expected_first_ms = self._expected_ms(choice, self._model)
+        self._expected_first_ms = self._chooser.expected_ms(choice, self._model)
         self._account.sent(choice, self._model, self._why)
         choice.state.breaker.sent(self._now_ms())
         repeatable = self._route.repeat is not Repeat.NEVER
@@ -224,7 +174,7 @@
         """
         if self._account.sends >= self._attempts_max:
             return False
-        if self._choose(self._model, unlimited=True) is None:
+        if self._chooser.choose(self._model, unlimited=True) is None:
             return False
         self._repeat_taken = self._spend()
         return self._repeat_taken
@@ -258,12 +208,12 @@
             return False
         larger = larger_models(self._route, self._model, head.confidence)
         # A larger model may be asked at the same endpoint.
-        self._tried.discard(attempt.state.endpoint.instance)
-        model, expected_ms = self._in_time(larger)
+        self._chooser.tried.discard(attempt.state.endpoint.instance)
+        model, expected_ms = self._chooser.in_time(larger)
         verdict = self._weigh(larger, model)
         self._account.weighed(attempt, self._model, expected_ms, verdict)
         if verdict is not Verdict.CLIMBS:
-            self._tried.add(attempt.state.endpoint.instance)
+            self._chooser.tried.add(attempt.state.endpoint.instance)
             return False
         self._account.answered(attempt)
         # What is dropped here has run: no later answer may say that nothing has.
@@ -272,21 +222,6 @@
         self._why = "confidence"
         return True
 
-    def _in_time(self, models: tuple[str, ...]) -> tuple[str, float]:
-        """The first of the models that would begin in time, and when it would.
-
-        Empty when none would, with the time of the one that would first.
-        """
-        soonest_ms = 0.0
-        for model in models:
-            choice = self._choose(model)
-            if choice is None:
-                continue
-            soonest_ms = self._expected_ms(choice, model)
-            if soonest_ms <= self._slack_ms(self._route.models[-1]):
-                return model, soonest_ms
-        return "", soonest_ms
-
     def _weigh(self, larger: tuple[str, ...], model: str) -> Verdict:
         """Whether a larger model is asked; takes the repeat for it."""
         if not larger:
@@ -297,17 +232,6 @@
             return Verdict.LATE
         return Verdict.CLIMBS if self._spend() else Verdict.OVER_BUDGET
 
-    def _expected_ms(self, choice: Choice, model: str) -> float:
-        """A cautious guess of the time to the first event."""
-        forecast = choice.forecast
-        if forecast is None:
-            wait_ms, tokens = 0.0, self._ask.prompt_tokens
-        else:
-            wait_ms, tokens = forecast.wait_ms, forecast.read_tokens
-        service = self._admission.service.name
-        pace = self._known.pace
-        return wait_ms + pace.expected_ms(service, model, tokens, self._now_ms())
-
     async def _read_whole(self, attempt: Attempt, head: AnswerHead) -> _Whole:
         parts = []
         while (part := await attempt.part(self._patience())) is not None:
@@ -398,21 +322,6 @@
             self._known.metrics.count("repeats_over_budget")
         return granted
 
-    def _nowhere(self) -> Refused:
-        if self._may_have_run:
-            return Refused(502, RefusalReason.OUTCOME_UNKNOWN)
-        states = self._states()
-        if any(state.evacuated for state in states):
-            return Refused(503, RefusalReason.EVACUATED, EVACUATED_AFTER_S)
-        service = self._admission.service.name
-        after_s = return_after_s(self._known, service, states, self._now_ms())
-        if after_s is not None:
-            return Refused(503, RefusalReason.ENDPOINTS_LIMITED, after_s)
-        reason = RefusalReason.NO_ENDPOINT
-        if not states and self._admission.region_bound:
-            reason = RefusalReason.NO_ENDPOINT_IN_REGION
-        return Refused(503, reason, RETRY_AFTER_S)
-
     def _spent(self, kind: FailureKind) -> Refused:
         held = self._held()
         if held is not None:
--- a/ashlatch/gateway/peers.py
+++ b/ashlatch/gateway/peers.py
@@ -24,19 +24,11 @@
     audience_of_prompt,
     gateways_of_hall,
 )
-from ashlatch.gateway.crash import learn_crashes
-from ashlatch.gateway.directory import EndpointState
+from ashlatch.gateway.hearing import HEARD, Teller
 from ashlatch.gateway.knowledge import Knowledge
-from ashlatch.gateway.limits import take_told, take_told_send
-from ashlatch.gateway.logs import (
-    EndpointMisdirected,
-    EndpointNotListening,
-    PeersUnavailable,
-)
-from ashlatch.gateway.message import LoadFigures
+from ashlatch.gateway.logs import PeersUnavailable
 from ashlatch.gateway.news import (
     ContentCrashed,
-    EndpointNews,
     EndpointRefuses,
     EndpointReplaced,
     HallNews,
@@ -157,53 +149,10 @@
             self._known.metrics.count("datagrams_unreadable")
             return
         now_ms = asyncio.get_running_loop().time() * 1000.0
-        if isinstance(news, SessionMoved):
-            self._known.metrics.count("sessions_heard")
-            self._known.versions.hear_move(news.service, news.session, news.version)
-            return
-        if isinstance(news, ContentCrashed):
-            learn_crashes(self._known, news.record, addr[0])
-        else:
-            state = self._known.directory.state(news.instance)
-            if state is None:
-                return
-            self._learn(news, state, now_ms, addr[0])
+        HEARD.call(self._known, news, Teller(addr[0], now_ms))
         if isinstance(news, HallNews) and news.for_hall:
             self._relay(news)
 
-    def _learn(
-        self,
-        news: EndpointNews,
-        state: EndpointState,
-        now_ms: float,
-        teller: str,
-    ) -> None:
-        """Take what is told of an endpoint."""
-        if isinstance(news, EndpointReplaced):
-            state.replaced_ms = now_ms
-            service = state.endpoint.service
-            misdirected = EndpointMisdirected(news.instance, service, teller)
-            emit(log, misdirected, logging.WARNING)
-            return
-        if isinstance(news, PromptSent):
-            state.workload.add(news.read_ms, now_ms)
-        elif isinstance(news, EndpointRefuses):
-            if state.refuses(now_ms):
-                service = state.endpoint.service
-                silent = EndpointNotListening(news.instance, service, teller)
-                emit(log, silent, logging.WARNING)
-                self._known.forget_life(news.instance)
-        elif isinstance(news, LimitNamed):
-            take_told(self._known, state, news, teller, now_ms)
-        elif isinstance(news, LimitedSend):
-            take_told_send(self._known, state, now_ms)
-        else:
-            figures = LoadFigures(news.running, news.waiting, news.slots)
-            state.tell_load(figures, now_ms)
-            state.proved(self._known.cold_ms(state), now_ms)
-            level = load_level(news.running + news.waiting, news.slots)
-            state.told_load.heard(level, now_ms)
-
     def error_received(self, exc: Exception) -> None:
         """A gateway that was told is not there; the fleet forgets it soon."""
         self._known.metrics.count("datagrams_refused")
