--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -603,7 +603,7 @@
         "ashlatch/gateway/limits.py",
         "if not answered.run or state.limit.named_since(answered.sent_ms):",
         "if state.limit.named_since(answered.sent_ms):",
-        RATE_LIMITS,
+        LIMITS,
     ),
     Mutant(
         "limits-before-gateways-are-known",
--- a/tests/test_limit_load.py
+++ b/tests/test_limit_load.py
@@ -12,6 +12,14 @@
 
 import testtools
 
+from ashlatch.gateway.cold import GATEWAYS_KNOWN_MS, ColdGate
+from ashlatch.gateway.limits import (
+    Answered,
+    limit_wait_ms,
+    take_named,
+    take_told,
+)
+from ashlatch.gateway.news import LimitNamed
 from ashlatch.policy.rate_limit import (
     DEBT_MAX,
     NO_LIMIT,
@@ -62,6 +70,14 @@
             if size == 7:
                 self.assertTrue(min(world.served) > 0.3 * max(world.served))
 
+    def test_gateways_share_it_though_messages_are_lost(self) -> None:
+        """Who has missed a few does not send alone from then on."""
+        for seed in (1, 2, 3):
+            world = LimitWorld(7, 1, seed, Network(delay_ms=20.0, lost=0.03))
+            world.limit(0, 2.0)
+            world.play(40.0, 60.0)
+            self.assertTrue(min(world.served) > 0.5 * max(world.served))
+
     def test_small_and_large_limits(self) -> None:
         for per_s in (0.0, 0.1, 0.5, 8.0, 40.0):
             for size in SIZES:
@@ -224,6 +240,44 @@
         self.assertTrue(world.refusals[0].after_s < 1.5)
 
 
+class LearnTest(testtools.TestCase):
+    """One gateway that has heard of a limit at 1,000 ms."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.world = LimitWorld(3, 1, 1)
+        self.known = self.world.gateways[0]
+        state = self.known.directory.state("i-0")
+        assert state is not None
+        self.state = state
+        take_told(self.known, state, LimitNamed("i-0", 2.0), "g-1:7000", 1000.0)
+
+    def answered(self, sent_ms: float, run: bool = True) -> bool:
+        """Whether it is limited after an answer that names no limit."""
+        answered = Answered("r1", NO_LIMIT, sent_ms, run)
+        take_named(self.known, self.state, answered, 2000.0)
+        return self.state.limit.limited
+
+    def test_an_answer_to_a_request_that_was_sent_before(self) -> None:
+        self.assertTrue(self.answered(999.0))
+
+    def test_a_refusal(self) -> None:
+        """An endpoint that turns requests away may leave the limit out."""
+        self.assertTrue(self.answered(1500.0, run=False))
+
+    def test_an_answer_to_a_request_that_was_sent_since(self) -> None:
+        self.assertFalse(self.answered(1001.0))
+
+    def test_before_the_others_are_known(self) -> None:
+        """A gateway that has just started may be one of any number."""
+        self.known.cold = ColdGate(self.known.gateways[0])
+        self.assertTrue(limit_wait_ms(self.known, self.state, 60_000.0) > 0.0)
+        self.known.cold.heard_core(60_000.0)
+        soon_ms = 60_000.0 + GATEWAYS_KNOWN_MS - 1.0
+        self.assertTrue(limit_wait_ms(self.known, self.state, soon_ms) > 0.0)
+        self.assertEqual(0.0, limit_wait_ms(self.known, self.state, soon_ms + 1.0))
+
+
 class BucketTest(testtools.TestCase):
     ALONE = Sharers()
 
@@ -245,6 +299,14 @@
             sent += 1
         self.assertTrue(sent <= 2 + SAVED_S * 8.0, str(sent))
 
+    def test_sends_that_crossed_are_made_up_for(self) -> None:
+        """Three gateways sent at the same moment: two tokens are owed."""
+        limit = self.limit(2.0)
+        limit.wait_ms(self.ALONE, 500.0)
+        for _ in range(3):
+            limit.sent_elsewhere(self.ALONE, 0.0, 500.0)
+        self.assertEqual(1500.0, limit.wait_ms(self.ALONE, 500.0))
+
     def test_debts_are_bounded(self) -> None:
         limit = self.limit(2.0)
         for _ in range(50):
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -31,7 +31,7 @@
 
 from ashlatch.catalog import Endpoint, EndpointList, Rollout, RolloutStage
 from ashlatch.platform.headers import decode_answer
-from ashlatch.policy.rate_limit import NO_LIMIT
+from ashlatch.policy.rate_limit import NO_LIMIT, Sharers
 from tests.fleet import READY_PORT, Fleet, wait_for
 from tests.gateway import GatewayHarness, ask
 from tests.limited import LimitedEndpoint, allowed, most_within
@@ -105,6 +105,21 @@
         self.play([failing, limited], [ask(f"/get/{n}") for n in range(60)])
         self.assertTrue(most_within(limited.came_s) <= allowed(1.0))
 
+    def test_a_silent_endpoint_is_not_left_for_a_limited_one(self) -> None:
+        """The room there may be gone before the send; the answer comes at last."""
+        silent, limited = LimitedEndpoint(answer_s=1.0), LimitedEndpoint()
+
+        def prepare() -> None:
+            now_ms = asyncio.get_running_loop().time() * 1000.0
+            state = self.known.directory.state("i-1")
+            assert state is not None
+            # There is room again before the first endpoint has been silent for long.
+            state.limit.named(5.0, Sharers(), 0.0, now_ms)
+
+        self.prepare = prepare  # type: ignore[method-assign]
+        self.assertEqual([200], self.play([silent, limited], [ask("/get/1")]))
+        self.assertEqual((1, 0), (len(silent.came_s), len(limited.came_s)))
+
     def test_nothing_has_room(self) -> None:
         """Refused at once, not run, and told when to come back."""
         limited = LimitedEndpoint(0.5)
