Routers try an endpoint that no report has named yet where there is no other

What callers saw: refused although an idle engine was configured (the test's story).

Cause: an engine without a report counts as one that serves no version. A new engine is in the configuration up to a report's interval before its first report.

Change: where no endpoint is known to serve a version, those without any report are tried. One that lacks the version refuses before it runs anything, and the request goes on.

Ruled out for the failure that was reproduced: the retry budget (its reason would say so), a version that is not loaded (engine 1 listed all three right after).

--- a/ashlatch/router/plan.py
+++ b/ashlatch/router/plan.py
@@ -295,6 +295,10 @@
         if version in self.table.withdrawn:
             return _none(version, WhyOut.WITHDRAWN, allowed=True)
         serving = [r for r in ready if r.load.serves(version)]
+        if not serving:
+            # No report has named these yet: one that lacks the version says so, and has
+            # not run the request.
+            serving = [r for r in ready if r.load.report is None]
         if not serving:
             excluded = (Exclusion(version, WhyOut.NO_ENDPOINT),)
             return NoPlan(True, False, self.settings.breaker_open_ms, excluded)
