--- a/ashlatch/fleet/memories.py
+++ b/ashlatch/fleet/memories.py
@@ -4,10 +4,8 @@
 
 What engines keep, asked of themselves. Gateways tell each other what they send,
 but nobody knows that any more after all VMs of ashlatch have lost power, while
-the engines have kept it: a new leader asks each engine once. On a day with such a
-loss the windows of two seconds after it served 0.69 to 0.81 of their worth without
-this (one play), 0.82 to 1.0 with it in two plays of three and 0.65 to 0.93 in one;
-the mean of five days shows no difference beyond its spread.
+the engines have kept it: a new leader asks each engine once, so that prompts are not
+read anew in the seconds after the loss, when most requests wait.
 
 :copyright: Copyright 2026 by the ashlatch maintainers.
 :license: MIT, see LICENSE for details.
--- a/ashlatch/fleet/verdict.py
+++ b/ashlatch/fleet/verdict.py
@@ -253,9 +253,7 @@
         answers += _answers(mine)
         expected += to_expect
     # Where each of many routes has few requests, none shows by itself that a version
-    # is slow: one that was, in half of its answers, got 67 of 246 requests and was
-    # complete (four plays of a day with 10 requests a second on five routes: three).
-    # Busy routes of engines count alone: engines that have kept no prompt yet make a
+    # is slow. Busy routes of engines count alone: engines that have kept no prompt yet make a
     # good version late, and the more answers, the sooner that shows.
     if together.other_timed >= TIMED_MIN and together.too_much:
         return f"{'all routes' if plain else 'routes with few requests'}: {together}"
--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -31,19 +31,16 @@
 ]
 
 # An answer whose model gives it less confidence than this is asked again of
-# the largest model. Figures between 40 and 60 served equally well in trials.
+# the largest model.
 CONFIDENCE_MIN = 50.0
 # Prompts of up to these times to read go before longer ones at an engine, and
-# within a step by the urgency of route or organisation: 0.872 of the worth was
-# served, 0.862 by the latter alone (means of five days with faults, one play each:
-# within the spread).
+# within a step by the urgency of route or organisation: behind a long prompt a short
+# one would wait for many times its own reading.
 READ_STEPS_MS = (150.0, 500.0)
 URGENCIES_EACH = 3
 # Requests that ran at an endpoint that crashed go to any of the cheaper half of the
 # endpoints, and of this many at least. To the cheapest, which has kept their subject,
-# they would go on with the one that crashes it: of 4,817 requests before 56 engines 14
-# were held for its doing, 0.4 this way; before 5 engines it makes no difference
-# (simulated load, tests/test_crash_load.py).
+# they would go on with the one that crashes it, and be held for its doing.
 APART_MIN = 4
 # Endpoints that failed this share of their latest attempts are left to others.
 FAILING_MAX = 0.3
--- a/ashlatch/gateway/directory.py
+++ b/ashlatch/gateway/directory.py
@@ -150,8 +150,7 @@
         if figures.waiting == 0:
             # One prompt is read there at most. Without this, times to read that
             # were guessed too high, as after a start, add up to work that is not
-            # there, and the largest model is not asked (252 times on a day of 70
-            # requests a second).
+            # there, and the largest model is not asked.
             self.workload.nothing_waits(now_ms)
 
     def requests(self, now_ms: float) -> float:
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -46,9 +46,8 @@
 
 # Endpoints that cannot be reached, or that have gone from their address, have not
 # run anything, so they do not count as attempts; but a request does not try the
-# whole fleet. With 43 in 100 of the engines crashed and still listed, and nobody told,
-# 72 of 581 requests of a simulated load met four of them, none met twelve; a refused
-# connection costs two milliseconds.
+# whole fleet. Where nearly half of the endpoints have crashed and are still listed, few
+# requests meet so many of them, and each refused connection costs milliseconds.
 UNREACHABLE_MAX = 12
 SERVER_ERROR = 500
 
--- a/ashlatch/gateway/kept.py
+++ b/ashlatch/gateway/kept.py
@@ -6,9 +6,7 @@
 An engine reads a part of a prompt anew unless it has kept that part and all
 parts before it for the same model, and reading is most of what a long prompt
 costs. A gateway learns from its own sends and, through the core, from those of
-all others: alone it would see a small part of them. With six gateways before six
-engines, 0.87 of the worth that callers asked for was served, 0.83 when each knew
-its own sends only (means of five days with faults).
+all others: alone it would see a small part of them.
 
 :copyright: Copyright 2026 by the ashlatch maintainers.
 :license: MIT, see LICENSE for details.
--- a/ashlatch/gateway/peers.py
+++ b/ashlatch/gateway/peers.py
@@ -95,8 +95,8 @@
     def _tell_halls(self, news: HallNews) -> None:
         """Tell those whom it concerns, other halls by one message each.
 
-        Told to each gateway, the prompts of 91 gateways took about half as many
-        bytes between halls as the prompts themselves, worked out from their sizes.
+        Told to each gateway, news of prompts would take bytes between halls of the
+        order of the prompts themselves.
         """
         audience = self._audience(news)
         self._send(news, audience.near)
--- a/ashlatch/gateway/reports.py
+++ b/ashlatch/gateway/reports.py
@@ -24,9 +24,8 @@
     """Tell other gateways how busy an endpoint is, if it is or was busy.
 
     Alone a gateway knows no endpoint's load but that of its own last answers, and
-    sends on to full ones. With 80 gateways before 16 engines, half of 50 requests
-    a second about one subject, 8.5 in 100 answers began after a second, 0.2 with
-    this (simulated load, `tests/test_full_engines.py`).
+    sends on to full ones: many gateways with requests about one subject fill the
+    engine that has kept it.
     """
     level = load_level(load.running + load.waiting, load.slots)
     if state.told_load.is_news(level, now_ms):
--- a/ashlatch/policy/cold.py
+++ b/ashlatch/policy/cold.py
@@ -53,9 +53,7 @@
     that costs one request a second. Shared out among all gateways alike, the bound
     would be passed at the first moment, when all send one.
 
-    Left alone until they are warm, endpoints stand idle for seconds: where halls came
-    back twice beside bursts, 0.911 of the worth was served, and 0.916 this way (one
-    play of each, 61 gateways).
+    Left alone until they are warm, endpoints would stand idle for seconds.
     """
     count = min(int(endpoint.requests_per_s), len(gateways))
     senders = _senders(endpoint, gateways, max(1, count))
--- a/ashlatch/policy/quarantine.py
+++ b/ashlatch/policy/quarantine.py
@@ -34,8 +34,8 @@
 ]
 
 # Crashes without a good run between them, until a content is held. A request that only
-# ran beside another one's crash is rarely there three times (one content in 2,000 of a
-# simulated load, tests/test_crash_load.py); and each more costs its callers an engine.
+# ran beside another one's crash is rarely there three times; and each more costs its
+# callers an engine.
 CRASHES_MAX = 3
 # For how long it is held, doubled for each further crash: long enough that a content
 # which is sent for ever costs an engine in ten minutes at first, and one a day later.
