--- a/ashlatch/fleet/verdict.py
+++ b/ashlatch/fleet/verdict.py
@@ -253,8 +253,8 @@
         answers += _answers(mine)
         expected += to_expect
     # Where each of many routes has few requests, none shows by itself that a version
-    # is slow. Busy routes of engines count alone: engines that have kept no prompt yet make a
-    # good version late, and the more answers, the sooner that shows.
+    # is slow. Busy routes of engines count alone: engines that have kept no prompt yet
+    # make a good version late, and the more answers, the sooner that shows.
     if together.other_timed >= TIMED_MIN and together.too_much:
         return f"{'all routes' if plain else 'routes with few requests'}: {together}"
     # A version that fails under load does so on all routes, and a load test is
