--- a/tests/limit_play.py
+++ b/tests/limit_play.py
@@ -19,6 +19,7 @@
 from ashlatch.gateway.budget import BudgetTerms
 from ashlatch.gateway.choice import choose_endpoint
 from ashlatch.gateway.cold import GATEWAYS_KNOWN_MS, ColdGate
+from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.forecast import Send
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.limits import (
@@ -88,6 +89,10 @@
         self.refusals: list[Refusal] = []
         self.served = [0] * gateways
         self.deaf: set[int] = set()
+        # What has come for gateways that stand still, in its order.
+        self.frozen: dict[int, list[Callable[[], None]]] = {}
+        # When requests came to each endpoint, and from which gateway.
+        self.sends: list[list[tuple[float, int]]] = [[] for _ in range(endpoints)]
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._table = RouteTable(decode_catalog(encoded(document())))
@@ -140,6 +145,16 @@
         self.deaf.add(number)
         self.gateways[number].core_in_touch = False
 
+    def rejoin(self, number: int) -> None:
+        """A gateway hears the others and the core again."""
+        self.deaf.discard(number)
+        self.gateways[number].core_in_touch = True
+
+    def wake(self, number: int) -> None:
+        """A gateway goes on with all that has come for it meanwhile."""
+        for what in self.frozen.pop(number, ()):
+            what()
+
     # The network.
 
     def sendto(self, data: bytes, to: tuple[str, int]) -> None:
@@ -153,6 +168,9 @@
         self.at(self.now_ms + after_ms, lambda: self._bring(number, data))
 
     def _bring(self, number: int, data: bytes) -> None:
+        if number in self.frozen:
+            self.frozen[number].append(partial(self._bring, number, data))
+            return
         self._peers[number].datagram_received(data, ("g", 1))
 
     # Time.
@@ -191,6 +209,9 @@
         asyncio.run(run())
 
     def _arrive(self, number: int) -> None:
+        if number in self.frozen:
+            self.frozen[number].append(partial(self._arrive, number))
+            return
         known = self.gateways[number]
         states = list(known.directory.of_service("app"))
         chosen = choose_endpoint(
@@ -210,17 +231,36 @@
         note_limited_send(known, state, self.now_ms)
         state.sent(self.now_ms)
         self.served[number] += 1
-        endpoint = self.endpoints[int(state.endpoint.instance.partition("-")[2])]
+        index = int(state.endpoint.instance.partition("-")[2])
+        endpoint = self.endpoints[index]
         endpoint.came_s.append(self.now_ms / 1000.0)
+        self.sends[index].append((self.now_ms / 1000.0, number))
         sent_ms = self.now_ms
 
         def answer() -> None:
-            state.load.finished(self.now_ms, None)
-            answered = Answered("r", endpoint.limit_per_s, sent_ms, True)
-            take_named(known, state, answered, self.now_ms)
+            self._take_answer(number, known, state, endpoint.limit_per_s, sent_ms)
 
         self.at(self.now_ms + self.answer_ms, answer)
 
+    def _take_answer(
+        self,
+        number: int,
+        known: Knowledge,
+        state: EndpointState,
+        limit_per_s: float,
+        sent_ms: float,
+    ) -> None:
+        """An answer that named this limit when it was made comes to a gateway."""
+        if number in self.frozen:
+            later = partial(
+                self._take_answer, number, known, state, limit_per_s, sent_ms
+            )
+            self.frozen[number].append(later)
+            return
+        state.load.finished(self.now_ms, None)
+        answered = Answered("r", limit_per_s, sent_ms, True)
+        take_named(known, state, answered, self.now_ms)
+
 
 _ASK = Ask(
     "r", "GET", "/get/1", "shop.example", [], b"", 0.0, None, "", "", False,
--- /dev/null
+++ b/tests/limit_soak.py
@@ -0,0 +1,188 @@
+"""Random worlds of limited endpoints: limits that change at any moment, gateways that
+start again, stand still or are cut off, endpoints that begin another life, messages
+that are late or lost.
+
+python -m tests.limit_soak --seed 1 --worlds 200
+
+In each world, whatever befalls, an endpoint gets within any span no more than users
+allow, from gateways that nothing has befallen lately; and when all limits have ended,
+the gateways of its hall find that out.
+"""
+
+import argparse
+import random
+from dataclasses import dataclass, field
+from functools import partial
+
+from ashlatch.policy.rate_limit import NO_LIMIT
+from tests.limit_play import LimitWorld, Network
+from tests.limited import SPAN_S, allowed, most_within
+
+LENGTH_S = 40.0
+# All limits have ended from then on, and nothing befalls anybody.
+CALM_S = 28.0
+# How long a fault excuses its gateway, and a change of a limit its endpoint.
+EXCUSED_S = 3.0
+LIMITS = (0.0, 0.3, 1.0, 2.0, 5.0, 20.0, NO_LIMIT)
+
+
+class BoundPassed(AssertionError):
+    """An endpoint got more than users allow."""
+
+
+@dataclass
+class Plan:
+    """What a seed has drawn: the size, the load and the faults."""
+
+    seed: int
+    gateways: int
+    endpoints: int
+    requests_per_s: float
+    network: Network
+    answer_ms: float
+    faults: list[str] = field(default_factory=list)
+
+
+class SoakWorld(LimitWorld):
+    """A world with faults; `excused` are spans of gateways, from their faults on."""
+
+    def __init__(self, plan: Plan) -> None:
+        super().__init__(
+            plan.gateways, plan.endpoints, plan.seed, plan.network, plan.answer_ms
+        )
+        self.plan = plan
+        self.excused: list[tuple[int, float, float]] = []
+        self.changed_s: list[list[tuple[float, float]]] = [
+            [(0.0, NO_LIMIT)] for _ in range(plan.endpoints)
+        ]
+
+    def draw(self) -> None:
+        """Plan limits and faults until the calm."""
+        for number in range(self.plan.endpoints):
+            at_s = self.random.uniform(0.0, 3.0)
+            while at_s < CALM_S:
+                self._change(number, self.random.choice(LIMITS), at_s)
+                at_s += self.random.uniform(2.0, 12.0)
+            self._change(number, NO_LIMIT, CALM_S)
+        for _ in range(self.random.randrange(2, 9)):
+            at_s = self.random.uniform(2.0, CALM_S - 4.0)
+            fault = self.random.choice((self._restart, self._freeze, self._cut))
+            fault(self.random.randrange(self.plan.gateways), at_s)
+        if self.random.random() < 0.3:
+            self._new_life(self.random.randrange(self.plan.endpoints), 15.0)
+
+    def _change(self, number: int, per_s: float, at_s: float) -> None:
+        self.limit(number, per_s, at_s)
+        self.changed_s[number].append((at_s, per_s))
+
+    def _note(self, what: str, number: int, begin_s: float, end_s: float) -> None:
+        self.plan.faults.append(f"{what} {number} at {begin_s:.1f} to {end_s:.1f}")
+        self.excused.append((number, begin_s, end_s + EXCUSED_S))
+
+    def _restart(self, number: int, at_s: float) -> None:
+        self.at(at_s * 1000.0, partial(self.restart, number))
+        self._note("restart", number, at_s, at_s)
+
+    def _freeze(self, number: int, at_s: float) -> None:
+        length_s = self.random.uniform(0.5, 4.0)
+        self.at(at_s * 1000.0, partial(self.frozen.__setitem__, number, []))
+        self.at((at_s + length_s) * 1000.0, partial(self.wake, number))
+        self._note("freeze", number, at_s, at_s + length_s)
+
+    def _cut(self, number: int, at_s: float) -> None:
+        ends_s = at_s + self.random.uniform(1.0, 6.0)
+        self.at(at_s * 1000.0, partial(self.deaf.add, number))
+        self.at(at_s * 1000.0 + 600.0, partial(self.cut_off, number))
+        self.at(ends_s * 1000.0, partial(self.rejoin, number))
+        self._note("cut", number, at_s, ends_s)
+
+    def _new_life(self, number: int, at_s: float) -> None:
+        """An endpoint's process ends, as all are told, and comes back unlimited."""
+
+        def begin() -> None:
+            for known in self.gateways:
+                state = known.directory.state(f"i-{number}")
+                assert state is not None
+                state.refuses(self.now_ms)
+
+        self.at(at_s * 1000.0, begin)
+        self.plan.faults.append(f"endpoint {number} begins anew at {at_s:.1f}")
+        self._change(number, NO_LIMIT, at_s)
+
+    # The checks.
+
+    def check(self) -> None:
+        """Raise `BoundPassed` if an endpoint got too much, or is left alone."""
+        for number in range(self.plan.endpoints):
+            self._check_bound(number)
+            self._check_use(number)
+
+    def _check_use(self, number: int) -> None:
+        """Gateways of the endpoint's hall have found out that its limit has ended."""
+        state = self.gateways[0].directory.state(f"i-{number}")
+        assert state is not None
+        for known in self.gateways:
+            own = known.directory.state(f"i-{number}")
+            assert own is not None
+            if known.hall == state.endpoint.hall and own.limit.limited:
+                raise BoundPassed(f"i-{number} is left alone, {self.plan}")
+
+    def _check_bound(self, number: int) -> None:
+        changes = sorted(self.changed_s[number], key=lambda change: change[0])
+        ends = [at_s for at_s, _ in changes[1:]] + [LENGTH_S]
+        for (begin_s, per_s), end_s in zip(changes, ends, strict=True):
+            if per_s == NO_LIMIT:
+                continue
+            came_s = [
+                at_s
+                for at_s, gateway in self.sends[number]
+                if begin_s + EXCUSED_S <= at_s < end_s
+                and not self._is_excused(gateway, at_s)
+            ]
+            most = most_within(came_s, SPAN_S)
+            if most > allowed(per_s):
+                raise BoundPassed(f"i-{number}: {most} at {per_s}, {self.plan}")
+
+    def _is_excused(self, gateway: int, at_s: float) -> bool:
+        return any(
+            number == gateway and begin_s <= at_s <= end_s
+            for number, begin_s, end_s in self.excused
+        )
+
+
+def play(seed: int) -> Plan:
+    """Play the world of a seed; raises `BoundPassed`."""
+    drawn = random.Random(seed)
+    gateways = drawn.choice((1, 2, 3, 7, 7, 11, 30, 61))
+    plan = Plan(
+        seed,
+        gateways,
+        drawn.choice((1, 2, 3, 5, 9)),
+        drawn.choice((20.0, 60.0, 150.0)),
+        Network(drawn.choice((1.0, 5.0, 25.0)), drawn.choice((0.0, 0.0, 0.03, 0.1))),
+        drawn.choice((20.0, 100.0, 800.0)),
+    )
+    world = SoakWorld(plan)
+    world.draw()
+    world.play(plan.requests_per_s, LENGTH_S)
+    world.check()
+    return plan
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--worlds", type=int, default=50)
+    given = parser.parse_args()
+    failed = 0
+    for seed in range(given.seed, given.seed + given.worlds):
+        try:
+            play(seed)
+        except BoundPassed as error:
+            failed += 1
+            print(error)
+    print(f"{given.worlds} worlds from seed {given.seed}, {failed} failed")
+
+
+if __name__ == "__main__":
+    main()
