What is owed to a limited endpoint, and drawn, counts in time

Cause: a bucket's debt and the drawn part of a token were counted in tokens. At a fifth of a request a second four tokens are 20 s, and nobody hears of a limit's end before the next request.

Change: what is owed is bounded to 1.5 s of the present limit, what is drawn to 1 s of it; both are cut to that when the limit changes. An endpoint that takes nothing gets a request in four seconds at least. Gateways that hear nothing of each other still spread their sends over a whole token.

--- a/ashlatch/policy/rate_limit.py
+++ b/ashlatch/policy/rate_limit.py
@@ -23,16 +23,18 @@
 SECOND_MS = 1000.0
 # An endpoint that takes next to nothing is sent a request so often all the same: only
 # an answer tells that it takes more again.
-RATE_MIN_PER_S = 0.2
+RATE_MIN_PER_S = 0.25
 # What is not sent may be sent later, up to what the endpoint takes in this time: a
 # pause of callers must not lead to a burst.
 SAVED_S = 0.25
 # Sends that cross on their way between gateways are made up for by a pause, but by no
-# more than this many: who has heard of a few sends less would send alone for good.
-DEBT_MAX = 3.0
-# Gateways wait for a token and a drawn part of so many more, so that they do not all
-# send at the moment at which it is there: a word between them takes milliseconds.
-DRAWN_MAX = 1.0
+# longer one than this: who has heard of a few sends less would send alone for good, and
+# an endpoint that takes few would be asked nothing for as many seconds.
+OWED_MAX_S = 1.5
+# Gateways wait for a token and for a drawn part of this time, or of another token if
+# that comes sooner, so that they do not all send at the moment at which it is there: a
+# word between them takes milliseconds.
+DRAWN_MAX_S = 1.0
 # A limit that others know is told again after this long, for gateways that have
 # started since, or when it differs by this part.
 TOLD_AGAIN_MS = 1000.0
@@ -84,7 +86,7 @@
     told_ms: float = float("-inf")
     _tokens: float = 0.0
     _filled_ms: float = 0.0
-    _needed: float = 1.0
+    _drawn: float = 0.0
 
     @property
     def limited(self) -> bool:
@@ -108,8 +110,12 @@
             # It has just had more than it takes, from gateways that did not know.
             self._tokens = 0.0
             self._filled_ms = now_ms
-            self._draw(drawn)
+        changed = per_s != self.per_s
         self.per_s = per_s
+        if changed:
+            # What was saved or owed at another rate may take far longer at this one.
+            self._keep_within(sharers)
+            self._drawn = drawn
 
     def ended(self) -> None:
         """The endpoint names no limit any more."""
@@ -128,7 +134,10 @@
         if not self.limited:
             return 0.0
         self._fill(sharers, now_ms)
-        missing = max(0.0, self._needed - self._tokens)
+        # By what holds now: what was drawn apart from the others may be more than is
+        # ever saved together with them.
+        needed = 1.0 + self._drawn * self._drawn_max(sharers)
+        missing = max(0.0, needed - self._tokens)
         return missing / self._rate_per_s(sharers) * SECOND_MS
 
     def sent(self, sharers: Sharers, drawn: float, now_ms: float) -> None:
@@ -145,19 +154,32 @@
         if not self.limited:
             return
         self._fill(sharers, now_ms)
-        least = -DEBT_MAX - SAVED_S * self._rate_per_s(sharers)
-        self._tokens = max(self._tokens - tokens, least)
-        self._draw(drawn)
+        self._tokens -= tokens
+        self._keep_within(sharers)
+        self._drawn = drawn
 
-    def _draw(self, drawn: float) -> None:
-        self._needed = 1.0 + drawn * DRAWN_MAX
+    def _drawn_max(self, sharers: Sharers) -> float:
+        """The most tokens beyond one that are waited for.
+
+        Gateways that hear nothing of each other's sends spread them over the whole
+        time to their next one.
+        """
+        if not sharers.in_touch:
+            return 1.0
+        return min(1.0, DRAWN_MAX_S * self._rate_per_s(sharers))
 
     def _fill(self, sharers: Sharers, now_ms: float) -> None:
-        rate_per_s = self._rate_per_s(sharers)
-        earned = rate_per_s * max(0.0, now_ms - self._filled_ms) / SECOND_MS
-        most = 1.0 + DRAWN_MAX + SAVED_S * rate_per_s
-        self._tokens = min(most, self._tokens + earned)
+        elapsed_s = max(0.0, now_ms - self._filled_ms) / SECOND_MS
+        self._tokens += self._rate_per_s(sharers) * elapsed_s
         self._filled_ms = now_ms
+        self._keep_within(sharers)
+
+    def _keep_within(self, sharers: Sharers) -> None:
+        """Bound what is saved and what is owed."""
+        rate_per_s = self._rate_per_s(sharers)
+        most = 1.0 + self._drawn_max(sharers) + SAVED_S * rate_per_s
+        least = -OWED_MAX_S * rate_per_s
+        self._tokens = max(least, min(most, self._tokens))
 
     def _rate_per_s(self, sharers: Sharers) -> float:
         return max(self.per_s, RATE_MIN_PER_S) * sharers.share
--- a/tests/limit_play.py
+++ b/tests/limit_play.py
@@ -93,6 +93,8 @@
         self.frozen: dict[int, list[Callable[[], None]]] = {}
         # When requests came to each endpoint, and from which gateway.
         self.sends: list[list[tuple[float, int]]] = [[] for _ in range(endpoints)]
+        # When answers that name a limit came from each, and to which gateway.
+        self.named: list[list[tuple[float, int]]] = [[] for _ in range(endpoints)]
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._table = RouteTable(decode_catalog(encoded(document())))
@@ -257,6 +259,9 @@
             )
             self.frozen[number].append(later)
             return
+        if limit_per_s != NO_LIMIT:
+            index = int(state.endpoint.instance.partition("-")[2])
+            self.named[index].append((self.now_ms / 1000.0, number))
         state.load.finished(self.now_ms, None)
         answered = Answered("r", limit_per_s, sent_ms, True)
         take_named(known, state, answered, self.now_ms)
