A gateway that stood still tells nobody of a limit that has fallen since

Cause: the gateway had answers with it that named 20 a second, from before the limit fell. To itself they were nothing new; the others, who knew better, took its word for the newest.

Change: news of a limit says how long ago the request was sent whose answer named it. A lower limit is believed at once; a higher one, or none, only if the present one has not been named since that request was sent, whoever tells. Routers keep the same rule.

--- a/ashlatch/gateway/limits.py
+++ b/ashlatch/gateway/limits.py
@@ -85,14 +85,13 @@
     own, and one that seldom asks the endpoint would not know for long.
     """
     per_s = answered.limit_per_s
-    if per_s == NO_LIMIT:
-        if not answered.run or state.limit.named_since(answered.sent_ms):
-            return
-        if not state.limit.limited:
-            return
-    instance = state.endpoint.instance
+    if per_s == NO_LIMIT and not (answered.run and state.limit.limited):
+        return
+    if not state.limit.accepts(per_s, answered.sent_ms):
+        return
     if state.limit.is_news(per_s, now_ms):
-        known.tell(LimitNamed(instance, per_s))
+        age_ms = now_ms - answered.sent_ms
+        known.tell(LimitNamed(state.endpoint.instance, per_s, round(age_ms, 1)))
         state.limit.told_ms = now_ms
     _learn(known, state, per_s, answered.request, now_ms)
 
@@ -100,7 +99,12 @@
 def take_told(
     known: Knowledge, state: EndpointState, news: LimitNamed, teller: str, now_ms: float
 ) -> None:
-    """Learn what another gateway has heard."""
+    """Learn what another gateway has heard, unless more is known here.
+
+    It may have stood still, and tell what was so seconds ago.
+    """
+    if not state.limit.accepts(news.limit_per_s, now_ms - news.age_ms):
+        return
     state.limit.told_ms = now_ms
     _learn(known, state, news.limit_per_s, teller, now_ms)
 
--- a/ashlatch/gateway/news.py
+++ b/ashlatch/gateway/news.py
@@ -95,11 +95,13 @@
 class LimitNamed(msgspec.Struct, frozen=True, array_like=True, tag=7):
     """An endpoint has named a rate limit, or none any more (infinite).
 
-    With `for_hall`, who gets it tells the other gateways of its hall.
+    The request whose answer named it was sent `age_ms` ago. With `for_hall`, who gets
+    it tells the other gateways of its hall.
     """
 
     instance: str
     limit_per_s: float
+    age_ms: float
     for_hall: bool = False
 
 
--- a/ashlatch/policy/rate_limit.py
+++ b/ashlatch/policy/rate_limit.py
@@ -121,13 +121,14 @@
         """The endpoint names no limit any more."""
         self.per_s = NO_LIMIT
 
-    def named_since(self, at_ms: float) -> bool:
-        """Whether the limit was named at a time or later.
+    def accepts(self, per_s: float, sent_ms: float) -> bool:
+        """Whether the answer to a request that was sent at a time may be believed.
 
-        An answer to a request that was sent before may be older than the limit: that
-        it names none tells nothing.
+        Answers come late, and some wait in a gateway that stands still. A lower limit
+        is believed at once; a higher one, or none, only if the present one has not been
+        named since: the answer may be older than that.
         """
-        return self.limited and self.heard_ms >= at_ms
+        return per_s <= self.per_s or self.heard_ms < sent_ms
 
     def wait_ms(self, sharers: Sharers, now_ms: float) -> float:
         """The time until a request may be sent; 0 if it may be now."""
--- a/ashlatch/router/limits.py
+++ b/ashlatch/router/limits.py
@@ -36,10 +36,12 @@
 def _endpoint_heard(core: RouterCore, event: EndpointHeard) -> None:
     limit = core.planner.limit(event.endpoint)
     before_per_s = limit.per_s
+    if not limit.accepts(event.limit_per_s, event.sent_ms):
+        return
     if event.limit_per_s != NO_LIMIT:
         drawn = core.random.random()
         limit.named(event.limit_per_s, core.planner.sharers, drawn, core.now_ms)
-    elif event.run and not limit.named_since(event.sent_ms):
+    elif event.run:
         limit.ended()
     if limit.per_s != before_per_s:
         changed = EndpointLimited(
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -587,22 +587,29 @@
     Mutant(
         "limits-untold",
         "ashlatch/gateway/limits.py",
-        "known.tell(LimitNamed(instance, per_s))",
+        "known.tell(LimitNamed(state.endpoint.instance, per_s, round(age_ms, 1)))",
         "pass",
         LIMITS,
     ),
     Mutant(
         "limit-ended-by-an-older-answer",
+        "ashlatch/policy/rate_limit.py",
+        "return per_s <= self.per_s or self.heard_ms < sent_ms",
+        "return True",
+        LIMITS,
+    ),
+    Mutant(
+        "word-of-a-gateway-that-stood-still",
         "ashlatch/gateway/limits.py",
-        "if not answered.run or state.limit.named_since(answered.sent_ms):",
-        "if not answered.run:",
+        "if not state.limit.accepts(news.limit_per_s, now_ms - news.age_ms):",
+        "if False:",
         LIMITS,
     ),
     Mutant(
         "limit-ended-by-a-refusal",
         "ashlatch/gateway/limits.py",
-        "if not answered.run or state.limit.named_since(answered.sent_ms):",
-        "if state.limit.named_since(answered.sent_ms):",
+        "if per_s == NO_LIMIT and not (answered.run and state.limit.limited):",
+        "if per_s == NO_LIMIT and not state.limit.limited:",
         LIMITS,
     ),
     Mutant(
@@ -706,8 +713,8 @@
     Mutant(
         "router-limit-ended-by-an-older-answer",
         "ashlatch/router/limits.py",
-        "elif event.run and not limit.named_since(event.sent_ms):",
-        "elif event.run:",
+        "if not limit.accepts(event.limit_per_s, event.sent_ms):",
+        "if False:",
         ROUTER_LIMITS,
     ),
     Mutant(
--- a/tests/test_limit_load.py
+++ b/tests/test_limit_load.py
@@ -250,7 +250,22 @@
         state = self.known.directory.state("i-0")
         assert state is not None
         self.state = state
-        take_told(self.known, state, LimitNamed("i-0", 2.0), "g-1:7000", 1000.0)
+        self.told(2.0, 0.0, 1000.0)
+
+    def told(self, per_s: float, age_ms: float, now_ms: float) -> float:
+        """What is known after another gateway's word of an answer that old."""
+        news = LimitNamed("i-0", per_s, age_ms)
+        take_told(self.known, self.state, news, "g-1:7000", now_ms)
+        return self.state.limit.per_s
+
+    def test_the_word_of_a_gateway_that_stood_still(self) -> None:
+        """It tells of requests that were sent before the limit was last named."""
+        self.assertEqual(2.0, self.told(20.0, 4000.0, 2000.0))
+        self.assertEqual(2.0, self.told(NO_LIMIT, 4000.0, 2000.0))
+        self.assertEqual(20.0, self.told(20.0, 900.0, 2000.0))
+
+    def test_a_lower_limit_is_believed_at_once(self) -> None:
+        self.assertEqual(1.0, self.told(1.0, 4000.0, 2000.0))
 
     def answered(self, sent_ms: float, run: bool = True) -> bool:
         """Whether it is limited after an answer that names no limit."""
