Observability: gateways log the backoff that an endpoint asks for, and that it leaves

The logs could not tell the incident's three hypotheses apart: no line said that an endpoint had asked for a backoff, for how long, nor that the one that a request went to had asked. Retry-After of a 503 or 429 and Server-Leaving are read, endpoint_backoff and endpoint_leaves say that they were, and request_sent has what is left of the backoff of the chosen endpoint (backoff_ms). Nothing is chosen by them yet.

--- a/ashlatch/explain/belief.py
+++ b/ashlatch/explain/belief.py
@@ -47,6 +47,8 @@
     "endpoint_not_listening": ("endpoint", "instance"),
     "endpoint_resumed": ("endpoint", "instance"),
     "endpoint_limited": ("rate limit", "instance"),
+    "endpoint_backoff": ("backoff", "instance"),
+    "endpoint_leaves": ("leaving endpoint", "instance"),
     "content_held": ("held content", "content"),
     "content_survived": ("held content", "content"),
     "crashes_noted": ("crash records", ""),
--- a/ashlatch/gateway/account.py
+++ b/ashlatch/gateway/account.py
@@ -37,6 +37,7 @@
     PromptSent,
     SessionMoved,
 )
+from ashlatch.gateway.notices import apply_notice
 from ashlatch.gateway.reports import pass_on_load
 from ashlatch.gateway.tally import TallyKey
 from ashlatch.gateway.traffic import TrafficKind
@@ -97,6 +98,7 @@
             choice.limited,
             choice.state.limit.per_s,
             self._limit_age_ms(choice.state),
+            int(choice.state.backoff.wait_ms(self._now_ms())),
         )
         emit(log, sent)
         note_limited_send(self._known, choice.state, self._now_ms())
@@ -144,7 +146,7 @@
     def begun(self, attempt: Attempt, model: str) -> None:
         """The head of an answer has come."""
         self._tell_load(attempt)
-        self._note_limit(attempt)
+        self._read_notice(attempt)
         first_ms = self._age_ms(attempt)
         self._known.tallies.begun(self._key(attempt), first_ms)
         attempt.state.proved(self._admission.service.cold_ms, self._now_ms())
@@ -169,14 +171,17 @@
         if load is not None and attempt.forecast is not None:
             pass_on_load(self._known, attempt.state, load, self._now_ms())
 
-    def _note_limit(self, attempt: Attempt) -> None:
-        """Take the rate limit that an answer of the endpoint names, or its end."""
-        limit_per_s, attempt.limit_per_s = attempt.limit_per_s, None
-        if limit_per_s is None:
+    def _read_notice(self, attempt: Attempt) -> None:
+        """Take what an answer says of its endpoint, once."""
+        head, attempt.unread_head = attempt.unread_head, None
+        if head is None:
+            return
+        apply_notice(self._known, attempt.state, head, self._now_ms())
+        if head.limit_per_s is None:
             return
         answered = Answered(
             self._admission.ask.request_id,
-            limit_per_s,
+            head.limit_per_s,
             attempt.sent_s * 1000.0,
             attempt.head is not None,
         )
@@ -227,7 +232,7 @@
     def failed(self, attempt: Attempt, failed: AttemptFailed) -> None:
         """A send brought no answer."""
         self._tell_load(attempt)
-        self._note_limit(attempt)
+        self._read_notice(attempt)
         kind = failed.kind
         state = attempt.state
         if kind in (FailureKind.UNREACHABLE, FailureKind.MISDIRECTED):
--- a/ashlatch/gateway/attempt.py
+++ b/ashlatch/gateway/attempt.py
@@ -76,6 +76,8 @@
     Whatever way it ends, `close` gives back what it holds; `sent_bytes` and
     `received_bytes` are what its connection has carried by then. `connections_max` is
     how many connections the gateway may have to the endpoint, idle ones too.
+    `unread_head` is the head of an answer of the meant endpoint until somebody has
+    taken from it what the endpoint says of itself.
     """
 
     def __init__(
@@ -96,7 +98,7 @@
         self.dispatch = dispatch
         self.head: AnswerHead | None = None
         self.load: LoadFigures | None = None
-        self.limit_per_s: float | None = None
+        self.unread_head: AnswerHead | None = None
         self._pool = pool
         self._ask = ask
         self._repeatable = repeatable
@@ -132,7 +134,7 @@
             self.state.tell_load(head.load, self._now_ms())
         if head.request_id == self._ask.request_id and not head.misdirected:
             # Anything else may come from another endpoint.
-            self.limit_per_s = head.limit_per_s
+            self.unread_head = head
         self._check(head)
         self.head = head
         return head
--- a/ashlatch/gateway/directory.py
+++ b/ashlatch/gateway/directory.py
@@ -17,6 +17,7 @@
 
 from ashlatch.catalog import Endpoint, EndpointList, Evacuations
 from ashlatch.gateway.message import LoadFigures
+from ashlatch.policy.backoff import Backoff
 from ashlatch.policy.breaker import Breaker
 from ashlatch.policy.load import EndpointLoad, LoadReport
 from ashlatch.policy.rate_limit import RateLimit
@@ -57,7 +58,8 @@
     `unanswered` requests were sent there and have no head of an answer yet.
     `awaited` are the limits of those waits that may be given up. `told_load` is
     what gateways have told each other of its load. `evacuated` is whether its hall
-    is. `sent_ms` is when this gateway sent there last.
+    is. `sent_ms` is when this gateway sent there last. `announced_leaving` is whether
+    it has said in an answer that it is about to end.
     """
 
     endpoint: Endpoint
@@ -77,6 +79,8 @@
     evacuated: bool = False
     sent_ms: float = float("-inf")
     limit: RateLimit = field(default_factory=RateLimit)
+    backoff: Backoff = field(default_factory=Backoff)
+    announced_leaving: bool = False
     _cold_until_ms: float = float("-inf")
     _unproven: bool = False
 
@@ -96,6 +100,11 @@
             self._unproven = False
             self.warms_up(now_ms + cold_ms)
 
+    @property
+    def leaving(self) -> bool:
+        """Whether it is about to end, by the list or by its own answers."""
+        return self.endpoint.leaving or self.announced_leaving
+
     def takes_work(self, now_ms: float) -> bool:
         """Whether requests may be sent there, as far as orders and the list go."""
         closed = self.endpoint.leaving or self.evacuated
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -24,7 +24,9 @@
     "CoreUnreached",
     "CrashNoted",
     "DocumentUnreadable",
+    "EndpointBackoff",
     "EndpointGone",
+    "EndpointLeaves",
     "EndpointLimited",
     "EndpointMisdirected",
     "EndpointNotListening",
@@ -63,7 +65,8 @@
     gateway had last heard of the session, -1 if it did not know it. `limited` is how
     many more endpoints there were whose rate limit left no room, `limit_per_s` the
     limit of the chosen one as it is known here, infinite for none, and `limit_ms` how
-    long ago it was heard of, -1 for never.
+    long ago it was heard of, -1 for never. `backoff_ms` is what is left of the backoff
+    that the chosen one has asked for.
     """
 
     event: ClassVar[str] = "request_sent"
@@ -93,6 +96,7 @@
     limited: int
     limit_per_s: float
     limit_ms: int
+    backoff_ms: int
 
 
 @dataclass(frozen=True)
@@ -241,6 +245,35 @@
     source: str
 
 
+@dataclass(frozen=True)
+class EndpointBackoff(LogEvent):
+    """An endpoint wants no requests of this gateway for a while, or for longer.
+
+    `before_ms` is what was left of an earlier backoff, `request` the one that it has
+    turned away.
+    """
+
+    event: ClassVar[str] = "endpoint_backoff"
+    instance: str
+    service: str
+    backoff_ms: int
+    before_ms: int
+    request: str
+
+
+@dataclass(frozen=True)
+class EndpointLeaves(LogEvent):
+    """An endpoint says that it is about to end; the list may tell that later.
+
+    `source` is the request whose answer said so.
+    """
+
+    event: ClassVar[str] = "endpoint_leaves"
+    instance: str
+    service: str
+    source: str
+
+
 @dataclass(frozen=True)
 class EndpointNotListening(LogEvent):
     """Nobody listens at an endpoint's address; it is left alone for a while.
--- a/ashlatch/gateway/message.py
+++ b/ashlatch/gateway/message.py
@@ -121,7 +121,9 @@
     `encoded` answers were altered on the way. `idle_s` is how long the
     endpoint keeps an idle connection, if it says so. `limit_per_s` is how many
     requests a second the endpoint takes from all gateways together: infinite if it
-    names no limit, none if what it names cannot be read.
+    names no limit, none if what it names cannot be read. `backoff_ms` is for how long
+    it wants no requests of this gateway, 0 if it does not say so. `leaving` is whether
+    it says that it is about to end.
     """
 
     status: int
@@ -135,3 +137,5 @@
     load: LoadFigures | None
     idle_s: float | None
     limit_per_s: float | None = NO_LIMIT
+    backoff_ms: float = 0.0
+    leaving: bool = False
--- /dev/null
+++ b/ashlatch/gateway/notices.py
@@ -0,0 +1,52 @@
+"""
+ashlatch.gateway.notices
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+What an endpoint says of itself in its answers: that it wants no requests of this
+gateway for a while, or that it is about to end.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import logging
+
+from ashlatch.gateway.directory import EndpointState
+from ashlatch.gateway.knowledge import Knowledge
+from ashlatch.gateway.logs import EndpointBackoff, EndpointLeaves
+from ashlatch.gateway.message import AnswerHead
+from ashlatch.log import emit
+
+__all__ = ["apply_notice"]
+
+log = logging.getLogger("ashlatch.gateway")
+
+
+def apply_notice(
+    known: Knowledge, state: EndpointState, head: AnswerHead, now_ms: float
+) -> None:
+    """Take what the answer to a request of this gateway says of its endpoint."""
+    if head.backoff_ms > 0.0:
+        _apply_backoff(known, state, head, now_ms)
+    if head.leaving and not state.leaving:
+        state.announced_leaving = True
+        known.metrics.count("leaving_announced")
+        endpoint = state.endpoint
+        emit(log, EndpointLeaves(endpoint.instance, endpoint.service, head.request_id))
+
+
+def _apply_backoff(
+    known: Knowledge, state: EndpointState, head: AnswerHead, now_ms: float
+) -> None:
+    before_ms = state.backoff.wait_ms(now_ms)
+    known.metrics.count("backoffs_requested")
+    if state.backoff.request(head.backoff_ms, now_ms):
+        endpoint = state.endpoint
+        asked = EndpointBackoff(
+            endpoint.instance,
+            endpoint.service,
+            int(head.backoff_ms),
+            int(before_ms),
+            head.request_id,
+        )
+        emit(log, asked)
--- a/ashlatch/platform/headers.py
+++ b/ashlatch/platform/headers.py
@@ -25,6 +25,7 @@
     RefusalReason,
 )
 from ashlatch.http.connection import Headers, HttpRequest
+from ashlatch.http.retry_after import parse_retry_after_ms
 from ashlatch.policy.rate_limit import NO_LIMIT
 
 __all__ = [
@@ -57,6 +58,9 @@
 _LOAD = b"x-server-load"
 # Requests a second that the endpoint takes from all gateways together.
 _LIMIT = b"server-limit"
+# Set to 1 in the answers of an endpoint that is about to end.
+_LEAVING = b"server-leaving"
+_RETRY_AFTER = b"retry-after"
 _KEEP_ALIVE = b"keep-alive"
 
 # Requests running, requests waiting, places: numbers that an endpoint may have.
@@ -66,6 +70,8 @@
 
 # Another endpoint than the expected one answers with this, and runs nothing.
 _MISDIRECTED = 421
+# With these, `Retry-After` asks this gateway to send the endpoint nothing meanwhile.
+_BACKOFF_STATUSES = frozenset({429, 503})
 
 # Engines know the urgencies 0 to 9.
 _LEAST_URGENT = 9
@@ -190,6 +196,8 @@
         _load(_first(known, _LOAD)),
         _idle_s(_first(known, _KEEP_ALIVE)),
         _limit_per_s(known),
+        _backoff_ms(status, known),
+        "1" in _values(known, _LEAVING),
     )
 
 
@@ -218,6 +226,10 @@
     return values[0].decode("latin-1").strip() if values else ""
 
 
+def _values(known: dict[bytes, list[bytes]], name: bytes) -> list[str]:
+    return [value.decode("latin-1").strip() for value in known.get(name, ())]
+
+
 def _passed_on(headers: Headers, known: dict[bytes, list[bytes]]) -> Headers:
     named = b",".join(known.get(b"connection", []))
     of_connection = {name.strip().lower() for name in named.split(b",")} - _KEPT
@@ -282,11 +294,17 @@
     """The limit that an answer names; the least, if it names several."""
     if _LIMIT not in known:
         return NO_LIMIT
-    rates = [_number(value.decode("latin-1").strip()) for value in known[_LIMIT]]
+    rates = [_number(value) for value in _values(known, _LIMIT)]
     readable = [rate for rate in rates if rate is not None and rate >= 0.0]
     return min(readable, default=None)
 
 
+def _backoff_ms(status: int, known: dict[bytes, list[bytes]]) -> float:
+    if status not in _BACKOFF_STATUSES:
+        return 0.0
+    return parse_retry_after_ms(_values(known, _RETRY_AFTER))
+
+
 def _idle_s(text: str) -> float | None:
     for item in text.split(","):
         name, _, value = item.strip().partition("=")
