Gateways keep the backoffs that endpoints ask for

The two engines had asked each gateway for 3 s and got 307 requests in nine seconds; one gateway sent 13 where two are allowed.

Cause: a 503 ended the attempt and left nothing behind, and the load in it said that the engine was idle, so the next request chose it again.

Change: whether this gateway may send to an endpoint now, and if not from when, is one question (gateway/permission.py): leaving, evacuated, replaced, backoff, rate limit, cold. First sends, repeats, larger models, resumed streams and load tests ask it when they choose, and once more when the connection stands (attempts end as `closed`, nothing is sent, no attempt is used). The load in an answer that asks for a backoff is not believed. Where all endpoints wait, callers are refused at once with the time at which the first backoff is over (endpoints_backoff), also when the last attempt was turned away.

--- a/ashlatch/gateway/account.py
+++ b/ashlatch/gateway/account.py
@@ -43,11 +43,17 @@
 from ashlatch.gateway.traffic import TrafficKind
 from ashlatch.http.upstream import CONNECT_REFUSED
 from ashlatch.log import emit
+from ashlatch.policy.permission import Barrier
 
 __all__ = ["Account"]
 
 log = logging.getLogger("ashlatch.gateway")
 
+# The request has not reached the endpoint that was meant.
+_NOT_THERE = frozenset(
+    {FailureKind.UNREACHABLE, FailureKind.MISDIRECTED, FailureKind.CLOSED}
+)
+
 
 class Account:
     """The counts of one request.
@@ -95,10 +101,11 @@
             int(self._now_ms() - self._known.directory.listed_ms),
             admission.ask.prompt_tokens,
             *_foreseen(choice.forecast),
-            choice.limited,
+            choice.barred.get(Barrier.LIMITED, 0),
             choice.state.limit.per_s,
             self._limit_age_ms(choice.state),
-            int(choice.state.backoff.wait_ms(self._now_ms())),
+            choice.barred.get(Barrier.BACKOFF, 0),
+            choice.barred.get(Barrier.LEAVING, 0),
         )
         emit(log, sent)
         note_limited_send(self._known, choice.state, self._now_ms())
@@ -176,13 +183,14 @@
         head, attempt.unread_head = attempt.unread_head, None
         if head is None:
             return
-        apply_notice(self._known, attempt.state, head, self._now_ms())
+        sent_ms = attempt.sent_s * 1000.0
+        apply_notice(self._known, attempt.state, head, sent_ms, self._now_ms())
         if head.limit_per_s is None:
             return
         answered = Answered(
             self._admission.ask.request_id,
             head.limit_per_s,
-            attempt.sent_s * 1000.0,
+            sent_ms,
             attempt.head is not None,
         )
         take_named(self._known, attempt.state, answered, self._now_ms())
@@ -235,7 +243,7 @@
         self._read_notice(attempt)
         kind = failed.kind
         state = attempt.state
-        if kind in (FailureKind.UNREACHABLE, FailureKind.MISDIRECTED):
+        if kind in _NOT_THERE:
             self.sends -= 1
             self.unreachable += 1
         if kind is FailureKind.ERROR:
@@ -244,7 +252,7 @@
             self._known.tallies.begun(self._key(attempt), self._age_ms(attempt))
         if kind is FailureKind.MISDIRECTED:
             self._replaced(state)
-        elif kind is not FailureKind.REFUSED:
+        elif kind not in (FailureKind.REFUSED, FailureKind.CLOSED):
             self._failed_at(state, kind)
         if kind is FailureKind.UNREACHABLE and failed.detail == CONNECT_REFUSED:
             note_refusal(self._known, state, self._now_ms())
--- a/ashlatch/gateway/attempt.py
+++ b/ashlatch/gateway/attempt.py
@@ -36,9 +36,10 @@
 class FailureKind(enum.Enum):
     """How a send ended without an answer that counts.
 
-    After `UNREACHABLE`, `REFUSED` and `MISDIRECTED` the request has not run;
+    After `UNREACHABLE`, `REFUSED`, `MISDIRECTED` and `CLOSED` the request has not run;
     after any other it may have. `MISDIRECTED` comes from another endpoint, which
-    has the address now. `ERROR` is a whole answer with an error of
+    has the address now. `CLOSED` sends nothing: the endpoint may not be sent to any
+    more since it was chosen. `ERROR` is a whole answer with an error of
     the endpoint's own; `FOREIGN` is an answer to something else, or to
     nothing.
     """
@@ -46,6 +47,7 @@
     UNREACHABLE = "unreachable"
     REFUSED = "refused"
     MISDIRECTED = "misdirected"
+    CLOSED = "closed"
     BROKEN = "broken"
     ERROR = "error"
     FOREIGN = "foreign"
@@ -58,7 +60,12 @@
 
 
 _NOT_RUN = frozenset(
-    {FailureKind.UNREACHABLE, FailureKind.REFUSED, FailureKind.MISDIRECTED}
+    {
+        FailureKind.UNREACHABLE,
+        FailureKind.REFUSED,
+        FailureKind.MISDIRECTED,
+        FailureKind.CLOSED,
+    }
 )
 
 
@@ -121,6 +128,7 @@
 
     async def _begin(self, patience: Patience) -> AnswerHead:
         connection = await self._connect()
+        self._check_open()
         headers = endpoint_headers(self._ask, self.dispatch)
         ask = self._ask
         try:
@@ -129,10 +137,12 @@
             raise AttemptFailed(FailureKind.BROKEN, error.reason) from error
         head = decode_answer(await self._await(connection.head, patience, "no head"))
         self.state.progressed(self._now_ms())
-        self.load = head.load
-        if head.load is not None:
-            self.state.tell_load(head.load, self._now_ms())
-        if head.request_id == self._ask.request_id and not head.misdirected:
+        if not head.backoff_ms:
+            # An endpoint that sheds says that it is idle.
+            self.load = head.load
+        if self.load is not None:
+            self.state.tell_load(self.load, self._now_ms())
+        if head.request_id in ("", self._ask.request_id) and not head.misdirected:
             # Anything else may come from another endpoint.
             self.unread_head = head
         self._check(head)
@@ -215,6 +225,12 @@
         self._connection = connection
         return connection
 
+    def _check_open(self) -> None:
+        """The last check before the send: a connection may have taken seconds."""
+        barrier = self.state.permission(self._now_ms()).barrier
+        if barrier is not None:
+            raise AttemptFailed(FailureKind.CLOSED, barrier.value)
+
     def _check(self, head: AnswerHead) -> None:
         """Tell an answer to this request from anything else that may come."""
         if head.request_id != self._ask.request_id:
--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -9,17 +9,19 @@
 """
 
 import enum
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
 
 from ashlatch.catalog import Route, Service
 from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.forecast import Forecast, Forecaster, Send
 from ashlatch.gateway.knowledge import Knowledge
-from ashlatch.gateway.limits import limit_wait_ms
 from ashlatch.gateway.message import Ask
+from ashlatch.gateway.permission import send_permission
 from ashlatch.gateway.versions import AllowedEndpoints
 from ashlatch.policy.endpoint import Candidate
+from ashlatch.policy.permission import Barrier
 
 __all__ = [
     "Choice",
@@ -66,8 +68,8 @@
     """The endpoint, out of how many, and how busy it is believed to be.
 
     `forecast` is what the send is expected to take, at an engine. `allowed` says
-    what its version was chosen by, `limited` how many endpoints were left out as their
-    rate limit has no room now.
+    what its version was chosen by, `barred` how many endpoints were left out for each
+    barrier.
     """
 
     state: EndpointState
@@ -75,7 +77,7 @@
     utilisation: float
     forecast: Forecast | None
     allowed: AllowedEndpoints
-    limited: int = 0
+    barred: Mapping[Barrier, int] = field(default_factory=dict)
 
 
 def choose_endpoint(
@@ -91,10 +93,8 @@
     An engine is chosen by what the send is expected to cost there, an endpoint
     of a plain service by how busy it is.
     """
-    open_now = _open(known, service, allowed.states, now_ms)
-    within = [s for s in open_now if not limit_wait_ms(known, s, now_ms)]
-    limited = len(open_now) - len(within)
-    among = _sound(within, tried, now_ms)
+    open_now, barred = _open(known, service, allowed.states, now_ms)
+    among = _sound(open_now, tried, now_ms)
     if not among:
         otherwise = allowed.otherwise
         if otherwise is None:
@@ -103,18 +103,18 @@
     if service.engine is None and send.apart:
         state = known.generator.choice(among)
         utilisation = state.utilisation(now_ms)
-        return Choice(state, len(among), utilisation, None, allowed, limited)
+        return Choice(state, len(among), utilisation, None, allowed, barred)
     if service.engine is None:
         candidates = tuple(_candidate(known, s, now_ms) for s in among)
         chosen = known.policy.choose(candidates, "", known.generator)
         state = next(s for s in among if s.endpoint.instance == chosen.endpoint)
         utilisation = chosen.utilisation
-        return Choice(state, len(among), utilisation, None, allowed, limited)
+        return Choice(state, len(among), utilisation, None, allowed, barred)
     forecaster = Forecaster(known, service.name, among, send, now_ms)
     forecasts = [(forecaster.forecast(s), s) for s in among]
     forecast, state = known.generator.choice(_cheapest(forecasts, send.apart))
     utilisation = state.utilisation(now_ms)
-    return Choice(state, len(among), utilisation, forecast, allowed, limited)
+    return Choice(state, len(among), utilisation, forecast, allowed, barred)
 
 
 def _cheapest(
@@ -133,16 +133,17 @@
     service: Service,
     states: Iterable[EndpointState],
     now_ms: float,
-) -> list[EndpointState]:
-    """The endpoints that anything may be sent to from here now."""
-    taking = [s for s in states if s.takes_work(now_ms)]
-    if not service.cold_requests_per_s:
-        return taking
-    return [
-        s
-        for s in taking
-        if not s.cold(now_ms) or known.cold.allows(s, service, known.gateways, now_ms)
-    ]
+) -> tuple[list[EndpointState], Counter[Barrier]]:
+    """The endpoints that may be sent to from here now, and what bars the others."""
+    open_now = []
+    barred: Counter[Barrier] = Counter()
+    for state in states:
+        barrier = send_permission(known, service, state, now_ms).barrier
+        if barrier is None:
+            open_now.append(state)
+        else:
+            barred[barrier] += 1
+    return open_now, barred
 
 
 def _sound(
@@ -150,12 +151,17 @@
 ) -> list[EndpointState]:
     """The endpoints that a request may go to, without those that do badly."""
     fresh = [s for s in states if s.endpoint.instance not in tried]
-    sound = [s for s in fresh if s.breaker.allows(now_ms)]
+    sound = [s for s in fresh if _may_answer(s, now_ms)]
     well = [s for s in sound if s.failing < FAILING_MAX]
     moving = [s for s in well if not s.stalled(now_ms)]
     return moving or well or sound or fresh
 
 
+def _may_answer(state: EndpointState, now_ms: float) -> bool:
+    """Whether nothing speaks for it that the endpoint fails or sheds still."""
+    return state.breaker.allows(now_ms) and not state.backoff.on_trial(now_ms)
+
+
 def first_model(route: Route, ask: Ask) -> str:
     """The model that a request is sent to first; empty for the caller's own."""
     if not route.models or ask.model or not ask.names_model:
--- a/ashlatch/gateway/chooser.py
+++ b/ashlatch/gateway/chooser.py
@@ -16,8 +16,9 @@
 from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.forecast import Send
 from ashlatch.gateway.knowledge import Knowledge
-from ashlatch.gateway.limits import return_after_s
 from ashlatch.gateway.message import RefusalReason
+from ashlatch.gateway.returns import find_return
+from ashlatch.policy.permission import Barrier
 
 __all__ = ["RequestChooser"]
 
@@ -27,6 +28,11 @@
 # The part of the target in which a smaller model should begin its answer, since
 # half of these are asked again of the largest.
 FIRST_SHARE = 0.35
+# Why a request is refused, by what keeps it from the endpoint that opens first.
+_REASONS = {
+    Barrier.BACKOFF: RefusalReason.ENDPOINTS_BACKOFF,
+    Barrier.LIMITED: RefusalReason.ENDPOINTS_LIMITED,
+}
 
 
 class RequestChooser:
@@ -114,14 +120,21 @@
         states = self._states()
         if any(state.evacuated for state in states):
             return Refused(503, RefusalReason.EVACUATED, EVACUATED_AFTER_S)
-        service = self._admission.service.name
-        after_s = return_after_s(self._known, service, states, self._now_ms())
-        if after_s is not None:
-            return Refused(503, RefusalReason.ENDPOINTS_LIMITED, after_s)
+        waiting = self.waiting()
+        if waiting is not None:
+            return waiting
         reason = RefusalReason.NO_ENDPOINT
         if not states and self._admission.region_bound:
             reason = RefusalReason.NO_ENDPOINT_IN_REGION
         return Refused(503, reason, RETRY_AFTER_S)
 
+    def waiting(self) -> Refused | None:
+        """The refusal where no endpoint is open, but one will be at a known time."""
+        service = self._admission.service
+        found = find_return(self._known, service, self._states(), self._now_ms())
+        if found is None:
+            return None
+        return Refused(503, _REASONS[found.barrier], found.after_s)
+
     def _now_ms(self) -> float:
         return self._loop.time() * 1000.0
--- a/ashlatch/gateway/cold.py
+++ b/ashlatch/gateway/cold.py
@@ -2,7 +2,7 @@
 ashlatch.gateway.cold
 ~~~~~~~~~~~~~~~~~~~~~
 
-Whether this gateway may send to an endpoint now, if the endpoint is cold.
+From when this gateway may send to an endpoint that is cold.
 
 :copyright: Copyright 2026 by the ashlatch maintainers.
 :license: MIT, see LICENSE for details.
@@ -12,6 +12,7 @@
 from ashlatch.gateway.directory import Directory, EndpointState
 from ashlatch.gateway.routing import RouteTable
 from ashlatch.policy.cold import ColdEndpoint, pause_ms
+from ashlatch.policy.permission import NEVER_MS
 
 __all__ = ["ColdGate", "warm_up_returned"]
 
@@ -43,20 +44,25 @@
         """Whether this gateway has heard of the others; one by itself has none."""
         return self.own is None or now_ms >= self._opens_ms
 
-    def allows(
+    def wait_ms(
         self,
         state: EndpointState,
         service: Service,
         gateways: tuple[GatewayVm, ...],
         now_ms: float,
-    ) -> bool:
-        """Whether a request may be sent to the endpoint."""
+    ) -> float:
+        """The time until a request may be sent to the endpoint; 0 if it may be now.
+
+        Infinite if others send to it: how long it stays cold is not known for sure.
+        """
         if service.cold_requests_per_s <= 0.0 or not state.cold(now_ms):
-            return True
+            return 0.0
         if not self.knows_gateways(now_ms):
-            return False
+            return NEVER_MS
         least_ms = self._pause_ms(state, service, gateways)
-        return least_ms is not None and now_ms - state.sent_ms >= least_ms
+        if least_ms is None:
+            return NEVER_MS
+        return max(0.0, state.sent_ms + least_ms - now_ms)
 
     def _pause_ms(
         self,
--- a/ashlatch/gateway/directory.py
+++ b/ashlatch/gateway/directory.py
@@ -20,6 +20,13 @@
 from ashlatch.policy.backoff import Backoff
 from ashlatch.policy.breaker import Breaker
 from ashlatch.policy.load import EndpointLoad, LoadReport
+from ashlatch.policy.permission import (
+    ALLOWED,
+    NEVER_MS,
+    Barrier,
+    Permission,
+    combine,
+)
 from ashlatch.policy.rate_limit import RateLimit
 from ashlatch.policy.told_load import ToldLoad
 from ashlatch.policy.workload import Workload
@@ -45,6 +52,9 @@
 # How fast the share of failed attempts follows what is seen.
 FAILURE_GAIN = 0.12
 
+_LEAVING = Permission(Barrier.LEAVING, NEVER_MS)
+_EVACUATED = Permission(Barrier.EVACUATED, NEVER_MS)
+
 
 @dataclass
 class EndpointState:
@@ -105,14 +115,26 @@
         """Whether it is about to end, by the list or by its own answers."""
         return self.endpoint.leaving or self.announced_leaving
 
-    def takes_work(self, now_ms: float) -> bool:
-        """Whether requests may be sent there, as far as orders and the list go."""
-        closed = self.endpoint.leaving or self.evacuated
-        return not closed and not self.replaced(now_ms)
+    def permission(self, now_ms: float) -> Permission:
+        """Whether a request may be sent there, by what is known of it alone.
+
+        What several gateways share there is another matter: rate limits, and the
+        requests that a cold endpoint bears.
+        """
+        if self.endpoint.leaving:
+            return _LEAVING
+        if self.evacuated:
+            return _EVACUATED
+        replaced_ms = self.replaced_ms + REPLACED_MS - now_ms
+        backoff_ms = self.backoff.wait_ms(now_ms)
+        if replaced_ms <= 0.0 and backoff_ms <= 0.0:
+            return ALLOWED
+        return combine([(Barrier.REPLACED, replaced_ms), (Barrier.BACKOFF, backoff_ms)])
 
     def sent(self, now_ms: float) -> None:
         """A request goes there."""
         self.sent_ms = now_ms
+        self.backoff.sent(now_ms)
         if self.load.in_flight == 0:
             self.progress_ms = now_ms
         self.load.sent(now_ms)
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -305,7 +305,7 @@
             return False
         if self._account.events and not self._last_event:
             return False
-        if kind is FailureKind.UNREACHABLE:
+        if kind in (FailureKind.UNREACHABLE, FailureKind.CLOSED):
             return self._account.unreachable < UNREACHABLE_MAX
         if kind is FailureKind.MISDIRECTED:
             return self._account.unreachable < UNREACHABLE_MAX and self._spend()
@@ -327,9 +327,10 @@
             return held
         if self._may_have_run:
             return Refused(502, RefusalReason.OUTCOME_UNKNOWN)
-        full = kind is FailureKind.REFUSED
-        reason = RefusalReason.ENDPOINTS_FULL if full else RefusalReason.NO_ENDPOINT
-        return Refused(503, reason, RETRY_AFTER_S)
+        if kind is not FailureKind.REFUSED:
+            return Refused(503, RefusalReason.NO_ENDPOINT, RETRY_AFTER_S)
+        full = Refused(503, RefusalReason.ENDPOINTS_FULL, RETRY_AFTER_S)
+        return self._chooser.waiting() or full
 
     def _conclude(self, refused: Refused) -> None:
         """Give the final answer when no endpoint's answer is passed on."""
--- a/ashlatch/gateway/limits.py
+++ b/ashlatch/gateway/limits.py
@@ -3,8 +3,7 @@
 ~~~~~~~~~~~~~~~~~~~~~~~
 
 The rate limits that endpoints name in their answers: learnt, told to the other
-gateways, kept together with them, and when a caller may come back while no endpoint
-takes more.
+gateways, and kept together with them.
 
 :copyright: Copyright 2026 by the ashlatch maintainers.
 :license: MIT, see LICENSE for details.
@@ -23,9 +22,9 @@
 
 __all__ = [
     "Answered",
+    "limit_step_ms",
     "limit_wait_ms",
     "note_limited_send",
-    "return_after_s",
     "take_named",
     "take_told",
     "take_told_send",
@@ -33,11 +32,9 @@
 
 log = logging.getLogger("ashlatch.gateway")
 
-# A caller that waits for longer than this should find out once more.
-RETURN_MAX_S = 5.0
-RETURN_MAX_MS = RETURN_MAX_S * SECOND_MS
-# Sooner than this, nobody's answer has made a difference.
-RETURN_MIN_S = 0.1
+# How long a gateway that does not know the others yet leaves a limited endpoint alone;
+# it asks again before.
+UNKNOWN_SHARERS_MS = 5000.0
 
 
 @dataclass(frozen=True)
@@ -63,7 +60,7 @@
     if not state.limit.limited:
         return 0.0
     if not known.cold.knows_gateways(now_ms):
-        return RETURN_MAX_MS
+        return UNKNOWN_SHARERS_MS
     return state.limit.wait_ms(_sharers(known), now_ms)
 
 
@@ -132,26 +129,10 @@
         emit(log, learnt)
 
 
-def return_after_s(
-    known: Knowledge, service: str, states: Iterable[EndpointState], now_ms: float
-) -> float | None:
-    """When a caller should come back who found limited endpoints only.
-
-    Callers are told one after the other, as this gateway's part of what the endpoints
-    take allows: told the same moment, all but one would be refused again. None if none
-    of the endpoints is limited.
-    """
-    limited = [s for s in states if s.limit.limited and s.takes_work(now_ms)]
-    if not limited:
-        return None
-    sharers = _sharers(known)
+def limit_step_ms(known: Knowledge, limited: Iterable[EndpointState]) -> float:
+    """The time between two sends of this gateway's part of several limits."""
     rate_per_s = sum(max(s.limit.per_s, RATE_MIN_PER_S) for s in limited)
-    step_ms = SECOND_MS * sharers.gateways / rate_per_s
-    opens_ms = now_ms + min(limit_wait_ms(known, s, now_ms) for s in limited)
-    returns_ms = max(opens_ms, known.returns_ms.get(service, opens_ms))
-    known.returns_ms[service] = min(returns_ms + step_ms, now_ms + RETURN_MAX_MS)
-    after_s = (returns_ms - now_ms) / SECOND_MS
-    return min(max(RETURN_MIN_S, after_s), RETURN_MAX_S)
+    return SECOND_MS * _sharers(known).gateways / rate_per_s
 
 
 def _sharers(known: Knowledge) -> Sharers:
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -65,8 +65,8 @@
     gateway had last heard of the session, -1 if it did not know it. `limited` is how
     many more endpoints there were whose rate limit left no room, `limit_per_s` the
     limit of the chosen one as it is known here, infinite for none, and `limit_ms` how
-    long ago it was heard of, -1 for never. `backoff_ms` is what is left of the backoff
-    that the chosen one has asked for.
+    long ago it was heard of, -1 for never. `backoff` and `leaving` are how many more
+    there were that have asked for a backoff, or are about to end.
     """
 
     event: ClassVar[str] = "request_sent"
@@ -96,7 +96,8 @@
     limited: int
     limit_per_s: float
     limit_ms: int
-    backoff_ms: int
+    backoff: int
+    leaving: int
 
 
 @dataclass(frozen=True)
--- a/ashlatch/gateway/message.py
+++ b/ashlatch/gateway/message.py
@@ -43,6 +43,7 @@
     EVACUATED = "evacuated"
     NO_ENDPOINT_IN_REGION = "no_endpoint_in_region"
     ENDPOINTS_LIMITED = "endpoints_limited"
+    ENDPOINTS_BACKOFF = "endpoints_backoff"
 
 
 @dataclass(frozen=True)
--- a/ashlatch/gateway/notices.py
+++ b/ashlatch/gateway/notices.py
@@ -23,11 +23,17 @@
 
 
 def apply_notice(
-    known: Knowledge, state: EndpointState, head: AnswerHead, now_ms: float
+    known: Knowledge,
+    state: EndpointState,
+    head: AnswerHead,
+    sent_ms: float,
+    now_ms: float,
 ) -> None:
-    """Take what the answer to a request of this gateway says of its endpoint."""
+    """Take what an answer to a request, sent at a time, says of its endpoint."""
     if head.backoff_ms > 0.0:
         _apply_backoff(known, state, head, now_ms)
+    else:
+        state.backoff.served(sent_ms)
     if head.leaving and not state.leaving:
         state.announced_leaving = True
         known.metrics.count("leaving_announced")
--- /dev/null
+++ b/ashlatch/gateway/permission.py
@@ -0,0 +1,33 @@
+"""
+ashlatch.gateway.permission
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Whether this gateway may send a request to an endpoint now, and if not, from when. First
+sends, repeats, sends for a larger model, resumed streams and load tests all ask here.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from ashlatch.catalog import Service
+from ashlatch.gateway.directory import EndpointState
+from ashlatch.gateway.knowledge import Knowledge
+from ashlatch.gateway.limits import limit_wait_ms
+from ashlatch.policy.permission import ALLOWED, Barrier, Permission, combine
+
+__all__ = ["send_permission"]
+
+
+def send_permission(
+    known: Knowledge, service: Service, state: EndpointState, now_ms: float
+) -> Permission:
+    """What stands against a request to an endpoint of a service, if anything."""
+    own = state.permission(now_ms)
+    limit_ms = limit_wait_ms(known, state, now_ms)
+    cold_ms = known.cold.wait_ms(state, service, known.gateways, now_ms)
+    if own is ALLOWED and limit_ms <= 0.0 and cold_ms <= 0.0:
+        return ALLOWED
+    waits = [(Barrier.LIMITED, limit_ms), (Barrier.COLD, cold_ms)]
+    if own.barrier is not None:
+        waits.insert(0, (own.barrier, own.wait_ms))
+    return combine(waits)
--- a/ashlatch/gateway/versions.py
+++ b/ashlatch/gateway/versions.py
@@ -18,6 +18,7 @@
 from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.routing import fraction
 from ashlatch.policy.endpoint import rank
+from ashlatch.policy.permission import Barrier
 
 __all__ = [
     "AllowedEndpoints",
@@ -333,15 +334,23 @@
 
     All gateways choose the same, by rendezvous hashing.
     """
-    ready = {
-        s.endpoint.instance: s
-        for s in new
-        if s.takes_work(now_ms) and not s.cold(now_ms) and not s.limit.limited
-    }
+    ready = {s.endpoint.instance: s for s in new if _testable(s, now_ms)}
     if not ready:
         return []
     state = ready[rank(tuple(ready), rollout.version)[0]]
+    if not state.permission(now_ms).granted:
+        return []
     if state.utilisation(now_ms) >= LOAD_TEST_UTILISATION:
         return []
     # One prompt after another: a heap of them would only wait there.
     return [state] if state.unanswered == 0 and state.breaker.allows(now_ms) else []
+
+
+def _testable(state: EndpointState, now_ms: float) -> bool:
+    """Whether all gateways may test an endpoint, as far as each of them knows.
+
+    Its backoff is this gateway's alone: another endpoint would be tested here only.
+    """
+    if state.cold(now_ms) or state.limit.limited:
+        return False
+    return state.permission(now_ms).barrier in (None, Barrier.BACKOFF)
--- a/tests/limit_play.py
+++ b/tests/limit_play.py
@@ -25,11 +25,11 @@
 from ashlatch.gateway.limits import (
     Answered,
     note_limited_send,
-    return_after_s,
     take_named,
 )
 from ashlatch.gateway.message import Ask
 from ashlatch.gateway.peers import GatewayPeers
+from ashlatch.gateway.returns import find_return
 from ashlatch.gateway.routing import RouteTable
 from ashlatch.gateway.versions import (
     AllowedEndpoints,
@@ -225,9 +225,10 @@
             self.now_ms,
         )
         if chosen is None:
-            after_s = return_after_s(known, "app", states, self.now_ms)
-            assert after_s is not None
-            self.refusals.append(Refusal(self.now_ms / 1000.0, after_s))
+            service = self._table.services["app"]
+            found = find_return(known, service, states, self.now_ms)
+            assert found is not None
+            self.refusals.append(Refusal(self.now_ms / 1000.0, found.after_s))
             return
         state = chosen.state
         note_limited_send(known, state, self.now_ms)
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -143,7 +143,8 @@
         self.state = EndpointState(endpoint())
 
     def allows(self, now_ms: float, service: Service = SERVICE) -> bool:
-        return self.gate.allows(self.state, service, self.gateways, now_ms)
+        wait_ms = self.gate.wait_ms(self.state, service, self.gateways, now_ms)
+        return wait_ms == 0.0
 
     def test_a_warm_endpoint(self) -> None:
         self.state.sent(0.0)
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -201,7 +201,7 @@
 
     def open(self) -> list[str]:
         states = self.directory.of_service("app")
-        return [s.endpoint.instance for s in states if s.takes_work(0.0)]
+        return [s.endpoint.instance for s in states if s.permission(0.0).granted]
 
     def test_an_evacuated_hall_takes_no_work(self) -> None:
         self.assertTrue(self.directory.evacuate(Evacuations(1, ("b",))))
@@ -227,7 +227,7 @@
         directory.evacuate(Evacuations(1, ("b",)))
         directory.replace(EndpointList(1, 1, (endpoint("i2", "b"),)), 0.0)
         state = directory.state("i2")
-        self.assertTrue(state is not None and not state.takes_work(0.0))
+        self.assertTrue(state is not None and not state.permission(0.0).granted)
 
     def test_the_load_test_of_a_roll_out(self) -> None:
         """It tests another endpoint, not the one that rendezvous hashing gives."""
