Endpoints that say that they leave get nothing more, from any gateway

What callers would see: a request that goes to an endpoint which has announced its end in an answer is cut off with it, if the list is late. Cause, as with backoffs: nobody read the header.

Change: an announcement closes the endpoint for good at the gateway that reads it, and at the others, which it tells by one datagram a hall. A list that lags and an answer without the header take nothing back; another process under the same id, which the list tells by its start, is not concerned. What an endpoint has asked for (leaving, backoff, rate limit) outlives an entry that is missing from one list: before, a state that was new with the next list had forgotten it (test_a_backoff_outlives_an_entry_that_is_missing_from_one_list and test_a_list_that_lags_takes_nothing_back).

--- a/ashlatch/gateway/directory.py
+++ b/ashlatch/gateway/directory.py
@@ -51,6 +51,8 @@
 UNPROVEN_MS = 20_000.0
 # How fast the share of failed attempts follows what is seen.
 FAILURE_GAIN = 0.12
+# How many endpoints are remembered that are not listed any more.
+ABSENT_MAX = 1000
 
 _LEAVING = Permission(Barrier.LEAVING, NEVER_MS)
 _EVACUATED = Permission(Barrier.EVACUATED, NEVER_MS)
@@ -121,7 +123,7 @@
         What several gateways share there is another matter: rate limits, and the
         requests that a cold endpoint bears.
         """
-        if self.endpoint.leaving:
+        if self.leaving:
             return _LEAVING
         if self.evacuated:
             return _EVACUATED
@@ -131,6 +133,11 @@
             return ALLOWED
         return combine([(Barrier.REPLACED, replaced_ms), (Barrier.BACKOFF, backoff_ms)])
 
+    def has_asked(self, now_ms: float) -> bool:
+        """Whether it has asked in an answer to be sent less, or nothing."""
+        backs_off = self.backoff.wait_ms(now_ms) > 0.0
+        return self.announced_leaving or backs_off or self.limit.limited
+
     def sent(self, now_ms: float) -> None:
         """A request goes there."""
         self.sent_ms = now_ms
@@ -250,6 +257,7 @@
         self.listed_ms = float("-inf")
         self.evacuations = Evacuations()
         self._states: dict[str, EndpointState] = {}
+        self._absent: dict[str, EndpointState] = {}
         self._by_service: dict[str, list[EndpointState]] = {}
 
     def replace(self, listed: EndpointList, now_ms: float, age_ms: float = 0.0) -> bool:
@@ -258,7 +266,7 @@
             return False
         self.order = listed.order
         self.listed_ms = now_ms
-        known = self._states
+        known = self._absent | self._states
         self._states = {}
         self._by_service = {}
         for endpoint in listed.endpoints:
@@ -268,8 +276,21 @@
                 state.warms_up(now_ms - age_ms + endpoint.cold_left_ms)
             self._states[endpoint.instance] = state
             self._by_service.setdefault(endpoint.service, []).append(state)
+        self._keep_absent(known, now_ms)
         return True
 
+    def _keep_absent(self, known: dict[str, EndpointState], now_ms: float) -> None:
+        """Remember what endpoints that are not listed now have asked for.
+
+        An entry that cannot be read is missing from one list and back in the next.
+        """
+        absent = [
+            (instance, state)
+            for instance, state in known.items()
+            if instance not in self._states and state.has_asked(now_ms)
+        ]
+        self._absent = dict(absent[-ABSENT_MAX:])
+
     def evacuate(self, evacuations: Evacuations) -> bool:
         """Take which halls are evacuated; false when that is not newer."""
         if evacuations.number <= self.evacuations.number:
@@ -312,7 +333,7 @@
     def serving(self, instance: str) -> bool:
         """Whether an endpoint is listed and not about to leave."""
         state = self._states.get(instance)
-        return state is not None and not state.endpoint.leaving
+        return state is not None and not state.leaving
 
     def __len__(self) -> int:
         return len(self._states)
--- a/ashlatch/gateway/hearing.py
+++ b/ashlatch/gateway/hearing.py
@@ -19,6 +19,7 @@
 from ashlatch.gateway.message import LoadFigures
 from ashlatch.gateway.news import (
     ContentCrashed,
+    EndpointAnnouncesLeaving,
     EndpointRefuses,
     EndpointReplaced,
     LimitedSend,
@@ -27,6 +28,7 @@
     PromptSent,
     SessionMoved,
 )
+from ashlatch.gateway.notices import mark_leaving
 from ashlatch.log import emit
 from ashlatch.policy.told_load import load_level
 from ashlatch.registry import Handlers
@@ -86,6 +88,15 @@
     known.forget_life(news.instance)
 
 
+@HEARD.on(EndpointAnnouncesLeaving)
+def _announces_leaving(
+    known: Knowledge, news: EndpointAnnouncesLeaving, teller: Teller
+) -> None:
+    state = known.directory.state(news.instance)
+    if state is not None:
+        mark_leaving(known, state, teller.address)
+
+
 @HEARD.on(LimitNamed)
 def _limit_named(known: Knowledge, news: LimitNamed, teller: Teller) -> None:
     state = known.directory.state(news.instance)
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -266,7 +266,7 @@
 class EndpointLeaves(LogEvent):
     """An endpoint says that it is about to end; the list may tell that later.
 
-    `source` is the request whose answer said so.
+    `source` is the request whose answer said so, or the gateway that heard it.
     """
 
     event: ClassVar[str] = "endpoint_leaves"
--- a/ashlatch/gateway/news.py
+++ b/ashlatch/gateway/news.py
@@ -15,8 +15,9 @@
 
 __all__ = [
     "ContentCrashed",
-    "EndpointRefuses",
+    "EndpointAnnouncesLeaving",
     "EndpointNews",
+    "EndpointRefuses",
     "EndpointReplaced",
     "HallNews",
     "LimitNamed",
@@ -115,6 +116,16 @@
     for_hall: bool = False
 
 
+class EndpointAnnouncesLeaving(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """An endpoint has said in an answer that it is about to end.
+
+    With `for_hall`, who gets it tells the other gateways of its hall.
+    """
+
+    instance: str
+    for_hall: bool = False
+
+
 # What is about one endpoint.
 EndpointNews = (
     PromptSent
@@ -123,9 +134,16 @@
     | EndpointRefuses
     | LimitNamed
     | LimitedSend
+    | EndpointAnnouncesLeaving
 )
 PeerNews = EndpointNews | SessionMoved | ContentCrashed
 # What concerns gateways by their halls.
 HallNews = (
-    PromptSent | LoadSeen | EndpointRefuses | ContentCrashed | LimitNamed | LimitedSend
+    PromptSent
+    | LoadSeen
+    | EndpointRefuses
+    | ContentCrashed
+    | LimitNamed
+    | LimitedSend
+    | EndpointAnnouncesLeaving
 )
--- a/ashlatch/gateway/notices.py
+++ b/ashlatch/gateway/notices.py
@@ -15,9 +15,10 @@
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.logs import EndpointBackoff, EndpointLeaves
 from ashlatch.gateway.message import AnswerHead
+from ashlatch.gateway.news import EndpointAnnouncesLeaving
 from ashlatch.log import emit
 
-__all__ = ["apply_notice"]
+__all__ = ["apply_notice", "mark_leaving"]
 
 log = logging.getLogger("ashlatch.gateway")
 
@@ -34,11 +35,24 @@
         _apply_backoff(known, state, head, now_ms)
     else:
         state.backoff.served(sent_ms)
-    if head.leaving and not state.leaving:
+    if head.leaving and mark_leaving(known, state, head.request_id):
+        known.tell(EndpointAnnouncesLeaving(state.endpoint.instance))
+
+
+def mark_leaving(known: Knowledge, state: EndpointState, source: str) -> bool:
+    """An endpoint has said that it is about to end; whether that is new here.
+
+    It does not take that back: what starts again under its id is another process, which
+    the list tells apart.
+    """
+    if state.leaving:
         state.announced_leaving = True
-        known.metrics.count("leaving_announced")
-        endpoint = state.endpoint
-        emit(log, EndpointLeaves(endpoint.instance, endpoint.service, head.request_id))
+        return False
+    state.announced_leaving = True
+    known.metrics.count("leaving_announced")
+    endpoint = state.endpoint
+    emit(log, EndpointLeaves(endpoint.instance, endpoint.service, source))
+    return True
 
 
 def _apply_backoff(
--- a/ashlatch/gateway/peers.py
+++ b/ashlatch/gateway/peers.py
@@ -29,6 +29,7 @@
 from ashlatch.gateway.logs import PeersUnavailable
 from ashlatch.gateway.news import (
     ContentCrashed,
+    EndpointAnnouncesLeaving,
     EndpointRefuses,
     EndpointReplaced,
     HallNews,
@@ -57,9 +58,16 @@
     ContentCrashed: TrafficKind.CRASHES,
     LimitNamed: TrafficKind.LIMIT,
     LimitedSend: TrafficKind.LIMIT,
+    EndpointAnnouncesLeaving: TrafficKind.LEAVING,
 }
 # What every gateway should hear, wherever the endpoint is.
-_FOR_ALL = EndpointRefuses | ContentCrashed | LimitNamed | LimitedSend
+_FOR_ALL = (
+    EndpointRefuses
+    | ContentCrashed
+    | LimitNamed
+    | LimitedSend
+    | EndpointAnnouncesLeaving
+)
 
 
 class GatewayPeers(asyncio.DatagramProtocol):
--- a/ashlatch/gateway/traffic.py
+++ b/ashlatch/gateway/traffic.py
@@ -37,6 +37,7 @@
     REFUSES = "refuses"
     CRASHES = "crashes"
     LIMIT = "limit"
+    LEAVING = "leaving"
 
 
 @dataclass(frozen=True)
--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -2,15 +2,29 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 from functools import partial
+from unittest import mock
 
+import h11
+import msgspec
 import testtools
 
+from ashlatch.catalog import Endpoint, EndpointList, Rollout, RolloutStage
+from ashlatch.gateway.directory import EndpointState
+from ashlatch.gateway.hearing import HEARD, Teller
+from ashlatch.gateway.news import EndpointAnnouncesLeaving, PeerNews
+from ashlatch.gateway.notices import apply_notice
+from ashlatch.http.upstream import Upstream
+from ashlatch.platform.headers import decode_answer
+from ashlatch.policy.backoff import Backoff
+from ashlatch.policy.endpoint import rank
+from ashlatch.policy.permission import Barrier
 from tests.fleet import READY_PORT, Fleet, wait_for
-from tests.gateway import GatewayHarness, ask
+from tests.gateway import ASK_STREAM, GatewayHarness, ask
 from tests.shedding import WITHIN_BACKOFF_MAX, SheddingEndpoint
-from tests.standin import Received
+from tests.standin import Received, StandIn, answer, chunk, event, head, stream
 
 
 class OneGatewayTest(GatewayHarness):
@@ -47,6 +61,241 @@
         self.assertEqual(1, len(leaving.came))
 
 
+class OtherSendsTest(GatewayHarness):
+    """What is no first send, or no plain one."""
+
+    def now_ms(self) -> float:
+        return asyncio.get_running_loop().time() * 1000.0
+
+    def state(self, instance: str) -> EndpointState:
+        state = self.known.directory.state(instance)
+        assert state is not None
+        return state
+
+    def play(
+        self,
+        workers: list[StandIn],
+        data: list[bytes],
+        prepare: Callable[[], None] = lambda: None,
+    ) -> list[tuple[int, bytes]]:
+        """The answers to requests that come one after the other."""
+        answers = []
+
+        async def work() -> None:
+            prepare()
+            for request in data:
+                answers.append(await self.call(request))
+
+        self.run_gateway(workers, work)
+        return answers
+
+    def test_a_repeat_after_an_error_is_not_sent_within_a_backoff(self) -> None:
+        failing = StandIn([answer(status=500)])
+        shedding = SheddingEndpoint("3")
+        self.play(
+            [failing, shedding.worker], [ask(f"/get/{number}") for number in range(30)]
+        )
+        self.assertEqual(1, len(shedding.came))
+
+    def test_a_larger_model_is_not_asked_within_a_backoff(self) -> None:
+        """The endpoint asks for a backoff while it runs a request for a small model."""
+        small = StandIn([stream(2, "X-Confidence: 10")])
+
+        def prepare() -> None:
+            self.state("i-0").backoff.request(2000.0, self.now_ms())
+            self.state("i-0").backoff.until_ms -= 2000.0
+
+        async def shed_soon(request: Received, writer: asyncio.StreamWriter) -> None:
+            self.state("i-0").backoff.request(2000.0, self.now_ms())
+            await stream(2, "X-Confidence: 10")(request, writer)
+
+        small.scripts = [shed_soon]
+        answers = self.play([small], [ask("/stream/1", ASK_STREAM, "POST")], prepare)
+        self.assertEqual([200], [status for status, _ in answers])
+        self.assertEqual(1, len(small.seen))
+
+    def test_a_stream_is_not_resumed_within_a_backoff(self) -> None:
+        async def cut(request: Received, writer: asyncio.StreamWriter) -> None:
+            self.state("i-1").backoff.request(2000.0, self.now_ms())
+            writer.write(head(request, 200) + b"Transfer-Encoding: chunked\r\n\r\n")
+            writer.write(chunk(event(1)))
+            await writer.drain()
+            writer.transport.abort()
+
+        first, second = StandIn([cut]), StandIn([stream(2)])
+        third = StandIn([stream(2)])
+
+        def prepare() -> None:
+            self.state("i-1").breaker.gone(self.now_ms())
+            self.state("i-2").breaker.gone(self.now_ms())
+
+        answers = self.play(
+            [first, second, third], [ask("/stream/1", ASK_STREAM, "POST")], prepare
+        )
+        self.assertEqual([200], [status for status, _ in answers])
+        self.assertEqual((0, 1), (len(second.seen), len(third.seen)))
+
+    def test_a_request_that_waits_for_a_connection_is_not_sent_within_a_backoff(
+        self,
+    ) -> None:
+        shedding = SheddingEndpoint("2")
+        other = SheddingEndpoint(sheds=False)
+        connect = Upstream.connect
+
+        async def slowly(address: str, timeout_s: float) -> Upstream:
+            if address == shedding.worker.address and shedding.came:
+                await asyncio.sleep(0.7)
+            return await connect(address, timeout_s)
+
+        async def work() -> None:
+            self.state("i-1").breaker.gone(self.now_ms())
+            await self.call(ask("/get/1"))
+            # As if the second one had been chosen a moment before the first answer.
+            self.state("i-0").backoff, kept = Backoff(), self.state("i-0").backoff
+            self.state("i-1").breaker.gone(self.now_ms())
+            second = asyncio.create_task(self.call(ask("/get/2")))
+            await asyncio.sleep(0.1)
+            self.state("i-0").backoff = kept
+            status, _ = await second
+            self.assertEqual(200, status)
+
+        with mock.patch.object(Upstream, "connect", slowly):
+            self.run_gateway([shedding.worker, other.worker], work)
+        self.assertEqual(1, len(shedding.came))
+
+    def test_a_load_test_does_not_test_within_a_backoff(self) -> None:
+        new, spare, old = (SheddingEndpoint(sheds=False) for _ in range(3))
+        workers = [e.worker for e in (new, spare, old)]
+
+        def prepare() -> None:
+            listed = tuple(
+                Endpoint(f"i-{n}", "app", w.address, "hall-1", version, 8, False)
+                for n, (w, version) in enumerate(
+                    zip(workers, ("v2", "v2", "v1"), strict=True)
+                )
+            )
+            self.known.directory.replace(EndpointList(1, 2, listed), 0.0)
+            test = Rollout("app", "v2", RolloutStage.LOAD_TEST, 0.0, 1, 1000.0)
+            self.known.versions.learn([test])
+            tested = rank(("i-0", "i-1"), "v2")[0]
+            self.state(tested).backoff.request(5000.0, self.now_ms())
+
+        answers = self.play(workers, [ask(f"/get/{n}") for n in range(5)], prepare)
+        self.assertEqual([200] * 5, [status for status, _ in answers])
+        # No other one is tested in its place: all gateways test the same.
+        self.assertEqual((0, 0), (len(new.came), len(spare.came)))
+
+    def test_all_endpoints_back_off(self) -> None:
+        """Refused at once, not run, and told when the first backoff is over."""
+        endpoints = [SheddingEndpoint("3"), SheddingEndpoint("1.5")]
+        workers = [e.worker for e in endpoints]
+        begun_s = time.monotonic()
+        answers = self.play(workers, [ask(f"/get/{n}") for n in range(10)])
+        took_s = time.monotonic() - begun_s
+        self.assertEqual({503}, {status for status, _ in answers})
+        self.assertEqual(2, sum(len(e.came) for e in endpoints))
+        self.assertTrue(took_s < 0.5, str(took_s))
+        for _, text in answers:
+            self.assertIn(b"X-Ashlatch-Reason: endpoints_backoff", text)
+            wait_s = float(text.partition(b"Retry-After: ")[2].partition(b"\r")[0])
+            self.assertTrue(1.0 <= wait_s <= 1.8, str(wait_s))
+
+    def test_one_request_tries_an_endpoint_after_its_backoff(self) -> None:
+        """The others go elsewhere until its answer is there."""
+        shedding = SheddingEndpoint("0.3", answer_s=0.05)
+        other = SheddingEndpoint(sheds=False)
+
+        async def work() -> None:
+            await self.call(ask("/get/1"))
+            await self.call(ask("/get/2"))
+            await asyncio.sleep(0.4)
+            came = len(shedding.came)
+            calls = (self.call(ask(f"/get/{n}")) for n in range(20))
+            statuses = {status for status, _ in await asyncio.gather(*calls)}
+            self.assertEqual({200}, statuses)
+            self.assertTrue(len(shedding.came) - came <= 1)
+
+        self.run_gateway([shedding.worker, other.worker], work)
+
+    def test_the_load_in_a_refusal_is_not_believed(self) -> None:
+        shedding = SheddingEndpoint("1")
+        answers = self.play([shedding.worker], [ask("/get/1")])
+        self.assertEqual([503], [status for status, _ in answers])
+        self.assertIs(None, self.state("i-0").load.report)
+
+    def test_a_backoff_outlives_an_entry_that_is_missing_from_one_list(self) -> None:
+        shedding = SheddingEndpoint("2")
+        other = SheddingEndpoint(sheds=False)
+
+        async def work() -> None:
+            self.state("i-1").breaker.gone(self.now_ms())
+            await self.call(ask("/get/1"))
+            self.state("i-1").breaker.succeeded()
+            listed = tuple(state.endpoint for state in self.known.directory.all())
+            for number, endpoints in enumerate((listed[1:], listed)):
+                self.known.directory.replace(
+                    EndpointList(1, 2 + number, endpoints), self.now_ms()
+                )
+            for number in range(10):
+                self.assertEqual(200, (await self.call(ask(f"/get/{number}")))[0])
+
+        self.run_gateway([shedding.worker, other.worker], work)
+        self.assertEqual(1, len(shedding.came))
+
+
+class LeavingTest(testtools.TestCase):
+    """What a gateway knows of an endpoint that has said that it leaves."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.known = GatewayHarness("run_gateway").knowledge([StandIn([])], 50.0)
+        self.news: list[PeerNews] = []
+        self.known.tell = self.news.append
+        listed = msgspec.structs.replace(self.state().endpoint, started_unix_ms=5)
+        self.known.directory.replace(EndpointList(1, 1, (listed,)), 0.0)
+
+    def state(self) -> EndpointState:
+        state = self.known.directory.state("i-0")
+        assert state is not None
+        return state
+
+    def hear(self, leaving: bool) -> None:
+        headers = [(b"X-Attempt-Id", b"r1")]
+        if leaving:
+            headers.append((b"Server-Leaving", b"1"))
+        answered = decode_answer(h11.Response(status_code=200, headers=headers))
+        apply_notice(self.known, self.state(), answered, 0.0, 1.0)
+
+    def test_others_are_told_once(self) -> None:
+        self.hear(True)
+        self.hear(True)
+        self.assertEqual([EndpointAnnouncesLeaving("i-0")], self.news)
+
+    def test_who_is_told_sends_nothing_there(self) -> None:
+        news = EndpointAnnouncesLeaving("i-0")
+        HEARD.call(self.known, news, Teller("10.0.0.1", 0.0))
+        self.assertEqual(Barrier.LEAVING, self.state().permission(0.0).barrier)
+        self.assertEqual([], self.news)
+
+    def test_an_answer_without_it_takes_nothing_back(self) -> None:
+        self.hear(True)
+        self.hear(False)
+        self.assertEqual(Barrier.LEAVING, self.state().permission(0.0).barrier)
+
+    def test_a_list_that_lags_takes_nothing_back(self) -> None:
+        self.hear(True)
+        listed = (self.state().endpoint,)
+        for number, endpoints in enumerate((listed, (), listed)):
+            self.known.directory.replace(EndpointList(1, 2 + number, endpoints), 5.0)
+        self.assertEqual(Barrier.LEAVING, self.state().permission(1e6).barrier)
+
+    def test_another_process_under_its_id_does_not_leave(self) -> None:
+        self.hear(True)
+        started = msgspec.structs.replace(self.state().endpoint, started_unix_ms=9)
+        self.known.directory.replace(EndpointList(1, 2, (started,)), 5.0)
+        self.assertTrue(self.state().permission(5.0).granted)
+
+
 class FleetTest(testtools.TestCase):
     """Real processes: five core VMs, three gateways, three endpoints, two of which
     shed at once.
--- /dev/null
+++ b/tests/test_backoff_policy.py
@@ -0,0 +1,74 @@
+"""Tests of ashlatch.policy.backoff and ashlatch.policy.permission."""
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ashlatch.policy.backoff import TRIAL_MS, Backoff
+from ashlatch.policy.permission import ALLOWED, NEVER_MS, Barrier, Permission, combine
+
+
+class BackoffTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.backoff = Backoff()
+        self.backoff.request(3000.0, now_ms=0.0)
+
+    def test_it_ends(self) -> None:
+        self.assertEqual(1000.0, self.backoff.wait_ms(2000.0))
+        self.assertEqual(0.0, self.backoff.wait_ms(3000.0))
+
+    def test_a_longer_one_prolongs_it(self) -> None:
+        self.assertTrue(self.backoff.request(3000.0, now_ms=1000.0))
+        self.assertEqual(1000.0, self.backoff.wait_ms(3000.0))
+
+    def test_a_shorter_one_does_not_shorten_it(self) -> None:
+        self.assertFalse(self.backoff.request(500.0, now_ms=1000.0))
+        self.assertEqual(2000.0, self.backoff.wait_ms(1000.0))
+
+    def test_an_answer_in_between_does_not_end_it(self) -> None:
+        self.backoff.served(sent_ms=-10.0)
+        self.backoff.served(sent_ms=500.0)
+        self.assertEqual(1000.0, self.backoff.wait_ms(2000.0))
+        self.backoff.sent(3000.0)
+        self.assertTrue(self.backoff.on_trial(3001.0))
+
+    def test_one_request_is_on_trial_after_it(self) -> None:
+        self.assertFalse(self.backoff.on_trial(3000.0))
+        self.backoff.sent(3000.0)
+        self.assertTrue(self.backoff.on_trial(3000.0 + TRIAL_MS - 1.0))
+        self.assertFalse(self.backoff.on_trial(3000.0 + TRIAL_MS))
+
+    def test_the_trial_ends_with_an_answer(self) -> None:
+        self.backoff.sent(3000.0)
+        self.backoff.served(sent_ms=3000.0)
+        self.assertFalse(self.backoff.on_trial(3010.0))
+        self.backoff.sent(3010.0)
+        self.assertFalse(self.backoff.on_trial(3011.0))
+
+    @given(st.lists(st.tuples(st.floats(0, 1e4), st.floats(0, 1e4)), min_size=1))
+    def test_none_that_was_asked_for_is_cut_short(
+        self, asked: list[tuple[float, float]]
+    ) -> None:
+        backoff = Backoff()
+        for now_ms, backoff_ms in sorted(asked):
+            backoff.request(backoff_ms, now_ms)
+            backoff.served(now_ms)
+        for now_ms, backoff_ms in asked:
+            last_ms = sorted(asked)[-1][0]
+            left_ms = now_ms + backoff_ms - last_ms
+            self.assertTrue(backoff.wait_ms(last_ms) >= left_ms - 1e-6)
+
+
+class CombineTest(testtools.TestCase):
+    def test_nothing_stands_against_it(self) -> None:
+        self.assertIs(ALLOWED, combine([]))
+        self.assertIs(ALLOWED, combine([(Barrier.BACKOFF, 0.0)]))
+
+    def test_the_longest_counts(self) -> None:
+        waits = [(Barrier.BACKOFF, 500.0), (Barrier.LIMITED, 700.0)]
+        self.assertEqual(Permission(Barrier.LIMITED, 700.0), combine(waits))
+
+    def test_what_does_not_end_by_itself(self) -> None:
+        waits = [(Barrier.COLD, NEVER_MS), (Barrier.BACKOFF, 700.0)]
+        self.assertEqual(Permission(Barrier.COLD, NEVER_MS), combine(waits))
