--- a/ashlatch/fleet/membership.py
+++ b/ashlatch/fleet/membership.py
@@ -54,9 +54,10 @@
     spare_voters = len(standing.members.voters) - (2 * losses_max + 1)
     found: tuple[Member, float] | None = None
     for member in standing.members.everyone():
-        # A member that was never heard counts from when the leader began.
+        # One that was never heard counts from when it was added, or the leader began.
         heard_ms = max(
-            standing.answered_ms.get(member.member_id, 0.0), standing.leading_since_ms
+            standing.answered_ms.get(member.member_id, 0.0),
+            standing.added_ms.get(member.member_id, standing.leading_since_ms),
         )
         silent_ms = now_ms - heard_ms
         votes = member.member_id in standing.members.voter_ids()
--- a/ashlatch/raft/core.py
+++ b/ashlatch/raft/core.py
@@ -69,9 +69,11 @@
     """What a leader knows of one other member.
 
     `acked_ms` is the leader's own time at which it sent the newest message
-    that the member has answered.
+    that the member has answered, `added_ms` when it began to lead, or the member was
+    added.
     """
 
+    added_ms: float
     next_index: int
     match_index: int = 0
     acked_ms: float = float("-inf")
--- a/ashlatch/raft/election.py
+++ b/ashlatch/raft/election.py
@@ -36,6 +36,9 @@
     core.reset_election_timer()
     if core.member_id in core.members.voter_ids():
         _ask_votes(core, pre=True)
+    elif core.leader_id:
+        # Who was taken out while it stood still has to know, to ask to be let in.
+        core.become_follower(core.term)
 
 
 @HANDLERS.on(Received)
@@ -138,7 +141,7 @@
     core.heartbeat_due_ms = core.now_ms
     core.progress = {}
     for member in core.members.everyone():
-        core.progress[member.member_id] = Progress(core.log.last_index + 1)
+        core.progress[member.member_id] = Progress(core.now_ms, core.log.last_index + 1)
     core.leading_since_ms = core.now_ms
     core.effects.append(LeadershipChanged(core.term, True, core.leader))
     core.append_own(b"")
--- a/ashlatch/raft/group.py
+++ b/ashlatch/raft/group.py
@@ -95,6 +95,7 @@
     members_committed: bool
     match_index: dict[str, int]
     answered_ms: dict[str, float]
+    added_ms: dict[str, float]
 
     def may_read(self, now_ms: float) -> bool:
         """Whether the applied state is the newest there is."""
@@ -319,6 +320,7 @@
         matches = {key: p.match_index for key, p in core.progress.items()}
         matches[core.member_id] = core.synced_index
         answered = {key: core.acked_ms(key) for key in matches}
+        added = {key: p.added_ms for key, p in core.progress.items()}
         return Standing(
             core.member_id,
             core.term,
@@ -333,4 +335,5 @@
             core.members_committed,
             matches if core.leading else {},
             answered if core.leading else {},
+            added if core.leading else {},
         )
--- a/ashlatch/raft/membership.py
+++ b/ashlatch/raft/membership.py
@@ -88,6 +88,7 @@
 def _change(core: RaftCore, members: Members) -> None:
     core.append_own(b"", members)
     for member in members.everyone():
-        core.progress.setdefault(member.member_id, Progress(core.log.last_index))
+        added = Progress(core.now_ms, core.log.last_index)
+        core.progress.setdefault(member.member_id, added)
     known = {member.member_id for member in members.everyone()}
     core.progress = {key: p for key, p in core.progress.items() if key in known}
--- a/ashlatch/raft/replication.py
+++ b/ashlatch/raft/replication.py
@@ -90,7 +90,7 @@
         if member.member_id == core.member_id:
             continue
         progress = core.progress.setdefault(
-            member.member_id, Progress(core.log.last_index + 1)
+            member.member_id, Progress(core.now_ms, core.log.last_index + 1)
         )
         _send_next(core, member, progress, heartbeat)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """Tests of the parts of ashlatch.fleet that need no process."""
 
+import dataclasses
 import random
 import tempfile
 from pathlib import Path
@@ -124,6 +125,7 @@
         committed,
         {},
         answered,
+        {},
     )
 
 
@@ -136,6 +138,22 @@
         self.assertTrue(enough_voters(standing(5, {}), 2, 0.0))
         self.assertFalse(enough_voters(standing(5, {}, committed=False), 2, 0.0))
 
+    def test_a_member_that_was_added_a_moment_ago_is_not_taken_out(self) -> None:
+        now_ms = 100_000.0
+        added = Member("m9", "v9", "a9")
+        before = standing(5, {})
+        members = Members(before.members.voters, (added,))
+        known = dataclasses.replace(
+            before,
+            members=members,
+            answered_ms={**before.answered_ms, "m9": float("-inf")},
+            added_ms={"m9": now_ms - 1.0},
+        )
+        self.assertIsNone(silent_member(known, 2, now_ms))
+        found = silent_member(known, 2, now_ms + 4000.0)
+        assert found is not None
+        self.assertEqual("m9", found[0].member_id)
+
     def test_silent_members(self) -> None:
         now_ms = 100_000.0
         self.assertIsNone(silent_member(standing(6, {}), 2, now_ms))
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -11,6 +11,7 @@
     Boot,
     Effect,
     Event,
+    LeadershipChanged,
     Propose,
     Received,
     SaveVote,
@@ -262,6 +263,16 @@
         member.step(now_ms, Tick())
         self.assertIn(D, member.members.voters)
 
+    def test_a_learner_that_was_taken_out_knows_of_no_leader(self) -> None:
+        """Nobody sends to it any more; it has to ask to be taken in again."""
+        member = core(D, Members((A, B, C), (D,)))
+        member.step(START_MS, heartbeat(1))
+        self.assertEqual("b", member.leader_id)
+        effects = member.step(START_MS + 3000.0, Tick())
+        self.assertEqual("", member.leader_id)
+        self.assertEqual([], [e for e in effects if isinstance(e, Send)])
+        self.assertTrue(any(isinstance(e, LeadershipChanged) for e in effects))
+
     def test_one_change_at_a_time(self) -> None:
         member, now_ms = self.leader()
         member.step(now_ms, AddLearner(D))
