The product's own routers keep backoffs, and leave endpoints that say they leave

One router, 20 requests a second, one of two engines sheds: callers got 503 while the other engine had room, since the repeats' budget was spent; an engine that announced its end got 20 more requests.

Routers ask the planner the one question now (Planner.permission): plans, hedges, repeats, resumed streams, service calls, and the check when the connection stands. Engines and services say it by Retry-After on 503 or 429 and by Ashlatch-Leaving. A reply without a body tells its head too: before, on_status was called with the first byte of a body.

--- a/ashlatch/http/client.py
+++ b/ashlatch/http/client.py
@@ -89,11 +89,16 @@
         if colon:
             self.reply.headers[name.strip().lower()] = value.strip()
 
+    def begin(self) -> None:
+        """The head is whole; called again at the end, for a reply without a body."""
+        if self.started:
+            return
+        self.started = True
+        if self.call.on_status is not None:
+            self.call.on_status(self.reply)
+
     def body(self, data: bytes) -> None:
-        if not self.started:
-            self.started = True
-            if self.call.on_status is not None:
-                self.call.on_status(self.reply)
+        self.begin()
         if self.call.on_body is not None:
             self.call.on_body(data)
         else:
@@ -133,6 +138,7 @@
             raise Cancelled(call.url, "cancelled", sent=True) from error
         sent = _was_sent(handle, code, transfer)
         raise TransportError(call.url, reason, sent) from error
+    transfer.begin()
     transfer.reply.body = b"".join(transfer.parts)
     return transfer.reply
 
--- a/ashlatch/http/retry_after.py
+++ b/ashlatch/http/retry_after.py
@@ -11,7 +11,16 @@
 import re
 from collections.abc import Iterable
 
-__all__ = ["BACKOFF_MAX_MS", "UNREADABLE_BACKOFF_MS", "parse_retry_after_ms"]
+__all__ = [
+    "BACKOFF_MAX_MS",
+    "BACKOFF_STATUSES",
+    "UNREADABLE_BACKOFF_MS",
+    "parse_retry_after_ms",
+]
+
+# The header of these answers asks to send the endpoint nothing meanwhile; that of a
+# redirect tells something else.
+BACKOFF_STATUSES = frozenset({429, 503})
 
 _SECONDS = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 SECOND_MS = 1000.0
--- a/ashlatch/platform/headers.py
+++ b/ashlatch/platform/headers.py
@@ -25,7 +25,7 @@
     RefusalReason,
 )
 from ashlatch.http.connection import Headers, HttpRequest
-from ashlatch.http.retry_after import parse_retry_after_ms
+from ashlatch.http.retry_after import BACKOFF_STATUSES, parse_retry_after_ms
 from ashlatch.policy.rate_limit import NO_LIMIT
 
 __all__ = [
@@ -70,8 +70,6 @@
 
 # Another endpoint than the expected one answers with this, and runs nothing.
 _MISDIRECTED = 421
-# With these, `Retry-After` asks this gateway to send the endpoint nothing meanwhile.
-_BACKOFF_STATUSES = frozenset({429, 503})
 
 # Engines know the urgencies 0 to 9.
 _LEAST_URGENT = 9
@@ -300,7 +298,7 @@
 
 
 def _backoff_ms(status: int, known: dict[bytes, list[bytes]]) -> float:
-    if status not in _BACKOFF_STATUSES:
+    if status not in BACKOFF_STATUSES:
         return 0.0
     return parse_retry_after_ms(_values(known, _RETRY_AFTER))
 
--- a/ashlatch/router/attempt.py
+++ b/ashlatch/router/attempt.py
@@ -11,6 +11,7 @@
 
 from ashlatch.http import problem as problems
 from ashlatch.http.problem import Problem
+from ashlatch.policy.permission import NEVER_MS
 from ashlatch.router.core import HANDLERS, Flight, Leg, PoorAnswer, RouterCore
 from ashlatch.router.effect import ProposeAnswer
 from ashlatch.router.ending import (
@@ -209,13 +210,16 @@
     usable = core.planner.table.usable(flight.request.organisation, flight.version)
     held = held_for_ms(core, flight) > 0
     tries_left = flight.tries <= RESUME_MAX and not held
-    wait_ms = core.planner.limit_wait_ms(flight.leg.endpoint.name, core.now_ms)
-    again = tries_left and usable and core.lease_valid(core.now_ms) and not wait_ms
+    permission = core.planner.permission(flight.leg.endpoint.name, core.now_ms)
+    may_send = permission.granted and core.lease_valid(core.now_ms)
+    again = tries_left and usable and may_send
     if again and core.budget.spend():
         plan = Plan(flight.version, flight.leg.endpoint, 0.0, "resume", ())
         start_attempt(core, flight, plan, result.chunks)
         return
-    retry_ms = max(wait_ms, NO_STATE_RETRY_MS)
+    retry_ms = NO_STATE_RETRY_MS
+    if permission.wait_ms < NEVER_MS:
+        retry_ms = max(permission.wait_ms, retry_ms)
     problem = Problem(problems.ATTEMPT_FAILED, result.reason, False, retry_ms)
     give_problem(core, flight, problem)
 
--- a/ashlatch/router/core.py
+++ b/ashlatch/router/core.py
@@ -182,7 +182,7 @@
             return False
         if flight.leg_of(attempt.attempt_id) is None:
             return False
-        if self.planner.is_leaving(attempt.endpoint):
+        if not self.planner.open_permission(attempt.endpoint, now_ms).granted:
             return False
         if request.kind is RequestKind.SERVICE:
             return True
--- a/ashlatch/router/event.py
+++ b/ashlatch/router/event.py
@@ -253,16 +253,20 @@
 
 @dataclass(frozen=True)
 class EndpointHeard:
-    """The head of an endpoint's answer is there, and says which rate it takes.
+    """The head of an endpoint's answer is there, and says what the endpoint takes.
 
-    `limit_per_s` is infinite if it names none. The request left at `sent_ms` or later;
-    `run` is whether the endpoint has run it.
+    `limit_per_s` is infinite if it names none, none if it cannot be read. The request
+    left at `sent_ms` or later; `run` is whether the endpoint has run it. `backoff_ms`
+    is for how long it wants no requests of this router, `leaving` whether it is about
+    to end.
     """
 
     endpoint: str
-    limit_per_s: float
+    limit_per_s: float | None
     sent_ms: float
     run: bool
+    backoff_ms: float = 0.0
+    leaving: bool = False
 
 
 @dataclass(frozen=True)
--- a/ashlatch/router/host.py
+++ b/ashlatch/router/host.py
@@ -21,8 +21,8 @@
 
 from ashlatch.adapter.bounds import AttemptBounds
 from ashlatch.adapter.engine import EngineCall, Prices
-from ashlatch.adapter.limits import named_limit_per_s
 from ashlatch.adapter.liveness import has_ended
+from ashlatch.adapter.notices import decode_notice
 from ashlatch.adapter.service import call_service
 from ashlatch.client import StateClient
 from ashlatch.clock import monotonic_ms
@@ -30,9 +30,8 @@
 from ashlatch.http.client import Reply
 from ashlatch.log import emit
 from ashlatch.metrics import Metrics
-from ashlatch.policy.rate_limit import NO_LIMIT
 from ashlatch.registry import Handlers
-from ashlatch.router import admission, attempt, hedge, knowledge, limits
+from ashlatch.router import admission, attempt, hedge, knowledge, notices
 from ashlatch.router.core import RouterConfig, RouterCore
 from ashlatch.router.effect import (
     CancelAttempt,
@@ -74,7 +73,7 @@
 EFFECTS = Handlers("router effect")
 
 # Importing the modules registers their handlers.
-_HANDLERS_OF = (admission, attempt, hedge, knowledge, limits)
+_HANDLERS_OF = (admission, attempt, hedge, knowledge, notices)
 
 
 @dataclass(frozen=True)
@@ -267,15 +266,21 @@
             return Broken(str(error))
 
     def _heard(self, endpoint: str, sent_ms: float, reply: Reply, run: bool) -> None:
-        """The head of an endpoint's answer: which rate the endpoint takes."""
-        limit_per_s = named_limit_per_s(reply)
-        if limit_per_s is None:
-            return
+        """The head of an endpoint's answer: what the endpoint says of itself."""
+        notice = decode_notice(reply)
         with self._lock:
-            known = self.core.planner.limits.get(endpoint)
-        if limit_per_s == NO_LIMIT and (known is None or not known.limited):
+            restricted = self.core.planner.is_restricted(endpoint)
+        if notice.empty and not restricted:
             return
-        self.post(EndpointHeard(endpoint, limit_per_s, sent_ms, run))
+        heard = EndpointHeard(
+            endpoint,
+            notice.limit_per_s,
+            sent_ms,
+            run,
+            notice.backoff_ms,
+            notice.leaving,
+        )
+        self.post(heard)
 
     def first_chunk(self, effect: StartAttempt) -> bool:
         """The first chunk of an attempt; whether the caller gets its stream."""
--- /dev/null
+++ b/ashlatch/router/notices.py
@@ -0,0 +1,96 @@
+"""
+ashlatch.router.notices
+~~~~~~~~~~~~~~~~~~~~~~~
+
+The handler of what an endpoint's replies say of itself: the rate that it takes, a
+backoff, or that it leaves. The planner keeps to it; this only learns.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from ashlatch.log import LogEvent
+from ashlatch.policy.rate_limit import NO_LIMIT
+from ashlatch.router.core import HANDLERS, RouterCore
+from ashlatch.router.effect import WriteLog
+from ashlatch.router.event import EndpointHeard
+
+__all__ = ["EndpointBackoff", "EndpointLeaves", "EndpointLimited"]
+
+
+@dataclass(frozen=True)
+class EndpointLimited(LogEvent):
+    """An endpoint has named another rate limit, or none any more (infinite)."""
+
+    event: ClassVar[str] = "endpoint_limited"
+    vm: str
+    endpoint: str
+    limit_per_s: float
+    before_per_s: float
+
+
+@dataclass(frozen=True)
+class EndpointBackoff(LogEvent):
+    """An endpoint wants no requests of this router for a while, or for longer.
+
+    `before_ms` is what was left of an earlier backoff.
+    """
+
+    event: ClassVar[str] = "endpoint_backoff"
+    vm: str
+    endpoint: str
+    backoff_ms: int
+    before_ms: int
+
+
+@dataclass(frozen=True)
+class EndpointLeaves(LogEvent):
+    """An endpoint says that it is about to end."""
+
+    event: ClassVar[str] = "endpoint_leaves"
+    vm: str
+    endpoint: str
+
+
+@HANDLERS.on(EndpointHeard)
+def _endpoint_heard(core: RouterCore, event: EndpointHeard) -> None:
+    _apply_backoff(core, event)
+    if event.leaving and not core.planner.is_leaving(event.endpoint):
+        core.planner.leaving.add(event.endpoint)
+        leaves = EndpointLeaves(core.config.vm, event.endpoint)
+        core.effects.append(WriteLog(leaves))
+    if event.limit_per_s is not None:
+        _apply_limit(core, event, event.limit_per_s)
+
+
+def _apply_backoff(core: RouterCore, event: EndpointHeard) -> None:
+    backoff = core.planner.backoff(event.endpoint)
+    if not event.backoff_ms:
+        backoff.served(event.sent_ms)
+        return
+    before_ms = backoff.wait_ms(core.now_ms)
+    if backoff.request(event.backoff_ms, core.now_ms):
+        asked = EndpointBackoff(
+            core.config.vm, event.endpoint, int(event.backoff_ms), int(before_ms)
+        )
+        core.effects.append(WriteLog(asked))
+
+
+def _apply_limit(core: RouterCore, event: EndpointHeard, per_s: float) -> None:
+    limit = core.planner.limit(event.endpoint)
+    before_per_s = limit.per_s
+    if not limit.accepts(per_s, event.sent_ms):
+        return
+    if per_s != NO_LIMIT:
+        drawn = core.random.random()
+        limit.named(per_s, core.planner.sharers, drawn, core.now_ms)
+    elif event.run:
+        limit.ended()
+    if limit.per_s != before_per_s:
+        changed = EndpointLimited(
+            core.config.vm, event.endpoint, limit.per_s, before_per_s
+        )
+        core.effects.append(WriteLog(changed))
--- a/ashlatch/router/plan.py
+++ b/ashlatch/router/plan.py
@@ -12,10 +12,12 @@
 import random
 from dataclasses import dataclass, field, replace
 
+from ashlatch.policy.backoff import Backoff
 from ashlatch.policy.breaker import Breaker
 from ashlatch.policy.detector import Detector
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES, Candidate, subset
 from ashlatch.policy.load import EndpointLoad
+from ashlatch.policy.permission import NEVER_MS, Barrier, Permission, combine
 from ashlatch.policy.quality import QualityBook
 from ashlatch.policy.rate_limit import RateLimit, Sharers
 from ashlatch.policy.table import NamedEndpoint, RoutingTable
@@ -32,6 +34,9 @@
 EXPECTED_OUTPUT_TOKENS = 200
 OUTPUT_GAIN = 0.05
 
+_LEAVING = Permission(Barrier.LEAVING, NEVER_MS)
+_WHY_OUT = {Barrier.BACKOFF: WhyOut.BACKOFF, Barrier.LIMITED: WhyOut.LIMITED}
+
 
 @dataclass(frozen=True)
 class Ready:
@@ -63,6 +68,7 @@
     detectors: dict[str, Detector] = field(default_factory=dict)
     output_tokens: dict[str, float] = field(default_factory=dict)
     limits: dict[str, RateLimit] = field(default_factory=dict)
+    backoffs: dict[str, Backoff] = field(default_factory=dict)
     sharers: Sharers = Sharers(in_touch=False)
 
     def __post_init__(self) -> None:
@@ -79,6 +85,7 @@
                 del self.loads[name]
                 self.breakers.pop(name, None)
                 self.limits.pop(name, None)
+                self.backoffs.pop(name, None)
         self.leaving &= known
         self._offered = {
             pool: self._own_subset(endpoints)
@@ -118,15 +125,39 @@
         """The rate limit of an endpoint."""
         return self.limits.setdefault(endpoint, RateLimit())
 
-    def limit_wait_ms(self, endpoint: str, now_ms: float) -> float:
-        """The time until a request may be sent to an endpoint, for its rate limit."""
+    def backoff(self, endpoint: str) -> Backoff:
+        """The backoff that an endpoint has asked for."""
+        return self.backoffs.setdefault(endpoint, Backoff())
+
+    def is_restricted(self, endpoint: str) -> bool:
+        """Whether an endpoint has named a rate limit, or asked for a backoff."""
+        limit = self.limits.get(endpoint)
+        return endpoint in self.backoffs or (limit is not None and limit.limited)
+
+    def permission(self, endpoint: str, now_ms: float) -> Permission:
+        """Whether a request may be sent to an endpoint, and if not, from when."""
+        open_permission = self.open_permission(endpoint, now_ms)
         limit = self.limits.get(endpoint)
-        return limit.wait_ms(self.sharers, now_ms) if limit else 0.0
+        limit_ms = limit.wait_ms(self.sharers, now_ms) if limit else 0.0
+        if open_permission.barrier is None:
+            return combine([(Barrier.LIMITED, limit_ms)])
+        waits = [(open_permission.barrier, open_permission.wait_ms)]
+        return combine([*waits, (Barrier.LIMITED, limit_ms)])
+
+    def open_permission(self, endpoint: str, now_ms: float) -> Permission:
+        """The same without its rate limit, from which a planned send has been taken."""
+        if self.is_leaving(endpoint):
+            return _LEAVING
+        backoff = self.backoffs.get(endpoint)
+        backoff_ms = backoff.wait_ms(now_ms) if backoff else 0.0
+        return combine([(Barrier.BACKOFF, backoff_ms)])
 
     def sent(self, endpoint: str, now_ms: float) -> None:
         """A request goes to an endpoint."""
         self.load(endpoint).sent(now_ms)
         self.breaker(endpoint).sent(now_ms)
+        if endpoint in self.backoffs:
+            self.backoffs[endpoint].sent(now_ms)
         if endpoint in self.limits:
             drawn = self.generator.random()
             self.limits[endpoint].sent(self.sharers, drawn, now_ms)
@@ -285,7 +316,16 @@
                 ready.append(Ready(endpoint, load, self._candidate(endpoint, load)))
             else:
                 excluded.append(Exclusion(endpoint.name, why))
-        return ready
+        on_trial = [r for r in ready if self._on_trial(r.endpoint.name, now_ms)]
+        if not on_trial or len(on_trial) == len(ready):
+            return ready
+        excluded += [Exclusion(r.endpoint.name, WhyOut.TRIAL) for r in on_trial]
+        return [r for r in ready if r not in on_trial]
+
+    def _on_trial(self, endpoint: str, now_ms: float) -> bool:
+        """Whether the first request after a backoff is not answered yet."""
+        backoff = self.backoffs.get(endpoint)
+        return backoff is not None and backoff.on_trial(now_ms)
 
     def _plan_version(
         self, request: Request, version: str, now_ms: float, ready: list[Ready]
@@ -339,7 +379,8 @@
     ) -> WhyOut | None:
         name = endpoint.name
         load = self.load(name)
-        if self.is_leaving(name):
+        barrier = self.permission(name, now_ms).barrier
+        if barrier is Barrier.LEAVING:
             return WhyOut.LEAVING
         if name in tried:
             return WhyOut.TRIED
@@ -347,9 +388,7 @@
             return WhyOut.SILENT
         if not self.breaker(name).allows(now_ms):
             return WhyOut.BREAKER_OPEN
-        if self.limit_wait_ms(name, now_ms) > 0.0:
-            return WhyOut.LIMITED
-        return None
+        return _WHY_OUT[barrier] if barrier else None
 
     def _option(self, request: Request, route: Route, plan: Plan) -> Option:
         spec = self.table.versions[plan.version]
@@ -380,11 +419,11 @@
         return NoPlan(allowed, late, max(retry_ms, 100.0), tuple(excluded))
 
     def _return_ms(self, excluded: list[Exclusion], now_ms: float) -> float:
-        """When an endpoint may be there again: with room in its limit, or at all."""
+        """When an endpoint may be there again, by what bars it, or at all."""
         waits = [
-            self.limit_wait_ms(e.name, now_ms)
+            self.permission(e.name, now_ms).wait_ms
             for e in excluded
-            if e.why is WhyOut.LIMITED
+            if e.why in (WhyOut.LIMITED, WhyOut.BACKOFF)
         ]
         return min(waits, default=self.settings.breaker_open_ms)
 
--- a/ashlatch/router/verdict.py
+++ b/ashlatch/router/verdict.py
@@ -32,6 +32,8 @@
     TRIED = "tried"
     CRASHES = "crashes_endpoints"
     LIMITED = "limited"
+    BACKOFF = "backoff"
+    TRIAL = "trial"
 
 
 @dataclass(frozen=True)
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -6,7 +6,9 @@
 `POST /control` changes it: {"quality": {"a": 0.4}, "error_ratio": {"a": 0.3},
 "slowdown": 4, "version_slowdown": {"a": 4}, "leaving": true, "swap_ids": true,
 "break_after": 5, "crash_on": "a text", "stall_ratio": 0.02, "stall_ms": 1000,
-"requests_per_s": 2.5}. The last is a rate limit that its answers name, -1 for none.
+"requests_per_s": 2.5, "backoff_s": 2, "announces_leaving": true}. `requests_per_s` is
+a rate limit that its answers name, -1 for none; with `backoff_s` it turns all requests
+away and asks for a backoff.
 """
 
 import argparse
@@ -52,6 +54,9 @@
     stall_ms: float = 0.0
     crash_on: str = ""
     requests_per_s: float = -1.0
+    backoff_s: float = 0.0
+    announces_leaving: bool = False
+    turned_away_ms: list[float] = field(default_factory=list)
     quality: dict[str, float] = field(default_factory=dict)
     error_ratio: dict[str, float] = field(default_factory=dict)
     version_slowdown: dict[str, float] = field(default_factory=dict)
@@ -119,7 +124,7 @@
     def answer(self, http: Request) -> Response:
         match (http.method, http.path):
             case ("POST", "/v1/chat/completions"):
-                return self.with_limit(self.chat(http))
+                return self.with_notices(self.chat(http))
             case ("POST", "/v1/orders"):
                 return self.order(http.get_json())
             case ("POST", "/control"):
@@ -128,11 +133,15 @@
                 return reply(self.load())
             case ("GET", "/runs"):
                 return reply(list(self.runs))
+            case ("GET", "/turned-away"):
+                return reply(self.turned_away_ms)
             case ("GET", "/orders"):
                 return reply(self.orders)
         return reply({"error": {"type": "no such path"}}, 404)
 
-    def with_limit(self, response: Response) -> Response:
+    def with_notices(self, response: Response) -> Response:
+        if self.announces_leaving:
+            response.headers["Ashlatch-Leaving"] = "1"
         if self.requests_per_s >= 0.0:
             named = str(self.requests_per_s)
             response.headers["Ashlatch-Requests-Per-S"] = named
@@ -181,6 +190,11 @@
         body = http.get_json()
         version = body["model"]
         attempt = http.headers.get("X-Request-Id", "")
+        if self.backoff_s > 0.0:
+            self.turned_away_ms.append(time.time() * 1000)
+            response = self.refuse("shed")
+            response.headers["Retry-After"] = str(self.backoff_s)
+            return response
         if self.leaving:
             return self.refuse("leaving")
         if version not in self.versions:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -712,7 +712,7 @@
     ),
     Mutant(
         "router-limit-ended-by-an-older-answer",
-        "ashlatch/router/limits.py",
+        "ashlatch/router/notices.py",
         "if not limit.accepts(event.limit_per_s, event.sent_ms):",
         "if False:",
         ROUTER_LIMITS,
--- a/tests/test_router_limits.py
+++ b/tests/test_router_limits.py
@@ -13,10 +13,10 @@
 
 import testtools
 
-from ashlatch.adapter.limits import named_limit_per_s
+from ashlatch.adapter.notices import decode_notice
 from ashlatch.http.client import Reply
 from ashlatch.policy.rate_limit import NO_LIMIT
-from ashlatch.router import limits
+from ashlatch.router import notices
 from ashlatch.router.core import RouterConfig, RouterCore
 from ashlatch.router.effect import Effect, GiveProblem, ScheduleHedge, StartAttempt
 from ashlatch.router.event import (
@@ -33,7 +33,7 @@
 from tests.limited import allowed, most_within
 from tests.test_router import ANSWER, NOW_MS, ORDER, RouterTest, request, table
 
-_HANDLERS_OF = (limits,)
+_HANDLERS_OF = (notices,)
 
 LIMIT_PER_S = 1.0
 REQUESTS_PER_S = 30
@@ -213,7 +213,8 @@
 class HeaderTest(testtools.TestCase):
     def named(self, *text: str) -> float | None:
         names = ("ashlatch-requests-per-s",)
-        return named_limit_per_s(Reply(200, dict(zip(names, text, strict=False))))
+        reply = Reply(200, dict(zip(names, text, strict=False)))
+        return decode_notice(reply).limit_per_s
 
     def test_what_a_reply_names(self) -> None:
         self.assertEqual(2.5, self.named("2.5"))
