Gateways hear of endpoints that shed, and ask others first

Each gateway finds each shedding endpoint by a request of its own, every three seconds, and three attempts and the budget of repeats are soon spent.

Now a gateway that is asked for a backoff tells the others, by one datagram a hall, when it outlasts what they know. They prefer other endpoints meanwhile (for 5 s at most, since it was asked of another), and send there where there is none: nothing is asked of them.

tests/backoff_soak.py, random worlds: backoffs of any length that are prolonged, parts of requests turned away, restarts, freezes, cuts, lists that lack an entry.

--- a/ashlatch/explain/belief.py
+++ b/ashlatch/explain/belief.py
@@ -48,6 +48,7 @@
     "endpoint_resumed": ("endpoint", "instance"),
     "endpoint_limited": ("rate limit", "instance"),
     "endpoint_backoff": ("backoff", "instance"),
+    "endpoint_sheds_elsewhere": ("backoff of another gateway", "instance"),
     "endpoint_leaves": ("leaving endpoint", "instance"),
     "content_held": ("held content", "content"),
     "content_survived": ("held content", "content"),
--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -159,7 +159,7 @@
 
 def _may_answer(state: EndpointState, now_ms: float) -> bool:
     """Whether nothing speaks for it that the endpoint fails or sheds still."""
-    return state.breaker.allows(now_ms) and not state.backoff.on_trial(now_ms)
+    return state.breaker.allows(now_ms) and not state.backoff.may_shed(now_ms)
 
 
 def first_model(route: Route, ask: Ask) -> str:
--- a/ashlatch/gateway/hearing.py
+++ b/ashlatch/gateway/hearing.py
@@ -15,13 +15,18 @@
 from ashlatch.gateway.crash import learn_crashes
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.limits import take_told, take_told_send
-from ashlatch.gateway.logs import EndpointMisdirected, EndpointNotListening
+from ashlatch.gateway.logs import (
+    EndpointMisdirected,
+    EndpointNotListening,
+    EndpointShedsElsewhere,
+)
 from ashlatch.gateway.message import LoadFigures
 from ashlatch.gateway.news import (
     ContentCrashed,
     EndpointAnnouncesLeaving,
     EndpointRefuses,
     EndpointReplaced,
+    EndpointSheds,
     LimitedSend,
     LimitNamed,
     LoadSeen,
@@ -97,6 +102,19 @@
         mark_leaving(known, state, teller.address)
 
 
+@HEARD.on(EndpointSheds)
+def _sheds(known: Knowledge, news: EndpointSheds, teller: Teller) -> None:
+    state = known.directory.state(news.instance)
+    if state is None:
+        return
+    state.backoff.request_of_peer(news.backoff_ms, teller.now_ms)
+    service, backoff_ms = state.endpoint.service, int(news.backoff_ms)
+    emit(
+        log,
+        EndpointShedsElsewhere(news.instance, service, backoff_ms, teller.address),
+    )
+
+
 @HEARD.on(LimitNamed)
 def _limit_named(known: Knowledge, news: LimitNamed, teller: Teller) -> None:
     state = known.directory.state(news.instance)
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -31,6 +31,7 @@
     "EndpointMisdirected",
     "EndpointNotListening",
     "EndpointResumed",
+    "EndpointShedsElsewhere",
     "EndpointSuspended",
     "EndpointsReplaced",
     "EvacuationsLearnt",
@@ -262,6 +263,20 @@
     request: str
 
 
+@dataclass(frozen=True)
+class EndpointShedsElsewhere(LogEvent):
+    """An endpoint has asked the gateway `teller` for a backoff.
+
+    This one goes on sending there only where it finds no other endpoint.
+    """
+
+    event: ClassVar[str] = "endpoint_sheds_elsewhere"
+    instance: str
+    service: str
+    backoff_ms: int
+    teller: str
+
+
 @dataclass(frozen=True)
 class EndpointLeaves(LogEvent):
     """An endpoint says that it is about to end; the list may tell that later.
--- a/ashlatch/gateway/news.py
+++ b/ashlatch/gateway/news.py
@@ -19,6 +19,7 @@
     "EndpointNews",
     "EndpointRefuses",
     "EndpointReplaced",
+    "EndpointSheds",
     "HallNews",
     "LimitNamed",
     "LimitedSend",
@@ -126,6 +127,17 @@
     for_hall: bool = False
 
 
+class EndpointSheds(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """An endpoint has turned a request away and asked its gateway for a backoff.
+
+    With `for_hall`, who gets it tells the other gateways of its hall.
+    """
+
+    instance: str
+    backoff_ms: float
+    for_hall: bool = False
+
+
 # What is about one endpoint.
 EndpointNews = (
     PromptSent
@@ -135,6 +147,7 @@
     | LimitNamed
     | LimitedSend
     | EndpointAnnouncesLeaving
+    | EndpointSheds
 )
 PeerNews = EndpointNews | SessionMoved | ContentCrashed
 # What concerns gateways by their halls.
@@ -146,4 +159,5 @@
     | LimitNamed
     | LimitedSend
     | EndpointAnnouncesLeaving
+    | EndpointSheds
 )
--- a/ashlatch/gateway/notices.py
+++ b/ashlatch/gateway/notices.py
@@ -15,7 +15,7 @@
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.logs import EndpointBackoff, EndpointLeaves
 from ashlatch.gateway.message import AnswerHead
-from ashlatch.gateway.news import EndpointAnnouncesLeaving
+from ashlatch.gateway.news import EndpointAnnouncesLeaving, EndpointSheds
 from ashlatch.log import emit
 
 __all__ = ["apply_notice", "mark_leaving"]
@@ -70,3 +70,6 @@
             head.request_id,
         )
         emit(log, asked)
+    if state.backoff.is_news(now_ms):
+        state.backoff.request_of_peer(head.backoff_ms, now_ms)
+        known.tell(EndpointSheds(state.endpoint.instance, round(head.backoff_ms, 1)))
--- a/ashlatch/gateway/peers.py
+++ b/ashlatch/gateway/peers.py
@@ -32,6 +32,7 @@
     EndpointAnnouncesLeaving,
     EndpointRefuses,
     EndpointReplaced,
+    EndpointSheds,
     HallNews,
     LimitedSend,
     LimitNamed,
@@ -59,6 +60,7 @@
     LimitNamed: TrafficKind.LIMIT,
     LimitedSend: TrafficKind.LIMIT,
     EndpointAnnouncesLeaving: TrafficKind.LEAVING,
+    EndpointSheds: TrafficKind.BACKOFF,
 }
 # What every gateway should hear, wherever the endpoint is.
 _FOR_ALL = (
@@ -67,6 +69,7 @@
     | LimitNamed
     | LimitedSend
     | EndpointAnnouncesLeaving
+    | EndpointSheds
 )
 
 
--- a/ashlatch/gateway/traffic.py
+++ b/ashlatch/gateway/traffic.py
@@ -38,6 +38,7 @@
     CRASHES = "crashes"
     LIMIT = "limit"
     LEAVING = "leaving"
+    BACKOFF = "backoff"
 
 
 @dataclass(frozen=True)
--- a/ashlatch/policy/backoff.py
+++ b/ashlatch/policy/backoff.py
@@ -2,7 +2,8 @@
 ashlatch.policy.backoff
 ~~~~~~~~~~~~~~~~~~~~~~~
 
-How long an endpoint has asked this process to send it nothing.
+How long an endpoint has asked this process to send it nothing, and that it has asked
+others.
 
 The load it answers: an endpoint that sheds its requests looks idle, so it would be
 chosen for all of them, and for all of those that come back, until it serves again.
@@ -14,6 +15,11 @@
 
 # An endpoint that sheds says so within a round trip.
 TRIAL_MS = 250.0
+# A backoff of another process is not asked of this one: a long one may be meant for
+# that process alone.
+PEERS_MAX_MS = 5000.0
+# Others hear of a backoff again when it outlasts by this what they know.
+NEWS_MS = 500.0
 
 
 @dataclass
@@ -24,11 +30,15 @@
         backoff.request(3000.0, now_ms=1000.0)
         backoff.wait_ms(now_ms=2500.0)  # 1500.0
 
+    `peers_until_ms` is until when another process backs off, as far as is known here:
+    the endpoint has asked nothing of this one, but it is likely to.
+
     The longest of several requests counts, whatever comes between them: an answer to
     an earlier request, or to one that the endpoint had room for, withdraws none.
     """
 
     until_ms: float = float("-inf")
+    peers_until_ms: float = float("-inf")
     _served: bool = True
     _trial_ends_ms: float = float("-inf")
 
@@ -41,6 +51,16 @@
         self.until_ms = until_ms
         return True
 
+    def request_of_peer(self, backoff_ms: float, now_ms: float) -> None:
+        """Another process has been asked for a backoff a moment ago."""
+        until_ms = now_ms + min(backoff_ms, PEERS_MAX_MS)
+        self.peers_until_ms = max(self.peers_until_ms, until_ms)
+
+    def is_news(self, now_ms: float) -> bool:
+        """Whether others should hear of the backoff that has just been asked for."""
+        until_ms = min(self.until_ms, now_ms + PEERS_MAX_MS)
+        return until_ms > self.peers_until_ms + NEWS_MS
+
     def wait_ms(self, now_ms: float) -> float:
         """The time until a request may be sent; 0 if it may be now."""
         return max(0.0, self.until_ms - now_ms)
@@ -55,9 +75,11 @@
         if sent_ms >= self.until_ms:
             self._served = True
 
-    def on_trial(self, now_ms: float) -> bool:
-        """Whether the first request since the backoff may still be turned away.
+    def may_shed(self, now_ms: float) -> bool:
+        """Whether a request would probably be turned away, and should go elsewhere.
 
-        Others should go elsewhere meanwhile, if they can.
+        The first one after a backoff has not been answered yet, or another process
+        backs off.
         """
-        return not self._served and now_ms < self._trial_ends_ms
+        on_trial = not self._served and now_ms < self._trial_ends_ms
+        return on_trial or now_ms < self.peers_until_ms
--- a/ashlatch/router/plan.py
+++ b/ashlatch/router/plan.py
@@ -316,16 +316,16 @@
                 ready.append(Ready(endpoint, load, self._candidate(endpoint, load)))
             else:
                 excluded.append(Exclusion(endpoint.name, why))
-        on_trial = [r for r in ready if self._on_trial(r.endpoint.name, now_ms)]
-        if not on_trial or len(on_trial) == len(ready):
+        doubtful = [r for r in ready if self._may_shed(r.endpoint.name, now_ms)]
+        if not doubtful or len(doubtful) == len(ready):
             return ready
-        excluded += [Exclusion(r.endpoint.name, WhyOut.TRIAL) for r in on_trial]
-        return [r for r in ready if r not in on_trial]
+        excluded += [Exclusion(r.endpoint.name, WhyOut.TRIAL) for r in doubtful]
+        return [r for r in ready if r not in doubtful]
 
-    def _on_trial(self, endpoint: str, now_ms: float) -> bool:
+    def _may_shed(self, endpoint: str, now_ms: float) -> bool:
         """Whether the first request after a backoff is not answered yet."""
         backoff = self.backoffs.get(endpoint)
-        return backoff is not None and backoff.on_trial(now_ms)
+        return backoff is not None and backoff.may_shed(now_ms)
 
     def _plan_version(
         self, request: Request, version: str, now_ms: float, ready: list[Ready]
--- /dev/null
+++ b/tests/backoff_soak.py
@@ -0,0 +1,182 @@
+"""Random worlds of endpoints that shed and leave: backoffs of any length that are
+prolonged, shares of requests that are turned away, gateways that start again, stand
+still or are cut off, lists that lack an entry, messages that come late or are lost.
+
+python -m tests.backoff_soak --seed 1 --worlds 200
+
+In each world no gateway that was not restarted or frozen since sends within a backoff,
+or to an endpoint that has told it that it leaves; and when all endpoints serve again,
+callers of all gateways are served.
+"""
+
+import argparse
+import random
+from dataclasses import dataclass, field
+from functools import partial
+
+from ashlatch.catalog import EndpointList
+from tests.limit_play import Network
+from tests.shed_play import Shedder, ShedWorld
+from tests.shedding import WITHIN_BACKOFF_MAX
+
+LENGTH_S = 30.0
+# All endpoints that do not leave serve from then on, and nothing befalls anybody.
+CALM_S = 18.0
+# The longest backoff of a world is over by then.
+SETTLED_S = 26.0
+BACKOFFS_S = (0.05, 0.4, 1.0, 2.5, 4.0, 7.9)
+
+
+class RuleBroken(AssertionError):
+    """An endpoint got what it had asked not to get, or callers were not served."""
+
+
+@dataclass
+class Plan:
+    """What a seed has drawn: the size, the load and the faults."""
+
+    seed: int
+    gateways: int
+    endpoints: int
+    requests_per_s: float
+    network: Network
+    answer_ms: float
+    faults: list[str] = field(default_factory=list)
+
+
+class SoakWorld(ShedWorld):
+    """A world with faults; `excused` are the gateways that one befell, and when."""
+
+    def __init__(self, plan: Plan) -> None:
+        super().__init__(
+            plan.gateways, plan.endpoints, plan.seed, plan.network, plan.answer_ms
+        )
+        self.plan = plan
+        self.excused: list[tuple[int, float, float]] = []
+        self.refused_calm = 0
+        self._list_number = 1
+
+    def draw(self) -> None:
+        """Plan what endpoints do and what befalls gateways, until the calm."""
+        for shedder in self.shedders:
+            at_s = self.random.uniform(0.0, 4.0)
+            while at_s < CALM_S:
+                self.at_s(at_s, partial(self._shed, shedder))
+                at_s += self.random.uniform(1.0, 8.0)
+        for shedder in self.shedders[1:]:
+            if self.random.random() < 0.2:
+                shedder.leaves_s = self.random.uniform(1.0, CALM_S)
+        for _ in range(self.random.randrange(0, 6)):
+            at_s = self.random.uniform(1.0, CALM_S - 4.0)
+            fault = self.random.choice((self._restart, self._freeze, self._cut))
+            fault(self.random.randrange(self.plan.gateways), at_s)
+        for _ in range(self.random.randrange(0, 5)):
+            number = self.random.randrange(self.plan.endpoints)
+            begin_s = self.random.uniform(1.0, CALM_S)
+            self.at_s(begin_s, partial(self._list_without, number))
+            self.at_s(begin_s + 0.5, partial(self._list_without, -1))
+        self.at_s(SETTLED_S, self._settle)
+
+    def _shed(self, shedder: Shedder) -> None:
+        length_s = self.random.choice((0.0, 0.3, 2.0, 6.0))
+        now_s = self.now_ms / 1000.0
+        shedder.sheds_until_s = min(CALM_S, now_s + length_s)
+        shedder.backoff_s = self.random.choice(BACKOFFS_S)
+        shedder.share = self.random.choice((0.1, 0.5, 1.0))
+
+    def _list_without(self, number: int) -> None:
+        """A list that lacks an entry comes to all gateways; -1 for the whole one."""
+        self._list_number += 1
+        listed = tuple(e for n, e in enumerate(self._listed) if n != number)
+        for known in self.gateways:
+            known.directory.replace(
+                EndpointList(1, self._list_number, listed), self.now_ms
+            )
+
+    def _excuse(self, what: str, number: int, begin_s: float, end_s: float) -> None:
+        self.plan.faults.append(f"{what} {number} at {begin_s:.1f} to {end_s:.1f}")
+        self.excused.append((number, begin_s, end_s))
+
+    def _restart(self, number: int, at_s: float) -> None:
+        self.at_s(at_s, partial(self.restart, number))
+        self._excuse("restart", number, at_s, at_s)
+
+    def _freeze(self, number: int, at_s: float) -> None:
+        ends_s = at_s + self.random.uniform(0.3, 4.0)
+        self.at_s(at_s, partial(self.frozen.__setitem__, number, []))
+        self.at_s(ends_s, partial(self.wake, number))
+        self._excuse("freeze", number, at_s, ends_s)
+
+    def _cut(self, number: int, at_s: float) -> None:
+        """Nothing excuses a gateway that hears neither the others nor the core."""
+        ends_s = at_s + self.random.uniform(1.0, 6.0)
+        self.at_s(at_s, partial(self.cut_off, number))
+        self.at_s(ends_s, partial(self.rejoin, number))
+        self.plan.faults.append(f"cut {number} at {at_s:.1f} to {ends_s:.1f}")
+
+    def _settle(self) -> None:
+        self.refused_calm = self.refused
+
+    # The checks.
+
+    def check(self) -> None:
+        """Raise `RuleBroken` if a request went where none may, or callers had none."""
+        for gateway, index, asked_s, until_s in self.backoffs:
+            ends_s = min(until_s, self._befell_s(gateway, asked_s))
+            within = self.sent_within(gateway, index, asked_s, ends_s)
+            if within > WITHIN_BACKOFF_MAX:
+                raise RuleBroken(f"{within} within a backoff of {gateway}, {self.plan}")
+        for gateway, index, at_s in self.announced:
+            ends_s = self._befell_s(gateway, at_s)
+            late = self.sent_within(gateway, index, at_s, ends_s)
+            if late:
+                raise RuleBroken(f"{late} to leaving {index}, {self.plan}")
+        if self.refused > self.refused_calm:
+            refused = self.refused - self.refused_calm
+            raise RuleBroken(f"{refused} refused when all serve, {self.plan}")
+
+    def _befell_s(self, gateway: int, since_s: float) -> float:
+        """When something next befell a gateway; that excuses it from then on."""
+        later = (
+            max(begin_s, since_s)
+            for number, begin_s, end_s in self.excused
+            if number == gateway and end_s >= since_s
+        )
+        return min(later, default=LENGTH_S)
+
+
+def play(seed: int) -> Plan:
+    """Play the world of a seed; raises `RuleBroken`."""
+    drawn = random.Random(seed)
+    plan = Plan(
+        seed,
+        drawn.choice((1, 2, 3, 7, 7, 11, 30)),
+        drawn.choice((1, 2, 3, 5, 9)),
+        drawn.choice((20.0, 60.0, 150.0)),
+        Network(drawn.choice((1.0, 5.0, 25.0)), drawn.choice((0.0, 0.0, 0.03, 0.1))),
+        drawn.choice((20.0, 100.0, 800.0)),
+    )
+    world = SoakWorld(plan)
+    world.draw()
+    world.play(plan.requests_per_s, LENGTH_S)
+    world.check()
+    return plan
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--worlds", type=int, default=50)
+    given = parser.parse_args()
+    failed = 0
+    for seed in range(given.seed, given.seed + given.worlds):
+        try:
+            play(seed)
+        except RuleBroken as error:
+            failed += 1
+            print(error, flush=True)
+    print(f"{given.worlds} worlds from seed {given.seed}, {failed} failed")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/limit_play.py
+++ b/tests/limit_play.py
@@ -221,7 +221,7 @@
             self._table.services["app"],
             AllowedEndpoints(states, VersionReason.NO_ROLLOUT),
             frozenset(),
-            Send(_ASK, "", 1000.0),
+            Send(ASK, "", 1000.0),
             self.now_ms,
         )
         if chosen is None:
@@ -268,7 +268,7 @@
         take_named(known, state, answered, self.now_ms)
 
 
-_ASK = Ask(
+ASK = Ask(
     "r", "GET", "/get/1", "shop.example", [], b"", 0.0, None, "", "", False,
     0, 0, (), "", "",
 )  # fmt: skip
--- a/tests/test_backoff_policy.py
+++ b/tests/test_backoff_policy.py
@@ -31,20 +31,20 @@
         self.backoff.served(sent_ms=500.0)
         self.assertEqual(1000.0, self.backoff.wait_ms(2000.0))
         self.backoff.sent(3000.0)
-        self.assertTrue(self.backoff.on_trial(3001.0))
+        self.assertTrue(self.backoff.may_shed(3001.0))
 
     def test_one_request_is_on_trial_after_it(self) -> None:
-        self.assertFalse(self.backoff.on_trial(3000.0))
+        self.assertFalse(self.backoff.may_shed(3000.0))
         self.backoff.sent(3000.0)
-        self.assertTrue(self.backoff.on_trial(3000.0 + TRIAL_MS - 1.0))
-        self.assertFalse(self.backoff.on_trial(3000.0 + TRIAL_MS))
+        self.assertTrue(self.backoff.may_shed(3000.0 + TRIAL_MS - 1.0))
+        self.assertFalse(self.backoff.may_shed(3000.0 + TRIAL_MS))
 
     def test_the_trial_ends_with_an_answer(self) -> None:
         self.backoff.sent(3000.0)
         self.backoff.served(sent_ms=3000.0)
-        self.assertFalse(self.backoff.on_trial(3010.0))
+        self.assertFalse(self.backoff.may_shed(3010.0))
         self.backoff.sent(3010.0)
-        self.assertFalse(self.backoff.on_trial(3011.0))
+        self.assertFalse(self.backoff.may_shed(3011.0))
 
     @given(st.lists(st.tuples(st.floats(0, 1e4), st.floats(0, 1e4)), min_size=1))
     def test_none_that_was_asked_for_is_cut_short(
--- a/tests/test_router_backoff.py
+++ b/tests/test_router_backoff.py
@@ -154,9 +154,9 @@
         later_ms = NOW_MS + 3000.0
         planner = self.core.planner
         planner.sent("e1", later_ms)
-        self.assertTrue(planner.backoff("e1").on_trial(later_ms))
+        self.assertTrue(planner.backoff("e1").may_shed(later_ms))
         self.step(EndpointHeard("e1", NO_LIMIT, later_ms, True), later_ms + 5.0)
-        self.assertFalse(planner.backoff("e1").on_trial(later_ms + 5.0))
+        self.assertFalse(planner.backoff("e1").may_shed(later_ms + 5.0))
 
 
 class NoticeTest(testtools.TestCase):
--- /dev/null
+++ b/tests/test_shed_load.py
@@ -0,0 +1,54 @@
+"""Many gateways before endpoints that shed, while others have room."""
+
+import testtools
+
+from ashlatch.policy.backoff import Backoff
+from tests.backoff_soak import play
+from tests.shed_play import play_shedding
+from tests.shedding import WITHIN_BACKOFF_MAX
+
+# Of the requests, and only until the gateways have heard of all endpoints that shed.
+REFUSED_MAX = 0.05
+SEEDS = 2
+
+
+class ShedLoadTest(testtools.TestCase):
+    def check(self, gateways: int, shedding: int, endpoints: int, per_s: float) -> None:
+        for seed in range(SEEDS):
+            world = play_shedding(gateways, shedding, endpoints, per_s, seed)
+            asked = world.refused + world.answered
+            self.assertTrue(world.refused < REFUSED_MAX * asked, str(world.refused))
+            most = world.most_within_backoff()
+            self.assertTrue(most <= WITHIN_BACKOFF_MAX, str(most))
+
+    def test_callers_are_served_where_two_of_five_shed(self) -> None:
+        self.check(7, 2, 5, 30.0)
+
+    def test_callers_are_served_where_all_but_one_shed(self) -> None:
+        self.check(7, 4, 5, 30.0)
+        self.check(61, 69, 70, 200.0)
+        self.check(195, 38, 39, 250.0)
+
+    def test_a_backoff_of_one_gateway_closes_the_endpoint_to_no_other(self) -> None:
+        backoff = Backoff()
+        backoff.request_of_peer(60_000.0, now_ms=0.0)
+        self.assertEqual(0.0, backoff.wait_ms(1.0))
+        self.assertTrue(backoff.may_shed(4999.0))
+        self.assertFalse(backoff.may_shed(5001.0))
+
+    def test_others_are_told_when_it_outlasts_what_they_know(self) -> None:
+        backoff = Backoff()
+        backoff.request(3000.0, now_ms=0.0)
+        self.assertTrue(backoff.is_news(0.0))
+        backoff.request_of_peer(3000.0, now_ms=0.0)
+        self.assertFalse(backoff.is_news(0.0))
+        backoff.request(3000.0, now_ms=100.0)
+        self.assertFalse(backoff.is_news(100.0))
+        backoff.request(3000.0, now_ms=2000.0)
+        self.assertTrue(backoff.is_news(2000.0))
+
+
+class RandomWorldsTest(testtools.TestCase):
+    def test_seeds(self) -> None:
+        for seed in range(1, 9):
+            play(seed)
