Rate limits by the names of the field; a known return goes before an evacuation

take_named, take_told, take_told_send, note_limited_send and Answered are apply_answer_limit, apply_peer_limit, apply_peer_send, record_limited_send and LimitReport; RateLimit.named and ended are set_rate and clear. A caller who finds evacuated endpoints and others that open at a known time is told that time: before, 2 s whatever it was.

--- a/ashlatch/gateway/account.py
+++ b/ashlatch/gateway/account.py
@@ -22,7 +22,7 @@
 from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.forecast import Forecast
 from ashlatch.gateway.knowledge import Knowledge
-from ashlatch.gateway.limits import Answered, note_limited_send, take_named
+from ashlatch.gateway.limits import LimitReport, apply_answer_limit, record_limited_send
 from ashlatch.gateway.logs import (
     AnswerWeighed,
     AttemptEnded,
@@ -108,7 +108,7 @@
             choice.barred.get(Barrier.LEAVING, 0),
         )
         emit(log, sent)
-        note_limited_send(self._known, choice.state, self._now_ms())
+        record_limited_send(self._known, choice.state, self._now_ms())
         self._known.metrics.count(f"versions_by_{choice.allowed.reason.value}")
         self._note_session(endpoint)
         if choice.forecast is not None:
@@ -187,13 +187,13 @@
         apply_notice(self._known, attempt.state, head, sent_ms, self._now_ms())
         if head.limit_per_s is None:
             return
-        answered = Answered(
+        answered = LimitReport(
             self._admission.ask.request_id,
             head.limit_per_s,
             sent_ms,
             attempt.head is not None,
         )
-        take_named(self._known, attempt.state, answered, self._now_ms())
+        apply_answer_limit(self._known, attempt.state, answered, self._now_ms())
 
     def _limit_age_ms(self, state: EndpointState) -> int:
         age_ms = self._now_ms() - state.limit.heard_ms
--- a/ashlatch/gateway/chooser.py
+++ b/ashlatch/gateway/chooser.py
@@ -118,11 +118,11 @@
     def nowhere(self) -> Refused:
         """The refusal of a request that has not run and can be sent to no endpoint."""
         states = self._states()
-        if any(state.evacuated for state in states):
-            return Refused(503, RefusalReason.EVACUATED, EVACUATED_AFTER_S)
         waiting = self.waiting()
         if waiting is not None:
             return waiting
+        if any(state.evacuated for state in states):
+            return Refused(503, RefusalReason.EVACUATED, EVACUATED_AFTER_S)
         reason = RefusalReason.NO_ENDPOINT
         if not states and self._admission.region_bound:
             reason = RefusalReason.NO_ENDPOINT_IN_REGION
--- a/ashlatch/gateway/hearing.py
+++ b/ashlatch/gateway/hearing.py
@@ -14,7 +14,7 @@
 
 from ashlatch.gateway.crash import learn_crashes
 from ashlatch.gateway.knowledge import Knowledge
-from ashlatch.gateway.limits import take_told, take_told_send
+from ashlatch.gateway.limits import apply_peer_limit, apply_peer_send
 from ashlatch.gateway.logs import (
     EndpointMisdirected,
     EndpointNotListening,
@@ -119,14 +119,14 @@
 def _limit_named(known: Knowledge, news: LimitNamed, teller: Teller) -> None:
     state = known.directory.state(news.instance)
     if state is not None:
-        take_told(known, state, news, teller.address, teller.now_ms)
+        apply_peer_limit(known, state, news, teller.address, teller.now_ms)
 
 
 @HEARD.on(LimitedSend)
 def _limited_send(known: Knowledge, news: LimitedSend, teller: Teller) -> None:
     state = known.directory.state(news.instance)
     if state is not None:
-        take_told_send(known, state, teller.now_ms)
+        apply_peer_send(known, state, teller.now_ms)
 
 
 @HEARD.on(LoadSeen)
--- a/ashlatch/gateway/limits.py
+++ b/ashlatch/gateway/limits.py
@@ -21,13 +21,13 @@
 from ashlatch.policy.rate_limit import NO_LIMIT, RATE_MIN_PER_S, SECOND_MS, Sharers
 
 __all__ = [
-    "Answered",
+    "LimitReport",
+    "apply_answer_limit",
+    "apply_peer_limit",
+    "apply_peer_send",
     "limit_step_ms",
     "limit_wait_ms",
-    "note_limited_send",
-    "take_named",
-    "take_told",
-    "take_told_send",
+    "record_limited_send",
 ]
 
 log = logging.getLogger("ashlatch.gateway")
@@ -38,7 +38,7 @@
 
 
 @dataclass(frozen=True)
-class Answered:
+class LimitReport:
     """What the answer to a request that was sent at `sent_ms` says of a limit.
 
     `run` is whether the endpoint has run the request: one that turns requests away may
@@ -64,7 +64,7 @@
     return state.limit.wait_ms(_sharers(known), now_ms)
 
 
-def note_limited_send(known: Knowledge, state: EndpointState, now_ms: float) -> None:
+def record_limited_send(known: Knowledge, state: EndpointState, now_ms: float) -> None:
     """A request goes to an endpoint; the others hear of it, if it is limited."""
     if not state.limit.limited:
         return
@@ -73,40 +73,40 @@
     known.tell(LimitedSend(state.endpoint.instance))
 
 
-def take_named(
-    known: Knowledge, state: EndpointState, answered: Answered, now_ms: float
+def apply_answer_limit(
+    known: Knowledge, state: EndpointState, report: LimitReport, now_ms: float
 ) -> None:
-    """Learn from an answer, and tell the others what they should hear.
+    """Learn from an answer, and tell the other gateways if it is news to them.
 
-    Without a word from who has heard of it, each gateway would begin with sends of its
-    own, and one that seldom asks the endpoint would not know for long.
+    Otherwise each would begin with sends of its own, and one that seldom asks the
+    endpoint would not know for long.
     """
-    per_s = answered.limit_per_s
-    if per_s == NO_LIMIT and not (answered.run and state.limit.limited):
+    per_s = report.limit_per_s
+    if per_s == NO_LIMIT and not (report.run and state.limit.limited):
         return
-    if not state.limit.accepts(per_s, answered.sent_ms):
+    if not state.limit.accepts(per_s, report.sent_ms):
         return
     if state.limit.is_news(per_s, now_ms):
-        age_ms = now_ms - answered.sent_ms
+        age_ms = now_ms - report.sent_ms
         known.tell(LimitNamed(state.endpoint.instance, per_s, round(age_ms, 1)))
         state.limit.told_ms = now_ms
-    _learn(known, state, per_s, answered.request, now_ms)
+    _learn(known, state, per_s, report.request, now_ms)
 
 
-def take_told(
-    known: Knowledge, state: EndpointState, news: LimitNamed, teller: str, now_ms: float
+def apply_peer_limit(
+    known: Knowledge, state: EndpointState, news: LimitNamed, source: str, now_ms: float
 ) -> None:
-    """Learn what another gateway has heard, unless more is known here.
+    """Take the limit that another gateway has heard of, unless a newer one is known.
 
-    It may have stood still, and tell what was so seconds ago.
+    It may have stood still, and report a limit of seconds ago.
     """
     if not state.limit.accepts(news.limit_per_s, now_ms - news.age_ms):
         return
     state.limit.told_ms = now_ms
-    _learn(known, state, news.limit_per_s, teller, now_ms)
+    _learn(known, state, news.limit_per_s, source, now_ms)
 
 
-def take_told_send(known: Knowledge, state: EndpointState, now_ms: float) -> None:
+def apply_peer_send(known: Knowledge, state: EndpointState, now_ms: float) -> None:
     """Another gateway sends to an endpoint that it knows to be limited."""
     state.limit.sent_elsewhere(_sharers(known), known.generator.random(), now_ms)
 
@@ -117,9 +117,9 @@
     limit = state.limit
     before_per_s = limit.per_s
     if per_s == NO_LIMIT:
-        limit.ended()
+        limit.clear()
     else:
-        limit.named(per_s, _sharers(known), known.generator.random(), now_ms)
+        limit.set_rate(per_s, _sharers(known), known.generator.random(), now_ms)
     if per_s != before_per_s:
         known.metrics.count("limits_learnt")
         endpoint = state.endpoint
--- a/ashlatch/policy/rate_limit.py
+++ b/ashlatch/policy/rate_limit.py
@@ -7,8 +7,8 @@
 
 Each gateway keeps a token bucket for the endpoint and takes a token from it for each
 send, its own and those that others tell of. A fixed part of the limit for each gateway
-would keep the bound without a word between them, but leave most of it unused: one of
-195 gateways could send one request in minutes, and callers come to any of them.
+would keep the bound without any message between them, but leave most of it unused: one
+of 195 gateways could send one request in minutes, and callers come to any of them.
 
 The load it answers: an endpoint in need has few requests, so it looks like the best
 choice to all gateways, at the very moment at which the next token is there.
@@ -33,7 +33,7 @@
 OWED_MAX_S = 1.5
 # Gateways wait for a token and for a drawn part of this time, or of another token if
 # that comes sooner, so that they do not all send at the moment at which it is there: a
-# word between them takes milliseconds.
+# message between them takes milliseconds.
 DRAWN_MAX_S = 1.0
 # A limit that others know is told again after this long, for gateways that have
 # started since, or when it differs by this part.
@@ -75,7 +75,7 @@
 
         limit, alone = RateLimit(), Sharers()
         limit.wait_ms(alone, now_ms=0.0)  # 0.0
-        limit.named(2.0, alone, drawn=0.0, now_ms=0.0)
+        limit.set_rate(2.0, alone, drawn=0.0, now_ms=0.0)
         limit.wait_ms(alone, now_ms=0.0)  # 500.0
         limit.sent(alone, drawn=0.0, now_ms=500.0)
         limit.wait_ms(alone, now_ms=500.0)  # 500.0
@@ -99,7 +99,7 @@
             return True
         return abs(per_s - self.per_s) > CHANGE_MIN * self.per_s
 
-    def named(
+    def set_rate(
         self, per_s: float, sharers: Sharers, drawn: float, now_ms: float
     ) -> None:
         """The endpoint names a limit, which may be another one than before."""
@@ -117,7 +117,7 @@
             self._keep_within(sharers)
             self._drawn = drawn
 
-    def ended(self) -> None:
+    def clear(self) -> None:
         """The endpoint names no limit any more."""
         self.per_s = NO_LIMIT
 
--- a/ashlatch/router/notices.py
+++ b/ashlatch/router/notices.py
@@ -86,9 +86,9 @@
         return
     if per_s != NO_LIMIT:
         drawn = core.random.random()
-        limit.named(per_s, core.planner.sharers, drawn, core.now_ms)
+        limit.set_rate(per_s, core.planner.sharers, drawn, core.now_ms)
     elif event.run:
-        limit.ended()
+        limit.clear()
     if limit.per_s != before_per_s:
         changed = EndpointLimited(
             core.config.vm, event.endpoint, limit.per_s, before_per_s
--- a/tests/limit_play.py
+++ b/tests/limit_play.py
@@ -23,9 +23,9 @@
 from ashlatch.gateway.forecast import Send
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.limits import (
-    Answered,
-    note_limited_send,
-    take_named,
+    LimitReport,
+    apply_answer_limit,
+    record_limited_send,
 )
 from ashlatch.gateway.message import Ask
 from ashlatch.gateway.peers import GatewayPeers
@@ -231,7 +231,7 @@
             self.refusals.append(Refusal(self.now_ms / 1000.0, found.after_s))
             return
         state = chosen.state
-        note_limited_send(known, state, self.now_ms)
+        record_limited_send(known, state, self.now_ms)
         state.sent(self.now_ms)
         self.served[number] += 1
         index = int(state.endpoint.instance.partition("-")[2])
@@ -264,8 +264,8 @@
             index = int(state.endpoint.instance.partition("-")[2])
             self.named[index].append((self.now_ms / 1000.0, number))
         state.load.finished(self.now_ms, None)
-        answered = Answered("r", limit_per_s, sent_ms, True)
-        take_named(known, state, answered, self.now_ms)
+        answered = LimitReport("r", limit_per_s, sent_ms, True)
+        apply_answer_limit(known, state, answered, self.now_ms)
 
 
 ASK = Ask(
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -56,7 +56,7 @@
         self.learn(RolloutStage.LOAD_TEST, 1.0, 1)
         self.states.append(self.state("v2", 2))
         (tested,) = self.chooser.allowed("app", "s", "r1", self.states, 0.0).states
-        tested.limit.named(5.0, Sharers(), 0.0, 0.0)
+        tested.limit.set_rate(5.0, Sharers(), 0.0, 0.0)
         (other,) = self.chooser.allowed("app", "s", "r1", self.states, 0.0).states
         self.assertNotEqual(tested.endpoint.instance, other.endpoint.instance)
 
--- a/tests/test_limit_load.py
+++ b/tests/test_limit_load.py
@@ -14,10 +14,10 @@
 
 from ashlatch.gateway.cold import GATEWAYS_KNOWN_MS, ColdGate
 from ashlatch.gateway.limits import (
-    Answered,
+    LimitReport,
+    apply_answer_limit,
+    apply_peer_limit,
     limit_wait_ms,
-    take_named,
-    take_told,
 )
 from ashlatch.gateway.news import LimitNamed
 from ashlatch.policy.rate_limit import (
@@ -255,7 +255,7 @@
     def told(self, per_s: float, age_ms: float, now_ms: float) -> float:
         """What is known after another gateway's word of an answer that old."""
         news = LimitNamed("i-0", per_s, age_ms)
-        take_told(self.known, self.state, news, "g-1:7000", now_ms)
+        apply_peer_limit(self.known, self.state, news, "g-1:7000", now_ms)
         return self.state.limit.per_s
 
     def test_the_word_of_a_gateway_that_stood_still(self) -> None:
@@ -269,8 +269,8 @@
 
     def answered(self, sent_ms: float, run: bool = True) -> bool:
         """Whether it is limited after an answer that names no limit."""
-        answered = Answered("r1", NO_LIMIT, sent_ms, run)
-        take_named(self.known, self.state, answered, 2000.0)
+        answered = LimitReport("r1", NO_LIMIT, sent_ms, run)
+        apply_answer_limit(self.known, self.state, answered, 2000.0)
         return self.state.limit.limited
 
     def test_an_answer_to_a_request_that_was_sent_before(self) -> None:
@@ -298,7 +298,7 @@
 
     def limit(self, per_s: float = 2.0) -> RateLimit:
         limit = RateLimit()
-        limit.named(per_s, self.ALONE, 0.0, 0.0)
+        limit.set_rate(per_s, self.ALONE, 0.0, 0.0)
         return limit
 
     def test_without_a_limit(self) -> None:
@@ -332,7 +332,7 @@
     def test_what_was_drawn_apart_is_reached_together(self) -> None:
         """A gateway that was cut off had to wait for more than is saved by all."""
         limit = RateLimit()
-        limit.named(0.3, Sharers(7, in_touch=False), 0.99, 0.0)
+        limit.set_rate(0.3, Sharers(7, in_touch=False), 0.99, 0.0)
         self.assertEqual(0.0, limit.wait_ms(Sharers(7), 60_000.0))
 
     def test_what_is_owed_at_another_rate(self) -> None:
@@ -340,7 +340,7 @@
         limit = self.limit(20.0)
         for _ in range(20):
             limit.sent_elsewhere(self.ALONE, 0.0, 0.0)
-        limit.named(0.0, self.ALONE, 0.0, 0.0)
+        limit.set_rate(0.0, self.ALONE, 0.0, 0.0)
         longest_ms = OWED_MAX_S * 1000.0 + 1000.0 / RATE_MIN_PER_S
         self.assertEqual(longest_ms, limit.wait_ms(self.ALONE, 0.0))
 
@@ -355,7 +355,7 @@
     def test_a_part_of_its_own_without_the_others(self) -> None:
         apart = Sharers(10, in_touch=False)
         limit = RateLimit()
-        limit.named(2.0, apart, 0.0, 0.0)
+        limit.set_rate(2.0, apart, 0.0, 0.0)
         self.assertEqual(5000.0, limit.wait_ms(apart, 0.0))
 
     def test_nothing_is_taken_now_and_then(self) -> None:
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -114,7 +114,7 @@
             state = self.known.directory.state("i-1")
             assert state is not None
             # There is room again before the first endpoint has been silent for long.
-            state.limit.named(5.0, Sharers(), 0.0, now_ms)
+            state.limit.set_rate(5.0, Sharers(), 0.0, now_ms)
 
         self.prepare = prepare  # type: ignore[method-assign]
         self.assertEqual([200], self.play([silent, limited], [ask("/get/1")]))
