Mutants of backoffs and leaving endpoints; a router forgets a backoff that is over

The nine older mutants whose guards had moved follow them. A router kept a record for each endpoint it had ever heard and so heard of each of its answers: it drops it with the first answer after the backoff.

--- a/ashlatch/router/notices.py
+++ b/ashlatch/router/notices.py
@@ -67,10 +67,10 @@
 
 
 def _apply_backoff(core: RouterCore, event: EndpointHeard) -> None:
-    backoff = core.planner.backoff(event.endpoint)
     if not event.backoff_ms:
-        backoff.served(event.sent_ms)
+        core.planner.served(event.endpoint, event.sent_ms)
         return
+    backoff = core.planner.backoff(event.endpoint)
     before_ms = backoff.wait_ms(core.now_ms)
     if backoff.request(event.backoff_ms, core.now_ms):
         asked = EndpointBackoff(
--- a/ashlatch/router/plan.py
+++ b/ashlatch/router/plan.py
@@ -129,6 +129,12 @@
         """The backoff that an endpoint has asked for."""
         return self.backoffs.setdefault(endpoint, Backoff())
 
+    def served(self, endpoint: str, sent_ms: float) -> None:
+        """A request that was sent at this time has not been turned away."""
+        backoff = self.backoffs.get(endpoint)
+        if backoff is not None and sent_ms >= backoff.until_ms:
+            del self.backoffs[endpoint]
+
     def is_restricted(self, endpoint: str) -> bool:
         """Whether an endpoint has named a rate limit, or asked for a backoff."""
         limit = self.limits.get(endpoint)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -55,6 +55,18 @@
     "-k",
     "not LimitedChat",
 )
+BACKOFF = ("-m", "pytest", "-x", "tests/test_backoff.py", "-k", "not Fleet")
+BACKOFF_POLICY = ("-m", "pytest", "-x", "tests/test_backoff_policy.py")
+SHEDDING = ("-m", "pytest", "-x", "tests/test_shed_load.py")
+RETRY_AFTER = ("-m", "pytest", "-x", "tests/test_retry_after.py")
+ROUTER_BACKOFF = (
+    "-m",
+    "pytest",
+    "-x",
+    "tests/test_router_backoff.py",
+    "-k",
+    "not SheddingChat",
+)
 CONNECTIONS = ("-m", "pytest", "-x", "tests/test_connections.py")
 LIMIT_S = 180.0
 SHOWN_LINES = 3
@@ -203,9 +215,8 @@
     Mutant(
         "no-check-of-leaving-at-send",
         "ashlatch/router/core.py",
-        "        if self.planner.is_leaving(attempt.endpoint):\n"
-        "            return False\n",
-        "",
+        "if not self.planner.open_permission(attempt.endpoint, now_ms).granted:",
+        "if False:",
         TRAFFIC,
     ),
     Mutant(
@@ -517,8 +528,8 @@
     Mutant(
         "evacuated-hall-takes-work",
         "ashlatch/gateway/directory.py",
-        "        closed = self.endpoint.leaving or self.evacuated\n",
-        "        closed = self.endpoint.leaving\n",
+        "        if self.evacuated:\n            return _EVACUATED\n",
+        "",
         EVACUATION,
     ),
     Mutant(
@@ -572,9 +583,9 @@
     ),
     Mutant(
         "limits-not-asked-for",
-        "ashlatch/gateway/choice.py",
-        "within = [s for s in open_now if not limit_wait_ms(known, s, now_ms)]",
-        "within = open_now",
+        "ashlatch/gateway/permission.py",
+        "limit_ms = limit_wait_ms(known, state, now_ms)",
+        "limit_ms = 0.0",
         RATE_LIMITS,
     ),
     Mutant(
@@ -608,7 +619,7 @@
     Mutant(
         "limit-ended-by-a-refusal",
         "ashlatch/gateway/limits.py",
-        "if per_s == NO_LIMIT and not (answered.run and state.limit.limited):",
+        "if per_s == NO_LIMIT and not (report.run and state.limit.limited):",
         "if per_s == NO_LIMIT and not state.limit.limited:",
         LIMITS,
     ),
@@ -670,16 +681,16 @@
     ),
     Mutant(
         "all-told-the-same-moment",
-        "ashlatch/gateway/limits.py",
-        "known.returns_ms[service] = min(returns_ms + step_ms, now_ms + RETURN_MAX_MS)",
-        "pass",
+        "ashlatch/gateway/returns.py",
+        "min(returns_ms + step_ms, now_ms + RETURN_MAX_MS)",
+        "opens_ms",
         LIMITS,
     ),
     Mutant(
         "load-test-of-a-limited-endpoint",
         "ashlatch/gateway/versions.py",
-        "and not s.limit.limited",
-        "",
+        "if state.cold(now_ms) or state.limit.limited:",
+        "if state.cold(now_ms):",
         CHOOSING,
     ),
     Mutant(
@@ -699,21 +710,21 @@
     Mutant(
         "router-sends-past-a-limit",
         "ashlatch/router/plan.py",
-        "            return WhyOut.LIMITED\n",
-        "            pass\n",
+        "return combine([(Barrier.LIMITED, limit_ms)])",
+        "return combine([])",
         ROUTER_LIMITS,
     ),
     Mutant(
         "router-resumes-past-a-limit",
         "ashlatch/router/attempt.py",
-        "core.lease_valid(core.now_ms) and not wait_ms",
-        "core.lease_valid(core.now_ms)",
+        "may_send = permission.granted and core.lease_valid(core.now_ms)",
+        "may_send = core.lease_valid(core.now_ms)",
         ROUTER_LIMITS,
     ),
     Mutant(
         "router-limit-ended-by-an-older-answer",
         "ashlatch/router/notices.py",
-        "if not limit.accepts(event.limit_per_s, event.sent_ms):",
+        "if not limit.accepts(per_s, event.sent_ms):",
         "if False:",
         ROUTER_LIMITS,
     ),
@@ -724,6 +735,139 @@
         "",
         ROUTER_LIMITS,
     ),
+    Mutant(
+        "backoffs-not-kept",
+        "ashlatch/gateway/directory.py",
+        "backoff_ms = self.backoff.wait_ms(now_ms)",
+        "backoff_ms = 0.0",
+        BACKOFF,
+    ),
+    Mutant(
+        "backoff-cut-short",
+        "ashlatch/policy/backoff.py",
+        "if until_ms <= self.until_ms:",
+        "if False:",
+        BACKOFF_POLICY,
+    ),
+    Mutant(
+        "backoff-ended-by-an-older-answer",
+        "ashlatch/policy/backoff.py",
+        "        if sent_ms >= self.until_ms:\n            self._served = True\n",
+        "        self.until_ms = sent_ms\n",
+        BACKOFF_POLICY,
+    ),
+    Mutant(
+        "all-try-at-the-end-of-a-backoff",
+        "ashlatch/policy/backoff.py",
+        "self._trial_ends_ms = now_ms + TRIAL_MS",
+        "self._trial_ends_ms = now_ms",
+        BACKOFF,
+    ),
+    Mutant(
+        "no-check-of-backoff-at-send",
+        "ashlatch/gateway/attempt.py",
+        "        self._check_open()\n        headers",
+        "        headers",
+        BACKOFF,
+    ),
+    Mutant(
+        "load-of-who-sheds-believed",
+        "ashlatch/gateway/attempt.py",
+        "if not head.backoff_ms:",
+        "if True:",
+        BACKOFF,
+    ),
+    Mutant(
+        "load-test-within-a-backoff",
+        "ashlatch/gateway/versions.py",
+        "    if not state.permission(now_ms).granted:\n        return []\n",
+        "",
+        BACKOFF,
+    ),
+    Mutant(
+        "another-endpoint-tested-within-a-backoff",
+        "ashlatch/gateway/versions.py",
+        "in (None, Barrier.BACKOFF)",
+        "is None",
+        BACKOFF,
+    ),
+    Mutant(
+        "leaving-by-the-list-alone",
+        "ashlatch/gateway/directory.py",
+        "return self.endpoint.leaving or self.announced_leaving",
+        "return self.endpoint.leaving",
+        BACKOFF,
+    ),
+    Mutant(
+        "announcements-untold",
+        "ashlatch/gateway/notices.py",
+        "known.tell(EndpointAnnouncesLeaving(state.endpoint.instance))",
+        "pass",
+        BACKOFF,
+    ),
+    Mutant(
+        "absent-endpoints-forgotten",
+        "ashlatch/gateway/directory.py",
+        "known = self._absent | self._states",
+        "known = self._states",
+        BACKOFF,
+    ),
+    Mutant(
+        "sheddings-untold",
+        "ashlatch/gateway/notices.py",
+        "known.tell(EndpointSheds(state.endpoint.instance, round(head.backoff_ms, 1)))",
+        "pass",
+        SHEDDING,
+    ),
+    Mutant(
+        "backoff-of-another-for-as-long",
+        "ashlatch/policy/backoff.py",
+        "now_ms + min(backoff_ms, PEERS_MAX_MS)\n        self.peers",
+        "now_ms + backoff_ms\n        self.peers",
+        SHEDDING,
+    ),
+    Mutant(
+        "return-without-the-backoff",
+        "ashlatch/gateway/returns.py",
+        "_TIMED = frozenset({Barrier.BACKOFF, Barrier.LIMITED})",
+        "_TIMED = frozenset({Barrier.LIMITED})",
+        BACKOFF,
+    ),
+    Mutant(
+        "unreadable-times-ignored",
+        "ashlatch/http/retry_after.py",
+        "        return UNREADABLE_BACKOFF_MS\n",
+        "        return 0.0\n",
+        RETRY_AFTER,
+    ),
+    Mutant(
+        "router-sends-within-a-backoff",
+        "ashlatch/router/plan.py",
+        "backoff_ms = backoff.wait_ms(now_ms) if backoff else 0.0",
+        "backoff_ms = 0.0",
+        ROUTER_BACKOFF,
+    ),
+    Mutant(
+        "router-hears-of-no-leaving",
+        "ashlatch/router/notices.py",
+        "        core.planner.leaving.add(event.endpoint)\n",
+        "",
+        ROUTER_BACKOFF,
+    ),
+    Mutant(
+        "added-member-silent-since-the-leader-began",
+        "ashlatch/fleet/membership.py",
+        "standing.added_ms.get(member.member_id, standing.leading_since_ms)",
+        "standing.leading_since_ms",
+        FLEET,
+    ),
+    Mutant(
+        "removed-learner-keeps-its-leader",
+        "ashlatch/raft/election.py",
+        "        core.become_follower(core.term)\n\n\n@HANDLERS",
+        "        pass\n\n\n@HANDLERS",
+        RAFT,
+    ),
     Mutant(
         "idle-connections-past-the-part",
         "ashlatch/gateway/pool.py",
