Sessions that begin right before a trial stay on their version

The record of the trial names the sessions that run, but what gateways tell the core with their questions is up to a second old. Not the cause: endpoints that are cold, limited or full, and sends for a larger model (no request of the four).

Change: while a trial is awaited, a gateway tells the others of a session of the movable part that it sends to the old version, once, twice to each hall; they leave it there. In the first second of a trial it tells of sessions that begin on the new one, for gateways that have not heard of the trial yet.

versions.py is split: what is known of sessions is gateway/sessions.py.

--- a/ashlatch/gateway/account.py
+++ b/ashlatch/gateway/account.py
@@ -13,7 +13,6 @@
 import logging
 import math
 
-from ashlatch.catalog import Endpoint
 from ashlatch.gateway.admission import Admission
 from ashlatch.gateway.attempt import Attempt, AttemptFailed, FailureKind
 from ashlatch.gateway.choice import Choice, Verdict
@@ -35,10 +34,10 @@
 from ashlatch.gateway.news import (
     EndpointReplaced,
     PromptSent,
-    SessionMoved,
 )
 from ashlatch.gateway.notices import apply_notice
 from ashlatch.gateway.reports import pass_on_load
+from ashlatch.gateway.session_news import tell_session
 from ashlatch.gateway.tally import TallyKey
 from ashlatch.gateway.traffic import TrafficKind
 from ashlatch.http.upstream import CONNECT_REFUSED
@@ -110,20 +109,13 @@
         emit(log, sent)
         record_limited_send(self._known, choice.state, self._now_ms())
         self._known.metrics.count(f"versions_by_{choice.allowed.reason.value}")
-        self._note_session(endpoint)
+        session = admission.ask.session
+        tell_session(
+            self._known, endpoint.service, session, endpoint.version, self._now_ms()
+        )
         if choice.forecast is not None:
             self._note_read(choice, model or admission.ask.model)
 
-    def _note_session(self, endpoint: Endpoint) -> None:
-        """The session is at the endpoint's version now."""
-        service, version = endpoint.service, endpoint.version
-        session = self._admission.ask.session
-        versions = self._known.versions
-        if versions.note_move(service, session, version):
-            self._known.metrics.count("sessions_told")
-            self._known.tell(SessionMoved(service, session, version))
-        versions.sessions.note(service, session, version, self._now_ms())
-
     def _note_read(self, choice: Choice, model: str) -> None:
         """An engine is about to read the prompt, and keeps it then.
 
--- a/ashlatch/gateway/corenews.py
+++ b/ashlatch/gateway/corenews.py
@@ -58,7 +58,7 @@
             self._apply(reply.document_version, reply.document)
         if reply.endpoints is not None:
             self.replace(reply.endpoints, address, reply.endpoints_age_ms)
-        for rollout in self._known.versions.learn(reply.rollouts):
+        for rollout in self._known.versions.learn(reply.rollouts, _now_ms()):
             self._note_rollout(rollout)
         if reply.current:
             self._take_current(reply)
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -31,8 +31,9 @@
 )
 from ashlatch.gateway.message import RefusalReason
 from ashlatch.gateway.peers import GatewayPeers
+from ashlatch.gateway.sessions import SessionVersions
 from ashlatch.gateway.sync import FleetLink
-from ashlatch.gateway.versions import SessionVersions, VersionChooser
+from ashlatch.gateway.versions import VersionChooser
 from ashlatch.gateway.watch import SilenceWatch
 from ashlatch.http.connection import HttpBounds, HttpRequest, Responder
 from ashlatch.http.listener import HttpListener
--- a/ashlatch/gateway/hearing.py
+++ b/ashlatch/gateway/hearing.py
@@ -32,6 +32,7 @@
     LoadSeen,
     PromptSent,
     SessionMoved,
+    SessionRuns,
 )
 from ashlatch.gateway.notices import mark_leaving
 from ashlatch.log import emit
@@ -59,6 +60,11 @@
     known.versions.hear_move(news.service, news.session, news.version)
 
 
+@HEARD.on(SessionRuns)
+def _session_runs(known: Knowledge, news: SessionRuns, teller: Teller) -> None:
+    known.versions.hear_running(news.service, news.version, news.mark)
+
+
 @HEARD.on(ContentCrashed)
 def _content_crashed(known: Knowledge, news: ContentCrashed, teller: Teller) -> None:
     learn_crashes(known, news.record, teller.address)
--- a/ashlatch/gateway/news.py
+++ b/ashlatch/gateway/news.py
@@ -27,6 +27,7 @@
     "PeerNews",
     "PromptSent",
     "SessionMoved",
+    "SessionRuns",
 ]
 
 
@@ -138,6 +139,19 @@
     for_hall: bool = False
 
 
+class SessionRuns(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """A session runs on the version before while the trial of a version is awaited.
+
+    `mark` is the session's for that version. With `for_hall`, who gets it tells the
+    other gateways of its hall.
+    """
+
+    service: str
+    version: str
+    mark: int
+    for_hall: bool = False
+
+
 # What is about one endpoint.
 EndpointNews = (
     PromptSent
@@ -149,7 +163,7 @@
     | EndpointAnnouncesLeaving
     | EndpointSheds
 )
-PeerNews = EndpointNews | SessionMoved | ContentCrashed
+PeerNews = EndpointNews | SessionMoved | SessionRuns | ContentCrashed
 # What concerns gateways by their halls.
 HallNews = (
     PromptSent
@@ -160,4 +174,5 @@
     | LimitedSend
     | EndpointAnnouncesLeaving
     | EndpointSheds
+    | SessionRuns
 )
--- a/ashlatch/gateway/peers.py
+++ b/ashlatch/gateway/peers.py
@@ -40,6 +40,7 @@
     PeerNews,
     PromptSent,
     SessionMoved,
+    SessionRuns,
 )
 from ashlatch.gateway.traffic import TrafficKind
 from ashlatch.log import emit
@@ -61,6 +62,7 @@
     LimitedSend: TrafficKind.LIMIT,
     EndpointAnnouncesLeaving: TrafficKind.LEAVING,
     EndpointSheds: TrafficKind.BACKOFF,
+    SessionRuns: TrafficKind.SESSION,
 }
 # What every gateway should hear, wherever the endpoint is.
 _FOR_ALL = (
@@ -70,6 +72,7 @@
     | LimitedSend
     | EndpointAnnouncesLeaving
     | EndpointSheds
+    | SessionRuns
 )
 
 
--- a/ashlatch/gateway/versions.py
+++ b/ashlatch/gateway/versions.py
@@ -17,28 +17,27 @@
 from ashlatch.catalog import Rollout, RolloutStage, SessionMarks
 from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.routing import fraction
+from ashlatch.gateway.sessions import (
+    MARKS,
+    MOVABLE_SHARE,
+    RunningMarks,
+    SessionMoves,
+    SessionVersions,
+    session_mark,
+)
 from ashlatch.policy.endpoint import rank
 from ashlatch.policy.permission import Barrier
 
 __all__ = [
     "AllowedEndpoints",
-    "SessionVersions",
     "VersionChooser",
     "VersionReason",
-    "session_mark",
 ]
 
-# Sessions are forgotten this much after they have ended.
-SESSION_MARGIN_MS = 1000.0
-SESSIONS_MAX = 20_000
 # How busy the one endpoint of a load test is made: nearly all of its places.
 LOAD_TEST_UTILISATION = 0.9
-# How many marks there are for sessions; they are told to all gateways.
-MARKS = 1 << 32
-# Sessions beyond this part of the marks are never moved by a trial.
-MOVABLE_SHARE = 0.25
-# A load test moves what one endpoint answers in a few seconds: some hundreds.
-MOVES_MAX = 20_000
+# All gateways in touch have heard that a trial has begun after this time.
+TRIAL_HEARD_MS = 1000.0
 
 
 class VersionReason(enum.Enum):
@@ -91,94 +90,6 @@
     reason: VersionReason
 
 
-@dataclass
-class _Seen:
-    version: str
-    at_ms: float
-
-
-@dataclass
-class SessionVersions:
-    """The version that last answered each session at this gateway."""
-
-    session_ms: float
-    _seen: dict[str, _Seen] = field(default_factory=dict)
-
-    def note(self, service: str, session: str, version: str, now_ms: float) -> None:
-        """A request of the session is at this version now, or was until now."""
-        if not session:
-            return
-        self._seen.pop(f"{service}/{session}", None)
-        self._seen[f"{service}/{session}"] = _Seen(version, now_ms)
-        while len(self._seen) > SESSIONS_MAX:
-            del self._seen[next(iter(self._seen))]
-
-    def ended(self, service: str, session: str, version: str, now_ms: float) -> None:
-        """A request of the session has ended at this version.
-
-        Another request may have moved the session since it began: an end only
-        moves the time on.
-        """
-        seen = self._seen.get(f"{service}/{session}")
-        if seen is None or seen.version == version:
-            self.note(service, session, version, now_ms)
-
-    def running(self, service: str, now_ms: float) -> list[str]:
-        """The sessions of a service that had a request lately."""
-        begin = f"{service}/"
-        oldest_ms = now_ms - self.session_ms - SESSION_MARGIN_MS
-        return [
-            key.removeprefix(begin)
-            for key, seen in self._seen.items()
-            if seen.at_ms >= oldest_ms and key.startswith(begin)
-        ]
-
-    def version(self, service: str, session: str, now_ms: float) -> str:
-        """The version of a session that still runs, or empty."""
-        seen = self._seen.get(f"{service}/{session}")
-        if seen is None or not session:
-            return ""
-        recent = now_ms - seen.at_ms < self.session_ms + SESSION_MARGIN_MS
-        return seen.version if recent else ""
-
-    def age_ms(self, service: str, session: str, now_ms: float) -> float:
-        """How long ago a session was last heard of; below 0 if it is not known."""
-        seen = self._seen.get(f"{service}/{session}")
-        return -1.0 if seen is None else now_ms - seen.at_ms
-
-
-def session_mark(version: str, session: str) -> int:
-    """A number for a session that is the same on every VM."""
-    return int(fraction(f"{version}/{session}") * MARKS)
-
-
-@dataclass
-class _Moves:
-    """The sessions that a load test of a version has moved, by their marks.
-
-    `untold` are those that were moved here and that no record of the roll-out
-    names yet. A move holds for the whole roll-out, however long its request takes.
-    """
-
-    version: str
-    marks: set[int] = field(default_factory=set)
-    untold: set[int] = field(default_factory=set)
-
-    def note(self, mark: int, here: bool) -> None:
-        if len(self.marks) >= MOVES_MAX:
-            return
-        self.marks.add(mark)
-        if here:
-            self.untold.add(mark)
-
-    def learn(self, rollout: Rollout) -> None:
-        self.marks.update(rollout.moved)
-        self.untold.difference_update(rollout.moved)
-        if rollout.stage in (RolloutStage.COMPLETED, RolloutStage.ROLLED_BACK):
-            # No record will name those that are left.
-            self.untold.clear()
-
-
 def _nothing_moved() -> None:
     """Nobody waits for moves yet."""
 
@@ -194,12 +105,17 @@
     rollouts: dict[str, Rollout] = field(default_factory=dict)
     moved: Callable[[], None] = _nothing_moved
     _held_marks: dict[str, tuple[int, frozenset[int]]] = field(default_factory=dict)
-    _moves: dict[str, _Moves] = field(default_factory=dict)
+    _moves: dict[str, SessionMoves] = field(default_factory=dict)
+    _running: dict[str, RunningMarks] = field(default_factory=dict)
+    # When each service's trial was first heard to have begun.
+    _begun_ms: dict[str, float] = field(default_factory=dict)
 
-    def learn(self, rollouts: Iterable[Rollout]) -> list[Rollout]:
+    def learn(self, rollouts: Iterable[Rollout], now_ms: float = 0.0) -> list[Rollout]:
         """Take what is newer than known, and return it."""
         newer = [r for r in rollouts if r.number > self._number(r.service)]
         for rollout in newer:
+            if self._awaits_trial(rollout.service):
+                self._begun_ms[rollout.service] = now_ms
             self.rollouts[rollout.service] = rollout
             self._moves_to(rollout.service, rollout.version).learn(rollout)
         return newer
@@ -209,17 +125,43 @@
         mark = session_mark(version, session)
         self._moves_to(service, version).note(mark, here=False)
 
-    def note_move(self, service: str, session: str, version: str) -> bool:
+    def hear_running(self, service: str, version: str, mark: int) -> None:
+        """Another gateway has sent a session to the version before this one."""
+        known = self.rollouts.get(service)
+        if known is None or known.version == version:
+            self._running_beside(service, version).note(mark)
+
+    def note_running(self, service: str, session: str, version: str) -> int | None:
+        """A request goes to a version; the mark of its session if others must hear.
+
+        They must when a trial may begin at any moment: a session that runs by then
+        stays, whichever gateway its next request comes by.
+        """
+        rollout = self.rollouts.get(service)
+        if not session or rollout is None or not self._awaits_trial(service):
+            return None
+        mark = session_mark(rollout.version, session)
+        if version == rollout.version:
+            return None
+        running = self._running_beside(service, rollout.version)
+        return mark if running.note(mark) else None
+
+    def note_move(
+        self, service: str, session: str, version: str, now_ms: float = 0.0
+    ) -> bool:
         """A request goes to the version; whether others must hear of its session.
 
-        They must when a load test moves it beyond the share, which all know.
+        They must when a load test moves it beyond the share, which all know, and as
+        long as some may not have heard that the trial has begun.
         """
         rollout = self.rollouts.get(service)
         if not session or rollout is None or rollout.version != version:
             return False
+        mark = session_mark(version, session)
+        if rollout.stage is RolloutStage.TRIAL:
+            return self._begins_in_trial(rollout, mark, now_ms)
         if rollout.stage is not RolloutStage.LOAD_TEST:
             return False
-        mark = session_mark(version, session)
         moves = self._moves_to(service, version)
         if mark < rollout.share * MARKS or mark in moves.marks:
             return False
@@ -227,10 +169,32 @@
         self.moved()
         return True
 
-    def _moves_to(self, service: str, version: str) -> _Moves:
+    def _begins_in_trial(self, rollout: Rollout, mark: int, now_ms: float) -> bool:
+        """Whether a session of the trial's share is new, and the trial is too."""
+        age_ms = now_ms - self._begun_ms.get(rollout.service, float("-inf"))
+        moves = self._moves_to(rollout.service, rollout.version)
+        if age_ms > TRIAL_HEARD_MS or mark in moves.marks:
+            return False
+        moves.note(mark, here=False)
+        return True
+
+    def _awaits_trial(self, service: str) -> bool:
+        """Whether a roll-out is ordered whose trial has not begun, as far as known."""
+        rollout = self.rollouts.get(service)
+        if rollout is None or rollout.stage is not RolloutStage.TRIAL:
+            return False
+        return rollout.share == 0.0
+
+    def _running_beside(self, service: str, version: str) -> RunningMarks:
+        running = self._running.get(service)
+        if running is None or running.version != version:
+            running = self._running[service] = RunningMarks(version)
+        return running
+
+    def _moves_to(self, service: str, version: str) -> SessionMoves:
         moves = self._moves.get(service)
         if moves is None or moves.version != version:
-            moves = self._moves[service] = _Moves(version)
+            moves = self._moves[service] = SessionMoves(version)
         return moves
 
     def allowed(
@@ -290,7 +254,8 @@
         if rollout.stage is RolloutStage.TRIAL and session:
             if before:
                 return _Preference(False, VersionReason.STAYS)
-            if mark in self._held(rollout):
+            running = self._running_beside(rollout.service, rollout.version)
+            if mark in self._held(rollout) or mark in running.marks:
                 return _Preference(False, VersionReason.HELD)
         place = fraction(f"{rollout.version}/{session or request_id}")
         return _Preference(place < rollout.share, VersionReason.SHARE)
--- a/bench/choice.py
+++ b/bench/choice.py
@@ -13,7 +13,8 @@
 from ashlatch.gateway.forecast import Send
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.message import Ask, LoadFigures, PromptPart
-from ashlatch.gateway.versions import SessionVersions, VersionChooser
+from ashlatch.gateway.sessions import SessionVersions
+from ashlatch.gateway.versions import VersionChooser
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
 from bench.table import row, spread, title
 
--- a/tests/crash_play.py
+++ b/tests/crash_play.py
@@ -22,12 +22,8 @@
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.message import Ask, PromptPart
 from ashlatch.gateway.routing import RouteTable
-from ashlatch.gateway.versions import (
-    AllowedEndpoints,
-    SessionVersions,
-    VersionChooser,
-    VersionReason,
-)
+from ashlatch.gateway.sessions import SessionVersions
+from ashlatch.gateway.versions import AllowedEndpoints, VersionChooser, VersionReason
 from ashlatch.platform.document import decode_catalog
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
 from ashlatch.policy.quarantine import CrashRecord
--- a/tests/engines.py
+++ b/tests/engines.py
@@ -28,12 +28,8 @@
 from ashlatch.gateway.peers import GatewayPeers
 from ashlatch.gateway.reports import pass_on_load
 from ashlatch.gateway.routing import RouteTable
-from ashlatch.gateway.versions import (
-    AllowedEndpoints,
-    SessionVersions,
-    VersionChooser,
-    VersionReason,
-)
+from ashlatch.gateway.sessions import SessionVersions
+from ashlatch.gateway.versions import AllowedEndpoints, VersionChooser, VersionReason
 from ashlatch.platform.document import decode_catalog
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
 from tests.standin import document, encoded, engine_service
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -13,7 +13,8 @@
 from ashlatch.gateway.exchange import Exchange
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.routing import RouteTable
-from ashlatch.gateway.versions import SessionVersions, VersionChooser
+from ashlatch.gateway.sessions import SessionVersions
+from ashlatch.gateway.versions import VersionChooser
 from ashlatch.http.connection import HttpRequest, Responder
 from ashlatch.http.listener import HttpListener
 from ashlatch.platform.document import decode_catalog
--- a/tests/limit_play.py
+++ b/tests/limit_play.py
@@ -31,12 +31,8 @@
 from ashlatch.gateway.peers import GatewayPeers
 from ashlatch.gateway.returns import find_return
 from ashlatch.gateway.routing import RouteTable
-from ashlatch.gateway.versions import (
-    AllowedEndpoints,
-    SessionVersions,
-    VersionChooser,
-    VersionReason,
-)
+from ashlatch.gateway.sessions import SessionVersions
+from ashlatch.gateway.versions import AllowedEndpoints, VersionChooser, VersionReason
 from ashlatch.platform.document import decode_catalog
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
 from ashlatch.policy.rate_limit import NO_LIMIT
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -21,6 +21,7 @@
 ROUTER = ("-m", "pytest", "-x", "tests/test_router.py")
 EVIDENCE = ("-m", "pytest", "-x", "tests/test_evidence.py")
 SESSIONS = ("-m", "pytest", "-x", "tests/test_session_versions.py")
+TRIAL_BEGINS = (*SESSIONS, "-k", "TrialBegins")
 SLOWNESS = ("-m", "pytest", "-x", "tests/test_shared_slowness.py")
 FLEET = (
     "-m",
@@ -868,6 +869,27 @@
         "        pass\n\n\n@HANDLERS",
         RAFT,
     ),
+    Mutant(
+        "running-sessions-untold",
+        "ashlatch/gateway/session_news.py",
+        "known.tell(SessionRuns(service, awaited, mark))",
+        "pass",
+        TRIAL_BEGINS,
+    ),
+    Mutant(
+        "running-sessions-told-once",
+        "ashlatch/gateway/session_news.py",
+        "TIMES_TOLD = 2",
+        "TIMES_TOLD = 1",
+        TRIAL_BEGINS,
+    ),
+    Mutant(
+        "new-sessions-of-a-trial-untold",
+        "ashlatch/gateway/versions.py",
+        "            return self._begins_in_trial(rollout, mark, now_ms)\n",
+        "            return False\n",
+        TRIAL_BEGINS,
+    ),
     Mutant(
         "idle-connections-past-the-part",
         "ashlatch/gateway/pool.py",
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -10,12 +10,8 @@
 from ashlatch.gateway.events import EventSplitter
 from ashlatch.gateway.pace import Pace
 from ashlatch.gateway.routing import RouteTable
-from ashlatch.gateway.versions import (
-    SessionVersions,
-    VersionChooser,
-    VersionReason,
-    session_mark,
-)
+from ashlatch.gateway.sessions import SessionVersions, session_mark
+from ashlatch.gateway.versions import VersionChooser, VersionReason
 from ashlatch.platform.document import decode_catalog
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES, Candidate
 from ashlatch.policy.rate_limit import Sharers
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -25,7 +25,8 @@
 from ashlatch.gateway.cold import ColdGate, warm_up_returned
 from ashlatch.gateway.directory import UNPROVEN_MS, Directory, EndpointState
 from ashlatch.gateway.routing import RouteTable
-from ashlatch.gateway.versions import SessionVersions, VersionChooser
+from ashlatch.gateway.sessions import SessionVersions
+from ashlatch.gateway.versions import VersionChooser
 from ashlatch.platform.document import decode_catalog
 from ashlatch.platform.instances import decode_page
 from ashlatch.policy.cold import ColdEndpoint, pause_ms
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -12,12 +12,8 @@
 from ashlatch.gateway.message import Ask, LoadFigures, PromptPart
 from ashlatch.gateway.pace import Pace
 from ashlatch.gateway.routing import RouteTable
-from ashlatch.gateway.versions import (
-    AllowedEndpoints,
-    SessionVersions,
-    VersionChooser,
-    VersionReason,
-)
+from ashlatch.gateway.sessions import SessionVersions
+from ashlatch.gateway.versions import AllowedEndpoints, VersionChooser, VersionReason
 from ashlatch.platform.document import decode_catalog
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES, rank
 from ashlatch.policy.workload import WORK_MAX_MS, Workload
--- a/tests/test_session_versions.py
+++ b/tests/test_session_versions.py
@@ -49,14 +49,17 @@
 from ashlatch.gateway.budget import BudgetTerms
 from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.knowledge import Knowledge
-from ashlatch.gateway.news import SessionMoved
+from ashlatch.gateway.news import PeerNews, SessionMoved
 from ashlatch.gateway.peers import GatewayPeers
+from ashlatch.gateway.session_news import tell_session
+from ashlatch.gateway.sessions import SessionVersions
 from ashlatch.gateway.tally import Tally, TallyKey
-from ashlatch.gateway.versions import SessionVersions, VersionChooser
+from ashlatch.gateway.versions import VersionChooser
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
 from tests import standin
 from tests.fleet import PORTS, READY_PORT, Fleet, wait_for
 from tests.gateway import ASK_STREAM, GatewayHarness, ask
+from tests.session_play import Load, SessionWorld
 from tests.standin import Received, StandIn
 
 CORE = CoreVm("10.0.1.1:7000", "hall-1")
@@ -214,6 +217,42 @@
         self.assertEqual(self.GATEWAYS, told.gateways)
 
 
+class TrialBeginsTest(testtools.TestCase):
+    """Sessions that begin in the last moments before a trial stay where they run."""
+
+    # Users allow so many requests on another version than the one before them.
+    MOVED_MAX = 3
+
+    def check(self, load: Load, seeds: int) -> None:
+        for seed in range(seeds):
+            world = SessionWorld(load, seed).play()
+            self.assertTrue(world.moved <= self.MOVED_MAX, f"{load} {seed}")
+
+    def test_no_message_is_lost(self) -> None:
+        for gateways in (1, 7, 61):
+            self.check(Load(gateways, 150.0), 4)
+
+    def test_a_tenth_of_the_messages_is_lost(self) -> None:
+        for gateways in (7, 61):
+            self.check(Load(gateways, 150.0, lost=0.1), 4)
+        self.check(Load(195, 150.0, lost=0.1), 2)
+
+    def test_gateways_hear_late_that_the_trial_has_begun(self) -> None:
+        self.check(Load(61, 150.0, heard_within_ms=600.0, delay_ms=20.0), 3)
+
+    def test_a_trial_that_goes_on_tells_nothing(self) -> None:
+        known = gateway_knowledge()
+        for number, share in ((2, 0.0), (3, 0.07)):
+            trial = Rollout("app", "v2", RolloutStage.TRIAL, share, number, DURATION_MS)
+            known.versions.learn([trial], 1000.0 * number)
+        told: list[PeerNews] = []
+        known.tell = told.append
+        for number in range(100):
+            tell_session(known, "app", f"s{number}", "v2", 4500.0)
+            tell_session(known, "app", f"t{number}", "v1", 4500.0)
+        self.assertEqual([], told)
+
+
 class RunningSessionsTest(testtools.TestCase):
     """Real processes: three gateways, five core VMs.
 
--- a/tests/test_sync.py
+++ b/tests/test_sync.py
@@ -24,12 +24,9 @@
 from ashlatch.gateway import sync
 from ashlatch.gateway.budget import BudgetTerms
 from ashlatch.gateway.knowledge import Knowledge
+from ashlatch.gateway.sessions import SessionVersions, session_mark
 from ashlatch.gateway.sync import FleetLink
-from ashlatch.gateway.versions import (
-    SessionVersions,
-    VersionChooser,
-    session_mark,
-)
+from ashlatch.gateway.versions import VersionChooser
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
 from ashlatch.settings import GatewaySettings, read
 from tests.test_fleet import standing
