--- a/ashlatch/gateway/directory.py
+++ b/ashlatch/gateway/directory.py
@@ -128,9 +128,9 @@
         if self.evacuated:
             return _EVACUATED
         replaced_ms = self.replaced_ms + REPLACED_MS - now_ms
-        backoff_ms = self.backoff.wait_ms(now_ms)
-        if replaced_ms <= 0.0 and backoff_ms <= 0.0:
+        if replaced_ms <= 0.0 and now_ms >= self.backoff.until_ms:
             return ALLOWED
+        backoff_ms = self.backoff.wait_ms(now_ms)
         return combine([(Barrier.REPLACED, replaced_ms), (Barrier.BACKOFF, backoff_ms)])
 
     def has_asked(self, now_ms: float) -> bool:
--- a/ashlatch/gateway/permission.py
+++ b/ashlatch/gateway/permission.py
@@ -23,10 +23,11 @@
 ) -> Permission:
     """What stands against a request to an endpoint of a service, if anything."""
     own = state.permission(now_ms)
+    may_be_cold = service.cold_requests_per_s > 0.0 and state.cold(now_ms)
+    if own is ALLOWED and not state.limit.limited and not may_be_cold:
+        return ALLOWED
     limit_ms = limit_wait_ms(known, state, now_ms)
     cold_ms = known.cold.wait_ms(state, service, known.gateways, now_ms)
-    if own is ALLOWED and limit_ms <= 0.0 and cold_ms <= 0.0:
-        return ALLOWED
     waits = [(Barrier.LIMITED, limit_ms), (Barrier.COLD, cold_ms)]
     if own.barrier is not None:
         waits.insert(0, (own.barrier, own.wait_ms))
