What a router knows of its endpoints stands in a module of its own

No change of behaviour. Two of the three mutants of sessions before a trial were not noticed: tests of them added, all three are now; three older ones follow their guards to gateway/sessions.py.

--- a/ashlatch/router/attempt.py
+++ b/ashlatch/router/attempt.py
@@ -59,7 +59,7 @@
 def _attempt_ended(core: RouterCore, event: AttemptEnded) -> None:
     loser = core.losers.pop(event.attempt_id, None)
     if loser is not None:
-        core.planner.load(loser).finished(core.now_ms, None)
+        core.endpoints.load(loser).finished(core.now_ms, None)
         return
     flight = core.flights.get(event.request_id)
     leg = flight.leg_of(event.attempt_id) if flight else None
@@ -77,7 +77,7 @@
             _try_elsewhere(core, flight, problems.NO_ENDPOINT, event.result.reason)
         case Full():
             if event.result.leaving:
-                core.planner.leaving.add(leg.endpoint.name)
+                core.endpoints.leaving.add(leg.endpoint.name)
             _try_elsewhere(core, flight, problems.OVERLOADED, event.result.reason)
         case Broken():
             flight.maybe_ran = True
@@ -210,7 +210,7 @@
     usable = core.planner.table.usable(flight.request.organisation, flight.version)
     held = held_for_ms(core, flight) > 0
     tries_left = flight.tries <= RESUME_MAX and not held
-    permission = core.planner.permission(flight.leg.endpoint.name, core.now_ms)
+    permission = core.endpoints.permission(flight.leg.endpoint.name, core.now_ms)
     may_send = permission.granted and core.lease_valid(core.now_ms)
     again = tries_left and usable and may_send
     if again and core.budget.spend():
--- a/ashlatch/router/core.py
+++ b/ashlatch/router/core.py
@@ -23,6 +23,7 @@
 from ashlatch.policy.table import NamedEndpoint
 from ashlatch.registry import Handlers
 from ashlatch.router.effect import CancelAttempt, Effect, StartAttempt
+from ashlatch.router.endpoints import EndpointBook
 from ashlatch.router.event import Answered, Event, Request, RequestKind
 from ashlatch.router.plan import Planner
 from ashlatch.settings import PolicySettings
@@ -163,6 +164,11 @@
             known = self.tallies.get(finding.version, VersionTally())
             self.tallies[finding.version] = known.plus(finding.tally)
 
+    @property
+    def endpoints(self) -> EndpointBook:
+        """What is known of each endpoint."""
+        return self.planner.endpoints
+
     @property
     def table_revision(self) -> int:
         """The revision that is applied."""
@@ -182,7 +188,7 @@
             return False
         if flight.leg_of(attempt.attempt_id) is None:
             return False
-        if not self.planner.open_permission(attempt.endpoint, now_ms).granted:
+        if not self.endpoints.open_permission(attempt.endpoint, now_ms).granted:
             return False
         if request.kind is RequestKind.SERVICE:
             return True
--- a/ashlatch/router/host.py
+++ b/ashlatch/router/host.py
@@ -269,7 +269,7 @@
         """The head of an endpoint's answer: what the endpoint says of itself."""
         notice = decode_notice(reply)
         with self._lock:
-            restricted = self.core.planner.is_restricted(endpoint)
+            restricted = self.core.endpoints.is_restricted(endpoint)
         if notice.empty and not restricted:
             return
         heard = EndpointHeard(
--- a/ashlatch/router/knowledge.py
+++ b/ashlatch/router/knowledge.py
@@ -92,7 +92,7 @@
     core.lease_until_ms = max(core.lease_until_ms, event.until_ms)
     routers = max(1, event.routers)
     core.limits.router_share = 1.0 / routers
-    core.planner.sharers = Sharers(routers, in_touch=False)
+    core.endpoints.sharers = Sharers(routers, in_touch=False)
 
 
 @HANDLERS.on(LoadReported)
@@ -104,9 +104,9 @@
     own = {endpoint.name for endpoint in core.planner.offered(event.pool)}
     for report in event.reports:
         if report.endpoint in own:
-            core.planner.load(report.endpoint).reported(report)
+            core.endpoints.load(report.endpoint).reported(report)
             core.found(core.evidence.reported(report))
-    core.planner.leaving |= event.leaving & own
+    core.endpoints.leaving |= event.leaving & own
 
 
 @HANDLERS.on(Rated)
--- a/ashlatch/router/learning.py
+++ b/ashlatch/router/learning.py
@@ -24,8 +24,8 @@
     name = leg.endpoint.name
     took_ms = core.now_ms - leg.sent_ms
     answered = isinstance(result, Answered)
-    core.planner.load(name).finished(core.now_ms, took_ms if answered else None)
-    breaker = core.planner.breaker(name)
+    core.endpoints.load(name).finished(core.now_ms, took_ms if answered else None)
+    breaker = core.endpoints.breaker(name)
     if answered:
         breaker.succeeded()
     elif not isinstance(result, Full) and not flight.given:
@@ -34,7 +34,7 @@
         survived(core, flight)
     if isinstance(result, Broken) and result.ended:
         # What comes back at its address begins anew.
-        core.planner.limits.pop(name, None)
+        core.endpoints.limits.pop(name, None)
         # Neither for nor against the version: its endpoint was not there any more.
         crashed(core, flight, name)
         return
--- a/ashlatch/router/notices.py
+++ b/ashlatch/router/notices.py
@@ -58,8 +58,8 @@
 @HANDLERS.on(EndpointHeard)
 def _endpoint_heard(core: RouterCore, event: EndpointHeard) -> None:
     _apply_backoff(core, event)
-    if event.leaving and not core.planner.is_leaving(event.endpoint):
-        core.planner.leaving.add(event.endpoint)
+    if event.leaving and not core.endpoints.is_leaving(event.endpoint):
+        core.endpoints.leaving.add(event.endpoint)
         leaves = EndpointLeaves(core.config.vm, event.endpoint)
         core.effects.append(WriteLog(leaves))
     if event.limit_per_s is not None:
@@ -68,9 +68,9 @@
 
 def _apply_backoff(core: RouterCore, event: EndpointHeard) -> None:
     if not event.backoff_ms:
-        core.planner.served(event.endpoint, event.sent_ms)
+        core.endpoints.served(event.endpoint, event.sent_ms)
         return
-    backoff = core.planner.backoff(event.endpoint)
+    backoff = core.endpoints.backoff(event.endpoint)
     before_ms = backoff.wait_ms(core.now_ms)
     if backoff.request(event.backoff_ms, core.now_ms):
         asked = EndpointBackoff(
@@ -80,13 +80,13 @@
 
 
 def _apply_limit(core: RouterCore, event: EndpointHeard, per_s: float) -> None:
-    limit = core.planner.limit(event.endpoint)
+    limit = core.endpoints.limit(event.endpoint)
     before_per_s = limit.per_s
     if not limit.accepts(per_s, event.sent_ms):
         return
     if per_s != NO_LIMIT:
         drawn = core.random.random()
-        limit.set_rate(per_s, core.planner.sharers, drawn, core.now_ms)
+        limit.set_rate(per_s, core.endpoints.sharers, drawn, core.now_ms)
     elif event.run:
         limit.clear()
     if limit.per_s != before_per_s:
--- a/ashlatch/router/plan.py
+++ b/ashlatch/router/plan.py
@@ -12,17 +12,15 @@
 import random
 from dataclasses import dataclass, field, replace
 
-from ashlatch.policy.backoff import Backoff
-from ashlatch.policy.breaker import Breaker
 from ashlatch.policy.detector import Detector
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES, Candidate, subset
 from ashlatch.policy.load import EndpointLoad
-from ashlatch.policy.permission import NEVER_MS, Barrier, Permission, combine
+from ashlatch.policy.permission import Barrier
 from ashlatch.policy.quality import QualityBook
-from ashlatch.policy.rate_limit import RateLimit, Sharers
 from ashlatch.policy.table import NamedEndpoint, RoutingTable
 from ashlatch.policy.version import VERSION_POLICIES, Goal, Option
 from ashlatch.resources import Route
+from ashlatch.router.endpoints import EndpointBook
 from ashlatch.router.event import Request
 from ashlatch.router.moved import after_rollouts, is_replaced
 from ashlatch.router.verdict import Exclusion, NoPlan, Plan, WhyOut
@@ -34,7 +32,6 @@
 EXPECTED_OUTPUT_TOKENS = 200
 OUTPUT_GAIN = 0.05
 
-_LEAVING = Permission(Barrier.LEAVING, NEVER_MS)
 _WHY_OUT = {Barrier.BACKOFF: WhyOut.BACKOFF, Barrier.LIMITED: WhyOut.LIMITED}
 
 
@@ -49,29 +46,20 @@
 
 @dataclass
 class Planner:
-    """All that the choice of a version and an endpoint depends on.
-
-    Routers do not hear of each other's sends, so each has a fixed part of an endpoint's
-    rate limit, by `sharers`.
-    """
+    """All that the choice of a version and an endpoint depends on."""
 
     settings: PolicySettings
     vm: str
     hall: str
     generator: random.Random
     table: RoutingTable = RoutingTable()
-    loads: dict[str, EndpointLoad] = field(default_factory=dict)
-    breakers: dict[str, Breaker] = field(default_factory=dict)
-    leaving: set[str] = field(default_factory=set)
     dark_pools: set[str] = field(default_factory=set)
     quality: QualityBook = field(default_factory=QualityBook)
     detectors: dict[str, Detector] = field(default_factory=dict)
     output_tokens: dict[str, float] = field(default_factory=dict)
-    limits: dict[str, RateLimit] = field(default_factory=dict)
-    backoffs: dict[str, Backoff] = field(default_factory=dict)
-    sharers: Sharers = Sharers(in_touch=False)
 
     def __post_init__(self) -> None:
+        self.endpoints = EndpointBook(self.settings, self.generator)
         self._offered: dict[str, tuple[NamedEndpoint, ...]] = {}
         self.endpoint_policy = ENDPOINT_POLICIES.get(self.settings.endpoint)()
         self.version_policy = VERSION_POLICIES.get(self.settings.version)()
@@ -80,13 +68,8 @@
         """Take a newer table, and drop what is known of endpoints now gone."""
         self.table = table
         known = {e.name for pool in table.endpoints.values() for e in pool}
-        for name in [n for n in self.loads if n not in known]:
-            if self.loads[name].in_flight == 0:
-                del self.loads[name]
-                self.breakers.pop(name, None)
-                self.limits.pop(name, None)
-                self.backoffs.pop(name, None)
-        self.leaving &= known
+        self.endpoints.keep_only(known)
+        self.endpoints.listed_leaving = table.leaving
         self._offered = {
             pool: self._own_subset(endpoints)
             for pool, endpoints in table.endpoints.items()
@@ -103,71 +86,6 @@
         chosen = set(subset(names, self.vm, self.settings.subset_size))
         return tuple(e for e in endpoints if e.name in chosen)
 
-    def is_leaving(self, endpoint: str) -> bool:
-        """Whether an endpoint gets no new work, by any source (R8)."""
-        return endpoint in self.leaving or endpoint in self.table.leaving
-
-    def load(self, endpoint: str) -> EndpointLoad:
-        """What is known of an endpoint's load."""
-        return self.loads.setdefault(endpoint, EndpointLoad())
-
-    def breaker(self, endpoint: str) -> Breaker:
-        """The circuit breaker of an endpoint."""
-        found = self.breakers.get(endpoint)
-        if found is None:
-            found = Breaker(
-                self.settings.breaker_failures, self.settings.breaker_open_ms
-            )
-            self.breakers[endpoint] = found
-        return found
-
-    def limit(self, endpoint: str) -> RateLimit:
-        """The rate limit of an endpoint."""
-        return self.limits.setdefault(endpoint, RateLimit())
-
-    def backoff(self, endpoint: str) -> Backoff:
-        """The backoff that an endpoint has asked for."""
-        return self.backoffs.setdefault(endpoint, Backoff())
-
-    def served(self, endpoint: str, sent_ms: float) -> None:
-        """A request that was sent at this time has not been turned away."""
-        backoff = self.backoffs.get(endpoint)
-        if backoff is not None and sent_ms >= backoff.until_ms:
-            del self.backoffs[endpoint]
-
-    def is_restricted(self, endpoint: str) -> bool:
-        """Whether an endpoint has named a rate limit, or asked for a backoff."""
-        limit = self.limits.get(endpoint)
-        return endpoint in self.backoffs or (limit is not None and limit.limited)
-
-    def permission(self, endpoint: str, now_ms: float) -> Permission:
-        """Whether a request may be sent to an endpoint, and if not, from when."""
-        open_permission = self.open_permission(endpoint, now_ms)
-        limit = self.limits.get(endpoint)
-        limit_ms = limit.wait_ms(self.sharers, now_ms) if limit else 0.0
-        if open_permission.barrier is None:
-            return combine([(Barrier.LIMITED, limit_ms)])
-        waits = [(open_permission.barrier, open_permission.wait_ms)]
-        return combine([*waits, (Barrier.LIMITED, limit_ms)])
-
-    def open_permission(self, endpoint: str, now_ms: float) -> Permission:
-        """The same without its rate limit, from which a planned send has been taken."""
-        if self.is_leaving(endpoint):
-            return _LEAVING
-        backoff = self.backoffs.get(endpoint)
-        backoff_ms = backoff.wait_ms(now_ms) if backoff else 0.0
-        return combine([(Barrier.BACKOFF, backoff_ms)])
-
-    def sent(self, endpoint: str, now_ms: float) -> None:
-        """A request goes to an endpoint."""
-        self.load(endpoint).sent(now_ms)
-        self.breaker(endpoint).sent(now_ms)
-        if endpoint in self.backoffs:
-            self.backoffs[endpoint].sent(now_ms)
-        if endpoint in self.limits:
-            drawn = self.generator.random()
-            self.limits[endpoint].sent(self.sharers, drawn, now_ms)
-
     def detector(self, version: str) -> Detector:
         """The test whether a version has turned bad."""
         found = self.detectors.get(version)
@@ -318,7 +236,7 @@
         for endpoint in endpoints:
             why = self._why_out(pool, endpoint, now_ms, tried)
             if why is None:
-                load = self.load(endpoint.name)
+                load = self.endpoints.load(endpoint.name)
                 ready.append(Ready(endpoint, load, self._candidate(endpoint, load)))
             else:
                 excluded.append(Exclusion(endpoint.name, why))
@@ -330,7 +248,7 @@
 
     def _may_shed(self, endpoint: str, now_ms: float) -> bool:
         """Whether the first request after a backoff is not answered yet."""
-        backoff = self.backoffs.get(endpoint)
+        backoff = self.endpoints.backoffs.get(endpoint)
         return backoff is not None and backoff.may_shed(now_ms)
 
     def _plan_version(
@@ -384,15 +302,15 @@
         tried: frozenset[str],
     ) -> WhyOut | None:
         name = endpoint.name
-        load = self.load(name)
-        barrier = self.permission(name, now_ms).barrier
+        load = self.endpoints.load(name)
+        barrier = self.endpoints.permission(name, now_ms).barrier
         if barrier is Barrier.LEAVING:
             return WhyOut.LEAVING
         if name in tried:
             return WhyOut.TRIED
         if pool not in self.dark_pools and load.report and load.stale(now_ms):
             return WhyOut.SILENT
-        if not self.breaker(name).allows(now_ms):
+        if not self.endpoints.breaker(name).allows(now_ms):
             return WhyOut.BREAKER_OPEN
         return _WHY_OUT[barrier] if barrier else None
 
@@ -427,7 +345,7 @@
     def _return_ms(self, excluded: list[Exclusion], now_ms: float) -> float:
         """When an endpoint may be there again, by what bars it, or at all."""
         waits = [
-            self.permission(e.name, now_ms).wait_ms
+            self.endpoints.permission(e.name, now_ms).wait_ms
             for e in excluded
             if e.why in (WhyOut.LIMITED, WhyOut.BACKOFF)
         ]
@@ -467,7 +385,7 @@
         for pool, endpoints in self._offered.items():
             scale = len(self.table.endpoints[pool]) / len(endpoints)
             for endpoint in endpoints:
-                load = self.load(endpoint.name)
+                load = self.endpoints.load(endpoint.name)
                 if load.report is not None:
                     found.append((load, scale))
         return found
--- a/ashlatch/router/sending.py
+++ b/ashlatch/router/sending.py
@@ -102,9 +102,9 @@
     flight.tries += 1
     attempt_id = f"{request.request_id}-{flight.tries}"
     core.assert_allowed(flight)
-    load = core.planner.load(plan.endpoint.name)
+    load = core.endpoints.load(plan.endpoint.name)
     leg = Leg(attempt_id, plan.endpoint, core.now_ms, load.has_room())
-    core.planner.sent(plan.endpoint.name, core.now_ms)
+    core.endpoints.sent(plan.endpoint.name, core.now_ms)
     chosen = RouteChosen(
         request.request_id,
         attempt_id,
--- a/bench/core.py
+++ b/bench/core.py
@@ -77,7 +77,7 @@
             if isinstance(effect, StartAttempt):
                 # End it, so that the state stays as it was.
                 ended = AttemptEnded(asked.request_id, effect.attempt_id, Full("", 1.0))
-                core.flights[asked.request_id].tried |= set(core.planner.loads)
+                core.flights[asked.request_id].tried |= set(core.endpoints.loads)
                 core.step(1000.0, ended)
     return DECISIONS / (time.perf_counter() - began_s)
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -216,7 +216,7 @@
     Mutant(
         "no-check-of-leaving-at-send",
         "ashlatch/router/core.py",
-        "if not self.planner.open_permission(attempt.endpoint, now_ms).granted:",
+        "if not self.endpoints.open_permission(attempt.endpoint, now_ms).granted:",
         "if False:",
         TRAFFIC,
     ),
@@ -287,7 +287,7 @@
     ),
     Mutant(
         "moves-by-datagram-only",
-        "ashlatch/gateway/versions.py",
+        "ashlatch/gateway/sessions.py",
         "        self.marks.update(rollout.moved)\n",
         "",
         SESSIONS,
@@ -309,7 +309,7 @@
     ),
     Mutant(
         "end-of-answer-moves-session",
-        "ashlatch/gateway/versions.py",
+        "ashlatch/gateway/sessions.py",
         "        if seen is None or seen.version == version:\n"
         "            self.note(service, session, version, now_ms)",
         "        self.note(service, session, version, now_ms)",
@@ -331,7 +331,7 @@
     ),
     Mutant(
         "over-rollouts-are-told",
-        "ashlatch/gateway/versions.py",
+        "ashlatch/gateway/sessions.py",
         "            self.untold.clear()\n",
         "            pass\n",
         CHOOSING,
@@ -710,7 +710,7 @@
     ),
     Mutant(
         "router-sends-past-a-limit",
-        "ashlatch/router/plan.py",
+        "ashlatch/router/endpoints.py",
         "return combine([(Barrier.LIMITED, limit_ms)])",
         "return combine([])",
         ROUTER_LIMITS,
@@ -732,7 +732,7 @@
     Mutant(
         "router-limit-outlives-its-endpoint",
         "ashlatch/router/learning.py",
-        "        core.planner.limits.pop(name, None)\n",
+        "        core.endpoints.limits.pop(name, None)\n",
         "",
         ROUTER_LIMITS,
     ),
@@ -843,7 +843,7 @@
     ),
     Mutant(
         "router-sends-within-a-backoff",
-        "ashlatch/router/plan.py",
+        "ashlatch/router/endpoints.py",
         "backoff_ms = backoff.wait_ms(now_ms) if backoff else 0.0",
         "backoff_ms = 0.0",
         ROUTER_BACKOFF,
@@ -851,7 +851,7 @@
     Mutant(
         "router-hears-of-no-leaving",
         "ashlatch/router/notices.py",
-        "        core.planner.leaving.add(event.endpoint)\n",
+        "        core.endpoints.leaving.add(event.endpoint)\n",
         "",
         ROUTER_BACKOFF,
     ),
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -299,7 +299,7 @@
         self.assertEqual(first.attempt_id, cancel.attempt_id)
         # The loser answers all the same: nothing more comes of it.
         self.assertEqual([], self.end(first, ANSWER))
-        self.assertEqual(0, self.core.planner.load(first.endpoint).in_flight)
+        self.assertEqual(0, self.core.endpoints.load(first.endpoint).in_flight)
 
     def test_the_first_chunk_decides_which_stream_is_given(self) -> None:
         first, second = self.hedged(stream=True)
--- a/tests/test_router_backoff.py
+++ b/tests/test_router_backoff.py
@@ -108,7 +108,7 @@
         due = next(e for e in self.arrive() if isinstance(e, ScheduleHedge))
         hedge = HedgeDue(due.request_id, due.attempt_id)
         self.assertIsNone(self.sent(self.step(hedge)))
-        self.core.planner.backoffs.clear()
+        self.core.endpoints.backoffs.clear()
         self.core.flights["q1"].tried = frozenset()
         self.assertIsNotNone(self.sent(self.step(hedge)))
 
@@ -146,17 +146,17 @@
 
     def test_an_answer_in_between_does_not_end_it(self) -> None:
         self.step(EndpointHeard("e1", NO_LIMIT, NOW_MS + 1.0, True))
-        wait_ms = self.core.planner.permission("e1", NOW_MS).wait_ms
+        wait_ms = self.core.endpoints.permission("e1", NOW_MS).wait_ms
         self.assertEqual(3000.0, wait_ms)
 
     def test_one_request_tries_it_afterwards(self) -> None:
         """The others go elsewhere until its answer is there."""
         later_ms = NOW_MS + 3000.0
         planner = self.core.planner
-        planner.sent("e1", later_ms)
-        self.assertTrue(planner.backoff("e1").may_shed(later_ms))
+        planner.endpoints.sent("e1", later_ms)
+        self.assertTrue(planner.endpoints.backoff("e1").may_shed(later_ms))
         self.step(EndpointHeard("e1", NO_LIMIT, later_ms, True), later_ms + 5.0)
-        self.assertFalse(planner.backoff("e1").may_shed(later_ms + 5.0))
+        self.assertFalse(planner.endpoints.backoff("e1").may_shed(later_ms + 5.0))
 
 
 class NoticeTest(testtools.TestCase):
--- a/tests/test_router_limits.py
+++ b/tests/test_router_limits.py
@@ -143,14 +143,14 @@
         self.assertIsNone(self.sent(effects))
 
     def test_it_ends(self) -> None:
-        self.assertTrue(self.core.planner.limit("e1").limited)
+        self.assertTrue(self.core.endpoints.limit("e1").limited)
         # An answer to a request that was sent before the limit was named.
         self.heard("e1", NO_LIMIT, NOW_MS - 1.0)
-        self.assertTrue(self.core.planner.limit("e1").limited)
+        self.assertTrue(self.core.endpoints.limit("e1").limited)
         self.heard("e1", NO_LIMIT, NOW_MS + 1.0, run=False)
-        self.assertTrue(self.core.planner.limit("e1").limited)
+        self.assertTrue(self.core.endpoints.limit("e1").limited)
         self.heard("e1", NO_LIMIT, NOW_MS + 1.0)
-        self.assertFalse(self.core.planner.limit("e1").limited)
+        self.assertFalse(self.core.endpoints.limit("e1").limited)
 
     def test_another_life(self) -> None:
         self.heard("e2", 1.0)
@@ -159,7 +159,7 @@
         sent = self.sent(self.step(RequestArrived(request()), later_ms))
         assert sent is not None
         self.step(AttemptEnded("q1", sent.attempt_id, Broken("", ended=True)), later_ms)
-        self.assertFalse(self.core.planner.limit(sent.endpoint).limited)
+        self.assertFalse(self.core.endpoints.limit(sent.endpoint).limited)
 
 
 class SharedTest(testtools.TestCase):
--- a/tests/test_session_versions.py
+++ b/tests/test_session_versions.py
@@ -48,11 +48,17 @@
 from ashlatch.fleet.verdict import Evidence, decide
 from ashlatch.gateway.budget import BudgetTerms
 from ashlatch.gateway.directory import EndpointState
+from ashlatch.gateway.hearing import HEARD, Teller
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.news import PeerNews, SessionMoved
 from ashlatch.gateway.peers import GatewayPeers
 from ashlatch.gateway.session_news import tell_session
-from ashlatch.gateway.sessions import SessionVersions
+from ashlatch.gateway.sessions import (
+    MARKS,
+    MOVABLE_SHARE,
+    SessionVersions,
+    session_mark,
+)
 from ashlatch.gateway.tally import Tally, TallyKey
 from ashlatch.gateway.versions import VersionChooser
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
@@ -240,6 +246,40 @@
     def test_gateways_hear_late_that_the_trial_has_begun(self) -> None:
         self.check(Load(61, 150.0, heard_within_ms=600.0, delay_ms=20.0), 3)
 
+    def trial(self, known: Knowledge, share: float, now_ms: float) -> list[PeerNews]:
+        """Have a gateway learn of a trial; what it tells from then on."""
+        number = 2 if share == 0.0 else 3
+        trial = Rollout("app", "v2", RolloutStage.TRIAL, share, number, DURATION_MS)
+        known.versions.learn([trial], now_ms)
+        told: list[PeerNews] = []
+        known.tell = told.append
+        return told
+
+    def test_a_session_that_runs_before_the_trial_is_told_twice(self) -> None:
+        """Each time by another gateway of a hall, since datagrams may be lost."""
+        known = gateway_knowledge()
+        told = self.trial(known, 0.0, 0.0)
+        movable = next(
+            s
+            for s in (f"s{n}" for n in range(99))
+            if session_mark("v2", s) < MOVABLE_SHARE * MARKS
+        )
+        for _ in range(3):
+            tell_session(known, "app", movable, "v1", 100.0)
+        self.assertEqual(2, len(told))
+
+    def test_a_session_that_begins_in_a_new_trial_stays_in_it(self) -> None:
+        """Also at a gateway that has not heard that the trial has begun."""
+        there, late = gateway_knowledge(), gateway_knowledge()
+        self.trial(late, 0.0, 0.0)
+        self.trial(there, 0.0, 0.0)
+        told = self.trial(there, 0.07, 1000.0)
+        tell_session(there, "app", "s1", "v2", 1100.0)
+        self.assertEqual([SessionMoved("app", "s1", "v2")], told)
+        self.assertEqual("v1", chosen_version(late, "s1", 1200.0))
+        HEARD.call(late, told[0], Teller("g", 1200.0))
+        self.assertEqual("v2", chosen_version(late, "s1", 1200.0))
+
     def test_a_trial_that_goes_on_tells_nothing(self) -> None:
         known = gateway_knowledge()
         for number, share in ((2, 0.0), (3, 0.07)):
