A refused session is told when an endpoint of its own version opens

The time is taken from the endpoints that the request may run on. The test failed before (0.5 s where the backoff ends after 3 s).

--- a/ashlatch/gateway/chooser.py
+++ b/ashlatch/gateway/chooser.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+from collections.abc import Iterable
 
 from ashlatch.gateway.admission import RETRY_AFTER_S, Admission, Refused
 from ashlatch.gateway.choice import Choice, choose_endpoint
@@ -18,6 +19,7 @@
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.message import RefusalReason
 from ashlatch.gateway.returns import find_return
+from ashlatch.gateway.versions import AllowedEndpoints
 from ashlatch.policy.permission import Barrier
 
 __all__ = ["RequestChooser"]
@@ -57,17 +59,23 @@
         if unlimited:
             states = [state for state in states if not state.limit.limited]
         tried = frozenset(self.tried)
-        allowed = self._known.versions.allowed(
-            service.name,
+        allowed = self._allowed(states, now_ms)
+        apart = self._known.quarantine.crashes(self._admission.content) > 0
+        send = Send(self._ask, model, self.slack_ms(model), apart)
+        return choose_endpoint(self._known, service, allowed, tried, send, now_ms)
+
+    def _allowed(
+        self, states: Iterable[EndpointState], now_ms: float
+    ) -> AllowedEndpoints:
+        """Those of the endpoints whose version the request may run on."""
+        return self._known.versions.allowed(
+            self._admission.service.name,
             self._ask.session,
             self._ask.request_id,
             states,
             now_ms,
-            tried,
+            frozenset(self.tried),
         )
-        apart = self._known.quarantine.crashes(self._admission.content) > 0
-        send = Send(self._ask, model, self.slack_ms(model), apart)
-        return choose_endpoint(self._known, service, allowed, tried, send, now_ms)
 
     def _states(self) -> list[EndpointState]:
         """The endpoints of the service in those regions in which it may run."""
@@ -130,8 +138,12 @@
 
     def waiting(self) -> Refused | None:
         """The refusal where no endpoint is open, but one will be at a known time."""
-        service = self._admission.service
-        found = find_return(self._known, service, self._states(), self._now_ms())
+        service, now_ms = self._admission.service, self._now_ms()
+        allowed = self._allowed(self._states(), now_ms)
+        states = list(allowed.states)
+        if allowed.otherwise is not None:
+            states += allowed.otherwise.states
+        found = find_return(self._known, service, states, now_ms)
         if found is None:
             return None
         return Refused(503, _REASONS[found.barrier], found.after_s)
--- a/ashlatch/http/retry_after.py
+++ b/ashlatch/http/retry_after.py
@@ -24,7 +24,7 @@
 
 _SECONDS = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 SECOND_MS = 1000.0
-# Some clients and servers cannot calculate with longer times than a day.
+# Longer delays count as a day.
 BACKOFF_MAX_MS = 86_400.0 * SECOND_MS
 # For a time that cannot be read. Dates count as such: clocks of endpoints and gateways
 # may differ by more than the delay.
--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -200,6 +200,29 @@
             wait_s = float(text.partition(b"Retry-After: ")[2].partition(b"\r")[0])
             self.assertTrue(1.0 <= wait_s <= 1.8, str(wait_s))
 
+    def test_a_session_is_told_when_an_endpoint_of_its_version_opens(self) -> None:
+        """The other version serves, but not this session."""
+        new, old = SheddingEndpoint(sheds=False), SheddingEndpoint(sheds=False)
+        workers = [new.worker, old.worker]
+
+        def prepare() -> None:
+            listed = tuple(
+                Endpoint(f"i-{n}", "app", w.address, "hall-1", f"v{2 - n}", 8, False)
+                for n, w in enumerate(workers)
+            )
+            self.known.directory.replace(EndpointList(1, 2, listed), 0.0)
+            trial = Rollout("app", "v2", RolloutStage.TRIAL, 0.1, 1, 1000.0)
+            self.known.versions.learn([trial])
+            self.known.versions.sessions.note("app", "s1", "v2", self.now_ms())
+            self.state("i-0").backoff.request(3000.0, self.now_ms())
+
+        ((status, text),) = self.play(
+            workers, [ask("/get/1", "Session: s1\r\n")], prepare
+        )
+        self.assertEqual(503, status)
+        wait_s = float(text.partition(b"Retry-After: ")[2].partition(b"\r")[0])
+        self.assertTrue(2.5 <= wait_s <= 3.1, str(wait_s))
+
     def test_one_request_tries_an_endpoint_after_its_backoff(self) -> None:
         """The others go elsewhere until its answer is there."""
         shedding = SheddingEndpoint("0.3", answer_s=0.05)
