A gateway without datagrams tells the core of sessions that begin in a trial there

That gateway hears of no session, so it goes on to choose by the share; now it tells the core of those that it puts on the new version, as a load test does, and the record of the trial names them to all.

Names: announce_session, COPIES, record_peer_request.

--- a/ashlatch/catalog.py
+++ b/ashlatch/catalog.py
@@ -256,9 +256,11 @@
     """Sessions of a service that all gateways have to know of.
 
     `marks` are of those that run and that a trial might move, `moved` of those
-    that its load test has moved.
+    that its load test has moved; with a `trial_version`, of those that have begun in
+    the trial of that version at gateways without datagrams.
     """
 
     service: str
     marks: tuple[int, ...]
     moved: tuple[int, ...] = ()
+    trial_version: str = ""
--- a/ashlatch/fleet/leader.py
+++ b/ashlatch/fleet/leader.py
@@ -133,7 +133,8 @@
     _evidence: dict[str, Evidence] = field(default_factory=dict)
     _clocks: dict[str, _Clock] = field(default_factory=dict)
     _newest: dict[str, Rollout] = field(default_factory=dict)
-    _sessions: dict[str, SessionMarks] = field(default_factory=dict)
+    # By service and the version in whose trial they have begun, empty for the others.
+    _sessions: dict[tuple[str, str], SessionMarks] = field(default_factory=dict)
 
     def forget(self) -> None:
         """This VM leads no more."""
@@ -161,7 +162,7 @@
 
     def tell_sessions(self, sessions: tuple[SessionMarks, ...]) -> None:
         """Take which sessions run before a trial, and which a load test moved."""
-        self._sessions = {told.service: told for told in sessions}
+        self._sessions = {(s.service, s.trial_version): s for s in sessions}
 
     def _timed_in_trial(self, tally: Tally) -> Tally:
         """A tally less the times of a new version that is past its trial.
@@ -232,8 +233,10 @@
             rollout, elapsed_ms, evidence, now_ms, ready, plain, self.plan
         )
         changed = (decision.stage, decision.share) != (rollout.stage, rollout.share)
-        told = self._sessions.get(rollout.service, SessionMarks(rollout.service, ()))
-        moved = _moved(rollout, decision, told)
+        nothing = SessionMarks(rollout.service, ())
+        told = self._sessions.get((rollout.service, ""), nothing)
+        begun = self._sessions.get((rollout.service, rollout.version), nothing)
+        moved = _moved(rollout, decision, told, begun)
         due = elapsed_ms - rollout.elapsed_ms >= CHECKPOINT_MS
         if not changed and not due and moved == rollout.moved:
             return None
@@ -259,11 +262,16 @@
         )
 
 
-def _moved(rollout: Rollout, decision: Decision, told: SessionMarks) -> tuple[int, ...]:
-    """The marks of the sessions that stay on the new version beyond its share."""
+def _moved(
+    rollout: Rollout, decision: Decision, told: SessionMarks, begun: SessionMarks
+) -> tuple[int, ...]:
+    """The marks of the sessions that stay on the new version, as not all know.
+
+    `begun` are those that have begun on it in its trial.
+    """
     if decision.stage in FINAL_STAGES or decision.share >= 1.0:
         return ()
     if decision.stage is RolloutStage.TRIAL:
-        # What is told here was moved by a roll-out before this one.
-        return rollout.moved
-    return tuple(sorted({*rollout.moved, *told.moved}))
+        # What `told` names was moved by a roll-out before this one.
+        return tuple(sorted({*rollout.moved, *begun.moved}))
+    return tuple(sorted({*rollout.moved, *begun.moved, *told.moved}))
--- a/ashlatch/fleet/spread.py
+++ b/ashlatch/fleet/spread.py
@@ -60,6 +60,8 @@
         self._changed = asyncio.Event()
         self._running: dict[str, dict[int, float]] = {}
         self._moved: dict[str, dict[int, float]] = {}
+        # By service and version.
+        self._begun_in_trial: dict[tuple[str, str], dict[int, float]] = {}
         self.crashes = UnloggedCrashes()
         # Set when something was told that the leader should hear at once.
         self.urgent = asyncio.Event()
@@ -84,9 +86,18 @@
         return tuple(CoreVm(a, self._halls.get(a, "")) for a in addresses)
 
     def _take_sessions(self, sessions: SessionMarks, now_ms: float) -> None:
+        if sessions.trial_version:
+            key = sessions.service, sessions.trial_version
+            self._take_moved(self._begun_in_trial.setdefault(key, {}), sessions, now_ms)
+            return
         running = self._running.setdefault(sessions.service, {})
         running.update(dict.fromkeys(sessions.marks, now_ms))
         moved = self._moved.setdefault(sessions.service, {})
+        self._take_moved(moved, sessions, now_ms)
+
+    def _take_moved(
+        self, moved: dict[int, float], sessions: SessionMarks, now_ms: float
+    ) -> None:
         if not moved.keys() >= set(sessions.moved):
             self.urgent.set()
         moved.update(dict.fromkeys(sessions.moved, now_ms))
@@ -111,6 +122,12 @@
                 told[service] = {mark: at for mark, at in marks if at >= oldest_ms}
             running, moved = self._running[service], self._moved[service]
             found.append(SessionMarks(service, tuple(running), tuple(moved)))
+        for (service, version), begun in list(self._begun_in_trial.items()):
+            recent = tuple(mark for mark, at in begun.items() if at >= oldest_ms)
+            if recent:
+                found.append(SessionMarks(service, (), recent, version))
+            else:
+                del self._begun_in_trial[service, version]
         return tuple(found)
 
     def live_gateways(self) -> tuple[GatewayVm, ...]:
--- a/ashlatch/gateway/account.py
+++ b/ashlatch/gateway/account.py
@@ -37,7 +37,7 @@
 )
 from ashlatch.gateway.notices import apply_notice
 from ashlatch.gateway.reports import pass_on_load
-from ashlatch.gateway.session_news import tell_session
+from ashlatch.gateway.session_news import announce_session
 from ashlatch.gateway.tally import TallyKey
 from ashlatch.gateway.traffic import TrafficKind
 from ashlatch.http.upstream import CONNECT_REFUSED
@@ -110,7 +110,7 @@
         record_limited_send(self._known, choice.state, self._now_ms())
         self._known.metrics.count(f"versions_by_{choice.allowed.reason.value}")
         session = admission.ask.session
-        tell_session(
+        announce_session(
             self._known, endpoint.service, session, endpoint.version, self._now_ms()
         )
         if choice.forecast is not None:
--- a/ashlatch/gateway/hearing.py
+++ b/ashlatch/gateway/hearing.py
@@ -113,7 +113,7 @@
     state = known.directory.state(news.instance)
     if state is None:
         return
-    state.backoff.request_of_peer(news.backoff_ms, teller.now_ms)
+    state.backoff.record_peer_request(news.backoff_ms, teller.now_ms)
     service, backoff_ms = state.endpoint.service, int(news.backoff_ms)
     emit(
         log,
--- a/ashlatch/gateway/notices.py
+++ b/ashlatch/gateway/notices.py
@@ -71,5 +71,5 @@
         )
         emit(log, asked)
     if state.backoff.is_news(now_ms):
-        state.backoff.request_of_peer(head.backoff_ms, now_ms)
+        state.backoff.record_peer_request(head.backoff_ms, now_ms)
         known.tell(EndpointSheds(state.endpoint.instance, round(head.backoff_ms, 1)))
--- a/ashlatch/gateway/permission.py
+++ b/ashlatch/gateway/permission.py
@@ -21,7 +21,7 @@
 def send_permission(
     known: Knowledge, service: Service, state: EndpointState, now_ms: float
 ) -> Permission:
-    """What stands against a request to an endpoint of a service, if anything."""
+    """Whether a request may be sent to an endpoint of a service, and if not, why."""
     own = state.permission(now_ms)
     may_be_cold = service.cold_requests_per_s > 0.0 and state.cold(now_ms)
     if own is ALLOWED and not state.limit.limited and not may_be_cold:
--- a/ashlatch/gateway/session_news.py
+++ b/ashlatch/gateway/session_news.py
@@ -12,14 +12,13 @@
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.news import SessionMoved, SessionRuns
 
-__all__ = ["tell_session"]
+__all__ = ["announce_session"]
 
-# No record names a session that begins right before a trial: a lost datagram moves it.
-# Each time another gateway of a hall is drawn to pass it on.
-TIMES_TOLD = 2
+# Datagrams are lost at times. Each copy is passed on in a hall by another gateway.
+COPIES = 2
 
 
-def tell_session(
+def announce_session(
     known: Knowledge, service: str, session: str, version: str, now_ms: float
 ) -> None:
     """A request of a session goes to an endpoint of a version."""
@@ -27,10 +26,11 @@
     mark = versions.note_running(service, session, version)
     if mark is not None:
         awaited = versions.rollouts[service].version
-        known.metrics.count("running_sessions_told")
-        for _ in range(TIMES_TOLD):
+        known.metrics.count("sessions_announced")
+        for _ in range(COPIES):
             known.tell(SessionRuns(service, awaited, mark))
-    if versions.note_move(service, session, version, now_ms):
+    alone = not known.peers_in_touch
+    if versions.note_move(service, session, version, now_ms, alone):
         known.metrics.count("sessions_told")
         known.tell(SessionMoved(service, session, version))
     versions.sessions.note(service, session, version, now_ms)
--- a/ashlatch/gateway/versions.py
+++ b/ashlatch/gateway/versions.py
@@ -147,19 +147,25 @@
         return mark if running.note(mark) else None
 
     def note_move(
-        self, service: str, session: str, version: str, now_ms: float = 0.0
+        self,
+        service: str,
+        session: str,
+        version: str,
+        now_ms: float = 0.0,
+        alone: bool = False,
     ) -> bool:
         """A request goes to the version; whether others must hear of its session.
 
         They must when a load test moves it beyond the share, which all know, and as
-        long as some may not have heard that the trial has begun.
+        long as some may not have heard that the trial has begun. A gateway that is
+        `alone` has no datagrams, so it does not hear which sessions ran before.
         """
         rollout = self.rollouts.get(service)
         if not session or rollout is None or rollout.version != version:
             return False
         mark = session_mark(version, session)
         if rollout.stage is RolloutStage.TRIAL:
-            return self._begins_in_trial(rollout, mark, now_ms)
+            return self._begins_in_trial(rollout, mark, now_ms, alone)
         if rollout.stage is not RolloutStage.LOAD_TEST:
             return False
         moves = self._moves_to(service, version)
@@ -169,13 +175,17 @@
         self.moved()
         return True
 
-    def _begins_in_trial(self, rollout: Rollout, mark: int, now_ms: float) -> bool:
+    def _begins_in_trial(
+        self, rollout: Rollout, mark: int, now_ms: float, alone: bool
+    ) -> bool:
         """Whether a session of the trial's share is new, and the trial is too."""
         age_ms = now_ms - self._begun_ms.get(rollout.service, float("-inf"))
         moves = self._moves_to(rollout.service, rollout.version)
-        if age_ms > TRIAL_HEARD_MS or mark in moves.marks:
+        if (age_ms > TRIAL_HEARD_MS and not alone) or mark in moves.marks:
             return False
-        moves.note(mark, here=False)
+        moves.note(mark, here=alone)
+        if alone:
+            self.moved()
         return True
 
     def _awaits_trial(self, service: str) -> bool:
@@ -272,7 +282,9 @@
                 untold = self._moves_to(rollout.service, rollout.version).untold
                 if untold and rollout.share < 1.0:
                     moved = tuple(sorted(untold))
-                    found.append(SessionMarks(rollout.service, (), moved))
+                    trial = rollout.stage is RolloutStage.TRIAL
+                    version = rollout.version if trial else ""
+                    found.append(SessionMarks(rollout.service, (), moved, version))
                 continue
             sessions = self.sessions.running(rollout.service, now_ms)
             marks = (session_mark(rollout.version, s) for s in sessions)
--- a/ashlatch/policy/backoff.py
+++ b/ashlatch/policy/backoff.py
@@ -51,7 +51,7 @@
         self.until_ms = until_ms
         return True
 
-    def request_of_peer(self, backoff_ms: float, now_ms: float) -> None:
+    def record_peer_request(self, backoff_ms: float, now_ms: float) -> None:
         """Another process has been asked for a backoff a moment ago."""
         until_ms = now_ms + min(backoff_ms, PEERS_MAX_MS)
         self.peers_until_ms = max(self.peers_until_ms, until_ms)
--- a/tests/backoff_soak.py
+++ b/tests/backoff_soak.py
@@ -9,16 +9,14 @@
 callers of all gateways are served.
 """
 
-import argparse
-import random
-from dataclasses import dataclass, field
 from functools import partial
 
 from ashlatch.catalog import EndpointList
-from tests.limit_play import Network
+from tests.random_worlds import Plan, draw_plan, play_worlds
 from tests.shed_play import Shedder, ShedWorld
 from tests.shedding import WITHIN_BACKOFF_MAX
 
+GATEWAYS = (1, 2, 3, 7, 7, 11, 30)
 LENGTH_S = 30.0
 # All endpoints that do not leave serve from then on, and nothing befalls anybody.
 CALM_S = 18.0
@@ -31,19 +29,6 @@
     """An endpoint got what it had asked not to get, or callers were not served."""
 
 
-@dataclass
-class Plan:
-    """What a seed has drawn: the size, the load and the faults."""
-
-    seed: int
-    gateways: int
-    endpoints: int
-    requests_per_s: float
-    network: Network
-    answer_ms: float
-    faults: list[str] = field(default_factory=list)
-
-
 class SoakWorld(ShedWorld):
     """A world with faults; `excused` are the gateways that one befell, and when."""
 
@@ -147,15 +132,7 @@
 
 def play(seed: int) -> Plan:
     """Play the world of a seed; raises `RuleBroken`."""
-    drawn = random.Random(seed)
-    plan = Plan(
-        seed,
-        drawn.choice((1, 2, 3, 7, 7, 11, 30)),
-        drawn.choice((1, 2, 3, 5, 9)),
-        drawn.choice((20.0, 60.0, 150.0)),
-        Network(drawn.choice((1.0, 5.0, 25.0)), drawn.choice((0.0, 0.0, 0.03, 0.1))),
-        drawn.choice((20.0, 100.0, 800.0)),
-    )
+    plan = draw_plan(seed, GATEWAYS)
     world = SoakWorld(plan)
     world.draw()
     world.play(plan.requests_per_s, LENGTH_S)
@@ -163,20 +140,5 @@
     return plan
 
 
-def main() -> None:
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--worlds", type=int, default=50)
-    given = parser.parse_args()
-    failed = 0
-    for seed in range(given.seed, given.seed + given.worlds):
-        try:
-            play(seed)
-        except RuleBroken as error:
-            failed += 1
-            print(error, flush=True)
-    print(f"{given.worlds} worlds from seed {given.seed}, {failed} failed")
-
-
 if __name__ == "__main__":
-    main()
+    play_worlds(play)
--- a/tests/limit_soak.py
+++ b/tests/limit_soak.py
@@ -9,15 +9,14 @@
 the gateways of its hall find that out.
 """
 
-import argparse
-import random
-from dataclasses import dataclass, field
 from functools import partial
 
 from ashlatch.policy.rate_limit import NO_LIMIT
-from tests.limit_play import LimitWorld, Network
+from tests.limit_play import LimitWorld
 from tests.limited import SPAN_S, allowed, most_within
+from tests.random_worlds import Plan, draw_plan, play_worlds
 
+GATEWAYS = (1, 2, 3, 7, 7, 11, 30, 61)
 LENGTH_S = 40.0
 # All limits have ended from then on, and nothing befalls anybody.
 CALM_S = 28.0
@@ -37,19 +36,6 @@
     """An endpoint got more than users allow."""
 
 
-@dataclass
-class Plan:
-    """What a seed has drawn: the size, the load and the faults."""
-
-    seed: int
-    gateways: int
-    endpoints: int
-    requests_per_s: float
-    network: Network
-    answer_ms: float
-    faults: list[str] = field(default_factory=list)
-
-
 class SoakWorld(LimitWorld):
     """A world with faults; `excused` are spans of gateways, from their faults on."""
 
@@ -183,16 +169,7 @@
 
 def play(seed: int) -> Plan:
     """Play the world of a seed; raises `BoundPassed`."""
-    drawn = random.Random(seed)
-    gateways = drawn.choice((1, 2, 3, 7, 7, 11, 30, 61))
-    plan = Plan(
-        seed,
-        gateways,
-        drawn.choice((1, 2, 3, 5, 9)),
-        drawn.choice((20.0, 60.0, 150.0)),
-        Network(drawn.choice((1.0, 5.0, 25.0)), drawn.choice((0.0, 0.0, 0.03, 0.1))),
-        drawn.choice((20.0, 100.0, 800.0)),
-    )
+    plan = draw_plan(seed, GATEWAYS)
     world = SoakWorld(plan)
     world.draw()
     world.play(plan.requests_per_s, LENGTH_S)
@@ -200,20 +177,5 @@
     return plan
 
 
-def main() -> None:
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--worlds", type=int, default=50)
-    given = parser.parse_args()
-    failed = 0
-    for seed in range(given.seed, given.seed + given.worlds):
-        try:
-            play(seed)
-        except BoundPassed as error:
-            failed += 1
-            print(error)
-    print(f"{given.worlds} worlds from seed {given.seed}, {failed} failed")
-
-
 if __name__ == "__main__":
-    main()
+    play_worlds(play)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -339,7 +339,7 @@
     Mutant(
         "moves-of-an-earlier-rollout",
         "ashlatch/fleet/leader.py",
-        "        return rollout.moved\n",
+        "        return tuple(sorted({*rollout.moved, *begun.moved}))\n",
         "        pass\n",
         FLEET,
     ),
@@ -879,8 +879,8 @@
     Mutant(
         "running-sessions-told-once",
         "ashlatch/gateway/session_news.py",
-        "TIMES_TOLD = 2",
-        "TIMES_TOLD = 1",
+        "COPIES = 2",
+        "COPIES = 1",
         TRIAL_BEGINS,
     ),
     Mutant(
--- a/tests/session_play.py
+++ b/tests/session_play.py
@@ -19,7 +19,7 @@
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.news import HallNews, PeerNews
 from ashlatch.gateway.peers import GatewayPeers
-from ashlatch.gateway.session_news import tell_session
+from ashlatch.gateway.session_news import announce_session
 from ashlatch.gateway.sessions import SessionVersions
 from ashlatch.gateway.versions import VersionChooser
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
@@ -168,7 +168,7 @@
         states = known.directory.of_service("app")
         allowed = known.versions.allowed("app", session.name, "r", states, self.now_ms)
         version = allowed.states[0].endpoint.version
-        tell_session(known, "app", session.name, version, self.now_ms)
+        announce_session(known, "app", session.name, version, self.now_ms)
         self.requests += 1
         self.moved += bool(session.version) and version != session.version
         session.version = version
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -73,6 +73,15 @@
         (move,) = keeper.moves((begun,), self.LISTED, 3000.0)
         self.assertEqual((), move.moved)
 
+    def test_sessions_that_begin_in_the_trial_of_the_version_are_taken(self) -> None:
+        keeper = RolloutKeeper()
+        begun = Rollout("app", "v3", RolloutStage.TRIAL, 0.1, 9, 20_000.0, 2000.0)
+        keeper.observe((begun,), 0.0)
+        told = tuple(SessionMarks("app", (), (n,), f"v{n}") for n in (2, 3))
+        keeper.tell_sessions((*told, SessionMarks("app", (), (5,))))
+        (move,) = keeper.moves((begun,), self.LISTED, 100.0)
+        self.assertEqual((3,), move.moved)
+
     def test_checkpoints_lose_no_time(self) -> None:
         keeper = RolloutKeeper()
         known = Rollout(
--- a/tests/test_session_versions.py
+++ b/tests/test_session_versions.py
@@ -52,7 +52,7 @@
 from ashlatch.gateway.knowledge import Knowledge
 from ashlatch.gateway.news import PeerNews, SessionMoved
 from ashlatch.gateway.peers import GatewayPeers
-from ashlatch.gateway.session_news import tell_session
+from ashlatch.gateway.session_news import announce_session
 from ashlatch.gateway.sessions import (
     MARKS,
     MOVABLE_SHARE,
@@ -265,7 +265,7 @@
             if session_mark("v2", s) < MOVABLE_SHARE * MARKS
         )
         for _ in range(3):
-            tell_session(known, "app", movable, "v1", 100.0)
+            announce_session(known, "app", movable, "v1", 100.0)
         self.assertEqual(2, len(told))
 
     def test_a_session_that_begins_in_a_new_trial_stays_in_it(self) -> None:
@@ -274,7 +274,7 @@
         self.trial(late, 0.0, 0.0)
         self.trial(there, 0.0, 0.0)
         told = self.trial(there, 0.07, 1000.0)
-        tell_session(there, "app", "s1", "v2", 1100.0)
+        announce_session(there, "app", "s1", "v2", 1100.0)
         self.assertEqual([SessionMoved("app", "s1", "v2")], told)
         self.assertEqual("v1", chosen_version(late, "s1", 1200.0))
         HEARD.call(late, told[0], Teller("g", 1200.0))
@@ -288,8 +288,8 @@
         told: list[PeerNews] = []
         known.tell = told.append
         for number in range(100):
-            tell_session(known, "app", f"s{number}", "v2", 4500.0)
-            tell_session(known, "app", f"t{number}", "v1", 4500.0)
+            announce_session(known, "app", f"s{number}", "v2", 4500.0)
+            announce_session(known, "app", f"t{number}", "v1", 4500.0)
         self.assertEqual([], told)
 
 
--- a/tests/test_shed_load.py
+++ b/tests/test_shed_load.py
@@ -31,7 +31,7 @@
 
     def test_a_backoff_of_one_gateway_closes_the_endpoint_to_no_other(self) -> None:
         backoff = Backoff()
-        backoff.request_of_peer(60_000.0, now_ms=0.0)
+        backoff.record_peer_request(60_000.0, now_ms=0.0)
         self.assertEqual(0.0, backoff.wait_ms(1.0))
         self.assertTrue(backoff.may_shed(4999.0))
         self.assertFalse(backoff.may_shed(5001.0))
@@ -40,7 +40,7 @@
         backoff = Backoff()
         backoff.request(3000.0, now_ms=0.0)
         self.assertTrue(backoff.is_news(0.0))
-        backoff.request_of_peer(3000.0, now_ms=0.0)
+        backoff.record_peer_request(3000.0, now_ms=0.0)
         self.assertFalse(backoff.is_news(0.0))
         backoff.request(3000.0, now_ms=100.0)
         self.assertFalse(backoff.is_news(100.0))
