Mutants of sessions follow their guards; a test of moves that only the record tells

moves-by-datagram-only was not noticed by the test of real processes any more (its load test and what follows last half a second): a direct test of it, noticed since.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -295,8 +295,8 @@
     Mutant(
         "moves-wait-for-the-next-question",
         "ashlatch/gateway/versions.py",
-        "        self.moved()\n",
-        "",
+        "        moves.note(mark, here=True)\n        self.moved()\n",
+        "        moves.note(mark, here=True)\n",
         SYNC,
     ),
     Mutant(
@@ -886,7 +886,7 @@
     Mutant(
         "new-sessions-of-a-trial-untold",
         "ashlatch/gateway/versions.py",
-        "            return self._begins_in_trial(rollout, mark, now_ms)\n",
+        "            return self._begins_in_trial(rollout, mark, now_ms, alone)\n",
         "            return False\n",
         TRIAL_BEGINS,
     ),
--- a/tests/test_session_versions.py
+++ b/tests/test_session_versions.py
@@ -29,6 +29,7 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
+import msgspec
 import testtools
 
 from ashlatch.catalog import (
@@ -177,6 +178,14 @@
 
         asyncio.run(run())
 
+    def test_a_gateway_that_missed_the_message_goes_by_the_record(self) -> None:
+        known = gateway_knowledge()
+        self.assertEqual("v1", chosen_version(known, "s1", 0.0))
+        mark = session_mark("v2", "s1")
+        settled = Rollout("app", "v2", RolloutStage.SETTLE, 0.1, 2, DURATION_MS)
+        known.versions.learn([msgspec.structs.replace(settled, moved=(mark,))])
+        self.assertEqual("v2", chosen_version(known, "s1", 0.0))
+
     def test_an_answer_of_the_old_version_ends_after_the_move(self) -> None:
         moved, ended = asyncio.Event(), standin.stream(2, "X-Confidence: 90")
 
