Load figures: endpoints on shared hosts send a fourth one

Cause: X-Server-Load was matched as exactly three figures. An endpoint on a shared host adds how long work takes there now (100 is usual), so its whole load was dropped: no running, waiting or slots, hence no advertised loads.

Change: the first three figures count whatever follows; a fourth between 10 and 10,000 is kept, any other is treated as absent.

--- a/ashlatch/gateway/message.py
+++ b/ashlatch/gateway/message.py
@@ -103,11 +103,16 @@
 
 @dataclass(frozen=True)
 class LoadFigures:
-    """The load that an endpoint reports."""
+    """The load that an endpoint reports.
+
+    `duration_percent` is how long work takes on its host at the moment, 100 for the
+    usual duration; None if the endpoint does not report it.
+    """
 
     running: int
     waiting: int
     slots: int
+    duration_percent: float | None = None
 
 
 @dataclass(frozen=True)
--- a/ashlatch/platform/headers.py
+++ b/ashlatch/platform/headers.py
@@ -64,7 +64,12 @@
 _KEEP_ALIVE = b"keep-alive"
 
 # Running requests, waiting requests, slots; no endpoint needs more than 7 digits.
-_LOAD_FIGURES = re.compile(r"\s*([0-9]{1,7})\s*,\s*([0-9]{1,7})\s*,\s*([0-9]{1,7})\s*")
+_LOAD_FIGURES = re.compile(
+    r"\s*([0-9]{1,7})\s*,\s*([0-9]{1,7})\s*,\s*([0-9]{1,7})\s*(?:,(.*))?"
+)
+# The fourth load figure is the duration of work as a percentage of the usual one.
+# Values outside this range are ignored: no host is that much faster or slower.
+_DURATION_PERCENT_RANGE = (10.0, 10_000.0)
 # More tokens than any prompt has.
 _TOKENS_MAX = 1_000_000_000
 
@@ -290,8 +295,16 @@
     match = _LOAD_FIGURES.fullmatch(text)
     if match is None:
         return None
-    running, waiting, slots = (int(number) for number in match.groups())
-    return LoadFigures(running, waiting, max(1, slots))
+    running, waiting, slots = (int(number) for number in match.groups()[:3])
+    further = match.group(4) or ""
+    duration_percent = _duration_percent(further.partition(",")[0])
+    return LoadFigures(running, waiting, max(1, slots), duration_percent)
+
+
+def _duration_percent(text: str) -> float | None:
+    percent = _number(text.strip())
+    least, most = _DURATION_PERCENT_RANGE
+    return percent if percent is not None and least <= percent <= most else None
 
 
 def _limit_per_s(by_name: dict[bytes, list[bytes]]) -> float | None:
