Routers: a quarantined keyed request without a usable version is refused

Cause: the plan of a quarantined request always had `allowed` set, although that means that the organisation may use a version of the route. So a keyed request was claimed, and the claim's version looked up as the first of no acceptable versions: IndexError in the handler of RequestArrived, which ends the process.

Ruled out: a cached pin of the session can't be the version here, as pins of versions that are not usable are ignored. Services need no version. A claim without a version, to look for a recorded answer, could be granted and would pin a session to no version.

Change: the plan says whether a version is usable, as without quarantine, so the request is refused as quarantined without a claim. `not_run` is null with a key, as an earlier request may have run, and true without one, as before. A request with a usable version is still claimed, so that a recorded answer is found.

Before: test_a_keyed_request_is_refused_if_no_version_is_usable fails with "IndexError: tuple index out of range" in _first_acceptable_version; the other two tests of QuarantinedRequestTest pass. After: all three pass.

--- a/ashlatch/router/sending.py
+++ b/ashlatch/router/sending.py
@@ -64,7 +64,9 @@
         exclusion = Exclusion(
             format_fingerprint(request_fingerprint(request)), ExclusionReason.CRASHES
         )
-        return NoPlan(True, False, quarantine_ms, (exclusion,), quarantined=True)
+        is_service = request.kind is RequestKind.SERVICE
+        allowed = is_service or bool(core.planner.acceptable_versions(request))
+        return NoPlan(allowed, False, quarantine_ms, (exclusion,), quarantined=True)
     if request.kind is RequestKind.SERVICE:
         return core.planner.plan_service(request, core.now_ms, active.tried_endpoints)
     return core.planner.plan_chat(request, core.now_ms, active.tried_endpoints, version)
@@ -73,12 +75,13 @@
 def no_plan_problem(core: RouterCore, active: ActiveRequest, plan: NoPlan) -> Problem:
     """Returns the problem for a caller if there is no plan."""
     detail = ",".join(str(exclusion) for exclusion in plan.excluded)
+    not_run = core.not_run(active)
+    if plan.quarantined:
+        return Problem(problems.QUARANTINED, detail, not_run, plan.retry_ms)
     if not plan.allowed:
-        return Problem(problems.NOT_ALLOWED, detail, core.not_run(active))
+        return Problem(problems.NOT_ALLOWED, detail, not_run)
     kind = problems.OVERLOADED if plan.too_late else problems.NO_ENDPOINT
-    if plan.quarantined:
-        kind = problems.QUARANTINED
-    return Problem(kind, detail, core.not_run(active), plan.retry_ms)
+    return Problem(kind, detail, not_run, plan.retry_ms)
 
 
 def start_attempt(
