Routers: a request whose route is removed meanwhile is refused

Cause: plan_chat looked the route up without a guard. A keyed request that waits for a running claim plans again every 100 ms, and a request without a claim or session plans anew when it is to be tried on another endpoint. If the route was removed since it arrived, KeyError in the handler ends the process.

Ruled out: the claim's proposal looks the route up as well, but can't fail: it follows a plan with an acceptable version, which a missing route does not have. A retry that is bound to its version, a hedge, an escalation and a resumed stream don't look the route up. Where the claim is granted the look-up is guarded.

Change: planning without the route gives no plan. A waiting request is refused as on arrival, with 404 and `not_run` null, since the claim that it waited for may have run. A request that can't be tried again fails with the result of its attempt: `not_run` is true if nothing was sent or the endpoint says so, false if it may have run. Requests that hold a claim go on with its version, as before.

Before: test_a_request_that_waits_for_a_running_claim_is_refused and test_a_request_is_not_tried_on_another_endpoint fail with "KeyError: 'ask'" in plan_chat; test_a_claim_that_is_granted_is_run_or_closed passes. After: all pass.

--- a/ashlatch/router/admission.py
+++ b/ashlatch/router/admission.py
@@ -23,7 +23,12 @@
     RequestKind,
 )
 from ashlatch.router.planning_result import NoPlan
-from ashlatch.router.sending import no_plan_problem, plan_attempt, start_attempt
+from ashlatch.router.sending import (
+    no_plan_problem,
+    no_route_problem,
+    plan_attempt,
+    start_attempt,
+)
 from ashlatch.store.command import (
     Claim,
     ClaimAnswered,
@@ -75,7 +80,7 @@
         if request.target not in organisation.allowed_services:
             return Problem(problems.NOT_ALLOWED, request.target, not_run)
     elif request.target not in table.routes:
-        return Problem(problems.NOT_FOUND, f"no model {request.target}", not_run)
+        return no_route_problem(request.target, not_run)
     weights = {name: o.share_weight for name, o in table.organisations.items()}
     share = core.limits.router_share
     capacity = Capacity(core.planner.free_slots() * share, core.planner.slots() * share)
--- a/ashlatch/router/plan.py
+++ b/ashlatch/router/plan.py
@@ -136,7 +136,9 @@
                 retry_ms = self._retry_time_ms(excluded, now_ms)
                 return replace(pinned, excluded=all_excluded, retry_ms=retry_ms)
             return replace(pinned, excluded=all_excluded)
-        route = self.table.routes[request.target]
+        route = self.table.routes.get(request.target)
+        if route is None:
+            return NoPlan(False, False, 0.0, (), route_missing=True)
         plans = self._plan_versions(request, now_ms, ready, excluded)
         if not plans:
             return self._no_plan(request, excluded, now_ms)
--- a/ashlatch/router/planning_result.py
+++ b/ashlatch/router/planning_result.py
@@ -64,7 +64,8 @@
 
     `allowed` is set if the organisation may use any of the versions, `too_late` if
     each answer would miss the deadline. `retry_ms` is when a retry makes sense.
-    `quarantined` requests have crashed the endpoints that ran them.
+    `quarantined` requests have crashed the endpoints that ran them. `route_missing` is
+    set if the route was removed after the request had arrived.
     """
 
     allowed: bool
@@ -72,3 +73,4 @@
     retry_ms: float
     excluded: tuple[Exclusion, ...]
     quarantined: bool = False
+    route_missing: bool = False
--- a/ashlatch/router/sending.py
+++ b/ashlatch/router/sending.py
@@ -28,6 +28,7 @@
 __all__ = [
     "RouteChosen",
     "no_plan_problem",
+    "no_route_problem",
     "plan_attempt",
     "start_attempt",
     "start_hedge",
@@ -78,12 +79,19 @@
     not_run = core.not_run(active)
     if plan.quarantined:
         return Problem(problems.QUARANTINED, detail, not_run, plan.retry_ms)
+    if plan.route_missing:
+        return no_route_problem(active.request.target, not_run)
     if not plan.allowed:
         return Problem(problems.NOT_ALLOWED, detail, not_run)
     kind = problems.OVERLOADED if plan.too_late else problems.NO_ENDPOINT
     return Problem(kind, detail, not_run, plan.retry_ms)
 
 
+def no_route_problem(route: str, not_run: bool | None) -> Problem:
+    """Returns the problem for a caller whose route doesn't exist."""
+    return Problem(problems.NOT_FOUND, f"no model {route}", not_run)
+
+
 def start_attempt(
     core: RouterCore, active: ActiveRequest, plan: Plan, resume_chunks: int = 0
 ) -> None:
