Routers: a version or service removed before the call is not sent

Cause: RouterHost takes the prices of an attempt from the newest table, on a worker thread, when the attempt begins. If the version or the service's pool was removed since the plan, the look-up raises KeyError, and an error on a worker thread ends the process.

Ruled out: prices in StartAttempt would mend the look-up, but a service that was removed would still be called, since `may_send` checks versions only. `may_send` itself and the retry after it don't fail.

Change: such an attempt is not sent, and its result says so. The core then tries another version or endpoint, or refuses the request with `not_run` true and closes its claim as not run.

--- a/ashlatch/router/host.py
+++ b/ashlatch/router/host.py
@@ -258,11 +258,16 @@
             lambda: effect.attempt_id in self._cancelled,
         )
         on_head = partial(self._receive_head, effect.endpoint, monotonic_ms())
+        # The table may be newer than the plan, and lack what the plan named.
         table = self.core.planner.table
         if request.kind is RequestKind.SERVICE:
-            price = table.pools[request.target].price_microusd_per_call
-            return call_service(effect, price, bounds, on_head)
-        version = table.versions[effect.version]
+            pool = table.pools.get(request.target)
+            if pool is None:
+                return NotSent("the service was removed")
+            return call_service(effect, pool.price_microusd_per_call, bounds, on_head)
+        version = table.versions.get(effect.version)
+        if version is None:
+            return NotSent("the version was removed")
         prices = Prices(
             version.input_price_microusd_per_ktoken,
             version.output_price_microusd_per_ktoken,
