Control: a roll-out with fewer stages than it had reached continues

Cause: an operator may replace a running roll-out. The stage that it has reached is kept in its progress, and was looked up in the new list. If that is shorter, IndexError in the handler of StateRead ends the process; the next active process reads the same state and ends too.

Ruled out: refusing such a change, since the state checks references and not the progress of a roll-out, and the progress may be changed too.

Change: the roll-out enters the last stage of the new list, which needs its answers anew. A stage that is entered again no longer counts the answers since it was entered the first time.

Before: test_a_rollout_with_fewer_stages_continues_in_its_last_one and test_the_last_stage_needs_its_answers_anew fail with "IndexError: tuple index out of range" in _evaluate; the third test passes. After: all pass.

--- a/ashlatch/control/rollout.py
+++ b/ashlatch/control/rollout.py
@@ -160,6 +160,7 @@
 
 def _enter_stage(core: ControlCore, name: str, rollout: Rollout, stage: int) -> None:
     share = rollout.stages[stage].share_percent
+    core.stage_starts.pop(f"{name}/{stage}", None)
     progress = RolloutProgress(
         stage=stage, share_percent=share, state="running", epoch=core.epoch
     )
@@ -179,6 +180,10 @@
         _roll_back(core, name, rollout, progress, reason)
         core.put_resource(version, Withdrawal(reason=f"rollout {name}: {reason}"))
         return
+    if progress.stage >= len(rollout.stages):
+        # An operator has replaced the roll-out by one with fewer stages.
+        _enter_stage(core, name, rollout, len(rollout.stages) - 1)
+        return
     answers = core.totals[version].answers if version in core.totals else 0
     stage_key = f"{name}/{progress.stage}"
     start = core.stage_starts.setdefault(stage_key, answers)
