--- a/ashlatch/catalog.py
+++ b/ashlatch/catalog.py
@@ -119,12 +119,14 @@
     """An owner of API keys; `priority`, if set, overrides the route's.
 
     `regions` restrict its requests as a route's do; if both name regions, both apply.
+    While capacity is scarce, organisations share it in proportion to their `weight`.
     """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None
     regions: tuple[str, ...] = ()
+    weight: float = 1.0
 
 
 class CatalogLimits(msgspec.Struct, frozen=True):
--- a/ashlatch/platform/document.py
+++ b/ashlatch/platform/document.py
@@ -9,6 +9,7 @@
 :license: MIT, see LICENSE for details.
 """
 
+import math
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -113,6 +114,8 @@
     api_keys: tuple[str, ...] = ()
     priority: int | None = None
     allowed_regions: tuple[str, ...] = ()
+    # The organisation's weight in the shares of scarce capacity.
+    weight: float = 1.0
 
 
 class _Document(msgspec.Struct, frozen=True):
@@ -141,7 +144,7 @@
         tuple(_route(route) for route in document.routes),
         tuple(_service(service) for service in document.services),
         tuple(
-            Organisation(t.name, t.api_keys, t.priority, t.allowed_regions)
+            Organisation(t.name, t.api_keys, t.priority, t.allowed_regions, t.weight)
             for t in document.tenants
         ),
         _limits(document.limits),
@@ -155,6 +158,11 @@
     yield from _duplicate_errors("tenants.name", [t.name for t in document.tenants])
     keys = [key for tenant in document.tenants for key in tenant.api_keys]
     yield from _duplicate_errors("tenants.apiKeys", keys)
+    for tenant in document.tenants:
+        if not (tenant.weight > 0 and math.isfinite(tenant.weight)):
+            rule = "must be above 0 and finite"
+            field = f"tenants.{tenant.name}.weight"
+            yield FieldError(field, str(tenant.weight), rule)
     prefixes = [f"{route.host}{route.path_prefix}" for route in document.routes]
     yield from _duplicate_errors("routes.pathPrefix", prefixes)
     services = {service.name for service in document.services}
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -76,6 +76,18 @@
         ]
         self.assert_refused("apiKeys", encode_document(document(tenants=tenants)))
 
+    def test_weight_of_a_tenant(self) -> None:
+        """A weight of 0 or infinity would leave no share for some organisation."""
+        for weight, accepted in ((2.5, True), (1, True), (0, False), (-1, False)):
+            tenants = [{"name": "a", "weight": weight}, {"name": "b"}]
+            body = encode_document(document(tenants=tenants))
+            if accepted:
+                weights = [o.weight for o in decode_catalog(body).organisations]
+                self.assertEqual([weight, 1.0], weights)
+            else:
+                self.assert_refused("tenants.a.weight", body)
+        self.assert_refused("(document)", body.replace(b"-1", b"1e999"))
+
     def test_rollouts(self) -> None:
         request = decode_rollout_request(
             b'{"service":"app","targetVersion":"v2","durationS":12}'
