Gateway: fair shares of organisations while capacity is scarce

Gateways count the work that organisations demand, broadcast the counts while capacity is scarce (OrganisationDemand), and compute weighted max-min shares from the counts of all gateways.

--- a/ashlatch/gateway/context.py
+++ b/ashlatch/gateway/context.py
@@ -21,6 +21,7 @@
 from ashlatch.gateway.pool import ConnectionPool
 from ashlatch.gateway.prefix_cache import PrefixCaches
 from ashlatch.gateway.routing import RouteTable
+from ashlatch.gateway.shares import OrganisationShares
 from ashlatch.gateway.tally import Tallies
 from ashlatch.gateway.traffic import TrafficCounter
 from ashlatch.gateway.updates import PeerUpdate
@@ -55,7 +56,8 @@
     started may receive requests from this gateway. `core_reachable` and
     `peers_reachable` are set while messages from the core and from the other gateways
     arrive, as far as is known. `next_retry_ms` gives, by service, the retry time for
-    the next caller that finds no endpoint with capacity in its rate limit.
+    the next caller that finds no endpoint with capacity in its rate limit. `shares`
+    has the organisations that demand more than their share of scarce capacity.
     """
 
     hall: str
@@ -83,8 +85,14 @@
     peers_reachable: bool = True
     next_retry_ms: dict[str, float] = field(default_factory=dict)
     traffic: TrafficCounter = field(init=False)
+    shares: OrganisationShares = field(init=False)
 
     def __post_init__(self) -> None:
+        self.shares = OrganisationShares(
+            self.vm,
+            lambda: len(self.gateways),
+            lambda update: self.broadcast(update),
+        )
         self.traffic = TrafficCounter(self.hall, self.metrics)
         self.directory.on_restart = self.forget_instance
 
--- a/ashlatch/gateway/core_updates.py
+++ b/ashlatch/gateway/core_updates.py
@@ -126,6 +126,9 @@
         table = self._context.table
         before = table.catalog.version if table else 0
         self._context.table = RouteTable(catalog)
+        self._context.shares.set_weights(
+            {o.name: o.weight for o in catalog.organisations}
+        )
         self.document_version = version
         applied = ConfigurationApplied(
             version, before, len(catalog.routes), len(catalog.organisations)
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -155,6 +155,7 @@
             prober.run(),
             self._sweep(),
             self._log_traffic(),
+            self.context.shares.run(),
             watch_suspension(),
         )
         for task in tasks:
--- a/ashlatch/gateway/peer_updates.py
+++ b/ashlatch/gateway/peer_updates.py
@@ -29,6 +29,7 @@
     EndpointRefuses,
     EndpointReplaced,
     LoadReported,
+    OrganisationDemand,
     PromptSent,
     RateLimitChanged,
     RateLimitedSend,
@@ -166,3 +167,12 @@
     state.confirm_running(context.cold_ms(state), sender.received_ms)
     level = load_level(update.running + update.waiting, update.slots)
     state.advertised_load.record(level, sender.received_ms)
+
+
+@PEER_HANDLERS.on(OrganisationDemand)
+def _organisation_demand(
+    context: GatewayContext, update: OrganisationDemand, sender: Sender
+) -> None:
+    # Services that are not configured are left out, so that the state is bounded.
+    if context.table is not None and update.service in context.table.services:
+        context.shares.apply_peer(update, sender.received_ms)
--- a/ashlatch/gateway/peers.py
+++ b/ashlatch/gateway/peers.py
@@ -36,6 +36,7 @@
     EndpointReplaced,
     HallUpdate,
     LoadReported,
+    OrganisationDemand,
     PeerUpdate,
     PromptSent,
     RateLimitChanged,
@@ -64,8 +65,9 @@
     EndpointLeaving: TrafficKind.LEAVING,
     BackoffRequested: TrafficKind.BACKOFF,
     SessionActive: TrafficKind.SESSION,
+    OrganisationDemand: TrafficKind.DEMAND,
 }
-# Updates that every gateway receives, wherever the endpoint is.
+# Updates that every gateway receives.
 _FOR_ALL = (
     EndpointRefuses
     | CrashRecordUpdate
@@ -74,6 +76,7 @@
     | EndpointLeaving
     | BackoffRequested
     | SessionActive
+    | OrganisationDemand
 )
 
 
--- a/ashlatch/gateway/traffic.py
+++ b/ashlatch/gateway/traffic.py
@@ -39,6 +39,7 @@
     LIMIT = "limit"
     LEAVING = "leaving"
     BACKOFF = "backoff"
+    DEMAND = "demand"
 
 
 @dataclass(frozen=True)
--- a/ashlatch/gateway/updates.py
+++ b/ashlatch/gateway/updates.py
@@ -9,11 +9,16 @@
 :license: MIT, see LICENSE for details.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from ashlatch.policy.quarantine import CrashRecord
 
 __all__ = [
+    "DEMAND_MAX",
+    "ORGANISATIONS_TOLD_MAX",
+    "WEIGHT_SUM_MAX",
     "CrashRecordUpdate",
     "EndpointLeaving",
     "EndpointUpdate",
@@ -24,12 +29,21 @@
     "RateLimitChanged",
     "RateLimitedSend",
     "LoadReported",
+    "OrganisationDemand",
     "PeerUpdate",
     "PromptSent",
     "SessionMoved",
     "SessionActive",
 ]
 
+# The largest number of organisations in a datagram, which then has about 600 bytes.
+ORGANISATIONS_TOLD_MAX = 64
+# Bounds of received figures: a false one must not make sums infinite.
+DEMAND_MAX = 2**32 - 1
+WEIGHT_SUM_MAX = 1e300
+
+_Unsigned = Annotated[int, msgspec.Meta(ge=0, le=2**32 - 1)]
+
 
 class PromptSent(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """An engine received a prompt whose prefill takes about `prefill_ms`.
@@ -159,6 +173,27 @@
     relay_to_hall: bool = False
 
 
+class OrganisationDemand(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """The work that organisations demand of a service at one gateway.
+
+    `origin` is the hash of the gateway's name. `organisations` has the hashes of the
+    names of those with the largest demand, each with its ms of engine time per second;
+    `rest_ms_per_s` is the demand of all others together, `rest_weight` the sum of their
+    weights. With `relay_to_hall`, the receiver forwards the update to the other
+    gateways of its hall.
+    """
+
+    service: str
+    origin: _Unsigned
+    organisations: Annotated[
+        tuple[tuple[_Unsigned, _Unsigned], ...],
+        msgspec.Meta(max_length=ORGANISATIONS_TOLD_MAX),
+    ]
+    rest_ms_per_s: _Unsigned = 0
+    rest_weight: Annotated[float, msgspec.Meta(ge=0.0, le=WEIGHT_SUM_MAX)] = 0.0
+    relay_to_hall: bool = False
+
+
 # Updates about one endpoint.
 EndpointUpdate = (
     PromptSent
@@ -170,7 +205,13 @@
     | EndpointLeaving
     | BackoffRequested
 )
-PeerUpdate = EndpointUpdate | SessionMoved | SessionActive | CrashRecordUpdate
+PeerUpdate = (
+    EndpointUpdate
+    | SessionMoved
+    | SessionActive
+    | CrashRecordUpdate
+    | OrganisationDemand
+)
 # Updates that are sent hall by hall, through one relay in each other hall.
 HallUpdate = (
     PromptSent
@@ -182,4 +223,5 @@
     | EndpointLeaving
     | BackoffRequested
     | SessionActive
+    | OrganisationDemand
 )
