--- a/ashlatch/cmdline/ctl.py
+++ b/ashlatch/cmdline/ctl.py
@@ -27,6 +27,7 @@
 )
 from ashlatch.errors import AshlatchError
 from ashlatch.explain.lines import Line, read_lines
+from ashlatch.explain.overload import explain_overload
 from ashlatch.explain.sessions import explain_session, explain_version_changes
 from ashlatch.explain.timeline import explain_request, explain_span
 from ashlatch.resources import RESOURCE_KINDS
@@ -34,6 +35,8 @@
 __all__ = ["main"]
 
 EXIT_FAILED = 1
+# Commands that read logs instead of calling the API.
+LOG_COMMANDS = ("explain", "overload")
 # Interval at which `watch` polls for changes.
 WATCH_POLL_S = 0.2
 
@@ -67,9 +70,9 @@
         ashlatchctl withdraw quote-small-2 --reason "wrong prices" --wait
         ashlatchctl status
 
-    `explain` reads logs and needs neither a server nor a token.
+    `explain` and `overload` read logs and need neither a server nor a token.
     """
-    if context.invoked_subcommand == "explain":
+    if context.invoked_subcommand in LOG_COMMANDS:
         return
     if not servers:
         raise click.UsageError("--server is needed")
@@ -344,6 +347,22 @@
         click.echo(text)
 
 
+@main.command()
+@click.argument("logs", nargs=-1, type=click.File(encoding="utf-8", errors="replace"))
+def overload(logs: tuple[TextIO, ...]) -> None:
+    """Show scarce capacity and admission decisions from the LOGS of gateways.
+
+    \b
+        ashlatchctl overload gateway-*.log
+
+    For each service: since when capacity is scarce and when it was, the 8 organisations
+    that were most over their share, and the requests deferred and refused by each rule.
+    Without LOGS, standard input is read. Times are those of each VM's own clock.
+    """
+    for text in explain_overload(_read_logs(logs)):
+        click.echo(text)
+
+
 def _read_logs(logs: tuple[TextIO, ...]) -> list[Line]:
     """Reads the events of several logs, ordered by time."""
     events: list[Line] = []
--- a/ashlatch/gateway/shares.py
+++ b/ashlatch/gateway/shares.py
@@ -238,6 +238,7 @@
         told = tuple(
             (organisation_hash(name), min(round(per_s[name]), DEMAND_MAX))
             for name in ranked[:ORGANISATIONS_TOLD_MAX]
+            if per_s[name] >= 1.0
         )
         return OrganisationDemand(
             service,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,6 +12,7 @@
 from ashlatch.gateway.updates import (
     EndpointRefuses,
     EndpointReplaced,
+    OrganisationDemand,
     PromptSent,
     SessionMoved,
 )
@@ -105,6 +106,34 @@
 
         asyncio.run(run())
 
+    def test_demand_is_stored_by_its_origin(self) -> None:
+        """A relayed datagram must not replace the demand at the gateway that relays."""
+
+        async def run() -> None:
+            halls = ("here", "there", "there")
+            contexts = [gateway_context(f"vm-{n}") for n in range(len(halls))]
+            gateways = tuple(GatewayVm(f"{HOST}:{free_port()}", hall) for hall in halls)
+            loop = asyncio.get_running_loop()
+            for context, local in zip(contexts, gateways, strict=True):
+                context.gateways = gateways
+                context.shares.is_scarce = lambda service, now_ms: True
+                peers = PeerProtocol(context)
+                await peers.start(local)
+                context.broadcast = peers.broadcast
+                context.shares.tick(loop.time() * 1000.0)
+            await asyncio.sleep(DELIVERY_S)
+            for context in contexts:
+                now_ms = loop.time() * 1000.0
+                context.shares.record_request("app", "acme", 100.0, now_ms)
+                context.shares.tick(now_ms)
+            contexts[0].broadcast(OrganisationDemand("unknown", 1, ()))
+            await asyncio.sleep(DELIVERY_S)
+            for context in contexts:
+                self.assertEqual(["app"], list(context.shares._services))
+                self.assertEqual(2, len(context.shares._services["app"].peers))
+
+        asyncio.run(run())
+
     def test_moved_sessions(self) -> None:
         """The receiver keeps only the moved session on its new version."""
         versions = self.receiver.versions
