--- a/ashlatch/gateway/shares.py
+++ b/ashlatch/gateway/shares.py
@@ -27,7 +27,7 @@
     NO_ORGANISATION,
     WINDOW_MS,
     WorkWindow,
-    max_min_shares,
+    shares_with_minimum,
 )
 
 __all__ = ["OrganisationShares", "organisation_hash"]
@@ -53,6 +53,9 @@
 # within the shares, which else would stay as long as it was when the shares began to
 # work; it is not lost, since requests beyond the shares are sent when there is room.
 DIVIDED_RATIO = 0.95
+# The least part of an organisation's demand that is within its share, relative to the
+# part of all demand that can be served; below a quarter it counts as starved.
+SERVED_MIN_RATIO = 0.3
 # The largest number of gateways whose demand is stored for a service.
 PEERS_MAX = 1024
 
@@ -270,7 +273,7 @@
         weights[_REST] = max(demand.rest_weight for demand in all_demands)
         if weights[_REST] > 0.0:
             sums[_REST] = scale * sum(d.rest_ms_per_s for d in all_demands)
-        shares = max_min_shares(sums, weights, capacity_ms_per_s)
+        shares = shares_with_minimum(sums, weights, capacity_ms_per_s, SERVED_MIN_RATIO)
         return {
             key: 1.0 - shares[key] / ms_per_s
             for key, ms_per_s in sums.items()
--- a/ashlatch/policy/fair_share.py
+++ b/ashlatch/policy/fair_share.py
@@ -15,7 +15,13 @@
 from itertools import accumulate
 from typing import TypeVar
 
-__all__ = ["NO_ORGANISATION", "WINDOW_MS", "WorkWindow", "max_min_shares"]
+__all__ = [
+    "NO_ORGANISATION",
+    "WINDOW_MS",
+    "WorkWindow",
+    "max_min_shares",
+    "shares_with_minimum",
+]
 
 K = TypeVar("K", bound=Hashable)
 
@@ -60,6 +66,36 @@
     return shares
 
 
+def shares_with_minimum(
+    demands: Mapping[K, float],
+    weights: Mapping[K, float],
+    capacity: float,
+    minimum_ratio: float,
+) -> dict[K, float]:
+    """Divides a capacity like `max_min_shares`, but starves nobody.
+
+    The served part of each demand is at least `minimum_ratio` of the part of all demand
+    that the capacity suffices for::
+
+        shares_with_minimum({"a": 1800.0, "b": 100.0, "c": 100.0}, {}, 180.0, 0.5)
+        # {"a": 81.0, "b": 49.5, "c": 49.5}; max-min alone gives each 60.0
+    """
+    total = sum(demands.values())
+    served_min_ratio = minimum_ratio * min(1.0, capacity / total) if total else 0.0
+    fixed: dict[K, float] = {}
+    while True:
+        others = {key: d for key, d in demands.items() if key not in fixed}
+        shares = max_min_shares(others, weights, capacity - sum(fixed.values()))
+        raised = {
+            key: served_min_ratio * others[key]
+            for key, share in shares.items()
+            if share < served_min_ratio * others[key]
+        }
+        if not raised:
+            return shares | fixed
+        fixed |= raised
+
+
 @dataclass
 class WorkWindow:
     """The work that organisations demanded within the last 2 s, in ms::
--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -15,6 +15,7 @@
     WINDOW_MS,
     WorkWindow,
     max_min_shares,
+    shares_with_minimum,
 )
 
 AMOUNTS = st.just(0.0) | st.floats(1e-3, 1e9)
@@ -38,6 +39,19 @@
             for n in (n for n in level if shares[n] < demands[n]):
                 self.assertTrue(level[n] >= max(level.values()) * (1.0 - 1e-6), shares)
 
+    def test_nobody_is_starved(self) -> None:
+        """Beside many small ones, the share of a large one may be nearly nothing."""
+        demands = {"large": 4000.0} | {f"o-{n}": 100.0 for n in range(40)}
+        shares = shares_with_minimum(demands, {}, 4000.0, 0.3)
+        self.assertAlmostEqual(4000.0, sum(shares.values()))
+        self.assertAlmostEqual(0.3 * 4000.0 / 8000.0 * 4000.0, shares["large"])
+        self.assertAlmostEqual((4000.0 - 600.0) / 40, shares["o-7"])
+        for ratio in (0.0, 0.01):
+            self.assertEqual(
+                max_min_shares(demands, {}, 4000.0),
+                shares_with_minimum(demands, {}, 4000.0, ratio),
+            )
+
 
 class WorkWindowTest(testtools.TestCase):
     def test_work_leaves_the_window(self) -> None:
