--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -84,6 +84,8 @@
     "not SheddingChat",
 )
 CONNECTIONS = ("-m", "pytest", "-x", "tests/test_connections.py")
+SHARES = ("-m", "pytest", "-x", "tests/test_shares.py", "-k", "not Soak")
+FAIR_SHARE = ("-m", "pytest", "-x", "tests/test_fair_share.py")
 TIMEOUT_S = 180.0
 SHOWN_LINES = 3
 
@@ -920,6 +922,41 @@
         "if False:",
         CONNECTIONS,
     ),
+    Mutant(
+        "shares-not-extrapolated",
+        "ashlatch/gateway/shares.py",
+        "return listed / heard",
+        "return 1.0",
+        SHARES,
+    ),
+    Mutant(
+        "demand-of-stopped-gateways-not-expired",
+        "ashlatch/gateway/shares.py",
+        "if now_ms - peer.received_ms > WINDOW_MS:",
+        "if False:",
+        SHARES,
+    ),
+    Mutant(
+        "demand-that-waited-in-the-socket-applied",
+        "ashlatch/gateway/shares.py",
+        "now_ms - self._resumed_ms < BACKLOG_MS",
+        "False",
+        SHARES,
+    ),
+    Mutant(
+        "shares-with-one-organisation",
+        "ashlatch/gateway/shares.py",
+        "if len(sums) < 2:",
+        "if False:",
+        SHARES,
+    ),
+    Mutant(
+        "shares-without-minimum",
+        "ashlatch/policy/fair_share.py",
+        "if share < served_min_ratio * others[key]",
+        "if False",
+        FAIR_SHARE,
+    ),
 )
 
 
