--- a/ashlatch/explain/process_state.py
+++ b/ashlatch/explain/process_state.py
@@ -50,6 +50,7 @@
     "endpoint_backoff": ("backoff", "instance"),
     "endpoint_sheds_elsewhere": ("backoff of another gateway", "instance"),
     "endpoint_leaves": ("leaving endpoint", "instance"),
+    "room_changed": ("capacity", "service"),
     "content_held": ("quarantined fingerprint", "content"),
     "content_survived": ("quarantined fingerprint", "content"),
     "crashes_noted": ("crash records", ""),
--- a/ashlatch/explain/timeline.py
+++ b/ashlatch/explain/timeline.py
@@ -122,18 +122,26 @@
 
 
 def _summarise_outcomes(lines: list[Line]) -> Iterator[str]:
-    """Counts the ends of requests, and the failed attempts by endpoint."""
+    """Counts the ends of requests, failed attempts by endpoint, and decisions."""
     ended: Counter[str] = Counter()
     failed: Counter[str] = Counter()
+    decided: Counter[str] = Counter()
     left_out = 0
     for line in lines:
         if line.event == "request_ended":
             ended[f"{line.get('status')} {line.get('reason')}".strip()] += 1
         if line.event == "attempt_ended":
             failed[f"{line.get('instance')} {line.get('outcome')}"] += 1
+        if line.event == "admission_decided":
+            rule = f"{line.get('action')} {line.get('reason')}"
+            decided[f"{line.get('service')} {rule}"] += 1
         if line.event == "lines_left_out":
             left_out += int(line.number("lines"))
-    for title, counts in (("requests ended", ended), ("attempts failed", failed)):
+    for title, counts in (
+        ("requests ended", ended),
+        ("attempts failed", failed),
+        ("deferrals and refusals", decided),
+    ):
         if counts:
             yield f"  {title}"
         for outcome, count in counts.most_common():
--- a/ashlatch/gateway/context.py
+++ b/ashlatch/gateway/context.py
@@ -18,6 +18,11 @@
 from ashlatch.gateway.cold import ColdSendLimiter
 from ashlatch.gateway.directory import Directory, EndpointState
 from ashlatch.gateway.latency_model import LatencyModel
+from ashlatch.gateway.overload import (
+    EqualShares,
+    OrganisationShares,
+    OverloadControl,
+)
 from ashlatch.gateway.pool import ConnectionPool
 from ashlatch.gateway.prefix_cache import PrefixCaches
 from ashlatch.gateway.routing import RouteTable
@@ -55,7 +60,9 @@
     started may receive requests from this gateway. `core_reachable` and
     `peers_reachable` are set while messages from the core and from the other gateways
     arrive, as far as is known. `next_retry_ms` gives, by service, the retry time for
-    the next caller that finds no endpoint with capacity in its rate limit.
+    the next caller that finds no endpoint with capacity in its rate limit. `shares`
+    tells which organisations send more than their share, `overload` decides about
+    requests while the engines have too little capacity.
     """
 
     hall: str
@@ -82,11 +89,19 @@
     core_reachable: bool = True
     peers_reachable: bool = True
     next_retry_ms: dict[str, float] = field(default_factory=dict)
+    shares: OrganisationShares = field(default_factory=EqualShares)
     traffic: TrafficCounter = field(init=False)
+    overload: OverloadControl = field(init=False)
 
     def __post_init__(self) -> None:
         self.traffic = TrafficCounter(self.hall, self.metrics)
         self.directory.on_restart = self.forget_instance
+        self.overload = OverloadControl(
+            self.directory,
+            self.latency_model,
+            self.generator,
+            lambda: len(self.gateways),
+        )
 
     def forget_instance(self, instance: str) -> None:
         """Drops cached prefixes and connections of an endpoint whose process ended."""
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -31,6 +31,7 @@
     TrafficCounted,
 )
 from ashlatch.gateway.message import RefusalReason
+from ashlatch.gateway.overload import AdmissionMode
 from ashlatch.gateway.peers import PeerProtocol
 from ashlatch.gateway.sessions import SessionVersions
 from ashlatch.gateway.sync import CoreSync
@@ -39,6 +40,7 @@
 from ashlatch.http.listener import HttpListener
 from ashlatch.log import emit
 from ashlatch.metrics import serve_metrics
+from ashlatch.platform.contracts import requires_admission_control
 from ashlatch.platform.headers import MalformedRequest, decode_request
 from ashlatch.platform.operator import READY_TARGET
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
@@ -102,6 +104,9 @@
             settings.halls,
             generator=random.Random(settings.vm),
         )
+        overload = self.context.overload
+        overload.mode = AdmissionMode(settings.admission)
+        overload.all_engines = requires_admission_control(settings.contracts)
         self._seeds = Seeds(settings, read_settings)
 
     def start(self) -> None:
@@ -165,6 +170,7 @@
         started_s = loop.time()
         ends_s = started_s + STOP_ABORT_RATIO * self.settings.stop_s
         self.listener.stopping = True
+        self.context.overload.stop()
         emit(
             log,
             StopBegun(self.listener.active_requests, len(self.listener.connections)),
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -31,6 +31,7 @@
 from ashlatch.gateway.chooser import EndpointChooser
 from ashlatch.gateway.context import GatewayContext
 from ashlatch.gateway.crash_detector import CrashDetector
+from ashlatch.gateway.deferral import RequestDeferral
 from ashlatch.gateway.events import EventSplitter, StreamEvent
 from ashlatch.gateway.message import AnswerHead, Dispatch, RefusalReason
 from ashlatch.gateway.request_record import RequestRecord
@@ -78,6 +79,7 @@
         self._record = RequestRecord(context, admission)
         self._chooser = EndpointChooser(context, admission)
         self._crash_detector = CrashDetector(context)
+        self._deferral = RequestDeferral(context, admission)
         self._error_answer: _CompleteAnswer | None = None
         self._repeat_reserved = False
         self._send_reason = "first"
@@ -103,6 +105,9 @@
             self._conclude(refused)
 
     async def _serve(self) -> Refused | None:
+        overloaded = await self._deferral.run(self._model)
+        if overloaded is not None:
+            return overloaded
         while True:
             # The request may have crashed endpoints at other gateways since the last
             # send.
@@ -194,6 +199,7 @@
     async def _run_attempt(self, attempt: Attempt) -> bool:
         """Returns whether the answer was forwarded; otherwise the request is resent."""
         head = await attempt.begin(self._answer_timeout())
+        self._record_duration(attempt, head)
         self._record.record_answer_begin(attempt, self._model)
         if self._route.streams and head.status < 300:
             if self._escalates(attempt, head):
@@ -208,6 +214,12 @@
         self._record.record_success(attempt)
         return True
 
+    def _record_duration(self, attempt: Attempt, head: AnswerHead) -> None:
+        """Records that endpoints of the service report the duration of work."""
+        if head.load is not None and head.load.duration_percent is not None:
+            service = attempt.state.endpoint.service
+            self._context.overload.record_duration_reported(service, self._now_ms())
+
     def _escalates(self, attempt: Attempt, head: AnswerHead) -> bool:
         """Decides whether to use a larger model instead of forwarding this answer."""
         if not self._model or self._record.events:
@@ -215,7 +227,8 @@
         larger = larger_models(self._route, self._model, head.confidence)
         # A larger model may run at the same endpoint.
         self._chooser.tried.discard(attempt.state.endpoint.instance)
-        model, expected_ms = self._chooser.first_model_in_time(larger)
+        in_time = () if self._deferral.smaller_only else larger
+        model, expected_ms = self._chooser.first_model_in_time(in_time)
         decision = self._decide_escalation(larger, model)
         self._record.record_escalation_decision(
             attempt, self._model, expected_ms, decision
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -15,6 +15,7 @@
 from ashlatch.log import LogEvent
 
 __all__ = [
+    "AdmissionDecided",
     "AnswerEvaluated",
     "AttemptEnded",
     "ConfigurationApplied",
@@ -46,6 +47,7 @@
     "RequestSent",
     "RequestUnreadable",
     "RolloutChanged",
+    "RoomChanged",
     "StopBegun",
     "TrafficCounted",
     "UrgentReportFailed",
@@ -137,6 +139,54 @@
     waiting: int
 
 
+@dataclass(frozen=True)
+class AdmissionDecided(LogEvent):
+    """A request is deferred or refused before its first send.
+
+    `reason` is the rule that applied. `slots` and `requests` are those of the available
+    engines, `waiting` the requests that wait there by reports of which the oldest is
+    `oldest_ms` old. `expected_ms` is the time in which the answer would begin at an
+    engine with a free slot, `queued_ms` the shortest expected wait for a slot.
+    `over_share` is the share of its organisation's demand beyond its fair share.
+    """
+
+    event: ClassVar[str] = "admission_decided"
+    request: str
+    service: str
+    organisation: str
+    urgency: int
+    action: str
+    reason: str
+    slots: int
+    requests: int
+    waiting: int
+    oldest_ms: int
+    expected_ms: int
+    queued_ms: int
+    over_share: float
+    wait_ms: int
+    retry_after_s: float
+
+
+@dataclass(frozen=True)
+class RoomChanged(LogEvent):
+    """The capacity of a service has become scarce, or is no longer scarce.
+
+    `fresh` of the available `engines` have a report that is new enough; see
+    `AdmissionDecided` for the other figures.
+    """
+
+    event: ClassVar[str] = "room_changed"
+    service: str
+    scarce: bool
+    slots: int
+    requests: int
+    waiting: int
+    fresh: int
+    engines: int
+    oldest_ms: int
+
+
 @dataclass(frozen=True)
 class RequestEnded(LogEvent):
     """A request has its final answer; `reason` is set if the gateway made it itself.
--- a/ashlatch/policy/overload.py
+++ b/ashlatch/policy/overload.py
@@ -28,6 +28,7 @@
     "RequestNeeds",
     "ReleaseRates",
     "SENT_AT_ONCE",
+    "UNREPORTED_USE",
     "ScarcityDetector",
     "decide",
 ]
@@ -56,9 +57,10 @@
 RESERVED_MAX = 0.3
 # The free slots that a report shows are given out over about the age of a report.
 REPORT_AGE_S = 1.0
-# A request waits for at most this share of the time that its target leaves, as the
-# expected time of its answer is only an estimate.
-WAIT_SHARE = 0.5
+# A request waits for at most this share of the time that its target leaves: the time to
+# its answer is only an estimate, and engines that are still full at the end of the wait
+# make it wait again.
+WAIT_SHARE = 0.25
 # No request waits longer: bursts last for seconds, and a false report must not cost
 # more than a part of a target.
 WAIT_MAX_MS = 2000.0
@@ -102,7 +104,8 @@
     `fresh` engines have a report that is new enough, `saturated` ones report every slot
     in use and a queue. `slots` and `requests` are those of all available engines;
     `waiting` are the requests that wait according to fresh reports, of which the oldest
-    is `oldest_ms` old. `least_wait_ms` is the shortest expected wait for a slot.
+    is `oldest_ms` old. `least_wait_ms` is the shortest expected wait for a slot,
+    `end_interval_ms` the time between two requests that end at any of the engines.
     """
 
     engines: int = 0
@@ -113,6 +116,7 @@
     waiting: int = 0
     oldest_ms: float = 0.0
     least_wait_ms: float = 0.0
+    end_interval_ms: float = 0.0
 
     @property
     def known(self) -> bool:
@@ -282,7 +286,8 @@
     """
     if not scarce:
         return SENT_AT_ONCE
-    certain_ms = CERTAIN_SHARE * needs.share_ahead * summary.least_wait_ms
+    certain_share = 1.0 if needs.excess else CERTAIN_SHARE * needs.share_ahead
+    certain_ms = certain_share * summary.least_wait_ms
     if summary.all_saturated and certain_ms > needs.remaining_ms:
         if not needs.returned:
             return OverloadDecision(AdmissionAction.REFUSE, AdmissionReason.LIMIT)
@@ -293,7 +298,8 @@
         return _send(needs, summary, AdmissionReason.WAIT_ENDED)
     if take_slot():
         return _send(needs, summary, AdmissionReason.FREE_SLOTS)
-    wait_ms = WAIT_SHARE * (needs.slack_ms - needs.expected_ms)
+    queued_ms = needs.share_ahead * summary.least_wait_ms
+    wait_ms = WAIT_SHARE * (needs.slack_ms - needs.expected_ms - queued_ms)
     if wait_ms < WAIT_MIN_MS:
         return _send(needs, summary, AdmissionReason.NO_SLACK)
     reason = AdmissionReason.OVER_SHARE if needs.excess else AdmissionReason.SCARCE
--- a/ashlatch/settings.py
+++ b/ashlatch/settings.py
@@ -11,7 +11,7 @@
 import json
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, Any, Literal, TypeVar
 
 import msgspec
 from msgspec import Meta
@@ -244,6 +244,10 @@
 
     `session_s` is the longest pause within a session. `stop_s` is the time between a
     request to stop and the kill.
+
+    `admission` says for which services with engines requests may be deferred or refused
+    while capacity is scarce: `auto` for those whose endpoints report the duration of
+    work, and for all if `contracts`, the list of what the platform requires, says so.
     """
 
     listen: AddressText
@@ -252,6 +256,8 @@
     stop_s: PositiveFloat = 8.0
     repeats: RepeatSettings = RepeatSettings()
     endpoint_policy: str = "hall_affinity"
+    admission: Literal["off", "on", "auto"] = "auto"
+    contracts: tuple[str, ...] = ()
 
 
 def load(path: Path, kind: type[S]) -> S:
--- a/tests/overload_simulation.py
+++ b/tests/overload_simulation.py
@@ -230,10 +230,10 @@
             summary = self._summary(gateway)
             gateway.detector.update(summary, self.now_ms)
             first = gateway.queue.first is deferral
-            if not ended and gateway.detector.scarce:
-                if not first or not self.take_slot(gateway, rank, summary):
-                    self.schedule(min(self.now_ms + STEP_MS, until_ms), check)
-                    return
+            held = not ended and gateway.detector.scarce
+            if held and not (first and self.take_slot(gateway, rank, summary)):
+                self.schedule(min(self.now_ms + STEP_MS, until_ms), check)
+                return
             gateway.queue.discard(deferral)
             request.waited_ms = self.now_ms - request.at_ms
             self._decide(gateway, request, True)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -173,6 +173,7 @@
     def test_every_event_of_gateways_and_core_is_classified(self) -> None:
         other_events = {
             "request_sent",
+            "admission_decided",
             "answer_weighed",
             "attempt_ended",
             "request_ended",
