--- a/ashlatch/gateway/overload.py
+++ b/ashlatch/gateway/overload.py
@@ -24,6 +24,7 @@
 from ashlatch.gateway.latency_model import LatencyModel
 from ashlatch.gateway.logs import RoomChanged
 from ashlatch.log import emit
+from ashlatch.policy.load import STALE_REPORT_MS, EndpointLoad
 from ashlatch.policy.overload import (
     SENT_AT_ONCE,
     UNREPORTED_USE,
@@ -54,9 +55,11 @@
 log = logging.getLogger("ashlatch.gateway")
 
 SECOND_MS = 1000.0
-# A summary is used for this long. Reports are up to a second old, and with two requests
-# a second the summary is computed about once for each.
-SUMMARY_VALID_MS = 100.0
+# A summary is used for this long, a part of the age of the reports.
+SUMMARY_VALID_MS = 250.0
+# Which engines are available is determined at this interval: as often as an engine that
+# is lost is found to be, and it takes longer than the summary of their loads.
+ENGINES_VALID_MS = 1000.0
 # Deferred requests are checked at this interval: short against their waits of 0.1 to
 # 2 s, and no timer runs while there are none.
 CHECK_S = 0.05
@@ -133,6 +136,8 @@
     generator: random.Random
     summary: CapacitySummary = CapacitySummary()
     summary_ms: float = float("-inf")
+    engines: tuple[tuple[EndpointLoad, int, float], ...] = ()
+    engines_ms: float = float("-inf")
     detector: ScarcityDetector = field(default_factory=ScarcityDetector)
     demand: DemandByUrgency = field(default_factory=DemandByUrgency)
     queue: DeferralQueue = field(
@@ -229,54 +234,71 @@
         control = self._control(service)
         if now_ms - control.summary_ms < SUMMARY_VALID_MS:
             return control
-        control.summary = self._summarise(service, now_ms)
+        control.summary = self._summarise(service, control, now_ms)
         control.summary_ms = now_ms
         if control.detector.update(control.summary, now_ms):
             self._log_change(service, control)
         return control
 
-    def _summarise(self, service: str, now_ms: float) -> CapacitySummary:
+    def _summarise(
+        self, service: str, control: _ServiceControl, now_ms: float
+    ) -> CapacitySummary:
+        """Returns the present summary of the engines of a service.
+
+        The reports are used as they are: with many gateways, what this one has sent
+        since is a small part of what an engine has received.
+        """
+        if now_ms - control.engines_ms >= ENGINES_VALID_MS:
+            control.engines = self._available_engines(service, now_ms)
+            control.engines_ms = now_ms
         slot_ms = self._latency_model.slot_time_ms(service)
-        engines = fresh = saturated = slots = waiting = 0
-        total = oldest_ms = 0.0
-        least_wait_ms = math.inf
-        for state in self._directory.of_service(service):
-            if not _available(state, now_ms):
-                continue
-            engines += 1
-            state_slots = state.endpoint.slots
-            slots += state_slots
-            load = state.load
+        fresh_from_ms = now_ms - STALE_REPORT_MS
+        fresh = saturated = slots = waiting = 0
+        total, oldest_at_ms, least_wait_ms = 0.0, now_ms, math.inf
+        for load, engine_slots, ratio in control.engines:
+            slots += engine_slots
             report = load.report
-            if report is None or load.stale(now_ms):
-                total += max(load.in_flight, UNREPORTED_USE * state_slots)
+            if report is None or report.at_ms < fresh_from_ms:
+                total += UNREPORTED_USE * engine_slots
                 continue
             fresh += 1
-            requests = load.requests()
+            queued = report.queued
+            requests = report.running + queued
             total += requests
-            waiting += report.queued
-            saturated += report.queued > 0 and report.running >= state_slots
-            oldest_ms = max(oldest_ms, now_ms - report.at_ms)
+            if report.at_ms < oldest_at_ms:
+                oldest_at_ms = report.at_ms
+            if requests < engine_slots:
+                least_wait_ms = 0.0
+                continue
+            waiting += queued
+            saturated += queued > 0
             # The slot time includes waits at full engines, so the requests there end at
-            # this interval.
-            end_interval_ms = slot_ms / max(state_slots, requests)
-            end_interval_ms *= duration_ratio(state, now_ms)
-            beyond = max(0.0, requests + 1.0 - state_slots)
-            least_wait_ms = min(least_wait_ms, beyond * end_interval_ms)
-        if not fresh:
-            least_wait_ms = 0.0
+            # intervals of the slot time divided by their number.
+            wait_ms = (requests + 1 - engine_slots) * ratio * slot_ms / requests
+            if wait_ms < least_wait_ms:
+                least_wait_ms = wait_ms
         return CapacitySummary(
-            engines,
+            len(control.engines),
             fresh,
             saturated,
             slots,
             total,
             waiting,
-            oldest_ms,
-            least_wait_ms,
+            now_ms - oldest_at_ms,
+            least_wait_ms if fresh else 0.0,
             slot_ms / max(1.0, slots, total),
         )
 
+    def _available_engines(
+        self, service: str, now_ms: float
+    ) -> tuple[tuple[EndpointLoad, int, float], ...]:
+        """Returns the load, slots and duration ratio of the available engines."""
+        return tuple(
+            (state.load, state.endpoint.slots, duration_ratio(state, now_ms))
+            for state in self._directory.of_service(service)
+            if _available(state, now_ms)
+        )
+
     def _log_change(self, service: str, control: _ServiceControl) -> None:
         summary = control.summary
         event = RoomChanged(
@@ -305,14 +327,14 @@
         if not control.detector.scarce:
             return SENT_AT_ONCE
         returned = control.returns.has_returned(arrival.fingerprint, now_ms)
-        rank = self._rank(control, arrival, now_ms)
+        rank, share_ahead = control.demand.position(arrival.urgency, now_ms)
         needs = RequestNeeds(
-            rank,
+            EXCESS_RANK if arrival.excess else rank,
             arrival.remaining_ms,
             arrival.slack_ms,
             arrival.expected_ms,
             arrival.larger_ms,
-            control.demand.share_ahead(arrival.urgency, now_ms),
+            share_ahead,
             arrival.excess,
             returned,
             arrival.waited,
@@ -332,12 +354,6 @@
             control.returns.forget(arrival.fingerprint)
         return decision
 
-    def _rank(self, control: _ServiceControl, arrival: Arrival, now_ms: float) -> int:
-        """Returns the rank of a request; one over its organisation's share is last."""
-        if arrival.excess:
-            return EXCESS_RANK
-        return control.demand.rank(arrival.urgency, now_ms)
-
     def _take_slot(
         self, control: _ServiceControl, needs: RequestNeeds, now_ms: float
     ) -> bool:
@@ -378,9 +394,10 @@
         """
         control = self._control(service)
         loop = asyncio.get_running_loop()
+        rank, _ = control.demand.position(arrival.urgency, now_ms)
         woken: asyncio.Future[None] = loop.create_future()
         deferral = Deferral(
-            self._rank(control, arrival, now_ms),
+            EXCESS_RANK if arrival.excess else rank,
             not control.returns.has_returned(arrival.fingerprint, now_ms),
             now_ms + wait_ms,
             arrival.size_bytes,
--- a/ashlatch/policy/load.py
+++ b/ashlatch/policy/load.py
@@ -12,7 +12,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-__all__ = ["EndpointLoad", "LoadReport"]
+__all__ = ["STALE_REPORT_MS", "EndpointLoad", "LoadReport"]
 
 SERVICE_GAIN = 0.03
 DEFAULT_SERVICE_MS = 500.0
--- a/ashlatch/policy/overload.py
+++ b/ashlatch/policy/overload.py
@@ -50,6 +50,9 @@
 # keeps the state from oscillating.
 AMPLE_BELOW_USE = 0.75
 AMPLE_HOLD_MS = 500.0
+# It ends at once when fewer slots than this are in use and nothing waits: a wait would
+# be needless then, and a refusal a fault.
+LIGHT_USE = 0.5
 # The share of the slots that each priority leaves free for the more urgent ones: what a
 # burst of urgent requests takes within the age of a report. A smaller share is used up
 # before the next report.
@@ -151,7 +154,8 @@
     def update(self, summary: CapacitySummary, now_ms: float) -> bool:
         """Applies the current summary; returns whether `scarce` has changed."""
         was_scarce = self.scarce
-        if not summary.known:
+        light = summary.use < LIGHT_USE and not summary.waiting
+        if light or not summary.known:
             self.scarce, self._ample_since_ms = False, None
         elif summary.use >= AMPLE_BELOW_USE:
             self.scarce = self.scarce or summary.use >= SCARCE_FROM_USE
@@ -182,20 +186,22 @@
         left = max(0.0, 1.0 - age_ms / DEMAND_WINDOW_MS)
         return self._weights.get(urgency, 0.0) * left
 
-    def rank(self, urgency: int, now_ms: float) -> int:
-        """Returns how many more urgent priorities are in use; 0 for the most urgent."""
-        return sum(
-            other < urgency and now_ms - at_ms < DEMAND_WINDOW_MS
-            for other, at_ms in self._last_ms.items()
-        )
-
-    def share_ahead(self, urgency: int, now_ms: float) -> float:
-        """Returns the share of the requests that are at least as urgent."""
-        weights = {u: self._weight(u, now_ms) for u in self._weights}
-        total = sum(weights.values())
-        if total <= 0.0:
-            return 1.0
-        return sum(w for u, w in weights.items() if u <= urgency) / total
+    def position(self, urgency: int, now_ms: float) -> tuple[int, float]:
+        """Returns the rank of a priority and the share of requests as urgent or more.
+
+        The rank is how many more urgent priorities are in use, 0 for the most urgent.
+        """
+        rank, ahead, total = 0, 0.0, 0.0
+        for other, at_ms in self._last_ms.items():
+            left = 1.0 - (now_ms - at_ms) / DEMAND_WINDOW_MS
+            if left <= 0.0:
+                continue
+            weight = self._weights[other] * left
+            total += weight
+            if other <= urgency:
+                ahead += weight
+                rank += other < urgency
+        return rank, ahead / total if total > 0.0 else 1.0
 
 
 @dataclass
--- a/bench/choice.py
+++ b/bench/choice.py
@@ -1,4 +1,5 @@
-"""Measures the processor time of one choice of an engine, by the number of engines.
+"""Measures the processor time of one choice of an engine, by the number of engines, and
+of the admission decision before it, with a new summary of the engines for each one.
 
 While the context load of each engine was summed twice per choice, a choice among 70
 engines took 0.49 ms; since it is summed once, 0.40 ms. Run: python -m bench.choice
@@ -13,16 +14,19 @@
 from ashlatch.gateway.context import GatewayContext
 from ashlatch.gateway.forecast import Send
 from ashlatch.gateway.message import CallerRequest, LoadFigures, PromptPart
+from ashlatch.gateway.overload import AdmissionMode, Arrival
 from ashlatch.gateway.sessions import SessionVersions
 from ashlatch.gateway.versions import VersionChooser
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
 from bench.table import format_spread, print_row, print_title
 
-ENGINES = (9, 70, 140)
+ENGINES = (9, 45, 70, 140)
 CHOICES = 300
 ROUNDS = 5
 NOW_MS = 1000.0
 CACHE_TOKENS = 500_000
+AMPLE = LoadFigures(5, 0, 12)
+SCARCE = LoadFigures(12, 3, 12)
 TOPICS = 2000
 SERVICE = Service("app", 480, EngineSpec(12, CACHE_TOKENS, 11, ()), 3000.0, 10.0)
 
@@ -94,12 +98,39 @@
     return (time.process_time() - begun_s) / CHOICES * 1000.0
 
 
+def measure_admission_ms(context: GatewayContext, load: LoadFigures) -> float:
+    """Returns the mean processor time of one admission decision at this load."""
+    control = context.overload
+    control.mode = AdmissionMode.ON
+    for state in context.directory.all():
+        state.apply_load(load, NOW_MS)
+    begun_s = time.process_time()
+    for number in range(CHOICES):
+        control._control(SERVICE.name).summary_ms = -NOW_MS
+        control.is_on(SERVICE, NOW_MS)
+        control.record_demand(SERVICE.name, number % 3, NOW_MS)
+        if control.is_scarce(SERVICE.name, NOW_MS):
+            arrival = Arrival(
+                number, number % 3, 15e3, 5e3, 300.0, 0.0, False, False, 9
+            )
+            control.decide(SERVICE.name, arrival, NOW_MS)
+    return (time.process_time() - begun_s) / CHOICES * 1000.0
+
+
 def main() -> None:
     print_title("A choice of an engine, processor time")
     for engines in ENGINES:
         context = build_context(engines)
         times = [measure_choice_ms(context) for _ in range(ROUNDS)]
         print_row(f"{engines} engines", ms=format_spread(times))
+    print_title("An admission decision, processor time")
+    for engines in ENGINES:
+        for name, load in (("ample", AMPLE), ("scarce", SCARCE)):
+            times = [
+                measure_admission_ms(build_context(engines), load)
+                for _ in range(ROUNDS)
+            ]
+            print_row(f"{engines} engines, {name}", ms=format_spread(times))
 
 
 if __name__ == "__main__":
--- a/tests/overload_simulation.py
+++ b/tests/overload_simulation.py
@@ -193,13 +193,13 @@
             return
         summary = self._summary(gateway)
         gateway.detector.update(summary, self.now_ms)
-        rank = gateway.demand.rank(kind.urgency, self.now_ms)
+        rank, share_ahead = gateway.demand.position(kind.urgency, self.now_ms)
         needs = RequestNeeds(
             rank,
             kind.limit_ms - elapsed_ms,
             kind.target_ms - elapsed_ms,
             kind.tokens * TOKEN_MS,
-            share_ahead=gateway.demand.share_ahead(kind.urgency, self.now_ms),
+            share_ahead=share_ahead,
             waited=waited,
         )
         decision = decide(
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -41,6 +41,15 @@
         self.assertTrue(detector.update(AMPLE, 1300.0))
         self.assertFalse(detector.scarce)
 
+    def test_it_ends_at_once_with_half_of_the_slots_free(self) -> None:
+        """Guards against waits and refusals while most engines are idle."""
+        detector = ScarcityDetector()
+        for used, waiting, scarce in ((200.0, 0, True), (100.0, 1, True)):
+            detector.update(CapacitySummary(9, 9, 0, 216, used, waiting), 0.0)
+            self.assertEqual(scarce, detector.scarce)
+        detector.update(CapacitySummary(9, 9, 0, 216, 100.0), 100.0)
+        self.assertFalse(detector.scarce)
+
     def test_it_ends_without_reports_of_most_engines(self) -> None:
         detector = ScarcityDetector()
         detector.update(FULL, 0.0)
@@ -105,10 +114,10 @@
         demand.record(0, 0.0)
         for at_ms in (5000.0, 6000.0, 7000.0):
             demand.record(2, at_ms)
-        self.assertEqual((0, 1), (demand.rank(0, 7e3), demand.rank(2, 7e3)))
-        self.assertTrue(demand.share_ahead(0, 7e3) < 0.2)
-        self.assertEqual(0, demand.rank(2, 11e3))
-        self.assertEqual(1.0, demand.share_ahead(2, 11e3))
+        rank, share_ahead = demand.position(0, 7e3)
+        self.assertTrue(rank == 0 and share_ahead < 0.2, share_ahead)
+        self.assertEqual((1, 1.0), demand.position(2, 7e3))
+        self.assertEqual((0, 1.0), demand.position(2, 11e3))
 
     def test_gateways_share_the_free_slots(self) -> None:
         """Guards against all gateways sending into the same free slots."""
