--- a/ashlatch/gateway/context.py
+++ b/ashlatch/gateway/context.py
@@ -18,6 +18,7 @@
 from ashlatch.gateway.cold import ColdSendLimiter
 from ashlatch.gateway.directory import Directory, EndpointState
 from ashlatch.gateway.latency_model import LatencyModel
+from ashlatch.gateway.overload import OverloadControl
 from ashlatch.gateway.pool import ConnectionPool
 from ashlatch.gateway.prefix_cache import PrefixCaches
 from ashlatch.gateway.routing import RouteTable
@@ -57,7 +58,8 @@
     `peers_reachable` are set while messages from the core and from the other gateways
     arrive, as far as is known. `next_retry_ms` gives, by service, the retry time for
     the next caller that finds no endpoint with capacity in its rate limit. `shares`
-    has the organisations that demand more than their share of scarce capacity.
+    tells which organisations demand more than their share of scarce capacity, `overload`
+    decides about requests while the engines have too little capacity.
     """
 
     hall: str
@@ -85,16 +87,32 @@
     peers_reachable: bool = True
     next_retry_ms: dict[str, float] = field(default_factory=dict)
     traffic: TrafficCounter = field(init=False)
+    overload: OverloadControl = field(init=False)
     shares: OrganisationShares = field(init=False)
 
     def __post_init__(self) -> None:
+        self.traffic = TrafficCounter(self.hall, self.metrics)
+        self.directory.on_restart = self.forget_instance
+        self.overload = OverloadControl(
+            self.directory,
+            self.latency_model,
+            self.generator,
+            lambda: len(self.gateways),
+        )
         self.shares = OrganisationShares(
             self.vm,
             lambda: len(self.gateways),
             lambda update: self.broadcast(update),
+            self._is_scarce,
+            self.overload.capacity_ms_per_s,
         )
-        self.traffic = TrafficCounter(self.hall, self.metrics)
-        self.directory.on_restart = self.forget_instance
+
+    def _is_scarce(self, service_name: str, now_ms: float) -> bool:
+        """Checks whether a service with admission control has too little capacity."""
+        service = self.table.services.get(service_name) if self.table else None
+        if service is None or not self.overload.is_on(service, now_ms):
+            return False
+        return self.overload.is_scarce(service_name, now_ms)
 
     def forget_instance(self, instance: str) -> None:
         """Drops cached prefixes and connections of an endpoint whose process ended."""
