Cost of a send follows the duration ratio of its engine

Endpoints may report how long work takes on their host. The cost of a send to an engine, the work queued there and the homes of subjects now depend on it, and slow moments are broadcast. Without reports all ratios are 1.0 and choices are unchanged.

--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -189,7 +189,7 @@
     """
     if forecast is None:
         return None
-    steps = sum(forecast.prefill_ms > step_ms for step_ms in PREFILL_STEPS_MS)
+    steps = sum(forecast.work_ms > step_ms for step_ms in PREFILL_STEPS_MS)
     return URGENCIES_PER_STEP * steps + min(urgency, URGENCIES_PER_STEP - 1)
 
 
--- a/ashlatch/gateway/directory.py
+++ b/ashlatch/gateway/directory.py
@@ -20,7 +20,7 @@
 from ashlatch.policy.backoff import Backoff
 from ashlatch.policy.breaker import Breaker
 from ashlatch.policy.load import EndpointLoad, LoadReport
-from ashlatch.policy.load_advertisement import LoadAdvertisement
+from ashlatch.policy.load_advertisement import DurationAdvertisement, LoadAdvertisement
 from ashlatch.policy.permission import (
     ALLOWED,
     NEVER_MS,
@@ -29,6 +29,7 @@
     combine,
 )
 from ashlatch.policy.rate_limit import RateLimit
+from ashlatch.policy.speed import HostSpeed
 from ashlatch.policy.workload import Workload
 
 __all__ = ["Directory", "EndpointState"]
@@ -73,6 +74,8 @@
     that gateways have broadcast of it. `evacuated` is set while its hall is
     evacuated. `last_sent_ms` is when this gateway last sent a request there.
     `announced_leaving` is set once an answer has said that it is about to stop.
+    `speed` is how long work takes there compared with the usual duration,
+    `advertised_duration` what gateways have broadcast of that.
     """
 
     endpoint: Endpoint
@@ -94,6 +97,10 @@
     limit: RateLimit = field(default_factory=RateLimit)
     backoff: Backoff = field(default_factory=Backoff)
     announced_leaving: bool = False
+    speed: HostSpeed = field(default_factory=HostSpeed)
+    advertised_duration: DurationAdvertisement = field(
+        default_factory=DurationAdvertisement
+    )
     _cold_until_ms: float = float("-inf")
     _restart_unconfirmed: bool = False
 
@@ -180,8 +187,24 @@
             if not timeout.expired():
                 timeout.reschedule(now_s)
 
+    def duration_ratio(self, now_ms: float) -> float:
+        """Returns how long work takes there, 1.0 being the usual duration."""
+        return self.speed.duration_ratio(now_ms)
+
+    def workload_ms(self, now_ms: float) -> float:
+        """Returns the time until it has done the prefills that it was sent."""
+        return self.workload.remaining_ms(now_ms, self.speed.duration_ratio(now_ms))
+
+    def add_work(self, work_ms: float, now_ms: float) -> None:
+        """Records a prefill sent there that takes `work_ms` at the usual speed."""
+        self.workload.add(work_ms, now_ms, self.speed.duration_ratio(now_ms))
+
     def apply_load(self, figures: LoadFigures, now_ms: float) -> None:
         """Applies the load reported with an answer, here or at another gateway."""
+        ratio = self.speed.duration_ratio(now_ms)
+        if figures.duration_percent is not None:
+            self.workload.drain(now_ms, ratio)
+            self.speed.record_reported(figures.duration_percent, now_ms)
         report = LoadReport(
             self.endpoint.instance,
             now_ms,
@@ -195,7 +218,7 @@
             # At most one prompt is being prefilled there. Without this correction,
             # prefill times that were estimated too high, as after a start, add up to
             # work that does not exist, and the largest model gets no requests.
-            self.workload.clear_queue(now_ms)
+            self.workload.clear_queue(now_ms, ratio)
 
     def requests(self, now_ms: float) -> float:
         """Returns the estimated number of requests at the endpoint."""
@@ -235,7 +258,9 @@
         """
         self.failure_ratio = 0.0
         self.workload = Workload()
+        self.speed = HostSpeed()
         self.advertised_load = LoadAdvertisement()
+        self.advertised_duration = DurationAdvertisement()
         self.limit = RateLimit()
         self.load.clear_report()
 
--- a/ashlatch/gateway/forecast.py
+++ b/ashlatch/gateway/forecast.py
@@ -10,13 +10,14 @@
 :license: MIT, see LICENSE for details.
 """
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 
 from ashlatch.gateway.context import GatewayContext
 from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.message import CallerRequest
-from ashlatch.policy.endpoint import rank
+from ashlatch.policy.endpoint import rank, weighted_first
 
 __all__ = ["Forecast", "Forecaster", "Send"]
 
@@ -35,6 +36,17 @@
 LATE_PENALTY_MS = 1500.0
 # The delay that each running request adds to another request's prompt.
 RUNNING_REQUEST_MS = 5.0
+# A prefill interrupts the streams that run at its engine. What it takes longer there
+# than at the fastest candidate counts by this share for each of them: a pause matters
+# only to the streams that come close to the longest one that their route allows.
+PAUSED_STREAM_SHARE = 0.25
+# The factor between the steps to which measured ratios are rounded for the choice of
+# home engines: gateways whose measurements differ slightly agree on the homes.
+HOME_RATIO_STEP = 1.3
+# The weight of a home engine falls with this power of its ratio. With the first power
+# slow engines would be busy with long prompts for as long as the others, and each of
+# these prompts would pause their streams for longer.
+HOME_WEIGHT_POWER = 2.0
 # Bytes of an answer for each token of its maximum length: a token takes 15 bytes, and
 # answers are a quarter as long as their maximum.
 ANSWER_BYTES_PER_TOKEN = 4.0
@@ -48,13 +60,19 @@
     `wait_ms` is the time until the engine begins the prefill, `prefill_ms` the time for
     the `prefill_tokens` that it has to process. `cost_ms` also includes costs that are
     not time of this request: bytes between halls, and a prefill away from the home
-    engine.
+    engine. All times are for the engine's speed, given by `duration_ratio`.
     """
 
     wait_ms: float
     prefill_tokens: int
     prefill_ms: float
     cost_ms: float
+    duration_ratio: float = 1.0
+
+    @property
+    def work_ms(self) -> float:
+        """The time of the prefill at the usual speed."""
+        return self.prefill_ms / self.duration_ratio
 
 
 @dataclass(frozen=True)
@@ -90,26 +108,32 @@
         self._token_ms = context.latency_model.token_ms(service, self._model)
         self._slot_time_ms = context.latency_model.slot_time_ms(service)
         self._home = _home_engine(send.request, states)
-        queued_ms = sum(s.workload.remaining_ms(now_ms) for s in states) / len(states)
+        self._least_ratio = min([s.speed.duration_ratio(now_ms) for s in states])
+        queued_ms = sum([s.workload_ms(now_ms) for s in states]) / len(states)
         self._engine_weight = min(1.0 + queued_ms / BUSY_WORKLOAD_MS, BUSY_WEIGHT_MAX)
 
     def forecast(self, state: EndpointState) -> Forecast:
         """Returns the prediction for a send to an endpoint."""
         # Computed once: adding up the known load takes longer than all of the rest.
         requests = state.requests(self._now_ms)
-        wait_ms = state.workload.remaining_ms(self._now_ms)
-        wait_ms += self._slot_wait_ms(state, requests)
+        ratio = state.speed.duration_ratio(self._now_ms)
+        wait_ms = state.workload.remaining_ms(self._now_ms, ratio)
+        wait_ms += ratio * self._slot_wait_ms(state, requests)
         cached_tokens = self._context.prefix_caches.cached_tokens(
             state.endpoint.instance, self._model, self._request.prompt_parts
         )
         tokens = max(0, self._request.prompt_tokens - cached_tokens)
-        prefill_ms = tokens * self._token_ms
+        work_ms = tokens * self._token_ms
+        prefill_ms = ratio * work_ms
         cost_ms = self._engine_weight * prefill_ms
         if state.endpoint.instance != self._home and self._home:
             cost_ms *= 1.0 + NON_HOME_PENALTY_SHARE
         cost_ms += self._wait_cost_ms(wait_ms, prefill_ms)
-        cost_ms += self._placement_cost_ms(state, requests)
-        return Forecast(wait_ms, tokens, prefill_ms, cost_ms)
+        cost_ms += self._placement_cost_ms(state, ratio * requests)
+        if ratio > self._least_ratio:
+            excess_ms = (ratio - self._least_ratio) * work_ms
+            cost_ms += PAUSED_STREAM_SHARE * requests * excess_ms
+        return Forecast(wait_ms, tokens, prefill_ms, cost_ms, ratio)
 
     def _wait_cost_ms(self, wait_ms: float, prefill_ms: float) -> float:
         """Returns the cost of a wait, which is small while the answer is well in time.
@@ -132,7 +156,10 @@
         return max(0.0, beyond) * self._slot_time_ms / slots
 
     def _placement_cost_ms(self, state: EndpointState, requests: float) -> float:
-        """Returns the cost of the transfer and of the requests that run there."""
+        """Returns the cost of the transfer and of the requests that run there.
+
+        `requests` is their number, weighted by the engine's duration ratio.
+        """
         cost_ms = RUNNING_REQUEST_MS * requests
         if state.endpoint.hall != self._context.hall:
             answer_bytes = ANSWER_BYTES_PER_TOKEN * self._request.answer_tokens_max
@@ -150,4 +177,16 @@
     if len(request.prompt_parts) < 2:
         return ""
     subject = request.prompt_parts[-2].part_id
-    return rank(tuple(s.endpoint.instance for s in states), subject)[0]
+    names = tuple(s.endpoint.instance for s in states)
+    steps = [_home_step(s.speed.measured_ratio) for s in states]
+    if min(steps) == max(steps):
+        return rank(names, subject)[0]
+    weights = [HOME_RATIO_STEP ** (-HOME_WEIGHT_POWER * step) for step in steps]
+    return weighted_first(names, weights, subject)
+
+
+def _home_step(measured_ratio: float) -> int:
+    """Returns a measured ratio as a number of steps from the usual one."""
+    if measured_ratio == 1.0:
+        return 0
+    return round(math.log(measured_ratio) / math.log(HOME_RATIO_STEP))
--- a/ashlatch/gateway/peer_updates.py
+++ b/ashlatch/gateway/peer_updates.py
@@ -96,7 +96,7 @@
 def _prompt_sent(context: GatewayContext, update: PromptSent, sender: Sender) -> None:
     state = context.directory.state(update.instance)
     if state is not None:
-        state.workload.add(update.prefill_ms, sender.received_ms)
+        state.add_work(update.prefill_ms, sender.received_ms)
 
 
 @PEER_HANDLERS.on(EndpointRefuses)
@@ -161,8 +161,13 @@
     state = context.directory.state(update.instance)
     if state is None:
         return
-    figures = LoadFigures(update.running, update.waiting, update.slots)
+    duration_percent = update.duration_percent
+    figures = LoadFigures(
+        update.running, update.waiting, update.slots, duration_percent
+    )
     state.apply_load(figures, sender.received_ms)
+    if duration_percent is not None:
+        state.advertised_duration.record(duration_percent, sender.received_ms)
     state.confirm_running(context.cold_ms(state), sender.received_ms)
     level = load_level(update.running + update.waiting, update.slots)
     state.advertised_load.record(level, sender.received_ms)
--- a/ashlatch/gateway/reports.py
+++ b/ashlatch/gateway/reports.py
@@ -15,21 +15,50 @@
 from ashlatch.gateway.updates import LoadReported
 from ashlatch.policy.load_advertisement import load_level
 
-__all__ = ["broadcast_load"]
+__all__ = ["broadcast_duration", "broadcast_load"]
 
 
 def broadcast_load(
     context: GatewayContext, state: EndpointState, load: LoadFigures, now_ms: float
 ) -> None:
-    """Broadcasts the load of an endpoint if it is or was busy.
+    """Broadcasts the load of an endpoint if it is or was busy or slow.
 
     Without this, a gateway knows only the loads from its own last answers and keeps
     sending to full endpoints: many gateways with requests about one subject overload
     the engine that has its prefix cached.
     """
     level = load_level(load.running + load.waiting, load.slots)
-    if state.advertised_load.is_new(level, now_ms):
-        instance = state.endpoint.instance
-        context.broadcast(
-            LoadReported(instance, load.running, load.waiting, load.slots)
+    is_new = state.advertised_load.is_new(level, now_ms)
+    if _is_new_duration(state, load, now_ms) or is_new:
+        _broadcast(context, state, load)
+
+
+def broadcast_duration(
+    context: GatewayContext, state: EndpointState, load: LoadFigures, now_ms: float
+) -> None:
+    """Broadcasts the load of an endpoint of a plain service if it is or was slow.
+
+    Each gateway sends few requests to one endpoint, and a slow moment is over before
+    the next answer from there.
+    """
+    if _is_new_duration(state, load, now_ms):
+        _broadcast(context, state, load)
+
+
+def _is_new_duration(state: EndpointState, load: LoadFigures, now_ms: float) -> bool:
+    percent = load.duration_percent
+    return percent is not None and state.advertised_duration.is_new(percent, now_ms)
+
+
+def _broadcast(
+    context: GatewayContext, state: EndpointState, load: LoadFigures
+) -> None:
+    context.broadcast(
+        LoadReported(
+            state.endpoint.instance,
+            load.running,
+            load.waiting,
+            load.slots,
+            duration_percent=load.duration_percent,
         )
+    )
--- a/ashlatch/gateway/request_record.py
+++ b/ashlatch/gateway/request_record.py
@@ -32,7 +32,7 @@
     RequestSent,
 )
 from ashlatch.gateway.notices import apply_notice
-from ashlatch.gateway.reports import broadcast_load
+from ashlatch.gateway.reports import broadcast_duration, broadcast_load
 from ashlatch.gateway.session_updates import announce_session
 from ashlatch.gateway.tally import TallyKey
 from ashlatch.gateway.traffic import TrafficKind
@@ -126,10 +126,9 @@
         parts = self._admission.request.prompt_parts
         engine = self._admission.service.engine
         cache_tokens = engine.memory_tokens if engine else 0
-        choice.state.workload.add(choice.forecast.prefill_ms, self._now_ms())
-        context.broadcast(
-            PromptSent(endpoint.instance, round(choice.forecast.prefill_ms, 1))
-        )
+        work_ms = choice.forecast.work_ms
+        choice.state.add_work(work_ms, self._now_ms())
+        context.broadcast(PromptSent(endpoint.instance, round(work_ms, 1)))
         context.prefix_caches.queue_report(
             endpoint.instance, model, parts, self._now_ms()
         )
@@ -166,14 +165,18 @@
             )
 
     def _broadcast_load(self, attempt: Attempt) -> None:
-        """Broadcasts an engine's load that came with an answer, once.
+        """Broadcasts an endpoint's load that came with an answer, once.
 
-        The load of a plain service is not broadcast: it answers within some ms, so its
-        load has changed before the broadcast is received.
+        The load of a plain service is broadcast at its slow moments only: it answers
+        within some ms, so its load has changed before the broadcast is received.
         """
         load, attempt.load = attempt.load, None
-        if load is not None and attempt.forecast is not None:
+        if load is None:
+            return
+        if attempt.forecast is not None:
             broadcast_load(self._context, attempt.state, load, self._now_ms())
+        else:
+            broadcast_duration(self._context, attempt.state, load, self._now_ms())
 
     def _apply_answer_head(self, attempt: Attempt) -> None:
         """Applies what an answer's head reports about its endpoint, once."""
--- a/ashlatch/gateway/updates.py
+++ b/ashlatch/gateway/updates.py
@@ -32,7 +32,7 @@
 
 
 class PromptSent(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """An engine received a prompt whose prefill takes about `prefill_ms`.
+    """An engine received a prompt whose prefill takes `prefill_ms` at the usual speed.
 
     An engine reports its load with answers only, and one prompt may occupy an engine
     for a second and more. Without this update, gateways queue behind each other's
@@ -64,10 +64,11 @@
 
 
 class LoadReported(msgspec.Struct, frozen=True, array_like=True, tag=4):
-    """An endpoint reported its load with an answer, and it is or was busy.
+    """An endpoint reported its load with an answer, and it is or was busy or slow.
 
-    With `relay_to_hall`, the receiver forwards the update to the other gateways of its
-    hall.
+    `duration_percent` is how long work takes on its host at the moment, 100 for the
+    usual duration; None if it does not report this. With `relay_to_hall`, the receiver
+    forwards the update to the other gateways of its hall.
     """
 
     instance: str
@@ -75,6 +76,7 @@
     waiting: int
     slots: int
     relay_to_hall: bool = False
+    duration_percent: float | None = None
 
 
 class EndpointRefuses(msgspec.Struct, frozen=True, array_like=True, tag=5):
--- a/ashlatch/policy/endpoint.py
+++ b/ashlatch/policy/endpoint.py
@@ -8,7 +8,9 @@
 :license: MIT, see LICENSE for details.
 """
 
+import math
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import ClassVar
 
@@ -16,7 +18,14 @@
 
 from ashlatch.registry import Variants
 
-__all__ = ["ENDPOINT_POLICIES", "Candidate", "EndpointPolicy", "rank", "subset"]
+__all__ = [
+    "ENDPOINT_POLICIES",
+    "Candidate",
+    "EndpointPolicy",
+    "rank",
+    "subset",
+    "weighted_first",
+]
 
 PREFIX_LOAD_BOUND = 1.25
 PREFIX_CHOICES = 2
@@ -25,6 +34,7 @@
 # lightly used: a service without a model is as fast with half of its slots in use.
 HALL_LOAD_BOUND = 1.5
 LIGHT_UTILISATION = 0.5
+HASH_RANGE = 2.0**64
 
 
 @dataclass(frozen=True)
@@ -191,6 +201,22 @@
     )
 
 
+def weighted_first(names: Sequence[str], weights: Sequence[float], key: str) -> str:
+    """Returns the name that is preferred for a key, by weighted rendezvous hashing.
+
+    Over many keys each name is preferred in proportion to its weight. A weight that
+    changes moves only keys to or from its name. With equal weights the result is the
+    first of `rank`.
+    """
+
+    def score(pair: tuple[str, float]) -> float:
+        name, weight = pair
+        digest = xxhash.xxh3_64_intdigest(f"{key}/{name}".encode())
+        return -weight / math.log((digest + 0.5) / HASH_RANGE)
+
+    return max(zip(names, weights, strict=True), key=score)[0]
+
+
 def subset(names: tuple[str, ...], router: str, size: int) -> tuple[str, ...]:
     """Returns the endpoints that one router uses, out of all.
 
--- a/tests/engines.py
+++ b/tests/engines.py
@@ -264,14 +264,14 @@
             self.now_ms,
         )
         assert choice is not None and choice.forecast is not None
-        state, prefill_ms = choice.state, choice.forecast.prefill_ms
+        state, work_ms = choice.state, choice.forecast.work_ms
         state.breaker.record_sent(self.now_ms)
         if self.engines[state.endpoint.instance].crashed:
             self._connection_refused(context, caller_request, load, state, attempted)
             return
         state.record_sent(self.now_ms)
-        state.workload.add(prefill_ms, self.now_ms)
-        context.broadcast(PromptSent(state.endpoint.instance, round(prefill_ms, 1)))
+        state.add_work(work_ms, self.now_ms)
+        context.broadcast(PromptSent(state.endpoint.instance, round(work_ms, 1)))
         context.prefix_caches.record_prefill(
             state.endpoint.instance, MODEL, parts, CACHE_TOKENS, self.now_ms
         )
