--- a/ashlatch/gateway/forecast.py
+++ b/ashlatch/gateway/forecast.py
@@ -108,8 +108,12 @@
         self._token_ms = context.latency_model.token_ms(service, self._model)
         self._slot_time_ms = context.latency_model.slot_time_ms(service)
         self._home = _home_engine(send.request, states)
-        self._least_ratio = min([s.speed.duration_ratio(now_ms) for s in states])
-        queued_ms = sum([s.workload_ms(now_ms) for s in states]) / len(states)
+        ratios = [s.speed.duration_ratio(now_ms) for s in states]
+        self._least_ratio = min(ratios)
+        queued_ms = 0.0
+        for state, ratio in zip(states, ratios, strict=True):
+            queued_ms += state.workload.remaining_ms(now_ms, ratio)
+        queued_ms /= len(states)
         self._engine_weight = min(1.0 + queued_ms / BUSY_WORKLOAD_MS, BUSY_WEIGHT_MAX)
 
     def forecast(self, state: EndpointState) -> Forecast:
@@ -125,9 +129,10 @@
         tokens = max(0, self._request.prompt_tokens - cached_tokens)
         work_ms = tokens * self._token_ms
         prefill_ms = ratio * work_ms
-        cost_ms = self._engine_weight * prefill_ms
+        cost_ms = self._engine_weight * work_ms
         if state.endpoint.instance != self._home and self._home:
             cost_ms *= 1.0 + NON_HOME_PENALTY_SHARE
+        cost_ms += prefill_ms - work_ms
         cost_ms += self._wait_cost_ms(wait_ms, prefill_ms)
         cost_ms += self._placement_cost_ms(state, ratio * requests)
         if ratio > self._least_ratio:
@@ -178,15 +183,13 @@
         return ""
     subject = request.prompt_parts[-2].part_id
     names = tuple(s.endpoint.instance for s in states)
-    steps = [_home_step(s.speed.measured_ratio) for s in states]
-    if min(steps) == max(steps):
+    ratios = [s.speed.measured_ratio for s in states]
+    if min(ratios) == max(ratios):
         return rank(names, subject)[0]
-    weights = [HOME_RATIO_STEP ** (-HOME_WEIGHT_POWER * step) for step in steps]
+    weights = [_home_weight(ratio) for ratio in ratios]
     return weighted_first(names, weights, subject)
 
 
-def _home_step(measured_ratio: float) -> int:
-    """Returns a measured ratio as a number of steps from the usual one."""
-    if measured_ratio == 1.0:
-        return 0
-    return round(math.log(measured_ratio) / math.log(HOME_RATIO_STEP))
+def _home_weight(measured_ratio: float) -> float:
+    steps = round(math.log(measured_ratio) / math.log(HOME_RATIO_STEP))
+    return float(HOME_RATIO_STEP ** (-HOME_WEIGHT_POWER * steps))
--- a/tests/engines.py
+++ b/tests/engines.py
@@ -1,9 +1,10 @@
 """Simulates model engines and gateways in one process and in virtual time.
 
 Gateways choose by the product's code, each with its own state, and receive each other's
-datagrams. An engine prefills one prompt after another, runs as many requests at once as
-it has slots and reports its load with each answer. Preemption of running requests, full
-memory and faults are not modelled.
+datagrams. An engine prefills one prompt after another, which interrupts the streams
+that run there, runs as many requests at once as it has slots and reports its load with
+each answer. Engines may be lastingly slow or have slow moments. Preemption of running
+requests, full memory and faults are not modelled.
 """
 
 import asyncio
@@ -13,6 +14,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any, cast
 
 from ashlatch.catalog import Endpoint, EndpointList, GatewayVm
@@ -38,6 +40,8 @@
 CONNECT_MS = 2.0
 MODEL = "large"
 CACHE_TOKENS = 400_000
+# The tokens about its subject in a short prompt.
+SHORT_TOKENS = 100
 
 
 @dataclass(frozen=True)
@@ -45,7 +49,7 @@
     """The load on a fleet.
 
     `hot_share` of the requests are about one subject, the others about one of
-    `subjects`; each is answered for `answer_ms`.
+    `subjects`; each is answered for `answer_ms`. `short_share` have short prompts.
     """
 
     requests_per_s: float
@@ -56,19 +60,55 @@
     own_tokens: int = 500
     subjects: int = 200
     length_s: float = 30.0
+    short_share: float = 0.0
+
+
+@dataclass(frozen=True)
+class HostDurations:
+    """How long work takes at the engines, as factors of the usual duration.
+
+    Engines take the factors in `lasting` in turn. A `moment_share` of the time consists
+    of moments of `moment_ms` in which work takes `moment_factor` times as long; with
+    `reports`, engines report them, and gateways measure the lasting factors.
+    """
+
+    lasting: tuple[float, ...] = (1.0,)
+    moment_share: float = 0.0
+    moment_ms: float = 600.0
+    moment_factor: float = 2.5
+    reports: bool = True
 
 
 @dataclass
 class Engine:
-    """One engine: requests that run and that wait for a slot, and when prefills end."""
+    """One engine: requests that run and that wait for a slot, and when prefills end.
+
+    `streams` holds the longest pause of each stream that runs.
+    """
 
     slots: int
+    lasting_factor: float = 1.0
+    moment_factor: float = 1.0
+    reports: bool = False
     running: int = 0
     waiting: deque[Callable[[], None]] = field(default_factory=deque)
     prefill_until_ms: float = 0.0
     cached: set[str] = field(default_factory=set)
     sends: int = 0
     crashed: bool = False
+    streams: dict[int, float] = field(default_factory=dict)
+
+    @property
+    def factor(self) -> float:
+        """The present duration of work as a factor of the usual one."""
+        return self.lasting_factor * self.moment_factor
+
+    def prefill(self, work_ms: float, now_ms: float) -> None:
+        """Prefills a prompt after those that wait; streams pause meanwhile."""
+        prefill_ms = work_ms * self.factor
+        self.prefill_until_ms = max(self.prefill_until_ms, now_ms) + prefill_ms
+        for stream, pause_ms in self.streams.items():
+            self.streams[stream] = max(pause_ms, prefill_ms)
 
     def crash(self) -> None:
         """Ends its process; requests that ran there are not tracked further."""
@@ -76,24 +116,31 @@
 
     def figures(self) -> LoadFigures:
         """Returns the load that it reports."""
-        return LoadFigures(self.running, len(self.waiting), self.slots)
+        percent = 100.0 * self.moment_factor if self.reports else None
+        return LoadFigures(self.running, len(self.waiting), self.slots, percent)
 
 
 @dataclass(frozen=True)
 class Result:
     """The times to the first event, the sends to each engine and the refusals.
 
-    A request is refused when it has reached too many crashed engines.
+    A request is refused when it has reached too many crashed engines. `pauses_ms` are
+    the longest pauses of the answers.
     """
 
     first_ms: tuple[float, ...]
     sends: tuple[int, ...]
     refused: int
+    pauses_ms: tuple[float, ...] = ()
 
     def late_ratio(self, target_ms: float) -> float:
         """Returns the share of answers that began after the target."""
         return sum(ms > target_ms for ms in self.first_ms) / len(self.first_ms)
 
+    def paused_ratio(self, limit_ms: float) -> float:
+        """Returns the share of answers with a pause longer than the limit."""
+        return sum(ms > limit_ms for ms in self.pauses_ms) / len(self.pauses_ms)
+
 
 class Simulation:
     """Gateways and engines of some halls; `accepts` filters the updates delivered."""
@@ -108,6 +155,7 @@
         slots: int,
         seed: int,
         accepts: Callable[[PeerUpdate], bool] = lambda update: True,
+        durations: HostDurations | None = None,
     ) -> None:
         self._random = random.Random(seed)
         self._accepts = accepts
@@ -116,6 +164,7 @@
         self._sequence = itertools.count()
         self.now_ms = 0.0
         self.first_ms: list[float] = []
+        self.pauses_ms: list[float] = []
         self.datagrams = 0
         self._peers: dict[str, PeerProtocol] = {}
         names = [f"hall-{n}" for n in range(halls)]
@@ -125,6 +174,7 @@
             for n in range(engines_each)
         )
         self.engines = {e.instance: Engine(slots) for e in endpoints}
+        self._durations = durations
         vms = tuple(
             GatewayVm(f"{hall}-{n}:7000", hall)
             for hall in names
@@ -202,9 +252,35 @@
 
         asyncio.run(run())
         sends = tuple(engine.sends for engine in self.engines.values())
-        return Result(tuple(self.first_ms), sends, self.refused)
+        return Result(
+            tuple(self.first_ms), sends, self.refused, tuple(self.pauses_ms)
+        )
+
+    def _schedule_moments(self, durations: HostDurations, length_ms: float) -> None:
+        """Gives engines their lasting factors and schedules their slow moments."""
+        generator = random.Random(f"{len(self.engines)} moments")
+
+        def set_factor(engine: Engine, factor: float) -> None:
+            engine.moment_factor = factor
+
+        for n, engine in enumerate(self.engines.values()):
+            engine.lasting_factor = durations.lasting[n % len(durations.lasting)]
+            engine.reports = durations.reports
+            share = durations.moment_share
+            if not share:
+                continue
+            normal_ms = durations.moment_ms * (1.0 - share) / share
+            at_ms = generator.expovariate(1.0 / normal_ms)
+            while at_ms < length_ms:
+                begin = partial(set_factor, engine, durations.moment_factor)
+                self._schedule(at_ms, begin)
+                at_ms += durations.moment_ms
+                self._schedule(at_ms, partial(set_factor, engine, 1.0))
+                at_ms += generator.expovariate(1.0 / normal_ms)
 
     def _run(self, load: LoadProfile) -> None:
+        if self._durations is not None:
+            self._schedule_moments(self._durations, load.length_s * 1000.0)
         at_ms = 0.0
         while at_ms < load.length_s * 1000.0:
             at_ms += self._random.expovariate(load.requests_per_s) * 1000.0
@@ -219,11 +295,14 @@
         context = self._random.choice(self.gateways)
         hot = self._random.random() < load.hot_share
         subject = "hot" if hot else f"s{self._random.randrange(load.subjects)}"
+        subject_tokens = load.subject_tokens
+        if load.short_share and self._random.random() < load.short_share:
+            subject, subject_tokens = f"short-{subject}", SHORT_TOKENS
         parts = (
-            PromptPart(subject, load.subject_tokens),
+            PromptPart(subject, subject_tokens),
             PromptPart(f"own-{self.now_ms}", load.own_tokens),
         )
-        tokens = load.subject_tokens + load.own_tokens
+        tokens = subject_tokens + load.own_tokens
         caller_request = CallerRequest(
             f"r-{self.now_ms}",
             "POST",
@@ -307,6 +386,7 @@
         engine = self.engines[state.endpoint.instance]
         engine.sends += 1
         received_ms = self.now_ms
+        stream = next(self._sequence)
 
         def start() -> None:
             engine.running += 1
@@ -315,8 +395,7 @@
                 subject.part_id not in engine.cached
             )
             engine.cached.add(subject.part_id)
-            engine.prefill_until_ms = max(engine.prefill_until_ms, self.now_ms)
-            engine.prefill_until_ms += tokens * self.TOKEN_MS
+            engine.prefill(tokens * self.TOKEN_MS, self.now_ms)
             self._schedule(engine.prefill_until_ms, first_byte)
 
         def first_byte() -> None:
@@ -324,10 +403,12 @@
             figures = engine.figures()
             state.apply_load(figures, self.now_ms)
             broadcast_load(context, state, figures, self.now_ms)
+            engine.streams[stream] = 0.0
             self._schedule(self.now_ms + load.answer_ms, end)
 
         def end() -> None:
             engine.running -= 1
+            self.pauses_ms.append(engine.streams.pop(stream))
             state.load.record_finished(self.now_ms, None)
             context.latency_model.record_slot_time("app", self.now_ms - received_ms)
             if engine.waiting:
