Gateways measure the duration ratios of endpoints and share them through the core

Streams are measured by the time between their first events, answers of plain services by their whole time, compared with other endpoints of the same version at the same number of concurrent requests. Measured times of answers are divided by the ratio where they describe a model or a version.

--- a/ashlatch/fleet/soft_state.py
+++ b/ashlatch/fleet/soft_state.py
@@ -22,6 +22,7 @@
 from ashlatch.gateway.tally import Tallies
 from ashlatch.policy.prefill_rate import PrefillRates
 from ashlatch.policy.quarantine import UnloggedCrashes
+from ashlatch.policy.speed import MeasuredRatios
 
 __all__ = ["SoftState", "has_updates"]
 
@@ -54,6 +55,7 @@
         # Gateways of one hall together observe many prefills of an engine each second.
         # One of 39 gateways alone observes too few to know a rate before it needs it.
         self._rates = PrefillRates()
+        self._duration_ratios = MeasuredRatios()
         self._pending_prefills: list[PromptPrefill] = []
         self._started_ms = monotonic_ms()
         self._list_read_ms = self._started_ms
@@ -82,6 +84,7 @@
             self._apply_sessions(sessions, now_ms)
         self.add_prefills(request.prefills)
         self._rates.add(request.rates)
+        self._duration_ratios.add(request.duration_ratios, now_ms)
         if self.crashes.apply(request.crashes):
             self.urgent.set()
 
@@ -245,6 +248,7 @@
             state.crashes.number,
             evacuations if evacuations.number > request.evacuations_known else None,
             self.endpoints_age_ms,
+            self._duration_ratios.estimates(monotonic_ms()),
         )
 
     def _gateways_if_changed(
--- a/ashlatch/gateway/context.py
+++ b/ashlatch/gateway/context.py
@@ -21,6 +21,7 @@
 from ashlatch.gateway.pool import ConnectionPool
 from ashlatch.gateway.prefix_cache import PrefixCaches
 from ashlatch.gateway.routing import RouteTable
+from ashlatch.gateway.speed import SpeedMeter
 from ashlatch.gateway.tally import Tallies
 from ashlatch.gateway.traffic import TrafficCounter
 from ashlatch.gateway.updates import PeerUpdate
@@ -70,6 +71,7 @@
     latency_model: LatencyModel = field(default_factory=LatencyModel)
     prefix_caches: PrefixCaches = field(default_factory=PrefixCaches)
     tallies: Tallies = field(default_factory=Tallies)
+    speed_meter: SpeedMeter = field(default_factory=SpeedMeter)
     metrics: Metrics = field(default_factory=Metrics)
     budgets: dict[str, RepeatBudget] = field(default_factory=dict)
     generator: random.Random = field(default_factory=random.Random)
--- a/ashlatch/gateway/core_updates.py
+++ b/ashlatch/gateway/core_updates.py
@@ -66,6 +66,9 @@
         self._apply_crashes(address, reply)
         self.apply_prefills(reply)
         self._context.latency_model.apply_rates(reply.rates)
+        self._context.speed_meter.apply_shared(
+            self._context.directory, reply.duration_ratios
+        )
 
     def _apply_current(self, reply: SyncReply) -> None:
         """Applies the parts valid only from a core VM connected to its leader."""
--- a/ashlatch/gateway/directory.py
+++ b/ashlatch/gateway/directory.py
@@ -123,6 +123,11 @@
             self._restart_unconfirmed = False
             self.mark_cold_until(now_ms + cold_ms)
 
+    @property
+    def restart_unconfirmed(self) -> bool:
+        """Checks whether its process had ended and has not answered since."""
+        return self._restart_unconfirmed
+
     @property
     def leaving(self) -> bool:
         """Checks whether it is about to stop, by the list or by its own answers."""
--- a/ashlatch/gateway/latency_model.py
+++ b/ashlatch/gateway/latency_model.py
@@ -82,12 +82,16 @@
         first_ms: float,
         now_ms: float,
         predicted_ms: float = 0.0,
+        duration_ratio: float = 1.0,
     ) -> None:
         """Records an answer that began `first_ms` after its request was sent.
 
         The engine had to prefill `tokens` of the prompt, after a wait that was
-        predicted as `predicted_ms`.
+        predicted as `predicted_ms`. Its times are divided by its duration ratio, so
+        that a slow engine does not make the model look slow.
         """
+        first_ms /= duration_ratio
+        predicted_ms /= duration_ratio
         if tokens >= RATE_TOKENS_MIN:
             self._record_rate(service, model, tokens, first_ms, predicted_ms)
         measured_ms = max(0.0, first_ms - predicted_ms)
--- a/ashlatch/gateway/sync.py
+++ b/ashlatch/gateway/sync.py
@@ -39,6 +39,7 @@
 from ashlatch.log import emit
 from ashlatch.policy.prefill_rate import PrefillRate
 from ashlatch.policy.quarantine import CrashRecord
+from ashlatch.policy.speed import MeasuredRatio
 
 __all__ = ["CoreSync"]
 
@@ -158,7 +159,8 @@
             rates = self._context.latency_model.take_rates()
             wait_ms, timeout_s = self._wait_and_timeout()
             crashes = self._context.quarantine.unconfirmed()
-            request = self._request(wait_ms, tallies, prefills, rates, crashes)
+            ratios = self._context.speed_meter.take_ratios()
+            request = self._request(wait_ms, tallies, prefills, rates, crashes, ratios)
             late_ms = self._now_ms() + timeout_s * 1000.0 + TIMER_LATE_MS
             try:
                 reply = await self._call(address, request, timeout_s)
@@ -166,6 +168,7 @@
                 self._context.tallies.add(tallies)
                 self._context.prefix_caches.restore_reports(prefills)
                 self._context.latency_model.restore_rates(rates)
+                self._context.speed_meter.restore_ratios(ratios)
                 if self._now_ms() > late_ms and not resumed:
                     # The timeout passed while this process was suspended, which says
                     # nothing about the core. Treated as a loss of the core, the
@@ -256,6 +259,7 @@
         prefills: tuple[PromptPrefill, ...] = (),
         rates: tuple[PrefillRate, ...] = (),
         crashes: tuple[CrashRecord, ...] = (),
+        duration_ratios: tuple[MeasuredRatio, ...] = (),
     ) -> SyncRequest:
         return SyncRequest(
             self._context.vm,
@@ -273,6 +277,7 @@
             crashes=crashes,
             crashes_known=self._updates.crashes_position,
             evacuations_known=self._context.directory.evacuations.number,
+            duration_ratios=duration_ratios,
         )
 
     def _wait_and_timeout(self) -> tuple[float, float]:
--- a/tests/engines.py
+++ b/tests/engines.py
@@ -34,6 +34,7 @@
 from ashlatch.gateway.versions import AllowedEndpoints, VersionChooser, VersionReason
 from ashlatch.platform.document import decode_catalog
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
+from ashlatch.policy.speed import MeasuredRatios
 from tests.stub_server import document, encode_document, engine_service
 
 # The time until a connection to a crashed engine is refused.
@@ -42,6 +43,10 @@
 CACHE_TOKENS = 400_000
 # The tokens about its subject in a short prompt.
 SHORT_TOKENS = 100
+# The time between events of a stream at the usual speed.
+GAP_MS = 60.0
+# The pause between the syncs of a gateway with the core.
+SYNC_MS = 500.0
 
 
 @dataclass(frozen=True)
@@ -175,6 +180,7 @@
         )
         self.engines = {e.instance: Engine(slots) for e in endpoints}
         self._durations = durations
+        self._core_ratios = MeasuredRatios()
         vms = tuple(
             GatewayVm(f"{hall}-{n}:7000", hall)
             for hall in names
@@ -252,9 +258,7 @@
 
         asyncio.run(run())
         sends = tuple(engine.sends for engine in self.engines.values())
-        return Result(
-            tuple(self.first_ms), sends, self.refused, tuple(self.pauses_ms)
-        )
+        return Result(tuple(self.first_ms), sends, self.refused, tuple(self.pauses_ms))
 
     def _schedule_moments(self, durations: HostDurations, length_ms: float) -> None:
         """Gives engines their lasting factors and schedules their slow moments."""
@@ -278,9 +282,20 @@
                 self._schedule(at_ms, partial(set_factor, engine, 1.0))
                 at_ms += generator.expovariate(1.0 / normal_ms)
 
+    def _sync(self, until_ms: float) -> None:
+        """Exchanges measured duration ratios between the gateways by way of a core."""
+        for context in self.gateways:
+            ratios = context.speed_meter.take_ratios()
+            self._core_ratios.add(ratios, self.now_ms)
+            estimates = self._core_ratios.estimates(self.now_ms)
+            context.speed_meter.apply_shared(context.directory, estimates)
+        if self.now_ms < until_ms:
+            self._schedule(self.now_ms + SYNC_MS, lambda: self._sync(until_ms))
+
     def _run(self, load: LoadProfile) -> None:
         if self._durations is not None:
             self._schedule_moments(self._durations, load.length_s * 1000.0)
+            self._sync(load.length_s * 1000.0)
         at_ms = 0.0
         while at_ms < load.length_s * 1000.0:
             at_ms += self._random.expovariate(load.requests_per_s) * 1000.0
@@ -402,6 +417,10 @@
             self.first_ms.append(self.now_ms - received_ms)
             figures = engine.figures()
             state.apply_load(figures, self.now_ms)
+            gap_ms = GAP_MS * engine.factor * self._random.lognormvariate(0.0, 0.2)
+            context.speed_meter.record_duration(
+                state, MODEL, figures.running, gap_ms, self.now_ms
+            )
             broadcast_load(context, state, figures, self.now_ms)
             engine.streams[stream] = 0.0
             self._schedule(self.now_ms + load.answer_ms, end)
