--- a/ashlatch/policy/speed.py
+++ b/ashlatch/policy/speed.py
@@ -41,7 +41,7 @@
 # The weight of a new duration in a baseline, and the number of durations before it is
 # used: a gateway sees one or two answers a second.
 BASELINE_GAIN = 0.05
-BASELINE_MIN = 5
+BASELINE_MIN = 3
 # A baseline assumes no effect of concurrency until the numbers of concurrent requests
 # differ by more than this variance.
 CONCURRENCY_VARIANCE_MIN = 4.0
@@ -126,7 +126,7 @@
     """The mean duration of one kind of work by the number of concurrent requests::
 
     baseline = DurationBaseline()
-    for _ in range(5):
+    for _ in range(3):
         baseline.add(concurrent=4, duration_ms=30.0)
     baseline.expected_ms(concurrent=4)  # 30.0
 
