--- a/ashlatch/gateway/attempt.py
+++ b/ashlatch/gateway/attempt.py
@@ -169,7 +169,8 @@
         """Receives something within the timeout."""
         try:
             try:
-                async with asyncio.timeout(timeout.silence_s) as deadline:
+                silence_s = timeout.limit_s(self.state.duration_ratio(self._now_ms()))
+                async with asyncio.timeout(silence_s) as deadline:
                     return await self._receive_before(receive, deadline, timeout)
             except TimeoutError as error:
                 if timeout.may_give_up():
--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -10,7 +10,7 @@
 
 import enum
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from ashlatch.catalog import Route, Service
@@ -106,7 +106,7 @@
         utilisation = state.utilisation(now_ms)
         return Choice(state, len(healthy), utilisation, None, allowed, denied)
     if service.engine is None:
-        candidates = tuple(_candidate(context, s, now_ms) for s in healthy)
+        candidates = _candidates(context, service, healthy, now_ms)
         chosen = context.endpoint_policy.choose(candidates, "", context.generator)
         state = next(s for s in healthy if s.endpoint.instance == chosen.endpoint)
         utilisation = chosen.utilisation
@@ -193,8 +193,24 @@
     return URGENCIES_PER_STEP * steps + min(urgency, URGENCIES_PER_STEP - 1)
 
 
+def _candidates(
+    context: GatewayContext,
+    service: Service,
+    states: Sequence[EndpointState],
+    now_ms: float,
+) -> tuple[Candidate, ...]:
+    """Returns the candidates; they have expected times if their speeds differ."""
+    ratios = [s.duration_ratio(now_ms) for s in states]
+    differ = min(ratios) < max(ratios)
+    mean_ms = context.latency_model.slot_time_ms(service.name) if differ else 0.0
+    return tuple(
+        _candidate(context, state, mean_ms * ratio, now_ms)
+        for state, ratio in zip(states, ratios, strict=True)
+    )
+
+
 def _candidate(
-    context: GatewayContext, state: EndpointState, now_ms: float
+    context: GatewayContext, state: EndpointState, expected_ms: float, now_ms: float
 ) -> Candidate:
     endpoint = state.endpoint
     requests = state.requests(now_ms)
@@ -203,6 +219,6 @@
         requests,
         state.load.reported_requests(),
         endpoint.slots,
-        0.0,
+        expected_ms,
         endpoint.hall == context.hall,
     )
--- a/ashlatch/gateway/chooser.py
+++ b/ashlatch/gateway/chooser.py
@@ -121,12 +121,13 @@
         """Returns a cautious estimate of the time to the first event."""
         forecast = choice.forecast
         if forecast is None:
-            wait_ms, tokens = 0.0, self._request.prompt_tokens
+            wait_ms, tokens, ratio = 0.0, self._request.prompt_tokens, 1.0
         else:
             wait_ms, tokens = forecast.wait_ms, forecast.prefill_tokens
+            ratio = forecast.duration_ratio
         service = self._admission.service.name
         latency_model = self._context.latency_model
-        return wait_ms + latency_model.expected_ms(
+        return wait_ms + ratio * latency_model.expected_ms(
             service, model, tokens, self._now_ms()
         )
 
--- a/ashlatch/gateway/timeouts.py
+++ b/ashlatch/gateway/timeouts.py
@@ -31,6 +31,9 @@
 # Between two events a resumable stream may be silent for this many times the longest
 # pause that the route allows.
 EVENT_SILENCE_RATIO = 1.5
+# An endpoint that is known to be slow may be silent for this many times longer at most:
+# a ratio may be false, and another endpoint is likely to answer sooner.
+SLOW_SILENCE_MAX = 3.0
 
 
 # A connection within a region takes some ms, and one whose first packet is lost a
@@ -47,11 +50,22 @@
 
     `silence_s` is None if there is no limit. After that time `may_give_up` checks
     whether the request can continue elsewhere. If not, the send goes on until the
-    deadline of the request.
+    deadline of the request. `unscaled_s` is the part of the limit that does not depend
+    on the endpoint; a slow endpoint is given longer by its duration ratio::
+
+        event_timeout(route, may_give_up).limit_s(duration_ratio=2.0)
     """
 
     silence_s: float | None
     may_give_up: Callable[[], bool]
+    unscaled_s: float = 0.0
+
+    def limit_s(self, duration_ratio: float) -> float | None:
+        """Returns how long an endpoint with a duration ratio may be silent."""
+        if self.silence_s is None or duration_ratio <= 1.0:
+            return self.silence_s
+        scaled_s = min(duration_ratio, SLOW_SILENCE_MAX) * self.unscaled_s
+        return max(self.silence_s, scaled_s)
 
 
 def answer_timeout(
@@ -62,8 +76,9 @@
         return AnswerTimeout(None, _never)
     target_ms = SILENCE_RATIO * route.target_ms
     expected_silence_ms = SILENCE_EXPECTED_RATIO * expected_ms
-    silence_s = max(SILENCE_MIN_S, target_ms / 1000.0, expected_silence_ms / 1000.0)
-    return AnswerTimeout(silence_s, may_give_up)
+    unscaled_s = max(SILENCE_MIN_S, target_ms / 1000.0)
+    silence_s = max(unscaled_s, expected_silence_ms / 1000.0)
+    return AnswerTimeout(silence_s, may_give_up, unscaled_s)
 
 
 def connect_timeout_s(route: Route) -> float:
@@ -81,7 +96,7 @@
     if route.repeat is not RepeatPolicy.RESUME or not route.event_gap_max_ms:
         return AnswerTimeout(None, _never)
     silence_s = EVENT_SILENCE_RATIO * route.event_gap_max_ms / 1000.0
-    return AnswerTimeout(silence_s, may_give_up)
+    return AnswerTimeout(silence_s, may_give_up, silence_s)
 
 
 def _never() -> bool:
--- a/ashlatch/policy/endpoint.py
+++ b/ashlatch/policy/endpoint.py
@@ -34,6 +34,12 @@
 # lightly used: a service without a model is as fast with half of its slots in use.
 HALL_LOAD_BOUND = 1.5
 LIGHT_UTILISATION = 0.5
+# Endpoints count as slow from this multiple of the least expected time: smaller
+# differences are within the error of the measured times.
+SLOW_BOUND = 1.5
+# From this utilisation on a request may have to wait for a slot, as the known load
+# lags; a slow endpoint with free slots answers sooner.
+NEARLY_FULL_UTILISATION = 0.8
 HASH_RANGE = 2.0**64
 
 
@@ -169,7 +175,8 @@
     """Prefers the local hall, and in it bounded rendezvous hashing of the prefix.
 
     Traffic between halls costs time and money, and a prompt with a cached prefix
-    costs less prefill. Load takes precedence over both.
+    costs less prefill. Load takes precedence over both, and slow endpoints are left
+    out while others are below the bound of load.
     """
 
     name = "hall_affinity"
@@ -180,6 +187,7 @@
         """Returns a local endpoint preferred for the prefix, or the least loaded."""
         mean = sum(c.utilisation for c in candidates) / len(candidates)
         bound = max(LIGHT_UTILISATION, HALL_LOAD_BOUND * mean)
+        candidates = _without_slow(candidates, min(bound, NEARLY_FULL_UTILISATION))
         preferred = tuple(c for c in candidates if c.local and c.utilisation < bound)
         pool = preferred or candidates
         by_name = {c.endpoint: c for c in pool}
@@ -192,6 +200,20 @@
         return generator.choice(equal)
 
 
+def _without_slow(
+    candidates: tuple[Candidate, ...], bound: float
+) -> tuple[Candidate, ...]:
+    """Returns the candidates without slow ones, or all if the others are loaded."""
+    times_ms = [c.expected_ms for c in candidates]
+    slow_ms = SLOW_BOUND * min(times_ms)
+    if max(times_ms) <= slow_ms:
+        return candidates
+    quick = tuple(
+        c for c in candidates if c.expected_ms <= slow_ms and c.utilisation < bound
+    )
+    return quick or candidates
+
+
 def rank(names: tuple[str, ...], key: str) -> list[str]:
     """Ranks names by rendezvous hashing with a key, the most preferred first."""
     return sorted(
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -283,11 +283,19 @@
 
 
 class HallAffinityTest(testtools.TestCase):
-    def choose(self, utilisations: dict[str, float], prefix: str = "") -> set[str]:
+    def choose(
+        self,
+        utilisations: dict[str, float],
+        prefix: str = "",
+        expected_ms: dict[str, float] | None = None,
+    ) -> set[str]:
         """Returns the chosen endpoints; `near...` are local, with 100 slots each."""
+        times_ms = expected_ms or {}
         policy = ENDPOINT_POLICIES.get("hall_affinity")()
         candidates = tuple(
-            Candidate(name, u * 100, 0, 100, 0.0, name.startswith("near"))
+            Candidate(
+                name, u * 100, 0, 100, times_ms.get(name, 0.0), name.startswith("near")
+            )
             for name, u in utilisations.items()
         )
         generator = random.Random(1)
@@ -304,6 +312,16 @@
         utilisations = {"near-1": 0.8, "far-1": 0.75, "far-2": 0.7}
         self.assertEqual({"near-1"}, self.choose(utilisations))
 
+    def test_slow_endpoints_while_others_are_free(self) -> None:
+        """Guards against plain requests at a local endpoint in a slow moment."""
+        utilisations = {"near-1": 0.0, "far-1": 0.1, "far-2": 0.2}
+        slow = {"near-1": 150.0, "far-1": 60.0, "far-2": 62.0}
+        self.assertEqual({"far-1"}, self.choose(utilisations, "", slow))
+        almost_equal = {"near-1": 80.0, "far-1": 60.0, "far-2": 62.0}
+        self.assertEqual({"near-1"}, self.choose(utilisations, "", almost_equal))
+        utilisations = {"near-1": 0.1, "far-1": 0.8, "far-2": 0.9}
+        self.assertEqual({"near-1"}, self.choose(utilisations, "", slow))
+
     def test_prefix(self) -> None:
         utilisations = {"near-1": 0.05, "near-2": 0.05, "near-3": 0.04, "far-1": 0.0}
         for prefix in ("a", "b", "c"):
