--- a/ashlatch/gateway/context.py
+++ b/ashlatch/gateway/context.py
@@ -23,6 +23,7 @@
 from ashlatch.gateway.prefix_cache import PrefixCaches
 from ashlatch.gateway.routing import RouteTable
 from ashlatch.gateway.shares import OrganisationShares
+from ashlatch.gateway.speed import SpeedMeter
 from ashlatch.gateway.tally import Tallies
 from ashlatch.gateway.traffic import TrafficCounter
 from ashlatch.gateway.updates import PeerUpdate
@@ -58,8 +59,8 @@
     `peers_reachable` are set while messages from the core and from the other gateways
     arrive, as far as is known. `next_retry_ms` gives, by service, the retry time for
     the next caller that finds no endpoint with capacity in its rate limit. `shares`
-    tells which organisations demand more than their share of scarce capacity, `overload`
-    decides about requests while the engines have too little capacity.
+    tells which organisations demand more than their share of scarce capacity,
+    `overload` decides about requests while the engines have too little capacity.
     """
 
     hall: str
@@ -74,6 +75,7 @@
     latency_model: LatencyModel = field(default_factory=LatencyModel)
     prefix_caches: PrefixCaches = field(default_factory=PrefixCaches)
     tallies: Tallies = field(default_factory=Tallies)
+    speed_meter: SpeedMeter = field(default_factory=SpeedMeter)
     metrics: Metrics = field(default_factory=Metrics)
     budgets: dict[str, RepeatBudget] = field(default_factory=dict)
     generator: random.Random = field(default_factory=random.Random)
