--- a/ashlatch/fleet/protocol.py
+++ b/ashlatch/fleet/protocol.py
@@ -25,7 +25,7 @@
 from ashlatch.link import Method
 from ashlatch.policy.prefill_rate import PrefillRate
 from ashlatch.policy.quarantine import CrashRecord
-from ashlatch.policy.speed import MeasuredRatio
+from ashlatch.policy.speed import ReportedRatio
 from ashlatch.raft.message import Member
 
 __all__ = [
@@ -57,8 +57,7 @@
     rates of engines since its last request. `crashes` are its reports of requests that
     crash endpoints, and `crashes_known` is the number of the newest such change that it
     knows. `evacuations_known` is the number of the newest evacuations that it knows.
-    `duration_ratios` are the duration ratios of endpoints measured since its last
-    request.
+    `duration_ratios` are those that endpoints have reported since its last request.
     """
 
     vm: str
@@ -77,7 +76,7 @@
     crashes: tuple[CrashRecord, ...] = ()
     crashes_known: int = 0
     evacuations_known: int = 0
-    duration_ratios: tuple[MeasuredRatio, ...] = ()
+    duration_ratios: tuple[ReportedRatio, ...] = ()
 
 
 class SyncReply(msgspec.Struct, frozen=True, array_like=True):
@@ -94,7 +93,7 @@
     that crashed endpoints, up to the change `crashes_known`. `evacuations` is unset
     if the sender knows the newest one. `endpoints_age_ms` is how long ago `endpoints`
     was first read, from which the remaining cold times of its endpoints count.
-    `duration_ratios` are those of endpoints as measured by the gateways that sync with
+    `duration_ratios` are those of endpoints as reported to the gateways that sync with
     this core VM; they do not end the wait of a request either.
     """
 
@@ -113,7 +112,7 @@
     crashes_known: int = 0
     evacuations: Evacuations | None = None
     endpoints_age_ms: float = 0.0
-    duration_ratios: tuple[MeasuredRatio, ...] = ()
+    duration_ratios: tuple[ReportedRatio, ...] = ()
 
 
 class JoinRequest(msgspec.Struct, frozen=True):
--- a/ashlatch/fleet/soft_state.py
+++ b/ashlatch/fleet/soft_state.py
@@ -22,7 +22,7 @@
 from ashlatch.gateway.tally import Tallies
 from ashlatch.policy.prefill_rate import PrefillRates
 from ashlatch.policy.quarantine import UnloggedCrashes
-from ashlatch.policy.speed import MeasuredRatios
+from ashlatch.policy.speed import ReportedRatios
 
 __all__ = ["SoftState", "has_updates"]
 
@@ -55,7 +55,7 @@
         # Gateways of one hall together observe many prefills of an engine each second.
         # One of 39 gateways alone observes too few to know a rate before it needs it.
         self._rates = PrefillRates()
-        self._duration_ratios = MeasuredRatios()
+        self._duration_ratios = ReportedRatios()
         self._pending_prefills: list[PromptPrefill] = []
         self._started_ms = monotonic_ms()
         self._list_read_ms = self._started_ms
--- a/ashlatch/gateway/context.py
+++ b/ashlatch/gateway/context.py
@@ -23,7 +23,7 @@
 from ashlatch.gateway.prefix_cache import PrefixCaches
 from ashlatch.gateway.routing import RouteTable
 from ashlatch.gateway.shares import OrganisationShares
-from ashlatch.gateway.speed import SpeedMeter
+from ashlatch.gateway.speed import DurationReports
 from ashlatch.gateway.tally import Tallies
 from ashlatch.gateway.traffic import TrafficCounter
 from ashlatch.gateway.updates import PeerUpdate
@@ -75,7 +75,7 @@
     latency_model: LatencyModel = field(default_factory=LatencyModel)
     prefix_caches: PrefixCaches = field(default_factory=PrefixCaches)
     tallies: Tallies = field(default_factory=Tallies)
-    speed_meter: SpeedMeter = field(default_factory=SpeedMeter)
+    duration_reports: DurationReports = field(default_factory=DurationReports)
     metrics: Metrics = field(default_factory=Metrics)
     budgets: dict[str, RepeatBudget] = field(default_factory=dict)
     generator: random.Random = field(default_factory=random.Random)
@@ -109,10 +109,14 @@
             self.overload.capacity_ms_per_s,
         )
 
+    def has_admission_control(self, service_name: str, now_ms: float) -> bool:
+        """Checks whether requests for a service may be deferred or refused."""
+        service = self.table.services.get(service_name) if self.table else None
+        return service is not None and self.overload.is_on(service, now_ms)
+
     def _is_scarce(self, service_name: str, now_ms: float) -> bool:
         """Checks whether a service with admission control has too little capacity."""
-        service = self.table.services.get(service_name) if self.table else None
-        if service is None or not self.overload.is_on(service, now_ms):
+        if not self.has_admission_control(service_name, now_ms):
             return False
         return self.overload.is_scarce(service_name, now_ms)
 
--- a/ashlatch/gateway/core_updates.py
+++ b/ashlatch/gateway/core_updates.py
@@ -66,7 +66,7 @@
         self._apply_crashes(address, reply)
         self.apply_prefills(reply)
         self._context.latency_model.apply_rates(reply.rates)
-        self._context.speed_meter.apply_shared(
+        self._context.duration_reports.apply_shared(
             self._context.directory, reply.duration_ratios
         )
 
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -199,7 +199,6 @@
     async def _run_attempt(self, attempt: Attempt) -> bool:
         """Returns whether the answer was forwarded; otherwise the request is resent."""
         head = await attempt.begin(self._answer_timeout())
-        self._record_duration(attempt, head)
         self._record.record_answer_begin(attempt, self._model)
         if self._route.streams and head.status < 300:
             if self._escalates(attempt, head):
@@ -214,12 +213,6 @@
         self._record.record_success(attempt)
         return True
 
-    def _record_duration(self, attempt: Attempt, head: AnswerHead) -> None:
-        """Records that endpoints of the service report the duration of work."""
-        if head.load is not None and head.load.duration_percent is not None:
-            service = attempt.state.endpoint.service
-            self._context.overload.record_duration_reported(service, self._now_ms())
-
     def _escalates(self, attempt: Attempt, head: AnswerHead) -> bool:
         """Decides whether to use a larger model instead of forwarding this answer."""
         if not self._model or self._record.events:
--- a/ashlatch/gateway/forecast.py
+++ b/ashlatch/gateway/forecast.py
@@ -40,13 +40,17 @@
 # than at the fastest candidate counts by this share for each of them: a pause matters
 # only to the streams that come close to the longest one that their route allows.
 PAUSED_STREAM_SHARE = 0.25
-# The factor between the steps to which measured ratios are rounded for the choice of
-# home engines: gateways whose measurements differ slightly agree on the homes.
+# The factor between the steps to which usual ratios are rounded for the choice of
+# home engines: gateways that know slightly different ratios agree on the homes.
 HOME_RATIO_STEP = 1.3
 # The weight of a home engine falls with this power of its ratio. With the first power
 # slow engines would be busy with long prompts for as long as the others, and each of
 # these prompts would pause their streams for longer.
 HOME_WEIGHT_POWER = 2.0
+# An engine without a fresh report counts as loaded as the mean of the others from this
+# share of their slots in use. Reports come with the first token of an answer, so an
+# engine whose queue has just grown is silent and would look idle.
+UNREPORTED_FROM_USE = 0.75
 # Bytes of an answer for each token of its maximum length: a token takes 15 bytes, and
 # answers are a quarter as long as their maximum.
 ANSWER_BYTES_PER_TOKEN = 4.0
@@ -108,6 +112,7 @@
         self._token_ms = context.latency_model.token_ms(service, self._model)
         self._slot_time_ms = context.latency_model.slot_time_ms(service)
         self._home = _home_engine(send.request, states)
+        self._unreported_use = self._mean_use(service, states)
         ratios = [s.speed.duration_ratio(now_ms) for s in states]
         self._least_ratio = min(ratios)
         queued_ms = 0.0
@@ -119,7 +124,7 @@
     def forecast(self, state: EndpointState) -> Forecast:
         """Returns the prediction for a send to an endpoint."""
         # Computed once: adding up the known load takes longer than all of the rest.
-        requests = state.requests(self._now_ms)
+        requests = self._requests(state)
         ratio = state.speed.duration_ratio(self._now_ms)
         wait_ms = state.workload.remaining_ms(self._now_ms, ratio)
         wait_ms += ratio * self._slot_wait_ms(state, requests)
@@ -140,6 +145,25 @@
             cost_ms += PAUSED_STREAM_SHARE * requests * excess_ms
         return Forecast(wait_ms, tokens, prefill_ms, cost_ms, ratio)
 
+    def _mean_use(self, service: str, states: Sequence[EndpointState]) -> float:
+        """Returns the mean share of slots in use by fresh reports; 0 below a bound.
+
+        Also 0 for services without admission control.
+        """
+        if not self._context.has_admission_control(service, self._now_ms):
+            return 0.0
+        fresh = [s for s in states if not s.load.stale(self._now_ms)]
+        slots = sum(state.endpoint.slots for state in fresh)
+        requests = sum(state.load.requests() for state in fresh)
+        return requests / slots if requests >= UNREPORTED_FROM_USE * slots > 0 else 0.0
+
+    def _requests(self, state: EndpointState) -> float:
+        """Returns the estimated number of requests at an engine."""
+        requests = state.requests(self._now_ms)
+        if self._unreported_use and state.load.stale(self._now_ms):
+            return max(requests, self._unreported_use * state.endpoint.slots)
+        return requests
+
     def _wait_cost_ms(self, wait_ms: float, prefill_ms: float) -> float:
         """Returns the cost of a wait, which is small while the answer is well in time.
 
@@ -183,13 +207,13 @@
         return ""
     subject = request.prompt_parts[-2].part_id
     names = tuple(s.endpoint.instance for s in states)
-    ratios = [s.speed.measured_ratio for s in states]
+    ratios = [s.speed.usual_ratio for s in states]
     if min(ratios) == max(ratios):
         return rank(names, subject)[0]
     weights = [_home_weight(ratio) for ratio in ratios]
     return weighted_first(names, weights, subject)
 
 
-def _home_weight(measured_ratio: float) -> float:
-    steps = round(math.log(measured_ratio) / math.log(HOME_RATIO_STEP))
+def _home_weight(usual_ratio: float) -> float:
+    steps = round(math.log(usual_ratio) / math.log(HOME_RATIO_STEP))
     return float(HOME_RATIO_STEP ** (-HOME_WEIGHT_POWER * steps))
--- a/ashlatch/gateway/overload.py
+++ b/ashlatch/gateway/overload.py
@@ -45,7 +45,6 @@
     "AdmissionMode",
     "Arrival",
     "OverloadControl",
-    "duration_ratio",
 ]
 
 
@@ -78,14 +77,6 @@
     AUTO = "auto"
 
 
-def duration_ratio(state: EndpointState, now_ms: float) -> float:
-    """Returns how long work takes at an endpoint, 1.0 for the usual time.
-
-    Speeds of endpoints are not estimated yet: the ratio is always 1.0.
-    """
-    return 1.0
-
-
 @dataclass(frozen=True)
 class Arrival:
     """A request at the time of its decision; see `RequestNeeds` for its times."""
@@ -182,7 +173,7 @@
     def capacity_ms_per_s(self, service: str, now_ms: float) -> float:
         """Returns the slot time per second that the engines offer to all gateways."""
         return sum(
-            state.endpoint.slots * SECOND_MS / duration_ratio(state, now_ms)
+            state.endpoint.slots * SECOND_MS / state.duration_ratio(now_ms)
             for state in self._directory.of_service(service)
             if _available(state, now_ms)
         )
@@ -266,7 +257,7 @@
     ) -> tuple[tuple[EndpointLoad, int, float], ...]:
         """Returns the load, slots and duration ratio of the available engines."""
         return tuple(
-            (state.load, state.endpoint.slots, duration_ratio(state, now_ms))
+            (state.load, state.endpoint.slots, state.duration_ratio(now_ms))
             for state in self._directory.of_service(service)
             if _available(state, now_ms)
         )
--- a/ashlatch/gateway/peer_updates.py
+++ b/ashlatch/gateway/peer_updates.py
@@ -168,7 +168,8 @@
     )
     state.apply_load(figures, sender.received_ms)
     if duration_percent is not None:
-        state.advertised_duration.record(duration_percent, sender.received_ms)
+        ratio = state.speed.slow_moment_ratio(duration_percent)
+        state.advertised_duration.record(ratio, sender.received_ms)
     state.confirm_running(context.cold_ms(state), sender.received_ms)
     level = load_level(update.running + update.waiting, update.slots)
     state.advertised_load.record(level, sender.received_ms)
--- a/ashlatch/gateway/reports.py
+++ b/ashlatch/gateway/reports.py
@@ -46,8 +46,10 @@
 
 
 def _is_new_duration(state: EndpointState, load: LoadFigures, now_ms: float) -> bool:
-    percent = load.duration_percent
-    return percent is not None and state.advertised_duration.is_new(percent, now_ms)
+    if load.duration_percent is None:
+        return False
+    ratio = state.speed.slow_moment_ratio(load.duration_percent)
+    return state.advertised_duration.is_new(ratio, now_ms)
 
 
 def _broadcast(
--- a/ashlatch/gateway/request_record.py
+++ b/ashlatch/gateway/request_record.py
@@ -34,7 +34,6 @@
 from ashlatch.gateway.notices import apply_notice
 from ashlatch.gateway.reports import broadcast_duration, broadcast_load
 from ashlatch.gateway.session_updates import announce_session
-from ashlatch.gateway.speed import GAPS_MEASURED, median_gap_ms
 from ashlatch.gateway.tally import TallyKey
 from ashlatch.gateway.traffic import TrafficKind
 from ashlatch.gateway.updates import EndpointReplaced, PromptSent
@@ -47,9 +46,6 @@
 
 log = logging.getLogger("ashlatch.gateway")
 
-# Answers with this status or a higher one take less time than others.
-ERROR_STATUS = 400
-
 # The request has not reached the intended endpoint.
 _NOT_REACHED = frozenset(
     {FailureKind.UNREACHABLE, FailureKind.MISDIRECTED, FailureKind.CLOSED}
@@ -70,8 +66,6 @@
         self.first_s: float | None = None
         self._last_s = 0.0
         self._gap_s = 0.0
-        self._measured: Attempt | None = None
-        self._event_times_s: list[float] = []
         self._context = context
         self._admission = admission
         self._loop = asyncio.get_running_loop()
@@ -149,7 +143,7 @@
         traffic.add(TrafficKind.REQUEST, hall, attempt.sent_bytes)
         traffic.add(TrafficKind.ANSWER, hall, attempt.received_bytes)
         service = attempt.state.endpoint.service
-        slot_time_ms = self._elapsed_ms(attempt) / attempt.state.speed.measured_ratio
+        slot_time_ms = self._elapsed_ms(attempt) / attempt.state.speed.usual_ratio
         self._context.latency_model.record_slot_time(service, slot_time_ms)
 
     def record_answer_begin(self, attempt: Attempt, model: str) -> None:
@@ -160,9 +154,6 @@
         ratio = attempt.state.duration_ratio(self._now_ms())
         # A busy host does not count against the version that it runs.
         self._context.tallies.record_start(self._tally_key(attempt), first_ms / ratio)
-        if self._admission.route.streams and attempt.state.speed.reports:
-            self._measured = attempt
-            self._event_times_s = []
         attempt.state.confirm_running(self._admission.service.cold_ms, self._now_ms())
         service = self._admission.service.name
         forecast = attempt.forecast
@@ -188,6 +179,11 @@
         load, attempt.load = attempt.load, None
         if load is None:
             return
+        if load.duration_percent is not None:
+            reports = self._context.duration_reports
+            reports.record(attempt.state, load.duration_percent)
+            service = attempt.state.endpoint.service
+            self._context.overload.record_duration_reported(service, self._now_ms())
         if attempt.forecast is not None:
             broadcast_load(self._context, attempt.state, load, self._now_ms())
         else:
@@ -246,29 +242,6 @@
         else:
             self._gap_s = max(self._gap_s, now_s - self._last_s)
         self._last_s = now_s
-        if self._measured is not None:
-            self._record_event_time(self._measured, now_s)
-
-    def _record_event_time(self, attempt: Attempt, now_s: float) -> None:
-        """Measures the speed of an endpoint by the first events of its stream."""
-        times_s = self._event_times_s
-        times_s.append(now_s)
-        if len(times_s) <= GAPS_MEASURED:
-            return
-        self._measured = None
-        request = self._admission.request
-        model = attempt.dispatch.model or request.model or self._admission.route.name
-        middle_ms = 500.0 * (times_s[0] + now_s)
-        self._record_duration(attempt, model, median_gap_ms(times_s), middle_ms)
-
-    def _record_duration(
-        self, attempt: Attempt, name: str, duration_ms: float, at_ms: float
-    ) -> None:
-        load = attempt.head.load if attempt.head is not None else None
-        if load is not None:
-            self._context.speed_meter.record_duration(
-                attempt.state, name, load.running, duration_ms, at_ms
-            )
 
     def record_success(self, attempt: Attempt) -> None:
         """Records an answer that was complete, or complete enough to be evaluated."""
@@ -278,11 +251,6 @@
         state.record_success()
         self._record_session_end(attempt)
         self._context.tallies.record_answer(self._tally_key(attempt))
-        route = self._admission.route
-        plain = attempt.forecast is None and not route.streams
-        if plain and attempt.head is not None and attempt.head.status < ERROR_STATUS:
-            duration_ms = self._elapsed_ms(attempt)
-            self._record_duration(attempt, route.name, duration_ms, self._now_ms())
 
     def record_failure(self, attempt: Attempt, failure: AttemptFailed) -> None:
         """Records a send that brought no answer."""
--- a/ashlatch/gateway/sync.py
+++ b/ashlatch/gateway/sync.py
@@ -39,7 +39,7 @@
 from ashlatch.log import emit
 from ashlatch.policy.prefill_rate import PrefillRate
 from ashlatch.policy.quarantine import CrashRecord
-from ashlatch.policy.speed import MeasuredRatio
+from ashlatch.policy.speed import ReportedRatio
 
 __all__ = ["CoreSync"]
 
@@ -159,7 +159,7 @@
             rates = self._context.latency_model.take_rates()
             wait_ms, timeout_s = self._wait_and_timeout()
             crashes = self._context.quarantine.unconfirmed()
-            ratios = self._context.speed_meter.take_ratios()
+            ratios = self._context.duration_reports.take_ratios()
             request = self._request(wait_ms, tallies, prefills, rates, crashes, ratios)
             late_ms = self._now_ms() + timeout_s * 1000.0 + TIMER_LATE_MS
             try:
@@ -168,7 +168,7 @@
                 self._context.tallies.add(tallies)
                 self._context.prefix_caches.restore_reports(prefills)
                 self._context.latency_model.restore_rates(rates)
-                self._context.speed_meter.restore_ratios(ratios)
+                self._context.duration_reports.restore_ratios(ratios)
                 if self._now_ms() > late_ms and not resumed:
                     # The timeout passed while this process was suspended, which says
                     # nothing about the core. Treated as a loss of the core, the
@@ -259,7 +259,7 @@
         prefills: tuple[PromptPrefill, ...] = (),
         rates: tuple[PrefillRate, ...] = (),
         crashes: tuple[CrashRecord, ...] = (),
-        duration_ratios: tuple[MeasuredRatio, ...] = (),
+        duration_ratios: tuple[ReportedRatio, ...] = (),
     ) -> SyncRequest:
         return SyncRequest(
             self._context.vm,
--- a/ashlatch/policy/load_advertisement.py
+++ b/ashlatch/policy/load_advertisement.py
@@ -24,9 +24,9 @@
 # An unchanged level is broadcast again after this time, as other gateways drop a
 # received load after 2.5 s.
 REPEAT_MS = 1000.0
-# From this reported duration on, in percent of the usual one, an endpoint counts as
-# slow: smaller differences change few choices.
-SLOW_PERCENT = 150.0
+# From this ratio of a reported duration to the endpoint's usual one, it counts as slow:
+# smaller differences change few choices.
+SLOW_RATIO = 1.5
 # A slow moment is broadcast again after this time, in which half of what the other
 # gateways know of it has decayed, and its end only if a broadcast was this recent.
 SLOW_REPEAT_MS = 300.0
@@ -75,27 +75,27 @@
     """The last slow moment of one endpoint that was broadcast or received::
 
     advertised = DurationAdvertisement()
-    advertised.is_new(100.0, now_ms=0.0)  # False
-    advertised.is_new(250.0, now_ms=10.0)  # True
-    advertised.is_new(250.0, now_ms=20.0)  # False
-    advertised.is_new(100.0, now_ms=30.0)  # True, no longer slow
+    advertised.is_new(1.0, now_ms=0.0)  # False
+    advertised.is_new(2.5, now_ms=10.0)  # True
+    advertised.is_new(2.5, now_ms=20.0)  # False
+    advertised.is_new(1.0, now_ms=30.0)  # True, no longer slow
     """
 
     _slow: bool = False
     _at_ms: float = float("-inf")
 
-    def is_new(self, duration_percent: float, now_ms: float) -> bool:
+    def is_new(self, ratio: float, now_ms: float) -> bool:
         """Returns whether to broadcast a duration; if so, records it as broadcast."""
-        slow = duration_percent >= SLOW_PERCENT
+        slow = ratio >= SLOW_RATIO
         if not slow and not self._slow:
             return False
         age_ms = now_ms - self._at_ms
         if slow and self._slow and age_ms < SLOW_REPEAT_MS:
             return False
-        self.record(duration_percent, now_ms)
+        self.record(ratio, now_ms)
         return slow or age_ms < SLOW_END_MS
 
-    def record(self, duration_percent: float, now_ms: float) -> None:
+    def record(self, ratio: float, now_ms: float) -> None:
         """Records a duration that the other gateways know."""
-        self._slow = duration_percent >= SLOW_PERCENT
+        self._slow = ratio >= SLOW_RATIO
         self._at_ms = now_ms
--- a/ashlatch/policy/speed.py
+++ b/ashlatch/policy/speed.py
@@ -2,15 +2,14 @@
 ashlatch.policy.speed
 ~~~~~~~~~~~~~~~~~~~~~
 
-Estimates how long work takes at an endpoint compared with the usual duration: from what
-the endpoint reports about the present moment, and from measured durations, which
-gateways share. A duration ratio of 1.0 is usual, at 2.0 work takes twice as long.
+Estimates how long work takes at an endpoint compared with the usual duration of its
+service, from what the endpoint reports: the present moment, and what is usual for this
+endpoint, which gateways share. At a duration ratio of 2.0 work takes twice as long.
 
 :copyright: Copyright 2026 by the ashlatch maintainers.
 :license: MIT, see LICENSE for details.
 """
 
-import math
 import statistics
 from collections import deque
 from collections.abc import Iterable
@@ -21,10 +20,9 @@
 __all__ = [
     "RATIO_MAX",
     "RATIO_MIN",
-    "DurationBaseline",
     "HostSpeed",
-    "MeasuredRatio",
-    "MeasuredRatios",
+    "ReportedRatio",
+    "ReportedRatios",
     "bounded_ratio",
 ]
 
@@ -35,16 +33,10 @@
 REPORT_HALF_LIFE_MS = 300.0
 # After eight half-lives a report of 8.0 is worth 1.03.
 REPORT_MAX_AGE_MS = 2400.0
-# The weight of a measurement in the moving geometric mean: the median of a few gaps
-# between events varies by about a fifth.
-MEASURED_GAIN = 0.15
-# The weight of a new duration in a baseline, and the number of durations before it is
-# used: a gateway sees one or two answers a second.
-BASELINE_GAIN = 0.05
-BASELINE_MIN = 3
-# A baseline assumes no effect of concurrency until the numbers of concurrent requests
-# differ by more than this variance.
-CONCURRENCY_VARIANCE_MIN = 4.0
+# The latest reports of which a gateway takes the median, this far apart, so that they
+# come from different moments: 15 in 100 are slow.
+OWN_SAMPLES = 9
+SAMPLE_INTERVAL_MS = 600.0
 # The latest samples of an endpoint of which the core takes the median, and the number
 # from which on it returns one: 30 endpoints get about a sample a second each at one of
 # five core VMs.
@@ -68,17 +60,20 @@
     """The duration ratio of one incarnation of an endpoint::
 
     speed = HostSpeed()
-    speed.record_reported(250.0, now_ms=0.0)
-    speed.duration_ratio(now_ms=0.0)  # 2.5
-    speed.duration_ratio(now_ms=300.0)  # 1.75
-    speed.duration_ratio(now_ms=9000.0)  # 1.0
+    speed.record_reported(175.0, now_ms=0.0)
+    speed.apply_shared(0.7)
+    speed.duration_ratio(now_ms=0.0)  # 1.75
+    speed.duration_ratio(now_ms=300.0)  # 1.225
+    speed.duration_ratio(now_ms=9000.0)  # 0.7
 
-    `measured_ratio` is the part that persists, without the reported one.
+    `usual_ratio` is the ratio of the endpoint outside its slow moments.
     """
 
-    measured_ratio: float = 1.0
+    usual_ratio: float = 1.0
     _reported_ratio: float = 1.0
     _reported_ms: float = float("-inf")
+    _samples: deque[float] = field(default_factory=lambda: deque(maxlen=OWN_SAMPLES))
+    _sampled_ms: float = float("-inf")
 
     @property
     def reports(self) -> bool:
@@ -86,84 +81,37 @@
         return self._reported_ms > float("-inf")
 
     def record_reported(self, duration_percent: float, now_ms: float) -> None:
-        """Records a reported duration, in percent of the host's usual one."""
+        """Records a reported duration, in percent of the usual one of the service."""
         self._reported_ratio = bounded_ratio(duration_percent / 100.0)
         self._reported_ms = now_ms
+        if now_ms - self._sampled_ms >= SAMPLE_INTERVAL_MS:
+            self._sampled_ms = now_ms
+            self._samples.append(self._reported_ratio)
+            self.usual_ratio = statistics.median_low(self._samples)
 
-    def record_measured(self, ratio: float, now_ms: float) -> float:
-        """Records a measured duration divided by the expected one.
-
-        Returns the ratio without the reported part, so that a slow moment is not
-        learnt as a property of the endpoint.
-        """
-        lasting = bounded_ratio(ratio / self.reported_ratio(now_ms))
-        change = math.log(lasting / self.measured_ratio)
-        ratio = self.measured_ratio * math.exp(MEASURED_GAIN * change)
-        self.measured_ratio = bounded_ratio(ratio)
-        return lasting
+    def slow_moment_ratio(self, duration_percent: float) -> float:
+        """Returns a reported duration as a multiple of the endpoint's usual one."""
+        return bounded_ratio(duration_percent / 100.0) / self.usual_ratio
 
     def apply_shared(self, ratio: float) -> None:
-        """Applies a measured ratio that combines the samples of many gateways."""
-        self.measured_ratio = bounded_ratio(ratio)
+        """Applies a usual ratio that combines the reports to many gateways."""
+        self.usual_ratio = bounded_ratio(ratio)
+
+    def duration_ratio(self, now_ms: float) -> float:
+        """Returns the estimate for work that begins now.
 
-    def reported_ratio(self, now_ms: float) -> float:
-        """Returns the reported ratio; with its age it decays to 1.0."""
+        With the age of the last report it returns to the usual ratio.
+        """
         age_ms = now_ms - self._reported_ms
         if age_ms >= REPORT_MAX_AGE_MS:
-            return 1.0
+            return self.usual_ratio
         decay = 0.5 ** (max(0.0, age_ms) / REPORT_HALF_LIFE_MS)
-        return float(1.0 + (self._reported_ratio - 1.0) * decay)
-
-    def duration_ratio(self, now_ms: float) -> float:
-        """Returns the estimate for work that begins now."""
-        if now_ms - self._reported_ms >= REPORT_MAX_AGE_MS:
-            return self.measured_ratio
-        return bounded_ratio(self.measured_ratio * self.reported_ratio(now_ms))
-
-
-@dataclass
-class DurationBaseline:
-    """The mean duration of one kind of work by the number of concurrent requests::
-
-    baseline = DurationBaseline()
-    for _ in range(3):
-        baseline.add(concurrent=4, duration_ms=30.0)
-    baseline.expected_ms(concurrent=4)  # 30.0
+        difference = self._reported_ratio - self.usual_ratio
+        return float(self.usual_ratio + difference * decay)
 
-    The dependence is linear, estimated by moving averages.
-    """
 
-    _samples: int = 0
-    _concurrent: float = 0.0
-    _duration_ms: float = 0.0
-    _variance: float = 0.0
-    _covariance: float = 0.0
-
-    def add(self, concurrent: float, duration_ms: float) -> None:
-        """Adds a duration that was measured at some endpoint."""
-        self._samples += 1
-        gain = max(BASELINE_GAIN, 1.0 / self._samples)
-        distance = concurrent - self._concurrent
-        difference_ms = duration_ms - self._duration_ms
-        self._concurrent += gain * distance
-        self._duration_ms += gain * difference_ms
-        rest = 1.0 - gain
-        self._variance = rest * (self._variance + gain * distance * distance)
-        self._covariance = rest * (self._covariance + gain * distance * difference_ms)
-
-    def expected_ms(self, concurrent: float) -> float | None:
-        """Returns the expected duration; None after too few samples."""
-        if self._samples < BASELINE_MIN:
-            return None
-        # More requests never make work faster; the slow endpoints have fewer of them.
-        covariance = max(0.0, self._covariance)
-        slope = covariance / (self._variance + CONCURRENCY_VARIANCE_MIN)
-        expected_ms = self._duration_ms + slope * (concurrent - self._concurrent)
-        return max(expected_ms, RATIO_MIN * self._duration_ms)
-
-
-class MeasuredRatio(msgspec.Struct, frozen=True, array_like=True):
-    """A measured duration ratio of one incarnation of an endpoint.
+class ReportedRatio(msgspec.Struct, frozen=True, array_like=True):
+    """A reported duration ratio of one incarnation of an endpoint.
 
     `started_unix_ms` distinguishes the incarnations as in the list of endpoints.
     """
@@ -187,17 +135,17 @@
 
 
 @dataclass
-class MeasuredRatios:
-    """The latest measured ratios of endpoints, from many gateways::
+class ReportedRatios:
+    """The latest reported ratios of endpoints, from many gateways::
 
-    ratios = MeasuredRatios()
-    ratios.add([MeasuredRatio("i-1", 0, ratio) for ratio in (1.7, 1.6, 9.0)], 0.0)
-    ratios.estimates(now_ms=0.0)  # (MeasuredRatio("i-1", 0, 1.7),)
+    ratios = ReportedRatios()
+    ratios.add([ReportedRatio("i-1", 0, ratio) for ratio in (1.7, 1.6, 9.0)], 0.0)
+    ratios.estimates(now_ms=0.0)  # (ReportedRatio("i-1", 0, 1.7),)
     """
 
     _by_instance: dict[str, _Samples] = field(default_factory=dict)
 
-    def add(self, ratios: Iterable[MeasuredRatio], now_ms: float) -> None:
+    def add(self, ratios: Iterable[ReportedRatio], now_ms: float) -> None:
         """Adds samples; a later incarnation of an endpoint starts afresh."""
         for measured in ratios:
             # Moved to the end, so that the first one is the oldest.
@@ -210,14 +158,14 @@
             if len(self._by_instance) > ENDPOINTS_MAX:
                 del self._by_instance[next(iter(self._by_instance))]
 
-    def estimates(self, now_ms: float) -> tuple[MeasuredRatio, ...]:
+    def estimates(self, now_ms: float) -> tuple[ReportedRatio, ...]:
         """Returns the median ratio of each endpoint with enough samples."""
         oldest_ms = now_ms - SAMPLES_MAX_AGE_MS
         for instance, samples in list(self._by_instance.items()):
             if samples.at_ms < oldest_ms:
                 del self._by_instance[instance]
         return tuple(
-            MeasuredRatio(instance, samples.started_unix_ms, round(samples.median, 2))
+            ReportedRatio(instance, samples.started_unix_ms, round(samples.median, 2))
             for instance, samples in self._by_instance.items()
             if len(samples.ratios) >= SAMPLES_MIN
         )
