--- a/ashlatch/gateway/forecast.py
+++ b/ashlatch/gateway/forecast.py
@@ -10,7 +10,6 @@
 :license: MIT, see LICENSE for details.
 """
 
-import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -40,13 +39,6 @@
 # than at the fastest candidate counts by this share for each of them: a pause matters
 # only to the streams that come close to the longest one that their route allows.
 PAUSED_STREAM_SHARE = 0.25
-# The factor between the steps to which measured ratios are rounded for the choice of
-# home engines: gateways whose measurements differ slightly agree on the homes.
-HOME_RATIO_STEP = 1.3
-# The weight of a home engine falls with this power of its ratio. With the first power
-# slow engines would be busy with long prompts for as long as the others, and each of
-# these prompts would pause their streams for longer.
-HOME_WEIGHT_POWER = 2.0
 # Bytes of an answer for each token of its maximum length: a token takes 15 bytes, and
 # answers are a quarter as long as their maximum.
 ANSWER_BYTES_PER_TOKEN = 4.0
@@ -107,8 +99,10 @@
         self._model = send.model or send.request.model
         self._token_ms = context.latency_model.token_ms(service, self._model)
         self._slot_time_ms = context.latency_model.slot_time_ms(service)
-        self._home = _home_engine(send.request, states)
+        names = tuple([s.endpoint.instance for s in states])
+        self._home = _home_engine(send.request, names, states)
         ratios = [s.speed.duration_ratio(now_ms) for s in states]
+        self._ratios = dict(zip(names, ratios, strict=True))
         self._least_ratio = min(ratios)
         queued_ms = 0.0
         for state, ratio in zip(states, ratios, strict=True):
@@ -120,17 +114,18 @@
         """Returns the prediction for a send to an endpoint."""
         # Computed once: adding up the known load takes longer than all of the rest.
         requests = state.requests(self._now_ms)
-        ratio = state.speed.duration_ratio(self._now_ms)
+        instance = state.endpoint.instance
+        ratio = self._ratios[instance]
         wait_ms = state.workload.remaining_ms(self._now_ms, ratio)
         wait_ms += ratio * self._slot_wait_ms(state, requests)
         cached_tokens = self._context.prefix_caches.cached_tokens(
-            state.endpoint.instance, self._model, self._request.prompt_parts
+            instance, self._model, self._request.prompt_parts
         )
         tokens = max(0, self._request.prompt_tokens - cached_tokens)
         work_ms = tokens * self._token_ms
         prefill_ms = ratio * work_ms
         cost_ms = self._engine_weight * work_ms
-        if state.endpoint.instance != self._home and self._home:
+        if instance != self._home and self._home:
             cost_ms *= 1.0 + NON_HOME_PENALTY_SHARE
         cost_ms += prefill_ms - work_ms
         cost_ms += self._wait_cost_ms(wait_ms, prefill_ms)
@@ -173,7 +168,9 @@
         return cost_ms
 
 
-def _home_engine(request: CallerRequest, states: Sequence[EndpointState]) -> str:
+def _home_engine(
+    request: CallerRequest, names: tuple[str, ...], states: Sequence[EndpointState]
+) -> str:
     """Returns the endpoint that is preferred for the prompts of a subject.
 
     The last prompt part belongs to the request or its session; the one before it is
@@ -182,14 +179,7 @@
     if len(request.prompt_parts) < 2:
         return ""
     subject = request.prompt_parts[-2].part_id
-    names = tuple(s.endpoint.instance for s in states)
-    ratios = [s.speed.measured_ratio for s in states]
-    if min(ratios) == max(ratios):
+    weights = [s.speed.home_weight for s in states]
+    if min(weights) == max(weights):
         return rank(names, subject)[0]
-    weights = [_home_weight(ratio) for ratio in ratios]
     return weighted_first(names, weights, subject)
-
-
-def _home_weight(measured_ratio: float) -> float:
-    steps = round(math.log(measured_ratio) / math.log(HOME_RATIO_STEP))
-    return float(HOME_RATIO_STEP ** (-HOME_WEIGHT_POWER * steps))
--- a/ashlatch/policy/endpoint.py
+++ b/ashlatch/policy/endpoint.py
@@ -231,12 +231,19 @@
     first of `rank`.
     """
 
-    def score(pair: tuple[str, float]) -> float:
-        name, weight = pair
+    # Of names with equal weights the one with the highest hash is preferred, so the
+    # logarithm is needed once for each weight only.
+    best: dict[float, tuple[int, str]] = {}
+    for name, weight in zip(names, weights, strict=True):
         digest = xxhash.xxh3_64_intdigest(f"{key}/{name}".encode())
-        return -weight / math.log((digest + 0.5) / HASH_RANGE)
-
-    return max(zip(names, weights, strict=True), key=score)[0]
+        known = best.get(weight)
+        if known is None or digest > known[0]:
+            best[weight] = digest, name
+    scores = {
+        weight: -weight / math.log((digest + 0.5) / HASH_RANGE)
+        for weight, (digest, _) in best.items()
+    }
+    return best[max(scores, key=scores.__getitem__)][1]
 
 
 def subset(names: tuple[str, ...], router: str, size: int) -> tuple[str, ...]:
--- a/ashlatch/policy/speed.py
+++ b/ashlatch/policy/speed.py
@@ -38,6 +38,13 @@
 # The weight of a measurement in the moving geometric mean: the median of a few gaps
 # between events varies by about a fifth.
 MEASURED_GAIN = 0.15
+# The factor between the steps to which measured ratios are rounded for the choice of
+# home engines: gateways whose measurements differ slightly agree on the homes.
+HOME_RATIO_STEP = 1.3
+# The weight of a home engine falls with this power of its ratio. With the first power
+# slow engines would be busy with long prompts for as long as the others, and each of
+# these prompts would pause their streams for longer.
+HOME_WEIGHT_POWER = 2.0
 # The weight of a new duration in a baseline, and the number of durations before it is
 # used: a gateway sees one or two answers a second.
 BASELINE_GAIN = 0.05
@@ -73,10 +80,12 @@
     speed.duration_ratio(now_ms=300.0)  # 1.75
     speed.duration_ratio(now_ms=9000.0)  # 1.0
 
-    `measured_ratio` is the part that persists, without the reported one.
+    `measured_ratio` is the part that persists, without the reported one, and
+    `home_weight` the weight by which an engine is chosen as the home of subjects.
     """
 
     measured_ratio: float = 1.0
+    home_weight: float = 1.0
     _reported_ratio: float = 1.0
     _reported_ms: float = float("-inf")
 
@@ -98,13 +107,14 @@
         """
         lasting = bounded_ratio(ratio / self.reported_ratio(now_ms))
         change = math.log(lasting / self.measured_ratio)
-        ratio = self.measured_ratio * math.exp(MEASURED_GAIN * change)
-        self.measured_ratio = bounded_ratio(ratio)
+        self.apply_shared(self.measured_ratio * math.exp(MEASURED_GAIN * change))
         return lasting
 
     def apply_shared(self, ratio: float) -> None:
         """Applies a measured ratio that combines the samples of many gateways."""
         self.measured_ratio = bounded_ratio(ratio)
+        steps = round(math.log(self.measured_ratio) / math.log(HOME_RATIO_STEP))
+        self.home_weight = HOME_RATIO_STEP ** (-HOME_WEIGHT_POWER * steps)
 
     def reported_ratio(self, now_ms: float) -> float:
         """Returns the reported ratio; with its age it decays to 1.0."""
@@ -116,7 +126,8 @@
 
     def duration_ratio(self, now_ms: float) -> float:
         """Returns the estimate for work that begins now."""
-        if now_ms - self._reported_ms >= REPORT_MAX_AGE_MS:
+        age_ms = now_ms - self._reported_ms
+        if age_ms >= REPORT_MAX_AGE_MS or self._reported_ratio == 1.0:
             return self.measured_ratio
         return bounded_ratio(self.measured_ratio * self.reported_ratio(now_ms))
 
