--- a/ashlatch/gateway/deferral.py
+++ b/ashlatch/gateway/deferral.py
@@ -52,10 +52,12 @@
         request applies to its wait too.
         """
         control, now_ms = self._context.overload, self._now_ms()
-        if not self._applies(now_ms):
+        if not control.is_on(self._admission.service, now_ms):
             return None
         control.record_demand(self._service, self._admission.urgency, now_ms)
         self._record_work(now_ms)
+        if self._is_exempt():
+            return None
         if not control.is_scarce(self._service, now_ms):
             return None
         expected_ms = self._expected_ms(model, now_ms)
@@ -78,16 +80,14 @@
             await control.wait(self._service, arrival, decision.wait_ms, now_ms)
             waited = True
 
-    def _applies(self, now_ms: float) -> bool:
-        """Checks whether this request is decided here.
+    def _is_exempt(self) -> bool:
+        """Checks whether this request is sent at once in any case.
 
         A stream that the caller resumes has been decided before. The load of the
         service says little about the engines of a few regions.
         """
-        if not self._context.overload.is_on(self._admission.service, now_ms):
-            return False
         resumes = bool(self._admission.request.resume_after)
-        return not resumes and not self._admission.region_bound
+        return resumes or self._admission.region_bound
 
     def _arrival(
         self,
