--- a/tests/test_deferral.py
+++ b/tests/test_deferral.py
@@ -11,7 +11,7 @@
 from ashlatch import clock
 from ashlatch.gateway.context import GatewayContext
 from ashlatch.gateway.message import LoadFigures
-from ashlatch.gateway.overload import AdmissionMode
+from ashlatch.gateway.overload import AdmissionMode, EqualShares
 from ashlatch.gateway.routing import RouteTable
 from ashlatch.platform.document import decode_catalog
 from tests import stub_server
@@ -186,6 +186,33 @@
         engines = self.run_engines(work)
         self.assertEqual([], [r for e in engines for r in e.requests])
 
+    def test_requests_over_a_share_wait_whatever_their_urgency(self) -> None:
+        """Guards against an organisation's excess that delays the others."""
+
+        class Shares(EqualShares):
+            work_ms = 0.0
+
+            def record_request(
+                self, service: str, organisation: str, work_ms: float, now_ms: float
+            ) -> None:
+                self.work_ms += work_ms
+
+            def over_share(
+                self, service: str, organisation: str, now_ms: float
+            ) -> float:
+                return float(organisation == "acme")
+
+        async def work() -> None:
+            shares = self.context.shares = Shares()
+            self.report(FULL)
+            status, took_s = await self.timed("/now/1")
+            self.assertTrue(status == 200 and took_s > DEFERRED_S, took_s)
+            self.assertTrue(shares.work_ms > 0.0)
+            text = self.context.metrics.text()
+            self.assertIn("admission_defer_over_share_urgency_0_total 1", text)
+
+        self.run_engines(work)
+
     def test_a_full_queue_refuses_only_with_queues_at_all_engines(self) -> None:
         async def work() -> None:
             with mock.patch("ashlatch.gateway.overload.DEFERRED_MAX", 0):
