Gateway: stream events are split with fewer copies and searches

Cause: for each event the splitter searched its buffer twice, copied what was left of it, and split the event into lines to find its id.

Change: the buffer is searched from the last event on and copied once for each part; the id is searched for. An event is the same whatever the parts: 3,000 random streams cut at random bytes give what the plainest splitting of the whole gives.

Ruled out: regular expressions for both searches.

--- a/ashlatch/gateway/events.py
+++ b/ashlatch/gateway/events.py
@@ -13,7 +13,8 @@
 
 __all__ = ["EventSplitter", "StreamEvent"]
 
-_TERMINATORS = (b"\n\n", b"\r\n\r\n")
+_ID = b"id:"
+_LINE_ENDS = b"\r\n"
 
 
 @dataclass(frozen=True)
@@ -41,24 +42,33 @@
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Adds bytes; returns the events that are now complete."""
-        self._buffer += data
+        buffer = self._buffer + data
         events = []
-        while (end := self._end()) >= 0:
-            events.append(_event(self._buffer[:end]))
-            self._buffer = self._buffer[end:]
+        begin = 0
+        while (end := _find_end(buffer, begin)) >= 0:
+            events.append(_event(buffer[begin:end]))
+            begin = end
+        self._buffer = buffer[begin:]
         return events
 
-    def _end(self) -> int:
-        ends = []
-        for terminator in _TERMINATORS:
-            at = self._buffer.find(terminator)
-            if at >= 0:
-                ends.append(at + len(terminator))
-        return min(ends, default=-1)
+
+def _find_end(buffer: bytes, begin: int) -> int:
+    """Returns where the event that begins here ends; -1 if it is not complete."""
+    line_feeds = buffer.find(b"\n\n", begin)
+    # Of several terminators the first counts. One that ends in the first line feed of
+    # the two begins before them.
+    searched = line_feeds + 1 if line_feeds >= 0 else len(buffer)
+    found = buffer.find(b"\r\n\r\n", begin, searched)
+    if found >= 0:
+        return found + 4
+    return line_feeds + 2 if line_feeds >= 0 else -1
 
 
 def _event(data: bytes) -> StreamEvent:
-    for line in data.splitlines():
-        if line.startswith(b"id:"):
-            return StreamEvent(data, line[3:].strip().decode("latin-1"))
-    return StreamEvent(data, "")
+    at = data.find(_ID)
+    while at > 0 and data[at - 1] not in _LINE_ENDS:
+        at = data.find(_ID, at + 1)
+    if at < 0:
+        return StreamEvent(data, "")
+    line = data[at + len(_ID) : data.find(b"\n", at)].partition(b"\r")[0]
+    return StreamEvent(data, line.strip().decode("latin-1"))
