--- a/tests/test_deferral.py
+++ b/tests/test_deferral.py
@@ -11,8 +11,9 @@
 from ashlatch import clock
 from ashlatch.gateway.context import GatewayContext
 from ashlatch.gateway.message import LoadFigures
-from ashlatch.gateway.overload import AdmissionMode, EqualShares
+from ashlatch.gateway.overload import AdmissionMode
 from ashlatch.gateway.routing import RouteTable
+from ashlatch.gateway.shares import OrganisationShares
 from ashlatch.platform.document import decode_catalog
 from tests import stub_server
 from tests.gateway import TIMEOUT_HEADER, GatewayHarness, build_request
@@ -189,7 +190,7 @@
     def test_requests_over_a_share_wait_whatever_their_urgency(self) -> None:
         """Guards against an organisation's excess that delays the others."""
 
-        class Shares(EqualShares):
+        class Shares(OrganisationShares):
             work_ms = 0.0
 
             def record_request(
@@ -203,7 +204,8 @@
                 return float(organisation == "acme")
 
         async def work() -> None:
-            shares = self.context.shares = Shares()
+            shares = Shares("gw-1", lambda: 1, lambda update: None)
+            self.context.shares = shares
             self.report(FULL)
             status, took_s = await self.timed("/now/1")
             self.assertTrue(status == 200 and took_s > DEFERRED_S, took_s)
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -54,6 +54,6 @@
                 size = generator.randint(1, len(rest))
                 got += splitter.feed(rest[:size])
                 rest = rest[size:]
-            self.assertEqual((events, remainder), (got, splitter.remainder), repr(data))
+            self.assertEqual((events, remainder), (got, splitter.remainder), str(data))
             found += len(events)
         self.assertGreater(found, 1000)
