Speed: tests of sharing, broadcasts and evaluation; only duration ratios exclude slow endpoints

Candidates of the product's own routers have expected times that differ for other reasons; the endpoint policy goes by the duration ratio. Tests of the former measured ratios are replaced by tests of the reported ones, with mutants of the guards.

--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -204,13 +204,17 @@
     differ = min(ratios) < max(ratios)
     mean_ms = context.latency_model.slot_time_ms(service.name) if differ else 0.0
     return tuple(
-        _candidate(context, state, mean_ms * ratio, now_ms)
+        _candidate(context, state, mean_ms * ratio, ratio, now_ms)
         for state, ratio in zip(states, ratios, strict=True)
     )
 
 
 def _candidate(
-    context: GatewayContext, state: EndpointState, expected_ms: float, now_ms: float
+    context: GatewayContext,
+    state: EndpointState,
+    expected_ms: float,
+    duration_ratio: float,
+    now_ms: float,
 ) -> Candidate:
     endpoint = state.endpoint
     requests = state.requests(now_ms)
@@ -221,4 +225,5 @@
         endpoint.slots,
         expected_ms,
         endpoint.hall == context.hall,
+        duration_ratio,
     )
--- a/ashlatch/policy/endpoint.py
+++ b/ashlatch/policy/endpoint.py
@@ -34,8 +34,8 @@
 # lightly used: a service without a model is as fast with half of its slots in use.
 HALL_LOAD_BOUND = 1.5
 LIGHT_UTILISATION = 0.5
-# Endpoints count as slow from this multiple of the least expected time: smaller
-# differences are within the error of the measured times.
+# Endpoints count as slow from this multiple of the least duration ratio: smaller
+# differences are within the error of the measured ratios.
 SLOW_BOUND = 1.5
 # From this utilisation on a request may have to wait for a slot, as the known load
 # lags; a slow endpoint with free slots answers sooner.
@@ -50,7 +50,8 @@
     `requests` is the estimated number of requests at the endpoint now, `reported`
     the number in the last report. `expected_ms` is the expected duration of a
     request, including the network time between halls. `local` is whether the
-    endpoint is in the local hall.
+    endpoint is in the local hall. `duration_ratio` is how long work takes there
+    compared with the usual duration, if that is known.
     """
 
     endpoint: str
@@ -59,6 +60,7 @@
     slots: int
     expected_ms: float
     local: bool = True
+    duration_ratio: float = 1.0
 
     @property
     def utilisation(self) -> float:
@@ -204,12 +206,14 @@
     candidates: tuple[Candidate, ...], bound: float
 ) -> tuple[Candidate, ...]:
     """Returns the candidates without slow ones, or all if the others are loaded."""
-    times_ms = [c.expected_ms for c in candidates]
-    slow_ms = SLOW_BOUND * min(times_ms)
-    if max(times_ms) <= slow_ms:
+    ratios = [c.duration_ratio for c in candidates]
+    slow_ratio = SLOW_BOUND * min(ratios)
+    if max(ratios) <= slow_ratio:
         return candidates
     quick = tuple(
-        c for c in candidates if c.expected_ms <= slow_ms and c.utilisation < bound
+        c
+        for c in candidates
+        if c.duration_ratio <= slow_ratio and c.utilisation < bound
     )
     return quick or candidates
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -87,6 +87,7 @@
 )
 CONNECTIONS = ("-m", "pytest", "-x", "tests/test_connections.py")
 SHARES = ("-m", "pytest", "-x", "tests/test_shares.py", "-k", "not Soak")
+SPEED = ("-m", "pytest", "-x", "tests/test_speed.py", "-k", "not Unequal")
 FAIR_SHARE = ("-m", "pytest", "-x", "tests/test_fair_share.py")
 TIMEOUT_S = 180.0
 SHOWN_LINES = 3
@@ -924,6 +925,34 @@
         "if False:",
         CONNECTIONS,
     ),
+    Mutant(
+        "ratio-of-another-incarnation",
+        "ashlatch/gateway/speed.py",
+        "shared.started_unix_ms == state.endpoint.started_unix_ms",
+        "True",
+        SPEED,
+    ),
+    Mutant(
+        "ratio-of-a-restarting-endpoint",
+        "ashlatch/gateway/speed.py",
+        "state is None or state.restart_unconfirmed",
+        "state is None",
+        SPEED,
+    ),
+    Mutant(
+        "streams-at-slow-engines-not-counted",
+        "ashlatch/gateway/forecast.py",
+        "PAUSED_STREAM_SHARE * requests * excess_ms",
+        "0.0",
+        SPEED,
+    ),
+    Mutant(
+        "busy-host-counted-against-version",
+        "ashlatch/gateway/request_record.py",
+        "record_start(self._tally_key(attempt), first_ms / ratio)",
+        "record_start(self._tally_key(attempt), first_ms)",
+        SPEED,
+    ),
     Mutant(
         "shares-not-extrapolated",
         "ashlatch/gateway/shares.py",
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -287,14 +287,20 @@
         self,
         utilisations: dict[str, float],
         prefix: str = "",
-        expected_ms: dict[str, float] | None = None,
+        ratios: dict[str, float] | None = None,
     ) -> set[str]:
         """Returns the chosen endpoints; `near...` are local, with 100 slots each."""
-        times_ms = expected_ms or {}
+        known = ratios or {}
         policy = ENDPOINT_POLICIES.get("hall_affinity")()
         candidates = tuple(
             Candidate(
-                name, u * 100, 0, 100, times_ms.get(name, 0.0), name.startswith("near")
+                name,
+                u * 100,
+                0,
+                100,
+                0.0,
+                name.startswith("near"),
+                known.get(name, 1.0),
             )
             for name, u in utilisations.items()
         )
@@ -315,9 +321,9 @@
     def test_slow_endpoints_while_others_are_free(self) -> None:
         """Guards against plain requests at a local endpoint in a slow moment."""
         utilisations = {"near-1": 0.0, "far-1": 0.1, "far-2": 0.2}
-        slow = {"near-1": 150.0, "far-1": 60.0, "far-2": 62.0}
+        slow = {"near-1": 2.5, "far-1": 1.0, "far-2": 1.1}
         self.assertEqual({"far-1"}, self.choose(utilisations, "", slow))
-        almost_equal = {"near-1": 80.0, "far-1": 60.0, "far-2": 62.0}
+        almost_equal = {"near-1": 1.3, "far-1": 1.0, "far-2": 1.1}
         self.assertEqual({"near-1"}, self.choose(utilisations, "", almost_equal))
         utilisations = {"near-1": 0.1, "far-1": 0.8, "far-2": 0.9}
         self.assertEqual({"near-1"}, self.choose(utilisations, "", slow))
--- a/tests/test_speed.py
+++ b/tests/test_speed.py
@@ -5,15 +5,28 @@
 allowed, although there was capacity for all requests.
 """
 
+import asyncio
 import math
 import random
 from dataclasses import replace
 
+import msgspec
 import testtools
 
-from ashlatch.catalog import Endpoint
+from ashlatch.catalog import CoreVm, Endpoint, EndpointList
+from ashlatch.codec import decode, encode
+from ashlatch.fleet.machine import FleetState
+from ashlatch.fleet.protocol import SyncReply, SyncRequest
+from ashlatch.fleet.soft_state import SoftState
 from ashlatch.gateway.directory import EndpointState
+from ashlatch.gateway.forecast import Forecaster, Send
+from ashlatch.gateway.latency_model import LatencyModel
 from ashlatch.gateway.message import LoadFigures
+from ashlatch.gateway.reports import broadcast_duration, broadcast_load
+from ashlatch.gateway.speed import UNREPORTED_MAX, DurationReports
+from ashlatch.gateway.tally import bucket_of
+from ashlatch.gateway.timeouts import answer_timeout, event_timeout
+from ashlatch.gateway.updates import LoadReported, PeerUpdate
 from ashlatch.policy.endpoint import rank, weighted_first
 from ashlatch.policy.load_advertisement import DurationAdvertisement
 from ashlatch.policy.speed import (
@@ -27,7 +40,12 @@
     ReportedRatios,
     bounded_ratio,
 )
+from tests import stub_server
 from tests.engines import HostDurations, LoadProfile, Result, Simulation
+from tests.gateway import GatewayHarness, build_request
+from tests.stub_server import ReceivedRequest, Script, StubServer
+from tests.test_forecast import LONG, gateway_context
+from tests.test_timeouts import route
 
 ENGINE = Endpoint("i-1", "app", "10.0.0.1:1", "here", "v1", 8, False)
 
@@ -209,3 +227,151 @@
                 for state in gateway.directory.all():
                     self.assertEqual(1.0, state.duration_ratio(simulation.now_ms))
                 self.assertEqual((), gateway.duration_reports.take_ratios())
+
+
+class ForecastTest(testtools.TestCase):
+    """Guards against long prompts that pause many streams at a slow engine."""
+
+    def test_streams_at_a_slow_engine_are_counted(self) -> None:
+        context = gateway_context()
+        states = list(context.directory.of_service("app"))
+
+        def stream_costs_ms() -> list[float]:
+            costs_ms = []
+            for running in (0, 4):
+                for state in states:
+                    state.apply_load(LoadFigures(running, 0, 8), 100.0 + running)
+                forecaster = Forecaster(
+                    context, "app", states, Send(LONG, "large", 3000.0), 104.0
+                )
+                costs_ms.append([forecaster.forecast(s).cost_ms for s in states])
+            return [busy - idle for idle, busy in zip(*costs_ms, strict=True)]
+
+        equal_ms = stream_costs_ms()
+        states[1].speed.apply_shared(2.0)
+        context = gateway_context()
+        states = list(context.directory.of_service("app"))
+        states[1].speed.apply_shared(2.0)
+        slow_ms = stream_costs_ms()
+        self.assertEqual([equal_ms[0], equal_ms[2]], [slow_ms[0], slow_ms[2]])
+        self.assertTrue(slow_ms[1] > 3 * equal_ms[1], (slow_ms, equal_ms))
+
+
+class LatencyModelTest(testtools.TestCase):
+    def test_a_slow_engine_does_not_make_the_model_look_slow(self) -> None:
+        usual, model = LatencyModel(), LatencyModel()
+        for n in range(20):
+            usual.record_first_event("app", "large", 6000, 480.0, float(n))
+            model.record_first_event(
+                "app", "large", 6000, 960.0, float(n), duration_ratio=2.0
+            )
+        self.assertEqual(usual.token_ms("app", "large"), model.token_ms("app", "large"))
+        expected_ms = [m.expected_ms("app", "large", 100, 50.0) for m in (usual, model)]
+        self.assertEqual(expected_ms[0], expected_ms[1])
+
+
+class SilenceTest(testtools.TestCase):
+    """Guards against sends that leave an endpoint only because it is known as slow."""
+
+    def test_a_slow_endpoint_is_given_longer(self) -> None:
+        answer = answer_timeout(route(1000.0), 100.0, lambda: True)
+        limits_s = [answer.limit_s(ratio) for ratio in (0.5, 1.0, 2.0, RATIO_MAX)]
+        self.assertEqual([1.5, 1.5, 3.0, 4.5], limits_s)
+        expected = answer_timeout(route(1000.0), 1000.0, lambda: True)
+        self.assertEqual([3.0, 3.0], [expected.limit_s(r) for r in (1.0, 2.0)])
+        unlimited = event_timeout(route(1000.0), lambda: True)
+        self.assertIsNone(unlimited.limit_s(2.0))
+
+
+class SharingTest(testtools.TestCase):
+    """Guards against ratios that do not reach other gateways, or outlive a process."""
+
+    def test_ratios_reach_a_gateway_through_the_core(self) -> None:
+        context = gateway_context()
+        near = next(iter(context.directory.all()))
+        sender = DurationReports()
+        for percent in (170.0, 425.0, 170.0, 170.0, 170.0):
+            sender.record(near, percent)
+        ratios = sender.take_ratios()
+        self.assertEqual((), sender.take_ratios())
+        sender.restore_ratios(ratios * UNREPORTED_MAX)
+        self.assertEqual(UNREPORTED_MAX, len(sender.take_ratios()))
+        core = SoftState(CoreVm("10.0.1.1:7000", "here"))
+        request = SyncRequest("vm", (), 0, (0, 0), 0, 0.0, duration_ratios=ratios)
+        core.apply_request(decode(encode(request), SyncRequest))
+        reply = core.build_reply(request, True, (), FleetState())
+        reply = decode(encode(reply), SyncReply)
+        receiver = gateway_context()
+        receiver.duration_reports.apply_shared(
+            receiver.directory, reply.duration_ratios
+        )
+        received = [s.duration_ratio(0.0) for s in receiver.directory.all()]
+        self.assertEqual([1.7, 1.0, 1.0], received)
+        # Broadcasts of slow moments do not replace the reports to all gateways.
+        for n in range(20):
+            next(iter(receiver.directory.all())).apply_load(
+                LoadFigures(1, 0, 8, 425.0), n * 1000.0
+            )
+        self.assertEqual(1.7, next(iter(receiver.directory.all())).speed.usual_ratio)
+
+    def test_a_new_incarnation_starts_at_the_usual_speed(self) -> None:
+        context = gateway_context()
+        shared = (ReportedRatio("i-near", 0, 2.0), ReportedRatio("i-far", 7, 2.0))
+        context.duration_reports.apply_shared(context.directory, shared)
+        ratios = [s.duration_ratio(0.0) for s in context.directory.all()]
+        self.assertEqual([2.0, 1.0, 1.0], ratios)
+        near, *others = (s.endpoint for s in context.directory.all())
+        near = msgspec.structs.replace(near, started_unix_ms=6)
+        for state in context.directory.all():
+            state.endpoint = msgspec.structs.replace(state.endpoint, started_unix_ms=5)
+        context.directory.replace(EndpointList(1, 2, (near, *others)), 0.0)
+        context.duration_reports.apply_shared(context.directory, shared)
+        (state, *_) = context.directory.all()
+        self.assertEqual(1.0, state.duration_ratio(0.0))
+        state.speed.apply_shared(2.0)
+        state.record_refusal(0.0)
+        current = (ReportedRatio("i-near", 6, 2.0),)
+        context.duration_reports.apply_shared(context.directory, current)
+        self.assertEqual(1.0, state.duration_ratio(0.0))
+
+    def test_slow_moments_are_broadcast(self) -> None:
+        context = gateway_context()
+        sent: list[PeerUpdate] = []
+        context.broadcast = sent.append
+        (near, far, _) = context.directory.all()
+        near.apply_load(LoadFigures(1, 0, 8, 100.0), -1000.0)
+        near.apply_load(LoadFigures(1, 0, 8, 250.0), 0.0)
+        broadcast_load(context, near, LoadFigures(1, 0, 8, 250.0), 0.0)
+        far.apply_load(LoadFigures(8, 0, 8, 100.0), 0.0)
+        broadcast_duration(context, far, LoadFigures(8, 0, 8, 100.0), 0.0)
+        broadcast_duration(context, far, LoadFigures(1, 0, 8, None), 0.0)
+        self.assertEqual([LoadReported("i-near", 1, 0, 8, False, 250.0)], sent)
+        # A gateway of an earlier release sends no duration.
+        self.assertEqual(
+            LoadReported("i-near", 1, 0, 8),
+            decode(encode([4, "i-near", 1, 0, 8, False]), PeerUpdate),
+        )
+
+
+def late_answer(delay_s: float, load: str) -> Script:
+    """Answers after a time."""
+
+    async def script(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(delay_s)
+        writer.write(stub_server.full_response(request, b"body", 200, load))
+
+    return script
+
+
+class BusyHostTest(GatewayHarness):
+    """Guards against a good version that is rolled back because its hosts are busy."""
+
+    def test_a_busy_host_does_not_count_against_its_version(self) -> None:
+        async def work() -> None:
+            await self.call(build_request("/get/1"))
+
+        answer = late_answer(0.3, "X-Server-Load: 1,0,8,800")
+        self.run_gateway([StubServer([answer])], work)
+        (tally,) = self.context.tallies.take()
+        (bucket,) = tally.times
+        self.assertTrue(bucket < bucket_of(300.0), bucket)
