--- a/ashlatch/gateway/shares.py
+++ b/ashlatch/gateway/shares.py
@@ -54,7 +54,8 @@
 # work; it is not lost, since requests beyond the shares are sent when there is room.
 DIVIDED_RATIO = 0.95
 # The least part of an organisation's demand that is within its share, relative to the
-# part of all demand that can be served; below a quarter it counts as starved.
+# part of all demand that can be served. Whoever is served less than a quarter of it is
+# starved; some requests within the shares are refused, too.
 SERVED_MIN_RATIO = 0.3
 # The largest number of gateways whose demand is stored for a service.
 PEERS_MAX = 1024
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -6,13 +6,18 @@
 are cut off.
 """
 
+import zlib
+
 import testtools
 
+from ashlatch.gateway.core_updates import CoreUpdates
 from ashlatch.gateway.shares import DIVIDED_RATIO, PEERS_MAX, OrganisationShares
 from ashlatch.gateway.updates import ORGANISATIONS_TOLD_MAX, OrganisationDemand
 from ashlatch.policy.fair_share import NO_ORGANISATION
 from tests.share_simulation import WORK_MS, ShareWorld
 from tests.shares_soak import run_world
+from tests.stub_server import document, encode_document
+from tests.test_forecast import gateway_context
 
 GATEWAYS = 7
 SMALL = tuple(f"small-{n}" for n in range(20))
@@ -127,6 +132,13 @@
         self.record(("a", 800.0), ("b", 800.0))
         self.assertEqual((0.5, 0.75), (self.over("a"), self.over("b")))
 
+    def test_weights_of_the_configuration_are_applied(self) -> None:
+        context = gateway_context()
+        tenants = [{"name": "a", "weight": 2}, {"name": "b"}]
+        body = zlib.compress(encode_document(document(tenants=tenants)))
+        CoreUpdates(context)._apply_document(2, body)
+        self.assertEqual({"a": 2.0}, context.shares._weights)
+
     def test_many_organisations(self) -> None:
         """State and datagrams are bounded, and the sum of the rest has its share."""
         self.record(("large", 1200.0), *((f"o-{n}", 20.0) for n in range(300)))
