Gateway: datagrams are sent with addresses parsed once and counted without locks

Cause: for each datagram and gateway the address was parsed, the names of two metrics were built, and each was counted under a lock.

Change: parsed addresses are kept; the counts of a kind and hall are exported by callbacks. The metrics have the same names and values. Datagrams are the same bytes to the same recipients in the same order.

--- a/ashlatch/gateway/peers.py
+++ b/ashlatch/gateway/peers.py
@@ -11,6 +11,7 @@
 import asyncio
 import logging
 from collections.abc import Iterable
+from functools import lru_cache
 from typing import Any
 
 import msgspec
@@ -80,6 +81,16 @@
 )
 
 
+# More than the gateways of a deployment; unused addresses are dropped.
+ADDRESSES_MAX = 4096
+
+
+@lru_cache(maxsize=ADDRESSES_MAX)
+def _socket_address(text: str) -> tuple[str, int]:
+    at = Address.parse(text)
+    return at.host, at.port
+
+
 class PeerProtocol(asyncio.DatagramProtocol):
     """Sends updates to the other gateways and receives theirs, by datagrams."""
 
@@ -91,11 +102,10 @@
     async def start(self, local: GatewayVm) -> None:
         """Binds the socket to the local address; the gateway also runs without it."""
         self._local = local
-        at = Address.parse(local.address)
         loop = asyncio.get_running_loop()
         try:
             await loop.create_datagram_endpoint(
-                lambda: self, local_addr=(at.host, at.port)
+                lambda: self, local_addr=_socket_address(local.address)
             )
         except OSError as error:
             self._context.peers_reachable = False
@@ -159,8 +169,7 @@
         data = encode(update)
         kind = _TRAFFIC_KINDS[type(update)]
         for gateway in gateways:
-            at = Address.parse(gateway.address)
-            self._transport.sendto(data, (at.host, at.port))
+            self._transport.sendto(data, _socket_address(gateway.address))
             self._context.traffic.add(kind, gateway.hall, len(data))
 
     def connection_made(self, transport: Any) -> None:
--- a/ashlatch/gateway/traffic.py
+++ b/ashlatch/gateway/traffic.py
@@ -10,7 +10,6 @@
 """
 
 import enum
-from collections import defaultdict
 from dataclasses import dataclass
 
 from ashlatch.metrics import Metrics
@@ -63,19 +62,24 @@
     def __init__(self, hall: str, metrics: Metrics) -> None:
         self._hall = hall
         self._metrics = metrics
-        self._counts: dict[tuple[TrafficKind, bool], list[int]] = defaultdict(
-            lambda: [0, 0]
-        )
+        self._counts: dict[tuple[TrafficKind, bool], list[int]] = {}
 
     def add(self, kind: TrafficKind, hall: str, data_bytes: int) -> None:
         """Counts a message to or from a VM of a hall."""
-        cross_hall = hall != self._hall
-        counts = self._counts[kind, cross_hall]
+        key = (kind, hall != self._hall)
+        counts = self._counts.get(key)
+        if counts is None:
+            counts = self._counts[key] = self._register_counts(*key)
         counts[0] += 1
         counts[1] += data_bytes
-        where = "other_hall" if cross_hall else "own_hall"
-        self._metrics.count(f"{kind.value}_{where}")
-        self._metrics.count(f"{kind.value}_{where}_bytes", data_bytes)
+
+    def _register_counts(self, kind: TrafficKind, cross_hall: bool) -> list[int]:
+        """Returns new counts, which are exported as metrics from now on."""
+        counts = [0, 0]
+        name = f"{kind.value}_{'other_hall' if cross_hall else 'own_hall'}"
+        self._metrics.register_callback(f"{name}_total", lambda: counts[0])
+        self._metrics.register_callback(f"{name}_bytes_total", lambda: counts[1])
+        return counts
 
     def counts(self) -> tuple[TrafficCount, ...]:
         """Returns the counts since the start of the process."""
