Admission: while capacity is scarce, engines get requests by the route's priority first

Cause: engines serve prompts by their length first, so that an urgent long prompt waits behind every short one of any route; with few requests waiting that costs nothing, with full engines it costs seconds.

Ruled out: the same order always. With capacity for all, a long prompt in front delays many short ones for longer than these take.

Change: while capacity is scarce at a service with admission control, the priority comes before the length.

--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -181,16 +181,23 @@
     return route.models[: route.models.index(model) : -1]
 
 
-def engine_urgency(forecast: Forecast | None, urgency: int) -> int | None:
+def engine_urgency(
+    forecast: Forecast | None, urgency: int, scarce: bool = False
+) -> int | None:
     """Returns the urgency of a send at an engine, 0 first; none at a plain service.
 
     A long prompt delays every request that waits behind it, a short one hardly any:
-    short prompts go first, whatever their route.
+    short prompts go first, whatever their route. While capacity is `scarce`, requests
+    wait for seconds and the priority of their route comes first: otherwise long urgent
+    prompts would wait behind all short ones.
     """
     if forecast is None:
         return None
     steps = sum(forecast.work_ms > step_ms for step_ms in PREFILL_STEPS_MS)
-    return URGENCIES_PER_STEP * steps + min(urgency, URGENCIES_PER_STEP - 1)
+    priority = min(urgency, URGENCIES_PER_STEP - 1)
+    if scarce:
+        return URGENCIES_PER_STEP * priority + steps
+    return URGENCIES_PER_STEP * steps + priority
 
 
 def _candidates(
--- a/ashlatch/gateway/context.py
+++ b/ashlatch/gateway/context.py
@@ -105,7 +105,7 @@
             self.vm,
             lambda: len(self.gateways),
             lambda update: self.broadcast(update),
-            self._is_scarce,
+            self.is_scarce,
             self.overload.capacity_ms_per_s,
         )
 
@@ -114,7 +114,7 @@
         service = self.table.services.get(service_name) if self.table else None
         return service is not None and self.overload.is_on(service, now_ms)
 
-    def _is_scarce(self, service_name: str, now_ms: float) -> bool:
+    def is_scarce(self, service_name: str, now_ms: float) -> bool:
         """Checks whether a service with admission control has too little capacity."""
         if not self.has_admission_control(service_name, now_ms):
             return False
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -145,7 +145,11 @@
             endpoint.instance,
             (self._admission.deadline_s - self._loop.time()) * 1000.0,
             self._model,
-            engine_urgency(choice.forecast, self._admission.urgency),
+            engine_urgency(
+                choice.forecast,
+                self._admission.urgency,
+                self._context.is_scarce(self._admission.service.name, self._now_ms()),
+            ),
             self._last_event,
         )
         self._expected_first_ms = self._chooser.expected_ms(choice, self._model)
--- a/ashlatch/gateway/speed.py
+++ b/ashlatch/gateway/speed.py
@@ -22,7 +22,7 @@
 
 @dataclass
 class DurationReports:
-    """The durations that endpoints have reported here, for the core."""
+    """The ratios that endpoints have reported here, for the core."""
 
     _unreported: list[ReportedRatio] = field(default_factory=list)
 
--- a/tests/overload_simulation.py
+++ b/tests/overload_simulation.py
@@ -2,8 +2,9 @@
 
 Gateways decide by the product's policy, each by reports that are up to a second old.
 Engines prefill one prompt after another and serve waiting requests by the urgency that
-gateways give them: long prompts after short ones. Faults of the network, prefix caches
-and larger models are not modelled; an unavailable engine finishes what it has.
+gateways give them: long prompts after short ones, unless capacity is scarce. Faults of
+the network, prefix caches and larger models are not modelled; an unavailable engine
+finishes what it has.
 """
 
 import heapq
@@ -13,6 +14,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from ashlatch.gateway.choice import engine_urgency
+from ashlatch.gateway.forecast import Forecast
 from ashlatch.policy.overload import (
     AdmissionAction,
     CapacitySummary,
@@ -264,8 +267,9 @@
             other.sent[number] += other is gateway or self.random.random() < 0.5
         engine = self.engines[number]
         prefill_ms = request.kind.tokens * TOKEN_MS
-        steps = (prefill_ms > 150.0) + (prefill_ms > 500.0)
-        urgency = 3 * steps + request.kind.urgency
+        forecast = Forecast(0.0, request.kind.tokens, prefill_ms, prefill_ms)
+        scarce = self.reserved is not None and gateway.detector.scarce
+        urgency = engine_urgency(forecast, request.kind.urgency, scarce) or 0
         heapq.heappush(engine.waiting, (urgency, next(self._sequence), request))
         self._start(engine)
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -178,8 +178,8 @@
         cases = (
             (KTL, {"run-digest": 2.5}, 0, 0.8),
             (KTL, {"run-digest": 2.0}, 2, 0.8),
-            (UMLILO, {"query-sort": 2.5}, 0, 0.6),
-            (UMLILO, {"query-sort": 2.0, "thread-digest": 1.8}, 2, 0.6),
+            (UMLILO, {"query-sort": 2.5}, 0, 0.1),
+            (UMLILO, {"query-sort": 2.0, "thread-digest": 1.8}, 2, 0.1),
         )
         for kinds, bursts, gone, ratio in cases:
             before, after = (
@@ -193,6 +193,11 @@
             values = [sum(o.total_value for o in both) for both in (before, after)]
             self.assertTrue(values[1] > values[0], values)
 
+    def test_short_prompts_are_in_time_behind_urgent_long_ones(self) -> None:
+        """Guards against short prompts that starve behind long ones at the engines."""
+        for outcome in self.play(0.1, {"thread-digest": 2.0}, 2, UMLILO):
+            self.assertTrue(min(outcome.in_time.values()) > 0.95, outcome)
+
     def test_less_urgent_requests_are_not_starved(self) -> None:
         bursts = {"run-digest": 2.5, "shift-query": 1.8}
         for outcome in self.play(0.1, bursts, gone=2):
