Log: lines of events are formatted without the library's general path

Cause: each event looked up its data class's fields and its caller's file and line, passed python-json-logger's formatter, which supports much that does not occur in events, and made a set of each value's characters.

Change: the pairs of an event reach the formatter as they are; other records still pass the library. Names of fields are looked up once for each class, values are checked by one match.

--- a/ashlatch/log.py
+++ b/ashlatch/log.py
@@ -16,6 +16,7 @@
 import dataclasses
 import json
 import logging
+import re
 import sys
 import threading
 from collections import deque
@@ -43,9 +44,10 @@
 # How long a process that exits waits for the reader of the log.
 FLUSH_TIMEOUT_S = 0.2
 
-_UNQUOTED_CHARACTERS = frozenset(
-    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/,@%+|()"
-)
+_UNQUOTED = re.compile(r"[a-zA-Z0-9\-_.:/,@%+|()]+")
+# The attribute of a record with the pairs of an event.
+_PAIRS = "_pairs"
+_field_names: dict[type, tuple[str, ...]] = {}
 
 
 @dataclass(frozen=True)
@@ -93,7 +95,7 @@
     if isinstance(value, bool) or value is None:
         return str(value).lower()
     text = str(value)
-    if text and _UNQUOTED_CHARACTERS.issuperset(text):
+    if _UNQUOTED.fullmatch(text):
         return text
     return json.dumps(text, ensure_ascii=False)
 
@@ -167,10 +169,26 @@
             self._dropped += len(lines)
 
 
+class _LineFormatter(JsonFormatter):
+    """Formats the records of events without the general path of the library.
+
+    It takes most of the time of a line, and nothing that it supports occurs in them.
+    """
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Formats a record as one line."""
+        pairs = record.__dict__.get(_PAIRS)
+        if pairs is None:
+            return super().format(record)
+        at = self.formatTime(record, self.datefmt)
+        data = {"at": at, "level": record.levelname, "logger": record.name, **pairs}
+        return _format_line(data)
+
+
 def setup(stream: TextIO | None = None, level: str = "INFO") -> None:
     """Writes the logs of all `ashlatch.*` loggers to a stream, by default stderr."""
     handler = QueueHandler(stream or sys.stderr)
-    formatter = JsonFormatter(
+    formatter = _LineFormatter(
         "%(asctime)s %(levelname)s %(name)s",
         rename_fields={"asctime": "at", "levelname": "level", "name": "logger"},
         json_serializer=_format_line,
@@ -199,10 +217,17 @@
     """
     if not logger.isEnabledFor(level):
         return
-    pairs = {"event": event.event}
-    for field in dataclasses.fields(event):
-        value = getattr(event, field.name)
+    pairs: dict[str, Any] = {"event": event.event}
+    names = _field_names.get(type(event))
+    if names is None:
+        names = tuple(field.name for field in dataclasses.fields(event))
+        _field_names[type(event)] = names
+    for name in names:
+        value = getattr(event, name)
         if value is None or value == "":
             continue
-        pairs[field.name] = value
-    logger.log(level, "", extra=pairs)
+        pairs[name] = value
+    # `Logger.log` would look for the caller's file and line, which no line shows.
+    extra = {_PAIRS: pairs}
+    record = logger.makeRecord(logger.name, level, "", 0, "", (), None, extra=extra)
+    logger.handle(record)
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -1,13 +1,17 @@
 """Tests of ashlatch.log: the lines match the golden file."""
 
+import dataclasses
 import io
 import logging
 import os
+import random
 import re
 import time
 from pathlib import Path
+from typing import Any
 
 import testtools
+from pythonjsonlogger.json import JsonFormatter
 
 from ashlatch.control.rollout import VersionBad
 from ashlatch.log import DaemonFailed, LogEvent, QueueHandler, emit, flush, setup
@@ -49,6 +53,37 @@
         ]
         self.assertEqual(GOLDEN.read_text().splitlines(), lines)
 
+    def test_lines_are_those_of_the_library(self) -> None:
+        """Guards against lines that differ from those of the general formatter."""
+        values: list[Any] = [None, "", 0, -3, True, False, 1.23456, float("inf"), 1e-9]
+        values += ["a b", "é", "a\nb", '"q"', "x=y", ("t", 1), "a,b|c(d)", "٣", "ok\n"]
+        values += ["_-.:/,@%+|()", "\\", 1e22, float("nan")]
+        generator = random.Random(1)
+        kinds = LogEvent.__subclasses__()
+        stream = io.StringIO()
+        setup(stream)
+        self.addCleanup(setup, io.StringIO())
+        (handler,) = logging.getLogger("ashlatch").handlers
+        formatter = handler.formatter
+        assert isinstance(formatter, JsonFormatter)
+        for _ in range(2000):
+            kind = generator.choice(kinds)
+            event = kind(*(generator.choice(values) for _ in dataclasses.fields(kind)))
+            pairs = {"event": event.event}
+            for field in dataclasses.fields(event):
+                value = getattr(event, field.name)
+                if value is not None and value != "":
+                    pairs[field.name] = value
+            general = logging.makeLogRecord(
+                {"name": "ashlatch.test", "levelname": "INFO", "msg": "", **pairs}
+            )
+            own = logging.makeLogRecord(
+                {"name": "ashlatch.test", "levelname": "INFO", "_pairs": pairs}
+            )
+            own.created, own.msecs = general.created, general.msecs
+            expected = JsonFormatter.format(formatter, general)
+            self.assertEqual(expected, formatter.format(own))
+
     def test_a_blocked_reader(self) -> None:
         """Logging does not block, and the number of dropped lines is logged later."""
         read_end, write_end = os.pipe()
