Admission: a deferred request is sent before its caller's deadline

Cause: the wait is a quarter of what the route's target leaves, and the time that the caller still waits did not bound it; a caller with a shorter deadline got 504 although nothing had been sent.

Ruled out: the shorter of both in the quarter, which lets the others wait too little.

Change: the wait ends when the answer could just begin before the deadline.

Before: the new test gets 504 after 0.352 s with a deadline of 350 ms and a target of 3 s.

--- a/ashlatch/policy/overload.py
+++ b/ashlatch/policy/overload.py
@@ -306,6 +306,8 @@
         return _send(needs, summary, AdmissionReason.FREE_SLOTS)
     queued_ms = needs.share_ahead * summary.least_wait_ms
     wait_ms = WAIT_SHARE * (needs.slack_ms - needs.expected_ms - queued_ms)
+    # The caller's deadline may be shorter than the target of the route.
+    wait_ms = min(wait_ms, needs.remaining_ms - needs.expected_ms)
     if wait_ms < WAIT_MIN_MS:
         return _send(needs, summary, AdmissionReason.NO_SLACK)
     reason = AdmissionReason.OVER_SHARE if needs.excess else AdmissionReason.SCARCE
--- a/tests/test_deferral.py
+++ b/tests/test_deferral.py
@@ -226,3 +226,15 @@
                 self.assertEqual(200, (await self.timed("/later/1"))[0])
 
         self.run_engines(work)
+
+    def test_a_wait_ends_before_a_deadline_that_is_shorter_than_the_target(
+        self,
+    ) -> None:
+        """Guards against requests that time out in the queue without being sent."""
+
+        async def work() -> None:
+            self.report(FULL)
+            status, took_s = await self.timed("/later/1", timeout_ms=350)
+            self.assertEqual(200, status, took_s)
+
+        self.run_engines(work)
