Admission: the report of one engine does not make a service's capacity scarce

Cause: the requests that engines report were added up without a bound for each. One of 30 engines that reports 1,000 waiting requests made every less urgent request wait.

Change: an engine counts as used twice at most.

Before: the new test fails. After: it passes.

--- a/ashlatch/gateway/overload.py
+++ b/ashlatch/gateway/overload.py
@@ -56,6 +56,9 @@
 # Which engines are available is determined at this interval: as often as an engine that
 # is lost is found to be, and it takes longer than the summary of their loads.
 ENGINES_VALID_MS = 1000.0
+# An engine counts as used this many times at most: its report may be false, and alone
+# it must not make the capacity of a whole service scarce.
+ENGINE_USE_MAX = 2.0
 # Deferred requests are checked at this interval: short against their waits of 0.1 to
 # 2 s, and no timer runs while there are none.
 CHECK_S = 0.05
@@ -227,7 +230,7 @@
             fresh += 1
             queued = report.queued
             requests = report.running + queued
-            total += requests
+            total += min(requests, ENGINE_USE_MAX * engine_slots)
             if report.at_ms < oldest_at_ms:
                 oldest_at_ms = report.at_ms
             if requests < engine_slots:
