Shares: demand and capacity are counted in the same unit

Cause: the recorded work of a request is its slot time, which includes the wait at a full engine, while capacity counted slots only. With queues of a quarter of the slots and demand at 0.9 of what the engines finish, 0.40 of the largest organisation's requests counted as excess.

Change: capacity counts what waits at full engines, as the interval between two ends of requests does.

--- a/ashlatch/gateway/overload.py
+++ b/ashlatch/gateway/overload.py
@@ -174,8 +174,13 @@
         return self._update(service, now_ms).detector.scarce
 
     def capacity_ms_per_s(self, service: str, now_ms: float) -> float:
-        """Returns the slot time per second that the engines offer to all gateways."""
-        return sum(
+        """Returns the slot time per second that the engines offer to all gateways.
+
+        The slot time of a request includes its wait at a full engine, so what waits
+        there counts as capacity too.
+        """
+        use = self._update(service, now_ms).summary.use
+        return max(1.0, use) * sum(
             state.endpoint.slots * SECOND_MS / state.duration_ratio(now_ms)
             for state in self._directory.of_service(service)
             if _available(state, now_ms)
--- a/tests/test_overload_inputs.py
+++ b/tests/test_overload_inputs.py
@@ -9,6 +9,7 @@
 from ashlatch.gateway.latency_model import LatencyModel
 from ashlatch.gateway.message import LoadFigures
 from ashlatch.gateway.overload import Arrival, OverloadControl
+from ashlatch.gateway.shares import OrganisationShares
 from ashlatch.policy.overload import AdmissionAction
 
 ENGINES = 30
@@ -35,6 +36,42 @@
         self.assertFalse(control.is_scarce("app", NOW_MS))
 
 
+class CapacityUnitTest(testtools.TestCase):
+    def test_demand_below_the_throughput_is_within_the_shares(self) -> None:
+        """Guards against an excess that consists of the waits at full engines.
+
+        The engines have 1,200 requests that take 5 s each with their waits, so they
+        finish 240 a second.
+        """
+        directory, latency_model = Directory(), LatencyModel()
+        endpoints = tuple(
+            Endpoint(f"i-{n}", "app", f"10.0.0.{n}:80", "h0", "v1", SLOTS, False)
+            for n in range(ENGINES)
+        )
+        directory.replace(EndpointList(1, 1, endpoints), 0.0)
+        for _ in range(500):
+            latency_model.record_slot_time("app", 5000.0)
+        control = OverloadControl(directory, latency_model, random.Random(1), lambda: 1)
+        shares = OrganisationShares(
+            "gw-1",
+            lambda: 1,
+            lambda update: None,
+            control.is_scarce,
+            control.capacity_ms_per_s,
+        )
+        rates = {**{f"small-{n}": 4.0 for n in range(30)}, "large": 96.0}
+        for step in range(60):
+            now_ms = 10_000.0 + 50.0 * step
+            for state in directory.all():
+                state.apply_load(LoadFigures(SLOTS, 8, SLOTS), now_ms)
+            for name, per_s in rates.items():
+                work_ms = 0.05 * per_s * latency_model.slot_time_ms("app")
+                shares.record_request("app", name, work_ms, now_ms)
+            shares.tick(now_ms)
+        self.assertTrue(control.is_scarce("app", now_ms))
+        self.assertEqual(0.0, shares.over_share("app", "large", now_ms))
+
+
 class RestartedHallTest(testtools.TestCase):
     def test_nothing_is_refused_while_the_engines_of_a_hall_are_idle(self) -> None:
         """Guards against refusals by the reports of the other halls alone."""
