Choice: an engine that has restarted gets requests while the others are full

Cause: under admission control an engine without a fresh report counted as loaded as the mean of the others. Any engine below the mean was cheaper, so an idle engine got no request, and without an answer it never reported: 0 of 168 to 266 requests in 8 s.

Before: the new test never chooses the restarted engine. After: it does.

--- a/ashlatch/gateway/forecast.py
+++ b/ashlatch/gateway/forecast.py
@@ -16,6 +16,7 @@
 from ashlatch.gateway.context import GatewayContext
 from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.message import CallerRequest
+from ashlatch.gateway.overload import ENGINE_USE_MAX
 from ashlatch.policy.endpoint import rank, weighted_first
 
 __all__ = ["Forecast", "Forecaster", "Send"]
@@ -39,9 +40,10 @@
 # than at the fastest candidate counts by this share for each of them: a pause matters
 # only to the streams that come close to the longest one that their route allows.
 PAUSED_STREAM_SHARE = 0.25
-# An engine without a fresh report counts as loaded as the mean of the others from this
-# share of their slots in use. Reports come with the first token of an answer, so an
-# engine whose queue has just grown is silent and would look idle.
+# An engine that has work but no fresh report counts as loaded as the mean of the others
+# from this share of their slots in use. Reports come with the first token of an answer,
+# so an engine whose queue has just grown is silent and would look idle. One without
+# known work may have restarted, and gets a request.
 UNREPORTED_FROM_USE = 0.75
 # Bytes of an answer for each token of its maximum length: a token takes 15 bytes, and
 # answers are a quarter as long as their maximum.
@@ -149,13 +151,19 @@
             return 0.0
         fresh = [s for s in states if not s.load.stale(self._now_ms)]
         slots = sum(state.endpoint.slots for state in fresh)
-        requests = sum(state.load.requests() for state in fresh)
+        # One engine's report may be false.
+        requests = sum(
+            min(state.load.requests(), ENGINE_USE_MAX * state.endpoint.slots)
+            for state in fresh
+        )
         return requests / slots if requests >= UNREPORTED_FROM_USE * slots > 0 else 0.0
 
     def _requests(self, state: EndpointState) -> float:
         """Returns the estimated number of requests at an engine."""
         requests = state.requests(self._now_ms)
-        if self._unreported_use and state.load.stale(self._now_ms):
+        if not self._unreported_use or not state.load.stale(self._now_ms):
+            return requests
+        if state.unanswered or state.workload_ms(self._now_ms) > 0.0:
             return max(requests, self._unreported_use * state.endpoint.slots)
         return requests
 
--- a/ashlatch/gateway/overload.py
+++ b/ashlatch/gateway/overload.py
@@ -42,6 +42,7 @@
 from ashlatch.policy.return_time import ReturnSchedule
 
 __all__ = [
+    "ENGINE_USE_MAX",
     "AdmissionMode",
     "Arrival",
     "OverloadControl",
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -11,6 +11,7 @@
 from ashlatch.gateway.forecast import Forecast, Send
 from ashlatch.gateway.latency_model import LatencyModel
 from ashlatch.gateway.message import CallerRequest, LoadFigures, PromptPart
+from ashlatch.gateway.overload import AdmissionMode
 from ashlatch.gateway.routing import RouteTable
 from ashlatch.gateway.sessions import SessionVersions
 from ashlatch.gateway.versions import AllowedEndpoints, VersionChooser, VersionReason
@@ -184,3 +185,31 @@
                 "app", "small", 6000, 100.0, n * 100.0, predicted_ms=2000.0
             )
         self.assertTrue(model.token_ms("app", "small") < 0.02)
+
+
+class RestartedEngineTest(testtools.TestCase):
+    def test_an_engine_that_has_restarted_gets_requests_while_others_are_full(
+        self,
+    ) -> None:
+        """Guards against an idle engine that never reports as nobody sends to it."""
+        context = gateway_context()
+        context.overload.mode = AdmissionMode.ON
+        near, *full = context.directory.of_service("app")
+        near.record_refusal(0.0)
+        near.record_success()
+        assert context.table is not None
+        service = context.table.services["app"]
+        send = Send(SHORT, "", SLACK_MS)
+        chosen = set()
+        for number in range(100):
+            now_ms = 10_000.0 + 20.0 * number
+            for state, waiting in zip(full, (0, 2), strict=True):
+                state.record_progress(now_ms)
+                state.apply_load(LoadFigures(8, waiting, 8), now_ms)
+            allowed = AllowedEndpoints([near, *full], VersionReason.NO_ROLLOUT)
+            choice = choose_endpoint(
+                context, service, allowed, frozenset(), send, now_ms
+            )
+            assert choice is not None
+            chosen.add(choice.state.endpoint.instance)
+        self.assertIn("i-near", chosen)
