Speed: a sync reply has at most 64 duration ratios

Cause: each reply named the ratio of every endpoint, twice a second: 0.9 KB with 30 endpoints, 41 KB with 1,400, 82 KB/s where a node may use 17.

Change: a reply has 64 of them from a random one on.

--- a/ashlatch/fleet/soft_state.py
+++ b/ashlatch/fleet/soft_state.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import random
 from collections.abc import Iterable
 
 from ashlatch.catalog import CoreVm, EndpointList, GatewayVm, SessionHashes
@@ -56,6 +57,7 @@
         # One of 39 gateways alone observes too few to know a rate before it needs it.
         self._rates = PrefillRates()
         self._duration_ratios = ReportedRatios()
+        self._generator = random.Random()
         self._pending_prefills: list[PromptPrefill] = []
         self._started_ms = monotonic_ms()
         self._list_read_ms = self._started_ms
@@ -248,7 +250,7 @@
             state.crashes.number,
             evacuations if evacuations.number > request.evacuations_known else None,
             self.endpoints_age_ms,
-            self._duration_ratios.estimates(monotonic_ms()),
+            self._duration_ratios.some_estimates(monotonic_ms(), self._generator),
         )
 
     def _gateways_if_changed(
--- a/ashlatch/policy/speed.py
+++ b/ashlatch/policy/speed.py
@@ -11,6 +11,7 @@
 """
 
 import math
+import random
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -55,6 +56,9 @@
 # limit, about 2 MB.
 SAMPLES_MAX_AGE_MS = 600_000.0
 ENDPOINTS_MAX = 4096
+# The largest number of ratios in one message: 1.9 KB, twice a second to each gateway.
+# With 1,400 endpoints a gateway gets nearly all of them within two minutes.
+ESTIMATES_MAX = 64
 
 
 def bounded_ratio(ratio: float) -> float:
@@ -185,6 +189,16 @@
             if len(self._by_instance) > ENDPOINTS_MAX:
                 del self._by_instance[next(iter(self._by_instance))]
 
+    def some_estimates(
+        self, now_ms: float, generator: random.Random
+    ) -> tuple[ReportedRatio, ...]:
+        """Returns as many estimates as one message has, from a random one on."""
+        estimates = self.estimates(now_ms)
+        if len(estimates) <= ESTIMATES_MAX:
+            return estimates
+        begin = generator.randrange(len(estimates))
+        return (estimates + estimates)[begin : begin + ESTIMATES_MAX]
+
     def estimates(self, now_ms: float) -> tuple[ReportedRatio, ...]:
         """Returns the usual ratio of each endpoint with enough reports."""
         oldest_ms = now_ms - SAMPLES_MAX_AGE_MS
--- a/tests/test_speed.py
+++ b/tests/test_speed.py
@@ -31,6 +31,7 @@
 from ashlatch.policy.load_advertisement import DurationAdvertisement
 from ashlatch.policy.speed import (
     ENDPOINTS_MAX,
+    ESTIMATES_MAX,
     RATIO_MAX,
     RATIO_MIN,
     SAMPLES_MAX,
@@ -175,6 +176,19 @@
         ratios.add([ReportedRatio("i-1", 5, 1.7)] * SAMPLES_MIN, 0.0)
         self.assertEqual((), ratios.estimates(0.0))
 
+    def test_a_message_has_a_bounded_part_of_them(self) -> None:
+        """Guards against sync replies that grow with the fleet."""
+        ratios = ReportedRatios()
+        for n in range(200):
+            ratios.add([ReportedRatio(f"i-{n}", 0, 1.7)] * SAMPLES_MIN, 0.0)
+        generator = random.Random(1)
+        sent = set()
+        for _ in range(60):
+            part = ratios.some_estimates(0.0, generator)
+            self.assertEqual(ESTIMATES_MAX, len(set(part)))
+            sent |= set(part)
+        self.assertEqual(200, len(sent))
+
     def test_the_number_of_endpoints_is_bounded(self) -> None:
         ratios = ReportedRatios()
         for n in range(ENDPOINTS_MAX + 10):
