--- a/ashlatch/fleet/soft_state.py
+++ b/ashlatch/fleet/soft_state.py
@@ -250,7 +250,7 @@
             state.crashes.number,
             evacuations if evacuations.number > request.evacuations_known else None,
             self.endpoints_age_ms,
-            self._duration_ratios.some_estimates(monotonic_ms(), self._generator),
+            self._duration_ratios.partial_estimates(monotonic_ms(), self._generator),
         )
 
     def _gateways_if_changed(
--- a/ashlatch/policy/speed.py
+++ b/ashlatch/policy/speed.py
@@ -189,7 +189,7 @@
             if len(self._by_instance) > ENDPOINTS_MAX:
                 del self._by_instance[next(iter(self._by_instance))]
 
-    def some_estimates(
+    def partial_estimates(
         self, now_ms: float, generator: random.Random
     ) -> tuple[ReportedRatio, ...]:
         """Returns as many estimates as one message has, from a random one on."""
--- a/tests/test_speed.py
+++ b/tests/test_speed.py
@@ -184,7 +184,7 @@
         generator = random.Random(1)
         sent = set()
         for _ in range(60):
-            part = ratios.some_estimates(0.0, generator)
+            part = ratios.partial_estimates(0.0, generator)
             self.assertEqual(ESTIMATES_MAX, len(set(part)))
             sent |= set(part)
         self.assertEqual(200, len(sent))
