--- a/ashlatch/policy/endpoint.py
+++ b/ashlatch/policy/endpoint.py
@@ -35,7 +35,7 @@
 HALL_LOAD_BOUND = 1.5
 LIGHT_UTILISATION = 0.5
 # Endpoints count as slow from this multiple of the least duration ratio: smaller
-# differences are within the error of the measured ratios.
+# differences are within the error of the estimates.
 SLOW_BOUND = 1.5
 # From this utilisation on a request may have to wait for a slot, as the known load
 # lags; a slow endpoint with free slots answers sooner.
