--- a/ashlatch/gateway/shares.py
+++ b/ashlatch/gateway/shares.py
@@ -18,7 +18,7 @@
 
 from ashlatch.gateway.updates import (
     DEMAND_MAX,
-    ORGANISATIONS_TOLD_MAX,
+    ORGANISATIONS_SENT_MAX,
     WEIGHT_SUM_MAX,
     OrganisationDemand,
 )
@@ -232,18 +232,18 @@
         rest_ms_per_s = per_s.pop(NO_ORGANISATION, 0.0)
         rest_weight = 1.0 if rest_ms_per_s > 0.0 else 0.0
         ranked = sorted(per_s, key=lambda name: per_s[name], reverse=True)
-        for name in ranked[ORGANISATIONS_TOLD_MAX:]:
+        for name in ranked[ORGANISATIONS_SENT_MAX:]:
             rest_ms_per_s += per_s[name]
             rest_weight += self._weights.get(name, 1.0)
-        told = tuple(
+        largest = tuple(
             (organisation_hash(name), min(round(per_s[name]), DEMAND_MAX))
-            for name in ranked[:ORGANISATIONS_TOLD_MAX]
+            for name in ranked[:ORGANISATIONS_SENT_MAX]
             if per_s[name] >= 1.0
         )
         return OrganisationDemand(
             service,
             self._origin,
-            told,
+            largest,
             min(round(rest_ms_per_s), DEMAND_MAX),
             min(rest_weight, WEIGHT_SUM_MAX),
         )
--- a/ashlatch/gateway/updates.py
+++ b/ashlatch/gateway/updates.py
@@ -17,7 +17,7 @@
 
 __all__ = [
     "DEMAND_MAX",
-    "ORGANISATIONS_TOLD_MAX",
+    "ORGANISATIONS_SENT_MAX",
     "WEIGHT_SUM_MAX",
     "CrashRecordUpdate",
     "EndpointLeaving",
@@ -37,7 +37,7 @@
 ]
 
 # The largest number of organisations in a datagram, which then has about 600 bytes.
-ORGANISATIONS_TOLD_MAX = 64
+ORGANISATIONS_SENT_MAX = 64
 # Bounds of received figures: a false one must not make sums infinite.
 DEMAND_MAX = 2**32 - 1
 WEIGHT_SUM_MAX = 1e300
@@ -189,7 +189,7 @@
     origin: _Unsigned
     organisations: Annotated[
         tuple[tuple[_Unsigned, _Unsigned], ...],
-        msgspec.Meta(max_length=ORGANISATIONS_TOLD_MAX),
+        msgspec.Meta(max_length=ORGANISATIONS_SENT_MAX),
     ]
     rest_ms_per_s: _Unsigned = 0
     rest_weight: Annotated[float, msgspec.Meta(ge=0.0, le=WEIGHT_SUM_MAX)] = 0.0
--- a/tests/overload_simulation.py
+++ b/tests/overload_simulation.py
@@ -46,14 +46,14 @@
     limit_ms: float
 
 
-# The engine routes of the deployment ktl with 9 of its 45 engines.
-KTL = (
+# Routes whose short prompts are the most urgent, for 9 engines.
+URGENT_SHORT = (
     Kind("shift-query", 0, 17.2, 800, 1019.0, 20_371.0),
     Kind("line-tag", 1, 11.8, 2400, 1522.0, 5074.0),
     Kind("run-digest", 2, 6.8, 12_000, 6045.0, 20_151.0),
 )
-# Those of the deployment umlilo, where the long prompts are the most urgent.
-UMLILO = (
+# Routes whose long prompts are the most urgent.
+URGENT_LONG = (
     Kind("thread-digest", 0, 8.6, 12_000, 3060.0, 25_504.0),
     Kind("reminder-draft", 1, 10.4, 800, 3025.0, 20_165.0),
     Kind("query-sort", 2, 14.9, 2400, 5030.0, 5030.0),
@@ -115,7 +115,7 @@
         seed: int,
         reserved: float | None,
         slot_ms: float,
-        kinds: tuple[Kind, ...] = KTL,
+        kinds: tuple[Kind, ...] = URGENT_SHORT,
     ) -> None:
         self.kinds = kinds
         self.random = random.Random(seed)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -17,7 +17,13 @@
     ScarcityDetector,
     decide,
 )
-from tests.overload_simulation import KTL, UMLILO, Kind, Outcome, Simulation
+from tests.overload_simulation import (
+    URGENT_LONG,
+    URGENT_SHORT,
+    Kind,
+    Outcome,
+    Simulation,
+)
 
 # Nine engines of 24 slots; reports of all of them, or of some.
 FULL = CapacitySummary(9, 9, 9, 216, 260.0, 44, 500.0, 6000.0)
@@ -160,10 +166,10 @@
 
 
 class LoadTest(testtools.TestCase):
-    """Nine engines, 18 gateways, the routes of the deployments ktl and umlilo.
+    """Nine engines and 18 gateways.
 
     Guards against most urgent requests that are late because less urgent ones use the
-    slots. A sixth of the most urgent long prompts of umlilo were late in bursts of
+    slots. A sixth of the most urgent long prompts were late in bursts of
     shorter ones, which engines serve first.
     """
 
@@ -174,7 +180,7 @@
         reserved: float | None,
         bursts: dict[str, float],
         gone: int = 0,
-        kinds: tuple[Kind, ...] = KTL,
+        kinds: tuple[Kind, ...] = URGENT_SHORT,
     ) -> list[Outcome]:
         return [
             Simulation(seed, reserved, 5000.0, kinds).run(bursts, gone)
@@ -189,10 +195,10 @@
     def test_urgent_requests_are_in_time_more_often(self) -> None:
         """Bursts of less urgent requests; a quarter of the engines gone."""
         cases = (
-            (KTL, {"run-digest": 2.5}, 0, 0.8),
-            (KTL, {"run-digest": 2.0}, 2, 0.8),
-            (UMLILO, {"query-sort": 2.5}, 0, 0.1),
-            (UMLILO, {"query-sort": 2.0, "thread-digest": 1.8}, 2, 0.1),
+            (URGENT_SHORT, {"run-digest": 2.5}, 0, 0.8),
+            (URGENT_SHORT, {"run-digest": 2.0}, 2, 0.8),
+            (URGENT_LONG, {"query-sort": 2.5}, 0, 0.1),
+            (URGENT_LONG, {"query-sort": 2.0, "thread-digest": 1.8}, 2, 0.1),
         )
         for kinds, bursts, gone, ratio in cases:
             before, after = (
@@ -208,7 +214,7 @@
 
     def test_short_prompts_are_in_time_behind_urgent_long_ones(self) -> None:
         """Guards against short prompts that starve behind long ones at the engines."""
-        for outcome in self.play(0.1, {"thread-digest": 2.0}, 2, UMLILO):
+        for outcome in self.play(0.1, {"thread-digest": 2.0}, 2, URGENT_LONG):
             self.assertTrue(min(outcome.in_time.values()) > 0.95, outcome)
 
     def test_less_urgent_requests_are_not_starved(self) -> None:
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -12,7 +12,7 @@
 
 from ashlatch.gateway.core_updates import CoreUpdates
 from ashlatch.gateway.shares import DIVIDED_RATIO, PEERS_MAX, OrganisationShares
-from ashlatch.gateway.updates import ORGANISATIONS_TOLD_MAX, OrganisationDemand
+from ashlatch.gateway.updates import ORGANISATIONS_SENT_MAX, OrganisationDemand
 from ashlatch.policy.fair_share import NO_ORGANISATION
 from tests.share_simulation import WORK_MS, ShareWorld
 from tests.shares_soak import run_world
@@ -144,7 +144,7 @@
         self.record(("large", 1200.0), *((f"o-{n}", 20.0) for n in range(300)))
         self.shares.tick(1000.0)
         (update,) = self.sent
-        self.assertEqual(ORGANISATIONS_TOLD_MAX, len(update.organisations))
+        self.assertEqual(ORGANISATIONS_SENT_MAX, len(update.organisations))
         self.assertEqual(300.0 - 63.0, update.rest_weight)
         self.shares.capacity_ms_per_s = lambda service, now_ms: 3470.0
         self.assertTrue(0.4 < self.over("large") < 0.6, self.over("large"))
