Observability: whether a gateway can open connections to endpoints at all

All connections of a gateway to endpoints are opened in one place (gateway/links.py). endpoint_links_failing says that one more endpoint could not be connected to and none in between, endpoint_links_restored ends it; links_opened and links_failed count. Nothing is chosen differently.

Tests: test_backoff, test_timeouts, test_gateway, test_liveness and test_crashing_requests pass.

--- a/ashlatch/gateway/attempt.py
+++ b/ashlatch/gateway/attempt.py
@@ -18,6 +18,7 @@
 from ashlatch.errors import AshlatchError
 from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.forecast import Forecast
+from ashlatch.gateway.links import Connect
 from ashlatch.gateway.message import AnswerHead, CallerRequest, Dispatch, LoadFigures
 from ashlatch.gateway.pool import ConnectionPool
 from ashlatch.gateway.timeouts import CONNECT_MAX_S, AnswerTimeout
@@ -95,10 +96,12 @@
         forecast: Forecast | None = None,
         connect_timeout_s: float = CONNECT_MAX_S,
         connections_max: int = CONNECTIONS_MAX,
+        connect: Connect = Upstream.connect,
     ) -> None:
         self.state = state
         self._connect_timeout_s = connect_timeout_s
         self._connections_max = connections_max
+        self._connect_to = connect
         self.forecast = forecast
         self.dispatch = dispatch
         self.head: AnswerHead | None = None
@@ -229,7 +232,7 @@
         connection = self._pool.take(endpoint, self._repeatable, self._loop.time())
         if connection is None:
             try:
-                connection = await Upstream.connect(
+                connection = await self._connect_to(
                     endpoint.address, self._connect_timeout_s
                 )
             except ConnectFailed as error:
--- a/ashlatch/gateway/context.py
+++ b/ashlatch/gateway/context.py
@@ -18,6 +18,7 @@
 from ashlatch.gateway.cold import ColdSendLimiter
 from ashlatch.gateway.directory import Directory, EndpointState
 from ashlatch.gateway.latency_model import LatencyModel
+from ashlatch.gateway.links import EndpointLinks
 from ashlatch.gateway.overload import OverloadControl
 from ashlatch.gateway.pool import ConnectionPool
 from ashlatch.gateway.prefix_cache import PrefixCaches
@@ -61,6 +62,7 @@
     the next caller that finds no endpoint with capacity in its rate limit. `shares`
     tells which organisations demand more than their share of scarce capacity,
     `overload` decides about requests while the engines have too little capacity.
+    `links` opens the connections to endpoints.
     """
 
     hall: str
@@ -88,12 +90,14 @@
     core_reachable: bool = True
     peers_reachable: bool = True
     next_retry_ms: dict[str, float] = field(default_factory=dict)
+    links: EndpointLinks = field(init=False)
     traffic: TrafficCounter = field(init=False)
     overload: OverloadControl = field(init=False)
     shares: OrganisationShares = field(init=False)
 
     def __post_init__(self) -> None:
         self.traffic = TrafficCounter(self.hall, self.metrics)
+        self.links = EndpointLinks(self.directory, self.metrics)
         self.directory.on_restart = self.forget_instance
         self.overload = OverloadControl(
             self.directory,
--- a/ashlatch/gateway/crash_detector.py
+++ b/ashlatch/gateway/crash_detector.py
@@ -11,7 +11,6 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
 
 from ashlatch.clock import unix_ms
 from ashlatch.gateway.attempt import AttemptFailed, FailureKind
@@ -25,7 +24,7 @@
     FingerprintQuarantined,
 )
 from ashlatch.gateway.updates import CrashRecordUpdate, EndpointRefuses
-from ashlatch.http.upstream import CONNECT_REFUSED, ConnectFailed, Upstream
+from ashlatch.http.upstream import CONNECT_REFUSED, ConnectFailed
 from ashlatch.log import emit
 from ashlatch.policy.quarantine import CrashRecord
 
@@ -46,8 +45,6 @@
 # One crash concerns few gateways; from the second on, the request may be the cause.
 BROADCAST_CRASHES_MIN = 2
 
-Connect = Callable[[str, float], Awaitable[Upstream]]
-
 
 def record_refusal(
     context: GatewayContext, state: EndpointState, now_ms: float
@@ -90,11 +87,8 @@
     holds the probes that are running or have just ended.
     """
 
-    def __init__(
-        self, context: GatewayContext, connect: Connect = Upstream.connect
-    ) -> None:
+    def __init__(self, context: GatewayContext) -> None:
         self._context = context
-        self._connect = connect
         self._loop = asyncio.get_running_loop()
 
     async def has_crashed(self, state: EndpointState, failure: AttemptFailed) -> bool:
@@ -123,7 +117,9 @@
     async def _refuses_connections(self, state: EndpointState) -> bool:
         """Checks whether nothing listens at an endpoint's address."""
         try:
-            connection = await self._connect(state.endpoint.address, PROBE_TIMEOUT_S)
+            connection = await self._context.links.connect(
+                state.endpoint.address, PROBE_TIMEOUT_S
+            )
         except ConnectFailed as failure:
             if failure.reason != CONNECT_REFUSED:
                 return False
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -152,7 +152,7 @@
         self.context.metrics.register_callback("configuration_version", self._version)
         metrics_port = self.settings.metrics_port
         await serve_metrics(self.context.metrics, self.settings.host, metrics_port)
-        prober = LivenessProber(self.context.directory)
+        prober = LivenessProber(self.context.directory, self.context.links.connect)
         tasks = (
             self._sync.run(),
             self._sync.report_urgent(),
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -166,6 +166,7 @@
             choice.forecast,
             connect_timeout_s(self._route),
             self._context.connections_max(self._admission.service),
+            self._context.links.connect,
         )
 
     def _answer_timeout(self) -> AnswerTimeout:
--- a/ashlatch/gateway/liveness.py
+++ b/ashlatch/gateway/liveness.py
@@ -13,9 +13,9 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
 
 from ashlatch.gateway.directory import Directory, EndpointState
+from ashlatch.gateway.links import Connect
 from ashlatch.gateway.logs import EndpointGone
 from ashlatch.http.upstream import CONNECT_TIMED_OUT, ConnectFailed, Upstream
 from ashlatch.log import emit
@@ -35,8 +35,6 @@
 # A silent endpoint that has answered a probe is probed again after this time.
 PROBE_INTERVAL_MS = 1000.0
 
-Connect = Callable[[str, float], Awaitable[Upstream]]
-
 
 class LivenessProber:
     """Probes the silent endpoints of a directory; `run` never ends."""
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -27,6 +27,8 @@
     "DocumentUnreadable",
     "EndpointBackoff",
     "EndpointGone",
+    "EndpointLinksFailing",
+    "EndpointLinksRestored",
     "EndpointLeavingAnnounced",
     "EndpointLimited",
     "EndpointMisdirected",
@@ -269,6 +271,32 @@
     failing: float
 
 
+@dataclass(frozen=True)
+class EndpointLinksFailing(LogEvent):
+    """One more endpoint cannot be connected to, and none could in between.
+
+    `failed` of the `listed` endpoints have failed since a connection was last opened,
+    `connected_ms` ago (-1 for never).
+    """
+
+    event: ClassVar[str] = "endpoint_links_failing"
+    address: str
+    reason: str
+    failed: int
+    listed: int
+    connected_ms: int
+
+
+@dataclass(frozen=True)
+class EndpointLinksRestored(LogEvent):
+    """A connection was opened after attempts to several endpoints had failed."""
+
+    event: ClassVar[str] = "endpoint_links_restored"
+    address: str
+    failed: int
+    failing_ms: int
+
+
 @dataclass(frozen=True)
 class EndpointGone(LogEvent):
     """A silent endpoint's VM accepts no connection: its requests are abandoned.
