Relay: other gateways serve the callers of one that has lost its links to all endpoints

What callers saw: 503 no_endpoint from a gateway without links, while the others served the same endpoints.

Cause: a failed connection was held against its endpoint only. Nothing asked whether this gateway could connect to any endpoint, and there was no way to a gateway that could.

While isolated, requests go to another gateway over HTTP on the port that is free for ashlatch (gateway/relay.py, relay_exchange.py). That one admits them by the caller's own key (gateway/relay_server.py), so no trust is needed, and makes all decisions about endpoints: limits and backoffs bind who sends. What may not be repeated is sent on only if the other gateway says that it has not run. The deadline, the number of sends and whether the request counts for the budget of repeats go with it. Gateways without links say so in datagrams. Forwarding of answers moved to gateway/forwarding.py.

Why it works: the requests no longer depend on the link that is lost, and nothing depends on callers or their balancer noticing.

test_timeouts compared all connection attempts with the timeout of the send; it leaves out the new probes, whose timeout is another, and still finds any other send.

--- a/ashlatch/gateway/admission.py
+++ b/ashlatch/gateway/admission.py
@@ -18,6 +18,7 @@
 from ashlatch.gateway.fingerprint import format_fingerprint, request_fingerprint
 from ashlatch.gateway.logs import QuarantinedRequestRefused
 from ashlatch.gateway.message import CallerRequest, RefusalReason
+from ashlatch.gateway.relay_terms import RelayTerms
 from ashlatch.http.connection import Responder
 from ashlatch.log import emit
 from ashlatch.platform.headers import refusal_headers
@@ -44,6 +45,7 @@
     """A request that may be served, with its route, service and organisation.
 
     `fingerprint` identifies what the request asks for. After `deadline_s` it times out.
+    `relay_terms` is set if another gateway has this one serve the request.
     """
 
     request: CallerRequest
@@ -53,6 +55,7 @@
     configuration: int
     deadline_s: float
     fingerprint: int
+    relay_terms: RelayTerms | None = None
 
     @property
     def urgency(self) -> int:
--- a/ashlatch/gateway/context.py
+++ b/ashlatch/gateway/context.py
@@ -10,8 +10,9 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 
 from ashlatch.catalog import GatewayVm, Service
 from ashlatch.gateway.budget import BudgetTerms, RepeatBudget
@@ -32,6 +33,7 @@
 from ashlatch.metrics import Metrics
 from ashlatch.policy.endpoint import EndpointPolicy
 from ashlatch.policy.quarantine import Quarantine
+from ashlatch.policy.relay import RelayPeers
 
 __all__ = ["GatewayContext"]
 
@@ -62,7 +64,8 @@
     the next caller that finds no endpoint with capacity in its rate limit. `shares`
     tells which organisations demand more than their share of scarce capacity,
     `overload` decides about requests while the engines have too little capacity.
-    `links` opens the connections to endpoints.
+    `links` opens the connections to endpoints, `relay_peers` tells which gateways can
+    serve requests for this one.
     """
 
     hall: str
@@ -90,14 +93,16 @@
     core_reachable: bool = True
     peers_reachable: bool = True
     next_retry_ms: dict[str, float] = field(default_factory=dict)
+    relay_peers: RelayPeers = field(default_factory=RelayPeers)
     links: EndpointLinks = field(init=False)
     traffic: TrafficCounter = field(init=False)
     overload: OverloadControl = field(init=False)
     shares: OrganisationShares = field(init=False)
+    _background: set[asyncio.Task[object]] = field(default_factory=set)
 
     def __post_init__(self) -> None:
         self.traffic = TrafficCounter(self.hall, self.metrics)
-        self.links = EndpointLinks(self.directory, self.metrics)
+        self.links = EndpointLinks(self.directory, self.metrics, self.generator)
         self.directory.on_restart = self.forget_instance
         self.overload = OverloadControl(
             self.directory,
@@ -124,6 +129,12 @@
             return False
         return self.overload.is_scarce(service_name, now_ms)
 
+    def run_in_background(self, work: Coroutine[Any, Any, object]) -> None:
+        """Runs a coroutine whose result nobody waits for."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
     def forget_instance(self, instance: str) -> None:
         """Drops cached prefixes and connections of an endpoint whose process ended."""
         self.prefix_caches.drop(instance)
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -14,6 +14,7 @@
 import socket
 import traceback
 from collections.abc import Callable
+from dataclasses import replace
 
 from ashlatch.catalog import GatewayVm
 from ashlatch.fleet.seeds import Seeds
@@ -25,14 +26,18 @@
 from ashlatch.gateway.liveness import LivenessProber
 from ashlatch.gateway.logs import (
     HandlerFailed,
+    PeersUnavailable,
     RequestEnded,
     RequestUnreadable,
     StopBegun,
     TrafficCounted,
 )
-from ashlatch.gateway.message import RefusalReason
+from ashlatch.gateway.message import CallerRequest, RefusalReason
 from ashlatch.gateway.overload import AdmissionMode
 from ashlatch.gateway.peers import PeerProtocol
+from ashlatch.gateway.relay import Relay
+from ashlatch.gateway.relay_server import RelayServer
+from ashlatch.gateway.relay_terms import RelayTerms
 from ashlatch.gateway.sessions import SessionVersions
 from ashlatch.gateway.sync import CoreSync
 from ashlatch.gateway.versions import VersionChooser
@@ -58,6 +63,10 @@
 # The interval at which HTTP limits are applied, expired idle connections closed, and
 # the demand of organisations broadcast while capacity is scarce.
 SWEEP_S = 0.25
+# What another gateway adds to the head of a request that it relays.
+RELAY_HEAD_BYTES = 512
+# Other gateways use idle connections for less than this time.
+RELAY_IDLE_S = 6.0
 # The interval at which the traffic counts are logged; they grow slowly.
 TRAFFIC_LOG_S = 10.0
 # A gateway that has just started syncs with the core within about a second. Requests
@@ -141,6 +150,8 @@
         peers = PeerProtocol(self.context)
         await peers.start(local)
         self.context.cold_limiter = ColdSendLimiter(local)
+        self._relay = Relay(self.context, local)
+        self._relay.enabled = self.settings.relay.enabled
         self.context.broadcast = peers.broadcast
         for listener, text, early in (
             (self.listener, self.settings.listen, self._early_socket),
@@ -148,6 +159,7 @@
         ):
             address = Address.parse(text)
             await listener.start(address.host, address.port, early)
+        await self._start_relay_listener(Address.parse(local.address))
         register_traffic_metrics(self.context.metrics)
         self.context.metrics.register_callback("configuration_version", self._version)
         metrics_port = self.settings.metrics_port
@@ -166,6 +178,25 @@
         for task in tasks:
             self.rpc.supervise(task, self._failed)
 
+    async def _start_relay_listener(self, address: Address) -> None:
+        """Opens the listener for other gateways; the gateway also runs without it."""
+        server = RelayServer(
+            self.context,
+            self._serve_relayed,
+            lambda: self._sync.ready and not self.listener.stopping,
+            self.settings.relay.requests_max,
+        )
+        self._relay_listener = HttpListener(server.handle)
+        self._relay_listener.on_handler_error = self._handler_failed
+        self._relay_listener.on_malformed = self._unreadable
+        if not self.settings.relay.enabled:
+            return
+        try:
+            await self._relay_listener.start(address.host, address.port)
+        except OSError as error:
+            self._relay.enabled = False
+            emit(log, PeersUnavailable(str(address), str(error)), logging.WARNING)
+
     async def _stop(self) -> int:
         loop = asyncio.get_running_loop()
         started_s = loop.time()
@@ -179,11 +210,18 @@
         while loop.time() < started_s + STOP_ACCEPTS_S:
             await asyncio.sleep(STOP_POLL_S)
         self.listener.stop_accepting()
-        while loop.time() < ends_s and self.listener.connections:
-            self.listener.close_idle()
+        # Idle connections of other gateways stay open until then, and are told that the
+        # process is stopping: they may be used at any moment.
+        listeners = (self.listener, self._relay_listener)
+        self._relay_listener.stop_accepting()
+        self._relay_listener.stopping = True
+        while loop.time() < ends_s and any(x.connections for x in listeners):
+            for listener in listeners:
+                listener.close_idle()
             await asyncio.sleep(STOP_POLL_S)
-        aborted = self.listener.active_requests
-        self.listener.abort()
+        aborted = sum(listener.active_requests for listener in listeners)
+        for listener in listeners:
+            listener.abort()
         self._ready_listener.abort()
         return aborted
 
@@ -210,13 +248,24 @@
             refused = Refused(503, RefusalReason.NO_CONFIGURATION, START_RETRY_AFTER_S)
             self._refuse(responder, caller_request.request_id, refused)
             return
+        await self._serve(caller_request, None, responder)
+
+    async def _serve_relayed(
+        self, request: CallerRequest, terms: RelayTerms, responder: Responder
+    ) -> None:
+        await self._serve(request, terms, responder)
+
+    async def _serve(
+        self, request: CallerRequest, terms: RelayTerms | None, responder: Responder
+    ) -> None:
         if self._sync.stale:
             await self._sync.wait_updated(UPDATE_WAIT_S)
-        admission = admit(self.context, caller_request)
+        admission = admit(self.context, request)
         if isinstance(admission, Refused):
-            self._refuse(responder, caller_request.request_id, admission)
+            self._refuse(responder, request.request_id, admission)
             return
-        await Exchange(self.context, admission, responder).run()
+        admission = replace(admission, relay_terms=terms)
+        await Exchange(self.context, admission, responder, self._relay).run()
 
     def _refuse(self, responder: Responder, request_id: str, refused: Refused) -> None:
         refuse(responder, request_id, refused)
@@ -261,13 +310,20 @@
         while True:
             await asyncio.sleep(SWEEP_S)
             self.context.pool.sweep(loop.time())
+            self._relay.sweep(loop.time())
             self.context.shares.tick(loop.time() * 1000.0)
             table = self.context.table
             if table is not None:
                 limits = table.catalog.limits
-                self.listener.bounds = HttpBounds(
+                bounds = HttpBounds(
                     limits.head_max_bytes,
                     limits.body_max_bytes,
                     limits.head_timeout_ms / 1000.0,
                     limits.idle_timeout_ms / 1000.0,
                 )
+                self.listener.bounds = bounds
+                self._relay_listener.bounds = replace(
+                    bounds,
+                    head_max_bytes=bounds.head_max_bytes + RELAY_HEAD_BYTES,
+                    idle_timeout_s=max(bounds.idle_timeout_s, RELAY_IDLE_S),
+                )
--- a/ashlatch/gateway/directory.py
+++ b/ashlatch/gateway/directory.py
@@ -66,14 +66,15 @@
 
     `failure_ratio` is the recent share of attempts that failed because of it.
     `last_progress_ms` is when it last sent anything, or received a request while it
-    had no other. `replaced_ms` is when another endpoint was found at its address,
-    `refused_ms` when it was last newly found that nothing listens there, `ended_ms`
-    when its process or its VM was last found to have ended. `unanswered` counts the
-    requests sent there that have no head of an answer yet, `pending_timeouts` holds
-    the timeouts of those waits that may be abandoned. `advertised_load` is the load
-    that gateways have broadcast of it. `evacuated` is set while its hall is
-    evacuated. `last_sent_ms` is when this gateway last sent a request there.
-    `announced_leaving` is set once an answer has said that it is about to stop.
+    had no other, `last_received_ms` when it last sent anything, `last_failure_ms` when
+    an attempt last failed because of it. `replaced_ms` is when another endpoint was
+    found at its address, `refused_ms` when it was last newly found that nothing listens
+    there, `ended_ms` when its process or its VM was last found to have ended.
+    `unanswered` counts the requests sent there that have no head of an answer yet,
+    `pending_timeouts` holds the timeouts of those waits that may be abandoned.
+    `advertised_load` is the load that gateways have broadcast of it. `evacuated` is set
+    while its hall is evacuated. `last_sent_ms` is when this gateway last sent a request
+    there. `announced_leaving` is set once an answer has said that it is about to stop.
     `speed` is how long work takes there compared with the usual duration,
     `advertised_duration` what gateways have broadcast of that.
     """
@@ -85,6 +86,8 @@
     )
     failure_ratio: float = 0.0
     last_progress_ms: float = float("-inf")
+    last_received_ms: float = float("-inf")
+    last_failure_ms: float = float("-inf")
     replaced_ms: float = float("-inf")
     refused_ms: float = float("-inf")
     ended_ms: float = float("-inf")
@@ -166,7 +169,7 @@
 
     def record_progress(self, now_ms: float) -> None:
         """Records that it has sent data."""
-        self.last_progress_ms = now_ms
+        self.last_progress_ms = self.last_received_ms = now_ms
 
     def silent_ms(self, now_ms: float) -> float:
         """Returns for how long it has sent nothing with requests in flight."""
@@ -188,6 +191,10 @@
         self.breaker.trip(now_ms)
         self.ended_ms = now_ms
         self._restart_unconfirmed = True
+        self.abandon_waits(now_s)
+
+    def abandon_waits(self, now_s: float) -> None:
+        """Ends the waits for its answers that may move elsewhere."""
         for timeout in self.pending_timeouts:
             if not timeout.expired():
                 timeout.reschedule(now_s)
@@ -273,8 +280,23 @@
         """Checks whether its process or its VM was just found to have ended."""
         return now_ms - self.ended_ms < ENDED_RECENTLY_MS
 
+    def suspect_refusal(self, now_ms: float) -> None:
+        """Opens the breaker after a refused connection whose cause is not known yet."""
+        self.last_failure_ms = now_ms
+        self.breaker.trip(now_ms)
+
+    def forgive_failures(self, since_ms: float) -> None:
+        """Drops the failures since a time: they were not the fault of the endpoint.
+
+        An average that was high before is dropped as well.
+        """
+        if self.last_failure_ms >= since_ms - ENDED_RECENTLY_MS:
+            self.breaker = Breaker(BREAKER_FAILURES, BREAKER_OPEN_MS)
+            self.failure_ratio = 0.0
+
     def record_failure(self, now_ms: float, unreachable: bool) -> None:
         """Records an attempt that failed because of the endpoint."""
+        self.last_failure_ms = now_ms
         self.failure_ratio += FAILURE_GAIN * (1.0 - self.failure_ratio)
         if unreachable:
             self.breaker.record_failure(now_ms)
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -10,7 +10,6 @@
 """
 
 import asyncio
-from dataclasses import dataclass
 
 from ashlatch.catalog import RepeatPolicy
 from ashlatch.gateway.admission import (
@@ -32,8 +31,10 @@
 from ashlatch.gateway.context import GatewayContext
 from ashlatch.gateway.crash_detector import CrashDetector
 from ashlatch.gateway.deferral import RequestDeferral
-from ashlatch.gateway.events import EventSplitter, StreamEvent
+from ashlatch.gateway.forwarding import AnswerForwarder, CompleteAnswer
 from ashlatch.gateway.message import AnswerHead, Dispatch, RefusalReason
+from ashlatch.gateway.relay import Relay
+from ashlatch.gateway.relay_exchange import RelayExchange
 from ashlatch.gateway.request_record import RequestRecord
 from ashlatch.gateway.timeouts import (
     AnswerTimeout,
@@ -41,7 +42,8 @@
     connect_timeout_s,
     event_timeout,
 )
-from ashlatch.http.connection import CallerGone, Headers, Responder
+from ashlatch.http.connection import CallerGone, Responder
+from ashlatch.http.upstream import CONNECT_TIMED_OUT
 
 __all__ = ["Exchange"]
 
@@ -53,19 +55,18 @@
 SERVER_ERROR = 500
 
 
-@dataclass(frozen=True)
-class _CompleteAnswer:
-    """An answer that has been read to its end."""
-
-    head: AnswerHead
-    body: bytes
-
-
 class Exchange:
-    """Serves one admitted request; `run` returns when the caller has the answer."""
+    """Serves one admitted request; `run` returns when the caller has the answer.
+
+    With a `relay`, another gateway serves it while this one reaches no endpoint.
+    """
 
     def __init__(
-        self, context: GatewayContext, admission: Admission, responder: Responder
+        self,
+        context: GatewayContext,
+        admission: Admission,
+        responder: Responder,
+        relay: Relay | None = None,
     ) -> None:
         self._context = context
         self._admission = admission
@@ -75,12 +76,18 @@
         self._loop = asyncio.get_running_loop()
         self._may_have_run = False
         self._model = first_model(admission.route, admission.request)
-        self._last_event = ""
         self._record = RequestRecord(context, admission)
         self._chooser = EndpointChooser(context, admission)
         self._crash_detector = CrashDetector(context)
+        self._forwarder = AnswerForwarder(
+            admission, responder, self._record, self._crash_detector
+        )
+        self._relay = RelayExchange(
+            context, relay, admission, responder, self._record, self._forwarder
+        )
         self._deferral = RequestDeferral(context, admission)
-        self._error_answer: _CompleteAnswer | None = None
+        self._error_answer: CompleteAnswer | None = None
+        self._counted = False
         self._repeat_reserved = False
         self._send_reason = "first"
         self._expected_first_ms = 0.0
@@ -90,9 +97,6 @@
 
         Raises only when the caller disconnects or the task is cancelled.
         """
-        self._context.budget(self._admission.service.name).record_request(
-            self._now_ms()
-        )
         try:
             async with asyncio.timeout_at(self._admission.deadline_s):
                 refused = await self._serve()
@@ -105,34 +109,95 @@
             self._conclude(refused)
 
     async def _serve(self) -> Refused | None:
-        overloaded = await self._deferral.run(self._model)
-        if overloaded is not None:
-            return overloaded
+        # An isolated gateway has no recent reports about the load of endpoints.
+        if not self._context.links.isolated:
+            overloaded = await self._deferral.run(self._model)
+            if overloaded is not None:
+                return overloaded
+        return await self._send_until_answered()
+
+    async def _send_until_answered(self) -> Refused | None:
+        links = self._context.links
         while True:
             # The request may have crashed endpoints at other gateways since the last
             # send.
             refusal = self._quarantine_refusal()
             if refusal is not None:
                 return refusal
+            if links.isolated:
+                if await self._serve_by_relay():
+                    return None
+                if not links.open_connections_work:
+                    return self._isolation_refusal()
+            self._count_request()
             choice = self._chooser.choose(self._model)
-            if choice is None:
+            if choice is not None:
+                refusal = await self._attempt(choice)
+                if refusal is not None or self._responder.ended:
+                    return refusal
+            elif links.isolated or await links.confirm_reachable():
                 if self._may_have_run:
                     return Refused(502, RefusalReason.OUTCOME_UNKNOWN)
                 return self._chooser.refusal()
-            attempt = self._new_attempt(choice)
-            try:
-                if await self._run_attempt(attempt):
-                    return None
-            except AttemptFailed as failure:
-                self._record.record_failure(attempt, failure)
-                self._may_have_run |= not failure.kind.not_run
-                await self._record_if_crashed(attempt, failure)
-                if not self._may_repeat(failure.kind):
-                    return self._final_refusal(failure.kind)
-                self._send_reason = failure.kind.value
-            finally:
-                attempt.close()
-                self._record.record_traffic(attempt)
+
+    async def _attempt(self, choice: Choice) -> Refused | None:
+        """Makes one send; returns the refusal if the request cannot be resent."""
+        attempt = self._new_attempt(choice)
+        try:
+            await self._run_attempt(attempt)
+        except AttemptFailed as failure:
+            self._record.record_failure(attempt, failure)
+            self._may_have_run |= not failure.kind.not_run
+            await self._record_if_crashed(attempt, failure)
+            await self._await_check(failure)
+            if not self._may_repeat(failure.kind):
+                return self._final_refusal(failure.kind)
+            self._send_reason = failure.kind.value
+        finally:
+            attempt.close()
+            self._record.record_traffic(attempt)
+        return None
+
+    async def _await_check(self, failure: AttemptFailed) -> None:
+        """Waits until it is known whether any endpoint can be reached.
+
+        One refused connection is more likely the fault of its endpoint.
+        """
+        if failure.kind is not FailureKind.UNREACHABLE:
+            return
+        if failure.detail == CONNECT_TIMED_OUT or self._record.unreachable > 1:
+            await self._context.links.confirm_reachable()
+
+    async def _serve_by_relay(self) -> bool:
+        """Has other gateways serve the request; returns whether one did."""
+        if self._admission.relay_terms is not None:
+            return False
+        while True:
+            resumed = bool(self._forwarder.last_event)
+            first = first_model(self._route, self._request)
+            model = self._model if resumed or self._model != first else ""
+            failure = await self._relay.run(model, self._counted, self._reserve_relay)
+            if failure is None:
+                return True
+            self._may_have_run |= not failure.not_run
+            if failure.not_run or not self._may_repeat(failure):
+                return False
+
+    def _isolation_refusal(self) -> Refused:
+        if self._may_have_run:
+            return Refused(502, RefusalReason.OUTCOME_UNKNOWN)
+        if self._admission.relay_terms is not None:
+            return Refused(503, RefusalReason.RELAY_UNAVAILABLE)
+        return Refused(503, RefusalReason.NO_ENDPOINT, RETRY_AFTER_S)
+
+    def _count_request(self) -> None:
+        """Counts the request for the budget of repeats, unless that was done before."""
+        terms = self._admission.relay_terms
+        if self._counted or (terms is not None and terms.counted):
+            return
+        self._counted = True
+        budget = self._context.budget(self._admission.service.name)
+        budget.record_request(self._now_ms())
 
     # Sending.
 
@@ -150,7 +215,7 @@
                 self._admission.urgency,
                 self._context.is_scarce(self._admission.service.name, self._now_ms()),
             ),
-            self._last_event,
+            self._forwarder.last_event,
         )
         self._expected_first_ms = self._chooser.expected_ms(choice, self._model)
         self._record.record_send(choice, self._model, self._send_reason)
@@ -190,7 +255,16 @@
         """
         if self._record.sends >= self._attempts_max:
             return False
-        if self._chooser.choose(self._model, exclude_limited=True) is None:
+        relays = self._context.links.isolated and self._relay.available
+        choice = self._chooser.choose(self._model, exclude_limited=True)
+        if choice is None and not relays:
+            return False
+        self._repeat_reserved = self._spend_repeat()
+        return self._repeat_reserved
+
+    def _reserve_relay(self) -> bool:
+        """Reserves a repeat if a silent gateway may be abandoned; returns whether."""
+        if self._record.sends >= self._attempts_max or not self._relay.available:
             return False
         self._repeat_reserved = self._spend_repeat()
         return self._repeat_reserved
@@ -201,22 +275,23 @@
 
     # Running an attempt.
 
-    async def _run_attempt(self, attempt: Attempt) -> bool:
-        """Returns whether the answer was forwarded; otherwise the request is resent."""
+    async def _run_attempt(self, attempt: Attempt) -> None:
+        """Forwards the answer, unless a larger model should answer instead."""
         head = await attempt.begin(self._answer_timeout())
         self._record.record_answer_begin(attempt, self._model)
         if self._route.streams and head.status < 300:
             if self._escalates(attempt, head):
-                return False
-            await self._forward_stream(attempt, head)
+                return
+            await self._forwarder.forward_stream(attempt, head, self._event_timeout)
         else:
-            answer = await self._read_complete(attempt, head)
+            answer = await self._forwarder.read_complete(
+                attempt, head, self._answer_timeout()
+            )
             if head.status >= SERVER_ERROR or self._responder.begun:
                 self._error_answer = answer
                 raise AttemptFailed(FailureKind.ERROR, f"status {head.status}")
-            self._forward_answer(answer)
+            self._forwarder.forward(answer)
         self._record.record_success(attempt)
-        return True
 
     def _escalates(self, attempt: Attempt, head: AnswerHead) -> bool:
         """Decides whether to use a larger model instead of forwarding this answer."""
@@ -258,54 +333,6 @@
             else EscalationDecision.NO_BUDGET
         )
 
-    async def _read_complete(
-        self, attempt: Attempt, head: AnswerHead
-    ) -> _CompleteAnswer:
-        parts = []
-        while (part := await attempt.part(self._answer_timeout())) is not None:
-            parts.append(part)
-        attempt.finish()
-        self._record_completion()
-        return _CompleteAnswer(head, b"".join(parts))
-
-    async def _forward_stream(self, attempt: Attempt, head: AnswerHead) -> None:
-        splitter = EventSplitter()
-        while (part := await attempt.part(self._event_timeout())) is not None:
-            self._forward_events(head, splitter.feed(part))
-            await self._responder.drain()
-        if splitter.remainder.strip():
-            raise AttemptFailed(FailureKind.BROKEN, "stream ended within an event")
-        if not self._responder.begun:
-            self._responder.begin(head.status, _body_headers(head))
-        attempt.finish()
-        self._record_completion()
-        self._responder.end()
-        self._record.record_end(head.status, "")
-
-    def _forward_events(self, head: AnswerHead, events: list[StreamEvent]) -> None:
-        """Forwards events that arrived together, with one write."""
-        chunks = []
-        for event in events:
-            if _is_already_forwarded(event.event_id, self._last_event):
-                # The endpoint restarted the stream; the caller already has this event.
-                continue
-            self._record.record_forwarding()
-            chunks.append(event.data)
-            self._last_event = event.event_id or self._last_event
-        if not chunks:
-            return
-        if not self._responder.begun:
-            self._responder.begin(head.status, _body_headers(head))
-        self._responder.send_all(chunks)
-        self._record.events += len(chunks)
-
-    def _forward_answer(self, answer: _CompleteAnswer) -> None:
-        self._record.record_forwarding()
-        self._responder.respond(
-            answer.head.status, _body_headers(answer.head), answer.body
-        )
-        self._record.record_end(answer.head.status, "")
-
     # Handling failures.
 
     async def _record_if_crashed(
@@ -325,11 +352,6 @@
                 self._request.request_id, fingerprint, attempt.state
             )
 
-    def _record_completion(self) -> None:
-        self._crash_detector.record_completion(
-            self._request.request_id, self._admission.fingerprint
-        )
-
     def _quarantine_refusal(self) -> Refused | None:
         """Returns the final answer if the request is quarantined."""
         refusal = quarantine_refusal(self._context, self._admission.fingerprint)
@@ -344,7 +366,7 @@
             return False
         if self._record.events and self._route.repeat is not RepeatPolicy.RESUME:
             return False
-        if self._record.events and not self._last_event:
+        if self._record.events and not self._forwarder.last_event:
             return False
         if kind in (FailureKind.UNREACHABLE, FailureKind.CLOSED):
             return self._record.unreachable < UNREACHABLE_MAX
@@ -379,21 +401,10 @@
             self._responder.abort()
             self._record.record_end(0, refused.reason.value)
         elif self._error_answer is not None:
-            self._forward_answer(self._error_answer)
+            self._forwarder.forward(self._error_answer)
         else:
             refuse(self._responder, self._request.request_id, refused)
             self._record.record_end(refused.status, refused.reason.value)
 
     def _now_ms(self) -> float:
         return self._loop.time() * 1000.0
-
-
-def _body_headers(head: AnswerHead) -> Headers:
-    """Returns the headers of an answer whose body is framed again."""
-    return [pair for pair in head.headers if pair[0].lower() != b"content-length"]
-
-
-def _is_already_forwarded(event_id: str, last: str) -> bool:
-    """Checks whether an event was forwarded already; ids rise within a stream."""
-    numbers = event_id.isdigit() and last.isdigit()
-    return numbers and int(event_id) <= int(last)
--- /dev/null
+++ b/ashlatch/gateway/forwarding.py
@@ -0,0 +1,134 @@
+"""
+ashlatch.gateway.forwarding
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Forwards the answer of an endpoint, or of another gateway, to the caller.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from ashlatch.gateway.admission import Admission
+from ashlatch.gateway.attempt import AttemptFailed, FailureKind
+from ashlatch.gateway.crash_detector import CrashDetector
+from ashlatch.gateway.events import EventSplitter, StreamEvent
+from ashlatch.gateway.message import AnswerHead
+from ashlatch.gateway.request_record import RequestRecord
+from ashlatch.gateway.timeouts import AnswerTimeout
+from ashlatch.http.connection import Headers, Responder
+
+__all__ = ["AnswerForwarder", "AnswerSource", "CompleteAnswer"]
+
+
+class AnswerSource(Protocol):
+    """A send whose answer has begun."""
+
+    async def part(self, timeout: AnswerTimeout) -> bytes | None:
+        """Returns the next part of the body, None at its end."""
+
+    def finish(self) -> None:
+        """Ends a send with a complete answer."""
+
+
+@dataclass(frozen=True)
+class CompleteAnswer:
+    """An answer that has been read to its end."""
+
+    head: AnswerHead
+    body: bytes
+
+
+class AnswerForwarder:
+    """Forwards the answer to one request.
+
+    `last_event` is the id of the last event of a stream that the caller was sent.
+    """
+
+    def __init__(
+        self,
+        admission: Admission,
+        responder: Responder,
+        record: RequestRecord,
+        crash_detector: CrashDetector,
+    ) -> None:
+        self.last_event = ""
+        self._admission = admission
+        self._responder = responder
+        self._record = record
+        self._crash_detector = crash_detector
+
+    async def read_complete(
+        self, source: AnswerSource, head: AnswerHead, timeout: AnswerTimeout
+    ) -> CompleteAnswer:
+        """Reads an answer to its end; raises `AttemptFailed`."""
+        parts = []
+        while (part := await source.part(timeout)) is not None:
+            parts.append(part)
+        source.finish()
+        self._record_completion()
+        return CompleteAnswer(head, b"".join(parts))
+
+    async def forward_stream(
+        self,
+        source: AnswerSource,
+        head: AnswerHead,
+        timeout: Callable[[], AnswerTimeout],
+    ) -> None:
+        """Forwards a stream to its end; raises `AttemptFailed`."""
+        splitter = EventSplitter()
+        while (part := await source.part(timeout())) is not None:
+            self._forward_events(head, splitter.feed(part))
+            await self._responder.drain()
+        if splitter.remainder.strip():
+            raise AttemptFailed(FailureKind.BROKEN, "stream ended within an event")
+        if not self._responder.begun:
+            self._responder.begin(head.status, _body_headers(head))
+        source.finish()
+        self._record_completion()
+        self._responder.end()
+        self._record.record_end(head.status, "")
+
+    def _forward_events(self, head: AnswerHead, events: list[StreamEvent]) -> None:
+        """Forwards events that arrived together, with one write."""
+        chunks = []
+        for event in events:
+            if _is_already_forwarded(event.event_id, self.last_event):
+                # The endpoint restarted the stream; the caller already has this event.
+                continue
+            self._record.record_forwarding()
+            chunks.append(event.data)
+            self.last_event = event.event_id or self.last_event
+        if not chunks:
+            return
+        if not self._responder.begun:
+            self._responder.begin(head.status, _body_headers(head))
+        self._responder.send_all(chunks)
+        self._record.events += len(chunks)
+
+    def forward(self, answer: CompleteAnswer, reason: str = "") -> None:
+        """Forwards a complete answer; `reason` is set if a gateway refused."""
+        self._record.record_forwarding()
+        self._responder.respond(
+            answer.head.status, _body_headers(answer.head), answer.body
+        )
+        self._record.record_end(answer.head.status, reason)
+
+    def _record_completion(self) -> None:
+        self._crash_detector.record_completion(
+            self._admission.request.request_id, self._admission.fingerprint
+        )
+
+
+def _body_headers(head: AnswerHead) -> Headers:
+    """Returns the headers of an answer whose body is framed again."""
+    return [pair for pair in head.headers if pair[0].lower() != b"content-length"]
+
+
+def _is_already_forwarded(event_id: str, last: str) -> bool:
+    """Checks whether an event was forwarded already; ids rise within a stream."""
+    numbers = event_id.isdigit() and last.isdigit()
+    return numbers and int(event_id) <= int(last)
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -40,11 +40,15 @@
     "EvacuationsChanged",
     "CoreLost",
     "CoreRegained",
+    "GatewayIsolated",
     "GatewaysChanged",
     "HandlerFailed",
     "ListReadFailed",
     "PeersUnavailable",
+    "RelayEnded",
+    "RelayedRequestReceived",
     "RequestEnded",
+    "RequestRelayed",
     "QuarantinedRequestRefused",
     "RequestSent",
     "RequestUnreadable",
@@ -289,12 +293,31 @@
 
 @dataclass(frozen=True)
 class EndpointLinksRestored(LogEvent):
-    """A connection was opened after attempts to several endpoints had failed."""
+    """A connection was opened after attempts to several endpoints had failed.
+
+    `isolated` is set if this ends an isolation.
+    """
 
     event: ClassVar[str] = "endpoint_links_restored"
     address: str
     failed: int
     failing_ms: int
+    isolated: bool
+
+
+@dataclass(frozen=True)
+class GatewayIsolated(LogEvent):
+    """No endpoint can be reached from here; other gateways serve this one's callers.
+
+    `failed` of the `listed` endpoints have failed since a connection was last opened,
+    `connected_ms` ago (-1 for never); the first of them `failing_ms` ago.
+    """
+
+    event: ClassVar[str] = "gateway_isolated"
+    failed: int
+    listed: int
+    connected_ms: int
+    failing_ms: int
 
 
 @dataclass(frozen=True)
@@ -484,6 +507,53 @@
     reason: str
 
 
+@dataclass(frozen=True)
+class RequestRelayed(LogEvent):
+    """A request is sent to another gateway, as this one reaches no endpoint.
+
+    `isolated_ms` is the age of that knowledge; the request was received `elapsed_ms`
+    ago and was sent to `attempts` endpoints before.
+    """
+
+    event: ClassVar[str] = "request_relayed"
+    request: str
+    gateway: str
+    hall: str
+    isolated_ms: int
+    elapsed_ms: int
+    attempts: int
+
+
+@dataclass(frozen=True)
+class RelayEnded(LogEvent):
+    """A send to another gateway failed."""
+
+    event: ClassVar[str] = "relay_ended"
+    request: str
+    gateway: str
+    outcome: str
+    detail: str
+    took_ms: int
+
+
+@dataclass(frozen=True)
+class RelayedRequestReceived(LogEvent):
+    """Another gateway has this one serve a request of its caller.
+
+    `peer` is the address of the connection. `in_flight` other such requests are served
+    at the moment. A `reason` says why the other gateway should ask elsewhere.
+    """
+
+    event: ClassVar[str] = "relayed_request_received"
+    request: str
+    peer: str
+    configuration: int
+    elapsed_ms: int
+    attempts: int
+    in_flight: int
+    reason: str
+
+
 @dataclass(frozen=True)
 class GatewaysChanged(LogEvent):
     """The set of gateways changed; `gateways` is their number."""
--- a/ashlatch/gateway/message.py
+++ b/ashlatch/gateway/message.py
@@ -44,6 +44,7 @@
     NO_ENDPOINT_IN_REGION = "no_endpoint_in_region"
     ENDPOINTS_LIMITED = "endpoints_limited"
     ENDPOINTS_BACKOFF = "endpoints_backoff"
+    RELAY_UNAVAILABLE = "relay_unavailable"
 
 
 @dataclass(frozen=True)
--- a/ashlatch/gateway/peer_updates.py
+++ b/ashlatch/gateway/peer_updates.py
@@ -28,6 +28,7 @@
     EndpointLeaving,
     EndpointRefuses,
     EndpointReplaced,
+    GatewayIsolation,
     LoadReported,
     OrganisationDemand,
     PromptSent,
@@ -182,3 +183,14 @@
     # Services that are not configured are left out, so that the state is bounded.
     if context.table is not None and update.service in context.table.services:
         context.shares.apply_peer(update, sender.received_ms)
+
+
+@PEER_HANDLERS.on(GatewayIsolation)
+def _gateway_isolation(
+    context: GatewayContext, update: GatewayIsolation, sender: Sender
+) -> None:
+    # Gateways that are not known are left out, so that the state is bounded.
+    if any(gateway.address == update.gateway for gateway in context.gateways):
+        context.relay_peers.record_isolated(
+            update.gateway, update.isolated, sender.received_ms
+        )
--- a/ashlatch/gateway/peers.py
+++ b/ashlatch/gateway/peers.py
@@ -35,6 +35,7 @@
     EndpointLeaving,
     EndpointRefuses,
     EndpointReplaced,
+    GatewayIsolation,
     HallUpdate,
     LoadReported,
     OrganisationDemand,
@@ -67,6 +68,7 @@
     BackoffRequested: TrafficKind.BACKOFF,
     SessionActive: TrafficKind.SESSION,
     OrganisationDemand: TrafficKind.DEMAND,
+    GatewayIsolation: TrafficKind.ISOLATION,
 }
 # Updates that every gateway receives.
 _FOR_ALL = (
@@ -78,6 +80,7 @@
     | BackoffRequested
     | SessionActive
     | OrganisationDemand
+    | GatewayIsolation
 )
 
 
--- /dev/null
+++ b/ashlatch/gateway/relay_server.py
@@ -0,0 +1,130 @@
+"""
+ashlatch.gateway.relay_server
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Serves requests of callers of other gateways, which reach no endpoint themselves. Each
+is admitted by the caller's own key under the configuration of this gateway, so the
+gateway that relays it needs no trust. It is never relayed again.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+
+from ashlatch.gateway.admission import Refused, refuse
+from ashlatch.gateway.context import GatewayContext
+from ashlatch.gateway.logs import RelayedRequestReceived
+from ashlatch.gateway.message import CallerRequest, RefusalReason
+from ashlatch.gateway.relay_terms import REACHABILITY_TARGET, RelayTerms, decode_terms
+from ashlatch.http.connection import HttpRequest, Responder
+from ashlatch.log import emit
+from ashlatch.platform.headers import MalformedRequest, decode_request
+
+__all__ = ["RelayServer"]
+
+log = logging.getLogger("ashlatch.gateway")
+
+SECOND_MS = 1000.0
+
+# Serves an admitted request that may not be relayed again and was sent before.
+Serve = Callable[[CallerRequest, RelayTerms, Responder], Awaitable[None]]
+
+
+class RelayServer:
+    """The handler of the connections of other gateways.
+
+    At most `requests_max` requests are served at a time, so that the callers of other
+    gateways cannot take all of this one's capacity. `available` tells whether this
+    gateway serves requests at all.
+    """
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        serve: Serve,
+        available: Callable[[], bool],
+        requests_max: int,
+    ) -> None:
+        self._context = context
+        self._serve = serve
+        self._available = available
+        self._requests_max = requests_max
+        self._requests = 0
+        self._question: asyncio.Task[bool] | None = None
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Answers one request of another gateway."""
+        if request.target == REACHABILITY_TARGET:
+            reached = self._available() and await self._reaches_endpoints()
+            responder.respond(200 if reached else 503, [], b"")
+            return
+        decoded = decode_terms(request.headers)
+        if decoded is None:
+            refuse(responder, "", Refused(400, RefusalReason.MALFORMED))
+            return
+        terms, headers = decoded
+        try:
+            received_s = request.received_s - terms.elapsed_ms / SECOND_MS
+            inner = replace(request, headers=headers, received_s=received_s)
+            caller_request = decode_request(inner)
+        except MalformedRequest:
+            refuse(responder, "", Refused(400, RefusalReason.MALFORMED))
+            return
+        reason = self._unavailable_reason(terms)
+        self._log(caller_request, terms, request.peer, reason)
+        if reason:
+            refused = Refused(503, RefusalReason.RELAY_UNAVAILABLE)
+            refuse(responder, caller_request.request_id, refused)
+            return
+        self._requests += 1
+        try:
+            await self._serve(caller_request, terms, responder)
+        finally:
+            self._requests -= 1
+
+    def _unavailable_reason(self, terms: RelayTerms) -> str:
+        """Returns why another gateway should serve a request, empty if this one does.
+
+        A gateway with an older configuration would break what the caller has been shown
+        of the newer one.
+        """
+        table = self._context.table
+        if not self._available() or table is None:
+            return "not_ready"
+        if self._context.links.unreached:
+            return "isolated"
+        if self._requests >= self._requests_max:
+            return "full"
+        return "outdated" if table.catalog.version < terms.configuration else ""
+
+    async def _reaches_endpoints(self) -> bool:
+        """Finds out whether an endpoint can be reached; once for several questions."""
+        if self._context.links.unreached:
+            return False
+        if self._question is None:
+            reaches = self._context.links.reaches_any()
+            self._question = asyncio.get_running_loop().create_task(reaches)
+            self._question.add_done_callback(self._forget_question)
+        return await asyncio.shield(self._question)
+
+    def _forget_question(self, question: asyncio.Task[bool]) -> None:
+        self._question = None
+
+    def _log(
+        self, request: CallerRequest, terms: RelayTerms, peer: str, reason: str
+    ) -> None:
+        event = RelayedRequestReceived(
+            request.request_id,
+            peer,
+            terms.configuration,
+            int(terms.elapsed_ms),
+            terms.sends,
+            self._requests,
+            reason,
+        )
+        emit(log, event)
+        self._context.metrics.count("relays_refused" if reason else "relays_served")
--- a/ashlatch/gateway/request_record.py
+++ b/ashlatch/gateway/request_record.py
@@ -13,6 +13,7 @@
 import logging
 import math
 
+from ashlatch.catalog import GatewayVm
 from ashlatch.gateway.admission import Admission
 from ashlatch.gateway.attempt import Attempt, AttemptFailed, FailureKind
 from ashlatch.gateway.choice import Choice, EscalationDecision
@@ -28,10 +29,13 @@
     EndpointMisdirected,
     EndpointResumed,
     EndpointSuspended,
+    RelayEnded,
     RequestEnded,
+    RequestRelayed,
     RequestSent,
 )
 from ashlatch.gateway.notices import apply_notice
+from ashlatch.gateway.relay import RelayedSend
 from ashlatch.gateway.reports import broadcast_duration, broadcast_load
 from ashlatch.gateway.session_updates import announce_session
 from ashlatch.gateway.tally import TallyKey
@@ -55,12 +59,13 @@
 class RequestRecord:
     """The counts of one request.
 
-    `sends` counts the sends that reached an endpoint, `unreachable` those that did not;
-    `first_s` is when forwarding of the answer began.
+    `sends` counts the sends that reached an endpoint or another gateway, `unreachable`
+    those to endpoints that did not; `first_s` is when forwarding of the answer began.
     """
 
     def __init__(self, context: GatewayContext, admission: Admission) -> None:
-        self.sends = 0
+        terms = admission.relay_terms
+        self.sends = terms.sends if terms is not None else 0
         self.unreachable = 0
         self.events = 0
         self.first_s: float | None = None
@@ -285,6 +290,34 @@
         emit(log, event)
         self._context.metrics.count(f"attempts_{kind.value}")
 
+    def record_relay(self, peer: GatewayVm, isolated_ms: float) -> None:
+        """Records that the request is sent to another gateway."""
+        event = RequestRelayed(
+            self._admission.request.request_id,
+            peer.address,
+            peer.hall,
+            int(self._now_ms() - isolated_ms),
+            int(self._now_ms() - self._admission.request.received_s * 1000.0),
+            self.sends,
+        )
+        emit(log, event)
+        self.sends += 1
+        self._context.metrics.count("requests_relayed")
+
+    def record_relay_failure(self, send: RelayedSend, failure: AttemptFailed) -> None:
+        """Records a send to another gateway that brought no answer."""
+        if failure.kind.not_run:
+            self.sends -= 1
+        event = RelayEnded(
+            self._admission.request.request_id,
+            send.peer.address,
+            failure.kind.value,
+            failure.detail,
+            int((self._loop.time() - send.sent_s) * 1000.0),
+        )
+        emit(log, event)
+        self._context.metrics.count(f"relays_{failure.kind.value}")
+
     def _record_replacement(self, state: EndpointState) -> None:
         """Excludes an endpoint whose address belongs to another one now, everywhere."""
         instance = state.endpoint.instance
--- a/ashlatch/gateway/timeouts.py
+++ b/ashlatch/gateway/timeouts.py
@@ -19,6 +19,7 @@
     "answer_timeout",
     "connect_timeout_s",
     "event_timeout",
+    "relay_timeout",
 ]
 
 # A send that may be repeated is abandoned when nothing has been received for this many
@@ -36,6 +37,9 @@
 SLOW_SILENCE_MAX = 3.0
 
 
+# Another gateway may send a request to this many endpoints before it is abandoned.
+RELAY_SENDS = 2.0
+RELAY_SILENCE_MIN_S = 1.0
 # A connection within a region takes some ms, and one whose first packet is lost a
 # second: a longer wait would be a wait for that retransmission, and another endpoint
 # answers sooner.
@@ -99,5 +103,23 @@
     return AnswerTimeout(silence_s, may_give_up, silence_s)
 
 
+def relay_timeout(
+    route: Route, begun: bool, may_give_up: Callable[[], bool]
+) -> AnswerTimeout:
+    """Returns how long another gateway that serves a request may be silent.
+
+    That gateway gives up silent endpoints itself, and has the time for a second one.
+    """
+    if route.repeat is RepeatPolicy.NEVER:
+        return AnswerTimeout(None, _never)
+    ms = SILENCE_RATIO * route.target_ms
+    if begun:
+        if route.repeat is not RepeatPolicy.RESUME or not route.event_gap_max_ms:
+            return AnswerTimeout(None, _never)
+        ms = EVENT_SILENCE_RATIO * route.event_gap_max_ms
+    silence_s = max(RELAY_SILENCE_MIN_S, RELAY_SENDS * ms / 1000.0)
+    return AnswerTimeout(silence_s, may_give_up)
+
+
 def _never() -> bool:
     return False
--- a/ashlatch/gateway/traffic.py
+++ b/ashlatch/gateway/traffic.py
@@ -21,12 +21,15 @@
     """The kind of a message.
 
     `REQUEST` and `ANSWER` pass between a gateway and an endpoint, `SYNC_REQUEST` and
-    `SYNC_REPLY` between a gateway and a core VM. The others are datagrams, which are
-    counted where they are sent.
+    `SYNC_REPLY` between a gateway and a core VM, `RELAYED_REQUEST` and `RELAYED_ANSWER`
+    between a gateway and the one that serves a request for it. The others are
+    datagrams, which are counted where they are sent.
     """
 
     REQUEST = "request"
     ANSWER = "answer"
+    RELAYED_REQUEST = "relayed_request"
+    RELAYED_ANSWER = "relayed_answer"
     SYNC_REQUEST = "question"
     SYNC_REPLY = "news"
     PROMPT = "prompt"
@@ -39,6 +42,7 @@
     LEAVING = "leaving"
     BACKOFF = "backoff"
     DEMAND = "demand"
+    ISOLATION = "isolation"
 
 
 @dataclass(frozen=True)
--- a/ashlatch/gateway/updates.py
+++ b/ashlatch/gateway/updates.py
@@ -24,6 +24,7 @@
     "EndpointUpdate",
     "EndpointRefuses",
     "EndpointReplaced",
+    "GatewayIsolation",
     "BackoffRequested",
     "HallUpdate",
     "RateLimitChanged",
@@ -196,6 +197,18 @@
     relay_to_hall: bool = False
 
 
+class GatewayIsolation(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """A gateway can reach no endpoint, or can reach them again.
+
+    `gateway` is its address. With `relay_to_hall`, the receiver forwards the update to
+    the other gateways of its hall.
+    """
+
+    gateway: str
+    isolated: bool
+    relay_to_hall: bool = False
+
+
 # Updates about one endpoint.
 EndpointUpdate = (
     PromptSent
@@ -213,6 +226,7 @@
     | SessionActive
     | CrashRecordUpdate
     | OrganisationDemand
+    | GatewayIsolation
 )
 # Updates that are sent hall by hall, through one relay in each other hall.
 HallUpdate = (
@@ -226,4 +240,5 @@
     | BackoffRequested
     | SessionActive
     | OrganisationDemand
+    | GatewayIsolation
 )
--- a/ashlatch/platform/headers.py
+++ b/ashlatch/platform/headers.py
@@ -30,10 +30,12 @@
 
 __all__ = [
     "MalformedRequest",
+    "caller_headers",
     "decode_answer",
     "decode_request",
     "endpoint_headers",
     "refusal_headers",
+    "refusal_reason",
 ]
 
 # Identifies the request, to the caller and to all endpoints that it is sent to.
@@ -62,6 +64,8 @@
 _LEAVING = b"server-leaving"
 _RETRY_AFTER = b"retry-after"
 _KEEP_ALIVE = b"keep-alive"
+# Why a gateway refuses a request itself.
+_REASON = b"x-ashlatch-reason"
 
 # Running requests, waiting requests, slots; no endpoint needs more than 7 digits.
 _LOAD_FIGURES = re.compile(
@@ -186,6 +190,39 @@
     return headers
 
 
+def caller_headers(request: CallerRequest, model: str, resume_after: str) -> Headers:
+    """Returns the headers with which a caller's request is sent to another gateway.
+
+    `model` and `resume_after` replace those of the caller, if set.
+    """
+    replaced = {_MODEL} if model else set()
+    if resume_after:
+        replaced.add(_LAST_EVENT)
+    headers = [
+        pair for pair in request.forwarded_headers if pair[0].lower() not in replaced
+    ]
+    if model:
+        headers.append((b"X-Model", model.encode()))
+    if resume_after:
+        headers.append((b"Last-Event-Id", resume_after.encode()))
+    if request.key:
+        headers.append((b"Authorization", b"Bearer " + request.key.encode("latin-1")))
+    if request.timeout_ms is not None:
+        headers.append((b"X-Deadline-Ms", f"{request.timeout_ms:.3f}".encode()))
+    if request.body or request.method not in ("GET", "HEAD", "DELETE"):
+        headers.append((b"Content-Length", str(len(request.body)).encode()))
+    return headers
+
+
+def refusal_reason(head: AnswerHead) -> RefusalReason | None:
+    """Returns why another gateway refused a request; None for an endpoint's answer."""
+    if head.sealed:
+        return None
+    texts = [value for name, value in head.headers if name.lower() == _REASON]
+    by_value = {reason.value.encode(): reason for reason in RefusalReason}
+    return by_value.get(texts[0]) if texts else None
+
+
 def decode_answer(response: h11.Response) -> AnswerHead:
     """Decodes the head of an endpoint's answer."""
     raw = response.headers.raw_items()
--- a/ashlatch/settings.py
+++ b/ashlatch/settings.py
@@ -239,6 +239,16 @@
     window_s: PositiveFloat = 10.0
 
 
+class RelaySettings(Settings, frozen=True):
+    """Limits on the requests that a gateway serves for others without endpoints.
+
+    With `enabled` unset, it serves none, and has none of its own served by others.
+    """
+
+    enabled: bool = True
+    requests_max: PositiveInt = 256
+
+
 class GatewaySettings(VmSettings, frozen=True, kw_only=True):
     """Settings of `ashlatch-gateway`.
 
@@ -258,6 +268,7 @@
     endpoint_policy: str = "hall_affinity"
     admission: Literal["off", "on", "auto"] = "auto"
     contracts: tuple[str, ...] = ()
+    relay: RelaySettings = RelaySettings()
 
 
 def load(path: Path, kind: type[S]) -> S:
--- a/tests/partitioned.py
+++ b/tests/partitioned.py
@@ -120,12 +120,16 @@
 class PartitionedFleet(Fleet):
     """Core VMs, gateways and endpoints; each of three endpoints serves two services.
 
+    Half of the gateways are in a hall of their own, without endpoints (`hall`).
+
     `runs` counts, by id, the runs of requests that may run only once.
     """
 
-    def __init__(self, gateways: int = 3, cores: int = 5) -> None:
+    def __init__(self, gateways: int = 4, cores: int = 5) -> None:
         super().__init__(cores=cores)
         self.gateways = [f"{self.net}.{100 + n}" for n in range(gateways)]
+        self.hall = self.gateways[: gateways // 2]
+        self.halls = dict.fromkeys(self.hall, "hall-2")
         self.runs: dict[str, int] = {}
         self.endpoints: list[StubServer] = []
         self.platform.instances.clear()
--- a/tests/test_isolated_gateways.py
+++ b/tests/test_isolated_gateways.py
@@ -15,7 +15,7 @@
 
 
 class IsolatedGatewayTest(testtools.TestCase):
-    """Three gateways, of which one or two lose their links to the endpoints."""
+    """Four gateways, of which one, or a hall, loses its links to the endpoints."""
 
     def setUp(self) -> None:
         super().setUp()
@@ -53,17 +53,13 @@
         self.assertEqual({}, failed)
 
     def test_callers_are_served_while_connections_are_refused(self) -> None:
-        self.assertEqual(
-            ({}, {}), self.play(self.fleet.gateways[:2], "refused", "reset")
-        )
+        self.assertEqual(({}, {}), self.play(self.fleet.hall, "refused", "reset"))
 
     def test_callers_are_served_while_connections_hang(self) -> None:
         self.assertEqual(({}, {}), self.play(self.fleet.gateways[:1], "hang", "hang"))
 
     def test_callers_are_served_while_open_connections_live_on(self) -> None:
-        self.assertEqual(
-            ({}, {}), self.play(self.fleet.gateways[:1], "refused", "live")
-        )
+        self.assertEqual(({}, {}), self.play(self.fleet.hall, "refused", "live"))
 
     def test_a_partition_is_not_held_against_endpoints(self) -> None:
         isolated = self.fleet.gateways[0]
--- a/tests/test_timeouts.py
+++ b/tests/test_timeouts.py
@@ -10,6 +10,7 @@
 import testtools
 
 from ashlatch.catalog import Endpoint, EndpointList, Route
+from ashlatch.gateway.links import PROBE_TIMEOUT_S
 from ashlatch.gateway.routing import RouteTable
 from ashlatch.gateway.timeouts import connect_timeout_s
 from ashlatch.http.upstream import CONNECT_TIMED_OUT, ConnectFailed, Upstream
@@ -67,4 +68,6 @@
             self.assertTrue(loop.time() - begun_s < 0.3)
 
         self.run_gateway([worker], work)
-        self.assertEqual([0.162], timeouts_s)
+        # The probes that find out whether other endpoints can be reached are no sends.
+        sends_s = [s for s in timeouts_s if s != PROBE_TIMEOUT_S]
+        self.assertEqual([0.162], sends_s)
