Isolation: a lost link is not held against endpoints or requests

Cause: a refused connection was taken for the end of the endpoint's process without regard to whether any other endpoint could be reached.

Change: that an endpoint has ended is only believed, told to others and counted against requests once it is known that some endpoint can be reached from here, or none by anyone (EndpointLinks.confirm_reachable). Until then only its breaker is opened. The same for endpoints whose VM takes no connection (gateway/liveness.py).

--- a/ashlatch/gateway/crash_detector.py
+++ b/ashlatch/gateway/crash_detector.py
@@ -49,17 +49,28 @@
 def record_refusal(
     context: GatewayContext, state: EndpointState, now_ms: float
 ) -> None:
-    """Excludes an endpoint that refuses connections, and broadcasts that.
+    """Excludes an endpoint that refused a connection, and finds out why it did."""
+    state.suspect_refusal(now_ms)
+    context.run_in_background(confirm_refusal(context, state))
 
-    Otherwise each gateway would find that out on its own, one request after another: an
-    endpoint that has crashed has no load, so it is tried before those that have.
+
+async def confirm_refusal(context: GatewayContext, state: EndpointState) -> bool:
+    """Checks whether a refused connection means that an endpoint's process has ended.
+
+    If so, the endpoint is excluded here and at the other gateways. Otherwise each
+    gateway would find that out on its own, one request after another: an endpoint that
+    has crashed has no load, so it is tried before those that have.
     """
+    if not await context.links.confirm_reachable():
+        return False
+    now_ms = asyncio.get_running_loop().time() * 1000.0
     if state.record_refusal(now_ms):
         endpoint = state.endpoint
         event = EndpointNotListening(endpoint.instance, endpoint.service)
         emit(log, event, logging.WARNING)
         context.forget_instance(endpoint.instance)
         context.broadcast(EndpointRefuses(endpoint.instance))
+    return True
 
 
 def apply_peer_crashes(
@@ -123,8 +134,7 @@
         except ConnectFailed as failure:
             if failure.reason != CONNECT_REFUSED:
                 return False
-            record_refusal(self._context, state, self._now_ms())
-            return True
+            return await confirm_refusal(self._context, state)
         connection.abort()
         return False
 
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -164,7 +164,11 @@
         self.context.metrics.register_callback("configuration_version", self._version)
         metrics_port = self.settings.metrics_port
         await serve_metrics(self.context.metrics, self.settings.host, metrics_port)
-        prober = LivenessProber(self.context.directory, self.context.links.connect)
+        prober = LivenessProber(
+            self.context.directory,
+            self.context.links.connect,
+            self.context.links.confirm_reachable,
+        )
         tasks = (
             self._sync.run(),
             self._sync.report_urgent(),
--- a/ashlatch/gateway/liveness.py
+++ b/ashlatch/gateway/liveness.py
@@ -13,6 +13,7 @@
 
 import asyncio
 import logging
+from collections.abc import Awaitable, Callable
 
 from ashlatch.gateway.directory import Directory, EndpointState
 from ashlatch.gateway.links import Connect
@@ -36,14 +37,27 @@
 PROBE_INTERVAL_MS = 1000.0
 
 
+async def _always_reachable() -> bool:
+    """Blames every endpoint that cannot be connected to."""
+    return True
+
+
 class LivenessProber:
-    """Probes the silent endpoints of a directory; `run` never ends."""
+    """Probes the silent endpoints of a directory; `run` never ends.
+
+    `confirm_reachable` checks whether other endpoints can be reached, so that an
+    endpoint without an answer is to blame for that itself.
+    """
 
     def __init__(
-        self, directory: Directory, connect: Connect = Upstream.connect
+        self,
+        directory: Directory,
+        connect: Connect = Upstream.connect,
+        confirm_reachable: Callable[[], Awaitable[bool]] = _always_reachable,
     ) -> None:
         self._directory = directory
         self._connect = connect
+        self._confirm_reachable = confirm_reachable
         self._loop = asyncio.get_running_loop()
         self._probed_ms: dict[str, float] = {}
 
@@ -92,7 +106,10 @@
             len(state.pending_timeouts),
         )
         emit(log, gone, logging.WARNING)
-        state.mark_gone(self._now_ms(), self._loop.time())
+        if await self._confirm_reachable():
+            state.mark_gone(self._now_ms(), self._loop.time())
+        else:
+            state.abandon_waits(self._loop.time())
 
     async def _reachable(self, address: str) -> bool:
         """Checks whether the VM at an address accepts or refuses a connection."""
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -124,6 +124,7 @@
                 4000, context.prefix_caches.cached_tokens("i-0", "small", PARTS)
             )
             end(context, state)
+            await asyncio.sleep(0.01)
             self.assertEqual(
                 0, context.prefix_caches.cached_tokens("i-0", "small", PARTS)
             )
