Brittle endpoints: rejections by all gateways together stay below what they tolerate

What callers would see: an endpoint that announces Server-Brittle: N falls over when it has to reject more than N requests in a second; gateways did not read the header, and a request that one endpoint rejects goes to the next.

Change: the number and each rejection are told to all gateways. After half of the tolerated rejections within the last second an endpoint is closed at all of them until the second is over; while its reports say that all slots are in use it gets nothing either. Where none is open, callers are refused at once with the time (endpoints_full). The same question as for backoffs and limits answers it (EndpointState.permission), for all kinds of sends.

--- a/ashlatch/explain/process_state.py
+++ b/ashlatch/explain/process_state.py
@@ -52,6 +52,8 @@
     "endpoint_limited": ("rate limit", "instance"),
     "endpoint_backoff": ("backoff", "instance"),
     "endpoint_sheds_elsewhere": ("backoff of another gateway", "instance"),
+    "endpoint_brittle": ("brittle endpoint", "instance"),
+    "brittle_endpoint_closed": ("closed brittle endpoint", "instance"),
     "endpoint_leaves": ("leaving endpoint", "instance"),
     "room_changed": ("capacity", "service"),
     "content_held": ("quarantined fingerprint", "content"),
--- a/ashlatch/gateway/chooser.py
+++ b/ashlatch/gateway/chooser.py
@@ -35,6 +35,7 @@
 _REFUSAL_REASONS = {
     DenialReason.BACKOFF: RefusalReason.ENDPOINTS_BACKOFF,
     DenialReason.LIMITED: RefusalReason.ENDPOINTS_LIMITED,
+    DenialReason.BRITTLE: RefusalReason.ENDPOINTS_FULL,
 }
 
 
--- a/ashlatch/gateway/directory.py
+++ b/ashlatch/gateway/directory.py
@@ -19,6 +19,7 @@
 from ashlatch.gateway.message import LoadFigures
 from ashlatch.policy.backoff import Backoff
 from ashlatch.policy.breaker import Breaker
+from ashlatch.policy.brittleness import Brittleness
 from ashlatch.policy.load import EndpointLoad, LoadReport
 from ashlatch.policy.load_advertisement import DurationAdvertisement, LoadAdvertisement
 from ashlatch.policy.permission import (
@@ -98,6 +99,7 @@
     evacuated: bool = False
     last_sent_ms: float = float("-inf")
     limit: RateLimit = field(default_factory=RateLimit)
+    brittleness: Brittleness = field(default_factory=Brittleness)
     backoff: Backoff = field(default_factory=Backoff)
     announced_leaving: bool = False
     speed: HostSpeed = field(default_factory=HostSpeed)
@@ -147,17 +149,30 @@
         if self.evacuated:
             return _EVACUATED
         replaced_ms = self.replaced_ms + REPLACED_MS - now_ms
-        if replaced_ms <= 0.0 and now_ms >= self.backoff.until_ms:
+        brittle_ms = self._brittle_ms(now_ms)
+        waits = max(replaced_ms, brittle_ms) > 0.0
+        if not waits and now_ms >= self.backoff.until_ms:
             return ALLOWED
         backoff_ms = self.backoff.wait_ms(now_ms)
         return combine(
-            [(DenialReason.REPLACED, replaced_ms), (DenialReason.BACKOFF, backoff_ms)]
+            [
+                (DenialReason.REPLACED, replaced_ms),
+                (DenialReason.BACKOFF, backoff_ms),
+                (DenialReason.BRITTLE, brittle_ms),
+            ]
         )
 
+    def _brittle_ms(self, now_ms: float) -> float:
+        if self.brittleness.rejections_max is None:
+            return 0.0
+        full = self.requests(now_ms) >= self.endpoint.slots
+        return self.brittleness.wait_ms(full, now_ms)
+
     def has_restriction(self, now_ms: float) -> bool:
         """Checks whether it has asked in an answer for fewer requests, or none."""
         backs_off = self.backoff.wait_ms(now_ms) > 0.0
-        return self.announced_leaving or backs_off or self.limit.limited
+        restricted = backs_off or self.limit.limited or self.brittleness.active(now_ms)
+        return self.announced_leaving or restricted
 
     def record_sent(self, now_ms: float) -> None:
         """Records that a request is sent there."""
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -26,6 +26,8 @@
     "CrashRecorded",
     "DocumentUnreadable",
     "EndpointBackoff",
+    "BrittleEndpointClosed",
+    "EndpointBrittleness",
     "EndpointGone",
     "EndpointLinksFailing",
     "EndpointLinksRestored",
@@ -275,6 +277,30 @@
     failing: float
 
 
+@dataclass(frozen=True)
+class EndpointBrittleness(LogEvent):
+    """An endpoint announced how many rejections in a second it tolerates; -1 its end.
+
+    `teller` is the request whose answer said so, or the gateway.
+    """
+
+    event: ClassVar[str] = "endpoint_brittle"
+    instance: str
+    service: str
+    rejections_max: int
+    teller: str
+
+
+@dataclass(frozen=True)
+class BrittleEndpointClosed(LogEvent):
+    """A brittle endpoint has rejected several requests and gets none for some time."""
+
+    event: ClassVar[str] = "brittle_endpoint_closed"
+    instance: str
+    service: str
+    wait_ms: int
+
+
 @dataclass(frozen=True)
 class EndpointLinksFailing(LogEvent):
     """One more endpoint cannot be connected to, and none could in between.
--- a/ashlatch/gateway/message.py
+++ b/ashlatch/gateway/message.py
@@ -130,6 +130,8 @@
     together: infinite if it announces no limit, None if the limit is not readable.
     `backoff_ms` is for how long it wants no requests from this gateway, 0 if it does
     not say so. `leaving` is set if it announces that it is about to stop.
+    `rejections_max` is how many requests it can reject in a second without falling
+    over, None if it announces no such number.
     """
 
     status: int
@@ -145,3 +147,4 @@
     limit_per_s: float | None = NO_LIMIT
     backoff_ms: float = 0.0
     leaving: bool = False
+    rejections_max: int | None = None
--- a/ashlatch/gateway/notices.py
+++ b/ashlatch/gateway/notices.py
@@ -3,7 +3,8 @@
 ~~~~~~~~~~~~~~~~~~~~~~~~
 
 Notices that endpoints put into their answers: a request for a backoff by this gateway,
-or the announcement that the endpoint is about to stop.
+or the announcement that the endpoint is about to stop, or that it would fall over if it
+had to reject many requests.
 
 :copyright: Copyright 2026 by the ashlatch maintainers.
 :license: MIT, see LICENSE for details.
@@ -13,12 +14,21 @@
 
 from ashlatch.gateway.context import GatewayContext
 from ashlatch.gateway.directory import EndpointState
-from ashlatch.gateway.logs import EndpointBackoff, EndpointLeavingAnnounced
+from ashlatch.gateway.logs import (
+    BrittleEndpointClosed,
+    EndpointBackoff,
+    EndpointBrittleness,
+    EndpointLeavingAnnounced,
+)
 from ashlatch.gateway.message import AnswerHead
-from ashlatch.gateway.updates import BackoffRequested, EndpointLeaving
+from ashlatch.gateway.updates import (
+    BackoffRequested,
+    EndpointBrittle,
+    EndpointLeaving,
+)
 from ashlatch.log import emit
 
-__all__ = ["apply_notice", "mark_leaving"]
+__all__ = ["apply_notice", "mark_leaving", "record_brittleness", "record_rejection"]
 
 
 log = logging.getLogger("ashlatch.gateway")
@@ -36,10 +46,61 @@
         _apply_backoff(context, state, head, now_ms)
     else:
         state.backoff.record_accepted(sent_ms)
+    _apply_brittleness(context, state, head, now_ms)
     if head.leaving and mark_leaving(context, state, head.request_id):
         context.broadcast(EndpointLeaving(state.endpoint.instance))
 
 
+def _apply_brittleness(
+    context: GatewayContext, state: EndpointState, head: AnswerHead, now_ms: float
+) -> None:
+    brittleness = state.brittleness
+    if head.rejections_max is None and brittleness.rejections_max is None:
+        return
+    announced = head.rejections_max
+    changed = record_brittleness(context, state, announced, head.request_id, now_ms)
+    rejected = announced is not None and head.not_run and not head.misdirected
+    if rejected:
+        record_rejection(context, state, now_ms)
+    if changed or rejected or brittleness.is_new(now_ms):
+        brittleness.broadcast_ms = now_ms
+        number = -1 if announced is None else announced
+        context.broadcast(EndpointBrittle(state.endpoint.instance, number, rejected))
+
+
+def record_brittleness(
+    context: GatewayContext,
+    state: EndpointState,
+    rejections_max: int | None,
+    source: str,
+    now_ms: float,
+) -> bool:
+    """Records how many rejections an endpoint tolerates; returns whether that is new.
+
+    None ends it. `source` is the request or the gateway that it is known from.
+    """
+    if not state.brittleness.record_announced(rejections_max, now_ms):
+        return False
+    endpoint = state.endpoint
+    number = -1 if rejections_max is None else rejections_max
+    event = EndpointBrittleness(endpoint.instance, endpoint.service, number, source)
+    emit(log, event)
+    return True
+
+
+def record_rejection(
+    context: GatewayContext, state: EndpointState, now_ms: float
+) -> None:
+    """Records a rejection by a brittle endpoint, here or at another gateway."""
+    draw = context.generator.random()
+    if not state.brittleness.record_rejection(draw, now_ms):
+        return
+    context.metrics.count("brittle_closed")
+    endpoint = state.endpoint
+    wait_ms = int(state.brittleness.wait_ms(False, now_ms))
+    emit(log, BrittleEndpointClosed(endpoint.instance, endpoint.service, wait_ms))
+
+
 def mark_leaving(context: GatewayContext, state: EndpointState, source: str) -> bool:
     """Records that an endpoint is about to stop; returns whether that is new here.
 
--- a/ashlatch/gateway/peer_updates.py
+++ b/ashlatch/gateway/peer_updates.py
@@ -21,10 +21,15 @@
     EndpointNotListening,
 )
 from ashlatch.gateway.message import LoadFigures
-from ashlatch.gateway.notices import mark_leaving
+from ashlatch.gateway.notices import (
+    mark_leaving,
+    record_brittleness,
+    record_rejection,
+)
 from ashlatch.gateway.updates import (
     BackoffRequested,
     CrashRecordUpdate,
+    EndpointBrittle,
     EndpointLeaving,
     EndpointRefuses,
     EndpointReplaced,
@@ -138,6 +143,22 @@
     )
 
 
+@PEER_HANDLERS.on(EndpointBrittle)
+def _endpoint_brittle(
+    context: GatewayContext, update: EndpointBrittle, sender: Sender
+) -> None:
+    state = context.directory.state(update.instance)
+    if state is None:
+        return
+    rejections_max = update.rejections_max if update.rejections_max >= 0 else None
+    record_brittleness(
+        context, state, rejections_max, sender.address, sender.received_ms
+    )
+    state.brittleness.broadcast_ms = sender.received_ms
+    if update.rejected:
+        record_rejection(context, state, sender.received_ms)
+
+
 @PEER_HANDLERS.on(RateLimitChanged)
 def _rate_limit_changed(
     context: GatewayContext, update: RateLimitChanged, sender: Sender
--- a/ashlatch/gateway/peers.py
+++ b/ashlatch/gateway/peers.py
@@ -32,6 +32,7 @@
 from ashlatch.gateway.updates import (
     BackoffRequested,
     CrashRecordUpdate,
+    EndpointBrittle,
     EndpointLeaving,
     EndpointRefuses,
     EndpointReplaced,
@@ -69,6 +70,7 @@
     SessionActive: TrafficKind.SESSION,
     OrganisationDemand: TrafficKind.DEMAND,
     GatewayIsolation: TrafficKind.ISOLATION,
+    EndpointBrittle: TrafficKind.BRITTLE,
 }
 # Updates that every gateway receives.
 _FOR_ALL = (
@@ -81,6 +83,7 @@
     | SessionActive
     | OrganisationDemand
     | GatewayIsolation
+    | EndpointBrittle
 )
 
 
--- a/ashlatch/gateway/retry_time.py
+++ b/ashlatch/gateway/retry_time.py
@@ -30,7 +30,9 @@
 # when the answer to the previous one is known.
 BACKOFF_STEP_MS = 20.0
 # The reasons that end on their own, at a time that is known here.
-_TIMED_REASONS = frozenset({DenialReason.BACKOFF, DenialReason.LIMITED})
+_TIMED_REASONS = frozenset(
+    {DenialReason.BACKOFF, DenialReason.LIMITED, DenialReason.BRITTLE}
+)
 
 
 @dataclass(frozen=True)
--- a/ashlatch/gateway/traffic.py
+++ b/ashlatch/gateway/traffic.py
@@ -43,6 +43,7 @@
     BACKOFF = "backoff"
     DEMAND = "demand"
     ISOLATION = "isolation"
+    BRITTLE = "brittle"
 
 
 @dataclass(frozen=True)
--- a/ashlatch/gateway/updates.py
+++ b/ashlatch/gateway/updates.py
@@ -20,6 +20,7 @@
     "ORGANISATIONS_SENT_MAX",
     "WEIGHT_SUM_MAX",
     "CrashRecordUpdate",
+    "EndpointBrittle",
     "EndpointLeaving",
     "EndpointUpdate",
     "EndpointRefuses",
@@ -163,6 +164,19 @@
     relay_to_hall: bool = False
 
 
+class EndpointBrittle(msgspec.Struct, frozen=True, array_like=True, tag=14):
+    """An endpoint tolerates so many rejections in a second; -1 for any number.
+
+    `rejected` is set if it has just rejected a request. With `relay_to_hall`, the
+    receiver forwards the update to the other gateways of its hall.
+    """
+
+    instance: str
+    rejections_max: Annotated[int, msgspec.Meta(ge=-1, le=2**31)]
+    rejected: bool
+    relay_to_hall: bool = False
+
+
 class SessionActive(msgspec.Struct, frozen=True, array_like=True, tag=11):
     """A session runs on the previous version while a new one's trial is pending.
 
@@ -219,6 +233,7 @@
     | RateLimitedSend
     | EndpointLeaving
     | BackoffRequested
+    | EndpointBrittle
 )
 PeerUpdate = (
     EndpointUpdate
@@ -238,6 +253,7 @@
     | RateLimitedSend
     | EndpointLeaving
     | BackoffRequested
+    | EndpointBrittle
     | SessionActive
     | OrganisationDemand
     | GatewayIsolation
--- a/ashlatch/platform/headers.py
+++ b/ashlatch/platform/headers.py
@@ -62,6 +62,8 @@
 _RATE_LIMIT = b"server-limit"
 # Set to 1 in the answers of an endpoint that is about to stop.
 _LEAVING = b"server-leaving"
+# How many requests an endpoint can reject in a second without falling over.
+_BRITTLE = b"server-brittle"
 _RETRY_AFTER = b"retry-after"
 _KEEP_ALIVE = b"keep-alive"
 # Why a gateway refuses a request itself.
@@ -74,6 +76,8 @@
 # The fourth load figure is the duration of work as a percentage of the usual one.
 # Values outside this range are ignored: no host is that much faster or slower.
 _DURATION_PERCENT_RANGE = (10.0, 10_000.0)
+# More requests than any endpoint rejects in a second.
+_REJECTIONS_MAX = 1_000_000.0
 # More tokens than any prompt has.
 _TOKENS_MAX = 1_000_000_000
 
@@ -242,6 +246,7 @@
         _limit_per_s(by_name),
         _backoff_ms(status, by_name),
         "1" in _all_values(by_name, _LEAVING),
+        _rejections_max(by_name),
     )
 
 
@@ -359,6 +364,15 @@
     return parse_retry_after_ms(_all_values(by_name, _RETRY_AFTER))
 
 
+def _rejections_max(by_name: dict[bytes, list[bytes]]) -> int | None:
+    """Returns the announced number, the lowest of several, 0 if none is readable."""
+    if _BRITTLE not in by_name:
+        return None
+    numbers = [_number(value) for value in _all_values(by_name, _BRITTLE)]
+    readable = [n for n in numbers if n is not None and 0.0 <= n <= _REJECTIONS_MAX]
+    return int(min(readable, default=0.0))
+
+
 def _idle_s(text: str) -> float | None:
     for item in text.split(","):
         name, _, value = item.strip().partition("=")
--- a/ashlatch/policy/permission.py
+++ b/ashlatch/policy/permission.py
@@ -22,7 +22,8 @@
     `LEAVING`: it is about to end. `EVACUATED`: its hall is evacuated. `REPLACED`:
     another endpoint was found at its address. `BACKOFF`: it has asked this process for
     a backoff. `LIMITED`: its rate limit is used up. `COLD`: it has just started, and
-    other processes send to it, or this one has just done so.
+    other processes send to it, or this one has just done so. `BRITTLE`: it would fall
+    over if it had to reject more requests.
     """
 
     LEAVING = "leaving"
@@ -31,6 +32,7 @@
     BACKOFF = "backoff"
     LIMITED = "limited"
     COLD = "cold"
+    BRITTLE = "brittle"
 
 
 @dataclass(frozen=True)
--- a/tests/partitioned.py
+++ b/tests/partitioned.py
@@ -25,6 +25,7 @@
 EVENTS = 5
 ANSWER_S = 0.02
 SERVICES = ("app", "chat")
+KINDS = ("get", "once", "stream")
 
 
 @dataclass(frozen=True)
@@ -45,6 +46,7 @@
     Half of them keep their connection open, the others open a new one each time.
     """
 
+    kinds: tuple[str, ...] = KINDS
     tries: list[FirstTry] = field(default_factory=list)
     _ended: threading.Event = field(default_factory=threading.Event)
     _threads: list[threading.Thread] = field(default_factory=list)
@@ -69,7 +71,7 @@
         while not self._ended.is_set():
             if connection is None:
                 connection = http.client.HTTPConnection(host, FRONT_PORT, timeout=4.0)
-            kind = generator.choice(("get", "once", "stream"))
+            kind = generator.choice(self.kinds)
             tried = self._send(connection, host, f"/{kind}/1", generator)
             self.tries.append(tried)
             if not keeps or tried.status == 0:
@@ -212,9 +214,9 @@
         return time.monotonic()
 
     @contextmanager
-    def callers(self) -> Iterator[Callers]:
-        """Runs callers at every gateway."""
-        callers = Callers()
+    def callers(self, kinds: tuple[str, ...] = KINDS) -> Iterator[Callers]:
+        """Runs callers at every gateway, with requests of some kinds."""
+        callers = Callers(kinds)
         for host in self.gateways:
             callers.start(host)
         try:
