Soak: partitions of real gateways with suspensions, kills, restarts and changes

tests/partition_soak.py plays them in series and overlapping, with callers that keep their connections open; bounds are the users'.

--- a/tests/partitioned.py
+++ b/tests/partitioned.py
@@ -168,25 +168,24 @@
     def begin(self) -> None:
         """Starts everything and waits until the gateways are ready."""
         self.bootstrap()
+        self.configure(1)
+        for host in self.gateways:
+            self.start_partitioned(host)
+        for host in self.gateways:
+            wait_for(lambda host=host: self.is_ready(host), f"{host} ready")  # type: ignore[misc]
+
+    def configure(self, version: int) -> None:
+        """Sends a configuration with both services until it is acknowledged."""
         document = stub_server.document()
-        services = [{**document["services"][0], "name": "app"}]
-        services.append(stub_server.engine_service("chat"))
+        services = [document["services"][0], stub_server.engine_service("chat")]
         routes = [
             {**r, "service": "chat" if r["name"] == "stream" else "app"}
             for r in document["routes"]
         ]
-        self.wait_replaced(services, routes)
-        for host in self.gateways:
-            self.start_partitioned(host)
-        for host in self.gateways:
-            wait_for(lambda host=host: self.is_ready(host), f"{host} ready")  # type: ignore[misc]
 
-    def wait_replaced(
-        self, services: list[dict[str, object]], routes: list[dict[str, object]]
-    ) -> None:
         def accepted() -> bool:
             statuses = (
-                self.replace(host, 1, services=services, routes=routes)
+                self.replace(host, version, services=services, routes=routes)
                 for host in self.hosts
             )
             return any(status == 200 for status in statuses)
--- a/tests/test_isolated_gateways.py
+++ b/tests/test_isolated_gateways.py
@@ -7,6 +7,7 @@
 
 import testtools
 
+from tests.partition_soak import Run
 from tests.partitioned import Callers, PartitionedFleet
 
 # The users' bound for the time until a partition is known.
@@ -72,3 +73,9 @@
         for event in ("endpoint_not_listening", "crash_noted"):
             found = [line for line in lines if f"event={event} " in line]
             self.assertEqual([], found)
+
+
+class PartitionSoakTest(testtools.TestCase):
+    def test_a_short_run(self) -> None:
+        run = Run(seed=3)
+        self.assertEqual([], run.play(), "\n".join(run.story))
