Keepalive: a caller that pauses does not lose its answer

What callers would see: an answer of 12 MB to a caller that reads nothing for 5 s was reset after 3 s. The same caller who pauses for 2 s got all of it.

Cause: TCP_USER_TIMEOUT (3 s) also counts while the peer acknowledges and its window is closed, and it decides when keepalive probes give up, whatever their count. It was one value for callers and endpoints. With 30 s in its place the test passed, so nothing else cuts.

Change: 15 s on connections of callers, as idle connections are kept; 3 s towards endpoints, where a hung connection has to be noticed.

Evidence: test_a_caller_that_pauses_gets_its_whole_answer failed before.

--- a/ashlatch/http/connection.py
+++ b/ashlatch/http/connection.py
@@ -17,7 +17,7 @@
 import h11
 
 from ashlatch.errors import AshlatchError
-from ashlatch.http.keepalive import keep_alive
+from ashlatch.http.keepalive import CALLER_UNACKNOWLEDGED_MAX_MS, keep_alive
 
 __all__ = [
     "CallerGone",
@@ -173,7 +173,7 @@
         """The connection is open."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        keep_alive(transport)
+        keep_alive(transport, CALLER_UNACKNOWLEDGED_MAX_MS)
         peer = transport.get_extra_info("peername")
         self._peer = f"{peer[0]}:{peer[1]}" if peer else ""
         self._listener.connections.add(self)
--- a/ashlatch/http/keepalive.py
+++ b/ashlatch/http/keepalive.py
@@ -12,19 +12,28 @@
 import asyncio
 import socket
 
-__all__ = ["keep_alive"]
+__all__ = ["CALLER_UNACKNOWLEDGED_MAX_MS", "keep_alive"]
 
-# Keepalive probes on an idle connection: a lost peer is detected after
-# KEEPALIVE_IDLE_S + KEEPALIVE_PROBES * KEEPALIVE_INTERVAL_S seconds.
+# Keepalive probes on an idle connection.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 # The connection is closed if sent data is not acknowledged within this time.
 UNACKNOWLEDGED_MAX_MS = 3000
+# The same for callers. The time also runs while a caller acknowledges data but does not
+# read it, so it must be longer than callers may pause.
+CALLER_UNACKNOWLEDGED_MAX_MS = 15_000
 
 
-def keep_alive(transport: asyncio.BaseTransport) -> None:
-    """Enables keepalive, so that the kernel closes connections to lost peers."""
+def keep_alive(
+    transport: asyncio.BaseTransport,
+    unacknowledged_max_ms: int = UNACKNOWLEDGED_MAX_MS,
+) -> None:
+    """Enables keepalive, so that the kernel closes connections to lost peers.
+
+    `unacknowledged_max_ms` also decides when unanswered keepalive probes close an idle
+    connection, whatever their number.
+    """
     sock = transport.get_extra_info("socket")
     if sock is None:
         return
@@ -33,4 +42,4 @@
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MAX_MS)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, unacknowledged_max_ms)
