Relay: what may not be repeated is not run here after it may have run elsewhere

Cause: after a relay that broke off, a request that may not be repeated took the same way as one that no other gateway had taken: while open connections still work, it was sent to an endpoint from here.

Change: the outcome of a relay says which of the two it is.

Evidence: test_a_request_that_may_have_run_elsewhere_is_not_run_here: the order ran at the endpoint too and was answered 200 before; 502 and no run here since. With it: an age that is not known is logged as -1.

--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -34,7 +34,7 @@
 from ashlatch.gateway.forwarding import AnswerForwarder, CompleteAnswer
 from ashlatch.gateway.message import AnswerHead, Dispatch, RefusalReason
 from ashlatch.gateway.relay import Relay
-from ashlatch.gateway.relay_exchange import RelayExchange
+from ashlatch.gateway.relay_exchange import RelayExchange, RelayOutcome
 from ashlatch.gateway.request_record import RequestRecord
 from ashlatch.gateway.timeouts import (
     AnswerTimeout,
@@ -125,9 +125,10 @@
             if refusal is not None:
                 return refusal
             if links.isolated:
-                if await self._serve_by_relay():
+                outcome = await self._serve_by_relay()
+                if outcome is RelayOutcome.SERVED:
                     return None
-                if not links.open_connections_work:
+                if outcome is RelayOutcome.FAILED or not links.open_connections_work:
                     return self._isolation_refusal()
             self._count_request()
             choice = self._chooser.choose(self._model)
@@ -168,20 +169,22 @@
         if failure.detail == CONNECT_TIMED_OUT or self._record.unreachable > 1:
             await self._context.links.confirm_reachable()
 
-    async def _serve_by_relay(self) -> bool:
-        """Has other gateways serve the request; returns whether one did."""
+    async def _serve_by_relay(self) -> RelayOutcome:
+        """Has other gateways serve the request."""
         if self._admission.relay_terms is not None:
-            return False
+            return RelayOutcome.NOT_TAKEN
         while True:
             resumed = bool(self._forwarder.last_event)
             first = first_model(self._route, self._request)
             model = self._model if resumed or self._model != first else ""
             failure = await self._relay.run(model, self._counted, self._reserve_relay)
             if failure is None:
-                return True
-            self._may_have_run |= not failure.not_run
-            if failure.not_run or not self._may_repeat(failure):
-                return False
+                return RelayOutcome.SERVED
+            if failure.not_run:
+                return RelayOutcome.NOT_TAKEN
+            self._may_have_run = True
+            if not self._may_repeat(failure):
+                return RelayOutcome.FAILED
 
     def _isolation_refusal(self) -> Refused:
         if self._may_have_run:
--- a/ashlatch/gateway/links.py
+++ b/ashlatch/gateway/links.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections.abc import Awaitable, Callable, Sequence
 
@@ -169,7 +170,7 @@
         failed = self.reachability.failed_count
         was_unreached, was_isolated = self.unreached, self.isolated
         if failed >= FAILED_LOGGED_MIN or was_isolated:
-            since_ms = int(now_ms - self.reachability.failing_since_ms)
+            since_ms = _age_ms(self.reachability.failing_since_ms, now_ms)
             event = EndpointLinksRestored(address, failed, since_ms, was_isolated)
             emit(log, event)
         self.reachability.record_connected(now_ms)
@@ -260,7 +261,7 @@
             reachability.failed_count,
             len(self._directory),
             _age_ms(reachability.connected_ms, _now_ms()),
-            int(_now_ms() - since_ms),
+            _age_ms(since_ms, _now_ms()),
         )
         emit(log, event, logging.WARNING)
         self._metrics.count("isolations")
@@ -287,7 +288,7 @@
 
 def _age_ms(at_ms: float, now_ms: float) -> int:
     """Returns the age for a log line, -1 if there is none."""
-    return int(now_ms - at_ms) if at_ms > float("-inf") else -1
+    return int(now_ms - at_ms) if math.isfinite(at_ms) else -1
 
 
 def _now_ms() -> float:
--- a/ashlatch/gateway/relay_exchange.py
+++ b/ashlatch/gateway/relay_exchange.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import enum
 from collections.abc import Callable
 
 from ashlatch.catalog import GatewayVm, RepeatPolicy
@@ -24,12 +25,24 @@
 from ashlatch.http.connection import Responder
 from ashlatch.platform.headers import refusal_reason
 
-__all__ = ["RelayExchange"]
+__all__ = ["RelayExchange", "RelayOutcome"]
 
 # The number of gateways that one request is offered to.
 GATEWAYS_MAX = 4
 
 
+class RelayOutcome(enum.Enum):
+    """What became of a request that other gateways should serve.
+
+    `NOT_TAKEN`: none of them has run it. `FAILED`: it may have run, and may not be sent
+    anywhere again.
+    """
+
+    SERVED = "served"
+    NOT_TAKEN = "not_taken"
+    FAILED = "failed"
+
+
 class RelayExchange:
     """Has one request served by other gateways."""
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -10,15 +10,24 @@
 
 from ashlatch.catalog import GatewayVm
 from ashlatch.clock import monotonic_s
+from ashlatch.gateway.admission import Refused, admit
+from ashlatch.gateway.exchange import Exchange
 from ashlatch.gateway.message import CallerRequest
+from ashlatch.gateway.relay import Relay
 from ashlatch.gateway.relay_server import RelayServer
 from ashlatch.gateway.relay_terms import RelayTerms, decode_terms, encode_terms
 from ashlatch.http.connection import HttpRequest, Responder
 from ashlatch.http.listener import HttpListener
 from ashlatch.platform.headers import caller_headers, decode_request
 from ashlatch.policy.relay import ISOLATED_MS, UNAVAILABLE_MS, RelayPeers
-from tests.gateway import GatewayHarness
-from tests.stub_server import StubServer, answer_with
+from tests.gateway import GatewayHarness, build_request
+from tests.stub_server import ReceivedRequest, StubServer, answer_with
+
+
+async def hang_up(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    writer.transport.abort()
+    raise ConnectionResetError
+
 
 LOCAL = GatewayVm("local:1", "north")
 NORTH = tuple(GatewayVm(f"north-{n}:1", "north") for n in range(3))
@@ -127,6 +136,43 @@
         self.assertEqual(("large", "7"), (again.model, again.resume_after))
 
 
+class RelayFailureTest(GatewayHarness):
+    """A gateway whose open connections work relays; the other one breaks off."""
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        admission = admit(self.context, decode_request(request))
+        assert not isinstance(admission, Refused)
+        await Exchange(self.context, admission, responder, self.relay).run()
+
+    def run_once(self, path: str) -> tuple[int, int, int]:
+        """Returns the status and the requests at the endpoint and the gateway."""
+        endpoint, gateway = StubServer([answer_with()]), StubServer([hang_up])
+        statuses: list[int] = []
+
+        async def work() -> None:
+            self.relay = Relay(self.context, LOCAL)
+            self.context.gateways = (LOCAL, GatewayVm(gateway.address, "south"))
+            await gateway.start()
+            now_ms = asyncio.get_running_loop().time() * 1000.0
+            reachability = self.context.links.reachability
+            reachability.record_failed("a:1", now_ms)
+            reachability.record_check(False, True, now_ms)
+            for state in self.context.directory.all():
+                state.record_progress(now_ms + 1.0)
+            self.context.gateways = (LOCAL, GatewayVm(gateway.address, "south"))
+            statuses.append((await self.call(build_request(path)))[0])
+            gateway.stop()
+
+        self.run_gateway([endpoint], work)
+        return statuses[0], len(endpoint.requests), len(gateway.requests)
+
+    def test_a_request_that_may_have_run_elsewhere_is_not_run_here(self) -> None:
+        self.assertEqual((502, 0, 1), self.run_once("/once/1"))
+
+    def test_a_request_that_may_be_repeated_is_served_here(self) -> None:
+        self.assertEqual((200, 1, 1), self.run_once("/get/1"))
+
+
 class RelayServerTest(GatewayHarness):
     """Requests of other gateways at one gateway; `served` holds the accepted ones."""
 
