Relay: a request waits for its configuration, and gateways that failed are the last resort

Cause: the others had the new version 90 ms later and refused as outdated; the isolated gateway left each of them out for 0.5 s and longer then, until none was left.

Change: a relayed request waits up to 0.5 s for the version under which it was admitted. Gateways that failed lately are asked if nobody else is left.

--- a/ashlatch/gateway/relay_server.py
+++ b/ashlatch/gateway/relay_server.py
@@ -29,6 +29,9 @@
 log = logging.getLogger("ashlatch.gateway")
 
 SECOND_MS = 1000.0
+# How long a request waits for the configuration under which it was admitted.
+CONFIGURATION_WAIT_S = 0.5
+POLL_S = 0.01
 
 # Serves an admitted request that may not be relayed again and was sent before.
 Serve = Callable[[CallerRequest, RelayTerms, Responder], Awaitable[None]]
@@ -55,6 +58,7 @@
         self._requests_max = requests_max
         self._requests = 0
         self._question: asyncio.Task[bool] | None = None
+        self._loop = asyncio.get_running_loop()
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answers one request of another gateway."""
@@ -74,7 +78,7 @@
         except MalformedRequest:
             refuse(responder, "", Refused(400, RefusalReason.MALFORMED))
             return
-        reason = self._unavailable_reason(terms)
+        reason = await self._unavailable_reason(terms)
         self._log(caller_request, terms, request.peer, reason)
         if reason:
             refused = Refused(503, RefusalReason.RELAY_UNAVAILABLE)
@@ -86,20 +90,26 @@
         finally:
             self._requests -= 1
 
-    def _unavailable_reason(self, terms: RelayTerms) -> str:
+    async def _unavailable_reason(self, terms: RelayTerms) -> str:
         """Returns why another gateway should serve a request, empty if this one does.
 
         A gateway with an older configuration would break what the caller has been shown
-        of the newer one.
+        of the newer one. It gets that within the time of a message from the core.
         """
-        table = self._context.table
-        if not self._available() or table is None:
+        ends_s = self._loop.time() + CONFIGURATION_WAIT_S
+        while self._is_outdated(terms) and self._loop.time() < ends_s:
+            await asyncio.sleep(POLL_S)
+        if not self._available():
             return "not_ready"
         if self._context.links.unreached:
             return "isolated"
         if self._requests >= self._requests_max:
             return "full"
-        return "outdated" if table.catalog.version < terms.configuration else ""
+        return "outdated" if self._is_outdated(terms) else ""
+
+    def _is_outdated(self, terms: RelayTerms) -> bool:
+        table = self._context.table
+        return table is None or table.catalog.version < terms.configuration
 
     async def _reaches_endpoints(self) -> bool:
         """Finds out whether an endpoint can be reached; once for several questions."""
--- a/ashlatch/policy/relay.py
+++ b/ashlatch/policy/relay.py
@@ -19,7 +19,7 @@
 
 # How long a gateway counts as isolated after it said so; it repeats that more often.
 ISOLATED_MS = 1500.0
-# How long a gateway that cannot be reached, or that refuses, is left out; doubled with
+# How long a gateway that cannot be reached, or that refuses, comes last; doubled with
 # each further failure in a row.
 UNAVAILABLE_MS = 500.0
 UNAVAILABLE_DOUBLED_MAX = 3
@@ -91,7 +91,7 @@
     ) -> list[GatewayVm]:
         """Returns the gateways that may serve a request, if enough only of the hall."""
         others = [g for g in gateways if g.address != local.address]
-        able = [g for g in others if self._able(g.address, now_ms)]
+        able = self._able(others, now_ms)
         untried = [g for g in able if g.address not in tried]
         in_hall = [g for g in others if g.hall == local.hall]
         able_in_hall = [g for g in able if g.hall == local.hall]
@@ -111,7 +111,7 @@
     ) -> list[GatewayVm]:
         """Returns some of the gateways that may serve, of as many halls as possible."""
         others = [g for g in gateways if g.address != local.address]
-        able = [g for g in others if self._able(g.address, now_ms)]
+        able = self._able(others, now_ms)
         generator.shuffle(able)
         counts: dict[str, int] = {}
         ranked = []
@@ -131,17 +131,42 @@
     ) -> GatewayVm | None:
         """Returns the gateway for a request, of two drawn ones that with fewer."""
         candidates = self.candidates(local, gateways, tried, now_ms)
+        if not candidates:
+            candidates = self._last_resort(local, gateways, tried, now_ms)
         if not candidates:
             return None
         drawn = generator.sample(candidates, min(2, len(candidates)))
         return min(drawn, key=lambda g: self._state(g.address).in_flight)
 
-    def _able(self, address: str, now_ms: float) -> bool:
+    def _last_resort(
+        self,
+        local: GatewayVm,
+        gateways: Sequence[GatewayVm],
+        tried: Collection[str],
+        now_ms: float,
+    ) -> list[GatewayVm]:
+        """Returns gateways that have failed lately, but are not isolated."""
+        untried = [
+            g for g in gateways if g.address != local.address and g.address not in tried
+        ]
+        return [g for g in untried if not self._isolated(g.address, now_ms)]
+
+    def _able(self, gateways: Sequence[GatewayVm], now_ms: float) -> list[GatewayVm]:
+        """Returns the gateways that neither are isolated nor have failed lately."""
+        return [
+            gateway
+            for gateway in gateways
+            if not self._isolated(gateway.address, now_ms)
+            and not self._failed_lately(gateway.address, now_ms)
+        ]
+
+    def _isolated(self, address: str, now_ms: float) -> bool:
+        state = self._states.get(address)
+        return state is not None and now_ms < state.isolated_until_ms
+
+    def _failed_lately(self, address: str, now_ms: float) -> bool:
         state = self._states.get(address)
-        if state is None:
-            return True
-        until_ms = max(state.isolated_until_ms, state.unavailable_until_ms)
-        return now_ms >= until_ms
+        return state is not None and now_ms < state.unavailable_until_ms
 
     def _state(self, address: str) -> _PeerState:
         return self._states.setdefault(address, _PeerState())
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -16,12 +16,20 @@
 from ashlatch.gateway.relay import Relay
 from ashlatch.gateway.relay_server import RelayServer
 from ashlatch.gateway.relay_terms import RelayTerms, decode_terms, encode_terms
+from ashlatch.gateway.routing import RouteTable
 from ashlatch.http.connection import HttpRequest, Responder
 from ashlatch.http.listener import HttpListener
+from ashlatch.platform.document import decode_catalog
 from ashlatch.platform.headers import caller_headers, decode_request
 from ashlatch.policy.relay import ISOLATED_MS, UNAVAILABLE_MS, RelayPeers
+from tests import stub_server
 from tests.gateway import GatewayHarness, build_request
-from tests.stub_server import ReceivedRequest, StubServer, answer_with
+from tests.stub_server import (
+    ReceivedRequest,
+    StubServer,
+    answer_with,
+    encode_document,
+)
 
 
 async def hang_up(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
@@ -72,6 +80,18 @@
         self.peers.record_unavailable(address, 5000.0)
         self.assertIn(NORTH[0], self.candidates(now_ms=5000.0 + UNAVAILABLE_MS))
 
+    def choose(self, *tried: str) -> GatewayVm | None:
+        generator = random.Random(1)
+        return self.peers.choose(LOCAL, GATEWAYS, tried, generator, 0.0)
+
+    def test_gateways_that_failed_are_the_last_resort(self) -> None:
+        for gateway in (*NORTH, *SOUTH):
+            self.peers.record_unavailable(gateway.address, 0.0)
+        for gateway in (*NORTH, *SOUTH[1:]):
+            self.peers.record_isolated(gateway.address, True, 0.0)
+        self.assertEqual(SOUTH[0], self.choose())
+        self.assertIsNone(self.choose(SOUTH[0].address))
+
     def test_representatives_are_of_all_halls(self) -> None:
         for seed in range(20):
             found = self.peers.representatives(
@@ -176,6 +196,12 @@
 class RelayServerTest(GatewayHarness):
     """Requests of other gateways at one gateway; `served` holds the accepted ones."""
 
+    new_version_after_s = 0.0
+
+    def replace_table(self) -> None:
+        document = encode_document(stub_server.document(2))
+        self.context.table = RouteTable(decode_catalog(document))
+
     def run_server(self, *terms: RelayTerms, links_up: bool = True) -> list[int]:
         """Returns the statuses of requests that arrive at the same time."""
         self.served: list[tuple[CallerRequest, RelayTerms]] = []
@@ -204,6 +230,9 @@
             server = RelayServer(self.context, serve, lambda: True, 2)
             listener = HttpListener(server.handle)
             await listener.start("127.0.0.1", 0)
+            if self.new_version_after_s:
+                loop = asyncio.get_running_loop()
+                loop.call_later(self.new_version_after_s, self.replace_table)
             assert listener._server is not None
             port = listener._server.sockets[0].getsockname()[1]
             statuses.extend(await asyncio.gather(*(send(port, t) for t in terms)))
@@ -226,6 +255,10 @@
     def test_an_older_configuration_does_not_serve(self) -> None:
         self.assertEqual([503], self.run_server(RelayTerms(2, 0.0, 0, False)))
 
+    def test_a_configuration_that_arrives_late_serves(self) -> None:
+        self.new_version_after_s = 0.1
+        self.assertEqual([200], self.run_server(RelayTerms(2, 0.0, 0, False)))
+
     def test_a_gateway_without_links_does_not_serve(self) -> None:
         terms = RelayTerms(1, 0.0, 0, False)
         self.assertEqual([503], self.run_server(terms, links_up=False))
