Liveness: a silence of a second does not end an endpoint

What callers would see: an endpoint that stands still for a second and goes on was taken to have ended after 0.9 s. What ran there was recorded as having crashed it (three such records quarantine a request at all gateways for ten minutes), and where cold endpoints get few requests it counted as cold once it answered.

Cause: two probes without an answer had the same effects as a refused connection.

Change: they open the breaker and move what may be moved, as before; the endpoint has ended only after 2.5 s of silence.

Evidence: test_a_silence_of_some_seconds_does_not_end_an_endpoint failed before. Tests of crashing requests, cold endpoints and incarnations pass.

--- a/ashlatch/gateway/directory.py
+++ b/ashlatch/gateway/directory.py
@@ -199,13 +199,18 @@
         return now_ms - self.replaced_ms < REPLACED_MS
 
     def mark_gone(self, now_ms: float, now_s: float) -> None:
-        """Records that its VM is gone; ends the waits that may move elsewhere.
+        """Records that its VM is gone; ends the waits that may move elsewhere."""
+        self.ended_ms = now_ms
+        self._restart_unconfirmed = True
+        self.mark_unresponsive(now_ms, now_s)
+
+    def mark_unresponsive(self, now_ms: float, now_s: float) -> None:
+        """Records that its VM does not answer; ends the waits that may move elsewhere.
 
-        `now_s` is the time of the event loop, in which the timeouts are expressed.
+        It may go on with all that it had. `now_s` is the time of the event loop, in
+        which the timeouts are expressed.
         """
         self.breaker.trip(now_ms)
-        self.ended_ms = now_ms
-        self._restart_unconfirmed = True
         self.abandon_waits(now_s)
 
     def abandon_waits(self, now_s: float) -> None:
--- a/ashlatch/gateway/liveness.py
+++ b/ashlatch/gateway/liveness.py
@@ -29,6 +29,10 @@
 CHECK_INTERVAL_S = 0.1
 # An engine is silent for less than this while it prefills a prompt of usual size.
 SILENT_MS = 500.0
+# A VM may stand still for a second or so and go on. After a longer silence its process
+# is taken to have ended: a request that ran there may be the cause, and when it answers
+# again, it has just started.
+GONE_MS = 2500.0
 # A connection within a region is established in some milliseconds. The second probe
 # covers the loss of the first one's packet.
 PROBE_TIMEOUT_S = 0.2
@@ -106,10 +110,13 @@
             len(state.pending_timeouts),
         )
         emit(log, gone, logging.WARNING)
-        if await self._confirm_reachable():
-            state.mark_gone(self._now_ms(), self._loop.time())
+        now_s = self._loop.time()
+        if not await self._confirm_reachable():
+            state.abandon_waits(now_s)
+        elif silent_ms >= GONE_MS:
+            state.mark_gone(self._now_ms(), now_s)
         else:
-            state.abandon_waits(self._loop.time())
+            state.mark_unresponsive(self._now_ms(), now_s)
 
     async def _reachable(self, address: str) -> bool:
         """Checks whether the VM at an address accepts or refuses a connection."""
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -26,8 +26,10 @@
 
 
 class LivenessProberTest(GatewayHarness):
-    def probe(self, reason: str, progress: bool = False) -> EndpointState:
-        """Returns an endpoint with one silent request after a second of probing."""
+    def probe(
+        self, reason: str, progress: bool = False, seconds: float = 1.0
+    ) -> EndpointState:
+        """Returns an endpoint with one silent request after some time of probing."""
 
         async def run() -> EndpointState:
             directory = Directory()
@@ -39,7 +41,7 @@
             prober = asyncio.create_task(
                 LivenessProber(directory, refuse_with(reason)).run()
             )
-            for _ in range(10):
+            for _ in range(int(10 * seconds)):
                 await asyncio.sleep(0.1)
                 if progress:
                     state.record_progress(loop.time() * 1000.0)
@@ -51,6 +53,15 @@
     def test_a_vm_without_connections_is_gone(self) -> None:
         self.assertTrue(self.probe(CONNECT_TIMED_OUT).breaker.open)
 
+    def test_a_silence_of_some_seconds_does_not_end_an_endpoint(self) -> None:
+        state = self.probe(CONNECT_TIMED_OUT, seconds=1.8)
+        self.assertTrue(state.breaker.open)
+        self.assertFalse(state.restart_unconfirmed)
+
+    def test_a_vm_that_stays_silent_has_ended(self) -> None:
+        state = self.probe(CONNECT_TIMED_OUT, seconds=4.0)
+        self.assertTrue(state.restart_unconfirmed)
+
     def test_a_vm_that_refuses_is_running(self) -> None:
         self.assertFalse(self.probe("ConnectionRefusedError").breaker.open)
 
