Routers: without a link to any endpoint they are not ready and refuse at once

The product's own mode has no addresses of other routers, so what it can do for the same fault is to say so: /readyz answers 503 while no endpoint can be connected to, requests without an idempotency key are refused at once as not run (a keyed one may have a recorded answer), and a refused connection is not held against the request that ran there.

Found by a check after a connection that failed or broke (adapter/links.py, eight endpoints at the same time, 0.2 s), ended by one each 250 ms.

--- a/ashlatch/router/daemon.py
+++ b/ashlatch/router/daemon.py
@@ -68,6 +68,10 @@
 SUSPECTED_POLL_WAIT_MS = 100.0
 FIRST_CONFIGURATION_TIMEOUT_S = 20.0
 STOP_CHECK_S = 0.02
+# The interval of checks whether endpoints can be reached again, and when callers that
+# are refused meanwhile may retry, at another router.
+LINKS_RECHECK_MS = 250.0
+LINKS_RETRY_MS = 500.0
 SERVICES = "/v1/services/"
 
 
@@ -134,6 +138,7 @@
         self.host.rpc.supervise(self._report_crashes(), self._failed)
         settings, repeat = self.settings, self._periodic.start
         repeat("load", self._poll_loads, settings.load_poll_ms)
+        repeat("links", self.host.links.recheck, LINKS_RECHECK_MS)
         if settings.rating_url:
             self.host.on_answer = self._sample_answer
             self._periodic.start(
@@ -310,7 +315,8 @@
 
     def _readiness(self) -> Response:
         core = self.host.core
-        ready = core.lease_valid(monotonic_ms()) and not core.draining
+        serving = core.lease_valid(monotonic_ms()) and not core.draining
+        ready = serving and not self.host.links.unreached
         return Response(
             "ready\n" if ready else "not ready\n", status=200 if ready else 503
         )
@@ -336,6 +342,11 @@
         raise BadRequest(Problem(problems.NOT_FOUND, http.path))
 
     def _serve(self, http: HttpRequest, request: Request) -> Response:
+        if self.host.links.unreached and not request.keyed:
+            # A keyed request may have a recorded answer.
+            detail = "this router reaches no endpoint"
+            problem = Problem(problems.NO_ENDPOINT, detail, True, LINKS_RETRY_MS)
+            return problem_response(problem)
         started_ms = monotonic_ms()
         mailbox = self.host.open_request(request)
         responder = Responder(self.host, http, request, mailbox, started_ms)
--- a/ashlatch/router/host.py
+++ b/ashlatch/router/host.py
@@ -17,10 +17,11 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass, replace
 from functools import partial
-from typing import Any
+from typing import Any, ClassVar
 
 from ashlatch.adapter.bounds import AttemptBounds
 from ashlatch.adapter.engine import EngineCall, Prices
+from ashlatch.adapter.links import BLAME_INTERVAL_MS, EndpointLinks
 from ashlatch.adapter.liveness import refuses_connections
 from ashlatch.adapter.notices import decode_notice
 from ashlatch.adapter.service import call_service
@@ -28,7 +29,7 @@
 from ashlatch.clock import monotonic_ms
 from ashlatch.errors import NoLeader
 from ashlatch.http.client import Reply
-from ashlatch.log import emit
+from ashlatch.log import LogEvent, emit
 from ashlatch.metrics import Metrics
 from ashlatch.registry import Handlers
 from ashlatch.router import admission, attempt, hedge, notices, updates
@@ -73,6 +74,16 @@
 
 EFFECTS = Handlers("router effect")
 
+
+@dataclass(frozen=True)
+class EndpointLinksChanged(LogEvent):
+    """This router can reach no endpoint any more, or some again (`reached`)."""
+
+    event: ClassVar[str] = "endpoint_links_changed"
+    reached: bool
+    endpoints: int
+
+
 # Importing these modules registers their handlers.
 _HANDLER_MODULES = (admission, attempt, hedge, updates, notices)
 
@@ -131,6 +142,7 @@
             RouterConfig(self.router, settings.vm, settings.hall, settings.policy)
         )
         self._failed = failed
+        self.links = EndpointLinks(self._endpoint_urls, self._links_changed)
         self._lock = threading.Lock()
         self._mailboxes: dict[str, Mailbox] = {}
         self._cancelled: set[str] = set()
@@ -231,13 +243,26 @@
         result = self._call_endpoint(effect)
         not_cancelled = effect.attempt_id not in self._cancelled
         if isinstance(result, Broken) and not result.replied and not_cancelled:
-            result = replace(result, endpoint_gone=refuses_connections(effect.url))
+            # Without any link the endpoint may be running.
+            gone = refuses_connections(effect.url)
+            gone = gone and self.links.check(BLAME_INTERVAL_MS)
+            result = replace(result, endpoint_gone=gone)
+        elif isinstance(result, NotSent) and not_cancelled:
+            self.links.check()
         self._cancelled.discard(effect.attempt_id)
         request = effect.request
         if isinstance(result, Answered) and request.kind is RequestKind.CHAT:
             self.on_answer(request, effect.version, result)
         self.post(AttemptEnded(request.request_id, effect.attempt_id, result))
 
+    def _endpoint_urls(self) -> list[str]:
+        pools = self.core.planner.table.endpoints.values()
+        return [endpoint.spec.url for pool in pools for endpoint in pool]
+
+    def _links_changed(self, reached: bool) -> None:
+        emit(log, EndpointLinksChanged(reached, len(self._endpoint_urls())))
+        self.metrics.count("links_restored" if reached else "links_lost")
+
     def _may_send(self, effect: StartAttempt) -> bool:
         if effect.attempt_id in self._cancelled:
             return False
