Isolation: while it is not known who is to blame, endpoints are not, and requests are still relayed

Cause: a gateway asks a few others whether they reach an endpoint. When those had lost their links too, or were not known yet, it took the endpoints for down. While it is unclear, a relayed request's age was logged as infinite, which ended its handler.

Gateways without links say so, which leaves those that have some. Meanwhile a request that has no endpoint here is offered to others.

Evidence: test_nobody_is_to_blame_until_all_others_were_asked, test_the_gateway_that_is_left_serves_the_callers_of_all (seven of eight; no connection is closed without an answer in any of these tests).

--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -136,10 +136,10 @@
                 refusal = await self._attempt(choice)
                 if refusal is not None or self._responder.ended:
                     return refusal
-            elif links.isolated or await links.confirm_reachable():
-                if self._may_have_run:
-                    return Refused(502, RefusalReason.OUTCOME_UNKNOWN)
-                return self._chooser.refusal()
+            elif await self._serve_as_last_resort():
+                return None
+            else:
+                return self._no_endpoint_refusal()
 
     async def _attempt(self, choice: Choice) -> Refused | None:
         """Makes one send; returns the refusal if the request cannot be resent."""
@@ -167,7 +167,17 @@
         if failure.kind is not FailureKind.UNREACHABLE:
             return
         if failure.detail == CONNECT_TIMED_OUT or self._record.unreachable > 1:
-            await self._context.links.confirm_reachable()
+            await self._context.links.settle()
+
+    async def _serve_as_last_resort(self) -> bool:
+        """Has another gateway serve a request that has no endpoint here, if one can.
+
+        Whether it can is not known yet if many gateways have just lost their links.
+        """
+        await self._context.links.settle()
+        if not self._context.links.unreached:
+            return False
+        return await self._serve_by_relay() is RelayOutcome.SERVED
 
     async def _serve_by_relay(self) -> RelayOutcome:
         """Has other gateways serve the request."""
@@ -186,6 +196,12 @@
             if not self._may_repeat(failure):
                 return RelayOutcome.FAILED
 
+    def _no_endpoint_refusal(self) -> Refused:
+        relayed = self._admission.relay_terms is not None
+        if self._may_have_run or (relayed and self._context.links.unreached):
+            return self._isolation_refusal()
+        return self._chooser.refusal()
+
     def _isolation_refusal(self) -> Refused:
         if self._may_have_run:
             return Refused(502, RefusalReason.OUTCOME_UNKNOWN)
--- a/ashlatch/gateway/links.py
+++ b/ashlatch/gateway/links.py
@@ -54,15 +54,16 @@
 RETRY_PROBED = 2
 
 
-async def _nobody_asked() -> bool:
-    """Reports that no other gateway reaches an endpoint, as none is known."""
+async def _nobody_to_ask() -> bool | None:
+    """Reports that no other gateway reaches an endpoint, as there is none."""
     return False
 
 
 class EndpointLinks:
     """The connection attempts of one gateway to all its endpoints.
 
-    `others_reach` asks other gateways whether they can reach an endpoint.
+    `others_reach` asks other gateways whether they can reach an endpoint, and returns
+    None if some that might could not be asked.
     `on_unreached` and `on_reached` are called when this one can reach none any more,
     and when it can again.
     """
@@ -75,7 +76,7 @@
         connect: Connect | None = None,
     ) -> None:
         self.reachability = Reachability()
-        self.others_reach: Callable[[], Awaitable[bool]] = _nobody_asked
+        self.others_reach: Callable[[], Awaitable[bool | None]] = _nobody_to_ask
         self.on_unreached: Callable[[], None] = lambda: None
         self.on_reached: Callable[[], None] = lambda: None
         self._directory = directory
@@ -130,14 +131,18 @@
         self._record_connected(address)
         return connection
 
+    async def settle(self) -> None:
+        """Waits for a check that is running."""
+        if self._check is not None:
+            await asyncio.shield(self._check)
+
     async def confirm_reachable(self) -> bool:
-        """Waits for a running check; returns whether endpoints can be reached.
+        """Waits for a running check; returns whether endpoints are to blame.
 
         Call this after a failed connection, before that is held against its endpoint.
         """
-        if self._check is not None:
-            await asyncio.shield(self._check)
-        return not self.isolated
+        await self.settle()
+        return not self.unreached or self.reachability.endpoints_down
 
     async def _open(self, address: str, timeout_s: float) -> Upstream:
         return await (self._connect or Upstream.connect)(address, timeout_s)
@@ -188,14 +193,14 @@
         try:
             connected_ms = self.reachability.connected_ms
             reached = await self.reaches_any()
-            others_reach = not reached and await self.others_reach()
+            others_reach = None if reached else await self.others_reach()
             # A connection may have been opened while the others were asked.
             reached = reached or self.reachability.connected_ms > connected_ms
         finally:
             self._check = None
         self._record_check(reached, others_reach)
 
-    def _record_check(self, reached: bool, others_reach: bool) -> None:
+    def _record_check(self, reached: bool, others_reach: bool | None) -> None:
         were_unreached, were_isolated = self.unreached, self.isolated
         self.reachability.record_check(reached, others_reach, _now_ms())
         if self.isolated and not were_isolated:
@@ -282,8 +287,9 @@
             await asyncio.sleep(RETRY_INTERVAL_S)
             if not self.unreached or await self._probe_once(self._sample(RETRY_PROBED)):
                 return
-            if not self.isolated and await self.others_reach() and self.unreached:
-                self._record_check(False, True)
+            others_reach = True if self.isolated else await self.others_reach()
+            if self.unreached and not self.isolated:
+                self._record_check(False, others_reach)
 
 
 def _age_ms(at_ms: float, now_ms: float) -> int:
--- a/ashlatch/gateway/relay.py
+++ b/ashlatch/gateway/relay.py
@@ -106,8 +106,11 @@
 
     # Isolation.
 
-    async def others_reach(self) -> bool:
-        """Asks some other gateways whether they reach an endpoint."""
+    async def others_reach(self) -> bool | None:
+        """Asks some other gateways whether they reach an endpoint.
+
+        Returns None if none of them does, but others that might were not asked.
+        """
         if not self.enabled:
             return False
         asked = self.peers.representatives(
@@ -125,7 +128,7 @@
                 )
                 if any(question.result() for question in done):
                     return True
-            return False
+            return False if len(asked) < ASKED_MAX else None
         finally:
             for question in questions:
                 question.cancel()
--- a/ashlatch/gateway/request_record.py
+++ b/ashlatch/gateway/request_record.py
@@ -212,8 +212,7 @@
         apply_answer_limit(self._context, attempt.state, report, self._now_ms())
 
     def _limit_age_ms(self, state: EndpointState) -> int:
-        age_ms = self._now_ms() - state.limit.received_ms
-        return int(age_ms) if math.isfinite(age_ms) else -1
+        return _age_ms(state.limit.received_ms, self._now_ms())
 
     def record_escalation_decision(
         self,
@@ -296,7 +295,7 @@
             self._admission.request.request_id,
             peer.address,
             peer.hall,
-            int(self._now_ms() - isolated_ms),
+            _age_ms(isolated_ms, self._now_ms()),
             int(self._now_ms() - self._admission.request.received_s * 1000.0),
             self.sends,
         )
@@ -383,6 +382,11 @@
         return self._loop.time() * 1000.0
 
 
+def _age_ms(at_ms: float, now_ms: float) -> int:
+    """Returns an age for the log, -1 if it is unknown."""
+    return int(now_ms - at_ms) if math.isfinite(at_ms) else -1
+
+
 def _forecast_figures(forecast: Forecast | None) -> tuple[int, int, int]:
     """Returns the prefill tokens, wait and prefill time for the log."""
     if forecast is None:
--- a/ashlatch/policy/reachability.py
+++ b/ashlatch/policy/reachability.py
@@ -39,13 +39,14 @@
     `failing_since_ms` when the first attempt failed after that. `unreached` is set
     while no endpoint can be reached from here, `isolated` while other processes can
     reach some, since `isolated_ms`. If the others reach none either, the endpoints are
-    down, and the fault is theirs.
+    down, and the fault is theirs; `endpoints_down` is set while that is known.
     """
 
     connected_ms: float = float("-inf")
     failing_since_ms: float = float("inf")
     unreached: bool = False
     isolated: bool = False
+    endpoints_down: bool = False
     isolated_ms: float = float("-inf")
     _failed: set[str] = field(default_factory=set)
     _checked_ms: float = float("-inf")
@@ -59,7 +60,7 @@
         """Records that a connection was opened; this ends an isolation."""
         self.connected_ms = now_ms
         self.failing_since_ms = float("inf")
-        self.unreached = self.isolated = False
+        self.unreached = self.isolated = self.endpoints_down = False
         self._failed.clear()
 
     def record_failed(self, address: str, now_ms: float) -> bool:
@@ -79,15 +80,20 @@
             return True
         return now_ms - self._checked_ms >= CHECK_INTERVAL_MS
 
-    def record_check(self, reached: bool, others_reach: bool, now_ms: float) -> None:
+    def record_check(
+        self, reached: bool, others_reach: bool | None, now_ms: float
+    ) -> None:
         """Records the end of a check.
 
         `reached` tells whether any endpoint could be connected to, `others_reach`
-        whether another process could do so.
+        whether another process could do so, None if not all were asked.
         """
         self._checked_ms = now_ms
         self.unreached = not reached
-        if not reached and others_reach and not self.isolated:
+        if reached:
+            return
+        self.endpoints_down = others_reach is False and not self.isolated
+        if others_reach and not self.isolated:
             self.isolated = True
             self.isolated_ms = now_ms
 
--- a/tests/test_isolated_gateways.py
+++ b/tests/test_isolated_gateways.py
@@ -15,12 +15,14 @@
 LASTS_S = 5.0
 
 
-class IsolatedGatewayTest(testtools.TestCase):
-    """Four gateways, of which one, or a hall, loses its links to the endpoints."""
+class PartitionTest(testtools.TestCase):
+    """Gateways of which some lose their links to the endpoints."""
+
+    GATEWAYS = 4
 
     def setUp(self) -> None:
         super().setUp()
-        self.fleet = PartitionedFleet()
+        self.fleet = PartitionedFleet(self.GATEWAYS)
         self.addCleanup(self.fleet.close)
         self.fleet.begin()
 
@@ -43,6 +45,7 @@
         self.assertTrue(count > 20, count)
         others_failed, _ = callers.failed(others, cut_s, healed_s)
         self.assertEqual([], [i for i, runs in self.fleet.runs.items() if runs > 1])
+        self.assertEqual([], [t for t in callers.tries if t.status <= 0])
         return failed, others_failed
 
     def check_ended(
@@ -53,6 +56,10 @@
         self.assertTrue(count > 5, count)
         self.assertEqual({}, failed)
 
+
+class IsolatedGatewayTest(PartitionTest):
+    """One of four gateways, or a hall of two, loses its links."""
+
     def test_callers_are_served_while_connections_are_refused(self) -> None:
         self.assertEqual(({}, {}), self.play(self.fleet.hall, "refused", "reset"))
 
@@ -75,6 +82,14 @@
             self.assertEqual([], found)
 
 
+class MostGatewaysIsolatedTest(PartitionTest):
+    GATEWAYS = 8
+
+    def test_the_gateway_that_is_left_serves_the_callers_of_all(self) -> None:
+        isolated = self.fleet.gateways[:-1]
+        self.assertEqual(({}, {}), self.play(isolated, "refused", "reset"))
+
+
 class PartitionSoakTest(testtools.TestCase):
     def test_a_short_run(self) -> None:
         run = Run(seed=3)
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -30,8 +30,18 @@
         self.reachability.record_failed("a:1", 10.0)
         self.reachability.record_check(False, False, 20.0)
         self.assertTrue(self.reachability.unreached)
+        self.assertTrue(self.reachability.endpoints_down)
         self.assertFalse(self.reachability.isolated)
 
+    def test_nobody_is_to_blame_until_all_others_were_asked(self) -> None:
+        self.reachability.record_failed("a:1", 10.0)
+        self.reachability.record_check(False, None, 20.0)
+        self.assertTrue(self.reachability.unreached)
+        self.assertFalse(self.reachability.endpoints_down)
+        self.reachability.record_check(False, True, 30.0)
+        self.assertTrue(self.reachability.isolated)
+        self.assertFalse(self.reachability.endpoints_down)
+
     def test_a_check_that_reached_an_endpoint_is_not_repeated_at_once(self) -> None:
         self.assertFalse(self.reachability.check_due(5.0))
         self.reachability.record_failed("a:1", 10.0)
