Observability: a router's log says how an attempt without an answer ended

The end of the second attempt was not in the log of the run that failed, and the answer was not kept. attempt_failed names endpoint, version, outcome and reason; the test shows the answer's body.

test_other_attempt_continues_when_one_of_two_fails compared the effects with none; it compares them with exactly that log line.

--- a/ashlatch/router/attempt_results.py
+++ b/ashlatch/router/attempt_results.py
@@ -9,16 +9,35 @@
 :license: MIT, see LICENSE for details.
 """
 
+from dataclasses import dataclass
+from typing import ClassVar
+
+from ashlatch.log import LogEvent
 from ashlatch.policy.evidence import Failure, Timing
 from ashlatch.router.core import ActiveAttempt, ActiveRequest, RouterCore
+from ashlatch.router.effect import WriteLog
 from ashlatch.router.event import Answered, AttemptResult, Broken, Rejected
 from ashlatch.router.quarantine import record_completion, record_crash
 
-__all__ = ["record_result"]
+__all__ = ["AttemptFailed", "record_result"]
 
 DEADLINE_TOLERANCE_MS = 10.0
 
 
+@dataclass(frozen=True)
+class AttemptFailed(LogEvent):
+    """An attempt brought no answer: not sent, rejected, or broken."""
+
+    event: ClassVar[str] = "attempt_failed"
+    request: str
+    attempt: str
+    endpoint: str
+    version: str
+    outcome: str
+    reason: str
+    took_ms: int
+
+
 def record_result(
     core: RouterCore,
     active: ActiveRequest,
@@ -29,6 +48,17 @@
     name = attempt.endpoint.name
     took_ms = core.now_ms - attempt.sent_ms
     answered = isinstance(result, Answered)
+    if not isinstance(result, Answered):
+        failed = AttemptFailed(
+            active.request.request_id,
+            attempt.attempt_id,
+            name,
+            active.version,
+            type(result).__name__.lower(),
+            result.reason,
+            int(took_ms),
+        )
+        core.effects.append(WriteLog(failed))
     core.endpoints.load(name).record_finished(
         core.now_ms, took_ms if answered else None
     )
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -22,6 +22,7 @@
     SendAnswer,
     SendProblem,
     StartAttempt,
+    WriteLog,
 )
 from ashlatch.router.event import (
     Answered,
@@ -322,7 +323,11 @@
         for failed in (0, 1):
             name = f"q{failed}"
             attempts = self.hedge_request(request_id=name, key=name)
-            self.assertEqual([], self.end_attempt(attempts[failed], Broken("reset")))
+            # Nothing is done but logging how it ended.
+            effects = self.end_attempt(attempts[failed], Broken("reset"))
+            logged = self.only_effect(effects, WriteLog)
+            self.assertEqual([logged], effects)
+            self.assertEqual("attempt_failed", logged.event.event)
             self.only_effect(
                 self.end_attempt(attempts[1 - failed], ANSWER), ProposeAnswer
             )
--- a/tests/test_router_failures.py
+++ b/tests/test_router_failures.py
@@ -390,7 +390,8 @@
             deployment.engines[0].process.kill()
             deployment.workers[0].process.kill()
             for number in range(20):
-                self.assertEqual(200, deployment.ask(number % 2).status)
+                reply = deployment.ask(number % 2)
+                self.assertEqual(200, reply.status, reply.body.decode())
                 self.assertEqual(
                     200, deployment.order(f"gone-{number}", number % 2).status
                 )
