--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -57,6 +57,11 @@
 CRASH_LOAD = ("-m", "pytest", "-x", "tests/test_crash_load.py")
 INCARNATIONS = ("-m", "pytest", "-x", "tests/test_incarnations.py")
 MALFORMED = ("-m", "pytest", "-x", "tests/test_malformed_input.py")
+ISOLATED = ("-m", "pytest", "-x", "tests/test_isolated_gateways.py")
+RELAY = ("-m", "pytest", "-x", "tests/test_relay.py", "tests/test_reachability.py")
+BRITTLE = ("-m", "pytest", "-x", "tests/test_brittle_endpoints.py")
+LIVENESS = ("-m", "pytest", "-x", "tests/test_liveness.py")
+RESTRICTIONS = ("-m", "pytest", "-x", "tests/test_restrictions.py")
 CLOCK = ("-m", "pytest", "-x", "tests/test_clock.py")
 FULL_ENGINES = ("-m", "pytest", "-x", "tests/test_full_engines.py")
 LEDGER = ("-m", "pytest", "-x", "tests/test_ledger.py")
@@ -1032,6 +1037,76 @@
         "pass",
         DEFERRAL,
     ),
+    Mutant(
+        "relay-of-what-may-have-run",
+        "ashlatch/gateway/exchange.py",
+        "if outcome is RelayOutcome.FAILED or not links.open_connections_work:",
+        "if not links.open_connections_work:",
+        RELAY,
+    ),
+    Mutant(
+        "relay-under-an-older-configuration",
+        "ashlatch/gateway/relay_server.py",
+        'return "outdated" if self._is_outdated(terms) else ""',
+        'return ""',
+        RELAY,
+    ),
+    Mutant(
+        "relay-without-a-bound",
+        "ashlatch/gateway/relay_server.py",
+        "if self._requests >= self._requests_max:",
+        "if False:",
+        RELAY,
+    ),
+    Mutant(
+        "relay-by-an-isolated-gateway",
+        "ashlatch/gateway/relay_server.py",
+        '        if self._context.links.unreached:\n            return "isolated"',
+        '        if False:\n            return "isolated"',
+        RELAY,
+    ),
+    Mutant(
+        "relay-within-the-hall-only",
+        "ashlatch/policy/relay.py",
+        "if len(able_in_hall) < HALL_SHARE_MIN * max(1, len(in_hall)):",
+        "if not able_in_hall:",
+        RELAY,
+    ),
+    Mutant(
+        "endpoints-blamed-for-a-lost-link",
+        "ashlatch/gateway/links.py",
+        "return not self.unreached or self.reachability.endpoints_down",
+        "return True",
+        ISOLATED,
+    ),
+    Mutant(
+        "endpoints-blamed-before-all-were-asked",
+        "ashlatch/policy/reachability.py",
+        "self.endpoints_down = others_reach is False and not self.isolated",
+        "self.endpoints_down = not self.isolated",
+        RELAY,
+    ),
+    Mutant(
+        "silence-ends-an-endpoint",
+        "ashlatch/gateway/liveness.py",
+        "elif silent_ms >= GONE_MS:",
+        "elif True:",
+        LIVENESS,
+    ),
+    Mutant(
+        "brittle-endpoint-never-closed",
+        "ashlatch/policy/brittleness.py",
+        "return max(closed_ms, FULL_WAIT_MS if full else 0.0, 0.0)",
+        "return FULL_WAIT_MS if full else 0.0",
+        BRITTLE,
+    ),
+    Mutant(
+        "restrictions-not-fetched",
+        "ashlatch/gateway/relay.py",
+        "PEER_HANDLERS.call(self._context, update, sender)",
+        "pass",
+        RESTRICTIONS,
+    ),
 )
 
 
