Isolation: a connection that fails right after a check is not held against its endpoint

What callers would see: if the links are lost within 250 ms after a check that found an endpoint, the first endpoint that refuses is announced as not listening at all gateways.

Cause: a check is not repeated within that time for a single failing address, and who asked whether the endpoint is to blame took that for a yes.

Change: the question starts a check of its own. The two places that ask several at the same time share one function.

Evidence: test_a_cut_right_after_a_check_is_noticed_before_blame failed before. Tests of isolation, relays, crashes and liveness pass.

--- a/ashlatch/gateway/links.py
+++ b/ashlatch/gateway/links.py
@@ -14,7 +14,8 @@
 import logging
 import math
 import random
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Coroutine, Iterable, Sequence
+from typing import Any
 
 from ashlatch.gateway.directory import Directory
 from ashlatch.gateway.logs import (
@@ -27,7 +28,7 @@
 from ashlatch.metrics import Metrics
 from ashlatch.policy.reachability import Reachability, select_probed
 
-__all__ = ["Connect", "EndpointLinks"]
+__all__ = ["Connect", "EndpointLinks", "any_true"]
 
 log = logging.getLogger("ashlatch.gateway")
 
@@ -54,6 +55,22 @@
 RETRY_PROBED = 2
 
 
+async def any_true(questions: Iterable[Coroutine[Any, Any, bool]]) -> bool:
+    """Runs all at the same time; returns at the first that is true."""
+    running = {asyncio.ensure_future(question) for question in questions}
+    try:
+        while running:
+            done, running = await asyncio.wait(
+                running, return_when=asyncio.FIRST_COMPLETED
+            )
+            if any(question.result() for question in done):
+                return True
+        return False
+    finally:
+        for question in running:
+            question.cancel()
+
+
 async def _nobody_to_ask() -> bool | None:
     """Reports that no other gateway reaches an endpoint, as there is none."""
     return False
@@ -141,6 +158,8 @@
 
         Call this after a failed connection, before that is held against its endpoint.
         """
+        if self.reachability.failed_count and not self.unreached:
+            self._start_check(forced=True)
         await self.settle()
         return not self.unreached or self.reachability.endpoints_down
 
@@ -184,8 +203,9 @@
 
     # Checks.
 
-    def _start_check(self) -> None:
-        if self._check is None and self.reachability.check_due(_now_ms()):
+    def _start_check(self, forced: bool = False) -> None:
+        due = forced or self.reachability.check_due(_now_ms())
+        if self._check is None and due:
             loop = asyncio.get_running_loop()
             self._check = loop.create_task(self._run_check())
 
@@ -233,18 +253,7 @@
         return False
 
     async def _probe_once(self, addresses: Sequence[str]) -> bool:
-        probes = {asyncio.ensure_future(self._probe_one(a)) for a in addresses}
-        try:
-            while probes:
-                done, probes = await asyncio.wait(
-                    probes, return_when=asyncio.FIRST_COMPLETED
-                )
-                if any(probe.result() for probe in done):
-                    return True
-            return False
-        finally:
-            for probe in probes:
-                probe.cancel()
+        return await any_true(self._probe_one(address) for address in addresses)
 
     async def _probe_one(self, address: str) -> bool:
         try:
--- a/ashlatch/gateway/relay.py
+++ b/ashlatch/gateway/relay.py
@@ -17,6 +17,7 @@
 from ashlatch.catalog import Endpoint, GatewayVm
 from ashlatch.gateway.attempt import AttemptFailed, FailureKind
 from ashlatch.gateway.context import GatewayContext
+from ashlatch.gateway.links import any_true
 from ashlatch.gateway.message import AnswerHead, CallerRequest, RefusalReason
 from ashlatch.gateway.peer_updates import PEER_HANDLERS, Sender
 from ashlatch.gateway.pool import ConnectionPool
@@ -129,18 +130,9 @@
             self._context.generator,
             _now_ms(),
         )
-        questions = {asyncio.ensure_future(self._reaches(peer)) for peer in asked}
-        try:
-            while questions:
-                done, questions = await asyncio.wait(
-                    questions, return_when=asyncio.FIRST_COMPLETED
-                )
-                if any(question.result() for question in done):
-                    return True
-            return False if len(asked) < ASKED_MAX else None
-        finally:
-            for question in questions:
-                question.cancel()
+        if await any_true(self._reaches(peer) for peer in asked):
+            return True
+        return False if len(asked) < ASKED_MAX else None
 
     async def _reaches(self, peer: GatewayVm) -> bool:
         return await self._ask(peer, REACHABILITY_TARGET, ASK_TIMEOUT_S) is not None
