--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -217,8 +217,8 @@
         while loop.time() < started_s + STOP_ACCEPTS_S:
             await asyncio.sleep(STOP_POLL_S)
         self.listener.stop_accepting()
-        # Idle connections of other gateways stay open until then, and are told that the
-        # process is stopping: they may be used at any moment.
+        # Idle connections of other gateways stay open until then: they may be used at
+        # any moment, and requests on them are refused as not run.
         listeners = (self.listener, self._relay_listener)
         self._relay_listener.stop_accepting()
         self._relay_listener.stopping = True
--- a/ashlatch/policy/brittleness.py
+++ b/ashlatch/policy/brittleness.py
@@ -5,9 +5,9 @@
 Protects an endpoint that falls over if it has to reject more than a certain number of
 requests in a second, from all gateways together.
 
-Gateways tell each other of rejections. After a part of the tolerated ones the endpoint
-gets no requests until the second is over. The rest is a reserve for requests that are
-under way then, and for gateways that have not heard of the rejections.
+Gateways broadcast rejections. After a part of the tolerated ones the endpoint gets no
+requests until the second is over. The rest is a reserve for requests that are under way
+then, and for gateways that have not received the updates.
 """
 
 from collections import deque
@@ -43,7 +43,7 @@
         brittleness.wait_ms(full=False, now_ms=20.0)  # 1290.0
 
     `rejections_max` is the number of rejections in a second that it tolerates, None if
-    it is not brittle. `broadcast_ms` is when gateways last heard of it.
+    it is not brittle. `broadcast_ms` is when it was last broadcast.
     """
 
     rejections_max: int | None = None
