Observability: which shared parts of its prompt a request had when its endpoint ended

Logs named requests by their content only, so that what the requests at ended endpoints have in common could not be seen: of 92 contents in 15 s none came twice. `crash_noted` has `parts`, the ids of all parts but the last.

--- a/ashlatch/gateway/crash_detector.py
+++ b/ashlatch/gateway/crash_detector.py
@@ -23,6 +23,7 @@
     EndpointNotListening,
     FingerprintQuarantined,
 )
+from ashlatch.gateway.message import CallerRequest
 from ashlatch.gateway.updates import CrashRecordUpdate, EndpointRefuses
 from ashlatch.http.upstream import CONNECT_REFUSED, ConnectFailed
 from ashlatch.log import emit
@@ -139,7 +140,7 @@
         return False
 
     def record_crash(
-        self, request_id: str, fingerprint: int, state: EndpointState
+        self, request: CallerRequest, fingerprint: int, state: EndpointState
     ) -> None:
         """Attributes the crash of an endpoint to a request that was running there."""
         context = self._context
@@ -151,11 +152,12 @@
         crashes = len(record.counted_crashes)
         quarantined_ms = context.quarantine.remaining_ms(fingerprint, now_unix_ms)
         event = CrashRecorded(
-            request_id,
+            request.request_id,
             format_fingerprint(fingerprint),
             endpoint.instance,
             crashes,
             int(quarantined_ms),
+            ",".join(request.shared_parts),
         )
         emit(log, event, logging.WARNING)
         context.metrics.count("crashes_noted")
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -367,9 +367,7 @@
             return
         if await self._crash_detector.has_crashed(attempt.state, failure):
             fingerprint = self._admission.fingerprint
-            self._crash_detector.record_crash(
-                self._request.request_id, fingerprint, attempt.state
-            )
+            self._crash_detector.record_crash(self._request, fingerprint, attempt.state)
 
     def _quarantine_refusal(self) -> Refused | None:
         """Returns the final answer if the request is quarantined."""
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -437,7 +437,8 @@
     """An endpoint ended while it ran a request.
 
     `crashes` is how many did so with the same request fingerprint since a request with
-    it last completed, `held_ms` for how long the fingerprint is quarantined.
+    it last completed, `held_ms` for how long the fingerprint is quarantined. `parts`
+    are the ids of the parts of its prompt that other requests may share.
     """
 
     event: ClassVar[str] = "crash_noted"
@@ -446,6 +447,7 @@
     instance: str
     crashes: int
     held_ms: int
+    parts: str
 
 
 @dataclass(frozen=True)
--- a/ashlatch/gateway/message.py
+++ b/ashlatch/gateway/message.py
@@ -86,6 +86,14 @@
         """The target without its query."""
         return self.target.partition("?")[0]
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """The ids of the prompt parts that other requests may share.
+
+        The last part belongs to the request or its session.
+        """
+        return tuple(part.part_id for part in self.prompt_parts[:-1])
+
 
 @dataclass(frozen=True)
 class Dispatch:
