--- a/tests/crashing.py
+++ b/tests/crashing.py
@@ -1,4 +1,4 @@
-"""Engines that crash when they run a certain request: all their connections are closed
+"""Engines that crash when they run certain requests: all their connections are closed
 and nothing listens until they are back under another id.
 """
 
@@ -38,11 +38,29 @@
         return sum(arrival_s > at_s for arrival_s in self.arrivals_s)
 
 
+def has_crashing_body(request: ReceivedRequest) -> bool:
+    """Checks for the one request that crashes engines."""
+    return request.body == CRASHING_BODY
+
+
+def contains_part(*parts: str) -> Callable[[ReceivedRequest], bool]:
+    """Returns a check for requests that share one of some parts of their prompts."""
+
+    def check(request: ReceivedRequest) -> bool:
+        prompt = request.headers.get("x-prompt-prefix", "")
+        shared = [part.partition(":")[0] for part in prompt.split(",")][:-1]
+        return any(part in shared for part in parts)
+
+    return check
+
+
 @dataclass
 class CrashingEngine:
     """One address; its process restarts `restart_s` after a crash.
 
-    It sends `events` events of the crashing request before it crashes.
+    It sends `events` events of a crashing request before it crashes, also if the caller
+    has left by then. With `confidence`, its answers have that; unless `framed`, they
+    end with their connection. Answers take `prefill_s` to begin.
     """
 
     host: str
@@ -51,6 +69,10 @@
     ids: "itertools.count[int]"
     events: int = 0
     on_start: Callable[[], None] = lambda: None
+    crashes: Callable[[ReceivedRequest], bool] = has_crashing_body
+    confidence: float | None = None
+    framed: bool = True
+    prefill_s: float = 0.0
     port: int = 0
     instance: str = ""
     running: StubServer | None = None
@@ -71,23 +93,39 @@
         async def script(
             request: ReceivedRequest, writer: asyncio.StreamWriter
         ) -> None:
-            if request.body == CRASHING_BODY:
+            crashing = self.crashes(request)
+            if crashing:
                 self.log.arrivals_s.append(time.monotonic())
-            chunked = b"Transfer-Encoding: chunked\r\n\r\n"
-            writer.write(response_head(request) + chunked)
+            await asyncio.sleep(self.prefill_s)
+            writer.write(response_head(request) + self._more_headers())
             await writer.drain()
-            if request.body == CRASHING_BODY:
-                first = int(request.headers.get("last-event-id", "0")) + 1
+            first = int(request.headers.get("last-event-id", "0")) + 1
+            if crashing:
                 for number in range(first, first + self.events):
-                    writer.write(chunk(event(number)))
+                    writer.write(self._frame(event(number)))
                 await asyncio.sleep(CRASH_AFTER_S)
                 self._crash()
                 return
             await asyncio.sleep(ANSWER_S)
-            writer.write(chunk(event(1)) + LAST_CHUNK)
+            writer.write(self._frame(event(first)))
+            if self.framed:
+                writer.write(LAST_CHUNK)
+            else:
+                await writer.drain()
+                writer.close()
 
         return script
 
+    def _more_headers(self) -> bytes:
+        lines = [] if self.confidence is None else [f"X-Confidence: {self.confidence}"]
+        lines.append(
+            "Transfer-Encoding: chunked" if self.framed else "Connection: close"
+        )
+        return "".join(f"{line}\r\n" for line in lines).encode() + b"\r\n"
+
+    def _frame(self, data: bytes) -> bytes:
+        return chunk(data) if self.framed else data
+
     def _crash(self) -> None:
         running, self.running = self.running, None
         if running is None:
