--- a/ashlatch/explain/timeline.py
+++ b/ashlatch/explain/timeline.py
@@ -19,8 +19,13 @@
 # Other requests at the same endpoints are counted from this long before the request
 # until this long after it.
 CONTEXT_WINDOW_S = 1.0
-# Events that gateways log about a request fingerprint that crashed endpoints.
-CRASH_EVENTS = ("crash_noted", "content_held", "content_survived")
+# Events that gateways log about fingerprints on which endpoints crashed.
+CRASH_EVENTS = (
+    "crash_noted",
+    "content_held",
+    "content_survived",
+    "quarantine_trial",
+)
 
 
 def explain_request(request: str, lines: list[Line]) -> Iterator[str]:
@@ -42,6 +47,8 @@
     yield from _changes_during(lines, events)
     for fingerprint in sorted({line.get("content") for line in events} - {""}):
         yield from _other_crashes(fingerprint, lines, request)
+    for part in sorted({line.get("part") for line in events} - {""}):
+        yield from _crashes_with_part(part, lines, request)
     for instance in sorted({line.get("instance") for line in events} - {""}):
         yield from _other_outcomes(instance, lines, events, request)
 
@@ -121,6 +128,16 @@
         yield f"    {line.at} {line.process} {line.event} {line.text()}"
 
 
+def _crashes_with_part(part: str, lines: list[Line], request: str) -> Iterator[str]:
+    """Lists endpoint crashes on other requests with the same part of their prompts."""
+    yield f"other requests with the prompt part {part}, all processes"
+    for line in lines:
+        named = {item.partition(":")[0] for item in line.get("parts").split(",")}
+        concerned = part == line.get("part") or part in named
+        if concerned and line.event in CRASH_EVENTS and line.get("request") != request:
+            yield f"    {line.at} {line.process} {line.event} {line.text()}"
+
+
 def _summarise_outcomes(lines: list[Line]) -> Iterator[str]:
     """Counts the ends of requests, failed attempts by endpoint, and decisions."""
     ended: Counter[str] = Counter()
--- a/ashlatch/fleet/machine.py
+++ b/ashlatch/fleet/machine.py
@@ -14,7 +14,7 @@
 
 from ashlatch.catalog import Evacuations, Rollout, RolloutStage
 from ashlatch.codec import decode, encode
-from ashlatch.policy.quarantine import CrashLog, CrashRecord
+from ashlatch.policy.crash_record import CrashLog, CrashRecord
 from ashlatch.registry import Handlers
 
 __all__ = [
--- a/ashlatch/fleet/protocol.py
+++ b/ashlatch/fleet/protocol.py
@@ -23,8 +23,8 @@
 from ashlatch.gateway.prefix_cache import PromptPrefill
 from ashlatch.gateway.tally import Tally
 from ashlatch.link import Method
+from ashlatch.policy.crash_record import CrashRecord
 from ashlatch.policy.prefill_rate import PrefillRate
-from ashlatch.policy.quarantine import CrashRecord
 from ashlatch.policy.speed import ReportedRatio
 from ashlatch.raft.message import Member
 
--- a/ashlatch/fleet/soft_state.py
+++ b/ashlatch/fleet/soft_state.py
@@ -21,8 +21,8 @@
 from ashlatch.fleet.protocol import SyncReply, SyncRequest, gateways_digest
 from ashlatch.gateway.prefix_cache import PromptPrefill
 from ashlatch.gateway.tally import Tallies
+from ashlatch.policy.crash_record import UnloggedCrashes
 from ashlatch.policy.prefill_rate import PrefillRates
-from ashlatch.policy.quarantine import UnloggedCrashes
 from ashlatch.policy.speed import ReportedRatios
 
 __all__ = ["SoftState", "has_updates"]
--- a/ashlatch/gateway/admission.py
+++ b/ashlatch/gateway/admission.py
@@ -15,13 +15,14 @@
 from ashlatch.catalog import Organisation, Route, Service
 from ashlatch.clock import unix_ms
 from ashlatch.gateway.context import GatewayContext
-from ashlatch.gateway.fingerprint import format_fingerprint, request_fingerprint
+from ashlatch.gateway.fingerprint import format_fingerprint, request_fingerprints
 from ashlatch.gateway.logs import QuarantinedRequestRefused
 from ashlatch.gateway.message import CallerRequest, RefusalReason
 from ashlatch.gateway.relay_terms import RelayTerms
 from ashlatch.http.connection import Responder
 from ashlatch.log import emit
 from ashlatch.platform.headers import refusal_headers
+from ashlatch.policy.quarantine import Fingerprints, QuarantineAction
 
 __all__ = [
     "RETRY_AFTER_S",
@@ -44,7 +45,8 @@
 class Admission:
     """A request that may be served, with its route, service and organisation.
 
-    `fingerprint` identifies what the request asks for. After `deadline_s` it times out.
+    `fingerprints` identify what the request asks for and the shared parts of its
+    prompt. After `deadline_s` it times out.
     `relay_terms` is set if another gateway has this one serve the request.
     """
 
@@ -54,9 +56,14 @@
     organisation: Organisation | None
     configuration: int
     deadline_s: float
-    fingerprint: int
+    fingerprints: Fingerprints
     relay_terms: RelayTerms | None = None
 
+    @property
+    def fingerprint(self) -> int:
+        """Identifies what the request asks for."""
+        return self.fingerprints.request
+
     @property
     def urgency(self) -> int:
         """0 for the most urgent; the organisation's setting overrides the route's."""
@@ -109,15 +116,11 @@
     wait_ms = route.held_max_ms
     if request.timeout_ms is not None:
         wait_ms = min(wait_ms, request.timeout_ms)
-    fingerprint = request_fingerprint(
+    fingerprints = request_fingerprints(
         request, organisation.name if organisation else ""
     )
-    refusal = quarantine_refusal(context, fingerprint)
+    refusal = quarantine_refusal(context, request.request_id, fingerprints)
     if refusal is not None:
-        crashes = context.quarantine.crash_count(fingerprint)
-        wait_ms = int(context.quarantine.remaining_ms(fingerprint, unix_ms()))
-        text = format_fingerprint(fingerprint)
-        emit(log, QuarantinedRequestRefused(request.request_id, text, crashes, wait_ms))
         return refusal
     return Admission(
         request,
@@ -126,16 +129,27 @@
         organisation,
         table.catalog.version,
         request.received_s + wait_ms / 1000.0,
-        fingerprint,
+        fingerprints,
     )
 
 
-def quarantine_refusal(context: GatewayContext, fingerprint: int) -> Refused | None:
+def quarantine_refusal(
+    context: GatewayContext, request_id: str, fingerprints: Fingerprints
+) -> Refused | None:
     """Returns the refusal of a request that is quarantined for crashing endpoints."""
-    quarantined_ms = context.quarantine.remaining_ms(fingerprint, unix_ms())
-    if not quarantined_ms:
+    decision = context.quarantine.decide(fingerprints, unix_ms())
+    if decision.action is not QuarantineAction.REFUSE:
         return None
-    return Refused(503, RefusalReason.QUARANTINED, quarantined_ms / 1000.0)
+    event = QuarantinedRequestRefused(
+        request_id,
+        format_fingerprint(fingerprints.request),
+        format_fingerprint(decision.cause),
+        fingerprints.part_of(decision.cause),
+        context.quarantine.crash_count(decision.cause),
+        int(decision.wait_ms),
+    )
+    emit(log, event)
+    return Refused(503, RefusalReason.QUARANTINED, decision.wait_ms / 1000.0)
 
 
 def refuse(responder: Responder, request_id: str, refused: Refused) -> None:
--- a/ashlatch/gateway/attempt.py
+++ b/ashlatch/gateway/attempt.py
@@ -39,8 +39,9 @@
     After `UNREACHABLE`, `REFUSED`, `MISDIRECTED` and `CLOSED` the request has not run;
     after any other kind it may have. `MISDIRECTED` comes from another endpoint, which
     has the address now. With `CLOSED` nothing was sent: sends to the endpoint were
-    denied after it was chosen. `ERROR` is a complete answer with an error of the
-    endpoint's own; `FOREIGN` is an answer to another request, or to none.
+    denied after it was chosen. `WITHDRAWN` sends were aborted here. `ERROR` is a
+    complete answer with an error of the endpoint's own; `FOREIGN` is an answer to
+    another request, or to none.
     """
 
     UNREACHABLE = "unreachable"
@@ -51,6 +52,7 @@
     ERROR = "error"
     FOREIGN = "foreign"
     SILENT = "silent"
+    WITHDRAWN = "withdrawn"
 
     @property
     def not_run(self) -> bool:
@@ -116,6 +118,13 @@
         self._counted = False
         self.sent_bytes = 0
         self.received_bytes = 0
+        self._withdrawn = False
+
+    def withdraw(self) -> None:
+        """Aborts the connection; whoever waits for the answer gets `WITHDRAWN`."""
+        self._withdrawn = True
+        if self._connection is not None:
+            self._connection.abort()
 
     async def begin(self, timeout: AnswerTimeout) -> AnswerHead:
         """Sends, and waits for the head of the answer; raises `AttemptFailed`."""
@@ -180,6 +189,8 @@
                     raise AttemptFailed(FailureKind.SILENT, detail) from error
             return await receive()
         except UpstreamBroken as error:
+            if self._withdrawn:
+                raise AttemptFailed(FailureKind.WITHDRAWN, "quarantined") from error
             raise AttemptFailed(FailureKind.BROKEN, error.reason) from error
 
     async def _receive_before(
--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -12,6 +12,7 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from random import Random
 
 from ashlatch.catalog import Route, Service
 from ashlatch.gateway.context import GatewayContext
@@ -20,8 +21,9 @@
 from ashlatch.gateway.message import CallerRequest
 from ashlatch.gateway.permission import send_permission
 from ashlatch.gateway.versions import AllowedEndpoints
-from ashlatch.policy.endpoint import Candidate
+from ashlatch.policy.endpoint import Candidate, rank
 from ashlatch.policy.permission import DenialReason
+from ashlatch.policy.quarantine import Isolation
 
 __all__ = [
     "Choice",
@@ -39,10 +41,8 @@
 # Behind a long prompt a short one would wait for many times its own prefill time.
 PREFILL_STEPS_MS = (150.0, 500.0)
 URGENCIES_PER_STEP = 3
-# Requests that ran at an endpoint that crashed are isolated: they go to any of the
-# cheaper half of the endpoints, and to any of at least this many. The cheapest one has
-# their subject's prompt cached: there they would keep running beside the request that
-# crashes endpoints, and be quarantined because of it.
+# A request that ran at an engine that crashed goes to any of the cheaper half of the
+# engines, and to any of at least this many.
 ISOLATED_CANDIDATES_MIN = 4
 # Endpoints that failed at least this share of their latest attempts are avoided.
 FAILURE_SHARE_MAX = 0.3
@@ -101,8 +101,8 @@
         if fallback is None:
             return None
         return choose_endpoint(context, service, fallback, tried, send, now_ms)
-    if service.engine is None and send.isolated:
-        state = context.generator.choice(healthy)
+    if service.engine is None and send.isolation is not None:
+        state = _isolated(healthy, send.isolation, context.generator)
         utilisation = state.utilisation(now_ms)
         return Choice(state, len(healthy), utilisation, None, allowed, denied)
     if service.engine is None:
@@ -113,20 +113,40 @@
         return Choice(state, len(healthy), utilisation, None, allowed, denied)
     forecaster = Forecaster(context, service.name, healthy, send, now_ms)
     forecasts = [(forecaster.forecast(s), s) for s in healthy]
-    forecast, state = context.generator.choice(_cheapest(forecasts, send.isolated))
+    if send.isolation is not None:
+        ranked = sorted(forecasts, key=lambda pair: pair[0].cost_ms)
+        among = ranked[: max(ISOLATED_CANDIDATES_MIN, len(ranked) // 2)]
+        if send.isolation.part:
+            among = ranked
+        state = _isolated([s for _, s in among], send.isolation, context.generator)
+        forecast = next(f for f, s in among if s is state)
+    else:
+        forecast, state = context.generator.choice(_cheapest(forecasts))
     utilisation = state.utilisation(now_ms)
     return Choice(state, len(healthy), utilisation, forecast, allowed, denied)
 
 
 def _cheapest(
-    forecasts: list[tuple[Forecast, EndpointState]], isolated: bool
+    forecasts: list[tuple[Forecast, EndpointState]],
 ) -> list[tuple[Forecast, EndpointState]]:
-    """Returns the engines that a send may go to, by its cost."""
-    ranked = sorted(forecasts, key=lambda pair: pair[0].cost_ms)
-    if isolated:
-        return ranked[: max(ISOLATED_CANDIDATES_MIN, len(ranked) // 2)]
-    least_ms = ranked[0][0].cost_ms
-    return [pair for pair in ranked if pair[0].cost_ms <= least_ms]
+    """Returns the engines with the least cost of a send."""
+    least_ms = min(forecast.cost_ms for forecast, _ in forecasts)
+    return [pair for pair in forecasts if pair[0].cost_ms <= least_ms]
+
+
+def _isolated(
+    states: Sequence[EndpointState], isolation: Isolation, generator: Random
+) -> EndpointState:
+    """Returns the endpoint for a request that is kept apart.
+
+    All gateways choose the same endpoint for a part. Without a part it is any of them:
+    the cheapest one has the subject's prompt cached, and there the request would keep
+    running beside the one that crashes endpoints.
+    """
+    if not isolation.part:
+        return generator.choice(states)
+    by_name = {state.endpoint.instance: state for state in states}
+    return by_name[rank(tuple(by_name), isolation.part)[0]]
 
 
 def _permitted(
--- a/ashlatch/gateway/chooser.py
+++ b/ashlatch/gateway/chooser.py
@@ -65,8 +65,8 @@
             states = [state for state in states if not state.limit.limited]
         tried = frozenset(self.tried)
         allowed = self._allowed(states, now_ms)
-        isolated = self._context.quarantine.crash_count(self._admission.fingerprint) > 0
-        send = Send(self._request, model, self.slack_ms(model), isolated)
+        isolation = self._context.quarantine.isolation(self._admission.fingerprints)
+        send = Send(self._request, model, self.slack_ms(model), isolation)
         return choose_endpoint(self._context, service, allowed, tried, send, now_ms)
 
     def _allowed(
--- a/ashlatch/gateway/context.py
+++ b/ashlatch/gateway/context.py
@@ -24,6 +24,7 @@
 from ashlatch.gateway.pool import ConnectionPool
 from ashlatch.gateway.prefix_cache import PrefixCaches
 from ashlatch.gateway.routing import RouteTable
+from ashlatch.gateway.runs import RunLog
 from ashlatch.gateway.shares import OrganisationShares
 from ashlatch.gateway.speed import DurationReports
 from ashlatch.gateway.tally import Tallies
@@ -55,6 +56,10 @@
     core; they share the budgets and the connections that endpoints accept.
     `broadcast` sends an update to the other gateways at once; it may be lost.
 
+    `quarantined` are the fingerprints that were refused at the last review of the
+    quarantine, `review_pending` is set while another one is due. `runs` are the
+    requests of this gateway at the endpoints.
+
     `probes` holds, by endpoint id, the running checks whether an endpoint's process
     has ended. `report_crashes` triggers a report to the core of the crashes that
     `quarantine` recorded here. `cold_limiter` decides which endpoints that have just
@@ -86,6 +91,9 @@
     generator: random.Random = field(default_factory=random.Random)
     gateways: tuple[GatewayVm, ...] = ()
     quarantine: Quarantine = field(default_factory=Quarantine)
+    quarantined: frozenset[int] = frozenset()
+    review_pending: bool = False
+    runs: RunLog = field(default_factory=RunLog)
     probes: dict[str, asyncio.Task[bool]] = field(default_factory=dict)
     broadcast: Callable[[PeerUpdate], None] = _discard_update
     report_crashes: Callable[[], None] = _skip_core_report
--- a/ashlatch/gateway/core_updates.py
+++ b/ashlatch/gateway/core_updates.py
@@ -17,7 +17,7 @@
 from ashlatch.fleet.protocol import SyncReply
 from ashlatch.gateway.cold import mark_returned_cold
 from ashlatch.gateway.context import GatewayContext
-from ashlatch.gateway.crash_detector import apply_peer_crashes
+from ashlatch.gateway.crash_records import announce_records, apply_peer_records
 from ashlatch.gateway.logs import (
     ConfigurationApplied,
     DocumentUnreadable,
@@ -93,11 +93,13 @@
         before = len(self._context.gateways)
         self._context.gateways = gateways
         emit(log, GatewaysChanged(len(gateways), before))
+        # What was found out before any other gateway was known has reached none.
+        announce_records(self._context, self._context.quarantine.unconfirmed())
 
     def _apply_crashes(self, address: str, reply: SyncReply) -> None:
         """Applies the records of requests that crash endpoints, from other gateways."""
+        apply_peer_records(self._context, reply.crashes, address)
         for record in reply.crashes:
-            apply_peer_crashes(self._context, record, address)
             self._context.quarantine.confirm(record)
         self.crashes_position = max(self.crashes_position, reply.crashes_known)
 
--- a/ashlatch/gateway/crash_detector.py
+++ b/ashlatch/gateway/crash_detector.py
@@ -2,8 +2,7 @@
 ashlatch.gateway.crash_detector
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Distinguishes a crashed endpoint from a broken connection, and attributes the crash to
-the requests that were running there.
+Distinguishes a crashed endpoint from a broken connection.
 
 :copyright: Copyright 2026 by the ashlatch maintainers.
 :license: MIT, see LICENSE for details.
@@ -12,24 +11,16 @@
 import asyncio
 import logging
 
-from ashlatch.clock import unix_ms
 from ashlatch.gateway.attempt import AttemptFailed, FailureKind
 from ashlatch.gateway.context import GatewayContext
+from ashlatch.gateway.crash_records import record_left_runs
 from ashlatch.gateway.directory import EndpointState
-from ashlatch.gateway.fingerprint import format_fingerprint
-from ashlatch.gateway.logs import (
-    CrashRecordCleared,
-    CrashRecorded,
-    EndpointNotListening,
-    FingerprintQuarantined,
-)
-from ashlatch.gateway.message import CallerRequest
-from ashlatch.gateway.updates import CrashRecordUpdate, EndpointRefuses
+from ashlatch.gateway.logs import EndpointNotListening
+from ashlatch.gateway.updates import EndpointRefuses
 from ashlatch.http.upstream import CONNECT_REFUSED, ConnectFailed
 from ashlatch.log import emit
-from ashlatch.policy.quarantine import CrashRecord
 
-__all__ = ["CrashDetector", "apply_peer_crashes", "record_refusal"]
+__all__ = ["CrashDetector", "record_refusal"]
 
 
 log = logging.getLogger("ashlatch.gateway")
@@ -43,8 +34,6 @@
 # The result of a probe is used for requests that break this soon after it was started:
 # all of them break within milliseconds.
 PROBE_RESULT_VALID_S = 0.3
-# One crash concerns few gateways; from the second on, the request may be the cause.
-BROADCAST_CRASHES_MIN = 2
 
 
 def record_refusal(
@@ -71,27 +60,10 @@
         emit(log, event, logging.WARNING)
         context.forget_instance(endpoint.instance)
         context.broadcast(EndpointRefuses(endpoint.instance))
+        record_left_runs(context, state)
     return True
 
 
-def apply_peer_crashes(
-    context: GatewayContext, record: CrashRecord, source: str
-) -> None:
-    """Applies what another gateway has found out about a request fingerprint."""
-    quarantine = context.quarantine
-    fingerprint = record.fingerprint
-    quarantined_before_ms = quarantine.remaining_ms(fingerprint, unix_ms())
-    quarantine.apply(record)
-    quarantined_ms = quarantine.remaining_ms(fingerprint, unix_ms())
-    if quarantined_ms > quarantined_before_ms:
-        crashes = quarantine.crash_count(fingerprint)
-        event = FingerprintQuarantined(
-            format_fingerprint(fingerprint), crashes, int(quarantined_ms), source
-        )
-        emit(log, event, logging.WARNING)
-        context.metrics.count("contents_held")
-
-
 class CrashDetector:
     """Probes endpoints at which requests have broken.
 
@@ -139,37 +111,5 @@
         connection.abort()
         return False
 
-    def record_crash(
-        self, request: CallerRequest, fingerprint: int, state: EndpointState
-    ) -> None:
-        """Attributes the crash of an endpoint to a request that was running there."""
-        context = self._context
-        endpoint = state.endpoint
-        now_unix_ms = unix_ms()
-        record = context.quarantine.record_crash(
-            fingerprint, endpoint.instance, endpoint.started_unix_ms, now_unix_ms
-        )
-        crashes = len(record.counted_crashes)
-        quarantined_ms = context.quarantine.remaining_ms(fingerprint, now_unix_ms)
-        event = CrashRecorded(
-            request.request_id,
-            format_fingerprint(fingerprint),
-            endpoint.instance,
-            crashes,
-            int(quarantined_ms),
-            ",".join(request.shared_parts),
-        )
-        emit(log, event, logging.WARNING)
-        context.metrics.count("crashes_noted")
-        context.report_crashes()
-        if crashes >= BROADCAST_CRASHES_MIN:
-            context.broadcast(CrashRecordUpdate(record))
-
-    def record_completion(self, request_id: str, fingerprint: int) -> None:
-        """Records that a request has completed without a crash."""
-        if self._context.quarantine.record_completed(fingerprint):
-            emit(log, CrashRecordCleared(request_id, format_fingerprint(fingerprint)))
-            self._context.report_crashes()
-
     def _now_ms(self) -> float:
         return self._loop.time() * 1000.0
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -30,12 +30,18 @@
 from ashlatch.gateway.chooser import EndpointChooser
 from ashlatch.gateway.context import GatewayContext
 from ashlatch.gateway.crash_detector import CrashDetector
+from ashlatch.gateway.crash_records import (
+    begin_trial,
+    record_crash,
+    record_left_runs,
+)
 from ashlatch.gateway.deferral import RequestDeferral
 from ashlatch.gateway.forwarding import AnswerForwarder, CompleteAnswer
 from ashlatch.gateway.message import AnswerHead, Dispatch, RefusalReason
 from ashlatch.gateway.relay import Relay
 from ashlatch.gateway.relay_exchange import RelayExchange, RelayOutcome
 from ashlatch.gateway.request_record import RequestRecord
+from ashlatch.gateway.runs import Run
 from ashlatch.gateway.timeouts import (
     AnswerTimeout,
     answer_timeout,
@@ -79,9 +85,7 @@
         self._record = RequestRecord(context, admission)
         self._chooser = EndpointChooser(context, admission)
         self._crash_detector = CrashDetector(context)
-        self._forwarder = AnswerForwarder(
-            admission, responder, self._record, self._crash_detector
-        )
+        self._forwarder = AnswerForwarder(context, admission, responder, self._record)
         self._relay = RelayExchange(
             context, relay, admission, responder, self._record, self._forwarder
         )
@@ -143,19 +147,30 @@
 
     async def _attempt(self, choice: Choice) -> Refused | None:
         """Makes one send; returns the refusal if the request cannot be resent."""
+        begin_trial(self._context, self._request, self._admission.fingerprints)
         attempt = self._new_attempt(choice)
+        run = Run(
+            choice.state.endpoint.instance,
+            self._request,
+            self._admission.fingerprints,
+            attempt.withdraw,
+        )
+        self._context.runs.begin(run)
+        harmless = False
         try:
-            await self._run_attempt(attempt)
+            harmless = await self._run_attempt(attempt, run)
         except AttemptFailed as failure:
+            harmless = failure.kind.not_run
             self._record.record_failure(attempt, failure)
             self._may_have_run |= not failure.kind.not_run
-            await self._record_if_crashed(attempt, failure)
+            await self._record_if_crashed(attempt, run, failure)
             await self._await_check(failure)
             if not self._may_repeat(failure.kind):
                 return self._final_refusal(failure.kind)
             self._send_reason = failure.kind.value
         finally:
             attempt.close()
+            self._context.runs.end(run, harmless, self._now_ms())
             self._record.record_traffic(attempt)
         return None
 
@@ -294,13 +309,17 @@
 
     # Running an attempt.
 
-    async def _run_attempt(self, attempt: Attempt) -> None:
-        """Forwards the answer, unless a larger model should answer instead."""
+    async def _run_attempt(self, attempt: Attempt, run: Run) -> bool:
+        """Forwards the answer, unless a larger model should answer instead.
+
+        Returns whether the answer was complete.
+        """
         head = await attempt.begin(self._answer_timeout())
+        run.answered = True
         self._record.record_answer_begin(attempt, self._model)
         if self._route.streams and head.status < 300:
             if self._escalates(attempt, head):
-                return
+                return False
             await self._forwarder.forward_stream(attempt, head, self._event_timeout)
         else:
             answer = await self._forwarder.read_complete(
@@ -311,6 +330,7 @@
                 raise AttemptFailed(FailureKind.ERROR, f"status {head.status}")
             self._forwarder.forward(answer)
         self._record.record_success(attempt)
+        return True
 
     def _escalates(self, attempt: Attempt, head: AnswerHead) -> bool:
         """Decides whether to use a larger model instead of forwarding this answer."""
@@ -355,7 +375,7 @@
     # Handling failures.
 
     async def _record_if_crashed(
-        self, attempt: Attempt, failure: AttemptFailed
+        self, attempt: Attempt, run: Run, failure: AttemptFailed
     ) -> None:
         """Attributes the end of the endpoint to the request if it was a crash.
 
@@ -366,12 +386,14 @@
         if failure.kind.not_run or failure.kind is FailureKind.ERROR:
             return
         if await self._crash_detector.has_crashed(attempt.state, failure):
-            fingerprint = self._admission.fingerprint
-            self._crash_detector.record_crash(self._request, fingerprint, attempt.state)
+            record_crash(self._context, run, attempt.state)
+            record_left_runs(self._context, attempt.state)
 
     def _quarantine_refusal(self) -> Refused | None:
         """Returns the final answer if the request is quarantined."""
-        refusal = quarantine_refusal(self._context, self._admission.fingerprint)
+        refusal = quarantine_refusal(
+            self._context, self._request.request_id, self._admission.fingerprints
+        )
         if refusal is not None and self._may_have_run:
             return Refused(502, RefusalReason.QUARANTINED)
         return refusal
--- a/ashlatch/gateway/fingerprint.py
+++ b/ashlatch/gateway/fingerprint.py
@@ -12,8 +12,9 @@
 import xxhash
 
 from ashlatch.gateway.message import CallerRequest
+from ashlatch.policy.quarantine import Fingerprints
 
-__all__ = ["request_fingerprint", "format_fingerprint"]
+__all__ = ["request_fingerprint", "request_fingerprints", "format_fingerprint"]
 
 
 def request_fingerprint(request: CallerRequest, organisation: str) -> int:
@@ -38,6 +39,13 @@
     return hasher.intdigest()
 
 
+def request_fingerprints(request: CallerRequest, organisation: str) -> Fingerprints:
+    """Returns the fingerprints of a request and of the shared parts of its prompt."""
+    return Fingerprints(
+        request_fingerprint(request, organisation), request.shared_parts
+    )
+
+
 def format_fingerprint(fingerprint: int) -> str:
     """Formats a fingerprint for logs."""
     return f"{fingerprint:016x}"
--- a/ashlatch/gateway/forecast.py
+++ b/ashlatch/gateway/forecast.py
@@ -18,6 +18,7 @@
 from ashlatch.gateway.message import CallerRequest
 from ashlatch.gateway.overload import ENGINE_USE_MAX
 from ashlatch.policy.endpoint import rank, weighted_first
+from ashlatch.policy.quarantine import Isolation
 
 __all__ = ["Forecast", "Forecaster", "Send"]
 
@@ -77,14 +78,14 @@
 class Send:
     """A request to be sent, for a model (empty for the caller's own).
 
-    `slack_ms` is the time in which the answer should begin. `isolated` requests have
-    run at an endpoint that crashed, and are routed away from the others that ran there.
+    `slack_ms` is the time in which the answer should begin. Requests with an
+    `isolation` may crash their endpoint, and are routed away from others.
     """
 
     request: CallerRequest
     model: str
     slack_ms: float
-    isolated: bool = False
+    isolation: Isolation | None = None
 
 
 class Forecaster:
--- a/ashlatch/gateway/forwarding.py
+++ b/ashlatch/gateway/forwarding.py
@@ -14,7 +14,8 @@
 
 from ashlatch.gateway.admission import Admission
 from ashlatch.gateway.attempt import AttemptFailed, FailureKind
-from ashlatch.gateway.crash_detector import CrashDetector
+from ashlatch.gateway.context import GatewayContext
+from ashlatch.gateway.crash_records import record_completion
 from ashlatch.gateway.events import EventSplitter, StreamEvent
 from ashlatch.gateway.message import AnswerHead
 from ashlatch.gateway.request_record import RequestRecord
@@ -50,16 +51,16 @@
 
     def __init__(
         self,
+        context: GatewayContext,
         admission: Admission,
         responder: Responder,
         record: RequestRecord,
-        crash_detector: CrashDetector,
     ) -> None:
         self.last_event = ""
+        self._context = context
         self._admission = admission
         self._responder = responder
         self._record = record
-        self._crash_detector = crash_detector
 
     async def read_complete(
         self, source: AnswerSource, head: AnswerHead, timeout: AnswerTimeout
@@ -118,8 +119,10 @@
         self._record.record_end(answer.head.status, reason)
 
     def _record_completion(self) -> None:
-        self._crash_detector.record_completion(
-            self._admission.request.request_id, self._admission.fingerprint
+        record_completion(
+            self._context,
+            self._admission.request.request_id,
+            self._admission.fingerprints,
         )
 
 
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -51,11 +51,13 @@
     "RelayedRequestReceived",
     "RequestEnded",
     "RequestRelayed",
+    "QuarantineTrial",
     "QuarantinedRequestRefused",
     "RequestSent",
     "RequestUnreadable",
     "RestrictionsFetched",
     "RolloutChanged",
+    "RunWithdrawn",
     "RoomChanged",
     "StopBegun",
     "TrafficCounted",
@@ -438,7 +440,8 @@
 
     `crashes` is how many did so with the same request fingerprint since a request with
     it last completed, `held_ms` for how long the fingerprint is quarantined. `parts`
-    are the ids of the parts of its prompt that other requests may share.
+    are the parts of its prompt that other requests may share, each with its crashes
+    since a request with it last completed.
     """
 
     event: ClassVar[str] = "crash_noted"
@@ -452,21 +455,31 @@
 
 @dataclass(frozen=True)
 class QuarantinedRequestRefused(LogEvent):
-    """A request is refused because endpoints crashed on its fingerprint."""
+    """A request is refused because endpoints crashed on it, or on a part of its prompt.
+
+    `cause` is the fingerprint that is quarantined or on trial, `part` the id of the
+    part that it stands for, empty for a whole request.
+    """
 
     event: ClassVar[str] = "request_held"
     request: str
     content: str
+    cause: str
+    part: str
     crashes: int
     held_ms: int
 
 
 @dataclass(frozen=True)
 class FingerprintQuarantined(LogEvent):
-    """A request fingerprint is quarantined; `source` reported its last crash."""
+    """A fingerprint is quarantined; `source` reported its last crash.
+
+    `part` is the id of the prompt part that it stands for, empty for a whole request.
+    """
 
     event: ClassVar[str] = "content_held"
     content: str
+    part: str
     crashes: int
     held_ms: int
     source: str
@@ -474,11 +487,35 @@
 
 @dataclass(frozen=True)
 class CrashRecordCleared(LogEvent):
-    """A request completed on whose fingerprint an endpoint had crashed."""
+    """A request completed on which, or on parts of which, an endpoint had crashed.
+
+    `parts` are the ids of the parts that this clears.
+    """
 
     event: ClassVar[str] = "content_survived"
     request: str
     content: str
+    parts: str
+
+
+@dataclass(frozen=True)
+class QuarantineTrial(LogEvent):
+    """A request is sent to find out whether endpoints crash on its `cause`."""
+
+    event: ClassVar[str] = "quarantine_trial"
+    request: str
+    cause: str
+    part: str
+    crashes: int
+
+
+@dataclass(frozen=True)
+class RunWithdrawn(LogEvent):
+    """A request is withdrawn from an endpoint as it has just been quarantined."""
+
+    event: ClassVar[str] = "run_withdrawn"
+    request: str
+    instance: str
 
 
 @dataclass(frozen=True)
--- a/ashlatch/gateway/peer_updates.py
+++ b/ashlatch/gateway/peer_updates.py
@@ -12,8 +12,9 @@
 import logging
 from dataclasses import dataclass
 
+from ashlatch.clock import unix_ms
 from ashlatch.gateway.context import GatewayContext
-from ashlatch.gateway.crash_detector import apply_peer_crashes
+from ashlatch.gateway.crash_records import apply_peer_records, record_left_runs
 from ashlatch.gateway.limits import apply_peer_limit, apply_peer_send
 from ashlatch.gateway.logs import (
     EndpointBackoffElsewhere,
@@ -41,6 +42,7 @@
     RateLimitedSend,
     SessionActive,
     SessionMoved,
+    TrialBegun,
 )
 from ashlatch.log import emit
 from ashlatch.policy.load_advertisement import load_level
@@ -83,7 +85,12 @@
 def _crash_record(
     context: GatewayContext, update: CrashRecordUpdate, sender: Sender
 ) -> None:
-    apply_peer_crashes(context, update.record, sender.address)
+    apply_peer_records(context, (update.record, *update.more), sender.address)
+
+
+@PEER_HANDLERS.on(TrialBegun)
+def _trial_begun(context: GatewayContext, update: TrialBegun, sender: Sender) -> None:
+    context.quarantine.apply_trial(update.keys, update.request, unix_ms())
 
 
 @PEER_HANDLERS.on(EndpointReplaced)
@@ -117,6 +124,7 @@
     not_listening = EndpointNotListening(update.instance, service, sender.address)
     emit(log, not_listening, logging.WARNING)
     context.forget_instance(update.instance)
+    record_left_runs(context, state)
 
 
 @PEER_HANDLERS.on(EndpointLeaving)
--- a/ashlatch/gateway/request_record.py
+++ b/ashlatch/gateway/request_record.py
@@ -51,6 +51,10 @@
 log = logging.getLogger("ashlatch.gateway")
 
 # The request has not reached the intended endpoint.
+# Failures that say nothing about the health of the endpoint.
+_NOT_ITS_FAULT = frozenset(
+    {FailureKind.REFUSED, FailureKind.CLOSED, FailureKind.WITHDRAWN}
+)
 _NOT_REACHED = frozenset(
     {FailureKind.UNREACHABLE, FailureKind.MISDIRECTED, FailureKind.CLOSED}
 )
@@ -274,7 +278,7 @@
             )
         if kind is FailureKind.MISDIRECTED:
             self._record_replacement(state)
-        elif kind not in (FailureKind.REFUSED, FailureKind.CLOSED):
+        elif kind not in _NOT_ITS_FAULT:
             self._count_against_endpoint(state, kind)
         if kind is FailureKind.UNREACHABLE and failure.detail == CONNECT_REFUSED:
             record_refusal(self._context, state, self._now_ms())
--- a/ashlatch/gateway/restrictions.py
+++ b/ashlatch/gateway/restrictions.py
@@ -2,10 +2,10 @@
 ashlatch.gateway.restrictions
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-What endpoints have asked of all gateways: rate limits, backoffs and the like. They
-announce it in answers, so a gateway that has just started asks the others for it before
-it serves: otherwise the callers that wait for it would all be sent to an endpoint that
-accepts few of them.
+What endpoints have asked of all gateways: rate limits, backoffs and the like, and the
+requests on which they have crashed. Gateways learn it from answers, so one that has
+just started asks the others for it before it serves: otherwise the callers that wait
+for it would all be sent to an endpoint that accepts few of them.
 
 :copyright: Copyright 2026 by the ashlatch maintainers.
 :license: MIT, see LICENSE for details.
@@ -20,6 +20,7 @@
 from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.updates import (
     BackoffRequested,
+    CrashRecordUpdate,
     EndpointBrittle,
     EndpointLeaving,
     PeerUpdate,
@@ -33,10 +34,11 @@
 
 
 def encode_restrictions(context: GatewayContext, now_ms: float) -> bytes:
-    """Encodes what the endpoints of a gateway have asked for, as updates."""
+    """Encodes what a gateway knows of restrictions and crashes, as updates."""
     found: list[PeerUpdate] = []
     for state in context.directory.all():
         found.extend(_restrictions_of(state, now_ms))
+    found.extend(CrashRecordUpdate(record) for record in context.quarantine.counted())
     return encode(tuple(found[:UPDATES_MAX]))
 
 
--- a/ashlatch/gateway/sync.py
+++ b/ashlatch/gateway/sync.py
@@ -37,8 +37,8 @@
 from ashlatch.gateway.tally import Tally
 from ashlatch.gateway.traffic import TrafficKind
 from ashlatch.log import emit
+from ashlatch.policy.crash_record import CrashRecord
 from ashlatch.policy.prefill_rate import PrefillRate
-from ashlatch.policy.quarantine import CrashRecord
 from ashlatch.policy.speed import ReportedRatio
 
 __all__ = ["CoreSync"]
--- a/ashlatch/gateway/updates.py
+++ b/ashlatch/gateway/updates.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from ashlatch.policy.quarantine import CrashRecord
+from ashlatch.policy.crash_record import CrashRecord
 
 __all__ = [
     "DEMAND_MAX",
@@ -38,6 +38,8 @@
     "SessionActive",
 ]
 
+# The largest number of crash records, or of their fingerprints, in a datagram.
+RECORDS_SENT_MAX = 64
 # The largest number of organisations in a datagram, which then has about 600 bytes.
 ORGANISATIONS_SENT_MAX = 64
 # Bounds of received figures: a false one must not make sums infinite.
@@ -109,12 +111,28 @@
 class CrashRecordUpdate(msgspec.Struct, frozen=True, array_like=True, tag=6):
     """Endpoints ended while they ran a request, or one completed it without a crash.
 
-    `record` identifies the request by its fingerprint. With `relay_to_hall`, the
-    receiver forwards the update to the other gateways of its hall.
+    `record` and `more` identify the request and the parts of its prompt by their
+    fingerprints. With `relay_to_hall`, the receiver forwards the update to the other
+    gateways of its hall.
     """
 
     record: CrashRecord
     relay_to_hall: bool = False
+    more: Annotated[
+        tuple[CrashRecord, ...], msgspec.Meta(max_length=RECORDS_SENT_MAX)
+    ] = ()
+
+
+class TrialBegun(msgspec.Struct, frozen=True, array_like=True, tag=15):
+    """A request is sent to find out whether endpoints crash on some fingerprints.
+
+    `request` is its own fingerprint. With `relay_to_hall`, the receiver forwards the
+    update to the other gateways of its hall.
+    """
+
+    keys: Annotated[tuple[int, ...], msgspec.Meta(max_length=RECORDS_SENT_MAX)]
+    request: int
+    relay_to_hall: bool = False
 
 
 class RateLimitChanged(msgspec.Struct, frozen=True, array_like=True, tag=7):
@@ -240,6 +258,7 @@
     | SessionMoved
     | SessionActive
     | CrashRecordUpdate
+    | TrialBegun
     | OrganisationDemand
     | GatewayIsolation
 )
@@ -249,6 +268,7 @@
     | LoadReported
     | EndpointRefuses
     | CrashRecordUpdate
+    | TrialBegun
     | RateLimitChanged
     | RateLimitedSend
     | EndpointLeaving
--- a/ashlatch/policy/quarantine.py
+++ b/ashlatch/policy/quarantine.py
@@ -2,210 +2,134 @@
 ashlatch.policy.quarantine
 ~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Quarantines requests that crash the endpoints that run them. The requests that ran at an
-endpoint when its process ended are suspects. They are identified by a fingerprint of
-what they ask for and not by their id, since callers repeat them under other ids and at
-other gateways. After several crashes in which the request was never completed in
-between, it is quarantined: all gateways refuse it at once.
-
-This guards against a load in which a few fingerprints are repeated and each run costs
-an engine and all other requests there. With seven gateways and five engines, two such
-fingerprints ended 31 engines in 80 s without quarantine, and a fifth of all requests
-was refused meanwhile.
+Quarantines what crashes the endpoints that run it: a request that its callers repeat,
+or a part of prompts that requests share. What ran at an endpoint when its process ended
+is suspected. A request is identified by a fingerprint of what it asks for and not by
+its id, since callers repeat it under other ids and at other gateways. After several
+crashes without a completed run in between, the cause is quarantined: all gateways
+refuse the requests that contain it at once.
+
+This guards against a load in which a few fingerprints come again and again and each run
+costs an engine and all other requests there. With seven gateways and five engines, two
+such fingerprints ended 31 engines in 80 s without quarantine, and a fifth of all
+requests was refused meanwhile.
 
 :copyright: Copyright 2026 by the ashlatch maintainers.
 :license: MIT, see LICENSE for details.
 """
 
+import enum
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-import msgspec
-import xxhash
+from ashlatch.policy.attribution import CRASHES_MIN, Cause, attribute_crashes
+from ashlatch.policy.crash_record import (
+    Crash,
+    CrashRecord,
+    apply_record,
+    endpoint_digest,
+    merge_records,
+    part_fingerprint,
+)
 
 __all__ = [
-    "Crash",
-    "CrashLog",
-    "CrashRecord",
+    "Fingerprints",
+    "Isolation",
     "Quarantine",
-    "UnloggedCrashes",
-    "endpoint_digest",
-    "apply_record",
-    "merge_records",
+    "QuarantineAction",
+    "QuarantineDecision",
 ]
 
-# The number of crashes, without a completed run in between, after which a fingerprint
-# is quarantined. A request that only ran beside the one that crashes endpoints is
-# rarely present three times, and each further crash costs callers an engine.
-CRASHES_TO_QUARANTINE = 3
 # The duration of a quarantine, doubled for each further crash: a fingerprint that is
 # sent for ever costs one engine in ten minutes at first, and one a day later.
 QUARANTINE_MS = 600_000
 QUARANTINE_MAX_MS = 86_400_000
-# Two reports of a crash of one endpoint within this time are of the same crash: the
-# gateways see it within milliseconds, their clocks differ slightly, and an endpoint
-# needs seconds to restart.
-SAME_CRASH_MS = 1000
-# The number of crashes that a record keeps, the newest ones.
-CRASHES_PER_RECORD_MAX = 16
 # How often a record is reported to the core at most, several times a second: a core
 # without capacity for the record does not confirm it.
 REPORTS_MAX = 20
-# The largest number of records; those in quarantine are dropped last. A crash
-# leaves a few dozen suspects, and all records are sent to each gateway that starts.
-RECORDS_MAX = 512
-
-
-class Crash(msgspec.Struct, frozen=True, array_like=True):
-    """The end of one endpoint's process while a request was running there.
-
-    `endpoint` is the digest of its id, `started_unix_ms` when that process started, 0
-    if unknown. `completed_since` is whether the request has completed without a crash
-    since.
+# A trial that has not ended after this time no longer keeps others from running.
+TRIAL_MS = 3000.0
+# When a caller may return that is refused because of a trial: most have ended by then.
+TRIAL_RETRY_MS = 1000.0
+# A completed run says for this time that a part is harmless, unless endpoints crash on
+# it from then on.
+COMPLETED_VALID_MS = 60_000.0
+# The number of parts whose last completed run is known.
+COMPLETED_PARTS_MAX = 4096
+
+
+class QuarantineAction(enum.Enum):
+    """What to do with a request.
+
+    A `TRIAL` may be sent while no other request with the same cause runs; its result
+    shows whether the cause is the right one.
     """
 
-    endpoint: int
-    started_unix_ms: int
-    at_unix_ms: int
-    completed_since: bool = False
-
-    def is_same(self, other: "Crash") -> bool:
-        """Checks whether both are reports of one crash."""
-        incarnation = (self.endpoint, self.started_unix_ms)
-        if incarnation != (other.endpoint, other.started_unix_ms):
-            return False
-        distance_ms = abs(self.at_unix_ms - other.at_unix_ms)
-        return self.started_unix_ms > 0 or distance_ms < SAME_CRASH_MS
-
-
-class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
-    """The crashes of endpoints that ran a fingerprint, oldest first."""
-
-    fingerprint: int
-    crashes: tuple[Crash, ...]
+    SEND = "send"
+    TRIAL = "trial"
+    REFUSE = "refuse"
 
-    @property
-    def counted_crashes(self) -> tuple[Crash, ...]:
-        """The crashes since its last completed run."""
-        return tuple(c for c in self.crashes if not c.completed_since)
 
-    @property
-    def quarantined_until_unix_ms(self) -> int:
-        """Returns when the quarantine ends; 0 if there are too few crashes for one."""
-        crashes = self.counted_crashes
-        if len(crashes) < CRASHES_TO_QUARANTINE:
-            return 0
-        duration_ms = QUARANTINE_MS << (len(crashes) - CRASHES_TO_QUARANTINE)
-        return crashes[-1].at_unix_ms + min(QUARANTINE_MAX_MS, duration_ms)
+@dataclass(frozen=True)
+class QuarantineDecision:
+    """The decision about a request.
 
+    `cause` is the fingerprint that it was made for, 0 for `SEND`. A refused request may
+    return after `wait_ms`.
+    """
 
-def endpoint_digest(instance: str) -> int:
-    """Returns the digest of an endpoint's id that crashes carry."""
-    return xxhash.xxh3_64_intdigest(instance.encode())
+    action: QuarantineAction
+    cause: int = 0
+    wait_ms: float = 0.0
 
 
-def merge_records(one: CrashRecord, other: CrashRecord) -> CrashRecord:
-    """Merges two records of a fingerprint; the order of merging does not matter.
+_SEND = QuarantineDecision(QuarantineAction.SEND)
 
-    A completed run after a crash stays recorded, even if the crash is reported again
-    later.
-    """
-    crashes: list[Crash] = []
-    for crash in sorted((*one.crashes, *other.crashes), key=_sort_key):
-        at = next((n for n, c in enumerate(crashes) if c.is_same(crash)), None)
-        if at is None:
-            crashes.append(crash)
-        elif crash.completed_since:
-            crashes[at] = msgspec.structs.replace(crashes[at], completed_since=True)
-    return CrashRecord(one.fingerprint, tuple(crashes[-CRASHES_PER_RECORD_MAX:]))
-
-
-def _sort_key(crash: Crash) -> tuple[int, int, int, bool]:
-    return (
-        crash.at_unix_ms,
-        crash.endpoint,
-        crash.started_unix_ms,
-        crash.completed_since,
-    )
-
-
-def apply_record(records: dict[int, CrashRecord], update: CrashRecord) -> bool:
-    """Merges a received record; returns whether that changes anything.
-
-    The number of records is bounded: the one with the fewest crashes since a completed
-    run is dropped, the oldest among equals.
-    """
-    existing = records.get(update.fingerprint, CrashRecord(update.fingerprint, ()))
-    record = merge_records(existing, update)
-    if record == existing:
-        return False
-    records[update.fingerprint] = record
-    if len(records) > RECORDS_MAX:
-        del records[min(records, key=lambda key: _retention_key(records[key]))]
-    return True
 
+@dataclass(frozen=True)
+class Fingerprints:
+    """What identifies a request: the whole of it, and the shared parts of its prompt.
 
-class CrashLog(msgspec.Struct):
-    """The replicated records, with numbered changes.
+    `parts` are the ids of the parts that other requests may contain too::
 
-    `number` is that of the newest change, `numbers` holds the last change of each
-    fingerprint, so that a process can request the changes since a number.
+        Fingerprints(request_fingerprint, ("5c1e07a2", "91bd3f06"))
     """
 
-    records: dict[int, CrashRecord] = {}
-    numbers: dict[int, int] = {}
-    number: int = 0
+    request: int
+    parts: tuple[str, ...] = ()
+    keys: tuple[int, ...] = field(init=False)
 
-    def apply(self, updates: Iterable[CrashRecord]) -> bool:
-        """Merges records; returns whether any of them changes the log."""
-        before = self.number
-        for record in updates:
-            if apply_record(self.records, record):
-                self.number += 1
-                self.numbers[record.fingerprint] = self.number
-        self.numbers = {key: self.numbers[key] for key in self.records}
-        return self.number > before
+    def __post_init__(self) -> None:
+        shared = dict.fromkeys(part_fingerprint(part) for part in self.parts)
+        object.__setattr__(self, "keys", (self.request, *shared))
 
-    def since(self, number: int) -> tuple[CrashRecord, ...]:
-        """Returns the records that have changed since a number."""
-        return tuple(r for f, r in self.records.items() if self.numbers[f] > number)
+    def part_of(self, key: int) -> str:
+        """Returns the id of the part that a key stands for; empty for the request."""
+        found = (part for part in self.parts if part_fingerprint(part) == key)
+        return next(found, "")
 
-    def covers(self, record: CrashRecord) -> bool:
-        """Checks whether the log contains all crashes of a record."""
-        logged = self.records.get(record.fingerprint)
-        return logged is not None and merge_records(logged, record) == logged
 
+@dataclass(frozen=True)
+class Isolation:
+    """How a request is kept apart that ran, or whose prompt's part ran, at a crash.
 
-@dataclass
-class UnloggedCrashes:
-    """Reported crashes that are not in the replicated log yet.
-
-    They are reported again until they are, also across changes of the leader.
+    Requests that share the suspected `part` go to the same endpoint, so that few are at
+    risk; another part's requests mostly go elsewhere, so that the suspects separate.
+    Without a part the request itself is suspected.
     """
 
-    _records: dict[int, CrashRecord] = field(default_factory=dict)
-
-    def apply(self, updates: Iterable[CrashRecord]) -> bool:
-        """Merges records; returns whether any of them is new."""
-        changed = [apply_record(self._records, record) for record in updates]
-        return any(changed)
-
-    def missing_from(self, log: CrashLog) -> tuple[CrashRecord, ...]:
-        """Returns the records that the log lacks, and drops all others."""
-        for fingerprint, record in tuple(self._records.items()):
-            if log.covers(record):
-                del self._records[fingerprint]
-        return tuple(self._records.values())
+    part: str
 
 
-def _retention_key(record: CrashRecord) -> tuple[int, int, int]:
-    newest_ms = record.crashes[-1].at_unix_ms if record.crashes else 0
-    return len(record.counted_crashes), newest_ms, record.fingerprint
+@dataclass(frozen=True)
+class _Trial:
+    request: int
+    ends_unix_ms: float
 
 
 @dataclass
 class Quarantine:
-    """The crash records at one gateway or router::
+    """The crash records at one gateway or router, and the decisions by them::
 
         quarantine = Quarantine()
         quarantine.record_crash(fingerprint, "i-1", 0, now_ms)
@@ -218,41 +142,187 @@
     _records: dict[int, CrashRecord] = field(default_factory=dict)
     # Fingerprints that the core has not confirmed, with the number of reports to it.
     _unconfirmed: dict[int, int] = field(default_factory=dict)
+    _completed_unix_ms: dict[int, float] = field(default_factory=dict)
+    _trials: dict[int, _Trial] = field(default_factory=dict)
+    # None when records have changed since.
+    _causes: dict[int, Cause] | None = None
+
+    # Decisions.
+
+    def decide(
+        self, fingerprints: Fingerprints, now_unix_ms: float
+    ) -> QuarantineDecision:
+        """Decides whether a request may be sent."""
+        if not self._records:
+            return _SEND
+        causes = self._current_causes()
+        found = [key for key in fingerprints.keys if key in causes]
+        if not found:
+            return _SEND
+        left_ms = {key: self.remaining_ms(key, now_unix_ms) for key in found}
+        longest = max(found, key=lambda key: left_ms[key])
+        if left_ms[longest] > 0.0:
+            return QuarantineDecision(
+                QuarantineAction.REFUSE, longest, left_ms[longest]
+            )
+        for key in found:
+            trial = self._trials.get(key)
+            if trial is None or trial.request == fingerprints.request:
+                continue
+            if trial.ends_unix_ms > now_unix_ms:
+                return QuarantineDecision(QuarantineAction.REFUSE, key, TRIAL_RETRY_MS)
+        return QuarantineDecision(QuarantineAction.TRIAL, longest)
+
+    def begin_trial(
+        self, fingerprints: Fingerprints, now_unix_ms: float
+    ) -> tuple[int, ...]:
+        """Records that a request is sent as a trial; returns the causes it may show."""
+        found = tuple(k for k in fingerprints.keys if k in self._current_causes())
+        self.apply_trial(found, fingerprints.request, now_unix_ms)
+        return found
+
+    def apply_trial(
+        self, keys: Iterable[int], request: int, now_unix_ms: float
+    ) -> None:
+        """Records that a request is sent as a trial here or elsewhere."""
+        causes = self._current_causes()
+        self._trials = {k: t for k, t in self._trials.items() if k in causes}
+        trial = _Trial(request, now_unix_ms + TRIAL_MS)
+        self._trials.update((key, trial) for key in keys if key in causes)
+
+    def remaining_ms(self, fingerprint: int, now_unix_ms: float) -> float:
+        """Returns the remaining time in quarantine; 0 if it may be sent."""
+        cause = self._current_causes().get(fingerprint)
+        if cause is None or not cause.certain:
+            return 0.0
+        last_ms = self._records[fingerprint].counted_crashes[-1].at_unix_ms
+        duration_ms = QUARANTINE_MS << max(0, cause.crashes - CRASHES_MIN)
+        until_ms = last_ms + min(QUARANTINE_MAX_MS, duration_ms)
+        return max(0.0, until_ms - now_unix_ms)
+
+    def quarantined(self, now_unix_ms: float) -> frozenset[int]:
+        """Returns the fingerprints that are refused."""
+        causes = self._current_causes()
+        return frozenset(k for k in causes if self.remaining_ms(k, now_unix_ms) > 0.0)
+
+    def isolation(self, fingerprints: Fingerprints) -> Isolation | None:
+        """Returns how a request is kept apart from others, None if it is not."""
+        if not self._records:
+            return None
+        best, best_crashes = None, 0
+        for key in fingerprints.keys:
+            record = self._records.get(key)
+            if record is None:
+                continue
+            counted = record.counted_crashes
+            if record.part and any(c.completed_before for c in counted):
+                continue
+            # Of equals the last part is the most specific one.
+            if counted and len(counted) >= best_crashes:
+                best, best_crashes = record, len(counted)
+        return Isolation(best.part) if best is not None else None
+
+    def crash_count(self, fingerprint: int) -> int:
+        """Returns the number of crashes since the last completed run."""
+        record = self._records.get(fingerprint)
+        return len(record.counted_crashes) if record is not None else 0
+
+    def part_of(self, fingerprint: int) -> str:
+        """Returns the id of the part that a fingerprint stands for, if it does."""
+        record = self._records.get(fingerprint)
+        return record.part if record is not None else ""
+
+    def _current_causes(self) -> dict[int, Cause]:
+        if self._causes is None:
+            self._causes = attribute_crashes(self._records.values())
+        return self._causes
+
+    # Records.
 
     def record_crash(
-        self, fingerprint: int, instance: str, started_unix_ms: int, now_unix_ms: int
+        self,
+        fingerprint: int,
+        instance: str,
+        started_unix_ms: int,
+        now_unix_ms: int,
+        part: str = "",
     ) -> CrashRecord:
-        """Records that an endpoint ended while it ran a request of this gateway."""
-        crash = Crash(endpoint_digest(instance), started_unix_ms, now_unix_ms)
-        self._record_local(CrashRecord(fingerprint, (crash,)))
+        """Records that an endpoint ended while it ran a request of this process."""
+        completed_ms = self._completed_unix_ms.get(fingerprint, float("-inf"))
+        crash = Crash(
+            endpoint_digest(instance),
+            started_unix_ms,
+            now_unix_ms,
+            completed_before=now_unix_ms - completed_ms < COMPLETED_VALID_MS,
+        )
+        self._record_local(CrashRecord(fingerprint, (crash,), part))
         return self._records[fingerprint]
 
+    def record_crashes(
+        self,
+        fingerprints: Fingerprints,
+        instance: str,
+        started_unix_ms: int,
+        now_unix_ms: int,
+    ) -> tuple[CrashRecord, ...]:
+        """Records a crash for a request and the shared parts of its prompt."""
+        return tuple(
+            self.record_crash(
+                key, instance, started_unix_ms, now_unix_ms, fingerprints.part_of(key)
+            )
+            for key in fingerprints.keys
+        )
+
     def record_completed(self, fingerprint: int) -> bool:
         """Records a completed run; returns whether the fingerprint was a suspect."""
         record = self._records.get(fingerprint)
         if record is None or not record.counted_crashes:
             return False
-        crashes = tuple(
-            msgspec.structs.replace(c, completed_since=True) for c in record.crashes
-        )
-        self._record_local(CrashRecord(fingerprint, crashes))
+        self._record_local(record.cleared_until(float("inf")))
         return True
 
-    def apply(self, record: CrashRecord) -> bool:
-        """Merges another gateway's record; returns whether that changes anything."""
-        return apply_record(self._records, record)
+    def record_completions(
+        self, fingerprints: Fingerprints, now_unix_ms: float
+    ) -> tuple[CrashRecord, ...]:
+        """Records a completed run of a request; returns the records that it clears."""
+        for key in fingerprints.keys[1:]:
+            self._completed_unix_ms.pop(key, None)
+            self._completed_unix_ms[key] = now_unix_ms
+        while len(self._completed_unix_ms) > COMPLETED_PARTS_MAX:
+            del self._completed_unix_ms[next(iter(self._completed_unix_ms))]
+        if not self._records:
+            return ()
+        return tuple(
+            self._records[key]
+            for key in fingerprints.keys
+            if self.record_completed(key)
+        )
 
-    def crash_count(self, fingerprint: int) -> int:
-        """Returns the number of crashes since the last completed run."""
-        record = self._records.get(fingerprint)
-        return len(record.counted_crashes) if record is not None else 0
+    def apply(self, record: CrashRecord) -> bool:
+        """Merges another process's record; returns whether that changes anything."""
+        changed = apply_record(self._records, record)
+        if not changed:
+            return False
+        self._causes = None
+        completed_ms = self._completed_unix_ms.get(record.fingerprint)
+        if completed_ms is not None:
+            self._apply_completion(record.fingerprint, completed_ms)
+        return True
 
-    def remaining_ms(self, fingerprint: int, now_unix_ms: float) -> float:
-        """Returns the remaining time in quarantine; 0 if it may be sent."""
+    def _apply_completion(self, fingerprint: int, completed_ms: float) -> None:
+        """Clears crashes that were reported after a later completed run."""
         record = self._records.get(fingerprint)
         if record is None:
-            return 0.0
-        return max(0.0, record.quarantined_until_unix_ms - now_unix_ms)
+            return
+        cleared = record.cleared_until(completed_ms)
+        if cleared != record:
+            self._record_local(cleared)
+
+    # Reports to the core.
+
+    def counted(self) -> tuple[CrashRecord, ...]:
+        """Returns the records with crashes since the last completed run."""
+        return tuple(r for r in self._records.values() if r.counted_crashes)
 
     def unconfirmed(self) -> tuple[CrashRecord, ...]:
         """Returns the local records that the core has not confirmed yet."""
@@ -275,4 +345,5 @@
 
     def _record_local(self, record: CrashRecord) -> None:
         apply_record(self._records, record)
+        self._causes = None
         self._unconfirmed[record.fingerprint] = 0
--- a/ashlatch/router/event.py
+++ b/ashlatch/router/event.py
@@ -12,9 +12,9 @@
 import enum
 from dataclasses import dataclass
 
+from ashlatch.policy.crash_record import CrashRecord
 from ashlatch.policy.detector import VersionTally
 from ashlatch.policy.load import LoadReport
-from ashlatch.policy.quarantine import CrashRecord
 from ashlatch.policy.table import RoutingTable
 from ashlatch.store.command import (
     Claim,
--- a/ashlatch/store/command.py
+++ b/ashlatch/store/command.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from ashlatch.policy.quarantine import CrashRecord
+from ashlatch.policy.crash_record import CrashRecord
 
 __all__ = [
     "Acknowledged",
--- a/ashlatch/store/daemon.py
+++ b/ashlatch/store/daemon.py
@@ -19,7 +19,7 @@
 from ashlatch.clock import monotonic_ms, monotonic_s, unix_ms
 from ashlatch.errors import TransportError
 from ashlatch.log import LogEvent, emit
-from ashlatch.policy.quarantine import CrashRecord, UnloggedCrashes
+from ashlatch.policy.crash_record import CrashRecord, UnloggedCrashes
 from ashlatch.raft.effect import AddLearner, Received, RemoveMember
 from ashlatch.raft.group import NotLeading
 from ashlatch.raft.message import Member, Message
--- a/ashlatch/store/machine.py
+++ b/ashlatch/store/machine.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from ashlatch.codec import decode, encode
-from ashlatch.policy.quarantine import CrashLog
+from ashlatch.policy.crash_record import CrashLog
 from ashlatch.registry import Handlers
 from ashlatch.store.command import (
     Acknowledged,
--- a/ashlatch/store/protocol.py
+++ b/ashlatch/store/protocol.py
@@ -11,8 +11,8 @@
 import msgspec
 
 from ashlatch.link import Method
+from ashlatch.policy.crash_record import CrashRecord
 from ashlatch.policy.detector import VersionTally
-from ashlatch.policy.quarantine import CrashRecord
 from ashlatch.raft.message import Member, Message
 from ashlatch.store.command import Command, Outcome, Resource
 from ashlatch.store.configuration import ResourceId
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -26,8 +26,9 @@
 from ashlatch.gateway.sessions import SessionVersions
 from ashlatch.gateway.versions import AllowedEndpoints, VersionChooser, VersionReason
 from ashlatch.platform.document import decode_catalog
+from ashlatch.policy.crash_record import CrashRecord
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
-from ashlatch.policy.quarantine import CrashRecord
+from ashlatch.policy.quarantine import Fingerprints
 from tests.stub_server import document, encode_document, engine_service
 
 MODEL = "large"
@@ -203,13 +204,13 @@
             return
         assert context.table is not None
         states = list(context.directory.of_service("app"))
-        isolated = self._isolates and quarantine.crash_count(request.fingerprint) > 0
+        isolation = quarantine.isolation(Fingerprints(request.fingerprint))
         chosen = choose_endpoint(
             context,
             context.table.services["app"],
             AllowedEndpoints(states, VersionReason.NO_ROLLOUT),
             frozenset(request.tried),
-            Send(request.ask, MODEL, 1500.0, isolated),
+            Send(request.ask, MODEL, 1500.0, isolation if self._isolates else None),
             self.now_ms,
         )
         if chosen is None or request.sends >= ATTEMPTS_MAX:
--- a/tests/removal_simulation.py
+++ b/tests/removal_simulation.py
@@ -17,9 +17,10 @@
 
 from ashlatch.http import problem as problems
 from ashlatch.http.problem import Problem
+from ashlatch.policy.attribution import CRASHES_MIN
 from ashlatch.policy.detector import VersionTally
 from ashlatch.policy.load import LoadReport
-from ashlatch.policy.quarantine import CRASHES_TO_QUARANTINE, Quarantine
+from ashlatch.policy.quarantine import Quarantine
 from ashlatch.policy.table import TableBuilder
 from ashlatch.resources import encode_canonical, parse
 from ashlatch.router import admission, attempt, hedge, notices, updates
@@ -489,7 +490,7 @@
     def crash_records(self, crashed: Request) -> tuple[Any, ...]:
         quarantine = Quarantine()
         fingerprint = request_fingerprint(crashed)
-        for crash in range(self.generator.randint(1, CRASHES_TO_QUARANTINE)):
+        for crash in range(self.generator.randint(1, CRASHES_MIN)):
             at_ms = crashed.arrived_wall_ms + int(self.generator.uniform(0.0, 100.0))
             quarantine.record_crash(fingerprint, f"x{crash}", 0, at_ms)
         if self.generator.random() < 0.5:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -224,6 +224,8 @@
             "gateway_urgent_untold",
             "crash_noted",
             "request_held",
+            "quarantine_trial",
+            "run_withdrawn",
             "crashes_unnoted",
             # Neither a decision nor state: totals for the cost of a hall.
             "traffic_counted",
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -7,23 +7,25 @@
 from hypothesis import strategies as st
 
 from ashlatch.codec import decode, encode
-from ashlatch.policy.quarantine import (
+from ashlatch.policy.attribution import CRASHES_MIN
+from ashlatch.policy.crash_record import (
     CRASHES_PER_RECORD_MAX,
-    CRASHES_TO_QUARANTINE,
-    QUARANTINE_MAX_MS,
-    QUARANTINE_MS,
     RECORDS_MAX,
-    REPORTS_MAX,
     SAME_CRASH_MS,
     Crash,
     CrashLog,
     CrashRecord,
-    Quarantine,
     UnloggedCrashes,
     apply_record,
     endpoint_digest,
     merge_records,
 )
+from ashlatch.policy.quarantine import (
+    QUARANTINE_MAX_MS,
+    QUARANTINE_MS,
+    REPORTS_MAX,
+    Quarantine,
+)
 
 AT = 1_800_000_000_000
 FINGERPRINT = 7
@@ -43,14 +45,14 @@
 class QuarantineTest(testtools.TestCase):
     def test_quarantined_from_the_third_crash_on(self) -> None:
         quarantine = Quarantine()
-        for crashes in range(1, CRASHES_TO_QUARANTINE + 1):
+        for crashes in range(1, CRASHES_MIN + 1):
             at_ms = record_crashes(quarantine, crashes)
             quarantined = quarantine.remaining_ms(FINGERPRINT, at_ms) > 0
-            self.assertEqual(crashes >= CRASHES_TO_QUARANTINE, quarantined)
+            self.assertEqual(crashes >= CRASHES_MIN, quarantined)
 
     def test_the_quarantine_ends_and_doubles(self) -> None:
         quarantine = Quarantine()
-        at_ms = record_crashes(quarantine, CRASHES_TO_QUARANTINE)
+        at_ms = record_crashes(quarantine, CRASHES_MIN)
         self.assertEqual(QUARANTINE_MS, quarantine.remaining_ms(FINGERPRINT, at_ms))
         again_ms = at_ms + QUARANTINE_MS
         self.assertEqual(0.0, quarantine.remaining_ms(FINGERPRINT, again_ms))
@@ -65,7 +67,7 @@
 
     def test_a_completed_run_ends_it(self) -> None:
         quarantine = Quarantine()
-        at_ms = record_crashes(quarantine, CRASHES_TO_QUARANTINE)
+        at_ms = record_crashes(quarantine, CRASHES_MIN)
         self.assertTrue(quarantine.record_completed(FINGERPRINT))
         self.assertEqual(0, quarantine.crash_count(FINGERPRINT))
         self.assertEqual(0.0, quarantine.remaining_ms(FINGERPRINT, at_ms))
@@ -74,7 +76,7 @@
 
     def test_crashes_after_a_completed_run_count_anew(self) -> None:
         quarantine = Quarantine()
-        record_crashes(quarantine, CRASHES_TO_QUARANTINE)
+        record_crashes(quarantine, CRASHES_MIN)
         quarantine.record_completed(FINGERPRINT)
         later_ms = AT + 60_000
         quarantine.record_crash(FINGERPRINT, "i-0", 0, later_ms)
@@ -82,7 +84,7 @@
 
     def test_other_fingerprints_are_not_quarantined(self) -> None:
         quarantine = Quarantine()
-        at_ms = record_crashes(quarantine, CRASHES_TO_QUARANTINE)
+        at_ms = record_crashes(quarantine, CRASHES_MIN)
         self.assertEqual(0.0, quarantine.remaining_ms(FINGERPRINT + 1, at_ms))
 
 
@@ -97,9 +99,9 @@
     def test_an_endpoint_that_restarts_under_its_id(self) -> None:
         """Else a fleet of two endpoints would never reach three crashes."""
         quarantine = Quarantine()
-        for number in range(CRASHES_TO_QUARANTINE):
+        for number in range(CRASHES_MIN):
             quarantine.record_crash(FINGERPRINT, "i-0", 0, AT + 3000 * number)
-        self.assertEqual(CRASHES_TO_QUARANTINE, quarantine.crash_count(FINGERPRINT))
+        self.assertEqual(CRASHES_MIN, quarantine.crash_count(FINGERPRINT))
 
     def test_a_known_start_separates_incarnations(self) -> None:
         quarantine = Quarantine()
@@ -112,7 +114,7 @@
 
 class MergeTest(testtools.TestCase):
     def test_gateways_that_saw_one_crash_each(self) -> None:
-        gateways = [Quarantine() for _ in range(CRASHES_TO_QUARANTINE)]
+        gateways = [Quarantine() for _ in range(CRASHES_MIN)]
         for number, gateway in enumerate(gateways):
             gateway.record_crash(FINGERPRINT, f"i-{number}", 0, AT + 2000 * number)
         merged = Quarantine()
@@ -163,7 +165,7 @@
 class BoundsTest(testtools.TestCase):
     def test_records_are_bounded_and_quarantined_ones_stay(self) -> None:
         quarantine = Quarantine()
-        at_ms = record_crashes(quarantine, CRASHES_TO_QUARANTINE)
+        at_ms = record_crashes(quarantine, CRASHES_MIN)
         for fingerprint in range(1000, 1000 + 2 * RECORDS_MAX):
             quarantine.record_crash(fingerprint, "i-0", 0, AT + 60_000 + fingerprint)
         self.assertTrue(quarantine.remaining_ms(FINGERPRINT, at_ms) > 0)
--- a/tests/test_router_crashes.py
+++ b/tests/test_router_crashes.py
@@ -14,8 +14,9 @@
 
 from ashlatch.adapter.liveness import refuses_connections
 from ashlatch.http import problem as problems
+from ashlatch.policy.crash_record import CrashRecord
 from ashlatch.policy.detector import VersionTally
-from ashlatch.policy.quarantine import CrashRecord, Quarantine
+from ashlatch.policy.quarantine import Quarantine
 from ashlatch.router.effect import Effect, SendProblem, StartAttempt
 from ashlatch.router.event import (
     AttemptEnded,
--- a/tests/test_router_removal.py
+++ b/tests/test_router_removal.py
@@ -9,7 +9,8 @@
 
 import testtools
 
-from ashlatch.policy.quarantine import CRASHES_TO_QUARANTINE, Quarantine
+from ashlatch.policy.attribution import CRASHES_MIN
+from ashlatch.policy.quarantine import Quarantine
 from ashlatch.router.effect import (
     Effect,
     ProposeClaim,
@@ -43,7 +44,7 @@
         super().setUp()
         other_router = Quarantine()
         fingerprint = request_fingerprint(request())
-        for number in range(CRASHES_TO_QUARANTINE):
+        for number in range(CRASHES_MIN):
             other_router.record_crash(
                 fingerprint, f"x{number}", 0, ARRIVED_WALL_MS - 5000 * number
             )
