Answers without a length: an endpoint that crashes does not complete them

Cause: a process that ends closes its connections like one that has answered, and an answer without a length was then complete. Such a run also cleared what had crashed the endpoint. So did another gateway's refusal of a relayed request, and an endpoint's own error, both by reading.

Change: before such an answer counts as complete, the endpoint is probed as after a broken connection. Only a sealed answer without an error clears a suspect.

--- a/ashlatch/gateway/attempt.py
+++ b/ashlatch/gateway/attempt.py
@@ -70,6 +70,11 @@
 )
 
 
+async def _never_ended(state: EndpointState) -> bool:
+    """Assumes that an endpoint is running."""
+    return False
+
+
 @dataclass
 class AttemptFailed(AshlatchError):
     """A send that brought no answer; `detail` is for the log."""
@@ -84,6 +89,7 @@
     However the attempt ends, `close` releases its resources; `sent_bytes` and
     `received_bytes` are what its connection has carried by then. `connections_max`
     limits the connections of the gateway to the endpoint, including idle ones.
+    `process_ended` finds out whether the endpoint has crashed.
     `unapplied_head` is the head of an answer of the intended endpoint until what it
     reports about the endpoint has been applied.
     """
@@ -99,8 +105,10 @@
         connect_timeout_s: float = CONNECT_MAX_S,
         connections_max: int = CONNECTIONS_MAX,
         connect: Connect = Upstream.connect,
+        process_ended: Callable[[EndpointState], Awaitable[bool]] = _never_ended,
     ) -> None:
         self.state = state
+        self._process_ended = process_ended
         self._connect_timeout_s = connect_timeout_s
         self._connections_max = connections_max
         self._connect_to = connect
@@ -126,6 +134,17 @@
         if self._connection is not None:
             self._connection.abort()
 
+    async def confirm_end(self) -> None:
+        """Checks that an answer that ended with its connection was not cut by a crash.
+
+        Raises `AttemptFailed`.
+        """
+        if self._connection is None or self._connection.delimited:
+            return
+        if await self._process_ended(self.state):
+            detail = "the endpoint ended with its answer"
+            raise AttemptFailed(FailureKind.BROKEN, detail)
+
     async def begin(self, timeout: AnswerTimeout) -> AnswerHead:
         """Sends, and waits for the head of the answer; raises `AttemptFailed`."""
         self.state.record_sent(self._now_ms())
--- a/ashlatch/gateway/crash_detector.py
+++ b/ashlatch/gateway/crash_detector.py
@@ -81,17 +81,28 @@
             return True
         if failure.kind is not FailureKind.BROKEN or state.evacuated:
             return False
+        return await self.process_ended(state)
+
+    async def process_ended(self, state: EndpointState) -> bool:
+        """Checks whether nothing listens at an endpoint's address any more."""
         return await asyncio.shield(self._probe(state))
 
     def _probe(self, state: EndpointState) -> asyncio.Task[bool]:
         instance = state.endpoint.instance
         probes = self._context.probes
         probe = probes.get(instance)
-        if probe is None:
+        # That it was listening a moment ago does not say that it still is.
+        if probe is None or (probe.done() and not probe.result()):
             probe = probes[instance] = self._loop.create_task(self._probe_twice(state))
-            self._loop.call_later(PROBE_RESULT_VALID_S, probes.pop, instance, None)
+            self._loop.call_later(
+                PROBE_RESULT_VALID_S, self._forget_probe, instance, probe
+            )
         return probe
 
+    def _forget_probe(self, instance: str, probe: asyncio.Task[bool]) -> None:
+        if self._context.probes.get(instance) is probe:
+            del self._context.probes[instance]
+
     async def _probe_twice(self, state: EndpointState) -> bool:
         if await self._refuses_connections(state):
             return True
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -266,6 +266,7 @@
             connect_timeout_s(self._route),
             self._context.connections_max(self._admission.service),
             self._context.links.connect,
+            self._crash_detector.process_ended,
         )
 
     def _answer_timeout(self) -> AnswerTimeout:
--- a/ashlatch/gateway/forwarding.py
+++ b/ashlatch/gateway/forwarding.py
@@ -24,6 +24,8 @@
 
 __all__ = ["AnswerForwarder", "AnswerSource", "CompleteAnswer"]
 
+ERROR_STATUS_MIN = 400
+
 
 class AnswerSource(Protocol):
     """A send whose answer has begun."""
@@ -31,6 +33,9 @@
     async def part(self, timeout: AnswerTimeout) -> bytes | None:
         """Returns the next part of the body, None at its end."""
 
+    async def confirm_end(self) -> None:
+        """Checks that the answer has not been cut; raises `AttemptFailed`."""
+
     def finish(self) -> None:
         """Ends a send with a complete answer."""
 
@@ -69,8 +74,9 @@
         parts = []
         while (part := await source.part(timeout)) is not None:
             parts.append(part)
+        await source.confirm_end()
         source.finish()
-        self._record_completion()
+        self._record_completion(head)
         return CompleteAnswer(head, b"".join(parts))
 
     async def forward_stream(
@@ -86,10 +92,11 @@
             await self._responder.drain()
         if splitter.remainder.strip():
             raise AttemptFailed(FailureKind.BROKEN, "stream ended within an event")
+        await source.confirm_end()
         if not self._responder.begun:
             self._responder.begin(head.status, _body_headers(head))
         source.finish()
-        self._record_completion()
+        self._record_completion(head)
         self._responder.end()
         self._record.record_end(head.status, "")
 
@@ -118,7 +125,14 @@
         )
         self._record.record_end(answer.head.status, reason)
 
-    def _record_completion(self) -> None:
+    def _record_completion(self, head: AnswerHead) -> None:
+        """Records that an endpoint has run the request without a crash.
+
+        A refusal of another gateway shows nothing, nor does an endpoint's own error:
+        it may have ended the run before it began to write an answer.
+        """
+        if not head.sealed or head.status >= ERROR_STATUS_MIN:
+            return
         record_completion(
             self._context,
             self._admission.request.request_id,
--- a/ashlatch/gateway/relay.py
+++ b/ashlatch/gateway/relay.py
@@ -237,6 +237,11 @@
         assert self._connection is not None
         return await self._receive(self._connection.read_chunk, timeout)
 
+    async def confirm_end(self) -> None:
+        """Checks that the other gateway, which always gives a length, has ended it."""
+        if self._connection is not None and not self._connection.delimited:
+            raise AttemptFailed(FailureKind.BROKEN, "the answer has no length")
+
     def finish(self) -> None:
         """Ends a send with a complete answer; keeps the connection."""
         connection = self._detach()
--- a/ashlatch/http/upstream.py
+++ b/ashlatch/http/upstream.py
@@ -33,6 +33,8 @@
 CONNECT_REFUSED = ConnectionRefusedError.__name__
 # The limit on bytes that are received and not yet consumed by the request's task.
 READ_AHEAD_MAX_BYTES = 1_048_576
+_FRAMING = frozenset({b"content-length", b"transfer-encoding"})
+_NO_BODY = frozenset({204, 304})
 
 
 @dataclass
@@ -51,8 +53,17 @@
     reason: str
 
 
+def _is_delimited(response: h11.Response) -> bool:
+    """Checks whether a response announces its length or comes in chunks."""
+    names = {name for name, _ in response.headers}
+    return bool(names & _FRAMING) or response.status_code in _NO_BODY
+
+
 class Upstream(asyncio.Protocol):
-    """A connection to one address, opened by `Upstream.connect`."""
+    """A connection to one address, opened by `Upstream.connect`.
+
+    `delimited` is false if the body of the last answer ends with the connection.
+    """
 
     def __init__(self, address: str) -> None:
         self.address = address
@@ -67,6 +78,7 @@
         self._in_use = True
         self._lost_reason = ""
         self._read_ahead_bytes = 0
+        self.delimited = True
 
     @classmethod
     async def connect(cls, address: str, timeout_s: float) -> "Upstream":
@@ -155,6 +167,7 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                self.delimited = _is_delimited(event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise UpstreamBroken(self.address, "no head of an answer")
