Routers: a crash does not complete an answer of a service without a length

Callers saw (by reading, then a test that failed before): 200 with half of an answer when an endpoint of a service ends while it answers without a length; the request was recorded as completed. The endpoint is probed before such an answer counts. An incomplete chat answer of this kind is no longer taken as a sign that the engine is alive.

--- a/ashlatch/adapter/engine.py
+++ b/ashlatch/adapter/engine.py
@@ -170,7 +170,7 @@
             usage = document["usage"]
             reasons = {choice["finish_reason"] for choice in document["choices"]}
         except (ValueError, KeyError, TypeError):
-            return Broken("the answer is incomplete", replied=True)
+            return Broken("the answer is incomplete", replied=reply.delimited)
         return self._answered(reply, plain, usage, self._is_poor(reasons, usage))
 
     def _stream_result(self, reply: Reply) -> AttemptResult:
--- a/ashlatch/adapter/service.py
+++ b/ashlatch/adapter/service.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 
 from ashlatch.adapter.bounds import AttemptBounds
+from ashlatch.adapter.liveness import refuses_connections
 from ashlatch.clock import monotonic_s
 from ashlatch.errors import TransportError
 from ashlatch.http.client import Call, Reply, fetch
@@ -59,6 +60,8 @@
         reply = fetch(call)
     except TransportError as error:
         return Broken(error.reason) if error.sent else NotSent(error.reason)
+    if not reply.delimited and refuses_connections(attempt.url):
+        return Broken("the endpoint ended with its answer")
     id_matches = reply.headers.get("x-request-id") == attempt.attempt_id
     on_head(reply, id_matches and reply.status != REFUSED_STATUS)
     took_ms = (monotonic_s() - started_s) * 1000.0
--- a/ashlatch/http/client.py
+++ b/ashlatch/http/client.py
@@ -70,6 +70,11 @@
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
 
+    @property
+    def delimited(self) -> bool:
+        """Checks whether the end of the body can be told from that of a connection."""
+        return "content-length" in self.headers or "transfer-encoding" in self.headers
+
 
 class _Transfer:
     def __init__(self, call: Call) -> None:
