Quarantine: messages of chats that crash endpoints, at the product's own routers

The same quarantine as at gateways: each message of a chat but the last is a shared part, named by its digest. Chats with a suspected message go to one endpoint; trials are limited to one at a time at each router, as routers have no messages to each other.

--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -21,9 +21,9 @@
 from ashlatch.gateway.message import CallerRequest
 from ashlatch.gateway.permission import send_permission
 from ashlatch.gateway.versions import AllowedEndpoints
-from ashlatch.policy.endpoint import Candidate, rank
+from ashlatch.policy.endpoint import Candidate
 from ashlatch.policy.permission import DenialReason
-from ashlatch.policy.quarantine import Isolation
+from ashlatch.policy.quarantine import Isolation, choose_isolated
 
 __all__ = [
     "Choice",
@@ -137,16 +137,9 @@
 def _isolated(
     states: Sequence[EndpointState], isolation: Isolation, generator: Random
 ) -> EndpointState:
-    """Returns the endpoint for a request that is kept apart.
-
-    All gateways choose the same endpoint for a part. Without a part it is any of them:
-    the cheapest one has the subject's prompt cached, and there the request would keep
-    running beside the one that crashes endpoints.
-    """
-    if not isolation.part:
-        return generator.choice(states)
+    """Returns the endpoint for a request that is kept apart."""
     by_name = {state.endpoint.instance: state for state in states}
-    return by_name[rank(tuple(by_name), isolation.part)[0]]
+    return by_name[choose_isolated(tuple(by_name), isolation, generator)]
 
 
 def _permitted(
--- a/ashlatch/policy/quarantine.py
+++ b/ashlatch/policy/quarantine.py
@@ -21,6 +21,7 @@
 import enum
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from random import Random
 
 from ashlatch.policy.attribution import CRASHES_MIN, Cause, attribute_crashes
 from ashlatch.policy.crash_record import (
@@ -31,6 +32,7 @@
     merge_records,
     part_fingerprint,
 )
+from ashlatch.policy.endpoint import rank
 
 __all__ = [
     "Fingerprints",
@@ -38,6 +40,7 @@
     "Quarantine",
     "QuarantineAction",
     "QuarantineDecision",
+    "choose_isolated",
 ]
 
 # The duration of a quarantine, doubled for each further crash: a fingerprint that is
@@ -121,6 +124,20 @@
     part: str
 
 
+def choose_isolated(
+    names: tuple[str, ...], isolation: Isolation, generator: Random
+) -> str:
+    """Returns the endpoint for a request that is kept apart.
+
+    All processes choose the same endpoint for a part. A request itself goes to any of
+    them: the cheapest one has the subject's prompt cached, and there it would keep
+    running beside the one that crashes endpoints.
+    """
+    if not isolation.part:
+        return generator.choice(names)
+    return rank(names, isolation.part)[0]
+
+
 @dataclass(frozen=True)
 class _Trial:
     request: int
--- a/ashlatch/router/api.py
+++ b/ashlatch/router/api.py
@@ -31,6 +31,8 @@
 HEADER_LENGTH_MAX = 200
 PREFIX_BYTES = 512
 BYTES_PER_TOKEN = 4
+# Long enough that two messages never share an id by chance.
+PART_ID_LENGTH = 16
 DEFAULT_MAX_TOKENS = 1024
 
 
@@ -124,9 +126,14 @@
         prefix=prefix,
         input_tokens=len(body) // BYTES_PER_TOKEN,
         output_tokens_max=chat.max_tokens,
+        prompt_parts=tuple(_message_digest(m) for m in chat.messages[:-1]),
     )
 
 
+def _message_digest(message: _Message) -> str:
+    return digest(message.model_dump_json().encode())[:PART_ID_LENGTH]
+
+
 def read_service(
     http: HttpRequest,
     organisation: str,
--- a/ashlatch/router/attempt.py
+++ b/ashlatch/router/attempt.py
@@ -12,6 +12,7 @@
 from ashlatch.http import problem as problems
 from ashlatch.http.problem import Problem
 from ashlatch.policy.permission import NEVER_MS
+from ashlatch.policy.quarantine import QuarantineAction
 from ashlatch.router.attempt_results import record_result
 from ashlatch.router.completion import (
     close_claim,
@@ -41,7 +42,7 @@
     Rejected,
 )
 from ashlatch.router.planning_result import NoPlan, Plan
-from ashlatch.router.quarantine import quarantine_left_ms
+from ashlatch.router.quarantine import quarantine_decision
 from ashlatch.router.sending import plan_attempt, start_attempt
 from ashlatch.store.command import AnswerAccepted, AnswerRecorded, RecordAnswer
 
@@ -224,7 +225,8 @@
     """
     assert active.current_attempt is not None
     usable = core.planner.table.usable(active.request.organisation, active.version)
-    quarantined = quarantine_left_ms(core, active) > 0
+    decision = quarantine_decision(core, active)
+    quarantined = decision.action is QuarantineAction.REFUSE
     attempts_left = active.attempt_count <= RESUME_MAX and not quarantined
     permission = core.endpoints.permission(
         active.current_attempt.endpoint.name, core.now_ms
--- a/ashlatch/router/core.py
+++ b/ashlatch/router/core.py
@@ -18,7 +18,7 @@
 from ashlatch.policy.evidence import Evidence, Finding
 from ashlatch.policy.hedging import Hedging
 from ashlatch.policy.limit import Limits
-from ashlatch.policy.quarantine import Quarantine
+from ashlatch.policy.quarantine import Fingerprints, Quarantine
 from ashlatch.policy.retry import RetryBudget
 from ashlatch.policy.slowness import LatencyHistory
 from ashlatch.policy.table import NamedEndpoint
@@ -152,6 +152,9 @@
         self.planner = Planner(
             self.config.policy, self.config.vm, self.config.hall, self.generator
         )
+        self.planner.isolation_of = lambda request: self.quarantine.isolation(
+            Fingerprints(0, request.prompt_parts)
+        )
         self.retry_budget = RetryBudget(self.config.policy.retry_ratio)
         self.hedging = Hedging(self.config.policy.hedge_samples_min)
         self.hedge_budget = RetryBudget(self.config.policy.hedge_ratio)
--- a/ashlatch/router/event.py
+++ b/ashlatch/router/event.py
@@ -67,7 +67,8 @@
     """A caller's request, parsed and authenticated.
 
     `target` is the route of a chat, or the pool of a service call. `keyed` is set if
-    the caller gave the idempotency key; otherwise it was generated.
+    the caller gave the idempotency key; otherwise it was generated. `prompt_parts` are
+    digests of the messages of a chat that other chats may share: all but the last.
     """
 
     request_id: str
@@ -89,6 +90,7 @@
     prefix: str
     input_tokens: int
     output_tokens_max: int
+    prompt_parts: tuple[str, ...] = ()
 
     @property
     def ledger_key(self) -> RequestKey:
--- a/ashlatch/router/plan.py
+++ b/ashlatch/router/plan.py
@@ -10,6 +10,7 @@
 """
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from ashlatch.policy.detector import Detector
@@ -17,6 +18,7 @@
 from ashlatch.policy.load import EndpointLoad
 from ashlatch.policy.permission import DenialReason
 from ashlatch.policy.quality import QualityTracker
+from ashlatch.policy.quarantine import Isolation, choose_isolated
 from ashlatch.policy.table import NamedEndpoint, RoutingTable
 from ashlatch.policy.version import VERSION_POLICIES, Goal, Option
 from ashlatch.resources import Route
@@ -52,6 +54,7 @@
     """Chooses versions and endpoints from the routing table and their current state.
 
     `unreadable_pools` are pools whose newest load report could not be read.
+    `isolation_of` tells whether a request is kept apart from others, and how.
     """
 
     settings: PolicySettings
@@ -63,6 +66,7 @@
     quality: QualityTracker = field(default_factory=QualityTracker)
     detectors: dict[str, Detector] = field(default_factory=dict)
     output_tokens: dict[str, float] = field(default_factory=dict)
+    isolation_of: Callable[[Request], Isolation | None] = lambda request: None
 
     def __post_init__(self) -> None:
         self.endpoints = EndpointStates(self.settings, self.generator)
@@ -292,7 +296,7 @@
         self, request: Request, version: str, ready: list[ReadyEndpoint], now_ms: float
     ) -> Plan | NoPlan:
         candidates = tuple(r.candidate for r in ready)
-        chosen = self.endpoint_policy.choose(candidates, request.prefix, self.generator)
+        chosen = self._choose_candidate(request, candidates)
         if now_ms + chosen.expected_ms > request.deadline_ms:
             chosen = min(candidates, key=lambda c: c.expected_ms)
         if now_ms + chosen.expected_ms > request.deadline_ms:
@@ -303,6 +307,18 @@
         reason = self.endpoint_policy.name
         return Plan(version, endpoint, chosen.expected_ms, reason, ())
 
+    def _choose_candidate(
+        self, request: Request, candidates: tuple[Candidate, ...]
+    ) -> Candidate:
+        isolation = self.isolation_of(request)
+        if isolation is None:
+            return self.endpoint_policy.choose(
+                candidates, request.prefix, self.generator
+            )
+        names = tuple(c.endpoint for c in candidates)
+        name = choose_isolated(names, isolation, self.generator)
+        return next(c for c in candidates if c.endpoint == name)
+
     def _candidate(self, endpoint: NamedEndpoint, load: EndpointLoad) -> Candidate:
         network_ms = 0.0 if endpoint.spec.hall == self.hall else OTHER_HALL_LATENCY_MS
         requests = load.requests()
--- a/ashlatch/router/quarantine.py
+++ b/ashlatch/router/quarantine.py
@@ -15,16 +15,24 @@
 import xxhash
 
 from ashlatch.log import LogEvent
+from ashlatch.policy.quarantine import (
+    Fingerprints,
+    QuarantineAction,
+    QuarantineDecision,
+)
 from ashlatch.router.core import HANDLERS, ActiveRequest, RouterCore
 from ashlatch.router.effect import ReportCrashes, WriteLog
 from ashlatch.router.event import CrashRecordsReceived, Request
 
 __all__ = [
     "RequestCrashed",
+    "TrialSent",
     "request_fingerprint",
     "record_crash",
     "format_fingerprint",
-    "quarantine_left_ms",
+    "quarantine_decision",
+    "request_fingerprints",
+    "begin_trial",
     "record_completion",
 ]
 
@@ -34,7 +42,8 @@
     """An endpoint has crashed while it ran a request.
 
     `content` is the request's fingerprint, `crashes` the number of crashes with this
-    fingerprint since it last completed, `held_ms` how long it is quarantined.
+    fingerprint since it last completed, `held_ms` how long it is quarantined. `parts`
+    are the shared parts of its prompt, each with its crashes since then.
     """
 
     event: ClassVar[str] = "request_crashed"
@@ -43,6 +52,22 @@
     endpoint: str
     crashes: int
     held_ms: int
+    parts: str
+
+
+@dataclass(frozen=True)
+class TrialSent(LogEvent):
+    """A request is sent to find out whether endpoints crash on its `cause`.
+
+    `part` is the id of the prompt part that the cause stands for, empty for a whole
+    request.
+    """
+
+    event: ClassVar[str] = "request_trial"
+    request: str
+    cause: str
+    part: str
+    crashes: int
 
 
 def request_fingerprint(request: Request) -> int:
@@ -58,29 +83,51 @@
     return xxhash.xxh3_64_intdigest("\n".join(parts).encode())
 
 
+def request_fingerprints(request: Request) -> Fingerprints:
+    """Returns the fingerprints of a request and of the shared parts of its prompt."""
+    return Fingerprints(request_fingerprint(request), request.prompt_parts)
+
+
 def format_fingerprint(fingerprint: int) -> str:
     """Formats a fingerprint for logs and problems."""
     return f"{fingerprint:016x}"
 
 
-def quarantine_left_ms(core: RouterCore, active: ActiveRequest) -> float:
-    """Returns how long a request is still quarantined; 0 if it may be sent."""
-    return core.quarantine.remaining_ms(
-        request_fingerprint(active.request), _unix_ms(core, active)
+def quarantine_decision(core: RouterCore, active: ActiveRequest) -> QuarantineDecision:
+    """Decides whether a request may be sent."""
+    return core.quarantine.decide(
+        request_fingerprints(active.request), _unix_ms(core, active)
     )
 
 
+def begin_trial(core: RouterCore, active: ActiveRequest) -> None:
+    """Makes a request the trial of its suspected causes, if it has any."""
+    decision = quarantine_decision(core, active)
+    if decision.action is not QuarantineAction.TRIAL:
+        return
+    fingerprints = request_fingerprints(active.request)
+    core.quarantine.begin_trial(fingerprints, _unix_ms(core, active))
+    event = TrialSent(
+        active.request.request_id,
+        format_fingerprint(decision.cause),
+        fingerprints.part_of(decision.cause),
+        core.quarantine.crash_count(decision.cause),
+    )
+    core.effects.append(WriteLog(event))
+
+
 def record_crash(core: RouterCore, active: ActiveRequest, endpoint: str) -> None:
     """Attributes an endpoint's crash to a request that was running there."""
-    fingerprint = request_fingerprint(active.request)
+    fingerprints = request_fingerprints(active.request)
     unix_ms = _unix_ms(core, active)
-    record = core.quarantine.record_crash(fingerprint, endpoint, 0, unix_ms)
+    records = core.quarantine.record_crashes(fingerprints, endpoint, 0, unix_ms)
     event = RequestCrashed(
         active.request.request_id,
-        format_fingerprint(fingerprint),
+        format_fingerprint(fingerprints.request),
         endpoint,
-        len(record.counted_crashes),
-        int(core.quarantine.remaining_ms(fingerprint, unix_ms)),
+        core.quarantine.crash_count(fingerprints.request),
+        int(core.quarantine.remaining_ms(fingerprints.request, unix_ms)),
+        ",".join(f"{r.part}:{len(r.counted_crashes)}" for r in records if r.part),
     )
     core.effects.append(WriteLog(event))
     core.effects.append(ReportCrashes())
@@ -88,7 +135,8 @@
 
 def record_completion(core: RouterCore, active: ActiveRequest) -> None:
     """Records that a request has completed without a crash."""
-    core.quarantine.record_completed(request_fingerprint(active.request))
+    fingerprints = request_fingerprints(active.request)
+    core.quarantine.record_completions(fingerprints, _unix_ms(core, active))
 
 
 def _unix_ms(core: RouterCore, active: ActiveRequest) -> int:
--- a/ashlatch/router/sending.py
+++ b/ashlatch/router/sending.py
@@ -15,14 +15,16 @@
 from ashlatch.http import problem as problems
 from ashlatch.http.problem import Problem
 from ashlatch.log import LogEvent
+from ashlatch.policy.quarantine import QuarantineAction
 from ashlatch.router.core import ActiveAttempt, ActiveRequest, RouterCore
 from ashlatch.router.effect import ScheduleHedge, StartAttempt, WriteLog
 from ashlatch.router.event import RequestKind
 from ashlatch.router.planning_result import Exclusion, ExclusionReason, NoPlan, Plan
 from ashlatch.router.quarantine import (
+    begin_trial,
     format_fingerprint,
-    quarantine_left_ms,
-    request_fingerprint,
+    quarantine_decision,
+    request_fingerprints,
 )
 
 __all__ = [
@@ -60,14 +62,15 @@
 ) -> Plan | NoPlan:
     """Chooses a version and an endpoint; with `version`, only the endpoint."""
     request = active.request
-    quarantine_ms = quarantine_left_ms(core, active)
-    if quarantine_ms:
+    decision = quarantine_decision(core, active)
+    if decision.action is QuarantineAction.REFUSE:
+        cause = request_fingerprints(request).part_of(decision.cause)
         exclusion = Exclusion(
-            format_fingerprint(request_fingerprint(request)), ExclusionReason.CRASHES
+            cause or format_fingerprint(decision.cause), ExclusionReason.CRASHES
         )
         is_service = request.kind is RequestKind.SERVICE
         allowed = is_service or bool(core.planner.acceptable_versions(request))
-        return NoPlan(allowed, False, quarantine_ms, (exclusion,), quarantined=True)
+        return NoPlan(allowed, False, decision.wait_ms, (exclusion,), quarantined=True)
     if request.kind is RequestKind.SERVICE:
         return core.planner.plan_service(request, core.now_ms, active.tried_endpoints)
     return core.planner.plan_chat(request, core.now_ms, active.tried_endpoints, version)
@@ -124,6 +127,7 @@
     core: RouterCore, active: ActiveRequest, plan: Plan, resume_chunks: int = 0
 ) -> ActiveAttempt:
     request = active.request
+    begin_trial(core, active)
     active.attempt_count += 1
     attempt_id = f"{request.request_id}-{active.attempt_count}"
     core.assert_allowed(active)
--- a/tests/test_router_crashes.py
+++ b/tests/test_router_crashes.py
@@ -137,6 +137,29 @@
         )
         self.assertIsNone(self.first_attempt(effects))
 
+    def test_chats_that_share_a_message_that_crashes_endpoints(self) -> None:
+        """No two are alike; those without the message are sent all the while."""
+        sent = 0
+        for number in range(2 * CRASHES_MAX):
+            shared = ("system", "crashing", f"earlier {number}")
+            crashing = request(
+                request_id=f"q{number}",
+                arrived_wall_ms=ARRIVED_WALL_MS + 5000 * number,
+                body_digest=f"body {number}",
+                prompt_parts=shared,
+            )
+            effects = self.step(RequestArrived(crashing))
+            while (attempt := self.first_attempt(effects)) is not None:
+                sent += 1
+                effects = self.end_attempt(attempt, ENDPOINT_GONE)
+            other = self.arrive_numbered(
+                100 + number, body_digest=f"other {number}", prompt_parts=("system",)
+            )
+            answered = self.first_attempt(other)
+            assert answered is not None
+            self.end_attempt(answered, ANSWER)
+        self.assertTrue(sent <= CRASHES_MAX + 1, str(sent))
+
     def test_service_calls_are_quarantined_too(self) -> None:
         fingerprint = request_fingerprint(request(**ORDER))
         other_router = Quarantine()
