Quarantine: parts that many requests share are not taken for the cause

Callers would see (simulated load, two parts that crash engines at once): up to 38 engines end in 20 s, as the parts that all prompts begin with were present at each crash and had had no time to complete since: engines lived for less than an answer.

Change: an endpoint that has written an answer for 0.4 s has not crashed on its parts; by when its data arrived, so that neither a silent connection, a slow caller nor a suspended gateway counts.

--- a/ashlatch/gateway/attempt.py
+++ b/ashlatch/gateway/attempt.py
@@ -86,7 +86,8 @@
 class Attempt:
     """One send. Call `begin`, then `part` until it returns none, then `finish`.
 
-    However the attempt ends, `close` releases its resources; `sent_bytes` and
+    `answered_ms` is when the answer began, `received_ms` when a part of it was last
+    received. However the attempt ends, `close` releases its resources; `sent_bytes` and
     `received_bytes` are what its connection has carried by then. `connections_max`
     limits the connections of the gateway to the endpoint, including idle ones.
     `process_ended` finds out whether the endpoint has crashed.
@@ -126,8 +127,15 @@
         self._counted = False
         self.sent_bytes = 0
         self.received_bytes = 0
+        self.answered_ms: float | None = None
+        self.received_ms = float("-inf")
         self._withdrawn = False
 
+    def restart_answer(self, now_ms: float) -> None:
+        """Takes the answer, if it has begun, to have begun now."""
+        if self.answered_ms is not None:
+            self.answered_ms = now_ms
+
     def withdraw(self) -> None:
         """Aborts the connection; whoever waits for the answer gets `WITHDRAWN`."""
         self._withdrawn = True
@@ -169,6 +177,7 @@
                 connection.read_head, timeout, "no answer head received"
             )
         )
+        self.answered_ms = self.received_ms = connection.data_s * 1000.0
         self.state.record_progress(self._now_ms())
         if not head.backoff_ms:
             # An endpoint that sheds reports that it is idle.
@@ -191,6 +200,7 @@
         part = await self._receive(
             self._connection.read_chunk, timeout, "no further part received"
         )
+        self.received_ms = self._connection.data_s * 1000.0
         self.state.record_progress(self._now_ms())
         return part
 
--- a/ashlatch/gateway/crash_records.py
+++ b/ashlatch/gateway/crash_records.py
@@ -39,6 +39,7 @@
     "record_completion",
     "record_crash",
     "record_left_runs",
+    "record_survivors",
 ]
 
 log = logging.getLogger("ashlatch.gateway")
@@ -56,7 +57,11 @@
     endpoint = state.endpoint
     now_unix_ms = unix_ms()
     records = context.quarantine.record_crashes(
-        run.fingerprints, endpoint.instance, endpoint.started_unix_ms, now_unix_ms
+        run.fingerprints,
+        endpoint.instance,
+        endpoint.started_unix_ms,
+        now_unix_ms,
+        run.survived,
     )
     fingerprint = run.fingerprints.request
     event = CrashRecorded(
@@ -66,6 +71,7 @@
         context.quarantine.crash_count(fingerprint),
         int(context.quarantine.remaining_ms(fingerprint, now_unix_ms)),
         ",".join(_describe_part(r) for r in records if r.part),
+        run.survived,
     )
     emit(log, event, logging.WARNING)
     context.metrics.count("crashes_noted")
@@ -86,8 +92,16 @@
 ) -> None:
     """Records that a request has completed without a crash."""
     cleared = context.quarantine.record_completions(fingerprints, unix_ms())
-    if not cleared:
-        return
+    if cleared:
+        _record_cleared(context, request_id, fingerprints, cleared)
+
+
+def _record_cleared(
+    context: GatewayContext,
+    request_id: str,
+    fingerprints: Fingerprints,
+    cleared: Sequence[CrashRecord],
+) -> None:
     event = CrashRecordCleared(
         request_id,
         format_fingerprint(fingerprints.request),
@@ -99,6 +113,14 @@
     _schedule_review(context, "")
 
 
+def record_survivors(context: GatewayContext, now_ms: float) -> None:
+    """Clears the prompts' parts whose endpoints have written for a while."""
+    for run in context.runs.sweep(now_ms):
+        cleared = context.quarantine.record_survived(run.fingerprints, unix_ms())
+        if cleared:
+            _record_cleared(context, run.request.request_id, run.fingerprints, cleared)
+
+
 def begin_trial(
     context: GatewayContext, request: CallerRequest, fingerprints: Fingerprints
 ) -> None:
@@ -146,6 +168,8 @@
 def _review(context: GatewayContext, source: str) -> None:
     """Logs what has been quarantined since the last review, and withdraws its runs."""
     context.review_pending = False
+    # Other gateways may suspect parts that are being written here.
+    record_survivors(context, asyncio.get_running_loop().time() * 1000.0)
     now_unix_ms = unix_ms()
     quarantined = context.quarantine.quarantined(now_unix_ms)
     new = quarantined - context.quarantined
@@ -163,7 +187,7 @@
     for run in context.runs.unanswered(new):
         emit(log, RunWithdrawn(run.request.request_id, run.instance), logging.WARNING)
         context.metrics.count("runs_withdrawn")
-        run.withdraw()
+        run.send.withdraw()
 
 
 def _describe_part(record: CrashRecord) -> str:
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -22,6 +22,7 @@
 from ashlatch.gateway.budget import BudgetTerms
 from ashlatch.gateway.cold import ColdSendLimiter
 from ashlatch.gateway.context import GatewayContext
+from ashlatch.gateway.crash_records import record_survivors
 from ashlatch.gateway.exchange import Exchange
 from ashlatch.gateway.liveness import LivenessProber
 from ashlatch.gateway.logs import (
@@ -345,6 +346,7 @@
             self.context.pool.sweep(loop.time())
             self._relay.sweep(loop.time())
             self.context.shares.tick(loop.time() * 1000.0)
+            record_survivors(self.context, loop.time() * 1000.0)
             table = self.context.table
             if table is not None:
                 limits = table.catalog.limits
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -153,13 +153,14 @@
             choice.state.endpoint.instance,
             self._request,
             self._admission.fingerprints,
-            attempt.withdraw,
+            attempt,
         )
         self._context.runs.begin(run)
         harmless = False
         try:
-            harmless = await self._run_attempt(attempt, run)
+            harmless = await self._run_attempt(attempt)
         except AttemptFailed as failure:
+            run.check_survived()
             harmless = failure.kind.not_run
             self._record.record_failure(attempt, failure)
             self._may_have_run |= not failure.kind.not_run
@@ -310,13 +311,12 @@
 
     # Running an attempt.
 
-    async def _run_attempt(self, attempt: Attempt, run: Run) -> bool:
+    async def _run_attempt(self, attempt: Attempt) -> bool:
         """Forwards the answer, unless a larger model should answer instead.
 
         Returns whether the answer was complete.
         """
         head = await attempt.begin(self._answer_timeout())
-        run.answered = True
         self._record.record_answer_begin(attempt, self._model)
         if self._route.streams and head.status < 300:
             if self._escalates(attempt, head):
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -441,7 +441,8 @@
     `crashes` is how many did so with the same request fingerprint since a request with
     it last completed, `held_ms` for how long the fingerprint is quarantined. `parts`
     are the parts of its prompt that other requests may share, each with its crashes
-    since a request with it last completed.
+    since a request with it last completed. They are not suspected if the endpoint had
+    written the answer for a while (`survived`).
     """
 
     event: ClassVar[str] = "crash_noted"
@@ -451,6 +452,7 @@
     crashes: int
     held_ms: int
     parts: str
+    survived: bool
 
 
 @dataclass(frozen=True)
--- a/ashlatch/gateway/runs.py
+++ b/ashlatch/gateway/runs.py
@@ -10,8 +10,9 @@
 :license: MIT, see LICENSE for details.
 """
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from ashlatch.gateway.message import CallerRequest
 from ashlatch.policy.quarantine import Fingerprints
@@ -21,24 +22,52 @@
 # An endpoint that crashes on a request does so within a fraction of a second from the
 # beginning of its answer.
 LEFT_RECENTLY_MS = 1000.0
+# After it has written an answer for this long, it has not crashed on its beginning.
+SURVIVED_MS = 400.0
+# A sweep that is late by so much follows a suspension of the process.
+SUSPENDED_MS = 1000.0
+
+
+class Send(Protocol):
+    """The send that a run consists of.
+
+    `answered_ms` is when the answer began, `received_ms` when a part of it was last
+    received.
+    """
+
+    answered_ms: float | None
+    received_ms: float
+
+    def withdraw(self) -> None:
+        """Closes the connection to the endpoint."""
+
+    def restart_answer(self, now_ms: float) -> None:
+        """Takes the answer, if it has begun, to have begun now."""
 
 
 @dataclass(eq=False)
 class Run:
     """A request at an endpoint, from its send on.
 
-    `withdraw` closes the connection to the endpoint. `answered` is set when the answer
-    has begun. `attributed` is set when a crash of the endpoint was recorded for it.
+    `survived` is set once the endpoint has written the answer for a while without a
+    crash, `attributed` when a crash of the endpoint was recorded for it.
     """
 
     instance: str
     request: CallerRequest
     fingerprints: Fingerprints
-    withdraw: Callable[[], None]
-    answered: bool = False
+    send: Send
+    survived: bool = False
     attributed: bool = False
     left_ms: float = float("inf")
 
+    def check_survived(self) -> bool:
+        """Checks whether the run has survived, and remembers it."""
+        send = self.send
+        if send.answered_ms is not None:
+            self.survived |= send.received_ms - send.answered_ms >= SURVIVED_MS
+        return self.survived
+
 
 @dataclass
 class RunLog:
@@ -46,6 +75,7 @@
 
     _running: dict[str, set[Run]] = field(default_factory=dict)
     _left: dict[str, list[Run]] = field(default_factory=dict)
+    _swept_ms: float = float("inf")
 
     def begin(self, run: Run) -> None:
         """Records that a request is sent."""
@@ -67,6 +97,25 @@
         self._drop_expired(now_ms)
         self._left.setdefault(run.instance, []).append(run)
 
+    def sweep(self, now_ms: float) -> list[Run]:
+        """Returns the runs that have newly survived; call this regularly.
+
+        After a suspension of this process it is not known how long answers lasted, and
+        their time starts anew.
+        """
+        suspended = now_ms - self._swept_ms > SUSPENDED_MS
+        self._swept_ms = now_ms
+        found = []
+        for running in self._running.values():
+            for run in running:
+                if run.survived:
+                    continue
+                if suspended:
+                    run.send.restart_answer(now_ms)
+                elif run.check_survived():
+                    found.append(run)
+        return found
+
     def take_left(self, instance: str, now_ms: float) -> list[Run]:
         """Returns the runs that left an endpoint just before it crashed, once."""
         found = self._left.pop(instance, [])
@@ -77,7 +126,8 @@
         wanted = frozenset(keys)
         for running in list(self._running.values()):
             for run in list(running):
-                if not run.answered and wanted.intersection(run.fingerprints.keys):
+                waits = run.send.answered_ms is None
+                if waits and wanted.intersection(run.fingerprints.keys):
                     yield run
 
     def _drop_expired(self, now_ms: float) -> None:
--- a/ashlatch/http/upstream.py
+++ b/ashlatch/http/upstream.py
@@ -63,6 +63,7 @@
     """A connection to one address, opened by `Upstream.connect`.
 
     `delimited` is false if the body of the last answer ends with the connection.
+    `data_s` is when data last arrived, which may be read later.
     """
 
     def __init__(self, address: str) -> None:
@@ -79,6 +80,7 @@
         self._lost_reason = ""
         self._read_ahead_bytes = 0
         self.delimited = True
+        self.data_s = float("-inf")
 
     @classmethod
     async def connect(cls, address: str, timeout_s: float) -> "Upstream":
@@ -111,6 +113,7 @@
             self.abort()
             return
         self.received_bytes += len(data)
+        self.data_s = self._loop.time()
         self._http.receive_data(data)
         self._read_ahead_bytes += len(data)
         if (
--- a/ashlatch/policy/attribution.py
+++ b/ashlatch/policy/attribution.py
@@ -23,8 +23,8 @@
 # The crashes after which a candidate is taken as a cause. One that only ran beside the
 # cause is rarely present three times, and each further crash costs callers an endpoint.
 CRASHES_MIN = 3
-# For a prompt part that was seen to complete shortly before its first crash: parts that
-# many requests share are present at most crashes.
+# For a prompt part that was seen to complete shortly before a crash. Such parts are
+# popular and present at most crashes, so others are considered first.
 CRASHES_MIN_COMPLETED = 5
 
 
@@ -43,12 +43,11 @@
 class _Candidate:
     record: CrashRecord
     crashes: frozenset[int]
-    completed_before: bool
+    popular: bool
 
     @property
     def crashes_min(self) -> int:
-        popular = self.completed_before and self.record.part
-        return CRASHES_MIN_COMPLETED if popular else CRASHES_MIN
+        return CRASHES_MIN_COMPLETED if self.popular else CRASHES_MIN
 
 
 def attribute_crashes(records: Iterable[CrashRecord]) -> dict[int, Cause]:
@@ -73,9 +72,16 @@
         candidates = [c for c in candidates if len(remaining[c]) >= c.crashes_min]
         if not candidates:
             break
-        first = max(candidates, key=lambda c: (len(remaining[c]), c.record.fingerprint))
+        first = max(
+            candidates,
+            key=lambda c: (not c.popular, len(remaining[c]), c.record.fingerprint),
+        )
         crashes = remaining[first]
-        tied = _likeliest([c for c in candidates if remaining[c] == crashes])
+        tied = [
+            c
+            for c in candidates
+            if remaining[c] == crashes and c.popular == first.popular
+        ]
         for candidate in tied:
             # A whole request that crashed endpoints is not worth a further trial.
             certain = len(tied) == 1 or not candidate.record.part
@@ -87,19 +93,14 @@
     return causes
 
 
-def _likeliest(tied: list[_Candidate]) -> list[_Candidate]:
-    """Drops the parts that completed before their first crash, if others are left."""
-    unknown = [c for c in tied if not (c.record.part and c.completed_before)]
-    return unknown or tied
-
-
 def _candidates(records: list[CrashRecord]) -> list[_Candidate]:
     numbers = _number_crashes(c for r in records for c in r.counted_crashes)
     return [
         _Candidate(
             record,
             frozenset(numbers[c] for c in record.counted_crashes),
-            any(c.completed_before for c in record.counted_crashes),
+            bool(record.part)
+            and any(c.completed_before for c in record.counted_crashes),
         )
         for record in records
     ]
--- a/ashlatch/policy/crash_record.py
+++ b/ashlatch/policy/crash_record.py
@@ -81,6 +81,18 @@
         """The crashes since its last completed run."""
         return tuple(c for c in self.crashes if not c.completed_since)
 
+    def completed_at(self, at_unix_ms: float, valid_ms: float) -> "CrashRecord":
+        """Returns the record with the crashes marked that a completed run preceded."""
+        crashes = tuple(
+            msgspec.structs.replace(
+                c,
+                completed_before=c.completed_before
+                or 0.0 <= c.at_unix_ms - at_unix_ms < valid_ms,
+            )
+            for c in self.crashes
+        )
+        return msgspec.structs.replace(self, crashes=crashes)
+
     def cleared_until(self, at_unix_ms: float) -> "CrashRecord":
         """Returns the record after a completed run at a time."""
         crashes = tuple(
--- a/ashlatch/policy/quarantine.py
+++ b/ashlatch/policy/quarantine.py
@@ -281,14 +281,23 @@
         instance: str,
         started_unix_ms: int,
         now_unix_ms: int,
+        survived: bool = False,
     ) -> tuple[CrashRecord, ...]:
-        """Records a crash for a request and the shared parts of its prompt."""
-        return tuple(
+        """Records a crash for a request and the shared parts of its prompt.
+
+        If the endpoint had `survived` the beginning of the answer, the parts are not
+        suspected.
+        """
+        keys = fingerprints.keys[:1] if survived else fingerprints.keys
+        recorded = [
             self.record_crash(
                 key, instance, started_unix_ms, now_unix_ms, fingerprints.part_of(key)
             )
-            for key in fingerprints.keys
-        )
+            for key in keys
+        ]
+        if survived:
+            recorded += self.record_survived(fingerprints, now_unix_ms)
+        return tuple(recorded)
 
     def record_completed(self, fingerprint: int) -> bool:
         """Records a completed run; returns whether the fingerprint was a suspect."""
@@ -302,18 +311,26 @@
         self, fingerprints: Fingerprints, now_unix_ms: float
     ) -> tuple[CrashRecord, ...]:
         """Records a completed run of a request; returns the records that it clears."""
+        cleared = self.record_survived(fingerprints, now_unix_ms)
+        if not self.record_completed(fingerprints.request):
+            return cleared
+        return self._records[fingerprints.request], *cleared
+
+    def record_survived(
+        self, fingerprints: Fingerprints, now_unix_ms: float
+    ) -> tuple[CrashRecord, ...]:
+        """Records that an endpoint has written an answer for a while without a crash.
+
+        This clears the parts of the prompt: one that crashes endpoints does so when
+        they begin to write. Returns the records that it clears.
+        """
         for key in fingerprints.keys[1:]:
             self._completed_unix_ms.pop(key, None)
             self._completed_unix_ms[key] = now_unix_ms
         while len(self._completed_unix_ms) > COMPLETED_PARTS_MAX:
             del self._completed_unix_ms[next(iter(self._completed_unix_ms))]
-        if not self._records:
-            return ()
-        return tuple(
-            self._records[key]
-            for key in fingerprints.keys
-            if self.record_completed(key)
-        )
+        cleared = [key for key in fingerprints.keys[1:] if self.record_completed(key)]
+        return tuple(self._records[key] for key in cleared)
 
     def apply(self, record: CrashRecord) -> bool:
         """Merges another process's record; returns whether that changes anything."""
@@ -327,13 +344,18 @@
         return True
 
     def _apply_completion(self, fingerprint: int, completed_ms: float) -> None:
-        """Clears crashes that were reported after a later completed run."""
+        """Applies a completed run here to crashes that others have reported since."""
         record = self._records.get(fingerprint)
         if record is None:
             return
         cleared = record.cleared_until(completed_ms)
         if cleared != record:
             self._record_local(cleared)
+        # The others may not have seen it complete; they need no message about it.
+        self._records[fingerprint] = cleared.completed_at(
+            completed_ms, COMPLETED_VALID_MS
+        )
+        self._causes = None
 
     # Reports to the core.
 
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -23,18 +23,20 @@
 from ashlatch.gateway.forecast import Send
 from ashlatch.gateway.message import CallerRequest, PromptPart
 from ashlatch.gateway.routing import RouteTable
+from ashlatch.gateway.runs import SURVIVED_MS
 from ashlatch.gateway.sessions import SessionVersions
 from ashlatch.gateway.versions import AllowedEndpoints, VersionChooser, VersionReason
 from ashlatch.platform.document import decode_catalog
 from ashlatch.policy.crash_record import CrashRecord
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
-from ashlatch.policy.quarantine import Fingerprints
+from ashlatch.policy.quarantine import Fingerprints, Quarantine, QuarantineAction
 from tests.stub_server import document, encode_document, engine_service
 
 MODEL = "large"
 SLOTS = 128
-SUBJECTS = 3
 SUBJECT_TOKENS = 5000
+FIRST_PARTS = 8
+FIRST_TOKENS = 100
 REQUEST_TOKENS = 1500
 TOKEN_MS = 0.03
 MEMORY_TOKENS = 400_000
@@ -52,7 +54,8 @@
     """Ordinary requests, each running for `run_ms`, and crashing ones.
 
     Each of the `crashing` requests is sent every `interval_ms`, and repeated once each
-    time.
+    time. Each of the `crashing_parts` comes in `part_requests_per_s`, no two alike, as
+    the part number `position` of their prompts.
     """
 
     requests_per_s: float = 40.0
@@ -60,17 +63,25 @@
     crashing: int = 1
     interval_ms: float = 7000.0
     length_ms: float = 60_000.0
+    crashing_parts: int = 0
+    part_requests_per_s: float = 2.0
+    position: int = 1
+    subjects: int = 3
+    begin_s: float = 5.0
 
 
 @dataclass
 class CrashOutcome:
     """The number of engine crashes, and the outcomes of the ordinary requests.
 
-    Of those, `served` and `failed` count the ones with that outcome, and `quarantined`
-    the ones whose fingerprint was quarantined at the end.
+    Of those, `served` and `failed` count the ones with that outcome, `quarantined` the
+    ones whose fingerprint was quarantined at the end, and `refused` the ones that were
+    refused for it at least once. `sends` are the sends of crashing requests.
     """
 
     crashes: int = 0
+    refused: int = 0
+    sends: int = 0
     served: int = 0
     failed: int = 0
     quarantined: int = 0
@@ -78,12 +89,13 @@
 
 @dataclass
 class _Request:
-    fingerprint: int
+    fingerprints: Fingerprints
     crashing: bool
     ask: CallerRequest
     context: GatewayContext
     tries_left: int
     sends: int = 0
+    sent_ms: float = 0.0
     tried: set[str] = field(default_factory=set)
 
 
@@ -91,7 +103,8 @@
     """Simulates gateways and engines.
 
     Without `quarantines`, no request is refused; without `isolates`, requests that have
-    run at a crash go to the cheapest engine like all others.
+    run at a crash go to the cheapest engine like all others. `quarantine` is how
+    gateways find the cause of crashes.
     """
 
     def __init__(
@@ -101,7 +114,9 @@
         seed: int,
         quarantines: bool = True,
         isolates: bool = True,
+        quarantine: type[Quarantine] = Quarantine,
     ) -> None:
+        self._quarantine = quarantine
         self._random = random.Random(seed)
         self._quarantines = quarantines
         self._isolates = isolates
@@ -127,6 +142,7 @@
             ENDPOINT_POLICIES.get("hall_affinity")(),
             BudgetTerms(0.9, 50.0, 10_000.0),
             generator=random.Random(f"{number} {seed}"),
+            quarantine=self._quarantine(),
         )
         context.table = table
         for n in range(20):
@@ -165,12 +181,24 @@
                 self._schedule_request(
                     first_ms + time * load.interval_ms, fingerprint, crashing=True
                 )
+        for number in range(load.crashing_parts):
+            self._schedule_part(f"crashing-{number}", 1_000_000 * (number + 1))
         while self._events:
             self.now_ms, _, action = heapq.heappop(self._events)
             action()
         self.outcome.quarantined = sum(self._is_quarantined(c) for c in self._ordinary)
         return self.outcome
 
+    def _schedule_part(self, part: str, first_fingerprint: int) -> None:
+        """Schedules the requests with one crashing part."""
+        load = self._load
+        at_ms = load.begin_s * 1000.0
+        for fingerprint in itertools.count(first_fingerprint):
+            at_ms += self._random.expovariate(load.part_requests_per_s) * 1000.0
+            if at_ms > load.length_ms:
+                return
+            self._schedule_request(at_ms, fingerprint, crashing=True, part=part)
+
     def _is_quarantined(self, fingerprint: int) -> bool:
         return any(
             g.quarantine.remaining_ms(fingerprint, self._unix_ms) for g in self.gateways
@@ -183,13 +211,16 @@
     def _schedule(self, at_ms: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._events, (at_ms, next(self._order), action))
 
-    def _schedule_request(self, at_ms: float, fingerprint: int, crashing: bool) -> None:
+    def _schedule_request(
+        self, at_ms: float, fingerprint: int, crashing: bool, part: str = ""
+    ) -> None:
         if not crashing:
             self._ordinary.add(fingerprint)
         context = self._random.choice(self.gateways)
-        request = _Request(
-            fingerprint, crashing, _make_request(fingerprint), context, 1
-        )
+        load = self._load
+        ask = _make_request(fingerprint, load.subjects, part, load.position)
+        fingerprints = Fingerprints(fingerprint, ask.shared_parts)
+        request = _Request(fingerprints, crashing, ask, context, 1)
         self._schedule(at_ms, lambda: self._send(request))
 
     # Requests.
@@ -197,14 +228,16 @@
     def _send(self, request: _Request) -> None:
         context = request.context
         quarantine = context.quarantine
-        if self._quarantines and quarantine.remaining_ms(
-            request.fingerprint, self._unix_ms
-        ):
+        decision = quarantine.decide(request.fingerprints, self._unix_ms)
+        if self._quarantines and decision.action is QuarantineAction.REFUSE:
+            self.outcome.refused += not request.crashing
             self._fail(request)
             return
+        if decision.action is QuarantineAction.TRIAL:
+            self._begin_trial(request)
         assert context.table is not None
         states = list(context.directory.of_service("app"))
-        isolation = quarantine.isolation(Fingerprints(request.fingerprint))
+        isolation = quarantine.isolation(request.fingerprints)
         chosen = choose_endpoint(
             context,
             context.table.services["app"],
@@ -218,6 +251,8 @@
             return
         name = chosen.state.endpoint.instance
         request.sends += 1
+        request.sent_ms = self.now_ms
+        self.outcome.sends += request.crashing
         request.tried.add(name)
         chosen.state.record_sent(self.now_ms)
         for other in self.gateways:
@@ -230,6 +265,15 @@
         else:
             ends_ms = self.now_ms + self._load.run_ms
             self._schedule(ends_ms, lambda: self._finish(name, request))
+            survived_ms = self.now_ms + SURVIVED_MS
+            self._schedule(survived_ms, lambda: self._survive(name, request))
+
+    def _survive(self, name: str, request: _Request) -> None:
+        if request in self._at_engine.get(name, ()):
+            quarantine = request.context.quarantine
+            self._announce(
+                quarantine.record_survived(request.fingerprints, self._unix_ms)
+            )
 
     def _finish(self, name: str, request: _Request) -> None:
         if request not in self._at_engine.get(name, ()):
@@ -238,9 +282,24 @@
         state = request.context.directory.state(name)
         if state is not None:
             state.load.record_finished(self.now_ms, None)
-        request.context.quarantine.record_completed(request.fingerprint)
+        quarantine = request.context.quarantine
+        self._announce(
+            quarantine.record_completions(request.fingerprints, self._unix_ms)
+        )
         self.outcome.served += 1
 
+    def _begin_trial(self, request: _Request) -> None:
+        quarantine = request.context.quarantine
+        keys = quarantine.begin_trial(request.fingerprints, self._unix_ms)
+
+        def announce() -> None:
+            for context in self.gateways:
+                context.quarantine.apply_trial(
+                    keys, request.fingerprints.request, self._unix_ms
+                )
+
+        self._schedule(self.now_ms + BROADCAST_MS, announce)
+
     def _crash(self, name: str) -> None:
         running = self._at_engine.pop(name, None)
         if running is None:
@@ -250,16 +309,28 @@
         self._schedule(self.now_ms + RESTART_MS, self._start_engine)
         for request in running:
             quarantine = request.context.quarantine
-            record = quarantine.record_crash(
-                request.fingerprint, name, 0, self._unix_ms
+            self._announce(
+                quarantine.record_crashes(
+                    request.fingerprints,
+                    name,
+                    0,
+                    self._unix_ms,
+                    self.now_ms - request.sent_ms >= SURVIVED_MS,
+                )
             )
-            self._schedule(self.now_ms + BROADCAST_MS, partial(self._broadcast, record))
         for request in running:
             self._send(request)
 
-    def _broadcast(self, record: CrashRecord) -> None:
+    def _announce(self, records: tuple[CrashRecord, ...]) -> None:
+        if records:
+            self._schedule(
+                self.now_ms + BROADCAST_MS, partial(self._broadcast, records)
+            )
+
+    def _broadcast(self, records: tuple[CrashRecord, ...]) -> None:
         for context in self.gateways:
-            context.quarantine.apply(record)
+            for record in records:
+                context.quarantine.apply(record)
 
     def _fail(self, request: _Request) -> None:
         if request.tries_left:
@@ -272,12 +343,19 @@
             self.outcome.failed += 1
 
 
-def _make_request(fingerprint: int) -> CallerRequest:
-    subject = PromptPart(f"subject-{fingerprint % SUBJECTS}", SUBJECT_TOKENS)
-    parts = (subject, PromptPart(f"own-{fingerprint}", REQUEST_TOKENS))
+def _make_request(
+    fingerprint: int, subjects: int, part: str, position: int
+) -> CallerRequest:
+    shared = [
+        PromptPart(f"first-{fingerprint % FIRST_PARTS}", FIRST_TOKENS),
+        PromptPart(f"subject-{fingerprint % subjects}", SUBJECT_TOKENS),
+    ]
+    if part:
+        shared[position] = PromptPart(part, SUBJECT_TOKENS)
+    parts = (*shared, PromptPart(f"own-{fingerprint}", REQUEST_TOKENS))
     target = f"/chat/{fingerprint}"
     host = "shop.example"
     return CallerRequest(
         f"r-{fingerprint}", "POST", target, host, [], b"", 0.0, None, "", "", True,
-        SUBJECT_TOKENS + REQUEST_TOKENS, 100, parts, "", "",
+        sum(p.tokens for p in parts), 100, parts, "", "",
     )  # fmt: skip
--- a/tests/crashing_load.py
+++ b/tests/crashing_load.py
@@ -90,7 +90,7 @@
         seed: int = 1,
         confidence: float | None = None,
         framed: bool = True,
-        **more: float,
+        prefill_s: float = 0.0,
     ) -> None:
         self.load = load
         self.log = CrashLog()
@@ -109,7 +109,7 @@
                 crashes=contains_part(*load.crashing),
                 confidence=confidence,
                 framed=framed,
-                **more,  # type: ignore[arg-type]
+                prefill_s=prefill_s,
             )
             for _ in range(engines)
         ]
