--- a/ashlatch/explain/process_state.py
+++ b/ashlatch/explain/process_state.py
@@ -49,6 +49,7 @@
     "endpoint_links_failing": ("links to endpoints", ""),
     "endpoint_links_restored": ("links to endpoints", ""),
     "gateway_isolated": ("links to endpoints", ""),
+    "connections_refused": ("new connections", ""),
     "endpoint_limited": ("rate limit", "instance"),
     "endpoint_backoff": ("backoff", "instance"),
     "endpoint_sheds_elsewhere": ("backoff of another gateway", "instance"),
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -26,6 +26,7 @@
 from ashlatch.gateway.exchange import Exchange
 from ashlatch.gateway.liveness import LivenessProber
 from ashlatch.gateway.logs import (
+    ConnectionsRefused,
     HandlerFailed,
     PeersUnavailable,
     RequestEnded,
@@ -50,6 +51,7 @@
 from ashlatch.platform.contracts import requires_admission_control
 from ashlatch.platform.headers import MalformedRequest, decode_request
 from ashlatch.platform.operator import READY_TARGET
+from ashlatch.policy.congestion import Congestion
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
 from ashlatch.rpc import Address, RpcLoop, register_traffic_metrics
 from ashlatch.settings import GatewaySettings
@@ -62,6 +64,8 @@
 
 # The number of lines at the end of a traceback that are logged.
 TRACE_LINES = 4
+# The interval at which the lateness of the event loop is measured.
+CONGESTION_INTERVAL_S = 0.05
 # The interval at which HTTP limits are applied, expired idle connections closed, and
 # the demand of organisations broadcast while capacity is scarce.
 SWEEP_S = 0.25
@@ -120,6 +124,7 @@
         overload.mode = AdmissionMode(settings.admission)
         overload.all_engines = requires_admission_control(settings.contracts)
         self._seeds = Seeds(settings, read_settings)
+        self._congestion = Congestion()
 
     def start(self) -> None:
         """Opens the listeners and starts the background tasks."""
@@ -140,6 +145,7 @@
         self.listener = HttpListener(self._handle)
         self.listener.on_handler_error = self._handler_failed
         self.listener.on_malformed = self._unreadable
+        self.listener.accepts = self._accepts
         self._ready_listener = HttpListener(self._handle_ready)
         local = GatewayVm(self.settings.rpc_address, self.settings.hall)
         self._sync = CoreSync(
@@ -181,6 +187,7 @@
             self._fetch_restrictions(),
             self._sweep(),
             self._log_traffic(),
+            self._watch_congestion(),
             watch_suspension(),
         )
         for task in tasks:
@@ -238,7 +245,8 @@
     @property
     def ready(self) -> bool:
         """Checks whether callers should send requests to this gateway."""
-        return self._serving and not self.listener.stopping
+        welcome = self._congestion.ready(self.rpc.loop.time() * 1000.0)
+        return self._serving and not self.listener.stopping and welcome
 
     @property
     def _serving(self) -> bool:
@@ -327,6 +335,36 @@
     def _unreadable(self, peer: str, reason: str) -> None:
         emit(log, RequestUnreadable(peer, reason), logging.WARNING)
 
+    def _accepts(self) -> bool:
+        """Decides whether a new connection is served or closed unread.
+
+        A gateway that knows no other one serves all: its callers have nowhere to go.
+        """
+        refuses = self._congestion.refuses(self.rpc.loop.time() * 1000.0)
+        if not refuses or len(self.context.gateways) < 2:
+            return True
+        self.context.metrics.count("connections_refused")
+        return False
+
+    async def _watch_congestion(self) -> None:
+        """Measures how late this process is, and logs when that has consequences."""
+        loop, welcome = self.rpc.loop, True
+        while True:
+            due_s = loop.time() + CONGESTION_INTERVAL_S
+            await asyncio.sleep(CONGESTION_INTERVAL_S)
+            now_s = loop.time()
+            congestion = self._congestion
+            congestion.record_lateness((now_s - due_s) * 1000.0, now_s * 1000.0)
+            if congestion.ready(now_s * 1000.0) == welcome:
+                continue
+            welcome = not welcome
+            event = ConnectionsRefused(
+                not welcome,
+                int(congestion.lateness_ms),
+                round(congestion.usual or 0.0, 1),
+            )
+            emit(log, event, logging.WARNING)
+
     async def _log_traffic(self) -> None:
         while True:
             await asyncio.sleep(TRAFFIC_LOG_S)
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -19,6 +19,7 @@
     "AnswerEvaluated",
     "AttemptEnded",
     "ConfigurationApplied",
+    "ConnectionsRefused",
     "FingerprintQuarantined",
     "CrashRecordCleared",
     "LocalCoreSelected",
@@ -434,6 +435,20 @@
     teller: str = ""
 
 
+@dataclass(frozen=True)
+class ConnectionsRefused(LogEvent):
+    """Whether new connections are closed unread from now on (`refused`), or no more.
+
+    Callers then try another gateway. `late_ms` is how late this process is with its
+    work, `usual_per_s` the usual number of new connections.
+    """
+
+    event: ClassVar[str] = "connections_refused"
+    refused: bool
+    late_ms: int
+    usual_per_s: float
+
+
 @dataclass(frozen=True)
 class CrashRecorded(LogEvent):
     """An endpoint ended while it ran a request.
--- a/ashlatch/http/connection.py
+++ b/ashlatch/http/connection.py
@@ -130,6 +130,7 @@
     connections: "set[Connection]"
     active_requests: int
     stopping: bool
+    accepts: Callable[[], bool]
     on_malformed: Callable[[str, str], None]
     on_handler_error: Callable[[BaseException], None]
 
@@ -173,6 +174,9 @@
         """The connection is open."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        if not self._listener.accepts():
+            transport.abort()
+            return
         keep_alive(transport, CALLER_UNACKNOWLEDGED_MAX_MS)
         peer = transport.get_extra_info("peername")
         self._peer = f"{peer[0]}:{peer[1]}" if peer else ""
--- a/ashlatch/http/listener.py
+++ b/ashlatch/http/listener.py
@@ -25,6 +25,7 @@
 class HttpListener:
     """Listens on one address and passes complete requests to `handler`.
 
+    A new connection for which `accepts` returns false is closed unread.
     `on_malformed` is called with the peer and the reason if a malformed request is
     rejected, `on_handler_error` with an exception that a handler raised.
     """
@@ -35,6 +36,7 @@
         self.connections: set[Connection] = set()
         self.active_requests = 0
         self.stopping = False
+        self.accepts: Callable[[], bool] = lambda: True
         self.on_malformed: Callable[[str, str], None] = lambda peer, reason: None
         self.on_handler_error: Callable[[BaseException], None] = lambda error: None
         self._server: asyncio.Server | None = None
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -70,6 +70,7 @@
         self.connections: set[Connection] = set()
         self.active_requests = 0
         self.stopping = False
+        self.accepts: Callable[[], bool] = lambda: True
         self.errors: list[str] = []
         self.answer = answer
         self.handler: Handler = self.handle
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -6,10 +6,18 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from types import SimpleNamespace
+from typing import Any
 
 import testtools
 
 from ashlatch.clock import unix_ms
+from ashlatch.gateway.admission import Admission, admit
+from ashlatch.gateway.forwarding import AnswerForwarder
+from ashlatch.gateway.request_record import RequestRecord
+from ashlatch.gateway.timeouts import AnswerTimeout
+from ashlatch.http.connection import HttpRequest
+from ashlatch.platform.headers import decode_request
 from ashlatch.policy.crash_record import part_fingerprint
 from tests import stub_server
 from tests.crashing_load import SENDS_MAX, PartFleet, PartLoad, PartOutcome
@@ -136,3 +144,42 @@
 
     def test_an_error_does_not_clear_a_part(self) -> None:
         self.assertEqual(1, self.crashes_after(stub_server.answer_with(status=500)))
+
+    def test_a_refusal_by_another_gateway_does_not_clear_a_part(self) -> None:
+        async def work() -> None:
+            key = part_fingerprint("bb")
+            self.context.quarantine.record_crash(key, "i-9", 0, unix_ms() - 50, "bb")
+            data = build_request("/get/1", self.PARTS)
+            request = decode_request(
+                HttpRequest("GET", "/get/1", parse_headers(data), b"", 0.0, "")
+            )
+            admission = admit(self.context, request)
+            assert isinstance(admission, Admission)
+            record = RequestRecord(self.context, admission)
+            responder: Any = None
+            forwarder = AnswerForwarder(self.context, admission, responder, record)
+            source: Any = RefusingGateway()
+            head: Any = SimpleNamespace(status=200, sealed=False)
+            await forwarder.read_complete(source, head, AnswerTimeout(None, bool))
+            self.assertEqual(1, self.context.quarantine.crash_count(key))
+
+        self.run_gateway([StubServer([stub_server.answer_with()])], work)
+
+
+class RefusingGateway:
+    """A send to another gateway whose answer has no seal of an endpoint."""
+
+    async def part(self, timeout: AnswerTimeout) -> None:
+        return None
+
+    async def confirm_end(self) -> None:
+        pass
+
+    def finish(self) -> None:
+        pass
+
+
+def parse_headers(data: bytes) -> list[tuple[bytes, bytes]]:
+    lines = data.partition(b"\r\n\r\n")[0].split(b"\r\n")[1:]
+    pairs = [line.partition(b": ") for line in lines]
+    return [(name, value) for name, _, value in pairs]
