--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -54,6 +54,10 @@
 )
 CRASHING = ("-m", "pytest", "-x", "tests/test_crashing_requests.py")
 QUARANTINE = ("-m", "pytest", "-x", "tests/test_quarantine.py")
+ATTRIBUTION = ("-m", "pytest", "-x", "tests/test_attribution.py")
+RUNS = ("-m", "pytest", "-x", "tests/test_runs.py")
+PARTS = ("-m", "pytest", "-x", "tests/test_crashing_parts.py")
+CONGESTION = ("-m", "pytest", "-x", "tests/test_congestion.py", "-k", "Policy")
 CRASH_LOAD = ("-m", "pytest", "-x", "tests/test_crash_load.py")
 INCARNATIONS = ("-m", "pytest", "-x", "tests/test_incarnations.py")
 MALFORMED = ("-m", "pytest", "-x", "tests/test_malformed_input.py")
@@ -467,9 +471,9 @@
     ),
     Mutant(
         "completed-request-clears-nothing",
-        "ashlatch/gateway/crash_detector.py",
-        "        if self._context.quarantine.record_completed(fingerprint):\n",
-        "        if False:\n",
+        "ashlatch/gateway/crash_records.py",
+        "context.quarantine.record_completions(fingerprints, unix_ms())",
+        "()",
         CRASHING,
     ),
     Mutant(
@@ -482,20 +486,20 @@
     Mutant(
         "suspected-requests-not-isolated",
         "ashlatch/gateway/choice.py",
-        "    if isolated:\n",
+        "    if send.isolation is not None:\n",
         "    if False:\n",
         CRASH_LOAD,
     ),
     Mutant(
         "one-crash-counted-twice",
-        "ashlatch/policy/quarantine.py",
+        "ashlatch/policy/crash_record.py",
         "        if at is None:\n",
         "        if True:\n",
         QUARANTINE,
     ),
     Mutant(
         "quarantined-fingerprints-evicted-first",
-        "ashlatch/policy/quarantine.py",
+        "ashlatch/policy/crash_record.py",
         "    return len(record.counted_crashes), newest_ms, record.fingerprint\n",
         "    return 0, newest_ms, record.fingerprint\n",
         QUARANTINE,
@@ -507,6 +511,69 @@
         "            if False:\n",
         QUARANTINE,
     ),
+    Mutant(
+        "crashes-not-attributed-to-parts",
+        "ashlatch/policy/quarantine.py",
+        "        keys = fingerprints.keys[:1] if survived else fingerprints.keys\n",
+        "        keys = fingerprints.keys[:1]\n",
+        CRASH_LOAD,
+    ),
+    Mutant(
+        "bystanders-not-explained",
+        "ashlatch/policy/attribution.py",
+        "        explained |= crashes\n",
+        "        explained |= frozenset()\n",
+        ATTRIBUTION,
+    ),
+    Mutant(
+        "popular-parts-not-last",
+        "ashlatch/policy/attribution.py",
+        "(not c.popular, len(remaining[c]), c.record.fingerprint)",
+        "(len(remaining[c]), c.record.fingerprint)",
+        CRASH_LOAD,
+    ),
+    Mutant(
+        "dropped-sends-not-suspected",
+        "ashlatch/gateway/runs.py",
+        "        if completed or run.attributed:\n",
+        "        if True:\n",
+        RUNS,
+    ),
+    Mutant(
+        "silent-connection-survives",
+        "ashlatch/gateway/runs.py",
+        "send.received_ms - send.answered_ms >= SURVIVED_MS",
+        "True",
+        RUNS,
+    ),
+    Mutant(
+        "cut-answer-is-complete",
+        "ashlatch/gateway/attempt.py",
+        "        if await self._process_ended(self.state):\n",
+        "        if False:\n",
+        (*PARTS, "-k", "end_with_their"),
+    ),
+    Mutant(
+        "errors-clear-parts",
+        "ashlatch/gateway/forwarding.py",
+        "        if not head.sealed or head.status >= ERROR_STATUS_MIN:\n",
+        "        if False:\n",
+        (*PARTS, "-k", "Clearing"),
+    ),
+    Mutant(
+        "waiting-requests-not-withdrawn",
+        "ashlatch/gateway/crash_records.py",
+        "        run.send.withdraw()\n",
+        "        pass\n",
+        (*PARTS, "-k", "wait_at"),
+    ),
+    Mutant(
+        "surge-accepted",
+        "ashlatch/policy/congestion.py",
+        "        self._refused_ms = now_ms\n        return True\n",
+        "        return False\n",
+        CONGESTION,
+    ),
     Mutant(
         "endpoint-start-ignored",
         "ashlatch/catalog.py",
--- a/tests/test_crash_load.py
+++ b/tests/test_crash_load.py
@@ -16,6 +16,7 @@
 """
 
 import asyncio
+import dataclasses
 import statistics
 
 import testtools
@@ -68,6 +69,34 @@
         self.assertTrue(statistics.mean(p.quarantined for p in together) > 6.0)
 
 
+class PartLoadTest(testtools.TestCase):
+    """Requests that share a part on which engines crash, no two alike.
+
+    Users' bound is five crashes for each part.
+    """
+
+    CRASHES_MAX = 5
+    LOAD = CrashLoad(crashing=0, crashing_parts=1, subjects=200, length_ms=15_000.0)
+
+    def play(self, **changed: float) -> list[CrashOutcome]:
+        load = dataclasses.replace(self.LOAD, **changed)  # type: ignore[arg-type]
+        return [CrashWorld(*SMALL, seed).run(load) for seed in range(1, 4)]
+
+    def test_a_part_in_the_middle(self) -> None:
+        for outcome in self.play():
+            self.assertTrue(outcome.crashes <= self.CRASHES_MAX, str(outcome))
+            self.assertTrue(outcome.refused <= 0.02 * outcome.served, str(outcome))
+
+    def test_few_requests_with_the_part(self) -> None:
+        for outcome in self.play(part_requests_per_s=0.5):
+            self.assertTrue(outcome.crashes <= self.CRASHES_MAX, str(outcome))
+
+    def test_two_parts_at_once(self) -> None:
+        for outcome in self.play(crashing_parts=2):
+            self.assertTrue(outcome.crashes <= 2 * self.CRASHES_MAX, str(outcome))
+            self.assertTrue(outcome.refused <= 0.1 * outcome.served, str(outcome))
+
+
 class BroadcastTest(testtools.TestCase):
     """195 gateways in five halls: what it costs until all refuse a request.
 
