--- a/tests/crashing_load.py
+++ b/tests/crashing_load.py
@@ -11,7 +11,8 @@
 from dataclasses import dataclass, field
 
 from tests.crashing import CrashingEngine, CrashLog, contains_part
-from tests.fleet import FRONT_PORT, READY_PORT, Fleet, wait_for
+from tests.fleet import FRONT_PORT, READY_PORT, wait_for
+from tests.partitioned import PartitionableFleet
 
 # Users' bounds: from this time after the fifth crash on, at most three more sends.
 KNOWN_AFTER_S = 3.0
@@ -80,7 +81,10 @@
 
 
 class PartFleet:
-    """Five core VMs, gateways and engines as real processes and sockets."""
+    """Five core VMs, gateways and engines as real processes and sockets.
+
+    The first `isolated` gateways reach no engine, and have others serve their callers.
+    """
 
     def __init__(
         self,
@@ -91,10 +95,12 @@
         confidence: float | None = None,
         framed: bool = True,
         prefill_s: float = 0.0,
+        isolated: int = 0,
     ) -> None:
         self.load = load
+        self._isolated = isolated
         self.log = CrashLog()
-        self.fleet = Fleet()
+        self.fleet = PartitionableFleet()
         self._random = random.Random(seed)
         self._numbers = itertools.count()
         ids = itertools.count()
@@ -120,10 +126,14 @@
             self.fleet.platform.run(engine.start())
         self.fleet.bootstrap()
         self.fleet.replace_until_accepted(3)
-        for host in self.gateways:
+        isolated = self.gateways[: self._isolated]
+        for host in isolated:
+            self.fleet.start_partitioned(host)
+        for host in self.gateways[self._isolated :]:
             self.fleet.start_gateway(host)
         for host in self.gateways:
             self.wait_ready(host)
+        self.fleet.partition(isolated, "refused", "reset")
         known = f"event=gateways_learnt gateways={len(self.gateways)}"
         wait_for(
             lambda: all(known in self.fleet.processes[g].log for g in self.gateways),
--- a/tests/partitioned.py
+++ b/tests/partitioned.py
@@ -119,7 +119,42 @@
         return Counter((t.path, t.status) for t in found if t.status != 200), len(found)
 
 
-class PartitionedFleet(Fleet):
+class PartitionableFleet(Fleet):
+    """A fleet whose gateways can be partitioned from all endpoints."""
+
+    def start_partitioned(self, host: str) -> None:
+        """Starts a gateway that `partition` can cut off."""
+        path = self.write_gateway_settings(host)
+        command = [sys.executable, "-m", "tests.partitioned_gateway"]
+        variables = {
+            partitioned_gateway.FILE_VARIABLE: str(self._partition_file(host)),
+            partitioned_gateway.HOST_VARIABLE: self.platform.host,
+            partitioned_gateway.LIST_PORT_VARIABLE: str(LIST_PORT),
+        }
+        with mock.patch.dict(os.environ, variables):
+            self.processes[host] = Process(
+                host, [*command, "--settings", str(path)], self.folder
+            )
+
+    def _partition_file(self, host: str) -> Path:
+        return self.folder / f"partition-{host}"
+
+    def partition(self, hosts: list[str], new: str, open_ones: str) -> float:
+        """Cuts gateways off all endpoints; returns the time."""
+        for host in hosts:
+            partial = self.folder / f"partial-{host}"
+            partial.write_text(f"{new} {open_ones}")
+            partial.rename(self._partition_file(host))
+        return time.monotonic()
+
+    def heal(self, hosts: list[str]) -> float:
+        """Ends the partition; returns the time."""
+        for host in hosts:
+            self._partition_file(host).write_text("")
+        return time.monotonic()
+
+
+class PartitionedFleet(PartitionableFleet):
     """Core VMs, gateways and endpoints; each of three endpoints serves two services.
 
     Half of the gateways are in a hall of their own, without endpoints (`hall`).
@@ -151,20 +186,6 @@
         script = stream(EVENTS) if streams else stub_server.answer_with()
         await script(request, writer)  # type: ignore[arg-type]
 
-    def start_partitioned(self, host: str) -> None:
-        """Starts a gateway that `partition` can cut off."""
-        path = self.write_gateway_settings(host)
-        command = [sys.executable, "-m", "tests.partitioned_gateway"]
-        variables = {
-            partitioned_gateway.FILE_VARIABLE: str(self._partition_file(host)),
-            partitioned_gateway.HOST_VARIABLE: self.platform.host,
-            partitioned_gateway.LIST_PORT_VARIABLE: str(LIST_PORT),
-        }
-        with mock.patch.dict(os.environ, variables):
-            self.processes[host] = Process(
-                host, [*command, "--settings", str(path)], self.folder
-            )
-
     def begin(self) -> None:
         """Starts everything and waits until the gateways are ready."""
         self.bootstrap()
@@ -195,23 +216,6 @@
     def is_ready(self, host: str) -> bool:
         return self.call(host, "GET", "/-/readyz", port=READY_PORT)[0] == 200
 
-    def _partition_file(self, host: str) -> Path:
-        return self.folder / f"partition-{host}"
-
-    def partition(self, hosts: list[str], new: str, open_ones: str) -> float:
-        """Cuts gateways off all endpoints; returns the time."""
-        for host in hosts:
-            partial = self.folder / f"partial-{host}"
-            partial.write_text(f"{new} {open_ones}")
-            partial.rename(self._partition_file(host))
-        return time.monotonic()
-
-    def heal(self, hosts: list[str]) -> float:
-        """Ends the partition; returns the time."""
-        for host in hosts:
-            self._partition_file(host).write_text("")
-        return time.monotonic()
-
     @contextmanager
     def callers(
         self, kinds: tuple[str, ...] = KINDS, count: int = 4
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -37,9 +37,14 @@
         framed: bool = True,
         meanwhile: Callable[[], None] = lambda: None,
         prefill_s: float = 0.0,
+        isolated: int = 0,
     ) -> PartOutcome:
         self.fleet = PartFleet(
-            load, confidence=confidence, framed=framed, prefill_s=prefill_s
+            load,
+            confidence=confidence,
+            framed=framed,
+            prefill_s=prefill_s,
+            isolated=isolated,
         )
         self.addCleanup(self.fleet.close)
         self.fleet.start()
@@ -60,6 +65,9 @@
     def test_answers_that_end_with_their_connection(self) -> None:
         self.check(self.play(PartLoad(position=2), framed=False))
 
+    def test_relayed_requests_and_answers_that_end_with_their_connection(self) -> None:
+        self.check(self.play(PartLoad(), framed=False, isolated=1))
+
     def test_two_parts_at_once(self) -> None:
         outcome = self.play(PartLoad(crashing=("f0f0", "f1f1"), crashing_per_s=2.0))
         self.assertTrue(len(outcome.log.crashes_s) <= 2 * 5, str(outcome))
