--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -22,6 +22,7 @@
 from tests import stub_server
 from tests.crashing_load import SENDS_MAX, PartFleet, PartLoad, PartOutcome
 from tests.gateway import GatewayHarness, build_request
+from tests.parts_soak import PartsSoak
 from tests.stub_server import Script, StubServer
 
 SERVED_SHARE_MIN = 0.9
@@ -191,3 +192,8 @@
     lines = data.partition(b"\r\n\r\n")[0].split(b"\r\n")[1:]
     pairs = [line.partition(b": ") for line in lines]
     return [(name, value) for name, _, value in pairs]
+
+
+class SoakTest(testtools.TestCase):
+    def test_a_short_soak(self) -> None:
+        self.assertEqual("", PartsSoak(2).run())
