--- a/ashlatch/gateway/admission.py
+++ b/ashlatch/gateway/admission.py
@@ -134,7 +134,10 @@
 
 
 def quarantine_refusal(
-    context: GatewayContext, request_id: str, fingerprints: Fingerprints
+    context: GatewayContext,
+    request_id: str,
+    fingerprints: Fingerprints,
+    logged: bool = True,
 ) -> Refused | None:
     """Returns the refusal of a request that is quarantined for crashing endpoints."""
     decision = context.quarantine.decide(fingerprints, unix_ms())
@@ -148,7 +151,8 @@
         context.quarantine.crash_count(decision.cause),
         int(decision.wait_ms),
     )
-    emit(log, event)
+    if logged:
+        emit(log, event)
     return Refused(503, RefusalReason.QUARANTINED, decision.wait_ms / 1000.0)
 
 
--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -113,19 +113,27 @@
         return Choice(state, len(healthy), utilisation, None, allowed, denied)
     forecaster = Forecaster(context, service.name, healthy, send, now_ms)
     forecasts = [(forecaster.forecast(s), s) for s in healthy]
-    if send.isolation is not None:
-        ranked = sorted(forecasts, key=lambda pair: pair[0].cost_ms)
-        among = ranked[: max(ISOLATED_CANDIDATES_MIN, len(ranked) // 2)]
-        if send.isolation.part:
-            among = ranked
-        state = _isolated([s for _, s in among], send.isolation, context.generator)
-        forecast = next(f for f, s in among if s is state)
-    else:
-        forecast, state = context.generator.choice(_cheapest(forecasts))
+    forecast, state = _choose_engine(forecasts, send.isolation, context.generator)
     utilisation = state.utilisation(now_ms)
     return Choice(state, len(healthy), utilisation, forecast, allowed, denied)
 
 
+def _choose_engine(
+    forecasts: list[tuple[Forecast, EndpointState]],
+    isolation: Isolation | None,
+    generator: Random,
+) -> tuple[Forecast, EndpointState]:
+    """Returns the engine for a send, with its forecast."""
+    if isolation is None:
+        return generator.choice(_cheapest(forecasts))
+    candidates = forecasts
+    if not isolation.part:
+        ranked = sorted(forecasts, key=lambda pair: pair[0].cost_ms)
+        candidates = ranked[: max(ISOLATED_CANDIDATES_MIN, len(ranked) // 2)]
+    state = _isolated([s for _, s in candidates], isolation, generator)
+    return next(pair for pair in candidates if pair[1] is state)
+
+
 def _cheapest(
     forecasts: list[tuple[Forecast, EndpointState]],
 ) -> list[tuple[Forecast, EndpointState]]:
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -93,6 +93,7 @@
         self._error_answer: CompleteAnswer | None = None
         self._counted = False
         self._repeat_reserved = False
+        self._quarantined = False
         self._send_reason = "first"
         self._expected_first_ms = 0.0
 
@@ -393,8 +394,12 @@
     def _quarantine_refusal(self) -> Refused | None:
         """Returns the final answer if the request is quarantined."""
         refusal = quarantine_refusal(
-            self._context, self._request.request_id, self._admission.fingerprints
+            self._context,
+            self._request.request_id,
+            self._admission.fingerprints,
+            logged=not self._quarantined,
         )
+        self._quarantined |= refusal is not None
         if refusal is not None and self._may_have_run:
             return Refused(502, RefusalReason.QUARANTINED)
         return refusal
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -486,8 +486,8 @@
     Mutant(
         "suspected-requests-not-isolated",
         "ashlatch/gateway/choice.py",
-        "    if send.isolation is not None:\n",
-        "    if False:\n",
+        "    if isolation is None:\n",
+        "    if True:\n",
         CRASH_LOAD,
     ),
     Mutant(
