Quarantine: a part that was harmless before is found as soon as a new one

A test with a part that completed until it crashed endpoints fails in the same way: 16 ends, 8 late sends (a first part; one in the middle that comes once a second passed before, too).

Cause: one completed run in the minute before made a part popular, and popular parts came last: each bystander with three crashes explained some of its crashes, so that its own remainder stayed below five.

Change: a part is popular that has completed three times within a minute at the gateway that records the crash, and comes first among the candidates with more than twice the crashes of any other.

--- a/ashlatch/policy/attribution.py
+++ b/ashlatch/policy/attribution.py
@@ -23,9 +23,10 @@
 # The crashes after which a candidate is taken as a cause. One that only ran beside the
 # cause is rarely present three times, and each further crash costs callers an endpoint.
 CRASHES_MIN = 3
-# For a prompt part that was seen to complete shortly before a crash. Such parts are
-# popular and present at most crashes, so others are considered first.
+# For a prompt part that was seen to complete several times shortly before a crash. Such
+# parts are popular and present at most crashes.
 CRASHES_MIN_COMPLETED = 5
+POPULAR_RATIO = 2
 
 
 @dataclass(frozen=True)
@@ -72,10 +73,7 @@
         candidates = [c for c in candidates if len(remaining[c]) >= c.crashes_min]
         if not candidates:
             break
-        first = max(
-            candidates,
-            key=lambda c: (not c.popular, len(remaining[c]), c.record.fingerprint),
-        )
+        first = _first(candidates, remaining)
         crashes = remaining[first]
         tied = [
             c
@@ -93,6 +91,22 @@
     return causes
 
 
+def _first(
+    candidates: list[_Candidate], remaining: Mapping[_Candidate, frozenset[int]]
+) -> _Candidate:
+    """Returns the candidate with the most crashes.
+
+    A popular one comes first only with more than twice the crashes of any other: while
+    several causes crash endpoints, it is present at the crashes of all of them.
+    """
+
+    def rank(candidate: _Candidate) -> tuple[int, int]:
+        weight = 1 if candidate.popular else POPULAR_RATIO
+        return weight * len(remaining[candidate]), candidate.record.fingerprint
+
+    return max(candidates, key=rank)
+
+
 def _candidates(records: list[CrashRecord]) -> list[_Candidate]:
     numbers = _number_crashes(c for r in records for c in r.counted_crashes)
     return [
--- a/ashlatch/policy/quarantine.py
+++ b/ashlatch/policy/quarantine.py
@@ -54,8 +54,8 @@
 TRIAL_MS = 3000.0
 # When a caller may return that is refused because of a trial: most have ended by then.
 TRIAL_RETRY_MS = 1000.0
-# A completed run says for this time that a part is harmless, unless endpoints crash on
-# it from then on.
+# A part that has completed so often within this time is popular.
+POPULAR_TIMES = 3
 COMPLETED_VALID_MS = 60_000.0
 # The number of parts whose last completed run is known.
 COMPLETED_PARTS_MAX = 4096
@@ -138,6 +138,24 @@
     return rank(names, isolation.part)[0]
 
 
+@dataclass(frozen=True)
+class _Completions:
+    """The completed runs of a part here: their number and when the last one was."""
+
+    times: int = 0
+    last_unix_ms: float = float("-inf")
+
+    def after(self, now_unix_ms: float) -> "_Completions":
+        """Returns these with one more."""
+        recent = now_unix_ms - self.last_unix_ms < COMPLETED_VALID_MS
+        return _Completions(self.times + 1 if recent else 1, now_unix_ms)
+
+    def popular(self, now_unix_ms: float) -> bool:
+        """Checks whether there were several shortly before a time."""
+        recent = now_unix_ms - self.last_unix_ms < COMPLETED_VALID_MS
+        return recent and self.times >= POPULAR_TIMES
+
+
 @dataclass(frozen=True)
 class _Trial:
     request: int
@@ -159,7 +177,7 @@
     _records: dict[int, CrashRecord] = field(default_factory=dict)
     # Fingerprints that the core has not confirmed, with the number of reports to it.
     _unconfirmed: dict[int, int] = field(default_factory=dict)
-    _completed_unix_ms: dict[int, float] = field(default_factory=dict)
+    _completed: dict[int, "_Completions"] = field(default_factory=dict)
     _trials: dict[int, _Trial] = field(default_factory=dict)
     # The fingerprints with enough crashes to be a cause.
     _candidates: set[int] = field(default_factory=set)
@@ -277,12 +295,12 @@
         part: str = "",
     ) -> CrashRecord:
         """Records that an endpoint ended while it ran a request of this process."""
-        completed_ms = self._completed_unix_ms.get(fingerprint, float("-inf"))
+        completed = self._completed.get(fingerprint)
         crash = Crash(
             endpoint_digest(instance),
             started_unix_ms,
             now_unix_ms,
-            completed_before=now_unix_ms - completed_ms < COMPLETED_VALID_MS,
+            completed_before=completed is not None and completed.popular(now_unix_ms),
         )
         self._record_local(CrashRecord(fingerprint, (crash,), part))
         return self._records[fingerprint]
@@ -337,10 +355,10 @@
         they begin to write. Returns the records that it clears.
         """
         for key in fingerprints.keys[1:]:
-            self._completed_unix_ms.pop(key, None)
-            self._completed_unix_ms[key] = now_unix_ms
-        while len(self._completed_unix_ms) > COMPLETED_PARTS_MAX:
-            del self._completed_unix_ms[next(iter(self._completed_unix_ms))]
+            completed = self._completed.pop(key, _Completions())
+            self._completed[key] = completed.after(now_unix_ms)
+        while len(self._completed) > COMPLETED_PARTS_MAX:
+            del self._completed[next(iter(self._completed))]
         cleared = [key for key in fingerprints.keys[1:] if self.record_completed(key)]
         return tuple(self._records[key] for key in cleared)
 
@@ -349,24 +367,24 @@
         changed = apply_record(self._records, record)
         if not changed:
             return False
-        completed_ms = self._completed_unix_ms.get(record.fingerprint)
-        if completed_ms is not None:
-            self._apply_completion(record.fingerprint, completed_ms)
+        completed = self._completed.get(record.fingerprint)
+        if completed is not None:
+            self._apply_completion(record.fingerprint, completed)
         self._update_candidate(record.fingerprint)
         return True
 
-    def _apply_completion(self, fingerprint: int, completed_ms: float) -> None:
+    def _apply_completion(self, fingerprint: int, completed: "_Completions") -> None:
         """Applies a completed run here to crashes that others have reported since."""
         record = self._records.get(fingerprint)
         if record is None:
             return
-        cleared = record.cleared_until(completed_ms)
+        cleared = record.cleared_until(completed.last_unix_ms)
         if cleared != record:
             self._record_local(cleared)
         # The others may not have seen it complete; they need no message about it.
-        self._records[fingerprint] = cleared.completed_at(
-            completed_ms, COMPLETED_VALID_MS
-        )
+        if completed.times >= POPULAR_TIMES:
+            cleared = cleared.completed_at(completed.last_unix_ms, COMPLETED_VALID_MS)
+        self._records[fingerprint] = cleared
 
     # Reports to the core.
 
--- a/tests/crashing_load.py
+++ b/tests/crashing_load.py
@@ -13,6 +13,7 @@
 from tests.crashing import CrashingEngine, CrashLog, contains_part
 from tests.fleet import FRONT_PORT, READY_PORT, wait_for
 from tests.partitioned import PartitionableFleet
+from tests.stub_server import ReceivedRequest
 
 # Users' bounds: from this time after the fifth crash on, at most three more sends.
 KNOWN_AFTER_S = 3.0
@@ -28,7 +29,8 @@
     """The load. Each of the `crashing` parts comes `crashing_per_s` times a second.
 
     `position` is where in the prompt it stands, of three shared parts. Unless
-    `repeatable`, gateways may send a crashing request once only.
+    `repeatable`, gateways may send a crashing request once only. With `used_before`
+    endpoints complete requests with the parts until the crashing ones begin.
     """
 
     crashing: tuple[str, ...] = ("f0f0",)
@@ -38,6 +40,7 @@
     repeatable: bool = True
     calm_s: float = 2.0
     length_s: float = 12.0
+    used_before: bool = False
 
 
 @dataclass(frozen=True)
@@ -98,6 +101,8 @@
         isolated: int = 0,
     ) -> None:
         self.load = load
+        self._contains_part = contains_part(*load.crashing)
+        self._harmless = load.used_before
         self._isolated = isolated
         self.log = CrashLog()
         self.fleet = PartitionableFleet()
@@ -112,7 +117,7 @@
                 RESTART_S,
                 ids,
                 on_start=self._list_engines,
-                crashes=contains_part(*load.crashing),
+                crashes=self._crashes,
                 confidence=confidence,
                 framed=framed,
                 prefill_s=prefill_s,
@@ -140,6 +145,9 @@
             "all gateways know each other",
         )
 
+    def _crashes(self, request: ReceivedRequest) -> bool:
+        return not self._harmless and self._contains_part(request)
+
     def wait_ready(self, host: str) -> None:
         def ready() -> bool:
             return self.fleet.call(host, "GET", "/-/readyz", port=READY_PORT)[0] == 200
@@ -217,11 +225,13 @@
             threading.Thread(target=run, args=(ordinary, load.ordinary_per_s, 0.0))
         ]
         for part in load.crashing:
-            source = (lambda p=part: crashing(p), load.crashing_per_s, begun_s)
+            from_s = 0.0 if load.used_before else begun_s
+            source = (lambda p=part: crashing(p), load.crashing_per_s, from_s)
             sources.append(threading.Thread(target=run, args=source))
         for thread in sources:
             thread.start()
         time.sleep(max(0.0, begun_s - time.monotonic()))
+        self._harmless = False
         meanwhile()
         for thread in sources:
             thread.join()
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -528,8 +528,8 @@
     Mutant(
         "popular-parts-not-last",
         "ashlatch/policy/attribution.py",
-        "(not c.popular, len(remaining[c]), c.record.fingerprint)",
-        "(len(remaining[c]), c.record.fingerprint)",
+        "        weight = 1 if candidate.popular else POPULAR_RATIO\n",
+        "        weight = 1\n",
         CRASH_LOAD,
     ),
     Mutant(
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -69,6 +69,13 @@
     def test_relayed_requests_and_answers_that_end_with_their_connection(self) -> None:
         self.check(self.play(PartLoad(), framed=False, isolated=1))
 
+    def test_a_part_that_was_harmless_before(self) -> None:
+        load = PartLoad(calm_s=6.0, crashing_per_s=1.0, used_before=True)
+        self.check(self.play(load))
+
+    def test_a_first_part_that_was_harmless_before(self) -> None:
+        self.check(self.play(PartLoad(position=0, calm_s=4.0, used_before=True)))
+
     def test_two_parts_at_once(self) -> None:
         outcome = self.play(PartLoad(crashing=("f0f0", "f1f1"), crashing_per_s=2.0))
         self.assertTrue(len(outcome.log.crashes_s) <= 2 * 5, str(outcome))
