Failing tests: parts that were harmless before, and crashes that no request causes

Simulated loads of seven gateways and five engines, with answers of 0.1 to 4 s and engines that are back after 3.3 s, as in the users' record.

--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -5,7 +5,7 @@
 requests by the product's own code, each with its own context. The crashes that they
 record reach the others after `BROADCAST_MS`. Engines run any number of requests at
 once, crash `CRASH_AFTER_MS` after they have begun the crashing one, and are back under
-another id after `RESTART_MS`. Prefill times, queues, halls and lost messages are not
+another id some seconds later. Prefill times, queues, halls and lost messages are not
 modelled.
 """
 
@@ -55,7 +55,10 @@
 
     Each of the `crashing` requests is sent every `interval_ms`, and repeated once each
     time. Each of the `crashing_parts` comes in `part_requests_per_s`, no two alike, as
-    the part number `position` of their prompts.
+    the part number `position` of their prompts, from `begin_s` on; with `used_before`
+    from the beginning on, and it crashes nothing until then. `run_ms` is the mean of
+    `run_lengths` times itself, drawn for each request. All engines end at `killed_s`,
+    whatever they run; an engine that ended is back after `restart_ms`.
     """
 
     requests_per_s: float = 40.0
@@ -68,6 +71,10 @@
     position: int = 1
     subjects: int = 3
     begin_s: float = 5.0
+    used_before: bool = False
+    run_lengths: tuple[float, ...] = (1.0,)
+    killed_s: float | None = None
+    restart_ms: float = RESTART_MS
 
 
 @dataclass
@@ -76,7 +83,8 @@
 
     Of those, `served` and `failed` count the ones with that outcome, `quarantined` the
     ones whose fingerprint was quarantined at the end, and `refused` the ones that were
-    refused for it at least once. `sends` are the sends of crashing requests.
+    refused for it at least once. `sends` are the sends of crashing requests, made at
+    `sends_ms`; engines crashed at `crashes_ms`.
     """
 
     crashes: int = 0
@@ -85,6 +93,13 @@
     served: int = 0
     failed: int = 0
     quarantined: int = 0
+    crashes_ms: list[float] = field(default_factory=list)
+    sends_ms: list[float] = field(default_factory=list)
+
+    def late_sends(self, crashes: int, known_after_ms: float) -> int:
+        """Returns the sends of crashing requests from a time after a crash on."""
+        known_ms = self.crashes_ms[:crashes][-1] + known_after_ms
+        return sum(at_ms > known_ms for at_ms in self.sends_ms)
 
 
 @dataclass
@@ -183,6 +198,8 @@
                 )
         for number in range(load.crashing_parts):
             self._schedule_part(f"crashing-{number}", 1_000_000 * (number + 1))
+        if load.killed_s is not None:
+            self._schedule(load.killed_s * 1000.0, self._kill_all)
         while self._events:
             self.now_ms, _, action = heapq.heappop(self._events)
             action()
@@ -192,12 +209,13 @@
     def _schedule_part(self, part: str, first_fingerprint: int) -> None:
         """Schedules the requests with one crashing part."""
         load = self._load
-        at_ms = load.begin_s * 1000.0
+        at_ms = 0.0 if load.used_before else load.begin_s * 1000.0
         for fingerprint in itertools.count(first_fingerprint):
             at_ms += self._random.expovariate(load.part_requests_per_s) * 1000.0
             if at_ms > load.length_ms:
                 return
-            self._schedule_request(at_ms, fingerprint, crashing=True, part=part)
+            crashing = at_ms >= load.begin_s * 1000.0
+            self._schedule_request(at_ms, fingerprint, crashing, part)
 
     def _is_quarantined(self, fingerprint: int) -> bool:
         return any(
@@ -253,6 +271,8 @@
         request.sends += 1
         request.sent_ms = self.now_ms
         self.outcome.sends += request.crashing
+        if request.crashing:
+            self.outcome.sends_ms.append(self.now_ms)
         request.tried.add(name)
         chosen.state.record_sent(self.now_ms)
         for other in self.gateways:
@@ -263,7 +283,8 @@
         if request.crashing:
             self._schedule(self.now_ms + CRASH_AFTER_MS, lambda: self._crash(name))
         else:
-            ends_ms = self.now_ms + self._load.run_ms
+            length = self._random.choice(self._load.run_lengths)
+            ends_ms = self.now_ms + self._load.run_ms * length
             self._schedule(ends_ms, lambda: self._finish(name, request))
             survived_ms = self.now_ms + SURVIVED_MS
             self._schedule(survived_ms, lambda: self._survive(name, request))
@@ -300,13 +321,18 @@
 
         self._schedule(self.now_ms + BROADCAST_MS, announce)
 
+    def _kill_all(self) -> None:
+        for name in tuple(self._at_engine):
+            self._crash(name)
+
     def _crash(self, name: str) -> None:
         running = self._at_engine.pop(name, None)
         if running is None:
             return
         self.outcome.crashes += 1
+        self.outcome.crashes_ms.append(self.now_ms)
         self._list_engines()
-        self._schedule(self.now_ms + RESTART_MS, self._start_engine)
+        self._schedule(self.now_ms + self._load.restart_ms, self._start_engine)
         for request in running:
             quarantine = request.context.quarantine
             self._announce(
--- a/tests/test_crash_load.py
+++ b/tests/test_crash_load.py
@@ -97,6 +97,53 @@
             self.assertTrue(outcome.refused <= 0.1 * outcome.served, str(outcome))
 
 
+class HarmlessBeforeTest(testtools.TestCase):
+    """Endpoints complete requests with a part until they begin to crash on it.
+
+    Users' bound is three sends from 3 s after the fifth crash on. Answers take between
+    0.1 and 4 s, so that some which began before the crashes complete after them.
+    """
+
+    KNOWN_AFTER_MS = 3000.0
+    LATE_SENDS_MAX = 3
+    LOAD = CrashLoad(
+        crashing=0,
+        crashing_parts=1,
+        subjects=200,
+        length_ms=20_000.0,
+        restart_ms=3300.0,
+        run_ms=1000.0,
+        run_lengths=(0.1, 0.1, 0.2, 0.4, 1.0, 4.0),
+        used_before=True,
+    )
+
+    def check(self, **changed: float) -> None:
+        load = dataclasses.replace(self.LOAD, **changed)  # type: ignore[arg-type]
+        for seed in range(1, 7):
+            outcome = CrashWorld(*SMALL, seed).run(load)
+            late = outcome.late_sends(5, self.KNOWN_AFTER_MS)
+            self.assertTrue(late <= self.LATE_SENDS_MAX, f"{seed=} {late=}")
+
+    def test_a_part_in_the_middle(self) -> None:
+        self.check()
+
+    def test_a_first_part(self) -> None:
+        self.check(position=0)
+
+    def test_many_requests_with_the_part(self) -> None:
+        self.check(part_requests_per_s=10.0)
+
+
+class UnrelatedCrashTest(testtools.TestCase):
+    """All engines end at once, and no request is the cause."""
+
+    def test_no_part_is_quarantined(self) -> None:
+        load = CrashLoad(crashing=0, subjects=8, length_ms=15_000.0, killed_s=5.0)
+        for seed in range(1, 7):
+            outcome = CrashWorld(*SMALL, seed).run(load)
+            self.assertTrue(outcome.refused <= 0.02 * outcome.served, str(outcome))
+
+
 class BroadcastTest(testtools.TestCase):
     """195 gateways in five halls: what it costs until all refuse a request.
 
