Quarantine: a run that began before a crash does not clear what crashed the endpoint

Callers saw: a part that endpoints had completed until they began to crash on it was found late, or not at all.

Cause: a completed run cleared all known crashes of its parts. An answer of some seconds that began while the part was harmless ended after the first crashes, and cleared them.

Change: a gateway notes which crashes it knows when an answer begins, a router when it sends; a completed run, or one that has survived its beginning, clears those only. No clocks are compared: those of two VMs may differ by seconds. Crashes that are reported late are still compared with the begin of the latest completed answer.

The simulation itself also had a fault: requests that were sent before the part became harmful completed when they were sent again later.

The new test cannot run on the code before, which has no notion of what was known; the mutant that clears everything fails it.

--- a/ashlatch/gateway/crash_records.py
+++ b/ashlatch/gateway/crash_records.py
@@ -30,11 +30,12 @@
 from ashlatch.gateway.updates import CrashRecordUpdate, TrialBegun
 from ashlatch.log import emit
 from ashlatch.policy.crash_record import CrashRecord
-from ashlatch.policy.quarantine import Fingerprints, QuarantineAction
+from ashlatch.policy.quarantine import AnswerBegin, Fingerprints, QuarantineAction
 
 __all__ = [
     "announce_records",
     "apply_peer_records",
+    "begin_answer",
     "begin_trial",
     "record_completion",
     "record_crash",
@@ -63,6 +64,8 @@
         now_unix_ms,
         run.survived,
     )
+    if run.survived:
+        records += context.quarantine.record_survived(run.answer, now_unix_ms)
     fingerprint = run.fingerprints.request
     event = CrashRecorded(
         run.request.request_id,
@@ -87,13 +90,18 @@
         record_crash(context, run, state)
 
 
+def begin_answer(context: GatewayContext, fingerprints: Fingerprints) -> AnswerBegin:
+    """Returns what a completed run of an answer that begins now would clear."""
+    return context.quarantine.begin_answer(fingerprints, unix_ms())
+
+
 def record_completion(
-    context: GatewayContext, request_id: str, fingerprints: Fingerprints
+    context: GatewayContext, request_id: str, answer: AnswerBegin
 ) -> None:
     """Records that a request has completed without a crash."""
-    cleared = context.quarantine.record_completions(fingerprints, unix_ms())
+    cleared = context.quarantine.record_completions(answer, unix_ms())
     if cleared:
-        _record_cleared(context, request_id, fingerprints, cleared)
+        _record_cleared(context, request_id, answer.fingerprints, cleared)
 
 
 def _record_cleared(
@@ -116,7 +124,7 @@
 def record_survivors(context: GatewayContext, now_ms: float) -> None:
     """Clears the prompts' parts whose endpoints have written for a while."""
     for run in context.runs.sweep(now_ms):
-        cleared = context.quarantine.record_survived(run.fingerprints, unix_ms())
+        cleared = context.quarantine.record_survived(run.answer, unix_ms())
         if cleared:
             _record_cleared(context, run.request.request_id, run.fingerprints, cleared)
 
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -31,6 +31,7 @@
 from ashlatch.gateway.context import GatewayContext
 from ashlatch.gateway.crash_detector import CrashDetector
 from ashlatch.gateway.crash_records import (
+    begin_answer,
     begin_trial,
     record_crash,
     record_left_runs,
@@ -153,13 +154,13 @@
         run = Run(
             choice.state.endpoint.instance,
             self._request,
-            self._admission.fingerprints,
             attempt,
+            begin_answer(self._context, self._admission.fingerprints),
         )
         self._context.runs.begin(run)
         harmless = False
         try:
-            harmless = await self._run_attempt(attempt)
+            harmless = await self._run_attempt(attempt, run)
         except AttemptFailed as failure:
             run.check_survived()
             harmless = failure.kind.not_run
@@ -312,12 +313,13 @@
 
     # Running an attempt.
 
-    async def _run_attempt(self, attempt: Attempt) -> bool:
+    async def _run_attempt(self, attempt: Attempt, run: Run) -> bool:
         """Forwards the answer, unless a larger model should answer instead.
 
         Returns whether the answer was complete.
         """
         head = await attempt.begin(self._answer_timeout())
+        run.answer = begin_answer(self._context, run.fingerprints)
         self._record.record_answer_begin(attempt, self._model)
         if self._route.streams and head.status < 300:
             if self._escalates(attempt, head):
--- a/ashlatch/gateway/forwarding.py
+++ b/ashlatch/gateway/forwarding.py
@@ -15,12 +15,13 @@
 from ashlatch.gateway.admission import Admission
 from ashlatch.gateway.attempt import AttemptFailed, FailureKind
 from ashlatch.gateway.context import GatewayContext
-from ashlatch.gateway.crash_records import record_completion
+from ashlatch.gateway.crash_records import begin_answer, record_completion
 from ashlatch.gateway.events import EventSplitter, StreamEvent
 from ashlatch.gateway.message import AnswerHead
 from ashlatch.gateway.request_record import RequestRecord
 from ashlatch.gateway.timeouts import AnswerTimeout
 from ashlatch.http.connection import Headers, Responder
+from ashlatch.policy.quarantine import AnswerBegin
 
 __all__ = ["AnswerForwarder", "AnswerSource", "CompleteAnswer"]
 
@@ -71,12 +72,13 @@
         self, source: AnswerSource, head: AnswerHead, timeout: AnswerTimeout
     ) -> CompleteAnswer:
         """Reads an answer to its end; raises `AttemptFailed`."""
+        begun = begin_answer(self._context, self._admission.fingerprints)
         parts = []
         while (part := await source.part(timeout)) is not None:
             parts.append(part)
         await source.confirm_end()
         source.finish()
-        self._record_completion(head)
+        self._record_completion(head, begun)
         return CompleteAnswer(head, b"".join(parts))
 
     async def forward_stream(
@@ -86,6 +88,7 @@
         timeout: Callable[[], AnswerTimeout],
     ) -> None:
         """Forwards a stream to its end; raises `AttemptFailed`."""
+        begun = begin_answer(self._context, self._admission.fingerprints)
         splitter = EventSplitter()
         while (part := await source.part(timeout())) is not None:
             self._forward_events(head, splitter.feed(part))
@@ -96,7 +99,7 @@
         if not self._responder.begun:
             self._responder.begin(head.status, _body_headers(head))
         source.finish()
-        self._record_completion(head)
+        self._record_completion(head, begun)
         self._responder.end()
         self._record.record_end(head.status, "")
 
@@ -125,7 +128,7 @@
         )
         self._record.record_end(answer.head.status, reason)
 
-    def _record_completion(self, head: AnswerHead) -> None:
+    def _record_completion(self, head: AnswerHead, begun: AnswerBegin) -> None:
         """Records that an endpoint has run the request without a crash.
 
         A refusal of another gateway shows nothing, nor does an endpoint's own error:
@@ -133,11 +136,7 @@
         """
         if not head.sealed or head.status >= ERROR_STATUS_MIN:
             return
-        record_completion(
-            self._context,
-            self._admission.request.request_id,
-            self._admission.fingerprints,
-        )
+        record_completion(self._context, self._admission.request.request_id, begun)
 
 
 def _body_headers(head: AnswerHead) -> Headers:
--- a/ashlatch/gateway/runs.py
+++ b/ashlatch/gateway/runs.py
@@ -15,7 +15,7 @@
 from typing import Protocol
 
 from ashlatch.gateway.message import CallerRequest
-from ashlatch.policy.quarantine import Fingerprints
+from ashlatch.policy.quarantine import AnswerBegin, Fingerprints
 
 __all__ = ["Run", "RunLog"]
 
@@ -50,17 +50,23 @@
     """A request at an endpoint, from its send on.
 
     `survived` is set once the endpoint has written the answer for a while without a
-    crash, `attributed` when a crash of the endpoint was recorded for it.
+    crash, `attributed` when a crash of the endpoint was recorded for it. `answer` is
+    what was known of crashes when its answer began, until then when it was sent.
     """
 
     instance: str
     request: CallerRequest
-    fingerprints: Fingerprints
     send: Send
+    answer: AnswerBegin
     survived: bool = False
     attributed: bool = False
     left_ms: float = float("inf")
 
+    @property
+    def fingerprints(self) -> Fingerprints:
+        """What identifies the request."""
+        return self.answer.fingerprints
+
     def check_survived(self) -> bool:
         """Checks whether the run has survived, and remembers it."""
         send = self.send
--- a/ashlatch/policy/crash_record.py
+++ b/ashlatch/policy/crash_record.py
@@ -9,7 +9,7 @@
 :license: MIT, see LICENSE for details.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -94,11 +94,18 @@
         return msgspec.structs.replace(self, crashes=crashes)
 
     def cleared_until(self, at_unix_ms: float) -> "CrashRecord":
-        """Returns the record after a completed run at a time."""
+        """Returns the record after a completed run that began at a time."""
+        return self._cleared(lambda crash: crash.at_unix_ms <= at_unix_ms)
+
+    def cleared_of(self, known: "CrashRecord") -> "CrashRecord":
+        """Returns the record after a run that began when `known` was the record."""
+        return self._cleared(lambda crash: any(crash.is_same(k) for k in known.crashes))
+
+    def _cleared(self, preceded_run: Callable[[Crash], bool]) -> "CrashRecord":
         crashes = tuple(
-            msgspec.structs.replace(
-                c, completed_since=c.completed_since or c.at_unix_ms <= at_unix_ms
-            )
+            c
+            if c.completed_since or not preceded_run(c)
+            else msgspec.structs.replace(c, completed_since=True)
             for c in self.crashes
         )
         return msgspec.structs.replace(self, crashes=crashes)
--- a/ashlatch/policy/quarantine.py
+++ b/ashlatch/policy/quarantine.py
@@ -35,6 +35,7 @@
 from ashlatch.policy.endpoint import rank
 
 __all__ = [
+    "AnswerBegin",
     "Fingerprints",
     "Isolation",
     "Quarantine",
@@ -138,17 +139,36 @@
     return rank(names, isolation.part)[0]
 
 
+@dataclass(frozen=True)
+class AnswerBegin:
+    """The crashes of a request's fingerprints that were known when its answer began.
+
+    A completed run clears these only: crashes that are noticed later may be the first
+    ones of a part that was harmless before.
+    """
+
+    fingerprints: Fingerprints
+    at_unix_ms: int
+    records: tuple[CrashRecord, ...] = ()
+
+
 @dataclass(frozen=True)
 class _Completions:
-    """The completed runs of a part here: their number and when the last one was."""
+    """The completed runs of a part here.
+
+    `last_unix_ms` is when the last one was noticed, `begun_unix_ms` when the latest of
+    their answers began.
+    """
 
     times: int = 0
     last_unix_ms: float = float("-inf")
+    begun_unix_ms: float = float("-inf")
 
-    def after(self, now_unix_ms: float) -> "_Completions":
+    def after(self, now_unix_ms: float, begun_unix_ms: float) -> "_Completions":
         """Returns these with one more."""
         recent = now_unix_ms - self.last_unix_ms < COMPLETED_VALID_MS
-        return _Completions(self.times + 1 if recent else 1, now_unix_ms)
+        begun_unix_ms = max(begun_unix_ms, self.begun_unix_ms)
+        return _Completions(self.times + 1 if recent else 1, now_unix_ms, begun_unix_ms)
 
     def popular(self, now_unix_ms: float) -> bool:
         """Checks whether there were several shortly before a time."""
@@ -316,7 +336,7 @@
         """Records a crash for a request and the shared parts of its prompt.
 
         If the endpoint had `survived` the beginning of the answer, the parts are not
-        suspected.
+        suspected: `record_survived` clears them.
         """
         keys = fingerprints.keys[:1] if survived else fingerprints.keys
         recorded = [
@@ -325,42 +345,61 @@
             )
             for key in keys
         ]
-        if survived:
-            recorded += self.record_survived(fingerprints, now_unix_ms)
         return tuple(recorded)
 
+    def begin_answer(self, fingerprints: Fingerprints, now_unix_ms: int) -> AnswerBegin:
+        """Returns what a completed run of the answer that begins now would clear."""
+        found = (self._records.get(key) for key in fingerprints.keys)
+        records = tuple(r for r in found if r is not None and r.counted_crashes)
+        return AnswerBegin(fingerprints, now_unix_ms, records)
+
     def record_completed(self, fingerprint: int) -> bool:
-        """Records a completed run; returns whether the fingerprint was a suspect."""
+        """Records a completed run that began after all known crashes.
+
+        Returns whether the fingerprint was a suspect.
+        """
         record = self._records.get(fingerprint)
-        if record is None or not record.counted_crashes:
-            return False
-        self._record_local(record.cleared_until(float("inf")))
-        return True
+        return record is not None and self._clear(record) is not None
 
     def record_completions(
-        self, fingerprints: Fingerprints, now_unix_ms: float
+        self, answer: AnswerBegin, now_unix_ms: float
     ) -> tuple[CrashRecord, ...]:
         """Records a completed run of a request; returns the records that it clears."""
-        cleared = self.record_survived(fingerprints, now_unix_ms)
-        if not self.record_completed(fingerprints.request):
-            return cleared
-        return self._records[fingerprints.request], *cleared
+        request = answer.fingerprints.request
+        known = (r for r in answer.records if r.fingerprint == request)
+        cleared = [record for r in known if (record := self._clear(r)) is not None]
+        return *cleared, *self.record_survived(answer, now_unix_ms)
 
     def record_survived(
-        self, fingerprints: Fingerprints, now_unix_ms: float
+        self, answer: AnswerBegin, now_unix_ms: float
     ) -> tuple[CrashRecord, ...]:
         """Records that an endpoint has written an answer for a while without a crash.
 
         This clears the parts of the prompt: one that crashes endpoints does so when
         they begin to write. Returns the records that it clears.
         """
-        for key in fingerprints.keys[1:]:
+        for key in answer.fingerprints.keys[1:]:
             completed = self._completed.pop(key, _Completions())
-            self._completed[key] = completed.after(now_unix_ms)
+            self._completed[key] = completed.after(now_unix_ms, answer.at_unix_ms)
         while len(self._completed) > COMPLETED_PARTS_MAX:
             del self._completed[next(iter(self._completed))]
-        cleared = [key for key in fingerprints.keys[1:] if self.record_completed(key)]
-        return tuple(self._records[key] for key in cleared)
+        request = answer.fingerprints.request
+        parts = (r for r in answer.records if r.fingerprint != request)
+        return tuple(record for r in parts if (record := self._clear(r)) is not None)
+
+    def _clear(self, known: CrashRecord) -> CrashRecord | None:
+        """Clears the known crashes of a fingerprint; returns its record if it changes.
+
+        The record may have been dropped for others in the meantime.
+        """
+        record = self._records.get(known.fingerprint)
+        if record is None:
+            return None
+        cleared = record.cleared_of(known)
+        if cleared == record:
+            return None
+        self._record_local(cleared)
+        return self._records[known.fingerprint]
 
     def apply(self, record: CrashRecord) -> bool:
         """Merges another process's record; returns whether that changes anything."""
@@ -378,7 +417,7 @@
         record = self._records.get(fingerprint)
         if record is None:
             return
-        cleared = record.cleared_until(completed.last_unix_ms)
+        cleared = record.cleared_until(completed.begun_unix_ms)
         if cleared != record:
             self._record_local(cleared)
         # The others may not have seen it complete; they need no message about it.
--- a/ashlatch/router/attempt_results.py
+++ b/ashlatch/router/attempt_results.py
@@ -68,7 +68,7 @@
     elif not isinstance(result, Rejected) and not active.responded:
         breaker.record_failure(core.now_ms)
     if answered:
-        record_completion(core, active)
+        record_completion(core, active, attempt)
     if isinstance(result, Broken) and result.endpoint_gone:
         # A new process at this address starts without the old one's rate limit.
         core.endpoints.limits.pop(name, None)
--- a/ashlatch/router/core.py
+++ b/ashlatch/router/core.py
@@ -18,7 +18,7 @@
 from ashlatch.policy.evidence import Evidence, Finding
 from ashlatch.policy.hedging import Hedging
 from ashlatch.policy.limit import Limits
-from ashlatch.policy.quarantine import Fingerprints, Quarantine
+from ashlatch.policy.quarantine import AnswerBegin, Fingerprints, Quarantine
 from ashlatch.policy.retry import RetryBudget
 from ashlatch.policy.slowness import LatencyHistory
 from ashlatch.policy.table import NamedEndpoint
@@ -68,12 +68,14 @@
     """A running attempt.
 
     `had_free_slot` is set if the endpoint had a free slot when the attempt was sent.
+    `answer` is what was known of crashes then.
     """
 
     attempt_id: str
     endpoint: NamedEndpoint
     sent_ms: float
     had_free_slot: bool
+    answer: AnswerBegin
 
 
 @dataclass
--- a/ashlatch/router/quarantine.py
+++ b/ashlatch/router/quarantine.py
@@ -16,11 +16,17 @@
 
 from ashlatch.log import LogEvent
 from ashlatch.policy.quarantine import (
+    AnswerBegin,
     Fingerprints,
     QuarantineAction,
     QuarantineDecision,
 )
-from ashlatch.router.core import HANDLERS, ActiveRequest, RouterCore
+from ashlatch.router.core import (
+    HANDLERS,
+    ActiveAttempt,
+    ActiveRequest,
+    RouterCore,
+)
 from ashlatch.router.effect import ReportCrashes, WriteLog
 from ashlatch.router.event import CrashRecordsReceived, Request
 
@@ -32,6 +38,7 @@
     "format_fingerprint",
     "quarantine_decision",
     "request_fingerprints",
+    "begin_answer",
     "begin_trial",
     "record_completion",
 ]
@@ -133,10 +140,18 @@
     core.effects.append(ReportCrashes())
 
 
-def record_completion(core: RouterCore, active: ActiveRequest) -> None:
+def begin_answer(core: RouterCore, active: ActiveRequest) -> AnswerBegin:
+    """Returns what a completed run of an attempt that begins now would clear."""
+    return core.quarantine.begin_answer(
+        request_fingerprints(active.request), _unix_ms(core, active)
+    )
+
+
+def record_completion(
+    core: RouterCore, active: ActiveRequest, attempt: ActiveAttempt
+) -> None:
     """Records that a request has completed without a crash."""
-    fingerprints = request_fingerprints(active.request)
-    core.quarantine.record_completions(fingerprints, _unix_ms(core, active))
+    core.quarantine.record_completions(attempt.answer, _unix_ms(core, active))
 
 
 def _unix_ms(core: RouterCore, active: ActiveRequest) -> int:
--- a/ashlatch/router/sending.py
+++ b/ashlatch/router/sending.py
@@ -21,6 +21,7 @@
 from ashlatch.router.event import RequestKind
 from ashlatch.router.planning_result import Exclusion, ExclusionReason, NoPlan, Plan
 from ashlatch.router.quarantine import (
+    begin_answer,
     begin_trial,
     format_fingerprint,
     quarantine_decision,
@@ -133,7 +134,11 @@
     core.assert_allowed(active)
     load = core.endpoints.load(plan.endpoint.name)
     active_attempt = ActiveAttempt(
-        attempt_id, plan.endpoint, core.now_ms, load.has_free_slot()
+        attempt_id,
+        plan.endpoint,
+        core.now_ms,
+        load.has_free_slot(),
+        begin_answer(core, active),
     )
     core.endpoints.record_sent(plan.endpoint.name, core.now_ms)
     decision = RouteChosen(
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -29,7 +29,12 @@
 from ashlatch.platform.document import decode_catalog
 from ashlatch.policy.crash_record import CrashRecord
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
-from ashlatch.policy.quarantine import Fingerprints, Quarantine, QuarantineAction
+from ashlatch.policy.quarantine import (
+    AnswerBegin,
+    Fingerprints,
+    Quarantine,
+    QuarantineAction,
+)
 from tests.stub_server import document, encode_document, engine_service
 
 MODEL = "large"
@@ -112,6 +117,7 @@
     sends: int = 0
     sent_ms: float = 0.0
     tried: set[str] = field(default_factory=set)
+    answer: AnswerBegin = field(init=False)
 
 
 class CrashWorld:
@@ -214,14 +220,19 @@
             at_ms += self._random.expovariate(load.part_requests_per_s) * 1000.0
             if at_ms > load.length_ms:
                 return
-            crashing = at_ms >= load.begin_s * 1000.0
-            self._schedule_request(at_ms, fingerprint, crashing, part)
+            self._schedule_request(at_ms, fingerprint, crashing=True, part=part)
 
     def _is_quarantined(self, fingerprint: int) -> bool:
         return any(
             g.quarantine.remaining_ms(fingerprint, self._unix_ms) for g in self.gateways
         )
 
+    @property
+    def _harmless(self) -> bool:
+        """Whether endpoints still complete the crashing parts."""
+        load = self._load
+        return load.used_before and self.now_ms < load.begin_s * 1000.0
+
     @property
     def _unix_ms(self) -> int:
         return BEGUN_UNIX_MS + int(self.now_ms)
@@ -246,6 +257,7 @@
     def _send(self, request: _Request) -> None:
         context = request.context
         quarantine = context.quarantine
+        crashing = request.crashing and not self._harmless
         decision = quarantine.decide(request.fingerprints, self._unix_ms)
         if self._quarantines and decision.action is QuarantineAction.REFUSE:
             self.outcome.refused += not request.crashing
@@ -270,8 +282,9 @@
         name = chosen.state.endpoint.instance
         request.sends += 1
         request.sent_ms = self.now_ms
-        self.outcome.sends += request.crashing
-        if request.crashing:
+        request.answer = quarantine.begin_answer(request.fingerprints, self._unix_ms)
+        self.outcome.sends += crashing
+        if crashing:
             self.outcome.sends_ms.append(self.now_ms)
         request.tried.add(name)
         chosen.state.record_sent(self.now_ms)
@@ -280,7 +293,7 @@
                 name, MODEL, request.ask.prompt_parts, MEMORY_TOKENS, self.now_ms
             )
         self._at_engine[name].append(request)
-        if request.crashing:
+        if crashing:
             self._schedule(self.now_ms + CRASH_AFTER_MS, lambda: self._crash(name))
         else:
             length = self._random.choice(self._load.run_lengths)
@@ -292,9 +305,7 @@
     def _survive(self, name: str, request: _Request) -> None:
         if request in self._at_engine.get(name, ()):
             quarantine = request.context.quarantine
-            self._announce(
-                quarantine.record_survived(request.fingerprints, self._unix_ms)
-            )
+            self._announce(quarantine.record_survived(request.answer, self._unix_ms))
 
     def _finish(self, name: str, request: _Request) -> None:
         if request not in self._at_engine.get(name, ()):
@@ -304,10 +315,8 @@
         if state is not None:
             state.load.record_finished(self.now_ms, None)
         quarantine = request.context.quarantine
-        self._announce(
-            quarantine.record_completions(request.fingerprints, self._unix_ms)
-        )
-        self.outcome.served += 1
+        self._announce(quarantine.record_completions(request.answer, self._unix_ms))
+        self.outcome.served += not request.crashing
 
     def _begin_trial(self, request: _Request) -> None:
         quarantine = request.context.quarantine
@@ -335,15 +344,13 @@
         self._schedule(self.now_ms + self._load.restart_ms, self._start_engine)
         for request in running:
             quarantine = request.context.quarantine
-            self._announce(
-                quarantine.record_crashes(
-                    request.fingerprints,
-                    name,
-                    0,
-                    self._unix_ms,
-                    self.now_ms - request.sent_ms >= SURVIVED_MS,
-                )
+            survived = self.now_ms - request.sent_ms >= SURVIVED_MS
+            records = quarantine.record_crashes(
+                request.fingerprints, name, 0, self._unix_ms, survived
             )
+            if survived:
+                records += quarantine.record_survived(request.answer, self._unix_ms)
+            self._announce(records)
         for request in running:
             self._send(request)
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -472,7 +472,7 @@
     Mutant(
         "completed-request-clears-nothing",
         "ashlatch/gateway/crash_records.py",
-        "context.quarantine.record_completions(fingerprints, unix_ms())",
+        "context.quarantine.record_completions(answer, unix_ms())",
         "()",
         CRASHING,
     ),
@@ -525,6 +525,13 @@
         "        explained |= frozenset()\n",
         ATTRIBUTION,
     ),
+    Mutant(
+        "runs-from-before-a-crash-clear-it",
+        "ashlatch/policy/crash_record.py",
+        "any(crash.is_same(k) for k in known.crashes)",
+        "True",
+        QUARANTINE,
+    ),
     Mutant(
         "popular-parts-not-last",
         "ashlatch/policy/attribution.py",
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -24,6 +24,7 @@
     QUARANTINE_MAX_MS,
     QUARANTINE_MS,
     REPORTS_MAX,
+    Fingerprints,
     Quarantine,
 )
 
@@ -82,6 +83,18 @@
         quarantine.record_crash(FINGERPRINT, "i-0", 0, later_ms)
         self.assertEqual(1, quarantine.crash_count(FINGERPRINT))
 
+    def test_a_run_that_began_before_a_crash_does_not_clear_it(self) -> None:
+        """Its part may have become harmful since."""
+        quarantine = Quarantine()
+        fingerprints = Fingerprints(FINGERPRINT, ("p",))
+        quarantine.record_crashes(fingerprints, "i-0", 0, AT)
+        answer = quarantine.begin_answer(fingerprints, AT + 100)
+        quarantine.record_crashes(fingerprints, "i-1", 0, AT + 200)
+        cleared = quarantine.record_completions(answer, AT + 300)
+        self.assertEqual(set(fingerprints.keys), {r.fingerprint for r in cleared})
+        for key in fingerprints.keys:
+            self.assertEqual(1, quarantine.crash_count(key))
+
     def test_other_fingerprints_are_not_quarantined(self) -> None:
         quarantine = Quarantine()
         at_ms = record_crashes(quarantine, CRASHES_MIN)
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -12,7 +12,7 @@
     Run,
     RunLog,
 )
-from ashlatch.policy.quarantine import Fingerprints
+from ashlatch.policy.quarantine import AnswerBegin, Fingerprints
 
 AT_MS = 1000.0
 NO_REQUEST: Any = None
@@ -31,7 +31,8 @@
 
 
 def run_at(instance: str = "i-1", answered_ms: float | None = None) -> Run:
-    return Run(instance, NO_REQUEST, Fingerprints(1, ("p",)), FakeSend(answered_ms))
+    answer = AnswerBegin(Fingerprints(1, ("p",)), 0)
+    return Run(instance, NO_REQUEST, FakeSend(answered_ms), answer)
 
 
 class RunLogTest(testtools.TestCase):
