Quarantine: a part is held only after a trial, and requests wait for trials

Cause: a part with three crashes was held at once, and its crashes explained those of others. With a part that had been in use, bystanders with three or four crashes were taken first and explained its crashes away; it was never found. With no cause among the requests at all, whatever had run at three engines was held.

Change: three crashes make a suspect. Its requests are sent one at a time, from 0.3 s after the last crash on; a crash of a trial makes the part certain, a completed trial clears it. Several suspects are told apart by what they contain alone; a certain cause explains crashes of those only that were present at fewer, and a popular one none of a rarer one. Other requests wait for the result up to 0.8 s and are then refused. Popular parts are held for ten seconds at first. The end of a trial is announced, whatever its result.

--- a/ashlatch/gateway/admission.py
+++ b/ashlatch/gateway/admission.py
@@ -138,10 +138,15 @@
     request_id: str,
     fingerprints: Fingerprints,
     logged: bool = True,
+    may_wait: bool = True,
 ) -> Refused | None:
-    """Returns the refusal of a request that is quarantined for crashing endpoints."""
+    """Returns the refusal of a request that is quarantined for crashing endpoints.
+
+    Unless it `may_wait`, it is also refused while another request is a trial.
+    """
     decision = context.quarantine.decide(fingerprints, unix_ms())
-    if decision.action is not QuarantineAction.REFUSE:
+    waits = decision.action is QuarantineAction.WAIT and may_wait
+    if decision.action.sends or waits:
         return None
     event = QuarantinedRequestRefused(
         request_id,
--- a/ashlatch/gateway/crash_records.py
+++ b/ashlatch/gateway/crash_records.py
@@ -22,21 +22,18 @@
     CrashRecordCleared,
     CrashRecorded,
     FingerprintQuarantined,
-    QuarantineTrial,
     RunWithdrawn,
 )
-from ashlatch.gateway.message import CallerRequest
 from ashlatch.gateway.runs import Run
-from ashlatch.gateway.updates import CrashRecordUpdate, TrialBegun
+from ashlatch.gateway.updates import CrashRecordUpdate
 from ashlatch.log import emit
 from ashlatch.policy.crash_record import CrashRecord
-from ashlatch.policy.quarantine import AnswerBegin, Fingerprints, QuarantineAction
+from ashlatch.policy.quarantine import AnswerBegin, Fingerprints
 
 __all__ = [
     "announce_records",
     "apply_peer_records",
     "begin_answer",
-    "begin_trial",
     "record_completion",
     "record_crash",
     "record_left_runs",
@@ -129,26 +126,6 @@
             _record_cleared(context, run.request.request_id, run.fingerprints, cleared)
 
 
-def begin_trial(
-    context: GatewayContext, request: CallerRequest, fingerprints: Fingerprints
-) -> None:
-    """Makes a request the trial of its suspected causes, if it has any."""
-    now_unix_ms = unix_ms()
-    decision = context.quarantine.decide(fingerprints, now_unix_ms)
-    if decision.action is not QuarantineAction.TRIAL:
-        return
-    keys = context.quarantine.begin_trial(fingerprints, now_unix_ms)
-    event = QuarantineTrial(
-        request.request_id,
-        format_fingerprint(decision.cause),
-        fingerprints.part_of(decision.cause),
-        context.quarantine.crash_count(decision.cause),
-    )
-    emit(log, event)
-    context.metrics.count("quarantine_trials")
-    context.broadcast(TrialBegun(keys, fingerprints.request))
-
-
 def apply_peer_records(
     context: GatewayContext, records: Sequence[CrashRecord], source: str
 ) -> None:
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -16,7 +16,6 @@
     RETRY_AFTER_S,
     Admission,
     Refused,
-    quarantine_refusal,
     refuse,
 )
 from ashlatch.gateway.attempt import Attempt, AttemptFailed, FailureKind
@@ -32,7 +31,6 @@
 from ashlatch.gateway.crash_detector import CrashDetector
 from ashlatch.gateway.crash_records import (
     begin_answer,
-    begin_trial,
     record_crash,
     record_left_runs,
 )
@@ -49,6 +47,7 @@
     connect_timeout_s,
     event_timeout,
 )
+from ashlatch.gateway.trials import QuarantineGate
 from ashlatch.http.connection import CallerGone, Responder
 from ashlatch.http.upstream import CONNECT_TIMED_OUT
 
@@ -94,7 +93,7 @@
         self._error_answer: CompleteAnswer | None = None
         self._counted = False
         self._repeat_reserved = False
-        self._quarantined = False
+        self._gate = QuarantineGate(context, self._request, admission.fingerprints)
         self._send_reason = "first"
         self._expected_first_ms = 0.0
 
@@ -127,7 +126,7 @@
         while True:
             # The request may have crashed endpoints at other gateways since the last
             # send.
-            refusal = self._quarantine_refusal()
+            refusal = await self._pass_quarantine()
             if refusal is not None:
                 return refusal
             if links.isolated:
@@ -149,7 +148,7 @@
 
     async def _attempt(self, choice: Choice) -> Refused | None:
         """Makes one send; returns the refusal if the request cannot be resent."""
-        begin_trial(self._context, self._request, self._admission.fingerprints)
+        self._gate.begin_trial()
         attempt = self._new_attempt(choice)
         run = Run(
             choice.state.endpoint.instance,
@@ -173,6 +172,7 @@
             self._send_reason = failure.kind.value
         finally:
             attempt.close()
+            self._gate.end_trial()
             self._context.runs.end(run, harmless, self._now_ms())
             self._record.record_traffic(attempt)
         return None
@@ -393,15 +393,21 @@
             record_crash(self._context, run, attempt.state)
             record_left_runs(self._context, attempt.state)
 
+    async def _pass_quarantine(self) -> Refused | None:
+        """Waits for a trial if necessary; returns the final answer if quarantined.
+
+        A gateway without links leaves the wait to the one that it relays to.
+        """
+        if self._context.links.isolated:
+            return self._quarantine_refusal()
+        return self._checked(await self._gate.wait())
+
     def _quarantine_refusal(self) -> Refused | None:
         """Returns the final answer if the request is quarantined."""
-        refusal = quarantine_refusal(
-            self._context,
-            self._request.request_id,
-            self._admission.fingerprints,
-            logged=not self._quarantined,
-        )
-        self._quarantined |= refusal is not None
+        return self._checked(self._gate.refusal())
+
+    def _checked(self, refusal: Refused | None) -> Refused | None:
+        """Returns the refusal of a request that may have run before."""
         if refusal is not None and self._may_have_run:
             return Refused(502, RefusalReason.QUARANTINED)
         return refusal
--- a/ashlatch/gateway/peer_updates.py
+++ b/ashlatch/gateway/peer_updates.py
@@ -42,7 +42,7 @@
     RateLimitedSend,
     SessionActive,
     SessionMoved,
-    TrialBegun,
+    TrialChanged,
 )
 from ashlatch.log import emit
 from ashlatch.policy.load_advertisement import load_level
@@ -88,9 +88,14 @@
     apply_peer_records(context, (update.record, *update.more), sender.address)
 
 
-@PEER_HANDLERS.on(TrialBegun)
-def _trial_begun(context: GatewayContext, update: TrialBegun, sender: Sender) -> None:
-    context.quarantine.apply_trial(update.keys, update.request, unix_ms())
+@PEER_HANDLERS.on(TrialChanged)
+def _trial_changed(
+    context: GatewayContext, update: TrialChanged, sender: Sender
+) -> None:
+    if update.ended:
+        context.quarantine.apply_trial_end(update.keys, update.request)
+    else:
+        context.quarantine.apply_trial(update.keys, update.request, unix_ms())
 
 
 @PEER_HANDLERS.on(EndpointReplaced)
--- a/ashlatch/gateway/peers.py
+++ b/ashlatch/gateway/peers.py
@@ -46,7 +46,7 @@
     RateLimitedSend,
     SessionActive,
     SessionMoved,
-    TrialBegun,
+    TrialChanged,
 )
 from ashlatch.log import emit
 from ashlatch.policy.load_advertisement import load_level
@@ -64,7 +64,7 @@
     LoadReported: TrafficKind.LOAD,
     EndpointRefuses: TrafficKind.REFUSES,
     CrashRecordUpdate: TrafficKind.CRASHES,
-    TrialBegun: TrafficKind.CRASHES,
+    TrialChanged: TrafficKind.CRASHES,
     RateLimitChanged: TrafficKind.LIMIT,
     RateLimitedSend: TrafficKind.LIMIT,
     EndpointLeaving: TrafficKind.LEAVING,
@@ -78,7 +78,7 @@
 _FOR_ALL = (
     EndpointRefuses
     | CrashRecordUpdate
-    | TrialBegun
+    | TrialChanged
     | RateLimitChanged
     | RateLimitedSend
     | EndpointLeaving
--- /dev/null
+++ b/ashlatch/gateway/trials.py
@@ -0,0 +1,104 @@
+"""
+ashlatch.gateway.trials
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Applies the quarantine to one request of a gateway: it is refused, sent, or sent as a
+trial of what endpoints may have crashed on, one request at a time. The others wait for
+the result for a moment, as most trials clear what they test.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import asyncio
+import logging
+
+from ashlatch.clock import unix_ms
+from ashlatch.gateway.admission import Refused, quarantine_refusal
+from ashlatch.gateway.context import GatewayContext
+from ashlatch.gateway.fingerprint import format_fingerprint
+from ashlatch.gateway.logs import QuarantineTrial
+from ashlatch.gateway.message import CallerRequest
+from ashlatch.gateway.updates import TrialChanged
+from ashlatch.log import emit
+from ashlatch.policy.quarantine import TRIAL_WAIT_MS, Fingerprints, QuarantineAction
+
+__all__ = ["QuarantineGate"]
+
+log = logging.getLogger("ashlatch.gateway")
+
+# How often a waiting request asks for the result.
+WAIT_STEP_S = 0.02
+
+
+class QuarantineGate:
+    """The quarantine before each send of one request."""
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        request: CallerRequest,
+        fingerprints: Fingerprints,
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._fingerprints = fingerprints
+        self._refused = False
+        self._waited_s = 0.0
+
+    def refusal(self, may_wait: bool = True) -> Refused | None:
+        """Returns the final answer if the request is quarantined.
+
+        Unless it `may_wait`, it is also refused while another request is a trial.
+        """
+        refusal = quarantine_refusal(
+            self._context,
+            self._request.request_id,
+            self._fingerprints,
+            logged=not self._refused,
+            may_wait=may_wait,
+        )
+        self._refused |= refusal is not None
+        return refusal
+
+    async def wait(self) -> Refused | None:
+        """Waits until the request may be sent; returns the final answer if it may not.
+
+        Whether a trial has ended is asked at intervals: its result may come from here,
+        from another gateway or from the core, and may be that it never ends.
+        """
+        while self._decide() is QuarantineAction.WAIT:
+            if self._waited_s * 1000.0 >= TRIAL_WAIT_MS:
+                return self.refusal(may_wait=False)
+            self._waited_s += WAIT_STEP_S
+            self._context.metrics.count("quarantine_waits")
+            await asyncio.sleep(WAIT_STEP_S)
+        return self.refusal()
+
+    def begin_trial(self) -> None:
+        """Makes the request the trial of its suspected causes, if it has any."""
+        now_unix_ms = unix_ms()
+        decision = self._context.quarantine.decide(self._fingerprints, now_unix_ms)
+        if decision.action is not QuarantineAction.TRIAL:
+            return
+        keys = self._context.quarantine.begin_trial(self._fingerprints, now_unix_ms)
+        event = QuarantineTrial(
+            self._request.request_id,
+            format_fingerprint(decision.cause),
+            self._fingerprints.part_of(decision.cause),
+            self._context.quarantine.crash_count(decision.cause),
+        )
+        emit(log, event)
+        self._context.metrics.count("quarantine_trials")
+        self._context.broadcast(TrialChanged(keys, self._fingerprints.request))
+
+    def end_trial(self) -> None:
+        """Ends the trial that the request is, if any, whatever its result."""
+        keys = self._context.quarantine.end_trial(self._fingerprints)
+        if keys:
+            self._context.broadcast(
+                TrialChanged(keys, self._fingerprints.request, ended=True)
+            )
+
+    def _decide(self) -> QuarantineAction:
+        return self._context.quarantine.decide(self._fingerprints, unix_ms()).action
--- a/ashlatch/gateway/updates.py
+++ b/ashlatch/gateway/updates.py
@@ -123,16 +123,17 @@
     ] = ()
 
 
-class TrialBegun(msgspec.Struct, frozen=True, array_like=True, tag=15):
+class TrialChanged(msgspec.Struct, frozen=True, array_like=True, tag=15):
     """A request is sent to find out whether endpoints crash on some fingerprints.
 
-    `request` is its own fingerprint. With `relay_to_hall`, the receiver forwards the
-    update to the other gateways of its hall.
+    `request` is its own fingerprint; `ended` is set when it has left its endpoint. With
+    `relay_to_hall`, the receiver forwards the update to the other gateways of its hall.
     """
 
     keys: Annotated[tuple[int, ...], msgspec.Meta(max_length=RECORDS_SENT_MAX)]
     request: int
     relay_to_hall: bool = False
+    ended: bool = False
 
 
 class RateLimitChanged(msgspec.Struct, frozen=True, array_like=True, tag=7):
@@ -258,7 +259,7 @@
     | SessionMoved
     | SessionActive
     | CrashRecordUpdate
-    | TrialBegun
+    | TrialChanged
     | OrganisationDemand
     | GatewayIsolation
 )
@@ -268,7 +269,7 @@
     | LoadReported
     | EndpointRefuses
     | CrashRecordUpdate
-    | TrialBegun
+    | TrialChanged
     | RateLimitChanged
     | RateLimitedSend
     | EndpointLeaving
--- a/ashlatch/policy/attribution.py
+++ b/ashlatch/policy/attribution.py
@@ -4,14 +4,16 @@
 
 Attributes crashes of endpoints to their likely causes. Whatever ran at each of several
 crashed endpoints and has not completed since is a candidate: a whole request, or a part
-that prompts share. Most candidates only ran beside the cause. The one with the most
-crashes is taken as their cause; those crashes then no longer count against the others.
-Between whole requests this is not done: to refuse one of them costs little.
+that prompts share. Most candidates only ran beside the cause. A part is certain to be a
+cause once endpoints have crashed in trials of it and no other candidate was present at
+all of its crashes; these then no longer count against the others. Between whole
+requests this is not done: to refuse one of them costs little.
 
 :copyright: Copyright 2026 by the ashlatch maintainers.
 :license: MIT, see LICENSE for details.
 """
 
+import dataclasses
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from itertools import groupby
@@ -20,20 +22,23 @@
 
 __all__ = ["Cause", "attribute_crashes"]
 
-# The crashes after which a candidate is taken as a cause. One that only ran beside the
-# cause is rarely present three times, and each further crash costs callers an endpoint.
+# The crashes after which something is a candidate. What only ran beside the cause is
+# rarely present three times, and each further crash costs callers an endpoint.
 CRASHES_MIN = 3
-# For a prompt part that was seen to complete several times shortly before a crash. Such
-# parts are popular and present at most crashes.
-CRASHES_MIN_COMPLETED = 5
+# The crashes in trials of several parts that make them certain: they may never come
+# apart. Of a trial of one part alone, one crash is enough.
+JOINT_TRIALS_MIN = 4
+# A popular part is as likely a cause as a rarer one with so many times fewer crashes.
 POPULAR_RATIO = 2
+# More than the parts of any prompt.
+SUSPECTS_MAX = 1 << 16
 
 
 @dataclass(frozen=True)
 class Cause:
     """A candidate that crashes are attributed to; `crashes` is their number.
 
-    It is `certain` unless another candidate was present at exactly the same crashes.
+    Requests with an uncertain cause run as trials, one at a time.
     """
 
     crashes: int
@@ -42,20 +47,75 @@
 
 @dataclass(frozen=True)
 class _Candidate:
+    """What may be the cause of `crashes`.
+
+    `tested` are those in a trial, `tested_alone` those in a trial of nothing else.
+    """
+
     record: CrashRecord
     crashes: frozenset[int]
-    popular: bool
+    tested: frozenset[int]
+    tested_alone: frozenset[int]
 
     @property
-    def crashes_min(self) -> int:
-        return CRASHES_MIN_COMPLETED if self.popular else CRASHES_MIN
+    def likelihood(self) -> tuple[bool, int]:
+        """How likely this is a cause, compared with others."""
+        return not self.record.popular, len(self.crashes)
+
+    def beside(self, rare: Iterable["_Candidate"]) -> "_Candidate":
+        """Returns a popular candidate without trials that tell little about it.
+
+        These are the ones in which a rarer candidate was present that may well be the
+        cause.
+        """
+        likely = (
+            r for r in rare if POPULAR_RATIO * len(r.crashes) >= len(self.crashes)
+        )
+        alone = self.tested_alone.difference(*(r.crashes for r in likely))
+        return dataclasses.replace(self, tested_alone=alone)
+
+    def remove_from(self, other: "_Candidate") -> "_Candidate":
+        """Returns another candidate without the crashes that this one has caused.
+
+        One that was present at more crashes, or a rarer one, may still be the cause of
+        some that this one only ran beside.
+        """
+        rarer = self.record.popular and not other.record.popular
+        if other.record.part and (rarer or len(other.crashes) > len(self.crashes)):
+            return other
+        crashes = other.crashes - self.crashes
+        return _Candidate(
+            other.record, crashes, other.tested & crashes, other.tested_alone & crashes
+        )
+
+    def hides(self, other: "_Candidate") -> bool:
+        """Checks whether this may be the cause of all of another part's crashes."""
+        if self.record is other.record or not self.record.part:
+            return False
+        if self.record.popular and not other.record.popular:
+            return False
+        return other.crashes <= self.crashes
+
+    def is_proven(self, others: Iterable["_Candidate"]) -> bool:
+        """Checks whether its trials make it certain.
+
+        Where several trials ran at one endpoint, its crash shows nothing about those
+        that another one is as likely to have caused.
+        """
+        if len(self.tested) >= JOINT_TRIALS_MIN:
+            return True
+        alone = self.tested_alone
+        for other in others:
+            if other is not self and other.likelihood >= self.likelihood:
+                alone -= other.tested
+        return bool(alone)
 
 
 def attribute_crashes(records: Iterable[CrashRecord]) -> dict[int, Cause]:
     """Returns the causes by fingerprint::
 
         attribute_crashes([part_of_four_crashes, request_beside_three_of_them])
-        # {part_of_four_crashes.fingerprint: Cause(4, True)}
+        # {part_of_four_crashes.fingerprint: Cause(4, False)}
 
     The result depends on the records only, so that processes with the same records
     agree without further messages.
@@ -63,61 +123,59 @@
     found = [r for r in records if len(r.counted_crashes) >= CRASHES_MIN]
     candidates = _candidates(found)
     causes: dict[int, Cause] = {}
-    explained: frozenset[int] = frozenset()
-    explained_by_parts: frozenset[int] = frozenset()
-    while candidates:
-        remaining = {
-            c: c.crashes - (explained if c.record.part else explained_by_parts)
-            for c in candidates
-        }
-        candidates = [c for c in candidates if len(remaining[c]) >= c.crashes_min]
-        if not candidates:
-            break
-        first = _first(candidates, remaining)
-        crashes = remaining[first]
-        tied = [
-            c
-            for c in candidates
-            if remaining[c] == crashes and c.popular == first.popular
-        ]
-        for candidate in tied:
-            # A whole request that crashed endpoints is not worth a further trial.
-            certain = len(tied) == 1 or not candidate.record.part
-            causes[candidate.record.fingerprint] = Cause(len(crashes), certain)
-        explained |= crashes
-        if any(c.record.part for c in tied):
-            explained_by_parts |= crashes
-        candidates = [c for c in candidates if c not in tied]
+    while (first := _first_certain(candidates)) is not None:
+        causes[first.record.fingerprint] = Cause(len(first.crashes), True)
+        remaining = (first.remove_from(c) for c in candidates if c is not first)
+        candidates = [c for c in remaining if len(c.crashes) >= CRASHES_MIN]
+    parts = [c for c in candidates if c.record.part]
+    for candidate in candidates:
+        crashes = len(candidate.crashes)
+        if candidate.record.part:
+            causes[candidate.record.fingerprint] = Cause(crashes, False)
+            continue
+        rarer = (p for p in parts if not p.record.popular)
+        beside = (p.crashes for p in rarer if len(p.crashes) > crashes)
+        alone = candidate.crashes.difference(*beside)
+        if len(alone) >= CRASHES_MIN:
+            # A whole request is not worth a trial.
+            causes[candidate.record.fingerprint] = Cause(len(alone), True)
     return causes
 
 
-def _first(
-    candidates: list[_Candidate], remaining: Mapping[_Candidate, frozenset[int]]
-) -> _Candidate:
-    """Returns the candidate with the most crashes.
-
-    A popular one comes first only with more than twice the crashes of any other: while
-    several causes crash endpoints, it is present at the crashes of all of them.
-    """
+def _first_certain(candidates: list[_Candidate]) -> _Candidate | None:
+    """Returns the part that is most certain to be a cause, if one is."""
+    parts = [c for c in candidates if c.record.part]
+    proven = [c for c in parts if c.is_proven(parts)]
 
-    def rank(candidate: _Candidate) -> tuple[int, int]:
-        weight = 1 if candidate.popular else POPULAR_RATIO
-        return weight * len(remaining[candidate]), candidate.record.fingerprint
+    def rank(candidate: _Candidate) -> tuple[int, tuple[bool, int], int]:
+        alone = len(candidate.tested_alone)
+        return alone, candidate.likelihood, candidate.record.fingerprint
 
-    return max(candidates, key=rank)
+    for candidate in sorted(proven, key=rank, reverse=True):
+        tied = len(candidate.tested) >= JOINT_TRIALS_MIN
+        if tied or not any(other.hides(candidate) for other in parts):
+            return candidate
+    return None
 
 
 def _candidates(records: list[CrashRecord]) -> list[_Candidate]:
     numbers = _number_crashes(c for r in records for c in r.counted_crashes)
-    return [
+
+    def numbered(record: CrashRecord, suspects: range) -> frozenset[int]:
+        crashes = record.counted_crashes
+        return frozenset(numbers[c] for c in crashes if c.suspects in suspects)
+
+    candidates = [
         _Candidate(
             record,
-            frozenset(numbers[c] for c in record.counted_crashes),
-            bool(record.part)
-            and any(c.completed_before for c in record.counted_crashes),
+            numbered(record, range(SUSPECTS_MAX)),
+            numbered(record, range(1, SUSPECTS_MAX)),
+            numbered(record, range(1, 2)),
         )
         for record in records
     ]
+    rare = [c for c in candidates if c.record.part and not c.record.popular]
+    return [c.beside(rare) if c.record.popular else c for c in candidates]
 
 
 def _number_crashes(crashes: Iterable[Crash]) -> Mapping[Crash, int]:
--- a/ashlatch/policy/crash_record.py
+++ b/ashlatch/policy/crash_record.py
@@ -43,7 +43,8 @@
     `endpoint` is the digest of its id, `started_unix_ms` when that process started, 0
     if unknown. `completed_since` is whether a request with the fingerprint has
     completed without a crash since, `completed_before` whether one had done so shortly
-    before.
+    before. If the request was a trial of the fingerprint, `suspects` is the number of
+    fingerprints that it was a trial of, otherwise 0.
     """
 
     endpoint: int
@@ -51,6 +52,7 @@
     at_unix_ms: int
     completed_since: bool = False
     completed_before: bool = False
+    suspects: int = 0
 
     @property
     def incarnation(self) -> tuple[int, int]:
@@ -81,6 +83,11 @@
         """The crashes since its last completed run."""
         return tuple(c for c in self.crashes if not c.completed_since)
 
+    @property
+    def popular(self) -> bool:
+        """Whether it stands for a part that completed often before a counted crash."""
+        return bool(self.part) and any(c.completed_before for c in self.counted_crashes)
+
     def completed_at(self, at_unix_ms: float, valid_ms: float) -> "CrashRecord":
         """Returns the record with the crashes marked that a completed run preceded."""
         crashes = tuple(
@@ -137,21 +144,28 @@
                 crashes[at],
                 completed_since=crashes[at].completed_since or crash.completed_since,
                 completed_before=crashes[at].completed_before or crash.completed_before,
+                suspects=_fewest(crashes[at].suspects, crash.suspects),
             )
     newest = tuple(crashes[-CRASHES_PER_RECORD_MAX:])
     return CrashRecord(one.fingerprint, newest, one.part or other.part)
 
 
-def _sort_key(crash: Crash) -> tuple[int, int, int, bool, bool]:
+def _sort_key(crash: Crash) -> tuple[int, int, int, bool, bool, int]:
     return (
         crash.at_unix_ms,
         crash.endpoint,
         crash.started_unix_ms,
         crash.completed_since,
         crash.completed_before,
+        crash.suspects,
     )
 
 
+def _fewest(one: int, other: int) -> int:
+    """Returns the smaller number, of those that are not 0."""
+    return min(one, other) if one and other else max(one, other)
+
+
 def apply_record(records: dict[int, CrashRecord], update: CrashRecord) -> bool:
     """Merges a received record; returns whether that changes anything.
 
--- a/ashlatch/policy/quarantine.py
+++ b/ashlatch/policy/quarantine.py
@@ -35,6 +35,7 @@
 from ashlatch.policy.endpoint import rank
 
 __all__ = [
+    "TRIAL_WAIT_MS",
     "AnswerBegin",
     "Fingerprints",
     "Isolation",
@@ -45,16 +46,28 @@
 ]
 
 # The duration of a quarantine, doubled for each further crash: a fingerprint that is
-# sent for ever costs one engine in ten minutes at first, and one a day later.
+# sent for ever costs one engine in ten minutes at first, and one a day later. To refuse
+# a popular part by mistake costs more callers than an engine serves.
 QUARANTINE_MS = 600_000
+QUARANTINE_POPULAR_MS = 10_000
 QUARANTINE_MAX_MS = 86_400_000
 # How often a record is reported to the core at most, several times a second: a core
 # without capacity for the record does not confirm it.
 REPORTS_MAX = 20
 # A trial that has not ended after this time no longer keeps others from running.
 TRIAL_MS = 3000.0
-# When a caller may return that is refused because of a trial: most have ended by then.
+# How long a request may wait for the result of a trial: most have ended by then.
+TRIAL_WAIT_MS = 800.0
+# When a caller may return that is refused because of a trial.
 TRIAL_RETRY_MS = 1000.0
+# A trial begins this long after the last crash: until then others with the same part
+# may still be running, and crash the endpoint of the trial.
+SETTLE_MS = 300.0
+# A request with several suspects is sent this much later: those that others contain
+# alone may be cleared until then.
+JOINT_DELAY_MS = 500.0
+# Processes begin trials at different times, so that the others learn of the first one.
+TRIAL_DELAY_MAX_MS = 200.0
 # A part that has completed so often within this time is popular.
 POPULAR_TIMES = 3
 COMPLETED_VALID_MS = 60_000.0
@@ -66,20 +79,26 @@
     """What to do with a request.
 
     A `TRIAL` may be sent while no other request with the same cause runs; its result
-    shows whether the cause is the right one.
+    shows whether the cause is the right one. Others `WAIT` for it.
     """
 
     SEND = "send"
     TRIAL = "trial"
+    WAIT = "wait"
     REFUSE = "refuse"
 
+    @property
+    def sends(self) -> bool:
+        """Whether the request may be sent now."""
+        return self in (QuarantineAction.SEND, QuarantineAction.TRIAL)
+
 
 @dataclass(frozen=True)
 class QuarantineDecision:
     """The decision about a request.
 
-    `cause` is the fingerprint that it was made for, 0 for `SEND`. A refused request may
-    return after `wait_ms`.
+    `cause` is the fingerprint that it was made for, 0 for `SEND`. A request that is not
+    sent may return after `wait_ms`.
     """
 
     action: QuarantineAction
@@ -192,8 +211,12 @@
         quarantine.remaining_ms(fingerprint, now_ms)  # 0.0: it is not refused
 
     All times are Unix milliseconds, as a record outlives the process that created it.
+    Trials begin `trial_delay_ms` later than at the process that begins them first.
     """
 
+    trial_delay_ms: float = field(
+        default_factory=lambda: Random().uniform(0.0, TRIAL_DELAY_MAX_MS)
+    )
     _records: dict[int, CrashRecord] = field(default_factory=dict)
     # Fingerprints that the core has not confirmed, with the number of reports to it.
     _unconfirmed: dict[int, int] = field(default_factory=dict)
@@ -222,19 +245,40 @@
             return QuarantineDecision(
                 QuarantineAction.REFUSE, longest, left_ms[longest]
             )
+        settle_ms = SETTLE_MS + self.trial_delay_ms
+        if len(self._tested(found)) > 1:
+            settle_ms += JOINT_DELAY_MS
         for key in found:
-            trial = self._trials.get(key)
-            if trial is None or trial.request == fingerprints.request:
-                continue
-            if trial.ends_unix_ms > now_unix_ms:
-                return QuarantineDecision(QuarantineAction.REFUSE, key, TRIAL_RETRY_MS)
+            if self._trial_denied(key, fingerprints.request, now_unix_ms, settle_ms):
+                return QuarantineDecision(QuarantineAction.WAIT, key, TRIAL_RETRY_MS)
         return QuarantineDecision(QuarantineAction.TRIAL, longest)
 
+    def _trial_denied(
+        self, key: int, request: int, now_unix_ms: float, settle_ms: float
+    ) -> bool:
+        """Checks whether a trial of a key has to wait."""
+        since_crash_ms = now_unix_ms - self._records[key].counted_crashes[-1].at_unix_ms
+        if 0.0 <= since_crash_ms < settle_ms:
+            return True
+        trial = self._trials.get(key)
+        if trial is None or trial.request == request:
+            return False
+        return trial.ends_unix_ms > now_unix_ms
+
+    def _tested(self, keys: Iterable[int]) -> tuple[int, ...]:
+        """Returns which of the keys a trial of all of them tests.
+
+        If some are not popular, its crash says nothing about the others.
+        """
+        parts = tuple(key for key in keys if self._records[key].part)
+        unpopular = tuple(key for key in parts if not self._records[key].popular)
+        return unpopular or parts
+
     def begin_trial(
         self, fingerprints: Fingerprints, now_unix_ms: float
     ) -> tuple[int, ...]:
         """Records that a request is sent as a trial; returns the causes it may show."""
-        found = tuple(k for k in fingerprints.keys if k in self._current_causes())
+        found = tuple(k for k in fingerprints.keys if k in self._candidates)
         self.apply_trial(found, fingerprints.request, now_unix_ms)
         return found
 
@@ -242,18 +286,34 @@
         self, keys: Iterable[int], request: int, now_unix_ms: float
     ) -> None:
         """Records that a request is sent as a trial here or elsewhere."""
-        causes = self._current_causes()
-        self._trials = {k: t for k, t in self._trials.items() if k in causes}
+        suspects = self._candidates
+        self._trials = {k: t for k, t in self._trials.items() if k in suspects}
         trial = _Trial(request, now_unix_ms + TRIAL_MS)
-        self._trials.update((key, trial) for key in keys if key in causes)
+        self._trials.update((key, trial) for key in keys if key in suspects)
+
+    def end_trial(self, fingerprints: Fingerprints) -> tuple[int, ...]:
+        """Ends the trial that a request is, if any; returns its suspected causes."""
+        return self.apply_trial_end(fingerprints.keys, fingerprints.request)
+
+    def apply_trial_end(self, keys: Iterable[int], request: int) -> tuple[int, ...]:
+        """Ends the trials of causes that a request here or elsewhere was."""
+        trials = self._trials
+        ended = tuple(k for k in keys if k in trials and trials[k].request == request)
+        for key in ended:
+            del trials[key]
+        return ended
 
     def remaining_ms(self, fingerprint: int, now_unix_ms: float) -> float:
         """Returns the remaining time in quarantine; 0 if it may be sent."""
         cause = self._current_causes().get(fingerprint)
         if cause is None or not cause.certain:
             return 0.0
-        last_ms = self._records[fingerprint].counted_crashes[-1].at_unix_ms
-        duration_ms = QUARANTINE_MS << max(0, cause.crashes - CRASHES_MIN)
+        record = self._records[fingerprint]
+        last_ms = record.counted_crashes[-1].at_unix_ms
+        first_ms = QUARANTINE_POPULAR_MS if record.popular else QUARANTINE_MS
+        tested = sum(c.suspects > 0 for c in record.counted_crashes)
+        further = tested - 1 if record.part else cause.crashes - CRASHES_MIN
+        duration_ms = first_ms << max(0, further)
         until_ms = last_ms + min(QUARANTINE_MAX_MS, duration_ms)
         return max(0.0, until_ms - now_unix_ms)
 
@@ -313,6 +373,7 @@
         started_unix_ms: int,
         now_unix_ms: int,
         part: str = "",
+        suspects: int = 0,
     ) -> CrashRecord:
         """Records that an endpoint ended while it ran a request of this process."""
         completed = self._completed.get(fingerprint)
@@ -321,6 +382,7 @@
             started_unix_ms,
             now_unix_ms,
             completed_before=completed is not None and completed.popular(now_unix_ms),
+            suspects=suspects,
         )
         self._record_local(CrashRecord(fingerprint, (crash,), part))
         return self._records[fingerprint]
@@ -339,9 +401,16 @@
         suspected: `record_survived` clears them.
         """
         keys = fingerprints.keys[:1] if survived else fingerprints.keys
+        ended = self.end_trial(fingerprints)
+        tested = self._tested(key for key in ended if key in self._records)
         recorded = [
             self.record_crash(
-                key, instance, started_unix_ms, now_unix_ms, fingerprints.part_of(key)
+                key,
+                instance,
+                started_unix_ms,
+                now_unix_ms,
+                fingerprints.part_of(key),
+                len(tested) if key in tested else 0,
             )
             for key in keys
         ]
@@ -403,15 +472,22 @@
 
     def apply(self, record: CrashRecord) -> bool:
         """Merges another process's record; returns whether that changes anything."""
+        trials = self._trial_crashes(record.fingerprint)
         changed = apply_record(self._records, record)
         if not changed:
             return False
+        if self._trial_crashes(record.fingerprint) > trials:
+            self._trials.pop(record.fingerprint, None)
         completed = self._completed.get(record.fingerprint)
         if completed is not None:
             self._apply_completion(record.fingerprint, completed)
         self._update_candidate(record.fingerprint)
         return True
 
+    def _trial_crashes(self, fingerprint: int) -> int:
+        record = self._records.get(fingerprint)
+        return sum(c.suspects > 0 for c in record.crashes) if record is not None else 0
+
     def _apply_completion(self, fingerprint: int, completed: "_Completions") -> None:
         """Applies a completed run here to crashes that others have reported since."""
         record = self._records.get(fingerprint)
--- a/ashlatch/router/attempt.py
+++ b/ashlatch/router/attempt.py
@@ -12,7 +12,6 @@
 from ashlatch.http import problem as problems
 from ashlatch.http.problem import Problem
 from ashlatch.policy.permission import NEVER_MS
-from ashlatch.policy.quarantine import QuarantineAction
 from ashlatch.router.attempt_results import record_result
 from ashlatch.router.completion import (
     close_claim,
@@ -42,7 +41,7 @@
     Rejected,
 )
 from ashlatch.router.planning_result import NoPlan, Plan
-from ashlatch.router.quarantine import quarantine_decision
+from ashlatch.router.quarantine import end_trial, quarantine_decision
 from ashlatch.router.sending import plan_attempt, start_attempt
 from ashlatch.store.command import AnswerAccepted, AnswerRecorded, RecordAnswer
 
@@ -73,6 +72,7 @@
     if active is None or attempt is None:
         return
     record_result(core, active, attempt, event.result)
+    end_trial(core, active)
     if active.hedge is not None and not isinstance(event.result, Answered):
         _continue_with_other_attempt(active, attempt, event.result)
         return
@@ -226,7 +226,7 @@
     assert active.current_attempt is not None
     usable = core.planner.table.usable(active.request.organisation, active.version)
     decision = quarantine_decision(core, active)
-    quarantined = decision.action is QuarantineAction.REFUSE
+    quarantined = not decision.action.sends
     attempts_left = active.attempt_count <= RESUME_MAX and not quarantined
     permission = core.endpoints.permission(
         active.current_attempt.endpoint.name, core.now_ms
--- a/ashlatch/router/quarantine.py
+++ b/ashlatch/router/quarantine.py
@@ -40,6 +40,7 @@
     "request_fingerprints",
     "begin_answer",
     "begin_trial",
+    "end_trial",
     "record_completion",
 ]
 
@@ -123,6 +124,11 @@
     core.effects.append(WriteLog(event))
 
 
+def end_trial(core: RouterCore, active: ActiveRequest) -> None:
+    """Ends the trial that a request is, if any, whatever its result."""
+    core.quarantine.end_trial(request_fingerprints(active.request))
+
+
 def record_crash(core: RouterCore, active: ActiveRequest, endpoint: str) -> None:
     """Attributes an endpoint's crash to a request that was running there."""
     fingerprints = request_fingerprints(active.request)
--- a/ashlatch/router/sending.py
+++ b/ashlatch/router/sending.py
@@ -15,7 +15,6 @@
 from ashlatch.http import problem as problems
 from ashlatch.http.problem import Problem
 from ashlatch.log import LogEvent
-from ashlatch.policy.quarantine import QuarantineAction
 from ashlatch.router.core import ActiveAttempt, ActiveRequest, RouterCore
 from ashlatch.router.effect import ScheduleHedge, StartAttempt, WriteLog
 from ashlatch.router.event import RequestKind
@@ -64,7 +63,7 @@
     """Chooses a version and an endpoint; with `version`, only the endpoint."""
     request = active.request
     decision = quarantine_decision(core, active)
-    if decision.action is QuarantineAction.REFUSE:
+    if not decision.action.sends:
         cause = request_fingerprints(request).part_of(decision.cause)
         exclusion = Exclusion(
             cause or format_fingerprint(decision.cause), ExclusionReason.CRASHES
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -30,6 +30,8 @@
 from ashlatch.policy.crash_record import CrashRecord
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
 from ashlatch.policy.quarantine import (
+    TRIAL_DELAY_MAX_MS,
+    TRIAL_WAIT_MS,
     AnswerBegin,
     Fingerprints,
     Quarantine,
@@ -49,6 +51,8 @@
 CRASH_AFTER_MS = 60.0
 RESTART_MS = 2000.0
 BROADCAST_MS = 100.0
+# How often a request that waits for a trial asks for its result.
+WAIT_STEP_MS = 50.0
 # A caller tries once more this long after a failure.
 REPEAT_MS = 100.0
 BEGUN_UNIX_MS = 1_800_000_000_000
@@ -88,8 +92,8 @@
 
     Of those, `served` and `failed` count the ones with that outcome, `quarantined` the
     ones whose fingerprint was quarantined at the end, and `refused` the ones that were
-    refused for it at least once. `sends` are the sends of crashing requests, made at
-    `sends_ms`; engines crashed at `crashes_ms`.
+    refused for it at least once while any engine ran. `sends` are the sends of crashing
+    requests, made at `sends_ms`; engines crashed at `crashes_ms`.
     """
 
     crashes: int = 0
@@ -116,6 +120,7 @@
     tries_left: int
     sends: int = 0
     sent_ms: float = 0.0
+    waited_ms: float = 0.0
     tried: set[str] = field(default_factory=set)
     answer: AnswerBegin = field(init=False)
 
@@ -163,7 +168,11 @@
             ENDPOINT_POLICIES.get("hall_affinity")(),
             BudgetTerms(0.9, 50.0, 10_000.0),
             generator=random.Random(f"{number} {seed}"),
-            quarantine=self._quarantine(),
+            quarantine=self._quarantine(
+                trial_delay_ms=random.Random(f"delay {number} {seed}").uniform(
+                    0.0, TRIAL_DELAY_MAX_MS
+                )
+            ),
         )
         context.table = table
         for n in range(20):
@@ -259,12 +268,15 @@
         quarantine = context.quarantine
         crashing = request.crashing and not self._harmless
         decision = quarantine.decide(request.fingerprints, self._unix_ms)
-        if self._quarantines and decision.action is QuarantineAction.REFUSE:
-            self.outcome.refused += not request.crashing
+        waits = decision.action is QuarantineAction.WAIT and self._quarantines
+        if waits and request.waited_ms < TRIAL_WAIT_MS:
+            request.waited_ms += WAIT_STEP_MS
+            self._schedule(self.now_ms + WAIT_STEP_MS, lambda: self._send(request))
+            return
+        if self._quarantines and not decision.action.sends:
+            self.outcome.refused += not request.crashing and bool(self._at_engine)
             self._fail(request)
             return
-        if decision.action is QuarantineAction.TRIAL:
-            self._begin_trial(request)
         assert context.table is not None
         states = list(context.directory.of_service("app"))
         isolation = quarantine.isolation(request.fingerprints)
@@ -279,6 +291,8 @@
         if chosen is None or request.sends >= ATTEMPTS_MAX:
             self._fail(request)
             return
+        if decision.action is QuarantineAction.TRIAL:
+            self._begin_trial(request)
         name = chosen.state.endpoint.instance
         request.sends += 1
         request.sent_ms = self.now_ms
@@ -369,6 +383,7 @@
         if request.tries_left:
             request.tries_left -= 1
             request.sends = 0
+            request.waited_ms = 0.0
             request.tried.clear()
             request.context = self._random.choice(self.gateways)
             self._schedule(self.now_ms + REPEAT_MS, lambda: self._send(request))
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -54,6 +54,7 @@
 )
 CRASHING = ("-m", "pytest", "-x", "tests/test_crashing_requests.py")
 QUARANTINE = ("-m", "pytest", "-x", "tests/test_quarantine.py")
+TRIALS = ("-m", "pytest", "-x", "tests/test_trials.py")
 ATTRIBUTION = ("-m", "pytest", "-x", "tests/test_attribution.py")
 RUNS = ("-m", "pytest", "-x", "tests/test_runs.py")
 PARTS = ("-m", "pytest", "-x", "tests/test_crashing_parts.py")
@@ -521,10 +522,17 @@
     Mutant(
         "bystanders-not-explained",
         "ashlatch/policy/attribution.py",
-        "        explained |= crashes\n",
-        "        explained |= frozenset()\n",
+        "        crashes = other.crashes - self.crashes\n",
+        "        crashes = other.crashes\n",
         ATTRIBUTION,
     ),
+    Mutant(
+        "parts-certain-without-trials",
+        "ashlatch/policy/attribution.py",
+        "        return bool(alone)\n",
+        "        return True\n",
+        CRASH_LOAD,
+    ),
     Mutant(
         "runs-from-before-a-crash-clear-it",
         "ashlatch/policy/crash_record.py",
@@ -533,11 +541,18 @@
         QUARANTINE,
     ),
     Mutant(
-        "popular-parts-not-last",
-        "ashlatch/policy/attribution.py",
-        "        weight = 1 if candidate.popular else POPULAR_RATIO\n",
-        "        weight = 1\n",
-        CRASH_LOAD,
+        "trials-begin-at-once",
+        "ashlatch/policy/quarantine.py",
+        "        if 0.0 <= since_crash_ms < settle_ms:\n",
+        "        if False:\n",
+        QUARANTINE,
+    ),
+    Mutant(
+        "ended-trials-not-announced",
+        "ashlatch/gateway/trials.py",
+        "        if keys:\n",
+        "        if False:\n",
+        TRIALS,
     ),
     Mutant(
         "dropped-sends-not-suspected",
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -19,13 +19,19 @@
     apply_record,
     endpoint_digest,
     merge_records,
+    part_fingerprint,
 )
 from ashlatch.policy.quarantine import (
+    JOINT_DELAY_MS,
+    POPULAR_TIMES,
     QUARANTINE_MAX_MS,
     QUARANTINE_MS,
+    QUARANTINE_POPULAR_MS,
     REPORTS_MAX,
+    SETTLE_MS,
     Fingerprints,
     Quarantine,
+    QuarantineAction,
 )
 
 AT = 1_800_000_000_000
@@ -101,6 +107,82 @@
         self.assertEqual(0.0, quarantine.remaining_ms(FINGERPRINT + 1, at_ms))
 
 
+class TrialTest(testtools.TestCase):
+    """A part is suspected after three crashes; its requests are then sent as trials."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.quarantine = Quarantine(trial_delay_ms=0.0)
+        self.at_ms = AT
+        for number in range(CRASHES_MIN):
+            self.at_ms = AT + 2000 * number
+            self.crash(Fingerprints(number, ("a", "p")), number)
+        self.settled_ms = self.at_ms + int(SETTLE_MS + JOINT_DELAY_MS)
+
+    def crash(self, fingerprints: Fingerprints, number: int) -> None:
+        self.quarantine.record_crashes(fingerprints, f"i-{number}", 0, self.at_ms)
+
+    def decide(self, request: int, *parts: str, at_ms: int = 0) -> QuarantineAction:
+        fingerprints = Fingerprints(request, parts)
+        return self.quarantine.decide(fingerprints, at_ms or self.settled_ms).action
+
+    def run_trial(self, number: int, *parts: str) -> Fingerprints:
+        fingerprints = Fingerprints(number, parts)
+        self.quarantine.begin_trial(fingerprints, self.settled_ms)
+        return fingerprints
+
+    def test_one_request_at_a_time(self) -> None:
+        self.assertEqual(QuarantineAction.TRIAL, self.decide(10, "p"))
+        trial = self.run_trial(10, "p")
+        self.assertEqual(QuarantineAction.WAIT, self.decide(11, "p"))
+        self.assertEqual(QuarantineAction.TRIAL, self.decide(10, "p"))
+        self.assertEqual(QuarantineAction.TRIAL, self.decide(12, "a"))
+        self.assertEqual(QuarantineAction.SEND, self.decide(13, "b"))
+        self.assertTrue(self.quarantine.end_trial(trial))
+        self.assertEqual(QuarantineAction.TRIAL, self.decide(11, "p"))
+
+    def test_no_trial_just_after_a_crash(self) -> None:
+        at_ms = self.at_ms + int(SETTLE_MS) - 1
+        self.assertEqual(QuarantineAction.WAIT, self.decide(10, "p", at_ms=at_ms))
+        at_ms += 1
+        self.assertEqual(QuarantineAction.TRIAL, self.decide(10, "p", at_ms=at_ms))
+
+    def test_requests_with_several_suspects_are_sent_later(self) -> None:
+        at_ms = self.settled_ms - 1
+        self.assertEqual(QuarantineAction.WAIT, self.decide(10, "a", "p", at_ms=at_ms))
+        self.assertEqual(QuarantineAction.TRIAL, self.decide(10, "a", at_ms=at_ms))
+
+    def test_the_crash_of_a_trial_quarantines_the_part(self) -> None:
+        trial = self.run_trial(10, "p")
+        self.at_ms = self.settled_ms
+        self.crash(trial, 9)
+        self.assertEqual(QuarantineAction.REFUSE, self.decide(11, "p"))
+        self.assertEqual(QuarantineAction.SEND, self.decide(12, "a"))
+
+    def test_a_trial_that_completes_clears_the_part(self) -> None:
+        trial = self.run_trial(10, "a")
+        answer = self.quarantine.begin_answer(trial, self.settled_ms)
+        self.quarantine.record_completions(answer, self.settled_ms + 100)
+        self.assertEqual(QuarantineAction.SEND, self.decide(11, "a"))
+        self.assertEqual(QuarantineAction.TRIAL, self.decide(12, "p"))
+
+    def test_popular_parts_are_quarantined_for_less_time(self) -> None:
+        """They are more often present without being the cause."""
+        quarantine = self.quarantine
+        for number in range(POPULAR_TIMES):
+            answer = quarantine.begin_answer(Fingerprints(20 + number, ("q",)), AT)
+            quarantine.record_completions(answer, AT)
+        for number in range(CRASHES_MIN):
+            self.crash(Fingerprints(30 + number, ("q",)), 30 + number)
+        for number, part in enumerate("pq"):
+            trial = self.run_trial(40 + number, part)
+            self.crash(trial, 40 + number)
+        left = [
+            quarantine.remaining_ms(part_fingerprint(part), self.at_ms) for part in "pq"
+        ]
+        self.assertEqual([QUARANTINE_MS, QUARANTINE_POPULAR_MS], left)
+
+
 class SameCrashTest(testtools.TestCase):
     def test_one_crash_is_counted_once(self) -> None:
         """Two requests with one fingerprint may run at an endpoint that ends."""
@@ -153,6 +235,8 @@
         st.sampled_from([0, 5]),
         st.sampled_from([AT + 5000 * n for n in range(4)]),
         st.booleans(),
+        st.booleans(),
+        st.integers(0, 3),
     )
     record = st.builds(
         CrashRecord, st.just(FINGERPRINT), st.lists(crash, max_size=6).map(tuple)
