--- a/tests/crashing.py
+++ b/tests/crashing.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import random
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -60,7 +61,8 @@
 
     It sends `events` events of a crashing request before it crashes, also if the caller
     has left by then. With `confidence`, its answers have that; unless `framed`, they
-    end with their connection. Answers take `prefill_s` to begin.
+    end with their connection. Answers take `prefill_s` to begin, then one of
+    `answers_s`.
     """
 
     host: str
@@ -73,6 +75,7 @@
     confidence: float | None = None
     framed: bool = True
     prefill_s: float = 0.0
+    answers_s: tuple[float, ...] = (ANSWER_S,)
     port: int = 0
     instance: str = ""
     running: StubServer | None = None
@@ -106,7 +109,7 @@
                 await asyncio.sleep(CRASH_AFTER_S)
                 self._crash()
                 return
-            await asyncio.sleep(ANSWER_S)
+            await asyncio.sleep(random.choice(self.answers_s))
             writer.write(self._frame(event(first)))
             if self.framed:
                 writer.write(LAST_CHUNK)
--- a/tests/crashing_load.py
+++ b/tests/crashing_load.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from tests.crashing import CrashingEngine, CrashLog, contains_part
+from tests.crashing import ANSWER_S, CrashingEngine, CrashLog, contains_part
 from tests.fleet import FRONT_PORT, READY_PORT, wait_for
 from tests.partitioned import PartitionableFleet
 from tests.stub_server import ReceivedRequest
@@ -99,6 +99,7 @@
         framed: bool = True,
         prefill_s: float = 0.0,
         isolated: int = 0,
+        answers_s: tuple[float, ...] = (ANSWER_S,),
     ) -> None:
         self.load = load
         self._contains_part = contains_part(*load.crashing)
@@ -121,6 +122,7 @@
                 confidence=confidence,
                 framed=framed,
                 prefill_s=prefill_s,
+                answers_s=answers_s,
             )
             for _ in range(engines)
         ]
--- a/tests/parts_soak.py
+++ b/tests/parts_soak.py
@@ -14,12 +14,15 @@
 import time
 from dataclasses import dataclass
 
+from tests.crashing import ANSWER_S
 from tests.crashing_load import SENDS_MAX, PartFleet, PartLoad, PartOutcome
 
 SERVED_SHARE_MIN = 0.8
 # Gateways that are disturbed are not in touch for so long.
 IN_TOUCH_AFTER_S = 3.0
 DISTURBED_S = 3.0
+# Some answers that begin while a part is harmless end after it has crashed endpoints.
+LENGTHS_S = (0.1, 0.2, 0.5, 2.0)
 
 
 @dataclass(frozen=True)
@@ -40,12 +43,16 @@
     def __init__(self, seed: int) -> None:
         self._random = random.Random(seed)
         choose = self._random.choice
+        # Drawn apart, so that what else a seed draws stays the same.
+        used_before = random.Random(f"used before {seed}").random() < 0.5
         self.load = PartLoad(
             crashing=("f0f0", "f1f1")[: choose((1, 1, 2))],
             crashing_per_s=choose((0.7, 2.0, 4.0, 10.0)),
             position=choose((0, 1, 2)),
             repeatable=choose((True, True, False)),
             length_s=14.0,
+            calm_s=5.0 if used_before else 2.0,
+            used_before=used_before,
         )
         self.fleet = PartFleet(
             self.load,
@@ -56,6 +63,7 @@
             framed=choose((True, False)),
             prefill_s=choose((0.0, 0.0, 0.3)),
             isolated=choose((0, 0, 1)),
+            answers_s=LENGTHS_S if used_before else (ANSWER_S,),
         )
         self._disturbances = [self._draw() for _ in range(choose((0, 1, 3)))]
 
