Quarantine: a crash for which there is no room for a record does not fail the request

Cause: record_crash returned the record that it had just stored. If 1,024 others have more crashes it is dropped at once, and the look-up raised KeyError in the request's task, whose caller got no answer. The test failed before.

--- a/ashlatch/policy/quarantine.py
+++ b/ashlatch/policy/quarantine.py
@@ -384,8 +384,10 @@
             completed_before=completed is not None and completed.popular(now_unix_ms),
             suspects=suspects,
         )
-        self._record_local(CrashRecord(fingerprint, (crash,), part))
-        return self._records[fingerprint]
+        record = CrashRecord(fingerprint, (crash,), part)
+        self._record_local(record)
+        # It is dropped at once if all other records have more crashes.
+        return self._records.get(fingerprint, record)
 
     def record_crashes(
         self,
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -278,6 +278,17 @@
         self.assertEqual(CRASHES_PER_RECORD_MAX, quarantine.crash_count(FINGERPRINT))
 
 
+class BoundTest(testtools.TestCase):
+    def test_a_crash_for_which_there_is_no_room(self) -> None:
+        """More fingerprints crash endpoints than there are records."""
+        quarantine = Quarantine()
+        for number in range(RECORDS_MAX):
+            record_crashes(quarantine, CRASHES_MIN, 1000 + number)
+        crashed = Fingerprints(FINGERPRINT, ("p",))
+        recorded = quarantine.record_crashes(crashed, "i-0", 0, AT + 9000)
+        self.assertEqual(list(crashed.keys), [r.fingerprint for r in recorded])
+
+
 class CrashLogTest(testtools.TestCase):
     """The replicated log, and the records that are not in it yet."""
 
