--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -400,14 +400,14 @@
         """
         if self._context.links.isolated:
             return self._quarantine_refusal()
-        return self._checked(await self._gate.wait())
+        return self._as_final(await self._gate.wait())
 
     def _quarantine_refusal(self) -> Refused | None:
         """Returns the final answer if the request is quarantined."""
-        return self._checked(self._gate.refusal())
+        return self._as_final(self._gate.refusal())
 
-    def _checked(self, refusal: Refused | None) -> Refused | None:
-        """Returns the refusal of a request that may have run before."""
+    def _as_final(self, refusal: Refused | None) -> Refused | None:
+        """Returns the final answer for a refusal: the request may have run before."""
         if refusal is not None and self._may_have_run:
             return Refused(502, RefusalReason.QUARANTINED)
         return refusal
--- a/ashlatch/gateway/trials.py
+++ b/ashlatch/gateway/trials.py
@@ -67,12 +67,14 @@
         Whether a trial has ended is asked at intervals: its result may come from here,
         from another gateway or from the core, and may be that it never ends.
         """
+        loop = asyncio.get_running_loop()
         while self._decide() is QuarantineAction.WAIT:
             if self._waited_s * 1000.0 >= TRIAL_WAIT_MS:
                 return self.refusal(may_wait=False)
-            self._waited_s += WAIT_STEP_S
             self._context.metrics.count("quarantine_waits")
+            begun_s = loop.time()
             await asyncio.sleep(WAIT_STEP_S)
+            self._waited_s += loop.time() - begun_s
         return self.refusal()
 
     def begin_trial(self) -> None:
