--- a/tests/test_crash_load.py
+++ b/tests/test_crash_load.py
@@ -8,10 +8,10 @@
 were quarantined because they ran beside a crashing request three times:
 
 - 7 gateways, 5 engines, 60 s, 2,420 requests, one crashing request: 39 crashes and
-  1,032 failed without quarantine; 3 crashes, 0.8 failed, 0.8 quarantined with it. Three
-  crashing requests: 9 crashes, 126 failed, 22 quarantined.
-- 61 gateways, 56 engines, 20 s, 4,817 requests, one crashing request: 3 crashes, 0.4
-  quarantined; 14 if the requests that ran at a crash go to the cheapest engine
+  1,032 failed without quarantine; 3 crashes, 1.2 failed, 1.2 quarantined with it. Three
+  crashing requests: 9 crashes, 119 failed, 20 quarantined.
+- 61 gateways, 56 engines, 20 s, 4,817 requests, one crashing request: 3 crashes, 1.2
+  quarantined; 10 if the requests that ran at a crash go to the cheapest engine
   together.
 """
 
