Tests of routers: the bound of connections is tested with connections that the server keeps

Cause, brought about by a script: a connection that the test's set-up has just closed still counts at the router while the idle ones are opened; the fourth is answered 503 and closed, so that three are left. The router does what it should.

Change: the test opens connections until four are kept. It asks for the same: the fifth is refused, as not run, and the router serves again.

--- a/tests/test_router_failures.py
+++ b/tests/test_router_failures.py
@@ -41,6 +41,8 @@
 SLOW_ENGINE = ("--token-ms", "20", "--output-tokens", "100")
 STREAMS = 6
 MARGIN_MS = 100.0
+# A server that refuses a connection answers within this time.
+HELD_AFTER_S = 0.2
 
 
 class RouterKilledTest(testtools.TestCase):
@@ -376,7 +378,7 @@
             host, _, port = (
                 deployment.system.routers[0].settings["listen"].rpartition(":")
             )
-            idle = [socket.create_connection((host, int(port))) for _ in range(4)]
+            idle = [hold_connection(host, int(port)) for _ in range(4)]
             wait_until(lambda: deployment.ask().status == 503, "the bound is reached")
             self.assertIs(True, deployment.ask().json["not_run"])
             for connection in idle:
@@ -384,6 +386,26 @@
             wait_until(lambda: deployment.ask().status == 200, "it serves again")
 
 
+def hold_connection(host: str, port: int) -> socket.socket:
+    """Opens a connection that the server keeps.
+
+    It refuses one while another that has just been closed still counts.
+    """
+
+    def hold() -> socket.socket | None:
+        connection = socket.create_connection((host, port))
+        connection.settimeout(HELD_AFTER_S)
+        try:
+            connection.recv(1)
+        except TimeoutError:
+            return connection
+        connection.close()
+        return None
+
+    held: socket.socket = wait_until(hold, "the server keeps a connection")
+    return held
+
+
 class EndpointTest(testtools.TestCase):
     def test_an_endpoint_that_is_gone_is_passed_by(self) -> None:
         with start_small_system() as deployment:
