Logs: each rejection by a brittle endpoint, with what the gateway took for its load

It could not be seen whether rejected requests were sent before the gateways had closed the endpoint, with an old report of its load, or together after its reopening. brittle_endpoint_rejected shows the time since the send, the estimate with the report's age, and for how long the endpoint was closed already.

--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -28,6 +28,7 @@
     "DocumentUnreadable",
     "EndpointBackoff",
     "BrittleEndpointClosed",
+    "BrittleEndpointRejected",
     "EndpointBrittleness",
     "EndpointGone",
     "EndpointLinksFailing",
@@ -295,6 +296,29 @@
     teller: str
 
 
+@dataclass(frozen=True)
+class BrittleEndpointRejected(LogEvent):
+    """A brittle endpoint rejected a request of this gateway.
+
+    `answered_ms` is the time from the send to the rejection. `requests` is how many this
+    gateway takes the endpoint to have, by a report that is `report_age_ms` old (-1 for
+    none), `in_flight` how many of them are its own. `closed_ms` is for how much longer
+    the endpoint was closed already when the rejection arrived: the request was sent
+    before that.
+    """
+
+    event: ClassVar[str] = "brittle_endpoint_rejected"
+    request: str
+    instance: str
+    service: str
+    answered_ms: int
+    requests: int
+    in_flight: int
+    slots: int
+    report_age_ms: int
+    closed_ms: int
+
+
 @dataclass(frozen=True)
 class BrittleEndpointClosed(LogEvent):
     """A brittle endpoint has rejected several requests and gets none for some time."""
--- a/ashlatch/gateway/notices.py
+++ b/ashlatch/gateway/notices.py
@@ -16,6 +16,7 @@
 from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.logs import (
     BrittleEndpointClosed,
+    BrittleEndpointRejected,
     EndpointBackoff,
     EndpointBrittleness,
     EndpointLeavingAnnounced,
@@ -46,13 +47,17 @@
         _apply_backoff(context, state, head, now_ms)
     else:
         state.backoff.record_accepted(sent_ms)
-    _apply_brittleness(context, state, head, now_ms)
+    _apply_brittleness(context, state, head, sent_ms, now_ms)
     if head.leaving and mark_leaving(context, state, head.request_id):
         context.broadcast(EndpointLeaving(state.endpoint.instance))
 
 
 def _apply_brittleness(
-    context: GatewayContext, state: EndpointState, head: AnswerHead, now_ms: float
+    context: GatewayContext,
+    state: EndpointState,
+    head: AnswerHead,
+    sent_ms: float,
+    now_ms: float,
 ) -> None:
     brittleness = state.brittleness
     if head.rejections_max is None and brittleness.rejections_max is None:
@@ -61,6 +66,7 @@
     changed = record_brittleness(context, state, announced, head.request_id, now_ms)
     rejected = announced is not None and head.not_run and not head.misdirected
     if rejected:
+        _log_rejection(state, head.request_id, sent_ms, now_ms)
         record_rejection(context, state, now_ms)
     if changed or rejected or brittleness.is_new(now_ms):
         brittleness.broadcast_ms = now_ms
@@ -68,6 +74,24 @@
         context.broadcast(EndpointBrittle(state.endpoint.instance, number, rejected))
 
 
+def _log_rejection(
+    state: EndpointState, request_id: str, sent_ms: float, now_ms: float
+) -> None:
+    report = state.load.report
+    event = BrittleEndpointRejected(
+        request_id,
+        state.endpoint.instance,
+        state.endpoint.service,
+        int(now_ms - sent_ms),
+        int(state.requests(now_ms)),
+        state.load.in_flight,
+        state.endpoint.slots,
+        int(now_ms - report.at_ms) if report is not None else -1,
+        int(state.brittleness.wait_ms(False, now_ms)),
+    )
+    emit(log, event)
+
+
 def record_brittleness(
     context: GatewayContext,
     state: EndpointState,
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -226,6 +226,7 @@
             "request_held",
             "quarantine_trial",
             "run_withdrawn",
+            "brittle_endpoint_rejected",
             "crashes_unnoted",
             # Neither a decision nor state: totals for the cost of a hall.
             "traffic_counted",
