--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -300,11 +300,11 @@
 class BrittleEndpointRejected(LogEvent):
     """A brittle endpoint rejected a request of this gateway.
 
-    `answered_ms` is the time from the send to the rejection. `requests` is how many this
-    gateway takes the endpoint to have, by a report that is `report_age_ms` old (-1 for
-    none), `in_flight` how many of them are its own. `closed_ms` is for how much longer
-    the endpoint was closed already when the rejection arrived: the request was sent
-    before that.
+    `answered_ms` is the time from the send to the rejection. `requests` is how many
+    this gateway takes the endpoint to have, by a report that is `report_age_ms` old
+    (-1 for none), `in_flight` how many of them are its own. `closed_ms` is for how much
+    longer the endpoint was closed already when the rejection arrived: the request was
+    sent before that.
     """
 
     event: ClassVar[str] = "brittle_endpoint_rejected"
