Places: a new arbiter waits for reports, not for any message

An ask was taken for a report: with asks from all gateways the arbiter began to lease slots that were in use. tests/test_places.py, test_an_ask_is_not_taken_for_a_report, failed before.

--- a/ashlatch/policy/places.py
+++ b/ashlatch/policy/places.py
@@ -150,6 +150,7 @@
 @dataclass
 class _Holder:
     heard_ms: float
+    reported: bool = False
 
 
 class PlaceArbiter:
@@ -253,6 +254,7 @@
     def report(self, held: HeldPlaces, now_ms: float) -> list[PlaceReply]:
         """Applies a report of all places that a gateway holds."""
         self._hear(held.holder, now_ms)
+        self._holders[held.holder].reported = True
         for key in [k for k in self._leases if k[0] == held.holder]:
             unreported = key[1] not in held.places
             if unreported and now_ms - self._leases[key].granted_ms > UNREPORTED_MS:
@@ -335,9 +337,10 @@
     def _may_grant(self, now_ms: float) -> bool:
         """Checks whether the places in use are known."""
         if not self._settled:
-            unheard = self._gateways - self._holders.keys() - {self._local}
+            reported = {h for h, state in self._holders.items() if state.reported}
+            missing = self._gateways - reported - {self._local}
             waited = now_ms - self._began_ms >= SETTLE_MS
-            self._settled = waited or not unheard
+            self._settled = waited or not missing
         return self._settled
 
     def _free_slots(self, endpoint: _Endpoint, share: float, now_ms: float) -> int:
