Places: late reports and asks of released places take no slot

A report or a repeated ask that was sent before the release and arrived after it leased the slot again, until a later report. Two tests of LostMessageTest failed before.

--- a/ashlatch/policy/places.py
+++ b/ashlatch/policy/places.py
@@ -35,6 +35,9 @@
 # A place that its holder does not report is free again after this time: the report may
 # have been sent before the place was granted.
 UNREPORTED_MS = 300.0
+# For this time after a release, reports and asks with the same number are older ones
+# that arrive late.
+ENDED_KEPT_MS = 1000.0
 # A new arbiter waits for the reports of all gateways for this time at most.
 SETTLE_MS = 300.0
 # While it hears fewer of the gateways than this share, an arbiter leases only that
@@ -178,6 +181,7 @@
         self._waiting: dict[_Key, _Waiting] = {}
         self._order: list[tuple[float, _Key]] = []
         self._holders: dict[str, _Holder] = {}
+        self._ended_ms: dict[_Key, float] = {}
         self._retry_ms = now_ms
 
     # What the arbiter knows.
@@ -217,6 +221,8 @@
         """Applies an ask, which may be the repetition of an earlier one."""
         self._hear(ask.holder, now_ms)
         key = (ask.holder, ask.number)
+        if key in self._ended_ms:
+            return []
         lease = self._leases.get(key)
         if lease is not None:
             return [self._granted(key, lease.instance)]
@@ -234,6 +240,7 @@
         """Applies the end of a request, or of its wait."""
         self._hear(holder, now_ms)
         key = (holder, number)
+        self._end(key, now_ms)
         self._drop_waiting(key)
         lease = self._leases.get(key)
         if lease is None:
@@ -261,7 +268,7 @@
                 self._free(key)
         for number, instance in held.places.items():
             key = (held.holder, number)
-            if key not in self._leases:
+            if key not in self._leases and key not in self._ended_ms:
                 self._drop_waiting(key)
                 self._lease(key, instance, now_ms)
         for instance, endpoint in self._endpoints.items():
@@ -435,6 +442,13 @@
         lease = self._leases.pop(key)
         self._endpoint(lease.instance).leases.discard(key)
 
+    def _end(self, key: _Key, now_ms: float) -> None:
+        self._ended_ms.setdefault(key, now_ms)
+        for ended, at_ms in list(self._ended_ms.items()):
+            if now_ms - at_ms < ENDED_KEPT_MS:
+                break
+            del self._ended_ms[ended]
+
     def _drop_waiting(self, key: _Key) -> None:
         waiting = self._waiting.pop(key, None)
         if waiting is not None:
