Places: requests keep their turn with another arbiter and after a rejection

They were put behind all that had come later. An ask tells how long the request has waited; test_a_request_that_waited_before_keeps_its_turn failed before.

--- a/ashlatch/policy/places.py
+++ b/ashlatch/policy/places.py
@@ -80,7 +80,8 @@
 
     The first candidate with a free slot is chosen. `number` identifies the ask among
     those of its gateway. A place is of no use to it after `patience_ms`. `urgency` is 0
-    for the most urgent.
+    for the most urgent. `waited_ms` is how long it has waited already, for another
+    arbiter or before it was rejected.
     """
 
     holder: str
@@ -88,6 +89,7 @@
     candidates: tuple[str, ...]
     patience_ms: float
     urgency: int = 0
+    waited_ms: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -294,7 +296,7 @@
 
     def _enqueue(self, ask: PlaceAsk, now_ms: float) -> list[PlaceReply]:
         key = (ask.holder, ask.number)
-        order_ms = now_ms + URGENCY_STEP_MS * ask.urgency
+        order_ms = now_ms - ask.waited_ms + URGENCY_STEP_MS * ask.urgency
         self._waiting[key] = _Waiting(ask, order_ms, now_ms + ask.patience_ms)
         bisect.insort(self._order, (order_ms, key))
         replies = self._grant_waiting(now_ms, ask.candidates)
