--- a/ashlatch/policy/places.py
+++ b/ashlatch/policy/places.py
@@ -54,7 +54,7 @@
 # Weight of a new duration in the moving average.
 HOLD_GAIN = 0.05
 WAITING_MAX = 10_000
-RETRY_MIN_MS = 100.0
+RETRY_MIN_MS, RETRY_MAX_MS = 100.0, 5000.0
 
 
 class Verdict(enum.Enum):
@@ -420,7 +420,8 @@
         """
         self._drop_waiting(key)
         queue_ms = now_ms + max(RETRY_MIN_MS, self._wait_ms(len(self._waiting)))
-        self._retry_ms = max(self._retry_ms + self._wait_ms(0), queue_ms)
+        retry_ms = max(self._retry_ms + self._wait_ms(0), queue_ms)
+        self._retry_ms = min(retry_ms, now_ms + RETRY_MAX_MS)
         return PlaceReply(*key, Verdict.DENIED, wait_ms=self._retry_ms - now_ms)
 
     # State.
