--- a/tests/brittle_simulation.py
+++ b/tests/brittle_simulation.py
@@ -186,8 +186,8 @@
     # Time and network.
 
     def _schedule(self, at_ms: float, call: Callable[..., None], *args: Any) -> None:
-        event = (at_ms, next(self._order), partial(call, *args))
-        heapq.heappush(self._events, event)
+        action: Callable[[], None] = partial(call, *args)
+        heapq.heappush(self._events, (at_ms, next(self._order), action))
 
     @property
     def counted(self) -> bool:
--- a/tests/brittle_ways.py
+++ b/tests/brittle_ways.py
@@ -25,6 +25,9 @@
 RETRY_MIN_MS, RETRY_MAX_MS, RETRY_STEP_MS = 100.0, 5000.0, 20.0
 REJECTED_PAUSE_MS = 300.0
 REPORT_MS = 100.0
+# A queued ask is repeated after this time, in case its place was granted in a message
+# that was lost.
+QUEUED_REPEAT_MS = 500.0
 CLAIM_LOST_MS = 650.0
 # Gateways that could be the next arbiter begin this long after each other.
 CLAIM_STEP_MS = 50.0
@@ -288,6 +291,10 @@
     asked_ms: float
     wait_ms: float | None = None
 
+    @property
+    def repeat_ms(self) -> float:
+        return REPORT_MS if self.wait_ms is None else QUEUED_REPEAT_MS
+
 
 @WAYS.add
 class Leased(Way):
@@ -327,7 +334,12 @@
         ask.asked_ms = self.world.now_ms
         patience_ms = ask.until_ms - self.world.now_ms
         candidates = tuple(self.nearest())
-        self._to_arbiter(PlaceAsk(self.gateway.name, number, candidates, patience_ms))
+        waited_ms = self.world.now_ms - ask.request.begun_ms
+        self._to_arbiter(
+            PlaceAsk(
+                self.gateway.name, number, candidates, patience_ms, waited_ms=waited_ms
+            )
+        )
 
     def ended(
         self, request: Request, instance: str, outcome: PlaceOutcome, load: int
@@ -413,8 +425,12 @@
     def tick(self) -> None:
         now_ms = self.world.now_ms
         if now_ms - self._ticked_ms > SUSPENDED_MS:
-            # Another arbiter may have begun.
+            # Another arbiter may have begun, and places that were granted may be lost.
             self._arbiter, self._claim_ms = None, now_ms
+            asks, self._asks = self._asks, {}
+            for number, ask in asks.items():
+                self._to_arbiter(Release(number, PlaceOutcome.UNUSED))
+                self.request(ask.request)
         self._ticked_ms = now_ms
         self._begin_arbiter()
         if now_ms - self._reported_ms >= REPORT_MS - TICK_MS / 2.0:
@@ -424,7 +440,7 @@
                 del self._asks[number]
                 self._to_arbiter(Release(number, PlaceOutcome.UNUSED))
                 self.world.refuse(ask.request, ask.wait_ms and RETRY_MIN_MS)
-            elif now_ms - ask.asked_ms >= REPORT_MS:
+            elif now_ms - ask.asked_ms >= ask.repeat_ms:
                 self._send_ask(number)
         if self._arbiter is not None:
             self._run_arbiter(self._arbiter)
