--- a/ashlatch/policy/places.py
+++ b/ashlatch/policy/places.py
@@ -31,7 +31,7 @@
 # A gateway that was not heard for the first time gets no new places; after the second
 # one, its places and its waiting requests are dropped.
 HOLDER_QUIET_MS = 150.0
-HOLDER_LOST_MS = 700.0
+HOLDER_LOST_MS = 400.0
 # A place that its holder does not report is free again after this time: the report may
 # have been sent before the place was granted.
 UNREPORTED_MS = 300.0
