--- a/ashlatch/policy/places.py
+++ b/ashlatch/policy/places.py
@@ -34,7 +34,7 @@
 HOLDER_LOST_MS = 400.0
 # A place that its holder does not report is free again after this time: the report may
 # have been sent before the place was granted.
-UNREPORTED_MS = 300.0
+UNREPORTED_MS = 150.0
 # For this time after a release, reports and asks with the same number are older ones
 # that arrive late.
 ENDED_KEPT_MS = 1000.0
