Places: who the arbiter is, and how long requests may wait

The gateway that ranks first becomes the arbiter when it is asked while none is known; claims are repeated, and the highest one holds. A queue that has been long for 1.5 s accepts only requests that can be answered in time: a longer one would serve no more of them, and all late.

--- a/ashlatch/explain/process_state.py
+++ b/ashlatch/explain/process_state.py
@@ -54,6 +54,8 @@
     "endpoint_backoff": ("backoff", "instance"),
     "endpoint_sheds_elsewhere": ("backoff of another gateway", "instance"),
     "endpoint_brittle": ("brittle endpoint", "instance"),
+    "arbiter_changed": ("arbiter of places", "service"),
+    "place_limit_lowered": ("limit of places", "instance"),
     "brittle_endpoint_closed": ("closed brittle endpoint", "instance"),
     "endpoint_leaves": ("leaving endpoint", "instance"),
     "room_changed": ("capacity", "service"),
--- a/ashlatch/gateway/attempt.py
+++ b/ashlatch/gateway/attempt.py
@@ -90,7 +90,8 @@
     received. However the attempt ends, `close` releases its resources; `sent_bytes` and
     `received_bytes` are what its connection has carried by then. `connections_max`
     limits the connections of the gateway to the endpoint, including idle ones.
-    `process_ended` finds out whether the endpoint has crashed.
+    `process_ended` finds out whether the endpoint has crashed, `place_valid` whether
+    the request still holds its place there.
     `unapplied_head` is the head of an answer of the intended endpoint until what it
     reports about the endpoint has been applied.
     """
@@ -107,9 +108,11 @@
         connections_max: int = CONNECTIONS_MAX,
         connect: Connect = Upstream.connect,
         process_ended: Callable[[EndpointState], Awaitable[bool]] = _never_ended,
+        place_valid: Callable[[], bool] = lambda: True,
     ) -> None:
         self.state = state
         self._process_ended = process_ended
+        self._place_valid = place_valid
         self._connect_timeout_s = connect_timeout_s
         self._connections_max = connections_max
         self._connect_to = connect
@@ -285,6 +288,8 @@
         denial_reason = self.state.permission(self._now_ms()).denial_reason
         if denial_reason is not None:
             raise AttemptFailed(FailureKind.CLOSED, denial_reason.value)
+        if not self._place_valid():
+            raise AttemptFailed(FailureKind.CLOSED, "place lost")
 
     def _check_answer(self, head: AnswerHead) -> None:
         """Distinguishes an answer to this request from any other response."""
--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -31,6 +31,7 @@
     "engine_urgency",
     "first_model",
     "larger_models",
+    "rank_endpoints",
     "EscalationDecision",
 ]
 
@@ -118,6 +119,37 @@
     return Choice(state, len(healthy), utilisation, forecast, allowed, denied)
 
 
+def rank_endpoints(
+    context: GatewayContext,
+    service: Service,
+    allowed: AllowedEndpoints,
+    tried: frozenset[str],
+    send: Send,
+    now_ms: float,
+) -> list[str]:
+    """Returns the ids of the endpoints that a request may be sent to, in order."""
+    permitted, _ = _permitted(context, service, allowed.states, now_ms)
+    healthy = _healthy(permitted, tried, now_ms)
+    if not healthy:
+        fallback = allowed.fallback
+        if fallback is None:
+            return []
+        return rank_endpoints(context, service, fallback, tried, send, now_ms)
+    generator = context.generator
+    if send.isolation is not None:
+        return [_isolated(healthy, send.isolation, generator).endpoint.instance]
+    ranked: list[tuple[float, bool, float, str]] = []
+    forecaster = None
+    if service.engine is not None:
+        forecaster = Forecaster(context, service.name, healthy, send, now_ms)
+    for state in healthy:
+        cost = forecaster.forecast(state).cost_ms if forecaster else 0.0
+        remote = state.endpoint.hall != context.hall
+        instance = state.endpoint.instance
+        ranked.append((cost, remote, generator.random(), instance))
+    return [instance for *_, instance in sorted(ranked)]
+
+
 def _choose_engine(
     forecasts: list[tuple[Forecast, EndpointState]],
     isolation: Isolation | None,
--- a/ashlatch/gateway/chooser.py
+++ b/ashlatch/gateway/chooser.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterable
 
 from ashlatch.gateway.admission import RETRY_AFTER_S, Admission, Refused
-from ashlatch.gateway.choice import Choice, choose_endpoint
+from ashlatch.gateway.choice import Choice, choose_endpoint, rank_endpoints
 from ashlatch.gateway.context import GatewayContext
 from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.forecast import Send
@@ -53,22 +53,37 @@
         self._request = admission.request
         self._loop = asyncio.get_running_loop()
 
-    def choose(self, model: str, exclude_limited: bool = False) -> Choice | None:
+    def choose(
+        self, model: str, exclude_limited: bool = False, instance: str = ""
+    ) -> Choice | None:
         """Returns the endpoint for a send to a model, empty for the caller's model.
 
-        With `exclude_limited`, endpoints with a rate limit are left out.
+        With `exclude_limited`, endpoints with a rate limit are left out. `instance`
+        selects one endpoint, if the request may be sent there.
         """
         now_ms = self._now_ms()
         service = self._admission.service
         states = self._states()
         if exclude_limited:
             states = [state for state in states if not state.limit.limited]
+        if instance:
+            states = [s for s in states if s.endpoint.instance == instance]
         tried = frozenset(self.tried)
         allowed = self._allowed(states, now_ms)
         isolation = self._context.quarantine.isolation(self._admission.fingerprints)
         send = Send(self._request, model, self.slack_ms(model), isolation)
         return choose_endpoint(self._context, service, allowed, tried, send, now_ms)
 
+    def rank(self, model: str, count: int) -> tuple[str, ...]:
+        """Returns the ids of the best endpoints for a send to a model, in order."""
+        now_ms = self._now_ms()
+        allowed = self._allowed(self._states(), now_ms)
+        isolation = self._context.quarantine.isolation(self._admission.fingerprints)
+        send = Send(self._request, model, self.slack_ms(model), isolation)
+        service, tried = self._admission.service, frozenset(self.tried)
+        ranked = rank_endpoints(self._context, service, allowed, tried, send, now_ms)
+        return tuple(ranked[:count])
+
     def _allowed(
         self, states: Iterable[EndpointState], now_ms: float
     ) -> AllowedEndpoints:
--- a/ashlatch/gateway/context.py
+++ b/ashlatch/gateway/context.py
@@ -21,6 +21,7 @@
 from ashlatch.gateway.latency_model import LatencyModel
 from ashlatch.gateway.links import EndpointLinks
 from ashlatch.gateway.overload import OverloadControl
+from ashlatch.gateway.places import Places
 from ashlatch.gateway.pool import ConnectionPool
 from ashlatch.gateway.prefix_cache import PrefixCaches
 from ashlatch.gateway.routing import RouteTable
@@ -69,6 +70,7 @@
     the next caller that finds no endpoint with capacity in its rate limit. `shares`
     tells which organisations demand more than their share of scarce capacity,
     `overload` decides about requests while the engines have too little capacity.
+    `places` leases slots of endpoints that must not be overbooked.
     `links` opens the connections to endpoints, `relay_peers` tells which gateways can
     serve requests for this one.
     """
@@ -103,6 +105,7 @@
     next_retry_ms: dict[str, float] = field(default_factory=dict)
     relay_peers: RelayPeers = field(default_factory=RelayPeers)
     links: EndpointLinks = field(init=False)
+    places: Places = field(init=False)
     traffic: TrafficCounter = field(init=False)
     overload: OverloadControl = field(init=False)
     shares: OrganisationShares = field(init=False)
@@ -112,6 +115,13 @@
         self.traffic = TrafficCounter(self.hall, self.metrics)
         self.links = EndpointLinks(self.directory, self.metrics, self.generator)
         self.directory.on_restart = self.forget_instance
+        self.places = Places(
+            self.directory,
+            self.metrics,
+            lambda: self.gateways,
+            self.latency_model.slot_time_ms,
+            lambda update: self.broadcast(update),
+        )
         self.overload = OverloadControl(
             self.directory,
             self.latency_model,
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -161,6 +161,8 @@
         self._relay = Relay(self.context, local)
         self._relay.enabled = self.settings.relay.enabled
         self.context.broadcast = peers.broadcast
+        self.context.places.local = local.address
+        self.context.places.send_to = peers.send_to
         for listener, text, early in (
             (self.listener, self.settings.listen, self._early_socket),
             (self._ready_listener, self.settings.ready, None),
@@ -186,6 +188,7 @@
             prober.run(),
             self._fetch_restrictions(),
             self._sweep(),
+            self.context.places.run(),
             self._log_traffic(),
             self._watch_congestion(),
             watch_suspension(),
--- a/ashlatch/gateway/directory.py
+++ b/ashlatch/gateway/directory.py
@@ -76,6 +76,7 @@
     `advertised_load` is the load that gateways have broadcast of it. `evacuated` is set
     while its hall is evacuated. `last_sent_ms` is when this gateway last sent a request
     there. `announced_leaving` is set once an answer has said that it is about to stop.
+    `leased` is set while its slots are leased to the gateways: it is never full then.
     `speed` is how long work takes there compared with the usual duration,
     `advertised_duration` what gateways have broadcast of that.
     """
@@ -102,6 +103,7 @@
     brittleness: Brittleness = field(default_factory=Brittleness)
     backoff: Backoff = field(default_factory=Backoff)
     announced_leaving: bool = False
+    leased: bool = False
     speed: HostSpeed = field(default_factory=HostSpeed)
     advertised_duration: DurationAdvertisement = field(
         default_factory=DurationAdvertisement
@@ -165,7 +167,7 @@
     def _brittle_ms(self, now_ms: float) -> float:
         if self.brittleness.rejections_max is None:
             return 0.0
-        full = self.requests(now_ms) >= self.endpoint.slots
+        full = not self.leased and self.requests(now_ms) >= self.endpoint.slots
         return self.brittleness.wait_ms(full, now_ms)
 
     def has_restriction(self, now_ms: float) -> bool:
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -39,6 +39,7 @@
 from ashlatch.gateway.message import AnswerHead, Dispatch, RefusalReason
 from ashlatch.gateway.relay import Relay
 from ashlatch.gateway.relay_exchange import RelayExchange, RelayOutcome
+from ashlatch.gateway.request_place import RequestPlace
 from ashlatch.gateway.request_record import RequestRecord
 from ashlatch.gateway.runs import Run
 from ashlatch.gateway.timeouts import (
@@ -84,6 +85,7 @@
         self._model = first_model(admission.route, admission.request)
         self._record = RequestRecord(context, admission)
         self._chooser = EndpointChooser(context, admission)
+        self._place = RequestPlace(context, admission, self._chooser)
         self._crash_detector = CrashDetector(context)
         self._forwarder = AnswerForwarder(context, admission, responder, self._record)
         self._relay = RelayExchange(
@@ -136,7 +138,9 @@
                 if outcome is RelayOutcome.FAILED or not links.open_connections_work:
                     return self._isolation_refusal()
             self._count_request()
-            choice = self._chooser.choose(self._model)
+            choice = await self._find_endpoint()
+            if isinstance(choice, Refused):
+                return choice
             if choice is not None:
                 refusal = await self._attempt(choice)
                 if refusal is not None or self._responder.ended:
@@ -146,6 +150,22 @@
             else:
                 return self._no_endpoint_refusal()
 
+    async def _find_endpoint(self) -> Choice | Refused | None:
+        """Chooses the endpoint of the next send; waits for a place there if needed."""
+        if not self._place.required:
+            return self._chooser.choose(self._model)
+        while True:
+            choice = await self._place.acquire(self._model)
+            if isinstance(choice, Refused) and self._may_have_run:
+                return Refused(502, RefusalReason.OUTCOME_UNKNOWN)
+            if not isinstance(choice, Choice) or self._gate.open:
+                return choice
+            # It was quarantined while it waited.
+            self._place.release(FailureKind.CLOSED)
+            refusal = await self._pass_quarantine()
+            if refusal is not None:
+                return refusal
+
     async def _attempt(self, choice: Choice) -> Refused | None:
         """Makes one send; returns the refusal if the request cannot be resent."""
         self._gate.begin_trial()
@@ -158,9 +178,14 @@
         )
         self._context.runs.begin(run)
         harmless = False
+        failed: FailureKind | None = None
         try:
             harmless = await self._run_attempt(attempt, run)
         except AttemptFailed as failure:
+            failed = failure.kind
+            # Nothing is running at the endpoint any more, whatever is found out below.
+            attempt.close()
+            self._place.release(failed)
             run.check_survived()
             harmless = failure.kind.not_run
             self._record.record_failure(attempt, failure)
@@ -172,6 +197,7 @@
             self._send_reason = failure.kind.value
         finally:
             attempt.close()
+            self._place.release(failed)
             self._gate.end_trial()
             self._context.runs.end(run, harmless, self._now_ms())
             self._record.record_traffic(attempt)
@@ -270,6 +296,7 @@
             self._context.connections_max(self._admission.service),
             self._context.links.connect,
             self._crash_detector.process_ended,
+            self._place.is_valid,
         )
 
     def _answer_timeout(self) -> AnswerTimeout:
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -27,6 +27,7 @@
     "CrashRecorded",
     "DocumentUnreadable",
     "EndpointBackoff",
+    "ArbiterChanged",
     "BrittleEndpointClosed",
     "BrittleEndpointRejected",
     "EndpointBrittleness",
@@ -49,6 +50,8 @@
     "HandlerFailed",
     "ListReadFailed",
     "PeersUnavailable",
+    "PlaceDecisionReceived",
+    "PlaceLimitLowered",
     "RelayEnded",
     "RelayedRequestReceived",
     "RequestEnded",
@@ -329,6 +332,47 @@
     wait_ms: int
 
 
+@dataclass(frozen=True)
+class ArbiterChanged(LogEvent):
+    """Another gateway leases the places at a service's endpoints, or this one does."""
+
+    event: ClassVar[str] = "arbiter_changed"
+    service: str
+    gateway: str
+    term: int
+
+
+@dataclass(frozen=True)
+class PlaceLimitLowered(LogEvent):
+    """An endpoint rejected a request with a place: it gets fewer at a time."""
+
+    event: ClassVar[str] = "place_limit_lowered"
+    instance: str
+    service: str
+    limit: int
+    holder: str
+
+
+@dataclass(frozen=True)
+class PlaceDecisionReceived(LogEvent):
+    """A request got a place at an endpoint, or does not get one in time.
+
+    `decision` is `granted` or `denied`. `waited_ms` is the wait so far, `patience_ms`
+    how much longer it may wait, `wait_ms` the expected wait of a denied request.
+    """
+
+    event: ClassVar[str] = "place_decided"
+    request: str
+    service: str
+    decision: str
+    instance: str
+    waited_ms: int
+    patience_ms: int
+    wait_ms: int
+    arbiter: str
+    term: int
+
+
 @dataclass(frozen=True)
 class EndpointLinksFailing(LogEvent):
     """One more endpoint cannot be connected to, and none could in between.
--- a/ashlatch/gateway/notices.py
+++ b/ashlatch/gateway/notices.py
@@ -28,6 +28,7 @@
     EndpointLeaving,
 )
 from ashlatch.log import emit
+from ashlatch.policy.brittleness import USABLE_SHARE
 
 __all__ = ["apply_notice", "mark_leaving", "record_brittleness", "record_rejection"]
 
@@ -117,7 +118,9 @@
 ) -> None:
     """Records a rejection by a brittle endpoint, here or at another gateway."""
     draw = context.generator.random()
-    if not state.brittleness.record_rejection(draw, now_ms):
+    # With leased slots, hardly any request is under way that may be rejected as well.
+    share = 1.0 if state.leased else USABLE_SHARE
+    if not state.brittleness.record_rejection(draw, now_ms, share):
         return
     context.metrics.count("brittle_closed")
     endpoint = state.endpoint
--- a/ashlatch/gateway/peer_updates.py
+++ b/ashlatch/gateway/peer_updates.py
@@ -28,6 +28,7 @@
     record_rejection,
 )
 from ashlatch.gateway.updates import (
+    ArbiterClaimed,
     BackoffRequested,
     CrashRecordUpdate,
     EndpointBrittle,
@@ -37,6 +38,10 @@
     GatewayIsolation,
     LoadReported,
     OrganisationDemand,
+    PlaceDecided,
+    PlaceReleased,
+    PlaceRequested,
+    PlacesHeld,
     PromptSent,
     RateLimitChanged,
     RateLimitedSend,
@@ -219,6 +224,57 @@
         context.shares.apply_peer(update, sender.received_ms)
 
 
+# Updates about places of unknown services, or from unknown gateways, are left out, so
+# that the state is bounded.
+
+
+@PEER_HANDLERS.on(PlaceRequested)
+def _place_requested(
+    context: GatewayContext, update: PlaceRequested, sender: Sender
+) -> None:
+    if _has_places(context, update.service, update.origin):
+        context.places.apply_ask(update, sender.received_ms)
+
+
+@PEER_HANDLERS.on(PlaceDecided)
+def _place_decided(
+    context: GatewayContext, update: PlaceDecided, sender: Sender
+) -> None:
+    if _is_configured(context, update.service):
+        context.places.apply_decision(update, sender.received_ms)
+
+
+@PEER_HANDLERS.on(PlaceReleased)
+def _place_released(
+    context: GatewayContext, update: PlaceReleased, sender: Sender
+) -> None:
+    if _has_places(context, update.service, update.origin):
+        context.places.apply_release(update, sender.received_ms)
+
+
+@PEER_HANDLERS.on(PlacesHeld)
+def _places_held(context: GatewayContext, update: PlacesHeld, sender: Sender) -> None:
+    if _has_places(context, update.service, update.origin):
+        context.places.apply_report(update, sender.received_ms)
+
+
+@PEER_HANDLERS.on(ArbiterClaimed)
+def _arbiter_claimed(
+    context: GatewayContext, update: ArbiterClaimed, sender: Sender
+) -> None:
+    if _has_places(context, update.service, update.gateway):
+        context.places.apply_claim(update, sender.received_ms)
+
+
+def _has_places(context: GatewayContext, service: str, gateway: str) -> bool:
+    known = any(g.address == gateway for g in context.gateways)
+    return known and _is_configured(context, service)
+
+
+def _is_configured(context: GatewayContext, service: str) -> bool:
+    return context.table is not None and service in context.table.services
+
+
 @PEER_HANDLERS.on(GatewayIsolation)
 def _gateway_isolation(
     context: GatewayContext, update: GatewayIsolation, sender: Sender
--- a/ashlatch/gateway/peers.py
+++ b/ashlatch/gateway/peers.py
@@ -30,6 +30,7 @@
 )
 from ashlatch.gateway.traffic import TrafficKind
 from ashlatch.gateway.updates import (
+    ArbiterClaimed,
     BackoffRequested,
     CrashRecordUpdate,
     EndpointBrittle,
@@ -41,6 +42,10 @@
     LoadReported,
     OrganisationDemand,
     PeerUpdate,
+    PlaceDecided,
+    PlaceReleased,
+    PlaceRequested,
+    PlacesHeld,
     PromptSent,
     RateLimitChanged,
     RateLimitedSend,
@@ -73,6 +78,11 @@
     OrganisationDemand: TrafficKind.DEMAND,
     GatewayIsolation: TrafficKind.ISOLATION,
     EndpointBrittle: TrafficKind.BRITTLE,
+    PlaceRequested: TrafficKind.PLACES,
+    PlaceDecided: TrafficKind.PLACES,
+    PlaceReleased: TrafficKind.PLACES,
+    PlacesHeld: TrafficKind.PLACES,
+    ArbiterClaimed: TrafficKind.PLACES,
 }
 # Updates that every gateway receives.
 _FOR_ALL = (
@@ -129,6 +139,11 @@
         else:
             self._send(update, [g for g in self._context.gateways if g != self._local])
 
+    def send_to(self, address: str, update: PeerUpdate) -> None:
+        """Sends an update to one other gateway; never blocks, and it may be lost."""
+        gateways = [g for g in self._context.gateways if g.address == address]
+        self._send(update, gateways)
+
     def _broadcast_by_hall(self, update: HallUpdate) -> None:
         """Sends an update to the gateways it concerns, one datagram to each other hall.
 
--- a/ashlatch/gateway/traffic.py
+++ b/ashlatch/gateway/traffic.py
@@ -44,6 +44,7 @@
     DEMAND = "demand"
     ISOLATION = "isolation"
     BRITTLE = "brittle"
+    PLACES = "places"
 
 
 @dataclass(frozen=True)
--- a/ashlatch/gateway/trials.py
+++ b/ashlatch/gateway/trials.py
@@ -77,6 +77,11 @@
             self._waited_s += loop.time() - begun_s
         return self.refusal()
 
+    @property
+    def open(self) -> bool:
+        """Checks whether the request may be sent now, as a trial or not."""
+        return self._decide().sends
+
     def begin_trial(self) -> None:
         """Makes the request the trial of its suspected causes, if it has any."""
         now_unix_ms = unix_ms()
--- a/ashlatch/gateway/updates.py
+++ b/ashlatch/gateway/updates.py
@@ -16,9 +16,11 @@
 from ashlatch.policy.crash_record import CrashRecord
 
 __all__ = [
+    "CANDIDATES_MAX",
     "DEMAND_MAX",
     "ORGANISATIONS_SENT_MAX",
     "WEIGHT_SUM_MAX",
+    "ArbiterClaimed",
     "CrashRecordUpdate",
     "EndpointBrittle",
     "EndpointLeaving",
@@ -33,6 +35,10 @@
     "LoadReported",
     "OrganisationDemand",
     "PeerUpdate",
+    "PlaceDecided",
+    "PlaceReleased",
+    "PlaceRequested",
+    "PlacesHeld",
     "PromptSent",
     "SessionMoved",
     "SessionActive",
@@ -42,6 +48,8 @@
 RECORDS_SENT_MAX = 64
 # The largest number of organisations in a datagram, which then has about 600 bytes.
 ORGANISATIONS_SENT_MAX = 64
+# The largest number of endpoints that a request for a place may name.
+CANDIDATES_MAX = 16
 # Bounds of received figures: a false one must not make sums infinite.
 DEMAND_MAX = 2**32 - 1
 WEIGHT_SUM_MAX = 1e300
@@ -242,6 +250,67 @@
     relay_to_hall: bool = False
 
 
+class PlaceRequested(msgspec.Struct, frozen=True, array_like=True, tag=16):
+    """A request at the gateway `origin` asks the arbiter for a place at an endpoint.
+
+    The fields are those of a `PlaceAsk`.
+    """
+
+    service: str
+    origin: str
+    number: int
+    candidates: Annotated[tuple[str, ...], msgspec.Meta(max_length=CANDIDATES_MAX)]
+    patience_ms: float
+    target_ms: float
+    urgency: int
+    age_ms: float
+
+
+class PlaceDecided(msgspec.Struct, frozen=True, array_like=True, tag=17):
+    """The arbiter's decision about the place that a request has asked for.
+
+    `term` is the arbiter's; the other fields are those of a `PlaceReply`.
+    """
+
+    service: str
+    term: int
+    number: int
+    verdict: int
+    instance: str
+    wait_ms: float
+
+
+class PlaceReleased(msgspec.Struct, frozen=True, array_like=True, tag=18):
+    """A request has left its endpoint, or does not wait for a place any more."""
+
+    service: str
+    origin: str
+    number: int
+    outcome: int
+
+
+class PlacesHeld(msgspec.Struct, frozen=True, array_like=True, tag=19):
+    """All that the gateway `origin` has sent to the endpoints of a service.
+
+    `places` gives the asks that hold a place at each endpoint, `unleased` the number of
+    other requests there.
+    """
+
+    service: str
+    origin: str
+    places: tuple[tuple[str, tuple[int, ...]], ...]
+    unleased: tuple[tuple[str, int], ...]
+
+
+class ArbiterClaimed(msgspec.Struct, frozen=True, array_like=True, tag=20):
+    """A gateway has been the arbiter of a service's places `age_ms` ago."""
+
+    service: str
+    term: int
+    gateway: str
+    age_ms: float = 0.0
+
+
 # Updates about one endpoint.
 EndpointUpdate = (
     PromptSent
@@ -262,6 +331,11 @@
     | TrialChanged
     | OrganisationDemand
     | GatewayIsolation
+    | PlaceRequested
+    | PlaceDecided
+    | PlaceReleased
+    | PlacesHeld
+    | ArbiterClaimed
 )
 # Updates that are sent hall by hall, through one relay in each other hall.
 HallUpdate = (
--- a/ashlatch/policy/places.py
+++ b/ashlatch/policy/places.py
@@ -16,6 +16,7 @@
 
 import bisect
 import enum
+import math
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -30,8 +31,8 @@
 
 # A gateway that was not heard for the first time gets no new places; after the second
 # one, its places and its waiting requests are dropped.
-HOLDER_QUIET_MS = 150.0
-HOLDER_LOST_MS = 400.0
+HOLDER_QUIET_MS = 200.0
+HOLDER_LOST_MS = 450.0
 # A place that its holder does not report is free again after this time: the report may
 # have been sent before the place was granted.
 UNREPORTED_MS = 150.0
@@ -39,7 +40,7 @@
 # that arrive late.
 ENDED_KEPT_MS = 1000.0
 # A new arbiter waits for the reports of all gateways for this time at most.
-SETTLE_MS = 300.0
+SETTLE_MS = 200.0
 # While it hears fewer of the gateways than this share, an arbiter leases only that
 # share of the slots: there may be a second one that hears the others.
 HEARD_SHARE_MIN = 0.6
@@ -47,10 +48,15 @@
 FAILED_PAUSE_MS = 300.0
 # After a rejection an endpoint gets fewer requests at a time, and one more again after
 # this time, which doubles with each rejection that follows soon.
-LIMIT_STEP_MS = 1500.0
+LIMIT_STEP_MS = 600.0
 LIMIT_STEP_MAX_MS = 12_000.0
 # A request of the next lower urgency waits behind those that arrive this much later.
 URGENCY_STEP_MS = 250.0
+# Requests may wait for as long as they can still be answered, which serves a short
+# burst whole. If the wait was never short for this time, that is no burst: the queue
+# would make every answer late, and serve no more requests than a short one.
+STANDING_MS = 1500.0
+SHORT_WAIT_MS = 200.0
 # Weight of a new duration in the moving average.
 HOLD_GAIN = 0.05
 WAITING_MAX = 10_000
@@ -79,9 +85,9 @@
     """A request at the gateway `holder` that may be sent to any of the candidates.
 
     The first candidate with a free slot is chosen. `number` identifies the ask among
-    those of its gateway. A place is of no use to it after `patience_ms`. `urgency` is 0
-    for the most urgent. `waited_ms` is how long it has waited already, for another
-    arbiter or before it was rejected.
+    those of its gateway. A place is of no use to it after `patience_ms`, and the answer
+    would be late after `target_ms`. `urgency` is 0 for the most urgent. `waited_ms` is
+    how long it has waited already, for another arbiter or before it was rejected.
     """
 
     holder: str
@@ -90,6 +96,7 @@
     patience_ms: float
     urgency: int = 0
     waited_ms: float = 0.0
+    target_ms: float = math.inf
 
 
 @dataclass(frozen=True)
@@ -168,8 +175,8 @@
         arbiter.ask(PlaceAsk("10.0.0.1:7340", 1, ("i-1",), 500.0), now_ms=1.0)
         # [PlaceReply("10.0.0.1:7340", 1, Verdict.GRANTED, "i-1")]
 
-    `hold_ms` is the expected time for which a request holds its place. `local` is the
-    gateway that this is the arbiter of; it always counts as heard.
+    `hold_ms` is the time for which requests held their places at an earlier arbiter.
+    `local` is the gateway that this is the arbiter of; it always counts as heard.
     """
 
     def __init__(self, local: str, now_ms: float, hold_ms: float = 0.0) -> None:
@@ -185,6 +192,8 @@
         self._holders: dict[str, _Holder] = {}
         self._ended_ms: dict[_Key, float] = {}
         self._retry_ms = now_ms
+        # When the wait was short for the last time.
+        self._short_ms = now_ms
 
     # What the arbiter knows.
 
@@ -207,11 +216,21 @@
         """The number of requests that wait for a place."""
         return len(self._waiting)
 
+    @property
+    def hold_ms(self) -> float:
+        """The mean time for which a request holds its place, 0 if it is not known."""
+        return self._hold_ms
+
     @property
     def leased(self) -> int:
         """The number of places that are in use."""
         return len(self._leases)
 
+    def instance_of(self, holder: str, number: int) -> str:
+        """Returns the endpoint of a place, empty if it is not leased."""
+        lease = self._leases.get((holder, number))
+        return lease.instance if lease is not None else ""
+
     def limit_of(self, instance: str) -> int:
         """Returns how many requests an endpoint gets at a time."""
         endpoint = self._endpoints.get(instance)
@@ -227,6 +246,8 @@
             return []
         lease = self._leases.get(key)
         if lease is not None:
+            # The holder does not know of its place yet, so it has not reported it.
+            lease.granted_ms = now_ms
             return [self._granted(key, lease.instance)]
         waiting = self._waiting.get(key)
         if waiting is None:
@@ -282,6 +303,8 @@
 
     def tick(self, now_ms: float) -> list[PlaceReply]:
         """Applies the passing of time."""
+        if self._wait_ms(len(self._waiting)) <= SHORT_WAIT_MS:
+            self._short_ms = now_ms
         for holder, state in list(self._holders.items()):
             if now_ms - state.heard_ms > HOLDER_LOST_MS and holder != self._local:
                 self._drop_holder(holder)
@@ -303,7 +326,10 @@
         if key not in self._waiting:
             return replies
         queued = self._queued(key)
-        if queued.wait_ms > ask.patience_ms or len(self._waiting) > WAITING_MAX:
+        patience_ms = ask.patience_ms
+        if now_ms - self._short_ms > STANDING_MS:
+            patience_ms = min(patience_ms, ask.target_ms)
+        if queued.wait_ms > patience_ms or len(self._waiting) > WAITING_MAX:
             return [*replies, self._denied(key, now_ms)]
         return [*replies, queued]
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -227,6 +227,7 @@
             "quarantine_trial",
             "run_withdrawn",
             "brittle_endpoint_rejected",
+            "place_decided",
             "crashes_unnoted",
             # Neither a decision nor state: totals for the cost of a hall.
             "traffic_counted",
--- /dev/null
+++ b/tests/test_place_leases.py
@@ -0,0 +1,240 @@
+"""Tests of the messages by which gateways lease places, without processes."""
+
+import asyncio
+import random
+import time
+from collections import Counter
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import testtools
+
+from ashlatch.catalog import Endpoint, EndpointList, GatewayVm
+from ashlatch.gateway.directory import Directory
+from ashlatch.gateway.places import Places, PlaceTerms
+from ashlatch.gateway.updates import (
+    ArbiterClaimed,
+    PeerUpdate,
+    PlaceDecided,
+    PlaceReleased,
+    PlaceRequested,
+    PlacesHeld,
+)
+from ashlatch.metrics import Metrics
+from ashlatch.policy.places import PlaceOutcome, Verdict
+
+SERVICE = "app"
+SLOTS = 2
+HOLD_S = 0.03
+DELAY_S = 0.001
+# A claim expires, a gateway is nominated and settles.
+TAKEOVER_S = 1.3
+
+
+class Gateway:
+    """One gateway's places; `running` is unset while its process is suspended."""
+
+    def __init__(self, net: "Net", address: str) -> None:
+        self.net = net
+        self.address = address
+        self.running = True
+        self.alive = True
+        self._arrived: list[PeerUpdate] = []
+        self.directory = Directory()
+        listed = tuple(
+            Endpoint(instance, SERVICE, f"host:{instance}", "hall", "v1", SLOTS, False)
+            for instance in net.instances
+        )
+        self.directory.replace(EndpointList(epoch=1, number=1, endpoints=listed), 0.0)
+        now_ms = asyncio.get_running_loop().time() * 1000.0
+        for state in self.directory.all():
+            state.brittleness.record_announced(2, now_ms)
+        self.places = Places(
+            self.directory,
+            Metrics(),
+            lambda: net.vms,
+            lambda service: HOLD_S * 1000.0,
+            self._broadcast,
+        )
+        self.places.local = address
+        self.places.send_to = lambda to, update: net.send(self, to, update)
+        self.task = asyncio.get_running_loop().create_task(self._run())
+
+    def _broadcast(self, update: PeerUpdate) -> None:
+        for gateway in self.net.vms:
+            self.net.send(self, gateway.address, update)
+
+    async def _run(self) -> None:
+        await self.places.run()
+
+    def receive(self, update: PeerUpdate) -> None:
+        if not self.alive:
+            return
+        if not self.running:
+            self._arrived.append(update)
+            return
+        now_ms = asyncio.get_running_loop().time() * 1000.0
+        handlers: dict[type, Callable[[Any, float], None]] = {
+            PlaceRequested: self.places.apply_ask,
+            PlaceDecided: self.places.apply_decision,
+            PlaceReleased: self.places.apply_release,
+            PlacesHeld: self.places.apply_report,
+            ArbiterClaimed: self.places.apply_claim,
+        }
+        handlers[type(update)](update, now_ms)
+
+    def suspend(self) -> None:
+        self.running = False
+        self.task.cancel()
+
+    def resume(self) -> None:
+        self.running = True
+        arrived, self._arrived = self._arrived, []
+        for update in arrived:
+            self.receive(update)
+        self.task = asyncio.get_running_loop().create_task(self._run())
+
+    def kill(self) -> None:
+        self.alive = False
+        self.task.cancel()
+
+
+class Net:
+    """Gateways, the endpoints that they use, and datagrams of which some are lost."""
+
+    def __init__(self, gateways: int, endpoints: int, lost: float = 0.0) -> None:
+        self.instances = [f"i-{n}" for n in range(endpoints)]
+        self.vms = tuple(GatewayVm(f"10.0.0.{n}:1", "hall") for n in range(gateways))
+        self.lost = lost
+        self.random = random.Random(1)
+        self.running: Counter[str] = Counter()
+        self.most: Counter[str] = Counter()
+        self.served = 0
+        self.denied = 0
+        self.gateways = [Gateway(self, vm.address) for vm in self.vms]
+
+    def send(self, sender: Gateway, address: str, update: PeerUpdate) -> None:
+        if not (sender.alive and sender.running) or self.random.random() < self.lost:
+            return
+        receiver = next(g for g in self.gateways if g.address == address)
+        if receiver is not sender:
+            loop = asyncio.get_running_loop()
+            loop.call_later(DELAY_S, receiver.receive, update)
+
+    def arbiter(self) -> Gateway:
+        claims = [g.places.arbiter_of(SERVICE) for g in self.gateways if g.alive]
+        leader = max(claims).gateway
+        return next(g for g in self.gateways if g.address == leader)
+
+    async def request(self, gateway: Gateway, patience_s: float = 2.0) -> None:
+        now_ms = asyncio.get_running_loop().time() * 1000.0
+        until_ms = now_ms + patience_s * 1000.0
+        order = tuple(self.random.sample(self.instances, len(self.instances)))
+        terms = PlaceTerms("r", lambda: order, until_ms, until_ms, 0, now_ms)
+        assert gateway.places.governs(SERVICE, now_ms)
+        reply = await gateway.places.acquire(SERVICE, terms)
+        if reply.verdict is not Verdict.GRANTED:
+            self.denied += 1
+            return
+        if not gateway.alive:
+            return
+        self.running[reply.instance] += 1
+        self.most[reply.instance] = max(
+            self.most[reply.instance], self.running[reply.instance]
+        )
+        await asyncio.sleep(HOLD_S)
+        self.running[reply.instance] -= 1
+        self.served += gateway.alive
+        if gateway.alive and gateway.running:
+            gateway.places.release(SERVICE, reply.number, PlaceOutcome.ANSWERED)
+
+    async def pulse(self, count: int) -> None:
+        live = [g for g in self.gateways if g.alive and g.running]
+        async with asyncio.TaskGroup() as tasks:
+            for number in range(count):
+                tasks.create_task(self.request(live[number % len(live)]))
+
+    def close(self) -> None:
+        for gateway in self.gateways:
+            gateway.task.cancel()
+
+
+class PlaceLeasesTest(testtools.TestCase):
+    def play(
+        self, scenario: Callable[[Net], Coroutine[Any, Any, None]], **sizes: Any
+    ) -> Net:
+        async def run() -> Net:
+            net = Net(**{"gateways": 6, "endpoints": 3, **sizes})
+            try:
+                await scenario(net)
+            finally:
+                net.close()
+            return net
+
+        return asyncio.run(run())
+
+    def test_a_pulse_at_all_gateways_never_exceeds_the_slots(self) -> None:
+        async def scenario(net: Net) -> None:
+            for _ in range(3):
+                await net.pulse(40)
+
+        net = self.play(scenario)
+        self.assertEqual({SLOTS}, set(net.most.values()))
+        self.assertEqual((120, 0), (net.served, net.denied))
+
+    def test_lost_datagrams_neither_exceed_the_slots_nor_stop_the_service(self) -> None:
+        async def scenario(net: Net) -> None:
+            for _ in range(3):
+                await net.pulse(40)
+
+        net = self.play(scenario, lost=0.1)
+        self.assertEqual({SLOTS}, set(net.most.values()))
+        self.assertTrue(net.served > 100, f"{net.served} of 120")
+
+    def test_an_arbiter_that_is_killed_is_replaced_without_exceeding_the_slots(
+        self,
+    ) -> None:
+        async def scenario(net: Net) -> None:
+            await net.pulse(12)
+            first = net.arbiter()
+            pulse = asyncio.create_task(net.pulse(36))
+            await asyncio.sleep(2.5 * HOLD_S)
+            net.running.clear()
+            first.kill()
+            begun_s = time.monotonic()
+            await pulse
+            self.assertTrue(time.monotonic() - begun_s < TAKEOVER_S + 0.5)
+            self.assertIsNot(first, net.arbiter())
+
+        net = self.play(scenario)
+        self.assertTrue(max(net.most.values()) <= SLOTS, str(net.most))
+        self.assertTrue(net.served >= 12 + 36 - 6 - 3 * SLOTS, str(net.served))
+
+    def test_an_arbiter_that_was_suspended_does_not_lease_beside_the_next(
+        self,
+    ) -> None:
+        async def scenario(net: Net) -> None:
+            await net.pulse(12)
+            first = net.arbiter()
+            first.suspend()
+            pulse = asyncio.create_task(net.pulse(60))
+            await asyncio.sleep(TAKEOVER_S)
+            first.resume()
+            await pulse
+            await net.pulse(30)
+
+        net = self.play(scenario)
+        self.assertEqual({SLOTS}, set(net.most.values()))
+        self.assertEqual((102, 0), (net.served, net.denied))
+
+    def test_a_request_that_cannot_be_served_in_time_is_denied_at_once(self) -> None:
+        async def scenario(net: Net) -> None:
+            await net.pulse(6)
+            begun_s = time.monotonic()
+            async with asyncio.TaskGroup() as tasks:
+                for _ in range(200):
+                    tasks.create_task(net.request(net.gateways[0], patience_s=0.1))
+            self.assertTrue(time.monotonic() - begun_s < 0.3)
+
+        net = self.play(scenario)
+        self.assertTrue(net.denied > 150, str(net.denied))
