Gateways: requests for brittle endpoints wait for a leased slot

Cause: any number of gateways found the same endpoint free, as nobody knew what the others had sent; closing it after the first rejections came too late for what was on its way, and idle for 1.2 s.

While a service's endpoints are brittle, each send needs a place that the arbiter gateway has leased; requests wait at their gateways for as long as they can still be served, and are refused with a time as soon as it is known that they cannot. Leases end with reports of their holders, and a gateway that was suspended uses none from before.

--- a/ashlatch/gateway/context.py
+++ b/ashlatch/gateway/context.py
@@ -119,7 +119,6 @@
             self.directory,
             self.metrics,
             lambda: self.gateways,
-            self.latency_model.slot_time_ms,
             lambda update: self.broadcast(update),
         )
         self.overload = OverloadControl(
--- a/ashlatch/gateway/places.py
+++ b/ashlatch/gateway/places.py
@@ -13,6 +13,7 @@
 import asyncio
 import itertools
 import logging
+import random
 from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -60,7 +61,7 @@
 IDLE_REPORT_INTERVAL_MS = 300.0
 # The arbiter drops what a gateway holds if it does not report. A gateway whose timers
 # have not run for this time was suspended, and does not use what was granted before.
-SUSPENDED_MS = 400.0
+SUSPENDED_MS = 300.0
 # A gateway leads, or reports, for this time after the last ask or announcement.
 ACTIVE_MS = 5000.0
 # Whether a service's endpoints are brittle is looked up again after this time.
@@ -108,6 +109,7 @@
     nominee: str = ""
     nominated_ms: float = 0.0
     listens_from_ms: float | None = None
+    hold_ms: float = 0.0
 
 
 class Places:
@@ -121,7 +123,6 @@
         directory: Directory,
         metrics: Metrics,
         gateways: Callable[[], tuple[GatewayVm, ...]],
-        hold_ms: Callable[[str], float],
         broadcast: Callable[[PeerUpdate], None],
     ) -> None:
         self.enabled = True
@@ -130,10 +131,10 @@
         self._directory = directory
         self._metrics = metrics
         self._gateways = gateways
-        self._hold_ms = hold_ms
         self._broadcast = broadcast
         self._services: dict[str, _ServicePlaces] = {}
-        self._numbers = itertools.count(1)
+        # Not those of an earlier process of this gateway.
+        self._numbers = itertools.count(random.getrandbits(48))
         self._ticked_ms = float("inf")
         self._suspensions = 0
         self._resumed_ms = float("-inf")
@@ -161,6 +162,10 @@
         """Returns the claim of the arbiter that is known last."""
         return self._places(service).election.claim
 
+    def hold_ms(self, service: str) -> float:
+        """Returns the mean time for which a request holds a place, 0 if unknown."""
+        return self._places(service).hold_ms
+
     # Requests of this gateway.
 
     async def acquire(self, service: str, terms: PlaceTerms) -> PlaceReply:
@@ -276,7 +281,11 @@
             if election.arbiter(now_ms):
                 claim, age_ms = election.claim, election.age_ms(now_ms)
                 claimed = ArbiterClaimed(
-                    asked.service, claim.term, claim.gateway, round(age_ms, 1)
+                    asked.service,
+                    claim.term,
+                    claim.gateway,
+                    places.hold_ms,
+                    round(age_ms, 1),
                 )
                 self.send_to(asked.origin, claimed)
                 return
@@ -287,9 +296,9 @@
             asked.number,
             asked.candidates,
             asked.patience_ms,
-            asked.target_ms,
             asked.urgency,
-            asked.age_ms,
+            asked.waited_ms,
+            asked.target_ms,
         )
         self._deliver(asked.service, places.arbiter.ask(ask, now_ms))
 
@@ -332,6 +341,8 @@
         places = self._places(claimed.service)
         claim = Claim(claimed.term, claimed.gateway)
         places.nominee = ""
+        if claim >= places.election.claim and claimed.hold_ms > 0.0:
+            places.hold_ms = claimed.hold_ms
         if not places.election.apply(claim, now_ms - claimed.age_ms):
             return
         places.arbiter = None
@@ -348,7 +359,7 @@
         """Makes this gateway the arbiter of a service."""
         claim = places.election.begin(now_ms)
         places.nominee = ""
-        places.arbiter = PlaceArbiter(self.local, now_ms, self._hold_ms(service))
+        places.arbiter = PlaceArbiter(self.local, now_ms, places.hold_ms)
         self._metrics.count("arbiter_begun")
         emit(log, ArbiterChanged(service, self.local, claim.term))
         self._lead(service, places, now_ms)
@@ -360,7 +371,10 @@
         if now_ms - places.claimed_ms >= CLAIM_INTERVAL_MS:
             places.claimed_ms = now_ms
             claim = places.election.claim
-            self._broadcast(ArbiterClaimed(service, claim.term, claim.gateway))
+            hold_ms = round(arbiter.hold_ms, 1)
+            places.hold_ms = hold_ms
+            claimed = ArbiterClaimed(service, claim.term, claim.gateway, hold_ms)
+            self._broadcast(claimed)
         arbiter.set_gateways([gateway.address for gateway in self._gateways()])
         report = HeldPlaces(self.local, places.held, self._unleased(service, places))
         self._deliver(service, arbiter.report(report, now_ms))
--- a/ashlatch/gateway/request_place.py
+++ b/ashlatch/gateway/request_place.py
@@ -103,7 +103,7 @@
     def _terms(self, model: str) -> PlaceTerms:
         admission, now_ms = self._admission, self._now_ms()
         received_ms = admission.request.received_s * SECOND_MS
-        duration_ms = self._context.latency_model.slot_time_ms(self._service)
+        duration_ms = self._context.places.hold_ms(self._service)
         if admission.route.streams:
             tokens = admission.request.prompt_tokens
             duration_ms = self._context.latency_model.expected_ms(
--- a/ashlatch/gateway/updates.py
+++ b/ashlatch/gateway/updates.py
@@ -263,7 +263,7 @@
     patience_ms: float
     target_ms: float
     urgency: int
-    age_ms: float
+    waited_ms: float
 
 
 class PlaceDecided(msgspec.Struct, frozen=True, array_like=True, tag=17):
@@ -303,11 +303,15 @@
 
 
 class ArbiterClaimed(msgspec.Struct, frozen=True, array_like=True, tag=20):
-    """A gateway has been the arbiter of a service's places `age_ms` ago."""
+    """A gateway has been the arbiter of a service's places `age_ms` ago.
+
+    `hold_ms` is the mean time for which a request holds a place, 0 if not known.
+    """
 
     service: str
     term: int
     gateway: str
+    hold_ms: float
     age_ms: float = 0.0
 
 
--- a/ashlatch/policy/brittleness.py
+++ b/ashlatch/policy/brittleness.py
@@ -13,7 +13,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-__all__ = ["Brittleness"]
+__all__ = ["USABLE_SHARE", "Brittleness"]
 
 # Longer than a second: messages between gateways take some time.
 WINDOW_MS = 1200.0
@@ -77,11 +77,13 @@
         """Checks whether other gateways should hear of it again."""
         return now_ms - self.broadcast_ms >= REBROADCAST_MS
 
-    def record_rejection(self, draw: float, now_ms: float) -> bool:
+    def record_rejection(
+        self, draw: float, now_ms: float, usable_share: float = USABLE_SHARE
+    ) -> bool:
         """Records a rejection, here or elsewhere; returns whether that closes it.
 
         `draw` is a random number from 0 to 1, by which gateways reopen it at different
-        times.
+        times. `usable_share` is the share of the tolerated rejections that may be used.
         """
         if not self.active(now_ms):
             return False
@@ -89,7 +91,7 @@
         rejected_ms.append(now_ms)
         while rejected_ms[0] < now_ms - WINDOW_MS:
             rejected_ms.popleft()
-        usable = max(1, int(USABLE_SHARE * (self.rejections_max or 0)))
+        usable = max(1, int(usable_share * (self.rejections_max or 0)))
         if len(rejected_ms) < usable:
             return False
         was_closed = now_ms < self._closed_until_ms
--- a/tests/test_place_leases.py
+++ b/tests/test_place_leases.py
@@ -53,7 +53,6 @@
             self.directory,
             Metrics(),
             lambda: net.vms,
-            lambda service: HOLD_S * 1000.0,
             self._broadcast,
         )
         self.places.local = address
