Places: the time of a report depends on what its gateway holds

With hundreds of places and ten reports a second from each gateway, the arbiter looked through all places and endpoints each time.

--- a/ashlatch/policy/places.py
+++ b/ashlatch/policy/places.py
@@ -163,6 +163,8 @@
 class _Holder:
     heard_ms: float
     reported: bool = False
+    leases: set[_Key] = field(default_factory=set)
+    unleased: set[str] = field(default_factory=set)
 
 
 class PlaceArbiter:
@@ -184,6 +186,7 @@
         self._hold_ms = hold_ms
         self._began_ms = now_ms
         self._settled = False
+        self._share = 1.0
         self._gateways: frozenset[str] = frozenset()
         self._endpoints: dict[str, _Endpoint] = {}
         self._leases: dict[_Key, _Lease] = {}
@@ -285,24 +288,30 @@
         """Applies a report of all places that a gateway holds."""
         self._hear(held.holder, now_ms)
         self._holders[held.holder].reported = True
-        for key in [k for k in self._leases if k[0] == held.holder]:
+        holder = self._holders[held.holder]
+        freed: set[str] = set()
+        for key in list(holder.leases):
             unreported = key[1] not in held.places
-            if unreported and now_ms - self._leases[key].granted_ms > UNREPORTED_MS:
+            lease = self._leases[key]
+            if unreported and now_ms - lease.granted_ms > UNREPORTED_MS:
+                freed.add(lease.instance)
                 self._free(key)
         for number, instance in held.places.items():
             key = (held.holder, number)
             if key not in self._leases and key not in self._ended_ms:
                 self._drop_waiting(key)
                 self._lease(key, instance, now_ms)
-        for instance, endpoint in self._endpoints.items():
-            if instance not in held.unleased:
-                endpoint.unleased.pop(held.holder, None)
+        for instance in holder.unleased - held.unleased.keys():
+            freed.add(instance)
+            self._endpoint(instance).unleased.pop(held.holder, None)
         for instance, count in held.unleased.items():
             self._endpoint(instance).unleased[held.holder] = count
-        return self._grant_waiting(now_ms)
+        holder.unleased = set(held.unleased)
+        return self._grant_waiting(now_ms, freed if self._settled else None)
 
     def tick(self, now_ms: float) -> list[PlaceReply]:
         """Applies the passing of time."""
+        self._share = self._heard_share(now_ms)
         if self._wait_ms(len(self._waiting)) <= SHORT_WAIT_MS:
             self._short_ms = now_ms
         for holder, state in list(self._holders.items()):
@@ -344,13 +353,12 @@
         """Grants the free places of some or all endpoints, in the order of arrival."""
         if not self._waiting or not self._may_grant(now_ms):
             return []
-        share = self._heard_share(now_ms)
         free: dict[str, int] = {}
         for instance in self._endpoints if instances is None else instances:
             endpoint = self._endpoints.get(instance)
             if endpoint is None:
                 continue
-            count = self._free_slots(endpoint, share, now_ms)
+            count = self._free_slots(endpoint, now_ms)
             if count > 0:
                 free[instance] = count
         granted: list[tuple[_Key, str]] = []
@@ -378,13 +386,13 @@
             self._settled = waited or not missing
         return self._settled
 
-    def _free_slots(self, endpoint: _Endpoint, share: float, now_ms: float) -> int:
+    def _free_slots(self, endpoint: _Endpoint, now_ms: float) -> int:
         if now_ms < endpoint.paused_until_ms:
             return 0
         self._raise_limit(endpoint, now_ms)
         limit = self._limit(endpoint)
-        if share < HEARD_SHARE_MIN:
-            limit = int(limit * share)
+        if self._share < HEARD_SHARE_MIN:
+            limit = int(limit * self._share)
         return limit - endpoint.taken
 
     def _heard_share(self, now_ms: float) -> float:
@@ -466,10 +474,12 @@
     def _lease(self, key: _Key, instance: str, now_ms: float) -> None:
         self._leases[key] = _Lease(instance, now_ms)
         self._endpoint(instance).leases.add(key)
+        self._holders[key[0]].leases.add(key)
 
     def _free(self, key: _Key) -> None:
         lease = self._leases.pop(key)
         self._endpoint(lease.instance).leases.discard(key)
+        self._holders[key[0]].leases.discard(key)
 
     def _end(self, key: _Key, now_ms: float) -> None:
         self._ended_ms.setdefault(key, now_ms)
@@ -486,10 +496,11 @@
 
     def _drop_holder(self, holder: str) -> None:
         """Frees all that a gateway held: its process has ended, or stands still."""
-        del self._holders[holder]
-        for key in [k for k in self._leases if k[0] == holder]:
+        state = self._holders[holder]
+        for key in list(state.leases):
             self._free(key)
         for key in [k for k in self._waiting if k[0] == holder]:
             self._drop_waiting(key)
-        for endpoint in self._endpoints.values():
-            endpoint.unleased.pop(holder, None)
+        for instance in state.unleased:
+            self._endpoint(instance).unleased.pop(holder, None)
+        del self._holders[holder]
