Places: an arbiter that is about to end hands over

Until its claim had expired, 0.4 s after its end, nobody granted places. It names its successor when the signal to stop arrives; the new test of place leases failed without.

--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -221,6 +221,7 @@
         ends_s = started_s + STOP_ABORT_RATIO * self.settings.stop_s
         self.listener.stopping = True
         self.context.overload.stop()
+        self.context.places.stop()
         emit(
             log,
             StopBegun(self.listener.active_requests, len(self.listener.connections)),
--- a/ashlatch/gateway/places.py
+++ b/ashlatch/gateway/places.py
@@ -126,6 +126,7 @@
         broadcast: Callable[[PeerUpdate], None],
     ) -> None:
         self.enabled = True
+        self.stopping = False
         self.local = ""
         self.send_to: Callable[[str, PeerUpdate], None] = lambda address, update: None
         self._directory = directory
@@ -290,6 +291,9 @@
                 self.send_to(asked.origin, claimed)
                 return
             self._begin(asked.service, places, now_ms)
+            if self.stopping:
+                self._hand_over(asked.service, places, now_ms)
+                return
         assert places.arbiter is not None
         ask = PlaceAsk(
             asked.origin,
@@ -336,10 +340,15 @@
     def apply_claim(self, claimed: ArbiterClaimed, now_ms: float) -> None:
         """Applies the claim of an arbiter."""
         self._notice_suspension(now_ms)
-        if claimed.gateway == self.local:
-            return
         places = self._places(claimed.service)
         claim = Claim(claimed.term, claimed.gateway)
+        if claimed.gateway == self.local:
+            if claim.term > places.election.claim.term:
+                # The last arbiter is about to end and has chosen this one.
+                places.hold_ms = claimed.hold_ms
+                places.election.claim = Claim(claim.term - 1, "")
+                self._begin(claimed.service, places, now_ms)
+            return
         places.nominee = ""
         if claim >= places.election.claim and claimed.hold_ms > 0.0:
             places.hold_ms = claimed.hold_ms
@@ -353,8 +362,26 @@
             wait.queued = True
         self._ask_again(claimed.service, places, now_ms)
 
+    def stop(self) -> None:
+        """Hands over to other gateways what this one leases, as it is about to end."""
+        self.stopping = True
+        now_ms = _now_ms()
+        for service, places in self._services.items():
+            if places.arbiter is not None:
+                self._hand_over(service, places, now_ms)
+
     # The arbiter.
 
+    def _hand_over(self, service: str, places: _ServicePlaces, now_ms: float) -> None:
+        others = {g.address for g in self._gateways()} - {self.local}
+        if not others:
+            return
+        term = places.election.claim.term + 1
+        successor = places.election.nominee(others, now_ms)
+        claimed = ArbiterClaimed(service, term, successor, places.hold_ms)
+        self._broadcast(claimed)
+        self.apply_claim(claimed, now_ms)
+
     def _begin(self, service: str, places: _ServicePlaces, now_ms: float) -> None:
         """Makes this gateway the arbiter of a service."""
         claim = places.election.begin(now_ms)
--- a/tests/test_place_leases.py
+++ b/tests/test_place_leases.py
@@ -226,6 +226,22 @@
         self.assertEqual({SLOTS}, set(net.most.values()))
         self.assertEqual((102, 0), (net.served, net.denied))
 
+    def test_an_arbiter_that_stops_hands_over_without_a_pause(self) -> None:
+        async def scenario(net: Net) -> None:
+            await net.pulse(12)
+            first = net.arbiter()
+            pulse = asyncio.create_task(net.pulse(36))
+            await asyncio.sleep(HOLD_S)
+            first.places.stop()
+            begun_s = time.monotonic()
+            await pulse
+            self.assertIsNot(first, net.arbiter())
+            self.assertTrue(time.monotonic() - begun_s < 36 / 6 * HOLD_S + 0.25)
+
+        net = self.play(scenario)
+        self.assertEqual({SLOTS}, set(net.most.values()))
+        self.assertEqual((48, 0), (net.served, net.denied))
+
     def test_a_request_that_cannot_be_served_in_time_is_denied_at_once(self) -> None:
         async def scenario(net: Net) -> None:
             await net.pulse(6)
