--- a/ashlatch/policy/places.py
+++ b/ashlatch/policy/places.py
@@ -29,9 +29,11 @@
 ]
 
 # A gateway that was not heard for the first time gets no new places; after the second
-# one, its places and its waiting requests are dropped.
+# one, its waiting requests are dropped, and its places when they have lasted for this
+# many of the usual durations: an endpoint may go on with requests of an ended process.
 HOLDER_QUIET_MS = 150.0
 HOLDER_LOST_MS = 400.0
+LOST_HOLDS = 1.5
 # A place that its holder does not report is free again after this time: the report may
 # have been sent before the place was granted.
 UNREPORTED_MS = 150.0
@@ -127,6 +129,8 @@
 class _Lease:
     instance: str
     granted_ms: float
+    # When it ends, if its holder is lost.
+    ends_ms: float = float("inf")
 
 
 @dataclass
@@ -265,8 +269,12 @@
         self._hear(held.holder, now_ms)
         self._holders[held.holder].reported = True
         for key in [k for k in self._leases if k[0] == held.holder]:
-            unreported = key[1] not in held.places
-            if unreported and now_ms - self._leases[key].granted_ms > UNREPORTED_MS:
+            lease = self._leases[key]
+            if key[1] in held.places:
+                lease.ends_ms = float("inf")
+                continue
+            held_ms = now_ms - lease.granted_ms
+            if lease.ends_ms == float("inf") and held_ms > UNREPORTED_MS:
                 self._free(key)
         for number, instance in held.places.items():
             key = (held.holder, number)
@@ -285,6 +293,8 @@
         for holder, state in list(self._holders.items()):
             if now_ms - state.heard_ms > HOLDER_LOST_MS and holder != self._local:
                 self._drop_holder(holder)
+        for key in [k for k, lease in self._leases.items() if lease.ends_ms <= now_ms]:
+            self._free(key)
         replies = [
             self._denied(key, now_ms)
             for key, waiting in list(self._waiting.items())
@@ -459,10 +469,11 @@
             del self._order[bisect.bisect_left(self._order, entry)]
 
     def _drop_holder(self, holder: str) -> None:
-        """Frees all that a gateway held: its process has ended, or stands still."""
+        """Drops a gateway whose process has ended, or stands still."""
         del self._holders[holder]
-        for key in [k for k in self._leases if k[0] == holder]:
-            self._free(key)
+        for key, lease in self._leases.items():
+            if key[0] == holder:
+                lease.ends_ms = lease.granted_ms + LOST_HOLDS * self._hold_ms
         for key in [k for k in self._waiting if k[0] == holder]:
             self._drop_waiting(key)
         for endpoint in self._endpoints.values():
