--- a/ashlatch/policy/places.py
+++ b/ashlatch/policy/places.py
@@ -32,7 +32,7 @@
 # one, its waiting requests are dropped, and its places when they have lasted for this
 # many of the usual durations: an endpoint may go on with requests of an ended process.
 HOLDER_QUIET_MS = 150.0
-HOLDER_LOST_MS = 400.0
+HOLDER_LOST_MS = 250.0
 LOST_HOLDS = 1.5
 # A place that its holder does not report is free again after this time: the report may
 # have been sent before the place was granted.
