--- a/tests/brittle_ways.py
+++ b/tests/brittle_ways.py
@@ -439,7 +439,8 @@
             if now_ms >= ask.until_ms:
                 del self._asks[number]
                 self._to_arbiter(Release(number, PlaceOutcome.UNUSED))
-                self.world.refuse(ask.request, ask.wait_ms and RETRY_MIN_MS)
+                known = ask.wait_ms is not None
+                self.world.refuse(ask.request, RETRY_MIN_MS if known else None)
             elif now_ms - ask.asked_ms >= ask.repeat_ms:
                 self._send_ask(number)
         if self._arbiter is not None:
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+from dataclasses import replace
 
 import testtools
 
@@ -21,6 +22,8 @@
     PlaceReply,
     Verdict,
 )
+from tests.brittle_simulation import BrittleWorld, Form
+from tests.brittle_ways import Leased
 
 LOCAL, OTHER, THIRD = "g-0", "g-1", "g-2"
 HOLD_MS = 100.0
@@ -33,8 +36,10 @@
         self.arbiter = self.new_arbiter({"i-1": 2})
         self.arbiter.report(HeldPlaces(OTHER, {}), 0.0)
 
-    def new_arbiter(self, slots: dict[str, int], now_ms: float = 0.0) -> PlaceArbiter:
-        arbiter = PlaceArbiter(LOCAL, now_ms, HOLD_MS)
+    def new_arbiter(
+        self, slots: dict[str, int], now_ms: float = 0.0, hold_ms: float = HOLD_MS
+    ) -> PlaceArbiter:
+        arbiter = PlaceArbiter(LOCAL, now_ms, hold_ms)
         arbiter.set_gateways([LOCAL, OTHER])
         arbiter.set_slots(slots, now_ms)
         return arbiter
@@ -143,6 +148,19 @@
         replies = self.arbiter.tick(2.0 + HOLDER_LOST_MS)
         self.assertEqual([PlaceReply(LOCAL, 3, Verdict.GRANTED, "i-1")], replies)
 
+    def test_requests_of_a_killed_gateway_keep_their_slots_while_they_run(
+        self,
+    ) -> None:
+        self.arbiter = self.new_arbiter({"i-1": 2}, hold_ms=10_000.0)
+        self.report(0.0)
+        self.ask(1, 1.0)
+        self.ask(2, 1.0)
+        self.ask(3, 1.0, holder=LOCAL, patience_ms=60_000.0)
+        self.assertEqual([], self.arbiter.tick(10_000.0))
+        # It has started again.
+        self.assertEqual([], self.report(10_000.0))
+        self.assertEqual([3], self.granted(self.arbiter.tick(20_000.0)))
+
     def test_a_gateway_that_is_not_heard_gets_no_places(self) -> None:
         for number, holder in ((1, LOCAL), (2, LOCAL), (3, OTHER), (4, LOCAL)):
             self.ask(number, float(number), holder)
@@ -326,3 +344,27 @@
                 self.held[reply.holder].setdefault(reply.number, reply.instance)
             elif key in self.asked:
                 self.asked.remove(key)
+
+
+class SimulationTest(testtools.TestCase):
+    """Some seconds of a system with brittle endpoints."""
+
+    FORM = Form(rejections_max=2, length_ms=7000.0)
+    # Each of the gateways is killed once.
+    KILLED = Form(rejections_max=2, kill_ms=1000.0, length_ms=15_000.0)
+    SERVED_MIN = 0.8
+
+    def test_callers_want_twice_the_capacity(self) -> None:
+        self.play(self.FORM)
+
+    def test_callers_come_in_pulses(self) -> None:
+        self.play(replace(self.FORM, demand=0.9, pulses=True))
+
+    def test_gateways_are_killed_in_turn(self) -> None:
+        self.play(self.KILLED)
+
+    def play(self, form: Form) -> None:
+        figures = BrittleWorld(Leased, form, 1).run()
+        self.assertTrue(figures.falls <= 2 + form.endpoints // 10, str(figures))
+        share = figures.served / figures.possible
+        self.assertTrue(share >= self.SERVED_MIN, str(figures))
