--- a/ashlatch/gateway/places.py
+++ b/ashlatch/gateway/places.py
@@ -61,7 +61,9 @@
 IDLE_REPORT_INTERVAL_MS = 300.0
 # The arbiter drops what a gateway holds if it does not report. A gateway whose timers
 # have not run for this time was suspended, and does not use what was granted before.
-SUSPENDED_MS = 300.0
+SUSPENDED_MS = 250.0
+# After this time others may take it that an arbiter has ended.
+ARBITER_SUSPENDED_MS = 350.0
 # A gateway leads, or reports, for this time after the last ask or announcement.
 ACTIVE_MS = 5000.0
 # Whether a service's endpoints are brittle is looked up again after this time.
@@ -469,15 +471,15 @@
 
     def _notice_suspension(self, now_ms: float) -> None:
         """Drops the asks from before a suspension, as decisions are outdated."""
-        if now_ms - self._ticked_ms <= SUSPENDED_MS:
+        gap_ms = now_ms - self._ticked_ms
+        if gap_ms <= SUSPENDED_MS:
             return
         self._ticked_ms = now_ms
         self._suspensions += 1
         self._resumed_ms = now_ms
         for places in self._services.values():
             places.listens_from_ms = now_ms
-            if places.arbiter is not None:
-                # Another gateway may have become the arbiter meanwhile.
+            if places.arbiter is not None and gap_ms > ARBITER_SUSPENDED_MS:
                 places.arbiter = None
                 places.election.resign()
             waits = [w for w in places.waits.values() if not w.decided.done()]
--- a/ashlatch/policy/places.py
+++ b/ashlatch/policy/places.py
@@ -30,9 +30,11 @@
 ]
 
 # A gateway that was not heard for the first time gets no new places; after the second
-# one, its places and its waiting requests are dropped.
-HOLDER_QUIET_MS = 200.0
-HOLDER_LOST_MS = 450.0
+# one, its waiting requests are dropped, and its places when they have lasted for this
+# many of the usual durations: an endpoint may go on with requests of an ended process.
+HOLDER_QUIET_MS = 180.0
+HOLDER_LOST_MS = 350.0
+LOST_HOLDS = 1.5
 # A place that its holder does not report is free again after this time: the report may
 # have been sent before the place was granted.
 UNREPORTED_MS = 150.0
@@ -134,6 +136,8 @@
 class _Lease:
     instance: str
     granted_ms: float
+    # When it ends, if its holder is lost.
+    ends_ms: float = math.inf
 
 
 @dataclass
@@ -163,7 +167,6 @@
 class _Holder:
     heard_ms: float
     reported: bool = False
-    leases: set[_Key] = field(default_factory=set)
     unleased: set[str] = field(default_factory=set)
 
 
@@ -190,6 +193,7 @@
         self._gateways: frozenset[str] = frozenset()
         self._endpoints: dict[str, _Endpoint] = {}
         self._leases: dict[_Key, _Lease] = {}
+        self._leases_of: dict[str, set[_Key]] = {}
         self._waiting: dict[_Key, _Waiting] = {}
         self._order: list[tuple[float, _Key]] = []
         self._holders: dict[str, _Holder] = {}
@@ -290,10 +294,13 @@
         self._holders[held.holder].reported = True
         holder = self._holders[held.holder]
         freed: set[str] = set()
-        for key in list(holder.leases):
-            unreported = key[1] not in held.places
+        for key in list(self._leases_of.get(held.holder, ())):
             lease = self._leases[key]
-            if unreported and now_ms - lease.granted_ms > UNREPORTED_MS:
+            if key[1] in held.places:
+                lease.ends_ms = math.inf
+                continue
+            held_ms = now_ms - lease.granted_ms
+            if lease.ends_ms == math.inf and held_ms > UNREPORTED_MS:
                 freed.add(lease.instance)
                 self._free(key)
         for number, instance in held.places.items():
@@ -317,6 +324,8 @@
         for holder, state in list(self._holders.items()):
             if now_ms - state.heard_ms > HOLDER_LOST_MS and holder != self._local:
                 self._drop_holder(holder)
+        for key in [k for k, lease in self._leases.items() if lease.ends_ms <= now_ms]:
+            self._free(key)
         replies = [
             self._denied(key, now_ms)
             for key, waiting in list(self._waiting.items())
@@ -474,12 +483,14 @@
     def _lease(self, key: _Key, instance: str, now_ms: float) -> None:
         self._leases[key] = _Lease(instance, now_ms)
         self._endpoint(instance).leases.add(key)
-        self._holders[key[0]].leases.add(key)
+        self._leases_of.setdefault(key[0], set()).add(key)
 
     def _free(self, key: _Key) -> None:
         lease = self._leases.pop(key)
         self._endpoint(lease.instance).leases.discard(key)
-        self._holders[key[0]].leases.discard(key)
+        self._leases_of[key[0]].discard(key)
+        if not self._leases_of[key[0]]:
+            del self._leases_of[key[0]]
 
     def _end(self, key: _Key, now_ms: float) -> None:
         self._ended_ms.setdefault(key, now_ms)
@@ -495,12 +506,12 @@
             del self._order[bisect.bisect_left(self._order, entry)]
 
     def _drop_holder(self, holder: str) -> None:
-        """Frees all that a gateway held: its process has ended, or stands still."""
-        state = self._holders[holder]
-        for key in list(state.leases):
-            self._free(key)
+        """Drops a gateway whose process has ended, or stands still."""
+        state = self._holders.pop(holder)
+        for key in self._leases_of.get(holder, ()):
+            lease = self._leases[key]
+            lease.ends_ms = lease.granted_ms + LOST_HOLDS * self._hold_ms
         for key in [k for k in self._waiting if k[0] == holder]:
             self._drop_waiting(key)
         for instance in state.unleased:
             self._endpoint(instance).unleased.pop(holder, None)
-        del self._holders[holder]
