Gateways: updates about places with values out of range are unreadable

An unknown verdict or outcome raised a ValueError in the datagram handler, and a NaN among the spans of an ask disordered the queue of the arbiter. The tests failed before.

--- a/ashlatch/gateway/updates.py
+++ b/ashlatch/gateway/updates.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from ashlatch.policy.crash_record import CrashRecord
+from ashlatch.policy.places import PlaceOutcome, Verdict
 
 __all__ = [
     "CANDIDATES_MAX",
@@ -53,8 +54,12 @@
 # Bounds of received figures: a false one must not make sums infinite.
 DEMAND_MAX = 2**32 - 1
 WEIGHT_SUM_MAX = 1e300
+SPAN_MAX_MS = 1e12
 
 _Unsigned = Annotated[int, msgspec.Meta(ge=0, le=2**32 - 1)]
+_AskNumber = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+_Term = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+_SpanMs = Annotated[float, msgspec.Meta(ge=0.0, le=SPAN_MAX_MS)]
 
 
 class PromptSent(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -258,12 +263,12 @@
 
     service: str
     origin: str
-    number: int
+    number: _AskNumber
     candidates: Annotated[tuple[str, ...], msgspec.Meta(max_length=CANDIDATES_MAX)]
-    patience_ms: float
-    target_ms: float
-    urgency: int
-    waited_ms: float
+    patience_ms: _SpanMs
+    target_ms: _SpanMs
+    urgency: Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31)]
+    waited_ms: _SpanMs
 
 
 class PlaceDecided(msgspec.Struct, frozen=True, array_like=True, tag=17):
@@ -273,11 +278,11 @@
     """
 
     service: str
-    term: int
-    number: int
-    verdict: int
+    term: _Term
+    number: _AskNumber
+    verdict: Annotated[int, msgspec.Meta(ge=0, lt=len(Verdict))]
     instance: str
-    wait_ms: float
+    wait_ms: _SpanMs
 
 
 class PlaceReleased(msgspec.Struct, frozen=True, array_like=True, tag=18):
@@ -285,8 +290,8 @@
 
     service: str
     origin: str
-    number: int
-    outcome: int
+    number: _AskNumber
+    outcome: Annotated[int, msgspec.Meta(ge=0, lt=len(PlaceOutcome))]
 
 
 class PlacesHeld(msgspec.Struct, frozen=True, array_like=True, tag=19):
@@ -298,8 +303,8 @@
 
     service: str
     origin: str
-    places: tuple[tuple[str, tuple[int, ...]], ...]
-    unleased: tuple[tuple[str, int], ...]
+    places: tuple[tuple[str, tuple[_AskNumber, ...]], ...]
+    unleased: tuple[tuple[str, _Unsigned], ...]
 
 
 class ArbiterClaimed(msgspec.Struct, frozen=True, array_like=True, tag=20):
@@ -309,10 +314,10 @@
     """
 
     service: str
-    term: int
+    term: _Term
     gateway: str
-    hold_ms: float
-    age_ms: float = 0.0
+    hold_ms: _SpanMs
+    age_ms: _SpanMs = 0.0
 
 
 # Updates about one endpoint.
--- a/tests/test_place_leases.py
+++ b/tests/test_place_leases.py
@@ -1,15 +1,18 @@
 """Tests of the messages by which gateways lease places, without processes."""
 
 import asyncio
+import math
 import random
 import time
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+import msgspec
 import testtools
 
 from ashlatch.catalog import Endpoint, EndpointList, GatewayVm
+from ashlatch.codec import decode, encode
 from ashlatch.gateway.directory import Directory
 from ashlatch.gateway.places import Places, PlaceTerms
 from ashlatch.gateway.updates import (
@@ -253,3 +256,45 @@
 
         net = self.play(scenario)
         self.assertTrue(net.denied > 150, str(net.denied))
+
+
+class MalformedUpdateTest(testtools.TestCase):
+    """Values that would raise in a handler, or disorder the queue of the arbiter."""
+
+    ASKED = PlaceRequested(SERVICE, "g", 1, ("i-0",), 100.0, 100.0, 0, 0.0)
+    CLAIMED = ArbiterClaimed(SERVICE, 1, "g", 0.0)
+    DECIDED = PlaceDecided(SERVICE, 1, 1, 0, "i-0", 0.0)
+    RELEASED = PlaceReleased(SERVICE, "g", 1, 0)
+    HELD = PlacesHeld(SERVICE, "g", (("i-0", (1,)),), (("i-0", 1),))
+
+    def test_well_formed_updates_are_read(self) -> None:
+        updates = self.ASKED, self.CLAIMED, self.DECIDED, self.RELEASED, self.HELD
+        for update in updates:
+            self.assertEqual(update, decode(encode(update), PeerUpdate))
+
+    def test_unknown_verdicts_and_outcomes_are_unreadable(self) -> None:
+        self.assert_unreadable(self.DECIDED, verdict=len(Verdict))
+        self.assert_unreadable(self.DECIDED, verdict=-1)
+        self.assert_unreadable(self.RELEASED, outcome=len(PlaceOutcome))
+        self.assert_unreadable(self.RELEASED, outcome=-1)
+
+    def test_spans_of_time_that_are_not_numbers_are_unreadable(self) -> None:
+        for value in (math.nan, math.inf, -math.inf, -1.0):
+            for name in ("patience_ms", "target_ms", "waited_ms"):
+                self.assert_unreadable(self.ASKED, **{name: value})
+            self.assert_unreadable(self.DECIDED, wait_ms=value)
+            self.assert_unreadable(self.CLAIMED, hold_ms=value)
+            self.assert_unreadable(self.CLAIMED, age_ms=value)
+
+    def test_numbers_beyond_their_range_are_unreadable(self) -> None:
+        self.assert_unreadable(self.CLAIMED, term=2**64 - 1)
+        self.assert_unreadable(self.ASKED, urgency=2**63)
+        self.assert_unreadable(self.HELD, unleased=(("i-0", -1),))
+
+    def assert_unreadable(self, update: PeerUpdate, **changed: object) -> None:
+        data = encode(msgspec.structs.replace(update, **changed))
+        try:
+            decode(data, PeerUpdate)
+        except msgspec.ValidationError:
+            return
+        self.fail(f"{changed} is read")
