Chooser: the version of a place is checked against all endpoints

The endpoint of a granted place was looked up among itself alone, so that no endpoint of the new version seemed to be listed: a request that waited while its roll-out was completed ran on the previous version. The test failed before.

--- a/ashlatch/gateway/chooser.py
+++ b/ashlatch/gateway/chooser.py
@@ -66,10 +66,10 @@
         states = self._states()
         if exclude_limited:
             states = [state for state in states if not state.limit.limited]
-        if instance:
-            states = [s for s in states if s.endpoint.instance == instance]
         tried = frozenset(self.tried)
         allowed = self._allowed(states, now_ms)
+        if instance:
+            allowed = allowed.only(instance)
         isolation = self._context.quarantine.isolation(self._admission.fingerprints)
         send = Send(self._request, model, self.slack_ms(model), isolation)
         return choose_endpoint(self._context, service, allowed, tried, send, now_ms)
--- a/ashlatch/gateway/versions.py
+++ b/ashlatch/gateway/versions.py
@@ -12,7 +12,7 @@
 
 import enum
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ashlatch.catalog import Rollout, RolloutStage, SessionHashes
 from ashlatch.gateway.directory import EndpointState
@@ -81,6 +81,12 @@
         """The number of endpoints that are left out because their hall is evacuated."""
         return sum(state.evacuated for state in self.states)
 
+    def only(self, instance: str) -> "AllowedEndpoints":
+        """Returns these without all endpoints but one."""
+        states = [s for s in self.states if s.endpoint.instance == instance]
+        fallback = self.fallback.only(instance) if self.fallback is not None else None
+        return replace(self, states=states, fallback=fallback)
+
 
 @dataclass(frozen=True)
 class _Preference:
--- a/tests/test_place_leases.py
+++ b/tests/test_place_leases.py
@@ -11,10 +11,23 @@
 import msgspec
 import testtools
 
-from ashlatch.catalog import Endpoint, EndpointList, GatewayVm
+from ashlatch.catalog import (
+    Endpoint,
+    EndpointList,
+    GatewayVm,
+    Rollout,
+    RolloutStage,
+)
 from ashlatch.codec import decode, encode
+from ashlatch.gateway.admission import Admission, admit
+from ashlatch.gateway.budget import BudgetTerms
+from ashlatch.gateway.chooser import EndpointChooser
+from ashlatch.gateway.context import GatewayContext
 from ashlatch.gateway.directory import Directory
+from ashlatch.gateway.message import CallerRequest
 from ashlatch.gateway.places import Places, PlaceTerms
+from ashlatch.gateway.routing import RouteTable
+from ashlatch.gateway.sessions import SessionVersions
 from ashlatch.gateway.updates import (
     ArbiterClaimed,
     PeerUpdate,
@@ -23,8 +36,12 @@
     PlaceRequested,
     PlacesHeld,
 )
+from ashlatch.gateway.versions import VersionChooser
 from ashlatch.metrics import Metrics
+from ashlatch.platform.document import decode_catalog
+from ashlatch.policy.endpoint import ENDPOINT_POLICIES
 from ashlatch.policy.places import PlaceOutcome, Verdict
+from tests.stub_server import document, encode_document
 
 SERVICE = "app"
 SLOTS = 2
@@ -258,6 +275,71 @@
         self.assertTrue(net.denied > 150, str(net.denied))
 
 
+def gateway_context(*endpoints: Endpoint) -> GatewayContext:
+    """Returns a gateway in the hall `here`."""
+    context = GatewayContext(
+        "here",
+        "vm-1",
+        VersionChooser(SessionVersions(5000.0)),
+        ENDPOINT_POLICIES.get("hall_affinity")(),
+        BudgetTerms(0.9, 50.0, 10_000.0),
+        generator=random.Random(1),
+    )
+    context.table = RouteTable(decode_catalog(encode_document(document())))
+    context.directory.replace(EndpointList(1, 1, endpoints), 0.0)
+    return context
+
+
+def admitted(
+    context: GatewayContext, session: str = "", timeout_ms: float | None = None
+) -> Admission:
+    """Returns a request that arrives now; needs a running event loop."""
+    received_s = asyncio.get_running_loop().time()
+    request = CallerRequest(
+        "r-1",
+        "GET",
+        "/get/1",
+        "shop.example",
+        [],
+        b"",
+        received_s,
+        timeout_ms,
+        "key-1",
+        "",
+        False,
+        0,
+        0,
+        (),
+        session,
+        "",
+    )
+    admission = admit(context, request)
+    assert isinstance(admission, Admission)
+    return admission
+
+
+class CandidatesTest(testtools.TestCase):
+    """The endpoints that a request names when it asks for a place."""
+
+    def test_a_place_at_a_version_that_is_not_allowed_any_more_is_not_used(
+        self,
+    ) -> None:
+        """The roll-out may have gone on while the request waited."""
+        context = gateway_context(
+            Endpoint("i-old", "app", "host:1", "here", "v1", SLOTS, False),
+            Endpoint("i-new", "app", "host:2", "here", "v2", SLOTS, False),
+        )
+        stage = RolloutStage.COMPLETED
+        context.versions.apply_rollouts([Rollout("app", "v2", stage, 1.0, 1, 1000.0)])
+
+        async def run() -> tuple[str, ...]:
+            chooser = EndpointChooser(context, admitted(context, session="s-1"))
+            chosen = [chooser.choose("", instance=i) for i in ("i-old", "i-new")]
+            return tuple(c.state.endpoint.instance for c in chosen if c is not None)
+
+        self.assertEqual(("i-new",), asyncio.run(run()))
+
+
 class MalformedUpdateTest(testtools.TestCase):
     """Values that would raise in a handler, or disorder the queue of the arbiter."""
 
