Chooser: places are asked for beyond the best endpoints too

Where a hall had 16 endpoints or more, its requests named only these, and waited or were refused while those of other halls were idle. The test failed before.

--- a/ashlatch/gateway/chooser.py
+++ b/ashlatch/gateway/chooser.py
@@ -31,6 +31,8 @@
 # The share of the target in which a smaller model should begin its answer, since half
 # of these requests are then sent to the largest model.
 SMALLER_MODEL_TARGET_SHARE = 0.35
+# The share of a limited number of ranked endpoints that are drawn from beyond the best.
+OTHERS_SHARE = 0.25
 # The reason of a refusal, by the reason why the endpoint that opens first is denied.
 _REFUSAL_REASONS = {
     DenialReason.BACKOFF: RefusalReason.ENDPOINTS_BACKOFF,
@@ -75,14 +77,23 @@
         return choose_endpoint(self._context, service, allowed, tried, send, now_ms)
 
     def rank(self, model: str, count: int) -> tuple[str, ...]:
-        """Returns the ids of the best endpoints for a send to a model, in order."""
+        """Returns the ids of the best endpoints for a send to a model, in order.
+
+        The last ones are drawn from all others: the best may be full while those, in
+        other halls for example, are idle.
+        """
         now_ms = self._now_ms()
         allowed = self._allowed(self._states(), now_ms)
         isolation = self._context.quarantine.isolation(self._admission.fingerprints)
         send = Send(self._request, model, self.slack_ms(model), isolation)
         service, tried = self._admission.service, frozenset(self.tried)
         ranked = rank_endpoints(self._context, service, allowed, tried, send, now_ms)
-        return tuple(ranked[:count])
+        if len(ranked) <= count:
+            return tuple(ranked)
+        others = max(1, int(OTHERS_SHARE * count))
+        best, rest = ranked[: count - others], ranked[count - others :]
+        drawn = self._context.generator.sample(range(len(rest)), others)
+        return (*best, *(rest[index] for index in sorted(drawn)))
 
     def _allowed(
         self, states: Iterable[EndpointState], now_ms: float
--- a/tests/test_place_leases.py
+++ b/tests/test_place_leases.py
@@ -29,6 +29,7 @@
 from ashlatch.gateway.routing import RouteTable
 from ashlatch.gateway.sessions import SessionVersions
 from ashlatch.gateway.updates import (
+    CANDIDATES_MAX,
     ArbiterClaimed,
     PeerUpdate,
     PlaceDecided,
@@ -321,6 +322,25 @@
 class CandidatesTest(testtools.TestCase):
     """The endpoints that a request names when it asks for a place."""
 
+    def test_endpoints_of_other_halls_are_named_as_well(self) -> None:
+        """Otherwise they are idle while requests wait for those of the own hall."""
+        halls = ["here"] * (CANDIDATES_MAX + 4) + ["there"] * 20
+        context = gateway_context(
+            *(
+                Endpoint(f"i-{n}", "app", f"host:{n}", hall, "v1", SLOTS, False)
+                for n, hall in enumerate(halls)
+            )
+        )
+
+        async def run() -> set[str]:
+            chooser = EndpointChooser(context, admitted(context))
+            ranked = chooser.rank("", CANDIDATES_MAX)
+            self.assertEqual(CANDIDATES_MAX, len(set(ranked)))
+            self.assertEqual("here", halls[int(ranked[0].partition("-")[2])])
+            return {halls[int(i.partition("-")[2])] for i in ranked}
+
+        self.assertEqual({"here", "there"}, asyncio.run(run()))
+
     def test_a_place_at_a_version_that_is_not_allowed_any_more_is_not_used(
         self,
     ) -> None:
