Places: endpoints that return under new ids count as brittle after a fall of all

Without a listed endpoint that was known to be brittle, requests needed no place: all gateways sent to the new ones at once, until the first answer. Until an endpoint answers without the announcement, the service stays governed for as long as an announcement holds. The test failed before.

--- a/ashlatch/gateway/places.py
+++ b/ashlatch/gateway/places.py
@@ -32,6 +32,7 @@
 from ashlatch.log import emit
 from ashlatch.metrics import Metrics
 from ashlatch.policy.arbiter import CLAIM_INTERVAL_MS, Claim, Election
+from ashlatch.policy.brittleness import EXPIRES_MS
 from ashlatch.policy.places import (
     HeldPlaces,
     PlaceArbiter,
@@ -104,6 +105,7 @@
     active_until_ms: float = float("-inf")
     governed: bool = False
     governed_ms: float = float("-inf")
+    brittle_ms: float = float("-inf")
     claimed_ms: float = float("-inf")
     reported_ms: float = float("-inf")
     nominee: str = ""
@@ -152,7 +154,12 @@
         if now_ms - places.governed_ms > GOVERNED_MS:
             places.governed_ms = now_ms
             states = list(self._directory.of_service(service))
-            places.governed = any(s.brittleness.active(now_ms) for s in states)
+            if any(s.brittleness.active(now_ms) for s in states):
+                places.brittle_ms = now_ms
+            # All may have fallen over and return under new ids.
+            denied = any(_is_not_brittle(s, now_ms) for s in states)
+            recent = now_ms - places.brittle_ms <= EXPIRES_MS
+            places.governed = places.brittle_ms == now_ms or (recent and not denied)
             for state in states:
                 state.leased = places.governed
             if places.governed:
@@ -534,6 +541,12 @@
         return found
 
 
+def _is_not_brittle(state: EndpointState, now_ms: float) -> bool:
+    """Checks whether an endpoint has answered without the announcement."""
+    answered = state.last_received_ms > float("-inf") or state.brittleness.ended
+    return answered and not state.brittleness.active(now_ms)
+
+
 def _slots(state: EndpointState, now_ms: float) -> int:
     """Returns how many requests an endpoint may get at a time."""
     if not state.permission(now_ms).granted and not state.backoff.wait_ms(now_ms):
--- a/ashlatch/policy/brittleness.py
+++ b/ashlatch/policy/brittleness.py
@@ -13,7 +13,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-__all__ = ["USABLE_SHARE", "Brittleness"]
+__all__ = ["EXPIRES_MS", "USABLE_SHARE", "Brittleness"]
 
 # Longer than a second: messages between gateways take some time.
 WINDOW_MS = 1200.0
@@ -59,6 +59,11 @@
         expired = now_ms - self._announced_ms > EXPIRES_MS
         return self.rejections_max is not None and not expired
 
+    @property
+    def ended(self) -> bool:
+        """Checks whether it has announced that it is not brittle any more."""
+        return self.rejections_max is None and self._announced_ms > float("-inf")
+
     def record_announced(self, rejections_max: int | None, now_ms: float) -> bool:
         """Records an announcement, or with None its end; returns if that is a change.
 
--- a/tests/test_place_leases.py
+++ b/tests/test_place_leases.py
@@ -23,7 +23,7 @@
 from ashlatch.gateway.budget import BudgetTerms
 from ashlatch.gateway.chooser import EndpointChooser
 from ashlatch.gateway.context import GatewayContext
-from ashlatch.gateway.directory import Directory
+from ashlatch.gateway.directory import Directory, EndpointState
 from ashlatch.gateway.message import CallerRequest
 from ashlatch.gateway.places import Places, PlaceTerms
 from ashlatch.gateway.routing import RouteTable
@@ -40,6 +40,7 @@
 from ashlatch.gateway.versions import VersionChooser
 from ashlatch.metrics import Metrics
 from ashlatch.platform.document import decode_catalog
+from ashlatch.policy.brittleness import EXPIRES_MS
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
 from ashlatch.policy.places import PlaceOutcome, Verdict
 from tests.stub_server import document, encode_document
@@ -276,6 +277,51 @@
         self.assertTrue(net.denied > 150, str(net.denied))
 
 
+class NewEndpointsTest(testtools.TestCase):
+    """All endpoints fell over and return under new ids."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.directory = Directory()
+        self.places = Places(self.directory, Metrics(), lambda: (), lambda update: None)
+        self.places.local = "10.0.0.1:1"
+        self.list_endpoints(1, "i-1")
+        self.state("i-1").brittleness.record_announced(2, 0.0)
+        self.assertTrue(self.places.governs(SERVICE, 100.0))
+
+    def list_endpoints(self, number: int, *instances: str) -> None:
+        listed = tuple(
+            Endpoint(instance, SERVICE, "host:1", "hall", "v1", SLOTS, False)
+            for instance in instances
+        )
+        self.directory.replace(EndpointList(1, number, listed), 0.0)
+
+    def state(self, instance: str) -> EndpointState:
+        state = self.directory.state(instance)
+        assert state is not None
+        return state
+
+    def test_they_count_as_brittle_before_they_say_so(self) -> None:
+        self.list_endpoints(2)
+        self.assertTrue(self.places.governs(SERVICE, 200.0))
+        self.list_endpoints(3, "i-2")
+        self.assertTrue(self.places.governs(SERVICE, 300.0))
+        self.assertTrue(self.state("i-2").leased)
+
+    def test_not_after_an_answer_that_does_not_say_so(self) -> None:
+        self.list_endpoints(2, "i-2")
+        self.state("i-2").record_progress(300.0)
+        self.assertFalse(self.places.governs(SERVICE, 400.0))
+
+    def test_not_after_the_end_was_announced_elsewhere(self) -> None:
+        self.state("i-1").brittleness.record_announced(None, 300.0)
+        self.assertFalse(self.places.governs(SERVICE, 400.0))
+
+    def test_not_forever(self) -> None:
+        self.list_endpoints(2, "i-2")
+        self.assertFalse(self.places.governs(SERVICE, 101.0 + EXPIRES_MS))
+
+
 def gateway_context(*endpoints: Endpoint) -> GatewayContext:
     """Returns a gateway in the hall `here`."""
     context = GatewayContext(
