Places: the wait of a request is that for its own endpoints

It was estimated from all that waited for the service and all its slots: a request that only endpoints of one region or version may serve was denied while these were nearly free, behind a queue for others, and was kept waiting in vain while only these were full. Both tests failed before.

--- a/ashlatch/policy/places.py
+++ b/ashlatch/policy/places.py
@@ -60,6 +60,8 @@
 # Weight of a new duration in the moving average.
 HOLD_GAIN = 0.05
 WAITING_MAX = 10_000
+# Less demand than that of one request is a rounding error.
+DEMAND_MIN = 1e-6
 RETRY_MIN_MS, RETRY_MAX_MS = 100.0, 5000.0
 
 
@@ -192,6 +194,8 @@
         self._leases: dict[_Key, _Lease] = {}
         self._waiting: dict[_Key, _Waiting] = {}
         self._order: list[tuple[float, _Key]] = []
+        # Waiting requests by endpoint; one counts in equal parts for its candidates.
+        self._demand: dict[str, float] = {}
         self._holders: dict[str, _Holder] = {}
         self._ended_ms: dict[_Key, float] = {}
         self._retry_ms = now_ms
@@ -256,7 +260,9 @@
         if waiting is None:
             return self._enqueue(ask, now_ms)
         # The endpoints to which it may be sent change while it waits.
+        self._add_demand(waiting.ask, -1.0)
         waiting.ask = ask
+        self._add_demand(ask, 1.0)
         replies = self._grant_waiting(now_ms, ask.candidates)
         return replies if key not in self._waiting else [*replies, self._queued(key)]
 
@@ -331,6 +337,7 @@
         order_ms = now_ms - ask.waited_ms + URGENCY_STEP_MS * ask.urgency
         self._waiting[key] = _Waiting(ask, order_ms, now_ms + ask.patience_ms)
         bisect.insort(self._order, (order_ms, key))
+        self._add_demand(ask, 1.0)
         replies = self._grant_waiting(now_ms, ask.candidates)
         if key not in self._waiting:
             return replies
@@ -347,6 +354,19 @@
         places = sum(self._limit(e) for e in self._endpoints.values())
         return (ahead + 1) * self._hold_ms / places if places else 0.0
 
+    def _wait_among_ms(self, candidates: Collection[str], ahead: int) -> float:
+        """Returns the expected wait for a place at any of the candidates.
+
+        Of the requests ahead, those for other endpoints are left out.
+        """
+        known = [c for c in candidates if c in self._endpoints]
+        places = sum(self._limit(self._endpoints[c]) for c in known)
+        if not places:
+            return 0.0
+        demand = sum(self._demand.get(c, 0.0) for c in known)
+        same = ahead * min(1.0, demand / len(self._waiting))
+        return (same + 1.0) * self._hold_ms / places
+
     def _grant_waiting(
         self, now_ms: float, instances: Iterable[str] | None = None
     ) -> list[PlaceReply]:
@@ -444,8 +464,10 @@
         return PlaceReply(*key, Verdict.GRANTED, instance)
 
     def _queued(self, key: _Key) -> PlaceReply:
-        ahead = bisect.bisect_left(self._order, (self._waiting[key].order_ms, key))
-        return PlaceReply(*key, Verdict.QUEUED, wait_ms=self._wait_ms(ahead))
+        waiting = self._waiting[key]
+        ahead = bisect.bisect_left(self._order, (waiting.order_ms, key))
+        wait_ms = self._wait_among_ms(waiting.ask.candidates, ahead)
+        return PlaceReply(*key, Verdict.QUEUED, wait_ms=wait_ms)
 
     def _denied(self, key: _Key, now_ms: float) -> PlaceReply:
         """Denies a place; callers get successive times to retry.
@@ -493,6 +515,15 @@
         if waiting is not None:
             entry = (waiting.order_ms, key)
             del self._order[bisect.bisect_left(self._order, entry)]
+            self._add_demand(waiting.ask, -1.0)
+
+    def _add_demand(self, ask: PlaceAsk, count: float) -> None:
+        for candidate in ask.candidates:
+            demand = self._demand.get(candidate, 0.0) + count / len(ask.candidates)
+            if demand > DEMAND_MIN:
+                self._demand[candidate] = demand
+            else:
+                self._demand.pop(candidate, None)
 
     def _drop_holder(self, holder: str) -> None:
         """Frees all that a gateway held: its process has ended, or stands still."""
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -222,6 +222,34 @@
         self.assertEqual([Verdict.DENIED], [reply.verdict for reply in replies])
 
 
+class FewCandidatesTest(PlacesTestCase):
+    """Requests that may be sent to some of the endpoints only, as in one region."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.arbiter.set_slots({"i-1": 2, "i-2": 2}, 0.0)
+        for number, instance in enumerate(("i-1", "i-1", "i-2", "i-2")):
+            self.ask_for(number, instance)
+
+    def ask_for(
+        self, number: int, instance: str, patience_ms: float = 5.0 * HOLD_MS
+    ) -> list[Verdict]:
+        ask = PlaceAsk(OTHER, number, (instance,), patience_ms)
+        return [reply.verdict for reply in self.arbiter.ask(ask, 1.0)]
+
+    def test_a_queue_for_other_endpoints_does_not_count(self) -> None:
+        for number in range(10, 50):
+            self.ask_for(number, "i-1", 100.0 * HOLD_MS)
+        self.assertEqual(40, self.arbiter.waiting)
+        verdicts = [self.ask_for(number, "i-2") for number in range(50, 59)]
+        self.assertEqual([[Verdict.QUEUED]] * 9, verdicts)
+
+    def test_slots_of_other_endpoints_do_not_count(self) -> None:
+        verdicts = [self.ask_for(number, "i-1") for number in range(10, 30)]
+        self.assertEqual([[Verdict.QUEUED]] * 9, verdicts[:9])
+        self.assertEqual([[Verdict.DENIED]] * 10, verdicts[10:])
+
+
 class UrgencyTest(PlacesTestCase):
     def test_an_urgent_request_passes_one_that_is_not(self) -> None:
         self.assertEqual([4], self.first_after(URGENCY_STEP_MS - 1.0))
