--- a/tests/test_place_leases.py
+++ b/tests/test_place_leases.py
@@ -1,18 +1,37 @@
 """Tests of the messages by which gateways lease places, without processes."""
 
 import asyncio
+import math
 import random
 import time
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+import msgspec
 import testtools
 
-from ashlatch.catalog import Endpoint, EndpointList, GatewayVm
-from ashlatch.gateway.directory import Directory
+from ashlatch.catalog import (
+    Endpoint,
+    EndpointList,
+    GatewayVm,
+    Rollout,
+    RolloutStage,
+)
+from ashlatch.codec import decode, encode
+from ashlatch.gateway.admission import Admission, Refused, admit
+from ashlatch.gateway.budget import BudgetTerms
+from ashlatch.gateway.choice import Choice
+from ashlatch.gateway.chooser import EndpointChooser
+from ashlatch.gateway.context import GatewayContext
+from ashlatch.gateway.directory import Directory, EndpointState
+from ashlatch.gateway.message import CallerRequest
 from ashlatch.gateway.places import Places, PlaceTerms
+from ashlatch.gateway.request_place import RequestPlace
+from ashlatch.gateway.routing import RouteTable
+from ashlatch.gateway.sessions import SessionVersions
 from ashlatch.gateway.updates import (
+    CANDIDATES_MAX,
     ArbiterClaimed,
     PeerUpdate,
     PlaceDecided,
@@ -20,8 +39,13 @@
     PlaceRequested,
     PlacesHeld,
 )
+from ashlatch.gateway.versions import VersionChooser
 from ashlatch.metrics import Metrics
+from ashlatch.platform.document import decode_catalog
+from ashlatch.policy.brittleness import EXPIRES_MS
+from ashlatch.policy.endpoint import ENDPOINT_POLICIES
 from ashlatch.policy.places import PlaceOutcome, Verdict
+from tests.stub_server import document, encode_document
 
 SERVICE = "app"
 SLOTS = 2
@@ -253,3 +277,212 @@
 
         net = self.play(scenario)
         self.assertTrue(net.denied > 150, str(net.denied))
+
+
+class NewEndpointsTest(testtools.TestCase):
+    """All endpoints fell over and return under new ids."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.directory = Directory()
+        self.places = Places(self.directory, Metrics(), lambda: (), lambda update: None)
+        self.places.local = "10.0.0.1:1"
+        self.list_endpoints(1, "i-1")
+        self.state("i-1").brittleness.record_announced(2, 0.0)
+        self.assertTrue(self.places.governs(SERVICE, 100.0))
+
+    def list_endpoints(self, number: int, *instances: str) -> None:
+        listed = tuple(
+            Endpoint(instance, SERVICE, "host:1", "hall", "v1", SLOTS, False)
+            for instance in instances
+        )
+        self.directory.replace(EndpointList(1, number, listed), 0.0)
+
+    def state(self, instance: str) -> EndpointState:
+        state = self.directory.state(instance)
+        assert state is not None
+        return state
+
+    def test_they_count_as_brittle_before_they_say_so(self) -> None:
+        self.list_endpoints(2)
+        self.assertTrue(self.places.governs(SERVICE, 200.0))
+        self.list_endpoints(3, "i-2")
+        self.assertTrue(self.places.governs(SERVICE, 300.0))
+        self.assertTrue(self.state("i-2").leased)
+
+    def test_not_after_an_answer_that_does_not_say_so(self) -> None:
+        self.list_endpoints(2, "i-2")
+        self.state("i-2").record_progress(300.0)
+        self.assertFalse(self.places.governs(SERVICE, 400.0))
+
+    def test_not_after_the_end_was_announced_elsewhere(self) -> None:
+        self.state("i-1").brittleness.record_announced(None, 300.0)
+        self.assertFalse(self.places.governs(SERVICE, 400.0))
+
+    def test_not_forever(self) -> None:
+        self.list_endpoints(2, "i-2")
+        self.assertFalse(self.places.governs(SERVICE, 101.0 + EXPIRES_MS))
+
+
+def gateway_context(*endpoints: Endpoint) -> GatewayContext:
+    """Returns a gateway in the hall `here`."""
+    context = GatewayContext(
+        "here",
+        "vm-1",
+        VersionChooser(SessionVersions(5000.0)),
+        ENDPOINT_POLICIES.get("hall_affinity")(),
+        BudgetTerms(0.9, 50.0, 10_000.0),
+        generator=random.Random(1),
+    )
+    context.table = RouteTable(decode_catalog(encode_document(document())))
+    context.directory.replace(EndpointList(1, 1, endpoints), 0.0)
+    return context
+
+
+def admitted(
+    context: GatewayContext, session: str = "", timeout_ms: float | None = None
+) -> Admission:
+    """Returns a request that arrives now; needs a running event loop."""
+    received_s = asyncio.get_running_loop().time()
+    request = CallerRequest(
+        "r-1",
+        "GET",
+        "/get/1",
+        "shop.example",
+        [],
+        b"",
+        received_s,
+        timeout_ms,
+        "key-1",
+        "",
+        False,
+        0,
+        0,
+        (),
+        session,
+        "",
+    )
+    admission = admit(context, request)
+    assert isinstance(admission, Admission)
+    return admission
+
+
+class CandidatesTest(testtools.TestCase):
+    """The endpoints that a request names when it asks for a place."""
+
+    def test_endpoints_of_other_halls_are_named_as_well(self) -> None:
+        """Otherwise they are idle while requests wait for those of the own hall."""
+        halls = ["here"] * (CANDIDATES_MAX + 4) + ["there"] * 20
+        context = gateway_context(
+            *(
+                Endpoint(f"i-{n}", "app", f"host:{n}", hall, "v1", SLOTS, False)
+                for n, hall in enumerate(halls)
+            )
+        )
+
+        async def run() -> set[str]:
+            chooser = EndpointChooser(context, admitted(context))
+            ranked = chooser.rank("", CANDIDATES_MAX)
+            self.assertEqual(CANDIDATES_MAX, len(set(ranked)))
+            self.assertEqual("here", halls[int(ranked[0].partition("-")[2])])
+            return {halls[int(i.partition("-")[2])] for i in ranked}
+
+        self.assertEqual({"here", "there"}, asyncio.run(run()))
+
+    def test_a_place_at_a_version_that_is_not_allowed_any_more_is_not_used(
+        self,
+    ) -> None:
+        """The roll-out may have gone on while the request waited."""
+        context = gateway_context(
+            Endpoint("i-old", "app", "host:1", "here", "v1", SLOTS, False),
+            Endpoint("i-new", "app", "host:2", "here", "v2", SLOTS, False),
+        )
+        stage = RolloutStage.COMPLETED
+        context.versions.apply_rollouts([Rollout("app", "v2", stage, 1.0, 1, 1000.0)])
+
+        async def run() -> tuple[str, ...]:
+            chooser = EndpointChooser(context, admitted(context, session="s-1"))
+            chosen = [chooser.choose("", instance=i) for i in ("i-old", "i-new")]
+            return tuple(c.state.endpoint.instance for c in chosen if c is not None)
+
+        self.assertEqual(("i-new",), asyncio.run(run()))
+
+
+class DeadlineTest(testtools.TestCase):
+    def test_a_request_with_little_time_gets_a_place_that_is_free(self) -> None:
+        """The usual duration is a mean: this one may well be answered in time."""
+
+        async def run() -> Choice | Refused | None:
+            endpoint = Endpoint("i-1", "app", "host:1", "here", "v1", SLOTS, False)
+            context = gateway_context(endpoint)
+            now_ms = asyncio.get_running_loop().time() * 1000.0
+            context.places.local = "10.0.0.1:1"
+            context.gateways = (GatewayVm("10.0.0.1:1", "here"),)
+            state = context.directory.state("i-1")
+            assert state is not None
+            state.brittleness.record_announced(2, now_ms)
+            led = ArbiterClaimed("app", 1, "10.0.0.1:1", 400.0)
+            context.places.apply_claim(led, now_ms)
+            admission = admitted(context, timeout_ms=500.0)
+            chooser = EndpointChooser(context, admission)
+            return await RequestPlace(context, admission, chooser).acquire("")
+
+        self.assertIsInstance(asyncio.run(run()), Choice)
+
+    def test_a_request_without_a_place_is_refused_before_it_times_out(self) -> None:
+        """No duration and no arbiter is known yet."""
+
+        async def run() -> tuple[Choice | Refused | None, float]:
+            endpoint = Endpoint("i-1", "app", "host:1", "here", "v1", SLOTS, False)
+            context = gateway_context(endpoint)
+            context.places.local = "10.0.0.1:1"
+            admission = admitted(context, timeout_ms=150.0)
+            chooser = EndpointChooser(context, admission)
+            choice = await RequestPlace(context, admission, chooser).acquire("")
+            return choice, asyncio.get_running_loop().time() - admission.deadline_s
+
+        choice, late_s = asyncio.run(run())
+        self.assertIsInstance(choice, Refused)
+        self.assertTrue(late_s < 0.0, f"{late_s} s")
+
+
+class MalformedUpdateTest(testtools.TestCase):
+    """Values that would raise in a handler, or disorder the queue of the arbiter."""
+
+    ASKED = PlaceRequested(SERVICE, "g", 1, ("i-0",), 100.0, 100.0, 0, 0.0)
+    CLAIMED = ArbiterClaimed(SERVICE, 1, "g", 0.0)
+    DECIDED = PlaceDecided(SERVICE, 1, 1, 0, "i-0", 0.0)
+    RELEASED = PlaceReleased(SERVICE, "g", 1, 0)
+    HELD = PlacesHeld(SERVICE, "g", (("i-0", (1,)),), (("i-0", 1),))
+
+    def test_well_formed_updates_are_read(self) -> None:
+        updates = self.ASKED, self.CLAIMED, self.DECIDED, self.RELEASED, self.HELD
+        for update in updates:
+            self.assertEqual(update, decode(encode(update), PeerUpdate))
+
+    def test_unknown_verdicts_and_outcomes_are_unreadable(self) -> None:
+        self.assert_unreadable(self.DECIDED, verdict=len(Verdict))
+        self.assert_unreadable(self.DECIDED, verdict=-1)
+        self.assert_unreadable(self.RELEASED, outcome=len(PlaceOutcome))
+        self.assert_unreadable(self.RELEASED, outcome=-1)
+
+    def test_spans_of_time_that_are_not_numbers_are_unreadable(self) -> None:
+        for value in (math.nan, math.inf, -math.inf, -1.0):
+            for name in ("patience_ms", "target_ms", "waited_ms"):
+                self.assert_unreadable(self.ASKED, **{name: value})
+            self.assert_unreadable(self.DECIDED, wait_ms=value)
+            self.assert_unreadable(self.CLAIMED, hold_ms=value)
+            self.assert_unreadable(self.CLAIMED, age_ms=value)
+
+    def test_numbers_beyond_their_range_are_unreadable(self) -> None:
+        self.assert_unreadable(self.CLAIMED, term=2**64 - 1)
+        self.assert_unreadable(self.ASKED, urgency=2**63)
+        self.assert_unreadable(self.HELD, unleased=(("i-0", -1),))
+
+    def assert_unreadable(self, update: PeerUpdate, **changed: object) -> None:
+        data = encode(msgspec.structs.replace(update, **changed))
+        try:
+            decode(data, PeerUpdate)
+        except msgspec.ValidationError:
+            return
+        self.fail(f"{changed} is read")
