--- a/ashlatch/gateway/places.py
+++ b/ashlatch/gateway/places.py
@@ -238,7 +238,7 @@
             self.local,
             wait.number,
             terms.candidates(),
-            round(terms.useful_until_ms - now_ms, 1),
+            round(max(0.0, terms.useful_until_ms - now_ms), 1),
             round(max(0.0, terms.target_until_ms - now_ms), 1),
             terms.urgency,
             round(max(0.0, now_ms - terms.received_ms), 1),
