Places: an abandoned request keeps its slot for a moment

The slot of a request whose caller had left, that was given up as silent, or whose answer was dropped for a larger model was leased again at once, while its endpoint might still work on it and would reject the next one.

--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -197,7 +197,7 @@
             self._send_reason = failure.kind.value
         finally:
             attempt.close()
-            self._place.release(failed)
+            self._place.release(failed, harmless)
             self._gate.end_trial()
             self._context.runs.end(run, harmless, self._now_ms())
             self._record.record_traffic(attempt)
--- a/ashlatch/gateway/request_place.py
+++ b/ashlatch/gateway/request_place.py
@@ -39,7 +39,7 @@
 REFUSED_BEFORE_MS = 50.0
 
 _OUTCOMES = {
-    None: PlaceOutcome.ANSWERED,
+    FailureKind.ERROR: PlaceOutcome.ANSWERED,
     FailureKind.REFUSED: PlaceOutcome.REJECTED,
     FailureKind.UNREACHABLE: PlaceOutcome.FAILED,
     FailureKind.MISDIRECTED: PlaceOutcome.FAILED,
@@ -98,11 +98,18 @@
             return True
         return self._context.places.suspensions() == self._suspensions
 
-    def release(self, failure: FailureKind | None = None) -> None:
-        """Releases the place, if there is one, after an answer or a failure."""
+    def release(
+        self, failure: FailureKind | None = None, answered: bool = False
+    ) -> None:
+        """Releases the place, if there is one, after a failure or an answer.
+
+        With neither, the request was abandoned.
+        """
         number, self._number = self._number, None
         if number is not None:
-            outcome = _OUTCOMES.get(failure, PlaceOutcome.ANSWERED)
+            outcome = PlaceOutcome.ANSWERED if answered else PlaceOutcome.ABANDONED
+            if failure is not None:
+                outcome = _OUTCOMES.get(failure, PlaceOutcome.ABANDONED)
             self._context.places.release(self._service, number, outcome)
 
     def _terms(self, model: str) -> PlaceTerms:
--- a/ashlatch/policy/places.py
+++ b/ashlatch/policy/places.py
@@ -48,6 +48,9 @@
 HEARD_SHARE_MIN = 0.6
 # An endpoint gets no requests for this time after it has failed one.
 FAILED_PAUSE_MS = 300.0
+# An endpoint may work on a request that was abandoned for as long as on any other. One
+# that stops at once notices the closed connection within the shorter time.
+ABANDONED_MIN_MS, ABANDONED_MAX_MS = 50.0, 250.0
 # After a rejection an endpoint gets fewer requests at a time, and one more again after
 # this time, which doubles with each rejection that follows soon.
 LIMIT_STEP_MS = 600.0
@@ -76,12 +79,13 @@
 
 
 class PlaceOutcome(enum.Enum):
-    """How a place was used."""
+    """How a place was used; the endpoint may still work on an abandoned request."""
 
     ANSWERED = 0
     REJECTED = 1
     FAILED = 2
     UNUSED = 3
+    ABANDONED = 4
 
 
 @dataclass(frozen=True)
@@ -138,7 +142,7 @@
 class _Lease:
     instance: str
     granted_ms: float
-    # When it ends, if its holder is lost.
+    # When it ends, if its holder is lost or the request was abandoned.
     ends_ms: float = math.inf
 
 
@@ -282,6 +286,11 @@
         if lease is None:
             return []
         endpoint = self._endpoint(lease.instance)
+        if outcome is PlaceOutcome.ABANDONED:
+            left_ms = self._hold_ms - (now_ms - lease.granted_ms)
+            kept_ms = min(max(left_ms, ABANDONED_MIN_MS), ABANDONED_MAX_MS)
+            lease.ends_ms = now_ms + kept_ms
+            return []
         if outcome is PlaceOutcome.REJECTED:
             self._lower_limit(endpoint, now_ms)
         elif outcome is PlaceOutcome.FAILED:
@@ -302,6 +311,8 @@
         freed: set[str] = set()
         for key in list(self._leases_of.get(held.holder, ())):
             lease = self._leases[key]
+            if key in self._ended_ms:
+                continue
             if key[1] in held.places:
                 lease.ends_ms = math.inf
                 continue
@@ -541,7 +552,8 @@
         state = self._holders.pop(holder)
         for key in self._leases_of.get(holder, ()):
             lease = self._leases[key]
-            lease.ends_ms = lease.granted_ms + LOST_HOLDS * self._hold_ms
+            usual_ms = lease.granted_ms + LOST_HOLDS * self._hold_ms
+            lease.ends_ms = min(lease.ends_ms, usual_ms)
         for key in [k for k in self._waiting if k[0] == holder]:
             self._drop_waiting(key)
         for instance in state.unleased:
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -7,6 +7,7 @@
 import testtools
 
 from ashlatch.policy.places import (
+    ABANDONED_MIN_MS,
     FAILED_PAUSE_MS,
     HOLDER_LOST_MS,
     HOLDER_QUIET_MS,
@@ -114,6 +115,23 @@
         self.report(1.0 + FAILED_PAUSE_MS, 2)
         self.assertEqual([3], self.granted(self.arbiter.tick(2.0 + FAILED_PAUSE_MS)))
 
+    def test_an_abandoned_request_keeps_its_place_for_a_moment(self) -> None:
+        """The endpoint may not have noticed yet that nobody waits for it."""
+        for number in (1, 2, 3):
+            self.ask(number, 1.0)
+        self.assertEqual([], self.release(1, 2.0, PlaceOutcome.ABANDONED))
+        self.assertEqual([], self.report(3.0 + ABANDONED_MIN_MS, 2))
+        self.assertEqual([], self.arbiter.tick(HOLD_MS))
+        self.assertEqual([3], self.granted(self.arbiter.tick(1.0 + HOLD_MS)))
+
+    def test_an_abandoned_request_does_not_keep_its_place_for_long(self) -> None:
+        for number in (1, 2, 3):
+            self.ask(number, 1.0)
+        self.assertEqual([], self.release(1, HOLD_MS, PlaceOutcome.ABANDONED))
+        later_ms = HOLD_MS + ABANDONED_MIN_MS
+        self.assertEqual([], self.arbiter.tick(later_ms - 1.0))
+        self.assertEqual([3], self.granted(self.arbiter.tick(later_ms)))
+
 
 class LostMessageTest(PlacesTestCase):
     def test_a_lost_release_ends_with_the_next_report(self) -> None:
