--- a/ashlatch/policy/places.py
+++ b/ashlatch/policy/places.py
@@ -296,6 +296,7 @@
         elif outcome is PlaceOutcome.FAILED:
             endpoint.paused_until_ms = now_ms + FAILED_PAUSE_MS
         elif outcome is PlaceOutcome.ANSWERED:
+            endpoint.paused_until_ms = -math.inf
             held_ms = now_ms - lease.granted_ms
             if self._hold_ms <= 0.0:
                 self._hold_ms = held_ms
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -115,6 +115,13 @@
         self.report(1.0 + FAILED_PAUSE_MS, 2)
         self.assertEqual([3], self.granted(self.arbiter.tick(2.0 + FAILED_PAUSE_MS)))
 
+    def test_an_endpoint_that_answers_is_not_left_alone(self) -> None:
+        """A gateway that cannot reach it must not keep it from all others."""
+        for number in (1, 2, 3, 4):
+            self.ask(number, 1.0)
+        self.assertEqual([], self.release(1, 2.0, PlaceOutcome.FAILED))
+        self.assertEqual([3, 4], self.granted(self.release(2, 3.0)))
+
     def test_an_abandoned_request_keeps_its_place_for_a_moment(self) -> None:
         """The endpoint may not have noticed yet that nobody waits for it."""
         for number in (1, 2, 3):
