--- a/ashlatch/gateway/places.py
+++ b/ashlatch/gateway/places.py
@@ -181,7 +181,8 @@
     async def acquire(self, service: str, terms: PlaceTerms) -> PlaceReply:
         """Waits for a place; returns the decision about it.
 
-        A granted place has to be released. Cancelling the wait withdraws it.
+        A granted place has to be released; it has no instance if the request needs no
+        place any more. Cancelling the wait withdraws it.
         """
         places = self._places(service)
         loop = asyncio.get_running_loop()
@@ -212,6 +213,14 @@
             if wait.decided.done():
                 return wait.decided.result()
 
+    def _end_waits(self, service: str) -> None:
+        """Lets requests go on that do not need a place any more."""
+        for wait in list(self._places(service).waits.values()):
+            if not wait.decided.done():
+                self.release(service, wait.number, PlaceOutcome.UNUSED)
+                reply = PlaceReply(self.local, wait.number, Verdict.GRANTED)
+                wait.decided.set_result(reply)
+
     def suspensions(self) -> int:
         """Returns how often this process was suspended; its places may be lost then."""
         self._notice_suspension(_now_ms())
@@ -473,7 +482,8 @@
             self._notice_suspension(now_ms)
             self._ticked_ms = now_ms
             for service in list(self._services):
-                self.governs(service, now_ms)
+                if not self.governs(service, now_ms):
+                    self._end_waits(service)
                 self._tick(service, self._services[service], now_ms)
 
     def _notice_suspension(self, now_ms: float) -> None:
--- a/tests/test_place_leases.py
+++ b/tests/test_place_leases.py
@@ -266,6 +266,25 @@
         self.assertEqual({SLOTS}, set(net.most.values()))
         self.assertEqual((48, 0), (net.served, net.denied))
 
+    def test_requests_do_not_wait_after_the_end_of_the_brittleness(self) -> None:
+        async def scenario(net: Net) -> None:
+            (gateway,) = net.gateways
+            loop = asyncio.get_running_loop()
+            until_ms = loop.time() * 1000.0 + 5000.0
+            terms = PlaceTerms("r", lambda: ("i-0",), until_ms, until_ms, 0, 0.0)
+            gateway.places.governs(SERVICE, loop.time() * 1000.0)
+            for _ in range(SLOTS):
+                await gateway.places.acquire(SERVICE, terms)
+            waiting = loop.create_task(gateway.places.acquire(SERVICE, terms))
+            await asyncio.sleep(0.1)
+            self.assertFalse(waiting.done())
+            for state in gateway.directory.all():
+                state.brittleness.record_announced(None, loop.time() * 1000.0)
+            reply = await asyncio.wait_for(waiting, 0.5)
+            self.assertEqual((Verdict.GRANTED, ""), (reply.verdict, reply.instance))
+
+        self.play(scenario, gateways=1, endpoints=1)
+
     def test_a_request_that_cannot_be_served_in_time_is_denied_at_once(self) -> None:
         async def scenario(net: Net) -> None:
             await net.pulse(6)
