Places: the limit after a rejection is kept while an endpoint is closed

An endpoint that gets no requests after some rejections counts as one without slots, and its limit was forgotten: it got as many requests as before as soon as it was open again. The test failed before.

--- a/ashlatch/policy/places.py
+++ b/ashlatch/policy/places.py
@@ -217,10 +217,10 @@
         self._gateways = frozenset(gateways)
 
     def set_slots(self, slots: Mapping[str, int], now_ms: float) -> list[PlaceReply]:
-        """Sets the slots of the endpoints that accept requests now."""
+        """Sets the slots of the endpoints, 0 for those that accept no requests now."""
         for instance, endpoint in list(self._endpoints.items()):
             endpoint.slots = slots.get(instance, 0)
-            if not endpoint.slots and not endpoint.taken:
+            if instance not in slots and not endpoint.taken:
                 del self._endpoints[instance]
         for instance, count in slots.items():
             self._endpoint(instance).slots = count
@@ -461,7 +461,8 @@
         doubled_ms = min(2.0 * endpoint.limit_step_ms, LIMIT_STEP_MAX_MS)
         endpoint.limit_step_ms = doubled_ms if recent else LIMIT_STEP_MS
         endpoint.rejected_ms = endpoint.limited_ms = now_ms
-        endpoint.limit = max(1, min(endpoint.slots, endpoint.taken - 1))
+        slots = endpoint.slots or endpoint.taken
+        endpoint.limit = max(1, min(slots, endpoint.taken - 1))
 
     @staticmethod
     def _raise_limit(endpoint: _Endpoint, now_ms: float) -> None:
@@ -470,7 +471,7 @@
                 return
             endpoint.limited_ms += endpoint.limit_step_ms
             endpoint.limit += 1
-            if endpoint.limit >= endpoint.slots:
+            if 0 < endpoint.slots <= endpoint.limit:
                 endpoint.limit = None
 
     # Replies.
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -322,6 +322,17 @@
         self.assertNotEqual([], self.granted(self.arbiter.tick(2.0 + LIMIT_STEP_MS)))
         self.assertEqual(2, self.arbiter.limit_of("i-1"))
 
+    def test_it_is_kept_while_the_endpoint_accepts_no_requests(self) -> None:
+        """It gets none for more than a second after some rejections."""
+        self.arbiter.set_slots({"i-1": 8}, 0.0)
+        self.ask(1, 1.0)
+        self.release(1, 2.0, PlaceOutcome.REJECTED)
+        for step in range(3):
+            self.ask(2 + step, 3.0 + step * LIMIT_STEP_MS)
+            self.arbiter.set_slots({"i-1": 0}, 3.0 + step * LIMIT_STEP_MS)
+        self.arbiter.set_slots({"i-1": 8}, 3.0 + 2.0 * LIMIT_STEP_MS)
+        self.assertEqual(3, self.arbiter.limit_of("i-1"))
+
     def test_it_rises_more_slowly_after_further_rejections(self) -> None:
         for number, now_ms in ((1, 1.0), (2, 2.0 + LIMIT_STEP_MS)):
             self.ask(number, now_ms)
