--- a/ashlatch/policy/places.py
+++ b/ashlatch/policy/places.py
@@ -397,7 +397,7 @@
         free: dict[str, int] = {}
         for instance in self._endpoints if instances is None else instances:
             endpoint = self._endpoints.get(instance)
-            if endpoint is None:
+            if endpoint is None or instance not in self._demand:
                 continue
             count = self._free_slots(endpoint, now_ms)
             if count > 0:
