--- a/ashlatch/gateway/places.py
+++ b/ashlatch/gateway/places.py
@@ -242,6 +242,9 @@
         """Asks the arbiter, or the gateway that should become the arbiter."""
         places, terms = self._places(service), wait.terms
         places.active_until_ms = now_ms + ACTIVE_MS
+        target = places.election.arbiter(now_ms) or self._nominate(places, now_ms)
+        if not target:
+            return
         asked = PlaceRequested(
             service,
             self.local,
@@ -252,9 +255,6 @@
             terms.urgency,
             round(max(0.0, now_ms - terms.received_ms), 1),
         )
-        target = places.election.arbiter(now_ms) or self._nominate(places, now_ms)
-        if not target:
-            return
         if target == self.local:
             self.apply_ask(asked, now_ms)
         else:
--- a/tests/test_place_leases.py
+++ b/tests/test_place_leases.py
@@ -26,7 +26,7 @@
 from ashlatch.gateway.context import GatewayContext
 from ashlatch.gateway.directory import Directory, EndpointState
 from ashlatch.gateway.message import CallerRequest
-from ashlatch.gateway.places import Places, PlaceTerms
+from ashlatch.gateway.places import LISTEN_MS, Places, PlaceTerms
 from ashlatch.gateway.request_place import RequestPlace
 from ashlatch.gateway.routing import RouteTable
 from ashlatch.gateway.sessions import SessionVersions
@@ -266,6 +266,25 @@
         self.assertEqual({SLOTS}, set(net.most.values()))
         self.assertEqual((48, 0), (net.served, net.denied))
 
+    def test_endpoints_are_not_ranked_while_there_is_nobody_to_ask(self) -> None:
+        """Many requests may wait then, and ranking many endpoints takes a while."""
+        ranked = 0
+
+        def rank() -> tuple[str, ...]:
+            nonlocal ranked
+            ranked += 1
+            return ("i-0",)
+
+        async def scenario(net: Net) -> None:
+            now_ms = asyncio.get_running_loop().time() * 1000.0
+            until_ms = now_ms + LISTEN_MS - 50.0
+            terms = PlaceTerms("r", rank, until_ms, until_ms, 0, now_ms)
+            reply = await net.gateways[0].places.acquire(SERVICE, terms)
+            self.assertEqual(Verdict.DENIED, reply.verdict)
+
+        self.play(scenario)
+        self.assertEqual(0, ranked)
+
     def test_requests_do_not_wait_after_the_end_of_the_brittleness(self) -> None:
         async def scenario(net: Net) -> None:
             (gateway,) = net.gateways
