--- a/tests/brittle_simulation.py
+++ b/tests/brittle_simulation.py
@@ -389,7 +389,10 @@
         self.listed = {e.instance: e for e in self.endpoints if e.up}
 
     def _end_endpoint(self) -> None:
-        endpoint = self.random.choice([e for e in self.endpoints if e.up])
+        up = [e for e in self.endpoints if e.up]
+        if not up:
+            return
+        endpoint = self.random.choice(up)
         back_ms = min(self._fall(endpoint) + LISTED_MS, self.form.length_ms)
         counted_ms = back_ms - max(self.now_ms, COUNTED_FROM_MS)
         lost = max(0.0, counted_ms) * self.form.slots / self.form.hold_ms
