Places: idle gateways report every 200 ms

With 300 ms, a report that came 50 ms late ended its gateway for the arbiter (350 ms). Where most gateways are idle it then heard too few of them, and leased only their share of the slots until the next reports. The test failed before.

--- a/ashlatch/gateway/places.py
+++ b/ashlatch/gateway/places.py
@@ -59,7 +59,7 @@
 LISTEN_MS = 250.0
 # The intervals of reports to the arbiter, with and without requests.
 REPORT_INTERVAL_MS = 100.0
-IDLE_REPORT_INTERVAL_MS = 300.0
+IDLE_REPORT_INTERVAL_MS = 200.0
 # The arbiter drops what a gateway holds if it does not report. A gateway whose timers
 # have not run for this time was suspended, and does not use what was granted before.
 SUSPENDED_MS = 250.0
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -6,6 +6,7 @@
 
 import testtools
 
+from ashlatch.gateway.places import IDLE_REPORT_INTERVAL_MS, TICK_S
 from ashlatch.policy.places import (
     ABANDONED_MIN_MS,
     FAILED_PAUSE_MS,
@@ -186,6 +187,13 @@
         self.assertEqual([], self.report(10_000.0))
         self.assertEqual([3], self.granted(self.arbiter.tick(20_000.0)))
 
+    def test_an_idle_gateway_whose_report_is_late_counts_as_heard(self) -> None:
+        """While too few are heard, only a part of the slots is leased."""
+        late_ms = IDLE_REPORT_INTERVAL_MS + 2.0 * TICK_S * 1000.0
+        self.arbiter.tick(late_ms)
+        granted = [self.granted(self.ask(n, late_ms, LOCAL)) for n in (1, 2)]
+        self.assertEqual([[1], [2]], granted)
+
     def test_a_gateway_that_is_not_heard_gets_no_places(self) -> None:
         for number, holder in ((1, LOCAL), (2, LOCAL), (3, OTHER), (4, LOCAL)):
             self.ask(number, float(number), holder)
