--- a/ashlatch/gateway/places.py
+++ b/ashlatch/gateway/places.py
@@ -57,6 +57,9 @@
 NOMINEE_ANSWERS_MS = 240.0
 # A gateway that knows of no arbiter listens for claims so long before it asks for one.
 LISTEN_MS = 250.0
+# Callers of requests that no arbiter has decided about return within this span: another
+# gateway becomes the arbiter meanwhile.
+UNDECIDED_RETRY_MS = 500.0, 1500.0
 # The intervals of reports to the arbiter, with and without requests.
 REPORT_INTERVAL_MS = 100.0
 IDLE_REPORT_INTERVAL_MS = 200.0
@@ -202,7 +205,8 @@
             remaining_ms = wait.terms.useful_until_ms - now_ms
             if remaining_ms <= 0.0:
                 self.release(service, wait.number, PlaceOutcome.UNUSED)
-                retry_ms = max(wait.expected_ms, ASK_INTERVAL_MS)
+                retry_ms = wait.expected_ms or random.uniform(*UNDECIDED_RETRY_MS)
+                retry_ms = max(retry_ms, ASK_INTERVAL_MS)
                 return PlaceReply("", wait.number, Verdict.DENIED, wait_ms=retry_ms)
             self._ask(service, wait, now_ms)
             interval_ms = ASK_INTERVAL_MS
--- a/tests/test_place_leases.py
+++ b/tests/test_place_leases.py
@@ -266,6 +266,22 @@
         self.assertEqual({SLOTS}, set(net.most.values()))
         self.assertEqual((48, 0), (net.served, net.denied))
 
+    def test_without_an_arbiter_callers_do_not_return_at_the_same_time(self) -> None:
+        """Nor before there can be one."""
+
+        async def scenario(net: Net) -> None:
+            now_ms = asyncio.get_running_loop().time() * 1000.0
+            until_ms = now_ms + 50.0
+            terms = PlaceTerms("r", lambda: ("i-0",), until_ms, until_ms, 0, now_ms)
+            places = net.gateways[0].places
+            waits = [places.acquire(SERVICE, terms) for _ in range(20)]
+            replies = await asyncio.gather(*waits)
+            self.assertEqual({Verdict.DENIED}, {reply.verdict for reply in replies})
+            self.assertTrue(min(reply.wait_ms for reply in replies) >= LISTEN_MS)
+            self.assertTrue(len({reply.wait_ms for reply in replies}) > 10)
+
+        self.play(scenario)
+
     def test_endpoints_are_not_ranked_while_there_is_nobody_to_ask(self) -> None:
         """Many requests may wait then, and ranking many endpoints takes a while."""
         ranked = 0
