Places: a place from just before a suspension is not used

A request that had not learned of its place when the process was suspended took it for one that was granted afterwards. The test failed before.

--- a/ashlatch/gateway/places.py
+++ b/ashlatch/gateway/places.py
@@ -99,6 +99,7 @@
     decided: asyncio.Future[PlaceReply]
     expected_ms: float = 0.0
     queued: bool = False
+    suspensions: int = 0
 
 
 @dataclass
@@ -187,12 +188,25 @@
         A granted place has to be released; it has no instance if the request needs no
         place any more. Cancelling the wait withdraws it.
         """
+        while True:
+            reply, suspensions = await self._decide(service, terms)
+            granted = reply.verdict is Verdict.GRANTED and bool(reply.instance)
+            if not granted or suspensions == self.suspensions():
+                return reply
+            # Another request may have got the place meanwhile.
+            self.release(service, reply.number, PlaceOutcome.UNUSED)
+
+    async def _decide(self, service: str, terms: PlaceTerms) -> tuple[PlaceReply, int]:
+        """Waits for the decision about one ask.
+
+        Returns it, and how often this process had been suspended when it arrived.
+        """
         places = self._places(service)
         loop = asyncio.get_running_loop()
         wait = _Wait(next(self._numbers), terms, loop.create_future())
         places.waits[wait.number] = wait
         try:
-            return await self._await_decision(service, wait)
+            return await self._await_decision(service, wait), wait.suspensions
         except BaseException:
             self.release(service, wait.number, PlaceOutcome.UNUSED)
             raise
@@ -474,6 +488,7 @@
             return
         if reply.verdict is Verdict.GRANTED:
             places.held[reply.number] = reply.instance
+            wait.suspensions = self._suspensions
         wait.decided.set_result(reply)
 
     # Time.
--- a/tests/test_place_leases.py
+++ b/tests/test_place_leases.py
@@ -301,6 +301,24 @@
         self.play(scenario)
         self.assertEqual(0, ranked)
 
+    def test_a_place_from_just_before_a_suspension_is_not_used(self) -> None:
+        async def scenario(net: Net) -> None:
+            places, loop = net.gateways[0].places, asyncio.get_running_loop()
+            now_ms = loop.time() * 1000.0
+            until_ms = now_ms + 5000.0
+            terms = PlaceTerms("r", lambda: ("i-0",), until_ms, until_ms, 0, now_ms)
+            places.governs(SERVICE, now_ms)
+            first = await places.acquire(SERVICE, terms)
+            await places.acquire(SERVICE, terms)
+            waiting = loop.create_task(places.acquire(SERVICE, terms))
+            await asyncio.sleep(0.1)
+            places.release(SERVICE, first.number, PlaceOutcome.ANSWERED)
+            # The process stands still before the task learns of its place.
+            time.sleep(0.6)
+            self.assertTrue((await waiting).number > first.number + 2)
+
+        self.play(scenario, gateways=1, endpoints=1)
+
     def test_requests_do_not_wait_after_the_end_of_the_brittleness(self) -> None:
         async def scenario(net: Net) -> None:
             (gateway,) = net.gateways
