--- a/ashlatch/gateway/places.py
+++ b/ashlatch/gateway/places.py
@@ -57,9 +57,12 @@
 NOMINEE_ANSWERS_MS = 240.0
 # A gateway that knows of no arbiter listens for claims so long before it asks for one.
 LISTEN_MS = 250.0
+# Callers of requests that no arbiter has decided about return within this span: another
+# gateway becomes the arbiter meanwhile.
+UNDECIDED_RETRY_MS = 500.0, 1500.0
 # The intervals of reports to the arbiter, with and without requests.
 REPORT_INTERVAL_MS = 100.0
-IDLE_REPORT_INTERVAL_MS = 300.0
+IDLE_REPORT_INTERVAL_MS = 200.0
 # The arbiter drops what a gateway holds if it does not report. A gateway whose timers
 # have not run for this time was suspended, and does not use what was granted before.
 SUSPENDED_MS = 250.0
@@ -96,6 +99,7 @@
     decided: asyncio.Future[PlaceReply]
     expected_ms: float = 0.0
     queued: bool = False
+    suspensions: int = 0
 
 
 @dataclass
@@ -184,12 +188,25 @@
         A granted place has to be released; it has no instance if the request needs no
         place any more. Cancelling the wait withdraws it.
         """
+        while True:
+            reply, suspensions = await self._decide(service, terms)
+            granted = reply.verdict is Verdict.GRANTED and bool(reply.instance)
+            if not granted or suspensions == self.suspensions():
+                return reply
+            # Another request may have got the place meanwhile.
+            self.release(service, reply.number, PlaceOutcome.UNUSED)
+
+    async def _decide(self, service: str, terms: PlaceTerms) -> tuple[PlaceReply, int]:
+        """Waits for the decision about one ask.
+
+        Returns it, and how often this process had been suspended when it arrived.
+        """
         places = self._places(service)
         loop = asyncio.get_running_loop()
         wait = _Wait(next(self._numbers), terms, loop.create_future())
         places.waits[wait.number] = wait
         try:
-            return await self._await_decision(service, wait)
+            return await self._await_decision(service, wait), wait.suspensions
         except BaseException:
             self.release(service, wait.number, PlaceOutcome.UNUSED)
             raise
@@ -202,7 +219,8 @@
             remaining_ms = wait.terms.useful_until_ms - now_ms
             if remaining_ms <= 0.0:
                 self.release(service, wait.number, PlaceOutcome.UNUSED)
-                retry_ms = max(wait.expected_ms, ASK_INTERVAL_MS)
+                retry_ms = wait.expected_ms or random.uniform(*UNDECIDED_RETRY_MS)
+                retry_ms = max(retry_ms, ASK_INTERVAL_MS)
                 return PlaceReply("", wait.number, Verdict.DENIED, wait_ms=retry_ms)
             self._ask(service, wait, now_ms)
             interval_ms = ASK_INTERVAL_MS
@@ -470,6 +488,7 @@
             return
         if reply.verdict is Verdict.GRANTED:
             places.held[reply.number] = reply.instance
+            wait.suspensions = self._suspensions
         wait.decided.set_result(reply)
 
     # Time.
--- a/tests/test_place_leases.py
+++ b/tests/test_place_leases.py
@@ -266,6 +266,22 @@
         self.assertEqual({SLOTS}, set(net.most.values()))
         self.assertEqual((48, 0), (net.served, net.denied))
 
+    def test_without_an_arbiter_callers_do_not_return_at_the_same_time(self) -> None:
+        """Nor before there can be one."""
+
+        async def scenario(net: Net) -> None:
+            now_ms = asyncio.get_running_loop().time() * 1000.0
+            until_ms = now_ms + 50.0
+            terms = PlaceTerms("r", lambda: ("i-0",), until_ms, until_ms, 0, now_ms)
+            places = net.gateways[0].places
+            waits = [places.acquire(SERVICE, terms) for _ in range(20)]
+            replies = await asyncio.gather(*waits)
+            self.assertEqual({Verdict.DENIED}, {reply.verdict for reply in replies})
+            self.assertTrue(min(reply.wait_ms for reply in replies) >= LISTEN_MS)
+            self.assertTrue(len({reply.wait_ms for reply in replies}) > 10)
+
+        self.play(scenario)
+
     def test_endpoints_are_not_ranked_while_there_is_nobody_to_ask(self) -> None:
         """Many requests may wait then, and ranking many endpoints takes a while."""
         ranked = 0
@@ -285,6 +301,24 @@
         self.play(scenario)
         self.assertEqual(0, ranked)
 
+    def test_a_place_from_just_before_a_suspension_is_not_used(self) -> None:
+        async def scenario(net: Net) -> None:
+            places, loop = net.gateways[0].places, asyncio.get_running_loop()
+            now_ms = loop.time() * 1000.0
+            until_ms = now_ms + 5000.0
+            terms = PlaceTerms("r", lambda: ("i-0",), until_ms, until_ms, 0, now_ms)
+            places.governs(SERVICE, now_ms)
+            first = await places.acquire(SERVICE, terms)
+            await places.acquire(SERVICE, terms)
+            waiting = loop.create_task(places.acquire(SERVICE, terms))
+            await asyncio.sleep(0.1)
+            places.release(SERVICE, first.number, PlaceOutcome.ANSWERED)
+            # The process stands still before the task learns of its place.
+            time.sleep(0.6)
+            self.assertTrue((await waiting).number > first.number + 2)
+
+        self.play(scenario, gateways=1, endpoints=1)
+
     def test_requests_do_not_wait_after_the_end_of_the_brittleness(self) -> None:
         async def scenario(net: Net) -> None:
             (gateway,) = net.gateways
