--- a/ashlatch/policy/places.py
+++ b/ashlatch/policy/places.py
@@ -45,7 +45,7 @@
 SETTLE_MS = 200.0
 # While it hears fewer of the gateways than this share, an arbiter leases only that
 # share of the slots: there may be a second one that hears the others.
-HEARD_SHARE_MIN = 0.6
+HEARD_SHARE_MIN = 0.75
 # An endpoint gets no requests for this time after it has failed one.
 FAILED_PAUSE_MS = 300.0
 # An endpoint may work on a request that was abandoned for as long as on any other. One
