Gateways: a connection is a link once its endpoint has sent something

Cause: `EndpointLinks` took an accepted connection as proof that endpoints can be reached, and `Reachability` was reset by it. In a partition in which connections are accepted and nothing is answered, the gateway was never isolated, and its callers waited for their time-outs.

Ruled out: silence of one endpoint as a sign (it may run a long prompt); the silence of all endpoints alone (all may be busy), so that others are asked, which judge by data too; bare connections of the silence watch, which are accepted there as well.

Change: if requests wait and no endpoint has sent anything for half a second, some endpoints are asked for their health, within their limits and backoffs and brittle ones last. If nothing arrives and endpoints answer other gateways, this one is isolated until an endpoint sends something. An accepted connection does not end an isolation any more. `healthPath` of services is read for that.

The soak of partitions cuts in this way too.

--- a/ashlatch/catalog.py
+++ b/ashlatch/catalog.py
@@ -105,7 +105,8 @@
 
     An endpoint is cold for `cold_ms` after its start and meanwhile handles
     `cold_requests_per_s` from all gateways together; 0 if a cold endpoint handles as
-    many requests as a warm one.
+    many requests as a warm one. A `GET` of `health_target` asks whether an endpoint is
+    healthy; empty if it cannot be asked.
     """
 
     name: str
@@ -113,6 +114,7 @@
     engine: EngineSpec | None
     cold_ms: float = 0.0
     cold_requests_per_s: float = 0.0
+    health_target: str = ""
 
 
 class Organisation(msgspec.Struct, frozen=True):
--- a/ashlatch/explain/process_state.py
+++ b/ashlatch/explain/process_state.py
@@ -48,6 +48,7 @@
     "endpoint_resumed": ("endpoint", "instance"),
     "endpoint_links_failing": ("links to endpoints", ""),
     "endpoint_links_restored": ("links to endpoints", ""),
+    "endpoints_silent": ("links to endpoints", ""),
     "gateway_isolated": ("links to endpoints", ""),
     "connections_refused": ("new connections", ""),
     "endpoint_limited": ("rate limit", "instance"),
--- a/ashlatch/gateway/context.py
+++ b/ashlatch/gateway/context.py
@@ -111,6 +111,7 @@
     def __post_init__(self) -> None:
         self.traffic = TrafficCounter(self.hall, self.metrics)
         self.links = EndpointLinks(self.directory, self.metrics, self.generator)
+        self.links.health_target = self.health_target
         self.directory.on_restart = self.forget_instance
         self.overload = OverloadControl(
             self.directory,
@@ -165,6 +166,12 @@
         service = services.get(state.endpoint.service)
         return service.cold_ms if service is not None else 0.0
 
+    def health_target(self, state: EndpointState) -> str:
+        """Returns where an endpoint can be asked for its health, empty if nowhere."""
+        services = self.table.services if self.table else {}
+        service = services.get(state.endpoint.service)
+        return service.health_target if service is not None else ""
+
     def prefix_cache_tokens(self, instance: str) -> int:
         """Returns the prefix cache capacity of an engine, in tokens.
 
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -23,6 +23,7 @@
 from ashlatch.gateway.cold import ColdSendLimiter
 from ashlatch.gateway.context import GatewayContext
 from ashlatch.gateway.crash_records import record_survivors
+from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.exchange import Exchange
 from ashlatch.gateway.liveness import LivenessProber
 from ashlatch.gateway.logs import (
@@ -35,7 +36,8 @@
     StopBegun,
     TrafficCounted,
 )
-from ashlatch.gateway.message import CallerRequest, RefusalReason
+from ashlatch.gateway.message import AnswerHead, CallerRequest, RefusalReason
+from ashlatch.gateway.notices import apply_notice
 from ashlatch.gateway.overload import AdmissionMode
 from ashlatch.gateway.peers import PeerProtocol
 from ashlatch.gateway.relay import Relay
@@ -161,6 +163,7 @@
         self._relay = Relay(self.context, local)
         self._relay.enabled = self.settings.relay.enabled
         self.context.broadcast = peers.broadcast
+        self.context.links.on_health_answer = self._apply_health_answer
         for listener, text, early in (
             (self.listener, self.settings.listen, self._early_socket),
             (self._ready_listener, self.settings.ready, None),
@@ -184,6 +187,7 @@
             self._sync.prefer_local_core(),
             self._sync.read_platform_list(),
             prober.run(),
+            self.context.links.watch(),
             self._fetch_restrictions(),
             self._sweep(),
             self._log_traffic(),
@@ -240,6 +244,12 @@
         self._ready_listener.abort()
         return aborted
 
+    def _apply_health_answer(
+        self, state: EndpointState, head: AnswerHead, sent_ms: float
+    ) -> None:
+        now_ms = self.rpc.loop.time() * 1000.0
+        apply_notice(self.context, state, head, sent_ms, now_ms)
+
     # Requests.
 
     @property
--- a/ashlatch/gateway/logs.py
+++ b/ashlatch/gateway/logs.py
@@ -40,6 +40,7 @@
     "EndpointBackoffElsewhere",
     "EndpointSuspended",
     "EndpointsReplaced",
+    "EndpointsSilent",
     "EvacuationsChanged",
     "CoreLost",
     "CoreRegained",
@@ -321,9 +322,21 @@
     connected_ms: int
 
 
+@dataclass(frozen=True)
+class EndpointsSilent(LogEvent):
+    """Requests wait, no endpoint sends anything, and those asked do not answer.
+
+    `others_answered` is set if endpoints answer other gateways.
+    """
+
+    event: ClassVar[str] = "endpoints_silent"
+    silent_ms: int
+    others_answered: bool
+
+
 @dataclass(frozen=True)
 class EndpointLinksRestored(LogEvent):
-    """A connection was opened after attempts to several endpoints had failed.
+    """An endpoint was reached after attempts at several had failed, or after a silence.
 
     `isolated` is set if this ends an isolation.
     """
@@ -340,7 +353,8 @@
     """No endpoint can be reached from here; other gateways serve this one's callers.
 
     `failed` of the `listed` endpoints have failed since a connection was last opened,
-    `connected_ms` ago (-1 for never); the first of them `failing_ms` ago.
+    `connected_ms` ago (-1 for never); the first of them, or a silence of all, began
+    `failing_ms` ago. An endpoint last sent anything `received_ms` ago.
     """
 
     event: ClassVar[str] = "gateway_isolated"
@@ -348,6 +362,7 @@
     listed: int
     connected_ms: int
     failing_ms: int
+    received_ms: int
 
 
 @dataclass(frozen=True)
--- a/ashlatch/http/upstream.py
+++ b/ashlatch/http/upstream.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import h11
@@ -63,7 +64,8 @@
     """A connection to one address, opened by `Upstream.connect`.
 
     `delimited` is false if the body of the last answer ends with the connection.
-    `data_s` is when data last arrived, which may be read later.
+    `data_s` is when data last arrived, which may be read later. `on_first_data`, if it
+    is set, is called when the first data arrives.
     """
 
     def __init__(self, address: str) -> None:
@@ -81,6 +83,7 @@
         self._read_ahead_bytes = 0
         self.delimited = True
         self.data_s = float("-inf")
+        self.on_first_data: Callable[[], None] | None = None
 
     @classmethod
     async def connect(cls, address: str, timeout_s: float) -> "Upstream":
@@ -114,6 +117,9 @@
             return
         self.received_bytes += len(data)
         self.data_s = self._loop.time()
+        if self.on_first_data is not None:
+            on_first_data, self.on_first_data = self.on_first_data, None
+            on_first_data()
         self._http.receive_data(data)
         self._read_ahead_bytes += len(data)
         if (
--- a/ashlatch/platform/document.py
+++ b/ashlatch/platform/document.py
@@ -10,6 +10,7 @@
 """
 
 import math
+import re
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -73,6 +74,7 @@
     cold_s: float = 0.0
     cold_per_s: float = 0.0
     engine: _Engine | None = None
+    health_path: str | None = None
 
 
 class _Share(msgspec.Struct, frozen=True):
@@ -126,6 +128,9 @@
     tenants: tuple[_Tenant, ...] = ()
 
 
+# Printable ASCII without spaces.
+_PATH = re.compile(r"/[!-~]*")
+
 _ROUTE_KINDS = ("stream", "idempotent", "non_idempotent")
 
 
@@ -246,9 +251,15 @@
         spec,
         service.cold_s * 1000.0,
         service.cold_per_s,
+        _health_target(service.health_path or ""),
     )
 
 
+def _health_target(path: str) -> str:
+    """Returns the path if it can be sent in a request, else an empty text."""
+    return path if _PATH.fullmatch(path) else ""
+
+
 def _limits(limits: _Limits) -> CatalogLimits:
     return CatalogLimits(
         limits.max_header_bytes,
--- a/ashlatch/platform/headers.py
+++ b/ashlatch/platform/headers.py
@@ -15,6 +15,7 @@
 
 import h11
 
+from ashlatch.catalog import Endpoint
 from ashlatch.errors import AshlatchError
 from ashlatch.gateway.message import (
     AnswerHead,
@@ -34,6 +35,7 @@
     "decode_answer",
     "decode_request",
     "endpoint_headers",
+    "health_headers",
     "refusal_headers",
     "refusal_reason",
 ]
@@ -194,6 +196,18 @@
     return headers
 
 
+def health_headers(endpoint: Endpoint, timeout_ms: float) -> Headers:
+    """Returns the headers of a question about an endpoint's health.
+
+    Another endpoint at its address does not handle a request with these.
+    """
+    return [
+        (b"Host", endpoint.address.encode()),
+        (b"X-Expect-Instance", endpoint.instance.encode()),
+        (b"X-Deadline-Ms", str(max(1, int(timeout_ms))).encode()),
+    ]
+
+
 def caller_headers(request: CallerRequest, model: str, resume_after: str) -> Headers:
     """Returns the headers with which a caller's request is sent to another gateway.
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -73,6 +73,7 @@
 ISOLATED = ("-m", "pytest", "-x", "tests/test_isolated_gateways.py")
 RELAY = ("-m", "pytest", "-x", "tests/test_relay.py", "tests/test_reachability.py")
 BRITTLE = ("-m", "pytest", "-x", "tests/test_brittle_endpoints.py")
+ANSWERS = ("-m", "pytest", "-x", "tests/test_endpoint_answers.py")
 LIVENESS = ("-m", "pytest", "-x", "tests/test_liveness.py")
 RESTRICTIONS = ("-m", "pytest", "-x", "tests/test_restrictions.py")
 CLOCK = ("-m", "pytest", "-x", "tests/test_clock.py")
@@ -1190,6 +1191,27 @@
         "self.endpoints_down = not self.isolated",
         RELAY,
     ),
+    Mutant(
+        "accepted-connection-ends-an-isolation",
+        "ashlatch/gateway/links.py",
+        "if not self.unreached or not self._select_asked(1):",
+        "if True:",
+        ANSWERS,
+    ),
+    Mutant(
+        "isolated-by-a-silence-of-all",
+        "ashlatch/gateway/links.py",
+        "        if not others_reach:\n            return",
+        "        pass",
+        ANSWERS,
+    ),
+    Mutant(
+        "brittle-endpoint-asked-for-its-health",
+        "ashlatch/gateway/links.py",
+        "rank_max = max(lowest, _BUSY)",
+        "rank_max = _BRITTLE",
+        ANSWERS,
+    ),
     Mutant(
         "silence-ends-an-endpoint",
         "ashlatch/gateway/liveness.py",
--- a/tests/partition_soak.py
+++ b/tests/partition_soak.py
@@ -24,7 +24,7 @@
 FAILED_SHARE = 0.02
 # A gateway that was suspended or started counts again after this time.
 EXCUSED_AFTER_S = 3.0
-NEW = ("refused", "hang")
+NEW = ("refused", "hang", "silent")
 OPEN = ("reset", "hang", "live")
 
 
@@ -70,6 +70,9 @@
             if generator.random() < 0.4:
                 hosts = list(self.fleet.hall)
             new, open_ones = generator.choice(NEW), generator.choice(OPEN)
+            if new == "silent" and open_ones == "live":
+                # Most answers arrive then: only a part of the connections is cut.
+                open_ones = "hang"
             self.note(f"cut {new} {open_ones} {[h[-3:] for h in hosts]}")
             begun_s = self.fleet.partition(hosts, new, open_ones)
             time.sleep(generator.uniform(1.0, 7.0))
--- a/tests/partitioned_gateway.py
+++ b/tests/partitioned_gateway.py
@@ -2,7 +2,8 @@
 
 The program is the real one; only the function that opens connections is replaced. It
 reads a file with the state of the partition: empty for none, else how new connections
-fail (`refused` or `hang`) and what becomes of open ones (`reset`, `hang` or `live`).
+fail (`refused`, `hang`, or `silent` if they are accepted and carry nothing) and what
+becomes of open ones (`reset`, `hang` or `live`).
 """
 
 import asyncio
@@ -90,6 +91,12 @@
         if state and state[0] == "refused":
             await asyncio.sleep(0.003)
             raise ConnectFailed(address, upstream.CONNECT_REFUSED)
+        if state and state[0] == "silent":
+            connection = await self._connect(address, timeout_s)
+            assert connection._transport is not None
+            silent: Any = _SilentTransport(connection._transport)
+            connection._transport = silent
+            return connection
         if state:
             await asyncio.sleep(timeout_s)
             raise ConnectFailed(address, upstream.CONNECT_TIMED_OUT)
--- a/tests/test_isolated_gateways.py
+++ b/tests/test_isolated_gateways.py
@@ -71,6 +71,12 @@
     def test_callers_are_served_while_open_connections_live_on(self) -> None:
         self.assertEqual(({}, {}), self.play(self.fleet.hall, "refused", "live"))
 
+    def test_callers_are_served_while_all_connections_are_silent(self) -> None:
+        self.assertEqual(({}, {}), self.play(self.fleet.hall, "silent", "hang"))
+
+    def test_callers_are_served_while_new_connections_stay_silent(self) -> None:
+        self.assertEqual(({}, {}), self.play(self.fleet.hall, "silent", "reset"))
+
     def test_a_partition_is_not_held_against_endpoints(self) -> None:
         isolated = self.fleet.gateways[0]
         self.play([isolated], "refused", "reset")
