Routers: an engine that lacks one version is asked for its others

Cause: after a rejection with "not_loaded" the engine was left out for all versions of the request, so that with one engine left, or none reported yet, the caller got 503 although another version of the route was loaded there. The same engine was chosen again for the next request, as its report was older than the rejection.

Claims and sessions keep their version.

--- a/ashlatch/adapter/engine.py
+++ b/ashlatch/adapter/engine.py
@@ -210,5 +210,6 @@
     reason = str(error.get("type", f"status {reply.status}"))
     if reply.status in NOT_RUN_STATUSES and error.get("not_run") is True:
         retry_ms = float(error.get("retry_after_ms", DEFAULT_RETRY_AFTER_MS))
-        return Rejected(reason, retry_ms, leaving=reason == "leaving")
+        leaving, not_loaded = reason == "leaving", reason == "not_loaded"
+        return Rejected(reason, retry_ms, leaving, not_loaded)
     return Broken(reason, replied=True)
--- a/ashlatch/policy/load.py
+++ b/ashlatch/policy/load.py
@@ -51,12 +51,16 @@
     service_ms: float = DEFAULT_SERVICE_MS
     first_token_ms: float = 0.0
     _changes: deque[_Change] = field(default_factory=lambda: deque(maxlen=CHANGES_MAX))
+    _not_loaded_ms: dict[str, float] = field(default_factory=dict)
 
     def apply_report(self, report: LoadReport) -> None:
         """Applies a report, unless it is older than the last one."""
         if self.report is not None and report.at_ms < self.report.at_ms:
             return
         self.report = report
+        for version, at_ms in list(self._not_loaded_ms.items()):
+            if at_ms < report.at_ms:
+                del self._not_loaded_ms[version]
         while self._changes and self._changes[0].at_ms <= report.at_ms:
             self._changes.popleft()
 
@@ -108,9 +112,22 @@
         ahead = estimated + 1.0 - self.slots
         return max(0.0, ahead) * self.service_ms / self.slots
 
-    def serves(self, version: str) -> bool:
-        """Checks whether the newest report lists the version as loaded."""
-        return self.report is not None and version in self.report.versions
+    def record_not_loaded(self, version: str, now_ms: float) -> None:
+        """Records a rejection of a request because the version is not loaded."""
+        self._not_loaded_ms[version] = now_ms
+
+    def may_serve(self, version: str, now_ms: float) -> bool:
+        """Checks that the endpoint has not just rejected a request for the version."""
+        rejected_ms = self._not_loaded_ms.get(version, float("-inf"))
+        return now_ms - rejected_ms > STALE_REPORT_MS
+
+    def serves(self, version: str, now_ms: float) -> bool:
+        """Checks whether the version is loaded by the newest report.
+
+        A rejection of a request for it is newer than the report.
+        """
+        listed = self.report is not None and version in self.report.versions
+        return listed and self.may_serve(version, now_ms)
 
     def stale(self, now_ms: float) -> bool:
         """Checks whether the newest report is missing or too old to use."""
--- a/ashlatch/router/attempt.py
+++ b/ashlatch/router/attempt.py
@@ -81,13 +81,17 @@
         case Answered():
             _handle_answer(core, active, event.result)
         case NotSent():
+            active.tried_endpoints |= {attempt.endpoint.name}
             _retry_elsewhere(core, active, problems.NO_ENDPOINT, event.result.reason)
         case Rejected():
             if event.result.leaving:
                 core.endpoints.leaving.add(attempt.endpoint.name)
+            if not event.result.not_loaded:
+                active.tried_endpoints |= {attempt.endpoint.name}
             _retry_elsewhere(core, active, problems.OVERLOADED, event.result.reason)
         case Broken():
             active.maybe_ran = True
+            active.tried_endpoints |= {attempt.endpoint.name}
             _handle_broken_attempt(core, active, event.result)
 
 
@@ -179,8 +183,6 @@
         problem = Problem(problems.ATTEMPT_FAILED, reason, False, NO_STATE_RETRY_MS)
         fail_request(core, active, problem)
         return
-    assert active.current_attempt is not None
-    active.tried_endpoints |= {active.current_attempt.endpoint.name}
     # A claim binds the request to its version, and so does a session's pin.
     version_bound = active.attempt_number or active.request.session
     version = active.version if version_bound else ""
--- a/ashlatch/router/attempt_results.py
+++ b/ashlatch/router/attempt_results.py
@@ -62,6 +62,8 @@
     core.endpoints.load(name).record_finished(
         core.now_ms, took_ms if answered else None
     )
+    if isinstance(result, Rejected) and result.not_loaded:
+        core.endpoints.load(name).record_not_loaded(active.version, core.now_ms)
     breaker = core.endpoints.breaker(name)
     if answered:
         breaker.record_success()
--- a/ashlatch/router/event.py
+++ b/ashlatch/router/event.py
@@ -125,11 +125,15 @@
 
 @dataclass(frozen=True)
 class Rejected:
-    """The endpoint rejected the request and says that it hasn't run it."""
+    """The endpoint rejected the request and says that it hasn't run it.
+
+    `not_loaded` is set if it lacks the version; it may serve others.
+    """
 
     reason: str
     retry_ms: float
     leaving: bool = False
+    not_loaded: bool = False
 
 
 @dataclass(frozen=True)
--- a/ashlatch/router/plan.py
+++ b/ashlatch/router/plan.py
@@ -282,11 +282,15 @@
             return _no_plan_for(version, ExclusionReason.NOT_ALLOWED, allowed=False)
         if version in self.table.withdrawn:
             return _no_plan_for(version, ExclusionReason.WITHDRAWN, allowed=True)
-        serving = [r for r in ready if r.load.serves(version)]
+        serving = [r for r in ready if r.load.serves(version, now_ms)]
         if not serving:
             # No load report has named these endpoints yet. One that lacks the version
             # rejects the request without running it.
-            serving = [r for r in ready if r.load.report is None]
+            serving = [
+                r
+                for r in ready
+                if r.load.report is None and r.load.may_serve(version, now_ms)
+            ]
         if not serving:
             excluded = (Exclusion(version, ExclusionReason.NO_ENDPOINT),)
             return NoPlan(True, False, self.settings.breaker_open_ms, excluded)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -6,6 +6,8 @@
 
 import testtools
 
+from ashlatch.adapter.engine import _error_result
+from ashlatch.http.client import Reply
 from ashlatch.policy.load import LoadReport
 from ashlatch.policy.table import RoutingTable, TableBuilder
 from ashlatch.policy.version import VERSION_POLICIES
@@ -554,3 +556,72 @@
         self.step(LoadReported("lm", (other,), frozenset()))
         first = self.only_effect(self.arrive(), StartAttempt)
         self.only_problem(self.end_attempt(first, NotSent("refused")))
+
+
+class NotLoadedTest(RouterTest):
+    """An endpoint that lacks the version of a request, and has another one.
+
+    Its newest report may be older than an order to unload a version, and an endpoint
+    without a report is asked for any version.
+    """
+
+    NOT_LOADED = Rejected("not_loaded", 100.0, not_loaded=True)
+
+    def test_an_engine_says_that_it_lacks_the_version(self) -> None:
+        for kind, not_loaded in (("not_loaded", True), ("full", False)):
+            error = {"type": kind, "not_run": True, "retry_after_ms": 100}
+            body = json.dumps({"error": error}).encode()
+            result = _error_result(Reply(503), body)
+            self.assertEqual(Rejected(kind, 100.0, not_loaded=not_loaded), result)
+
+    def send_to_the_second(self, **changed: Any) -> StartAttempt:
+        """Returns the second attempt, after the first endpoint was gone."""
+        first = self.only_effect(self.arrive(**changed), StartAttempt)
+        second: StartAttempt = self.only_effect(
+            self.end_attempt(first, NotSent("refused")), StartAttempt
+        )
+        self.assertNotEqual(first.endpoint, second.endpoint)
+        return second
+
+    def test_another_version_of_the_endpoint_is_tried(self) -> None:
+        second = self.send_to_the_second()
+        third = self.only_effect(
+            self.end_attempt(second, self.NOT_LOADED), StartAttempt
+        )
+        self.assertEqual(second.endpoint, third.endpoint)
+        self.assertNotEqual(second.version, third.version)
+        problem = self.only_problem(self.end_attempt(third, self.NOT_LOADED))
+        self.assertIs(True, problem.not_run)
+
+    def test_an_endpoint_without_a_report_is_tried_once_for_each_version(self) -> None:
+        self.core = RouterCore(RouterConfig("r/1", "r", "logan"))
+        self.step(ConfigurationChanged(table()))
+        self.step(LeaseRenewed(NOW_MS + 60_000.0, 1))
+        tried = set()
+        effects = self.arrive()
+        for _ in range(4):
+            attempt = self.only_effect(effects, StartAttempt)
+            tried.add((attempt.endpoint, attempt.version))
+            effects = self.end_attempt(attempt, self.NOT_LOADED)
+        self.assertEqual({(e, v) for e in ("e1", "e2") for v in ("v1", "v2")}, tried)
+        self.only_problem(effects)
+
+    def test_the_version_of_a_session_is_kept(self) -> None:
+        effects = self.grant_claim(self.arrive(session="s"), "v1")
+        first = self.only_effect(effects, StartAttempt)
+        second = self.only_effect(
+            self.end_attempt(first, NotSent("refused")), StartAttempt
+        )
+        self.only_problem(self.end_attempt(second, self.NOT_LOADED))
+
+    def test_only_a_newer_report_says_that_the_version_is_loaded(self) -> None:
+        second = self.send_to_the_second()
+        third = self.only_effect(
+            self.end_attempt(second, self.NOT_LOADED), StartAttempt
+        )
+        self.end_attempt(third, ANSWER)
+        load = self.core.endpoints.load(second.endpoint)
+        self.report_loads(NOW_MS)
+        self.assertFalse(load.serves(second.version, NOW_MS))
+        self.report_loads(NOW_MS + 1.0)
+        self.assertTrue(load.serves(second.version, NOW_MS))
