Core: a new leader keeps the gateways that its predecessor knew

Found by reading for the known failure test_the_leader_is_killed_as_the_load_test_begins; it may be a part of it.

Cause: a new leader begins with the gateways that the last one reported, but an entry of its own kept its age. A gateway that had synced with this VM four seconds ago, and with another one since, was dropped at once, until its next sync arrived through another core VM. Meanwhile the gateways that sync with the new leader learn a list without it, and send it no datagrams: a session that a load test moves goes back there.

Ruled out: the gateways that only the predecessor knew (kept before), and a core VM that has just started (its list removes nobody).

Change: all gateways that the predecessor reported count as seen at the start of the term.

Test: test_gateways_that_synced_with_the_new_leader_long_ago_stay_known failed before with three of six gateways.

--- a/ashlatch/fleet/soft_state.py
+++ b/ashlatch/fleet/soft_state.py
@@ -218,7 +218,9 @@
         """
         now_ms = monotonic_ms()
         for gateway in self.gateways:
-            self._gateways.setdefault(gateway, now_ms)
+            # This VM's own entry may be nearly too old: of a gateway that has synced
+            # with another core VM since.
+            self._gateways[gateway] = now_ms
 
     def build_reply(
         self,
--- a/tests/test_session_versions.py
+++ b/tests/test_session_versions.py
@@ -26,6 +26,7 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from unittest import mock
 
 import msgspec
 import testtools
@@ -44,7 +45,7 @@
 from ashlatch.fleet.evaluation import Evidence, decide
 from ashlatch.fleet.machine import FleetState
 from ashlatch.fleet.protocol import SyncRequest
-from ashlatch.fleet.soft_state import SoftState
+from ashlatch.fleet.soft_state import GATEWAY_TIMEOUT_MS, SoftState
 from ashlatch.gateway.budget import BudgetTerms
 from ashlatch.gateway.context import GatewayContext
 from ashlatch.gateway.directory import EndpointState
@@ -235,6 +236,27 @@
         reply = follower.build_reply(self.request(), True, (), FleetState())
         self.assertEqual(self.GATEWAYS, reply.gateways)
 
+    def test_gateways_that_synced_with_the_new_leader_long_ago_stay_known(self) -> None:
+        """They sync with another core VM, and the last leader knew them."""
+        now_ms = 1e6
+        with mock.patch("ashlatch.fleet.soft_state.monotonic_ms", lambda: now_ms):
+            leader, follower = SoftState(CORE), SoftState(CORE)
+            follower.apply_request(self.request(*self.GATEWAYS[:3]))
+            for _ in range(7):
+                now_ms += 500.0
+                request = self.request(*self.GATEWAYS)
+                leader.apply_request(request)
+                leader.apply_leader_state(1, EndpointList(), 0.0, 0.0)
+                follower.live_gateways()
+                follower.apply_reply(
+                    leader.build_reply(request, True, (), FleetState())
+                )
+            # The leader is killed, and the next one is elected.
+            now_ms += GATEWAY_TIMEOUT_MS - 3500.0 + 100.0
+            follower.apply_leader_state(2, EndpointList(), 0.0, 0.0)
+            reply = follower.build_reply(self.request(), True, (), FleetState())
+        self.assertEqual(self.GATEWAYS, reply.gateways)
+
 
 class TrialBeginsTest(testtools.TestCase):
     """Sessions that begin in the last moments before a trial stay on their version."""
