Sessions: a larger share is told like the start of a trial

For the known failure test_the_leader_is_killed_as_the_load_test_begins (a session on v2, then twice on v1).

Cause: when a share rises after the load test, a session beyond the old share begins on the new version at the first gateway that has the new record. Nobody was told, as a share is known to all. Gateways that receive the record later, as after a change of the leader, send the session back to the old version.

Ruled out, by reading: a datagram that comes before the record of the trial or of the load test (a move is kept by version, whatever record is known); a sync with a new leader that drops moves (they are only added); a share that falls or that rises from the trial to the load test (it does not).

Change: for a second after a rise, sessions beyond the old share are told to the other gateways when they begin or move, once each; by the core where a gateway has no datagrams.

Test: three of the four tests of ShareRisesTest failed before. The test with processes prints which gateways each one knew.

--- a/ashlatch/gateway/versions.py
+++ b/ashlatch/gateway/versions.py
@@ -33,7 +33,8 @@
 # The utilisation up to which the endpoint of a load test gets requests: nearly all of
 # its slots.
 LOAD_TEST_UTILISATION = 0.9
-# The time after which all connected gateways have received the start of a trial.
+# The time after which all connected gateways have received the start of a trial, or a
+# larger share.
 TRIAL_PROPAGATION_MS = 1000.0
 
 
@@ -88,6 +89,14 @@
     reason: VersionReason
 
 
+@dataclass(frozen=True)
+class _ShareRise:
+    """When a larger share was received, and the one that other gateways may have."""
+
+    from_share: float
+    received_ms: float
+
+
 def _ignore_move() -> None:
     """Ignores a move before a handler is set."""
 
@@ -109,6 +118,7 @@
     _running: dict[str, RunningSessions] = field(default_factory=dict)
     # When the start of each service's trial was received first.
     _trial_begun_ms: dict[str, float] = field(default_factory=dict)
+    _share_rises: dict[str, _ShareRise] = field(default_factory=dict)
 
     def apply_rollouts(
         self, rollouts: Iterable[Rollout], now_ms: float = 0.0
@@ -118,10 +128,25 @@
         for rollout in newer:
             if self._awaits_trial(rollout.service):
                 self._trial_begun_ms[rollout.service] = now_ms
+            self._record_share_rise(rollout, now_ms)
             self.rollouts[rollout.service] = rollout
             self._moves_to(rollout.service, rollout.version).apply(rollout)
         return newer
 
+    def _record_share_rise(self, rollout: Rollout, now_ms: float) -> None:
+        """Records that a known roll-out has a larger share from now on."""
+        previous = self.rollouts.get(rollout.service)
+        if previous is None or previous.version != rollout.version:
+            self._share_rises.pop(rollout.service, None)
+            return
+        if not 0.0 < previous.share < rollout.share:
+            return
+        from_share = previous.share
+        last = self._share_rises.get(rollout.service)
+        if last is not None and now_ms - last.received_ms <= TRIAL_PROPAGATION_MS:
+            from_share = last.from_share
+        self._share_rises[rollout.service] = _ShareRise(from_share, now_ms)
+
     def apply_peer_move(self, service: str, session: str, version: str) -> None:
         """Applies the move of a session to the version by a peer's load test."""
         hash_value = session_hash(version, session)
@@ -161,8 +186,9 @@
 
         Returns whether its session has to be broadcast: when a load test moves it
         beyond the share, which all gateways know, and as long as some gateways may not
-        have received the start of the trial. With `peers_unavailable`, this gateway has
-        no datagrams, so it does not receive which sessions ran before.
+        have received the start of the trial or a larger share. With
+        `peers_unavailable`, this gateway has no datagrams, so it does not receive which
+        sessions ran before.
         """
         rollout = self.rollouts.get(service)
         if not session or rollout is None or rollout.version != version:
@@ -171,7 +197,9 @@
         if rollout.stage is RolloutStage.TRIAL:
             return self._starts_in_trial(rollout, hash_value, now_ms, peers_unavailable)
         if rollout.stage is not RolloutStage.LOAD_TEST:
-            return False
+            return self._is_beyond_old_share(
+                rollout, hash_value, now_ms, peers_unavailable
+            )
         moves = self._moves_to(service, version)
         if hash_value < rollout.share * HASH_RANGE or hash_value in moves.hashes:
             return False
@@ -198,6 +226,25 @@
             self.session_moved()
         return True
 
+    def _is_beyond_old_share(
+        self, rollout: Rollout, hash_value: int, now_ms: float, peers_unavailable: bool
+    ) -> bool:
+        """Checks whether a session has to be broadcast because of a larger share.
+
+        That is so if gateways that have not received it would send the session to the
+        old version, and if it was not broadcast before.
+        """
+        rise = self._share_rises.get(rollout.service)
+        if rise is None or now_ms - rise.received_ms > TRIAL_PROPAGATION_MS:
+            return False
+        moves = self._moves_to(rollout.service, rollout.version)
+        if hash_value < rise.from_share * HASH_RANGE or hash_value in moves.hashes:
+            return False
+        moves.record(hash_value, here=peers_unavailable)
+        if peers_unavailable:
+            self.session_moved()
+        return True
+
     def _awaits_trial(self, service: str) -> bool:
         """Checks for a roll-out whose trial has not begun, as far as is known."""
         rollout = self.rollouts.get(service)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1191,6 +1191,20 @@
         "self.endpoints_down = not self.isolated",
         RELAY,
     ),
+    Mutant(
+        "sessions-of-a-larger-share-told-to-nobody",
+        "ashlatch/gateway/versions.py",
+        "self._share_rises[rollout.service] = _ShareRise(from_share, now_ms)",
+        "pass",
+        (*SESSIONS, "-k", "ShareRises"),
+    ),
+    Mutant(
+        "new-leader-drops-gateways",
+        "ashlatch/fleet/soft_state.py",
+        "self._gateways[gateway] = now_ms\n\n    def build_reply",
+        "self._gateways.setdefault(gateway, now_ms)\n\n    def build_reply",
+        (*SESSIONS, "-k", "NewLeader"),
+    ),
     Mutant(
         "accepted-connection-ends-an-isolation",
         "ashlatch/gateway/links.py",
--- a/tests/test_session_versions.py
+++ b/tests/test_session_versions.py
@@ -60,7 +60,7 @@
 )
 from ashlatch.gateway.tally import Tally, TallyKey
 from ashlatch.gateway.updates import PeerUpdate, SessionMoved
-from ashlatch.gateway.versions import VersionChooser
+from ashlatch.gateway.versions import TRIAL_PROPAGATION_MS, VersionChooser
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
 from tests import stub_server
 from tests.fleet import PORTS, READY_PORT, Fleet, wait_for
@@ -77,6 +77,7 @@
 EXPLAINED_EVENTS = (
     "rollout_decided",
     "rollout_learnt",
+    "gateways_learnt",
     "standing_changed",
     "fleet_lost",
     "fleet_regained",
@@ -258,6 +259,68 @@
         self.assertEqual(self.GATEWAYS, reply.gateways)
 
 
+class ShareRisesTest(testtools.TestCase):
+    """Gateways receive the rise of a share at different times.
+
+    A session that begins on the new version at the first of them may make its next
+    requests at others that have not received it, as after a change of the leader.
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.broadcasts: list[PeerUpdate] = []
+        self.sender, self.receiver = gateway_context(), gateway_context()
+        self.sender.broadcast = self.broadcasts.append
+
+    def raise_share(self, context: GatewayContext, now_ms: float) -> None:
+        shift = Rollout("app", "v2", RolloutStage.SHIFT, 0.4, 2, DURATION_MS)
+        context.versions.apply_rollouts([shift], now_ms)
+
+    def send_new(self, low: float, high: float, now_ms: float) -> str:
+        """Sends the first request of a session between two shares to the version."""
+        session = next(
+            s
+            for s in (f"s{n}" for n in range(999))
+            if low <= session_hash("v2", s) / HASH_RANGE < high
+        )
+        self.assertEqual("v2", chosen_version(self.sender, session, now_ms))
+        announce_session(self.sender, "app", session, "v2", now_ms)
+        return session
+
+    def test_a_session_that_begins_then_does_not_go_back(self) -> None:
+        self.raise_share(self.sender, 1000.0)
+        session = self.send_new(0.1, 0.4, 1100.0)
+        self.assertEqual("v1", chosen_version(self.receiver, session, 1700.0))
+        for update in self.broadcasts:
+            PEER_HANDLERS.call(self.receiver, update, Sender("g", 1110.0))
+        for now_ms in (1700.0, 2300.0):
+            self.assertEqual("v2", chosen_version(self.receiver, session, now_ms))
+
+    def test_each_session_is_broadcast_once_and_only_for_some_time(self) -> None:
+        self.raise_share(self.sender, 1000.0)
+        for _ in range(3):
+            self.send_new(0.1, 0.4, 1100.0)
+        self.assertEqual(1, len(self.broadcasts))
+        # All gateways agree on these.
+        self.send_new(0.0, 0.1, 1100.0)
+        self.send_new(0.2, 0.4, 1000.0 + TRIAL_PROPAGATION_MS + 1.0)
+        self.assertEqual(1, len(self.broadcasts))
+
+    def test_a_gateway_without_datagrams_reports_them_to_the_core(self) -> None:
+        self.sender.peers_reachable = False
+        self.raise_share(self.sender, 1000.0)
+        session = self.send_new(0.1, 0.4, 1100.0)
+        (reported,) = self.sender.versions.sessions_to_report(1100.0)
+        self.assertEqual((session_hash("v2", session),), reported.moved)
+
+    def test_a_repeated_record_raises_nothing(self) -> None:
+        self.raise_share(self.sender, 1000.0)
+        later = Rollout("app", "v2", RolloutStage.SHIFT, 0.4, 3, DURATION_MS)
+        self.sender.versions.apply_rollouts([later], 9000.0)
+        self.send_new(0.1, 0.4, 9100.0)
+        self.assertEqual([], self.broadcasts)
+
+
 class TrialBeginsTest(testtools.TestCase):
     """Sessions that begin in the last moments before a trial stay on their version."""
 
