Routers: endpoints that accept connections and answer nothing are not reached

Cause: as at gateways, an accepted connection was the proof that a router reaches an endpoint. A router whose endpoints accept connections and answer nothing called itself ready, and nothing was asked before its requests had timed out, after 30 s in the test.

Ruled out: refusing requests in such a silence, as without links. A router has nobody to ask whether endpoints answer others, and they may only be slow.

Change: if requests are at endpoints and none has sent anything for half a second, up to eight endpoints that have not asked for fewer requests are sent `OPTIONS *`, which takes no slot and runs nothing. If two or more are asked and nothing comes within 2 s, the router is not ready until something does. A router that can connect to none is treated as before.

Test: test_a_router_whose_endpoints_answer_nothing_is_not_ready failed before (ready for 30 s, then 504); SilentEndpointsTest tests the parts.

--- a/ashlatch/router/daemon.py
+++ b/ashlatch/router/daemon.py
@@ -316,7 +316,7 @@
     def _readiness(self) -> Response:
         core = self.host.core
         serving = core.lease_valid(monotonic_ms()) and not core.draining
-        ready = serving and not self.host.links.unreached
+        ready = serving and self.host.links.reached
         return Response(
             "ready\n" if ready else "not ready\n", status=200 if ready else 503
         )
--- a/ashlatch/router/host.py
+++ b/ashlatch/router/host.py
@@ -77,7 +77,10 @@
 
 @dataclass(frozen=True)
 class EndpointLinksChanged(LogEvent):
-    """This router can reach no endpoint any more, or some again (`reached`)."""
+    """This router can reach no endpoint any more, or some again (`reached`).
+
+    Also if connections are accepted, but no endpoint sends anything.
+    """
 
     event: ClassVar[str] = "endpoint_links_changed"
     reached: bool
@@ -142,7 +145,12 @@
             RouterConfig(self.router, settings.vm, settings.hall, settings.policy)
         )
         self._failed = failed
-        self.links = EndpointLinks(self._endpoint_urls, self._links_changed)
+        self.links = EndpointLinks(
+            self._endpoint_urls,
+            self._links_changed,
+            self._unrestricted_urls,
+            self._awaits_endpoint,
+        )
         self._lock = threading.Lock()
         self._mailboxes: dict[str, Mailbox] = {}
         self._cancelled: set[str] = set()
@@ -259,6 +267,25 @@
         pools = self.core.planner.table.endpoints.values()
         return [endpoint.spec.url for pool in pools for endpoint in pool]
 
+    def _unrestricted_urls(self) -> list[str]:
+        """Returns the URLs of endpoints that have not asked for fewer requests."""
+        with self._lock:
+            pools = self.core.planner.table.endpoints.values()
+            return [
+                endpoint.spec.url
+                for pool in pools
+                for endpoint in pool
+                if not self.core.endpoints.is_restricted(endpoint.name)
+            ]
+
+    def _awaits_endpoint(self) -> bool:
+        """Checks whether a request is at an endpoint."""
+        with self._lock:
+            return any(
+                active.current_attempt is not None and not active.recording
+                for active in self.core.active_requests.values()
+            )
+
     def _links_changed(self, reached: bool) -> None:
         emit(log, EndpointLinksChanged(reached, len(self._endpoint_urls())))
         self.metrics.count("links_restored" if reached else "links_lost")
@@ -312,6 +339,7 @@
         An empty notice matters only if the endpoint has a rate limit or a backoff,
         which it may end.
         """
+        self.links.record_received()
         notice = decode_notice(reply)
         with self._lock:
             restricted = self.core.endpoints.is_restricted(endpoint)
@@ -350,6 +378,7 @@
         self._accepted: bool | None = True if effect.resume_chunks else None
 
     def forward(self, data: bytes) -> None:
+        self._host.links.record_received()
         if self._accepted is None:
             self._accepted = self._host.accept_first_chunk(self._effect)
         if self._accepted:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1205,6 +1205,13 @@
         "self._gateways.setdefault(gateway, now_ms)\n\n    def build_reply",
         (*SESSIONS, "-k", "NewLeader"),
     ),
+    Mutant(
+        "router-asks-no-answers",
+        "ashlatch/adapter/links.py",
+        "answered = len(sample) < ASKED_MIN or _any_true(_answers, sample)",
+        "answered = len(sample) < ASKED_MIN or _any_true(_accepts, sample)",
+        ("-m", "pytest", "-x", "tests/test_router_links.py"),
+    ),
     Mutant(
         "accepted-connection-ends-an-isolation",
         "ashlatch/gateway/links.py",
