Gateways: others are asked for connections or for data, as the check needs

Cause: since gateways check what endpoints send, the question of an isolated gateway, whether others reach endpoints, was answered by data only. An endpoint on a busy machine accepts a connection at once and answers late, so that after refused connections the others said no, and sound endpoints were taken for down: test_a_partition_is_not_held_against_endpoints failed once in one run (load average 79). Which of its checks failed was not kept; the way is by reading.

Change: `/reachability` means connections again, and `/answers` asks whether anything that endpoints send arrives. A check of a silence counts from its beginning, so that one which was too late to say anything is repeated at once: test_callers_are_served_while_all_connections_are_silent failed once with a longer wait for answers (1.5 s; 18 tries in 2 s where 20 are wanted, load average 30 to 45), which is not kept.

--- a/ashlatch/gateway/links.py
+++ b/ashlatch/gateway/links.py
@@ -117,7 +117,8 @@
     """The connections of one gateway to all its endpoints; `watch` never ends.
 
     `others_reach` asks other gateways whether they can reach an endpoint, and returns
-    None if some that might could not be asked.
+    None if some that might could not be asked; `others_receive` asks whether anything
+    that endpoints send arrives there.
     `on_unreached` and `on_reached` are called when this one can reach none any more,
     and when it can again. `health_target` returns where an endpoint can be asked for
     its health, and `on_health_answer` is called with the head of its answer.
@@ -132,6 +133,7 @@
     ) -> None:
         self.reachability = Reachability()
         self.others_reach: Callable[[], Awaitable[bool | None]] = _nobody_to_ask
+        self.others_receive: Callable[[], Awaitable[bool | None]] = _nobody_to_ask
         self.on_unreached: Callable[[], None] = lambda: None
         self.on_reached: Callable[[], None] = lambda: None
         self.health_target: Callable[[EndpointState], str] = _cannot_be_asked
@@ -289,23 +291,28 @@
 
     async def _run_silence_check(self) -> None:
         others_reach: bool | None = None
+        since_ms = _now_ms()
         try:
-            since_ms = _now_ms()
             answered = await self._answers_arrive(PROBED_MAX, ANSWER_TIMEOUT_S)
             if answered is False:
-                others_reach = await self.others_reach()
+                others_reach = await self.others_receive()
             # Data may have arrived while the others were asked.
             received = answered or self._received_ms() > since_ms
-            self._record_silence_check(answered, received, others_reach)
+            self._record_silence_check(since_ms, answered, received, others_reach)
         finally:
             self._silence_check = None
 
     def _record_silence_check(
-        self, answered: bool | None, received: bool, others_reach: bool | None
+        self,
+        since_ms: float,
+        answered: bool | None,
+        received: bool,
+        others_reach: bool | None,
     ) -> None:
         now_ms = _now_ms()
         begun_ms = self._silence.begun_ms
-        self._silence.record_check(received, others_reach, now_ms)
+        checked_ms = now_ms if received else since_ms
+        self._silence.record_check(received, others_reach, checked_ms)
         if received or answered is None or self.unreached:
             return
         event = EndpointsSilent(_age_ms(begun_ms, now_ms), bool(others_reach))
@@ -424,7 +431,7 @@
     async def _run_check(self) -> None:
         try:
             connected_ms = self.reachability.connected_ms
-            reached = await self._connects_to_any()
+            reached = await self.reaches_any()
             others_reach = None if reached else await self.others_reach()
             # A connection may have been opened while the others were asked.
             reached = reached or self.reachability.connected_ms > connected_ms
@@ -444,16 +451,16 @@
         self._retries = asyncio.get_running_loop().create_task(self._retry())
         self.on_unreached()
 
-    async def reaches_any(self) -> bool:
+    async def receives_any(self) -> bool:
         """Finds out whether anything that endpoints send arrives here."""
         since_ms = _now_ms()
         await asyncio.sleep(DATA_WAIT_S)
         if self._received_ms() > since_ms:
             return True
         answered = await self._answers_arrive(PROBED_MAX, ANSWER_TIMEOUT_FOR_OTHERS_S)
-        return await self._connects_to_any() if answered is None else answered
+        return answered is True
 
-    async def _connects_to_any(self) -> bool:
+    async def reaches_any(self) -> bool:
         """Probes some endpoints; returns whether any of them can be connected to."""
         addresses = self._sample(PROBED_MAX)
         if not addresses:
--- a/ashlatch/gateway/relay.py
+++ b/ashlatch/gateway/relay.py
@@ -22,6 +22,7 @@
 from ashlatch.gateway.peer_updates import PEER_HANDLERS, Sender
 from ashlatch.gateway.pool import ConnectionPool
 from ashlatch.gateway.relay_terms import (
+    ANSWERS_TARGET,
     REACHABILITY_TARGET,
     RESTRICTIONS_TARGET,
     RelayTerms,
@@ -63,6 +64,7 @@
         self._local = local
         self._pool = ConnectionPool()
         context.links.others_reach = self.others_reach
+        context.links.others_receive = self.others_receive
         context.links.on_unreached = self._unreached
         context.links.on_reached = self._reached
 
@@ -117,10 +119,20 @@
     # Isolation.
 
     async def others_reach(self) -> bool | None:
-        """Asks some other gateways whether they reach an endpoint.
+        """Asks some other gateways whether they can connect to an endpoint.
 
         Returns None if none of them does, but others that might were not asked.
         """
+        return await self._any_other(REACHABILITY_TARGET)
+
+    async def others_receive(self) -> bool | None:
+        """Asks some other gateways whether anything that endpoints send arrives there.
+
+        Returns None as `others_reach`.
+        """
+        return await self._any_other(ANSWERS_TARGET)
+
+    async def _any_other(self, target: str) -> bool | None:
         if not self.enabled:
             return False
         asked = self.peers.representatives(
@@ -130,12 +142,12 @@
             self._context.generator,
             _now_ms(),
         )
-        if await any_true(self._reaches(peer) for peer in asked):
+        if await any_true(self._confirms(peer, target) for peer in asked):
             return True
         return False if len(asked) < ASKED_MAX else None
 
-    async def _reaches(self, peer: GatewayVm) -> bool:
-        return await self._ask(peer, REACHABILITY_TARGET, ASK_TIMEOUT_S) is not None
+    async def _confirms(self, peer: GatewayVm, target: str) -> bool:
+        return await self._ask(peer, target, ASK_TIMEOUT_S) is not None
 
     async def fetch_restrictions(self) -> int:
         """Asks some other gateways what endpoints have asked for, and applies it.
--- a/ashlatch/gateway/relay_server.py
+++ b/ashlatch/gateway/relay_server.py
@@ -12,14 +12,16 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import replace
+from typing import Any
 
 from ashlatch.gateway.admission import Refused, refuse
 from ashlatch.gateway.context import GatewayContext
 from ashlatch.gateway.logs import RelayedRequestReceived
 from ashlatch.gateway.message import CallerRequest, RefusalReason
 from ashlatch.gateway.relay_terms import (
+    ANSWERS_TARGET,
     REACHABILITY_TARGET,
     RESTRICTIONS_TARGET,
     RelayTerms,
@@ -63,14 +65,18 @@
         self._available = available
         self._requests_max = requests_max
         self._requests = 0
-        self._question: asyncio.Task[bool] | None = None
+        self._questions: dict[str, Callable[[], Coroutine[Any, Any, bool]]] = {
+            REACHABILITY_TARGET: context.links.reaches_any,
+            ANSWERS_TARGET: context.links.receives_any,
+        }
+        self._running: dict[str, asyncio.Task[bool]] = {}
         self._loop = asyncio.get_running_loop()
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answers one request of another gateway."""
-        if request.target == REACHABILITY_TARGET:
-            reached = self._available() and await self._reaches_endpoints()
-            responder.respond(200 if reached else 503, [], b"")
+        if request.target in self._questions:
+            confirmed = self._available() and await self._answer(request.target)
+            responder.respond(200 if confirmed else 503, [], b"")
             return
         if request.target == RESTRICTIONS_TARGET:
             body = encode_restrictions(self._context, self._loop.time() * SECOND_MS)
@@ -121,18 +127,16 @@
         table = self._context.table
         return table is None or table.catalog.version < terms.configuration
 
-    async def _reaches_endpoints(self) -> bool:
-        """Finds out whether an endpoint can be reached; once for several questions."""
+    async def _answer(self, target: str) -> bool:
+        """Finds out the answer to a question; once for several gateways that ask."""
         if self._context.links.unreached:
             return False
-        if self._question is None:
-            reaches = self._context.links.reaches_any()
-            self._question = asyncio.get_running_loop().create_task(reaches)
-            self._question.add_done_callback(self._forget_question)
-        return await asyncio.shield(self._question)
-
-    def _forget_question(self, question: asyncio.Task[bool]) -> None:
-        self._question = None
+        running = self._running.get(target)
+        if running is None:
+            running = self._loop.create_task(self._questions[target]())
+            self._running[target] = running
+            running.add_done_callback(lambda done: self._running.pop(target, None))
+        return await asyncio.shield(running)
 
     def _log(
         self, request: CallerRequest, terms: RelayTerms, peer: str, reason: str
--- a/ashlatch/gateway/relay_terms.py
+++ b/ashlatch/gateway/relay_terms.py
@@ -15,6 +15,7 @@
 from ashlatch.http.connection import Headers
 
 __all__ = [
+    "ANSWERS_TARGET",
     "REACHABILITY_TARGET",
     "RESTRICTIONS_TARGET",
     "RelayTerms",
@@ -25,6 +26,8 @@
 _HEADER = b"ashlatch-relay"
 # Asks a gateway whether it can reach any endpoint.
 REACHABILITY_TARGET = "/reachability"
+# Asks a gateway whether anything that endpoints send arrives there.
+ANSWERS_TARGET = "/answers"
 # Asks a gateway what endpoints have asked of all gateways.
 RESTRICTIONS_TARGET = "/restrictions"
 _NUMBER_MAX = 1e9
--- a/ashlatch/policy/reachability.py
+++ b/ashlatch/policy/reachability.py
@@ -158,7 +158,10 @@
     def record_check(
         self, answered: bool, others_reach: bool | None, now_ms: float
     ) -> None:
-        """Records the end of a check; the arguments are as those of `Reachability`."""
+        """Records a check that began at a time; see `Reachability.record_check`.
+
+        One that was answered counts from its end.
+        """
         self._checked_ms = now_ms
         if answered:
             self.record_received(now_ms)
--- a/tests/test_endpoint_answers.py
+++ b/tests/test_endpoint_answers.py
@@ -98,7 +98,7 @@
             )
             directory.replace(EndpointList(1, 1, endpoints), 0.0)
             links = EndpointLinks(directory, Metrics(), random.Random(1))
-            links.others_reach = others
+            links.others_receive = others
             links.health_target = lambda state: "/healthz"
             links.on_health_answer = record
             states = list(directory.all())
@@ -272,7 +272,8 @@
                 states: list[EndpointState],
                 reached: bool = reached,
             ) -> None:
-                self.assertEqual(reached, await links.reaches_any())
+                self.assertEqual(reached, await links.receives_any())
+                self.assertTrue(await links.reaches_any())
 
             self.run_links([script, script], work)
 
