The state deals the slots of brittle endpoints to routers

Change: routers report slots, running and waiting requests with their heartbeats, and the state's leader deals the slots in proportion to demand. A deal is used in full once all routers have applied it; until then each uses the lesser of its shares in it and in the one before. Slots in use are not taken away.

--- a/ashlatch/router/attempt_results.py
+++ b/ashlatch/router/attempt_results.py
@@ -63,7 +63,7 @@
         core.now_ms, took_ms if answered else None
     )
     if isinstance(result, Rejected):
-        routers = core.planner.slot_shares.count
+        routers = core.planner.shares.count
         core.endpoints.brittle.record_rejection(name, routers, core.now_ms)
     breaker = core.endpoints.breaker(name)
     if answered:
--- a/ashlatch/router/core.py
+++ b/ashlatch/router/core.py
@@ -166,7 +166,6 @@
         self.planner = Planner(
             self.config.policy, self.config.vm, self.config.hall, self.generator
         )
-        self.planner.slot_shares.router = self.config.router
         self.planner.isolation_of = lambda request: self.quarantine.isolation(
             Fingerprints(0, request.prompt_parts)
         )
--- a/ashlatch/router/daemon.py
+++ b/ashlatch/router/daemon.py
@@ -32,7 +32,6 @@
 from ashlatch.http.server import HttpServer
 from ashlatch.log import LogEvent, emit
 from ashlatch.periodic import PeriodicTasks
-from ashlatch.policy.slot_shares import RouterList
 from ashlatch.policy.table import RoutingTable, TableBuilder
 from ashlatch.router.api import (
     ArrivalTime,
@@ -60,7 +59,7 @@
 from ashlatch.store.protocol import RouterPoll, RouterReply, VersionReport
 
 __all__ = [
-    "UNKNOWN_POLL_WAIT_MS",
+    "DEMAND_POLL_WAIT_MS",
     "RouterDaemon",
     "configuration_changed",
     "lease_renewed",
@@ -72,8 +71,8 @@
 POLL_RETRY_S = 0.05
 # How long the state may delay its reply to a heartbeat while a version is suspected.
 SUSPECTED_POLL_WAIT_MS = 100.0
-# The same until all other routers know this one.
-UNKNOWN_POLL_WAIT_MS = 50.0
+# The same while requests wait for places, which the state deals by demand.
+DEMAND_POLL_WAIT_MS = 100.0
 FIRST_CONFIGURATION_TIMEOUT_S = 20.0
 STOP_CHECK_S = 0.02
 # The interval of checks whether endpoints can be reached again, and when callers that
@@ -117,14 +116,14 @@
 
 def lease_renewed(reply: RouterReply, sent_ms: float) -> LeaseRenewed:
     """Returns the event for the lease in a reply to a poll sent at `sent_ms`."""
-    listed = RouterList(
-        reply.router_names,
-        reply.all_routers_known,
-        reply.known_to_all,
-        reply.list_number,
+    return LeaseRenewed(
+        sent_ms + reply.lease_ms,
+        reply.routers,
+        reply.brittle,
+        reply.deal,
+        reply.shares,
+        reply.deal_settled,
     )
-    until_ms = sent_ms + reply.lease_ms
-    return LeaseRenewed(until_ms, reply.routers, listed, reply.brittle)
 
 
 class RouterDaemon:
@@ -236,8 +235,8 @@
         wait_ms = self.settings.poll_wait_ms
         if any(core.planner.is_suspected(version) for version in list(core.tallies)):
             wait_ms = min(wait_ms, SUSPECTED_POLL_WAIT_MS)
-        if not core.planner.slot_shares.usable:
-            wait_ms = min(wait_ms, UNKNOWN_POLL_WAIT_MS)
+        if core.waiting:
+            wait_ms = min(wait_ms, DEMAND_POLL_WAIT_MS)
         if not self._ready.is_set():
             wait_ms = 0.0
         return RouterPoll(
@@ -249,8 +248,7 @@
             reports,
             core.quarantine.unconfirmed(),
             self._crashes_known,
-            self.host.announced_brittle(),
-            core.planner.slot_shares.number,
+            *self.host.brittle_state(),
         )
 
     def _apply(self, reply: RouterReply, sent_ms: float) -> None:
--- a/ashlatch/router/event.py
+++ b/ashlatch/router/event.py
@@ -16,7 +16,7 @@
 from ashlatch.policy.crash_record import CrashRecord
 from ashlatch.policy.detector import VersionTally
 from ashlatch.policy.load import LoadReport
-from ashlatch.policy.slot_shares import RouterList
+from ashlatch.policy.slot_deal import NO_DEALS
 from ashlatch.policy.table import RoutingTable
 from ashlatch.store.command import (
     Claim,
@@ -175,13 +175,15 @@
     """The state has renewed the configuration lease until this time.
 
     `brittle` holds the rejections a second that endpoints tolerate, as known to any
-    router.
+    router. `shares` are this router's shares of their slots, in the deal `deal`.
     """
 
     until_ms: float
     routers: int
-    listed: RouterList = RouterList()
     brittle: Mapping[str, int] = field(default_factory=dict)
+    deal: int = NO_DEALS
+    shares: Mapping[str, int] = field(default_factory=dict)
+    deal_settled: int = 0
 
 
 @dataclass(frozen=True)
--- a/ashlatch/router/host.py
+++ b/ashlatch/router/host.py
@@ -31,6 +31,7 @@
 from ashlatch.http.client import Reply
 from ashlatch.log import LogEvent, emit
 from ashlatch.metrics import Metrics
+from ashlatch.policy.slot_deal import PoolUse
 from ashlatch.registry import Handlers
 from ashlatch.router import admission, attempt, dispatch, hedge, notices, updates
 from ashlatch.router.core import RouterConfig, RouterCore
@@ -66,7 +67,7 @@
     RequestArrived,
     RequestKind,
 )
-from ashlatch.router.places import PlaceDecided
+from ashlatch.router.places import PlaceDecided, brittle_pools
 from ashlatch.rpc import RpcLoop
 from ashlatch.settings import RouterSettings, parse_addresses
 
@@ -331,10 +332,13 @@
         )
         self.post(notice_event)
 
-    def announced_brittle(self) -> dict[str, int]:
-        """Returns the rejections a second that brittle endpoints have announced."""
+    def brittle_state(self) -> tuple[dict[str, int], dict[str, PoolUse], int, int]:
+        """Returns what a heartbeat says of brittle endpoints."""
         with self._lock:
-            return self.core.endpoints.brittle.announced()
+            announced = self.core.endpoints.brittle.announced()
+            shares = self.core.planner.shares
+            pools = brittle_pools(self.core)
+            return announced, pools, shares.number, shares.settled
 
     def accept_first_chunk(self, effect: StartAttempt) -> bool:
         """Posts an attempt's first chunk; returns whether its stream is forwarded."""
--- a/ashlatch/router/places.py
+++ b/ashlatch/router/places.py
@@ -16,17 +16,16 @@
 from ashlatch.http import problem as problems
 from ashlatch.http.problem import Problem
 from ashlatch.log import LogEvent
+from ashlatch.policy.slot_deal import EndpointUse, PoolUse
 from ashlatch.router.completion import fail_request
 from ashlatch.router.core import HANDLERS, ActiveRequest, RouterCore
 from ashlatch.router.effect import SchedulePlaceWaitEnd, WriteLog
-from ashlatch.router.event import PlaceWaitDue, RequestKind
+from ashlatch.router.event import PlaceWaitDue, Request, RequestKind
 from ashlatch.router.planning_result import ExclusionReason, NoPlan
 
-__all__ = ["PlaceDecided", "wait_for_place"]
+__all__ = ["PlaceDecided", "brittle_pools", "wait_for_place"]
 
 RETRY_MIN_MS = 100.0
-# When a caller of a router without a share may retry, at another router.
-NO_SHARE_RETRY_MS = 500.0
 
 
 @dataclass(frozen=True)
@@ -76,9 +75,7 @@
     if not names:
         return False
     prospect = _prospect(core, active, names)
-    if not prospect.places:
-        _refuse(core, active, prospect, "no_share")
-    elif prospect.expected_ms > prospect.left_ms:
+    if prospect.expected_ms > prospect.left_ms:
         _refuse(core, active, prospect, "too_late")
     else:
         _begin_wait(core, active, prospect)
@@ -100,13 +97,9 @@
     core: RouterCore, active: ActiveRequest, prospect: _Prospect, reason: str
 ) -> None:
     _log_decision(core, active, prospect, "refuse", reason)
-    kind, retry_ms = problems.OVERLOADED, prospect.expected_ms
-    if prospect.places:
-        retry_ms -= max(0.0, prospect.left_ms)
-    else:
-        kind, retry_ms = problems.NO_ENDPOINT, NO_SHARE_RETRY_MS
-    detail = f"no place: {reason}"
-    problem = Problem(kind, detail, core.not_run(active), max(RETRY_MIN_MS, retry_ms))
+    retry_ms = max(RETRY_MIN_MS, prospect.expected_ms - max(0.0, prospect.left_ms))
+    detail, not_run = f"no place: {reason}", core.not_run(active)
+    problem = Problem(problems.OVERLOADED, detail, not_run, retry_ms)
     fail_request(core, active, problem)
 
 
@@ -131,14 +124,19 @@
 
 
 def _prospect(core: RouterCore, active: ActiveRequest, names: list[str]) -> _Prospect:
-    shares = {name: core.planner.planned_place_share(name) for name in names}
-    service_ms = {name: core.endpoints.load(name).service_ms for name in names}
+    loads = {name: core.endpoints.load(name) for name in names}
+    shares: dict[str, float] = {n: core.planner.place_share(n) for n in names}
     places = sum(shares.values())
-    per_ms = sum(shares[name] / service_ms[name] for name in names)
+    if not places:
+        # The state will deal some to this router, as requests wait for them.
+        routers = core.planner.shares.count
+        shares = {name: load.slots / routers for name, load in loads.items()}
+    per_ms = sum(shares[name] / load.service_ms for name, load in loads.items())
     waiting = sum(_same_places(active, other) for other in core.waiting.values())
-    expected_ms = (waiting + 1) / per_ms if per_ms else 0.0
-    left_ms = active.request.deadline_ms - core.now_ms - min(service_ms.values())
-    return _Prospect(places, waiting, expected_ms, left_ms)
+    expected_ms = (waiting + 1) / per_ms
+    service_ms = min(load.service_ms for load in loads.values())
+    left_ms = active.request.deadline_ms - core.now_ms - service_ms
+    return _Prospect(int(places), waiting, expected_ms, left_ms)
 
 
 def _same_places(active: ActiveRequest, other: ActiveRequest) -> bool:
@@ -170,6 +168,31 @@
     core.effects.append(WriteLog(decided))
 
 
+def brittle_pools(core: RouterCore) -> dict[str, PoolUse]:
+    """Returns the use of brittle endpoints, for the state to deal their slots."""
+    pools = {}
+    for pool, spec in core.planner.table.pools.items():
+        endpoints = {}
+        for endpoint in core.planner.pool_subset(pool):
+            load = core.endpoints.load(endpoint.name)
+            if core.endpoints.brittle.is_brittle(endpoint.name) and load.report:
+                endpoints[endpoint.name] = EndpointUse(load.slots, load.in_flight)
+        if endpoints:
+            waiting = sum(
+                _waits_for(active.request, pool, spec.serves)
+                for active in core.waiting.values()
+            )
+            running = sum(use.running for use in endpoints.values())
+            pools[pool] = PoolUse(running + waiting, endpoints)
+    return pools
+
+
+def _waits_for(request: Request, pool: str, serves: str) -> bool:
+    if request.kind is RequestKind.SERVICE:
+        return request.target == pool
+    return serves == "models"
+
+
 @HANDLERS.on(PlaceWaitDue)
 def _place_wait_due(core: RouterCore, event: PlaceWaitDue) -> None:
     active = core.waiting.pop(event.request_id, None)
--- a/ashlatch/router/plan.py
+++ b/ashlatch/router/plan.py
@@ -19,7 +19,7 @@
 from ashlatch.policy.permission import DenialReason
 from ashlatch.policy.quality import QualityTracker
 from ashlatch.policy.quarantine import Isolation, choose_isolated
-from ashlatch.policy.slot_shares import RouterList, SlotShares, vm_of
+from ashlatch.policy.slot_deal import DealtShares
 from ashlatch.policy.table import NamedEndpoint, RoutingTable
 from ashlatch.policy.version import VERSION_POLICIES, Goal, Option
 from ashlatch.resources import Route
@@ -71,8 +71,7 @@
 
     def __post_init__(self) -> None:
         self.endpoints = EndpointStates(self.settings, self.generator)
-        self.slot_shares = SlotShares("")
-        self._sharers: dict[str, tuple[str, ...]] = {}
+        self.shares = DealtShares()
         self._subsets: dict[str, tuple[NamedEndpoint, ...]] = {}
         self.endpoint_policy = ENDPOINT_POLICIES.get(self.settings.endpoint)()
         self.version_policy = VERSION_POLICIES.get(self.settings.version)()
@@ -88,7 +87,6 @@
             for pool, endpoints in table.endpoints.items()
             for endpoint in endpoints
         }
-        self._sharers.clear()
         self._subsets = {
             pool: self._choose_subset(endpoints)
             for pool, endpoints in table.endpoints.items()
@@ -98,22 +96,9 @@
         """Returns the subset of a pool's endpoints that this router uses."""
         return self._subsets.get(pool, ())
 
-    def renew_shares(self, listed: RouterList, count: int, continued: bool) -> None:
-        """Divides the slots of brittle endpoints among the listed routers."""
-        if self.slot_shares.renew(listed, count, continued):
-            self._sharers.clear()
-
     def place_share(self, endpoint: str) -> int:
         """Returns this router's share of the slots of a brittle endpoint."""
-        slots = self.endpoints.load(endpoint).slots
-        sharers = self._sharers_of(endpoint)
-        return self.slot_shares.share(endpoint, slots, sharers)
-
-    def planned_place_share(self, endpoint: str) -> int:
-        """Returns the share that this router has once all others know it."""
-        slots = self.endpoints.load(endpoint).slots
-        sharers = self._sharers_of(endpoint)
-        return self.slot_shares.planned_share(endpoint, slots, sharers)
+        return self.shares.share(endpoint, self.endpoints.load(endpoint).slots)
 
     def has_place(self, endpoint: str, now_ms: float) -> bool:
         """Checks whether an endpoint isn't brittle or has a place for a request."""
@@ -125,20 +110,6 @@
         in_flight = self.endpoints.load(endpoint).in_flight
         return in_flight < self.place_share(endpoint)
 
-    def _sharers_of(self, endpoint: str) -> tuple[str, ...]:
-        """Returns the routers whose subset contains the endpoint."""
-        sharers = self._sharers.get(endpoint)
-        if sharers is None:
-            pool = self.endpoints.brittle.pools.get(endpoint, "")
-            names = tuple(e.name for e in self.table.endpoints.get(pool, ()))
-            size = self.settings.subset_size
-            sharers = self._sharers[endpoint] = tuple(
-                router
-                for router in self.slot_shares.routers
-                if endpoint in subset(names, vm_of(router), size)
-            )
-        return sharers
-
     def _choose_subset(
         self, endpoints: tuple[NamedEndpoint, ...]
     ) -> tuple[NamedEndpoint, ...]:
--- a/ashlatch/router/updates.py
+++ b/ashlatch/router/updates.py
@@ -92,7 +92,9 @@
     continued = core.lease_valid(core.now_ms)
     core.lease_until_ms = max(core.lease_until_ms, event.until_ms)
     routers = max(1, event.routers)
-    core.planner.renew_shares(event.listed, routers, continued)
+    core.planner.shares.apply(
+        event.deal, event.shares, event.deal_settled, routers, continued
+    )
     core.endpoints.brittle.record_reported(event.brittle)
     core.limits.router_share = 1.0 / routers
     core.endpoints.limit_sharing = LimitSharing(routers, connected=False)
--- a/ashlatch/store/daemon.py
+++ b/ashlatch/store/daemon.py
@@ -20,6 +20,7 @@
 from ashlatch.errors import TransportError
 from ashlatch.log import LogEvent, emit
 from ashlatch.policy.crash_record import CrashRecord, UnloggedCrashes
+from ashlatch.policy.slot_deal import SlotDealer
 from ashlatch.raft.effect import AddLearner, Received, RemoveMember
 from ashlatch.raft.group import NotLeading
 from ashlatch.raft.message import Member, Message
@@ -43,7 +44,7 @@
 JOIN_TIMEOUT_S = 1.0
 EXPIRE_EVERY_S = 60.0
 CHANGE_WAIT_MS = 1000.0
-LISTS_PER_TERM = 1_000_000
+DEALS_PER_TERM = 1_000_000
 
 
 @dataclass(frozen=True)
@@ -145,7 +146,9 @@
         """
         crashes = self.first_group.machine.state.crashes.number
         leaders = (_leadership(member) for member in self.groups)
-        current = (*leaders, self._revision(), crashes, self.leases.list_number)
+        dealer = self.leases.dealer
+        deals = dealer.number, dealer.settled
+        current = (*leaders, self._revision(), crashes, deals)
         if current != self._notified_state:
             self._notified_state = current
             self._changed.set()
@@ -162,7 +165,7 @@
             self.leases = Leases(
                 self.lease_config,
                 status.leading_since_ms,
-                list_number=status.term * LISTS_PER_TERM + 1,
+                dealer=SlotDealer(status.term * DEALS_PER_TERM),
             )
 
     def _may_answer(self) -> bool:
@@ -194,19 +197,22 @@
         deadline_ms = monotonic_ms() + poll.wait_ms
         if self._may_answer():
             self.leases.record_applied_revision(poll.router, poll.applied_revision)
-            self.leases.record_known_list(poll.router, poll.list_known)
+            self._record_use(poll)
             await self._commit_crashes(poll.crashes)
         while self._may_answer():
             wait_ms = deadline_ms - monotonic_ms()
             newer = self._revision() != poll.applied_revision
-            # Routers of an earlier release know no lists.
-            newer |= 0 < poll.list_known != self.leases.list_number
+            newer |= self.leases.has_new_deal(poll)
             crashes = self.first_group.machine.state.crashes
             if newer or crashes.number > poll.crashes_known or wait_ms <= 0:
                 return self._renew_lease(poll)
             await self._wait_change(wait_ms)
         return protocol.RouterReply(False, self.first_group.status.leader_address)
 
+    def _record_use(self, poll: protocol.RouterPoll) -> None:
+        self.leases.record_use(poll, monotonic_ms())
+        self._notify_waiters()
+
     async def _commit_crashes(self, records: tuple[CrashRecord, ...]) -> None:
         """Commits the crash records of a router.
 
@@ -234,11 +240,11 @@
             monotonic_ms(),
             poll.reports,
             poll.brittle,
-            poll.list_known,
         )
         self.leases.record_router_poll(lease)
-        self._notify_waiters()
-        all_routers_known = self.leases.earlier_leases_expired(lease.answered_ms)
+        dealer = self.leases.dealer
+        if not dealer.knows(poll.router):
+            self._record_use(poll)
         with self.first_group.group.lock:
             configuration = self.first_group.machine.state.configuration
             crashes = self.first_group.machine.state.crashes
@@ -253,11 +259,10 @@
                 self.leases.totals(),
                 crashes.since(poll.crashes_known),
                 crashes.number,
-                tuple(self.leases.routers),
-                all_routers_known,
                 self.leases.brittle(),
-                self.leases.list_number,
-                all_routers_known and self.leases.known_to_all(poll.router),
+                dealer.number,
+                dict(dealer.shares_of(poll.router)),
+                dealer.settled,
             )
 
     async def _wait_change(self, wait_ms: float) -> None:
--- a/ashlatch/store/lease.py
+++ b/ashlatch/store/lease.py
@@ -17,7 +17,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
-from ashlatch.store.protocol import VersionReport
+from ashlatch.policy.slot_deal import NO_DEALS, SlotDealer
+from ashlatch.store.protocol import RouterPoll, VersionReport
 
 __all__ = ["LeaseConfig", "Leases", "RouterLease"]
 
@@ -35,11 +36,7 @@
 
 @dataclass(frozen=True)
 class RouterLease:
-    """The lease of one router incarnation, with the contents of its last poll.
-
-    `list_known` is the list of routers that it has applied, `joined_list` the first one
-    that it is on.
-    """
+    """The lease of one router incarnation, with the contents of its last poll."""
 
     router: str
     vm: str
@@ -48,50 +45,39 @@
     answered_ms: float
     reports: tuple[VersionReport, ...] = ()
     brittle: Mapping[str, int] = field(default_factory=dict)
-    list_known: int = 0
-    joined_list: int = 0
 
 
 @dataclass
 class Leases:
-    """All leases granted by this leader since it was elected.
-
-    `list_number` identifies the list of routers with a lease. It starts above the
-    numbers of earlier leaders.
-    """
+    """All leases granted by this leader since it was elected."""
 
     config: LeaseConfig
     leading_since_ms: float
     routers: dict[str, RouterLease] = field(default_factory=dict)
     control_holder: str = ""
     control_answered_ms: float = float("-inf")
-    list_number: int = 1
+    dealer: SlotDealer = field(default_factory=SlotDealer)
 
     def record_router_poll(self, lease: RouterLease) -> None:
         """Records the poll of a router that is about to be answered."""
-        known = self.routers.get(lease.router)
-        if known is None:
-            self.list_number += 1
-        joined_list = known.joined_list if known else self.list_number
-        list_known = max(lease.list_known, known.list_known if known else 0)
-        self.routers[lease.router] = replace(
-            lease, joined_list=joined_list, list_known=list_known
-        )
+        self.routers[lease.router] = lease
 
-    def record_known_list(self, router: str, number: int) -> None:
-        """Records the list of routers that a router with a lease has applied."""
-        lease = self.routers.get(router)
-        if lease is not None and lease.list_known < number:
-            self.routers[router] = replace(lease, list_known=number)
-
-    def known_to_all(self, router: str) -> bool:
-        """Returns whether all routers with a lease know that this one has one."""
-        joined_list = self.routers[router].joined_list
-        return all(
-            lease.list_known >= joined_list
-            for lease in self.routers.values()
-            if lease.router != router
-        )
+    def record_use(self, poll: RouterPoll, now_ms: float) -> None:
+        """Records a router's use of brittle endpoints, and deals their slots.
+
+        A new leader deals none before all leases of earlier ones have expired.
+        """
+        if poll.router not in self.routers or poll.deal_known == NO_DEALS:
+            return
+        self.dealer.record(poll.router, poll.deal_known, poll.brittle_pools)
+        if self.earlier_leases_expired(now_ms):
+            self.dealer.update(now_ms)
+
+    def has_new_deal(self, poll: RouterPoll) -> bool:
+        """Checks whether there is a deal that a router does not know yet."""
+        dealt = self.dealer.number and self.dealer.knows(poll.router)
+        known = poll.deal_known, poll.deal_settled
+        return bool(dealt) and known != (self.dealer.number, self.dealer.settled)
 
     def record_applied_revision(self, router: str, revision: int) -> None:
         """Records the revision that a router with a lease has applied.
@@ -138,7 +124,7 @@
         )
         for router in expired:
             del self.routers[router]
-        self.list_number += bool(expired)
+            self.dealer.remove(router)
         return expired
 
     def in_force_revision(self, now_ms: float, committed: int) -> int:
--- a/ashlatch/store/protocol.py
+++ b/ashlatch/store/protocol.py
@@ -13,6 +13,7 @@
 from ashlatch.link import Method
 from ashlatch.policy.crash_record import CrashRecord
 from ashlatch.policy.detector import VersionTally
+from ashlatch.policy.slot_deal import NO_DEALS, PoolUse
 from ashlatch.raft.message import Member, Message
 from ashlatch.store.command import Command, Outcome, Resource
 from ashlatch.store.configuration import ResourceId
@@ -144,8 +145,9 @@
     while there is nothing newer. `crashes` holds the router's records of requests that
     crash endpoints, `crashes_known` the newest change to such records that it has
     received. `brittle` holds the rejections a second that brittle endpoints tolerate,
-    as they have announced to this router. `list_known` is the number of the newest list
-    of routers that it has applied.
+    as they have announced to this router, `brittle_pools` its use of their slots.
+    `deal_known` is the newest deal of these slots that it has applied, `deal_settled`
+    the newest one that it knows to be settled.
     """
 
     router: str
@@ -157,7 +159,9 @@
     crashes: tuple[CrashRecord, ...] = ()
     crashes_known: int = 0
     brittle: dict[str, int] = {}
-    list_known: int = 0
+    brittle_pools: dict[str, PoolUse] = {}
+    deal_known: int = NO_DEALS
+    deal_settled: int = 0
 
 
 class RouterReply(msgspec.Struct, frozen=True):
@@ -166,10 +170,9 @@
     The lease runs for `lease_ms` from when the router sent the poll. `routers` is the
     number of routers with a lease, `totals` the sum of their reports. `crashes` holds
     the changed records of requests that crashed endpoints, up to the change
-    `crashes_known`. `router_names` are the routers with a lease, as list `list_number`;
-    a new leader of the state may not know all of them until `all_routers_known` is set.
-    `known_to_all` tells whether each of them has applied a list with this router.
-    `brittle` is what they report of brittle endpoints.
+    `crashes_known`. `brittle` is what all routers report of brittle endpoints. `shares`
+    are this router's shares of the slots of these in the deal `deal`, which is 0 while
+    a new leader has not dealt yet; all deals up to `deal_settled` are settled.
     """
 
     granted: bool
@@ -182,11 +185,10 @@
     totals: tuple[VersionReport, ...] = ()
     crashes: tuple[CrashRecord, ...] = ()
     crashes_known: int = 0
-    router_names: tuple[str, ...] = ()
-    all_routers_known: bool = False
     brittle: dict[str, int] = {}
-    list_number: int = 0
-    known_to_all: bool = False
+    deal: int = NO_DEALS
+    shares: dict[str, int] = {}
+    deal_settled: int = 0
 
 
 class ControlPoll(msgspec.Struct, frozen=True):
