--- a/tests/brittle_routers.py
+++ b/tests/brittle_routers.py
@@ -15,6 +15,7 @@
 from ashlatch.adapter.notices import decode_notice
 from ashlatch.http.client import Reply
 from ashlatch.policy.load import LoadReport
+from ashlatch.policy.slot_deal import SlotDealer
 from ashlatch.policy.table import RoutingTable
 from ashlatch.router import dispatch, notices
 from ashlatch.router.core import RouterConfig, RouterCore
@@ -57,6 +58,7 @@
 
 LEASE_MS = 2000.0
 POLL_MS = 400.0
+POLL_RETRY_MS = 50.0
 LOAD_POLL_MS = 250.0
 RETURN_MS = 2000.0
 REPORT_LAG_MS = (50.0, 300.0)
@@ -83,6 +85,7 @@
     core: RouterCore
     alive: bool = True
     revision: int = 0
+    cut_off: bool = False
     polled_ms: float = 0.0
     held: RouterPoll | None = None
 
@@ -141,6 +144,8 @@
         self.queue: list[tuple[float, int, Callable[[], object]]] = []
         self.numbers = itertools.count()
         self.leases = Leases(LeaseConfig(LEASE_MS), -1e9)
+        self.leaderless_until_ms = 0.0
+        self.terms = 1
         self.revision = 0
         self.endpoints: dict[str, BrittleEndpoint] = {}
         for _ in range(endpoints):
@@ -283,6 +288,9 @@
     def poll(self, router: SimulatedRouter) -> None:
         if not router.alive:
             return
+        if router.cut_off or self.now_ms < self.leaderless_until_ms:
+            self.later(POLL_RETRY_MS, lambda: self.poll(router))
+            return
         core = router.core
         shares = core.planner.shares
         poll = RouterPoll(
@@ -311,6 +319,19 @@
             if held is not None and self.has_news(held):
                 self.answer(other, held)
 
+    def lose_leader(self, for_ms: float) -> None:
+        """Another member leads the state after a time; it knows no leases."""
+        self.terms += 1
+        self.leaderless_until_ms = self.now_ms + for_ms
+        dealer = SlotDealer(self.terms * 1_000_000)
+        self.leases = Leases(
+            LeaseConfig(LEASE_MS), self.leaderless_until_ms, dealer=dealer
+        )
+        for router in self.routers:
+            if router.held is not None:
+                router.held = None
+                self.poll(router)
+
     def has_news(self, poll: RouterPoll) -> bool:
         new = poll.router not in self.leases.routers
         return new or self.leases.has_new_deal(poll)
