--- a/tests/test_brittle_routers.py
+++ b/tests/test_brittle_routers.py
@@ -50,6 +50,7 @@
 from ashlatch.router.places import PlaceDecided, brittle_pools
 from ashlatch.store.command import ClaimGranted
 from ashlatch.store.lease import LeaseConfig, Leases, RouterLease
+from ashlatch.store.protocol import RouterPoll
 from tests.brittle_routers import BrittleWorld, Outcome
 from tests.small_system import SmallSystem, start_small_system
 from tests.system import HttpReply
@@ -509,6 +510,26 @@
         self.assertEqual({"e1": 3, "e2": 2}, leases.brittle())
 
 
+class NewLeaderTest(testtools.TestCase):
+    def test_a_new_leader_deals_nothing_while_routers_use_earlier_deals(self) -> None:
+        leases = Leases(LeaseConfig(2000.0), 1000.0, dealer=SlotDealer(first=1000))
+        pools = {"lm": PoolUse(1, {"e1": EndpointUse(2, 0)})}
+        poll = RouterPoll("r/1", "r", "hall", 1, 0.0, brittle_pools=pools, deal_known=7)
+        leases.record_router_poll(RouterLease("r/1", "r", "hall", 1, 1100.0))
+        for now_ms, number in ((1100.0, 0), (3000.0, 0), (3200.0, 1001)):
+            leases.record_use(poll, now_ms)
+            self.assertEqual(number, leases.dealer.number)
+            self.assertEqual(number > 0, leases.has_new_deal(poll))
+
+    def test_a_router_of_an_earlier_release_is_dealt_nothing(self) -> None:
+        leases = Leases(LeaseConfig(), -1e9)
+        leases.record_router_poll(RouterLease("r/1", "r", "hall", 1, 0.0))
+        poll = RouterPoll("r/1", "r", "hall", 1, 0.0)
+        leases.record_use(poll, 0.0)
+        self.assertFalse(leases.dealer.knows("r/1"))
+        self.assertFalse(leases.has_new_deal(poll))
+
+
 class HeaderTest(testtools.TestCase):
     def test_decode_rejections(self) -> None:
         for text, wanted in (("4", 4), ("0", 0), ("", None), ("-1", None), ("x", None)):
