Deals of slots: requests beyond the slots of a newly brittle endpoint raise no share

Found by reading: where an endpoint runs more than its slots when it first announces that it is brittle, the router got a share for each of these requests, and could send as many again until the next deal.

--- a/ashlatch/policy/slot_deal.py
+++ b/ashlatch/policy/slot_deal.py
@@ -15,6 +15,7 @@
 :license: MIT, see LICENSE for details.
 """
 
+from collections import Counter
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -147,11 +148,20 @@
             self._deal(now_ms)
 
     def _overdrawn(self) -> bool:
+        """Checks whether shares include slots that other routers still use."""
+        running: Counter[str] = Counter()
+        taken: Counter[str] = Counter()
+        pools = [pool for r in self._reports.values() for pool in r.pools.values()]
+        for router, report in self._reports.items():
+            for pool in report.pools.values():
+                for endpoint, use in pool.endpoints.items():
+                    share = self.shares_of(router).get(endpoint, 0)
+                    running[endpoint] += use.running
+                    taken[endpoint] += max(share, use.running)
+        # More requests than slots may run where an endpoint has just become brittle.
         return any(
-            use.running > self.shares_of(router).get(endpoint, 0)
-            for router, report in self._reports.items()
-            for pool in report.pools.values()
-            for endpoint, use in pool.endpoints.items()
+            taken[endpoint] > max(slots, running[endpoint])
+            for endpoint, slots in _slots(pools).items()
         )
 
     def _deal(self, now_ms: float) -> None:
@@ -242,9 +252,8 @@
         dealt += 1
     while dealt > slots:
         idle = _with_idle_share(endpoint, users, uses, shares)
-        if not idle:
-            return
-        shares[min(idle, key=missing)][endpoint] -= 1
+        held = [router for router in users if shares[router][endpoint] > 0]
+        shares[min(idle or held, key=missing)][endpoint] -= 1
         dealt -= 1
 
 
--- a/tests/test_brittle_routers.py
+++ b/tests/test_brittle_routers.py
@@ -448,6 +448,17 @@
         self.assertEqual(2, self.dealer.shares_of("a")[lost])
         self.assertEqual(0, self.dealer.shares_of("b").get(lost, 0))
 
+    def test_requests_beyond_the_slots_of_a_newly_brittle_endpoint_raise_no_share(
+        self,
+    ) -> None:
+        for _ in range(4):
+            self.report("a", 9, e0=7)
+            self.report("b", 9)
+            self.update()
+        self.assertEqual(self.dealer.number, self.dealer.settled)
+        self.assertEqual(2, self.dealer.shares_of("a")["e0"])
+        self.assertNotIn("e0", self.dealer.shares_of("b"))
+
     def test_numbers_of_a_new_leader_are_higher(self) -> None:
         self.settle(a=1)
         self.assertEqual(1001, self.dealer.number)
