--- a/ashlatch/router/attempt_results.py
+++ b/ashlatch/router/attempt_results.py
@@ -62,8 +62,8 @@
     core.endpoints.load(name).record_finished(
         core.now_ms, took_ms if answered else None
     )
-    if isinstance(result, Rejected) and result.not_loaded:
-        core.endpoints.load(name).record_not_loaded(active.version, core.now_ms)
+    if isinstance(result, Rejected):
+        _record_rejection(core, active, name, result)
     breaker = core.endpoints.breaker(name)
     if answered:
         breaker.record_success()
@@ -86,6 +86,15 @@
         core.add_findings(core.evidence.record_failure(name, failure))
 
 
+def _record_rejection(
+    core: RouterCore, active: ActiveRequest, name: str, result: Rejected
+) -> None:
+    if result.not_loaded:
+        core.endpoints.load(name).record_not_loaded(active.version, core.now_ms)
+    routers = core.planner.shares.count
+    core.endpoints.brittle.record_rejection(name, routers, core.now_ms)
+
+
 def _timed_out(core: RouterCore, active: ActiveRequest) -> bool:
     """Checks whether the attempt was cancelled because the deadline had passed."""
     return core.now_ms >= active.request.deadline_ms - DEADLINE_TOLERANCE_MS
--- a/ashlatch/router/daemon.py
+++ b/ashlatch/router/daemon.py
@@ -58,7 +58,12 @@
 from ashlatch.settings import RouterSettings
 from ashlatch.store.protocol import RouterPoll, RouterReply, VersionReport
 
-__all__ = ["RouterDaemon", "configuration_changed"]
+__all__ = [
+    "DEMAND_POLL_WAIT_MS",
+    "RouterDaemon",
+    "configuration_changed",
+    "lease_renewed",
+]
 
 
 log = logging.getLogger("ashlatch.router")
@@ -66,6 +71,8 @@
 POLL_RETRY_S = 0.05
 # How long the state may delay its reply to a heartbeat while a version is suspected.
 SUSPECTED_POLL_WAIT_MS = 100.0
+# The same while requests wait for places, which the state deals by demand.
+DEMAND_POLL_WAIT_MS = 100.0
 FIRST_CONFIGURATION_TIMEOUT_S = 20.0
 STOP_CHECK_S = 0.02
 # The interval of checks whether endpoints can be reached again, and when callers that
@@ -107,6 +114,18 @@
     )
 
 
+def lease_renewed(reply: RouterReply, sent_ms: float) -> LeaseRenewed:
+    """Returns the event for the lease in a reply to a poll sent at `sent_ms`."""
+    return LeaseRenewed(
+        sent_ms + reply.lease_ms,
+        reply.routers,
+        reply.brittle,
+        reply.deal,
+        reply.shares,
+        reply.deal_settled,
+    )
+
+
 class RouterDaemon:
     """Runs one router. `start` returns once the router accepts callers."""
 
@@ -216,6 +235,8 @@
         wait_ms = self.settings.poll_wait_ms
         if any(core.planner.is_suspected(version) for version in list(core.tallies)):
             wait_ms = min(wait_ms, SUSPECTED_POLL_WAIT_MS)
+        if core.waiting:
+            wait_ms = min(wait_ms, DEMAND_POLL_WAIT_MS)
         if not self._ready.is_set():
             wait_ms = 0.0
         return RouterPoll(
@@ -227,13 +248,14 @@
             reports,
             core.quarantine.unconfirmed(),
             self._crashes_known,
+            *self.host.brittle_state(),
         )
 
     def _apply(self, reply: RouterReply, sent_ms: float) -> None:
         if reply.revision != self._builder.revision or not self._ready.is_set():
             table = self._builder.update(reply.revision, reply.resources, reply.deleted)
             self.host.post(configuration_changed(table, reply))
-        self.host.post(LeaseRenewed(sent_ms + reply.lease_ms, reply.routers))
+        self.host.post(lease_renewed(reply, sent_ms))
         totals = tuple(
             VersionTotals(report.version, report.tally) for report in reply.totals
         )
--- a/ashlatch/router/host.py
+++ b/ashlatch/router/host.py
@@ -31,8 +31,9 @@
 from ashlatch.http.client import Reply
 from ashlatch.log import LogEvent, emit
 from ashlatch.metrics import Metrics
+from ashlatch.policy.slot_deal import PoolUse
 from ashlatch.registry import Handlers
-from ashlatch.router import admission, attempt, hedge, notices, updates
+from ashlatch.router import admission, attempt, dispatch, hedge, notices, updates
 from ashlatch.router.core import RouterConfig, RouterCore
 from ashlatch.router.effect import (
     CancelAttempt,
@@ -42,6 +43,7 @@
     ReportCrashes,
     ScheduleClaimRetry,
     ScheduleHedge,
+    SchedulePlaceWaitEnd,
     SendAnswer,
     SendProblem,
     StartAttempt,
@@ -59,11 +61,13 @@
     FirstChunkReceived,
     HedgeDue,
     NotSent,
+    PlaceWaitDue,
     RecordOutcomeReceived,
     Request,
     RequestArrived,
     RequestKind,
 )
+from ashlatch.router.places import PlaceDecided, brittle_pools
 from ashlatch.rpc import RpcLoop
 from ashlatch.settings import RouterSettings, parse_addresses
 
@@ -88,7 +92,7 @@
 
 
 # Importing these modules registers their handlers.
-_HANDLER_MODULES = (admission, attempt, hedge, updates, notices)
+_HANDLER_MODULES = (admission, attempt, dispatch, hedge, updates, notices)
 
 
 @dataclass(frozen=True)
@@ -352,9 +356,18 @@
             was_run,
             notice.backoff_ms,
             notice.leaving,
+            notice.rejections_max,
         )
         self.post(notice_event)
 
+    def brittle_state(self) -> tuple[dict[str, int], dict[str, PoolUse], int, int]:
+        """Returns what a heartbeat says of brittle endpoints."""
+        with self._lock:
+            announced = self.core.endpoints.brittle.announced()
+            shares = self.core.planner.shares
+            pools = brittle_pools(self.core)
+            return announced, pools, shares.number, shares.settled
+
     def accept_first_chunk(self, effect: StartAttempt) -> bool:
         """Posts an attempt's first chunk; returns whether its stream is forwarded."""
         request_id = effect.request.request_id
@@ -412,6 +425,16 @@
     host.rpc.post(host.rpc.loop.call_later, effect.after_ms / 1000.0, post_due)
 
 
+@EFFECTS.on(SchedulePlaceWaitEnd)
+def _schedule_place_wait_end(host: RouterHost, effect: SchedulePlaceWaitEnd) -> None:
+    due = PlaceWaitDue(effect.request_id)
+
+    def post_due() -> None:
+        host.submit(lambda: host.post(due))
+
+    host.rpc.post(host.rpc.loop.call_later, effect.after_ms / 1000.0, post_due)
+
+
 @EFFECTS.on(ProposeClose)
 def _propose_close(host: RouterHost, effect: ProposeClose) -> None:
     host.propose(effect.close, lambda outcome: None, until_committed=True)
@@ -454,4 +477,6 @@
 
 @EFFECTS.on(WriteLog)
 def _write_log(host: RouterHost, effect: WriteLog) -> None:
+    if isinstance(effect.event, PlaceDecided):
+        host.metrics.count(f"place_decisions_{effect.event.action}")
     emit(log, effect.event)
--- a/ashlatch/router/plan.py
+++ b/ashlatch/router/plan.py
@@ -19,6 +19,7 @@
 from ashlatch.policy.permission import DenialReason
 from ashlatch.policy.quality import QualityTracker
 from ashlatch.policy.quarantine import Isolation, choose_isolated
+from ashlatch.policy.slot_deal import DealtShares
 from ashlatch.policy.table import NamedEndpoint, RoutingTable
 from ashlatch.policy.version import VERSION_POLICIES, Goal, Option
 from ashlatch.resources import Route
@@ -70,6 +71,7 @@
 
     def __post_init__(self) -> None:
         self.endpoints = EndpointStates(self.settings, self.generator)
+        self.shares = DealtShares()
         self._subsets: dict[str, tuple[NamedEndpoint, ...]] = {}
         self.endpoint_policy = ENDPOINT_POLICIES.get(self.settings.endpoint)()
         self.version_policy = VERSION_POLICIES.get(self.settings.version)()
@@ -80,6 +82,11 @@
         current = {e.name for pool in table.endpoints.values() for e in pool}
         self.endpoints.retain(current)
         self.endpoints.listed_leaving = table.leaving
+        self.endpoints.brittle.pools = {
+            endpoint.name: pool
+            for pool, endpoints in table.endpoints.items()
+            for endpoint in endpoints
+        }
         self._subsets = {
             pool: self._choose_subset(endpoints)
             for pool, endpoints in table.endpoints.items()
@@ -89,6 +96,20 @@
         """Returns the subset of a pool's endpoints that this router uses."""
         return self._subsets.get(pool, ())
 
+    def place_share(self, endpoint: str) -> int:
+        """Returns this router's share of the slots of a brittle endpoint."""
+        return self.shares.share(endpoint, self.endpoints.load(endpoint).slots)
+
+    def has_place(self, endpoint: str, now_ms: float) -> bool:
+        """Checks whether an endpoint isn't brittle or has a place for a request."""
+        brittle = self.endpoints.brittle
+        if not brittle.is_brittle(endpoint):
+            return True
+        if brittle.wait_ms(endpoint, now_ms) > 0.0:
+            return False
+        in_flight = self.endpoints.load(endpoint).in_flight
+        return in_flight < self.place_share(endpoint)
+
     def _choose_subset(
         self, endpoints: tuple[NamedEndpoint, ...]
     ) -> tuple[NamedEndpoint, ...]:
@@ -326,12 +347,19 @@
     def _candidate(self, endpoint: NamedEndpoint, load: EndpointLoad) -> Candidate:
         network_ms = 0.0 if endpoint.spec.hall == self.hall else OTHER_HALL_LATENCY_MS
         requests = load.requests()
+        if self.endpoints.brittle.is_brittle(endpoint.name):
+            # Nobody else uses this router's share, whatever a late report says.
+            share = self.place_share(endpoint.name)
+            requests = load.in_flight * load.slots / max(1, share)
+            wait_ms = 0.0
+        else:
+            wait_ms = load.wait_ms(requests)
         return Candidate(
             endpoint.name,
             requests,
             load.reported_requests(),
             load.slots,
-            load.wait_ms(requests) + load.service_ms + network_ms,
+            wait_ms + load.service_ms + network_ms,
         )
 
     def _endpoint_exclusion(
@@ -352,7 +380,10 @@
             return ExclusionReason.STALE_REPORT
         if not self.endpoints.breaker(name).allows(now_ms):
             return ExclusionReason.BREAKER_OPEN
-        return _EXCLUSION_OF_DENIAL[denial_reason] if denial_reason else None
+        if denial_reason:
+            return _EXCLUSION_OF_DENIAL[denial_reason]
+        has_place = self.has_place(name, now_ms)
+        return None if has_place else ExclusionReason.NO_PLACE
 
     def _option(self, request: Request, route: Route, plan: Plan) -> Option:
         spec = self.table.versions[plan.version]
--- a/ashlatch/store/lease.py
+++ b/ashlatch/store/lease.py
@@ -14,9 +14,11 @@
 :license: MIT, see LICENSE for details.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
-from ashlatch.store.protocol import VersionReport
+from ashlatch.policy.slot_deal import NO_DEALS, SlotDealer
+from ashlatch.store.protocol import RouterPoll, VersionReport
 
 __all__ = ["LeaseConfig", "Leases", "RouterLease"]
 
@@ -42,6 +44,7 @@
     applied_revision: int
     answered_ms: float
     reports: tuple[VersionReport, ...] = ()
+    brittle: Mapping[str, int] = field(default_factory=dict)
 
 
 @dataclass
@@ -53,11 +56,29 @@
     routers: dict[str, RouterLease] = field(default_factory=dict)
     control_holder: str = ""
     control_answered_ms: float = float("-inf")
+    dealer: SlotDealer = field(default_factory=SlotDealer)
 
     def record_router_poll(self, lease: RouterLease) -> None:
         """Records the poll of a router that is about to be answered."""
         self.routers[lease.router] = lease
 
+    def record_use(self, poll: RouterPoll, now_ms: float) -> None:
+        """Records a router's use of brittle endpoints, and deals their slots.
+
+        A new leader deals none before all leases of earlier ones have expired.
+        """
+        if poll.router not in self.routers or poll.deal_known == NO_DEALS:
+            return
+        self.dealer.record(poll.router, poll.deal_known, poll.brittle_pools)
+        if self.earlier_leases_expired(now_ms):
+            self.dealer.update(now_ms)
+
+    def has_new_deal(self, poll: RouterPoll) -> bool:
+        """Checks whether there is a deal that a router does not know yet."""
+        dealt = self.dealer.number and self.dealer.knows(poll.router)
+        known = poll.deal_known, poll.deal_settled
+        return bool(dealt) and known != (self.dealer.number, self.dealer.settled)
+
     def record_applied_revision(self, router: str, revision: int) -> None:
         """Records the revision that a router with a lease has applied.
 
@@ -77,6 +98,17 @@
                 totals[report.version] = _sum(total, report) if total else report
         return tuple(totals.values())
 
+    def brittle(self) -> dict[str, int]:
+        """Returns the rejections a second that brittle endpoints tolerate.
+
+        The least counts, of all routers with a lease.
+        """
+        found: dict[str, int] = {}
+        for lease in self.routers.values():
+            for endpoint, most in lease.brittle.items():
+                found[endpoint] = min(most, found.get(endpoint, most))
+        return found
+
     def earlier_leases_expired(self, now_ms: float) -> bool:
         """Returns whether all leases of earlier leaders have expired."""
         wait_ms = self._with_drift_margin(self.config.router_lease_ms)
@@ -92,6 +124,7 @@
         )
         for router in expired:
             del self.routers[router]
+            self.dealer.remove(router)
         return expired
 
     def in_force_revision(self, now_ms: float, committed: int) -> int:
--- a/ashlatch/store/protocol.py
+++ b/ashlatch/store/protocol.py
@@ -13,6 +13,7 @@
 from ashlatch.link import Method
 from ashlatch.policy.crash_record import CrashRecord
 from ashlatch.policy.detector import VersionTally
+from ashlatch.policy.slot_deal import NO_DEALS, PoolUse
 from ashlatch.raft.message import Member, Message
 from ashlatch.store.command import Command, Outcome, Resource
 from ashlatch.store.configuration import ResourceId
@@ -143,7 +144,10 @@
     `router` names one incarnation of one router. The answer waits for up to `wait_ms`
     while there is nothing newer. `crashes` holds the router's records of requests that
     crash endpoints, `crashes_known` the newest change to such records that it has
-    received.
+    received. `brittle` holds the rejections a second that brittle endpoints tolerate,
+    as they have announced to this router, `brittle_pools` its use of their slots.
+    `deal_known` is the newest deal of these slots that it has applied, `deal_settled`
+    the newest one that it knows to be settled.
     """
 
     router: str
@@ -154,6 +158,10 @@
     reports: tuple[VersionReport, ...] = ()
     crashes: tuple[CrashRecord, ...] = ()
     crashes_known: int = 0
+    brittle: dict[str, int] = {}
+    brittle_pools: dict[str, PoolUse] = {}
+    deal_known: int = NO_DEALS
+    deal_settled: int = 0
 
 
 class RouterReply(msgspec.Struct, frozen=True):
@@ -162,7 +170,9 @@
     The lease runs for `lease_ms` from when the router sent the poll. `routers` is the
     number of routers with a lease, `totals` the sum of their reports. `crashes` holds
     the changed records of requests that crashed endpoints, up to the change
-    `crashes_known`.
+    `crashes_known`. `brittle` is what all routers report of brittle endpoints. `shares`
+    are this router's shares of the slots of these in the deal `deal`, which is 0 while
+    a new leader has not dealt yet; all deals up to `deal_settled` are settled.
     """
 
     granted: bool
@@ -175,6 +185,10 @@
     totals: tuple[VersionReport, ...] = ()
     crashes: tuple[CrashRecord, ...] = ()
     crashes_known: int = 0
+    brittle: dict[str, int] = {}
+    deal: int = NO_DEALS
+    shares: dict[str, int] = {}
+    deal_settled: int = 0
 
 
 class ControlPoll(msgspec.Struct, frozen=True):
