Quarantine: fingerprints, completed parts and trials are modules of their own

What identifies a request is in policy/fingerprint.py, the completed runs of parts in policy/completion.py, the running trials in policy/trial.py.

--- a/ashlatch/gateway/admission.py
+++ b/ashlatch/gateway/admission.py
@@ -22,7 +22,8 @@
 from ashlatch.http.connection import Responder
 from ashlatch.log import emit
 from ashlatch.platform.headers import refusal_headers
-from ashlatch.policy.quarantine import Fingerprints, QuarantineAction
+from ashlatch.policy.fingerprint import Fingerprints
+from ashlatch.policy.quarantine import QuarantineAction
 
 __all__ = [
     "RETRY_AFTER_S",
--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -22,8 +22,8 @@
 from ashlatch.gateway.permission import send_permission
 from ashlatch.gateway.versions import AllowedEndpoints
 from ashlatch.policy.endpoint import Candidate
+from ashlatch.policy.fingerprint import Isolation, choose_isolated
 from ashlatch.policy.permission import DenialReason
-from ashlatch.policy.quarantine import Isolation, choose_isolated
 
 __all__ = [
     "Choice",
--- a/ashlatch/gateway/crash_records.py
+++ b/ashlatch/gateway/crash_records.py
@@ -28,7 +28,8 @@
 from ashlatch.gateway.updates import CrashRecordUpdate
 from ashlatch.log import emit
 from ashlatch.policy.crash_record import CrashRecord
-from ashlatch.policy.quarantine import AnswerBegin, Fingerprints
+from ashlatch.policy.fingerprint import Fingerprints
+from ashlatch.policy.quarantine import AnswerBegin
 
 __all__ = [
     "announce_records",
--- a/ashlatch/gateway/fingerprint.py
+++ b/ashlatch/gateway/fingerprint.py
@@ -12,7 +12,7 @@
 import xxhash
 
 from ashlatch.gateway.message import CallerRequest
-from ashlatch.policy.quarantine import Fingerprints
+from ashlatch.policy.fingerprint import Fingerprints
 
 __all__ = ["request_fingerprint", "request_fingerprints", "format_fingerprint"]
 
--- a/ashlatch/gateway/forecast.py
+++ b/ashlatch/gateway/forecast.py
@@ -18,7 +18,7 @@
 from ashlatch.gateway.message import CallerRequest
 from ashlatch.gateway.overload import ENGINE_USE_MAX
 from ashlatch.policy.endpoint import rank, weighted_first
-from ashlatch.policy.quarantine import Isolation
+from ashlatch.policy.fingerprint import Isolation
 
 __all__ = ["Forecast", "Forecaster", "Send"]
 
--- a/ashlatch/gateway/runs.py
+++ b/ashlatch/gateway/runs.py
@@ -15,7 +15,8 @@
 from typing import Protocol
 
 from ashlatch.gateway.message import CallerRequest
-from ashlatch.policy.quarantine import AnswerBegin, Fingerprints
+from ashlatch.policy.fingerprint import Fingerprints
+from ashlatch.policy.quarantine import AnswerBegin
 
 __all__ = ["Run", "RunLog"]
 
--- a/ashlatch/gateway/trials.py
+++ b/ashlatch/gateway/trials.py
@@ -21,7 +21,8 @@
 from ashlatch.gateway.message import CallerRequest
 from ashlatch.gateway.updates import TrialChanged
 from ashlatch.log import emit
-from ashlatch.policy.quarantine import TRIAL_WAIT_MS, Fingerprints, QuarantineAction
+from ashlatch.policy.fingerprint import Fingerprints
+from ashlatch.policy.quarantine import TRIAL_WAIT_MS, QuarantineAction
 
 __all__ = ["QuarantineGate"]
 
--- a/ashlatch/policy/quarantine.py
+++ b/ashlatch/policy/quarantine.py
@@ -24,25 +24,28 @@
 from random import Random
 
 from ashlatch.policy.attribution import CRASHES_MIN, Cause, attribute_crashes
+from ashlatch.policy.completion import (
+    COMPLETED_VALID_MS,
+    POPULAR_TIMES,
+    CompletedParts,
+    Completions,
+)
 from ashlatch.policy.crash_record import (
     Crash,
     CrashRecord,
     apply_record,
     endpoint_digest,
     merge_records,
-    part_fingerprint,
 )
-from ashlatch.policy.endpoint import rank
+from ashlatch.policy.fingerprint import Fingerprints, Isolation
+from ashlatch.policy.trial import Trials
 
 __all__ = [
     "TRIAL_WAIT_MS",
     "AnswerBegin",
-    "Fingerprints",
-    "Isolation",
     "Quarantine",
     "QuarantineAction",
     "QuarantineDecision",
-    "choose_isolated",
 ]
 
 # The duration of a quarantine, doubled for each further crash: a fingerprint that is
@@ -54,8 +57,6 @@
 # How often a record is reported to the core at most, several times a second: a core
 # without capacity for the record does not confirm it.
 REPORTS_MAX = 20
-# A trial that has not ended after this time no longer keeps others from running.
-TRIAL_MS = 3000.0
 # How long a request may wait for the result of a trial: most have ended by then.
 TRIAL_WAIT_MS = 800.0
 # When a caller may return that is refused because of a trial.
@@ -68,11 +69,6 @@
 JOINT_DELAY_MS = 500.0
 # Processes begin trials at different times, so that the others learn of the first one.
 TRIAL_DELAY_MAX_MS = 200.0
-# A part that has completed so often within this time is popular.
-POPULAR_TIMES = 3
-COMPLETED_VALID_MS = 60_000.0
-# The number of parts whose last completed run is known.
-COMPLETED_PARTS_MAX = 4096
 
 
 class QuarantineAction(enum.Enum):
@@ -109,55 +105,6 @@
 _SEND = QuarantineDecision(QuarantineAction.SEND)
 
 
-@dataclass(frozen=True)
-class Fingerprints:
-    """What identifies a request: the whole of it, and the shared parts of its prompt.
-
-    `parts` are the ids of the parts that other requests may contain too::
-
-        Fingerprints(request_fingerprint, ("5c1e07a2", "91bd3f06"))
-    """
-
-    request: int
-    parts: tuple[str, ...] = ()
-    keys: tuple[int, ...] = field(init=False)
-
-    def __post_init__(self) -> None:
-        shared = dict.fromkeys(part_fingerprint(part) for part in self.parts)
-        object.__setattr__(self, "keys", (self.request, *shared))
-
-    def part_of(self, key: int) -> str:
-        """Returns the id of the part that a key stands for; empty for the request."""
-        found = (part for part in self.parts if part_fingerprint(part) == key)
-        return next(found, "")
-
-
-@dataclass(frozen=True)
-class Isolation:
-    """How a request is kept apart that ran, or whose prompt's part ran, at a crash.
-
-    Requests that share the suspected `part` go to the same endpoint, so that few are at
-    risk; another part's requests mostly go elsewhere, so that the suspects separate.
-    Without a part the request itself is suspected.
-    """
-
-    part: str
-
-
-def choose_isolated(
-    names: tuple[str, ...], isolation: Isolation, generator: Random
-) -> str:
-    """Returns the endpoint for a request that is kept apart.
-
-    All processes choose the same endpoint for a part. A request itself goes to any of
-    them: the cheapest one has the subject's prompt cached, and there it would keep
-    running beside the one that crashes endpoints.
-    """
-    if not isolation.part:
-        return generator.choice(names)
-    return rank(names, isolation.part)[0]
-
-
 @dataclass(frozen=True)
 class AnswerBegin:
     """The crashes of a request's fingerprints that were known when its answer began.
@@ -171,36 +118,6 @@
     records: tuple[CrashRecord, ...] = ()
 
 
-@dataclass(frozen=True)
-class _Completions:
-    """The completed runs of a part here.
-
-    `last_unix_ms` is when the last one was noticed, `begun_unix_ms` when the latest of
-    their answers began.
-    """
-
-    times: int = 0
-    last_unix_ms: float = float("-inf")
-    begun_unix_ms: float = float("-inf")
-
-    def after(self, now_unix_ms: float, begun_unix_ms: float) -> "_Completions":
-        """Returns these with one more."""
-        recent = now_unix_ms - self.last_unix_ms < COMPLETED_VALID_MS
-        begun_unix_ms = max(begun_unix_ms, self.begun_unix_ms)
-        return _Completions(self.times + 1 if recent else 1, now_unix_ms, begun_unix_ms)
-
-    def popular(self, now_unix_ms: float) -> bool:
-        """Checks whether there were several shortly before a time."""
-        recent = now_unix_ms - self.last_unix_ms < COMPLETED_VALID_MS
-        return recent and self.times >= POPULAR_TIMES
-
-
-@dataclass(frozen=True)
-class _Trial:
-    request: int
-    ends_unix_ms: float
-
-
 @dataclass
 class Quarantine:
     """The crash records at one gateway or router, and the decisions by them::
@@ -220,8 +137,8 @@
     _records: dict[int, CrashRecord] = field(default_factory=dict)
     # Fingerprints that the core has not confirmed, with the number of reports to it.
     _unconfirmed: dict[int, int] = field(default_factory=dict)
-    _completed: dict[int, "_Completions"] = field(default_factory=dict)
-    _trials: dict[int, _Trial] = field(default_factory=dict)
+    _completed: CompletedParts = field(default_factory=CompletedParts)
+    _trials: Trials = field(default_factory=Trials)
     # The fingerprints with enough crashes to be a cause.
     _candidates: set[int] = field(default_factory=set)
     # None when their records have changed since.
@@ -260,10 +177,7 @@
         since_crash_ms = now_unix_ms - self._records[key].counted_crashes[-1].at_unix_ms
         if 0.0 <= since_crash_ms < settle_ms:
             return True
-        trial = self._trials.get(key)
-        if trial is None or trial.request == request:
-            return False
-        return trial.ends_unix_ms > now_unix_ms
+        return self._trials.denies(key, request, now_unix_ms)
 
     def _tested(self, keys: Iterable[int]) -> tuple[int, ...]:
         """Returns which of the keys a trial of all of them tests.
@@ -287,9 +201,9 @@
     ) -> None:
         """Records that a request is sent as a trial here or elsewhere."""
         suspects = self._candidates
-        self._trials = {k: t for k, t in self._trials.items() if k in suspects}
-        trial = _Trial(request, now_unix_ms + TRIAL_MS)
-        self._trials.update((key, trial) for key in keys if key in suspects)
+        self._trials.retain(suspects)
+        found = (key for key in keys if key in suspects)
+        self._trials.begin(found, request, now_unix_ms)
 
     def end_trial(self, fingerprints: Fingerprints) -> tuple[int, ...]:
         """Ends the trial that a request is, if any; returns its suspected causes."""
@@ -297,11 +211,7 @@
 
     def apply_trial_end(self, keys: Iterable[int], request: int) -> tuple[int, ...]:
         """Ends the trials of causes that a request here or elsewhere was."""
-        trials = self._trials
-        ended = tuple(k for k in keys if k in trials and trials[k].request == request)
-        for key in ended:
-            del trials[key]
-        return ended
+        return self._trials.end(keys, request)
 
     def remaining_ms(self, fingerprint: int, now_unix_ms: float) -> float:
         """Returns the remaining time in quarantine; 0 if it may be sent."""
@@ -376,12 +286,11 @@
         suspects: int = 0,
     ) -> CrashRecord:
         """Records that an endpoint ended while it ran a request of this process."""
-        completed = self._completed.get(fingerprint)
         crash = Crash(
             endpoint_digest(instance),
             started_unix_ms,
             now_unix_ms,
-            completed_before=completed is not None and completed.popular(now_unix_ms),
+            completed_before=self._completed.popular(fingerprint, now_unix_ms),
             suspects=suspects,
         )
         record = CrashRecord(fingerprint, (crash,), part)
@@ -449,11 +358,8 @@
         This clears the parts of the prompt: one that crashes endpoints does so when
         they begin to write. Returns the records that it clears.
         """
-        for key in answer.fingerprints.keys[1:]:
-            completed = self._completed.pop(key, _Completions())
-            self._completed[key] = completed.after(now_unix_ms, answer.at_unix_ms)
-        while len(self._completed) > COMPLETED_PARTS_MAX:
-            del self._completed[next(iter(self._completed))]
+        shared = answer.fingerprints.keys[1:]
+        self._completed.record(shared, now_unix_ms, answer.at_unix_ms)
         request = answer.fingerprints.request
         parts = (r for r in answer.records if r.fingerprint != request)
         return tuple(record for r in parts if (record := self._clear(r)) is not None)
@@ -479,7 +385,7 @@
         if not changed:
             return False
         if self._trial_crashes(record.fingerprint) > trials:
-            self._trials.pop(record.fingerprint, None)
+            self._trials.forget(record.fingerprint)
         completed = self._completed.get(record.fingerprint)
         if completed is not None:
             self._apply_completion(record.fingerprint, completed)
@@ -490,7 +396,7 @@
         record = self._records.get(fingerprint)
         return sum(c.suspects > 0 for c in record.crashes) if record is not None else 0
 
-    def _apply_completion(self, fingerprint: int, completed: "_Completions") -> None:
+    def _apply_completion(self, fingerprint: int, completed: Completions) -> None:
         """Applies a completed run here to crashes that others have reported since."""
         record = self._records.get(fingerprint)
         if record is None:
--- a/ashlatch/router/core.py
+++ b/ashlatch/router/core.py
@@ -16,9 +16,10 @@
 from ashlatch.errors import InvariantViolated
 from ashlatch.policy.detector import VersionTally
 from ashlatch.policy.evidence import Evidence, Finding
+from ashlatch.policy.fingerprint import Fingerprints
 from ashlatch.policy.hedging import Hedging
 from ashlatch.policy.limit import Limits
-from ashlatch.policy.quarantine import AnswerBegin, Fingerprints, Quarantine
+from ashlatch.policy.quarantine import AnswerBegin, Quarantine
 from ashlatch.policy.retry import RetryBudget
 from ashlatch.policy.slowness import LatencyHistory
 from ashlatch.policy.table import NamedEndpoint
--- a/ashlatch/router/plan.py
+++ b/ashlatch/router/plan.py
@@ -15,10 +15,10 @@
 
 from ashlatch.policy.detector import Detector
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES, Candidate, subset
+from ashlatch.policy.fingerprint import Isolation, choose_isolated
 from ashlatch.policy.load import EndpointLoad
 from ashlatch.policy.permission import DenialReason
 from ashlatch.policy.quality import QualityTracker
-from ashlatch.policy.quarantine import Isolation, choose_isolated
 from ashlatch.policy.table import NamedEndpoint, RoutingTable
 from ashlatch.policy.version import VERSION_POLICIES, Goal, Option
 from ashlatch.resources import Route
--- a/ashlatch/router/quarantine.py
+++ b/ashlatch/router/quarantine.py
@@ -15,12 +15,8 @@
 import xxhash
 
 from ashlatch.log import LogEvent
-from ashlatch.policy.quarantine import (
-    AnswerBegin,
-    Fingerprints,
-    QuarantineAction,
-    QuarantineDecision,
-)
+from ashlatch.policy.fingerprint import Fingerprints
+from ashlatch.policy.quarantine import AnswerBegin, QuarantineAction, QuarantineDecision
 from ashlatch.router.core import (
     HANDLERS,
     ActiveAttempt,
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -29,11 +29,11 @@
 from ashlatch.platform.document import decode_catalog
 from ashlatch.policy.crash_record import CrashRecord
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
+from ashlatch.policy.fingerprint import Fingerprints
 from ashlatch.policy.quarantine import (
     TRIAL_DELAY_MAX_MS,
     TRIAL_WAIT_MS,
     AnswerBegin,
-    Fingerprints,
     Quarantine,
     QuarantineAction,
 )
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -8,6 +8,7 @@
 
 from ashlatch.codec import decode, encode
 from ashlatch.policy.attribution import CRASHES_MIN
+from ashlatch.policy.completion import POPULAR_TIMES
 from ashlatch.policy.crash_record import (
     CRASHES_PER_RECORD_MAX,
     RECORDS_MAX,
@@ -21,15 +22,14 @@
     merge_records,
     part_fingerprint,
 )
+from ashlatch.policy.fingerprint import Fingerprints
 from ashlatch.policy.quarantine import (
     JOINT_DELAY_MS,
-    POPULAR_TIMES,
     QUARANTINE_MAX_MS,
     QUARANTINE_MS,
     QUARANTINE_POPULAR_MS,
     REPORTS_MAX,
     SETTLE_MS,
-    Fingerprints,
     Quarantine,
     QuarantineAction,
 )
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -12,7 +12,8 @@
     Run,
     RunLog,
 )
-from ashlatch.policy.quarantine import AnswerBegin, Fingerprints
+from ashlatch.policy.fingerprint import Fingerprints
+from ashlatch.policy.quarantine import AnswerBegin
 
 AT_MS = 1000.0
 NO_REQUEST: Any = None
