Routers: a trial lasts while either attempt of a hedged request runs

Cause: the end of any attempt ended the trial of its request.

Fine already, now tested: an answer does not clear a crash of the other attempt that came after it began; an answer clears the part and ends the trial; the crash of the endpoint of a cancelled attempt confirms nothing.

Change: the trial ends with the last attempt. TrialTest: test_the_trial_lasts_while_one_attempt_ runs and test_a_crash_of_the_other_attempt_confirms_the_part failed before and pass; test_router and test_router_crashes pass.

--- a/ashlatch/router/attempt.py
+++ b/ashlatch/router/attempt.py
@@ -72,10 +72,11 @@
     if active is None or attempt is None:
         return
     record_result(core, active, attempt, event.result)
-    end_trial(core, active)
-    if active.hedge is not None and not isinstance(event.result, Answered):
+    continues = active.hedge is not None and not isinstance(event.result, Answered)
+    if continues:
         _continue_with_other_attempt(active, attempt, event.result)
         return
+    end_trial(core, active)
     core.select_attempt(active, event.attempt_id)
     match event.result:
         case Answered():
--- a/tests/test_router_crashes.py
+++ b/tests/test_router_crashes.py
@@ -14,14 +14,20 @@
 
 from ashlatch.adapter.liveness import refuses_connections
 from ashlatch.http import problem as problems
-from ashlatch.policy.crash_record import CrashRecord
+from ashlatch.policy.crash_record import CrashRecord, part_fingerprint
 from ashlatch.policy.detector import VersionTally
 from ashlatch.policy.quarantine import Quarantine
-from ashlatch.router.effect import Effect, SendProblem, StartAttempt
+from ashlatch.router.effect import (
+    Effect,
+    SendProblem,
+    StartAttempt,
+)
 from ashlatch.router.event import (
     AttemptEnded,
     Broken,
     CrashRecordsReceived,
+    HedgeDue,
+    NotSent,
     RequestArrived,
 )
 from ashlatch.router.quarantine import request_fingerprint
@@ -172,6 +178,73 @@
         self.assertEqual(problems.QUARANTINED, self.only_problem(effects).kind)
 
 
+class TrialTest(QuarantineTest):
+    """Other routers have seen a part of prompts at three crashes, some time ago."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.step(CrashRecordsReceived(self.crashes(CRASHES_MAX)))
+        for version in ("v1", "v2"):
+            for _ in range(200):
+                self.core.hedging.record_response(version, False, 50.0)
+
+    def crashes(self, number: int, suspects: int = 0) -> tuple[CrashRecord, ...]:
+        """Returns another router's record, its last crash in a trial of `suspects`."""
+        other = Quarantine()
+        for n in range(number):
+            at_ms = ARRIVED_WALL_MS - 60_000 + 5000 * n
+            tested = suspects if n == number - 1 else 0
+            key = part_fingerprint("p")
+            other.record_crash(key, f"x{n}", 0, at_ms, "p", tested)
+        return other.unconfirmed()
+
+    def arrive_with_part(self, number: int, **changed: object) -> list[Effect]:
+        return self.arrive_numbered(
+            number, prompt_parts=("p",), body_digest=f"body {number}", **changed
+        )
+
+    def send_trial(self, **changed: object) -> StartAttempt:
+        trial = self.first_attempt(self.arrive_with_part(1, **changed))
+        assert trial is not None
+        return trial
+
+    def send_hedged_trial(self) -> tuple[StartAttempt, StartAttempt]:
+        trial = self.send_trial()
+        hedge = self.first_attempt(self.step(HedgeDue("q1", trial.attempt_id)))
+        assert hedge is not None
+        return trial, hedge
+
+    def test_the_trial_lasts_while_one_attempt_runs(self) -> None:
+        for failed in (0, 1):
+            with self.subTest(failed=failed):
+                attempts = self.send_hedged_trial()
+                self.end_attempt(attempts[failed], Broken("reset"))
+                self.assertIsNone(self.first_attempt(self.arrive_with_part(2)))
+                self.end_attempt(attempts[1 - failed], NotSent("refused"))
+
+    def test_a_crash_of_the_other_attempt_confirms_the_part(self) -> None:
+        trial, hedge = self.send_hedged_trial()
+        self.end_attempt(trial, Broken("reset"))
+        self.end_attempt(hedge, ENDPOINT_GONE)
+        key = part_fingerprint("p")
+        wall_ms = ARRIVED_WALL_MS
+        self.assertTrue(self.core.quarantine.remaining_ms(key, wall_ms) > 0.0)
+
+    def test_an_answer_does_not_clear_the_crash_of_the_other_attempt(self) -> None:
+        trial, hedge = self.send_hedged_trial()
+        self.end_attempt(hedge, ENDPOINT_GONE)
+        self.end_attempt(trial, ANSWER)
+        self.assertEqual(1, self.core.quarantine.crash_count(part_fingerprint("p")))
+
+    def test_an_answer_clears_the_part_and_ends_the_trial(self) -> None:
+        trial, hedge = self.send_hedged_trial()
+        self.end_attempt(trial, ANSWER)
+        self.assertEqual(0, self.core.quarantine.crash_count(part_fingerprint("p")))
+        # The crash of the endpoint of a cancelled attempt confirms nothing.
+        self.end_attempt(hedge, ENDPOINT_GONE)
+        self.assertIsNotNone(self.first_attempt(self.arrive_with_part(2)))
+
+
 class VersionTest(QuarantineTest):
     def test_crashes_count_neither_as_errors_nor_as_answers_of_a_version(self) -> None:
         """Two endpoints crash while running requests, and one answers again at once."""
