Routers: a request waits for a trial before its first send

Cause: the decisions "refuse" and "wait" of the quarantine were treated alike.

Change: a request that has to wait is planned again every 50 ms (ScheduleTrialRetry, TrialRetryDue), before its claim and after it, and refused after 0.8 s. A request whose attempt broke beside a crash is still refused while its parts settle, as it may have run and its retry belongs to the handling of attempts; routers do not announce their trials to each other.

TrialTest: the three tests of waiting requests failed before and pass; test_router, test_router_removal, test_router_backoff and test_router_crashes pass.

--- a/ashlatch/router/admission.py
+++ b/ashlatch/router/admission.py
@@ -21,8 +21,10 @@
     Request,
     RequestArrived,
     RequestKind,
+    TrialRetryDue,
 )
 from ashlatch.router.planning_result import NoPlan
+from ashlatch.router.quarantine import wait_for_trial
 from ashlatch.router.sending import (
     no_plan_problem,
     no_route_problem,
@@ -98,6 +100,8 @@
     version = _pinned_version(core, active.request)
     plan = plan_attempt(core, active, version)
     if isinstance(plan, NoPlan):
+        if plan.on_trial and wait_for_trial(core, active):
+            return
         # A keyed request may already have a recorded answer, even if nothing can
         # run it now.
         if active.request.keyed and plan.allowed:
@@ -170,6 +174,17 @@
     _plan_or_claim(core, active)
 
 
+@HANDLERS.on(TrialRetryDue)
+def _trial_retry_due(core: RouterCore, event: TrialRetryDue) -> None:
+    active = core.active_requests.get(event.request_id)
+    if active is None or active.responded:
+        return
+    if active.attempt_number and core.lease_valid(core.now_ms):
+        _start_granted(core, active)
+    else:
+        _retry_claim(core, active)
+
+
 @HANDLERS.on(ClaimOutcomeReceived)
 def _claim_outcome_received(core: RouterCore, event: ClaimOutcomeReceived) -> None:
     active = core.active_requests.get(event.request_id)
@@ -230,8 +245,16 @@
         # closed as not run, so that a request that may be repeated can still run.
         _refuse_repeat(core, active)
         return
-    plan = plan_attempt(core, active, granted.version)
+    active.version = granted.version
+    _start_granted(core, active)
+
+
+def _start_granted(core: RouterCore, active: ActiveRequest) -> None:
+    """Sends a request whose claim was granted for its version."""
+    plan = plan_attempt(core, active, active.version)
     if isinstance(plan, NoPlan):
+        if plan.on_trial and wait_for_trial(core, active):
+            return
         fail_request(core, active, no_plan_problem(core, active, plan))
         return
     active.version = plan.version
--- a/ashlatch/router/core.py
+++ b/ashlatch/router/core.py
@@ -88,7 +88,8 @@
     attempt. `history_known` is cleared if another router may have run the request.
     `recording` is set while the ledger records the answer. `responded` is set when the
     caller has its final answer or is gone. `current_attempt` is the newest attempt,
-    `hedge` a second one for the same answer.
+    `hedge` a second one for the same answer. `waiting_since_ms` is when it first had to
+    wait for a trial of what its prompt contains.
     """
 
     request: Request
@@ -108,6 +109,7 @@
     poor_answer: PoorAnswer | None = None
     stream_started: bool = False
     responded: bool = False
+    waiting_since_ms: float | None = None
 
     def find_attempt(self, attempt_id: str) -> ActiveAttempt | None:
         """Returns the running attempt with this id, if any."""
--- a/ashlatch/router/effect.py
+++ b/ashlatch/router/effect.py
@@ -28,6 +28,7 @@
     "ScheduleHedge",
     "StartAttempt",
     "ReportCrashes",
+    "ScheduleTrialRetry",
     "WriteLog",
 ]
 
@@ -48,6 +49,14 @@
     after_ms: float
 
 
+@dataclass(frozen=True)
+class ScheduleTrialRetry:
+    """Posts `TrialRetryDue` after a delay."""
+
+    request_id: str
+    after_ms: float
+
+
 @dataclass(frozen=True)
 class ScheduleHedge:
     """Posts `HedgeDue` after a delay."""
@@ -129,6 +138,7 @@
 Effect = (
     ProposeClaim
     | ScheduleClaimRetry
+    | ScheduleTrialRetry
     | ScheduleHedge
     | ProposeClose
     | ProposeAnswer
--- a/ashlatch/router/event.py
+++ b/ashlatch/router/event.py
@@ -238,6 +238,13 @@
     request_id: str
 
 
+@dataclass(frozen=True)
+class TrialRetryDue:
+    """It is time to retry a request that waits for the trial of another one."""
+
+    request_id: str
+
+
 @dataclass(frozen=True)
 class HedgeDue:
     """An attempt has taken longer than most; a second one may be sent."""
@@ -318,6 +325,7 @@
     | RequestArrived
     | ClaimOutcomeReceived
     | ClaimRetryDue
+    | TrialRetryDue
     | HedgeDue
     | FirstChunkReceived
     | EndpointNoticeReceived
--- a/ashlatch/router/host.py
+++ b/ashlatch/router/host.py
@@ -42,6 +42,7 @@
     ReportCrashes,
     ScheduleClaimRetry,
     ScheduleHedge,
+    ScheduleTrialRetry,
     SendAnswer,
     SendProblem,
     StartAttempt,
@@ -63,6 +64,7 @@
     Request,
     RequestArrived,
     RequestKind,
+    TrialRetryDue,
 )
 from ashlatch.rpc import RpcLoop
 from ashlatch.settings import RouterSettings, parse_addresses
@@ -373,6 +375,14 @@
     host.rpc.post(host.rpc.loop.call_later, effect.after_ms / 1000.0, due)
 
 
+@EFFECTS.on(ScheduleTrialRetry)
+def _schedule_trial_retry(host: RouterHost, effect: ScheduleTrialRetry) -> None:
+    def due() -> None:
+        host.submit(lambda: host.post(TrialRetryDue(effect.request_id)))
+
+    host.rpc.post(host.rpc.loop.call_later, effect.after_ms / 1000.0, due)
+
+
 @EFFECTS.on(ScheduleHedge)
 def _schedule_hedge(host: RouterHost, effect: ScheduleHedge) -> None:
     due = HedgeDue(effect.request_id, effect.attempt_id)
--- a/ashlatch/router/planning_result.py
+++ b/ashlatch/router/planning_result.py
@@ -64,8 +64,9 @@
 
     `allowed` is set if the organisation may use any of the versions, `too_late` if
     each answer would miss the deadline. `retry_ms` is when a retry makes sense.
-    `quarantined` requests have crashed the endpoints that ran them. `route_missing` is
-    set if the route was removed after the request had arrived.
+    `quarantined` requests have crashed the endpoints that ran them, or wait for a trial
+    of what they contain if `on_trial` is set. `route_missing` is set if the route was
+    removed after the request had arrived.
     """
 
     allowed: bool
@@ -73,4 +74,5 @@
     retry_ms: float
     excluded: tuple[Exclusion, ...]
     quarantined: bool = False
+    on_trial: bool = False
     route_missing: bool = False
--- a/ashlatch/router/quarantine.py
+++ b/ashlatch/router/quarantine.py
@@ -16,14 +16,19 @@
 
 from ashlatch.log import LogEvent
 from ashlatch.policy.fingerprint import Fingerprints
-from ashlatch.policy.quarantine import AnswerBegin, QuarantineAction, QuarantineDecision
+from ashlatch.policy.quarantine import (
+    TRIAL_WAIT_MS,
+    AnswerBegin,
+    QuarantineAction,
+    QuarantineDecision,
+)
 from ashlatch.router.core import (
     HANDLERS,
     ActiveAttempt,
     ActiveRequest,
     RouterCore,
 )
-from ashlatch.router.effect import ReportCrashes, WriteLog
+from ashlatch.router.effect import ReportCrashes, ScheduleTrialRetry, WriteLog
 from ashlatch.router.event import CrashRecordsReceived, Request
 
 __all__ = [
@@ -38,8 +43,12 @@
     "begin_trial",
     "end_trial",
     "record_completion",
+    "wait_for_trial",
 ]
 
+# How often a request that waits for a trial asks for its result.
+WAIT_STEP_MS = 50.0
+
 
 @dataclass(frozen=True)
 class RequestCrashed(LogEvent):
@@ -125,6 +134,20 @@
     core.quarantine.end_trial(request_fingerprints(active.request))
 
 
+def wait_for_trial(core: RouterCore, active: ActiveRequest) -> bool:
+    """Has a request wait for the trial of another one; returns False after a while.
+
+    Most trials clear what they test.
+    """
+    if active.waiting_since_ms is None:
+        active.waiting_since_ms = core.now_ms
+    if core.now_ms - active.waiting_since_ms >= TRIAL_WAIT_MS:
+        return False
+    retry = ScheduleTrialRetry(active.request.request_id, WAIT_STEP_MS)
+    core.effects.append(retry)
+    return True
+
+
 def record_crash(core: RouterCore, active: ActiveRequest, endpoint: str) -> None:
     """Attributes an endpoint's crash to a request that was running there."""
     fingerprints = request_fingerprints(active.request)
--- a/ashlatch/router/sending.py
+++ b/ashlatch/router/sending.py
@@ -70,7 +70,14 @@
         )
         is_service = request.kind is RequestKind.SERVICE
         allowed = is_service or bool(core.planner.acceptable_versions(request))
-        return NoPlan(allowed, False, decision.wait_ms, (exclusion,), quarantined=True)
+        return NoPlan(
+            allowed,
+            False,
+            decision.wait_ms,
+            (exclusion,),
+            quarantined=True,
+            on_trial=decision.action.waits,
+        )
     if request.kind is RequestKind.SERVICE:
         return core.planner.plan_service(request, core.now_ms, active.tried_endpoints)
     return core.planner.plan_chat(request, core.now_ms, active.tried_endpoints, version)
--- a/tests/test_router_crashes.py
+++ b/tests/test_router_crashes.py
@@ -16,19 +16,23 @@
 from ashlatch.http import problem as problems
 from ashlatch.policy.crash_record import CrashRecord, part_fingerprint
 from ashlatch.policy.detector import VersionTally
-from ashlatch.policy.quarantine import Quarantine
+from ashlatch.policy.quarantine import TRIAL_WAIT_MS, Quarantine
 from ashlatch.router.effect import (
     Effect,
+    ScheduleTrialRetry,
     SendProblem,
     StartAttempt,
+    WriteLog,
 )
 from ashlatch.router.event import (
     AttemptEnded,
     Broken,
+    CallerDisconnected,
     CrashRecordsReceived,
     HedgeDue,
     NotSent,
     RequestArrived,
+    TrialRetryDue,
 )
 from ashlatch.router.quarantine import request_fingerprint
 from ashlatch.store.command import RecordCrashes
@@ -208,6 +212,34 @@
         assert trial is not None
         return trial
 
+    def test_a_request_waits_for_the_trial_and_is_sent(self) -> None:
+        trial = self.send_trial()
+        waiting = self.arrive_with_part(2)
+        (retry,) = (e for e in waiting if not isinstance(e, WriteLog))
+        self.assertTrue(isinstance(retry, ScheduleTrialRetry), str(retry))
+        self.end_attempt(trial, ANSWER)
+        self.assertIsNotNone(self.first_attempt(self.step(TrialRetryDue("q2"))))
+
+    def test_a_request_is_refused_if_the_trial_does_not_end(self) -> None:
+        self.send_trial()
+        effects = self.arrive_with_part(2)
+        waited_ms = 0.0
+        while not any(isinstance(e, SendProblem) for e in effects):
+            (retry,) = (e for e in effects if isinstance(e, ScheduleTrialRetry))
+            waited_ms += retry.after_ms
+            effects = self.step(TrialRetryDue("q2"), NOW_MS + waited_ms)
+        problem = self.only_problem(effects)
+        self.assertEqual(problems.QUARANTINED, problem.kind)
+        self.assertTrue(problem.not_run)
+        self.assertEqual(TRIAL_WAIT_MS, waited_ms)
+        self.assertFalse("q2" in self.core.active_requests)
+
+    def test_a_request_whose_caller_leaves_while_it_waits(self) -> None:
+        self.send_trial()
+        self.arrive_with_part(2)
+        self.step(CallerDisconnected("q2"))
+        self.assertEqual([], self.step(TrialRetryDue("q2")))
+
     def send_hedged_trial(self) -> tuple[StartAttempt, StartAttempt]:
         trial = self.send_trial()
         hedge = self.first_attempt(self.step(HedgeDue("q1", trial.attempt_id)))
