--- a/tests/removal_simulation.py
+++ b/tests/removal_simulation.py
@@ -34,6 +34,7 @@
     ProposeClose,
     ScheduleClaimRetry,
     ScheduleHedge,
+    ScheduleTrialRetry,
     SendAnswer,
     SendProblem,
     StartAttempt,
@@ -60,6 +61,7 @@
     Request,
     RequestArrived,
     RequestKind,
+    TrialRetryDue,
     VersionTotals,
     VersionTotalsReceived,
 )
@@ -242,6 +244,7 @@
                 | ProposeClose()
                 | ProposeAnswer()
                 | ScheduleClaimRetry()
+                | ScheduleTrialRetry()
                 | ScheduleHedge()
                 | StartAttempt()
             ):
@@ -395,6 +398,8 @@
                 self.commit(close)
             case ScheduleClaimRetry(request_id):
                 self.step(number, ClaimRetryDue(request_id))
+            case ScheduleTrialRetry(request_id):
+                self.step(number, TrialRetryDue(request_id))
             case ScheduleHedge(request_id, attempt_id):
                 self.step(number, HedgeDue(request_id, attempt_id))
             case StartAttempt():
--- a/tests/traffic.py
+++ b/tests/traffic.py
@@ -30,6 +30,7 @@
     ProposeClose,
     ScheduleClaimRetry,
     ScheduleHedge,
+    ScheduleTrialRetry,
     SendAnswer,
     SendProblem,
     StartAttempt,
@@ -55,6 +56,7 @@
     Request,
     RequestArrived,
     RequestKind,
+    TrialRetryDue,
 )
 from ashlatch.settings import PolicySettings
 from ashlatch.store.command import (
@@ -359,8 +361,10 @@
                 self.pending_commands.append(PendingCommand(sim, effect, close))
             case ProposeAnswer(_, record):
                 self.pending_commands.append(PendingCommand(sim, effect, record))
-            case ScheduleClaimRetry(request_id, _):
-                self.pending_events.append(PendingEvent(sim, ClaimRetryDue(request_id)))
+            case ScheduleClaimRetry(request_id) | ScheduleTrialRetry(request_id):
+                claims = isinstance(effect, ScheduleClaimRetry)
+                due = ClaimRetryDue(request_id) if claims else TrialRetryDue(request_id)
+                self.pending_events.append(PendingEvent(sim, due))
             case ScheduleHedge(request_id, attempt_id, _):
                 self.pending_events.append(
                     PendingEvent(sim, HedgeDue(request_id, attempt_id))
