Routers: withdraw attempts once their request is quarantined

Cause: routers looked at the quarantine before a send only.

Change: when records change, the attempts of requests that are refused now are cancelled, unless their streams have begun; so is the other attempt of a hedged trial that has crashed. Such an end counts neither for the breaker nor as an error of the version.

TrialTest: test_a_running_request_is_withdrawn_once_its_part_is_quarantined and test_the_other_ attempt_of_a_crashed_trial_is_withdrawn failed before and pass.

--- a/ashlatch/router/attempt_results.py
+++ b/ashlatch/router/attempt_results.py
@@ -65,7 +65,9 @@
     breaker = core.endpoints.breaker(name)
     if answered:
         breaker.record_success()
-    elif not isinstance(result, Rejected) and not active.responded:
+    elif not isinstance(result, Rejected) and not (
+        active.responded or active.withdrawn
+    ):
         breaker.record_failure(core.now_ms)
     if answered:
         record_completion(core, active, attempt)
@@ -77,6 +79,8 @@
         return
     if not active.version or active.responded:
         return
+    if active.withdrawn and not answered:
+        return
     if isinstance(result, Answered):
         _record_answer(core, active, attempt, result)
     elif isinstance(result, Broken) and not _timed_out(core, active):
--- a/ashlatch/router/core.py
+++ b/ashlatch/router/core.py
@@ -89,7 +89,8 @@
     `recording` is set while the ledger records the answer. `responded` is set when the
     caller has its final answer or is gone. `current_attempt` is the newest attempt,
     `hedge` a second one for the same answer. `waiting_since_ms` is when it first had to
-    wait for a trial of what its prompt contains.
+    wait for a trial of what its prompt contains. `withdrawn` is set once its attempts
+    are cancelled because it is quarantined.
     """
 
     request: Request
@@ -110,6 +111,7 @@
     stream_started: bool = False
     responded: bool = False
     waiting_since_ms: float | None = None
+    withdrawn: bool = False
 
     def find_attempt(self, attempt_id: str) -> ActiveAttempt | None:
         """Returns the running attempt with this id, if any."""
@@ -118,6 +120,13 @@
                 return attempt
         return None
 
+    def find_attempt_at(self, endpoint: str) -> ActiveAttempt | None:
+        """Returns the running attempt at an endpoint, if any."""
+        for attempt in (self.current_attempt, self.hedge):
+            if attempt is not None and attempt.endpoint.name == endpoint:
+                return attempt
+        return None
+
 
 @dataclass(frozen=True)
 class CachedPin:
--- a/ashlatch/router/quarantine.py
+++ b/ashlatch/router/quarantine.py
@@ -28,11 +28,17 @@
     ActiveRequest,
     RouterCore,
 )
-from ashlatch.router.effect import ReportCrashes, ScheduleTrialRetry, WriteLog
+from ashlatch.router.effect import (
+    CancelAttempt,
+    ReportCrashes,
+    ScheduleTrialRetry,
+    WriteLog,
+)
 from ashlatch.router.event import CrashRecordsReceived, Request
 
 __all__ = [
     "RequestCrashed",
+    "RequestWithdrawn",
     "TrialSent",
     "request_fingerprint",
     "record_crash",
@@ -83,6 +89,16 @@
     crashes: int
 
 
+@dataclass(frozen=True)
+class RequestWithdrawn(LogEvent):
+    """An attempt is cancelled as its request has just been quarantined."""
+
+    event: ClassVar[str] = "request_withdrawn"
+    request: str
+    attempt: str
+    endpoint: str
+
+
 def request_fingerprint(request: Request) -> int:
     """Returns a hash of a request's content, equal for a caller's repeats."""
     parts = (
@@ -163,6 +179,7 @@
     )
     core.effects.append(WriteLog(event))
     core.effects.append(ReportCrashes())
+    _withdraw_quarantined(core, active.find_attempt_at(endpoint))
 
 
 def begin_answer(core: RouterCore, active: ActiveRequest) -> AnswerBegin:
@@ -187,6 +204,33 @@
 
 @HANDLERS.on(CrashRecordsReceived)
 def _crash_records_received(core: RouterCore, event: CrashRecordsReceived) -> None:
+    changed = False
     for record in event.records:
-        core.quarantine.apply(record)
+        changed |= core.quarantine.apply(record)
         core.quarantine.confirm(record)
+    if changed:
+        _withdraw_quarantined(core)
+
+
+def _withdraw_quarantined(core: RouterCore, ended: ActiveAttempt | None = None) -> None:
+    """Cancels the attempts of requests that are quarantined while they run.
+
+    They may still wait at their endpoints, which would crash when they begin. One that
+    has `ended` needs no cancellation.
+    """
+    for active in core.active_requests.values():
+        begun = active.responded or active.recording or active.stream_started
+        attempts = (active.current_attempt, active.hedge)
+        running = [a for a in attempts if a is not None and a is not ended]
+        if begun or active.withdrawn or not running:
+            continue
+        decision = quarantine_decision(core, active)
+        if decision.action is not QuarantineAction.REFUSE:
+            continue
+        active.withdrawn = True
+        for attempt in running:
+            core.effects.append(CancelAttempt(attempt.attempt_id))
+            withdrawn = RequestWithdrawn(
+                active.request.request_id, attempt.attempt_id, attempt.endpoint.name
+            )
+            core.effects.append(WriteLog(withdrawn))
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -55,6 +55,7 @@
 CRASHING = ("-m", "pytest", "-x", "tests/test_crashing_requests.py")
 QUARANTINE = ("-m", "pytest", "-x", "tests/test_quarantine.py")
 TRIALS = ("-m", "pytest", "-x", "tests/test_trials.py")
+ROUTER_TRIALS = ("-m", "pytest", "-x", "tests/test_router_crashes.py", "-k", "Trial")
 ATTRIBUTION = ("-m", "pytest", "-x", "tests/test_attribution.py")
 RUNS = ("-m", "pytest", "-x", "tests/test_runs.py")
 PARTS = ("-m", "pytest", "-x", "tests/test_crashing_parts.py")
@@ -596,6 +597,35 @@
         "        if False:\n",
         QUARANTINE,
     ),
+    Mutant(
+        "router-requests-not-withdrawn",
+        "ashlatch/router/quarantine.py",
+        "    if changed:\n",
+        "    if False:\n",
+        ROUTER_TRIALS,
+    ),
+    Mutant(
+        "withdrawn-attempts-count-as-errors",
+        "ashlatch/router/attempt_results.py",
+        "    if active.withdrawn and not answered:\n",
+        "    if False:\n",
+        ROUTER_TRIALS,
+    ),
+    Mutant(
+        "failed-hedge-ends-the-trial",
+        "ashlatch/router/attempt.py",
+        "        _continue_with_other_attempt(active, attempt, event.result)\n",
+        "        end_trial(core, active)\n"
+        "        _continue_with_other_attempt(active, attempt, event.result)\n",
+        ROUTER_TRIALS,
+    ),
+    Mutant(
+        "router-waits-for-a-trial-without-end",
+        "ashlatch/router/quarantine.py",
+        "    if core.now_ms - active.waiting_since_ms >= TRIAL_WAIT_MS:\n",
+        "    if core.now_ms - active.waiting_since_ms >= 1e6:\n",
+        ROUTER_TRIALS,
+    ),
     Mutant(
         "ended-trials-not-announced",
         "ashlatch/gateway/trials.py",
--- a/tests/test_router_crashes.py
+++ b/tests/test_router_crashes.py
@@ -18,6 +18,7 @@
 from ashlatch.policy.detector import VersionTally
 from ashlatch.policy.quarantine import TRIAL_WAIT_MS, Quarantine
 from ashlatch.router.effect import (
+    CancelAttempt,
     Effect,
     ScheduleTrialRetry,
     SendProblem,
@@ -29,6 +30,7 @@
     Broken,
     CallerDisconnected,
     CrashRecordsReceived,
+    FirstChunkReceived,
     HedgeDue,
     NotSent,
     RequestArrived,
@@ -240,6 +242,40 @@
         self.step(CallerDisconnected("q2"))
         self.assertEqual([], self.step(TrialRetryDue("q2")))
 
+    def test_a_running_request_is_withdrawn_once_its_part_is_quarantined(self) -> None:
+        """It may still wait in the queue of its endpoint."""
+        trial = self.send_trial()
+        effects = self.step(CrashRecordsReceived(self.crashes(CRASHES_MAX + 1, 1)))
+        (cancel,) = (e for e in effects if isinstance(e, CancelAttempt))
+        self.assertEqual(trial.attempt_id, cancel.attempt_id)
+        ended = self.end_attempt(trial, Broken("cancelled"))
+        self.assertIsNone(self.first_attempt(ended))
+        self.only_problem(ended)
+        # Errors are attributed to the version when the endpoint answers again.
+        findings = self.core.evidence.record_answer(
+            trial.endpoint, trial.version, NOW_MS + RECOVERY_MS
+        )
+        self.assertEqual(0, sum(f.tally.errors for f in findings))
+        breaker = self.core.endpoints.breaker(trial.endpoint)
+        self.assertEqual(0, breaker.failures)
+
+    def test_the_other_attempt_of_a_crashed_trial_is_withdrawn(self) -> None:
+        trial, hedge = self.send_hedged_trial()
+        effects = self.end_attempt(trial, ENDPOINT_GONE)
+        cancelled = [e.attempt_id for e in effects if isinstance(e, CancelAttempt)]
+        self.assertEqual([hedge.attempt_id], cancelled)
+
+    def test_a_stream_that_has_begun_is_not_withdrawn(self) -> None:
+        trial = self.send_trial(stream=True)
+        self.step(FirstChunkReceived("q1", trial.attempt_id))
+        effects = self.step(CrashRecordsReceived(self.crashes(CRASHES_MAX + 1, 1)))
+        self.assertEqual([], [e for e in effects if isinstance(e, CancelAttempt)])
+
+    def test_a_request_without_the_part_is_not_withdrawn(self) -> None:
+        self.arrive_numbered(1, prompt_parts=("other",))
+        effects = self.step(CrashRecordsReceived(self.crashes(CRASHES_MAX + 1, 1)))
+        self.assertEqual([], [e for e in effects if isinstance(e, CancelAttempt)])
+
     def send_hedged_trial(self) -> tuple[StartAttempt, StartAttempt]:
         trial = self.send_trial()
         hedge = self.first_attempt(self.step(HedgeDue("q1", trial.attempt_id)))
