--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -191,6 +191,24 @@
         self.assertEqual(QuarantineAction.WAIT, self.decide(11, "p", at_ms=due_ms))
         self.assertEqual(QuarantineAction.TRIAL, self.decide(10, "p", at_ms=due_ms))
 
+    def test_a_suspect_sent_before_waits_at_the_endpoint_of_a_trial(self) -> None:
+        """It was at all crashes of the part on trial, whose trial shows nothing."""
+        queued = Fingerprints(11, ("p",))
+        trial = self.run_trial(10, "a")
+        self.at_ms = self.settled_ms
+        self.crash(trial, 9)
+        self.crash(queued, 9)
+        self.settled_ms += int(SETTLE_MS)
+        self.assertEqual(QuarantineAction.TRIAL, self.decide(12, "a"))
+
+    def test_a_suspect_sent_before_crashes_another_endpoint(self) -> None:
+        queued = Fingerprints(11, ("p",))
+        trial = self.run_trial(10, "p")
+        self.at_ms = self.settled_ms
+        self.crash(queued, 8)
+        self.crash(trial, 9)
+        self.assertEqual(QuarantineAction.REFUSE, self.decide(12, "p"))
+
     def test_a_trial_that_completes_clears_the_part(self) -> None:
         trial = self.run_trial(10, "a")
         answer = self.quarantine.begin_answer(trial, self.settled_ms)
