--- a/ashlatch/gateway/admission.py
+++ b/ashlatch/gateway/admission.py
@@ -22,7 +22,7 @@
 from ashlatch.http.connection import Responder
 from ashlatch.log import emit
 from ashlatch.platform.headers import refusal_headers
-from ashlatch.policy.quarantine import Fingerprints, QuarantineAction
+from ashlatch.policy.fingerprint import Fingerprints
 
 __all__ = [
     "RETRY_AFTER_S",
@@ -145,7 +145,7 @@
     Unless it `may_wait`, it is also refused while another request is a trial.
     """
     decision = context.quarantine.decide(fingerprints, unix_ms())
-    waits = decision.action is QuarantineAction.WAIT and may_wait
+    waits = decision.action.waits and may_wait
     if decision.action.sends or waits:
         return None
     event = QuarantinedRequestRefused(
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -95,7 +95,12 @@
         self._error_answer: CompleteAnswer | None = None
         self._counted = False
         self._repeat_reserved = False
-        self._gate = QuarantineGate(context, self._request, admission.fingerprints)
+        self._gate = QuarantineGate(
+            context,
+            self._request,
+            admission.fingerprints,
+            lambda: self._chooser.choose(self._model) is not None,
+        )
         self._send_reason = "first"
         self._expected_first_ms = 0.0
 
@@ -135,8 +140,9 @@
                 outcome = await self._serve_by_relay()
                 if outcome is RelayOutcome.SERVED:
                     return None
-                if outcome is RelayOutcome.FAILED or not links.open_connections_work:
-                    return self._isolation_refusal()
+                refusal = await self._resume_unrelayed(outcome)
+                if refusal is not None:
+                    return refusal
             self._count_request()
             choice = await self._find_endpoint()
             if isinstance(choice, Refused):
@@ -150,6 +156,13 @@
             else:
                 return self._no_endpoint_refusal()
 
+    async def _resume_unrelayed(self, outcome: RelayOutcome) -> Refused | None:
+        """Lets a request that was not relayed use open connections; or refuses it."""
+        works = self._context.links.open_connections_work
+        if outcome is RelayOutcome.FAILED or not works:
+            return self._isolation_refusal()
+        return self._as_final(await self._gate.wait())
+
     async def _find_endpoint(self) -> Choice | Refused | None:
         """Chooses the endpoint of the next send; waits for a place there if needed."""
         if not self._place.required:
--- a/ashlatch/router/admission.py
+++ b/ashlatch/router/admission.py
@@ -21,9 +21,11 @@
     Request,
     RequestArrived,
     RequestKind,
+    TrialRetryDue,
 )
 from ashlatch.router.places import wait_for_place
 from ashlatch.router.planning_result import NoPlan
+from ashlatch.router.quarantine import wait_for_trial
 from ashlatch.router.sending import (
     no_plan_problem,
     no_route_problem,
@@ -100,6 +102,8 @@
     version = _pinned_version(core, active.request)
     plan = plan_attempt(core, active, version)
     if isinstance(plan, NoPlan):
+        if plan.on_trial and wait_for_trial(core, active):
+            return
         # A keyed request may already have a recorded answer, even if nothing can
         # run it now.
         if active.request.keyed and plan.allowed:
@@ -173,6 +177,17 @@
     plan_or_claim(core, active)
 
 
+@HANDLERS.on(TrialRetryDue)
+def _trial_retry_due(core: RouterCore, event: TrialRetryDue) -> None:
+    active = core.active_requests.get(event.request_id)
+    if active is None or active.responded:
+        return
+    if active.attempt_number and core.lease_valid(core.now_ms):
+        _start_granted(core, active)
+    else:
+        _retry_claim(core, active)
+
+
 @HANDLERS.on(ClaimOutcomeReceived)
 def _claim_outcome_received(core: RouterCore, event: ClaimOutcomeReceived) -> None:
     active = core.active_requests.get(event.request_id)
@@ -234,8 +249,15 @@
         _refuse_repeat(core, active)
         return
     active.version = granted.version
-    plan = plan_attempt(core, active, granted.version)
+    _start_granted(core, active)
+
+
+def _start_granted(core: RouterCore, active: ActiveRequest) -> None:
+    """Sends a request whose claim was granted for its version."""
+    plan = plan_attempt(core, active, active.version)
     if isinstance(plan, NoPlan):
+        if plan.on_trial and wait_for_trial(core, active):
+            return
         if not wait_for_place(core, active, plan):
             fail_request(core, active, no_plan_problem(core, active, plan))
         return
--- a/ashlatch/router/attempt_results.py
+++ b/ashlatch/router/attempt_results.py
@@ -67,7 +67,7 @@
     breaker = core.endpoints.breaker(name)
     if answered:
         breaker.record_success()
-    elif not isinstance(result, Rejected) and not active.responded:
+    elif _is_endpoint_failure(active, result):
         breaker.record_failure(core.now_ms)
     if answered:
         record_completion(core, active, attempt)
@@ -79,6 +79,8 @@
         return
     if not active.version or active.responded:
         return
+    if active.withdrawn and not answered:
+        return
     if isinstance(result, Answered):
         _record_answer(core, active, attempt, result)
     elif isinstance(result, Broken) and not _timed_out(core, active):
@@ -86,6 +88,12 @@
         core.add_findings(core.evidence.record_failure(name, failure))
 
 
+def _is_endpoint_failure(active: ActiveRequest, result: AttemptResult) -> bool:
+    """Checks whether an attempt without an answer failed because of its endpoint."""
+    cancelled = active.responded or active.withdrawn
+    return not isinstance(result, Rejected) and not cancelled
+
+
 def _record_rejection(
     core: RouterCore, active: ActiveRequest, name: str, result: Rejected
 ) -> None:
--- a/ashlatch/router/core.py
+++ b/ashlatch/router/core.py
@@ -16,9 +16,10 @@
 from ashlatch.errors import InvariantViolated
 from ashlatch.policy.detector import VersionTally
 from ashlatch.policy.evidence import Evidence, Finding
+from ashlatch.policy.fingerprint import Fingerprints
 from ashlatch.policy.hedging import Hedging
 from ashlatch.policy.limit import Limits
-from ashlatch.policy.quarantine import AnswerBegin, Fingerprints, Quarantine
+from ashlatch.policy.quarantine import AnswerBegin, Quarantine
 from ashlatch.policy.retry import RetryBudget
 from ashlatch.policy.slowness import LatencyHistory
 from ashlatch.policy.table import NamedEndpoint
@@ -96,6 +97,9 @@
     caller has its final answer or is gone. `current_attempt` is the newest attempt,
     `hedge` a second one for the same answer. `place_wait_number` numbers the
     requests that have had to wait for a place at a brittle endpoint, from 1.
+    `waiting_since_ms` is when it first had to wait for a trial of what its prompt
+    contains. `withdrawn` is set once its attempts are cancelled because it is
+    quarantined.
     """
 
     request: Request
@@ -116,6 +120,8 @@
     stream_started: bool = False
     responded: bool = False
     place_wait_number: int = 0
+    waiting_since_ms: float | None = None
+    withdrawn: bool = False
 
     def find_attempt(self, attempt_id: str) -> ActiveAttempt | None:
         """Returns the running attempt with this id, if any."""
@@ -124,6 +130,13 @@
                 return attempt
         return None
 
+    def find_attempt_at(self, endpoint: str) -> ActiveAttempt | None:
+        """Returns the running attempt at an endpoint, if any."""
+        for attempt in (self.current_attempt, self.hedge):
+            if attempt is not None and attempt.endpoint.name == endpoint:
+                return attempt
+        return None
+
 
 @dataclass(frozen=True)
 class CachedPin:
--- a/ashlatch/router/effect.py
+++ b/ashlatch/router/effect.py
@@ -29,6 +29,7 @@
     "SchedulePlaceWaitEnd",
     "StartAttempt",
     "ReportCrashes",
+    "ScheduleTrialRetry",
     "WriteLog",
 ]
 
@@ -49,6 +50,14 @@
     after_ms: float
 
 
+@dataclass(frozen=True)
+class ScheduleTrialRetry:
+    """Posts `TrialRetryDue` after a delay."""
+
+    request_id: str
+    after_ms: float
+
+
 @dataclass(frozen=True)
 class ScheduleHedge:
     """Posts `HedgeDue` after a delay."""
@@ -138,6 +147,7 @@
 Effect = (
     ProposeClaim
     | ScheduleClaimRetry
+    | ScheduleTrialRetry
     | ScheduleHedge
     | SchedulePlaceWaitEnd
     | ProposeClose
--- a/ashlatch/router/event.py
+++ b/ashlatch/router/event.py
@@ -254,6 +254,13 @@
     request_id: str
 
 
+@dataclass(frozen=True)
+class TrialRetryDue:
+    """It is time to retry a request that waits for the trial of another one."""
+
+    request_id: str
+
+
 @dataclass(frozen=True)
 class HedgeDue:
     """An attempt has taken longer than most; a second one may be sent."""
@@ -348,6 +355,7 @@
     | RequestArrived
     | ClaimOutcomeReceived
     | ClaimRetryDue
+    | TrialRetryDue
     | HedgeDue
     | FirstChunkReceived
     | EndpointNoticeReceived
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -55,19 +55,12 @@
 CRASHING = ("-m", "pytest", "-x", "tests/test_crashing_requests.py")
 QUARANTINE = ("-m", "pytest", "-x", "tests/test_quarantine.py")
 TRIALS = ("-m", "pytest", "-x", "tests/test_trials.py")
+ROUTER_TRIALS = ("-m", "pytest", "-x", "tests/test_router_crashes.py", "-k", "Trial")
 ATTRIBUTION = ("-m", "pytest", "-x", "tests/test_attribution.py")
 RUNS = ("-m", "pytest", "-x", "tests/test_runs.py")
 PARTS = ("-m", "pytest", "-x", "tests/test_crashing_parts.py")
 CONGESTION = ("-m", "pytest", "-x", "tests/test_congestion.py", "-k", "Policy")
-# A known failure would notice each mutant.
-CRASH_LOAD = (
-    "-m",
-    "pytest",
-    "-x",
-    "tests/test_crash_load.py",
-    "--deselect",
-    "tests/test_crash_load.py::HarmlessBeforeTest::test_many_requests_with_the_part",
-)
+CRASH_LOAD = ("-m", "pytest", "-x", "tests/test_crash_load.py")
 INCARNATIONS = ("-m", "pytest", "-x", "tests/test_incarnations.py")
 MALFORMED = ("-m", "pytest", "-x", "tests/test_malformed_input.py")
 ISOLATED = ("-m", "pytest", "-x", "tests/test_isolated_gateways.py")
@@ -564,10 +557,81 @@
         QUARANTINE,
     ),
     Mutant(
-        "ended-trials-not-announced",
+        "trials-begin-unannounced",
+        "ashlatch/policy/trial.py",
+        "all(self._trials[key].due_unix_ms <= now_unix_ms for key in keys)",
+        "True",
+        QUARANTINE,
+    ),
+    Mutant(
+        "later-announcement-wins",
+        "ashlatch/policy/trial.py",
+        "        return mine < (other.announced_unix_ms, other.request)\n",
+        "        return False\n",
+        QUARANTINE,
+    ),
+    Mutant(
+        "announcements-never-lapse",
+        "ashlatch/policy/trial.py",
+        "        return trial.ends_unix_ms > now_unix_ms\n",
+        "        return True\n",
+        QUARANTINE,
+    ),
+    Mutant(
+        "trials-not-announced-to-others",
         "ashlatch/gateway/trials.py",
-        "        if keys:\n",
+        "        if keys:\n            request = ",
+        "        if False:\n            request = ",
+        TRIALS,
+    ),
+    Mutant(
+        "left-trials-stay-announced",
+        "ashlatch/gateway/trials.py",
+        "            if not passed:\n",
+        "            if False:\n",
+        TRIALS,
+    ),
+    Mutant(
+        "attribution-believed-at-once",
+        "ashlatch/policy/quarantine.py",
+        "        if 0.0 <= now_unix_ms - newest_ms < SETTLE_MS:\n",
         "        if False:\n",
+        QUARANTINE,
+    ),
+    Mutant(
+        "router-requests-not-withdrawn",
+        "ashlatch/router/quarantine.py",
+        "    if changed:\n",
+        "    if False:\n",
+        ROUTER_TRIALS,
+    ),
+    Mutant(
+        "withdrawn-attempts-count-as-errors",
+        "ashlatch/router/attempt_results.py",
+        "    if active.withdrawn and not answered:\n",
+        "    if False:\n",
+        ROUTER_TRIALS,
+    ),
+    Mutant(
+        "failed-hedge-ends-the-trial",
+        "ashlatch/router/attempt.py",
+        "        _continue_with_other_attempt(active, attempt, event.result)\n",
+        "        end_trial(core, active)\n"
+        "        _continue_with_other_attempt(active, attempt, event.result)\n",
+        ROUTER_TRIALS,
+    ),
+    Mutant(
+        "router-waits-for-a-trial-without-end",
+        "ashlatch/router/quarantine.py",
+        "    if core.now_ms - active.waiting_since_ms >= TRIAL_WAIT_MS:\n",
+        "    if core.now_ms - active.waiting_since_ms >= 1e6:\n",
+        ROUTER_TRIALS,
+    ),
+    Mutant(
+        "ended-trials-not-announced",
+        "ashlatch/gateway/trials.py",
+        "        if keys:\n            self._context.broadcast(\n",
+        "        if False:\n            self._context.broadcast(\n",
         TRIALS,
     ),
     Mutant(
--- a/tests/test_router_crashes.py
+++ b/tests/test_router_crashes.py
@@ -14,15 +14,27 @@
 
 from ashlatch.adapter.liveness import refuses_connections
 from ashlatch.http import problem as problems
-from ashlatch.policy.crash_record import CrashRecord
+from ashlatch.policy.crash_record import CrashRecord, part_fingerprint
 from ashlatch.policy.detector import VersionTally
-from ashlatch.policy.quarantine import Quarantine
-from ashlatch.router.effect import Effect, SendProblem, StartAttempt
+from ashlatch.policy.quarantine import TRIAL_WAIT_MS, Quarantine
+from ashlatch.router.effect import (
+    CancelAttempt,
+    Effect,
+    ScheduleTrialRetry,
+    SendProblem,
+    StartAttempt,
+    WriteLog,
+)
 from ashlatch.router.event import (
     AttemptEnded,
     Broken,
+    CallerDisconnected,
     CrashRecordsReceived,
+    FirstChunkReceived,
+    HedgeDue,
+    NotSent,
     RequestArrived,
+    TrialRetryDue,
 )
 from ashlatch.router.quarantine import request_fingerprint
 from ashlatch.store.command import RecordCrashes
@@ -172,6 +184,135 @@
         self.assertEqual(problems.QUARANTINED, self.only_problem(effects).kind)
 
 
+class TrialTest(QuarantineTest):
+    """Other routers have seen a part of prompts at three crashes, some time ago."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.step(CrashRecordsReceived(self.crashes(CRASHES_MAX)))
+        for version in ("v1", "v2"):
+            for _ in range(200):
+                self.core.hedging.record_response(version, False, 50.0)
+
+    def crashes(self, number: int, suspects: int = 0) -> tuple[CrashRecord, ...]:
+        """Returns another router's record, its last crash in a trial of `suspects`."""
+        other = Quarantine()
+        for n in range(number):
+            at_ms = ARRIVED_WALL_MS - 60_000 + 5000 * n
+            tested = suspects if n == number - 1 else 0
+            key = part_fingerprint("p")
+            other.record_crash(key, f"x{n}", 0, at_ms, "p", tested)
+        return other.unconfirmed()
+
+    def arrive_with_part(self, number: int, **changed: object) -> list[Effect]:
+        return self.arrive_numbered(
+            number, prompt_parts=("p",), body_digest=f"body {number}", **changed
+        )
+
+    def send_trial(self, **changed: object) -> StartAttempt:
+        trial = self.first_attempt(self.arrive_with_part(1, **changed))
+        assert trial is not None
+        return trial
+
+    def test_a_request_waits_for_the_trial_and_is_sent(self) -> None:
+        trial = self.send_trial()
+        waiting = self.arrive_with_part(2)
+        (retry,) = (e for e in waiting if not isinstance(e, WriteLog))
+        self.assertTrue(isinstance(retry, ScheduleTrialRetry), str(retry))
+        self.end_attempt(trial, ANSWER)
+        self.assertIsNotNone(self.first_attempt(self.step(TrialRetryDue("q2"))))
+
+    def test_a_request_is_refused_if_the_trial_does_not_end(self) -> None:
+        self.send_trial()
+        effects = self.arrive_with_part(2)
+        waited_ms = 0.0
+        while not any(isinstance(e, SendProblem) for e in effects):
+            (retry,) = (e for e in effects if isinstance(e, ScheduleTrialRetry))
+            waited_ms += retry.after_ms
+            effects = self.step(TrialRetryDue("q2"), NOW_MS + waited_ms)
+        problem = self.only_problem(effects)
+        self.assertEqual(problems.QUARANTINED, problem.kind)
+        self.assertTrue(problem.not_run)
+        self.assertEqual(TRIAL_WAIT_MS, waited_ms)
+        self.assertFalse("q2" in self.core.active_requests)
+
+    def test_a_request_whose_caller_leaves_while_it_waits(self) -> None:
+        self.send_trial()
+        self.arrive_with_part(2)
+        self.step(CallerDisconnected("q2"))
+        self.assertEqual([], self.step(TrialRetryDue("q2")))
+
+    def test_a_running_request_is_withdrawn_once_its_part_is_quarantined(self) -> None:
+        """It may still wait in the queue of its endpoint."""
+        trial = self.send_trial()
+        effects = self.step(CrashRecordsReceived(self.crashes(CRASHES_MAX + 1, 1)))
+        (cancel,) = (e for e in effects if isinstance(e, CancelAttempt))
+        self.assertEqual(trial.attempt_id, cancel.attempt_id)
+        ended = self.end_attempt(trial, Broken("cancelled"))
+        self.assertIsNone(self.first_attempt(ended))
+        self.only_problem(ended)
+        # Errors are attributed to the version when the endpoint answers again.
+        findings = self.core.evidence.record_answer(
+            trial.endpoint, trial.version, NOW_MS + RECOVERY_MS
+        )
+        self.assertEqual(0, sum(f.tally.errors for f in findings))
+        breaker = self.core.endpoints.breaker(trial.endpoint)
+        self.assertEqual(0, breaker.failures)
+
+    def test_the_other_attempt_of_a_crashed_trial_is_withdrawn(self) -> None:
+        trial, hedge = self.send_hedged_trial()
+        effects = self.end_attempt(trial, ENDPOINT_GONE)
+        cancelled = [e.attempt_id for e in effects if isinstance(e, CancelAttempt)]
+        self.assertEqual([hedge.attempt_id], cancelled)
+
+    def test_a_stream_that_has_begun_is_not_withdrawn(self) -> None:
+        trial = self.send_trial(stream=True)
+        self.step(FirstChunkReceived("q1", trial.attempt_id))
+        effects = self.step(CrashRecordsReceived(self.crashes(CRASHES_MAX + 1, 1)))
+        self.assertEqual([], [e for e in effects if isinstance(e, CancelAttempt)])
+
+    def test_a_request_without_the_part_is_not_withdrawn(self) -> None:
+        self.arrive_numbered(1, prompt_parts=("other",))
+        effects = self.step(CrashRecordsReceived(self.crashes(CRASHES_MAX + 1, 1)))
+        self.assertEqual([], [e for e in effects if isinstance(e, CancelAttempt)])
+
+    def send_hedged_trial(self) -> tuple[StartAttempt, StartAttempt]:
+        trial = self.send_trial()
+        hedge = self.first_attempt(self.step(HedgeDue("q1", trial.attempt_id)))
+        assert hedge is not None
+        return trial, hedge
+
+    def test_the_trial_lasts_while_one_attempt_runs(self) -> None:
+        for failed in (0, 1):
+            with self.subTest(failed=failed):
+                attempts = self.send_hedged_trial()
+                self.end_attempt(attempts[failed], Broken("reset"))
+                self.assertIsNone(self.first_attempt(self.arrive_with_part(2)))
+                self.end_attempt(attempts[1 - failed], NotSent("refused"))
+
+    def test_a_crash_of_the_other_attempt_confirms_the_part(self) -> None:
+        trial, hedge = self.send_hedged_trial()
+        self.end_attempt(trial, Broken("reset"))
+        self.end_attempt(hedge, ENDPOINT_GONE)
+        key = part_fingerprint("p")
+        wall_ms = ARRIVED_WALL_MS
+        self.assertTrue(self.core.quarantine.remaining_ms(key, wall_ms) > 0.0)
+
+    def test_an_answer_does_not_clear_the_crash_of_the_other_attempt(self) -> None:
+        trial, hedge = self.send_hedged_trial()
+        self.end_attempt(hedge, ENDPOINT_GONE)
+        self.end_attempt(trial, ANSWER)
+        self.assertEqual(1, self.core.quarantine.crash_count(part_fingerprint("p")))
+
+    def test_an_answer_clears_the_part_and_ends_the_trial(self) -> None:
+        trial, hedge = self.send_hedged_trial()
+        self.end_attempt(trial, ANSWER)
+        self.assertEqual(0, self.core.quarantine.crash_count(part_fingerprint("p")))
+        # The crash of the endpoint of a cancelled attempt confirms nothing.
+        self.end_attempt(hedge, ENDPOINT_GONE)
+        self.assertIsNotNone(self.first_attempt(self.arrive_with_part(2)))
+
+
 class VersionTest(QuarantineTest):
     def test_crashes_count_neither_as_errors_nor_as_answers_of_a_version(self) -> None:
         """Two endpoints crash while running requests, and one answers again at once."""
