--- a/ashlatch/router/attempt_results.py
+++ b/ashlatch/router/attempt_results.py
@@ -16,7 +16,7 @@
 from ashlatch.policy.evidence import Failure, Timing
 from ashlatch.router.core import ActiveAttempt, ActiveRequest, RouterCore
 from ashlatch.router.effect import WriteLog
-from ashlatch.router.event import Answered, AttemptResult, Broken, Rejected
+from ashlatch.router.event import Answered, AttemptResult, Broken, NotSent, Rejected
 from ashlatch.router.quarantine import record_completion, record_crash
 
 __all__ = ["AttemptFailed", "record_result"]
@@ -49,26 +49,13 @@
     took_ms = core.now_ms - attempt.sent_ms
     answered = isinstance(result, Answered)
     if not isinstance(result, Answered):
-        failed = AttemptFailed(
-            active.request.request_id,
-            attempt.attempt_id,
-            name,
-            active.version,
-            type(result).__name__.lower(),
-            result.reason,
-            int(took_ms),
-        )
-        core.effects.append(WriteLog(failed))
+        _log_failure(core, active, attempt, result)
     core.endpoints.load(name).record_finished(
         core.now_ms, took_ms if answered else None
     )
     if isinstance(result, Rejected):
         _record_rejection(core, active, name, result)
-    breaker = core.endpoints.breaker(name)
-    if answered:
-        breaker.record_success()
-    elif _is_endpoint_failure(active, result):
-        breaker.record_failure(core.now_ms)
+    _record_health(core, active, name, result)
     if answered:
         record_completion(core, active, attempt)
     if isinstance(result, Broken) and result.endpoint_gone:
@@ -88,10 +75,33 @@
         core.add_findings(core.evidence.record_failure(name, failure))
 
 
-def _is_endpoint_failure(active: ActiveRequest, result: AttemptResult) -> bool:
-    """Checks whether an attempt without an answer failed because of its endpoint."""
+def _log_failure(
+    core: RouterCore,
+    active: ActiveRequest,
+    attempt: ActiveAttempt,
+    result: NotSent | Rejected | Broken,
+) -> None:
+    failed = AttemptFailed(
+        active.request.request_id,
+        attempt.attempt_id,
+        attempt.endpoint.name,
+        active.version,
+        type(result).__name__.lower(),
+        result.reason,
+        int(core.now_ms - attempt.sent_ms),
+    )
+    core.effects.append(WriteLog(failed))
+
+
+def _record_health(
+    core: RouterCore, active: ActiveRequest, name: str, result: AttemptResult
+) -> None:
+    breaker = core.endpoints.breaker(name)
     cancelled = active.responded or active.withdrawn
-    return not isinstance(result, Rejected) and not cancelled
+    if isinstance(result, Answered):
+        breaker.record_success()
+    elif not isinstance(result, Rejected) and not cancelled:
+        breaker.record_failure(core.now_ms)
 
 
 def _record_rejection(
