--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -66,6 +66,14 @@
 ISOLATED = ("-m", "pytest", "-x", "tests/test_isolated_gateways.py")
 RELAY = ("-m", "pytest", "-x", "tests/test_relay.py", "tests/test_reachability.py")
 BRITTLE = ("-m", "pytest", "-x", "tests/test_brittle_endpoints.py")
+PLACES = (
+    "-m",
+    "pytest",
+    "-x",
+    "tests/test_places.py",
+    "tests/test_place_leases.py",
+    "tests/test_arbiter.py",
+)
 ANSWERS = ("-m", "pytest", "-x", "tests/test_endpoint_answers.py")
 LIVENESS = ("-m", "pytest", "-x", "tests/test_liveness.py")
 RESTRICTIONS = ("-m", "pytest", "-x", "tests/test_restrictions.py")
@@ -369,8 +377,8 @@
     Mutant(
         "new-leader-knows-no-gateways",
         "ashlatch/fleet/soft_state.py",
-        "            self._gateways.setdefault(gateway, now_ms)",
-        "            pass",
+        "        for gateway in self.gateways:",
+        "        for gateway in ():",
         SESSIONS,
     ),
     Mutant(
@@ -447,8 +455,8 @@
     Mutant(
         "loads-not-broadcast",
         "ashlatch/gateway/reports.py",
-        "        context.broadcast(",
-        "        str(",
+        "    context.broadcast(\n",
+        "    str(\n",
         FULL_ENGINES,
     ),
     Mutant(
@@ -920,8 +928,8 @@
     Mutant(
         "unanswered-request-left-for-a-limited-endpoint",
         "ashlatch/gateway/exchange.py",
-        "if self._chooser.choose(self._model, exclude_limited=True) is None:",
-        "if self._chooser.choose(self._model) is None:",
+        "choice = self._chooser.choose(self._model, exclude_limited=True)",
+        "choice = self._chooser.choose(self._model)",
         RATE_LIMITS,
     ),
     Mutant(
@@ -934,8 +942,8 @@
     Mutant(
         "router-resumes-past-a-limit",
         "ashlatch/router/attempt.py",
-        "may_send = permission.granted and core.lease_valid(core.now_ms)",
-        "may_send = core.lease_valid(core.now_ms)",
+        "may_send = permission.granted and has_place and core.lease_valid(core.now_ms)",
+        "may_send = has_place and core.lease_valid(core.now_ms)",
         ROUTER_LIMITS,
     ),
     Mutant(
@@ -1048,8 +1056,8 @@
     Mutant(
         "retry-time-without-the-backoff",
         "ashlatch/gateway/retry_time.py",
-        "_TIMED_REASONS = frozenset({DenialReason.BACKOFF, DenialReason.LIMITED})",
-        "_TIMED_REASONS = frozenset({DenialReason.LIMITED})",
+        "    {DenialReason.BACKOFF, DenialReason.LIMITED, DenialReason.BRITTLE}",
+        "    {DenialReason.LIMITED, DenialReason.BRITTLE}",
         BACKOFF,
     ),
     Mutant(
@@ -1209,8 +1217,8 @@
     Mutant(
         "relay-of-what-may-have-run",
         "ashlatch/gateway/exchange.py",
-        "if outcome is RelayOutcome.FAILED or not links.open_connections_work:",
-        "if not links.open_connections_work:",
+        "if outcome is RelayOutcome.FAILED or not works:",
+        "if not works:",
         RELAY,
     ),
     Mutant(
@@ -1311,6 +1319,48 @@
         "return FULL_WAIT_MS if full else 0.0",
         BRITTLE,
     ),
+    Mutant(
+        "late-asks-take-slots",
+        "ashlatch/policy/places.py",
+        "        if key in self._ended_ms:\n            return []",
+        "        if False:\n            return []",
+        PLACES,
+    ),
+    Mutant(
+        "new-arbiter-waits-for-no-report",
+        "ashlatch/policy/places.py",
+        "self._settled = waited or not missing",
+        "self._settled = True",
+        PLACES,
+    ),
+    Mutant(
+        "arbiter-that-hears-few-leases-all",
+        "ashlatch/policy/places.py",
+        "limit = int(limit * self._share)",
+        "pass",
+        PLACES,
+    ),
+    Mutant(
+        "lower-claims-hold",
+        "ashlatch/policy/arbiter.py",
+        "if claim < self.claim:",
+        "if False:",
+        PLACES,
+    ),
+    Mutant(
+        "decisions-of-an-ended-term-hold",
+        "ashlatch/gateway/places.py",
+        "if decided.term < places.election.claim.term:",
+        "if False:",
+        PLACES,
+    ),
+    Mutant(
+        "asks-from-before-a-suspension-stay",
+        "ashlatch/gateway/places.py",
+        "wait.number = next(self._numbers)",
+        "pass",
+        PLACES,
+    ),
     Mutant(
         "restrictions-not-fetched",
         "ashlatch/gateway/relay.py",
--- a/tests/test_place_leases.py
+++ b/tests/test_place_leases.py
@@ -250,6 +250,43 @@
         self.assertEqual({SLOTS}, set(net.most.values()))
         self.assertEqual((102, 0), (net.served, net.denied))
 
+    def test_a_gateway_that_was_suspended_uses_no_place_granted_before(self) -> None:
+        async def scenario(net: Net) -> None:
+            await net.pulse(12)
+            holder = next(g for g in net.gateways if g is not net.arbiter())
+            async with asyncio.TaskGroup() as tasks:
+                for _ in range(12):
+                    tasks.create_task(net.request(holder))
+                await asyncio.sleep(0)
+                holder.suspend()
+                await asyncio.sleep(0.6)
+                for gateway in net.gateways:
+                    if gateway is not holder:
+                        for _ in range(6):
+                            tasks.create_task(net.request(gateway))
+                await asyncio.sleep(2 * DELAY_S)
+                holder.resume()
+
+        net = self.play(scenario)
+        self.assertEqual({SLOTS}, set(net.most.values()))
+
+    def test_a_decision_of_an_ended_term_is_not_used(self) -> None:
+        async def scenario(net: Net) -> None:
+            await net.pulse(12)
+            gateway = next(g for g in net.gateways if g is not net.arbiter())
+            request = asyncio.create_task(net.request(gateway))
+            await asyncio.sleep(0)
+            places = gateway.places
+            number = next(iter(places._places(SERVICE).waits))
+            granted = PlaceDecided(
+                SERVICE, 0, number, Verdict.GRANTED.value, "i-gone", 0.0
+            )
+            places.apply_decision(granted, asyncio.get_running_loop().time() * 1000.0)
+            await request
+
+        net = self.play(scenario)
+        self.assertNotIn("i-gone", net.most)
+
     def test_an_arbiter_that_stops_hands_over_without_a_pause(self) -> None:
         async def scenario(net: Net) -> None:
             await net.pulse(12)
