--- a/ashlatch/gateway/places.py
+++ b/ashlatch/gateway/places.py
@@ -133,7 +133,6 @@
         gateways: Callable[[], tuple[GatewayVm, ...]],
         broadcast: Callable[[PeerUpdate], None],
     ) -> None:
-        self.enabled = True
         self.stopping = False
         self.local = ""
         self.send_to: Callable[[str, PeerUpdate], None] = lambda address, update: None
@@ -154,24 +153,33 @@
         All endpoints of a service are alike: one that has just started is brittle
         before it says so.
         """
-        if not self.enabled or not self.local:
+        if not self.local:
             return False
         places = self._places(service)
         if now_ms - places.governed_ms > GOVERNED_MS:
             places.governed_ms = now_ms
+            was_governed = places.governed
             states = list(self._directory.of_service(service))
-            if any(s.brittleness.active(now_ms) for s in states):
-                places.brittle_ms = now_ms
-            # All may have fallen over and return under new ids.
-            denied = any(_is_not_brittle(s, now_ms) for s in states)
-            recent = now_ms - places.brittle_ms <= EXPIRES_MS
-            places.governed = places.brittle_ms == now_ms or (recent and not denied)
-            for state in states:
-                state.leased = places.governed
+            places.governed = self._are_brittle(places, states, now_ms)
             if places.governed:
                 places.active_until_ms = now_ms + ACTIVE_MS
+            if places.governed or was_governed:
+                for state in states:
+                    state.leased = places.governed
         return places.governed
 
+    @staticmethod
+    def _are_brittle(
+        places: _ServicePlaces, states: list[EndpointState], now_ms: float
+    ) -> bool:
+        if any(state.brittleness.active(now_ms) for state in states):
+            places.brittle_ms = now_ms
+            return True
+        if now_ms - places.brittle_ms > EXPIRES_MS:
+            return False
+        # All may have fallen over and return under new ids.
+        return not any(_is_not_brittle(state, now_ms) for state in states)
+
     def arbiter_of(self, service: str) -> Claim:
         """Returns the claim of the arbiter that is known last."""
         return self._places(service).election.claim
