--- a/ashlatch/policy/places.py
+++ b/ashlatch/policy/places.py
@@ -30,8 +30,8 @@
 ]
 
 # A gateway that was not heard for the first time gets no new places; after the second
-# one, its waiting requests are dropped, and its places when they have lasted for this
-# many of the usual durations: an endpoint may go on with requests of an ended process.
+# one, its waiting requests are dropped. Its places are free after this many times the
+# usual time: an endpoint may go on with requests of an ended process.
 HOLDER_QUIET_MS = 180.0
 HOLDER_LOST_MS = 350.0
 LOST_HOLDS = 1.5
