Roll-outs: answers are compared over all routes, relative to what was expected

Cause: the evaluation counted an answer as late from 3.4 times the median of its route on, models mixed, and compared the count with an assumed rate plus three deviations for each busy route by itself. Times after the trial were dropped, requests without an answer counted for nothing, and nothing stopped the shift while the answers could not tell.

Change: gateways report times in percent of the expected, by model and, for the new version, by endpoint, and how long requests have waited. policy/pace.py counts late answers over all routes within a block of time, and averages the likelihood ratio over all larger shares of late answers: a test martingale, whose bound holds under repeated looks. One endpoint alone is no evidence. A version that may be slower, or has too few answers to tell, keeps its share.

Changed tests: a reason names all routes now.

--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -313,6 +313,7 @@
         self._start_reading_prefix_caches(status.term)
         await self._commit_crashes()
         self._rollout_controller.add_tallies(self._soft_state.tallies.take(), now_ms)
+        self._rollout_controller.set_waiting(self._soft_state.waiting())
         self._rollout_controller.set_sessions(self._soft_state.recent_sessions())
         rollouts = self._current_rollouts()
         plain = self._plain_services() if rollouts else frozenset()
--- a/ashlatch/fleet/evaluation.py
+++ b/ashlatch/fleet/evaluation.py
@@ -12,8 +12,8 @@
 
 import math
 from collections import deque
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field, replace
 
 from ashlatch.catalog import Rollout, RolloutStage
 from ashlatch.fleet.exposure import (
@@ -24,6 +24,13 @@
     plan_exposure,
 )
 from ashlatch.gateway.tally import Tally, TallyKey, merge
+from ashlatch.policy.pace import (
+    ENGINE_LATE_STEPS,
+    LATE_STEPS,
+    PaceComparison,
+    PaceLog,
+    Paces,
+)
 
 __all__ = ["Decision", "Evidence", "decide"]
 
@@ -43,6 +50,15 @@
 # endpoints stop when the roll-out is declared complete. The rest of the time covers
 # seconds that were not counted because all core VMs were down.
 COMPLETION_START = 0.82
+# Until this fraction of the time a version that is not known to be healthy keeps its
+# share. One that is likely to be slower keeps it until the second, and is rolled back.
+HOLD_END = 0.76
+DOUBT_END = 0.95
+# The evidence of recent answers from which a version is likely to be slower.
+RECENT_DOUBT = 2.0
+# A version that is not known to be healthy may get everything if that is at most this
+# fraction of what a bad version may get.
+AFFORDABLE_RATIO = 0.9
 # Fewer failures than this may be chance.
 FAILURES_MIN = 3
 # The factor by which a version's failure rate may exceed the other version's.
@@ -52,19 +68,11 @@
 PRIOR_ANSWERS = 50.0
 # The tolerated number of standard deviations above the expected count.
 DEVIATIONS_MAX = 3.0
-# An answer is slow when it begins this many steps after the median of the other
-# version, which is 3.4 times as late.
-SLOW_STEPS = 3
-# A route is evaluated by itself if the other version has this many timed answers on it.
-TIMED_ANSWERS_MIN = 20
-# The other routes are evaluated together if they have TIMED_ANSWERS_MIN in total. Each
-# needs this many of its own to define late answers, which begin at 3.4 times the
-# route's median.
-POOLED_TIMED_ANSWERS_MIN = 8
-# Regressions that appear late in a roll-out are detected in the new version's answers
-# of the first of these windows only. The other version's times are taken from the first
-# window that has enough.
+# Failures that appear late in a roll-out are detected in the new version's answers of
+# the first of these windows only. The other version's are taken from the first window
+# that has enough answers.
 WINDOWS_MS = (4000.0, 8000.0, 16_000.0)
+WINDOW_ANSWERS_MIN = 20
 
 Counts = dict[TallyKey, Tally]
 # The plan for deployments whose operators set no exposure.
@@ -73,17 +81,24 @@
 
 @dataclass(frozen=True)
 class Decision:
-    """The next stage and share of a roll-out, and the reason."""
+    """The next stage and share of a roll-out, and the reason.
+
+    `held` is set if the share stays for now because the version may be slower. `paces`
+    are the times that were compared.
+    """
 
     stage: RolloutStage
     share: float
     reason: str
+    held: bool = False
+    paces: PaceComparison = field(default_factory=PaceComparison)
 
 
 @dataclass
 class Evidence:
     """The tallies of one roll-out since its start."""
 
+    paces: PaceLog = field(default_factory=PaceLog)
     _total: dict[TallyKey, Tally] = field(default_factory=dict)
     _reports: deque[tuple[float, tuple[Tally, ...]]] = field(default_factory=deque)
     _window_sums: dict[float, Counts] = field(default_factory=dict)
@@ -93,12 +108,23 @@
         """Adds the counts that gateways have reported."""
         if not tallies:
             return
-        merge(self._total, tallies)
+        counts: Counts = {}
+        for tally in tallies:
+            key = TallyKey(tally.key.service, tally.key.version, tally.key.route)
+            merge(counts, (Tally(key, tally.answered, tally.failed),))
+            if tally.times:
+                self.paces.add(_paces(tally), now_ms)
+        reported = tuple(counts.values())
+        merge(self._total, reported)
         self._window_sums_at_ms = float("-inf")
-        self._reports.append((now_ms, tallies))
+        self._reports.append((now_ms, reported))
         while now_ms - self._reports[0][0] > WINDOWS_MS[-1]:
             self._reports.popleft()
 
+    def set_waiting(self, tallies: Iterable[Tally]) -> None:
+        """Sets how long requests have waited that have no answer yet."""
+        self.paces.set_waiting(_paces(tally) for tally in tallies)
+
     def total(self) -> Counts:
         """Returns all counts."""
         return self._total
@@ -147,14 +173,63 @@
     """
     if not ready and rollout.share == 0:
         return Decision(rollout.stage, rollout.share, "no endpoint of the version")
+    late_steps = LATE_STEPS if plain else ENGINE_LATE_STEPS
+    paces = evidence.paces.compare(rollout.version, late_steps)
+    recent = evidence.paces.compare_recent(rollout.version, late_steps, now_ms, paces)
+    for compared in (paces, recent):
+        if compared.slower:
+            reason = f"all routes: {compared}"
+            return Decision(RolloutStage.ROLLED_BACK, 0.0, reason, paces=compared)
+    decision = _decide_by_failures(rollout, elapsed_ms, evidence, now_ms, ready, plan)
+    decision = replace(decision, paces=paces)
+    progress = elapsed_ms / rollout.duration_ms
+    if not decision.share > rollout.share > 0.0:
+        return decision
+    if progress >= DOUBT_END:
+        if not paces.doubtful:
+            return decision
+        reason = f"at the end: {paces}"
+        return Decision(RolloutStage.ROLLED_BACK, 0.0, reason, paces=paces)
+    counts = evidence.total()
+    if paces.doubtful or recent.evidence >= RECENT_DOUBT:
+        reason = f"may be slower: {paces if paces.doubtful else recent}"
+    elif (
+        progress >= HOLD_END
+        or paces.healthy
+        or _is_affordable(rollout, progress, counts, plan)
+    ):
+        return decision
+    else:
+        reason = f"too few answers: {paces}"
+    return Decision(decision.stage, rollout.share, reason, True, paces)
+
+
+def _is_affordable(
+    rollout: Rollout, progress: float, counts: Counts, plan: ExposurePlan
+) -> bool:
+    """Checks whether a bad version may get all requests from now on."""
+    new = all_answers = 0
+    for key, tally in counts.items():
+        all_answers += _answer_count(tally)
+        new += _answer_count(tally) if key.version == rollout.version else 0
+    expected = all_answers / progress
+    allowed = plan.allowed_share * expected + plan.allowed_extra
+    return new + expected - all_answers <= AFFORDABLE_RATIO * allowed
+
+
+def _decide_by_failures(
+    rollout: Rollout,
+    elapsed_ms: float,
+    evidence: Evidence,
+    now_ms: float,
+    ready: bool,
+    plan: ExposurePlan,
+) -> Decision:
+    """Returns the next stage and share by the failures alone."""
     total = evidence.total()
-    fault = _find_fault(rollout, total, total, lambda: iter((total,)), plain)
+    fault = _find_fault(rollout, total, total, lambda: iter((total,)))
     fault = fault or _find_fault(
-        rollout,
-        evidence.latest(now_ms),
-        total,
-        lambda: evidence.windows(now_ms),
-        plain,
+        rollout, evidence.latest(now_ms), total, lambda: evidence.windows(now_ms)
     )
     if fault:
         return Decision(RolloutStage.ROLLED_BACK, 0.0, fault)
@@ -233,18 +308,15 @@
     new: Counts,
     old: Counts,
     old_windows: Callable[[], Iterator[Counts]],
-    plain: bool,
 ) -> str:
-    """Returns what is wrong with the new version; empty if nothing is.
+    """Returns whether too much fails with the new version; empty if not.
 
-    Its times are compared with the other version's from the same period, going back
-    through `old_windows` as far as needed. Its failures are compared with those and
-    with `old`.
+    Its failures are compared with all of the other version's, and with those from the
+    same period, going back through `old_windows` as far as needed.
     """
     routes = {key.route for key in new if key.service == rollout.service}
     failed = answers = 0
     expected = 0.0
-    pooled = _LateAnswers()
     for route in sorted(routes):
         new_tally = _sum_route(rollout, new, route, new_version=True)
         old_tally = _sum_route(rollout, old, route, new_version=False)
@@ -255,23 +327,9 @@
                 f"route {route}: {new_tally.failed} of "
                 f"{_answer_count(new_tally)} failed"
             )
-        late_answers = _count_late_answers(new_tally, old_nearest)
-        if (
-            late_answers.other_timed >= TIMED_ANSWERS_MIN
-            and late_answers.exceeds_chance
-        ):
-            return f"route {route}: {late_answers}"
-        evaluated_alone = late_answers.other_timed >= TIMED_ANSWERS_MIN and not plain
-        if late_answers.other_timed >= POOLED_TIMED_ANSWERS_MIN and not evaluated_alone:
-            pooled = pooled.plus(late_answers)
         failed += new_tally.failed
         answers += _answer_count(new_tally)
         expected += route_expected
-    # If each of many routes has few requests, no single route can show that a version
-    # is slow. Busy routes of engines are evaluated separately: a good version is late
-    # while its engines have no cached prompts, and more answers show that sooner.
-    if pooled.other_timed >= TIMED_ANSWERS_MIN and pooled.exceeds_chance:
-        return f"{'all routes' if plain else 'routes with few requests'}: {pooled}"
     # A version that fails under load does so on all routes, and the load test is too
     # short for enough answers on each.
     if _exceeds_chance(failed, expected):
@@ -280,16 +338,11 @@
 
 
 def _nearest_window(rollout: Rollout, windows: Iterator[Counts], route: str) -> Tally:
-    """Returns the other version's latest counts with enough timed answers.
-
-    A busy hour delays both versions: compared with the calm period before, a good
-    version was rolled back because all of its 8 latest answers were late, as were 40 of
-    40 of the other version.
-    """
+    """Returns the other version's latest counts with enough answers."""
     found = Tally(TallyKey(rollout.service, "", route))
     for counts in windows:
         found = _sum_route(rollout, counts, route, new_version=False)
-        if sum(found.times.values()) >= TIMED_ANSWERS_MIN:
+        if _answer_count(found) >= WINDOW_ANSWERS_MIN:
             break
     return found
 
@@ -310,6 +363,11 @@
     return tally.answered + tally.failed
 
 
+def _paces(tally: Tally) -> Paces:
+    key = tally.key
+    return Paces(key.version, (key.route, key.model), tally.times, key.instance)
+
+
 def _expected_count(count: int, other_bad: int, other_count: int) -> float:
     """Returns the count to expect by the other version's rate, with tolerance."""
     rate = (other_bad + PRIOR_FAILURES) / (other_count + PRIOR_ANSWERS)
@@ -335,52 +393,3 @@
     """Checks whether a count is higher than chance explains."""
     bound = expected + DEVIATIONS_MAX * math.sqrt(expected)
     return count >= FAILURES_MIN and count > bound
-
-
-@dataclass(frozen=True)
-class _LateAnswers:
-    """The late and the timed answers of both versions."""
-
-    late: int = 0
-    timed: int = 0
-    other_late: int = 0
-    other_timed: int = 0
-
-    def __str__(self) -> str:
-        return f"{self.late} of {self.timed} were late"
-
-    def plus(self, other: "_LateAnswers") -> "_LateAnswers":
-        """Returns the sums over two routes."""
-        return _LateAnswers(
-            self.late + other.late,
-            self.timed + other.timed,
-            self.other_late + other.other_late,
-            self.other_timed + other.other_timed,
-        )
-
-    @property
-    def exceeds_chance(self) -> bool:
-        """Checks whether the new version is late more often than chance explains."""
-        expected = _expected_count(self.timed, self.other_late, self.other_timed)
-        return _exceeds_chance(self.late, expected)
-
-
-def _count_late_answers(new: Tally, old: Tally) -> _LateAnswers:
-    """Counts the late answers of a route by the other version's median there."""
-    other_timed = sum(old.times.values())
-    bound = _median(old.times) + SLOW_STEPS
-    return _LateAnswers(
-        sum(count for step, count in new.times.items() if step >= bound),
-        sum(new.times.values()),
-        sum(count for step, count in old.times.items() if step >= bound),
-        other_timed,
-    )
-
-
-def _median(times: dict[int, int]) -> int:
-    left = sum(times.values()) / 2
-    for step in sorted(times):
-        left -= times[step]
-        if left <= 0:
-            return step
-    return max(times, default=0)
--- a/ashlatch/fleet/exposure.py
+++ b/ashlatch/fleet/exposure.py
@@ -46,6 +46,7 @@
     `trial_extra` requests are added to the trial's share because services with few
     requests need a larger share to be evaluated. The load test ends at `tested_share`
     plus `tested_extra` requests. `shift_share` is the share of the first step after it.
+    A bad version may get `allowed_share` plus `allowed_extra` requests.
     """
 
     trial_share: float
@@ -53,6 +54,8 @@
     tested_share: float
     tested_extra: float
     shift_share: float
+    allowed_share: float
+    allowed_extra: float
 
     def trial_share_of(self, requests: float) -> float:
         """Returns the trial's share for a number of requests in the whole time."""
@@ -76,4 +79,6 @@
         share * TESTED_SHARE_RATIO,
         extra * TESTED_EXTRA_RATIO,
         min(SHIFT_SHARE_MAX, shift_share),
+        share,
+        extra,
     )
--- a/ashlatch/fleet/leader.py
+++ b/ashlatch/fleet/leader.py
@@ -140,6 +140,8 @@
     _evidence: dict[str, Evidence] = field(default_factory=dict)
     _clocks: dict[str, _RolloutClock] = field(default_factory=dict)
     _newest: dict[str, Rollout] = field(default_factory=dict)
+    # The services whose roll-outs keep their share for now.
+    _held: dict[str, bool] = field(default_factory=dict)
     # By service and the version in whose trial they began, empty for the others.
     _sessions: dict[tuple[str, str], SessionHashes] = field(default_factory=dict)
 
@@ -161,7 +163,7 @@
         """Adds the counts that gateways have reported."""
         by_service: dict[str, list[Tally]] = {}
         for tally in tallies:
-            counted = self._drop_times_after_trial(tally)
+            counted = self._drop_incomparable_times(tally)
             by_service.setdefault(tally.key.service, []).append(counted)
         for service, service_tallies in by_service.items():
             if service in self._evidence:
@@ -171,18 +173,24 @@
         """Sets the sessions running before a trial and those moved by a load test."""
         self._sessions = {(s.service, s.trial_version): s for s in sessions}
 
-    def _drop_times_after_trial(self, tally: Tally) -> Tally:
-        """Removes the times of a new version that is past its trial.
+    def set_waiting(self, tallies: tuple[Tally, ...]) -> None:
+        """Sets how long requests have waited that have no answer yet."""
+        for service, evidence in self._evidence.items():
+            waiting = [self._drop_incomparable_times(t) for t in tallies]
+            evidence.set_waiting(t for t in waiting if t.key.service == service)
 
-        The load test delays its answers, and so do prompts that its engines have not
-        cached yet when all sessions arrive. A version that is slow by itself is slow in
-        the trial already.
+    def _drop_incomparable_times(self, tally: Tally) -> Tally:
+        """Removes the times of a new version that gets more than the others.
+
+        The load test delays its answers. When it gets everything, the other versions
+        have no answers of the same time to compare with.
         """
         rollout = self._newest.get(tally.key.service)
         if rollout is None or tally.key.version != rollout.version:
             return tally
-        trial = rollout.stage is RolloutStage.TRIAL
-        return tally if trial else msgspec.structs.replace(tally, times={})
+        if rollout.stage is RolloutStage.LOAD_TEST or rollout.share >= 1.0:
+            return msgspec.structs.replace(tally, times={})
+        return tally
 
     def due_updates(
         self,
@@ -241,6 +249,9 @@
             rollout, elapsed_ms, evidence, now_ms, ready, plain, self.plan
         )
         changed = (decision.stage, decision.share) != (rollout.stage, rollout.share)
+        if changed or decision.held is not self._held.get(rollout.service, False):
+            emit(log, _decided_event(rollout, decision, elapsed_ms))
+        self._held[rollout.service] = decision.held
         no_sessions = SessionHashes(rollout.service, ())
         reported = self._sessions.get((rollout.service, ""), no_sessions)
         begun = self._sessions.get((rollout.service, rollout.version), no_sessions)
@@ -248,17 +259,6 @@
         due = elapsed_ms - rollout.elapsed_ms >= CHECKPOINT_INTERVAL_MS
         if not changed and not due and moved == rollout.moved:
             return None
-        if changed:
-            decided = RolloutDecided(
-                rollout.service,
-                rollout.version,
-                decision.stage.value,
-                decision.share,
-                int(elapsed_ms),
-                int(rollout.duration_ms),
-                decision.reason,
-            )
-            emit(log, decided)
         return UpdateRollout(
             rollout.service,
             rollout.number,
@@ -270,6 +270,30 @@
         )
 
 
+def _decided_event(
+    rollout: Rollout, decision: Decision, elapsed_ms: float
+) -> RolloutDecided:
+    paces = decision.paces
+    return RolloutDecided(
+        rollout.service,
+        rollout.version,
+        decision.stage.value,
+        decision.share,
+        int(elapsed_ms),
+        int(rollout.duration_ms),
+        decision.reason,
+        decision.held,
+        paces.total.late,
+        paces.total.timed,
+        paces.total.other_late,
+        paces.total.other_timed,
+        round(paces.evidence, 1),
+        round(paces.remaining_evidence, 1),
+        len(paces.by_instance),
+        paces.healthy,
+    )
+
+
 def _moved_sessions(
     rollout: Rollout, decision: Decision, reported: SessionHashes, begun: SessionHashes
 ) -> tuple[int, ...]:
--- a/ashlatch/fleet/leader_link.py
+++ b/ashlatch/fleet/leader_link.py
@@ -125,4 +125,5 @@
             crashes=self.soft_state.crashes.missing_from(state.crashes),
             crashes_known=state.crashes.number,
             evacuations_known=state.evacuations.number,
+            waiting=self.soft_state.waiting(),
         )
--- a/ashlatch/fleet/logs.py
+++ b/ashlatch/fleet/logs.py
@@ -99,7 +99,14 @@
 
 @dataclass(frozen=True)
 class RolloutDecided(LogEvent):
-    """A roll-out changes its stage or share, with the reason."""
+    """A roll-out changes its stage or share, or begins or ceases to keep its share.
+
+    Of `timed` answers of the new version that could be compared, `late` were late, of
+    the other versions `other_late` of `other_timed`. `evidence` is the decimal
+    logarithm of how much likelier that is if the new version is slower,
+    `evidence_without` the same without the endpoint with the most late answers, out of
+    `instances`. `healthy` is set if a version that is much slower is excluded.
+    """
 
     event: ClassVar[str] = "rollout_decided"
     service: str
@@ -109,6 +116,15 @@
     elapsed_ms: int
     duration_ms: int
     reason: str
+    held: bool
+    late: int
+    timed: int
+    other_late: int
+    other_timed: int
+    evidence: float
+    evidence_without: float
+    instances: int
+    healthy: bool
 
 
 @dataclass(frozen=True)
--- a/ashlatch/fleet/protocol.py
+++ b/ashlatch/fleet/protocol.py
@@ -58,6 +58,8 @@
     crash endpoints, and `crashes_known` is the number of the newest such change that it
     knows. `evacuations_known` is the number of the newest evacuations that it knows.
     `duration_ratios` are those that endpoints have reported since its last request.
+    `waiting` counts the requests that wait for answers of versions in a roll-out now,
+    by how long they have waited; unset if the sender does not know.
     """
 
     vm: str
@@ -77,6 +79,7 @@
     crashes_known: int = 0
     evacuations_known: int = 0
     duration_ratios: tuple[ReportedRatio, ...] = ()
+    waiting: tuple[Tally, ...] | None = None
 
 
 class SyncReply(msgspec.Struct, frozen=True, array_like=True):
--- a/ashlatch/fleet/soft_state.py
+++ b/ashlatch/fleet/soft_state.py
@@ -20,7 +20,7 @@
 from ashlatch.fleet.prefill_log import PrefillLog
 from ashlatch.fleet.protocol import SyncReply, SyncRequest, gateways_digest
 from ashlatch.gateway.prefix_cache import PromptPrefill
-from ashlatch.gateway.tally import Tallies
+from ashlatch.gateway.tally import Tallies, Tally, TallyKey, merge
 from ashlatch.policy.crash_record import UnloggedCrashes
 from ashlatch.policy.prefill_rate import PrefillRates
 from ashlatch.policy.speed import ReportedRatios
@@ -37,6 +37,8 @@
 # its own list of gateways must not make others drop any: each gateway syncs every
 # half second, and so do the other core VMs.
 GATEWAYS_SETTLE_MS = 1500.0
+# Gateways report every half second which requests wait; older reports are not current.
+WAITING_MAX_AGE_MS = 1500.0
 # The number of prefills that wait for a leader; older ones are useless by then.
 PENDING_PREFILLS_MAX = 1024
 
@@ -52,6 +54,8 @@
         self.endpoints = EndpointList()
         self._endpoints_changed_ms = monotonic_ms()
         self.tallies = Tallies()
+        # By the sender of the report: when it came, and the requests that wait.
+        self._waiting: dict[str, tuple[float, tuple[Tally, ...]]] = {}
         self.prefills = PrefillLog()
         # Gateways of one hall together observe many prefills of an engine each second.
         # One of 39 gateways alone observes too few to know a rate before it needs it.
@@ -82,6 +86,8 @@
         if request.core is not None:
             self._halls[request.core.address] = request.core.hall
         self.tallies.add(request.tallies)
+        if request.waiting is not None:
+            self._waiting[request.vm] = now_ms, request.waiting
         for sessions in request.sessions:
             self._apply_sessions(sessions, now_ms)
         self.add_prefills(request.prefills)
@@ -123,6 +129,17 @@
         pending, self._pending_prefills = self._pending_prefills, []
         return tuple(pending)
 
+    def waiting(self) -> tuple[Tally, ...]:
+        """Returns how long requests have waited at all gateways that sync here."""
+        oldest_ms = monotonic_ms() - WAITING_MAX_AGE_MS
+        found: dict[TallyKey, Tally] = {}
+        for sender, (at_ms, tallies) in list(self._waiting.items()):
+            if at_ms < oldest_ms:
+                del self._waiting[sender]
+            else:
+                merge(found, tallies)
+        return tuple(found.values())
+
     def recent_sessions(self) -> tuple[SessionHashes, ...]:
         """Returns the recently reported sessions by service."""
         oldest_ms = monotonic_ms() - SESSION_REPORT_MAX_AGE_MS
--- a/ashlatch/gateway/context.py
+++ b/ashlatch/gateway/context.py
@@ -21,6 +21,7 @@
 from ashlatch.gateway.latency_model import LatencyModel
 from ashlatch.gateway.links import EndpointLinks
 from ashlatch.gateway.overload import OverloadControl
+from ashlatch.gateway.pace import PaceMeter
 from ashlatch.gateway.places import Places
 from ashlatch.gateway.pool import ConnectionPool
 from ashlatch.gateway.prefix_cache import PrefixCaches
@@ -71,7 +72,8 @@
     tells which organisations demand more than their share of scarce capacity,
     `overload` decides about requests while the engines have too little capacity.
     `places` leases slots of endpoints that must not be overbooked.
-    `links` opens the connections to endpoints, `relay_peers` tells which gateways can
+    `pace_meter` counts answers for the evaluation of new versions. `links` opens the
+    connections to endpoints, `relay_peers` tells which gateways can
     serve requests for this one.
     """
 
@@ -107,6 +109,7 @@
     next_retry_ms: dict[str, float] = field(default_factory=dict)
     relay_peers: RelayPeers = field(default_factory=RelayPeers)
     links: EndpointLinks = field(init=False)
+    pace_meter: PaceMeter = field(init=False)
     places: Places = field(init=False)
     traffic: TrafficCounter = field(init=False)
     overload: OverloadControl = field(init=False)
@@ -118,6 +121,7 @@
         self.links = EndpointLinks(self.directory, self.metrics, self.generator)
         self.links.health_target = self.health_target
         self.directory.on_restart = self.forget_instance
+        self.pace_meter = PaceMeter(self.tallies, self.versions.rollouts)
         self.places = Places(
             self.directory,
             self.metrics,
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -190,6 +190,9 @@
             begin_answer(self._context, self._admission.fingerprints),
         )
         self._context.runs.begin(run)
+        meter = self._context.pace_meter
+        reason = choice.allowed.reason
+        meter.begin(attempt, self._route.name, reason, self._now_ms())
         harmless = False
         failed: FailureKind | None = None
         try:
@@ -213,6 +216,7 @@
             self._place.release(failed, harmless)
             self._gate.end_trial()
             self._context.runs.end(run, harmless, self._now_ms())
+            meter.end(attempt)
             self._record.record_traffic(attempt)
         return None
 
--- a/ashlatch/gateway/request_record.py
+++ b/ashlatch/gateway/request_record.py
@@ -38,7 +38,6 @@
 from ashlatch.gateway.relay import RelayedSend
 from ashlatch.gateway.reports import broadcast_duration, broadcast_load
 from ashlatch.gateway.session_updates import announce_session
-from ashlatch.gateway.tally import TallyKey
 from ashlatch.gateway.traffic import TrafficKind
 from ashlatch.gateway.updates import EndpointReplaced, PromptSent
 from ashlatch.http.upstream import CONNECT_REFUSED
@@ -161,8 +160,7 @@
         self._apply_answer_head(attempt)
         first_ms = self._elapsed_ms(attempt)
         ratio = attempt.state.duration_ratio(self._now_ms())
-        # A busy host does not count against the version that it runs.
-        self._context.tallies.record_start(self._tally_key(attempt), first_ms / ratio)
+        self._context.pace_meter.record_start(attempt, self._now_ms())
         attempt.state.confirm_running(self._admission.service.cold_ms, self._now_ms())
         service = self._admission.service.name
         forecast = attempt.forecast
@@ -258,7 +256,7 @@
             emit(log, EndpointResumed(state.endpoint.instance, state.endpoint.service))
         state.record_success()
         self._record_session_end(attempt)
-        self._context.tallies.record_answer(self._tally_key(attempt))
+        self._context.pace_meter.record_answer(attempt)
 
     def record_failure(self, attempt: Attempt, failure: AttemptFailed) -> None:
         """Records a send that brought no answer."""
@@ -270,12 +268,9 @@
             self.sends -= 1
             self.unreachable += 1
         if kind is FailureKind.ERROR:
-            self._context.tallies.record_failure(self._tally_key(attempt))
+            self._context.pace_meter.record_failure(attempt)
         if kind is FailureKind.SILENT and not self.events:
-            ratio = state.duration_ratio(self._now_ms())
-            self._context.tallies.record_start(
-                self._tally_key(attempt), self._elapsed_ms(attempt) / ratio
-            )
+            self._context.pace_meter.record_start(attempt, self._now_ms())
         if kind is FailureKind.MISDIRECTED:
             self._record_replacement(state)
         elif kind not in _NOT_ITS_FAULT:
@@ -374,11 +369,6 @@
             endpoint.service, session, endpoint.version, self._now_ms()
         )
 
-    def _tally_key(self, attempt: Attempt) -> TallyKey:
-        endpoint = attempt.state.endpoint
-        route = self._admission.route.name
-        return TallyKey(endpoint.service, endpoint.version, route)
-
     def _elapsed_ms(self, attempt: Attempt) -> float:
         return (self._loop.time() - attempt.sent_s) * 1000.0
 
--- a/ashlatch/gateway/sync.py
+++ b/ashlatch/gateway/sync.py
@@ -160,7 +160,15 @@
             wait_ms, timeout_s = self._wait_and_timeout()
             crashes = self._context.quarantine.unconfirmed()
             ratios = self._context.duration_reports.take_ratios()
-            request = self._request(wait_ms, tallies, prefills, rates, crashes, ratios)
+            request = self._request(
+                wait_ms,
+                tallies,
+                prefills,
+                rates,
+                crashes,
+                ratios,
+                self._context.pace_meter.waiting(self._now_ms()),
+            )
             late_ms = self._now_ms() + timeout_s * 1000.0 + TIMER_LATE_MS
             try:
                 reply = await self._call(address, request, timeout_s)
@@ -260,6 +268,7 @@
         rates: tuple[PrefillRate, ...] = (),
         crashes: tuple[CrashRecord, ...] = (),
         duration_ratios: tuple[ReportedRatio, ...] = (),
+        waiting: tuple[Tally, ...] | None = None,
     ) -> SyncRequest:
         return SyncRequest(
             self._context.vm,
@@ -278,6 +287,7 @@
             crashes_known=self._updates.crashes_position,
             evacuations_known=self._context.directory.evacuations.number,
             duration_ratios=duration_ratios,
+            waiting=waiting,
         )
 
     def _wait_and_timeout(self) -> tuple[float, float]:
--- a/ashlatch/gateway/tally.py
+++ b/ashlatch/gateway/tally.py
@@ -9,24 +9,27 @@
 :license: MIT, see LICENSE for details.
 """
 
-import math
 from collections import Counter
 from dataclasses import dataclass, field
 
 import msgspec
 
-__all__ = ["BUCKET_RATIO", "Tallies", "Tally", "TallyKey", "merge", "bucket_of"]
+from ashlatch.policy.pace import bucket_of
 
-# The ratio between the bounds of adjacent buckets of the time histogram.
-BUCKET_RATIO = 1.5
+__all__ = ["Tallies", "Tally", "TallyKey", "merge", "bucket_of"]
 
 
 class TallyKey(msgspec.Struct, frozen=True, array_like=True):
-    """Identifies the answers that are counted together."""
+    """Identifies the answers that are counted together.
+
+    `instance` is the endpoint if its version is being rolled out, empty for others.
+    """
 
     service: str
     version: str
     route: str
+    model: str = ""
+    instance: str = ""
 
 
 class Tally(msgspec.Struct, frozen=True, array_like=True):
@@ -34,8 +37,9 @@
 
     `failed` answers were errors of the endpoint itself: an answer that breaks off says
     something about a VM, not about its version. `times` is a histogram of the times to
-    the first byte of an answer, with bucket bounds that grow by `BUCKET_RATIO`. An
-    answer that was abandoned after such a time counts like one that began then.
+    the first byte of an answer, by `bucket_of`: in ms at plain services, in percent of
+    the expected time at engines. An answer that was abandoned after such a time counts
+    like one that began then.
     """
 
     key: TallyKey
@@ -55,11 +59,6 @@
         )
 
 
-def bucket_of(first_ms: float) -> int:
-    """Returns the histogram bucket of a time."""
-    return max(0, int(math.log(max(first_ms, 1.0)) / math.log(BUCKET_RATIO)))
-
-
 def merge(into: dict[TallyKey, Tally], tallies: tuple[Tally, ...]) -> None:
     """Adds tallies to those with the same keys."""
     for tally in tallies:
@@ -73,13 +72,13 @@
 
     _counts: dict[TallyKey, Tally] = field(default_factory=dict)
 
-    def record_start(self, key: TallyKey, first_ms: float) -> None:
+    def record_start(self, key: TallyKey, pace: float) -> None:
         """Counts an answer that began, or was abandoned, after a time.
 
         It counts at once: a stream may end much later, but its start describes the
-        present.
+        present. The `pace` is in ms, or in percent of the expected time.
         """
-        self.add((Tally(key, times={bucket_of(first_ms): 1}),))
+        self.add((Tally(key, times={bucket_of(pace): 1}),))
 
     def record_answer(self, key: TallyKey) -> None:
         """Counts an answer that was complete."""
--- /dev/null
+++ b/ashlatch/policy/pace.py
@@ -0,0 +1,423 @@
+"""
+ashlatch.policy.pace
+~~~~~~~~~~~~~~~~~~~~
+
+Compares how fast a new version answers with how fast the others do. Answers are
+compared within strata, such as a route and a model, with those that other versions gave
+there at about the same time, and are then counted over all strata together.
+
+:copyright: Copyright 2026 by the ashlatch maintainers.
+:license: MIT, see LICENSE for details.
+"""
+
+import math
+from collections import deque
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+__all__ = [
+    "BUCKET_RATIO",
+    "ENGINE_LATE_STEPS",
+    "LATE_STEPS",
+    "Histogram",
+    "PaceComparison",
+    "PaceCounts",
+    "PaceLog",
+    "Paces",
+    "Stratum",
+    "add_times",
+    "bucket_of",
+    "log_evidence",
+]
+
+# The ratio between the bounds of adjacent buckets of a histogram.
+BUCKET_RATIO = 1.15
+# An answer is late when it begins this many buckets after the median of the other
+# versions: 3.5 times as late.
+LATE_STEPS = 9
+# The same for times relative to what was expected of each answer, which vary less:
+# twice as late.
+ENGINE_LATE_STEPS = 5
+# The length of the blocks of time whose answers are compared with each other.
+BLOCK_MS = 1000.0
+# Blocks older than this are dropped, about 0.3 MB later.
+BLOCKS_MAX = 600
+# The other versions' answers of a stratum that define its median. If a block has fewer,
+# those of the blocks around it are added, up to these distances.
+REFERENCE_MIN = 16
+REFERENCE_DISTANCES = (0, 1, 3, 7)
+# If there are too few around it, all of the stratum are used, if there are this many.
+TOTAL_REFERENCE_MIN = 8
+# A version that turns slow late is detected in the answers of this time alone.
+RECENT_MS = 4000.0
+# The decimal logarithms of the likelihood ratios from which a version is slower, by all
+# answers and by the recent ones. A healthy version, however often it is compared,
+# exceeds the first with a probability of at most 1 in 1000, and the second in each
+# period of RECENT_MS of at most 1 in 10,000.
+EVIDENCE_MIN = 3.0
+RECENT_EVIDENCE_MIN = 4.0
+# Without the endpoint with the most late answers there must still be this evidence: one
+# slow endpoint is no fault of its version.
+REMAINING_EVIDENCE_MIN = 1.5
+# Fewer late answers than this may be chance.
+LATE_MIN = 3
+# From this evidence on a version that is not known to be slower is doubtful.
+DOUBT = 1.0
+# A version is known to be healthy when a version with this share of late answers would
+# have had more of them with a probability of 1 - HEALTHY_RISK.
+SLOW_SHARE_MIN = 0.3
+HEALTHY_RISK = 0.05
+# The factor by which a version's share of late answers may exceed the other versions'.
+LATE_TOLERANCE = 1.5
+# The late and the timed answers that are assumed of the other versions beforehand.
+PRIOR_LATE = 0.75
+PRIOR_TIMED = 50.0
+# The number of alternatives that the likelihood ratio averages over.
+ALTERNATIVES = 32
+
+# Counts of times by bucket.
+Histogram = dict[int, int]
+# What has to be equal for answers to be comparable: a route and a model.
+Stratum = tuple[str, str]
+
+
+def bucket_of(time: float) -> int:
+    """Returns the histogram bucket of a time, in ms or in percent of the expected."""
+    return max(0, int(math.log(max(time, 1.0)) / math.log(BUCKET_RATIO)))
+
+
+def log_evidence(late: int, timed: int, healthy_share: float) -> float:
+    """Returns the evidence that answers are late more often than `healthy_share`.
+
+    It is the decimal logarithm of the mean likelihood ratio of all larger shares
+    against the healthy one. The ratio is a test martingale: a healthy version ever
+    exceeds `n` with a probability of at most 1 / `n`, however often it is computed
+    (Ville, 1939)::
+
+        log_evidence(late=5, timed=10, healthy_share=0.05)  # 3.0
+    """
+    if not timed:
+        return 0.0
+    likelihoods = []
+    for number in range(ALTERNATIVES):
+        share = healthy_share
+        share += (1.0 - healthy_share) * (number + 0.5) / ALTERNATIVES
+        likelihoods.append(
+            late * math.log10(share / healthy_share)
+            + (timed - late) * math.log10((1.0 - share) / (1.0 - healthy_share))
+        )
+    return _log_mean(likelihoods)
+
+
+def _log_mean(logs: list[float]) -> float:
+    """Returns the decimal logarithm of the mean of numbers given by theirs."""
+    highest = max(logs)
+    return highest + math.log10(sum(10.0 ** (x - highest) for x in logs) / len(logs))
+
+
+@dataclass(frozen=True)
+class Paces:
+    """The times of some answers of one version in one stratum.
+
+    `instance` is the endpoint they came from, empty if it does not matter.
+    """
+
+    version: str
+    stratum: Stratum
+    times: Histogram
+    instance: str = ""
+
+
+@dataclass
+class PaceCounts:
+    """The late and the timed answers of a new version and of the others."""
+
+    late: int = 0
+    timed: int = 0
+    other_late: int = 0
+    other_timed: int = 0
+
+    def add(self, other: "PaceCounts") -> None:
+        """Adds the counts of other answers."""
+        self.late += other.late
+        self.timed += other.timed
+        self.other_late += other.other_late
+        self.other_timed += other.other_timed
+
+    @property
+    def healthy_share(self) -> float:
+        """The share of late answers that is tolerated."""
+        share = (self.other_late + PRIOR_LATE) / (self.other_timed + PRIOR_TIMED)
+        return min(0.9, LATE_TOLERANCE * share)
+
+    @property
+    def evidence(self) -> float:
+        """The evidence that the new version is slower; see `log_evidence`."""
+        return log_evidence(self.late, self.timed, self.healthy_share)
+
+    def raise_healthy_share(self, reference: "PaceCounts") -> None:
+        """Uses the other versions' answers of a reference if more of them are late."""
+        if reference.healthy_share > self.healthy_share:
+            self.other_late = reference.other_late
+            self.other_timed = reference.other_timed
+
+    def without(self, other: "PaceCounts") -> "PaceCounts":
+        """Returns the counts without some answers of the new version."""
+        return PaceCounts(
+            self.late - other.late,
+            self.timed - other.timed,
+            self.other_late,
+            self.other_timed,
+        )
+
+
+@dataclass
+class PaceComparison:
+    """The answers of a new version that were compared with those of others.
+
+    `evidence_min` is the evidence from which the version counts as slower.
+    """
+
+    evidence_min: float = EVIDENCE_MIN
+    total: PaceCounts = field(default_factory=PaceCounts)
+    by_route: dict[str, PaceCounts] = field(default_factory=dict)
+    by_instance: dict[str, PaceCounts] = field(default_factory=dict)
+
+    def __str__(self) -> str:
+        return f"{self.total.late} of {self.total.timed} were late"
+
+    def add(self, route: str, instance: str, counts: PaceCounts) -> None:
+        """Adds answers of one route and one endpoint of the new version."""
+        self.total.add(counts)
+        self.by_route.setdefault(route, PaceCounts()).add(counts)
+        if counts.timed:
+            self.by_instance.setdefault(instance, PaceCounts()).add(counts)
+
+    def merge(self, other: "PaceComparison") -> None:
+        """Adds all answers of another comparison."""
+        self.total.add(other.total)
+        for route, counts in other.by_route.items():
+            self.by_route.setdefault(route, PaceCounts()).add(counts)
+        for instance, counts in other.by_instance.items():
+            self.by_instance.setdefault(instance, PaceCounts()).add(counts)
+
+    def raise_healthy_shares(self, total: "PaceComparison") -> None:
+        """Tolerates as many late answers as in a comparison of all answers.
+
+        The few answers of a short time may show too low a share by chance.
+        """
+        self.total.raise_healthy_share(total.total)
+        for route, counts in self.by_route.items():
+            counts.raise_healthy_share(total.by_route.get(route, counts))
+
+    @property
+    def evidence(self) -> float:
+        """The evidence of all routes together, averaged with that of single ones.
+
+        A version may be slow on one route only.
+        """
+        if len(self.by_route) < 2:
+            return self.total.evidence
+        single = [counts.evidence for counts in self.by_route.values()]
+        return _log_mean([self.total.evidence, _log_mean(single)])
+
+    @property
+    def remaining_evidence(self) -> float:
+        """The evidence without the endpoint with the most late answers."""
+        if len(self.by_instance) < 2:
+            return self.total.evidence
+        worst = max(self.by_instance.values(), key=lambda c: (c.late, -c.timed))
+        return self.total.without(worst).evidence
+
+    @property
+    def slower(self) -> bool:
+        """Checks whether the new version is slower than the others."""
+        if self.total.late < LATE_MIN or self.evidence < self.evidence_min:
+            return False
+        return self.remaining_evidence >= REMAINING_EVIDENCE_MIN
+
+    @property
+    def doubtful(self) -> bool:
+        """Checks whether the version is likely to be slower, but not known to be."""
+        return self.total.late >= LATE_MIN and self.evidence >= DOUBT
+
+    @property
+    def healthy(self) -> bool:
+        """Checks whether the version is known not to be much slower."""
+        total = self.total
+        likelihood = sum(
+            math.comb(total.timed, late)
+            * SLOW_SHARE_MIN**late
+            * (1.0 - SLOW_SHARE_MIN) ** (total.timed - late)
+            for late in range(total.late + 1)
+        )
+        return likelihood <= HEALTHY_RISK
+
+
+@dataclass
+class _Block:
+    """The times of answers that were reported in one period.
+
+    `times` are by version and stratum, `by_instance` also by endpoint. `compared` holds
+    comparisons by version and late steps once they do not change any more.
+    """
+
+    begin_ms: float
+    times: dict[str, dict[Stratum, Histogram]] = field(default_factory=dict)
+    by_instance: dict[tuple[str, Stratum, str], Histogram] = field(default_factory=dict)
+    compared: dict[tuple[str, int], PaceComparison] = field(default_factory=dict)
+
+    def others(self, version: str) -> Iterator[tuple[Stratum, Histogram]]:
+        """Yields the times of all versions but one."""
+        for other, strata in self.times.items():
+            if other != version:
+                yield from strata.items()
+
+    def add_others(self, version: str, stratum: Stratum, into: Histogram) -> None:
+        """Adds the times of all versions but one in a stratum."""
+        for other, strata in self.times.items():
+            if other != version and stratum in strata:
+                add_times(into, strata[stratum])
+
+
+@dataclass
+class PaceLog:
+    """The times of answers of the versions of a service, as they are reported::
+
+    log = PaceLog()
+    log.add(Paces("v1", ("chat", "small"), {10: 20}), now_ms=0.0)
+    log.add(Paces("v2", ("chat", "small"), {17: 6}), now_ms=500.0)
+    log.compare("v2", LATE_STEPS).total  # none late: 7 buckets are 2.7 times as long
+    """
+
+    _blocks: deque[_Block] = field(default_factory=lambda: deque(maxlen=BLOCKS_MAX))
+    _total: _Block = field(default_factory=lambda: _Block(0.0))
+    _waiting: tuple[Paces, ...] = ()
+
+    def add(self, paces: Paces, now_ms: float) -> None:
+        """Adds answers of one version."""
+        if not self._blocks or now_ms - self._blocks[-1].begin_ms >= BLOCK_MS:
+            self._blocks.append(_Block(now_ms))
+        block = self._blocks[-1]
+        for strata in (block.times, self._total.times):
+            times = strata.setdefault(paces.version, {})
+            add_times(times.setdefault(paces.stratum, {}), paces.times)
+        key = (paces.version, paces.stratum, paces.instance)
+        add_times(block.by_instance.setdefault(key, {}), paces.times)
+
+    def set_waiting(self, waiting: Iterable[Paces]) -> None:
+        """Sets how long requests have waited that have no answer yet.
+
+        Those that are late already count as late answers, the others do not count.
+        """
+        self._waiting = tuple(waiting)
+
+    def compare(self, version: str, late_steps: int) -> PaceComparison:
+        """Compares all answers of a version."""
+        return self._compare(version, late_steps, 0, EVIDENCE_MIN)
+
+    def compare_recent(
+        self, version: str, late_steps: int, now_ms: float, total: PaceComparison
+    ) -> PaceComparison:
+        """Compares the answers of a version in the last `RECENT_MS`.
+
+        `total` is the comparison of all answers.
+        """
+        first = len(self._blocks)
+        while first and now_ms - self._blocks[first - 1].begin_ms <= RECENT_MS:
+            first -= 1
+        recent = self._compare(version, late_steps, first, RECENT_EVIDENCE_MIN)
+        recent.raise_healthy_shares(total)
+        return recent
+
+    def _compare(
+        self, version: str, late_steps: int, first: int, evidence_min: float
+    ) -> PaceComparison:
+        found = PaceComparison(evidence_min)
+        blocks = list(self._blocks)
+        for number in range(first, len(blocks)):
+            found.merge(self._compare_block(blocks, number, version, late_steps))
+        for paces in self._waiting:
+            bound = self._late_bound(
+                blocks, len(blocks) - 1, version, paces.stratum, late_steps
+            )
+            late = 0 if bound is None else _count_from(paces.times, bound)
+            if paces.version == version:
+                counts = PaceCounts(late=late, timed=late)
+            else:
+                counts = PaceCounts(other_late=late, other_timed=late)
+            found.add(paces.stratum[0], paces.instance, counts)
+        return found
+
+    def _compare_block(
+        self, blocks: list[_Block], number: int, version: str, late_steps: int
+    ) -> PaceComparison:
+        """Compares the answers of one block with those of the blocks around it."""
+        block = blocks[number]
+        found = block.compared.get((version, late_steps))
+        if found is not None:
+            return found
+        found = PaceComparison()
+        bounds = {
+            stratum: self._late_bound(blocks, number, version, stratum, late_steps)
+            for strata in block.times.values()
+            for stratum in strata
+        }
+        for stratum, times in block.others(version):
+            bound = bounds[stratum]
+            if bound is not None:
+                late = _count_from(times, bound)
+                counts = PaceCounts(other_late=late, other_timed=sum(times.values()))
+                found.add(stratum[0], "", counts)
+        for (name, stratum, instance), times in block.by_instance.items():
+            bound = bounds[stratum]
+            if name == version and bound is not None:
+                counts = PaceCounts(_count_from(times, bound), sum(times.values()))
+                found.add(stratum[0], instance, counts)
+        if number + max(REFERENCE_DISTANCES) < len(blocks) - 1:
+            block.compared[version, late_steps] = found
+        return found
+
+    def _late_bound(
+        self,
+        blocks: list[_Block],
+        number: int,
+        version: str,
+        stratum: Stratum,
+        late_steps: int,
+    ) -> int | None:
+        """Returns the bucket from which on an answer of a block is late.
+
+        It follows from the other versions' answers of the nearest blocks that have
+        enough of them: what slows both versions is no fault of the new one.
+        """
+        for distance in REFERENCE_DISTANCES:
+            times: Histogram = {}
+            for near in blocks[max(0, number - distance) : number + distance + 1]:
+                near.add_others(version, stratum, times)
+            if sum(times.values()) >= REFERENCE_MIN:
+                return _median(times) + late_steps
+        times = {}
+        self._total.add_others(version, stratum, times)
+        if sum(times.values()) >= TOTAL_REFERENCE_MIN:
+            return _median(times) + late_steps
+        return None
+
+
+def add_times(into: Histogram, times: Histogram) -> None:
+    """Adds the counts of a histogram to another one."""
+    for bucket, count in times.items():
+        into[bucket] = into.get(bucket, 0) + count
+
+
+def _count_from(times: Histogram, bound: int) -> int:
+    return sum(count for bucket, count in times.items() if bucket >= bound)
+
+
+def _median(times: Histogram) -> int:
+    left = sum(times.values()) / 2
+    for bucket in sorted(times):
+        left -= times[bucket]
+        if left <= 0:
+            break
+    return bucket
--- a/tests/test_evaluation.py
+++ b/tests/test_evaluation.py
@@ -168,24 +168,68 @@
     def test_slow_on_many_routes_with_few_requests(self) -> None:
         decision = self.decide_with_few_answers_per_route(late=4)
         self.assertEqual(RolloutStage.ROLLED_BACK, decision.stage)
-        self.assertEqual("routes with few requests: 4 of 15 were late", decision.reason)
+        self.assertEqual("all routes: 4 of 15 were late", decision.reason)
+
+    def test_two_late_answers_on_each_of_two_busy_routes(self) -> None:
+        """The other version has many answers on both; it makes no difference."""
+        for plain in (True, False):
+            evidence = Evidence()
+            for route in ("one", "two"):
+                evidence.add((self.tally("v1", 30, route=route),), 0.0)
+                evidence.add((self.tally("v2", 3, late=2, route=route),), 0.0)
+            rollout = Rollout("app", "v2", RolloutStage.TRIAL, 0.25, 1, 20_000.0)
+            decision = decide(rollout, 6000.0, evidence, 0.0, ready=True, plain=plain)
+            self.assertEqual(RolloutStage.ROLLED_BACK, decision.stage)
+            self.assertEqual("all routes: 4 of 6 were late", decision.reason)
+
+    def decide_about_slow_engines(
+        self, progress: float, late: int, answers: int = 8
+    ) -> Decision:
+        """Late answers begin 2.6 times as late as those of the other version.
 
-    def decide_with_two_late_answers_per_route(self, plain: bool) -> Decision:
-        """Two late answers on each of two routes, where the old version has many."""
+        There are three routes with two models each. A tenth of the other version's
+        answers are as late.
+        """
         evidence = Evidence()
-        for route in ("one", "two"):
-            evidence.add((self.tally("v1", 30, route=route),), 0.0)
-            evidence.add((self.tally("v2", 3, late=2, route=route),), 0.0)
-        rollout = Rollout("app", "v2", RolloutStage.TRIAL, 0.25, 1, 20_000.0)
-        return decide(rollout, 6000.0, evidence, 0.0, ready=True, plain=plain)
-
-    def test_a_plain_service_is_evaluated_over_all_routes(self) -> None:
-        """Its answers are not slower at first, as it caches no prompts."""
-        decision = self.decide_with_two_late_answers_per_route(plain=True)
+        fast, slow = bucket_of(100.0), bucket_of(260.0)
+        for route in ("one", "two", "three"):
+            for model in ("small", "large"):
+                key = TallyKey("app", "v1", route, model)
+                evidence.add((Tally(key, 40, 0, {fast: 36, slow: 4}),), 0.0)
+        for number in range(answers):
+            route = ("one", "two", "three")[number % 3]
+            model = ("small", "large")[number % 2]
+            key = TallyKey("app", "v2", route, model, f"i-{number % 5}")
+            bucket = slow if number < late else fast
+            evidence.add((Tally(key, 1, 0, {bucket: 1}),), 0.0)
+        stage = RolloutStage.TRIAL if progress < 0.5 else RolloutStage.SETTLE
+        rollout = Rollout("app", "v2", stage, 0.15, 1, 20_000.0)
+        # Each route has more requests than a bad version may get.
+        evidence.add((Tally(TallyKey("app", "v1", "one"), 900),), 0.0)
+        return decide(rollout, progress * 20_000.0, evidence, 0.0, ready=True)
+
+    def test_half_of_the_answers_of_three_busy_routes_are_slow(self) -> None:
+        decision = self.decide_about_slow_engines(0.45, late=13, answers=26)
         self.assertEqual(RolloutStage.ROLLED_BACK, decision.stage)
-        self.assertEqual("all routes: 4 of 6 were late", decision.reason)
-        decision = self.decide_with_two_late_answers_per_route(plain=False)
-        self.assertEqual(RolloutStage.TRIAL, decision.stage, decision.reason)
+        self.assertEqual("all routes: 13 of 26 were late", decision.reason)
+
+    def test_a_version_that_may_be_slower_keeps_its_share(self) -> None:
+        for progress in (0.68, 0.75, 0.9):
+            decision = self.decide_about_slow_engines(progress, late=5)
+            self.assertEqual((0.15, True), (decision.share, decision.held))
+        decision = self.decide_about_slow_engines(0.96, late=5)
+        self.assertEqual(RolloutStage.ROLLED_BACK, decision.stage, decision.reason)
+
+    def test_too_few_answers_delay_the_shift(self) -> None:
+        decision = self.decide_about_slow_engines(0.68, late=0, answers=4)
+        self.assertEqual("too few answers: 0 of 4 were late", decision.reason)
+        self.assertEqual((0.15, True), (decision.share, decision.held))
+        decision = self.decide_about_slow_engines(0.77, late=0, answers=4)
+        self.assertEqual((1.0, False), (decision.share, decision.held))
+
+    def test_answers_without_late_ones_do_not_delay_the_shift(self) -> None:
+        decision = self.decide_about_slow_engines(0.71, late=0, answers=12)
+        self.assertEqual((1.0, False), (decision.share, decision.held))
 
     def test_one_late_answer_on_routes_with_few_requests(self) -> None:
         decision = self.decide_with_few_answers_per_route(late=1)
