Roll-outs of the product's own control compare paces too

By reading: the detector tests the mean logarithm of the time per token against the middle between healthy and four times as long. A version that takes four times as long in half of its answers has a mean of twice as long, exactly that middle, so it was never found, and the roll-out went on to its last stage.

Routers report histograms of the time per token by route and group of endpoints; roll-outs use the comparison that the core of the users' platform uses. A stage whose answers leave doubt is not left.

--- a/ashlatch/control/core.py
+++ b/ashlatch/control/core.py
@@ -25,6 +25,7 @@
 )
 from ashlatch.log import LogEvent
 from ashlatch.policy.detector import Detector
+from ashlatch.policy.pace import PaceLog
 from ashlatch.policy.slowness import LatencyHistory
 from ashlatch.registry import Handlers
 from ashlatch.resources import Spec, encode_canonical, parse_cached
@@ -70,6 +71,9 @@
     stage_starts: dict[str, int] = field(default_factory=dict)
     detectors: dict[str, Detector] = field(default_factory=dict)
     latency_history: LatencyHistory = field(default_factory=LatencyHistory)
+    # The times of both versions of each roll-out since its start.
+    rollout_paces: dict[str, PaceLog] = field(default_factory=dict)
+    held_rollouts: set[str] = field(default_factory=set)
     latency_verdicts: dict[str, str] = field(default_factory=dict)
     withdrawn: frozenset[str] = frozenset()
     missing_since_ms: dict[str, float] = field(default_factory=dict)
--- a/ashlatch/control/rollout.py
+++ b/ashlatch/control/rollout.py
@@ -17,6 +17,7 @@
 from ashlatch.control.latency import log_latency_verdict
 from ashlatch.log import LogEvent
 from ashlatch.policy.detector import Detector, VersionTally
+from ashlatch.policy.pace import LATE_STEPS, PaceComparison, PaceLog, Paces
 from ashlatch.policy.slowness import apply_tallies
 from ashlatch.resources import (
     Cascade,
@@ -28,7 +29,9 @@
 from ashlatch.store.configuration import ResourceId
 from ashlatch.store.protocol import VersionReport
 
-__all__ = ["RolloutMoved", "VersionBad", "advance"]
+__all__ = ["RolloutHeld", "RolloutMoved", "VersionBad", "advance"]
+
+SLOWER = "slower"
 
 
 @dataclass(frozen=True)
@@ -45,6 +48,28 @@
     epoch: int
 
 
+@dataclass(frozen=True)
+class RolloutHeld(LogEvent):
+    """A roll-out stays in its stage, as the new version may be slower, or goes on.
+
+    Of `timed` answers of the new version `late` were late, of the other one
+    `other_late` of `other_timed`. `evidence` is the decimal logarithm of how much
+    likelier that is if the new version is slower.
+    """
+
+    event: ClassVar[str] = "rollout_held"
+    rollout: str
+    to_version: str
+    stage: int
+    held: bool
+    late: int
+    timed: int
+    other_late: int
+    other_timed: int
+    evidence: float
+    epoch: int
+
+
 @dataclass(frozen=True)
 class VersionBad(LogEvent):
     """A version has turned bad; it is withdrawn unless no other could serve."""
@@ -96,6 +121,23 @@
     apply_tallies(core.detectors, core.latency_history, tallies, price, core.now_ms)
     for version in tallies:
         log_latency_verdict(core, version)
+    _apply_token_times(core, tallies)
+
+
+def _apply_token_times(core: ControlCore, tallies: dict[str, VersionTally]) -> None:
+    """Adds the times of the versions of each running roll-out to its log."""
+    for name, rollout in core.specs(Rollout).items():
+        progress = core.specs(RolloutProgress).get(name)
+        if progress is None or progress.state != "running":
+            core.rollout_paces.pop(name, None)
+            continue
+        log = core.rollout_paces.setdefault(name, PaceLog())
+        for version in (rollout.from_version, rollout.to_version):
+            tally = tallies.get(version, VersionTally())
+            for route, groups in tally.token_times.items():
+                for group, times in groups.items():
+                    paces = Paces(version, (route, ""), times, str(group))
+                    log.add(paces, core.now_ms)
 
 
 def _apply_suspensions(core: ControlCore, totals: tuple[VersionReport, ...]) -> None:
@@ -180,6 +222,12 @@
         _roll_back(core, name, rollout, progress, reason)
         core.put_resource(version, Withdrawal(reason=f"rollout {name}: {reason}"))
         return
+    paces = _compare_paces(core, name, version)
+    if paces.slower:
+        _roll_back(core, name, rollout, progress, f"{SLOWER}: {paces}")
+        reason = f"rollout {name}: {SLOWER}: {paces}"
+        core.put_resource(version, Withdrawal(reason=reason))
+        return
     if progress.stage >= len(rollout.stages):
         # An operator has replaced the roll-out by one with fewer stages.
         _enter_stage(core, name, rollout, len(rollout.stages) - 1)
@@ -191,6 +239,9 @@
         start = core.stage_starts[stage_key] = 0
     if answers - start < rollout.stages[progress.stage].answers_min:
         return
+    _log_if_held(core, name, rollout, progress, paces)
+    if paces.doubtful:
+        return
     if progress.stage + 1 < len(rollout.stages):
         _enter_stage(core, name, rollout, progress.stage + 1)
     else:
@@ -198,6 +249,41 @@
         _record_progress(core, name, rollout, done)
 
 
+def _compare_paces(core: ControlCore, name: str, version: str) -> PaceComparison:
+    """Compares the times of a new version; by recent ones if these show more."""
+    log = core.rollout_paces.get(name, PaceLog())
+    total = log.compare(version, LATE_STEPS)
+    recent = log.compare_recent(version, LATE_STEPS, core.now_ms, total)
+    return recent if recent.slower else total
+
+
+def _log_if_held(
+    core: ControlCore,
+    name: str,
+    rollout: Rollout,
+    progress: RolloutProgress,
+    paces: PaceComparison,
+) -> None:
+    """Logs when a roll-out begins or ceases to stay in a stage that is due to end."""
+    if paces.doubtful is (name in core.held_rollouts):
+        return
+    core.held_rollouts ^= {name}
+    core.write_log(
+        RolloutHeld(
+            name,
+            rollout.to_version,
+            progress.stage,
+            paces.doubtful,
+            paces.total.late,
+            paces.total.timed,
+            paces.total.other_late,
+            paces.total.other_timed,
+            round(paces.evidence, 1),
+            core.epoch,
+        )
+    )
+
+
 def _roll_back(
     core: ControlCore,
     name: str,
--- a/ashlatch/policy/detector.py
+++ b/ashlatch/policy/detector.py
@@ -15,7 +15,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-__all__ = ["CompareLatency", "Detector", "Slowness", "VersionTally"]
+from ashlatch.policy.pace import Histogram, add_times
+
+__all__ = ["CompareLatency", "Detector", "Slowness", "TokenTimes", "VersionTally"]
 
 THRESHOLD = 14.0
 HEALTHY_ERROR_RATIO = 0.01
@@ -40,6 +42,9 @@
 # answer may count as much as the mean answer of a version that is 4 times as slow.
 COMPARED_STEP_MAX = 2.7
 
+# Histograms of times by route and group of endpoints.
+TokenTimes = dict[str, dict[int, Histogram]]
+
 _ERROR_STEP = math.log(BAD_ERROR_RATIO / HEALTHY_ERROR_RATIO)
 _ANSWER_STEP = math.log((1 - BAD_ERROR_RATIO) / (1 - HEALTHY_ERROR_RATIO))
 
@@ -50,13 +55,14 @@
 
     `timed` counts the answers that are usable as latency samples; `log_latency_sum`
     is the sum over these of the natural logarithm of the milliseconds per output
-    token.
+    token. `token_times` are histograms of these times by route and group of endpoints.
     """
 
     answers: int = 0
     errors: int = 0
     timed: int = 0
     log_latency_sum: float = 0.0
+    token_times: TokenTimes = field(default_factory=dict)
 
     def plus(self, other: "VersionTally") -> "VersionTally":
         """Returns the sum of both tallies."""
@@ -65,6 +71,7 @@
             self.errors + other.errors,
             self.timed + other.timed,
             self.log_latency_sum + other.log_latency_sum,
+            _sum_times(self.token_times, other.token_times),
         )
 
     def since(self, earlier: "VersionTally") -> "VersionTally":
@@ -79,7 +86,33 @@
         )
         if min(counts) < 0:
             return VersionTally()
-        return VersionTally(*counts, self.log_latency_sum - earlier.log_latency_sum)
+        return VersionTally(
+            *counts,
+            self.log_latency_sum - earlier.log_latency_sum,
+            _increase(self.token_times, earlier.token_times),
+        )
+
+
+def _sum_times(one: TokenTimes, other: TokenTimes) -> TokenTimes:
+    found = {
+        route: {group: dict(times) for group, times in groups.items()}
+        for route, groups in one.items()
+    }
+    for route, groups in other.items():
+        for group, times in groups.items():
+            add_times(found.setdefault(route, {}).setdefault(group, {}), times)
+    return found
+
+
+def _increase(later: TokenTimes, earlier: TokenTimes) -> TokenTimes:
+    found: TokenTimes = {}
+    for route, groups in later.items():
+        for group, times in groups.items():
+            before = earlier.get(route, {}).get(group, {})
+            added = {b: n - before.get(b, 0) for b, n in times.items()}
+            if any(added.values()):
+                found.setdefault(route, {})[group] = added
+    return found
 
 
 @dataclass(frozen=True)
--- a/ashlatch/policy/evidence.py
+++ b/ashlatch/policy/evidence.py
@@ -11,10 +11,12 @@
 """
 
 import math
+import zlib
 from dataclasses import dataclass, field
 
 from ashlatch.policy.detector import VersionTally
 from ashlatch.policy.load import LoadReport
+from ashlatch.policy.pace import bucket_of
 
 __all__ = ["Evidence", "Failure", "Finding", "Timing"]
 
@@ -25,6 +27,11 @@
 # them is too slow.
 TOKEN_MIN_MS = 5.0
 PENDING_MAX = 256
+# Times per token are a few ms, which the buckets of whole ms would not tell apart.
+TOKEN_UNITS_PER_MS = 100.0
+# The groups into which endpoints are divided. With fewer endpoints than groups, most
+# have one of their own.
+ENDPOINT_GROUPS = 16
 
 
 @dataclass(frozen=True)
@@ -38,12 +45,13 @@
 
 @dataclass(frozen=True)
 class Timing:
-    """The duration of a whole answer, and the time per token."""
+    """The duration of a whole answer on a route, and the time per token."""
 
     version: str
     sent_ms: float
     ended_ms: float
     token_ms: float
+    route: str = ""
 
 
 @dataclass(frozen=True)
@@ -111,7 +119,9 @@
         if overloaded:
             return []
         return [
-            _timing_finding(timing) for timing in pending if timing not in undecided
+            _timing_finding(report.endpoint, timing)
+            for timing in pending
+            if timing not in undecided
         ]
 
     def retain(self, endpoints: set[str], versions: set[str]) -> None:
@@ -152,6 +162,10 @@
     return [Finding(failure.version, VersionTally(errors=1)) for failure in failures]
 
 
-def _timing_finding(timing: Timing) -> Finding:
-    log_token_ms = math.log(max(TOKEN_MIN_MS, timing.token_ms))
-    return Finding(timing.version, VersionTally(timed=1, log_latency_sum=log_token_ms))
+def _timing_finding(endpoint: str, timing: Timing) -> Finding:
+    token_ms = max(TOKEN_MIN_MS, timing.token_ms)
+    group = zlib.crc32(endpoint.encode()) % ENDPOINT_GROUPS
+    times = {timing.route: {group: {bucket_of(TOKEN_UNITS_PER_MS * token_ms): 1}}}
+    log_token_ms = math.log(token_ms)
+    tally = VersionTally(timed=1, log_latency_sum=log_token_ms, token_times=times)
+    return Finding(timing.version, tally)
--- a/ashlatch/router/attempt_results.py
+++ b/ashlatch/router/attempt_results.py
@@ -131,5 +131,11 @@
     )
     if attempt.had_free_slot:
         token_ms = result.took_ms / tokens
-        timing = Timing(active.version, attempt.sent_ms, core.now_ms, token_ms)
+        timing = Timing(
+            active.version,
+            attempt.sent_ms,
+            core.now_ms,
+            token_ms,
+            active.request.target,
+        )
         core.evidence.record_timing(endpoint, timing)
--- a/ashlatch/store/protocol.py
+++ b/ashlatch/store/protocol.py
@@ -12,7 +12,7 @@
 
 from ashlatch.link import Method
 from ashlatch.policy.crash_record import CrashRecord
-from ashlatch.policy.detector import VersionTally
+from ashlatch.policy.detector import TokenTimes, VersionTally
 from ashlatch.policy.slot_deal import NO_DEALS, PoolUse
 from ashlatch.raft.message import Member, Message
 from ashlatch.store.command import Command, Outcome, Resource
@@ -107,7 +107,8 @@
     """The outcomes of a version's attempts, of one router or summed over all.
 
     They are counted since the routers started. `log_latency_sum` is the sum of the
-    natural logarithms of the milliseconds for each output token, over `timed` answers.
+    natural logarithms of the milliseconds for each output token, over `timed` answers,
+    `token_times` their histograms by route and group of endpoints.
     `suspended` is set if a router considers the version bad.
     """
 
@@ -117,6 +118,7 @@
     log_latency_sum: float
     suspended: bool = False
     timed: int = 0
+    token_times: TokenTimes = {}
 
     @classmethod
     def from_tally(
@@ -130,12 +132,19 @@
             tally.log_latency_sum,
             suspended,
             tally.timed,
+            tally.token_times,
         )
 
     @property
     def tally(self) -> VersionTally:
         """The counts of the report."""
-        return VersionTally(self.answers, self.errors, self.timed, self.log_latency_sum)
+        return VersionTally(
+            self.answers,
+            self.errors,
+            self.timed,
+            self.log_latency_sum,
+            self.token_times,
+        )
 
 
 class RouterPoll(msgspec.Struct, frozen=True):
