Sessions: a gateway without datagrams moves none in a load test

It has no means to announce a move, so it moves none: its share of the load test falls to the other gateways. The new test fails on the code before (v2 for a session at such a gateway).

--- a/ashlatch/gateway/chooser.py
+++ b/ashlatch/gateway/chooser.py
@@ -106,6 +106,7 @@
             states,
             now_ms,
             frozenset(self.tried),
+            not self._context.peers_reachable,
         )
 
     def _states(self) -> list[EndpointState]:
--- a/ashlatch/gateway/versions.py
+++ b/ashlatch/gateway/versions.py
@@ -278,11 +278,13 @@
         states: Iterable[EndpointState],
         now_ms: float,
         tried: frozenset[str] = frozenset(),
+        peers_unavailable: bool = False,
     ) -> AllowedEndpoints:
         """Returns the endpoints whose version the request may run on.
 
         `tried` are the endpoints that the request has been sent to: a load test does
-        not tie it to the endpoint under test.
+        not tie it to the endpoint under test. With `peers_unavailable`, it moves no
+        sessions: this gateway has no datagrams to announce them by.
 
         When no endpoint of the preferred version is listed, the other version serves,
         but never one that has been rolled back.
@@ -298,7 +300,9 @@
             return AllowedEndpoints(old, VersionReason.ROLLED_BACK, age_ms)
         if rollout.stage is RolloutStage.LOAD_TEST:
             tested = _endpoint_under_test(rollout, new, now_ms)
-            if tested and tested[0].endpoint.instance not in tried:
+            unannounced = peers_unavailable and bool(session)
+            testable = tested and tested[0].endpoint.instance not in tried
+            if testable and not unannounced:
                 return AllowedEndpoints(tested, VersionReason.LOAD_TEST, age_ms)
             # The endpoint under test is busy enough or unavailable: choose as in the
             # trial.
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -58,6 +58,20 @@
         (other,) = self.chooser.allowed("app", "s", "r1", self.states, 0.0).states
         self.assertNotEqual(tested.endpoint.instance, other.endpoint.instance)
 
+    def test_a_gateway_without_datagrams_moves_no_sessions(self) -> None:
+        """Its next request would come to a gateway that has not received the move."""
+        self.apply(RolloutStage.LOAD_TEST, 0.0, 1)
+        for session, deaf, expected in (
+            ("s", False, {"v2"}),
+            ("s", True, {"v1"}),
+            ("", True, {"v2"}),
+        ):
+            allowed = self.chooser.allowed(
+                "app", session, "r1", self.states, 0.0, peers_unavailable=deaf
+            )
+            versions = {state.endpoint.version for state in allowed.states}
+            self.assertEqual(expected, versions)
+
     def new_version_share(self) -> float:
         found = [self.versions(f"s{n}") == {"v2"} for n in range(2000)]
         return sum(found) / len(found)
