Roll-outs: an answer is late only if it is late in absolute terms too

Gateways expect waits that are too long at busy engines, so the faster version looked slower.

An answer counts as late if it begins 1.3 times as late as the other versions' median of its route and model, and twice as late relative to what was expected.

--- a/ashlatch/gateway/pace.py
+++ b/ashlatch/gateway/pace.py
@@ -17,14 +17,13 @@
 from ashlatch.gateway.message import Dispatch
 from ashlatch.gateway.tally import Tallies, Tally, TallyKey, merge
 from ashlatch.gateway.versions import VersionReason
-from ashlatch.policy.pace import bucket_of
+from ashlatch.policy.pace import answer_bucket, bucket_of
 
 __all__ = ["PaceMeter"]
 
 # The time to a first event beyond the wait and the prefill: connections, scheduling and
 # the first tokens.
 FIRST_EVENT_MS = 50.0
-PERCENT = 100.0
 FINAL_STAGES = (RolloutStage.COMPLETED, RolloutStage.ROLLED_BACK)
 
 
@@ -109,7 +108,7 @@
         """Counts the time after which an answer has begun, or was abandoned."""
         measured = self._waiting.pop(send, None)
         if measured is not None:
-            self.tallies.record_start(measured.key, _pace(send, now_ms))
+            self.tallies.record_start(measured.key, _bucket(send, now_ms))
 
     def record_answer(self, send: Send) -> None:
         """Counts a complete answer."""
@@ -134,13 +133,13 @@
             if rollout is None or rollout.stage in FINAL_STAGES:
                 continue
             if send.state.last_received_ms > send.sent_s * 1000.0:
-                bucket = bucket_of(_pace(send, now_ms))
-                merge(found, (Tally(measured.key, times={bucket: 1}),))
+                times = {_bucket(send, now_ms): 1}
+                merge(found, (Tally(measured.key, times=times),))
         return tuple(found.values())
 
 
-def _pace(send: Send, now_ms: float) -> float:
-    """Returns the time since a send, in ms or in percent of the expected time.
+def _bucket(send: Send, now_ms: float) -> int:
+    """Returns the bucket of the time since a send.
 
     A busy host does not count against the version that it runs.
     """
@@ -148,7 +147,6 @@
     ratio = send.state.duration_ratio(now_ms)
     forecast = send.forecast
     if forecast is None:
-        return elapsed_ms / ratio
-    scale = ratio / forecast.duration_ratio
-    expected_ms = scale * (forecast.wait_ms + forecast.prefill_ms)
-    return PERCENT * elapsed_ms / (expected_ms + ratio * FIRST_EVENT_MS)
+        return bucket_of(elapsed_ms / ratio)
+    work_ms = (forecast.wait_ms + forecast.prefill_ms) / forecast.duration_ratio
+    return answer_bucket(elapsed_ms / ratio, work_ms + FIRST_EVENT_MS)
--- a/ashlatch/gateway/tally.py
+++ b/ashlatch/gateway/tally.py
@@ -14,9 +14,7 @@
 
 import msgspec
 
-from ashlatch.policy.pace import bucket_of
-
-__all__ = ["Tallies", "Tally", "TallyKey", "merge", "bucket_of"]
+__all__ = ["Tallies", "Tally", "TallyKey", "merge"]
 
 
 class TallyKey(msgspec.Struct, frozen=True, array_like=True):
@@ -37,9 +35,9 @@
 
     `failed` answers were errors of the endpoint itself: an answer that breaks off says
     something about a VM, not about its version. `times` is a histogram of the times to
-    the first byte of an answer, by `bucket_of`: in ms at plain services, in percent of
-    the expected time at engines. An answer that was abandoned after such a time counts
-    like one that began then.
+    the first byte of an answer, by `bucket_of` at plain services and by `answer_bucket`
+    at engines. An answer that was abandoned after such a time counts like one that
+    began then.
     """
 
     key: TallyKey
@@ -72,13 +70,13 @@
 
     _counts: dict[TallyKey, Tally] = field(default_factory=dict)
 
-    def record_start(self, key: TallyKey, pace: float) -> None:
+    def record_start(self, key: TallyKey, bucket: int) -> None:
         """Counts an answer that began, or was abandoned, after a time.
 
         It counts at once: a stream may end much later, but its start describes the
-        present. The `pace` is in ms, or in percent of the expected time.
+        present.
         """
-        self.add((Tally(key, times={bucket_of(pace): 1}),))
+        self.add((Tally(key, times={bucket: 1}),))
 
     def record_answer(self, key: TallyKey) -> None:
         """Counts an answer that was complete."""
--- a/ashlatch/policy/pace.py
+++ b/ashlatch/policy/pace.py
@@ -12,7 +12,7 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
 __all__ = [
@@ -26,6 +26,7 @@
     "Paces",
     "Stratum",
     "add_times",
+    "answer_bucket",
     "bucket_of",
     "log_evidence",
 ]
@@ -38,6 +39,13 @@
 # The same for times relative to what was expected of each answer, which vary less:
 # twice as late.
 ENGINE_LATE_STEPS = 5
+# It must also begin this many buckets after the median in absolute terms, 1.3 times as
+# late: waits that are expected for a busy version, and are too long, would make any
+# other version look slow.
+ABSOLUTE_LATE_STEPS = 2
+# A bucket of an answer with an expected time combines two: that of its time, below this
+# number, and that of its relative time.
+BUCKETS_MAX = 1000
 # The length of the blocks of time whose answers are compared with each other.
 BLOCK_MS = 1000.0
 # Blocks older than this are dropped, about 0.3 MB later.
@@ -74,16 +82,35 @@
 PRIOR_TIMED = 50.0
 # The number of alternatives that the likelihood ratio averages over.
 ALTERNATIVES = 32
+PERCENT = 100.0
 
-# Counts of times by bucket.
+# Counts of times by bucket, as of `bucket_of` or `answer_bucket`.
 Histogram = dict[int, int]
 # What has to be equal for answers to be comparable: a route and a model.
 Stratum = tuple[str, str]
 
 
-def bucket_of(time: float) -> int:
-    """Returns the histogram bucket of a time, in ms or in percent of the expected."""
-    return max(0, int(math.log(max(time, 1.0)) / math.log(BUCKET_RATIO)))
+def bucket_of(time_ms: float) -> int:
+    """Returns the histogram bucket of a time; below `BUCKETS_MAX`."""
+    return int(math.log(max(time_ms, 1.0)) / math.log(BUCKET_RATIO))
+
+
+def answer_bucket(time_ms: float, expected_ms: float) -> int:
+    """Returns the bucket of the time of an answer for which a time was expected::
+
+    answer_bucket(60.0, expected_ms=60.0) == answer_bucket(61.0, expected_ms=61.0)
+    """
+    relative = bucket_of(PERCENT * time_ms / expected_ms)
+    return bucket_of(time_ms) + BUCKETS_MAX * (relative + 1)
+
+
+def _relative(bucket: int) -> int:
+    """Returns the part of a bucket for the relative time, or for the only one."""
+    return bucket if bucket < BUCKETS_MAX else bucket // BUCKETS_MAX - 1
+
+
+def _absolute(bucket: int) -> int:
+    return bucket % BUCKETS_MAX
 
 
 def log_evidence(late: int, timed: int, healthy_share: float) -> float:
@@ -254,6 +281,28 @@
         return likelihood <= HEALTHY_RISK
 
 
+@dataclass(frozen=True)
+class _LateBound:
+    """The buckets from which on an answer is late."""
+
+    relative: int
+    absolute: int
+
+    @classmethod
+    def of(cls, times: Histogram, late_steps: int) -> "_LateBound":
+        """Returns the bounds that follow from the times of other versions."""
+        relative = _median(times, _relative) + late_steps
+        return cls(relative, _median(times, _absolute) + ABSOLUTE_LATE_STEPS)
+
+    def count_late(self, times: Histogram) -> int:
+        """Counts the late answers."""
+        return sum(
+            count
+            for bucket, count in times.items()
+            if _relative(bucket) >= self.relative and _absolute(bucket) >= self.absolute
+        )
+
+
 @dataclass
 class _Block:
     """The times of answers that were reported in one period.
@@ -341,7 +390,7 @@
             bound = self._late_bound(
                 blocks, len(blocks) - 1, version, paces.stratum, late_steps
             )
-            late = 0 if bound is None else _count_from(paces.times, bound)
+            late = 0 if bound is None else bound.count_late(paces.times)
             if paces.version == version:
                 counts = PaceCounts(late=late, timed=late)
             else:
@@ -366,13 +415,13 @@
         for stratum, times in block.others(version):
             bound = bounds[stratum]
             if bound is not None:
-                late = _count_from(times, bound)
+                late = bound.count_late(times)
                 counts = PaceCounts(other_late=late, other_timed=sum(times.values()))
                 found.add(stratum[0], "", counts)
         for (name, stratum, instance), times in block.by_instance.items():
             bound = bounds[stratum]
             if name == version and bound is not None:
-                counts = PaceCounts(_count_from(times, bound), sum(times.values()))
+                counts = PaceCounts(bound.count_late(times), sum(times.values()))
                 found.add(stratum[0], instance, counts)
         if number + max(REFERENCE_DISTANCES) < len(blocks) - 1:
             block.compared[version, late_steps] = found
@@ -385,8 +434,8 @@
         version: str,
         stratum: Stratum,
         late_steps: int,
-    ) -> int | None:
-        """Returns the bucket from which on an answer of a block is late.
+    ) -> "_LateBound | None":
+        """Returns from which buckets on an answer of a block is late.
 
         It follows from the other versions' answers of the nearest blocks that have
         enough of them: what slows both versions is no fault of the new one.
@@ -396,11 +445,11 @@
             for near in blocks[max(0, number - distance) : number + distance + 1]:
                 near.add_others(version, stratum, times)
             if sum(times.values()) >= REFERENCE_MIN:
-                return _median(times) + late_steps
+                return _LateBound.of(times, late_steps)
         times = {}
         self._total.add_others(version, stratum, times)
         if sum(times.values()) >= TOTAL_REFERENCE_MIN:
-            return _median(times) + late_steps
+            return _LateBound.of(times, late_steps)
         return None
 
 
@@ -410,14 +459,13 @@
         into[bucket] = into.get(bucket, 0) + count
 
 
-def _count_from(times: Histogram, bound: int) -> int:
-    return sum(count for bucket, count in times.items() if bucket >= bound)
-
-
-def _median(times: Histogram) -> int:
+def _median(times: Histogram, part: Callable[[int], int]) -> int:
     left = sum(times.values()) / 2
-    for bucket in sorted(times):
-        left -= times[bucket]
+    counts: Histogram = {}
+    for bucket, count in times.items():
+        counts[part(bucket)] = counts.get(part(bucket), 0) + count
+    for value in sorted(counts):
+        left -= counts[value]
         if left <= 0:
             break
-    return bucket
+    return value
--- a/tests/test_exposure.py
+++ b/tests/test_exposure.py
@@ -12,7 +12,8 @@
 from ashlatch.catalog import Rollout, RolloutStage
 from ashlatch.fleet.evaluation import Evidence, decide
 from ashlatch.fleet.exposure import ExposurePlan, plan_exposure
-from ashlatch.gateway.tally import Tally, TallyKey, bucket_of
+from ashlatch.gateway.tally import Tally, TallyKey
+from ashlatch.policy.pace import bucket_of
 
 INTERVAL_MS = 200.0
 
--- a/tests/test_speed.py
+++ b/tests/test_speed.py
@@ -24,11 +24,11 @@
 from ashlatch.gateway.message import LoadFigures
 from ashlatch.gateway.reports import broadcast_duration, broadcast_load
 from ashlatch.gateway.speed import UNREPORTED_MAX, DurationReports
-from ashlatch.gateway.tally import bucket_of
 from ashlatch.gateway.timeouts import answer_timeout, event_timeout
 from ashlatch.gateway.updates import LoadReported, PeerUpdate
 from ashlatch.policy.endpoint import rank, weighted_first
 from ashlatch.policy.load_advertisement import DurationAdvertisement
+from ashlatch.policy.pace import bucket_of
 from ashlatch.policy.speed import (
     ENDPOINTS_MAX,
     ESTIMATES_MAX,
