Roll-outs: answers 1.5 times as late count as evidence as well

Two bounds of late answers are evaluated, 1.5 and 2 times, and the mean of both likelihood ratios counts, which is a test martingale too.

--- a/ashlatch/control/rollout.py
+++ b/ashlatch/control/rollout.py
@@ -253,7 +253,7 @@
     """Compares the times of a new version; by recent ones if these show more."""
     log = core.rollout_paces.get(name, PaceLog())
     total = log.compare(version, LATE_STEPS)
-    recent = log.compare_recent(version, LATE_STEPS, core.now_ms, total)
+    recent = log.compare_recent(version, LATE_STEPS, core.now_ms)
     return recent if recent.slower else total
 
 
--- a/ashlatch/fleet/evaluation.py
+++ b/ashlatch/fleet/evaluation.py
@@ -175,7 +175,7 @@
         return Decision(rollout.stage, rollout.share, "no endpoint of the version")
     late_steps = LATE_STEPS if plain else ENGINE_LATE_STEPS
     paces = evidence.paces.compare(rollout.version, late_steps)
-    recent = evidence.paces.compare_recent(rollout.version, late_steps, now_ms, paces)
+    recent = evidence.paces.compare_recent(rollout.version, late_steps, now_ms)
     for compared in (paces, recent):
         if compared.slower:
             reason = f"all routes: {compared}"
--- a/ashlatch/policy/pace.py
+++ b/ashlatch/policy/pace.py
@@ -35,10 +35,11 @@
 BUCKET_RATIO = 1.15
 # An answer is late when it begins this many buckets after the median of the other
 # versions: 3.5 times as late.
-LATE_STEPS = 9
-# The same for times relative to what was expected of each answer, which vary less:
-# twice as late.
-ENGINE_LATE_STEPS = 5
+LATE_STEPS = (9,)
+# The same for times relative to what was expected of each answer: 1.5 and 2 times as
+# late.
+# The first tells sooner where times vary little, the second where they vary much.
+ENGINE_LATE_STEPS = (3, 5)
 # It must also begin this many buckets after the median in absolute terms, 1.3 times as
 # late: waits that are expected for a busy version, and are too long, would make any
 # other version look slow.
@@ -203,9 +204,13 @@
     """The answers of a new version that were compared with those of others.
 
     `evidence_min` is the evidence from which the version counts as slower.
+    `combined_evidence` is set if other bounds of late answers were tried, and
+    `known_healthy` if one of them excludes that the version is much slower.
     """
 
     evidence_min: float = EVIDENCE_MIN
+    combined_evidence: float | None = None
+    known_healthy: bool = False
     total: PaceCounts = field(default_factory=PaceCounts)
     by_route: dict[str, PaceCounts] = field(default_factory=dict)
     by_instance: dict[str, PaceCounts] = field(default_factory=dict)
@@ -237,12 +242,26 @@
         for route, counts in self.by_route.items():
             counts.raise_healthy_share(total.by_route.get(route, counts))
 
+    @classmethod
+    def strongest(cls, found: list["PaceComparison"]) -> "PaceComparison":
+        """Returns the comparison with the most evidence, of several late bounds.
+
+        The mean of several test martingales is one, too.
+        """
+        evidence = _log_mean([each.evidence for each in found])
+        best = max(found, key=lambda each: each.evidence)
+        best.known_healthy = any(each.healthy for each in found)
+        best.combined_evidence = evidence
+        return best
+
     @property
     def evidence(self) -> float:
         """The evidence of all routes together, averaged with that of single ones.
 
         A version may be slow on one route only.
         """
+        if self.combined_evidence is not None:
+            return self.combined_evidence
         if len(self.by_route) < 2:
             return self.total.evidence
         single = [counts.evidence for counts in self.by_route.values()]
@@ -271,6 +290,8 @@
     @property
     def healthy(self) -> bool:
         """Checks whether the version is known not to be much slower."""
+        if self.known_healthy:
+            return True
         total = self.total
         likelihood = sum(
             math.comb(total.timed, late)
@@ -361,23 +382,25 @@
         """
         self._waiting = tuple(waiting)
 
-    def compare(self, version: str, late_steps: int) -> PaceComparison:
+    def compare(self, version: str, late_steps: tuple[int, ...]) -> PaceComparison:
         """Compares all answers of a version."""
-        return self._compare(version, late_steps, 0, EVIDENCE_MIN)
+        return PaceComparison.strongest(
+            [self._compare(version, steps, 0, EVIDENCE_MIN) for steps in late_steps]
+        )
 
     def compare_recent(
-        self, version: str, late_steps: int, now_ms: float, total: PaceComparison
+        self, version: str, late_steps: tuple[int, ...], now_ms: float
     ) -> PaceComparison:
-        """Compares the answers of a version in the last `RECENT_MS`.
-
-        `total` is the comparison of all answers.
-        """
+        """Compares the answers of a version in the last `RECENT_MS`."""
         first = len(self._blocks)
         while first and now_ms - self._blocks[first - 1].begin_ms <= RECENT_MS:
             first -= 1
-        recent = self._compare(version, late_steps, first, RECENT_EVIDENCE_MIN)
-        recent.raise_healthy_shares(total)
-        return recent
+        found = []
+        for steps in late_steps:
+            recent = self._compare(version, steps, first, RECENT_EVIDENCE_MIN)
+            recent.raise_healthy_shares(self._compare(version, steps, 0, EVIDENCE_MIN))
+            found.append(recent)
+        return PaceComparison.strongest(found)
 
     def _compare(
         self, version: str, late_steps: int, first: int, evidence_min: float
