Paces: many answers do not end the leader, and old blocks are summed once

By reading before the landing: binomial coefficients of some thousand answers exceed a float, which would have ended the core's leader in a roll-out of a large service (`OverflowError`; the new test fails on the commit before). In logarithms now.

--- a/ashlatch/policy/pace.py
+++ b/ashlatch/policy/pace.py
@@ -11,7 +11,6 @@
 """
 
 import math
-from collections import deque
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
@@ -37,8 +36,7 @@
 # versions: 3.5 times as late.
 LATE_STEPS = (9,)
 # The same for times relative to what was expected of each answer: 1.5 and 2 times as
-# late.
-# The first tells sooner where times vary little, the second where they vary much.
+# late. The first tells sooner where times vary little, the second where they do much.
 ENGINE_LATE_STEPS = (3, 5)
 # It must also begin this many buckets after the median in absolute terms, 1.3 times as
 # late: waits that are expected for a busy version, and are too long, would make any
@@ -49,8 +47,8 @@
 BUCKETS_MAX = 1000
 # The length of the blocks of time whose answers are compared with each other.
 BLOCK_MS = 1000.0
-# Blocks older than this are dropped, about 0.3 MB later.
-BLOCKS_MAX = 600
+# The number of blocks that are kept one by one; of older ones only the sums are kept.
+BLOCKS_MAX = 60
 # The other versions' answers of a stratum that define its median. If a block has fewer,
 # those of the blocks around it are added, up to these distances.
 REFERENCE_MIN = 16
@@ -72,8 +70,8 @@
 LATE_MIN = 3
 # From this evidence on a version that is not known to be slower is doubtful.
 DOUBT = 1.0
-# A version is known to be healthy when a version with this share of late answers would
-# have had more of them with a probability of 1 - HEALTHY_RISK.
+# A version is known to be healthy when one with this share of late answers would have
+# as few of them with a probability of at most HEALTHY_RISK.
 SLOW_SHARE_MIN = 0.3
 HEALTHY_RISK = 0.05
 # The factor by which a version's share of late answers may exceed the other versions'.
@@ -143,6 +141,22 @@
     return highest + math.log10(sum(10.0 ** (x - highest) for x in logs) / len(logs))
 
 
+def _probability_at_most(late: int, timed: int) -> float:
+    """Returns how likely a share of `SLOW_SHARE_MIN` leaves so few late answers.
+
+    By the binomial distribution, in logarithms as its coefficients exceed a float.
+    """
+    logs = [
+        math.lgamma(timed + 1)
+        - math.lgamma(count + 1)
+        - math.lgamma(timed - count + 1)
+        + count * math.log(SLOW_SHARE_MIN)
+        + (timed - count) * math.log1p(-SLOW_SHARE_MIN)
+        for count in range(late + 1)
+    ]
+    return sum(math.exp(log) for log in logs)
+
+
 @dataclass(frozen=True)
 class Paces:
     """The times of some answers of one version in one stratum.
@@ -292,14 +306,7 @@
         """Checks whether the version is known not to be much slower."""
         if self.known_healthy:
             return True
-        total = self.total
-        likelihood = sum(
-            math.comb(total.timed, late)
-            * SLOW_SHARE_MIN**late
-            * (1.0 - SLOW_SHARE_MIN) ** (total.timed - late)
-            for late in range(total.late + 1)
-        )
-        return likelihood <= HEALTHY_RISK
+        return _probability_at_most(self.total.late, self.total.timed) <= HEALTHY_RISK
 
 
 @dataclass(frozen=True)
@@ -324,18 +331,22 @@
         )
 
 
+# A version and the late steps by which it is compared.
+_Key = tuple[str, int]
+
+
 @dataclass
 class _Block:
     """The times of answers that were reported in one period.
 
     `times` are by version and stratum, `by_instance` also by endpoint. `compared` holds
-    comparisons by version and late steps once they do not change any more.
+    comparisons and the number of reports that they include.
     """
 
     begin_ms: float
     times: dict[str, dict[Stratum, Histogram]] = field(default_factory=dict)
     by_instance: dict[tuple[str, Stratum, str], Histogram] = field(default_factory=dict)
-    compared: dict[tuple[str, int], PaceComparison] = field(default_factory=dict)
+    compared: dict[_Key, tuple[int, PaceComparison]] = field(default_factory=dict)
 
     def others(self, version: str) -> Iterator[tuple[Stratum, Histogram]]:
         """Yields the times of all versions but one."""
@@ -360,14 +371,22 @@
     log.compare("v2", LATE_STEPS).total  # none late: 7 buckets are 2.7 times as long
     """
 
-    _blocks: deque[_Block] = field(default_factory=lambda: deque(maxlen=BLOCKS_MAX))
+    _blocks: list[_Block] = field(default_factory=list)
+    _dropped: int = 0
+    _reports: int = 0
+    # The sums of the first blocks, which do not change any more, and their number.
+    _sums: dict[_Key, tuple[int, PaceComparison]] = field(default_factory=dict)
     _total: _Block = field(default_factory=lambda: _Block(0.0))
     _waiting: tuple[Paces, ...] = ()
 
     def add(self, paces: Paces, now_ms: float) -> None:
         """Adds answers of one version."""
+        self._reports += 1
         if not self._blocks or now_ms - self._blocks[-1].begin_ms >= BLOCK_MS:
             self._blocks.append(_Block(now_ms))
+            if len(self._blocks) > BLOCKS_MAX:
+                del self._blocks[0]
+                self._dropped += 1
         block = self._blocks[-1]
         for strata in (block.times, self._total.times):
             times = strata.setdefault(paces.version, {})
@@ -406,13 +425,13 @@
         self, version: str, late_steps: int, first: int, evidence_min: float
     ) -> PaceComparison:
         found = PaceComparison(evidence_min)
-        blocks = list(self._blocks)
-        for number in range(first, len(blocks)):
-            found.merge(self._compare_block(blocks, number, version, late_steps))
+        key = version, late_steps
+        if first == 0:
+            first = self._add_sums(found, key)
+        for number in range(first, len(self._blocks)):
+            found.merge(self._compare_block(number, key))
         for paces in self._waiting:
-            bound = self._late_bound(
-                blocks, len(blocks) - 1, version, paces.stratum, late_steps
-            )
+            bound = self._late_bound(len(self._blocks) - 1, paces.stratum, key)
             late = 0 if bound is None else bound.count_late(paces.times)
             if paces.version == version:
                 counts = PaceCounts(late=late, timed=late)
@@ -421,17 +440,29 @@
             found.add(paces.stratum[0], paces.instance, counts)
         return found
 
-    def _compare_block(
-        self, blocks: list[_Block], number: int, version: str, late_steps: int
-    ) -> PaceComparison:
+    def _add_sums(self, found: PaceComparison, key: _Key) -> int:
+        """Adds the sums of the first blocks; returns the number of the next one."""
+        count, sums = self._sums.get(key, (self._dropped, PaceComparison()))
+        count = max(count, self._dropped)
+        last = self._dropped + len(self._blocks) - 1 - max(REFERENCE_DISTANCES)
+        while count < last:
+            sums.merge(self._compare_block(count - self._dropped, key))
+            count += 1
+        self._sums[key] = count, sums
+        found.merge(sums)
+        return count - self._dropped
+
+    def _compare_block(self, number: int, key: _Key) -> PaceComparison:
         """Compares the answers of one block with those of the blocks around it."""
-        block = blocks[number]
-        found = block.compared.get((version, late_steps))
-        if found is not None:
+        block = self._blocks[number]
+        reports, found = block.compared.get(key, (-1, PaceComparison()))
+        if reports == self._reports:
             return found
         found = PaceComparison()
+        block.compared[key] = self._reports, found
+        version = key[0]
         bounds = {
-            stratum: self._late_bound(blocks, number, version, stratum, late_steps)
+            stratum: self._late_bound(number, stratum, key)
             for strata in block.times.values()
             for stratum in strata
         }
@@ -446,26 +477,20 @@
             if name == version and bound is not None:
                 counts = PaceCounts(bound.count_late(times), sum(times.values()))
                 found.add(stratum[0], instance, counts)
-        if number + max(REFERENCE_DISTANCES) < len(blocks) - 1:
-            block.compared[version, late_steps] = found
         return found
 
     def _late_bound(
-        self,
-        blocks: list[_Block],
-        number: int,
-        version: str,
-        stratum: Stratum,
-        late_steps: int,
-    ) -> "_LateBound | None":
+        self, number: int, stratum: Stratum, key: _Key
+    ) -> _LateBound | None:
         """Returns from which buckets on an answer of a block is late.
 
         It follows from the other versions' answers of the nearest blocks that have
         enough of them: what slows both versions is no fault of the new one.
         """
+        version, late_steps = key
         for distance in REFERENCE_DISTANCES:
             times: Histogram = {}
-            for near in blocks[max(0, number - distance) : number + distance + 1]:
+            for near in self._blocks[max(0, number - distance) : number + distance + 1]:
                 near.add_others(version, stratum, times)
             if sum(times.values()) >= REFERENCE_MIN:
                 return _LateBound.of(times, late_steps)
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -158,6 +158,15 @@
         self.assertEqual((4, 4), (counts.late, counts.timed))
         self.assertTrue(log.compare("v2", ENGINE_LATE_STEPS).slower)
 
+    def test_many_answers_are_evaluated(self) -> None:
+        """Guards against binomial coefficients that exceed a float."""
+        log = PaceLog()
+        times = {bucket_of(100.0): 3000, bucket_of(900.0): 2000}
+        log.add(Paces("v1", ("a", ""), dict(times)), 0.0)
+        log.add(Paces("v2", ("a", ""), dict(times)), 0.0)
+        found = log.compare("v2", ENGINE_LATE_STEPS)
+        self.assertEqual((False, False), (found.slower, found.healthy))
+
     def test_few_answers_do_not_show_that_a_version_is_healthy(self) -> None:
         for answers, expected in ((8, False), (9, True)):
             log = PaceLog()
