--- a/ashlatch/control/rollout.py
+++ b/ashlatch/control/rollout.py
@@ -17,7 +17,8 @@
 from ashlatch.control.latency import log_latency_verdict
 from ashlatch.log import LogEvent
 from ashlatch.policy.detector import Detector, VersionTally
-from ashlatch.policy.pace import LATE_STEPS, PaceComparison, PaceLog, Paces
+from ashlatch.policy.lateness import PaceComparison
+from ashlatch.policy.pace import LATE_STEPS, PaceLog, Paces
 from ashlatch.policy.slowness import apply_tallies
 from ashlatch.resources import (
     Cascade,
--- a/ashlatch/fleet/evaluation.py
+++ b/ashlatch/fleet/evaluation.py
@@ -24,10 +24,10 @@
     plan_exposure,
 )
 from ashlatch.gateway.tally import Tally, TallyKey, merge
+from ashlatch.policy.lateness import PaceComparison
 from ashlatch.policy.pace import (
     ENGINE_LATE_STEPS,
     LATE_STEPS,
-    PaceComparison,
     PaceLog,
     Paces,
 )
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -420,7 +420,7 @@
     ),
     Mutant(
         "one-endpoint-is-evidence-of-a-slow-version",
-        "ashlatch/policy/pace.py",
+        "ashlatch/policy/lateness.py",
         "        return self.remaining_evidence >= REMAINING_EVIDENCE_MIN",
         "        return True",
         PACE,
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -11,9 +11,9 @@
 from ashlatch.gateway.pace import PaceMeter
 from ashlatch.gateway.tally import Tallies, Tally, TallyKey
 from ashlatch.gateway.versions import VersionReason
+from ashlatch.policy.lateness import PaceComparison
 from ashlatch.policy.pace import (
     ENGINE_LATE_STEPS,
-    PaceComparison,
     PaceLog,
     Paces,
     answer_bucket,
