--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -98,7 +98,7 @@
         path = self.folder / f"{host}.json"
         template = (ROOT / role["template"]).read_text()
         path.write_text(fill(template, self._fields(host)))
-        environment = {key: os.environ[key] for key in ("PATH", "HOME")}
+        environment = {k: os.environ[k] for k in ("PATH", "HOME") if k in os.environ}
         environment["PYTHONPATH"] = str(ROOT / "target/deps")
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
         environment["ASHLATCH_BOOT"] = str(path)
