--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -68,7 +68,13 @@
     `entries` are the entries of the list; it is served as they are at the moment.
     """
 
-    def __init__(self, cores: int = 5, gateways: int = 2) -> None:
+    def __init__(
+        self,
+        cores: int = 5,
+        gateways: int = 2,
+        bounds: dict[str, float] | None = None,
+        contracts: list[str] | None = None,
+    ) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="ashlatch-review-"))
         self.net = _free_net()
         self.cores = [f"{self.net}.{n + 1}" for n in range(cores)]
@@ -76,6 +82,8 @@
         self.entries: list[dict[str, Any]] = []
         self.ends: list[tuple[float, str, int]] = []
         self.restarts = False
+        self._bounds = {**BOUNDS, **(bounds or {})}
+        self._contracts = contracts or CONTRACTS
         self._roles = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._first = True
@@ -166,8 +174,8 @@
             "bootstrap": self._first,
             "dataDir": str(data),
             "faultTolerance": {"machines": 2, "zones": 0, "regions": 0},
-            "contracts": CONTRACTS,
-            "bounds": BOUNDS,
+            "contracts": self._contracts,
+            "bounds": self._bounds,
             "cloudApi": {"address": f"{self.net}.200:{LIST_PORT}"},
         }
 
