--- a/review/common_2/standins.py
+++ b/review/common_2/standins.py
@@ -148,6 +148,8 @@
         self.workers: list[Worker] = []
         # Entries of other writers, which name no worker.
         self.foreign: list[dict[str, Any]] = []
+        # The bytes of entries that are no JSON; they stand after the first entry.
+        self.unreadable: list[bytes] = []
         self.arrivals: list[Arrival] = []
         self.work_s = 0.01
         # Called before each answer of the list with when its channel was opened.
@@ -170,7 +172,7 @@
         self, instance: str, zone: str, service: str, serve: Any = None
     ) -> Worker:
         """Starts a worker; `serve` answers its requests, else `answer` does."""
-        port = WORKER_PORT + 100 + len(self.workers)
+        port = WORKER_PORT + 100 + len(self._servers)
         worker = Worker(instance, zone, service, f"{self.host}:{port}")
 
         async def handle(
@@ -186,11 +188,17 @@
         self.workers.append(worker)
         return worker
 
+    async def crash(self, workers: list[Worker]) -> None:
+        """Ends workers like processes: nobody listens, and their channels close."""
+        for worker in workers:
+            self._servers[worker.instance].close()
+        for worker in workers:
+            for writer in list(self._channels.get(worker.instance, ())):
+                writer.transport.abort()
+
     async def end_worker(self, worker: Worker) -> None:
-        """Ends a worker like a process: its channels close, and nobody listens."""
-        self._servers[worker.instance].close()
-        for writer in list(self._channels.get(worker.instance, ())):
-            writer.transport.abort()
+        """Ends a worker and takes it from the list."""
+        await self.crash([worker])
         self.workers.remove(worker)
 
     async def _serve_list(
@@ -198,8 +206,10 @@
     ) -> None:
         opened_s = self._record.now_s()
         while await read_request(reader) is not None:
-            entries = [worker.entry() for worker in self.workers] + self.foreign
-            body = json.dumps({"instances": entries, "nextToken": None}).encode()
+            listed = [worker.entry() for worker in self.workers] + self.foreign
+            entries = [json.dumps(entry).encode() for entry in listed]
+            entries[1:1] = self.unreadable
+            body = b'{"instances":[' + b",".join(entries) + b'],"nextToken":null}'
             headers = {"Content-Type": "application/json"}
             await self.delay_list(opened_s)
             writer.write(response(200, headers, body))
