--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,7 +12,7 @@
 # Two machines are lost so long after the old one has left.
 AFTER_LEAVING_S = 1.0
 DOWN_S = 2.0
-READ_LIMIT_S = 25.0
+READ_LIMIT_S = 20.0
 
 
 def case(system: System, record: Record) -> bool:
@@ -23,7 +23,7 @@
 
     system.platform.add_worker("w-1", "zone-a", "app")
     system.start(cores=5, gateways=0)
-    if system.order("/-/Config.Replace", document(1), 40.0) is None:
+    if system.order("/-/Config.Replace", document(1), 30.0) is None:
         raise CannotRun("the first manifest is not acknowledged")
     old = system.leader() or system.cores[0]
     successor = system.add_core()
--- a/review/common_2/standins.py
+++ b/review/common_2/standins.py
@@ -38,6 +38,8 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 # An operator moves to another node after a second without a response.
 OPERATOR_TIMEOUT_S = 1.0
+# A script that has not ended by then could not run.
+TIME_MAX_S = 112.0
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -605,6 +607,14 @@
         raise CannotRun(f"{gateway.name} serves no request")
 
 
+def end_late(system: System, record: Record) -> None:
+    """Ends the script and its processes when its time is over."""
+    time.sleep(TIME_MAX_S)
+    record.write("result: not run, the time is over")
+    system.close()
+    os._exit(NOT_RUN)
+
+
 def main(folder: Path, case: Callable[[System, Record], bool], **more: Any) -> None:
     """Runs a case and exits with its result: `case` returns whether the rule held."""
     record = Record(folder)
@@ -612,6 +622,7 @@
     system: System | None = None
     try:
         system = System(record, **more)
+        threading.Thread(target=end_late, args=(system, record), daemon=True).start()
         held = case(system, record)
         status = HELD if held else BROKEN
     except CannotRun as error:
