Core: leave before a planned stop, and never add a voter beside a dead one

Cause: the successor became a sixth voter, so the quorum rose to four, while the VM that had stopped stayed a voter until it had been silent for 2.5 s. Two lost disks in that time left three voters of six. The same class: a VM with two data folders had two voters for a while, so a disk lost twice counted double; a VM removed without a warning had a silent voter next to its successor's.

Ruled out: that the emptied VMs don't find the group (TROUBLE=0 passes, their seeds are alive here); that the votes are lost (the two leaders' terms are sound, there are three voters with data of six).

Change: a stopping core VM asks the leader to be removed and serves until it is (LeaveGroup, /fleet/leave). Before a learner becomes a voter, the voter of its VM's earlier folder is removed or, if one more voter would raise the quorum, a silent one.

--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -33,21 +33,34 @@
     DiskReopenFailed,
     DiskWriteFailed,
     GroupStatusChanged,
+    LeaveFinished,
     MemberRemoved,
     RolloutUpdateLost,
 )
 from ashlatch.fleet.machine import FleetMachine, RecordCrashes
-from ashlatch.fleet.membership import find_unresponsive_member, join_group
+from ashlatch.fleet.membership import (
+    LEAVE_TIMEOUT_S,
+    ask_to_leave,
+    find_unresponsive_member,
+    join_group,
+    leave_group,
+    leave_state,
+    voters_required,
+)
 from ashlatch.fleet.operators import NoQuorum, OperatorApi
 from ashlatch.fleet.peers import CoreConnections
 from ashlatch.fleet.prefix_caches import read_prefix_caches
 from ashlatch.fleet.protocol import (
     COMMAND,
     JOIN,
+    LEAVE,
     READ,
     SYNC,
     JoinReply,
     JoinRequest,
+    LeaveReply,
+    LeaveRequest,
+    LeaveState,
     SyncReply,
     SyncRequest,
 )
@@ -59,7 +72,7 @@
 from ashlatch.metrics import Metrics, serve_metrics
 from ashlatch.platform.document import decode_catalog
 from ashlatch.raft.core import RaftConfig
-from ashlatch.raft.effect import AddLearner, Received, RemoveMember
+from ashlatch.raft.effect import AddLearner, LeaveGroup, Received, RemoveMember
 from ashlatch.raft.group import Group, GroupStatus
 from ashlatch.raft.storage import Disk, DiskFailed
 from ashlatch.rpc import Address, RpcLoop, RpcService, register_traffic_metrics
@@ -132,6 +145,7 @@
         self._prefix_caches_term = 0
         self._services_version = 0
         self._services_cache: tuple[Service, ...] = ()
+        self._leaving = False
 
     def _open_group(self) -> None:
         """Opens the data folder; raises `OSError` or `DiskFailed`."""
@@ -150,6 +164,7 @@
                 election_max_ms=settings.election_max_ms,
                 clock_drift_ratio=settings.clock_drift_ratio,
                 fresh_start_poll_ms=settings.heartbeat_ms,
+                voters_min=voters_required(settings.losses_max),
             ),
             storage,
             self.member.member_id,
@@ -204,7 +219,11 @@
         self._seeds.refresh()
 
     def stop(self) -> int:
-        """Stops answering calls and stops the group."""
+        """Leaves the group if possible, stops answering calls and stops the group.
+
+        Calls are answered until the member has left.
+        """
+        self.rpc.submit(self._leave()).result(timeout=LEAVE_TIMEOUT_S + 2.0)
         self.rpc.submit(self._stop()).result(timeout=5.0)
         self.group.stop()
         self.rpc.stop()
@@ -215,6 +234,7 @@
         service.add(store_protocol.DELIVER, self._transport.receive_batch)
         service.add(SYNC, self._handle_sync)
         service.add(JOIN, self._handle_join)
+        service.add(LEAVE, self._handle_leave)
         service.add(COMMAND, self._commands.handle_command)
         service.add(READ, self._commands.handle_read)
         self._service = service
@@ -237,7 +257,11 @@
             self.metrics, self.settings.host, self.settings.metrics_port
         )
         join = join_group(
-            self.member, self._group_status, self._join_addresses, self._peers
+            self.member,
+            self._group_status,
+            self._join_addresses,
+            self._peers,
+            lambda: self._leaving,
         )
         link = self._leader_link
         tasks = (
@@ -250,6 +274,19 @@
         for task in tasks:
             self.rpc.supervise(task, self._failed)
 
+    async def _leave(self) -> None:
+        self._leaving = True
+        state = await leave_group(
+            self.member, self._group_status, self.settings.losses_max, self._ask_leader
+        )
+        emit(log, LeaveFinished(self.member.member_id, state.value))
+
+    async def _ask_leader(self, request: LeaveRequest) -> LeaveState:
+        status = self.group.status
+        if status.leading or not status.leader_address:
+            return (await self._handle_leave(request)).state
+        return await ask_to_leave(request, status.leader_address, self._peers)
+
     async def _stop(self) -> None:
         self._operators.stop_accepting()
         self._operators.abort()
@@ -267,6 +304,15 @@
             self.group.post(AddLearner(request.member))
         return JoinReply(is_member and status.leading, status.leader_address)
 
+    async def _handle_leave(self, request: LeaveRequest) -> LeaveReply:
+        status = self.group.status
+        if not status.may_read(monotonic_ms()):
+            return LeaveReply(LeaveState.UNKNOWN)
+        state = leave_state(status, self.settings.losses_max, request.member_id)
+        if state is LeaveState.PENDING:
+            self.group.post(LeaveGroup(request.member_id))
+        return LeaveReply(state)
+
     async def _handle_sync(self, request: SyncRequest) -> SyncReply:
         self._soft_state.apply_request(request)
         if request.crashes:
--- a/ashlatch/fleet/logs.py
+++ b/ashlatch/fleet/logs.py
@@ -21,6 +21,7 @@
     "DiskWriteFailed",
     "EntriesSkipped",
     "GroupStatusChanged",
+    "LeaveFinished",
     "ListRead",
     "ListReadFailed",
     "MemberRemoved",
@@ -127,6 +128,15 @@
     healthy: bool
 
 
+@dataclass(frozen=True)
+class LeaveFinished(LogEvent):
+    """The member of a stopping VM has left the group, or stops without leaving."""
+
+    event: ClassVar[str] = "leave_finished"
+    member: str
+    state: str
+
+
 @dataclass(frozen=True)
 class MemberRemoved(LogEvent):
     """The leader removes a member that has been unresponsive for too long."""
--- a/ashlatch/fleet/protocol.py
+++ b/ashlatch/fleet/protocol.py
@@ -8,6 +8,8 @@
 :license: MIT, see LICENSE for details.
 """
 
+import enum
+
 import msgspec
 import xxhash
 
@@ -30,10 +32,14 @@
 
 __all__ = [
     "JOIN",
+    "LEAVE",
     "READ",
     "SYNC",
     "JoinReply",
     "JoinRequest",
+    "LeaveReply",
+    "LeaveRequest",
+    "LeaveState",
     "ReadReply",
     "ReadRequest",
     "SyncReply",
@@ -134,6 +140,31 @@
     leader_address: str
 
 
+class LeaveState(enum.Enum):
+    """The progress of a member that leaves the group, as the leader sees it.
+
+    `STAYS`: no other core VM can take its place. `UNKNOWN`: the replying VM is no
+    leader.
+    """
+
+    LEFT = "left"
+    PENDING = "pending"
+    STAYS = "stays"
+    UNKNOWN = "unknown"
+
+
+class LeaveRequest(msgspec.Struct, frozen=True):
+    """Asks for the removal of a member that is about to stop."""
+
+    member_id: str
+
+
+class LeaveReply(msgspec.Struct, frozen=True):
+    """The answer to a `LeaveRequest`."""
+
+    state: LeaveState
+
+
 class CommandRequest(msgspec.Struct, frozen=True):
     """Asks the leader to commit a command."""
 
@@ -168,5 +199,6 @@
 
 SYNC = Method("/fleet/sync", SyncRequest, SyncReply)
 JOIN = Method("/fleet/join", JoinRequest, JoinReply)
+LEAVE = Method("/fleet/leave", LeaveRequest, LeaveReply)
 COMMAND = Method("/fleet/order", CommandRequest, CommandReply)
 READ = Method("/fleet/read", ReadRequest, ReadReply)
--- a/ashlatch/raft/core.py
+++ b/ashlatch/raft/core.py
@@ -52,6 +52,10 @@
 
     A member that has just started asks the other voters about every
     `fresh_start_poll_ms` whether they have just started too; 0 disables this.
+
+    `voters_min` is the number of voters below which none may leave. If it is set, a
+    silent voter is removed when a learner on another VM can take its place; with 0
+    only operators remove voters whose VM has no newer data folder.
     """
 
     group: int = 0
@@ -62,6 +66,7 @@
     message_bytes: int = 262_144
     seed: int = 0
     fresh_start_poll_ms: float = 0.0
+    voters_min: int = 0
 
 
 @dataclass
--- a/ashlatch/raft/effect.py
+++ b/ashlatch/raft/effect.py
@@ -21,6 +21,7 @@
     "Flush",
     "InstallSnapshot",
     "LeadershipChanged",
+    "LeaveGroup",
     "PersistentState",
     "ProposalRefused",
     "Propose",
@@ -70,6 +71,16 @@
     member_id: str
 
 
+@dataclass(frozen=True)
+class LeaveGroup:
+    """A member asks to be removed before it stops.
+
+    A voter is removed only if the group has more than `voters_min` voters.
+    """
+
+    member_id: str
+
+
 @dataclass(frozen=True)
 class Synced:
     """The log is synced to disk up to this index and term."""
@@ -98,6 +109,7 @@
     | Propose
     | AddLearner
     | RemoveMember
+    | LeaveGroup
     | Synced
     | SnapshotTaken
 )
--- a/ashlatch/raft/group.py
+++ b/ashlatch/raft/group.py
@@ -43,7 +43,7 @@
 from ashlatch.raft.message import Entry, Member, Members, Message
 from ashlatch.raft.storage import GroupStorage
 
-__all__ = ["Group", "GroupStatus", "NotLeading", "StateMachine"]
+__all__ = ["Group", "GroupStatus", "NotLeading", "StateMachine", "build_status"]
 
 TICK_MS = 20.0
 MAX_BATCH = 512
@@ -143,7 +143,7 @@
         state_machine.restore(boot.snapshot_data)
         self.applied_index = boot.snapshot.index
         self._core = RaftCore(config, boot, monotonic_ms())
-        self.status = self._build_status()
+        self.status = build_status(self._core)
         self._thread = threading.Thread(
             target=self._run, name=f"group-{config.group}", daemon=True
         )
@@ -203,7 +203,7 @@
         effects += self._core.step(now_ms, Tick())
         effects += self._core.step(now_ms, Flush())
         applied = self._perform_all(effects)
-        self.status = self._build_status()
+        self.status = build_status(self._core)
         if applied:
             self.on_change()
         return True
@@ -327,25 +327,26 @@
         leader = self._core.leader
         return leader.address if leader else ""
 
-    def _build_status(self) -> GroupStatus:
-        core = self._core
-        match_index = {key: p.match_index for key, p in core.progress.items()}
-        match_index[core.member_id] = core.synced_index
-        acked_ms = {key: core.acked_ms(key) for key in match_index}
-        added_ms = {key: p.added_ms for key, p in core.progress.items()}
-        return GroupStatus(
-            core.member_id,
-            core.term,
-            core.leading,
-            core.leading_since_ms,
-            core.may_read(core.now_ms),
-            core.lease_until_ms(),
-            self._leader_address(),
-            core.commit_index,
-            core.log.snapshot.index,
-            core.members,
-            core.members_committed,
-            match_index if core.leading else {},
-            acked_ms if core.leading else {},
-            added_ms if core.leading else {},
-        )
+
+def build_status(core: RaftCore) -> GroupStatus:
+    """Returns the status of a member; times are those of the core."""
+    match_index = {key: p.match_index for key, p in core.progress.items()}
+    match_index[core.member_id] = core.synced_index
+    acked_ms = {key: core.acked_ms(key) for key in match_index}
+    added_ms = {key: p.added_ms for key, p in core.progress.items()}
+    return GroupStatus(
+        core.member_id,
+        core.term,
+        core.leading,
+        core.leading_since_ms,
+        core.may_read(core.now_ms),
+        core.lease_until_ms(),
+        core.leader.address if core.leader else "",
+        core.commit_index,
+        core.log.snapshot.index,
+        core.members,
+        core.members_committed,
+        match_index if core.leading else {},
+        acked_ms if core.leading else {},
+        added_ms if core.leading else {},
+    )
--- a/ashlatch/raft/membership.py
+++ b/ashlatch/raft/membership.py
@@ -4,18 +4,21 @@
 
 Membership changes. They are made one at a time; each starts only after the last one
 is committed. A new data folder joins as a learner and becomes a voter once it has
-synced all committed entries. Only then is the member that it replaces on its VM
-removed.
+synced all committed entries. The voter that it replaces is removed just before, so
+that no VM has two voters and the quorum never rises while a voter is down.
 
 :copyright: Copyright 2026 by the ashlatch maintainers.
 :license: MIT, see LICENSE for details.
 """
 
 from ashlatch.raft.core import HANDLERS, Progress, RaftCore
-from ashlatch.raft.effect import AddLearner, RemoveMember
+from ashlatch.raft.effect import AddLearner, LeaveGroup, RemoveMember
 from ashlatch.raft.message import Member, Members
 
-__all__ = ["advance_repair", "replaced_members"]
+__all__ = ["advance_repair", "next_members", "replaced_members"]
+
+# A voter that did not answer the leader for this long gives way to a learner.
+SILENT_MS = 1000.0
 
 
 @HANDLERS.on(AddLearner)
@@ -33,18 +36,68 @@
         _append_change(core, remaining)
 
 
+@HANDLERS.on(LeaveGroup)
+def _leave_group(core: RaftCore, event: LeaveGroup) -> None:
+    members = core.members
+    is_voter = event.member_id in members.voter_ids()
+    if not is_voter or len(members.voters) > core.config.voters_min:
+        _remove_member(core, RemoveMember(event.member_id))
+
+
 def advance_repair(core: RaftCore) -> None:
     """Performs the next step of an unfinished repair, if any, as the leader."""
     if not _may_change(core):
         return
+    members = next_members(core)
+    if members is not None:
+        _append_change(core, members)
+
+
+def next_members(core: RaftCore) -> Members | None:
+    """Returns the members after the next step of a repair, or `None`.
+
+    A learner that has caught up becomes a voter. First the voter with an earlier data
+    folder of its VM is removed or, if one more voter would raise the quorum, a voter
+    that does not answer. For example, with `c` down, `d` replaces it in two steps:
+
+        (a, b, c) + learner d  ->  (a, b) + learner d  ->  (a, b, d)
+    """
     for learner in core.members.learners:
-        if _caught_up(core, learner):
-            _append_change(core, core.members.with_voter(learner))
-            return
+        if not _caught_up(core, learner):
+            continue
+        obstacle = _obstacle(core, learner)
+        if obstacle is None:
+            return core.members.with_voter(learner)
+        if _may_remove(core, obstacle, learner):
+            return core.members.without(obstacle.member_id)
     for member in replaced_members(core.members):
-        if _quorum_caught_up(core, core.members.without(member.member_id)):
-            _append_change(core, core.members.without(member.member_id))
-            return
+        remaining = core.members.without(member.member_id)
+        if _quorum_caught_up(core, remaining):
+            return remaining
+    return None
+
+
+def _obstacle(core: RaftCore, learner: Member) -> Member | None:
+    """Returns the voter that must be removed before a learner becomes a voter."""
+    for voter in core.members.voters:
+        if voter.vm == learner.vm:
+            return voter
+    raises_quorum = len(core.members.voters) % 2 == 1
+    if not core.config.voters_min or not raises_quorum:
+        return None
+    added_ms = core.progress[learner.member_id].added_ms
+    silent = [
+        voter
+        for voter in core.members.voters
+        if not _answers(core, voter) or core.acked_ms(voter.member_id) < added_ms
+    ]
+    return max(silent, key=lambda v: _silent_ms(core, v), default=None)
+
+
+def _may_remove(core: RaftCore, voter: Member, learner: Member) -> bool:
+    replaced = voter.vm == learner.vm or _silent_ms(core, voter) >= SILENT_MS
+    remaining = core.members.without(voter.member_id)
+    return replaced and bool(remaining.voters) and _quorum_caught_up(core, remaining)
 
 
 def replaced_members(members: Members) -> tuple[Member, ...]:
@@ -75,9 +128,20 @@
     progress = core.progress.get(member.member_id)
     if progress is None:
         return False
-    since_ack_ms = core.now_ms - progress.acked_ms
-    recent = since_ack_ms < core.config.election_min_ms
-    return recent and progress.match_index >= core.commit_index
+    return _answers(core, member) and progress.match_index >= core.commit_index
+
+
+def _answers(core: RaftCore, member: Member) -> bool:
+    """Returns whether the member has recently answered this leader."""
+    since_ack_ms = core.now_ms - core.acked_ms(member.member_id)
+    return since_ack_ms < core.config.election_min_ms
+
+
+def _silent_ms(core: RaftCore, member: Member) -> float:
+    """Returns the time since the last answer, or since the leader first asked."""
+    progress = core.progress.get(member.member_id)
+    added_ms = progress.added_ms if progress else core.now_ms
+    return core.now_ms - max(core.acked_ms(member.member_id), added_ms)
 
 
 def _quorum_caught_up(core: RaftCore, members: Members) -> bool:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -22,7 +22,12 @@
     ReplaceDocument,
     UpdateRollout,
 )
-from ashlatch.fleet.membership import find_unresponsive_member, has_enough_voters
+from ashlatch.fleet.membership import (
+    find_unresponsive_member,
+    has_enough_voters,
+    leave_state,
+)
+from ashlatch.fleet.protocol import LeaveState
 from ashlatch.raft.group import GroupStatus
 from ashlatch.raft.message import Member, Members
 
@@ -173,3 +178,18 @@
         )
         assert found is not None
         self.assertEqual("m2", found[0].member_id)
+
+    def test_a_stopping_voter_leaves_only_if_others_are_enough(self) -> None:
+        five = leader_status(5, {})
+        learner = Members(five.members.voters, (Member("m9", "v9", "a9"),))
+        six = leader_status(6, {})
+        for expected, status in (
+            (LeaveState.STAYS, five),
+            (LeaveState.PENDING, dataclasses.replace(five, members=learner)),
+            (LeaveState.PENDING, leader_status(5, {}, committed=False)),
+            (LeaveState.PENDING, six),
+        ):
+            self.assertEqual(expected, leave_state(status, 2, "m1"))
+        self.assertEqual(LeaveState.LEFT, leave_state(five, 2, "m5"))
+        removed = dataclasses.replace(five, members_committed=False)
+        self.assertEqual(LeaveState.PENDING, leave_state(removed, 2, "m5"))
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -83,6 +83,30 @@
         fleet.processes[fleet.hosts[1]].kill()
         fleet.replace_until_accepted(6, fleet.hosts[2:])
 
+    def test_a_planned_replacement_and_two_lost_disks_leave_a_quorum(self) -> None:
+        """A VM that stopped for good used to remain a voter until it was silent."""
+        fleet = self.fleet
+        fleet.replace_until_accepted(3)
+        self.wait_for_version(3)
+        old, added = fleet.leader(), f"{fleet.net}.11"
+        fleet.start_core(added)
+        wait_for(
+            lambda: "voters=6" in fleet.processes[fleet.leader()].log, "six voters"
+        )
+        fleet.processes[old].signal(signal.SIGTERM)
+        wait_for(lambda: fleet.processes[old].popen.poll() is not None, "old VM ended")
+        fleet.hosts.remove(old)
+        fleet.seeds = [*fleet.hosts[2:], added]
+        wiped = fleet.hosts[:2]
+        for host in wiped:
+            fleet.kill_and_wipe(host)
+        time.sleep(1.0)
+        for host in wiped:
+            fleet.start_core(host)
+        fleet.hosts.append(added)
+        self.wait_for_version(3)
+        fleet.replace_until_accepted(4)
+
     def test_a_resumed_leader_returns_no_stale_reads(self) -> None:
         fleet = self.fleet
         fleet.replace_until_accepted(3)
