Core: emptied VMs also ask the members that send to them

Callers saw: nothing yet; found by the regression test of the lost quorum. VMs that come back with empty disks and whose seeds are all gone or empty too stay outside the group until their settings change.

Cause: an empty VM asks its seeds only. Members still send to the member with its earlier data folder, at its address, but the sender was not kept as one to ask.

Ruled out: that the group had no quorum (the other VMs read version 3).

Change: senders of raft messages, 32 at most, are asked too. test_emptied_vms_whose_seeds_are_lost_join_again failed before (20 s), passes.

--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -446,8 +446,16 @@
         return tuple(m.address for m in self.group.status.members.all_members())
 
     def _join_addresses(self) -> tuple[str, ...]:
-        """Returns the addresses that join requests go to: the members and the seeds."""
-        addresses = (*self._member_addresses(), *self._seeds.addresses)
+        """Returns the addresses that join requests go to.
+
+        An empty VM whose seeds are gone knows the members that still send to the member
+        with its earlier data folder.
+        """
+        addresses = (
+            *self._member_addresses(),
+            *self._seeds.addresses,
+            *self._transport.sender_addresses,
+        )
         return tuple(dict.fromkeys(addresses))
 
     def _on_group_changed(self) -> None:
--- a/ashlatch/store/transport.py
+++ b/ashlatch/store/transport.py
@@ -27,6 +27,7 @@
 QUEUE_MESSAGES = 256
 CALL_TIMEOUT_S = 1.0
 REPLY_WAIT_S = 0.02
+SENDERS_MAX = 32
 
 AddressedMessage = tuple[Member, Message]
 
@@ -57,6 +58,7 @@
         self._send_events: dict[Channel, asyncio.Event] = {}
         self._reply_events: dict[Channel, asyncio.Event] = {}
         self._addresses: dict[str, str] = {}
+        self._senders: dict[str, None] = {}
         self._peers: dict[str, Peer] = {}
 
     def send(self, messages: list[AddressedMessage]) -> None:
@@ -64,10 +66,21 @@
         if messages:
             self._rpc.post(self._enqueue, messages)
 
+    @property
+    def sender_addresses(self) -> tuple[str, ...]:
+        """The addresses of the members that have sent something to this VM.
+
+        They may have meant a member with an earlier data folder of it.
+        """
+        return tuple(self._senders)
+
     async def receive_batch(self, batch: Batch) -> BatchReply:
         """Handles a peer's call; must be called on the loop."""
         sender = batch.sender
         self._addresses[sender.member_id] = sender.address
+        self._senders[sender.address] = None
+        if len(self._senders) > SENDERS_MAX:
+            del self._senders[next(iter(self._senders))]
         if batch.recipient != self._local_member.member_id or not batch.messages:
             return BatchReply()
         for message in batch.messages:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -58,6 +58,18 @@
         self.wait_for_version(3)
         fleet.replace_until_accepted(4)
 
+    def test_emptied_vms_whose_seeds_are_lost_join_again(self) -> None:
+        """VMs that lost their disks used to ask their seeds only."""
+        fleet = self.fleet
+        fleet.replace_until_accepted(3)
+        self.wait_for_version(3)
+        for host in fleet.seeds[:2]:
+            fleet.kill_and_wipe(host)
+        fleet.seeds = fleet.seeds[:2]
+        for host in fleet.seeds:
+            fleet.start_core(host)
+        self.wait_for_version(3)
+
     def test_all_killed(self) -> None:
         fleet = self.fleet
         fleet.replace_until_accepted(3)
