Requests that may run once are not escalated: one place decides about every send

Cause: each reason to send again had its own condition. Failures and silence looked at the repeat policy, the escalation looked at attempts, time and budget only.

Ruled out: a wrongly decoded policy (the route is NEVER, and broken, silent and foreign answers are not followed by a second send); that the first send counts as not run (it sets may_have_run, which the escalation did not ask).

Change: policy/repeat.may_send decides about every send of gateways and routers, from the policy, what may have run and what the caller has; asked for each reason and once more before the send itself. A request that may run once goes to the largest model that answers in time, to the smallest while capacity is scarce.

Mutants follow the changed lines.

--- a/ashlatch/gateway/choice.py
+++ b/ashlatch/gateway/choice.py
@@ -54,13 +54,15 @@
 
     `GOOD` answers and those of the largest model are forwarded. Instead of forwarding
     any other answer, the gateway sends the request to the largest model that would
-    answer in time (`ESCALATE`), unless none would (`NO_TIME`), no attempt is left
-    (`NO_ATTEMPT`) or no repeat is left in the budget (`NO_BUDGET`).
+    answer in time (`ESCALATE`), unless none would (`NO_TIME`), the request may not run
+    again (`NO_REPEAT`), no attempt is left (`NO_ATTEMPT`) or no repeat is left in the
+    budget (`NO_BUDGET`).
     """
 
     GOOD = "good"
     ESCALATE = "climbs"
     NO_TIME = "no_time_for_larger"
+    NO_REPEAT = "no_repeat_allowed"
     NO_ATTEMPT = "no_attempt_for_larger"
     NO_BUDGET = "no_budget_for_larger"
 
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -51,6 +51,7 @@
 from ashlatch.gateway.trials import QuarantineGate
 from ashlatch.http.connection import CallerGone, Responder
 from ashlatch.http.upstream import CONNECT_TIMED_OUT
+from ashlatch.policy.repeat import EarlierSends, SendReason, may_send
 
 __all__ = ["Exchange"]
 
@@ -82,7 +83,9 @@
         self._responder = responder
         self._loop = asyncio.get_running_loop()
         self._may_have_run = False
+        self._running = False
         self._model = first_model(admission.route, admission.request)
+        self._initial_model = self._model
         self._record = RequestRecord(context, admission)
         self._chooser = EndpointChooser(context, admission)
         self._place = RequestPlace(context, admission, self._chooser)
@@ -131,9 +134,7 @@
     async def _send_until_answered(self) -> Refused | None:
         links = self._context.links
         while True:
-            # The request may have crashed endpoints at other gateways since the last
-            # send.
-            refusal = await self._pass_quarantine()
+            refusal = await self._pass_checks()
             if refusal is not None:
                 return refusal
             if links.isolated:
@@ -144,6 +145,7 @@
                 if refusal is not None:
                     return refusal
             self._count_request()
+            self._choose_only_model()
             choice = await self._find_endpoint()
             if isinstance(choice, Refused):
                 return choice
@@ -156,6 +158,16 @@
             else:
                 return self._no_endpoint_refusal()
 
+    async def _pass_checks(self) -> Refused | None:
+        """Waits until the request may be sent; or returns its final answer.
+
+        It may have crashed endpoints at other gateways since the last send.
+        """
+        refusal = await self._pass_quarantine()
+        if refusal is None and not self._may_send(SendReason.RELEASED):
+            return Refused(502, RefusalReason.OUTCOME_UNKNOWN)
+        return refusal
+
     async def _resume_unrelayed(self, outcome: RelayOutcome) -> Refused | None:
         """Lets a request that was not relayed use open connections; or refuses it."""
         works = self._context.links.open_connections_work
@@ -195,12 +207,14 @@
         meter.begin(attempt, self._route.name, reason, self._now_ms())
         harmless = False
         failed: FailureKind | None = None
+        self._running = True
         try:
             harmless = await self._run_attempt(attempt, run)
         except AttemptFailed as failure:
             failed = failure.kind
             # Nothing is running at the endpoint any more, whatever is found out below.
             attempt.close()
+            self._running = False
             self._place.release(failed)
             run.check_survived()
             harmless = failure.kind.not_run
@@ -213,6 +227,7 @@
             self._send_reason = failure.kind.value
         finally:
             attempt.close()
+            self._running = False
             self._place.release(failed, harmless)
             self._gate.end_trial()
             self._context.runs.end(run, harmless, self._now_ms())
@@ -246,9 +261,14 @@
             return RelayOutcome.NOT_TAKEN
         while True:
             resumed = bool(self._forwarder.last_event)
-            first = first_model(self._route, self._request)
-            model = self._model if resumed or self._model != first else ""
-            failure = await self._relay.run(model, self._counted, self._reserve_relay)
+            initial = self._model == self._initial_model
+            model = "" if initial and not resumed else self._model
+            failure = await self._relay.run(
+                model,
+                self._counted,
+                self._reserve_relay,
+                lambda: self._may_send(SendReason.RELAYED),
+            )
             if failure is None:
                 return RelayOutcome.SERVED
             if failure.not_run:
@@ -281,6 +301,31 @@
 
     # Sending.
 
+    def _may_send(self, reason: SendReason) -> bool:
+        """Decides whether the request may be sent now; every send asks this."""
+        earlier = EarlierSends(
+            self._may_have_run or self._running,
+            self._record.events > 0,
+            bool(self._forwarder.last_event),
+        )
+        granted = may_send(self._route.repeat, earlier, reason)
+        if not granted:
+            self._context.metrics.count(f"sends_denied_{reason.value}")
+        return granted
+
+    def _choose_only_model(self) -> None:
+        """Chooses the model of a request that may not be sent to a larger one later.
+
+        That is the largest one that answers in time, unless capacity is scarce.
+        """
+        escalates = self._route.repeat is not RepeatPolicy.NEVER
+        if not self._model or self._record.sends or escalates:
+            return
+        models = self._route.models
+        larger = () if self._deferral.smaller_only else models[:0:-1]
+        model, _ = self._chooser.first_model_in_time(larger)
+        self._model = self._initial_model = model or models[0]
+
     def _new_attempt(self, choice: Choice) -> Attempt:
         endpoint = choice.state.endpoint
         organisation = self._admission.organisation
@@ -337,6 +382,8 @@
         """
         if self._record.sends >= self._attempts_max:
             return False
+        if not self._may_send(SendReason.SILENT):
+            return False
         relays = self._context.links.isolated and self._relay.available
         choice = self._chooser.choose(self._model, exclude_limited=True)
         if choice is None and not relays:
@@ -348,6 +395,8 @@
         """Reserves a repeat if a silent gateway may be abandoned; returns whether."""
         if self._record.sends >= self._attempts_max or not self._relay.available:
             return False
+        if not self._may_send(SendReason.SILENT):
+            return False
         self._repeat_reserved = self._spend_repeat()
         return self._repeat_reserved
 
@@ -410,6 +459,8 @@
         """Decides whether to use a larger model; spends the repeat for it."""
         if not larger:
             return EscalationDecision.GOOD
+        if not self._may_send(SendReason.ESCALATED):
+            return EscalationDecision.NO_REPEAT
         if self._record.sends >= self._attempts_max:
             return EscalationDecision.NO_ATTEMPT
         if not model:
@@ -459,11 +510,8 @@
     def _may_repeat(self, kind: FailureKind) -> bool:
         if self._quarantine_refusal() is not None:
             return False
-        if not kind.not_run and self._route.repeat is RepeatPolicy.NEVER:
-            return False
-        if self._record.events and self._route.repeat is not RepeatPolicy.RESUME:
-            return False
-        if self._record.events and not self._forwarder.last_event:
+        begun = self._record.events > 0
+        if not self._may_send(SendReason.RESUMED if begun else SendReason.FAILED):
             return False
         if kind in (FailureKind.UNREACHABLE, FailureKind.CLOSED):
             return self._record.unreachable < UNREACHABLE_MAX
--- a/ashlatch/gateway/relay_exchange.py
+++ b/ashlatch/gateway/relay_exchange.py
@@ -69,15 +69,20 @@
         return self._choose() is not None
 
     async def run(
-        self, model: str, counted: bool, may_give_up: Callable[[], bool]
+        self,
+        model: str,
+        counted: bool,
+        may_give_up: Callable[[], bool],
+        may_send: Callable[[], bool],
     ) -> FailureKind | None:
         """Returns None if the answer was forwarded, else how the last send failed.
 
         Gateways that have not run the request are followed by others here. `model` is
         empty for the caller's model, `counted` is set if the request was counted for
-        the budget of repeats, `may_give_up` reserves a repeat.
+        the budget of repeats, `may_give_up` reserves a repeat, `may_send` decides
+        before each send whether the request may be sent.
         """
-        while (peer := self._choose()) is not None:
+        while may_send() and (peer := self._choose()) is not None:
             self._tried.add(peer.address)
             try:
                 await self._run_send(peer, model, counted, may_give_up)
--- a/ashlatch/router/admission.py
+++ b/ashlatch/router/admission.py
@@ -12,6 +12,7 @@
 from ashlatch.http import problem as problems
 from ashlatch.http.problem import Problem
 from ashlatch.policy.limit import Capacity, LimitReason
+from ashlatch.policy.repeat import SendReason
 from ashlatch.router.completion import complete_with_answer, fail_request, send_problem
 from ashlatch.router.core import HANDLERS, ActiveRequest, CachedPin, RouterCore
 from ashlatch.router.effect import ProposeClaim, ProposeClose, ScheduleClaimRetry
@@ -243,7 +244,7 @@
         # the ledger's own pin expires.
         pin = CachedPin(granted.version, core.now_ms + pin_ms / 2.0)
         core.pins[(request.organisation, request.session)] = pin
-    if earlier_maybe_ran and not request.repeatable:
+    if not core.may_send_again(active, SendReason.TAKEN_OVER):
         # The earlier attempts could be repeated, but this request can't. Its claim is
         # closed as not run, so that a request that may be repeated can still run.
         _refuse_repeat(core, active)
--- a/ashlatch/router/attempt.py
+++ b/ashlatch/router/attempt.py
@@ -12,6 +12,7 @@
 from ashlatch.http import problem as problems
 from ashlatch.http.problem import Problem
 from ashlatch.policy.permission import NEVER_MS
+from ashlatch.policy.repeat import SendReason
 from ashlatch.router.attempt_results import record_result
 from ashlatch.router.completion import (
     close_claim,
@@ -127,9 +128,9 @@
     its version, and a stream isn't because the caller has already received a part.
     """
     request = active.request
-    if request.session or not request.repeatable:
+    if request.session or active.responded:
         return False
-    if active.responded or active.stream_started:
+    if not core.may_send_again(active, SendReason.ESCALATED):
         return False
     plan = core.planner.plan_escalation(request, active.version, core.now_ms)
     if plan is None:
@@ -179,10 +180,11 @@
         close_claim(core, active)
         remove_request(core, active)
         return
-    if active.stream_started:
-        # Another attempt would start the stream again, but the caller has already
-        # received a part of it.
-        problem = Problem(problems.ATTEMPT_FAILED, reason, False, NO_STATE_RETRY_MS)
+    if not core.may_send_again(active, SendReason.FAILED):
+        # Another attempt would also start a stream again of which the caller has
+        # already received a part.
+        not_run = False if active.stream_started else core.not_run(active)
+        problem = Problem(problems.ATTEMPT_FAILED, reason, not_run, NO_STATE_RETRY_MS)
         fail_request(core, active, problem)
         return
     plan = _plan_again(core, active)
@@ -232,11 +234,13 @@
         close_claim(core, active)
         remove_request(core, active)
         return
-    if not active.request.repeatable:
+    resumes = active.stream_started
+    reason = SendReason.RESUMED if resumes else SendReason.FAILED
+    if not core.may_send_again(active, reason):
         detail = f"{result.reason}; it may have run and is not repeated"
         fail_request(core, active, Problem(problems.OUTCOME_UNKNOWN, detail, None))
         return
-    if active.stream_started:
+    if resumes:
         _resume_stream(core, active, result)
         return
     _retry_elsewhere(core, active, problems.ATTEMPT_FAILED, result.reason)
--- a/ashlatch/router/core.py
+++ b/ashlatch/router/core.py
@@ -13,6 +13,7 @@
 import random
 from dataclasses import dataclass, field
 
+from ashlatch.catalog import RepeatPolicy
 from ashlatch.errors import InvariantViolated
 from ashlatch.policy.detector import VersionTally
 from ashlatch.policy.evidence import Evidence, Finding
@@ -20,6 +21,7 @@
 from ashlatch.policy.hedging import Hedging
 from ashlatch.policy.limit import Limits
 from ashlatch.policy.quarantine import AnswerBegin, Quarantine
+from ashlatch.policy.repeat import EarlierSends, SendReason, may_send
 from ashlatch.policy.retry import RetryBudget
 from ashlatch.policy.slowness import LatencyHistory
 from ashlatch.policy.table import NamedEndpoint
@@ -264,6 +266,22 @@
             self.cancelled_attempts[hedge.attempt_id] = hedge.endpoint.name
             self.effects.append(CancelAttempt(hedge.attempt_id))
 
+    def may_send_again(
+        self, active: ActiveRequest, reason: SendReason, running: bool = False
+    ) -> bool:
+        """Decides whether a request may be sent; every send asks this (R7).
+
+        `running` is set if another attempt of it has not ended.
+        """
+        earlier = EarlierSends(
+            active.maybe_ran or running or not active.history_known,
+            active.stream_started,
+            reason is SendReason.RESUMED,
+        )
+        repeatable = active.request.repeatable
+        policy = RepeatPolicy.RESUME if repeatable else RepeatPolicy.NEVER
+        return may_send(policy, earlier, reason)
+
     def not_run(self, active: ActiveRequest) -> bool | None:
         """Returns whether a request is known not to have run (R6).
 
--- a/ashlatch/router/hedge.py
+++ b/ashlatch/router/hedge.py
@@ -10,6 +10,7 @@
 :license: MIT, see LICENSE for details.
 """
 
+from ashlatch.policy.repeat import SendReason
 from ashlatch.router.core import HANDLERS, ActiveRequest, RouterCore
 from ashlatch.router.event import HedgeDue
 from ashlatch.router.planning_result import Plan
@@ -35,7 +36,10 @@
     )
     answered = active.responded or active.recording or active.stream_started
     unhedged = active.hedge is None
-    return is_current and unhedged and not answered and core.lease_valid(core.now_ms)
+    if not is_current or not unhedged or answered:
+        return False
+    may_send = core.may_send_again(active, SendReason.HEDGED, running=True)
+    return may_send and core.lease_valid(core.now_ms)
 
 
 def _plan_hedge(core: RouterCore, active: ActiveRequest) -> Plan | None:
--- a/ashlatch/router/sending.py
+++ b/ashlatch/router/sending.py
@@ -12,9 +12,11 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
+from ashlatch.errors import InvariantViolated
 from ashlatch.http import problem as problems
 from ashlatch.http.problem import Problem
 from ashlatch.log import LogEvent
+from ashlatch.policy.repeat import SendReason
 from ashlatch.router.core import ActiveAttempt, ActiveRequest, RouterCore
 from ashlatch.router.effect import ScheduleHedge, StartAttempt, WriteLog
 from ashlatch.router.event import RequestKind
@@ -107,25 +109,33 @@
 ) -> None:
     """Sends the request as planned; `resume_chunks` chunks were passed on before."""
     active.version = plan.version
+    resumes = active.stream_started
+    reason = SendReason.RESUMED if resumes else SendReason.RELEASED
+    _assert_may_send(core.may_send_again(active, reason), active, reason)
     active.current_attempt = _send_attempt(core, active, plan, resume_chunks)
     _schedule_hedge(core, active)
 
 
 def start_hedge(core: RouterCore, active: ActiveRequest, plan: Plan) -> None:
     """Sends the same request to a second endpoint as well."""
+    reason = SendReason.HEDGED
+    _assert_may_send(core.may_send_again(active, reason, running=True), active, reason)
     active.hedge = _send_attempt(core, active, plan)
 
 
+def _assert_may_send(granted: bool, active: ActiveRequest, reason: SendReason) -> None:
+    if not granted:
+        detail = f"{active.request.request_id} {reason.value}"
+        raise InvariantViolated("R7", detail)
+
+
 def _schedule_hedge(core: RouterCore, active: ActiveRequest) -> None:
     request = active.request
     after_ms = core.hedging.delay_ms(active.version, request.stream)
     if after_ms is None or request.kind is not RequestKind.CHAT:
         return
-    if (
-        request.repeatable
-        and active.current_attempt is not None
-        and not active.stream_started
-    ):
+    may_send = core.may_send_again(active, SendReason.HEDGED, running=True)
+    if may_send and active.current_attempt is not None:
         attempt_id = active.current_attempt.attempt_id
         core.effects.append(ScheduleHedge(request.request_id, attempt_id, after_ms))
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -132,15 +132,15 @@
     Mutant(
         "stream-restarted",
         "ashlatch/router/attempt.py",
-        "    if active.stream_started:\n        # Another",
+        "    if not core.may_send_again(active, SendReason.FAILED):\n        # Another",
         "    if False:\n        # Another",
         TRAFFIC,
     ),
     Mutant(
         "hedge-of-non-repeatable-request",
         "ashlatch/router/sending.py",
-        "        request.repeatable\n        and active.current_attempt is not None",
-        "        active.current_attempt is not None",
+        "    if may_send and active.current_attempt is not None:",
+        "    if active.current_attempt is not None:",
         TRAFFIC,
     ),
     Mutant(
@@ -306,7 +306,7 @@
     Mutant(
         "non-repeatable-request-run-after-repeatable-one",
         "ashlatch/router/admission.py",
-        "    if earlier_maybe_ran and not request.repeatable:\n",
+        "    if not core.may_send_again(active, SendReason.TAKEN_OVER):\n",
         "    if False:\n",
         ROUTER_REMOVAL,
     ),
@@ -335,7 +335,7 @@
     Mutant(
         "retry-of-non-repeatable-request",
         "ashlatch/router/attempt.py",
-        "    if not active.request.repeatable:\n        detail = f",
+        "    if not core.may_send_again(active, reason):\n        detail = f",
         "    if False:\n        detail = f",
         TRAFFIC,
     ),
