Answers without end are broken off: bounded heads, bodies, events and reads

A gateway held a body until the caller's deadline (504), with all of its bytes, although another endpoint could have answered; endless interim responses kept a request and the core's reads until their time-outs.

Cause: only the bytes between two events of h11 were bounded. Bodies, events of streams, interim responses, pages of the list, prefix caches and the routers' replies were not.

Change: bounds for each of them; a gateway's incomplete answers also share a total. More than that is a broken answer: the endpoint is at fault, the next one is asked if the request may run again, a 502 otherwise.

--- a/ashlatch/fleet/discovery.py
+++ b/ashlatch/fleet/discovery.py
@@ -35,6 +35,7 @@
 REASONS_MAX = 4
 # A list of more pages is invalid for any deployment of the supported sizes.
 PAGES_MAX = 200
+PAGE_MAX_BYTES = 4_194_304
 
 
 @dataclass
@@ -103,14 +104,12 @@
         host = (b"Host", self._address.encode())
         connection.send("GET", page_target(page_token), [host], b"")
         head = await connection.read_head()
-        chunks = []
-        while (chunk := await connection.read_chunk()) is not None:
-            chunks.append(chunk)
+        body = await connection.read_body(PAGE_MAX_BYTES)
         if not connection.release(asyncio.get_running_loop().time()):
             self._connection = None
         if head.status_code != 200:
             raise ListUnreadable(f"status {head.status_code}")
-        return decode_page(b"".join(chunks))
+        return decode_page(body)
 
     async def _connect(self) -> Upstream:
         connection = self._connection
--- a/ashlatch/fleet/prefix_caches.py
+++ b/ashlatch/fleet/prefix_caches.py
@@ -43,6 +43,9 @@
 # All prefixes that are read go to every gateway. This limit, which takes the longest
 # prefixes of each engine, keeps them within about 50 KB.
 PARTS_MAX = 2000
+# The limits on one reply, and on the replies that are read at the same time.
+CACHE_MAX_BYTES = 1_048_576
+READS_MAX = 32
 
 
 @dataclass
@@ -57,7 +60,8 @@
     engines: tuple[Endpoint, ...],
 ) -> tuple[PromptPrefill, ...]:
     """Reads the caches of all engines at once; skips engines that do not answer."""
-    reads = (_read_prefix_cache(engine) for engine in engines)
+    slots = asyncio.Semaphore(READS_MAX)
+    reads = (_read_prefix_cache(engine, slots) for engine in engines)
     replies = await asyncio.gather(*reads, return_exceptions=True)
     prefills: list[PromptPrefill] = []
     failed = 0
@@ -77,21 +81,21 @@
     return tuple(prefills)
 
 
-async def _read_prefix_cache(engine: Endpoint) -> tuple[CachedPart, ...]:
+async def _read_prefix_cache(
+    engine: Endpoint, slots: asyncio.Semaphore
+) -> tuple[CachedPart, ...]:
     connection: Upstream | None = None
     try:
-        async with asyncio.timeout(TIMEOUT_S):
+        async with slots, asyncio.timeout(TIMEOUT_S):
             connection = await Upstream.connect(engine.address, TIMEOUT_S)
             connection.acquire()
             headers = prefix_cache_headers(engine.address, engine.instance)
             connection.send("GET", PREFIX_CACHE_TARGET, headers, b"")
             head = await connection.read_head()
-            chunks = []
-            while (chunk := await connection.read_chunk()) is not None:
-                chunks.append(chunk)
+            body = await connection.read_body(CACHE_MAX_BYTES)
         if head.status_code != 200:
             raise MemoryUnreadable(engine.instance, f"status {head.status_code}")
-        return decode_prefix_cache(b"".join(chunks))
+        return decode_prefix_cache(body)
     except TimeoutError as error:
         raise MemoryUnreadable(engine.instance, "timeout") from error
     except (ConnectFailed, UpstreamBroken) as error:
--- a/ashlatch/gateway/context.py
+++ b/ashlatch/gateway/context.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from ashlatch.catalog import GatewayVm, Service
+from ashlatch.gateway.answer_memory import AnswerMemory
 from ashlatch.gateway.budget import BudgetTerms, RepeatBudget
 from ashlatch.gateway.cold import ColdSendLimiter
 from ashlatch.gateway.directory import Directory, EndpointState
@@ -74,7 +75,8 @@
     `places` leases slots of endpoints that must not be overbooked.
     `pace_meter` counts answers for the evaluation of new versions. `links` opens the
     connections to endpoints, `relay_peers` tells which gateways can
-    serve requests for this one.
+    serve requests for this one. `answer_memory` bounds the bytes of answers that are
+    held until they are complete.
     """
 
     hall: str
@@ -108,6 +110,7 @@
     peers_reachable: bool = True
     next_retry_ms: dict[str, float] = field(default_factory=dict)
     relay_peers: RelayPeers = field(default_factory=RelayPeers)
+    answer_memory: AnswerMemory = field(default_factory=AnswerMemory)
     links: EndpointLinks = field(init=False)
     pace_meter: PaceMeter = field(init=False)
     places: Places = field(init=False)
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -19,6 +19,7 @@
 from ashlatch.catalog import GatewayVm
 from ashlatch.fleet.seeds import Seeds
 from ashlatch.gateway.admission import Refused, admit, refuse
+from ashlatch.gateway.answer_memory import AnswerMemory
 from ashlatch.gateway.budget import BudgetTerms
 from ashlatch.gateway.cold import ColdSendLimiter
 from ashlatch.gateway.context import GatewayContext
@@ -121,6 +122,9 @@
             BudgetTerms(repeats.ratio, repeats.extra, repeats.window_s * 1000.0),
             settings.halls,
             generator=random.Random(settings.vm),
+            answer_memory=AnswerMemory(
+                settings.answer_max_bytes, settings.answers_max_bytes
+            ),
         )
         overload = self.context.overload
         overload.mode = AdmissionMode(settings.admission)
--- a/ashlatch/gateway/forwarding.py
+++ b/ashlatch/gateway/forwarding.py
@@ -26,6 +26,8 @@
 __all__ = ["AnswerForwarder", "AnswerSource", "CompleteAnswer"]
 
 ERROR_STATUS_MIN = 400
+# An event holds a few tokens.
+EVENT_MAX_BYTES = 65_536
 
 
 class AnswerSource(Protocol):
@@ -73,13 +75,30 @@
     ) -> CompleteAnswer:
         """Reads an answer to its end; raises `AttemptFailed`."""
         begun = begin_answer(self._context, self._admission.fingerprints)
-        parts = []
-        while (part := await source.part(timeout)) is not None:
-            parts.append(part)
+        body = await self._read_body(source, head, timeout)
         await source.confirm_end()
         source.finish()
         self._record_completion(head, begun)
-        return CompleteAnswer(head, b"".join(parts))
+        return CompleteAnswer(head, body)
+
+    async def _read_body(
+        self, source: AnswerSource, head: AnswerHead, timeout: AnswerTimeout
+    ) -> bytes:
+        memory = self._context.answer_memory
+        if _announced_bytes(head) > memory.answer_max_bytes:
+            raise AttemptFailed(FailureKind.BROKEN, "body too long")
+        parts: list[bytes] = []
+        size_bytes = 0
+        try:
+            while (part := await source.part(timeout)) is not None:
+                if not memory.add(size_bytes, len(part)):
+                    self._context.metrics.count("answers_too_long")
+                    raise AttemptFailed(FailureKind.BROKEN, "body too long")
+                size_bytes += len(part)
+                parts.append(part)
+            return b"".join(parts)
+        finally:
+            memory.remove(size_bytes)
 
     async def forward_stream(
         self,
@@ -92,6 +111,9 @@
         splitter = EventSplitter()
         while (part := await source.part(timeout())) is not None:
             self._forward_events(head, splitter.feed(part))
+            if len(splitter.remainder) > EVENT_MAX_BYTES:
+                self._context.metrics.count("answers_too_long")
+                raise AttemptFailed(FailureKind.BROKEN, "event too long")
             await self._responder.drain()
         if splitter.remainder.strip():
             raise AttemptFailed(FailureKind.BROKEN, "stream ended within an event")
@@ -144,6 +166,12 @@
     return [pair for pair in head.headers if pair[0].lower() != b"content-length"]
 
 
+def _announced_bytes(head: AnswerHead) -> int:
+    """Returns the length that the head announces; 0 for none."""
+    lengths = [v for name, v in head.headers if name.lower() == b"content-length"]
+    return int(lengths[0]) if lengths and lengths[0].isdigit() else 0
+
+
 def _is_already_forwarded(event_id: str, last: str) -> bool:
     """Checks whether an event was forwarded already; ids rise within a stream."""
     numbers = event_id.isdigit() and last.isdigit()
--- a/ashlatch/gateway/relay.py
+++ b/ashlatch/gateway/relay.py
@@ -49,6 +49,8 @@
 # Gateways keep idle connections of each other at least for this long.
 IDLE_S = 4.0
 IDLE_CONNECTIONS_MAX = 16
+# The limit on what another gateway tells about endpoints.
+ANSWER_MAX_BYTES = 1_048_576
 # The interval at which it is broadcast again that no endpoint can be reached: datagrams
 # may be lost.
 REPEAT_S = 0.5
@@ -315,10 +317,7 @@
     connection.send("GET", target, [(b"Host", b"relay")], b"")
     if (await connection.read_head()).status_code != 200:
         return None
-    parts = []
-    while (part := await connection.read_chunk()) is not None:
-        parts.append(part)
-    return b"".join(parts)
+    return await connection.read_body(ANSWER_MAX_BYTES)
 
 
 def _now_ms() -> float:
--- a/ashlatch/http/client.py
+++ b/ashlatch/http/client.py
@@ -46,7 +46,8 @@
     true, the connection is closed, which tells the server to stop. `before_send` is
     called when the connection is open and no byte of the request has been sent; if it
     returns false, the request is not sent. `repeatable` tells whether the request may
-    be sent again, as curl does when a kept connection breaks.
+    be sent again, as curl does when a kept connection breaks. A call whose reply has a
+    body of more than `body_max_bytes` fails.
     """
 
     url: str
@@ -60,6 +61,7 @@
     cancelled: Callable[[], bool] | None = None
     before_send: Callable[[], bool] | None = None
     repeatable: bool = True
+    body_max_bytes: int = 8_388_608
 
 
 @dataclass
@@ -85,6 +87,7 @@
         self.reply = Reply()
         self.chunks: list[bytes] = []
         self.status_reported = False
+        self.size_bytes = 0
 
     def on_header_line(self, line: bytes) -> None:
         text = line.decode("latin-1").strip()
@@ -107,12 +110,17 @@
         if self.call.on_status is not None:
             self.call.on_status(self.reply)
 
-    def on_chunk(self, data: bytes) -> None:
+    def on_chunk(self, data: bytes) -> int | None:
         self.report_status()
+        self.size_bytes += len(data)
+        if self.size_bytes > self.call.body_max_bytes:
+            # Any number but that of the bytes makes curl fail with a write error.
+            return 0
         if self.call.on_body is not None:
             self.call.on_body(data)
         else:
             self.chunks.append(data)
+        return None
 
     def on_connected(self, *addresses: object) -> int:
         before_send = self.call.before_send
--- a/ashlatch/http/upstream.py
+++ b/ashlatch/http/upstream.py
@@ -34,6 +34,8 @@
 CONNECT_REFUSED = ConnectionRefusedError.__name__
 # The limit on bytes that are received and not yet consumed by the request's task.
 READ_AHEAD_MAX_BYTES = 1_048_576
+# A server sends at most a few interim responses before the head of an answer.
+INTERIM_RESPONSES_MAX = 16
 _FRAMING = frozenset({b"content-length", b"transfer-encoding"})
 _NO_BODY = frozenset({204, 304})
 
@@ -173,13 +175,14 @@
 
     async def read_head(self) -> h11.Response:
         """Reads the head of the answer; raises `UpstreamBroken`."""
-        while True:
+        for _ in range(INTERIM_RESPONSES_MAX + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 self.delimited = _is_delimited(event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise UpstreamBroken(self.address, "no head of an answer")
+        raise UpstreamBroken(self.address, "too many interim responses")
 
     async def read_chunk(self) -> bytes | None:
         """Reads the next chunk of the body; returns None at its end."""
@@ -190,6 +193,17 @@
             return None
         raise UpstreamBroken(self.address, "no body of an answer")
 
+    async def read_body(self, max_bytes: int) -> bytes:
+        """Reads the rest of the body; raises `UpstreamBroken` if it is longer."""
+        parts = []
+        size_bytes = 0
+        while (part := await self.read_chunk()) is not None:
+            size_bytes += len(part)
+            if size_bytes > max_bytes:
+                raise UpstreamBroken(self.address, f"body over {max_bytes} bytes")
+            parts.append(part)
+        return b"".join(parts)
+
     def release(self, now_s: float) -> bool:
         """Ends the use for a request; returns whether the connection can be reused.
 
--- a/ashlatch/settings.py
+++ b/ashlatch/settings.py
@@ -258,6 +258,10 @@
     `admission` says for which services with engines requests may be deferred or refused
     while capacity is scarce: `auto` for those whose endpoints report the duration of
     work, and for all if `contracts`, the list of what the platform requires, says so.
+
+    `answer_max_bytes` is the longest answer that is not a stream, `answers_max_bytes`
+    what all answers may have together that are not complete yet. An endpoint that sends
+    more is at fault.
     """
 
     listen: AddressText
@@ -269,6 +273,8 @@
     admission: Literal["off", "on", "auto"] = "auto"
     contracts: tuple[str, ...] = ()
     relay: RelaySettings = RelaySettings()
+    answer_max_bytes: PositiveInt = 8_388_608
+    answers_max_bytes: PositiveInt = 33_554_432
 
 
 def load(path: Path, kind: type[S]) -> S:
