Answers without a length are confirmed by their own process

Cause: an accepted connection was taken for a sign that the process which wrote the answer still runs.

Ruled out: a reset in transit (such an answer is broken without a probe).

Change: an idle connection that is still open shows that the process runs. Without one, the endpoint is asked for its health under its id, which another process refuses.

--- a/ashlatch/gateway/attempt.py
+++ b/ashlatch/gateway/attempt.py
@@ -90,8 +90,8 @@
     received. However the attempt ends, `close` releases its resources; `sent_bytes` and
     `received_bytes` are what its connection has carried by then. `connections_max`
     limits the connections of the gateway to the endpoint, including idle ones.
-    `process_ended` finds out whether the endpoint has crashed, `place_valid` whether
-    the request still holds its place there.
+    `answer_cut` finds out whether the endpoint crashed while it answered, `place_valid`
+    whether the request still holds its place there.
     `unapplied_head` is the head of an answer of the intended endpoint until what it
     reports about the endpoint has been applied.
     """
@@ -107,11 +107,11 @@
         connect_timeout_s: float = CONNECT_MAX_S,
         connections_max: int = CONNECTIONS_MAX,
         connect: Connect = Upstream.connect,
-        process_ended: Callable[[EndpointState], Awaitable[bool]] = _never_ended,
+        answer_cut: Callable[[EndpointState], Awaitable[bool]] = _never_ended,
         place_valid: Callable[[], bool] = lambda: True,
     ) -> None:
         self.state = state
-        self._process_ended = process_ended
+        self._answer_cut = answer_cut
         self._place_valid = place_valid
         self._connect_timeout_s = connect_timeout_s
         self._connections_max = connections_max
@@ -152,7 +152,7 @@
         """
         if self._connection is None or self._connection.delimited:
             return
-        if await self._process_ended(self.state):
+        if await self._answer_cut(self.state):
             detail = "the endpoint ended with its answer"
             raise AttemptFailed(FailureKind.BROKEN, detail)
 
--- a/ashlatch/gateway/crash_detector.py
+++ b/ashlatch/gateway/crash_detector.py
@@ -17,8 +17,14 @@
 from ashlatch.gateway.directory import EndpointState
 from ashlatch.gateway.logs import EndpointNotListening
 from ashlatch.gateway.updates import EndpointRefuses
-from ashlatch.http.upstream import CONNECT_REFUSED, ConnectFailed
+from ashlatch.http.upstream import (
+    CONNECT_REFUSED,
+    ConnectFailed,
+    Upstream,
+    UpstreamBroken,
+)
 from ashlatch.log import emit
+from ashlatch.platform.headers import decode_answer, health_headers
 
 __all__ = ["CrashDetector", "record_refusal"]
 
@@ -28,6 +34,7 @@
 # A refused connection is reported within a round trip of some milliseconds; a request
 # that may be sent elsewhere waits no longer than this for the result of the probe.
 PROBE_TIMEOUT_S = 0.1
+HEALTH_TIMEOUT_S = 0.3
 # A process that ends closes its connections one after the other, and perhaps the
 # listening socket last: a probe that still gets a connection is repeated after this.
 SECOND_PROBE_DELAY_S = 0.02
@@ -83,6 +90,43 @@
             return False
         return await self.process_ended(state)
 
+    async def answer_cut(self, state: EndpointState) -> bool:
+        """Checks whether an endpoint's process ended together with its answer.
+
+        Another process may accept connections at its address right after. An idle
+        connection that is still open was accepted by the same process as the answer's;
+        without one, the endpoint is asked for its health, which another one refuses.
+        """
+        if await self.process_ended(state):
+            return True
+        if state.evacuated or self._context.pool.has_open(state.endpoint.instance):
+            return False
+        return await self._replaced(state)
+
+    async def _replaced(self, state: EndpointState) -> bool:
+        """Checks whether another endpoint answers at the address of one."""
+        target = self._context.health_target(state)
+        if not target:
+            return False
+        connection: Upstream | None = None
+        try:
+            async with asyncio.timeout(HEALTH_TIMEOUT_S):
+                connection = await self._context.links.connect(
+                    state.endpoint.address, PROBE_TIMEOUT_S
+                )
+                timeout_ms = HEALTH_TIMEOUT_S * 1000.0
+                headers = health_headers(state.endpoint, timeout_ms)
+                connection.send("GET", target, headers, b"")
+                return decode_answer(await connection.read_head()).misdirected
+        except ConnectFailed as failure:
+            return failure.reason == CONNECT_REFUSED
+        except (TimeoutError, UpstreamBroken):
+            # A new process has free slots and answers at once.
+            return False
+        finally:
+            if connection is not None:
+                connection.abort()
+
     async def process_ended(self, state: EndpointState) -> bool:
         """Checks whether nothing listens at an endpoint's address any more."""
         return await asyncio.shield(self._probe(state))
--- a/ashlatch/gateway/exchange.py
+++ b/ashlatch/gateway/exchange.py
@@ -357,7 +357,7 @@
             connect_timeout_s(self._route),
             self._context.connections_max(self._admission.service),
             self._context.links.connect,
-            self._crash_detector.process_ended,
+            self._crash_detector.answer_cut,
             self._place.is_valid,
         )
 
--- a/ashlatch/gateway/pool.py
+++ b/ashlatch/gateway/pool.py
@@ -77,6 +77,10 @@
         connections = self._idle.setdefault(endpoint.instance, [])
         connections.append(_IdleConnection(connection, usable_s))
 
+    def has_open(self, instance: str) -> bool:
+        """Checks whether an idle connection to an endpoint is still open."""
+        return any(idle.connection.usable for idle in self._idle.get(instance, ()))
+
     def retain(self, instances: frozenset[str]) -> None:
         """Closes connections to endpoints that are not listed any more."""
         for instance in [i for i in self._idle if i not in instances]:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -723,7 +723,7 @@
     Mutant(
         "cut-answer-is-complete",
         "ashlatch/gateway/attempt.py",
-        "        if await self._process_ended(self.state):\n",
+        "        if await self._answer_cut(self.state):\n",
         "        if False:\n",
         (*PARTS, "-k", "end_with_their"),
     ),
--- a/tests/test_endpoint_answers.py
+++ b/tests/test_endpoint_answers.py
@@ -20,7 +20,7 @@
     Silence,
 )
 from tests import stub_server
-from tests.gateway import hang
+from tests.gateway import GatewayHarness, build_request, hang
 from tests.stub_server import ReceivedRequest, Script, StubServer, answer_with
 
 FOUND_WITHIN_S = SILENCE_MS / 1000.0 + ANSWER_TIMEOUT_S + 0.8
@@ -293,3 +293,38 @@
             document = stub_server.document(services=services)
             catalog = decode_catalog(stub_server.encode_document(document))
             self.assertEqual(target, catalog.services[0].health_target)
+
+
+class RestartedEndpointTest(GatewayHarness):
+    """Answers without a length that end because their process is killed."""
+
+    def run_once(self, path: str, health_status: int) -> tuple[int, int, int]:
+        """Returns the status, and the requests and health questions at the endpoint."""
+
+        async def answer(
+            request: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            if request.target == "/healthz":
+                writer.write(stub_server.full_response(request, b"", health_status))
+                return
+            writer.write(stub_server.response_head(request) + b"\r\n" + b"half")
+            await writer.drain()
+            writer.close()
+
+        worker = StubServer([answer])
+        statuses: list[int] = []
+
+        async def work() -> None:
+            statuses.append((await self.call(build_request(path)))[0])
+
+        self.run_gateway([worker], work)
+        asked = [r for r in worker.requests if r.target == "/healthz"]
+        return statuses[0], len(worker.requests) - len(asked), len(asked)
+
+    def test_half_of_a_body_is_not_complete_when_another_process_listens(self) -> None:
+        """An accepted connection was taken for a sign that the process still runs."""
+        self.assertEqual((502, 1, 1), self.run_once("/once/1", 421))
+
+    def test_a_body_that_ends_with_its_connection_is_complete(self) -> None:
+        for health_status in (200, 503):
+            self.assertEqual((200, 1, 1), self.run_once("/once/1", health_status))
