--- a/ashlatch/explain/process_state.py
+++ b/ashlatch/explain/process_state.py
@@ -38,6 +38,7 @@
     "core_chosen": ("selected core VM", ""),
     "core_unreached": ("core VM of the local hall", "member"),
     "standing_changed": ("leader and members", ""),
+    "leave_finished": ("planned stop", "member"),
     "member_removed": ("removed member", "member"),
     "disk_lost": ("disk", ""),
     "disk_regained": ("disk", ""),
