--- a/ashlatch/gateway/answer_memory.py
+++ b/ashlatch/gateway/answer_memory.py
@@ -23,12 +23,12 @@
 
     One answer may have `answer_max_bytes`, and all together `total_max_bytes`::
 
-        memory = AnswerMemory(8_388_608, 33_554_432)
+        memory = AnswerMemory(16_777_216, 33_554_432)
         memory.add(held_bytes=0, more_bytes=800)    # True
         memory.remove(800)
     """
 
-    answer_max_bytes: int = 8_388_608
+    answer_max_bytes: int = 16_777_216
     total_max_bytes: int = 33_554_432
     used_bytes: int = 0
 
--- a/ashlatch/settings.py
+++ b/ashlatch/settings.py
@@ -273,7 +273,7 @@
     admission: Literal["off", "on", "auto"] = "auto"
     contracts: tuple[str, ...] = ()
     relay: RelaySettings = RelaySettings()
-    answer_max_bytes: PositiveInt = 8_388_608
+    answer_max_bytes: PositiveInt = 16_777_216
     answers_max_bytes: PositiveInt = 33_554_432
 
 
