Roll-outs name the versions that were rolled back before

Cause: the record of the next roll-out replaces the last one, and gateways take every version other than the newest record's as the old one.

Ruled out: gateways with an older record (a rolled-back record never allows its version).

Change: a roll-out's record names the versions that earlier ones rolled back, until they are ordered again. Gateways don't choose them, and their answers are not compared with the new version's.

--- a/ashlatch/catalog.py
+++ b/ashlatch/catalog.py
@@ -245,7 +245,8 @@
     was made. `held` are the hashes of the sessions that ran at any gateway when the
     trial began; they stay on their version for the whole trial. `moved` are the
     hashes of sessions beyond the share that the load test has moved; they stay on the
-    new version.
+    new version. `withdrawn` are versions that earlier roll-outs rolled back: nothing is
+    sent to their endpoints, which may be listed for some time.
     """
 
     service: str
@@ -257,6 +258,7 @@
     elapsed_ms: float = 0.0
     held: tuple[int, ...] = ()
     moved: tuple[int, ...] = ()
+    withdrawn: tuple[str, ...] = ()
 
 
 class SessionHashes(msgspec.Struct, frozen=True):
--- a/ashlatch/fleet/evaluation.py
+++ b/ashlatch/fleet/evaluation.py
@@ -354,6 +354,8 @@
     for key, tally in counts.items():
         if key.service != rollout.service or key.route != route:
             continue
+        if key.version in rollout.withdrawn:
+            continue
         if (key.version == rollout.version) is new_version:
             total = total.plus(tally)
     return total
--- a/ashlatch/fleet/machine.py
+++ b/ashlatch/fleet/machine.py
@@ -32,6 +32,8 @@
 ]
 
 _HANDLERS = Handlers("fleet")
+# The number of versions of a service that are remembered as rolled back.
+WITHDRAWN_MAX = 8
 FINAL_STAGES = (RolloutStage.COMPLETED, RolloutStage.ROLLED_BACK)
 
 
@@ -167,10 +169,21 @@
         0.0,
         state.number,
         command.duration_ms,
+        withdrawn=_withdrawn_versions(current, command.version),
     )
     return Accepted(changed=True)
 
 
+def _withdrawn_versions(current: Rollout | None, version: str) -> tuple[str, ...]:
+    """Returns the versions that are rolled back when another roll-out begins."""
+    if current is None:
+        return ()
+    withdrawn = list(current.withdrawn)
+    if current.stage is RolloutStage.ROLLED_BACK:
+        withdrawn.append(current.version)
+    return tuple(v for v in withdrawn if v != version)[-WITHDRAWN_MAX:]
+
+
 @_HANDLERS.on(UpdateRollout)
 def _update_rollout(state: FleetState, command: UpdateRollout) -> Outcome:
     current = state.rollouts.get(command.service)
--- a/ashlatch/gateway/versions.py
+++ b/ashlatch/gateway/versions.py
@@ -293,6 +293,7 @@
         rollout = self.rollouts.get(service)
         if rollout is None:
             return AllowedEndpoints(listed, VersionReason.NO_ROLLOUT)
+        listed = [s for s in listed if s.endpoint.version not in rollout.withdrawn]
         age_ms = self.sessions.age_ms(service, session, now_ms)
         new = [s for s in listed if s.endpoint.version == rollout.version]
         old = [s for s in listed if s.endpoint.version != rollout.version]
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -50,6 +50,18 @@
         session = self.chooser.allowed("app", "s", "r1", states, 0.0)
         self.assertIs(None, session.fallback)
 
+    def test_a_withdrawn_version_is_not_taken_for_the_old_one(self) -> None:
+        """The next roll-out begins while endpoints of the withdrawn one are listed."""
+        self.states.append(self.state("v3"))
+        withdrawn = ("v2",)
+        for number, stage in enumerate(RolloutStage, 1):
+            rollout = Rollout(
+                "app", "v3", stage, 0.0, number, 1000.0, withdrawn=withdrawn
+            )
+            self.chooser.apply_rollouts([rollout])
+            for session in ("", "s1", "s2"):
+                self.assertNotIn("v2", self.versions(session))
+
     def test_a_load_test_avoids_limited_endpoints(self) -> None:
         self.apply(RolloutStage.LOAD_TEST, 1.0, 1)
         self.states.append(self.state("v2", 2))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -66,6 +66,24 @@
         late = UpdateRollout("app", 3, RolloutStage.COMPLETED, 1.0, 700.0)
         self.assertEqual(Accepted(False), self.apply(late))
 
+    def test_a_withdrawn_version_stays_withdrawn_in_the_next_rollout(self) -> None:
+        """It used to get requests again as soon as another version was ordered."""
+
+        def order(version: str) -> tuple[str, ...]:
+            self.apply(BeginRollout("app", version, 1000.0))
+            return self.machine.state.rollouts["app"].withdrawn
+
+        def end(stage: RolloutStage) -> None:
+            number = self.machine.state.rollouts["app"].number
+            self.apply(UpdateRollout("app", number, stage, 0.0, 600.0))
+
+        self.assertEqual((), order("v2"))
+        end(RolloutStage.ROLLED_BACK)
+        self.assertEqual(("v2",), order("v3"))
+        end(RolloutStage.COMPLETED)
+        self.assertEqual(("v2",), order("v4"))
+        self.assertEqual((), order("v2"))
+
     def test_snapshot(self) -> None:
         self.apply(replace(4, b"four"))
         self.apply(BeginRollout("app", "v2", 1000.0))
