Borders take no text that ends with a line feed

Cause: patterns with $ also match before a line feed at the end, so the entry passed the border; h11 refuses the id as a header, and only errors of the other side were caught.

Ruled out: the patterns of the resources (their library takes $ for the end).

Change: the patterns of the list and of the settings end with \Z, those of addresses take ASCII digits. A header that can't be sent breaks its own call, with nothing sent.

--- a/ashlatch/http/upstream.py
+++ b/ashlatch/http/upstream.py
@@ -164,8 +164,12 @@
         """Sends a complete request; raises `UpstreamBroken`."""
         if self._transport is None or self._transport.is_closing():
             raise UpstreamBroken(self.address, self._lost_reason or "closing")
+        try:
+            head = h11.Request(method=method, target=target, headers=headers)
+        except h11.LocalProtocolError as error:
+            # A value that no header can hold: nothing is sent.
+            raise UpstreamBroken(self.address, str(error)) from error
         self.requests += 1
-        head = h11.Request(method=method, target=target, headers=headers)
         data = self._http.send(head)
         if body:
             data = (data or b"") + (self._http.send(h11.Data(data=body)) or b"")
--- a/ashlatch/platform/instances.py
+++ b/ashlatch/platform/instances.py
@@ -23,9 +23,11 @@
 __all__ = ["Page", "decode_page", "page_target"]
 
 # Printable text without spaces: ids are sent in headers, and all of it is logged.
-_Name = Annotated[str, msgspec.Meta(pattern=r"^[!-~]{1,200}$")]
-_Text = Annotated[str, msgspec.Meta(pattern=r"^[!-~]{0,200}$")]
-_Address = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:[1-9]\d{0,4}$")]
+_Name = Annotated[str, msgspec.Meta(pattern=r"^[!-~]{1,200}\Z")]
+_Text = Annotated[str, msgspec.Meta(pattern=r"^[!-~]{0,200}\Z")]
+_Address = Annotated[
+    str, msgspec.Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[1-9][0-9]{0,4}\Z")
+]
 # More concurrent requests than any endpoint runs; larger numbers are invalid.
 _Slots = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
 # No endpoint is cold for more than a day after its start; larger values are invalid.
--- a/ashlatch/settings.py
+++ b/ashlatch/settings.py
@@ -46,13 +46,13 @@
 
 # A host and a port from 1 to 65,535.
 ADDRESS_PATTERN = (
-    r"^.+:0*([1-9]\d{0,3}|[1-5]\d{4}|6[0-4]\d{3}|65[0-4]\d\d|655[0-2]\d|6553[0-5])$"
+    r"^.+:0*([1-9]\d{0,3}|[1-5]\d{4}|6[0-4]\d{3}|65[0-4]\d\d|655[0-2]\d|6553[0-5])\Z"
 )
 ADDRESS_RULE = "must be an IP address and a port, such as 10.0.0.1:7000"
 
 AddressText = Annotated[str, Meta(pattern=ADDRESS_PATTERN)]
-Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
-Sha256 = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}\Z")]
+Sha256 = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}\Z")]
 PositiveFloat = Annotated[float, Meta(gt=0)]
 NonNegativeFloat = Annotated[float, Meta(ge=0)]
 Ratio = Annotated[float, Meta(ge=0, le=1)]
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -20,6 +20,7 @@
 
 from ashlatch.fleet.discovery import ListReader, ListUnreadable
 from ashlatch.http.connection import HttpRequest
+from ashlatch.http.upstream import Upstream, UpstreamBroken
 from ashlatch.platform.document import DocumentError, decode_catalog
 from ashlatch.platform.headers import MalformedRequest, decode_answer, decode_request
 from ashlatch.platform.instances import decode_page
@@ -54,6 +55,27 @@
 )
 
 
+class LineFeedTest(testtools.TestCase):
+    """Texts that end with a line feed, which no header can hold."""
+
+    def test_an_entry_with_a_line_feed_in_a_text_is_left_out(self) -> None:
+        """Each leader of the core ended when it sent such an id as a header."""
+        for name in ("id", "service", "address", "zone", "version"):
+            bad = {**ENTRY, "id": "i-2", name: f"{ENTRY[name]}\n"}
+            listed = decode_page(page(*(json.dumps(e).encode() for e in (bad, ENTRY))))
+            self.assertEqual(["i-1"], [e.instance for e in listed.endpoints], name)
+
+    def test_a_header_that_cannot_be_sent_breaks_only_its_call(self) -> None:
+        async def send() -> None:
+            server = StubServer([stub_server.answer_with()])
+            await server.start()
+            connection = await Upstream.connect(server.address, 1.0)
+            connection.send("GET", "/", [(b"Host", b"a"), (b"X-A", b"b\n")], b"")
+
+        with testtools.ExpectedException(UpstreamBroken):
+            asyncio.run(send())
+
+
 def page(*entries: bytes, next_token: bytes = b"null") -> bytes:
     listed = b",".join(entries)
     return b'{"instances":[' + listed + b'],"nextToken":' + next_token + b"}"
