Entries beside one that is cut off in a text are read

Cause: the list was split at brackets and commas outside of texts, over the whole page. One unbalanced quotation mark turned inside and outside round for all that followed, so the array was never closed and the list stayed unread; with two of them the entries between were lost.

Ruled out: bytes that aren't UTF-8, control characters, nesting and numbers out of range (they leave the other entries as they are).

Change: elements are read one after the other. After one that can't be read, the next readable one begins after a comma; brackets have to match.

--- a/ashlatch/platform/json_decoding.py
+++ b/ashlatch/platform/json_decoding.py
@@ -32,10 +32,14 @@
 _TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{},]', re.DOTALL)
 # Positions and values differ between entries. They are removed from reasons, or there
 # would be as many different reasons as entries and each of them would be logged.
+_CLOSING = {b"[": b"]", b"{": b"}"}
+_NEXT_OBJECT = re.compile(rb",\s*(?=\{)")
 _NUMBER = re.compile(r"\d+")
 # More elements than any list of endpoints or of cached prompts has. An element that is
 # not valid takes some microseconds, and the process does nothing else meanwhile.
 ELEMENTS_MAX = 50_000
+# Unreadable elements are searched for readable ones; each search takes microseconds.
+SEARCHES_MAX = 5_000
 # The maximum length of a decoder's message in a log line.
 REASON_CHARACTERS_MAX = 80
 
@@ -78,43 +82,122 @@
 
         decode_elements(b'{"names":["a",5,"b"]}', "names", str).items  # ("a", "b")
     """
-    parts, rest = _split_array(body, name)
-    items = []
-    left_out: Counter[str] = Counter()
-    for part in parts:
+    begin = _find_array(body, name)
+    reader = _ArrayReader(body, begin, kind)
+    position = begin
+    for _ in range(ELEMENTS_MAX):
+        element_end = _element_end(body, position)
+        if reader.is_empty(position, element_end):
+            return reader.elements(element_end)
+        position, closed = reader.read(position, element_end)
+        if closed:
+            return reader.elements(position)
+        if position < 0:
+            raise JsonUnreadable(f"the array {name} is not closed")
+    raise JsonUnreadable(f"the array {name} is too long")
+
+
+class _ArrayReader:
+    """Reads the elements of an array one after the other.
+
+    An element that is not JSON, is nested too deeply or is not UTF-8 does not affect
+    the others. One with an unbalanced quotation mark has no end of its own: the next
+    element is the first readable one that begins after a comma.
+    """
+
+    def __init__(self, body: bytes, begin: int, kind: Any) -> None:
+        self._body = body
+        self._begin = begin
+        self._kind = kind
+        self._items: list[Any] = []
+        self._left_out: Counter[str] = Counter()
+        self._searches = 0
+
+    def is_empty(self, position: int, element_end: int) -> bool:
+        """Checks whether the array has no elements."""
+        blank = element_end >= 0 and not self._body[position:element_end].strip()
+        return position == self._begin and blank and self._closes(element_end)
+
+    def elements(self, end: int) -> Elements[Any]:
+        """Returns what was read of an array that ends with the bracket at `end`."""
+        rest = self._body[: self._begin] + self._body[end:]
+        return Elements(tuple(self._items), rest, self._left_out)
+
+    def read(self, position: int, element_end: int) -> tuple[int, bool]:
+        """Reads an element; returns where the next one begins.
+
+        If the array is closed after it, returns the position of the bracket and true.
+        The position is -1 if there is neither.
+        """
+        part = self._body[position : element_end if element_end >= 0 else None]
         try:
-            items.append(decode_json(part, kind))
+            self._items.append(decode_json(part, self._kind))
         except JsonUnreadable as error:
-            left_out[_NUMBER.sub("N", error.reason)] += 1
-    return Elements(tuple(items), rest, left_out)
-
-
-def _split_array(body: bytes, name: str) -> tuple[list[bytes], bytes]:
-    """Returns the undecoded elements of an array, and the document with it emptied.
-
-    The array is split at brackets and commas outside of strings, so that an element
-    that is not JSON, is nested too deeply or is not UTF-8 does not affect the others.
+            self._left_out[_NUMBER.sub("N", error.reason)] += 1
+            hidden_end = self._read_hidden(position, part)
+            if hidden_end is None and not self._closes_or_continues(element_end):
+                return self._find_closing(position)
+            element_end = element_end if hidden_end is None else hidden_end
+        if self._closes(element_end):
+            return element_end, True
+        return element_end + 1, False
+
+    def _read_hidden(self, position: int, part: bytes) -> int | None:
+        """Reads an element that an unreadable one contains; returns where it ends."""
+        for start in _NEXT_OBJECT.finditer(part):
+            self._searches += 1
+            if self._searches > SEARCHES_MAX:
+                raise JsonUnreadable("too many unreadable elements")
+            begin = position + start.end()
+            end = _element_end(self._body, begin)
+            try:
+                item = decode_json(self._body[begin:end], self._kind)
+            except JsonUnreadable:
+                continue
+            self._items.append(item)
+            return end
+        return None
+
+    def _closes_or_continues(self, position: int) -> bool:
+        comma = position >= 0 and self._body[position : position + 1] == b","
+        return comma or self._closes(position)
+
+    def _find_closing(self, position: int) -> tuple[int, bool]:
+        """Finds the bracket that closes the array after an unreadable element."""
+        while (position := self._body.find(b"]", position)) >= 0:
+            self._searches += 1
+            if self._searches > SEARCHES_MAX:
+                break
+            try:
+                decode_json(self._body[: self._begin] + self._body[position:], Any)
+            except JsonUnreadable:
+                position += 1
+                continue
+            return position, True
+        return -1, False
+
+    def _closes(self, position: int) -> bool:
+        return position >= 0 and self._body[position : position + 1] == b"]"
+
+
+def _element_end(body: bytes, position: int) -> int:
+    """Returns the position of the comma or bracket after an element.
+
+    Returns -1 if there is none, or if the brackets up to it do not match.
     """
-    begin = _find_array(body, name)
-    depth = 1
-    parts: list[bytes] = []
-    element_start = begin
-    for token in _TOKEN.finditer(body, begin):
+    expected: list[bytes] = []
+    for token in _TOKEN.finditer(body, position):
         delimiter = token.group()
-        if delimiter in (b"[", b"{"):
-            depth += 1
+        if delimiter in _CLOSING:
+            expected.append(_CLOSING[delimiter])
         elif delimiter in (b"]", b"}"):
-            depth -= 1
-        if depth == 0 or (depth == 1 and delimiter == b","):
-            if len(parts) == ELEMENTS_MAX:
-                raise JsonUnreadable(f"the array {name} is too long")
-            parts.append(body[element_start : token.start()])
-            element_start = token.end()
-        if depth == 0:
-            is_empty = len(parts) == 1 and not parts[0].strip()
-            rest = body[:begin] + body[token.start() :]
-            return [] if is_empty else parts, rest
-    raise JsonUnreadable(f"the array {name} is not closed")
+            if not expected:
+                return token.start()
+            if expected.pop() != delimiter:
+                return -1
+        elif not expected and delimiter == b",":
+            return token.start()
+    return -1
 
 
 def _find_array(body: bytes, name: str) -> int:
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -55,6 +55,36 @@
 )
 
 
+class CutEntryTest(testtools.TestCase):
+    """Entries that are cut off in the middle of a text."""
+
+    GOOD = tuple(
+        json.dumps({**ENTRY, "id": name}).encode() for name in ("i-1", "i-2", "i-3")
+    )
+
+    def listed(self, *entries: bytes) -> list[str]:
+        decoded = decode_page(page(*entries, next_token=b'"p"'))
+        self.assertEqual("p", decoded.next_page)
+        self.assertNotEqual({}, decoded.left_out)
+        return [endpoint.instance for endpoint in decoded.endpoints]
+
+    def test_entries_beside_a_cut_one_are_read(self) -> None:
+        """The whole list stayed unread, and endpoints that drained got requests."""
+        whole = json.dumps({**ENTRY, "id": "i-9"}).encode()
+        for length in range(1, len(whole)):
+            cut = whole[:length]
+            for position in range(4):
+                entries = [*self.GOOD[:position], cut, *self.GOOD[position:]]
+                names = self.listed(*entries)
+                self.assertEqual(["i-1", "i-2", "i-3"], names, f"{position} {cut!r}")
+
+    def test_entries_between_two_cut_ones_are_read(self) -> None:
+        cut = b'{"id":"i-9","service":"ap'
+        first, second, third = self.GOOD
+        names = self.listed(cut, first, second, cut, third, cut)
+        self.assertEqual(["i-1", "i-2", "i-3"], names)
+
+
 class LineFeedTest(testtools.TestCase):
     """Texts that end with a line feed, which no header can hold."""
 
