Late answers of the platform don't replace what the core has sent since

Cause: the answer to a gateway's own read of the list was given the order that the gateway had when the answer came, so it replaced the core's newer list.

Ruled out: that the core's list came late (the gateway had it before).

Change: the order is taken before the read, and the answer is dropped if the order has changed or the core has answered since.

--- a/ashlatch/gateway/sync.py
+++ b/ashlatch/gateway/sync.py
@@ -305,6 +305,8 @@
                 < DIRECT_READ_AFTER_MS
             ):
                 continue
+            order = self._context.directory.list_order
+            begun_ms = self._now_ms()
             try:
                 endpoints = await self._reader.read()
             except ListUnreadable as error:
@@ -312,10 +314,12 @@
                 age_ms = int(self._now_ms() - self._context.directory.listed_ms)
                 emit(log, ListReadFailed(error.reason, age_ms), logging.WARNING)
                 continue
-            epoch, number = self._context.directory.list_order
-            self._updates.replace_endpoints(
-                EndpointList(epoch, number, endpoints), "platform"
-            )
+            current = self._context.directory.list_order
+            if order != current or self._last_current_ms >= begun_ms:
+                # The core has sent newer state while this answer was on its way.
+                self._context.metrics.count("list_overtaken")
+                continue
+            self._updates.replace_endpoints(EndpointList(*order, endpoints), "platform")
 
     def _apply(self, address: str, reply: SyncReply) -> None:
         if reply.members:
--- a/tests/test_sync.py
+++ b/tests/test_sync.py
@@ -4,10 +4,20 @@
 import random
 from dataclasses import replace
 from typing import Any
+from unittest import mock
 
+import msgspec
 import testtools
 
-from ashlatch.catalog import CoreVm, GatewayVm, Rollout, RolloutStage, SessionHashes
+from ashlatch.catalog import (
+    CoreVm,
+    Endpoint,
+    EndpointList,
+    GatewayVm,
+    Rollout,
+    RolloutStage,
+    SessionHashes,
+)
 from ashlatch.errors import TransportError
 from ashlatch.fleet.leader_link import LeaderLink
 from ashlatch.fleet.machine import FleetState
@@ -90,6 +100,47 @@
     )
 
 
+class DirectReadTest(testtools.TestCase):
+    """A gateway reads the platform's list itself while the core is silent."""
+
+    def leaving_after_read(self, meanwhile: SyncReply | None) -> bool:
+        """Returns whether an endpoint leaves after a late answer that has it ready."""
+        ready = Endpoint("i-1", "app", "a:1", "hall-1", "v1", 8, False)
+        leaving = msgspec.structs.replace(ready, leaving=True)
+
+        async def run() -> bool:
+            context = build_context()
+            seeds = Seeds(SETTINGS, lambda: SETTINGS)
+            core_sync = CoreSync(context, seeds, "x:1", 20.0, LOCAL)
+            context.directory.replace(EndpointList(1, 1, (leaving,)), 0.0)
+            read = asyncio.Event()
+
+            async def late() -> tuple[Endpoint, ...]:
+                if meanwhile is not None:
+                    core_sync._apply("core", meanwhile)
+                read.set()
+                return (ready,)
+
+            with (
+                mock.patch.object(sync, "DIRECT_READ_PAUSE_S", (0.0, 0.0)),
+                mock.patch.object(sync, "DIRECT_READ_AFTER_MS", -1.0),
+                mock.patch.object(core_sync._reader, "read", late),
+            ):
+                task = asyncio.create_task(core_sync.read_platform_list())
+                await read.wait()
+                await asyncio.sleep(0)
+                task.cancel()
+            (state,) = context.directory.all()
+            return state.endpoint.leaving
+
+        return asyncio.run(run())
+
+    def test_a_late_answer_does_not_undo_what_the_core_has_sent(self) -> None:
+        """An endpoint that drained got requests again until the list changed."""
+        self.assertFalse(self.leaving_after_read(None))
+        self.assertTrue(self.leaving_after_read(SyncReply(True)))
+
+
 class MovedSessionsTest(testtools.TestCase):
     """The core gets reports at once, also while the request for updates is held."""
 
