Bound the search for readable entries after unreadable ones

Found in the read-through: with many entries that are cut off in a text, each of them would be read to the end of the page, which holds the process up for seconds. The bytes that are read again are bounded by 4 MB a page, and the page stays unread beyond that. test_many_cut_entries_do_not_hold_the_process_up.

--- a/ashlatch/platform/json_decoding.py
+++ b/ashlatch/platform/json_decoding.py
@@ -38,8 +38,9 @@
 # More elements than any list of endpoints or of cached prompts has. An element that is
 # not valid takes some microseconds, and the process does nothing else meanwhile.
 ELEMENTS_MAX = 50_000
-# Unreadable elements are searched for readable ones; each search takes microseconds.
-SEARCHES_MAX = 5_000
+# The bytes that are read again to find readable elements after unreadable ones; the
+# process does nothing else meanwhile.
+SEARCH_MAX_BYTES = 4_194_304
 # The maximum length of a decoder's message in a log line.
 REASON_CHARACTERS_MAX = 80
 
@@ -111,7 +112,7 @@
         self._kind = kind
         self._items: list[Any] = []
         self._left_out: Counter[str] = Counter()
-        self._searches = 0
+        self._searched_bytes = 0
 
     def is_empty(self, position: int, element_end: int) -> bool:
         """Checks whether the array has no elements."""
@@ -134,6 +135,7 @@
             self._items.append(decode_json(part, self._kind))
         except JsonUnreadable as error:
             self._left_out[_NUMBER.sub("N", error.reason)] += 1
+            self._count_search(len(part))
             hidden_end = self._read_hidden(position, part)
             if hidden_end is None and not self._closes_or_continues(element_end):
                 return self._find_closing(position)
@@ -145,11 +147,9 @@
     def _read_hidden(self, position: int, part: bytes) -> int | None:
         """Reads an element that an unreadable one contains; returns where it ends."""
         for start in _NEXT_OBJECT.finditer(part):
-            self._searches += 1
-            if self._searches > SEARCHES_MAX:
-                raise JsonUnreadable("too many unreadable elements")
             begin = position + start.end()
             end = _element_end(self._body, begin)
+            self._count_search((end if end >= 0 else len(self._body)) - begin)
             try:
                 item = decode_json(self._body[begin:end], self._kind)
             except JsonUnreadable:
@@ -165,9 +165,7 @@
     def _find_closing(self, position: int) -> tuple[int, bool]:
         """Finds the bracket that closes the array after an unreadable element."""
         while (position := self._body.find(b"]", position)) >= 0:
-            self._searches += 1
-            if self._searches > SEARCHES_MAX:
-                break
+            self._count_search(len(self._body) - position)
             try:
                 decode_json(self._body[: self._begin] + self._body[position:], Any)
             except JsonUnreadable:
@@ -176,6 +174,11 @@
             return position, True
         return -1, False
 
+    def _count_search(self, size_bytes: int) -> None:
+        self._searched_bytes += size_bytes
+        if self._searched_bytes > SEARCH_MAX_BYTES:
+            raise JsonUnreadable("too many unreadable elements")
+
     def _closes(self, position: int) -> bool:
         return position >= 0 and self._body[position : position + 1] == b"]"
 
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -78,6 +78,15 @@
                 names = self.listed(*entries)
                 self.assertEqual(["i-1", "i-2", "i-3"], names, f"{position} {cut!r}")
 
+    def test_many_cut_entries_do_not_hold_the_process_up(self) -> None:
+        """Each of them is read to the end of the page."""
+        cut = b'{"id":"i-9","service":"ap'
+        body = page(*(cut, *self.GOOD) * 5_000)
+        begun_s = time.monotonic()
+        with testtools.ExpectedException(JsonUnreadable):
+            decode_page(body)
+        self.assertLess(time.monotonic() - begun_s, 2.0)
+
     def test_entries_between_two_cut_ones_are_read(self) -> None:
         cut = b'{"id":"i-9","service":"ap'
         first, second, third = self.GOOD
