--- a/tests/test_repeat.py
+++ b/tests/test_repeat.py
@@ -4,12 +4,14 @@
 import asyncio
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 import testtools
 
 import ashlatch
 from ashlatch.catalog import RepeatPolicy
 from ashlatch.errors import InvariantViolated
+from ashlatch.gateway.chooser import EndpointChooser
 from ashlatch.gateway.routing import RouteTable
 from ashlatch.platform.document import decode_catalog
 from ashlatch.policy.repeat import EarlierSends, SendReason, may_send
@@ -158,6 +160,15 @@
         status, models = self.send("/only/1", [unsure(3)])
         self.assertEqual((200, ["large"]), (status, models))
 
+    def test_an_unsure_answer_of_the_only_run_is_forwarded(self) -> None:
+        """No larger model was in time before the send, but one is after it."""
+        choices = [("", 0.0), ("large", 0.0)]
+        with mock.patch.object(
+            EndpointChooser, "first_model_in_time", side_effect=choices
+        ):
+            status, models = self.send("/only/1", [unsure(3)])
+        self.assertEqual((200, ["small"]), (status, models))
+
 
 class RouterTableTest(RouterTest):
     def test_no_reason_sends_what_may_have_run(self) -> None:
