Tests: crowds of clients at every port, one process at a time

Clients outside the limits ended a process. These tests start the system's own processes, connect a crowd, and check that the process lives, its peak memory with what its sockets hold unread (150 MB, the smallest VM), its descriptors, and one ordinary answer while the crowd is connected and after it has left.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,8 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/mypy
-	$(BIN)/python -m pytest --numprocesses 4
+	$(BIN)/python -m pytest --numprocesses 4 --ignore tests/crowds
+	$(BIN)/python -m pytest tests/crowds
 
 bench: venv
 	$(BIN)/python -m bench.all
