Answers of endpoints are received 64 KB at a time

Callers saw a gateway near its limit of memory while many of them read nothing of long answers. Cause: asyncio passes up to 256 KB to a protocol at once, and a connection to an endpoint read up to 1 MB ahead of its request's task; neither is counted. Ruled out: the parts of answers, which answers_max_bytes bounds; fragmentation of the heap (with a fixed mmap threshold the peak was 141 MB still).

--- a/ashlatch/http/upstream.py
+++ b/ashlatch/http/upstream.py
@@ -19,6 +19,7 @@
 from ashlatch.errors import AshlatchError
 from ashlatch.http.connection import Headers
 from ashlatch.http.keepalive import keep_alive
+from ashlatch.http.receiving import BoundedProtocol
 
 __all__ = [
     "CONNECT_REFUSED",
@@ -33,7 +34,7 @@
 # The reason of a `ConnectFailed` if the VM is reachable but nothing listens there.
 CONNECT_REFUSED = ConnectionRefusedError.__name__
 # The limit on bytes that are received and not yet consumed by the request's task.
-READ_AHEAD_MAX_BYTES = 1_048_576
+READ_AHEAD_MAX_BYTES = 65_536
 # A server sends at most a few interim responses before the head of an answer.
 INTERIM_RESPONSES_MAX = 16
 _FRAMING = frozenset({b"content-length", b"transfer-encoding"})
@@ -62,7 +63,7 @@
     return bool(names & _FRAMING) or response.status_code in _NO_BODY
 
 
-class Upstream(asyncio.Protocol):
+class Upstream(BoundedProtocol):
     """A connection to one address, opened by `Upstream.connect`.
 
     `delimited` is false if the body of the last answer ends with the connection.
