Calls between processes: bounded messages, frames, replies and connections

Clients of the ports for calls ended core and state processes: a message may announce 4 GB, and grpclib keeps all of it; data in frames of one byte takes 500 times its size; each arrival is parsed whole, however long that takes; replies that are not read queue up; nothing bounds the connections. Change: clients.ClientPool decides for all ports of a process what its clients may hold (48 MB) and how many connections they may have (three quarters of the descriptors). It closes those first that hold the most for the longest. RpcConnection passes whole frames to grpclib, 32 in a turn of the loop, one connection in each turn. A connection has one stream, a message at most 32 MB, and a reply frees its slot when it is sent. Ruled out: grpclib's window alone; it is reopened while a message is assembled.

--- a/ashlatch/http/early.py
+++ b/ashlatch/http/early.py
@@ -17,11 +17,14 @@
 import socket
 from collections.abc import Sequence
 
-__all__ = ["BACKLOG", "listen_early", "settings_path"]
+__all__ = ["ACCEPTED_PER_TURN", "BACKLOG", "listen", "listen_early", "settings_path"]
 
 # The maximum number of connections that wait to be accepted: as many as arrive within
 # some seconds of a restart.
 BACKLOG = 1024
+# The number of connections that are accepted in one turn of the loop. Those that are
+# closed to accept others only release their descriptors in the next turn.
+ACCEPTED_PER_TURN = 16
 
 
 def settings_path(arguments: Sequence[str], default: str) -> str:
@@ -47,12 +50,13 @@
         with open(path, encoding="utf-8") as settings:
             address = json.load(settings)["listen"]
         host, _, port = address.rpartition(":")
-        return _listen(host, int(port))
+        return listen(host, int(port))
     except (OSError, ValueError, KeyError, TypeError, AttributeError):
         return None
 
 
-def _listen(host: str, port: int) -> socket.socket:
+def listen(host: str, port: int) -> socket.socket:
+    """Returns a socket that listens on an address; raises `OSError`."""
     # asyncio sets `TCP_NODELAY` only on sockets created with an explicit protocol.
     listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     try:
--- a/ashlatch/link.py
+++ b/ashlatch/link.py
@@ -204,6 +204,13 @@
         """Registers the handler of a method."""
         self._methods[method.path] = (method, handler)
 
+    def stream_opened(self, peer: str) -> bool:
+        """Called when a client opens a stream; returns whether it is served."""
+        return True
+
+    def message_received(self, peer: str) -> None:
+        """Called when a message of a client was read."""
+
     def __mapping__(self) -> dict[str, Handler]:
         handler = Handler(self._serve, Cardinality.STREAM_STREAM, Calls, Replies)
         return {PATH: handler}
@@ -211,20 +218,25 @@
     async def _serve(self, stream: Any) -> None:
         outbox = _Outbox()
         slots = asyncio.Semaphore(OPEN_CALLS_MAX)
+        address = stream.peer.addr()
+        peer = f"{address[0]}:{address[1]}" if address else ""
+        if not self.stream_opened(peer):
+            raise GRPCError(Status.RESOURCE_EXHAUSTED, "one stream for a connection")
 
         async def send(frames: tuple[ReplyFrame, ...]) -> None:
             await stream.send_message(Replies(frames))
+            # Only now: a client that does not read its replies gets no more of them.
+            for _ in frames:
+                slots.release()
 
         async def handle(frame: CallFrame) -> None:
-            try:
-                outbox.put(await self._handle_call(frame))
-            finally:
-                slots.release()
+            outbox.put(await self._handle_call(frame))
 
         async with asyncio.TaskGroup() as tasks:
             sender = tasks.create_task(outbox.send_queued(send))
             open_calls: set[asyncio.Task[None]] = set()
             async for calls in _messages(stream):
+                self.message_received(peer)
                 for frame in calls.frames:
                     await slots.acquire()
                     task = tasks.create_task(handle(frame))
--- a/ashlatch/rpc.py
+++ b/ashlatch/rpc.py
@@ -16,18 +16,25 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
+from grpclib.config import Configuration
 from grpclib.server import Server
 
+from ashlatch.clients import ClientPool
 from ashlatch.clock import SuspendAwareLoop
 from ashlatch.codec import TRAFFIC, MessageCodec
 from ashlatch.errors import TransportError
+from ashlatch.http.early import ACCEPTED_PER_TURN, BACKLOG, listen
 from ashlatch.link import CallRefused, Link, LinkLost, LinkService, Method
 from ashlatch.metrics import Metrics
+from ashlatch.rpc_connection import RpcConnection
 
 __all__ = ["Address", "Peer", "RpcLoop", "RpcService", "register_traffic_metrics"]
 
 R = TypeVar("R")
 
+# What a client may send before it is read: more than the messages that are sent often.
+WINDOW_BYTES = 1_048_576
+
 
 def register_traffic_metrics(metrics: Metrics) -> None:
     """Registers metrics of the traffic between this process and others."""
@@ -106,17 +113,51 @@
         await asyncio.gather(*others, return_exceptions=True)
 
 
+class _BoundedServer(Server):
+    """A server that limits what its clients make it keep and do."""
+
+    def __init__(self, service: "RpcService", clients: ClientPool) -> None:
+        config = Configuration(
+            http2_connection_window_size=WINDOW_BYTES,
+            http2_stream_window_size=WINDOW_BYTES,
+        )
+        super().__init__([service], codec=MessageCodec(), config=config)
+        self._service = service
+        self._clients = clients
+
+    def _protocol_factory(self) -> RpcConnection:  # type: ignore[override]
+        return RpcConnection(
+            super()._protocol_factory(), self._clients, self._service.connections
+        )
+
+
 class RpcService(LinkService):
-    """The RPC server of one address."""
+    """The RPC server of one address; `clients` limits what its clients hold."""
 
-    def __init__(self) -> None:
+    def __init__(self, clients: ClientPool | None = None) -> None:
         super().__init__()
+        self._clients = clients or ClientPool()
         self._server: Server | None = None
+        self.connections: dict[str, RpcConnection] = {}
 
     async def start(self, address: Address) -> None:
         """Starts to listen on the address."""
-        self._server = Server([self], codec=MessageCodec())
-        await self._server.start(address.host, address.port)
+        self._server = _BoundedServer(self, self._clients)
+        listening = listen(address.host, address.port)
+        # asyncio accepts as many connections in one turn as its backlog.
+        await self._server.start(sock=listening, backlog=ACCEPTED_PER_TURN)
+        listening.listen(BACKLOG)
+
+    def stream_opened(self, peer: str) -> bool:
+        """Counts the stream of a connection; there is one for each."""
+        connection = self.connections.get(peer)
+        return connection is None or connection.open_stream()
+
+    def message_received(self, peer: str) -> None:
+        """Notes that a whole message of a connection was read."""
+        connection = self.connections.get(peer)
+        if connection is not None:
+            connection.message_received()
 
     async def stop(self) -> None:
         """Stops listening and ends open calls."""
--- a/ashlatch/settings.py
+++ b/ashlatch/settings.py
@@ -16,10 +16,12 @@
 import msgspec
 from msgspec import Meta
 
+from ashlatch.clients import ClientLimits
 from ashlatch.errors import FieldError, SettingsError
 from ashlatch.rpc import Address
 
 __all__ = [
+    "ClientSettings",
     "ControlSettings",
     "CoreSettings",
     "ExposureSettings",
@@ -76,6 +78,30 @@
     idle_timeout_ms: Annotated[int, Meta(ge=100)] = 10_000
 
 
+class ClientSettings(Settings, frozen=True, kw_only=True):
+    """Limits on what all clients of a process make it keep.
+
+    `held_max_bytes` is the memory for their connections, requests and unread answers.
+    They may have three quarters of the descriptors: `descriptors_max`, or what the
+    operating system allows if that is 0 or more. A request must be received within
+    `body_timeout_ms`. `closing_order` names which connections are closed first.
+    """
+
+    held_max_bytes: PositiveInt = 50_331_648
+    descriptors_max: Annotated[int, Meta(ge=0)] = 0
+    body_timeout_ms: PositiveInt = 60_000
+    closing_order: Literal["largest", "slowest", "costliest"] = "costliest"
+
+    @property
+    def limits(self) -> ClientLimits:
+        """Returns the limits of the process's pool of clients."""
+        return ClientLimits(
+            held_max_bytes=self.held_max_bytes,
+            descriptors_max=self.descriptors_max,
+            closing_order=self.closing_order,
+        )
+
+
 class StateSettings(Settings, frozen=True, kw_only=True):
     """Settings of `ashlatch-state`.
 
@@ -99,6 +125,7 @@
     clock_drift_ratio: Annotated[float, Meta(ge=0, lt=0.5)] = 0.05
     snapshot_every_records: Annotated[int, Meta(ge=10)] = 2000
     retention_ms: Annotated[int, Meta(ge=1000)] = 86_400_000
+    clients: ClientSettings = ClientSettings()
     log_level: str = "INFO"
 
     @property
@@ -129,6 +156,7 @@
     listen: AddressText
     state_addresses: Annotated[tuple[AddressText, ...], Meta(min_length=1)]
     http: HttpLimits = HttpLimits()
+    clients: ClientSettings = ClientSettings()
     policy: PolicySettings = PolicySettings()
     rating_url: str = ""
     rating_sample_ratio: Ratio = 0.2
@@ -161,6 +189,7 @@
     rating_url: str = ""
     weight_store_url: str = ""
     http: HttpLimits = HttpLimits()
+    clients: ClientSettings = ClientSettings()
     state_timeout_ms: PositiveFloat = 4000.0
     control_poll_ms: PositiveFloat = 500.0
     platform_poll_ms: PositiveFloat = 500.0
@@ -186,6 +215,7 @@
     list_read_ms: PositiveFloat = 1000.0
     sync_wait_ms: PositiveFloat = 500.0
     metrics_port: Annotated[int, Meta(gt=0, le=PORT_MAX)] = 9464
+    clients: ClientSettings = ClientSettings()
     log_level: str = "INFO"
 
     @property
--- a/ashlatch/store/daemon.py
+++ b/ashlatch/store/daemon.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
+from ashlatch.clients import ClientPool
 from ashlatch.clock import monotonic_ms, monotonic_s, unix_ms
 from ashlatch.errors import TransportError
 from ashlatch.log import LogEvent, emit
@@ -105,7 +106,7 @@
 
     def start(self) -> None:
         """Starts listening, and runs the groups."""
-        service = RpcService()
+        service = RpcService(ClientPool(self.settings.clients.limits))
         service.add(protocol.DELIVER, self.transport.receive_batch)
         service.add(protocol.JOIN, self._join)
         service.add(protocol.PROPOSE, self._propose)
