HTTP: what clients make gateways and core VMs keep and do is bounded

Clients outside the limits ended a process for lack of memory, or stopped all service: nothing bounded the sum of bodies; each chunk was kept as an object; 256 KB of one-byte chunks were parsed in one turn of the loop; a body over the limit was read until it passed it, though announced; closing with unread data reset the connection, so that the refusal was lost; each byte of a body renewed the idle time; idle connections took all descriptors. Change: connections report what they hold to the pool of clients: heads by their number of headers, bodies twice while they are handled, read-ahead, the kernel's buffer while a connection is not read, unread answers. A body is one buffer. Eight events are parsed when data arrives, the rest in turns of 64, one connection in each turn. A length over the limit is refused at once. After a refusal the sending side is closed, and what still comes is dropped for 2 s or 32 MB. A body must arrive within the caller's time, 60 s at most (408). The ports for readiness and metrics take 1 KB. A request that is refused has not been handled, so 408, 413, 431 and 503 are true.

--- a/ashlatch/fleet/daemon.py
+++ b/ashlatch/fleet/daemon.py
@@ -19,6 +19,7 @@
 from pathlib import Path
 
 from ashlatch.catalog import CoreVm, Endpoint, Rollout, Service
+from ashlatch.clients import ClientPool
 from ashlatch.clock import monotonic_ms
 from ashlatch.fleet.bootstrap import open_member
 from ashlatch.fleet.command_client import CommandClient
@@ -230,7 +231,8 @@
         return 0
 
     async def _start(self) -> None:
-        service = RpcService()
+        clients = ClientPool(self.settings.clients.limits, self.metrics.count)
+        service = RpcService(clients)
         service.add(store_protocol.DELIVER, self._transport.receive_batch)
         service.add(SYNC, self._handle_sync)
         service.add(JOIN, self._handle_join)
@@ -240,10 +242,14 @@
         self._service = service
         await service.start(Address.parse(self.settings.rpc_address))
         bounds = HttpBounds(
-            body_max_bytes=DOCUMENT_MAX_BYTES, idle_timeout_s=OPERATOR_IDLE_TIMEOUT_S
+            body_max_bytes=DOCUMENT_MAX_BYTES,
+            idle_timeout_s=OPERATOR_IDLE_TIMEOUT_S,
+            body_timeout_s=self.settings.clients.body_timeout_ms / 1000.0,
         )
         self._operators = HttpListener(
-            OperatorApi(self._commands, frozenset(self.settings.halls)).handle, bounds
+            OperatorApi(self._commands, frozenset(self.settings.halls)).handle,
+            bounds,
+            clients,
         )
         self._operators.on_handler_error = self._failed
         listen = Address.parse(self.settings.listen)
@@ -254,7 +260,7 @@
             "list_entries_left_out", lambda: reader.skipped_total
         )
         await serve_metrics(
-            self.metrics, self.settings.host, self.settings.metrics_port
+            self.metrics, self.settings.host, self.settings.metrics_port, clients
         )
         join = join_group(
             self.member,
--- a/ashlatch/gateway/daemon.py
+++ b/ashlatch/gateway/daemon.py
@@ -17,6 +17,7 @@
 from dataclasses import replace
 
 from ashlatch.catalog import GatewayVm
+from ashlatch.clients import ClientPool
 from ashlatch.fleet.seeds import Seeds
 from ashlatch.gateway.admission import Refused, admit, refuse
 from ashlatch.gateway.answer_memory import AnswerMemory
@@ -52,7 +53,11 @@
 from ashlatch.log import emit
 from ashlatch.metrics import serve_metrics
 from ashlatch.platform.contracts import requires_admission_control
-from ashlatch.platform.headers import MalformedRequest, decode_request
+from ashlatch.platform.headers import (
+    MalformedRequest,
+    caller_timeout_s,
+    decode_request,
+)
 from ashlatch.platform.operator import READY_TARGET
 from ashlatch.policy.congestion import Congestion
 from ashlatch.policy.endpoint import ENDPOINT_POLICIES
@@ -74,6 +79,8 @@
 SWEEP_S = 0.25
 # What another gateway adds to the head of a request that it relays.
 RELAY_HEAD_BYTES = 512
+# Questions about readiness have no body.
+READY_BODY_MAX_BYTES = 1024
 # Other gateways use idle connections for less than this time.
 RELAY_IDLE_S = 6.0
 # The interval at which the traffic counts are logged; they grow slowly.
@@ -148,11 +155,16 @@
         return aborted
 
     async def _start(self) -> None:
-        self.listener = HttpListener(self._handle)
+        clients = ClientPool(self.settings.clients.limits, self.context.metrics.count)
+        self._clients = clients
+        self.listener = HttpListener(self._handle, clients=clients)
+        self.listener.caller_timeout_s = caller_timeout_s
         self.listener.on_handler_error = self._handler_failed
         self.listener.on_malformed = self._unreadable
         self.listener.accepts = self._accepts
-        self._ready_listener = HttpListener(self._handle_ready)
+        self._ready_listener = HttpListener(
+            self._handle_ready, HttpBounds(body_max_bytes=READY_BODY_MAX_BYTES), clients
+        )
         local = GatewayVm(self.settings.rpc_address, self.settings.hall)
         self._sync = CoreSync(
             self.context,
@@ -180,7 +192,9 @@
         register_traffic_metrics(self.context.metrics)
         self.context.metrics.register_callback("configuration_version", self._version)
         metrics_port = self.settings.metrics_port
-        await serve_metrics(self.context.metrics, self.settings.host, metrics_port)
+        await serve_metrics(
+            self.context.metrics, self.settings.host, metrics_port, clients
+        )
         self._restrictions_fetched = asyncio.Event()
         prober = LivenessProber(
             self.context.directory,
@@ -212,7 +226,7 @@
             lambda: self.ready,
             self.settings.relay.requests_max,
         )
-        self._relay_listener = HttpListener(server.handle)
+        self._relay_listener = HttpListener(server.handle, clients=self._clients)
         self._relay_listener.on_handler_error = self._handler_failed
         self._relay_listener.on_malformed = self._unreadable
         if not self.settings.relay.enabled:
@@ -411,6 +425,7 @@
                     limits.body_max_bytes,
                     limits.head_timeout_ms / 1000.0,
                     limits.idle_timeout_ms / 1000.0,
+                    self.settings.clients.body_timeout_ms / 1000.0,
                 )
                 self.listener.bounds = bounds
                 self._relay_listener.bounds = replace(
--- a/ashlatch/http/connection.py
+++ b/ashlatch/http/connection.py
@@ -16,8 +16,10 @@
 
 import h11
 
+from ashlatch.clients import ClientPool, ClientUse
 from ashlatch.errors import AshlatchError
 from ashlatch.http.keepalive import CALLER_UNACKNOWLEDGED_MAX_MS, keep_alive
+from ashlatch.http.receiving import BoundedProtocol
 
 __all__ = [
     "CallerGone",
@@ -27,13 +29,36 @@
     "HttpBounds",
     "HttpRequest",
     "ListenerProtocol",
+    "Refusal",
     "Responder",
 ]
 
 Headers = list[tuple[bytes, bytes]]
 
-# The limit on bytes read of pipelined requests while a request is handled.
+# The limit on received bytes that wait to be parsed; beyond it, no more are read.
 READ_AHEAD_MAX_BYTES = 65_536
+# The limit on bytes that are passed to the parser together.
+PARSED_TOGETHER_BYTES = 65_536
+# The limits on parsed events when data arrives, which suffices for ordinary requests,
+# and in each later turn of the loop.
+EVENTS_AT_ONCE = 8
+EVENTS_PER_TURN = 64
+# What an open connection, a request that is handled and a header take in memory besides
+# their bytes.
+CONNECTION_BYTES = 12_288
+REQUEST_BYTES = 16_384
+HEADER_BYTES = 400
+# What the kernel may keep for a connection that is not read.
+KERNEL_BYTES = 131_072
+# What is read ahead of an endpoint's stream while its caller does not read.
+STREAM_BYTES = 131_072
+# A body that is handled is also in the write buffer of a connection to an endpoint.
+BODY_COPIES = 2
+# After a refusal, received data is dropped for this time and up to this size. Closing
+# the connection with unread data would reset it, and the refusal might be lost.
+LINGER_S = 2.0
+LINGER_MAX_BYTES = 33_554_432
+OVERLOADED_STATUS = 503
 # Answers without a body, whatever their headers say (RFC 9112, section 6.3).
 _BODILESS_METHODS = frozenset({"HEAD", "CONNECT"})
 _BODILESS_STATUSES = frozenset({204, 304})
@@ -47,12 +72,24 @@
 
 @dataclass(frozen=True)
 class HttpBounds:
-    """Limits on the size and duration of a caller's requests; see `CatalogLimits`."""
+    """Limits on the size and duration of a caller's requests; see `CatalogLimits`.
+
+    `body_timeout_s` is the time from the head of a request to the end of its body.
+    """
 
     head_max_bytes: int = 16_384
     body_max_bytes: int = 4_194_304
     head_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
+    body_timeout_s: float = 60.0
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """The headers and body of the answer to a request that is not handled."""
+
+    headers: Headers = field(default_factory=list)
+    body: bytes = b""
 
 
 @dataclass(frozen=True)
@@ -130,26 +167,31 @@
     connections: "set[Connection]"
     active_requests: int
     stopping: bool
+    clients: ClientPool
     accepts: Callable[[], bool]
+    refusal: Callable[[int], Refusal]
+    caller_timeout_s: Callable[[Headers], float | None]
     on_malformed: Callable[[str, str], None]
     on_handler_error: Callable[[BaseException], None]
 
 
 @dataclass
 class _IncomingRequest:
-    """A request that is being read."""
+    """A request that is being read; its body must be complete at `ends_s`."""
 
     head: h11.Request
+    head_held_bytes: int
     received_s: float
-    chunks: list[bytes] = field(default_factory=list)
-    size_bytes: int = 0
+    ends_s: float
+    body: bytearray = field(default_factory=bytearray)
 
 
-class Connection(asyncio.Protocol):
+class Connection(BoundedProtocol):
     """A connection from a caller; handles one request at a time."""
 
     def __init__(self, listener: ListenerProtocol) -> None:
         self._listener = listener
+        self._clients = listener.clients
         self._loop = asyncio.get_running_loop()
         bounds = listener.bounds
         self._http = h11.Connection(
@@ -160,13 +202,21 @@
         self._task: asyncio.Task[None] | None = None
         self._writable = asyncio.Event()
         self._writable.set()
-        self._peer = ""
+        self.peer = ""
         self._method = ""
         # Set while the body of an answer is sent in chunks, which are framed here:
         # `h11` has no state for them, and takes several times as long.
         self._chunked = False
         self.last_activity_s = self._loop.time()
         self.head_begun_s: float | None = None
+        # Received data that the parser has not got yet, and at most what it keeps.
+        self._unparsed = bytearray()
+        self._parser_bytes = 0
+        self._request_bytes = 0
+        self._deferred = False
+        self._paused = False
+        self._linger_until_s: float | None = None
+        self._dropped_bytes = 0
 
     # Called by asyncio.
 
@@ -179,16 +229,21 @@
             return
         keep_alive(transport, CALLER_UNACKNOWLEDGED_MAX_MS)
         peer = transport.get_extra_info("peername")
-        self._peer = f"{peer[0]}:{peer[1]}" if peer else ""
+        self.peer = f"{peer[0]}:{peer[1]}" if peer else ""
         self._listener.connections.add(self)
+        if not self._clients.admit(self):
+            self.refuse(OVERLOADED_STATUS)
 
     def data_received(self, data: bytes) -> None:
         """Data has arrived."""
+        if self._linger_until_s is not None:
+            self._drop(len(data))
+            return
         between_requests = not self.busy and self._incoming is None
         if between_requests and self.head_begun_s is None:
             self.head_begun_s = self._loop.time()
-        self._http.receive_data(data)
-        self._process_events()
+        self._unparsed += data
+        self._process(EVENTS_AT_ONCE)
 
     def eof_received(self) -> bool:
         """The caller has closed its side; it does not wait for an answer either."""
@@ -199,15 +254,63 @@
         """The connection is closed."""
         self._on_disconnect()
         self._transport = None
+        self._incoming = None
+        self._unparsed.clear()
         self._listener.connections.discard(self)
+        self._clients.remove(self)
 
     def pause_writing(self) -> None:
         """The write buffer is full because the caller reads too slowly."""
         self._writable.clear()
+        self._clients.settle(self)
 
     def resume_writing(self) -> None:
         """The write buffer has space again."""
         self._writable.set()
+        self._clients.settle(self)
+
+    # Called by the pool of clients.
+
+    def use(self) -> ClientUse:
+        """Returns what the connection holds, and since when its caller is slow."""
+        held_bytes = CONNECTION_BYTES + len(self._unparsed) + self._parser_bytes
+        since_s = self.last_activity_s
+        if self._incoming is not None:
+            since_s = self._incoming.received_s
+            held_bytes += self._incoming.head_held_bytes + len(self._incoming.body)
+        elif self.head_begun_s is not None:
+            since_s = self.head_begun_s
+        if self.busy:
+            held_bytes += REQUEST_BYTES + self._request_bytes
+        if self._paused:
+            held_bytes += KERNEL_BYTES
+        if not self._writable.is_set():
+            held_bytes += STREAM_BYTES if self.busy else 0
+        if self._transport is not None:
+            held_bytes += self._transport.get_write_buffer_size()
+        if self._linger_until_s is not None:
+            since_s = float("-inf")
+        waits = self.busy and self._writable.is_set() and not self._paused
+        return ClientUse(held_bytes, since_s, not waits)
+
+    @property
+    def closing(self) -> bool:
+        """Tells whether the connection is being closed."""
+        return self._transport is None or self._transport.is_closing()
+
+    def close_early(self) -> None:
+        """Closes the connection, with a refusal if a request is being read."""
+        if self._linger_until_s is not None or self.busy or self._has_unsent:
+            self.abort()
+        elif self.reading:
+            self.refuse(OVERLOADED_STATUS)
+        else:
+            self.close()
+
+    def process(self) -> None:
+        """Processes some of the data that was received."""
+        self._deferred = False
+        self._process(EVENTS_PER_TURN)
 
     # Called by the listener and the responder.
 
@@ -221,6 +324,16 @@
         """Tells whether a request has been read partially."""
         return self.head_begun_s is not None or self._incoming is not None
 
+    @property
+    def linger_until_s(self) -> float | None:
+        """When a connection that was refused is closed; None for any other one."""
+        return self._linger_until_s
+
+    @property
+    def body_until_s(self) -> float | None:
+        """When the body that is being read must be complete."""
+        return self._incoming.ends_s if self._incoming is not None else None
+
     def close(self) -> None:
         """Closes the connection after the write buffer is sent."""
         if self._transport is not None:
@@ -232,12 +345,23 @@
             self._transport.abort()
 
     def refuse(self, status: int) -> None:
-        """Rejects a malformed request with this status and closes the connection."""
+        """Rejects a request that is not handled; then closes the connection.
+
+        The connection stays open for a while, so that the caller can read the answer.
+        """
+        if self._transport is None or self._linger_until_s is not None:
+            return
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+            refusal = self._listener.refusal(status)
+            headers = [
+                *refusal.headers,
+                (b"Content-Length", str(len(refusal.body)).encode()),
+                (b"Connection", b"close"),
+            ]
             self._write(h11.Response(status_code=status, headers=headers))
+            self._write(h11.Data(data=refusal.body))
             self._write(h11.EndOfMessage())
-        self.close()
+        self._linger()
 
     def begin(self, status: int, headers: Headers) -> None:
         """Writes the head of an answer."""
@@ -272,11 +396,38 @@
 
     # Internal.
 
+    @property
+    def _has_unsent(self) -> bool:
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     def _write(self, event: h11.Event) -> None:
         data = self._http.send(event)
         if data and self._transport is not None:
             self._transport.write(data)
 
+    def _linger(self) -> None:
+        """Ends the sending side, and drops what the caller still sends for a while."""
+        assert self._transport is not None
+        self._incoming = None
+        self.head_begun_s = None
+        self._unparsed.clear()
+        self._parser_bytes = 0
+        self._resume_reading()
+        if self._transport.is_closing():
+            return
+        if self not in self._clients:
+            self.close()
+            return
+        self._linger_until_s = self._loop.time() + LINGER_S
+        self._transport.write_eof()
+        self._clients.settle(self)
+
+    def _drop(self, size_bytes: int) -> None:
+        self._dropped_bytes += size_bytes
+        if self._dropped_bytes > LINGER_MAX_BYTES:
+            self.abort()
+
     def _on_disconnect(self) -> None:
         self._writable.set()
         if self._task is not None:
@@ -284,27 +435,66 @@
         elif self._transport is not None:
             self._transport.close()
 
-    def _process_events(self) -> None:
-        while not self.busy:
+    def _process(self, events_max: int) -> None:
+        if not self._deferred and not self._process_events(events_max):
+            self._deferred = True
+            self._clients.defer(self)
+        waits = self.busy or self._deferred
+        if waits and len(self._unparsed) > READ_AHEAD_MAX_BYTES:
+            self._pause_reading()
+        elif not waits:
+            self._resume_reading()
+        self._clients.settle(self)
+
+    def _pause_reading(self) -> None:
+        if not self._paused and self._transport is not None:
+            self._paused = True
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if self._paused and self._transport is not None:
+            self._paused = False
+            self._transport.resume_reading()
+
+    def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        """Returns the next event; passes data to the parser while it needs some."""
+        while (event := self._http.next_event()) is h11.NEED_DATA:
+            self._parser_bytes = min(self._parser_bytes, self._head_max_bytes)
+            if not self._unparsed:
+                break
+            data = bytes(self._unparsed[:PARSED_TOGETHER_BYTES])
+            del self._unparsed[:PARSED_TOGETHER_BYTES]
+            self._parser_bytes += len(data)
+            self._http.receive_data(data)
+        return event
+
+    @property
+    def _head_max_bytes(self) -> int:
+        return self._listener.bounds.head_max_bytes
+
+    def _process_events(self, events_max: int) -> bool:
+        """Processes received data; returns false if some is left for a later turn."""
+        for _ in range(events_max):
+            transport = self._transport
+            if self.busy or transport is None or transport.is_closing():
+                return True
+            if self._linger_until_s is not None:
+                return True
             try:
-                event = self._http.next_event()
+                event = self._next_event()
             except h11.RemoteProtocolError as error:
-                self._listener.on_malformed(self._peer, str(error))
+                self._listener.on_malformed(self.peer, str(error))
                 self.refuse(error.error_status_hint)
-                return
+                return True
             if event is h11.NEED_DATA:
                 self._send_continue_if_expected()
-                return
+                return True
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 self.close()
-                return
+                return True
             assert isinstance(event, h11.Event)
             self._process_event(event)
-            if self._transport is None or self._transport.is_closing():
-                return
-        read_ahead_bytes = len(self._http.trailing_data[0])
-        if read_ahead_bytes > READ_AHEAD_MAX_BYTES and self._transport is not None:
-            self._transport.pause_reading()
+        return False
 
     def _send_continue_if_expected(self) -> None:
         if self._http.they_are_waiting_for_100_continue:
@@ -312,36 +502,44 @@
 
     def _process_event(self, event: h11.Event) -> None:
         if isinstance(event, h11.Request):
-            self._incoming = _IncomingRequest(event, self._loop.time())
-            self.head_begun_s = None
-            self.last_activity_s = self._loop.time()
-            self._check_head(event)
+            self._begin_request(event)
         elif isinstance(event, h11.Data):
             assert self._incoming is not None
             self.last_activity_s = self._loop.time()
-            self._incoming.size_bytes += len(event.data)
-            self._incoming.chunks.append(bytes(event.data))
-            if self._incoming.size_bytes > self._listener.bounds.body_max_bytes:
+            self._incoming.body += event.data
+            if len(self._incoming.body) > self._listener.bounds.body_max_bytes:
                 self.refuse(413)
         elif isinstance(event, h11.EndOfMessage):
             self._dispatch()
 
+    def _begin_request(self, head: h11.Request) -> None:
+        now_s = self.last_activity_s = self._loop.time()
+        timeout_s = self._listener.bounds.body_timeout_s
+        caller_timeout_s = self._listener.caller_timeout_s(head.headers.raw_items())
+        if caller_timeout_s is not None:
+            timeout_s = min(timeout_s, caller_timeout_s)
+        held_bytes = _head_held_bytes(head)
+        self._incoming = _IncomingRequest(head, held_bytes, now_s, now_s + timeout_s)
+        self.head_begun_s = None
+        self._check_head(head)
+
     def _check_head(self, head: h11.Request) -> None:
-        """Rejects a head that other HTTP parsers could frame differently.
+        """Rejects a head that is too large, or announces a body that is.
 
-        Such requests can be used for request smuggling.
+        Also rejects one that other HTTP parsers could frame differently: such requests
+        can be used for request smuggling.
         """
         names = [name for name, _ in head.headers]
         if b"transfer-encoding" in names and b"content-length" in names:
-            self._listener.on_malformed(
-                self._peer, "both a length and chunked encoding"
-            )
+            self._listener.on_malformed(self.peer, "both a length and chunked encoding")
             self.refuse(400)
         elif names.count(b"transfer-encoding") > 1 or head.http_version != b"1.1":
-            self._listener.on_malformed(self._peer, "framing that is not HTTP/1.1")
+            self._listener.on_malformed(self.peer, "framing that is not HTTP/1.1")
             self.refuse(400)
-        elif _head_size_bytes(head) > self._listener.bounds.head_max_bytes:
+        elif _head_size_bytes(head) > self._head_max_bytes:
             self.refuse(431)
+        elif _announced_bytes(head) > self._listener.bounds.body_max_bytes:
+            self.refuse(413)
 
     def _dispatch(self) -> None:
         incoming = self._incoming
@@ -352,10 +550,11 @@
             self._method,
             incoming.head.target.decode("ascii"),
             incoming.head.headers.raw_items(),
-            b"".join(incoming.chunks),
+            bytes(incoming.body),
             incoming.received_s,
-            self._peer,
+            self.peer,
         )
+        self._request_bytes = incoming.head_held_bytes + BODY_COPIES * len(request.body)
         self._task = self._loop.create_task(self._handle(request))
 
     async def _handle(self, request: HttpRequest) -> None:
@@ -379,17 +578,21 @@
         self.last_activity_s = self._loop.time()
         if self._transport is None or self._transport.is_closing():
             return
+        next_request = self._unparsed or self._http.trailing_data[0]
         if self._http.our_state is not h11.DONE or self._listener.stopping:
             # Closed on a stop even if the head of the answer was sent before it and so
             # has no `Connection: close`: the caller's next request would be cut off
             # when the time to stop is over.
-            self.close()
+            if next_request:
+                self._linger()
+            else:
+                self.close()
             return
         self._http.start_next_cycle()
-        next_request = self._http.trailing_data[0]
         self.head_begun_s = self._loop.time() if next_request else None
-        self._transport.resume_reading()
-        self._process_events()
+        if not next_request:
+            self._parser_bytes = 0
+        self._process(EVENTS_AT_ONCE)
 
 
 def _is_chunked(method: str, status: int, headers: Headers) -> bool:
@@ -404,3 +607,16 @@
 
 def _head_size_bytes(head: h11.Request) -> int:
     return len(head.target) + sum(len(n) + len(v) + 4 for n, v in head.headers)
+
+
+def _head_held_bytes(head: h11.Request) -> int:
+    """Returns what a parsed head takes in memory."""
+    return _head_size_bytes(head) + HEADER_BYTES * len(head.headers)
+
+
+def _announced_bytes(head: h11.Request) -> int:
+    """Returns the length of the body that a head announces; 0 for none."""
+    for name, value in head.headers:
+        if name == b"content-length":
+            return int(value)
+    return 0
--- a/ashlatch/http/listener.py
+++ b/ashlatch/http/listener.py
@@ -13,26 +13,55 @@
 import socket
 from collections.abc import Callable
 
-from ashlatch.http.connection import Connection, Handler, HttpBounds
-from ashlatch.http.early import BACKLOG
+from ashlatch.clients import ClientPool
+from ashlatch.http.connection import (
+    Connection,
+    Handler,
+    Headers,
+    HttpBounds,
+    Refusal,
+)
+from ashlatch.http.early import ACCEPTED_PER_TURN, BACKLOG, listen
 
 __all__ = ["HttpListener"]
 
 # The interval of the check for idle and slow connections.
 SWEEP_INTERVAL_S = 0.25
+# The size of the kernel's buffer for a connection that is not read, which is memory of
+# the VM.
+RECEIVE_BUFFER_BYTES = 65_536
+RETRY_AFTER_S = 1
+
+
+def _plain_refusal(status: int) -> Refusal:
+    """Returns a refusal without a body; 503 tells when the caller may return."""
+    if status != 503:
+        return Refusal()
+    return Refusal([(b"Retry-After", str(RETRY_AFTER_S).encode())])
 
 
 class HttpListener:
     """Listens on one address and passes complete requests to `handler`.
 
-    A new connection for which `accepts` returns false is closed unread.
-    `on_malformed` is called with the peer and the reason if a malformed request is
-    rejected, `on_handler_error` with an exception that a handler raised.
+    `clients` limits what its connections hold, together with those of other listeners.
+    `refusal` returns the answer to a request that is not handled, by its status.
+    `caller_timeout_s` returns how long a caller waits, if the headers say so. A new
+    connection for which `accepts` returns false is closed unread. `on_malformed` is
+    called with the peer and the reason if a malformed request is rejected,
+    `on_handler_error` with an exception that a handler raised.
     """
 
-    def __init__(self, handler: Handler, bounds: HttpBounds | None = None) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        bounds: HttpBounds | None = None,
+        clients: ClientPool | None = None,
+    ) -> None:
         self.handler = handler
         self.bounds = bounds or HttpBounds()
+        self.clients = clients or ClientPool()
+        self.refusal: Callable[[int], Refusal] = _plain_refusal
+        self.caller_timeout_s: Callable[[Headers], float | None] = lambda headers: None
         self.connections: set[Connection] = set()
         self.active_requests = 0
         self.stopping = False
@@ -47,18 +76,14 @@
     ) -> None:
         """Starts to accept connections, on `early_socket` if there is one."""
         loop = asyncio.get_running_loop()
-        if early_socket is not None:
-            self._server = await loop.create_server(
-                lambda: Connection(self), sock=early_socket, backlog=BACKLOG
-            )
-        else:
-            self._server = await loop.create_server(
-                lambda: Connection(self),
-                host,
-                port,
-                backlog=BACKLOG,
-                reuse_address=True,
-            )
+        listening = early_socket or listen(host, port)
+        # Accepted connections inherit it.
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        # asyncio accepts as many connections in one turn as its backlog.
+        self._server = await loop.create_server(
+            lambda: Connection(self), sock=listening, backlog=ACCEPTED_PER_TURN
+        )
+        listening.listen(BACKLOG)
         self._sweeper = loop.create_task(self._sweep())
 
     def stop_accepting(self) -> None:
@@ -69,6 +94,8 @@
     def close_idle(self) -> None:
         """Closes the connections with no request that is read or handled."""
         for connection in list(self.connections):
+            if connection.linger_until_s is not None:
+                continue
             if not connection.busy and not connection.reading:
                 connection.close()
 
@@ -90,8 +117,16 @@
         if connection.busy:
             return
         begun_s = connection.head_begun_s
-        if begun_s is not None:
+        body_until_s = connection.body_until_s
+        if connection.linger_until_s is not None:
+            if now_s > connection.linger_until_s:
+                connection.abort()
+        elif begun_s is not None:
             if now_s - begun_s > self.bounds.head_timeout_s:
                 connection.refuse(408)
+        elif body_until_s is not None:
+            idle = now_s - connection.last_activity_s > self.bounds.idle_timeout_s
+            if idle or now_s > body_until_s:
+                connection.refuse(408)
         elif now_s - connection.last_activity_s > self.bounds.idle_timeout_s:
             connection.close()
--- a/ashlatch/metrics.py
+++ b/ashlatch/metrics.py
@@ -14,7 +14,8 @@
 
 from hdrh.histogram import HdrHistogram
 
-from ashlatch.http.connection import HttpRequest, Responder
+from ashlatch.clients import ClientPool
+from ashlatch.http.connection import HttpBounds, HttpRequest, Responder
 from ashlatch.http.listener import HttpListener
 
 __all__ = ["Metrics", "serve_metrics"]
@@ -23,6 +24,8 @@
 LATENCY_MAX_US = 600_000_000
 SIGNIFICANT_DIGITS = 2
 PERCENTILES = (50.0, 95.0, 99.0)
+# Requests for metrics have no body.
+BODY_MAX_BYTES = 1024
 
 
 class Metrics:
@@ -75,7 +78,9 @@
     return lines
 
 
-async def serve_metrics(metrics: Metrics, host: str, port: int) -> HttpListener:
+async def serve_metrics(
+    metrics: Metrics, host: str, port: int, clients: ClientPool
+) -> HttpListener:
     """Serves the metrics as text at `/metrics` on an address."""
 
     async def handle(request: HttpRequest, responder: Responder) -> None:
@@ -84,6 +89,7 @@
         kind = [(b"Content-Type", b"text/plain; charset=utf-8")]
         responder.respond(200 if found else 404, kind, body)
 
-    listener = HttpListener(handle)
+    bounds = HttpBounds(body_max_bytes=BODY_MAX_BYTES)
+    listener = HttpListener(handle, bounds, clients)
     await listener.start(host, port)
     return listener
--- a/ashlatch/platform/headers.py
+++ b/ashlatch/platform/headers.py
@@ -32,6 +32,7 @@
 __all__ = [
     "MalformedRequest",
     "caller_headers",
+    "caller_timeout_s",
     "decode_answer",
     "decode_request",
     "endpoint_headers",
@@ -315,6 +316,19 @@
     return key.strip() if scheme.lower() == "bearer" else ""
 
 
+def caller_timeout_s(headers: Headers) -> float | None:
+    """Returns how long a caller waits for its answer, None if it does not say.
+
+    An invalid value counts as none; `decode_request` reports it.
+    """
+    for name, value in headers:
+        if name.lower() == _TIMEOUT:
+            timeout_ms = _number(value.decode("latin-1"))
+            valid = timeout_ms is not None and timeout_ms >= 0.0
+            return timeout_ms / 1000.0 if timeout_ms is not None and valid else None
+    return None
+
+
 def _timeout_ms(text: str) -> float | None:
     if not text:
         return None
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -8,6 +8,7 @@
 import h11
 import testtools
 
+from ashlatch.clients import ClientPool
 from ashlatch.http.connection import (
     CallerGone,
     Connection,
@@ -15,6 +16,7 @@
     Headers,
     HttpBounds,
     HttpRequest,
+    Refusal,
     Responder,
 )
 
@@ -61,6 +63,9 @@
     def resume_reading(self) -> None:
         pass
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
 
 class FakeListener:
     """Handles requests with one answer, and keeps what went wrong."""
@@ -70,6 +75,9 @@
         self.connections: set[Connection] = set()
         self.active_requests = 0
         self.stopping = False
+        self.clients = ClientPool()
+        self.refusal: Callable[[int], Refusal] = lambda status: Refusal()
+        self.caller_timeout_s: Callable[[Headers], float | None] = lambda _: None
         self.accepts: Callable[[], bool] = lambda: True
         self.errors: list[str] = []
         self.answer = answer
