Answers with a status that HTTP does not have are broken answers

Seen on other systems: an endpoint in trouble answered with status 000, and the client got that. Here the parser of gateways rejects statuses below 100, so their callers got 502 already; but 600 to 999 were forwarded with the endpoint's seal, and lists, health answers and answers of other gateways with them were read. Ruled out for routers: curl rejects 000 to 099, and a service's status of 500 and more is a broken answer; fetch returned 600 to 999 to the other calls. Change: Upstream.read_head, through which gateways, relays, health checks and list reads go, and fetch raise their errors for statuses outside 100 to 599. The request may have run: it is repeated where that is allowed, else the caller gets 502.

Already right before: a router's service calls, and a repeat after an invalid status.

--- a/ashlatch/http/client.py
+++ b/ashlatch/http/client.py
@@ -19,6 +19,9 @@
 
 __all__ = ["Call", "Cancelled", "Reply", "fetch"]
 
+# The statuses of HTTP (RFC 9110, section 15).
+_STATUSES = range(100, 600)
+
 _local = threading.local()
 
 # Errors after which no byte of the request can have been sent.
@@ -47,7 +50,7 @@
     called when the connection is open and no byte of the request has been sent; if it
     returns false, the request is not sent. `repeatable` tells whether the request may
     be sent again, as curl does when a kept connection breaks. A call whose reply has a
-    body of more than `body_max_bytes` fails.
+    body of more than `body_max_bytes`, or a status that HTTP does not have, fails.
     """
 
     url: str
@@ -89,15 +92,17 @@
         self.status_reported = False
         self.size_bytes = 0
 
-    def on_header_line(self, line: bytes) -> None:
+    def on_header_line(self, line: bytes) -> int | None:
         text = line.decode("latin-1").strip()
         if text.startswith("HTTP/"):
             self.reply.status = int(text.split()[1])
             self.reply.headers.clear()
-            return
+            # Any number but that of the bytes makes curl fail with a write error.
+            return None if self.reply.status in _STATUSES else 0
         name, colon, value = text.partition(":")
         if colon:
             self.reply.headers[name.strip().lower()] = value.strip()
+        return None
 
     def report_status(self) -> None:
         """Reports the status once; called before a chunk and at the end of the reply.
--- a/ashlatch/http/upstream.py
+++ b/ashlatch/http/upstream.py
@@ -37,6 +37,8 @@
 READ_AHEAD_MAX_BYTES = 65_536
 # A server sends at most a few interim responses before the head of an answer.
 INTERIM_RESPONSES_MAX = 16
+# The largest status of HTTP (RFC 9110, section 15); the parser rejects those below 100.
+STATUS_MAX = 599
 _FRAMING = frozenset({b"content-length", b"transfer-encoding"})
 _NO_BODY = frozenset({204, 304})
 
@@ -183,6 +185,9 @@
         for _ in range(INTERIM_RESPONSES_MAX + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if event.status_code > STATUS_MAX:
+                    reason = f"status {event.status_code}"
+                    raise UpstreamBroken(self.address, reason)
                 self.delimited = _is_delimited(event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
