Streams of line ends are split in linear time, 256 events in a turn

An endpoint that sends line ends without end on a stream held the gateway's loop, and so all of its callers: for each event the splitter searched the rest of the data for the other terminator, and all events of one arrival were forwarded in one turn. Ruled out: heads and bodies of requests and answers; the parser rejects line ends there within a millisecond (64 and 256 KB, nine and six forms).

--- a/ashlatch/gateway/events.py
+++ b/ashlatch/gateway/events.py
@@ -9,9 +9,15 @@
 :license: MIT, see LICENSE for details.
 """
 
+import re
+from collections.abc import Iterator
 from dataclasses import dataclass
 
-__all__ = ["EventSplitter", "StreamEvent"]
+__all__ = ["EVENTS_TOGETHER", "EventSplitter", "StreamEvent"]
+
+# The events that are processed in one turn of the loop.
+EVENTS_TOGETHER = 256
+_TERMINATOR = re.compile(rb"\n\n|\r\n\r\n")
 
 _ID = b"id:"
 _LINE_ENDS = b"\r\n"
@@ -42,26 +48,22 @@
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Adds bytes; returns the events that are now complete."""
+        return [event for batch in self.batches(data) for event in batch]
+
+    def batches(self, data: bytes) -> Iterator[list[StreamEvent]]:
+        """Adds bytes; yields the events that are now complete, a few at a time."""
         buffer = self._buffer + data
         events = []
         begin = 0
-        while (end := _find_end(buffer, begin)) >= 0:
-            events.append(_event(buffer[begin:end]))
-            begin = end
+        for terminator in _TERMINATOR.finditer(buffer):
+            events.append(_event(buffer[begin : terminator.end()]))
+            begin = terminator.end()
+            if len(events) == EVENTS_TOGETHER:
+                yield events
+                events = []
         self._buffer = buffer[begin:]
-        return events
-
-
-def _find_end(buffer: bytes, begin: int) -> int:
-    """Returns where the event that begins here ends; -1 if it is not complete."""
-    line_feeds = buffer.find(b"\n\n", begin)
-    # Of several terminators the first counts. One that ends in the first line feed of
-    # the two begins before them.
-    searched = line_feeds + 1 if line_feeds >= 0 else len(buffer)
-    found = buffer.find(b"\r\n\r\n", begin, searched)
-    if found >= 0:
-        return found + 4
-    return line_feeds + 2 if line_feeds >= 0 else -1
+        if events:
+            yield events
 
 
 def _event(data: bytes) -> StreamEvent:
--- a/ashlatch/gateway/forwarding.py
+++ b/ashlatch/gateway/forwarding.py
@@ -8,6 +8,7 @@
 :license: MIT, see LICENSE for details.
 """
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -16,7 +17,7 @@
 from ashlatch.gateway.attempt import AttemptFailed, FailureKind
 from ashlatch.gateway.context import GatewayContext
 from ashlatch.gateway.crash_records import begin_answer, record_completion
-from ashlatch.gateway.events import EventSplitter, StreamEvent
+from ashlatch.gateway.events import EVENTS_TOGETHER, EventSplitter, StreamEvent
 from ashlatch.gateway.message import AnswerHead
 from ashlatch.gateway.request_record import RequestRecord
 from ashlatch.gateway.timeouts import AnswerTimeout
@@ -110,11 +111,14 @@
         begun = begin_answer(self._context, self._admission.fingerprints)
         splitter = EventSplitter()
         while (part := await source.part(timeout())) is not None:
-            self._forward_events(head, splitter.feed(part))
+            for events in splitter.batches(part):
+                self._forward_events(head, events)
+                await self._responder.drain()
+                if len(events) == EVENTS_TOGETHER:
+                    await asyncio.sleep(0)
             if len(splitter.remainder) > EVENT_MAX_BYTES:
                 self._context.metrics.count("answers_too_long")
                 raise AttemptFailed(FailureKind.BROKEN, "event too long")
-            await self._responder.drain()
         if splitter.remainder.strip():
             raise AttemptFailed(FailureKind.BROKEN, "stream ended within an event")
         await source.confirm_end()
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -1,10 +1,11 @@
 """Tests of the splitting of streams into server-sent events."""
 
 import random
+import time
 
 import testtools
 
-from ashlatch.gateway.events import EventSplitter, StreamEvent
+from ashlatch.gateway.events import EVENTS_TOGETHER, EventSplitter, StreamEvent
 
 PIECES = (
     b"id: 7\n",
@@ -39,6 +40,14 @@
 
 
 class EventSplitterTest(testtools.TestCase):
+    def test_line_ends_without_end_do_not_hold_the_process_up(self) -> None:
+        """Each event used to search the rest of the data for the other terminator."""
+        for data in (b"\r\n" * 131_072, b"\n" * 262_144, b"\r\n\r\n\n" * 52_428):
+            begun_s = time.monotonic()
+            batches = list(EventSplitter().batches(data))
+            self.assertLess(time.monotonic() - begun_s, 2.0)
+            self.assertLessEqual(max(map(len, batches)), EVENTS_TOGETHER)
+
     def test_streams_split_at_any_byte(self) -> None:
         """Guards against events that depend on how a stream arrives."""
         generator = random.Random(1)
