Clients: close those first that hold much without progress; smaller read-ahead

The order by memory and time since the request began closed honest large uploads like the largest-first order: within a second of a request its size decides. Progress counts now: a connection's time begins anew with each 64 KB that it sends or reads.

A gateway with a mixed crowd of 210 clients came to 144 MB of 150, and unread answers to 140 MB: the limit on memory is 40 MB now, and connections receive and read ahead 32 KB.

--- a/ashlatch/clients.py
+++ b/ashlatch/clients.py
@@ -23,6 +23,7 @@
 from ashlatch.registry import Variants
 
 __all__ = [
+    "PROGRESS_BYTES",
     "CLOSING_ORDERS",
     "ClientConnection",
     "ClientLimits",
@@ -41,6 +42,10 @@
 MEMORY_AFTER_CLOSING_RATIO = 0.875
 # The number of connections closed together to accept others, for the same reason.
 CLOSED_TOGETHER = 16
+# Added to the time without progress, so that size decides among those that have some.
+TIME_MIN_S = 0.01
+# A connection has made progress when it has received or sent this much more.
+PROGRESS_BYTES = 65_536
 # Connections over the limit that may stay open until their clients have read a refusal.
 REFUSED_MAX = 32
 
@@ -55,7 +60,7 @@
     `CLOSING_ORDERS`.
     """
 
-    held_max_bytes: int = 50_331_648
+    held_max_bytes: int = 41_943_040
     connections_max: int = 65_536
     descriptors_max: int = 0
     spared_s: float = 0.0
@@ -130,7 +135,7 @@
 @_order("costliest")
 def _costliest(use: ClientUse, now_s: float) -> float:
     """Ranks by memory and time: neither small nor fast connections come first."""
-    return use.held_bytes * (now_s - use.since_s + 1.0)
+    return use.held_bytes * (now_s - use.since_s + TIME_MIN_S)
 
 
 @dataclass(frozen=True)
@@ -156,7 +161,7 @@
     A connection calls `admit` when it is opened, `settle` when it holds more or less
     than before, and `remove` when it is closed. `count` increments a metric::
 
-        clients = ClientPool(ClientLimits(held_max_bytes=50_331_648))
+        clients = ClientPool(ClientLimits(held_max_bytes=41_943_040))
         if clients.admit(connection):
             clients.settle(connection)
     """
--- a/ashlatch/http/connection.py
+++ b/ashlatch/http/connection.py
@@ -16,7 +16,7 @@
 
 import h11
 
-from ashlatch.clients import ClientPool, ClientUse
+from ashlatch.clients import PROGRESS_BYTES, ClientPool, ClientUse
 from ashlatch.errors import AshlatchError
 from ashlatch.http.keepalive import CALLER_UNACKNOWLEDGED_MAX_MS, keep_alive
 from ashlatch.http.receiving import BoundedProtocol
@@ -36,7 +36,7 @@
 Headers = list[tuple[bytes, bytes]]
 
 # The limit on received bytes that wait to be parsed; beyond it, no more are read.
-READ_AHEAD_MAX_BYTES = 65_536
+READ_AHEAD_MAX_BYTES = 32_768
 # The limit on bytes that are passed to the parser together.
 PARSED_TOGETHER_BYTES = 65_536
 # The limits on parsed events when data arrives, which suffices for ordinary requests,
@@ -45,13 +45,13 @@
 EVENTS_PER_TURN = 64
 # What an open connection, a request that is handled and a header take in memory besides
 # their bytes.
-CONNECTION_BYTES = 12_288
+CONNECTION_BYTES = 8_192
 REQUEST_BYTES = 16_384
 HEADER_BYTES = 400
 # What the kernel may keep for a connection that is not read.
 KERNEL_BYTES = 131_072
 # What is read ahead of an endpoint's stream while its caller does not read.
-STREAM_BYTES = 131_072
+STREAM_BYTES = 65_536
 # A body that is handled is also in the write buffer of a connection to an endpoint.
 BODY_COPIES = 2
 # After a refusal, received data is dropped for this time and up to this size. Closing
@@ -177,14 +177,26 @@
 
 @dataclass
 class _IncomingRequest:
-    """A request that is being read; its body must be complete at `ends_s`."""
+    """A request that is being read; its body must be complete at `ends_s`.
+
+    `progress_s` is when its body had last grown by `PROGRESS_BYTES`.
+    """
 
     head: h11.Request
     head_held_bytes: int
     received_s: float
     ends_s: float
+    progress_s: float
+    progress_bytes: int = 0
     body: bytearray = field(default_factory=bytearray)
 
+    def add(self, data: bytes, now_s: float) -> None:
+        """Adds a part of the body."""
+        self.body += data
+        if len(self.body) - self.progress_bytes >= PROGRESS_BYTES:
+            self.progress_bytes = len(self.body)
+            self.progress_s = now_s
+
 
 class Connection(BoundedProtocol):
     """A connection from a caller; handles one request at a time."""
@@ -213,6 +225,9 @@
         self._unparsed = bytearray()
         self._parser_bytes = 0
         self._request_bytes = 0
+        # The write buffer when the caller had last read from it, and when that was.
+        self._unsent_bytes = 0
+        self._sent_s = 0.0
         self._deferred = False
         self._paused = False
         self._linger_until_s: float | None = None
@@ -276,7 +291,7 @@
         held_bytes = CONNECTION_BYTES + len(self._unparsed) + self._parser_bytes
         since_s = self.last_activity_s
         if self._incoming is not None:
-            since_s = self._incoming.received_s
+            since_s = self._incoming.progress_s
             held_bytes += self._incoming.head_held_bytes + len(self._incoming.body)
         elif self.head_begun_s is not None:
             since_s = self.head_begun_s
@@ -286,8 +301,10 @@
             held_bytes += KERNEL_BYTES
         if not self._writable.is_set():
             held_bytes += STREAM_BYTES if self.busy else 0
-        if self._transport is not None:
-            held_bytes += self._transport.get_write_buffer_size()
+        unsent_bytes = self._measure_unsent()
+        if unsent_bytes:
+            held_bytes += unsent_bytes
+            since_s = max(since_s, self._sent_s)
         if self._linger_until_s is not None:
             since_s = float("-inf")
         waits = self.busy and self._writable.is_set() and not self._paused
@@ -300,7 +317,7 @@
 
     def close_early(self) -> None:
         """Closes the connection, with a refusal if a request is being read."""
-        if self._linger_until_s is not None or self.busy or self._has_unsent:
+        if self._linger_until_s is not None or self.busy or self._measure_unsent():
             self.abort()
         elif self.reading:
             self.refuse(OVERLOADED_STATUS)
@@ -396,10 +413,16 @@
 
     # Internal.
 
-    @property
-    def _has_unsent(self) -> bool:
+    def _measure_unsent(self) -> int:
+        """Returns the size of the write buffer; notes when the caller reads from it."""
         transport = self._transport
-        return transport is not None and transport.get_write_buffer_size() > 0
+        unsent_bytes = transport.get_write_buffer_size() if transport else 0
+        read_bytes = self._unsent_bytes - unsent_bytes
+        if read_bytes >= PROGRESS_BYTES:
+            self._sent_s = self._loop.time()
+        if read_bytes < 0 or read_bytes >= PROGRESS_BYTES:
+            self._unsent_bytes = unsent_bytes
+        return unsent_bytes
 
     def _write(self, event: h11.Event) -> None:
         data = self._http.send(event)
@@ -506,7 +529,7 @@
         elif isinstance(event, h11.Data):
             assert self._incoming is not None
             self.last_activity_s = self._loop.time()
-            self._incoming.body += event.data
+            self._incoming.add(event.data, self.last_activity_s)
             if len(self._incoming.body) > self._listener.bounds.body_max_bytes:
                 self.refuse(413)
         elif isinstance(event, h11.EndOfMessage):
@@ -519,7 +542,9 @@
         if caller_timeout_s is not None:
             timeout_s = min(timeout_s, caller_timeout_s)
         held_bytes = _head_held_bytes(head)
-        self._incoming = _IncomingRequest(head, held_bytes, now_s, now_s + timeout_s)
+        self._incoming = _IncomingRequest(
+            head, held_bytes, now_s, now_s + timeout_s, now_s
+        )
         self.head_begun_s = None
         self._check_head(head)
 
--- a/ashlatch/http/receiving.py
+++ b/ashlatch/http/receiving.py
@@ -14,7 +14,7 @@
 
 __all__ = ["RECEIVED_MAX_BYTES", "BoundedProtocol"]
 
-RECEIVED_MAX_BYTES = 65_536
+RECEIVED_MAX_BYTES = 32_768
 
 
 class _Buffer(threading.local):
--- a/ashlatch/http/upstream.py
+++ b/ashlatch/http/upstream.py
@@ -34,7 +34,7 @@
 # The reason of a `ConnectFailed` if the VM is reachable but nothing listens there.
 CONNECT_REFUSED = ConnectionRefusedError.__name__
 # The limit on bytes that are received and not yet consumed by the request's task.
-READ_AHEAD_MAX_BYTES = 65_536
+READ_AHEAD_MAX_BYTES = 32_768
 # A server sends at most a few interim responses before the head of an answer.
 INTERIM_RESPONSES_MAX = 16
 # The largest status of HTTP (RFC 9110, section 15); the parser rejects those below 100.
--- a/ashlatch/rpc_connection.py
+++ b/ashlatch/rpc_connection.py
@@ -13,7 +13,7 @@
 import asyncio
 from typing import Any
 
-from ashlatch.clients import ClientPool, ClientUse
+from ashlatch.clients import PROGRESS_BYTES, ClientPool, ClientUse
 from ashlatch.http.receiving import BoundedProtocol
 
 __all__ = ["RpcConnection"]
@@ -62,7 +62,8 @@
         self._unprocessed = bytearray()
         self._preface_left_bytes = PREFACE_BYTES
         self._message_bytes = 0
-        self._message_s = self._loop.time()
+        self._progress_s = self._loop.time()
+        self._progress_bytes = 0
         self._deferred = False
         self._paused = False
 
@@ -77,8 +78,8 @@
 
     def message_received(self) -> None:
         """A whole message was read, so its data is no longer kept."""
-        self._message_bytes = 0
-        self._message_s = self._loop.time()
+        self._message_bytes = self._progress_bytes = 0
+        self._progress_s = self._loop.time()
 
     # Called by asyncio.
 
@@ -126,13 +127,13 @@
     # Called by the pool of clients.
 
     def use(self) -> ClientUse:
-        """Returns what the connection holds, and when its last message was read."""
+        """Returns what the connection holds, and when it last made progress."""
         held_bytes = CONNECTION_BYTES + len(self._unprocessed) + self._message_bytes
         if self._paused:
             held_bytes += KERNEL_BYTES
         if self._transport is not None:
             held_bytes += self._transport.get_write_buffer_size()
-        return ClientUse(held_bytes, self._message_s)
+        return ClientUse(held_bytes, self._progress_s)
 
     @property
     def closing(self) -> bool:
@@ -150,6 +151,9 @@
         if self.closing:
             return
         size_bytes = self._next_frames_bytes()
+        if self._message_bytes - self._progress_bytes >= PROGRESS_BYTES:
+            self._progress_bytes = self._message_bytes
+            self._progress_s = self._loop.time()
         if self._message_bytes > MESSAGE_MAX_BYTES:
             self.close_early()
             return
--- a/ashlatch/settings.py
+++ b/ashlatch/settings.py
@@ -87,7 +87,7 @@
     `body_timeout_ms`. `closing_order` names which connections are closed first.
     """
 
-    held_max_bytes: PositiveInt = 50_331_648
+    held_max_bytes: PositiveInt = 41_943_040
     descriptors_max: Annotated[int, Meta(ge=0)] = 0
     body_timeout_ms: PositiveInt = 60_000
     closing_order: Literal["largest", "slowest", "costliest"] = "costliest"
--- a/tests/crowds/test_gateway_crowds.py
+++ b/tests/crowds/test_gateway_crowds.py
@@ -130,6 +130,22 @@
     def test_endless_line_ends_behind_a_request_do_not_stop_service(self) -> None:
         self.check(Script(get("/get/1"), b"\r\n" * 32_768, ENDLESS))
 
+    def test_a_mixed_crowd_stays_within_the_memory(self) -> None:
+        block = stub_server.chunk(BLOCK)
+        scripts = [
+            Script(
+                post(f"Content-Length: {BODY_MAX_BYTES}"), BLOCK, BODY_MAX_BYTES - 1
+            ),
+            Script(post(CHUNKED), block, 63 * len(block)),
+            Script(post(CHUNKED), b"1\r\nx\r\n" * 4_096, ENDLESS),
+            Script(get("/get/long")),
+            Script(get("/get/silent"), get("/get/1") * 400, ENDLESS),
+            Script(post("Content-Length: 5", *["a:"] * 4_000)),
+            Script(b""),
+        ]
+        address = (self.host, FRONT_PORT)
+        self.check_crowd(self.process, address, scripts * 30, self.answered)
+
     def test_idle_connections_leave_descriptors_for_endpoints(self) -> None:
         limit_descriptors(self.process, 256)
         crowd = [Script(b"")] * 300
