Clients: connections that settle while they are closed don't close others

Closing a connection for memory refuses its request, which settles what it holds, which closed the next connection: one level of the stack for each, and RecursionError from some 160 small connections on, in the callback that received the data. Found by reading. Change: while one is closed, others are only measured; the loop goes on by itself. test_many_connections_that_settle_while_they_are_closed: RecursionError before.

--- a/ashlatch/clients.py
+++ b/ashlatch/clients.py
@@ -177,6 +177,8 @@
         self._held_bytes: dict[ClientConnection, int] = {}
         self.held_total_bytes = 0
         self._deferred: deque[ClientConnection] = deque()
+        # Set while connections are closed, which settle meanwhile.
+        self._closing = False
 
     @property
     def connections_max(self) -> int:
@@ -214,7 +216,7 @@
         if connection not in self._held_bytes:
             return
         self._measure(connection)
-        if self.held_total_bytes > self.limits.held_max_bytes:
+        if self.held_total_bytes > self.limits.held_max_bytes and not self._closing:
             self._close_for_memory()
 
     def defer(self, connection: ClientConnection) -> None:
@@ -280,6 +282,10 @@
         )
         emit(log, event, logging.WARNING)
         self._count(f"clients_closed_{reason}")
-        connection.close_early()
+        self._closing = True
+        try:
+            connection.close_early()
+        finally:
+            self._closing = False
         if connection in self._held_bytes:
             self._measure(connection)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -18,12 +18,14 @@
         self.held = ClientUse(held_bytes, since_s, closable)
         self.closing = False
         self.on_process: Callable[[], None] = lambda: None
+        self.on_close: Callable[[], None] = lambda: None
 
     def use(self) -> ClientUse:
         return ClientUse(0, 0.0) if self.closing else self.held
 
     def close_early(self) -> None:
         self.closing = True
+        self.on_close()
 
     def process(self) -> None:
         self.on_process()
@@ -68,6 +70,21 @@
         limits = ClientLimits(connections_max=3, spared_s=1.0)
         self.assertEqual([True, False, False, False], self.closed(limits, *clients))
 
+    def test_many_connections_that_settle_while_they_are_closed(self) -> None:
+        """Each closed the next one, until the stack was used up."""
+
+        async def run() -> None:
+            pool = ClientPool(ClientLimits(held_max_bytes=4_000))
+            opened = [FakeConnection(1, 1.0) for _ in range(4_000)]
+            for connection in opened:
+                connection.on_close = lambda c=connection: pool.settle(c)  # type: ignore[misc]
+                pool.admit(connection)
+            # All that may be closed hold little; the one that is too large waits.
+            pool.admit(FakeConnection(4_000, 0.0, closable=False))
+            self.assertTrue(all(connection.closing for connection in opened))
+
+        asyncio.run(run())
+
     def test_deferred_connections_take_turns_with_others(self) -> None:
         """One connection's data used to be parsed to its end."""
         order: list[str] = []
