Clients: descriptors are limited by a default, not by the deploy templates

Change: clients.descriptors_max is 4,096 by default, what the smallest VM has, or what the system allows if that is less; the templates are as before. Ruled out: a variable in the environment, which would be a second place of settings.

--- a/ashlatch/settings.py
+++ b/ashlatch/settings.py
@@ -82,13 +82,14 @@
     """Limits on what all clients of a process make it keep.
 
     `held_max_bytes` is the memory for their connections, requests and unread answers.
-    They may have three quarters of the descriptors: `descriptors_max`, or what the
-    operating system allows if that is 0 or more. A request must be received within
-    `body_timeout_ms`. `closing_order` names which connections are closed first.
+    They may have three quarters of the descriptors: of `descriptors_max`, or of what
+    the operating system allows if that is less, or if `descriptors_max` is 0. A request
+    must be received within `body_timeout_ms`. `closing_order` names which connections
+    are closed first.
     """
 
     held_max_bytes: PositiveInt = 41_943_040
-    descriptors_max: Annotated[int, Meta(ge=0)] = 0
+    descriptors_max: Annotated[int, Meta(ge=0)] = 4096
     body_timeout_ms: PositiveInt = 60_000
     closing_order: Literal["largest", "slowest", "costliest"] = "costliest"
 
